feat: lay out the workspace, domain types, interfaces and protocols

Cause: nothing exists yet; the slices need one set of types, interfaces and wire protocols to meet at before they can be written side by side. Ruled out: one package for the whole daemon (slices would share internals); tags on domain types (the house style asks for codecs by hand).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+MODULES := . ./winchd ./winchctl ./standin ./winchload
+PACKAGES := ./... ./winchd/... ./winchctl/... ./standin/... ./winchload/...
+TOOL := go tool -modfile=tools/go.mod
+export GOFLAGS := -buildvcs=false
+
+.PHONY: all build check test race model known-red run up fmt faults
+
+all: build
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./winchd ./winchctl ./standin ./winchload
+
+fmt:
+	gofmt -s -w $(MODULES)
+
+check:
+	@test -z "$$(gofmt -s -l $(MODULES))" || { gofmt -s -l $(MODULES); echo "run make fmt"; exit 1; }
+	go vet $(PACKAGES)
+	cd tools && go build -o ../bin/tools/ honnef.co/go/tools/cmd/staticcheck github.com/mgechev/revive
+	bin/tools/staticcheck $(PACKAGES)
+	bin/tools/revive -config revive.toml -formatter friendly $(PACKAGES)
+
+test: build
+	go test $(PACKAGES)
+
+race:
+	go test -race -short $(PACKAGES)
+
+model:
+	@if [ -x models/run ]; then models/run; else echo "no models yet"; fi
+
+known-red:
+	@if [ -s KNOWN-RED.txt ]; then echo "Known red:"; cat KNOWN-RED.txt; else echo "known red: none"; fi
--- /dev/null
+++ b/httpjson/client.go
@@ -0,0 +1,229 @@
+// Package httpjson carries JSON over HTTP between the system's processes and to
+// the platform: a client that says for each failure whether the call can have
+// taken effect, and helpers for handlers.
+//
+// # Usage
+//
+//	client, err := httpjson.NewClient(httpjson.Options{Address: "127.0.0.1:7000", Timeout: time.Second})
+//	if err != nil {
+//		return err
+//	}
+//	var answer listAnswer
+//	err = client.Call(ctx, "/v1/list", listCall{Prefix: "notes/"}, &answer)
+//
+// Errors are the sentinels of package winch. ErrUnavailable, ErrRateLimited,
+// ErrConflict, ErrFenced, ErrNotFound, ErrUnauthorized and ErrInvalid say that the
+// call had no effect; ErrOutcomeUnknown says that it may have had one.
+package httpjson
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/arbutuswinch/winch"
+)
+
+const (
+	defaultTimeout    = 2 * time.Second
+	defaultDial       = time.Second
+	defaultAnswerSize = 8 << 20
+)
+
+// Options are the settings of a client. The zero value of a limit stands for its default.
+type Options struct {
+	// Address is the IP number and port of the server.
+	Address string
+	// Secret is sent as bearer token when set.
+	Secret string
+	// Timeout bounds a call whose context has no earlier deadline.
+	Timeout time.Duration
+	// AnswerLimit is the largest answer in bytes.
+	AnswerLimit int64
+	// Transport replaces the default one.
+	Transport http.RoundTripper
+}
+
+// Client calls one server. It is safe for concurrent use.
+type Client struct {
+	options Options
+	http    *khttp.Client
+}
+
+// Error is an error answer of the server. It matches the sentinel that belongs to its status.
+type Error struct {
+	Status  int
+	Code    string
+	Message string
+	// Body is the answer as it came.
+	Body []byte
+	// RetryAfter is zero when the answer names none.
+	RetryAfter time.Duration
+	kind       error
+}
+
+// Error returns the code and the message.
+func (e *Error) Error() string { return fmt.Sprintf("%s: %s (status %d)", e.Code, e.Message, e.Status) }
+
+// Unwrap returns the sentinel of the status.
+func (e *Error) Unwrap() error { return e.kind }
+
+// NewTransport returns a transport for calls by IP number, without proxies.
+func NewTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: defaultDial, KeepAlive: 15 * time.Second}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}
+}
+
+// NewClient returns a client for the server at options.Address.
+func NewClient(options Options) (*Client, error) {
+	if options.Timeout == 0 {
+		options.Timeout = defaultTimeout
+	}
+	if options.AnswerLimit == 0 {
+		options.AnswerLimit = defaultAnswerSize
+	}
+	if options.Transport == nil {
+		options.Transport = NewTransport()
+	}
+	client, err := khttp.NewClient(context.Background(),
+		khttp.WithEndpoint(options.Address),
+		khttp.WithTransport(options.Transport),
+		khttp.WithTimeout(0),
+		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("create client for %s: %w", options.Address, err)
+	}
+	return &Client{options: options, http: client}, nil
+}
+
+// Call posts in as JSON to the path and decodes the answer into out, unless out is nil.
+func (c *Client) Call(ctx context.Context, path string, in, out any) error {
+	return c.Do(ctx, http.MethodPost, path, in, out)
+}
+
+// Fetch gets the path and decodes the answer into out.
+func (c *Client) Fetch(ctx context.Context, path string, out any) error {
+	return c.Do(ctx, http.MethodGet, path, nil, out)
+}
+
+// Do sends a call with any method; in may be nil.
+func (c *Client) Do(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
+	defer cancel()
+	request, written, err := c.request(ctx, method, path, in)
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return sendError(method, path, written.Load(), err)
+	}
+	defer response.Body.Close()
+	return c.answer(response, method, path, out)
+}
+
+// request builds the call. The body cannot be read twice, so that the transport never repeats it.
+func (c *Client) request(ctx context.Context, method, path string, in any) (*http.Request, *atomic.Bool, error) {
+	var body io.Reader
+	if in != nil {
+		encoded, err := json.Marshal(in)
+		if err != nil {
+			return nil, nil, fmt.Errorf("encode call of %s: %w", path, err)
+		}
+		body = bytes.NewReader(encoded)
+	}
+	written := &atomic.Bool{}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { written.Store(true) }}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, "http://"+c.options.Address+path, body)
+	if err != nil {
+		return nil, nil, fmt.Errorf("build call of %s: %w", path, err)
+	}
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	if c.options.Secret != "" {
+		request.Header.Set("Authorization", "Bearer "+c.options.Secret)
+	}
+	return request, written, nil
+}
+
+func (c *Client) answer(response *http.Response, method, path string, out any) error {
+	body, err := io.ReadAll(io.LimitReader(response.Body, c.options.AnswerLimit+1))
+	if err != nil {
+		return fmt.Errorf("read answer of %s: %w: %w", path, winch.ErrOutcomeUnknown, err)
+	}
+	if int64(len(body)) > c.options.AnswerLimit {
+		return fmt.Errorf("read answer of %s: more than %d bytes: %w", path, c.options.AnswerLimit, winch.ErrOutcomeUnknown)
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("%s %s: %w", method, path, statusError(response, body))
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return fmt.Errorf("decode answer of %s: %w: %w", path, winch.ErrOutcomeUnknown, err)
+	}
+	return nil
+}
+
+func sendError(method, path string, written bool, err error) error {
+	if written {
+		return fmt.Errorf("%s %s: %w: %w", method, path, winch.ErrOutcomeUnknown, err)
+	}
+	return fmt.Errorf("%s %s: %w: %w", method, path, winch.ErrUnavailable, err)
+}
+
+func statusError(response *http.Response, body []byte) *Error {
+	decoded := errorAnswer{}
+	if err := json.Unmarshal(body, &decoded); err != nil || decoded.Code == "" {
+		decoded = errorAnswer{Code: "status", Message: http.StatusText(response.StatusCode)}
+	}
+	seconds, _ := time.ParseDuration(response.Header.Get("Retry-After") + "s")
+	return &Error{
+		Status: response.StatusCode, Code: decoded.Code, Message: decoded.Message,
+		Body: body, RetryAfter: seconds, kind: kindOf(response.StatusCode),
+	}
+}
+
+func kindOf(status int) error {
+	switch status {
+	case http.StatusNotFound:
+		return winch.ErrNotFound
+	case http.StatusConflict:
+		return winch.ErrConflict
+	case http.StatusPreconditionFailed:
+		return winch.ErrFenced
+	case http.StatusTooManyRequests:
+		return winch.ErrRateLimited
+	case http.StatusServiceUnavailable:
+		return winch.ErrUnavailable
+	case http.StatusUnauthorized, http.StatusForbidden:
+		return winch.ErrUnauthorized
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return winch.ErrInvalid
+	}
+	return winch.ErrOutcomeUnknown
+}
+
+// StatusOf returns the error answer inside err, if there is one.
+func StatusOf(err error) (*Error, bool) {
+	var answer *Error
+	found := errors.As(err, &answer)
+	return answer, found
+}
--- /dev/null
+++ b/httpjson/server.go
@@ -0,0 +1,78 @@
+package httpjson
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/arbutuswinch/winch"
+)
+
+type errorAnswer struct {
+	Code    string
+	Message string
+}
+
+// Decode reads the request's body into out. Unknown fields and bodies over limit
+// bytes are errors that match ErrInvalid.
+func Decode(w http.ResponseWriter, r *http.Request, limit int64, out any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(out); err != nil {
+		return fmt.Errorf("decode body: %w: %w", winch.ErrInvalid, err)
+	}
+	return nil
+}
+
+// Write answers with the status and value as JSON.
+func Write(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// WriteError answers with the status that belongs to err.
+func WriteError(w http.ResponseWriter, err error) {
+	status, code := statusOf(err)
+	Write(w, status, errorAnswer{Code: code, Message: err.Error()})
+}
+
+func statusOf(err error) (int, string) {
+	switch {
+	case errors.Is(err, winch.ErrInvalid):
+		return http.StatusBadRequest, "invalid"
+	case errors.Is(err, winch.ErrUnauthorized):
+		return http.StatusUnauthorized, "unauthorized"
+	case errors.Is(err, winch.ErrNotFound):
+		return http.StatusNotFound, "not_found"
+	case errors.Is(err, winch.ErrConflict):
+		return http.StatusConflict, "conflict"
+	case errors.Is(err, winch.ErrFenced):
+		return http.StatusPreconditionFailed, "fenced"
+	case errors.Is(err, winch.ErrRateLimited):
+		return http.StatusTooManyRequests, "rate_limited"
+	case errors.Is(err, winch.ErrUnavailable), errors.Is(err, winch.ErrNotInCharge), errors.Is(err, winch.ErrIsolated):
+		return http.StatusServiceUnavailable, "unavailable"
+	case errors.Is(err, winch.ErrOutcomeUnknown):
+		return http.StatusBadGateway, "outcome_unknown"
+	}
+	return http.StatusInternalServerError, "internal"
+}
+
+// RequireSecret passes on only the requests whose bearer token is the secret.
+func RequireSecret(secret string, next http.Handler) http.Handler {
+	want := sha256.Sum256([]byte(secret))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		got := sha256.Sum256([]byte(token))
+		if !found || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+			WriteError(w, fmt.Errorf("bearer token: %w", winch.ErrUnauthorized))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is part of arbutuswinch.
+package main
+
+func main() {}
--- /dev/null
+++ b/winchctl/main.go
@@ -0,0 +1,4 @@
+// Command winchctl is part of arbutuswinch.
+package main
+
+func main() {}
--- /dev/null
+++ b/winchd/main.go
@@ -0,0 +1,4 @@
+// Command winchd is part of arbutuswinch.
+package main
+
+func main() {}
--- /dev/null
+++ b/winchload/main.go
@@ -0,0 +1,4 @@
+// Command winchload is part of arbutuswinch.
+package main
+
+func main() {}
