--- /dev/null
+++ b/standin/counts/counts.go
@@ -0,0 +1,52 @@
+// Package counts counts calls by service and kind.
+//
+// # Usage
+//
+//	table := counts.New()
+//	table.Add("keyvalue", "put")
+//	calls := table.Snapshot()["keyvalue"]["put"]
+package counts
+
+import "sync"
+
+// Service names a stand-in service.
+type Service string
+
+// Kind names a kind of call.
+type Kind string
+
+// Table holds the counts. It is safe for concurrent use.
+type Table struct {
+	mu     sync.Mutex
+	counts map[Service]map[Kind]int64
+}
+
+// New returns an empty table.
+func New() *Table { return &Table{counts: map[Service]map[Kind]int64{}} }
+
+// Add counts one call.
+func (t *Table) Add(service Service, kind Kind) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	kinds := t.counts[service]
+	if kinds == nil {
+		kinds = map[Kind]int64{}
+		t.counts[service] = kinds
+	}
+	kinds[kind]++
+}
+
+// Snapshot returns a copy.
+func (t *Table) Snapshot() map[Service]map[Kind]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[Service]map[Kind]int64, len(t.counts))
+	for service, kinds := range t.counts {
+		inner := make(map[Kind]int64, len(kinds))
+		for kind, count := range kinds {
+			inner[kind] = count
+		}
+		out[service] = inner
+	}
+	return out
+}
--- /dev/null
+++ b/standin/endpoint.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/arbutuswinch/winch/standin/engine"
+	"github.com/arbutuswinch/winch/standin/fleet"
+	"github.com/arbutuswinch/winch/standin/orders"
+	"github.com/arbutuswinch/winch/standin/server"
+	"github.com/arbutuswinch/winch/standin/service"
+	"github.com/arbutuswinch/winch/standin/settings"
+)
+
+// observeInterval is the time between the load readings of plain services.
+const observeInterval = 20 * time.Millisecond
+
+// engineRunner is an engine with its server.
+type engineRunner struct {
+	*server.Server
+	engine *engine.Engine
+}
+
+// SetState changes the state that the engine reports.
+func (r *engineRunner) SetState(now time.Time, state fleet.State) {
+	r.engine.SetState(now, engine.State(state))
+}
+
+// Crash cuts everything off and loses the cache.
+func (r *engineRunner) Crash() {
+	r.Refuse()
+	r.engine.Crash()
+}
+
+// serviceRunner is a plain service with its server.
+type serviceRunner struct {
+	*server.Server
+	service *service.Service
+}
+
+// SetState changes the state that the service reports.
+func (r *serviceRunner) SetState(now time.Time, state fleet.State) {
+	r.service.SetState(now, service.State(state))
+}
+
+// Crash cuts everything off.
+func (r *serviceRunner) Crash() { r.Refuse() }
+
+func (p *platform) startEngines() error {
+	for _, section := range p.settings.Engines {
+		models := make([]engine.Weights, 0, len(section.Models))
+		for _, model := range section.Models {
+			models = append(models, engine.Weights(model))
+		}
+		runner, err := p.startEngine(section, models, engine.StateReady)
+		if err != nil {
+			return fmt.Errorf("start engine %s: %w", section.ID, err)
+		}
+		p.addresses["engine/"+section.ID] = runner.Address()
+		p.fleet.Add(time.Now(), fleet.Endpoint{
+			ID: section.ID, DataCentre: section.DataCentre, Address: runner.Address(), Model: firstModel(models),
+			Supply: supplyOf(section.Supply), State: fleet.Ready, Kind: "engine",
+		}, runner)
+	}
+	return nil
+}
+
+func (p *platform) startEngine(section settings.Engine, models []engine.Weights, state engine.State) (*engineRunner, error) {
+	own := engine.New(engine.Options{
+		ID: section.ID, Models: models, BatchLimit: section.BatchLimit, WaitLimit: section.WaitLimit,
+		StepBase: time.Duration(section.StepBase), StepPerSequence: time.Duration(section.StepPerSequence),
+		PrefillTokensPerSecond: section.PrefillTokensPerSecond, ChunkTokens: section.ChunkTokens, CacheTokens: section.CacheTokens,
+		ReportLag: time.Duration(section.ReportLag), EventLag: time.Duration(section.EventLag), EventGap: section.EventGap,
+		ChecksFencing: section.ChecksFencing, Preempts: section.Preempts, WeightStore: p.addresses["weights"],
+		Seed: p.settings.Seed, Counts: p.counts, Board: p.board, Logger: p.logger,
+	})
+	own.SetState(time.Now(), state)
+	running, err := p.serve(section.Address, own)
+	if err != nil {
+		return nil, err
+	}
+	go own.Run(p.ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engines = append(p.engines, own)
+	return &engineRunner{Server: running, engine: own}, nil
+}
+
+// Start starts an ordered engine, which takes no work until it is ready.
+func (p *platform) Start(id, centre string, pool orders.Pool) (string, fleet.Runner, error) {
+	section := p.settings.Orders.Engine
+	section.ID, section.DataCentre = id, centre
+	host := p.settings.Orders.EngineHost
+	if host == "" {
+		host = "127.0.0.1"
+	}
+	section.Address = net.JoinHostPort(host, "0")
+	models := []engine.Weights{{Model: pool.Model, Adapter: pool.Adapter, Version: pool.Version}}
+	runner, err := p.startEngine(section, models, engine.StateWarming)
+	if err != nil {
+		return "", nil, fmt.Errorf("start engine %s: %w", id, err)
+	}
+	return runner.Address(), runner, nil
+}
+
+func (p *platform) startServices() error {
+	for _, section := range p.settings.Services {
+		own := service.New(service.Options{
+			ID: section.ID, Time: time.Duration(section.Time), Slots: section.Slots, RecordLimit: section.RecordLimit,
+			ReportLag: time.Duration(section.ReportLag), Counts: p.counts, Board: p.board,
+		})
+		running, err := p.serve(section.Address, own)
+		if err != nil {
+			return fmt.Errorf("start service %s: %w", section.ID, err)
+		}
+		p.addresses["service/"+section.ID] = running.Address()
+		p.services = append(p.services, own)
+		p.fleet.Add(time.Now(), fleet.Endpoint{
+			ID: section.ID, DataCentre: section.DataCentre, Address: running.Address(),
+			Supply: supplyOf(section.Supply), State: fleet.Ready, Kind: "service",
+		}, &serviceRunner{Server: running, service: own})
+	}
+	go p.observe(p.ctx)
+	return nil
+}
+
+// observe reads the load of plain services, which have no loop of their own.
+func (p *platform) observe(ctx context.Context) {
+	ticker := time.NewTicker(observeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			for _, own := range p.services {
+				own.Observe(now)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func supplyOf(name string) fleet.Supply {
+	if name == "" {
+		return fleet.Steady
+	}
+	return fleet.Supply(name)
+}
+
+func firstModel(models []engine.Weights) string {
+	if len(models) == 0 {
+		return ""
+	}
+	return models[0].Model
+}
--- /dev/null
+++ b/standin/engine/batch.go
@@ -0,0 +1,172 @@
+package engine
+
+import (
+	"sort"
+	"sync/atomic"
+	"time"
+)
+
+// sequence is one request in the engine. The fields above the line belong to
+// the batch; the others are shared with the request's handler.
+type sequence struct {
+	id       string
+	priority int
+	order    int64
+	prompt   prompt
+	// prefill is how many tokens are still to be computed before the next output token.
+	prefill int
+	cached  int
+
+	produced atomic.Int64
+	ended    atomic.Bool
+	wake     chan struct{}
+}
+
+func (s *sequence) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *sequence) before(other *sequence) bool {
+	if s.priority != other.priority {
+		return s.priority < other.priority
+	}
+	return s.order < other.order
+}
+
+// speed says how long steps take.
+type speed struct {
+	stepBase        time.Duration
+	stepPerSequence time.Duration
+	prefillPerToken time.Duration
+	chunkTokens     int
+}
+
+// batch decides what the engine computes in each step.
+type batch struct {
+	limit    int
+	preempts bool
+	speed    speed
+	waiting  []*sequence
+	running  []*sequence
+}
+
+// step is the work of one pass over the batch.
+type step struct {
+	decoding   []*sequence
+	prefilling []*sequence
+	chunks     []int
+	duration   time.Duration
+}
+
+func (b *batch) enqueue(added *sequence) {
+	at := sort.Search(len(b.waiting), func(i int) bool { return added.before(b.waiting[i]) })
+	b.waiting = append(b.waiting, nil)
+	copy(b.waiting[at+1:], b.waiting[at:])
+	b.waiting[at] = added
+}
+
+// dropEnded removes what was cancelled.
+func (b *batch) dropEnded() {
+	b.waiting = alive(b.waiting)
+	b.running = alive(b.running)
+}
+
+func alive(sequences []*sequence) []*sequence {
+	kept := sequences[:0]
+	for _, s := range sequences {
+		if !s.ended.Load() {
+			kept = append(kept, s)
+		}
+	}
+	clear(sequences[len(kept):])
+	return kept
+}
+
+// admit moves waiting work into the batch, the most urgent first, and returns
+// what entered and what was put back for it.
+func (b *batch) admit() (entered, preempted []*sequence) {
+	for len(b.waiting) > 0 {
+		next := b.waiting[0]
+		if len(b.running) >= b.limit {
+			victim := b.victim(next)
+			if victim < 0 {
+				break
+			}
+			preempted = append(preempted, b.running[victim])
+			b.running = append(b.running[:victim], b.running[victim+1:]...)
+		}
+		b.waiting = b.waiting[1:]
+		b.running = append(b.running, next)
+		entered = append(entered, next)
+	}
+	for _, victim := range preempted {
+		b.enqueue(victim)
+	}
+	return entered, preempted
+}
+
+// victim returns the least urgent and youngest work that is less urgent than next, or -1.
+func (b *batch) victim(next *sequence) int {
+	if !b.preempts {
+		return -1
+	}
+	worst := -1
+	for i, s := range b.running {
+		if s.priority > next.priority && (worst < 0 || b.running[worst].before(s)) {
+			worst = i
+		}
+	}
+	return worst
+}
+
+// plan returns the next step; false when there is nothing to do.
+func (b *batch) plan() (step, bool) {
+	if len(b.running) == 0 {
+		return step{}, false
+	}
+	planned := step{}
+	budget := b.speed.chunkTokens
+	for _, s := range b.running {
+		if s.prefill == 0 {
+			planned.decoding = append(planned.decoding, s)
+			continue
+		}
+		if chunk := min(s.prefill, budget); chunk > 0 {
+			budget -= chunk
+			planned.prefilling = append(planned.prefilling, s)
+			planned.chunks = append(planned.chunks, chunk)
+		}
+	}
+	computed := time.Duration(b.speed.chunkTokens - budget)
+	planned.duration = b.speed.stepBase +
+		time.Duration(len(planned.decoding))*b.speed.stepPerSequence +
+		computed*b.speed.prefillPerToken
+	return planned, true
+}
+
+// finish applies a step. It returns the prompts whose prefill ended and the
+// number of output tokens, and drops the sequences that are complete.
+func (b *batch) finish(done step) (prefilled []*sequence, tokens, completed int) {
+	for i, s := range done.prefilling {
+		s.prefill -= done.chunks[i]
+		if s.prefill == 0 {
+			prefilled = append(prefilled, s)
+			done.decoding = append(done.decoding, s)
+		}
+	}
+	for _, s := range done.decoding {
+		if s.ended.Load() {
+			continue
+		}
+		tokens++
+		if int(s.produced.Add(1)) >= s.prompt.length {
+			s.ended.Store(true)
+			completed++
+		}
+		s.signal()
+	}
+	return prefilled, tokens, completed
+}
--- /dev/null
+++ b/standin/engine/codec.go
@@ -0,0 +1,145 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// completionCall is the callers' protocol, for chat and for plain completions.
+// Fields that do not change what the stand-in does are passed over.
+type completionCall struct {
+	Model               string         `json:"model"`
+	Prompt              string         `json:"prompt"`
+	Messages            []message      `json:"messages"`
+	MaxTokens           int            `json:"max_tokens"`
+	MaxCompletionTokens int            `json:"max_completion_tokens"`
+	Stream              bool           `json:"stream"`
+	StreamOptions       *streamOptions `json:"stream_options"`
+	Resume              *resume        `json:"resume"`
+	ImportHandle        string         `json:"import_handle"`
+}
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type resume struct {
+	Tokens int    `json:"tokens"`
+	Text   string `json:"text"`
+}
+
+type contentPart struct {
+	Text string `json:"text"`
+}
+
+// text returns the prompt's text: the prompt, or role and content of each message, a line each.
+func (c completionCall) text() (string, error) {
+	if len(c.Messages) == 0 {
+		return c.Prompt, nil
+	}
+	text := strings.Builder{}
+	for i, m := range c.Messages {
+		content, err := m.text()
+		if err != nil {
+			return "", fmt.Errorf("messages[%d]: %w", i, err)
+		}
+		text.WriteString(m.Role)
+		text.WriteByte('\n')
+		text.WriteString(content)
+		text.WriteByte('\n')
+	}
+	return text.String(), nil
+}
+
+func (m message) text() (string, error) {
+	plain := ""
+	if err := json.Unmarshal(m.Content, &plain); err == nil {
+		return plain, nil
+	}
+	parts := []contentPart{}
+	if err := json.Unmarshal(m.Content, &parts); err != nil {
+		return "", fmt.Errorf("read content: %w", err)
+	}
+	text := strings.Builder{}
+	for _, part := range parts {
+		text.WriteString(part.Text)
+	}
+	return text.String(), nil
+}
+
+func (c completionCall) limit() int { return max(c.MaxTokens, c.MaxCompletionTokens) }
+
+func (c completionCall) wantsUsage() bool {
+	return !c.Stream || (c.StreamOptions != nil && c.StreamOptions.IncludeUsage)
+}
+
+type usage struct {
+	PromptTokens     int          `json:"prompt_tokens"`
+	CompletionTokens int          `json:"completion_tokens"`
+	TotalTokens      int          `json:"total_tokens"`
+	Details          usageDetails `json:"prompt_tokens_details"`
+}
+
+type usageDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+type errorAnswer struct {
+	Error errorDetail `json:"error"`
+	Code  string
+	// Message repeats the error's text for clients of the platform's format.
+	Message string
+}
+
+type errorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+}
+
+type exportAnswer struct{ Handle string }
+
+type loadAnswer struct {
+	AsOf            time.Time
+	Running         int
+	Waiting         int
+	TokensPerSecond float64
+	CacheUsed       int
+	CacheLimit      int
+	Models          []Weights
+	Role            string
+	State           State
+}
+
+type eventsAnswer struct {
+	Events []eventAnswer
+	Next   int64
+}
+
+type eventAnswer struct {
+	Sequence int64
+	Prefix   uint64
+	Evicted  bool
+}
+
+type orderCall struct {
+	OrderID       string
+	FencingNumber int64
+	Load          []Weights
+	Role          string
+}
+
+type orderAnswer struct{ OrderID string }
+
+type fencedAnswer struct {
+	Code    string
+	Message string
+	Highest int64
+}
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,374 @@
+// Package engine is a stand-in for a model engine: it batches continuously,
+// caches prompt prefixes in limited memory, honours priorities, resumes, cancels,
+// exports and imports streams, and publishes its load and cache events late.
+//
+// One goroutine steps the whole batch, and chunks are laid out before the first
+// token, so that a token costs a counter, a signal and one write.
+//
+// # Usage
+//
+//	own := engine.New(engine.Options{ID: "a1", Models: []engine.Weights{{Model: "small"}}})
+//	go own.Run(ctx)
+//	running, err := server.Start("127.0.0.1:0", own)
+//
+// The text of an output token depends on the prompt and the token's index only,
+// see Token, so that a reader can check each token over a resume.
+package engine
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/arbutuswinch/winch/standin/counts"
+	"github.com/arbutuswinch/winch/standin/fault"
+	"github.com/arbutuswinch/winch/standin/wire"
+)
+
+// The defaults of the options.
+const (
+	DefaultBatchLimit             = 16
+	DefaultWaitLimit              = 64
+	DefaultStepBase               = 15 * time.Millisecond
+	DefaultStepPerSequence        = 500 * time.Microsecond
+	DefaultPrefillTokensPerSecond = 10000
+	DefaultChunkTokens            = 512
+	DefaultCacheTokens            = 200_000
+	DefaultReportLag              = 200 * time.Millisecond
+	DefaultEventLag               = 300 * time.Millisecond
+)
+
+const (
+	jitter = 0.05
+	// catchUp is how far the engine may be behind before it gives lost time up.
+	catchUp = 100 * time.Millisecond
+	// importGain is how much faster computed state is imported than computed.
+	importGain = 10
+)
+
+// State tells whether the engine takes work.
+type State string
+
+// The states of an engine.
+const (
+	StateReady   State = "ready"
+	StateWarming State = "warming"
+	StateLeaving State = "leaving"
+)
+
+// Weights names what an engine has loaded.
+type Weights struct {
+	Model   string
+	Adapter string
+	Version string
+}
+
+// Options are the settings of an engine. Zero numbers stand for the defaults.
+type Options struct {
+	ID     string
+	Models []Weights
+	// BatchLimit is how many requests run at once, WaitLimit how many wait.
+	BatchLimit int
+	WaitLimit  int
+	// A step takes StepBase, StepPerSequence for each request that decodes, and the time of its prefill chunk.
+	StepBase               time.Duration
+	StepPerSequence        time.Duration
+	PrefillTokensPerSecond int
+	ChunkTokens            int
+	CacheTokens            int
+	ReportLag              time.Duration
+	EventLag               time.Duration
+	// EventGap is the share of cache events that are never published.
+	EventGap      float64
+	ChecksFencing bool
+	Preempts      bool
+	// WeightStore is the address of the weight store; empty loads at once.
+	WeightStore string
+	Seed        uint64
+	Counts      *counts.Table
+	Board       *fault.Board
+	Logger      hclog.Logger
+}
+
+// Totals are what the engine did since its start.
+type Totals struct {
+	Requests     int64
+	Completed    int64
+	Cancelled    int64
+	Overloaded   int64
+	Preempted    int64
+	OutputTokens int64
+	// CancelledTokens were produced for streams that did not end by themselves.
+	CancelledTokens int64
+	PrefillTokens   int64
+	CachedTokens    int64
+	// RequestsAfterNotice began after the engine was told to leave, the last one LatestAfterNotice later.
+	RequestsAfterNotice int64
+	LatestAfterNotice   wire.Duration
+}
+
+// Engine is a running engine.
+type Engine struct {
+	options Options
+	target  fault.Target
+	mux     *http.ServeMux
+	wake    chan struct{}
+	secrets *secrets
+
+	mu       sync.Mutex
+	batch    batch
+	cache    *cache
+	reports  reports
+	totals   Totals
+	streams  map[string]*sequence
+	orderSeq int64
+	random   *rand.Rand
+	state    State
+	loading  bool
+	noticed  time.Time
+	orders   orders
+	loaded   []Weights
+	role     string
+}
+
+// New returns an engine that is ready. It works once Run is called.
+func New(options Options) *Engine {
+	options = withDefaults(options)
+	random := rand.New(rand.NewPCG(options.Seed, Hash(options.ID)))
+	e := &Engine{
+		options: options,
+		target:  fault.Target("engine/" + options.ID),
+		mux:     http.NewServeMux(),
+		wake:    make(chan struct{}, 1),
+		secrets: &secrets{seen: map[string]struct{}{}},
+		batch: batch{limit: options.BatchLimit, preempts: options.Preempts, speed: speed{
+			stepBase:        options.StepBase,
+			stepPerSequence: options.StepPerSequence,
+			prefillPerToken: time.Second / time.Duration(options.PrefillTokensPerSecond),
+			chunkTokens:     options.ChunkTokens,
+		}},
+		cache:   newCache(options.CacheTokens, options.EventGap, random),
+		streams: map[string]*sequence{},
+		random:  random,
+		state:   StateReady,
+		orders:  orders{answered: map[string]bool{}},
+		loaded:  options.Models,
+	}
+	e.routes()
+	return e
+}
+
+func withDefaults(options Options) Options {
+	setInt := func(value *int, standard int) {
+		if *value == 0 {
+			*value = standard
+		}
+	}
+	setTime := func(value *time.Duration, standard time.Duration) {
+		if *value == 0 {
+			*value = standard
+		}
+	}
+	setInt(&options.BatchLimit, DefaultBatchLimit)
+	setInt(&options.WaitLimit, DefaultWaitLimit)
+	setTime(&options.StepBase, DefaultStepBase)
+	setTime(&options.StepPerSequence, DefaultStepPerSequence)
+	setInt(&options.PrefillTokensPerSecond, DefaultPrefillTokensPerSecond)
+	setInt(&options.ChunkTokens, DefaultChunkTokens)
+	setInt(&options.CacheTokens, DefaultCacheTokens)
+	setTime(&options.ReportLag, DefaultReportLag)
+	setTime(&options.EventLag, DefaultEventLag)
+	if options.Counts == nil {
+		options.Counts = counts.New()
+	}
+	if options.Board == nil {
+		options.Board = fault.NewBoard()
+	}
+	if options.Logger == nil {
+		options.Logger = hclog.NewNullLogger()
+	}
+	return options
+}
+
+// Run steps the batch until ctx is over.
+func (e *Engine) Run(ctx context.Context) {
+	due := time.Now()
+	for {
+		planned, busy := e.begin(time.Now())
+		if !busy {
+			select {
+			case <-e.wake:
+				due = time.Now()
+				continue
+			case <-ctx.Done():
+				return
+			}
+		}
+		if late := time.Now().Add(-catchUp); due.Before(late) {
+			due = late
+		}
+		due = due.Add(planned.duration)
+		if !sleepUntil(ctx, due) {
+			return
+		}
+		e.complete(time.Now(), planned)
+	}
+}
+
+func sleepUntil(ctx context.Context, due time.Time) bool {
+	wait := time.Until(due)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// begin admits work and plans the next step.
+func (e *Engine) begin(now time.Time) (step, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.batch.dropEnded()
+	entered, preempted := e.batch.admit()
+	for _, s := range preempted {
+		s.prefill = s.prompt.tokens + int(s.produced.Load())
+		s.cached = 0
+		e.totals.Preempted++
+	}
+	for _, s := range entered {
+		e.useCache(s)
+	}
+	e.observe(now)
+	planned, busy := e.batch.plan()
+	if busy {
+		planned.duration = e.stretch(now, planned.duration)
+	}
+	return planned, busy
+}
+
+// useCache takes off the prefill what the cache holds; at least one token is computed.
+func (e *Engine) useCache(s *sequence) {
+	s.cached = min(e.cache.cached(s.prompt.blocks), s.prefill-1)
+	s.prefill -= s.cached
+	e.totals.CachedTokens += int64(s.cached)
+	e.totals.PrefillTokens += int64(s.prefill)
+}
+
+func (e *Engine) stretch(now time.Time, duration time.Duration) time.Duration {
+	factor := 1 + jitter*(2*e.random.Float64()-1)
+	if slowed, hit := e.options.Board.Take(now, e.target, fault.Slowdown); hit && slowed.Factor > 0 {
+		factor *= slowed.Factor
+	}
+	return time.Duration(float64(duration) * factor)
+}
+
+func (e *Engine) complete(now time.Time, done step) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	prefilled, tokens, completed := e.batch.finish(done)
+	for _, s := range prefilled {
+		e.cache.store(now, s.prompt.blocks)
+	}
+	e.totals.OutputTokens += int64(tokens)
+	e.totals.Completed += int64(completed)
+}
+
+func (e *Engine) observe(now time.Time) {
+	e.reports.add(now, report{
+		running:   len(e.batch.running),
+		waiting:   len(e.batch.waiting),
+		tokens:    e.totals.OutputTokens,
+		cacheUsed: e.cache.used(),
+	})
+}
+
+// submit queues a sequence; false means that the engine is overloaded or not ready.
+func (e *Engine) submit(now time.Time, added *sequence) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.current() == StateWarming || len(e.batch.waiting) >= e.options.WaitLimit {
+		e.totals.Overloaded++
+		return false
+	}
+	e.totals.Requests++
+	if e.state == StateLeaving {
+		e.totals.RequestsAfterNotice++
+		e.totals.LatestAfterNotice = wire.Duration(now.Sub(e.noticed))
+	}
+	e.orderSeq++
+	added.order = e.orderSeq
+	e.streams[added.id] = added
+	e.batch.enqueue(added)
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// leave forgets a stream; one that had not ended counts as cancelled.
+func (e *Engine) leave(s *sequence, from int) {
+	whole := int(s.produced.Load()) >= s.prompt.length
+	s.ended.Store(true)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.streams, s.id)
+	if whole {
+		return
+	}
+	e.totals.Cancelled++
+	e.totals.CancelledTokens += s.produced.Load() - int64(from)
+}
+
+// ID returns the engine's id.
+func (e *Engine) ID() string { return e.options.ID }
+
+// Totals returns what the engine did.
+func (e *Engine) Totals() Totals {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.totals
+}
+
+// Secrets returns the credentials and cookies that came with requests.
+func (e *Engine) Secrets() []string { return e.secrets.list() }
+
+// SetState changes the state that the engine reports.
+func (e *Engine) SetState(now time.Time, state State) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if state == StateLeaving && e.state != StateLeaving {
+		e.noticed = now
+	}
+	e.state = state
+}
+
+// current returns the state with regard to weights that are being loaded.
+func (e *Engine) current() State {
+	if e.loading && e.state == StateReady {
+		return StateWarming
+	}
+	return e.state
+}
+
+// Crash ends everything that runs and clears the cache.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.streams {
+		s.ended.Store(true)
+		s.signal()
+	}
+	e.batch.dropEnded()
+	e.cache.clear()
+}
--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,212 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+func startEngine(t *testing.T, options Options) (*Engine, *httptest.Server) {
+	t.Helper()
+	options.ID = "e"
+	options.Models = []Weights{{Model: "small"}}
+	options.StepBase = time.Millisecond
+	options.StepPerSequence = time.Microsecond
+	options.ReportLag = time.Millisecond
+	options.EventLag = time.Millisecond
+	own := New(options)
+	ctx, cancel := context.WithCancel(context.Background())
+	go own.Run(ctx)
+	running := httptest.NewServer(own)
+	t.Cleanup(func() {
+		running.Close()
+		cancel()
+	})
+	return own, running
+}
+
+func post(t *testing.T, running *httptest.Server, path, body string) *http.Response {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, running.URL+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	request.Header.Set("X-Request-Id", "r1")
+	request.Header.Set("Authorization", "Bearer own")
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+type chunk struct {
+	ID      string
+	Choices []struct {
+		Text         string
+		Delta        struct{ Content string }
+		FinishReason string `json:"finish_reason"`
+	}
+	Usage *usage
+}
+
+// assertStream reads a stream of chat chunks to its end and returns its text and the last usage.
+func assertStream(t *testing.T, response *http.Response) (string, *usage) {
+	t.Helper()
+	text, done := strings.Builder{}, false
+	var used *usage
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		data, found := strings.CutPrefix(scanner.Text(), "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		read := chunk{}
+		assert.NilError(t, json.Unmarshal([]byte(data), &read), data)
+		assert.Equal(t, read.ID, "r1")
+		used = read.Usage
+		for _, choice := range read.Choices {
+			text.WriteString(choice.Delta.Content + choice.Text)
+		}
+	}
+	assert.Assert(t, done)
+	return text.String(), used
+}
+
+func expected(prompt string, from, to int) string {
+	text := strings.Builder{}
+	for i := from; i < to; i++ {
+		text.WriteString(Token(Hash(prompt), i))
+	}
+	return text.String()
+}
+
+func TestCompletion(t *testing.T) {
+	own, running := startEngine(t, Options{})
+	chat := `{"model":"small","stream":true,"stream_options":{"include_usage":true},"messages":[{"role":"user","content":"tea [[tokens=40]]"}]%s}`
+	prompt := "user\ntea [[tokens=40]]\n"
+	t.Run("streams every token once", func(t *testing.T) {
+		text, used := assertStream(t, post(t, running, "/v1/chat/completions", fmt.Sprintf(chat, "")))
+		assert.Equal(t, text, expected(prompt, 0, 40))
+		assert.Equal(t, used.CompletionTokens, 40)
+	})
+	t.Run("resumes after the tokens named", func(t *testing.T) {
+		text, _ := assertStream(t, post(t, running, "/v1/chat/completions", fmt.Sprintf(chat, `,"resume":{"tokens":15,"text":"x"}`)))
+		assert.Equal(t, text, expected(prompt, 15, 40))
+	})
+	t.Run("answers with plain JSON", func(t *testing.T) {
+		response := post(t, running, "/v1/completions", `{"model":"small","prompt":"lot","max_tokens":3}`)
+		read := wholeAnswer{}
+		assert.NilError(t, json.NewDecoder(response.Body).Decode(&read))
+		assert.Equal(t, read.Choices[0].Text, expected("lot", 0, 3))
+		assert.Equal(t, read.Choices[0].FinishReason, "length")
+	})
+	t.Run("knows its models", func(t *testing.T) {
+		assert.Equal(t, post(t, running, "/v1/completions", `{"model":"large","prompt":"lot"}`).StatusCode, http.StatusNotFound)
+	})
+	t.Run("notes credentials", func(t *testing.T) {
+		assert.DeepEqual(t, own.Secrets(), []string{"Authorization: Bearer own"})
+	})
+}
+
+func TestCancel(t *testing.T) {
+	own, running := startEngine(t, Options{})
+	long := `{"model":"small","prompt":"x [[tokens=30000]]","stream":true}`
+	idle := func() {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if load := own.loadAt(time.Now()); load.Running > 0 {
+				return poll.Continue("%d running", load.Running)
+			}
+			return poll.Success()
+		}, poll.WithDelay(time.Millisecond))
+	}
+	t.Run("by call", func(t *testing.T) {
+		response := post(t, running, "/v1/completions", long)
+		post(t, running, "/v1/streams/"+response.Header.Get("X-Stream-Id")+"/cancel", "")
+		scanner := bufio.NewScanner(response.Body)
+		for scanner.Scan() {
+			assert.Assert(t, !strings.Contains(scanner.Text(), "[DONE]"))
+		}
+		idle()
+	})
+	t.Run("by closing the connection", func(t *testing.T) {
+		response := post(t, running, "/v1/completions", long)
+		assert.NilError(t, response.Body.Close())
+		idle()
+	})
+	t.Run("an export is imported for the same prompt only", func(t *testing.T) {
+		response := post(t, running, "/v1/completions", long)
+		exported := exportAnswer{}
+		assert.NilError(t, json.NewDecoder(post(t, running, "/v1/streams/"+response.Header.Get("X-Stream-Id")+"/export", "").Body).Decode(&exported))
+		with := `{"model":"small","prompt":%q,"max_tokens":2,"import_handle":%q}`
+		assert.Equal(t, post(t, running, "/v1/completions", fmt.Sprintf(with, "x [[tokens=30000]]", exported.Handle)).StatusCode, http.StatusOK)
+		assert.Equal(t, post(t, running, "/v1/completions", fmt.Sprintf(with, "y", exported.Handle)).StatusCode, http.StatusBadRequest)
+	})
+}
+
+func TestCacheEvents(t *testing.T) {
+	own, running := startEngine(t, Options{CacheTokens: 4 * blockTokens})
+	for _, letter := range []string{"a", "b"} {
+		post(t, running, "/v1/completions", fmt.Sprintf(`{"model":"small","prompt":%q,"max_tokens":1}`, strings.Repeat(letter, 4*blockBytes)))
+	}
+	events := own.cache.since(0, time.Now())
+	assert.Equal(t, len(events), 12)
+	assert.Equal(t, events[0].prefix, Hash(strings.Repeat("a", blockBytes)))
+	assert.Assert(t, events[11].evicted)
+	assert.Equal(t, own.cache.used(), 4*blockTokens)
+}
+
+func newWork(priority, prefill int, order int64) *sequence {
+	return &sequence{priority: priority, order: order, prefill: prefill, prompt: prompt{length: 10}, wake: make(chan struct{}, 1)}
+}
+
+func TestBatch(t *testing.T) {
+	assertRunning := func(t *testing.T, b *batch, want ...*sequence) {
+		t.Helper()
+		assert.Equal(t, len(b.running), len(want))
+		for i := range want {
+			assert.Assert(t, b.running[i] == want[i], "place %d", i)
+		}
+	}
+	t.Run("the most urgent enters first", func(t *testing.T) {
+		b := &batch{limit: 1}
+		late, urgent := newWork(2, 1, 1), newWork(0, 1, 2)
+		b.enqueue(late)
+		b.enqueue(urgent)
+		b.admit()
+		assertRunning(t, b, urgent)
+	})
+	t.Run("preempts the less urgent", func(t *testing.T) {
+		b := &batch{limit: 1, preempts: true}
+		late, urgent := newWork(2, 1, 1), newWork(0, 1, 2)
+		b.enqueue(late)
+		b.admit()
+		b.enqueue(urgent)
+		_, preempted := b.admit()
+		assert.Equal(t, len(preempted), 1)
+		assertRunning(t, b, urgent)
+		assert.Assert(t, b.waiting[0] == late)
+	})
+	t.Run("prefill is chunked and delays the others", func(t *testing.T) {
+		b := &batch{limit: 2, speed: speed{stepBase: time.Millisecond, prefillPerToken: time.Microsecond, chunkTokens: 100}}
+		b.enqueue(newWork(0, 150, 1))
+		b.admit()
+		first, _ := b.plan()
+		_, tokens, _ := b.finish(first)
+		assert.Equal(t, tokens, 0)
+		assert.Equal(t, first.duration, time.Millisecond+100*time.Microsecond)
+		second, _ := b.plan()
+		_, tokens, _ = b.finish(second)
+		assert.Equal(t, tokens, 1)
+	})
+}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,207 @@
+// Package fleet keeps the endpoints that the platform runs: which there are, in
+// what state, and for how long each has been paid for.
+//
+// # Usage
+//
+//	endpoints := fleet.New()
+//	endpoints.Add(now, fleet.Endpoint{ID: "a1", DataCentre: "a", Supply: fleet.Steady, State: fleet.Ready}, runner)
+//	endpoints.Leave(now, "a1", 5*time.Second, 0)
+//
+// Leave gives notice; once the notice is over the endpoint is gone.
+package fleet
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// State is an endpoint's state.
+type State string
+
+// The states of endpoints.
+const (
+	Starting State = "starting"
+	Ready    State = "ready"
+	Leaving  State = "leaving"
+	Gone     State = "gone"
+)
+
+// Supply tells whether the platform may take an endpoint away.
+type Supply string
+
+// The supplies of endpoints.
+const (
+	Steady Supply = "Steady"
+	Cheap  Supply = "Cheap"
+)
+
+// Endpoint is a model engine or a plain service.
+type Endpoint struct {
+	ID         string
+	DataCentre string
+	Address    string
+	Pool       string
+	Model      string
+	Supply     Supply
+	State      State
+	// LeavesAt is set while the endpoint is leaving.
+	LeavesAt time.Time
+	// Kind is "engine" or "service".
+	Kind string
+}
+
+// Runner is the running endpoint.
+type Runner interface {
+	// SetState changes the state that the endpoint reports.
+	SetState(now time.Time, state State)
+	// Crash cuts everything off and refuses connections.
+	Crash()
+	// Refuse closes connections and refuses new ones; what is stored stays.
+	Refuse()
+	// Restore takes connections again.
+	Restore() error
+}
+
+type member struct {
+	endpoint Endpoint
+	runner   Runner
+	paidFrom time.Time
+	paid     time.Duration
+	goneAt   time.Time
+}
+
+// Fleet keeps endpoints. It is safe for concurrent use.
+type Fleet struct {
+	mu      sync.Mutex
+	members map[string]*member
+}
+
+// New returns a fleet without endpoints.
+func New() *Fleet { return &Fleet{members: map[string]*member{}} }
+
+// Add takes an endpoint in, which is paid for from now.
+func (f *Fleet) Add(now time.Time, endpoint Endpoint, runner Runner) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members[endpoint.ID] = &member{endpoint: endpoint, runner: runner, paidFrom: now}
+}
+
+// Ready makes a starting endpoint ready.
+func (f *Fleet) Ready(now time.Time, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[id]; m != nil && m.endpoint.State == Starting {
+		m.endpoint.State = Ready
+		m.runner.SetState(now, Ready)
+	}
+}
+
+// Leave gives an endpoint notice. When back is not zero, the endpoint comes back that long after it was gone.
+func (f *Fleet) Leave(now time.Time, id string, notice, back time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[id]
+	if m == nil || m.endpoint.State == Leaving || m.endpoint.State == Gone {
+		return
+	}
+	m.endpoint.State = Leaving
+	m.endpoint.LeavesAt = now.Add(notice)
+	m.runner.SetState(now, Leaving)
+	time.AfterFunc(notice, func() { f.end(time.Now(), id, back) })
+}
+
+func (f *Fleet) end(now time.Time, id string, back time.Duration) {
+	f.mu.Lock()
+	m := f.members[id]
+	m.endpoint.State = Gone
+	m.paid += now.Sub(m.paidFrom)
+	m.goneAt = now
+	f.mu.Unlock()
+	m.runner.Crash()
+	if back > 0 {
+		time.AfterFunc(back, func() { f.comeBack(time.Now(), id) })
+	}
+}
+
+func (f *Fleet) comeBack(now time.Time, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[id]
+	if m.runner.Restore() != nil {
+		return
+	}
+	m.endpoint.State = Ready
+	m.endpoint.LeavesAt = time.Time{}
+	m.paidFrom = now
+	m.runner.SetState(now, Ready)
+}
+
+// Crash ends an endpoint without notice. It stays in the list and is paid for;
+// when back is not zero it works again after that time.
+func (f *Fleet) Crash(id string, back time.Duration) {
+	f.interrupt(id, back, Runner.Crash)
+}
+
+// Outage makes an endpoint refuse connections, without the loss of what it stores.
+func (f *Fleet) Outage(id string, back time.Duration) {
+	f.interrupt(id, back, Runner.Refuse)
+}
+
+func (f *Fleet) interrupt(id string, back time.Duration, stop func(Runner)) {
+	f.mu.Lock()
+	m := f.members[id]
+	f.mu.Unlock()
+	if m == nil {
+		return
+	}
+	stop(m.runner)
+	if back > 0 {
+		time.AfterFunc(back, func() { f.revive(id) })
+	}
+}
+
+func (f *Fleet) revive(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.members[id]; m.endpoint.State != Gone {
+		_ = m.runner.Restore()
+	}
+}
+
+// List returns the endpoints that fit, sorted by id.
+func (f *Fleet) List(fits func(Endpoint) bool) []Endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := []Endpoint{}
+	for _, m := range f.members {
+		if fits(m.endpoint) {
+			out = append(out, m.endpoint)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// InDataCentre returns the endpoints of a data centre; gone ones are left out
+// once they have been gone for longer than keep.
+func (f *Fleet) InDataCentre(now time.Time, centre string, keep time.Duration) []Endpoint {
+	return f.List(func(e Endpoint) bool {
+		return e.DataCentre == centre && (e.State != Gone || now.Sub(f.members[e.ID].goneAt) <= keep)
+	})
+}
+
+// Seconds returns how long endpoints have been paid for, by supply.
+func (f *Fleet) Seconds(now time.Time) map[Supply]float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[Supply]float64{}
+	for _, m := range f.members {
+		paid := m.paid
+		if m.endpoint.State != Gone {
+			paid += now.Sub(m.paidFrom)
+		}
+		out[m.endpoint.Supply] += paid.Seconds()
+	}
+	return out
+}
--- /dev/null
+++ b/standin/hosts/hosts.go
@@ -0,0 +1,83 @@
+// Package hosts is a stand-in for the platform's lagging list of hosts.
+//
+// # Usage
+//
+//	service := hosts.New(2*time.Second, table)
+//	service.Set(now, []hosts.Host{{ID: "h1", DataCentre: "a", PeerAddress: "127.0.0.1:9001", State: "live"}})
+//	running, err := server.Start("127.0.0.1:7003", service)
+//
+// A list that was set is answered once the lag has passed.
+package hosts
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/arbutuswinch/winch/standin/counts"
+	"github.com/arbutuswinch/winch/standin/wire"
+)
+
+// Host is an entry host.
+type Host struct {
+	ID          string
+	DataCentre  string
+	PeerAddress string
+	// State is "live" or "leaving".
+	State string
+}
+
+type list struct {
+	at    time.Time
+	hosts []Host
+}
+
+// Service answers the protocol's calls.
+type Service struct {
+	lag    time.Duration
+	counts *counts.Table
+	mux    *http.ServeMux
+
+	mu    sync.Mutex
+	lists []list
+}
+
+type hostsAnswer struct {
+	AsOf  time.Time
+	Hosts []Host
+}
+
+// New returns a service whose list is empty.
+func New(lag time.Duration, table *counts.Table) *Service {
+	s := &Service{lag: lag, counts: table, mux: http.NewServeMux()}
+	s.mux.HandleFunc("GET /v1/hosts", s.get)
+	return s
+}
+
+// ServeHTTP answers a call.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Set changes the list.
+func (s *Service) Set(now time.Time, hosts []Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists = append(s.lists, list{at: now, hosts: hosts})
+}
+
+// At returns the list as it was at the instant.
+func (s *Service) At(instant time.Time) []Host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := len(s.lists) - 1; i >= 0; i-- {
+		if !s.lists[i].at.After(instant) {
+			return s.lists[i].hosts
+		}
+	}
+	return []Host{}
+}
+
+func (s *Service) get(w http.ResponseWriter, _ *http.Request) {
+	s.counts.Add("hosts", "get")
+	asOf := time.Now().Add(-s.lag)
+	wire.Write(w, http.StatusOK, hostsAnswer{AsOf: asOf, Hosts: s.At(asOf)})
+}
--- /dev/null
+++ b/standin/keyvalue/lease.go
@@ -0,0 +1,80 @@
+package keyvalue
+
+import (
+	"strconv"
+	"time"
+)
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+	keys    map[string]struct{}
+}
+
+// Grant creates a lease.
+func (s *Store) Grant(now time.Time, ttl time.Duration) LeaseID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaseSeq++
+	id := LeaseID("lease-" + strconv.Itoa(s.leaseSeq))
+	s.leases[id] = &lease{ttl: ttl, expires: now.Add(ttl), keys: map[string]struct{}{}}
+	return id
+}
+
+// Renew extends a lease by its time to live, which it returns.
+func (s *Store) Renew(now time.Time, id LeaseID) (time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+	held := s.leases[id]
+	if held == nil {
+		return 0, ErrNoLease
+	}
+	held.expires = now.Add(held.ttl)
+	return held.ttl, nil
+}
+
+// Revoke ends a lease and deletes the entries tied to it.
+func (s *Store) Revoke(now time.Time, id LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+	if s.leases[id] == nil {
+		return ErrNoLease
+	}
+	s.drop(id)
+	return nil
+}
+
+// Expire ends the leases whose time is over.
+func (s *Store) Expire(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+}
+
+func (s *Store) expire(now time.Time) {
+	for id, held := range s.leases {
+		if !now.Before(held.expires) {
+			s.drop(id)
+		}
+	}
+}
+
+func (s *Store) drop(id LeaseID) {
+	held := s.leases[id]
+	delete(s.leases, id)
+	for key := range held.keys {
+		s.remove(key)
+	}
+}
+
+// tie moves the key from the lease that it is tied to, if any, to another one.
+func (s *Store) tie(key string, next LeaseID) {
+	if present := s.items[key]; present != nil && present.lease != "" && s.leases[present.lease] != nil {
+		delete(s.leases[present.lease].keys, key)
+	}
+	if next != "" {
+		s.leases[next].keys[key] = struct{}{}
+	}
+}
--- /dev/null
+++ b/standin/keyvalue/store.go
@@ -0,0 +1,172 @@
+package keyvalue
+
+import (
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The limits of the store.
+const (
+	// ValueLimit is the largest value, in bytes.
+	ValueLimit = 1 << 20
+	// historyLimit is how many changes are kept for watches.
+	historyLimit = 16384
+)
+
+// The expectations that are not versions.
+const (
+	ExpectAny    Version = -1
+	ExpectAbsent Version = 0
+)
+
+// Errors of the store. Each says that the call had no effect.
+var (
+	ErrConflict  = errors.New("conflict")
+	ErrTooLarge  = errors.New("too large")
+	ErrCompacted = errors.New("compacted")
+	ErrNoLease   = errors.New("no such lease")
+)
+
+// Version is the store's revision at an entry's last change.
+type Version int64
+
+// LeaseID names a lease.
+type LeaseID string
+
+// Entry is a key with its value.
+type Entry struct {
+	Key     string
+	Value   []byte
+	Version Version
+	Deleted bool
+}
+
+type item struct {
+	value   []byte
+	version Version
+	lease   LeaseID
+}
+
+type change struct {
+	key     string
+	version Version
+}
+
+// Store keeps the entries. It is safe for concurrent use.
+type Store struct {
+	mu        sync.Mutex
+	items     map[string]*item
+	revision  Version
+	history   []change
+	compacted Version
+	leases    map[LeaseID]*lease
+	leaseSeq  int
+	watchers  map[*watcher]struct{}
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{items: map[string]*item{}, leases: map[LeaseID]*lease{}, watchers: map[*watcher]struct{}{}}
+}
+
+// Get returns the entry of a key.
+func (s *Store) Get(now time.Time, key string) (Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+	return s.entry(key)
+}
+
+// List returns the entries below the prefix, sorted by key, and the revision.
+func (s *Store) List(now time.Time, prefix string) ([]Entry, Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+	entries := []Entry{}
+	for key, held := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			entries = append(entries, Entry{Key: key, Value: held.value, Version: held.version})
+		}
+	}
+	sort.Slice(entries, func(i, j int) bool { return entries[i].Key < entries[j].Key })
+	return entries, s.revision
+}
+
+// Put writes a value when the version is as expected. On ErrConflict the entry
+// is the present one, when one exists.
+func (s *Store) Put(now time.Time, key string, value []byte, expect Version, tied LeaseID) (Entry, error) {
+	if len(value) > ValueLimit {
+		return Entry{}, ErrTooLarge
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+	if !s.expected(key, expect) {
+		present, _ := s.entry(key)
+		return present, ErrConflict
+	}
+	if tied != "" && s.leases[tied] == nil {
+		return Entry{}, ErrNoLease
+	}
+	s.tie(key, tied)
+	s.record(key)
+	s.items[key] = &item{value: value, version: s.revision, lease: tied}
+	s.notify(key)
+	return Entry{Key: key, Version: s.revision}, nil
+}
+
+// Delete removes an entry when the version is as expected. Deleting what does
+// not exist, with ExpectAny or ExpectAbsent, changes nothing.
+func (s *Store) Delete(now time.Time, key string, expect Version) (Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+	if !s.expected(key, expect) {
+		present, _ := s.entry(key)
+		return present, ErrConflict
+	}
+	if s.items[key] != nil {
+		s.remove(key)
+	}
+	return Entry{Key: key, Version: s.revision}, nil
+}
+
+func (s *Store) entry(key string) (Entry, bool) {
+	held, found := s.items[key]
+	if !found {
+		return Entry{}, false
+	}
+	return Entry{Key: key, Value: held.value, Version: held.version}, true
+}
+
+func (s *Store) expected(key string, expect Version) bool {
+	if expect == ExpectAny {
+		return true
+	}
+	held, found := s.items[key]
+	if !found {
+		return expect == ExpectAbsent
+	}
+	return held.version == expect
+}
+
+// remove deletes an entry that exists.
+func (s *Store) remove(key string) {
+	s.tie(key, "")
+	delete(s.items, key)
+	s.record(key)
+	s.notify(key)
+}
+
+// record advances the revision by a change of the key.
+func (s *Store) record(key string) {
+	s.revision++
+	s.history = append(s.history, change{key: key, version: s.revision})
+	if len(s.history) > 2*historyLimit {
+		s.compacted = s.history[historyLimit-1].version
+		s.history = append([]change(nil), s.history[historyLimit:]...)
+	}
+}
--- /dev/null
+++ b/standin/orders/orders.go
@@ -0,0 +1,267 @@
+// Package orders is a stand-in for the interface on which endpoints are ordered,
+// data centre by data centre. It logs each order that it receives.
+//
+// # Usage
+//
+//	service := orders.New(orders.Options{Fleet: endpoints, Starter: starter, DataCentres: centres})
+//	running, err := server.Start("127.0.0.1:7001", service)
+//
+// An order states how many endpoints of each pool are wanted. What is missing is
+// started, what is too much is given notice, the youngest first.
+package orders
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/arbutuswinch/winch/standin/counts"
+	"github.com/arbutuswinch/winch/standin/fault"
+	"github.com/arbutuswinch/winch/standin/fleet"
+	"github.com/arbutuswinch/winch/standin/wire"
+)
+
+const (
+	goneShown = time.Minute
+	// countLimit bounds the endpoints of one pool.
+	countLimit = 64
+)
+
+// Pool is what an order wants of one pool.
+type Pool struct {
+	Pool    string
+	Model   string
+	Adapter string
+	Version string
+	Supply  fleet.Supply
+	Count   int
+}
+
+// Starter starts engines.
+type Starter interface {
+	// Start starts an engine that is warming and returns its address.
+	Start(id, centre string, pool Pool) (address string, runner fleet.Runner, err error)
+}
+
+// DataCentre is the setting of one data centre.
+type DataCentre struct {
+	ID            string
+	ChecksFencing bool
+}
+
+// Options are the settings of the service.
+type Options struct {
+	Fleet       *fleet.Fleet
+	Starter     Starter
+	DataCentres []DataCentre
+	// StartDelay is the time from the order to the ready endpoint, StopNotice the time that a leaving one has.
+	StartDelay time.Duration
+	StopNotice time.Duration
+	Counts     *counts.Table
+	Board      *fault.Board
+	Logger     hclog.Logger
+}
+
+// Received is an order as it came.
+type Received struct {
+	At            time.Time
+	DataCentre    string
+	OrderID       string
+	FencingNumber int64
+	Holder        string
+	Pools         []Pool
+	// Verdict is "done", "repeated" or "fenced".
+	Verdict string
+}
+
+type centre struct {
+	settings DataCentre
+	highest  int64
+	answers  map[string]ordersAnswer
+}
+
+// Service answers the protocol's calls.
+type Service struct {
+	options Options
+	mux     *http.ServeMux
+
+	mu       sync.Mutex
+	centres  map[string]*centre
+	received []Received
+	started  int
+}
+
+type orderCall struct {
+	OrderID       string
+	FencingNumber int64
+	Holder        string
+	Pools         []Pool
+}
+
+type ordersAnswer struct{ Endpoints []endpointAnswer }
+
+type endpointAnswer struct {
+	ID       string
+	Address  string
+	Pool     string
+	Model    string
+	Supply   fleet.Supply
+	State    fleet.State
+	LeavesAt *time.Time `json:",omitempty"`
+}
+
+type fencedAnswer struct {
+	Code    string
+	Message string
+	Highest int64
+}
+
+// New returns the service.
+func New(options Options) *Service {
+	s := &Service{options: options, mux: http.NewServeMux(), centres: map[string]*centre{}}
+	for _, settings := range options.DataCentres {
+		s.centres[settings.ID] = &centre{settings: settings, answers: map[string]ordersAnswer{}}
+	}
+	s.mux.HandleFunc("POST /v1/datacentres/{dc}/orders", s.order)
+	s.mux.HandleFunc("GET /v1/datacentres/{dc}/endpoints", s.endpoints)
+	return s
+}
+
+// ServeHTTP answers a call.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// guarded shows the faults of the data centre. An outage of one is an error answer, since others share the listener.
+func (s *Service) guarded(w http.ResponseWriter, r *http.Request, next func(http.ResponseWriter, *http.Request, *centre)) {
+	id := r.PathValue("dc")
+	own := s.centres[id]
+	if own == nil {
+		wire.WriteError(w, http.StatusNotFound, "not_found", "no such data centre")
+		return
+	}
+	target := fault.Target("orders/" + id)
+	if _, hit := s.options.Board.Take(time.Now(), target, fault.Outage); hit {
+		w.Header().Set("Retry-After", "1")
+		wire.WriteError(w, http.StatusServiceUnavailable, "unavailable", "the order interface is out of service")
+		return
+	}
+	s.options.Board.Guard(target, nil, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { next(w, r, own) })).ServeHTTP(w, r)
+}
+
+func (s *Service) endpoints(w http.ResponseWriter, r *http.Request) {
+	s.guarded(w, r, func(w http.ResponseWriter, _ *http.Request, own *centre) {
+		s.options.Counts.Add(counts.Service("orders/"+own.settings.ID), "endpoints")
+		wire.Write(w, http.StatusOK, s.answer(time.Now(), own.settings.ID))
+	})
+}
+
+func (s *Service) order(w http.ResponseWriter, r *http.Request) {
+	s.guarded(w, r, func(w http.ResponseWriter, r *http.Request, own *centre) {
+		s.options.Counts.Add(counts.Service("orders/"+own.settings.ID), "order")
+		call := orderCall{}
+		if !wire.Decode(w, r, wire.SmallBody, &call) {
+			return
+		}
+		if text := check(call); text != "" {
+			wire.WriteError(w, http.StatusBadRequest, "invalid", text)
+			return
+		}
+		s.take(w, time.Now(), own, call)
+	})
+}
+
+func check(call orderCall) string {
+	if call.OrderID == "" {
+		return "OrderID is missing"
+	}
+	for i, pool := range call.Pools {
+		if pool.Pool == "" || pool.Count < 0 || pool.Count > countLimit {
+			return fmt.Sprintf("Pools[%d]: Pool or Count is wrong", i)
+		}
+	}
+	return ""
+}
+
+// take carries out an order, one at a time.
+func (s *Service) take(w http.ResponseWriter, now time.Time, own *centre, call orderCall) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	received := Received{
+		At: now, DataCentre: own.settings.ID, OrderID: call.OrderID,
+		FencingNumber: call.FencingNumber, Holder: call.Holder, Pools: call.Pools, Verdict: "done",
+	}
+	answer, repeated := own.answers[call.OrderID]
+	switch {
+	case own.settings.ChecksFencing && call.FencingNumber < own.highest:
+		received.Verdict = "fenced"
+		wire.Write(w, http.StatusPreconditionFailed, fencedAnswer{Code: "fenced", Message: "the fencing number is old", Highest: own.highest})
+	case repeated:
+		received.Verdict = "repeated"
+		wire.Write(w, http.StatusOK, answer)
+	default:
+		own.highest = max(own.highest, call.FencingNumber)
+		s.carryOut(now, own, call)
+		own.answers[call.OrderID] = s.answer(now, own.settings.ID)
+		wire.Write(w, http.StatusOK, own.answers[call.OrderID])
+	}
+	s.received = append(s.received, received)
+	s.options.Logger.Info("order received", "DataCentre", received.DataCentre, "Order", received.OrderID,
+		"FencingNumber", received.FencingNumber, "Holder", received.Holder, "Verdict", received.Verdict, "At", received.At)
+}
+
+func (s *Service) carryOut(now time.Time, own *centre, call orderCall) {
+	for _, pool := range call.Pools {
+		present := s.options.Fleet.List(func(e fleet.Endpoint) bool {
+			return e.DataCentre == own.settings.ID && e.Pool == pool.Pool && (e.State == fleet.Starting || e.State == fleet.Ready)
+		})
+		for i := len(present); i > pool.Count; i-- {
+			s.options.Fleet.Leave(now, present[i-1].ID, s.options.StopNotice, 0)
+		}
+		for i := len(present); i < pool.Count; i++ {
+			s.start(now, own.settings.ID, pool)
+		}
+	}
+}
+
+// start starts one engine, unless the supply is out at present.
+func (s *Service) start(now time.Time, dc string, pool Pool) {
+	if pool.Supply == fleet.Cheap {
+		if _, out := s.options.Board.Take(now, fault.Target("cheap/"+dc), fault.Reclaim); out {
+			return
+		}
+	}
+	s.started++
+	id := fmt.Sprintf("%s-%04d", pool.Pool, s.started)
+	address, runner, err := s.options.Starter.Start(id, dc, pool)
+	if err != nil {
+		s.options.Logger.Error("engine not started", "Endpoint", id, "Error", err)
+		return
+	}
+	s.options.Fleet.Add(now, fleet.Endpoint{
+		ID: id, DataCentre: dc, Address: address, Pool: pool.Pool, Model: pool.Model,
+		Supply: pool.Supply, State: fleet.Starting, Kind: "engine",
+	}, runner)
+	time.AfterFunc(s.options.StartDelay, func() { s.options.Fleet.Ready(time.Now(), id) })
+}
+
+func (s *Service) answer(now time.Time, dc string) ordersAnswer {
+	answer := ordersAnswer{Endpoints: []endpointAnswer{}}
+	for _, e := range s.options.Fleet.InDataCentre(now, dc, goneShown) {
+		shown := endpointAnswer{ID: e.ID, Address: e.Address, Pool: e.Pool, Model: e.Model, Supply: e.Supply, State: e.State}
+		if e.State == fleet.Leaving {
+			leaves := e.LeavesAt
+			shown.LeavesAt = &leaves
+		}
+		answer.Endpoints = append(answer.Endpoints, shown)
+	}
+	return answer
+}
+
+// Received returns the orders in the order of their arrival.
+func (s *Service) Received() []Received {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Received{}, s.received...)
+}
--- /dev/null
+++ b/standin/server/listener.go
@@ -0,0 +1,137 @@
+package server
+
+import (
+	"fmt"
+	"net"
+	"sync"
+)
+
+// listener is a net.Listener that can stop and start listening at its address.
+type listener struct {
+	address net.Addr
+
+	mu      sync.Mutex
+	bound   net.Listener
+	conns   map[*conn]struct{}
+	resumed chan struct{}
+	closed  bool
+}
+
+func newListener(bound net.Listener) *listener {
+	return &listener{address: bound.Addr(), bound: bound, conns: map[*conn]struct{}{}, resumed: make(chan struct{})}
+}
+
+// Accept returns the next connection; during a refusal it waits for the end of it.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		bound, resumed, closed := l.current()
+		if closed {
+			return nil, net.ErrClosed
+		}
+		if bound == nil {
+			<-resumed
+			continue
+		}
+		accepted, err := bound.Accept()
+		if err == nil {
+			return l.track(accepted), nil
+		}
+		if !l.replaced(bound) {
+			return nil, fmt.Errorf("accept: %w", err)
+		}
+	}
+}
+
+func (l *listener) current() (net.Listener, chan struct{}, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bound, l.resumed, l.closed
+}
+
+func (l *listener) replaced(bound net.Listener) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bound != bound || l.closed
+}
+
+func (l *listener) track(accepted net.Conn) net.Conn {
+	tracked := &conn{Conn: accepted, listener: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.bound == nil {
+		reset(accepted)
+	}
+	l.conns[tracked] = struct{}{}
+	return tracked
+}
+
+// Addr returns the address, also during a refusal.
+func (l *listener) Addr() net.Addr { return l.address }
+
+// Close ends the listener.
+func (l *listener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	l.closed = true
+	if l.bound == nil {
+		close(l.resumed)
+		return nil
+	}
+	return l.bound.Close()
+}
+
+func (l *listener) refuse() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.bound == nil || l.closed {
+		return
+	}
+	bound := l.bound
+	l.bound = nil
+	l.resumed = make(chan struct{})
+	_ = bound.Close()
+	for tracked := range l.conns {
+		reset(tracked.Conn)
+	}
+	clear(l.conns)
+}
+
+func (l *listener) restore() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.bound != nil || l.closed {
+		return nil
+	}
+	bound, err := net.Listen("tcp", l.address.String())
+	if err != nil {
+		return fmt.Errorf("listen again: %w", err)
+	}
+	l.bound = bound
+	close(l.resumed)
+	return nil
+}
+
+// reset closes without lingering, so that the peer sees a reset as from a killed process.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// conn is a connection that its listener can close.
+type conn struct {
+	net.Conn
+	listener *listener
+}
+
+// Close closes the connection and forgets it.
+func (c *conn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,245 @@
+// Package service is a stand-in for a plain service. It counts how often each
+// request was executed, by request id and by idempotency key.
+//
+// # Usage
+//
+//	own := service.New(service.Options{ID: "desk-a", Time: 2 * time.Millisecond})
+//	running, err := server.Start("127.0.0.1:0", own)
+//	executed := own.Executions()
+//
+// A caller chooses another time for one call by the query field "time", such as
+// "?time=50ms", and a lost answer by the fault lose_answer.
+package service
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/arbutuswinch/winch/standin/counts"
+	"github.com/arbutuswinch/winch/standin/fault"
+	"github.com/arbutuswinch/winch/standin/wire"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The defaults of the options.
+const (
+	DefaultTime        = 2 * time.Millisecond
+	DefaultSlots       = 256
+	DefaultRecordLimit = 500_000
+	DefaultReportLag   = 200 * time.Millisecond
+)
+
+const longestTime = time.Minute
+
+// State tells whether the service takes work.
+type State string
+
+// The states of a service.
+const (
+	StateReady   State = "ready"
+	StateWarming State = "warming"
+	StateLeaving State = "leaving"
+)
+
+// Options are the settings of a service. Zero numbers stand for the defaults.
+type Options struct {
+	ID string
+	// Time is what a call takes once it has a slot.
+	Time time.Duration
+	// Slots is how many calls are worked on at once; others wait.
+	Slots int
+	// RecordLimit is how many request ids are recorded; keyed calls are always recorded.
+	RecordLimit int
+	ReportLag   time.Duration
+	Counts      *counts.Table
+	Board       *fault.Board
+}
+
+// Service is a plain service.
+type Service struct {
+	options Options
+	target  fault.Target
+	slots   chan struct{}
+	running atomic.Int64
+	waiting atomic.Int64
+
+	mu        sync.Mutex
+	byRequest map[string]int
+	byKey     map[string]int
+	executed  int64
+	state     State
+	noticed   time.Time
+	late      int64
+	latest    time.Duration
+	past      []past
+}
+
+// past is the load at an instant.
+type past struct {
+	at               time.Time
+	running, waiting int64
+}
+
+// New returns a service that is ready.
+func New(options Options) *Service {
+	if options.Time == 0 {
+		options.Time = DefaultTime
+	}
+	if options.Slots == 0 {
+		options.Slots = DefaultSlots
+	}
+	if options.RecordLimit == 0 {
+		options.RecordLimit = DefaultRecordLimit
+	}
+	if options.ReportLag == 0 {
+		options.ReportLag = DefaultReportLag
+	}
+	if options.Counts == nil {
+		options.Counts = counts.New()
+	}
+	if options.Board == nil {
+		options.Board = fault.NewBoard()
+	}
+	return &Service{
+		options:   options,
+		target:    fault.Target("service/" + options.ID),
+		slots:     make(chan struct{}, options.Slots),
+		byRequest: map[string]int{},
+		byKey:     map[string]int{},
+		state:     StateReady,
+	}
+}
+
+type answer struct {
+	Service        string
+	Request        string
+	IdempotencyKey string `json:",omitempty"`
+	Method         string
+	Path           string
+	// BodyHash is the xxhash of the call's body.
+	BodyHash uint64
+	// Execution counts the executions of this idempotency key, or else of this request.
+	Execution int
+}
+
+// ServeHTTP executes a call, or answers with the load.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && r.URL.Path == "/v1/load" {
+		s.load(w)
+		return
+	}
+	now := time.Now()
+	if slow, hit := s.options.Board.Take(now, s.target, fault.Slow); hit && !fault.Pause(r, slow.Delay) {
+		return
+	}
+	if _, hit := s.options.Board.Take(now, s.target, fault.Reject); hit || s.warming() {
+		s.options.Counts.Add(counts.Service(s.target), "overloaded")
+		wire.WriteRetry(w, http.StatusServiceUnavailable, "overloaded", time.Second)
+		return
+	}
+	hash := xxhash.New()
+	if _, err := io.Copy(hash, http.MaxBytesReader(w, r.Body, wire.LargeBody)); err != nil {
+		wire.WriteError(w, http.StatusBadRequest, "invalid", err.Error())
+		return
+	}
+	if !s.enter(r) {
+		return
+	}
+	defer s.exit()
+	execution := s.record(now, r)
+	if !fault.Pause(r, s.duration(r)) {
+		return
+	}
+	if _, hit := s.options.Board.Take(now, s.target, fault.LoseAnswer); hit {
+		fault.CloseUnanswered(w)
+		return
+	}
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	wire.Write(w, http.StatusOK, answer{
+		Service: s.options.ID, Request: r.Header.Get("X-Request-Id"), IdempotencyKey: r.Header.Get("Idempotency-Key"),
+		Method: r.Method, Path: r.URL.Path, BodyHash: hash.Sum64(), Execution: execution,
+	})
+}
+
+// enter takes a slot; false means that the caller left before.
+func (s *Service) enter(r *http.Request) bool {
+	s.waiting.Add(1)
+	defer s.waiting.Add(-1)
+	select {
+	case s.slots <- struct{}{}:
+		s.running.Add(1)
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (s *Service) exit() {
+	<-s.slots
+	s.running.Add(-1)
+}
+
+func (s *Service) duration(r *http.Request) time.Duration {
+	if r.URL.RawQuery == "" {
+		return s.options.Time
+	}
+	chosen, err := time.ParseDuration(r.URL.Query().Get("time"))
+	if err != nil || chosen < 0 {
+		return s.options.Time
+	}
+	return min(chosen, longestTime)
+}
+
+func (s *Service) record(now time.Time, r *http.Request) int {
+	request, key := r.Header.Get("X-Request-Id"), r.Header.Get("Idempotency-Key")
+	s.options.Counts.Add(counts.Service(s.target), "execution")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.executed++
+	if s.state == StateLeaving {
+		s.late++
+		s.latest = now.Sub(s.noticed)
+	}
+	if _, known := s.byRequest[request]; request != "" && (known || len(s.byRequest) < s.options.RecordLimit) {
+		s.byRequest[request]++
+	}
+	if key == "" {
+		return s.byRequest[request]
+	}
+	s.byKey[key]++
+	return s.byKey[key]
+}
+
+// Executions says how often calls were executed.
+type Executions struct {
+	Total     int64
+	ByRequest map[string]int
+	ByKey     map[string]int
+	// RequestsAfterNotice began after the service was told to leave, the last one LatestAfterNotice later.
+	RequestsAfterNotice int64
+	LatestAfterNotice   wire.Duration
+}
+
+// Executions returns the counts. With repeated set, only what was executed more than once is listed.
+func (s *Service) Executions(repeated bool) Executions {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Executions{
+		Total: s.executed, ByRequest: copyCounts(s.byRequest, repeated), ByKey: copyCounts(s.byKey, repeated),
+		RequestsAfterNotice: s.late, LatestAfterNotice: wire.Duration(s.latest),
+	}
+}
+
+func copyCounts(counted map[string]int, repeated bool) map[string]int {
+	out := map[string]int{}
+	for name, count := range counted {
+		if count > 1 || !repeated {
+			out[name] = count
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/standin/usage/usage.go
@@ -0,0 +1,131 @@
+// Package usage is a stand-in for the interface that takes usage reports.
+//
+// # Usage
+//
+//	service := usage.New(table)
+//	running, err := server.Start("127.0.0.1:7002", service)
+//
+// The first report of a shard's window counts. An equal repeat is answered like
+// it, one with other figures is refused.
+package usage
+
+import (
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/arbutuswinch/winch/standin/counts"
+	"github.com/arbutuswinch/winch/standin/wire"
+)
+
+// Figures is the use of one organisation.
+type Figures struct {
+	Organisation string
+	Requests     int64
+	InputTokens  int64
+	OutputTokens int64
+	// Adjustment says that the figures belong to earlier windows.
+	Adjustment bool
+}
+
+// Report is a usage report.
+type Report struct {
+	Shard         int
+	Window        time.Time
+	Reporter      string
+	FencingNumber int64
+	Figures       []Figures
+}
+
+// Received is a report as it came.
+type Received struct {
+	At      time.Time
+	Report  Report
+	Verdict string
+}
+
+type window struct {
+	shard int
+	start int64
+}
+
+// Service answers the protocol's calls.
+type Service struct {
+	counts *counts.Table
+	mux    *http.ServeMux
+
+	mu       sync.Mutex
+	billed   map[window]Report
+	received []Received
+}
+
+// New returns a service that has received nothing.
+func New(table *counts.Table) *Service {
+	s := &Service{counts: table, mux: http.NewServeMux(), billed: map[window]Report{}}
+	s.mux.HandleFunc("POST /v1/usage", s.report)
+	return s
+}
+
+// ServeHTTP answers a call.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+func (s *Service) report(w http.ResponseWriter, r *http.Request) {
+	s.counts.Add("usage", "report")
+	call := Report{}
+	if !wire.Decode(w, r, wire.LargeBody, &call) {
+		return
+	}
+	if s.take(time.Now(), call) {
+		wire.Write(w, http.StatusOK, struct{}{})
+		return
+	}
+	s.counts.Add("usage", "differs")
+	wire.WriteError(w, http.StatusConflict, "differs", "the window was reported with other figures")
+}
+
+// take keeps the report; false means that it differs from the first of its window.
+func (s *Service) take(now time.Time, call Report) bool {
+	sort.Slice(call.Figures, func(i, j int) bool { return less(call.Figures[i], call.Figures[j]) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := window{shard: call.Shard, start: call.Window.UnixNano()}
+	first, found := s.billed[key]
+	verdict := "billed"
+	switch {
+	case !found:
+		s.billed[key] = call
+	case equal(first.Figures, call.Figures):
+		verdict = "repeated"
+	default:
+		verdict = "differs"
+	}
+	s.received = append(s.received, Received{At: now, Report: call, Verdict: verdict})
+	return verdict != "differs"
+}
+
+func less(a, b Figures) bool {
+	if a.Organisation != b.Organisation {
+		return a.Organisation < b.Organisation
+	}
+	return !a.Adjustment && b.Adjustment
+}
+
+func equal(a, b []Figures) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Received returns the reports in the order of their arrival.
+func (s *Service) Received() []Received {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Received{}, s.received...)
+}
