--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -277,7 +277,7 @@
 	defer e.mu.Unlock()
 	prefilled, tokens, completed := e.batch.finish(done)
 	for _, s := range prefilled {
-		e.cache.store(now, s.prompt.blocks)
+		e.cache.store(now, s.prompt)
 	}
 	e.totals.OutputTokens += int64(tokens)
 	e.totals.Completed += int64(completed)
--- a/standin/main.go
+++ b/standin/main.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
@@ -28,7 +29,12 @@
 	LogLevel string `arg:"--log-level" default:"info" help:"trace, debug, info, warn, error or off"`
 }
 
+// collectPercent lets the heap grow further between collections than usual: the
+// stand-ins keep little and allocate much, and share the machine with what is measured.
+const collectPercent = 800
+
 func main() {
+	debug.SetGCPercent(collectPercent)
 	args := arguments{}
 	arg.MustParse(&args)
 	logger := hclog.New(&hclog.LoggerOptions{
--- /dev/null
+++ b/winchload/bench/files.go
@@ -0,0 +1,54 @@
+package bench
+
+import (
+	"errors"
+	"fmt"
+	"os"
+)
+
+// WriteSettings writes the settings of the stand-ins and of each host, and the
+// release note, with ports from options.BasePort on, for a set that is started by hand.
+func WriteSettings(options Options) error {
+	if options.BasePort == 0 {
+		return errors.New("a base port is needed")
+	}
+	if err := os.MkdirAll(options.Directory, 0o755); err != nil {
+		return fmt.Errorf("create directory: %w", err)
+	}
+	ports := &portCounter{base: options.BasePort}
+	platform := newPlatformSettings(options.Experiment, options.Seed, ports)
+	addresses := platform.addresses()
+	hosts, err := newHosts(options.Experiment, addresses, options, ports)
+	if err != nil {
+		return err
+	}
+	for _, host := range listed(hosts) {
+		platform.Hosts.Hosts = append(platform.Hosts.Hosts, hostItem(host))
+	}
+	s := &Set{options: options}
+	if _, err := s.write("standin", platform); err != nil {
+		return err
+	}
+	for _, host := range hosts {
+		if _, err := s.write(host.Host, host); err != nil {
+			return err
+		}
+	}
+	_, err = s.write("note", newNote(options.Experiment, addresses))
+	return err
+}
+
+// addresses returns the addresses by the names under which the stand-ins print them.
+func (p platformSettings) addresses() map[string]string {
+	out := map[string]string{
+		"keyvalue": p.KeyValue.Address, "orders": p.Orders.Address, "usage": p.Usage.Address,
+		"hosts": p.Hosts.Address, "weights": p.Weights.Address, "control": p.Control.Address,
+	}
+	for _, engine := range p.Engines {
+		out["engine/"+engine.ID] = engine.Address
+	}
+	for _, service := range p.Services {
+		out["service/"+service.ID] = service.Address
+	}
+	return out
+}
--- /dev/null
+++ b/winchload/bench/host.go
@@ -0,0 +1,102 @@
+package bench
+
+import (
+	"fmt"
+
+	"github.com/arbutuswinch/winch/winchload/control"
+	"github.com/arbutuswinch/winch/winchload/experiment"
+)
+
+const (
+	peerSecret     = "load-peer-secret"
+	operatorSecret = "load-operator-secret"
+)
+
+// The settings of a host, as far as an experiment sets them; the rest are its defaults.
+type hostSettings struct {
+	Host        string
+	DataCentre  string
+	DataCentres []string
+	Caller      section
+	Peer        secretSection
+	Operator    secretSection
+	Platform    hostPlatform
+	Endpoints   endpointsSection
+	Dispatch    dispatchSection
+	Shutdown    shutdownSection
+	Log         logSection
+}
+
+type secretSection struct {
+	Address string
+	Secret  string
+}
+
+type hostPlatform struct {
+	KeyValue string
+	Orders   string
+	Usage    string
+	Hosts    string
+}
+
+type endpointsSection struct{ Credential string }
+
+type dispatchSection struct {
+	Policy string
+	Seed   uint64
+}
+
+type shutdownSection struct {
+	ReadinessDelay experiment.Duration
+	DrainTimeout   experiment.Duration
+}
+
+type logSection struct {
+	Level string
+	JSON  bool
+	File  string `json:",omitempty"`
+}
+
+// newHosts returns the settings of all hosts of the deployment.
+func newHosts(loaded experiment.Experiment, addresses map[string]string, options Options, ports *portCounter) ([]hostSettings, error) {
+	centres, hosts := []string{}, []hostSettings{}
+	for _, centre := range loaded.DataCentres {
+		centres = append(centres, centre.ID)
+	}
+	for _, centre := range loaded.DataCentres {
+		for i := range centre.Hosts {
+			host := hostSettings{
+				Host: fmt.Sprintf("%s-host-%d", centre.ID, i), DataCentre: centre.ID, DataCentres: centres,
+				Platform: hostPlatform{
+					KeyValue: addresses["keyvalue"], Orders: addresses["orders"], Usage: addresses["usage"], Hosts: addresses["hosts"],
+				},
+				Endpoints: endpointsSection{Credential: "load-endpoint-credential"},
+				Dispatch:  dispatchSection{Policy: options.Policy, Seed: options.Seed*1000 + uint64(len(hosts)) + 1},
+				Shutdown:  shutdownSection{ReadinessDelay: experiment.Duration(readinessDelay), DrainTimeout: experiment.Duration(drainTimeout)},
+				Log:       logSection{Level: options.LogLevel, JSON: true},
+			}
+			var err error
+			if host.Caller.Address, err = ports.chosen(); err != nil {
+				return nil, err
+			}
+			host.Peer.Secret, host.Operator.Secret = peerSecret, operatorSecret
+			if host.Peer.Address, err = ports.chosen(); err != nil {
+				return nil, err
+			}
+			if host.Operator.Address, err = ports.chosen(); err != nil {
+				return nil, err
+			}
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts, nil
+}
+
+// listed returns the hosts as the platform's host list names them.
+func listed(hosts []hostSettings) []control.Host {
+	out := make([]control.Host, 0, len(hosts))
+	for _, host := range hosts {
+		out = append(out, control.Host{ID: host.Host, DataCentre: host.DataCentre, PeerAddress: host.Peer.Address, State: "live"})
+	}
+	return out
+}
--- /dev/null
+++ b/winchload/bench/note.go
@@ -0,0 +1,136 @@
+package bench
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+
+	"github.com/arbutuswinch/winch/winchload/experiment"
+)
+
+// The release note that makes the experiment's deployment known.
+type note struct {
+	ID    string
+	Added items
+}
+
+type items struct {
+	Organisations []organisationItem
+	Keys          []keyItem
+	Classes       []classItem
+	Routes        []routeItem `json:",omitempty"`
+	Endpoints     []endpointItem
+}
+
+type organisationItem struct {
+	ID     string
+	Weight int
+}
+
+type keyItem struct {
+	ID           string
+	Organisation string
+	Hash         string
+}
+
+type classItem struct {
+	ID               string
+	Tier             int
+	FirstTokenTarget experiment.Duration
+	InterTokenTarget experiment.Duration `json:",omitempty"`
+	MaxWait          experiment.Duration
+	QueueLimit       int
+	Floor            float64
+	Models           []string `json:",omitempty"`
+}
+
+type routeItem struct {
+	ID         string
+	Class      string
+	Idempotent bool
+}
+
+type endpointItem struct {
+	ID            string
+	DataCentre    string
+	Kind          string
+	Address       string
+	Models        []string `json:",omitempty"`
+	Routes        []string `json:",omitempty"`
+	Classes       []string
+	Supply        string
+	Cost          int64
+	ChecksFencing bool
+	SlotLimit     int
+}
+
+// newNote returns the note; addresses are the stand-ins' own names for them.
+func newNote(loaded experiment.Experiment, addresses map[string]string) note {
+	out := note{ID: "load-" + loaded.Name}
+	for _, organisation := range loaded.Organisations {
+		hash := sha256.Sum256([]byte(organisation.Secret()))
+		out.Added.Organisations = append(out.Added.Organisations, organisationItem{ID: organisation.ID, Weight: max(organisation.Weight, 1)})
+		out.Added.Keys = append(out.Added.Keys, keyItem{
+			ID: "key-" + organisation.ID, Organisation: organisation.ID, Hash: hex.EncodeToString(hash[:]),
+		})
+	}
+	for _, class := range loaded.Classes {
+		out.Added.Classes = append(out.Added.Classes, newClassItem(class))
+		if class.Route != "" {
+			out.Added.Routes = append(out.Added.Routes, routeItem{ID: class.Route, Class: class.ID, Idempotent: class.Idempotent})
+		}
+	}
+	out.Added.Endpoints = append(engineItems(loaded, addresses), serviceItems(loaded, addresses)...)
+	return out
+}
+
+func newClassItem(class experiment.Class) classItem {
+	item := classItem{
+		ID: class.ID, Tier: class.Tier, FirstTokenTarget: class.FirstTokenTarget, InterTokenTarget: class.InterTokenTarget,
+		MaxWait: class.MaxWait, QueueLimit: class.QueueLimit, Floor: class.Floor,
+	}
+	if class.Model != "" {
+		item.Models = []string{class.Model}
+	}
+	return item
+}
+
+func engineItems(loaded experiment.Experiment, addresses map[string]string) []endpointItem {
+	out := []endpointItem{}
+	for _, group := range loaded.Engines {
+		classes := classesOf(loaded, func(class experiment.Class) bool { return class.Model == group.Model })
+		for i := range group.Count {
+			id := group.EngineID(i)
+			out = append(out, endpointItem{
+				ID: id, DataCentre: group.DataCentre, Kind: "Engine", Address: addresses["engine/"+id], Models: []string{group.Model},
+				Classes: classes, Supply: group.Supply, Cost: group.Cost, ChecksFencing: group.ChecksFencing, SlotLimit: group.BatchLimit,
+			})
+		}
+	}
+	return out
+}
+
+func serviceItems(loaded experiment.Experiment, addresses map[string]string) []endpointItem {
+	out := []endpointItem{}
+	for _, group := range loaded.Services {
+		classes := classesOf(loaded, func(class experiment.Class) bool { return class.Route == group.Route })
+		for i := range group.Count {
+			id := group.ServiceID(i)
+			out = append(out, endpointItem{
+				ID: id, DataCentre: group.DataCentre, Kind: "Service", Address: addresses["service/"+id], Routes: []string{group.Route},
+				Classes: classes, Supply: "Steady", Cost: group.Cost, SlotLimit: group.Slots,
+			})
+		}
+	}
+	return out
+}
+
+func classesOf(loaded experiment.Experiment, fits func(experiment.Class) bool) []string {
+	out := []string{}
+	for _, class := range loaded.Classes {
+		if fits(class) && !slices.Contains(out, class.ID) {
+			out = append(out, class.ID)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/winchload/bench/operator.go
@@ -0,0 +1,74 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+)
+
+const answerLimit = 64 << 10
+
+// ready asks whether the host is ready for callers.
+func (s *Set) ready(ctx context.Context, host hostSettings) error {
+	_, err := s.call(ctx, http.MethodGet, "http://"+host.Operator.Address+"/healthz", "", nil)
+	return err
+}
+
+// serving asks whether the host knows the experiment's models and one of its keys.
+func (s *Set) serving(ctx context.Context, host hostSettings) error {
+	secret := s.options.Experiment.Organisations[0].Secret()
+	body, err := s.call(ctx, http.MethodGet, "http://"+host.Caller.Address+"/v1/models", secret, nil)
+	if err != nil {
+		return err
+	}
+	for _, class := range s.options.Experiment.Classes {
+		if class.Model != "" && !strings.Contains(body, `"`+class.Model+`"`) {
+			return fmt.Errorf("model %s is not served yet", class.Model)
+		}
+	}
+	return nil
+}
+
+// apply commits the note at the first host.
+func (s *Set) apply(ctx context.Context, added note) error {
+	encoded, err := json.MarshalIndent(added, "", " ")
+	if err != nil {
+		return fmt.Errorf("encode note: %w", err)
+	}
+	if _, err := s.write("note", added); err != nil {
+		return err
+	}
+	_, err = s.call(ctx, http.MethodPost, "http://"+s.settings[0].Operator.Address+"/operator/notes", operatorSecret, encoded)
+	if err != nil {
+		return fmt.Errorf("apply note: %w", err)
+	}
+	return nil
+}
+
+func (s *Set) call(ctx context.Context, method, url, secret string, body []byte) (string, error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return "", fmt.Errorf("build call: %w", err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if secret != "" {
+		request.Header.Set("Authorization", "Bearer "+secret)
+	}
+	response, err := s.http.Do(request)
+	if err != nil {
+		return "", fmt.Errorf("call %s: %w", url, err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, answerLimit))
+	if err != nil {
+		return "", fmt.Errorf("read answer of %s: %w", url, err)
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return "", fmt.Errorf("call %s: status %d: %s", url, response.StatusCode, text)
+	}
+	return string(text), nil
+}
--- /dev/null
+++ b/winchload/bench/platform.go
@@ -0,0 +1,118 @@
+package bench
+
+import "github.com/arbutuswinch/winch/winchload/experiment"
+
+const anyPort = "127.0.0.1:0"
+
+// The settings of the stand-ins, as far as an experiment needs them.
+type platformSettings struct {
+	Seed     uint64
+	KeyValue section
+	Orders   ordersSection
+	Usage    section
+	Hosts    hostsSection
+	Weights  section
+	Control  section
+	Engines  []engineSection
+	Services []serviceSection
+}
+
+type section struct{ Address string }
+
+type ordersSection struct {
+	Address     string
+	DataCentres []centreSection
+	StartDelay  experiment.Duration
+	StopNotice  experiment.Duration
+	Engine      engineSection
+}
+
+type centreSection struct {
+	ID            string
+	ChecksFencing bool
+}
+
+type hostsSection struct {
+	Address string
+	Lag     experiment.Duration
+	Hosts   []hostItem
+}
+
+type hostItem struct {
+	ID          string
+	DataCentre  string
+	PeerAddress string
+	State       string
+}
+
+type engineSection struct {
+	ID                     string
+	DataCentre             string
+	Address                string
+	Supply                 string
+	Models                 []modelSection
+	BatchLimit             int
+	WaitLimit              int
+	StepBase               experiment.Duration
+	StepPerSequence        experiment.Duration
+	PrefillTokensPerSecond int
+	CacheTokens            int
+	ReportLag              experiment.Duration
+	ChecksFencing          bool
+}
+
+type modelSection struct{ Model string }
+
+type serviceSection struct {
+	ID         string
+	DataCentre string
+	Address    string
+	Time       experiment.Duration
+	Slots      int
+}
+
+// newPlatformSettings returns stand-ins for the experiment's deployment. Ports
+// are left to the kernel, unless base is set: then they count up from it.
+func newPlatformSettings(loaded experiment.Experiment, seed uint64, ports *portCounter) platformSettings {
+	out := platformSettings{
+		Seed:     seed,
+		KeyValue: section{ports.next()},
+		Orders: ordersSection{
+			Address: ports.next(), StartDelay: experiment.Duration(startDelay), StopNotice: experiment.Duration(stopNotice),
+		},
+		Usage:   section{ports.next()},
+		Hosts:   hostsSection{Address: ports.next(), Lag: experiment.Duration(hostListLag)},
+		Weights: section{ports.next()},
+		Control: section{ports.next()},
+	}
+	for _, centre := range loaded.DataCentres {
+		out.Orders.DataCentres = append(out.Orders.DataCentres, centreSection{ID: centre.ID, ChecksFencing: true})
+	}
+	for _, group := range loaded.Engines {
+		for i := range group.Count {
+			engine := newEngineSection(group)
+			engine.ID, engine.Address = group.EngineID(i), ports.next()
+			out.Engines = append(out.Engines, engine)
+		}
+	}
+	for _, group := range loaded.Services {
+		for i := range group.Count {
+			out.Services = append(out.Services, serviceSection{
+				ID: group.ServiceID(i), DataCentre: group.DataCentre, Address: ports.next(), Time: group.Time, Slots: group.Slots,
+			})
+		}
+	}
+	if len(loaded.Engines) > 0 {
+		out.Orders.Engine = newEngineSection(loaded.Engines[0])
+	}
+	return out
+}
+
+func newEngineSection(group experiment.EngineGroup) engineSection {
+	return engineSection{
+		DataCentre: group.DataCentre, Supply: group.Supply, Models: []modelSection{{group.Model}},
+		BatchLimit: group.BatchLimit, WaitLimit: group.WaitLimit, StepBase: group.StepBase, StepPerSequence: group.StepPerSequence,
+		PrefillTokensPerSecond: group.PrefillTokensPerSecond, CacheTokens: group.CacheTokens,
+		ReportLag: group.ReportLag, ChecksFencing: group.ChecksFencing,
+	}
+}
--- /dev/null
+++ b/winchload/bench/set.go
@@ -0,0 +1,234 @@
+// Package bench starts a whole set for an experiment: the stand-ins and the
+// hosts of each data centre, with the release note in force.
+//
+// # Usage
+//
+//	set, err := bench.Start(ctx, bench.Options{Experiment: loaded, Policy: "Winch", Winchd: "bin/winchd", Standin: "bin/standin"})
+//	if err != nil {
+//		return err
+//	}
+//	defer set.Stop()
+//	picker := target.NewBalancer(set.Targets())
+//
+// It is a test bench: the product's own processes start no others.
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/arbutuswinch/winch/winchload/control"
+	"github.com/arbutuswinch/winch/winchload/experiment"
+	"github.com/arbutuswinch/winch/winchload/result"
+)
+
+const (
+	startDelay     = 2 * time.Second
+	stopNotice     = 5 * time.Second
+	hostListLag    = time.Second
+	readinessDelay = 200 * time.Millisecond
+	drainTimeout   = 20 * time.Second
+
+	startTimeout = 60 * time.Second
+	stopGrace    = 30 * time.Second
+	pollInterval = 100 * time.Millisecond
+	callTimeout  = 5 * time.Second
+)
+
+// Options are the settings of a set.
+type Options struct {
+	Experiment experiment.Experiment
+	Policy     string
+	Seed       uint64
+	// Winchd and Standin are the programs.
+	Winchd  string
+	Standin string
+	// Directory gets settings files and logs.
+	Directory string
+	LogLevel  string
+	// BasePort is the first port; zero leaves the ports to the kernel.
+	BasePort int
+}
+
+// Set is a running set.
+type Set struct {
+	options  Options
+	http     *http.Client
+	platform *process
+	hosts    []*process
+	settings []hostSettings
+	control  string
+}
+
+// Start starts everything and returns when each host serves the experiment's models.
+func Start(ctx context.Context, options Options) (*Set, error) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := os.MkdirAll(options.Directory, 0o755); err != nil {
+		return nil, fmt.Errorf("create directory: %w", err)
+	}
+	s := &Set{options: options, http: &http.Client{Timeout: callTimeout}}
+	if err := s.start(ctx); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Set) start(ctx context.Context) error {
+	ports := &portCounter{base: s.options.BasePort}
+	addresses, err := s.startPlatform(ctx, ports)
+	if err != nil {
+		return err
+	}
+	if s.settings, err = newHosts(s.options.Experiment, addresses, s.options, ports); err != nil {
+		return err
+	}
+	if err := control.New(s.control).SetHosts(ctx, listed(s.settings)); err != nil {
+		return fmt.Errorf("set host list: %w", err)
+	}
+	for _, host := range s.settings {
+		if err := s.startHost(host); err != nil {
+			return err
+		}
+	}
+	if err := s.waitAll(ctx, s.ready); err != nil {
+		return err
+	}
+	if err := s.apply(ctx, newNote(s.options.Experiment, addresses)); err != nil {
+		return err
+	}
+	return s.waitAll(ctx, s.serving)
+}
+
+func (s *Set) startPlatform(ctx context.Context, ports *portCounter) (map[string]string, error) {
+	path, err := s.write("standin", newPlatformSettings(s.options.Experiment, s.options.Seed, ports))
+	if err != nil {
+		return nil, err
+	}
+	if s.platform, err = startProcess(s.options.Directory, "standin", s.options.Standin, path); err != nil {
+		return nil, err
+	}
+	line, err := s.platform.firstLine(ctx)
+	if err != nil {
+		return nil, err
+	}
+	addresses := map[string]string{}
+	if err := json.Unmarshal([]byte(line), &addresses); err != nil {
+		return nil, fmt.Errorf("read addresses of the stand-ins: %w", err)
+	}
+	s.control = addresses["control"]
+	return addresses, nil
+}
+
+func (s *Set) startHost(host hostSettings) error {
+	path, err := s.write(host.Host, host)
+	if err != nil {
+		return err
+	}
+	started, err := startProcess(s.options.Directory, host.Host, s.options.Winchd, path)
+	if err != nil {
+		return err
+	}
+	s.hosts = append(s.hosts, started)
+	return nil
+}
+
+func (s *Set) write(name string, value any) (string, error) {
+	encoded, err := json.MarshalIndent(value, "", " ")
+	if err != nil {
+		return "", fmt.Errorf("encode settings of %s: %w", name, err)
+	}
+	path := filepath.Join(s.options.Directory, name+".json")
+	if err := os.WriteFile(path, encoded, 0o600); err != nil {
+		return "", fmt.Errorf("write settings of %s: %w", name, err)
+	}
+	return path, nil
+}
+
+// errEnded says that a process of the set has ended.
+var errEnded = errors.New("process ended")
+
+// waitAll polls until the check holds for each host.
+func (s *Set) waitAll(ctx context.Context, check func(context.Context, hostSettings) error) error {
+	for i, host := range s.settings {
+		for {
+			err := check(ctx, host)
+			if err == nil {
+				break
+			}
+			if !s.hosts[i].running() {
+				return fmt.Errorf("%w: %s, see %s", errEnded, host.Host, s.hosts[i].log.Name())
+			}
+			if !pause(ctx) {
+				return fmt.Errorf("wait for %s: %w", host.Host, err)
+			}
+		}
+	}
+	return nil
+}
+
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(pollInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Targets returns the caller ports.
+func (s *Set) Targets() []string {
+	out := make([]string, 0, len(s.settings))
+	for _, host := range s.settings {
+		out = append(out, host.Caller.Address)
+	}
+	return out
+}
+
+// Control returns the address of the stand-ins' control port.
+func (s *Set) Control() string { return s.control }
+
+// Mark starts the counting of processor time.
+func (s *Set) Mark() {
+	for _, p := range s.all() {
+		p.mark()
+	}
+}
+
+// Processes returns the cost of each process since the mark.
+func (s *Set) Processes() []result.Process {
+	out := []result.Process{}
+	for _, p := range s.all() {
+		out = append(out, p.cost())
+	}
+	return out
+}
+
+func (s *Set) all() []*process {
+	if s.platform == nil {
+		return s.hosts
+	}
+	return append([]*process{s.platform}, s.hosts...)
+}
+
+// Stop ends the hosts, and after them the stand-ins.
+func (s *Set) Stop() {
+	group := sync.WaitGroup{}
+	for _, host := range s.hosts {
+		group.Go(func() { host.stop(stopGrace) })
+	}
+	group.Wait()
+	if s.platform != nil {
+		s.platform.stop(stopGrace)
+	}
+}
--- /dev/null
+++ b/winchload/caller/caller.go
@@ -0,0 +1,333 @@
+// Package caller sends one request as a caller would and checks the answer:
+// every token once and in order, the request's id on every chunk, and an end
+// that says whether the answer is whole.
+//
+// # Usage
+//
+//	client := caller.New(caller.Options{Targets: picker})
+//	outcome := client.Do(ctx, planned, request)
+//
+// Latencies are counted from the planned arrival, so that a late sender shows in them.
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/arbutuswinch/winch/winchload/experiment"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	lineLimit   = 1 << 20
+	// timeoutMargin is how much longer than the request's own timeout the caller waits.
+	timeoutMargin = 5 * time.Second
+	longestRepeat = 2 * time.Second
+)
+
+// Target is where a request is sent.
+type Target struct {
+	Address string
+	// Path is what stands before the path of a plain service's call.
+	Path string
+	// Done is called when the request has ended; it may be nil.
+	Done func()
+}
+
+// Picker chooses targets. A request that a target did not take goes to the next attempt's one.
+type Picker interface {
+	Pick(request experiment.Request, attempt int) (Target, bool)
+}
+
+// Options are the settings of a client.
+type Options struct {
+	Picker Picker
+	// Direct says that the targets are engines and services themselves.
+	Direct bool
+	// ConnectAttempts is how many targets are tried when connections are refused.
+	ConnectAttempts int
+}
+
+// Client sends requests. It is safe for concurrent use.
+type Client struct {
+	options Options
+	http    *http.Client
+}
+
+// New returns a client.
+func New(options Options) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4096, DisableCompression: true, IdleConnTimeout: time.Minute,
+	}
+	return &Client{options: options, http: &http.Client{Transport: transport}}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Do sends the request that was planned for the instant, and repeats a keyed one
+// whose answer is not whole.
+func (c *Client) Do(ctx context.Context, planned time.Time, request experiment.Request) Outcome {
+	attempts, refused := 0, []string(nil)
+	for {
+		sent := attempt{request: request, id: attemptID(request, attempts), number: attempts}
+		outcome := c.once(ctx, planned, sent)
+		attempts++
+		if outcome.Kind == Refused {
+			refused = append(refused, sent.id)
+		}
+		outcome.Attempts, outcome.NotRun = attempts, refused
+		outcome.Took = time.Since(planned)
+		if outcome.Kind == Whole || request.Key == "" || attempts > request.Class.Repeats {
+			return outcome
+		}
+		if !wait(ctx, min(max(outcome.RetryAfter, 50*time.Millisecond), longestRepeat)) {
+			return outcome
+		}
+	}
+}
+
+// attempt is one sending of a request, with an id of its own.
+type attempt struct {
+	request experiment.Request
+	id      string
+	number  int
+}
+
+func attemptID(request experiment.Request, number int) string {
+	if number == 0 {
+		return request.ID
+	}
+	return request.ID + "-r" + strconv.Itoa(number)
+}
+
+func wait(ctx context.Context, delay time.Duration) bool {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// once sends the request to one target after the other until a connection is taken.
+func (c *Client) once(ctx context.Context, planned time.Time, sent attempt) Outcome {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(sent.request.Class.Timeout)+timeoutMargin)
+	defer cancel()
+	for try := range max(c.options.ConnectAttempts, 1) {
+		target, found := c.options.Picker.Pick(sent.request, sent.number+try)
+		if !found {
+			return Outcome{Kind: Unreached, Code: "no_target"}
+		}
+		outcome, taken := c.send(ctx, planned, sent, target)
+		if target.Done != nil {
+			target.Done()
+		}
+		if taken {
+			return outcome
+		}
+	}
+	return Outcome{Kind: Unreached, Code: "connection_refused"}
+}
+
+// send returns false when the connection was refused, so that nothing was sent.
+func (c *Client) send(ctx context.Context, planned time.Time, sent attempt, target Target) (Outcome, bool) {
+	var check *streamCheck
+	request := sent.request
+	path, body := target.Path+"/"+request.ID, []byte(request.ID)
+	if request.Class.Model != "" {
+		prompt := request.Prompt()
+		path, body = "/v1/chat/completions", chatBody(request, prompt)
+		check = newStreamCheck(sent.id, newTokenCheck(prompt, request.OutputTokens))
+	}
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return Outcome{Kind: Failed, Code: err.Error()}, true
+	}
+	// A body that cannot be read again keeps the transport from repeating the request by itself.
+	call.GetBody = nil
+	c.setHeaders(call.Header, sent)
+	response, err := c.http.Do(call)
+	if err != nil {
+		operation := &net.OpError{}
+		if errors.As(err, &operation) && operation.Op == "dial" {
+			return Outcome{}, false
+		}
+		return Outcome{Kind: Cut, Code: cutCode(ctx, err)}, true
+	}
+	defer response.Body.Close()
+	return read(ctx, planned, sent, response, check), true
+}
+
+func (c *Client) setHeaders(header http.Header, sent attempt) {
+	request := sent.request
+	header.Set("Content-Type", "application/json")
+	header.Set("X-Request-Id", sent.id)
+	if request.Key != "" {
+		header.Set("Idempotency-Key", request.Key)
+	}
+	if c.options.Direct {
+		header.Set("X-Priority", strconv.Itoa(request.Class.Tier-1))
+		return
+	}
+	header.Set("Authorization", "Bearer "+request.Organisation.Secret())
+	header.Set("X-Request-Class", request.Class.ID)
+	if request.Class.Timeout > 0 {
+		header.Set("X-Request-Timeout", time.Duration(request.Class.Timeout).String())
+	}
+}
+
+type chatCall struct {
+	Model    string        `json:"model"`
+	Messages []chatMessage `json:"messages"`
+	Stream   bool          `json:"stream"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func chatBody(request experiment.Request, prompt experiment.Prompt) []byte {
+	body, _ := json.Marshal(chatCall{
+		Model: request.Class.Model, Stream: true,
+		Messages: []chatMessage{{Role: "system", Content: prompt.System}, {Role: "user", Content: prompt.User}},
+	})
+	return body
+}
+
+func read(ctx context.Context, planned time.Time, sent attempt, response *http.Response, check *streamCheck) Outcome {
+	if response.StatusCode != http.StatusOK {
+		return readError(response)
+	}
+	if id := response.Header.Get("X-Request-Id"); id != "" && id != sent.id {
+		return Outcome{Kind: Wrong, Code: "answer_of_another_request"}
+	}
+	if check == nil {
+		return readService(ctx, planned, sent, response)
+	}
+	return readStream(ctx, planned, response, check)
+}
+
+type errorAnswer struct {
+	Error errorDetail `json:"error"`
+	Code  string
+}
+
+func readError(response *http.Response) Outcome {
+	outcome := Outcome{Kind: Failed, Status: response.StatusCode, RunState: RunState(response.Header.Get("X-Run-State"))}
+	body, _ := io.ReadAll(io.LimitReader(response.Body, lineLimit))
+	decoded := errorAnswer{}
+	_ = json.Unmarshal(body, &decoded)
+	outcome.Code = decoded.Error.Code
+	if outcome.Code == "" {
+		outcome.Code = decoded.Code
+	}
+	if outcome.Code == "" {
+		outcome.Code = fmt.Sprintf("status_%d", response.StatusCode)
+	}
+	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+		outcome.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	if outcome.RunState == NotRun || (outcome.RunState == "" && outcome.Code == "overloaded") {
+		outcome.Kind = Refused
+	}
+	return outcome
+}
+
+type serviceAnswer struct {
+	Request        string
+	IdempotencyKey string
+	Execution      int
+}
+
+// readService checks the answer by the idempotency key, if there is one, since a
+// repeat gets the answer of an earlier attempt.
+func readService(ctx context.Context, planned time.Time, sent attempt, response *http.Response) Outcome {
+	body, err := io.ReadAll(io.LimitReader(response.Body, lineLimit))
+	if err != nil {
+		return Outcome{Kind: Cut, Code: cutCode(ctx, err)}
+	}
+	took := time.Since(planned)
+	decoded := serviceAnswer{}
+	if err := json.Unmarshal(body, &decoded); err != nil {
+		return Outcome{Kind: Wrong, Code: "answer_not_json"}
+	}
+	if decoded.IdempotencyKey != sent.request.Key || (sent.request.Key == "" && decoded.Request != sent.id) {
+		return Outcome{Kind: Wrong, Code: "answer_of_another_request"}
+	}
+	return Outcome{Kind: Whole, Status: response.StatusCode, FirstToken: took, Took: took, Execution: decoded.Execution}
+}
+
+func readStream(ctx context.Context, planned time.Time, response *http.Response, check *streamCheck) Outcome {
+	outcome := Outcome{Kind: Cut, Code: "no_end", Status: response.StatusCode}
+	scanner := bufio.NewScanner(response.Body)
+	scanner.Buffer(make([]byte, 0, 4096), lineLimit)
+	previous := time.Time{}
+	for scanner.Scan() {
+		data, found := bytes.CutPrefix(scanner.Bytes(), []byte("data: "))
+		if !found {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			return finished(outcome, check)
+		}
+		seen := check.take(data)
+		switch {
+		case seen.code != "":
+			outcome.Kind, outcome.Code = Failed, seen.code
+			return outcome
+		case seen.wrong != "":
+			outcome.Kind, outcome.Code = Wrong, seen.wrong
+			return outcome
+		case seen.tokens > 0:
+			previous = outcome.deliver(planned, previous, time.Now(), seen.tokens)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		outcome.Code = cutCode(ctx, err)
+	}
+	return outcome
+}
+
+// deliver notes tokens that arrived now.
+func (o *Outcome) deliver(planned, previous, now time.Time, tokens int) time.Time {
+	if o.Tokens == 0 {
+		o.FirstToken = now.Sub(planned)
+	} else {
+		o.LongestGap = max(o.LongestGap, now.Sub(previous))
+	}
+	o.Tokens += tokens
+	return now
+}
+
+func finished(outcome Outcome, check *streamCheck) Outcome {
+	outcome.Kind, outcome.Code = Whole, ""
+	if !check.tokens.complete() {
+		outcome.Kind, outcome.Code = Wrong, "tokens_missing"
+	}
+	return outcome
+}
+
+func cutCode(ctx context.Context, err error) string {
+	if ctx.Err() != nil {
+		return "caller_timeout"
+	}
+	if strings.Contains(err.Error(), "reset") {
+		return "connection_reset"
+	}
+	return "connection_closed"
+}
--- /dev/null
+++ b/winchload/caller/check.go
@@ -0,0 +1,120 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/arbutuswinch/winch/winchload/experiment"
+)
+
+// tokenCheck follows the text of an answer, which the stand-in engines derive
+// from the prompt and the tokens' numbers.
+type tokenCheck struct {
+	suffix []byte
+	want   int
+	next   int
+	// buffer is reused for the token that is expected.
+	buffer []byte
+}
+
+func newTokenCheck(prompt experiment.Prompt, want int) *tokenCheck {
+	text := "system\n" + prompt.System + "\nuser\n" + prompt.User + "\n"
+	const digits = "0123456789abcdef"
+	hash := xxhash.Sum64String(text)
+	suffix := []byte{'-'}
+	for shift := 12; shift >= 0; shift -= 4 {
+		suffix = append(suffix, digits[hash>>shift&0xf])
+	}
+	return &tokenCheck{suffix: append(suffix, ' '), want: want}
+}
+
+func (c *tokenCheck) expected() []byte {
+	c.buffer = append(c.buffer[:0], 'w')
+	c.buffer = strconv.AppendInt(c.buffer, int64(c.next), 10)
+	c.buffer = append(c.buffer, c.suffix...)
+	return c.buffer
+}
+
+// take checks text that holds whole tokens; false means that it is not what should come.
+func (c *tokenCheck) take(text []byte) bool {
+	for len(text) > 0 {
+		rest, found := bytes.CutPrefix(text, c.expected())
+		if !found {
+			return false
+		}
+		c.next++
+		text = rest
+	}
+	return true
+}
+
+func (c *tokenCheck) complete() bool { return c.next == c.want }
+
+// chunk is a streamed chunk of the callers' protocol.
+type chunk struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Error *errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code string `json:"code"`
+}
+
+// event is what one data line of a stream means.
+type event struct {
+	tokens int
+	// code is the error's code; wrong says what does not fit.
+	code  string
+	wrong string
+}
+
+// streamCheck checks the events of one stream.
+type streamCheck struct {
+	tokens *tokenCheck
+	id     string
+	// idField and content are how a chunk looks that holds just the next token.
+	idField []byte
+	content []byte
+}
+
+func newStreamCheck(id string, tokens *tokenCheck) *streamCheck {
+	return &streamCheck{tokens: tokens, id: id, idField: []byte(`"id":"` + id + `"`)}
+}
+
+// take checks one data line. The usual chunk is told by its bytes, without decoding.
+func (s *streamCheck) take(data []byte) event {
+	s.content = append(append(append(s.content[:0], `"content":"`...), s.tokens.expected()...), '"')
+	if bytes.Contains(data, s.content) && bytes.Contains(data, s.idField) {
+		s.tokens.next++
+		return event{tokens: 1}
+	}
+	return s.decode(data)
+}
+
+func (s *streamCheck) decode(data []byte) event {
+	read := chunk{}
+	if err := json.Unmarshal(data, &read); err != nil {
+		return event{wrong: "chunk_not_json"}
+	}
+	if read.Error != nil {
+		return event{code: read.Error.Code}
+	}
+	if read.ID != s.id {
+		return event{wrong: "chunk_of_another_request"}
+	}
+	before := s.tokens.next
+	for _, choice := range read.Choices {
+		if !s.tokens.take([]byte(choice.Delta.Content)) {
+			return event{wrong: "token_order"}
+		}
+	}
+	return event{tokens: s.tokens.next - before}
+}
--- /dev/null
+++ b/winchload/commands.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/arbutuswinch/winch/winchload/caller"
+	"github.com/arbutuswinch/winch/winchload/control"
+	"github.com/arbutuswinch/winch/winchload/drive"
+	"github.com/arbutuswinch/winch/winchload/experiment"
+	"github.com/arbutuswinch/winch/winchload/figure"
+	"github.com/arbutuswinch/winch/winchload/progress"
+	"github.com/arbutuswinch/winch/winchload/result"
+	"github.com/arbutuswinch/winch/winchload/table"
+	"github.com/arbutuswinch/winch/winchload/target"
+)
+
+// loadOptions are the arguments that all loads share.
+type loadOptions struct {
+	Experiment string        `arg:"--experiment,required" help:"experiment file (JSON)" placeholder:"FILE"`
+	Seed       uint64        `arg:"--seed" default:"1" help:"draws arrivals, lengths and faults"`
+	Label      string        `arg:"--label" help:"name of the result"`
+	Duration   time.Duration `arg:"--duration" help:"in place of the file's duration"`
+	Rate       float64       `arg:"--rate" help:"factor on the file's rate"`
+	NoFaults   bool          `arg:"--no-faults" help:"leave the file's faults out"`
+	Out        string        `arg:"--out,required" help:"result file (JSON); the plot stands beside it" placeholder:"FILE"`
+}
+
+// load reads the experiment with the changes of the command line.
+func (o loadOptions) load() (experiment.Experiment, error) {
+	loaded, err := experiment.Load(o.Experiment)
+	if err != nil {
+		return experiment.Experiment{}, fmt.Errorf("load %s: %w", o.Experiment, err)
+	}
+	return adjust(loaded, o.Duration, o.Rate), nil
+}
+
+func adjust(loaded experiment.Experiment, duration time.Duration, rate float64) experiment.Experiment {
+	if duration > 0 {
+		loaded.Duration = experiment.Duration(duration)
+		loaded.Warmup = min(loaded.Warmup, loaded.Duration/4)
+	}
+	if rate > 0 {
+		loaded.Rate *= rate
+	}
+	return loaded
+}
+
+type runCommand struct {
+	loadOptions
+	Targets string `arg:"--targets,required" help:"caller ports of the hosts, with commas" placeholder:"ADDR,ADDR"`
+	Control string `arg:"--control,required" help:"control port of the stand-ins" placeholder:"ADDR"`
+}
+
+func (c *runCommand) execute(ctx context.Context) error {
+	loaded, err := c.load()
+	if err != nil {
+		return err
+	}
+	picker := target.NewBalancer(strings.Split(c.Targets, ","))
+	return c.drive(ctx, loaded, picker, control.New(c.Control), false)
+}
+
+type directCommand struct {
+	loadOptions
+	Control string `arg:"--control,required" help:"control port of the stand-ins" placeholder:"ADDR"`
+}
+
+func (c *directCommand) execute(ctx context.Context) error {
+	loaded, err := c.load()
+	if err != nil {
+		return err
+	}
+	port := control.New(c.Control)
+	state, err := port.State(ctx)
+	if err != nil {
+		return fmt.Errorf("read endpoints: %w", err)
+	}
+	picker, err := target.NewEndpoints(loaded, state)
+	if err != nil {
+		return fmt.Errorf("choose endpoints: %w", err)
+	}
+	return c.drive(ctx, loaded, picker, port, true)
+}
+
+func (o loadOptions) drive(ctx context.Context, loaded experiment.Experiment, picker caller.Picker, port *control.Port, direct bool) error {
+	label := o.Label
+	if label == "" {
+		label = loaded.Name
+	}
+	measured, err := drive.Run(ctx, drive.Options{
+		Experiment: loaded, Label: label, Seed: o.Seed, Picker: picker, Direct: direct, Control: port, Faults: !o.NoFaults,
+		Progress: progress.New(os.Stderr, label, time.Duration(loaded.Duration)),
+	})
+	if err != nil {
+		return fmt.Errorf("run load: %w", err)
+	}
+	return save(o.Out, measured)
+}
+
+// save writes the result and its plot.
+func save(path string, measured result.Result) error {
+	if err := result.Save(path, measured); err != nil {
+		return fmt.Errorf("save result: %w", err)
+	}
+	if err := figure.Save(strings.TrimSuffix(path, ".json")+".svg", measured); err != nil {
+		return fmt.Errorf("save plot: %w", err)
+	}
+	return table.Write(os.Stdout, []result.Result{measured})
+}
+
+type tableCommand struct {
+	Files []string `arg:"positional,required" help:"result files" placeholder:"FILE"`
+}
+
+func (c *tableCommand) execute(out io.Writer) error {
+	results := make([]result.Result, 0, len(c.Files))
+	for _, path := range c.Files {
+		loaded, err := result.Load(path)
+		if err != nil {
+			return fmt.Errorf("load result: %w", err)
+		}
+		results = append(results, loaded)
+	}
+	return table.Write(out, results)
+}
--- /dev/null
+++ b/winchload/control/control.go
@@ -0,0 +1,160 @@
+// Package control speaks to the stand-ins' control port.
+//
+// # Usage
+//
+//	port := control.New("127.0.0.1:7009")
+//	before, err := port.State(ctx)
+//	err = port.Fault(ctx, control.Fault{Target: "engine/a1", Kind: "crash", Duration: experiment.Duration(time.Second)})
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/arbutuswinch/winch/winchload/experiment"
+)
+
+const callTimeout = 20 * time.Second
+
+// Fault is a fault to set.
+type Fault struct {
+	Target   string
+	Kind     string
+	Duration experiment.Duration
+	Delay    experiment.Duration
+	Factor   float64
+	Count    int
+}
+
+// Host is an entry host of the host list.
+type Host struct {
+	ID          string
+	DataCentre  string
+	PeerAddress string
+	State       string
+}
+
+// State is the part of the stand-ins' state that the load tool uses.
+type State struct {
+	Addresses       map[string]string
+	Calls           map[string]map[string]int64
+	Executions      map[string]Executions
+	Engines         map[string]Engine
+	Endpoints       []Endpoint
+	EndpointSeconds map[string]float64
+	Usage           []UsageReport
+	Orders          []Order
+}
+
+// Executions says how often a plain service executed calls.
+type Executions struct {
+	Total     int64
+	ByRequest map[string]int
+	ByKey     map[string]int
+}
+
+// Engine is what an engine did.
+type Engine struct {
+	Requests      int64
+	Completed     int64
+	Cancelled     int64
+	Overloaded    int64
+	Preempted     int64
+	OutputTokens  int64
+	PrefillTokens int64
+	CachedTokens  int64
+}
+
+// Endpoint is an endpoint of the platform.
+type Endpoint struct {
+	ID         string
+	DataCentre string
+	Address    string
+	Model      string
+	Supply     string
+	State      string
+	Kind       string
+}
+
+// UsageReport is a usage report as the platform received it.
+type UsageReport struct {
+	At      time.Time
+	Verdict string
+	Report  struct {
+		Window  time.Time
+		Figures []struct {
+			Organisation string
+			Requests     int64
+			InputTokens  int64
+			OutputTokens int64
+			Adjustment   bool
+		}
+	}
+}
+
+// Order is an order as the platform received it.
+type Order struct {
+	At         time.Time
+	DataCentre string
+	Verdict    string
+}
+
+// Port calls one control port.
+type Port struct {
+	address string
+	http    *http.Client
+}
+
+// New returns a client for the control port at the address.
+func New(address string) *Port {
+	return &Port{address: address, http: &http.Client{Timeout: callTimeout}}
+}
+
+// State returns what the stand-ins saw.
+func (p *Port) State(ctx context.Context) (State, error) {
+	state := State{}
+	err := p.do(ctx, http.MethodGet, "/control/state", nil, &state)
+	return state, err
+}
+
+// Fault sets a fault.
+func (p *Port) Fault(ctx context.Context, fault Fault) error {
+	return p.do(ctx, http.MethodPost, "/control/faults", fault, nil)
+}
+
+// SetHosts changes the host list.
+func (p *Port) SetHosts(ctx context.Context, hosts []Host) error {
+	return p.do(ctx, http.MethodPut, "/control/hosts", struct{ Hosts []Host }{hosts}, nil)
+}
+
+func (p *Port) do(ctx context.Context, method, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return fmt.Errorf("encode control call: %w", err)
+	}
+	call, err := http.NewRequestWithContext(ctx, method, "http://"+p.address+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("build control call: %w", err)
+	}
+	response, err := p.http.Do(call)
+	if err != nil {
+		return fmt.Errorf("call control port: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
+		return fmt.Errorf("call control port %s: status %d: %s", path, response.StatusCode, text)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(response.Body).Decode(out); err != nil {
+		return fmt.Errorf("decode control answer: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/winchload/drive/drive.go
@@ -0,0 +1,121 @@
+// Package drive runs an experiment's load and faults against targets.
+//
+// # Usage
+//
+//	measured, err := drive.Run(ctx, drive.Options{Experiment: loaded, Seed: 1, Picker: picker, Control: port})
+//
+// Each request is sent at its planned time, whether or not earlier ones have
+// ended. The run is over when the last request has ended.
+package drive
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/arbutuswinch/winch/winchload/caller"
+	"github.com/arbutuswinch/winch/winchload/control"
+	"github.com/arbutuswinch/winch/winchload/experiment"
+	"github.com/arbutuswinch/winch/winchload/progress"
+	"github.com/arbutuswinch/winch/winchload/result"
+)
+
+const (
+	connectAttempts = 4
+	// settle is how long the stand-ins get to count what was cut at the end.
+	settle = 500 * time.Millisecond
+)
+
+// Options are the settings of a run.
+type Options struct {
+	Experiment experiment.Experiment
+	Label      string
+	Seed       uint64
+	Picker     caller.Picker
+	// Direct says that the targets are engines and services themselves.
+	Direct  bool
+	Control *control.Port
+	// Faults are set unless it is false.
+	Faults   bool
+	Progress *progress.Line
+	// Processes returns the cost of the processes of the system; it may be nil.
+	Processes func() []result.Process
+}
+
+// Run sends the load and returns the measures.
+func Run(ctx context.Context, options Options) (result.Result, error) {
+	frame := result.Frame{Label: options.Label, Seed: options.Seed, Started: time.Now()}
+	var err error
+	if frame.Before, err = options.Control.State(ctx); err != nil {
+		return result.Result{}, fmt.Errorf("read state before: %w", err)
+	}
+	collector := result.NewCollector(options.Experiment)
+	client := caller.New(caller.Options{Picker: options.Picker, Direct: options.Direct, ConnectAttempts: connectAttempts})
+	defer client.Close()
+	stopProgress := options.Progress.Start(collector)
+	if options.Faults {
+		go setFaults(ctx, options, time.Now())
+	}
+	send(ctx, options, client, collector)
+	stopProgress()
+	if options.Processes != nil {
+		frame.Processes = options.Processes()
+	}
+	sleepUntil(ctx, time.Now().Add(settle))
+	if frame.After, err = options.Control.State(ctx); err != nil {
+		return result.Result{}, fmt.Errorf("read state after: %w", err)
+	}
+	return collector.Result(frame), ctx.Err()
+}
+
+// send sends the requests at their times and waits for the end of all.
+func send(ctx context.Context, options Options, client *caller.Client, collector *result.Collector) {
+	group := sync.WaitGroup{}
+	requests := options.Experiment.Requests(options.Seed)
+	start := time.Now()
+	for _, request := range requests {
+		planned := start.Add(request.At)
+		if !sleepUntil(ctx, planned) {
+			break
+		}
+		if time.Since(planned) > result.LateSend {
+			collector.Late()
+		}
+		group.Go(func() { collector.Add(request, client.Do(ctx, planned, request)) })
+	}
+	group.Wait()
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	delay := time.Until(at)
+	if delay <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// setFaults sets the faults that the seed drew, at their times.
+func setFaults(ctx context.Context, options Options, start time.Time) {
+	for _, planned := range options.Experiment.PlannedFaults(options.Seed) {
+		if !sleepUntil(ctx, start.Add(planned.At)) {
+			return
+		}
+		set := control.Fault{
+			Target: planned.Target, Kind: planned.Fault.Kind, Duration: planned.Fault.Duration,
+			Delay: planned.Fault.Delay, Factor: planned.Fault.Factor, Count: planned.Fault.Count,
+		}
+		if err := options.Control.Fault(ctx, set); err != nil {
+			options.Progress.Say(fmt.Sprintf("fault %s on %s not set: %v", set.Kind, set.Target, err))
+			continue
+		}
+		options.Progress.Say(fmt.Sprintf("%s: %s on %s", planned.At.Round(time.Millisecond), set.Kind, set.Target))
+	}
+}
--- /dev/null
+++ b/winchload/experiment/draw.go
@@ -0,0 +1,137 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+)
+
+// The streams of random numbers, so that a change of one does not change the others.
+const (
+	requestStream uint64 = 1
+	faultStream   uint64 = 2
+)
+
+// Request is one request of the load.
+type Request struct {
+	ID           string
+	At           time.Duration
+	Class        *Class
+	Organisation *Organisation
+	PromptTokens int
+	OutputTokens int
+	// Key is set for keyed classes.
+	Key string
+}
+
+// PlannedFault is a fault with what the seed drew.
+type PlannedFault struct {
+	At     time.Duration
+	Target string
+	Fault  Fault
+}
+
+// Requests returns the requests of the whole duration in the order of their arrival.
+func (e Experiment) Requests(seed uint64) []Request {
+	random := rand.New(rand.NewPCG(seed, requestStream))
+	everybody := e.organisations(nil)
+	requests := []Request{}
+	for i := range e.Classes {
+		class := &e.Classes[i]
+		rate := e.Rate * class.Share
+		requests = e.process(random, requests, class, everybody, rate, 0, time.Duration(e.Duration))
+		for _, burst := range e.Bursts {
+			if len(burst.Classes) > 0 && !slices.Contains(burst.Classes, class.ID) {
+				continue
+			}
+			end := min(time.Duration(burst.Start+burst.Length), time.Duration(e.Duration))
+			extra := rate * max(burst.Factor-1, 0)
+			requests = e.process(random, requests, class, e.organisations(burst.Organisations), extra, time.Duration(burst.Start), end)
+		}
+	}
+	sort.SliceStable(requests, func(i, j int) bool { return requests[i].At < requests[j].At })
+	for i := range requests {
+		requests[i].ID = fmt.Sprintf("s%d-%d", seed, i)
+		if requests[i].Class.Keyed {
+			requests[i].Key = "key-" + requests[i].ID
+		}
+	}
+	return requests
+}
+
+// process adds the arrivals of a Poisson process between two instants.
+func (e Experiment) process(random *rand.Rand, requests []Request, class *Class, tenants []*Organisation, rate float64, from, to time.Duration) []Request {
+	if rate <= 0 || len(tenants) == 0 {
+		return requests
+	}
+	at := from
+	for {
+		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+		if at >= to {
+			return requests
+		}
+		requests = append(requests, Request{
+			At:           at,
+			Class:        class,
+			Organisation: pick(random, tenants),
+			PromptTokens: class.PromptTokens.draw(random),
+			OutputTokens: class.OutputTokens.draw(random),
+		})
+	}
+}
+
+// organisations returns those that are named, or all.
+func (e Experiment) organisations(named []string) []*Organisation {
+	out := []*Organisation{}
+	for i := range e.Organisations {
+		if len(named) == 0 || slices.Contains(named, e.Organisations[i].ID) {
+			out = append(out, &e.Organisations[i])
+		}
+	}
+	return out
+}
+
+func pick(random *rand.Rand, tenants []*Organisation) *Organisation {
+	total := 0.0
+	for _, tenant := range tenants {
+		total += tenant.Load
+	}
+	at := random.Float64() * total
+	for _, tenant := range tenants {
+		at -= tenant.Load
+		if at < 0 {
+			return tenant
+		}
+	}
+	return tenants[len(tenants)-1]
+}
+
+// draw returns at least one token.
+func (l Lengths) draw(random *rand.Rand) int {
+	if l.Median <= 0 {
+		return 1
+	}
+	length := int(math.Round(l.Median * math.Exp(l.Sigma*random.NormFloat64())))
+	if l.Max > 0 {
+		length = min(length, l.Max)
+	}
+	return max(length, 1)
+}
+
+// PlannedFaults returns the faults in the order of their time.
+func (e Experiment) PlannedFaults(seed uint64) []PlannedFault {
+	random := rand.New(rand.NewPCG(seed, faultStream))
+	planned := make([]PlannedFault, 0, len(e.Faults))
+	for _, fault := range e.Faults {
+		planned = append(planned, PlannedFault{
+			At:     time.Duration(fault.At) + time.Duration(random.Float64()*float64(fault.Spread)),
+			Target: fault.Targets[random.IntN(len(fault.Targets))],
+			Fault:  fault,
+		})
+	}
+	sort.SliceStable(planned, func(i, j int) bool { return planned[i].At < planned[j].At })
+	return planned
+}
--- /dev/null
+++ b/winchload/experiment/prompt.go
@@ -0,0 +1,40 @@
+package experiment
+
+import (
+	"strconv"
+	"strings"
+)
+
+const (
+	bytesPerToken = 4
+	filler        = "tea chest ledger line "
+)
+
+// Prompt is the text of a request. System is what the organisation's requests of
+// the class share.
+type Prompt struct {
+	System string
+	User   string
+}
+
+// Prompt returns the request's text. It ends with the output's length, by which
+// the stand-in engines know how much to write.
+func (r Request) Prompt() Prompt {
+	shared := min(r.Class.PrefixTokens, r.PromptTokens) * bytesPerToken
+	system, user := strings.Builder{}, strings.Builder{}
+	fill(&system, r.Organisation.ID+" "+r.Class.ID+" ", shared)
+	fill(&user, r.ID+" ", r.PromptTokens*bytesPerToken-shared)
+	user.WriteString("[[tokens=" + strconv.Itoa(r.OutputTokens) + "]]")
+	return Prompt{System: system.String(), User: user.String()}
+}
+
+func fill(text *strings.Builder, start string, length int) {
+	text.Grow(length + len(start) + len(filler))
+	text.WriteString(start)
+	for text.Len() < length {
+		text.WriteString(filler)
+	}
+}
+
+// Secret returns the key with which an organisation calls.
+func (o Organisation) Secret() string { return "load-secret-" + o.ID }
--- /dev/null
+++ b/winchload/figure/figure.go
@@ -0,0 +1,82 @@
+// Package figure draws a run as SVG: the share of requests in target by the
+// second of their arrival, one line for each class.
+//
+// # Usage
+//
+//	err := figure.Save("out/winch-1.svg", measured)
+package figure
+
+import (
+	"fmt"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	_ "gonum.org/v1/plot/vg/vgsvg" // draws SVG
+
+	"github.com/arbutuswinch/winch/winchload/result"
+)
+
+const (
+	width  = 24 * vg.Centimeter
+	height = 12 * vg.Centimeter
+	// smoothing is over how many seconds the share is taken.
+	smoothing = 5
+)
+
+// Save draws the results, in one colour for each class and one dash pattern for each result.
+func Save(path string, results ...result.Result) error {
+	drawn := plot.New()
+	drawn.Title.Text = "requests in target"
+	drawn.X.Label.Text = "second of arrival"
+	drawn.Y.Label.Text = "share in target"
+	drawn.Y.Min, drawn.Y.Max = 0, 1
+	drawn.Add(plotter.NewGrid())
+	drawn.Legend.YOffs = vg.Centimeter
+	for i, measured := range results {
+		for j, class := range classesOf(measured) {
+			line, err := plotter.NewLine(shares(measured, class))
+			if err != nil {
+				return fmt.Errorf("draw class %s: %w", class, err)
+			}
+			line.Color = plotutil.Color(j)
+			line.Dashes = plotutil.Dashes(i)
+			drawn.Add(line)
+			drawn.Legend.Add(measured.Label+" "+class, line)
+		}
+	}
+	if err := drawn.Save(width, height, path); err != nil {
+		return fmt.Errorf("save figure: %w", err)
+	}
+	return nil
+}
+
+func classesOf(measured result.Result) []string {
+	names := make([]string, 0, len(measured.Classes))
+	for _, class := range measured.Classes {
+		names = append(names, class.Name)
+	}
+	return names
+}
+
+// shares returns the share in target over a sliding window.
+func shares(measured result.Result, class string) plotter.XYs {
+	window, out := []result.Point{}, plotter.XYs{}
+	for _, point := range measured.Series {
+		if point.Class != class {
+			continue
+		}
+		window = append(window, point)
+		for window[0].Second <= point.Second-smoothing {
+			window = window[1:]
+		}
+		offered, attained := 0, 0
+		for _, past := range window {
+			offered += past.Offered
+			attained += past.Attained
+		}
+		out = append(out, plotter.XY{X: float64(point.Second), Y: float64(attained) / float64(offered)})
+	}
+	return out
+}
--- a/winchload/main.go
+++ b/winchload/main.go
@@ -1,4 +1,64 @@
-// Command winchload is part of arbutuswinch.
+// Command winchload measures arbutuswinch under load: open-loop arrivals of
+// several classes and organisations, bursts, and faults by seed, on local stand-ins.
+//
+// # Usage
+//
+//	winchload run --experiment experiments/probababa.json --targets 127.0.0.1:8001,127.0.0.1:8002 \
+//		--control 127.0.0.1:7009 --seed 1 --out out/run.json
+//	winchload direct --experiment experiments/probababa.json --control 127.0.0.1:7009 --out out/direct.json
+//	winchload pair --experiment experiments/probababa.json --policies Winch,Random --seeds 1,2,3 --out out/pair
+//	winchload table out/pair/*.json
+//	winchload settings --experiment experiments/probababa.json --base-port 7000 --out out/set
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+)
+
+type arguments struct {
+	Run      *runCommand      `arg:"subcommand:run" help:"drive running hosts"`
+	Direct   *directCommand   `arg:"subcommand:direct" help:"send the same load straight to the stand-in endpoints"`
+	Pair     *pairCommand     `arg:"subcommand:pair" help:"start whole sets and compare policies or builds"`
+	Table    *tableCommand    `arg:"subcommand:table" help:"print a Markdown table of result files"`
+	Settings *settingsCommand `arg:"subcommand:settings" help:"write the settings files and the release note of an experiment"`
+}
+
+// collectPercent lets the heap grow further between collections than usual, so
+// that collections seldom delay a send.
+const collectPercent = 800
+
+func main() {
+	debug.SetGCPercent(collectPercent)
+	args := arguments{}
+	parser := arg.MustParse(&args)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := execute(ctx, parser, args); err != nil {
+		fmt.Fprintln(os.Stderr, "winchload:", err)
+		os.Exit(1)
+	}
+}
+
+func execute(ctx context.Context, parser *arg.Parser, args arguments) error {
+	switch {
+	case args.Run != nil:
+		return args.Run.execute(ctx)
+	case args.Direct != nil:
+		return args.Direct.execute(ctx)
+	case args.Pair != nil:
+		return args.Pair.execute(ctx)
+	case args.Table != nil:
+		return args.Table.execute(os.Stdout)
+	case args.Settings != nil:
+		return args.Settings.execute()
+	}
+	parser.WriteHelp(os.Stdout)
+	return nil
+}
--- /dev/null
+++ b/winchload/progress/progress.go
@@ -0,0 +1,104 @@
+// Package progress shows on a terminal how a run is going.
+//
+// # Usage
+//
+//	line := progress.New(os.Stderr, "Winch seed 1", time.Minute)
+//	stop := line.Start(collector)
+//	defer stop()
+//
+// When the output is no terminal, a line is printed every ten seconds only.
+package progress
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	terminalInterval = 500 * time.Millisecond
+	plainInterval    = 10 * time.Second
+)
+
+// Counter tells how many requests have ended, and how.
+type Counter interface {
+	Progress() (offered, attained, refused, broken int)
+}
+
+// Line is the progress of one run. A nil line shows nothing.
+type Line struct {
+	out      *os.File
+	label    string
+	length   time.Duration
+	terminal bool
+	mu       sync.Mutex
+}
+
+// New returns a line that is written to out.
+func New(out *os.File, label string, length time.Duration) *Line {
+	info, err := out.Stat()
+	terminal := err == nil && info.Mode()&os.ModeCharDevice != 0
+	return &Line{out: out, label: label, length: length, terminal: terminal}
+}
+
+// Start shows the counts until the returned function is called.
+func (l *Line) Start(counter Counter) func() {
+	if l == nil {
+		return func() {}
+	}
+	start, done, ended := time.Now(), make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		interval := plainInterval
+		if l.terminal {
+			interval = terminalInterval
+		}
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				l.show(time.Since(start), counter, false)
+			case <-done:
+				l.show(time.Since(start), counter, true)
+				return
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		<-ended
+	}
+}
+
+func (l *Line) show(passed time.Duration, counter Counter, last bool) {
+	offered, attained, refused, broken := counter.Progress()
+	share := 0.0
+	if offered > 0 {
+		share = 100 * float64(attained) / float64(offered)
+	}
+	end := "\n"
+	if l.terminal && !last {
+		end = ""
+	}
+	l.print(fmt.Sprintf("%s  %s of %s  ended %d  in target %.1f%%  refused %d  cut or wrong %d%s",
+		l.label, passed.Round(time.Second), l.length, offered, share, refused, broken, end))
+}
+
+// Say prints a line of text.
+func (l *Line) Say(text string) {
+	if l != nil {
+		l.print(text + "\n")
+	}
+}
+
+func (l *Line) print(text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.terminal {
+		_, _ = io.WriteString(l.out, "\r\x1b[K")
+	}
+	_, _ = io.WriteString(l.out, text)
+}
--- /dev/null
+++ b/winchload/result/collector_test.go
@@ -0,0 +1,91 @@
+package result
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch/winchload/caller"
+	"github.com/arbutuswinch/winch/winchload/control"
+	"github.com/arbutuswinch/winch/winchload/experiment"
+)
+
+func sample() (experiment.Experiment, Result) {
+	loaded := experiment.Experiment{
+		Name: "test", Duration: experiment.Duration(12 * time.Second), Warmup: experiment.Duration(2 * time.Second),
+		Classes: []experiment.Class{
+			{ID: "talk", Tier: 1, Model: "m", FirstTokenTarget: experiment.Duration(time.Second), InterTokenTarget: experiment.Duration(50 * time.Millisecond)},
+			{ID: "hold", Tier: 2, Route: "r", FirstTokenTarget: experiment.Duration(time.Second), Keyed: true},
+		},
+		Organisations: []experiment.Organisation{{ID: "large"}, {ID: "small"}},
+		Engines:       []experiment.EngineGroup{{Supply: "Cheap", Count: 1, Cost: 3600}, {Supply: "Steady", Count: 1, Cost: 7200}},
+	}
+	c := NewCollector(loaded)
+	whole := func(first, took time.Duration) caller.Outcome {
+		return caller.Outcome{Kind: caller.Whole, Tokens: 11, FirstToken: first, Took: took}
+	}
+	add := func(class, organisation int, key string, at time.Duration, outcome caller.Outcome) {
+		c.Add(experiment.Request{At: at, Class: &loaded.Classes[class], Organisation: &loaded.Organisations[organisation], Key: key}, outcome)
+	}
+	for range 20 {
+		add(0, 0, "", 3*time.Second, whole(500*time.Millisecond, 900*time.Millisecond))
+		add(0, 1, "", 3*time.Second, whole(500*time.Millisecond, 2*time.Second))
+	}
+	add(0, 0, "", time.Second, whole(time.Millisecond, time.Millisecond))
+	add(1, 0, "k1", 4*time.Second, caller.Outcome{Kind: caller.Whole, NotRun: []string{"r1"}})
+	add(1, 0, "k2", 4*time.Second, caller.Outcome{Kind: caller.Whole})
+	add(1, 0, "k3", 4*time.Second, caller.Outcome{Kind: caller.Whole})
+	add(1, 0, "k4", 4*time.Second, caller.Outcome{Kind: caller.Failed})
+	add(1, 0, "k5", 4*time.Second, caller.Outcome{Kind: caller.Refused})
+	return loaded, c.Result(Frame{
+		Label: "Winch", Seed: 1,
+		Before: control.State{Engines: map[string]control.Engine{"e1": {OutputTokens: 100}}},
+		After: control.State{
+			Engines:         map[string]control.Engine{"e1": {OutputTokens: 400}, "e2": {OutputTokens: 300}},
+			Endpoints:       []control.Endpoint{{ID: "e2", Supply: "Cheap"}},
+			EndpointSeconds: map[string]float64{"Cheap": 10, "Steady": 10},
+			Executions: map[string]control.Executions{
+				"a": {ByKey: map[string]int{"k1": 1, "k2": 1, "k4": 1}, ByRequest: map[string]int{"r1": 1}},
+				"b": {ByKey: map[string]int{"k2": 1}},
+			},
+		},
+	})
+}
+
+func TestResult(t *testing.T) {
+	_, r := sample()
+	t.Run("counts without the warm-up", func(t *testing.T) {
+		assert.Equal(t, r.Total.Offered, 45)
+	})
+	t.Run("attains only in target", func(t *testing.T) {
+		assert.Equal(t, r.Classes[1].Name, "talk")
+		assert.Equal(t, r.Classes[1].Attainment, 0.5)
+		assert.Equal(t, r.Worst.Name, "small")
+		assert.Equal(t, r.Worst.Attainment, 0.0)
+		assert.Equal(t, r.GoodputTokens, 22.0)
+	})
+	t.Run("counts wasted tokens", func(t *testing.T) {
+		assert.Equal(t, r.ProducedTokens, int64(600))
+		assert.Equal(t, r.WastedTokens, int64(600-41*11))
+		assert.Equal(t, r.Cost.CheapShare, 0.5)
+	})
+	t.Run("counts the cost", func(t *testing.T) {
+		assert.Equal(t, r.Cost.Paid, 30.0)
+	})
+	t.Run("compares answers with executions", func(t *testing.T) {
+		assert.Equal(t, r.Confirmations, Confirmations{
+			Offered: 5, Single: 1, Doubled: 1, Phantom: 1, Unknown: 1, Lost: 1, FalseRefusals: 1,
+		})
+	})
+}
+
+func TestFile(t *testing.T) {
+	_, r := sample()
+	path := filepath.Join(t.TempDir(), "r.json")
+	assert.NilError(t, Save(path, r))
+	loaded, err := Load(path)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, loaded, r)
+}
--- /dev/null
+++ b/winchload/result/platform.go
@@ -0,0 +1,130 @@
+package result
+
+import (
+	"github.com/arbutuswinch/winch/winchload/control"
+	"github.com/arbutuswinch/winch/winchload/experiment"
+)
+
+const (
+	supplyCheap  = "Cheap"
+	supplySteady = "Steady"
+	hourSeconds  = 3600
+)
+
+// work fills in what engines produced and how much of it was for nothing.
+func (c *Collector) work(r *Result, frame Frame) {
+	cheap := map[string]bool{}
+	for _, endpoint := range frame.After.Endpoints {
+		cheap[endpoint.ID] = endpoint.Supply == supplyCheap
+	}
+	cheapTokens := int64(0)
+	for id, after := range frame.After.Engines {
+		before := frame.Before.Engines[id]
+		produced := after.OutputTokens - before.OutputTokens
+		r.ProducedTokens += produced
+		r.PrefillTokens += after.PrefillTokens - before.PrefillTokens
+		r.CachedTokens += after.CachedTokens - before.CachedTokens
+		if cheap[id] {
+			cheapTokens += produced
+		}
+	}
+	r.WastedTokens = max(r.ProducedTokens-c.wholeTokens, 0)
+	r.WastedShare = ratio(float64(r.WastedTokens), float64(r.ProducedTokens))
+	r.Cost.CheapShare = ratio(float64(cheapTokens), float64(r.ProducedTokens))
+}
+
+// confirm compares the answers of keyed requests with the executions.
+func (c *Collector) confirm(r *Result, frame Frame) {
+	byKey, byRequest := map[string]int{}, map[string]int{}
+	for _, executed := range frame.After.Executions {
+		for key, count := range executed.ByKey {
+			byKey[key] += count
+		}
+		for id, count := range executed.ByRequest {
+			byRequest[id] += count
+		}
+	}
+	r.Confirmations.Offered = len(c.keyed)
+	for key, answered := range c.keyed {
+		r.Confirmations.count(answered, byKey[key])
+	}
+	for _, id := range c.notRun {
+		if byRequest[id] > 0 {
+			r.Confirmations.FalseRefusals++
+		}
+	}
+}
+
+func (c *Confirmations) count(answered bool, executed int) {
+	switch {
+	case executed > 1:
+		c.Doubled++
+	case answered && executed == 1:
+		c.Single++
+	case answered:
+		c.Phantom++
+	case executed == 1:
+		c.Unknown++
+	default:
+		c.Lost++
+	}
+}
+
+// cost adds up what endpoints cost; engines of one supply are priced at the mean of their groups.
+func cost(loaded experiment.Experiment, r Result, frame Frame) Cost {
+	out := r.Cost
+	out.SteadySeconds = frame.After.EndpointSeconds[supplySteady] - frame.Before.EndpointSeconds[supplySteady]
+	out.CheapSeconds = frame.After.EndpointSeconds[supplyCheap] - frame.Before.EndpointSeconds[supplyCheap]
+	out.Paid = out.SteadySeconds*price(loaded, supplySteady) + out.CheapSeconds*price(loaded, supplyCheap)
+	if r.Total.Attained > 0 {
+		out.PaidPerThousand = out.Paid / float64(r.Total.Attained) * 1000
+	}
+	return out
+}
+
+// price returns the mean price of a second.
+func price(loaded experiment.Experiment, supply string) float64 {
+	total, count := 0.0, 0
+	for _, engines := range loaded.Engines {
+		if engines.Supply == supply || (engines.Supply == "" && supply == supplySteady) {
+			total += float64(engines.Cost) * float64(engines.Count)
+			count += engines.Count
+		}
+	}
+	if supply == supplySteady {
+		for _, services := range loaded.Services {
+			total += float64(services.Cost) * float64(services.Count)
+			count += services.Count
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	return total / float64(count) / hourSeconds
+}
+
+func usageOf(after control.State) UsageState {
+	state := UsageState{Reports: len(after.Usage)}
+	for _, received := range after.Usage {
+		switch received.Verdict {
+		case "differs":
+			state.Differs++
+		case "billed":
+			for _, figures := range received.Report.Figures {
+				state.ReportedTokens += figures.OutputTokens
+			}
+		}
+	}
+	return state
+}
+
+func callsBetween(before, after control.State) map[string]map[string]int64 {
+	out := map[string]map[string]int64{}
+	for service, kinds := range after.Calls {
+		out[service] = map[string]int64{}
+		for kind, count := range kinds {
+			out[service][kind] = count - before.Calls[service][kind]
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/winchload/settings.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/arbutuswinch/winch/winchload/bench"
+	"github.com/arbutuswinch/winch/winchload/experiment"
+)
+
+type settingsCommand struct {
+	Experiment string `arg:"--experiment,required" help:"experiment file (JSON)" placeholder:"FILE"`
+	Policy     string `arg:"--policy" default:"Winch" help:"policy of the hosts"`
+	Seed       uint64 `arg:"--seed" default:"1" help:"seed of stand-ins and hosts"`
+	BasePort   int    `arg:"--base-port" default:"7000" help:"first port on the loopback"`
+	LogLevel   string `arg:"--log-level" default:"info" help:"log level of the hosts"`
+	Out        string `arg:"--out,required" help:"directory for the settings files" placeholder:"DIR"`
+}
+
+func (c *settingsCommand) execute() error {
+	loaded, err := experiment.Load(c.Experiment)
+	if err != nil {
+		return fmt.Errorf("load %s: %w", c.Experiment, err)
+	}
+	return bench.WriteSettings(bench.Options{
+		Experiment: loaded, Policy: c.Policy, Seed: c.Seed, BasePort: c.BasePort, LogLevel: c.LogLevel, Directory: c.Out,
+	})
+}
--- /dev/null
+++ b/winchload/table/rows.go
@@ -0,0 +1,100 @@
+package table
+
+import (
+	"slices"
+
+	"github.com/arbutuswinch/winch/winchload/result"
+)
+
+const (
+	shareDigits = 3
+	timeDigits  = 1
+)
+
+// rows returns the measures that the results have.
+func rows(results []result.Result) []row {
+	all := []row{}
+	for _, name := range namesOf(results, func(r result.Result) []result.Group { return r.Classes }) {
+		all = append(all, groupRows(name, func(r result.Result) []result.Group { return r.Classes })...)
+	}
+	for _, name := range namesOf(results, func(r result.Result) []result.Group { return r.Tiers }) {
+		all = append(all, groupRow("attainment, "+name, shareDigits, name, func(r result.Result) []result.Group { return r.Tiers },
+			func(g result.Group) float64 { return g.Attainment }))
+	}
+	all = append(all, workRows()...)
+	return append(all, proofRows()...)
+}
+
+func namesOf(results []result.Result, groups func(result.Result) []result.Group) []string {
+	names := []string{}
+	for _, measured := range results {
+		for _, group := range groups(measured) {
+			if !slices.Contains(names, group.Name) {
+				names = append(names, group.Name)
+			}
+		}
+	}
+	return names
+}
+
+func groupRows(name string, groups func(result.Result) []result.Group) []row {
+	return []row{
+		groupRow("attainment, "+name, shareDigits, name, groups, func(g result.Group) float64 { return g.Attainment }),
+		groupRow("first token p95 (ms), "+name, timeDigits, name, groups, func(g result.Group) float64 { return g.FirstToken.P95 }),
+		groupRow("time between tokens p95 (ms), "+name, timeDigits, name, groups, func(g result.Group) float64 { return g.InterToken.P95 }),
+		groupRow("refused, "+name, 0, name, groups, func(g result.Group) float64 { return float64(g.Refused) }),
+	}
+}
+
+func groupRow(title string, digits int, name string, groups func(result.Result) []result.Group, of func(result.Group) float64) row {
+	return row{name: title, digits: digits, value: func(r result.Result) (float64, bool) {
+		for _, group := range groups(r) {
+			if group.Name == name {
+				return of(group), true
+			}
+		}
+		return 0, false
+	}}
+}
+
+func plain(name string, digits int, of func(result.Result) float64) row {
+	return row{name: name, digits: digits, value: func(r result.Result) (float64, bool) { return of(r), true }}
+}
+
+func workRows() []row {
+	return []row{
+		plain("attainment, all", shareDigits, func(r result.Result) float64 { return r.Total.Attainment }),
+		plain("attainment, worst organisation", shareDigits, func(r result.Result) float64 { return r.Worst.Attainment }),
+		plain("goodput (tokens/s)", 0, func(r result.Result) float64 { return r.GoodputTokens }),
+		plain("goodput (requests/s)", timeDigits, func(r result.Result) float64 { return r.GoodputRequests }),
+		plain("wasted tokens, share", shareDigits, func(r result.Result) float64 { return r.WastedShare }),
+		plain("cached prompt tokens, share", shareDigits, func(r result.Result) float64 {
+			return float64(r.CachedTokens) / float64(max(r.CachedTokens+r.PrefillTokens, 1))
+		}),
+		plain("paid for endpoints (thousandths)", timeDigits, func(r result.Result) float64 { return r.Cost.Paid }),
+		plain("paid per 1000 requests in target", timeDigits, func(r result.Result) float64 { return r.Cost.PaidPerThousand }),
+		plain("work on cheap engines, share", shareDigits, func(r result.Result) float64 { return r.Cost.CheapShare }),
+	}
+}
+
+func proofRows() []row {
+	count := func(name string, of func(result.Result) int) row {
+		return plain(name, 0, func(r result.Result) float64 { return float64(of(r)) })
+	}
+	return []row{
+		count("requests", func(r result.Result) int { return r.Total.Offered }),
+		count("requests cut", func(r result.Result) int { return r.Total.Cut }),
+		count("wrong answers", func(r result.Result) int { return r.Total.Wrong }),
+		count("failed with an error", func(r result.Result) int { return r.Total.Failed }),
+		count("unreached", func(r result.Result) int { return r.Total.Unreached }),
+		count("confirmations", func(r result.Result) int { return r.Confirmations.Offered }),
+		count("confirmations, single", func(r result.Result) int { return r.Confirmations.Single }),
+		count("confirmations, doubled", func(r result.Result) int { return r.Confirmations.Doubled }),
+		count("confirmations, answered but not run", func(r result.Result) int { return r.Confirmations.Phantom }),
+		count("confirmations, run but not answered", func(r result.Result) int { return r.Confirmations.Unknown }),
+		count("confirmations, not run", func(r result.Result) int { return r.Confirmations.Lost }),
+		count("refusals that say not run and are false", func(r result.Result) int { return r.Confirmations.FalseRefusals }),
+		count("usage reports that differ", func(r result.Result) int { return r.Usage.Differs }),
+		count("late sends of the tool", func(r result.Result) int { return r.LateSends }),
+	}
+}
--- /dev/null
+++ b/winchload/table/table.go
@@ -0,0 +1,87 @@
+// Package table prints results as Markdown: one column for each label, with the
+// mean over its seeds and the lowest and highest value.
+//
+// # Usage
+//
+//	err := table.Write(os.Stdout, results)
+package table
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/arbutuswinch/winch/winchload/result"
+)
+
+// row is one measure.
+type row struct {
+	name   string
+	digits int
+	value  func(result.Result) (float64, bool)
+}
+
+// Write prints the table.
+func Write(out io.Writer, results []result.Result) error {
+	labels := labelsOf(results)
+	text := strings.Builder{}
+	text.WriteString("| measure |")
+	for _, label := range labels {
+		fmt.Fprintf(&text, " %s (seeds %s) |", label, seedsOf(results, label))
+	}
+	text.WriteString("\n| --- |" + strings.Repeat(" --- |", len(labels)) + "\n")
+	for _, measure := range rows(results) {
+		fmt.Fprintf(&text, "| %s |", measure.name)
+		for _, label := range labels {
+			fmt.Fprintf(&text, " %s |", cell(results, label, measure))
+		}
+		text.WriteByte('\n')
+	}
+	if _, err := io.WriteString(out, text.String()); err != nil {
+		return fmt.Errorf("write table: %w", err)
+	}
+	return nil
+}
+
+func labelsOf(results []result.Result) []string {
+	labels := []string{}
+	for _, measured := range results {
+		if !slices.Contains(labels, measured.Label) {
+			labels = append(labels, measured.Label)
+		}
+	}
+	return labels
+}
+
+func seedsOf(results []result.Result, label string) string {
+	seeds := []string{}
+	for _, measured := range results {
+		if measured.Label == label {
+			seeds = append(seeds, fmt.Sprint(measured.Seed))
+		}
+	}
+	return strings.Join(seeds, ", ")
+}
+
+// cell returns the mean, and the range when there are several seeds.
+func cell(results []result.Result, label string, measure row) string {
+	values, sum := []float64{}, 0.0
+	for _, measured := range results {
+		if measured.Label != label {
+			continue
+		}
+		if value, known := measure.value(measured); known {
+			values = append(values, value)
+			sum += value
+		}
+	}
+	if len(values) == 0 {
+		return "-"
+	}
+	text := fmt.Sprintf("%.*f", measure.digits, sum/float64(len(values)))
+	if len(values) > 1 {
+		text += fmt.Sprintf(" (%.*f to %.*f)", measure.digits, slices.Min(values), measure.digits, slices.Max(values))
+	}
+	return text
+}
