feat(membership): keep the live hosts by one periodic exchange through a hub

Cause: the slices need to know which hosts are alive, and each would otherwise run heartbeats of its own. Ruled out: a mesh of heartbeats (43 calls a period at 44 hosts of a data centre); a lease for the hub (two hubs at once only split the view for a period). Conclusion: the platform's list only names hosts; liveness comes from the exchange.

--- /dev/null
+++ b/membership/peer/codec.go
@@ -0,0 +1,65 @@
+package peer
+
+import (
+	"encoding/json"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// hostEntry is a host on the wire.
+type hostEntry struct {
+	ID          string
+	DataCentre  string
+	PeerAddress string
+	Leaving     bool `json:",omitempty"`
+}
+
+type sections map[string]json.RawMessage
+
+// exchangeCall is a host's report to the hub of its data centre.
+type exchangeCall struct {
+	From     hostEntry
+	Version  uint64
+	Sections sections
+}
+
+// exchangeAnswer is the hub's summary. Hosts is set when the caller's version is old.
+type exchangeAnswer struct {
+	Hub      hostEntry
+	Version  uint64
+	Hosts    []hostEntry `json:",omitempty"`
+	Sections sections
+}
+
+// digestMessage goes between the hubs of two data centres, both ways.
+// Version identifies the sender's live hosts, which stand in Hosts when the
+// receiver does not hold them; Known is the version that the sender holds of the receiver's.
+type digestMessage struct {
+	From     hostEntry
+	Version  uint64
+	Known    uint64
+	Hosts    []hostEntry `json:",omitempty"`
+	Sections sections
+}
+
+func encodeHost(host winch.Host) hostEntry {
+	return hostEntry{
+		ID: string(host.ID), DataCentre: string(host.DataCentre),
+		PeerAddress: host.PeerAddress, Leaving: host.Leaving,
+	}
+}
+
+func encodeHosts(hosts []winch.Host) []hostEntry {
+	entries := make([]hostEntry, 0, len(hosts))
+	for _, host := range hosts {
+		entries = append(entries, encodeHost(host))
+	}
+	return entries
+}
+
+func decodeHost(entry hostEntry) winch.Host {
+	return winch.Host{
+		ID: winch.HostID(entry.ID), DataCentre: winch.DataCentreID(entry.DataCentre),
+		PeerAddress: entry.PeerAddress, Leaving: entry.Leaving,
+	}
+}
--- /dev/null
+++ b/membership/peer/handler.go
@@ -0,0 +1,76 @@
+package peer
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/httpjson"
+)
+
+const exchangeLimit = 8 << 20
+
+// Handler serves /peer/exchange and /peer/digest. The caller authenticates peers.
+func (e *Exchange) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /peer/exchange", e.serveExchange)
+	mux.HandleFunc("POST /peer/digest", e.serveDigest)
+	return mux
+}
+
+func (e *Exchange) serveExchange(w http.ResponseWriter, r *http.Request) {
+	call := exchangeCall{}
+	if err := httpjson.Decode(w, r, exchangeLimit, &call); err != nil {
+		httpjson.WriteError(w, err)
+		return
+	}
+	now := e.options.Clock.Now()
+	from := decodeHost(call.From)
+	if from.ID == "" || from.DataCentre != e.table.Self().DataCentre {
+		httpjson.WriteError(w, fmt.Errorf("field From: not a host of this data centre: %w", winch.ErrInvalid))
+		return
+	}
+	e.table.Heard(now, from, 0)
+	e.collect(now, from.ID, call.Sections)
+	httpjson.Write(w, http.StatusOK, e.summary(now, from.ID, call.Version))
+}
+
+func (e *Exchange) collect(now time.Time, from winch.HostID, reports sections) {
+	for _, section := range e.options.Sections {
+		if report, found := reports[string(section.Name())]; found {
+			e.check(section, section.Collect(now, from, report))
+		}
+	}
+}
+
+func (e *Exchange) summary(now time.Time, to winch.HostID, version uint64) exchangeAnswer {
+	hosts := e.allHosts(now)
+	answer := exchangeAnswer{Hub: encodeHost(e.table.Self()), Version: hosts.version, Sections: sections{}}
+	if hosts.version != version {
+		answer.Hosts = encodeHosts(hosts.hosts)
+	}
+	for _, section := range e.options.Sections {
+		if summary := section.Summary(now, to); summary != nil {
+			answer.Sections[string(section.Name())] = json.RawMessage(summary)
+		}
+	}
+	return answer
+}
+
+func (e *Exchange) serveDigest(w http.ResponseWriter, r *http.Request) {
+	message := digestMessage{}
+	if err := httpjson.Decode(w, r, exchangeLimit, &message); err != nil {
+		httpjson.WriteError(w, err)
+		return
+	}
+	from := decodeHost(message.From)
+	if from.ID == "" || from.DataCentre == "" || from.DataCentre == e.table.Self().DataCentre {
+		httpjson.WriteError(w, fmt.Errorf("field From: not a host of another data centre: %w", winch.ErrInvalid))
+		return
+	}
+	now := e.options.Clock.Now()
+	e.applyDigest(now, time.Time{}, message)
+	httpjson.Write(w, http.StatusOK, e.digest(now, from.DataCentre, message.Known))
+}
--- /dev/null
+++ b/membership/platform/hosts.go
@@ -0,0 +1,73 @@
+// Package platform reads the platform's lagging list of live and leaving hosts.
+//
+// # Usage
+//
+//	hosts, err := platform.New(platform.Options{Address: "127.0.0.1:7003"})
+//	if err != nil {
+//		return err
+//	}
+//	listed, err := hosts.List(ctx)
+package platform
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/httpjson"
+)
+
+const stateLeaving = "leaving"
+
+// Options are the settings of a Client.
+type Options struct {
+	// Address is the IP number and port of the host list.
+	Address string
+	// Timeout bounds one call; zero stands for two seconds.
+	Timeout time.Duration
+}
+
+// Client reads the host list.
+type Client struct {
+	http *httpjson.Client
+}
+
+type hostEntry struct {
+	ID          string
+	DataCentre  string
+	PeerAddress string
+	State       string
+}
+
+type hostsAnswer struct {
+	AsOf  time.Time
+	Hosts []hostEntry
+}
+
+// New returns a client of the host list at options.Address.
+func New(options Options) (*Client, error) {
+	client, err := httpjson.NewClient(httpjson.Options{Address: options.Address, Timeout: options.Timeout})
+	if err != nil {
+		return nil, fmt.Errorf("create host list client: %w", err)
+	}
+	return &Client{http: client}, nil
+}
+
+// List returns the hosts as the platform last published them. Errors are those of httpjson.
+func (c *Client) List(ctx context.Context) ([]winch.Host, error) {
+	answer := hostsAnswer{}
+	if err := c.http.Fetch(ctx, "/v1/hosts", &answer); err != nil {
+		return nil, fmt.Errorf("list hosts: %w", err)
+	}
+	hosts := make([]winch.Host, 0, len(answer.Hosts))
+	for _, entry := range answer.Hosts {
+		hosts = append(hosts, winch.Host{
+			ID:          winch.HostID(entry.ID),
+			DataCentre:  winch.DataCentreID(entry.DataCentre),
+			PeerAddress: entry.PeerAddress,
+			Leaving:     entry.State == stateLeaving,
+		})
+	}
+	return hosts, nil
+}
