feat(keyvalue): add the platform's client, an in-memory store and confirmed writes

Cause: every slice needs the key-value service, and a write whose answer was lost must not be taken for a conflict. Ruled out: repeating a write after a timeout, since the first may still be on its way.

--- /dev/null
+++ b/keyvalue/confirm_test.go
@@ -0,0 +1,47 @@
+package keyvalue_test
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/keyvalue"
+	"github.com/arbutuswinch/winch/keyvalue/memory"
+)
+
+func TestConfirmed(t *testing.T) {
+	ctx := t.Context()
+	mine := []byte("mine")
+	own := func(value []byte) bool { return bytes.Equal(value, mine) }
+	t.Run("lost answer", func(t *testing.T) {
+		store := memory.New()
+		store.LoseAnswers(1)
+		version, err := keyvalue.Confirmed(ctx, store, "a", mine, winch.VersionAbsent, own)
+		assert.NilError(t, err)
+		assert.Equal(t, version, winch.Version(1))
+	})
+	t.Run("lost answer of an earlier try", func(t *testing.T) {
+		store := memory.New()
+		_, err := store.Put(ctx, "a", mine, winch.VersionAbsent)
+		assert.NilError(t, err)
+		version, err := keyvalue.Confirmed(ctx, store, "a", mine, winch.VersionAbsent, own)
+		assert.NilError(t, err)
+		assert.Equal(t, version, winch.Version(1))
+	})
+	t.Run("conflict", func(t *testing.T) {
+		store := memory.New()
+		_, err := store.Put(ctx, "a", []byte("other"), winch.VersionAbsent)
+		assert.NilError(t, err)
+		_, err = keyvalue.Confirmed(ctx, store, "a", mine, winch.VersionAbsent, own)
+		assert.Assert(t, errors.Is(err, winch.ErrConflict))
+	})
+	t.Run("outage has no effect", func(t *testing.T) {
+		store := memory.New()
+		store.SetOutage(true)
+		_, err := keyvalue.Confirmed(ctx, store, "a", mine, winch.VersionAbsent, own)
+		assert.Assert(t, errors.Is(err, winch.ErrUnavailable))
+	})
+}
--- /dev/null
+++ b/keyvalue/platform/client.go
@@ -0,0 +1,194 @@
+// Package platform is the client of the platform's key-value service.
+//
+// Each call is counted by kind and result, since the service limits the rate of
+// calls and grows more slowly than the fleet. The client never repeats a call.
+//
+// # Usage
+//
+//	store, err := platform.New(platform.Options{Address: "127.0.0.1:7000", Timeout: time.Second})
+//	if err != nil {
+//		return err
+//	}
+//	entry, err := store.Get(ctx, "notes/head")
+//
+// A put or delete that returns winch.ErrOutcomeUnknown may have taken effect; use
+// package keyvalue to learn it by reading one's own write back.
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/httpjson"
+)
+
+const (
+	defaultTimeout = 2 * time.Second
+	// watchMargin is the time that a watch's answer may take beyond its wait.
+	watchMargin = 2 * time.Second
+	// longestWatch bounds the wait of one watch call.
+	longestWatch = 5 * time.Minute
+	// answerLimit is the largest answer in bytes; a list holds many values.
+	answerLimit = 64 << 20
+)
+
+// Options are the settings of a client.
+type Options struct {
+	// Address is the IP number and port of the service.
+	Address string
+	// Timeout bounds each call; a watch is bounded by its wait besides. The default is 2 s.
+	Timeout time.Duration
+	// Meter counts the calls. Without one they are not counted.
+	Meter metric.Meter
+	// Transport replaces the default one.
+	Transport http.RoundTripper
+}
+
+// Client implements winch.KeyValue. It is safe for concurrent use.
+type Client struct {
+	timeout time.Duration
+	calls   *httpjson.Client
+	watches *httpjson.Client
+	counter metric.Int64Counter
+}
+
+var _ winch.KeyValue = (*Client)(nil)
+
+// New returns a client of the service at options.Address.
+func New(options Options) (*Client, error) {
+	if options.Timeout == 0 {
+		options.Timeout = defaultTimeout
+	}
+	if options.Meter == nil {
+		options.Meter = noop.Meter{}
+	}
+	counter, err := options.Meter.Int64Counter("winch_keyvalue_calls",
+		metric.WithDescription("Calls to the platform's key-value service by kind and result."))
+	if err != nil {
+		return nil, fmt.Errorf("create call counter: %w", err)
+	}
+	calls, err := newClient(options, options.Timeout)
+	if err != nil {
+		return nil, err
+	}
+	watches, err := newClient(options, longestWatch+watchMargin)
+	if err != nil {
+		return nil, err
+	}
+	return &Client{timeout: options.Timeout, calls: calls, watches: watches, counter: counter}, nil
+}
+
+func newClient(options Options, timeout time.Duration) (*httpjson.Client, error) {
+	client, err := httpjson.NewClient(httpjson.Options{
+		Address: options.Address, Timeout: timeout, AnswerLimit: answerLimit, Transport: options.Transport,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("create key-value client: %w", err)
+	}
+	return client, nil
+}
+
+// Get returns the entry of the key, or an error that matches winch.ErrNotFound.
+func (c *Client) Get(ctx context.Context, key string) (winch.Entry, error) {
+	answer := getAnswer{}
+	err := c.read(c.calls.Call(ctx, "/v1/get", getCall{Key: key}, &answer))
+	c.count(ctx, "get", err)
+	if err != nil {
+		return winch.Entry{}, fmt.Errorf("get %s: %w", key, err)
+	}
+	if !answer.Found || answer.Entry == nil {
+		return winch.Entry{}, fmt.Errorf("get %s: %w", key, winch.ErrNotFound)
+	}
+	return decodeEntry(*answer.Entry), nil
+}
+
+// List returns the entries below the prefix and the revision at which they were read.
+func (c *Client) List(ctx context.Context, prefix string) ([]winch.Entry, winch.Version, error) {
+	answer := listAnswer{}
+	err := c.read(c.calls.Call(ctx, "/v1/list", listCall{Prefix: prefix}, &answer))
+	c.count(ctx, "list", err)
+	if err != nil {
+		return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
+	}
+	return decodeEntries(answer.Entries), winch.Version(answer.Revision), nil
+}
+
+// Put writes the value when the entry's version is as expected.
+func (c *Client) Put(ctx context.Context, key string, value []byte, expect winch.Version) (winch.Version, error) {
+	answer := putAnswer{}
+	err := c.calls.Call(ctx, "/v1/put", putCall{Key: key, Value: value, Expect: int64(expect)}, &answer)
+	c.count(ctx, "put", err)
+	if err != nil {
+		return 0, fmt.Errorf("put %s: %w", key, err)
+	}
+	return winch.Version(answer.Version), nil
+}
+
+// Delete removes the entry when its version is as expected.
+func (c *Client) Delete(ctx context.Context, key string, expect winch.Version) error {
+	err := c.calls.Call(ctx, "/v1/delete", deleteCall{Key: key, Expect: int64(expect)}, nil)
+	c.count(ctx, "delete", err)
+	if err != nil {
+		return fmt.Errorf("delete %s: %w", key, err)
+	}
+	return nil
+}
+
+// Watch waits for changes below the prefix. An error that matches ErrCompacted
+// says that the changes after the version are no longer kept: list and go on from there.
+func (c *Client) Watch(ctx context.Context, prefix string, after winch.Version, wait time.Duration) ([]winch.Entry, winch.Version, error) {
+	wait = min(wait, longestWatch)
+	ctx, cancel := context.WithTimeout(ctx, wait+max(watchMargin, c.timeout))
+	defer cancel()
+	answer := listAnswer{}
+	call := watchCall{Prefix: prefix, After: int64(after), Wait: wait.String()}
+	err := c.read(c.watches.Call(ctx, "/v1/watch", call, &answer))
+	c.count(ctx, "watch", err)
+	if err != nil {
+		return nil, 0, fmt.Errorf("watch %s: %w", prefix, err)
+	}
+	return decodeEntries(answer.Entries), winch.Version(answer.Revision), nil
+}
+
+// ErrCompacted says that a watch asked for changes that are no longer kept.
+var ErrCompacted = errors.New("compacted")
+
+// read turns the error of a call without effect into one that says so.
+func (c *Client) read(err error) error {
+	if answer, found := httpjson.StatusOf(err); found && answer.Status == http.StatusGone {
+		return fmt.Errorf("%w: %w", ErrCompacted, err)
+	}
+	if errors.Is(err, winch.ErrOutcomeUnknown) {
+		return fmt.Errorf("%w: %s", winch.ErrUnavailable, err.Error())
+	}
+	return err
+}
+
+func (c *Client) count(ctx context.Context, kind string, err error) {
+	c.counter.Add(context.WithoutCancel(ctx), 1, metric.WithAttributes(
+		attribute.String("kind", kind), attribute.String("result", resultOf(err))))
+}
+
+func resultOf(err error) string {
+	switch {
+	case err == nil:
+		return "done"
+	case errors.Is(err, winch.ErrConflict):
+		return "conflict"
+	case errors.Is(err, winch.ErrRateLimited):
+		return "rate_limited"
+	case errors.Is(err, winch.ErrUnavailable):
+		return "unavailable"
+	case errors.Is(err, winch.ErrOutcomeUnknown):
+		return "outcome_unknown"
+	}
+	return "failed"
+}
