feat(charge): leases with fencing numbers over compare-and-swap

Cause: endpoint orders and usage reports need one process in charge at a time. Ruled out: the service's own leases, whose expiry a paused holder can't see; agreement of clocks. Conclusion: takeover, release, lost answers and lapse are tested in process; real processes follow.

--- /dev/null
+++ b/charge/keyvalue/codec.go
@@ -0,0 +1,71 @@
+package keyvalue
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// record is what the key-value service holds for a duty.
+type record struct {
+	holder      winch.HostID
+	incarnation winch.Incarnation
+	write       winch.WriteID
+	// number is zero in the write that begins a term: its version is the number.
+	number   winch.FencingNumber
+	ttl      time.Duration
+	inFlight time.Duration
+	released bool
+}
+
+type wireRecord struct {
+	Holder      string
+	Incarnation string
+	WriteID     string
+	Number      int64
+	TTL         string
+	InFlight    string
+	Released    bool
+}
+
+func encodeRecord(r record) ([]byte, error) {
+	encoded, err := json.Marshal(wireRecord{
+		Holder:      string(r.holder),
+		Incarnation: string(r.incarnation),
+		WriteID:     string(r.write),
+		Number:      int64(r.number),
+		TTL:         r.ttl.String(),
+		InFlight:    r.inFlight.String(),
+		Released:    r.released,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encode lease record: %w", err)
+	}
+	return encoded, nil
+}
+
+func decodeRecord(value []byte) (record, error) {
+	wire := wireRecord{}
+	if err := json.Unmarshal(value, &wire); err != nil {
+		return record{}, fmt.Errorf("decode lease record: %w: %w", winch.ErrInvalid, err)
+	}
+	ttl, err := time.ParseDuration(wire.TTL)
+	if err != nil {
+		return record{}, fmt.Errorf("decode lease record: TTL: %w: %w", winch.ErrInvalid, err)
+	}
+	inFlight, err := time.ParseDuration(wire.InFlight)
+	if err != nil {
+		return record{}, fmt.Errorf("decode lease record: InFlight: %w: %w", winch.ErrInvalid, err)
+	}
+	return record{
+		holder:      winch.HostID(wire.Holder),
+		incarnation: winch.Incarnation(wire.Incarnation),
+		write:       winch.WriteID(wire.WriteID),
+		number:      winch.FencingNumber(wire.Number),
+		ttl:         ttl,
+		inFlight:    inFlight,
+		released:    wire.Released,
+	}, nil
+}
--- /dev/null
+++ b/charge/keyvalue/holder.go
@@ -0,0 +1,351 @@
+// Package keyvalue puts one process at a time in charge of a duty, by a lease
+// with fencing numbers in the platform's key-value service.
+//
+// The lease is one entry, changed by compare-and-swap only. The version at which
+// a process acquired it is the term's fencing number: it grows and is never
+// reused. Validity counts from before the request was sent, on a clock that runs
+// during a suspend, less a margin for drift. A write whose answer was lost is
+// resolved by reading it back. A successor watches the entry stay unchanged for its
+// whole TTL by its own clock, and its term begins only after the longest time that
+// an order of its predecessor may be in flight besides; clocks need not agree.
+//
+// Only the candidate that Membership names tries to acquire, and a holder that is no
+// longer the candidate gives the duty up.
+//
+// # Usage
+//
+//	holder, err := keyvalue.New(keyvalue.Options{
+//		Store: store, Duty: "orders/yard-1", DataCentre: "yard-1", Membership: membership, Clock: clock, Logger: logger,
+//	})
+//	if err != nil {
+//		return err
+//	}
+//	go holder.Run(ctx)
+//	term, inCharge := holder.Term(clock.Now())
+//
+// Work that must not outlast an early end of the term is put between Begin and its done.
+package keyvalue
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/arbutuswinch/winch"
+)
+
+const (
+	defaultTTL        = 6 * time.Second
+	defaultRenewEvery = 2 * time.Second
+	defaultInFlight   = 2 * time.Second
+	defaultDrift      = 200 * time.Millisecond
+	keyPrefix         = "charge/"
+	// ticksPerRenewal is how often the core is asked within one renewal period.
+	ticksPerRenewal = 20
+	releaseTick     = 5 * time.Millisecond
+)
+
+// Options are the settings of a holder. The zero value of a duration stands for its default.
+type Options struct {
+	Store winch.KeyValue
+	Duty  winch.Duty
+	// DataCentre limits the candidates; empty stands for all data centres.
+	DataCentre  winch.DataCentreID
+	Membership  winch.Membership
+	Incarnation winch.Incarnation
+	// TTL is the time that the record must stay unchanged before it may be taken over. The default is 6 s.
+	TTL time.Duration
+	// RenewEvery is the time between renewals. The default is 2 s.
+	RenewEvery time.Duration
+	// InFlight is the longest time that an order may be on its way. The default is 2 s.
+	InFlight time.Duration
+	// Drift is taken off the validity. The default is 200 ms.
+	Drift  time.Duration
+	Clock  winch.Clock
+	Logger hclog.Logger
+	Meter  metric.Meter
+}
+
+// Holder holds a duty or stands as its candidate. It implements winch.TermGuard and is safe for concurrent use.
+type Holder struct {
+	options Options
+	key     string
+	mu      sync.Mutex
+	core    core
+	working int
+	begun   bool
+	gauge   metric.Int64Gauge
+}
+
+var _ winch.TermGuard = (*Holder)(nil)
+
+// New returns a holder, which does nothing until Run.
+func New(options Options) (*Holder, error) {
+	options = withDefaults(options)
+	if err := check(options); err != nil {
+		return nil, err
+	}
+	gauge, err := options.Meter.Int64Gauge("winch_charge_held", metric.WithDescription("Whether this host is in charge of the duty."))
+	if err != nil {
+		return nil, fmt.Errorf("create charge gauge: %w", err)
+	}
+	return &Holder{
+		options: options,
+		key:     keyPrefix + string(options.Duty),
+		gauge:   gauge,
+		core: core{settings: settings{
+			holder:      options.Membership.Self().ID,
+			incarnation: options.Incarnation,
+			ttl:         options.TTL,
+			renewEvery:  options.RenewEvery,
+			inFlight:    options.InFlight,
+			drift:       options.Drift,
+		}},
+	}, nil
+}
+
+func withDefaults(options Options) Options {
+	options.TTL = orDefault(options.TTL, defaultTTL)
+	options.RenewEvery = orDefault(options.RenewEvery, defaultRenewEvery)
+	options.InFlight = orDefault(options.InFlight, defaultInFlight)
+	options.Drift = orDefault(options.Drift, defaultDrift)
+	if options.Incarnation == "" {
+		options.Incarnation = winch.Incarnation(uuid.NewString())
+	}
+	if options.Logger == nil {
+		options.Logger = hclog.NewNullLogger()
+	}
+	if options.Meter == nil {
+		options.Meter = noop.Meter{}
+	}
+	return options
+}
+
+func orDefault(value, fallback time.Duration) time.Duration {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
+
+func check(options Options) error {
+	switch {
+	case options.Store == nil:
+		return fmt.Errorf("charge option Store is missing: %w", winch.ErrInvalid)
+	case options.Membership == nil:
+		return fmt.Errorf("charge option Membership is missing: %w", winch.ErrInvalid)
+	case options.Clock == nil:
+		return fmt.Errorf("charge option Clock is missing: %w", winch.ErrInvalid)
+	case options.Duty == "":
+		return fmt.Errorf("charge option Duty is empty: %w", winch.ErrInvalid)
+	case options.TTL <= options.RenewEvery+options.Drift:
+		return fmt.Errorf("charge option TTL must exceed RenewEvery and Drift together: %w", winch.ErrInvalid)
+	}
+	return nil
+}
+
+// Term returns the valid term, if this process holds one that has begun.
+func (h *Holder) Term(now time.Time) (winch.Term, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.term(now)
+}
+
+func (h *Holder) term(now time.Time) (winch.Term, bool) {
+	term, held := h.core.term(now)
+	term.Duty = h.options.Duty
+	return term, held
+}
+
+// Begin returns the valid term and keeps the holder from releasing it until done is called.
+func (h *Holder) Begin(now time.Time) (winch.Term, func(), error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	term, held := h.term(now)
+	if !held {
+		return winch.Term{}, nil, fmt.Errorf("begin work of duty %s: %w", h.options.Duty, winch.ErrNotInCharge)
+	}
+	h.working++
+	once := sync.Once{}
+	return term, func() { once.Do(h.done) }, nil
+}
+
+func (h *Holder) done() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.working--
+}
+
+// Run acquires, renews and gives up the duty until ctx ends; then it releases the
+// duty, within one TTL, and returns nil.
+func (h *Holder) Run(ctx context.Context) error {
+	ticker := time.NewTicker(h.options.RenewEvery / ticksPerRenewal)
+	defer ticker.Stop()
+	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	stop := time.Time{}
+	for {
+		now := h.options.Clock.Now()
+		stopping := ctx.Err() != nil
+		if stopping && stop.IsZero() {
+			stop = now.Add(h.options.TTL)
+		}
+		if stopping && !now.Before(stop) {
+			return nil
+		}
+		if h.act(calls, now, stopping) {
+			return nil
+		}
+		<-ticker.C
+	}
+}
+
+// act takes the next step and reports whether the loop is done.
+func (h *Holder) act(ctx context.Context, now time.Time, stopping bool) bool {
+	candidate := h.options.Membership.Candidate(now, h.options.Duty, h.options.DataCentre)
+	h.mu.Lock()
+	action := h.core.next(now, candidate, stopping)
+	h.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, h.options.RenewEvery)
+	defer cancel()
+	switch action.step {
+	case stepRead:
+		h.read(ctx)
+	case stepWrite:
+		h.write(ctx, action)
+	case stepRelease:
+		h.release(ctx, action)
+	case stepDone:
+		return true
+	}
+	h.report(ctx)
+	return false
+}
+
+func (h *Holder) read(ctx context.Context) {
+	entry, err := h.options.Store.Get(ctx, h.key)
+	absent := errors.Is(err, winch.ErrNotFound)
+	if err != nil && !absent {
+		h.failed("read", err)
+		h.change(func(now time.Time) { h.core.failedRead(now) })
+		return
+	}
+	found := record{}
+	if !absent {
+		if found, err = decodeRecord(entry.Value); err != nil {
+			h.failed("decode", err)
+			found = record{ttl: h.options.TTL, inFlight: h.options.InFlight}
+		}
+	}
+	h.change(func(now time.Time) { h.core.read(now, absent, entry.Version, found) })
+}
+
+func (h *Holder) write(ctx context.Context, action action) {
+	value, err := encodeRecord(action.record)
+	version := winch.Version(0)
+	if err == nil {
+		version, err = h.options.Store.Put(ctx, h.key, value, action.expect)
+	}
+	outcome := resultOf(err)
+	if outcome == resultUnknown || outcome == resultFailed {
+		h.failed("write", err)
+	}
+	h.change(func(now time.Time) { h.core.wrote(now, version, outcome) })
+}
+
+// release waits until no work of the term is under way, and then puts the record.
+// The core has ended the term already, so that no new work begins.
+func (h *Holder) release(ctx context.Context, action action) {
+	if !h.idle() {
+		h.options.Logger.Warn("duty left to lapse", "Event", EventReleaseAbandoned, "Duty", h.options.Duty)
+		h.change(func(time.Time) { h.core.abandonRelease() })
+		return
+	}
+	h.write(ctx, action)
+}
+
+// idle waits until no work is under way, for as long as the term is valid.
+func (h *Holder) idle() bool {
+	for {
+		h.mu.Lock()
+		working, until := h.working, h.core.holding.validUntil
+		h.mu.Unlock()
+		if working == 0 {
+			return true
+		}
+		if !h.options.Clock.Now().Before(until) {
+			return false
+		}
+		time.Sleep(releaseTick)
+	}
+}
+
+func resultOf(err error) result {
+	switch {
+	case err == nil:
+		return resultDone
+	case errors.Is(err, winch.ErrConflict), errors.Is(err, winch.ErrNotFound):
+		return resultConflict
+	case errors.Is(err, winch.ErrOutcomeUnknown):
+		return resultUnknown
+	case errors.Is(err, winch.ErrUnavailable), errors.Is(err, winch.ErrRateLimited), errors.Is(err, winch.ErrInvalid):
+		return resultFailed
+	}
+	return resultUnknown
+}
+
+// change applies an answer to the core and logs what became of the duty.
+func (h *Holder) change(apply func(now time.Time)) {
+	now := h.options.Clock.Now()
+	h.mu.Lock()
+	before := h.core.holding
+	apply(now)
+	after, seen := h.core.holding, h.core.seen
+	released := h.core.released
+	h.mu.Unlock()
+	switch {
+	case !before.held && after.held:
+		h.options.Logger.Info("duty acquired", "Event", EventAcquired, "Duty", h.options.Duty,
+			"FencingNumber", after.number, "Begins", after.begins)
+	case before.held && !after.held && released:
+		h.options.Logger.Info("duty released", "Event", EventReleased, "Duty", h.options.Duty, "FencingNumber", before.number)
+	case before.held && !after.held:
+		h.options.Logger.Warn("duty lost", "Event", EventLost, "Duty", h.options.Duty,
+			"FencingNumber", before.number, "Holder", seen.record.holder)
+	}
+}
+
+// report logs the begin and the lapse of terms and sets the gauge.
+func (h *Holder) report(ctx context.Context) {
+	now := h.options.Clock.Now()
+	h.mu.Lock()
+	term, held := h.term(now)
+	changed := held != h.begun
+	lapsed := changed && !held && h.core.holding.held && !h.core.closing
+	h.begun = held
+	h.mu.Unlock()
+	value := int64(0)
+	if held {
+		value = 1
+	}
+	h.gauge.Record(ctx, value, metric.WithAttributes(attribute.String("duty", string(h.options.Duty))))
+	if changed && held {
+		h.options.Logger.Info("duty begun", "Event", EventBegun, "Duty", h.options.Duty,
+			"FencingNumber", term.Number, "ValidUntil", term.ValidUntil)
+	}
+	if lapsed {
+		h.options.Logger.Warn("duty lapsed", "Event", EventLapsed, "Duty", h.options.Duty)
+	}
+}
+
+func (h *Holder) failed(call string, err error) {
+	h.options.Logger.Warn("lease call failed", "Event", EventStoreFailed, "Duty", h.options.Duty, "Call", call, "Error", err)
+}
