--- a/charge/keyvalue/core_test.go
+++ b/charge/keyvalue/core_test.go
@@ -11,6 +11,9 @@
 	"github.com/arbutuswinch/winch"
 )
 
+// simulatedSteps is the length of one simulated run.
+const simulatedSteps = 2000
+
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func newCore(name string) core {
@@ -29,6 +32,8 @@
 	record    record
 	processes []*process
 	delayed   []action
+	// frozen is a process that is paused.
+	frozen *process
 }
 
 type process struct {
@@ -134,22 +139,38 @@
 				offset: time.Duration(rapid.IntRange(0, 10000).Draw(t, "offset")) * time.Second,
 			})
 		}
-		pick := func() *process { return s.processes[rapid.IntRange(0, 2).Draw(t, "process")] }
-		t.Repeat(map[string]func(*rapid.T){
-			"decide": func(*rapid.T) { s.decide(pick()) },
-			"answer": func(*rapid.T) { s.answer(pick()) },
-			"wait":   func(t *rapid.T) { s.now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond },
-			"late": func(*rapid.T) {
-				if len(s.delayed) > 0 {
-					s.apply(s.delayed[0])
-					s.delayed = s.delayed[1:]
-				}
-			},
-			"": func(*rapid.T) { s.check() },
-		})
+		for range simulatedSteps {
+			s.step(s.processes[rapid.IntRange(0, 2).Draw(t, "process")])
+			s.check()
+		}
 	})
 }
 
+// step lets one thing happen, to the process if it concerns one.
+func (s *simulation) step(p *process) {
+	kind := rapid.IntRange(0, 20).Draw(s.t, "step")
+	if p == s.frozen && kind < 12 {
+		return
+	}
+	switch kind {
+	case 0, 1, 2, 3, 4, 5:
+		s.decide(p)
+	case 6, 7, 8, 9, 10, 11:
+		s.answer(p)
+	case 12, 13, 14, 15:
+		s.now += time.Duration(rapid.IntRange(1, 100).Draw(s.t, "ms")) * time.Millisecond
+	case 16, 17:
+		s.now += time.Duration(rapid.IntRange(1, 3000).Draw(s.t, "ms")) * time.Millisecond
+	case 18, 19:
+		if len(s.delayed) > 0 {
+			s.apply(s.delayed[0])
+			s.delayed = s.delayed[1:]
+		}
+	case 20:
+		s.frozen = p
+	}
+}
+
 // acquire lets the core acquire the duty over the observed record.
 func acquire(t *testing.T, c *core, now time.Time, version winch.Version) {
 	t.Helper()
