feat(charge): guarded sender for calls of the process in charge

Cause: a holder that wakes in the middle of a send must not complete an order, also at receivers without fencing. Ruled out: write deadlines alone, which depend on a timer's firing after the wake-up. Before / after: none / held-back bytes, check of the clock, kernel timer, abort by the kernel; a lapse at each stage is tested in process.

--- /dev/null
+++ b/charge/fenced/sender_test.go
@@ -0,0 +1,134 @@
+package fenced
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/httpjson"
+)
+
+// fakeClock stands still until it is moved.
+type fakeClock struct{ offset atomic.Int64 }
+
+func (c *fakeClock) Now() time.Time {
+	return time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).Add(time.Duration(c.offset.Load()))
+}
+
+func (c *fakeClock) move(by time.Duration) { c.offset.Add(int64(by)) }
+
+// fakeGuard holds a term until an instant.
+type fakeGuard struct{ term winch.Term }
+
+func (g *fakeGuard) Term(now time.Time) (winch.Term, bool) {
+	return g.term, now.Before(g.term.ValidUntil)
+}
+
+func (g *fakeGuard) Begin(now time.Time) (winch.Term, func(), error) {
+	if !now.Before(g.term.ValidUntil) {
+		return winch.Term{}, nil, winch.ErrNotInCharge
+	}
+	return g.term, func() {}, nil
+}
+
+type fixture struct {
+	clock    *fakeClock
+	guard    *fakeGuard
+	received atomic.Int64
+	call     winch.FencedCall
+}
+
+// newFixture starts a receiver that answers every complete call with the status.
+func newFixture(t *testing.T, status int) *fixture {
+	t.Helper()
+	f := &fixture{clock: &fakeClock{}}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		order := struct{ OrderID string }{}
+		if httpjson.Decode(w, r, 1<<20, &order) == nil {
+			f.received.Add(1)
+		}
+		httpjson.Write(w, status, struct{ Code string }{"answer"})
+	}))
+	t.Cleanup(server.Close)
+	f.guard = &fakeGuard{term: winch.Term{Number: 7, ValidUntil: f.clock.Now().Add(5 * time.Second)}}
+	f.call = winch.FencedCall{
+		Address: strings.TrimPrefix(server.URL, "http://"), Path: "/orders", Number: 7,
+		Body: []byte(`{"OrderID":"order-1"}`),
+	}
+	return f
+}
+
+// send sends the call with the clock moved past the term at the stage.
+func (f *fixture) send(t *testing.T, lapse stage, off guardsOff) error {
+	t.Helper()
+	sender, err := New(Options{Clock: f.clock, off: off, reach: func(s stage) {
+		if s == lapse {
+			f.clock.move(10 * time.Second)
+		}
+	}})
+	assert.NilError(t, err)
+	_, err = sender.Send(t.Context(), f.guard, f.call)
+	return err
+}
+
+func TestSender(t *testing.T) {
+	t.Run("sends within the term", func(t *testing.T) {
+		f := newFixture(t, http.StatusOK)
+		assert.NilError(t, f.send(t, 0, guardsOff{}))
+		assert.Equal(t, f.received.Load(), int64(1))
+	})
+	t.Run("refuses another term's call", func(t *testing.T) {
+		f := newFixture(t, http.StatusOK)
+		f.call.Number = 6
+		assert.Assert(t, errors.Is(f.send(t, 0, guardsOff{}), winch.ErrNotInCharge))
+	})
+	t.Run("reports a receiver's fence", func(t *testing.T) {
+		f := newFixture(t, http.StatusPreconditionFailed)
+		assert.Assert(t, errors.Is(f.send(t, 0, guardsOff{}), winch.ErrFenced))
+	})
+	t.Run("a call that nobody takes was not received", func(t *testing.T) {
+		f := newFixture(t, http.StatusOK)
+		f.call.Address = "127.0.0.1:1"
+		assert.Assert(t, errors.Is(f.send(t, 0, guardsOff{}), winch.ErrUnavailable))
+	})
+	t.Run("cancelled call", func(t *testing.T) {
+		f := newFixture(t, http.StatusOK)
+		ctx, cancel := context.WithCancel(t.Context())
+		sender, err := New(Options{Clock: f.clock, reach: func(s stage) {
+			if s == stageConnected {
+				cancel()
+			}
+		}})
+		assert.NilError(t, err)
+		_, err = sender.Send(ctx, f.guard, f.call)
+		assert.Assert(t, errors.Is(err, winch.ErrUnavailable))
+		assert.Equal(t, f.received.Load(), int64(0))
+	})
+}
+
+func TestNoCallIsCompletedAfterTheTerm(t *testing.T) {
+	for lapse := stageBegun; lapse <= stageDrained; lapse++ {
+		t.Run(stageName(lapse), func(t *testing.T) {
+			f := newFixture(t, http.StatusOK)
+			err := f.send(t, lapse, guardsOff{})
+			assert.Assert(t, errors.Is(err, winch.ErrNotInCharge), "%v", err)
+			assert.Assert(t, errors.Is(err, winch.ErrUnavailable))
+			assert.Equal(t, f.received.Load(), int64(0))
+		})
+	}
+}
+
+func stageName(s stage) string {
+	return map[stage]string{
+		stageBegun: "begun", stageConnected: "connected", stageHalfWritten: "half written", stageHeld: "held",
+		stageDrained: "drained", stageChecked: "checked", stageSent: "sent",
+	}[s]
+}
--- /dev/null
+++ b/charge/fenced/transport.go
@@ -0,0 +1,276 @@
+package fenced
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/arbutuswinch/winch"
+)
+
+const (
+	// drainTick is the time between two looks at the send queue.
+	drainTick = 500 * time.Microsecond
+	// deliverWithin is the time after which the kernel drops last bytes that it could not deliver.
+	deliverWithin = 500 * time.Millisecond
+)
+
+// transport makes one call on a connection of its own.
+type transport struct {
+	options Options
+	guard   winch.TermGuard
+	number  winch.FencingNumber
+	// end is the instant after which the last bytes must not be written.
+	end time.Time
+	// kill is the instant at which a process that is stopped before the last write is killed.
+	kill time.Time
+}
+
+// RoundTrip writes the request and reads the answer's head. The connection is
+// closed with the answer's body.
+func (t *transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	encoded := bytes.Buffer{}
+	request.Close = true
+	if err := request.Write(&encoded); err != nil {
+		return nil, fmt.Errorf("encode request: %w", err)
+	}
+	ctx := request.Context()
+	conn, err := t.dial(ctx, request.URL.Host)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	response, err := t.exchange(ctx, conn, request, encoded.Bytes())
+	if err != nil {
+		stop()
+		_ = conn.Close()
+		return nil, err
+	}
+	response.Body = &body{ReadCloser: response.Body, conn: conn, stop: stop}
+	return response, nil
+}
+
+func (t *transport) dial(ctx context.Context, address string) (*net.TCPConn, error) {
+	left, err := t.left()
+	if err != nil {
+		return nil, err
+	}
+	dialer := net.Dialer{Timeout: left}
+	plain, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w", address, err)
+	}
+	conn := plain.(*net.TCPConn)
+	t.options.reach(stageConnected)
+	if err := t.bound(conn); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// left returns the time until no last bytes may be written any more.
+func (t *transport) left() (time.Duration, error) {
+	left := t.end.Sub(t.options.Clock.Now())
+	if left <= 0 {
+		return 0, fmt.Errorf("complete request: %w", winch.ErrNotInCharge)
+	}
+	return left, nil
+}
+
+func (t *transport) exchange(ctx context.Context, conn *net.TCPConn, request *http.Request, encoded []byte) (*http.Response, error) {
+	held := min(heldBack, len(encoded))
+	if t.options.off.hold {
+		held = 0
+	}
+	if err := t.writeHead(conn, encoded[:len(encoded)-held]); err != nil {
+		return nil, err
+	}
+	if err := t.drain(ctx, conn); err != nil {
+		return nil, err
+	}
+	if err := t.writeTail(ctx, conn, encoded[len(encoded)-held:]); err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	if err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	return response, nil
+}
+
+// bound limits the connection to the term.
+func (t *transport) bound(conn *net.TCPConn) error {
+	left, err := t.left()
+	if err != nil {
+		return err
+	}
+	if err := conn.SetDeadline(time.Now().Add(left)); err != nil {
+		return fmt.Errorf("set deadline: %w", err)
+	}
+	if err := conn.SetLinger(0); err != nil {
+		return fmt.Errorf("set linger: %w", err)
+	}
+	return t.abortAfter(conn, left)
+}
+
+// abortAfter makes the kernel drop what it could not deliver in that time.
+func (t *transport) abortAfter(conn *net.TCPConn, wait time.Duration) error {
+	if t.options.off.abort {
+		return nil
+	}
+	milliseconds := max(int(wait.Milliseconds()), 1)
+	return control(conn, func(fd int) error {
+		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, milliseconds)
+	})
+}
+
+// writeHead writes all but the bytes held back, in two parts.
+func (t *transport) writeHead(conn net.Conn, head []byte) error {
+	half := len(head) / 2
+	if _, err := conn.Write(head[:half]); err != nil {
+		return fmt.Errorf("write request: %w", err)
+	}
+	t.options.reach(stageHalfWritten)
+	if _, err := conn.Write(head[half:]); err != nil {
+		return fmt.Errorf("write request: %w", err)
+	}
+	t.options.reach(stageHeld)
+	return nil
+}
+
+// drain waits until the receiver's machine has acknowledged what was written, so
+// that the bytes held back are the only ones that can be on their way.
+func (t *transport) drain(ctx context.Context, conn *net.TCPConn) error {
+	if t.options.off.drain {
+		return nil
+	}
+	ticker := time.NewTicker(drainTick)
+	defer ticker.Stop()
+	for t.options.Clock.Now().Before(t.end) {
+		queued := 0
+		err := control(conn, func(fd int) (err error) {
+			queued, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		if queued == 0 {
+			t.options.reach(stageDrained)
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("wait for the receiver: %w", ctx.Err())
+		}
+	}
+	return fmt.Errorf("wait for the receiver: %w", winch.ErrNotInCharge)
+}
+
+// writeTail writes the bytes held back when the clock says that the term still holds.
+func (t *transport) writeTail(ctx context.Context, conn *net.TCPConn, tail []byte) error {
+	if err := t.abortAfter(conn, deliverWithin); err != nil {
+		return err
+	}
+	timer, err := t.arm()
+	if err != nil {
+		return err
+	}
+	defer timer.disarm()
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("access socket: %w", err)
+	}
+	written, writeErr := 0, error(nil)
+	err = raw.Write(func(fd uintptr) bool {
+		if !t.valid() {
+			writeErr = fmt.Errorf("release request: %w", winch.ErrNotInCharge)
+			return true
+		}
+		t.options.reach(stageChecked)
+		t.mayArrive(ctx, conn)
+		written, writeErr = unix.Write(int(fd), tail)
+		return true
+	})
+	t.options.reach(stageSent)
+	if err != nil {
+		return fmt.Errorf("release request: %w", err)
+	}
+	if writeErr != nil {
+		return fmt.Errorf("release request: %w", writeErr)
+	}
+	if written < len(tail) {
+		return fmt.Errorf("release request: %w", io.ErrShortWrite)
+	}
+	return nil
+}
+
+// arm starts the watchdog. A term that is over is an error, not a reason to kill the process.
+func (t *transport) arm() (*watchdog, error) {
+	if t.options.NoWatchdog {
+		return nil, nil
+	}
+	left := t.kill.Sub(t.options.Clock.Now())
+	if left <= 0 {
+		return nil, fmt.Errorf("release request: %w", winch.ErrNotInCharge)
+	}
+	return armWatchdog(left)
+}
+
+// valid checks the clock for the last time.
+func (t *transport) valid() bool {
+	if t.options.off.check {
+		return true
+	}
+	now := t.options.Clock.Now()
+	term, held := t.guard.Term(now)
+	return held && term.Number == t.number && now.Before(t.end)
+}
+
+// mayArrive tells the caller's client that the call can have an effect from here on.
+func (t *transport) mayArrive(ctx context.Context, conn net.Conn) {
+	trace := httptrace.ContextClientTrace(ctx)
+	if trace != nil && trace.GotConn != nil {
+		trace.GotConn(httptrace.GotConnInfo{Conn: conn})
+	}
+}
+
+// control runs a call on the connection's socket.
+func control(conn *net.TCPConn, call func(fd int) error) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("access socket: %w", err)
+	}
+	var callErr error
+	if err := raw.Control(func(fd uintptr) { callErr = call(int(fd)) }); err != nil {
+		return fmt.Errorf("access socket: %w", err)
+	}
+	if callErr != nil {
+		return fmt.Errorf("set up socket: %w", callErr)
+	}
+	return nil
+}
+
+// body closes the connection with the answer's body.
+type body struct {
+	io.ReadCloser
+	conn net.Conn
+	stop func() bool
+}
+
+// Close closes the connection without lingering.
+func (b *body) Close() error {
+	b.stop()
+	_ = b.ReadCloser.Close()
+	return b.conn.Close()
+}
