--- a/charge/fenced/sender_test.go
+++ b/charge/fenced/sender_test.go
@@ -109,7 +109,7 @@
 		}})
 		assert.NilError(t, err)
 		_, err = sender.Send(ctx, f.guard, f.call)
-		assert.Assert(t, errors.Is(err, winch.ErrUnavailable))
+		assert.Assert(t, errors.Is(err, winch.ErrUnavailable), "%v", err)
 		assert.Equal(t, f.received.Load(), int64(0))
 	})
 }
--- a/charge/fenced/transport.go
+++ b/charge/fenced/transport.go
@@ -193,8 +193,7 @@
 	}
 	written, writeErr := 0, error(nil)
 	err = raw.Write(func(fd uintptr) bool {
-		if !t.valid() {
-			writeErr = fmt.Errorf("release request: %w", winch.ErrNotInCharge)
+		if writeErr = t.valid(ctx); writeErr != nil {
 			return true
 		}
 		t.options.reach(stageChecked)
@@ -227,14 +226,17 @@
 	return armWatchdog(left)
 }
 
-// valid checks the clock for the last time.
-func (t *transport) valid() bool {
-	if t.options.off.check {
-		return true
+// valid checks the caller and the clock for the last time.
+func (t *transport) valid(ctx context.Context) error {
+	if err := ctx.Err(); err != nil || t.options.off.check {
+		return err
 	}
 	now := t.options.Clock.Now()
 	term, held := t.guard.Term(now)
-	return held && term.Number == t.number && now.Before(t.end)
+	if !held || term.Number != t.number || !now.Before(t.end) {
+		return winch.ErrNotInCharge
+	}
+	return nil
 }
 
 // mayArrive tells the caller's client that the call can have an effect from here on.
