--- /dev/null
+++ b/release/check.go
@@ -0,0 +1,315 @@
+package release
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"github.com/arbutuswinch/winch"
+)
+
+const (
+	maxTier       = 100
+	maxWeight     = 1000000
+	maxQueueLimit = 1000000
+	maxSlotLimit  = 100000
+	maxPoolSize   = 10000
+	maxFloor      = 0.5
+	// The limits below bound what each host holds in memory.
+	maxOrganisations = 20000
+	maxKeys          = 100000
+	maxEndpoints     = 20000
+	maxOthers        = 2000
+)
+
+// checker holds the configuration that the note would lead to, and where in the
+// note each item stands.
+type checker struct {
+	reader
+	next  *winch.Configuration
+	paths map[string]string
+	gone  map[string]string
+}
+
+// Check refuses a note that does not fit the current configuration. The error
+// matches winch.ErrInvalid and names the field.
+func Check(current *winch.Configuration, note winch.Note) error {
+	c := &checker{paths: map[string]string{}, gone: map[string]string{}}
+	if note.ID == "" {
+		c.fail("ID", "is missing")
+	}
+	if countItems(note.Added)+countItems(note.Changed)+len(withdrawnNames(note.Withdrawn)) == 0 {
+		c.fail("note", "names no item")
+	}
+	c.place(current, note)
+	if c.fault != nil {
+		return c.fault
+	}
+	c.next = Next(current, winch.ReleaseRecord{Revision: current.Revision + 1, Note: note})
+	c.checkSizes()
+	c.checkItems()
+	return c.fault
+}
+
+// place records where each item stands and compares with what exists.
+func (c *checker) place(current *winch.Configuration, note winch.Note) {
+	exists := map[string]bool{}
+	for _, name := range Names(winch.Note{Added: itemsOf(current)}) {
+		exists[name] = true
+	}
+	for _, path := range itemPaths("Added", note.Added) {
+		c.claim(path.name, path.path)
+		if exists[path.name] {
+			c.fail(path.path, "%s exists already", path.name)
+		}
+	}
+	for _, path := range itemPaths("Changed", note.Changed) {
+		c.claim(path.name, path.path)
+		if !exists[path.name] {
+			c.fail(path.path, "%s does not exist", path.name)
+		}
+	}
+	for _, path := range idPaths(note.Withdrawn) {
+		c.claim(path.name, path.path)
+		c.gone[path.name] = path.path
+		if !exists[path.name] {
+			c.fail(path.path, "%s does not exist", path.name)
+		}
+	}
+}
+
+func (c *checker) claim(name, path string) {
+	if other, twice := c.paths[name]; twice {
+		c.fail(path, "%s stands at %s too", name, other)
+	}
+	c.paths[name] = path
+}
+
+// itemPath tells where in a note an item stands.
+type itemPath struct{ name, path string }
+
+func itemPaths(prefix string, items winch.Items) []itemPath {
+	paths := []itemPath{}
+	add := func(kind string, i int, id string) {
+		paths = append(paths, itemPath{name: kind + "[" + id + "]", path: fmt.Sprintf("%s.%s[%d]", prefix, kind, i)})
+	}
+	for i, item := range items.Organisations {
+		add("Organisations", i, string(item.ID))
+	}
+	for i, item := range items.Keys {
+		add("Keys", i, string(item.ID))
+	}
+	for i, item := range items.Classes {
+		add("Classes", i, string(item.ID))
+	}
+	for i, item := range items.Routes {
+		add("Routes", i, string(item.ID))
+	}
+	for i, item := range items.Endpoints {
+		add("Endpoints", i, string(item.ID))
+	}
+	for i, item := range items.Pools {
+		add("Pools", i, string(item.ID))
+	}
+	return paths
+}
+
+func idPaths(ids winch.ItemIDs) []itemPath {
+	paths := []itemPath{}
+	kind, count := "", 0
+	for _, name := range withdrawnNames(ids) {
+		if at := name[:strings.IndexByte(name, '[')]; at != kind {
+			kind, count = at, 0
+		}
+		paths = append(paths, itemPath{name: name, path: fmt.Sprintf("Withdrawn.%s[%d]", kind, count)})
+		count++
+	}
+	return paths
+}
+
+// at returns the path of an item's field: in the note if it stands there.
+func (c *checker) at(kind, id, field string) string {
+	name := kind + "[" + id + "]"
+	if path, found := c.paths[name]; found {
+		name = path
+	}
+	return name + "." + field
+}
+
+func (c *checker) checkSizes() {
+	for _, size := range []struct {
+		kind        string
+		count, most int
+	}{
+		{"Organisations", len(c.next.Organisations), maxOrganisations},
+		{"Keys", len(c.next.Keys), maxKeys},
+		{"Classes", len(c.next.Classes), maxOthers},
+		{"Routes", len(c.next.Routes), maxOthers},
+		{"Endpoints", len(c.next.Endpoints), maxEndpoints},
+		{"Pools", len(c.next.Pools), maxOthers},
+	} {
+		if size.count > size.most {
+			c.fail(size.kind, "would be %d, more than %d", size.count, size.most)
+		}
+	}
+}
+
+func (c *checker) checkItems() {
+	items := itemsOf(c.next)
+	for _, item := range items.Organisations {
+		c.bound("Organisations", string(item.ID), "Weight", item.Weight, 1, maxWeight)
+	}
+	c.checkKeys(items.Keys)
+	for _, item := range items.Classes {
+		c.checkClass(item)
+	}
+	for _, item := range items.Routes {
+		c.class("Routes", string(item.ID), "Class", item.Class)
+	}
+	addresses := map[string]winch.EndpointID{}
+	for _, item := range items.Endpoints {
+		c.checkEndpoint(item)
+		if other, twice := addresses[item.Address]; twice {
+			c.fail(c.at("Endpoints", string(item.ID), "Address"), "%s belongs to endpoint %q too", item.Address, other)
+		}
+		addresses[item.Address] = item.ID
+	}
+	for _, item := range items.Pools {
+		c.checkPool(item)
+	}
+}
+
+func (c *checker) checkKeys(keys []winch.Key) {
+	owners := map[winch.KeyHash]winch.KeyID{}
+	for _, item := range keys {
+		id := string(item.ID)
+		if _, found := c.next.Organisations[item.Organisation]; !found {
+			c.missing("Keys", id, "Organisation", "Organisations["+string(item.Organisation)+"]")
+		}
+		if item.Hash == (winch.KeyHash{}) {
+			c.fail(c.at("Keys", id, "Hash"), "is missing")
+		}
+		if other, twice := owners[item.Hash]; twice {
+			c.fail(c.at("Keys", id, "Hash"), "belongs to key %q too", other)
+		}
+		owners[item.Hash] = item.ID
+	}
+}
+
+func (c *checker) checkClass(item winch.Class) {
+	id := string(item.ID)
+	c.bound("Classes", id, "Tier", int(item.Tier), 1, maxTier)
+	c.bound("Classes", id, "QueueLimit", item.QueueLimit, 1, maxQueueLimit)
+	if item.FirstTokenTarget <= 0 {
+		c.fail(c.at("Classes", id, "FirstTokenTarget"), "must be above 0")
+	}
+	if item.MaxWait <= 0 {
+		c.fail(c.at("Classes", id, "MaxWait"), "must be above 0")
+	}
+	if !(item.Floor >= 0 && item.Floor <= maxFloor) {
+		c.fail(c.at("Classes", id, "Floor"), "must be between 0 and %v", maxFloor)
+	}
+	c.distinct("Classes", id, "Models", texts(item.Models))
+}
+
+func (c *checker) checkEndpoint(item winch.Endpoint) {
+	id := string(item.ID)
+	if item.Kind != winch.EndpointEngine && item.Kind != winch.EndpointService {
+		c.fail(c.at("Endpoints", id, "Kind"), "%q is neither Engine nor Service", item.Kind)
+	}
+	address, err := netip.ParseAddrPort(item.Address)
+	if err != nil || address.Port() == 0 {
+		c.fail(c.at("Endpoints", id, "Address"), "%q is not an IP number and port", item.Address)
+	}
+	if item.Kind == winch.EndpointEngine && len(item.Models) == 0 {
+		c.fail(c.at("Endpoints", id, "Models"), "is missing")
+	}
+	for _, route := range item.Routes {
+		if _, found := c.next.Routes[route]; !found {
+			c.missing("Endpoints", id, "Routes", "Routes["+string(route)+"]")
+		}
+	}
+	if _, found := c.next.Pools[item.Pool]; !found && item.Pool != "" {
+		c.missing("Endpoints", id, "Pool", "Pools["+string(item.Pool)+"]")
+	}
+	c.distinct("Endpoints", id, "Models", texts(item.Models))
+	c.checkSupply("Endpoints", id, item.Supply, item.Cost, item.SlotLimit)
+	c.checkClasses("Endpoints", id, item.Classes)
+}
+
+func (c *checker) checkPool(item winch.Pool) {
+	id := string(item.ID)
+	c.bound("Pools", id, "Max", item.Max, 1, maxPoolSize)
+	c.bound("Pools", id, "Min", item.Min, 0, item.Max)
+	c.checkSupply("Pools", id, item.Supply, item.Cost, item.SlotLimit)
+	c.checkClasses("Pools", id, item.Classes)
+}
+
+func (c *checker) checkSupply(kind, id string, supply winch.Supply, cost winch.Cost, slots int) {
+	if supply != winch.SupplySteady && supply != winch.SupplyCheap {
+		c.fail(c.at(kind, id, "Supply"), "%q is neither Steady nor Cheap", supply)
+	}
+	if cost < 0 {
+		c.fail(c.at(kind, id, "Cost"), "must not be negative")
+	}
+	c.bound(kind, id, "SlotLimit", slots, 1, maxSlotLimit)
+}
+
+// checkClasses also bounds the floors of the classes that share the slots.
+func (c *checker) checkClasses(kind, id string, classes []winch.ClassID) {
+	floors := 0.0
+	for _, class := range classes {
+		c.class(kind, id, "Classes", class)
+		floors += c.next.Classes[class].Floor
+	}
+	if floors > maxFloor+1e-9 {
+		c.fail(c.at(kind, id, "Classes"), "have floors that sum to %.3f, more than %v", floors, maxFloor)
+	}
+	c.distinct(kind, id, "Classes", texts(classes))
+}
+
+func (c *checker) class(kind, id, field string, class winch.ClassID) {
+	if _, found := c.next.Classes[class]; !found {
+		c.missing(kind, id, field, "Classes["+string(class)+"]")
+	}
+}
+
+// missing blames the withdrawal of the item if the note withdraws it.
+func (c *checker) missing(kind, id, field, name string) {
+	if path, withdrawn := c.gone[name]; withdrawn {
+		c.fail(path, "%s is still used by %s[%s]", name, kind, id)
+		return
+	}
+	c.fail(c.at(kind, id, field), "%s does not exist", name)
+}
+
+func (c *checker) bound(kind, id, field string, value, least, most int) {
+	if value < least || value > most {
+		c.fail(c.at(kind, id, field), "%d is not between %d and %d", value, least, most)
+	}
+}
+
+func (c *checker) distinct(kind, id, field string, values []string) {
+	seen := map[string]bool{}
+	for _, value := range values {
+		if seen[value] {
+			c.fail(c.at(kind, id, field), "%q stands twice", value)
+		}
+		seen[value] = true
+	}
+}
+
+func texts(values any) []string {
+	result := []string{}
+	switch values := values.(type) {
+	case []winch.ModelID:
+		for _, value := range values {
+			result = append(result, string(value))
+		}
+	case []winch.ClassID:
+		for _, value := range values {
+			result = append(result, string(value))
+		}
+	}
+	return result
+}
--- /dev/null
+++ b/release/codec.go
@@ -0,0 +1,224 @@
+package release
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/arbutuswinch/winch"
+)
+
+type noteWire struct {
+	ID        winch.NoteID
+	Base      winch.Revision `json:",omitempty"`
+	Added     *itemsWire     `json:",omitempty"`
+	Changed   *itemsWire     `json:",omitempty"`
+	Withdrawn *itemIDsWire   `json:",omitempty"`
+}
+
+type itemsWire struct {
+	Organisations []organisationWire `json:",omitempty"`
+	Keys          []keyWire          `json:",omitempty"`
+	Classes       []classWire        `json:",omitempty"`
+	Routes        []routeWire        `json:",omitempty"`
+	Endpoints     []endpointWire     `json:",omitempty"`
+	Pools         []poolWire         `json:",omitempty"`
+}
+
+type itemIDsWire struct {
+	Organisations []winch.OrganisationID `json:",omitempty"`
+	Keys          []winch.KeyID          `json:",omitempty"`
+	Classes       []winch.ClassID        `json:",omitempty"`
+	Routes        []winch.RouteID        `json:",omitempty"`
+	Endpoints     []winch.EndpointID     `json:",omitempty"`
+	Pools         []winch.PoolID         `json:",omitempty"`
+}
+
+type organisationWire struct {
+	ID         winch.OrganisationID
+	Weight     int
+	StrictKeys bool `json:",omitempty"`
+}
+
+type keyWire struct {
+	ID           winch.KeyID
+	Organisation winch.OrganisationID
+	Hash         string
+}
+
+type classWire struct {
+	ID               winch.ClassID
+	Tier             winch.Tier
+	FirstTokenTarget string
+	InterTokenTarget string `json:",omitempty"`
+	MaxWait          string
+	QueueLimit       int
+	Floor            float64         `json:",omitempty"`
+	Models           []winch.ModelID `json:",omitempty"`
+	Open             bool            `json:",omitempty"`
+}
+
+type routeWire struct {
+	ID         winch.RouteID
+	Class      winch.ClassID
+	Open       bool `json:",omitempty"`
+	Idempotent bool `json:",omitempty"`
+}
+
+type endpointWire struct {
+	ID            winch.EndpointID
+	DataCentre    winch.DataCentreID
+	Kind          winch.EndpointKind
+	Address       string
+	Models        []winch.ModelID `json:",omitempty"`
+	Routes        []winch.RouteID `json:",omitempty"`
+	Classes       []winch.ClassID `json:",omitempty"`
+	Supply        winch.Supply
+	Cost          winch.Cost
+	ChecksFencing bool `json:",omitempty"`
+	SlotLimit     int
+	Pool          winch.PoolID `json:",omitempty"`
+}
+
+type poolWire struct {
+	ID            winch.PoolID
+	DataCentre    winch.DataCentreID
+	Model         winch.ModelID
+	Adapter       winch.AdapterID    `json:",omitempty"`
+	Version       winch.ModelVersion `json:",omitempty"`
+	Classes       []winch.ClassID    `json:",omitempty"`
+	Supply        winch.Supply
+	Cost          winch.Cost
+	Min           int
+	Max           int
+	ChecksFencing bool `json:",omitempty"`
+	SlotLimit     int
+}
+
+// EncodeNote returns the note's JSON form.
+func EncodeNote(note winch.Note) ([]byte, error) {
+	body, err := json.Marshal(noteToWire(note))
+	if err != nil {
+		return nil, fmt.Errorf("encode note %s: %w", note.ID, err)
+	}
+	return body, nil
+}
+
+func noteToWire(note winch.Note) noteWire {
+	return noteWire{
+		ID: note.ID, Base: note.Base,
+		Added: itemsToWire(note.Added), Changed: itemsToWire(note.Changed), Withdrawn: idsToWire(note.Withdrawn),
+	}
+}
+
+func idsToWire(ids winch.ItemIDs) *itemIDsWire {
+	wire := itemIDsWire(ids)
+	if len(ids.Organisations)+len(ids.Keys)+len(ids.Classes)+len(ids.Routes)+len(ids.Endpoints)+len(ids.Pools) == 0 {
+		return nil
+	}
+	return &wire
+}
+
+func itemsToWire(items winch.Items) *itemsWire {
+	if countItems(items) == 0 {
+		return nil
+	}
+	wire := &itemsWire{}
+	for _, item := range items.Organisations {
+		wire.Organisations = append(wire.Organisations, organisationWire(item))
+	}
+	for _, item := range items.Keys {
+		wire.Keys = append(wire.Keys, keyWire{ID: item.ID, Organisation: item.Organisation, Hash: item.Hash.String()})
+	}
+	for _, item := range items.Classes {
+		wire.Classes = append(wire.Classes, classToWire(item))
+	}
+	for _, item := range items.Routes {
+		wire.Routes = append(wire.Routes, routeWire(item))
+	}
+	for _, item := range items.Endpoints {
+		wire.Endpoints = append(wire.Endpoints, endpointWire(item))
+	}
+	for _, item := range items.Pools {
+		wire.Pools = append(wire.Pools, poolWire(item))
+	}
+	return wire
+}
+
+func classToWire(class winch.Class) classWire {
+	wire := classWire{
+		ID: class.ID, Tier: class.Tier,
+		FirstTokenTarget: class.FirstTokenTarget.String(), MaxWait: class.MaxWait.String(),
+		QueueLimit: class.QueueLimit, Floor: class.Floor, Models: class.Models, Open: class.Open,
+	}
+	if class.InterTokenTarget > 0 {
+		wire.InterTokenTarget = class.InterTokenTarget.String()
+	}
+	return wire
+}
+
+func countItems(items winch.Items) int {
+	return len(items.Organisations) + len(items.Keys) + len(items.Classes) +
+		len(items.Routes) + len(items.Endpoints) + len(items.Pools)
+}
+
+type recordWire struct {
+	Revision winch.Revision
+	Write    winch.WriteID
+	Author   winch.Incarnation
+	Note     noteWire
+}
+
+// EncodeRecord returns the record's JSON form.
+func EncodeRecord(record winch.ReleaseRecord) ([]byte, error) {
+	body, err := json.Marshal(recordWire{
+		Revision: record.Revision, Write: record.Write, Author: record.Author, Note: noteToWire(record.Note),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encode record %d: %w", record.Revision, err)
+	}
+	return body, nil
+}
+
+// DecodeRecord reads a record.
+func DecodeRecord(body []byte) (winch.ReleaseRecord, error) {
+	r := &reader{}
+	o := r.object("", body)
+	record := winch.ReleaseRecord{
+		Revision: winch.Revision(o.integer("Revision")),
+		Write:    winch.WriteID(o.required("Write")),
+		Author:   winch.Incarnation(o.required("Author")),
+	}
+	if child, found := o.child("Note"); found {
+		record.Note = readNote(child, false)
+	}
+	o.done()
+	return record, r.fault
+}
+
+type snapshotWire struct {
+	Revision winch.Revision
+	Items    *itemsWire
+}
+
+// EncodeConfiguration returns the JSON form of a configuration. Equal
+// configurations have equal forms.
+func EncodeConfiguration(configuration *winch.Configuration) ([]byte, error) {
+	body, err := json.Marshal(snapshotWire{Revision: configuration.Revision, Items: itemsToWire(itemsOf(configuration))})
+	if err != nil {
+		return nil, fmt.Errorf("encode configuration %d: %w", configuration.Revision, err)
+	}
+	return body, nil
+}
+
+// DecodeConfiguration reads a configuration.
+func DecodeConfiguration(body []byte) (*winch.Configuration, error) {
+	r := &reader{}
+	o := r.object("", body)
+	configuration := Empty()
+	configuration.Revision = winch.Revision(o.integer("Revision"))
+	if child, found := o.child("Items"); found {
+		put(configuration, readItems(child, false))
+	}
+	o.done()
+	return configuration, r.fault
+}
--- /dev/null
+++ b/release/keyvalue/fetch.go
@@ -0,0 +1,236 @@
+package keyvalue
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/google/uuid"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/release"
+)
+
+// singleReads is the longest gap that is read record by record.
+const singleReads = 4
+
+// Fetch returns the configuration at the head, and the records from current to
+// it, or no records when it had to be read from a snapshot.
+func (s *Store) Fetch(ctx context.Context, current *winch.Configuration, head winch.ReleaseHead) (*winch.Configuration, []winch.ReleaseRecord, error) {
+	if current == nil {
+		current = release.Empty()
+	}
+	if head.Revision <= current.Revision {
+		return current, nil, nil
+	}
+	if head.Revision-current.Revision <= 2*bucketSize {
+		configuration, records, err := s.follow(ctx, current, head)
+		if err == nil || !errors.Is(err, winch.ErrNotFound) {
+			return configuration, records, err
+		}
+	}
+	base, err := s.readSnapshot(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	configuration, _, err := s.follow(ctx, base, head)
+	return configuration, nil, err
+}
+
+func (s *Store) follow(ctx context.Context, base *winch.Configuration, head winch.ReleaseHead) (*winch.Configuration, []winch.ReleaseRecord, error) {
+	records, err := s.records(ctx, base.Revision+1, head.Revision-1)
+	if err != nil {
+		return nil, nil, err
+	}
+	if base.Revision < head.Revision {
+		records = append(records, *head.Record)
+	}
+	for _, record := range records {
+		base = release.Next(base, record)
+	}
+	return base, records, nil
+}
+
+// records reads commits by revision. The newest one may stand in the head only,
+// and is then read from there.
+func (s *Store) records(ctx context.Context, first, last winch.Revision) ([]winch.ReleaseRecord, error) {
+	records := make([]winch.ReleaseRecord, 0, max(0, last-first+1))
+	values := map[string][]byte{}
+	for revision := first; revision <= last; revision++ {
+		value, err := s.recordValue(ctx, revision, last-first >= singleReads, values)
+		if err != nil {
+			return nil, err
+		}
+		_, record, err := s.decodeCommit(ctx, value)
+		if err != nil {
+			return nil, err
+		}
+		if record.Revision != revision {
+			return nil, fmt.Errorf("read record %d: it is of revision %d: %w", revision, record.Revision, winch.ErrInvalid)
+		}
+		records = append(records, record)
+	}
+	return records, nil
+}
+
+func (s *Store) recordValue(ctx context.Context, revision winch.Revision, list bool, values map[string][]byte) ([]byte, error) {
+	key := s.recordKey(revision)
+	if value, found := values[key]; found {
+		return value, nil
+	}
+	if list && len(values) == 0 || list && revision%bucketSize == 0 {
+		entries, _, err := s.options.KeyValue.List(ctx, s.bucketKey(revision))
+		if err != nil {
+			return nil, fmt.Errorf("read records: %w", err)
+		}
+		for _, entry := range entries {
+			values[entry.Key] = entry.Value
+		}
+		if value, found := values[key]; found {
+			return value, nil
+		}
+	}
+	entry, err := s.options.KeyValue.Get(ctx, key)
+	if err == nil {
+		return entry.Value, nil
+	}
+	if !errors.Is(err, winch.ErrNotFound) {
+		return nil, fmt.Errorf("read record %d: %w", revision, err)
+	}
+	return s.headValue(ctx, revision)
+}
+
+func (s *Store) headValue(ctx context.Context, revision winch.Revision) ([]byte, error) {
+	read, err := s.readHead(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if read.head.Revision != revision || revision == 0 {
+		return nil, fmt.Errorf("read record %d: %w", revision, winch.ErrNotFound)
+	}
+	return read.entry.Value, nil
+}
+
+// readSnapshot reads the newest snapshot, or the empty configuration. The pieces
+// of an old snapshot are deleted once a newer one is named, so a miss is read again.
+func (s *Store) readSnapshot(ctx context.Context) (*winch.Configuration, error) {
+	var last error
+	for range attempts {
+		pointer, _, err := s.snapshotPointer(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if pointer.Revision == 0 {
+			return release.Empty(), nil
+		}
+		body, err := s.readParts(ctx, pointer.Parts)
+		if err == nil {
+			return decodeSnapshot(body, pointer.Revision)
+		}
+		if last = err; !errors.Is(err, winch.ErrNotFound) {
+			break
+		}
+	}
+	return nil, fmt.Errorf("read snapshot: %w", last)
+}
+
+func decodeSnapshot(body []byte, revision winch.Revision) (*winch.Configuration, error) {
+	configuration, err := release.DecodeConfiguration(body)
+	if err != nil {
+		return nil, fmt.Errorf("decode snapshot %d: %w", revision, err)
+	}
+	if configuration.Revision != revision {
+		return nil, fmt.Errorf("decode snapshot %d: it is of revision %d: %w", revision, configuration.Revision, winch.ErrInvalid)
+	}
+	return configuration, nil
+}
+
+func (s *Store) snapshotPointer(ctx context.Context) (snapshotWire, winch.Version, error) {
+	wire := snapshotWire{}
+	entry, err := s.options.KeyValue.Get(ctx, s.options.Prefix+"snapshot")
+	if errors.Is(err, winch.ErrNotFound) {
+		return wire, winch.VersionAbsent, nil
+	}
+	if err != nil {
+		return wire, 0, fmt.Errorf("read snapshot: %w", err)
+	}
+	if err := json.Unmarshal(entry.Value, &wire); err != nil {
+		return wire, 0, fmt.Errorf("decode snapshot: %w: %w", winch.ErrInvalid, err)
+	}
+	s.sawSnapshot(wire.Revision)
+	return wire, entry.Version, nil
+}
+
+func (s *Store) sawSnapshot(revision winch.Revision) {
+	for {
+		seen := s.snapshot.Load()
+		if int64(revision) <= seen || s.snapshot.CompareAndSwap(seen, int64(revision)) {
+			return
+		}
+	}
+}
+
+// maintain writes a snapshot when the last one is old, and forgets the oldest
+// note. The commit stands whether or not this succeeds.
+func (s *Store) maintain(ctx context.Context, configuration *winch.Configuration, result winch.ReleaseResult) {
+	if result.Repeated || configuration.Revision != result.Revision {
+		return
+	}
+	if result.Revision%snapshotCheck == 0 {
+		if err := s.writeSnapshot(ctx, configuration); err != nil {
+			s.options.Logger.Warn("snapshot not written", "Event", EventSnapshotFailed, "Revision", result.Revision, "Error", err)
+		}
+	}
+	s.forget(ctx, result.Revision-winch.Revision(s.options.Retention))
+}
+
+func (s *Store) writeSnapshot(ctx context.Context, configuration *winch.Configuration) error {
+	old, version, err := s.snapshotPointer(ctx)
+	if err != nil || configuration.Revision-old.Revision < bucketSize {
+		return err
+	}
+	body, err := release.EncodeConfiguration(configuration)
+	if err != nil {
+		return err
+	}
+	parts, err := s.writeParts(ctx, s.options.Prefix+"snapshots/"+uuid.NewString()+"/", body)
+	if err != nil {
+		s.deleteParts(ctx, parts)
+		return err
+	}
+	value, err := json.Marshal(snapshotWire{Revision: configuration.Revision, Parts: parts})
+	if err != nil {
+		return fmt.Errorf("encode snapshot: %w", err)
+	}
+	if _, err := s.options.KeyValue.Put(ctx, s.options.Prefix+"snapshot", value, version); err != nil {
+		if !errors.Is(err, winch.ErrOutcomeUnknown) {
+			s.deleteParts(ctx, parts)
+		}
+		return fmt.Errorf("write snapshot: %w", err)
+	}
+	s.sawSnapshot(configuration.Revision)
+	s.deleteParts(ctx, old.Parts)
+	s.options.Logger.Info("snapshot written", "Event", EventSnapshot, "Revision", configuration.Revision, "Bytes", len(body))
+	return nil
+}
+
+// forget deletes a record that is older than the retention and than a snapshot.
+func (s *Store) forget(ctx context.Context, revision winch.Revision) {
+	if revision <= 0 || int64(revision) >= s.snapshot.Load() {
+		return
+	}
+	entry, err := s.options.KeyValue.Get(ctx, s.recordKey(revision))
+	if err != nil {
+		return
+	}
+	wire := commitWire{}
+	if err := json.Unmarshal(entry.Value, &wire); err != nil {
+		return
+	}
+	s.deleteParts(ctx, wire.Parts)
+	if err := s.options.KeyValue.Delete(ctx, s.noteKey(wire.NoteID), winch.VersionAny); err != nil {
+		return
+	}
+	_ = s.options.KeyValue.Delete(ctx, s.recordKey(revision), winch.VersionAny)
+}
--- /dev/null
+++ b/release/keyvalue/store.go
@@ -0,0 +1,214 @@
+package keyvalue
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/arbutuswinch/winch"
+)
+
+const (
+	defaultPrefix    = "release/"
+	defaultRetention = 20000
+	// bucketSize is the number of records that one list call returns, and the
+	// number of commits between two snapshots.
+	bucketSize = 256
+	// snapshotCheck is the number of commits after which the age of the snapshot is looked at.
+	snapshotCheck = 64
+	attempts      = 16
+	retryPause    = 20 * time.Millisecond
+	// inlineLimit and partSize are in bytes.
+	inlineLimit = 8 << 10
+	partSize    = 512 << 10
+)
+
+// Options are the settings of a Store.
+type Options struct {
+	KeyValue winch.KeyValue
+	// Prefix stands before all keys; the default is "release/".
+	Prefix string
+	// Incarnation names this start of the process.
+	Incarnation winch.Incarnation
+	Logger      hclog.Logger
+	// Retention is the number of commits for which notes are remembered by id.
+	Retention int
+}
+
+// Store is the record of commits. It is safe for concurrent use.
+type Store struct {
+	options Options
+	// snapshot is the newest revision that is known to have a snapshot.
+	snapshot atomic.Int64
+}
+
+var _ winch.ReleaseLog = (*Store)(nil)
+
+// New returns a Store.
+func New(options Options) (*Store, error) {
+	if options.KeyValue == nil || options.Incarnation == "" {
+		return nil, fmt.Errorf("release store: KeyValue and Incarnation are needed: %w", winch.ErrInvalid)
+	}
+	if options.Prefix == "" {
+		options.Prefix = defaultPrefix
+	}
+	if options.Logger == nil {
+		options.Logger = hclog.NewNullLogger()
+	}
+	if options.Retention == 0 {
+		options.Retention = defaultRetention
+	}
+	if options.Retention < 2*bucketSize {
+		return nil, fmt.Errorf("release store: Retention must be at least %d: %w", 2*bucketSize, winch.ErrInvalid)
+	}
+	return &Store{options: options}, nil
+}
+
+func (s *Store) headKey() string { return s.options.Prefix + "head" }
+
+func (s *Store) noteKey(id winch.NoteID) string { return s.options.Prefix + "notes/" + string(id) }
+
+func (s *Store) bucketKey(revision winch.Revision) string {
+	return fmt.Sprintf("%srecords/%010d/", s.options.Prefix, revision/bucketSize)
+}
+
+func (s *Store) recordKey(revision winch.Revision) string {
+	return fmt.Sprintf("%s%03d", s.bucketKey(revision), revision%bucketSize)
+}
+
+// Head reads the newest commit.
+func (s *Store) Head(ctx context.Context) (winch.ReleaseHead, error) {
+	read, err := s.readHead(ctx)
+	return read.head, err
+}
+
+// storedHead is the head with its entry.
+type storedHead struct {
+	head  winch.ReleaseHead
+	entry winch.Entry
+	wire  commitWire
+}
+
+func (s *Store) readHead(ctx context.Context) (storedHead, error) {
+	entries, position, err := s.options.KeyValue.List(ctx, s.headKey())
+	if err != nil {
+		return storedHead{}, fmt.Errorf("read head: %w", err)
+	}
+	read := storedHead{head: winch.ReleaseHead{Read: true, Position: position}}
+	for _, entry := range entries {
+		if entry.Key != s.headKey() {
+			continue
+		}
+		if read, err = s.decodeHead(ctx, entry); err != nil {
+			return storedHead{}, err
+		}
+		read.head.Position = position
+	}
+	return read, nil
+}
+
+func (s *Store) decodeHead(ctx context.Context, entry winch.Entry) (storedHead, error) {
+	wire, record, err := s.decodeCommit(ctx, entry.Value)
+	if err != nil {
+		return storedHead{}, fmt.Errorf("read head: %w", err)
+	}
+	head := winch.ReleaseHead{Read: true, Revision: record.Revision, Version: entry.Version, Position: entry.Version, Record: &record}
+	return storedHead{head: head, entry: entry, wire: wire}, nil
+}
+
+// Next waits until the head is another one than last, or until wait is over.
+func (s *Store) Next(ctx context.Context, last winch.ReleaseHead, wait time.Duration) (winch.ReleaseHead, error) {
+	if !last.Read {
+		return s.Head(ctx)
+	}
+	entries, position, err := s.options.KeyValue.Watch(ctx, s.headKey(), last.Position, wait)
+	if err != nil {
+		return winch.ReleaseHead{}, fmt.Errorf("watch head: %w", err)
+	}
+	next := last
+	for _, entry := range entries {
+		if entry.Key != s.headKey() || entry.Version <= next.Version {
+			continue
+		}
+		if entry.Deleted {
+			return winch.ReleaseHead{}, fmt.Errorf("watch head: the entry was deleted: %w", winch.ErrNotFound)
+		}
+		read, err := s.decodeHead(ctx, entry)
+		if err != nil {
+			return winch.ReleaseHead{}, err
+		}
+		next = read.head
+	}
+	next.Position = position
+	return next, nil
+}
+
+// Find returns the revision that the note was committed as.
+func (s *Store) Find(ctx context.Context, id winch.NoteID) (winch.ReleaseResult, error) {
+	read, err := s.readHead(ctx)
+	if err != nil {
+		return winch.ReleaseResult{}, err
+	}
+	found, err := s.find(ctx, read, id)
+	if err != nil {
+		return winch.ReleaseResult{}, err
+	}
+	return winch.ReleaseResult{Note: id, Revision: found.Revision, Repeated: true}, nil
+}
+
+// find looks at the index after the head was read: a note that is in neither
+// was not committed before that head.
+func (s *Store) find(ctx context.Context, read storedHead, id winch.NoteID) (indexWire, error) {
+	if read.head.Record != nil && read.head.Record.Note.ID == id {
+		return read.wire.index(), nil
+	}
+	entry, err := s.options.KeyValue.Get(ctx, s.noteKey(id))
+	if err != nil {
+		return indexWire{}, fmt.Errorf("find note %s: %w", id, err)
+	}
+	return decodeIndex(entry)
+}
+
+// Accepted returns the newest revision recorded as accepted, zero when there is none.
+func (s *Store) Accepted(ctx context.Context) (winch.Revision, error) {
+	revision, _, err := s.accepted(ctx)
+	return revision, err
+}
+
+func (s *Store) accepted(ctx context.Context) (winch.Revision, winch.Version, error) {
+	entry, err := s.options.KeyValue.Get(ctx, s.options.Prefix+"accepted")
+	if errors.Is(err, winch.ErrNotFound) {
+		return 0, winch.VersionAbsent, nil
+	}
+	if err != nil {
+		return 0, 0, fmt.Errorf("read accepted revision: %w", err)
+	}
+	revision, err := decodeAccepted(entry)
+	return revision, entry.Version, err
+}
+
+// MarkAccepted records that the revision and all before it are accepted.
+func (s *Store) MarkAccepted(ctx context.Context, revision winch.Revision) error {
+	for range attempts {
+		recorded, version, err := s.accepted(ctx)
+		if err != nil {
+			return err
+		}
+		if recorded >= revision {
+			return nil
+		}
+		_, err = s.options.KeyValue.Put(ctx, s.options.Prefix+"accepted", encodeAccepted(revision), version)
+		if err == nil {
+			s.options.Logger.Info("revision accepted", "Event", EventAccepted, "Revision", revision)
+			return nil
+		}
+		if !errors.Is(err, winch.ErrConflict) && !errors.Is(err, winch.ErrOutcomeUnknown) {
+			return fmt.Errorf("record accepted revision %d: %w", revision, err)
+		}
+	}
+	return fmt.Errorf("record accepted revision %d: %w", revision, winch.ErrOutcomeUnknown)
+}
--- /dev/null
+++ b/release/operator/codec.go
@@ -0,0 +1,92 @@
+package operator
+
+import (
+	"encoding/hex"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/release"
+)
+
+// statusWire answers what became of a note.
+type statusWire struct {
+	Note      winch.NoteID `json:",omitempty"`
+	Revision  winch.Revision
+	Committed bool
+	// Repeated says that the note had been committed by an earlier call.
+	Repeated bool `json:",omitempty"`
+	Accepted bool
+	Centres  []centreWire
+}
+
+type centreWire struct {
+	DataCentre winch.DataCentreID
+	// Revision is the newest that was heard to be in force there.
+	Revision winch.Revision
+	InForce  bool
+	Hosts    int
+	Behind   []winch.HostID
+	// Until is when an older revision cannot be served there any longer.
+	Until *time.Time `json:",omitempty"`
+	Heard *time.Time `json:",omitempty"`
+}
+
+type checkWire struct {
+	Note     winch.NoteID
+	Revision winch.Revision
+	Items    []string
+}
+
+type conflictWire struct {
+	Code     string
+	Message  string
+	Revision winch.Revision
+	Items    []string
+}
+
+type keyWire struct {
+	ID           winch.KeyID
+	Organisation winch.OrganisationID
+}
+
+type keysWire struct {
+	Revision winch.Revision
+	Keys     []keyWire
+}
+
+type addKeyWire struct {
+	Note         winch.NoteID
+	ID           winch.KeyID
+	Organisation winch.OrganisationID
+	Hash         string
+}
+
+func statusToWire(note winch.NoteID, progress winch.ReleaseProgress) statusWire {
+	status := statusWire{Note: note, Revision: progress.Revision, Committed: true, Accepted: progress.Accepted, Centres: []centreWire{}}
+	for _, centre := range progress.Centres {
+		status.Centres = append(status.Centres, centreWire{
+			DataCentre: centre.DataCentre, Revision: centre.Revision, InForce: centre.InForce,
+			Hosts: centre.Hosts, Behind: centre.Behind,
+			Until: instant(centre.Until), Heard: instant(centre.Heard),
+		})
+	}
+	return status
+}
+
+func instant(at time.Time) *time.Time {
+	if at.IsZero() {
+		return nil
+	}
+	return &at
+}
+
+// keyOf maps a key to be added; its fields are checked with the note.
+func keyOf(wire addKeyWire) (winch.Key, error) {
+	key := winch.Key{ID: wire.ID, Organisation: wire.Organisation}
+	decoded, err := hex.DecodeString(wire.Hash)
+	if err != nil || len(decoded) != len(key.Hash) {
+		return key, release.Fault("Hash", "must be %d hexadecimal digits", 2*len(key.Hash))
+	}
+	copy(key.Hash[:], decoded)
+	return key, nil
+}
--- /dev/null
+++ b/release/operator/handler.go
@@ -0,0 +1,197 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/httpjson"
+	"github.com/arbutuswinch/winch/release"
+)
+
+const (
+	defaultTimeout = 10 * time.Second
+	// keyBodyLimit is in bytes.
+	keyBodyLimit = 4 << 10
+)
+
+// Options are the settings of a Handler.
+type Options struct {
+	Log     winch.ReleaseLog
+	Tracker winch.ReleaseTracker
+	Clock   winch.Clock
+	Logger  hclog.Logger
+	// Timeout bounds a commit; the default is ten seconds.
+	Timeout time.Duration
+}
+
+// Handler answers the operators' calls about notes and keys.
+type Handler struct {
+	options Options
+	mux     *http.ServeMux
+}
+
+// New returns a Handler.
+func New(options Options) (*Handler, error) {
+	if options.Log == nil || options.Tracker == nil || options.Clock == nil {
+		return nil, fmt.Errorf("operators' handler: Log, Tracker and Clock are needed: %w", winch.ErrInvalid)
+	}
+	if options.Timeout == 0 {
+		options.Timeout = defaultTimeout
+	}
+	if options.Logger == nil {
+		options.Logger = hclog.NewNullLogger()
+	}
+	h := &Handler{options: options, mux: http.NewServeMux()}
+	h.mux.HandleFunc("POST /operator/notes/check", h.answer(h.check))
+	h.mux.HandleFunc("POST /operator/notes", h.answer(h.apply))
+	h.mux.HandleFunc("GET /operator/notes/{id}", h.answer(h.status))
+	h.mux.HandleFunc("GET /operator/notes", h.answer(h.revision))
+	h.mux.HandleFunc("GET /operator/keys", h.answer(h.keys))
+	h.mux.HandleFunc("POST /operator/keys", h.answer(h.addKey))
+	h.mux.HandleFunc("DELETE /operator/keys/{id}", h.answer(h.withdrawKey))
+	return h, nil
+}
+
+// Handler returns the handler of the paths below /operator/notes and /operator/keys.
+func (h *Handler) Handler() http.Handler { return h.mux }
+
+// answer wraps a call: its result is written as JSON, its error as an error answer.
+func (h *Handler) answer(call func(http.ResponseWriter, *http.Request) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), h.options.Timeout)
+		defer cancel()
+		result, err := call(w, r.WithContext(ctx))
+		if err == nil {
+			httpjson.Write(w, http.StatusOK, result)
+			return
+		}
+		var conflict *winch.ReleaseConflict
+		if errors.As(err, &conflict) {
+			httpjson.Write(w, http.StatusConflict, conflictWire{
+				Code: "conflict", Message: err.Error(), Revision: conflict.Revision, Items: conflict.Items,
+			})
+			return
+		}
+		httpjson.WriteError(w, err)
+	}
+}
+
+func readNote(w http.ResponseWriter, r *http.Request) (winch.Note, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, release.MaxNoteSize))
+	if err != nil {
+		return winch.Note{}, fmt.Errorf("read note: %w: %w", winch.ErrInvalid, err)
+	}
+	return release.DecodeNote(body)
+}
+
+func (h *Handler) check(w http.ResponseWriter, r *http.Request) (any, error) {
+	note, err := readNote(w, r)
+	if err != nil {
+		return nil, err
+	}
+	current := h.options.Tracker.Current()
+	if err := release.Check(current, note); err != nil {
+		return nil, err
+	}
+	return checkWire{Note: note.ID, Revision: current.Revision, Items: release.Names(note)}, nil
+}
+
+func (h *Handler) apply(w http.ResponseWriter, r *http.Request) (any, error) {
+	note, err := readNote(w, r)
+	if err != nil {
+		return nil, err
+	}
+	return h.commit(r.Context(), note)
+}
+
+func (h *Handler) commit(ctx context.Context, note winch.Note) (any, error) {
+	result, err := h.options.Log.Commit(ctx, h.options.Tracker.Current(), note)
+	if err != nil {
+		h.options.Logger.Warn("note not applied", "Event", EventNoteFailed, "Note", note.ID, "Error", err)
+		return nil, err
+	}
+	now := h.options.Clock.Now()
+	h.options.Tracker.Learn(now, result)
+	h.options.Logger.Info("note applied", "Event", EventNote, "Note", note.ID, "Revision", result.Revision, "Items", len(release.Names(note)))
+	status := statusToWire(note.ID, h.options.Tracker.Progress(now, result.Revision))
+	status.Repeated = result.Repeated
+	return status, nil
+}
+
+// status works at any host: what this host has not learnt is read from the platform.
+func (h *Handler) status(_ http.ResponseWriter, r *http.Request) (any, error) {
+	id := winch.NoteID(r.PathValue("id"))
+	revision, found := h.options.Tracker.Recent(id)
+	if !found {
+		result, err := h.options.Log.Find(r.Context(), id)
+		if err != nil {
+			return nil, err
+		}
+		revision = result.Revision
+	}
+	progress := h.options.Tracker.Progress(h.options.Clock.Now(), revision)
+	if !progress.Accepted && h.options.Tracker.Current().Revision < revision {
+		accepted, err := h.options.Log.Accepted(r.Context())
+		if err != nil {
+			return nil, err
+		}
+		progress.Accepted = accepted >= revision
+	}
+	return statusToWire(id, progress), nil
+}
+
+func (h *Handler) revision(http.ResponseWriter, *http.Request) (any, error) {
+	current := h.options.Tracker.Current()
+	return statusToWire("", h.options.Tracker.Progress(h.options.Clock.Now(), current.Revision)), nil
+}
+
+func (h *Handler) keys(http.ResponseWriter, *http.Request) (any, error) {
+	current := h.options.Tracker.Current()
+	answer := keysWire{Revision: current.Revision, Keys: []keyWire{}}
+	for _, key := range current.Keys {
+		answer.Keys = append(answer.Keys, keyWire{ID: key.ID, Organisation: key.Organisation})
+	}
+	slices.SortFunc(answer.Keys, func(a, b keyWire) int { return cmp.Compare(a.ID, b.ID) })
+	return answer, nil
+}
+
+func (h *Handler) addKey(w http.ResponseWriter, r *http.Request) (any, error) {
+	wire := addKeyWire{}
+	if err := httpjson.Decode(w, r, keyBodyLimit, &wire); err != nil {
+		return nil, err
+	}
+	key, err := keyOf(wire)
+	if err != nil {
+		return nil, err
+	}
+	return h.commitSmall(r.Context(), winch.Note{ID: wire.Note, Added: winch.Items{Keys: []winch.Key{key}}})
+}
+
+func (h *Handler) withdrawKey(_ http.ResponseWriter, r *http.Request) (any, error) {
+	return h.commitSmall(r.Context(), winch.Note{
+		ID:        winch.NoteID(r.URL.Query().Get("note")),
+		Withdrawn: winch.ItemIDs{Keys: []winch.KeyID{winch.KeyID(r.PathValue("id"))}},
+	})
+}
+
+// commitSmall puts the note through the codec, which checks names.
+func (h *Handler) commitSmall(ctx context.Context, note winch.Note) (any, error) {
+	body, err := release.EncodeNote(note)
+	if err != nil {
+		return nil, err
+	}
+	checked, err := release.DecodeNote(body)
+	if err != nil {
+		return nil, err
+	}
+	return h.commit(ctx, checked)
+}
--- /dev/null
+++ b/release/peer/codec.go
@@ -0,0 +1,172 @@
+package peer
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/release"
+)
+
+// proofWire is a proof with its age in place of its instant.
+type proofWire struct {
+	Age      string
+	Revision winch.Revision
+}
+
+// updateWire brings the receiver up to date: by records, or by a snapshot.
+type updateWire struct {
+	Records  []json.RawMessage `json:",omitempty"`
+	Snapshot json.RawMessage   `json:",omitempty"`
+}
+
+// reportWire goes from a host to its hub.
+type reportWire struct {
+	Revision    winch.Revision
+	Incarnation winch.Incarnation
+	// Hub and Token return what the last summary said, which shows that the
+	// report was made after it.
+	Hub   winch.Incarnation `json:",omitempty"`
+	Token int64             `json:",omitempty"`
+	// View asks how far the data centres are with a revision.
+	View   winch.Revision `json:",omitempty"`
+	Update *updateWire    `json:",omitempty"`
+}
+
+// summaryWire goes from a hub to a host.
+type summaryWire struct {
+	Hub      winch.Incarnation
+	Token    int64
+	Revision winch.Revision
+	Accepted winch.Revision `json:",omitempty"`
+	Proof    *proofWire     `json:",omitempty"`
+	Agreed   *proofWire     `json:",omitempty"`
+	Update   *updateWire    `json:",omitempty"`
+	View     *viewWire      `json:",omitempty"`
+}
+
+// digestWire goes from a hub to the hub of another data centre.
+type digestWire struct {
+	Revision winch.Revision
+	Settled  winch.Revision
+	Accepted winch.Revision `json:",omitempty"`
+	Hosts    int
+	Behind   []winch.HostID `json:",omitempty"`
+	Proof    *proofWire     `json:",omitempty"`
+	Agreed   *proofWire     `json:",omitempty"`
+	Update   *updateWire    `json:",omitempty"`
+}
+
+// viewWire tells how far the data centres are with a revision.
+type viewWire struct {
+	Revision winch.Revision
+	Centres  []centreWire
+}
+
+type centreWire struct {
+	DataCentre winch.DataCentreID
+	Revision   winch.Revision
+	InForce    bool `json:",omitempty"`
+	Hosts      int
+	Behind     []winch.HostID `json:",omitempty"`
+	// Left is the time until the data centre can no longer serve by an older
+	// revision, empty when unknown; Age is the time since it was heard.
+	Left string `json:",omitempty"`
+	Age  string `json:",omitempty"`
+}
+
+func decode(body []byte, kind string, out any) error {
+	if err := json.Unmarshal(body, out); err != nil {
+		return fmt.Errorf("decode %s: %w: %w", kind, winch.ErrInvalid, err)
+	}
+	return nil
+}
+
+// encode cannot fail for the types above.
+func encode(value any) []byte {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return nil
+	}
+	return body
+}
+
+func proofToWire(now time.Time, p proof) *proofWire {
+	if p.asOf.IsZero() {
+		return nil
+	}
+	return &proofWire{Age: max(0, now.Sub(p.asOf)).String(), Revision: p.revision}
+}
+
+// proofFromWire counts the age from an instant before the statement was made.
+func proofFromWire(path string, wire *proofWire, before time.Time) (proof, error) {
+	if wire == nil || before.IsZero() {
+		return proof{}, nil
+	}
+	age, err := time.ParseDuration(wire.Age)
+	if err != nil || age < 0 {
+		return proof{}, fmt.Errorf("%s.Age: %q is not a duration: %w", path, wire.Age, winch.ErrInvalid)
+	}
+	return proof{asOf: before.Add(-age), revision: wire.Revision}, nil
+}
+
+// decodeUpdate returns the records or the snapshot; both may be empty.
+func decodeUpdate(wire *updateWire) ([]winch.ReleaseRecord, *winch.Configuration, error) {
+	if wire == nil {
+		return nil, nil, nil
+	}
+	if len(wire.Snapshot) > 0 {
+		configuration, err := release.DecodeConfiguration(wire.Snapshot)
+		if err != nil {
+			return nil, nil, fmt.Errorf("Update.Snapshot: %w", err)
+		}
+		return nil, configuration, nil
+	}
+	records := []winch.ReleaseRecord{}
+	for i, raw := range wire.Records {
+		record, err := release.DecodeRecord(raw)
+		if err != nil {
+			return nil, nil, fmt.Errorf("Update.Records[%d]: %w", i, err)
+		}
+		records = append(records, record)
+	}
+	return records, nil, nil
+}
+
+func durationText(duration time.Duration) string { return duration.Round(time.Millisecond).String() }
+
+func viewToWire(now time.Time, progress winch.ReleaseProgress) *viewWire {
+	view := &viewWire{Revision: progress.Revision}
+	for _, centre := range progress.Centres {
+		wire := centreWire{
+			DataCentre: centre.DataCentre, Revision: centre.Revision, InForce: centre.InForce,
+			Hosts: centre.Hosts, Behind: centre.Behind,
+		}
+		if !centre.Until.IsZero() {
+			wire.Left = durationText(max(0, centre.Until.Sub(now)))
+		}
+		if !centre.Heard.IsZero() {
+			wire.Age = durationText(now.Sub(centre.Heard))
+		}
+		view.Centres = append(view.Centres, wire)
+	}
+	return view
+}
+
+func viewFromWire(now time.Time, wire *viewWire) winch.ReleaseProgress {
+	progress := winch.ReleaseProgress{Revision: wire.Revision}
+	for _, c := range wire.Centres {
+		centre := winch.ReleaseCentre{
+			DataCentre: c.DataCentre, Revision: c.Revision, InForce: c.InForce, Hosts: c.Hosts, Behind: c.Behind,
+		}
+		if left, err := time.ParseDuration(c.Left); err == nil {
+			centre.Until = now.Add(left)
+		}
+		if age, err := time.ParseDuration(c.Age); err == nil {
+			centre.Heard = now.Add(-age)
+		}
+		progress.Centres = append(progress.Centres, centre)
+	}
+	return progress
+}
--- /dev/null
+++ b/release/peer/progress.go
@@ -0,0 +1,44 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// Progress tells how far the data centres are with the revision. A host that is
+// no hub asks its hub, and has no centres to tell of until that has answered.
+func (d *Distributor) Progress(now time.Time, revision winch.Revision) winch.ReleaseProgress {
+	around := d.surroundings(now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.wanted < revision || !now.Before(d.wantedUntil) {
+		d.wanted = revision
+	}
+	d.wantedUntil = now.Add(viewInterest)
+	if around.hub {
+		d.settle(now, around)
+		return d.progress(revision)
+	}
+	progress := winch.ReleaseProgress{Revision: revision, Accepted: d.state.accepted >= revision}
+	if d.view.Revision >= revision {
+		progress.Centres = d.view.Centres
+	}
+	return progress
+}
+
+// progress tells what the hub knows. The caller holds the lock.
+func (d *Distributor) progress(revision winch.Revision) winch.ReleaseProgress {
+	progress := winch.ReleaseProgress{Revision: revision, Accepted: d.state.accepted >= revision}
+	for id, centre := range d.acceptance.centres {
+		until, inForce, _ := d.acceptance.until(id, revision)
+		progress.Centres = append(progress.Centres, winch.ReleaseCentre{
+			DataCentre: id, Revision: centre.revision, InForce: inForce,
+			Hosts: centre.hosts, Behind: centre.behind, Until: until, Heard: centre.heard,
+		})
+	}
+	slices.SortFunc(progress.Centres, func(a, b winch.ReleaseCentre) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
+	return progress
+}
--- /dev/null
+++ b/release/peer/run.go
@@ -0,0 +1,161 @@
+package peer
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/arbutuswinch/winch"
+)
+
+const (
+	tickPeriod   = 200 * time.Millisecond
+	retryPause   = 250 * time.Millisecond
+	maxRetry     = 2 * time.Second
+	acceptPeriod = 500 * time.Millisecond
+	// acceptStagger is the time that each further data centre leaves the ones
+	// before it to record an accepted revision.
+	acceptStagger = 3 * time.Second
+)
+
+// Run watches the record of commits while this host is the hub, and records
+// accepted revisions. It returns when ctx is done.
+func (d *Distributor) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return d.watch(ctx) })
+	group.Go(func() error { return d.accept(ctx) })
+	group.Go(func() error { return d.tick(ctx) })
+	return group.Wait()
+}
+
+// tick announces changes of authority that come with time alone.
+func (d *Distributor) tick(ctx context.Context) error {
+	for pause(ctx, tickPeriod) {
+		now := d.options.Clock.Now()
+		around := d.surroundings(now)
+		d.mu.Lock()
+		d.settle(now, around)
+		d.announce(now, false)
+		d.mu.Unlock()
+	}
+	return nil
+}
+
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (d *Distributor) isHub() bool { return d.surroundings(d.options.Clock.Now()).hub }
+
+// watch follows the head. The instant before each call is what its answer proves for.
+func (d *Distributor) watch(ctx context.Context) error {
+	last, failures := winch.ReleaseHead{}, 0
+	for ctx.Err() == nil {
+		if !d.isHub() {
+			last = winch.ReleaseHead{}
+			pause(ctx, tickPeriod)
+			continue
+		}
+		next, err := d.step(ctx, last)
+		if err == nil {
+			if failures > 0 {
+				d.options.Logger.Info("record of commits read again", "Event", EventWatchRestored, "Failures", failures)
+			}
+			last, failures = next, 0
+			continue
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		if failures == 0 {
+			d.options.Logger.Warn("cannot read the record of commits", "Event", EventWatchFailed, "Error", err)
+		}
+		failures++
+		last = winch.ReleaseHead{}
+		pause(ctx, min(maxRetry, retryPause<<min(failures, 4)))
+	}
+	return nil
+}
+
+// step waits for one answer and takes it in.
+func (d *Distributor) step(ctx context.Context, last winch.ReleaseHead) (winch.ReleaseHead, error) {
+	sent := d.options.Clock.Now()
+	head, err := d.options.Log.Next(ctx, last, d.options.WatchWait)
+	if err != nil {
+		return head, err
+	}
+	configuration, records, err := d.options.Log.Fetch(ctx, d.Current(), head)
+	if err != nil {
+		return head, err
+	}
+	now := d.options.Clock.Now()
+	around := d.surroundings(now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if head.Revision < d.state.current.Revision {
+		// Another host may have told of a commit that is newer than this answer.
+		d.options.Logger.Debug("head is older than the configuration", "Event", EventRevisionBack,
+			"Head", head.Revision, "Revision", d.state.current.Revision)
+	}
+	d.learnt(now, d.state.learn(now, configuration, records))
+	d.state.prove(proof{asOf: sent, revision: head.Revision})
+	d.settle(now, around)
+	d.announce(now, false)
+	return head, nil
+}
+
+// accept records, at the hubs, what was accepted. Data centres take turns, so
+// that mostly one of them calls the platform.
+func (d *Distributor) accept(ctx context.Context) error {
+	asked := false
+	for pause(ctx, acceptPeriod) {
+		if !d.isHub() {
+			asked = false
+			continue
+		}
+		if !asked {
+			accepted, err := d.options.Log.Accepted(ctx)
+			if err != nil {
+				continue
+			}
+			d.noteAccepted(accepted)
+			asked = true
+		}
+		revision, due := d.due(d.options.Clock.Now())
+		if !due {
+			continue
+		}
+		if err := d.options.Log.MarkAccepted(ctx, revision); err != nil {
+			d.options.Logger.Warn("accepted revision not recorded", "Event", EventAcceptanceFailed, "Revision", revision, "Error", err)
+			continue
+		}
+		d.noteAccepted(revision)
+	}
+	return nil
+}
+
+func (d *Distributor) noteAccepted(revision winch.Revision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state.accepted = max(d.state.accepted, revision)
+}
+
+// due returns the newest revision that this hub should record as accepted now.
+func (d *Distributor) due(now time.Time) (winch.Revision, bool) {
+	turn := max(0, slices.Index(d.options.Membership.DataCentres(), d.self.DataCentre))
+	around := d.surroundings(now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.settle(now, around)
+	revision := d.acceptance.newest(now.Add(-time.Duration(turn)*acceptStagger), d.state.accepted)
+	return revision, revision > d.state.accepted
+}
--- /dev/null
+++ b/release/peer/section.go
@@ -0,0 +1,286 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/release"
+)
+
+// sectionName is the part of the exchange that belongs to this package.
+const sectionName winch.SectionName = "Release"
+
+// section is the distributor's part in the exchange.
+type section struct{ *Distributor }
+
+// Section returns the distributor's part in the exchange between hosts.
+func (d *Distributor) Section() winch.Section { return section{d} }
+
+// Name returns the name of the part.
+func (s section) Name() winch.SectionName { return sectionName }
+
+// Report returns what this host tells its hub.
+func (s section) Report(now time.Time) []byte {
+	around := s.surroundings(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observe(now, around)
+	report := reportWire{
+		Revision: s.state.current.Revision, Incarnation: s.options.Incarnation, Hub: s.hub, Token: s.token,
+	}
+	if now.Before(s.wantedUntil) {
+		report.View = s.wanted
+	}
+	if s.hub != "" && s.hubRevision < s.state.current.Revision {
+		report.Update = s.update(now, s.hubRevision, 0)
+	}
+	return encode(report)
+}
+
+// Collect takes a host's report in, at the hub.
+func (s section) Collect(now time.Time, from winch.HostID, body []byte) error {
+	report := reportWire{}
+	if err := decode(body, "report", &report); err != nil {
+		return err
+	}
+	records, snapshot, err := decodeUpdate(report.Update)
+	if err != nil {
+		return err
+	}
+	around := s.surroundings(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.take(now, records, snapshot)
+	s.state.hear(report.Revision)
+	asOf := time.Time{}
+	if report.Hub == s.options.Incarnation && report.Token > 0 {
+		asOf = s.started.Add(time.Duration(report.Token))
+	}
+	if s.state.limits.unguarded.echo {
+		asOf = now
+	}
+	host := s.roster.report(now, asOf, from, report.Incarnation, report.Revision)
+	host.view = report.View
+	s.settle(now, around)
+	return nil
+}
+
+// Summary returns what the hub answers to the host.
+func (s section) Summary(now time.Time, to winch.HostID) []byte {
+	around := s.surroundings(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observe(now, around)
+	s.settle(now, around)
+	summary := summaryWire{
+		Hub: s.options.Incarnation, Token: int64(now.Sub(s.started)), Revision: s.state.current.Revision,
+		Accepted: s.state.accepted,
+		Proof:    proofToWire(now, proof{asOf: s.state.proven, revision: s.state.current.Revision}),
+		Agreed:   proofToWire(now, s.acceptance.centres[s.self.DataCentre].agreed),
+	}
+	host := s.roster.see(now, to)
+	if host.revision < s.state.current.Revision {
+		summary.Update = s.update(now, host.revision, 0)
+	}
+	if host.view > 0 {
+		summary.View = viewToWire(now, s.progress(host.view))
+	}
+	return encode(summary)
+}
+
+// Apply takes the hub's summary in.
+func (s section) Apply(now, sent time.Time, _ winch.HostID, body []byte) error {
+	summary := summaryWire{}
+	if err := decode(body, "summary", &summary); err != nil {
+		return err
+	}
+	records, snapshot, err := decodeUpdate(summary.Update)
+	if err != nil {
+		return err
+	}
+	proven, err := proofFromWire("Proof", summary.Proof, sent)
+	if err != nil {
+		return err
+	}
+	agreed, err := proofFromWire("Agreed", summary.Agreed, sent)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hub, s.token, s.hubRevision = summary.Hub, summary.Token, summary.Revision
+	s.take(now, records, snapshot)
+	s.state.hear(summary.Revision)
+	s.state.accepted = max(s.state.accepted, summary.Accepted)
+	s.believe(proven, agreed)
+	if summary.View != nil {
+		s.view = viewFromWire(now, summary.View)
+	}
+	s.announce(now, false)
+	return nil
+}
+
+// believe takes in what a hub states, when there is anything.
+func (d *Distributor) believe(proven, agreed proof) {
+	if !proven.asOf.IsZero() {
+		d.state.prove(proven)
+	}
+	if !agreed.asOf.IsZero() {
+		d.state.agree(agreed)
+	}
+}
+
+// Digest returns what the hub of this data centre tells the hubs of others.
+func (s section) Digest(now time.Time, to winch.DataCentreID) []byte {
+	around := s.surroundings(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observe(now, around)
+	s.settle(now, around)
+	own := s.acceptance.centres[s.self.DataCentre]
+	digest := digestWire{
+		Revision: s.state.current.Revision, Settled: s.roster.settled(), Accepted: s.state.accepted,
+		Hosts: len(s.roster.hosts), Behind: own.behind,
+		Proof:  proofToWire(now, proof{asOf: s.state.proven, revision: s.state.current.Revision}),
+		Agreed: proofToWire(now, own.agreed),
+	}
+	if other, found := s.acceptance.centres[to]; found && !other.heard.IsZero() && other.revision < s.state.current.Revision {
+		digest.Update = s.update(now, other.revision, settleTime)
+	}
+	return encode(digest)
+}
+
+// ApplyDigest takes a digest of another data centre in, at the hub. One that
+// came unasked has no known age and proves nothing.
+func (s section) ApplyDigest(now, sent time.Time, from winch.DataCentreID, body []byte) error {
+	digest := digestWire{}
+	if err := decode(body, "digest", &digest); err != nil {
+		return err
+	}
+	records, snapshot, err := decodeUpdate(digest.Update)
+	if err != nil {
+		return err
+	}
+	proven, err := proofFromWire("Proof", digest.Proof, sent)
+	if err != nil {
+		return err
+	}
+	agreed, err := proofFromWire("Agreed", digest.Agreed, sent)
+	if err != nil {
+		return err
+	}
+	around := s.surroundings(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.take(now, records, snapshot)
+	s.state.hear(digest.Revision)
+	s.state.accepted = max(s.state.accepted, digest.Accepted)
+	s.believe(proven, proof{})
+	other, found := s.acceptance.centres[from]
+	if !found {
+		other = &centre{}
+		s.acceptance.centres[from] = other
+	}
+	other.revision, other.hosts, other.behind, other.heard = digest.Revision, digest.Hosts, digest.Behind, now
+	other.settled.reach(now, digest.Settled)
+	if agreed.asOf.After(other.agreed.asOf) {
+		other.agreed = agreed
+	}
+	s.settle(now, around)
+	return nil
+}
+
+// observe keeps the roster up to date. The caller holds the lock.
+func (d *Distributor) observe(now time.Time, around surroundings) {
+	d.roster.observe(now, around.hosts, d.state.limits.roster)
+	d.roster.report(now, now, d.self.ID, d.options.Incarnation, d.state.current.Revision)
+}
+
+// take brings in what another host sent. The caller holds the lock.
+func (d *Distributor) take(now time.Time, records []winch.ReleaseRecord, snapshot *winch.Configuration) {
+	newer := d.state.follow(now, records)
+	if snapshot != nil {
+		newer = d.state.learn(now, snapshot, nil) || newer
+	}
+	d.learnt(now, newer)
+}
+
+// settle draws, at the hub, what follows from the reports of its hosts and from
+// the statements of the other data centres. The caller holds the lock.
+func (d *Distributor) settle(now time.Time, around surroundings) {
+	d.acceptance.forget(d.state.accepted)
+	if !around.hub {
+		return
+	}
+	d.roster.report(now, now, d.self.ID, d.options.Incarnation, d.state.current.Revision)
+	own := d.acceptance.centres[d.self.DataCentre]
+	own.revision, own.hosts, own.heard = d.state.current.Revision, len(d.roster.hosts), now
+	own.behind = d.roster.behind(d.state.current.Revision, behindLimit)
+	own.settled.reach(now, d.roster.settled())
+	if agreed, found := d.roster.agreement(d.state.limits.unguarded.majority); found {
+		agreed.revision = max(agreed.revision, d.state.known)
+		if agreed.asOf.After(own.agreed.asOf) {
+			own.agreed = agreed
+		}
+		d.state.agree(agreed)
+	}
+	if joined, found := d.acceptance.peersProof(); found {
+		d.state.prove(joined)
+	}
+	d.announce(now, false)
+}
+
+// update returns what brings a peer up to date from a revision, leaving out
+// records that were learnt less than a time ago. The caller holds the lock.
+func (d *Distributor) update(now time.Time, from winch.Revision, age time.Duration) *updateWire {
+	kept, complete := d.state.since(from)
+	if !complete {
+		return d.snapshotUpdate()
+	}
+	wire := &updateWire{}
+	for _, one := range kept {
+		if now.Sub(one.learnt) < age {
+			break
+		}
+		body, err := release.EncodeRecord(one.record)
+		if err != nil {
+			return nil
+		}
+		wire.Records = append(wire.Records, body)
+	}
+	if len(wire.Records) == 0 {
+		return nil
+	}
+	return wire
+}
+
+func (d *Distributor) snapshotUpdate() *updateWire {
+	if d.snapshotOf != d.state.current.Revision {
+		body, err := release.EncodeConfiguration(d.state.current)
+		if err != nil {
+			return nil
+		}
+		d.snapshot, d.snapshotOf = body, d.state.current.Revision
+	}
+	return &updateWire{Snapshot: json.RawMessage(d.snapshot)}
+}
+
+// observer reports the metrics.
+func (d *Distributor) observer(revision, accepted, authority metric.Int64Observable, age metric.Float64Observable) metric.Callback {
+	return func(_ context.Context, observer metric.Observer) error {
+		now := d.options.Clock.Now()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		observer.ObserveInt64(revision, int64(d.state.current.Revision))
+		observer.ObserveInt64(accepted, int64(d.state.accepted))
+		observer.ObserveInt64(authority, int64(d.state.authority(now)))
+		if d.state.learnt {
+			observer.ObserveFloat64(age, now.Sub(d.state.proven).Seconds())
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/release/peer/section_test.go
@@ -0,0 +1,115 @@
+package peer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// pair is a data centre of two hosts, of which the first is the hub.
+type pair struct {
+	clock     *fakeClock
+	log       *fakeLog
+	hub, host *Distributor
+}
+
+func newPair(t *testing.T) *pair {
+	t.Helper()
+	p := &pair{clock: &fakeClock{now: start}, log: newFakeLog()}
+	hosts := []winch.Host{{ID: "h1", DataCentre: "a"}, {ID: "h2", DataCentre: "a"}}
+	for i, into := range []**Distributor{&p.hub, &p.host} {
+		distributor, err := New(Options{
+			Membership: &fakeMembership{
+				self: hosts[i], centres: []winch.DataCentreID{"a", "b"},
+				hosts: func(winch.DataCentreID) []winch.Host { return hosts },
+			},
+			Log: p.log, Clock: p.clock, Incarnation: winch.Incarnation("start of " + hosts[i].ID),
+		})
+		assert.NilError(t, err)
+		*into = distributor
+	}
+	return p
+}
+
+// exchange lets the host report and hear from its hub.
+func (p *pair) exchange(t *testing.T) {
+	t.Helper()
+	now := p.clock.Now()
+	assert.NilError(t, p.hub.Section().Collect(now, "h2", p.host.Section().Report(now)))
+	assert.NilError(t, p.host.Section().Apply(now, now, "h1", p.hub.Section().Summary(now, "h2")))
+}
+
+func (p *pair) watch(t *testing.T) {
+	t.Helper()
+	_, err := p.hub.step(context.Background(), winch.ReleaseHead{})
+	assert.NilError(t, err)
+}
+
+func (p *pair) commit(t *testing.T, note winch.Note) {
+	t.Helper()
+	_, err := p.log.Commit(context.Background(), nil, note)
+	assert.NilError(t, err)
+}
+
+func keyNote(id string) winch.Note {
+	return winch.Note{ID: winch.NoteID("add-" + id), Added: winch.Items{
+		Organisations: []winch.Organisation{{ID: "o-" + winch.OrganisationID(id), Weight: 1}},
+		Keys:          []winch.Key{{ID: winch.KeyID(id), Organisation: "o-" + winch.OrganisationID(id), Hash: winch.HashKey(id)}},
+	}}
+}
+
+func withdrawNote(id string) winch.Note {
+	return winch.Note{ID: winch.NoteID("withdraw-" + id), Withdrawn: winch.ItemIDs{Keys: []winch.KeyID{winch.KeyID(id)}}}
+}
+
+func assertKey(t *testing.T, d *Distributor, now time.Time, secret string, want error) {
+	t.Helper()
+	_, err := d.Authorize(now, winch.HashKey(secret))
+	if want == nil {
+		assert.NilError(t, err)
+		return
+	}
+	assert.ErrorIs(t, err, want)
+}
+
+func TestDistribution(t *testing.T) {
+	p := newPair(t)
+	t.Run("nothing was learnt", func(t *testing.T) {
+		assert.Equal(t, p.host.Authority(start), winch.AuthorityNone)
+		assertKey(t, p.host, start, "k", winch.ErrIsolated)
+	})
+	p.commit(t, keyNote("k"))
+	p.watch(t)
+	p.exchange(t)
+	t.Run("a key reaches the host", func(t *testing.T) {
+		assert.Equal(t, p.host.Current().Revision, winch.Revision(1))
+		assertKey(t, p.host, p.clock.Now(), "k", nil)
+		assertKey(t, p.host, p.clock.Now(), "other", winch.ErrUnauthorized)
+	})
+	changed := p.host.Changed()
+	p.commit(t, withdrawNote("k"))
+	p.watch(t)
+	p.exchange(t)
+	t.Run("a withdrawal reaches the host", func(t *testing.T) {
+		assertKey(t, p.host, p.clock.Now(), "k", winch.ErrUnauthorized)
+		<-changed
+	})
+	t.Run("a host far behind gets a snapshot", func(t *testing.T) {
+		p.hub.state.records = nil
+		p.host.state = newState(p.host.state.limits)
+		p.exchange(t)
+		p.exchange(t)
+		assert.Equal(t, p.host.Current().Revision, winch.Revision(2))
+	})
+	t.Run("no news for the freshness limit", func(t *testing.T) {
+		p.clock.advance(defaultFreshness)
+		assert.Equal(t, p.host.Authority(p.clock.Now()), winch.AuthorityOpen)
+		assertKey(t, p.host, p.clock.Now(), "k", winch.ErrIsolated)
+	})
+}
