feat(serving): serve completions, streams and service calls through slots

Cause: callers need whole answers or true refusals, and calls that may not be repeated must run at most once. Ruled out: Go's transport with its default bodies, which repeats calls on reused connections by itself.

--- /dev/null
+++ b/serving/caller/codec.go
@@ -0,0 +1,220 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/arbutuswinch/winch"
+)
+
+const (
+	// prefixBytes is how much of a prompt counts as its leading part.
+	prefixBytes = 2 << 10
+	// bytesPerToken is used to estimate the length of prompts.
+	bytesPerToken = 4
+)
+
+type errorAnswer struct {
+	Error errorBody `json:"error"`
+}
+
+type errorBody struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Code    string  `json:"code"`
+	Param   *string `json:"param"`
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type resumeField struct {
+	Tokens int64           `json:"tokens"`
+	Text   json.RawMessage `json:"text"`
+}
+
+// refusalBody is an endpoint's error in either of the two customary forms.
+type refusalBody struct {
+	Code  string    `json:"Code"`
+	Error errorBody `json:"error"`
+}
+
+func encodeFault(f *fault) []byte {
+	answer := errorAnswer{Error: errorBody{Message: f.message, Type: f.kind(), Code: f.code}}
+	if f.param != "" {
+		answer.Error.Param = &f.param
+	}
+	encoded, err := json.Marshal(answer)
+	if err != nil {
+		return []byte(`{"error":{"message":"internal error","type":"server_error","code":"internal","param":null}}`)
+	}
+	return encoded
+}
+
+func encodeModels(models []winch.ModelID) ([]byte, error) {
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, model := range models {
+		list.Data = append(list.Data, modelItem{ID: string(model), Object: "model", OwnedBy: "organisation"})
+	}
+	encoded, err := json.Marshal(list)
+	if err != nil {
+		return nil, fmt.Errorf("encode list of models: %w", err)
+	}
+	return encoded, nil
+}
+
+// refusalCode returns the code of an endpoint's error answer, or "".
+func refusalCode(body []byte) string {
+	decoded := refusalBody{}
+	if json.Unmarshal(body, &decoded) != nil {
+		return ""
+	}
+	if decoded.Error.Code != "" {
+		return decoded.Error.Code
+	}
+	return decoded.Code
+}
+
+// completion is what the body of a completion says.
+type completion struct {
+	model  winch.ModelID
+	stream bool
+	// wantsUsage says that the caller asked for the counts at the stream's end.
+	wantsUsage bool
+	// several says that more than one choice was asked for.
+	several bool
+	prefix  winch.PrefixHash
+	input   winch.Tokens
+	// tokens and text were delivered before, when a peer hands over a stream.
+	tokens winch.Tokens
+	text   []byte
+	// body is the body for the engine, without the field resume.
+	body []byte
+}
+
+// decodeCompletion reads a completion's body. Fields that only hosts may send are
+// refused unless the request comes from a peer.
+func decodeCompletion(body []byte, peer bool) (completion, *fault) {
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return completion{}, invalid("body", "the body is not a JSON object")
+	}
+	for _, name := range []string{"resume", "import_handle"} {
+		if _, found := fields[name]; found && !peer {
+			return completion{}, invalid(name, "the field is reserved")
+		}
+	}
+	decoded := completion{input: winch.Tokens(len(body) / bytesPerToken)}
+	options, choices := streamOptions{}, 1
+	for _, field := range []struct {
+		name string
+		into any
+	}{{"model", &decoded.model}, {"stream", &decoded.stream}, {"stream_options", &options}, {"n", &choices}} {
+		if raw, found := fields[field.name]; found && json.Unmarshal(raw, field.into) != nil {
+			return completion{}, invalid(field.name, "the field has the wrong type")
+		}
+	}
+	if decoded.model == "" {
+		return completion{}, invalid("model", "the field is required")
+	}
+	decoded.wantsUsage, decoded.several = options.IncludeUsage, choices > 1
+	decoded.prefix = prefixOf(decoded.model, fields)
+	if f := decoded.resume(fields["resume"]); f != nil {
+		return completion{}, f
+	}
+	delete(fields, "resume")
+	if decoded.stream {
+		fields["stream_options"] = withUsage(fields["stream_options"])
+	}
+	decoded.body = encodeFields(fields)
+	return decoded, nil
+}
+
+func (c *completion) resume(raw json.RawMessage) *fault {
+	if raw == nil {
+		return nil
+	}
+	field := resumeField{}
+	if err := json.Unmarshal(raw, &field); err != nil || len(field.Text) < 2 || field.Text[0] != '"' {
+		return invalid("resume", "the field has the wrong type")
+	}
+	c.tokens = winch.Tokens(field.Tokens)
+	c.text = append([]byte(nil), field.Text[1:len(field.Text)-1]...)
+	return nil
+}
+
+// withUsage asks for the counts, which are needed also when the caller is not shown them.
+func withUsage(raw json.RawMessage) json.RawMessage {
+	options := map[string]json.RawMessage{}
+	_ = json.Unmarshal(raw, &options)
+	if options == nil {
+		options = map[string]json.RawMessage{}
+	}
+	options["include_usage"] = json.RawMessage("true")
+	return encodeFields(options)
+}
+
+func encodeFields(fields map[string]json.RawMessage) []byte {
+	names := make([]string, 0, len(fields))
+	size := 2
+	for name, raw := range fields {
+		names = append(names, name)
+		size += len(name) + len(raw) + 4
+	}
+	sort.Strings(names)
+	out := append(make([]byte, 0, size), '{')
+	for i, name := range names {
+		if i > 0 {
+			out = append(out, ',')
+		}
+		quoted, _ := json.Marshal(name)
+		out = append(append(append(out, quoted...), ':'), fields[name]...)
+	}
+	return append(out, '}')
+}
+
+// withResume adds the field with which an engine continues after what was delivered.
+// Text is the inside of a JSON string.
+func withResume(body []byte, tokens winch.Tokens, text []byte) []byte {
+	out := make([]byte, 0, len(body)+len(text)+64)
+	out = append(out, `{"resume":{"tokens":`...)
+	out = strconv.AppendInt(out, int64(tokens), 10)
+	out = append(append(append(out, `,"text":"`...), text...), `"}`...)
+	rest := bytes.TrimSpace(body[1:])
+	if len(rest) > 1 {
+		out = append(out, ',')
+	}
+	return append(out, rest...)
+}
+
+// prefixOf hashes the model and the leading part of the prompt: the first message,
+// or the beginning of the text.
+func prefixOf(model winch.ModelID, fields map[string]json.RawMessage) winch.PrefixHash {
+	raw := fields["prompt"]
+	messages := []json.RawMessage{}
+	if json.Unmarshal(fields["messages"], &messages) == nil && len(messages) > 0 {
+		raw = messages[0]
+	}
+	digest := xxhash.New()
+	_, _ = digest.WriteString(string(model))
+	_, _ = digest.Write(raw[:min(len(raw), prefixBytes)])
+	return winch.PrefixHash(digest.Sum64())
+}
--- /dev/null
+++ b/serving/caller/completion.go
@@ -0,0 +1,107 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// complete serves a completion until it is answered or given up.
+func (s *Server) complete(ctx context.Context, w http.ResponseWriter, req *request) *fault {
+	out := newOutput(w, s.options.Limits.WriteTimeout)
+	for {
+		a, f := s.dispatch(ctx, req)
+		if f != nil {
+			return f
+		}
+		err := s.relay(req, a, w, out)
+		if err == nil {
+			s.close(req, a, winch.OutcomeDone)
+			return nil
+		}
+		if f := s.recover(ctx, req, a, err); f != nil {
+			return f
+		}
+		s.metrics.resumed(req.class.ID)
+	}
+}
+
+// relay passes the answer on.
+func (s *Server) relay(req *request, a *attempt, w http.ResponseWriter, out *output) error {
+	if req.stream && a.reply.Status < http.StatusBadRequest {
+		return s.relayStream(req, a, out)
+	}
+	body, err := readAnswer(a.reply.Body, s.options.Limits.Answer)
+	if err != nil {
+		return err
+	}
+	a.complete = true
+	if a.reply.Status < http.StatusBadRequest {
+		if err := s.inspect(req, a, body); err != nil {
+			return err
+		}
+	}
+	if req.began {
+		return fmt.Errorf("continue stream: %w: status %d", winch.ErrOutcomeUnknown, a.reply.Status)
+	}
+	req.began = true
+	writeReply(w, a.reply, body, runStateRan)
+	return nil
+}
+
+// inspect matches a whole answer to the request and counts its tokens.
+func (s *Server) inspect(req *request, a *attempt, body []byte) error {
+	chunk, err := s.options.Engines.Inspect(body, req.id)
+	if err != nil {
+		return fmt.Errorf("inspect answer: %w", err)
+	}
+	now := s.now()
+	s.first(now, req, a)
+	a.account.usage(chunk)
+	a.slot.Tokens(now, a.account.tokens)
+	req.output += a.account.tokens
+	return nil
+}
+
+var errTooLarge = errors.New("answer too large")
+
+// readAnswer reads the whole body of an answer.
+func readAnswer(body io.Reader, limit int64) ([]byte, error) {
+	read, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, fmt.Errorf("read answer: %w: %w", winch.ErrOutcomeUnknown, err)
+	}
+	if int64(len(read)) > limit {
+		return nil, fmt.Errorf("read answer: %w", errTooLarge)
+	}
+	return read, nil
+}
+
+// Headers of endpoints that are passed on to callers.
+func answerHeaders() []string {
+	return []string{"Cache-Control", "Content-Disposition", "Content-Language", "Content-Type", "Etag", "Last-Modified", "Location", "Retry-After"}
+}
+
+func writeReply(w http.ResponseWriter, reply *winch.Reply, body []byte, state runState) {
+	header := w.Header()
+	for _, name := range answerHeaders() {
+		if value := reply.Header.Get(name); value != "" {
+			header.Set(name, value)
+		}
+	}
+	header.Set("X-Run-State", string(state))
+	if mayHaveBody(reply.Status) {
+		header.Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(body)
+}
+
+func mayHaveBody(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- /dev/null
+++ b/serving/caller/fakes_test.go
@@ -0,0 +1,348 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/metric/noop"
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/serving/engine"
+	"github.com/arbutuswinch/winch/serving/peer"
+	"github.com/arbutuswinch/winch/serving/service"
+)
+
+const (
+	testSecret  = "secret-of-the-caller"
+	testTimeout = 10 * time.Second
+)
+
+type wallClock struct{}
+
+func (wallClock) Now() time.Time { return time.Now() }
+
+// fakeConfigurations holds one configuration and the keys that are valid.
+type fakeConfigurations struct {
+	mutex   sync.Mutex
+	keys    map[winch.KeyHash]winch.Key
+	changed chan struct{}
+	config  *winch.Configuration
+}
+
+func newConfigurations() *fakeConfigurations {
+	return &fakeConfigurations{
+		keys:    map[winch.KeyHash]winch.Key{winch.HashKey(testSecret): {ID: "k1", Organisation: "probababa"}},
+		changed: make(chan struct{}),
+		config: &winch.Configuration{
+			Organisations: map[winch.OrganisationID]winch.Organisation{"probababa": {ID: "probababa"}},
+			Classes: map[winch.ClassID]winch.Class{
+				"stall":  {ID: "stall", Tier: 1, Models: []winch.ModelID{"small"}},
+				"ledger": {ID: "ledger", Tier: 3, Models: []winch.ModelID{"small", "large"}},
+				"public": {ID: "public", Tier: 2, Models: []winch.ModelID{"small"}, Open: true},
+			},
+			Routes: map[winch.RouteID]winch.Route{
+				"booking": {ID: "booking", Class: "stall"},
+				"stock":   {ID: "stock", Class: "stall", Idempotent: true},
+				"hours":   {ID: "hours", Class: "public", Open: true, Idempotent: true},
+			},
+		},
+	}
+}
+
+func (c *fakeConfigurations) Current() *winch.Configuration       { return c.config }
+func (c *fakeConfigurations) Authority(time.Time) winch.Authority { return winch.AuthorityFull }
+func (c *fakeConfigurations) Authorize(_ time.Time, hash winch.KeyHash) (winch.Key, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if key, found := c.keys[hash]; found {
+		return key, nil
+	}
+	return winch.Key{}, winch.ErrUnauthorized
+}
+
+func (c *fakeConfigurations) Changed() <-chan struct{} {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.changed
+}
+
+func (c *fakeConfigurations) withdraw() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.keys = map[winch.KeyHash]winch.Key{}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// fakeDispatcher gives out its endpoints in turn, but for the excluded ones.
+type fakeDispatcher struct {
+	mutex     sync.Mutex
+	endpoints []winch.Endpoint
+	next      int
+	works     []winch.Work
+	slots     []*fakeSlot
+	retries   int
+	// hold makes requests wait until their context ends.
+	hold bool
+}
+
+type fakeSlot struct {
+	endpoint  winch.Endpoint
+	preempted chan struct{}
+	mutex     sync.Mutex
+	tokens    winch.Tokens
+	released  []winch.Outcome
+}
+
+func (d *fakeDispatcher) Acquire(ctx context.Context, _ time.Time, work winch.Work) (winch.Slot, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.works = append(d.works, work)
+	if d.hold {
+		d.mutex.Unlock()
+		<-ctx.Done()
+		d.mutex.Lock()
+		return nil, ctx.Err()
+	}
+	for range d.endpoints {
+		endpoint := d.endpoints[d.next%len(d.endpoints)]
+		d.next++
+		if !excluded(work, endpoint.ID) {
+			slot := &fakeSlot{endpoint: endpoint, preempted: make(chan struct{})}
+			d.slots = append(d.slots, slot)
+			return slot, nil
+		}
+	}
+	return nil, &winch.Refusal{Reason: winch.RefusedNoEndpoint, RetryAfter: 1500 * time.Millisecond}
+}
+
+func excluded(work winch.Work, id winch.EndpointID) bool {
+	for _, one := range work.Excluded {
+		if one == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *fakeDispatcher) Retry(time.Time, winch.Work) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.retries--
+	return d.retries >= 0
+}
+
+func (d *fakeDispatcher) slot(index int) *fakeSlot {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if index >= len(d.slots) {
+		return nil
+	}
+	return d.slots[index]
+}
+
+func (s *fakeSlot) Endpoint() winch.Endpoint   { return s.endpoint }
+func (s *fakeSlot) Preempted() <-chan struct{} { return s.preempted }
+func (s *fakeSlot) FirstToken(time.Time)       {}
+
+func (s *fakeSlot) Tokens(_ time.Time, count winch.Tokens) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.tokens += count
+}
+
+func (s *fakeSlot) Release(_ time.Time, outcome winch.Outcome) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.released = append(s.released, outcome)
+}
+
+func (s *fakeSlot) outcomes() []winch.Outcome {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return append([]winch.Outcome(nil), s.released...)
+}
+
+// fakeUsage sums the records.
+type fakeUsage struct {
+	mutex sync.Mutex
+	total winch.UsageRecord
+}
+
+func (u *fakeUsage) Record(_ time.Time, record winch.UsageRecord) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.total.Organisation = record.Organisation
+	u.total.Requests += record.Requests
+	u.total.InputTokens += record.InputTokens
+	u.total.OutputTokens += record.OutputTokens
+}
+
+func (u *fakeUsage) sum() winch.UsageRecord {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return u.total
+}
+
+// fakeEngine answers completions with the words w0 ... and can be told to misbehave.
+type fakeEngine struct {
+	server *httptest.Server
+	mutex  sync.Mutex
+	seen   []*http.Request
+	bodies []string
+	// words is the length of the whole output.
+	words int
+	// before runs before each word, with the number of the word.
+	before func(w http.ResponseWriter, r *http.Request, word int)
+	// status and code are set to refuse.
+	status int
+	code   string
+	// id replaces the request's id from the word on.
+	crossAt int
+}
+
+type fakeCompletion struct {
+	Stream bool `json:"stream"`
+	Resume struct {
+		Tokens int    `json:"tokens"`
+		Text   string `json:"text"`
+	} `json:"resume"`
+}
+
+func newEngine(t *testing.T, words int) *fakeEngine {
+	t.Helper()
+	e := &fakeEngine{words: words, crossAt: -1}
+	e.server = httptest.NewServer(e)
+	t.Cleanup(e.server.Close)
+	return e
+}
+
+func (e *fakeEngine) endpoint(id winch.EndpointID) winch.Endpoint {
+	return winch.Endpoint{ID: id, Kind: winch.EndpointEngine, Address: strings.TrimPrefix(e.server.URL, "http://")}
+}
+
+func (e *fakeEngine) calls() []*http.Request {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return append([]*http.Request(nil), e.seen...)
+}
+
+func (e *fakeEngine) body(index int) string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.bodies[index]
+}
+
+func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	raw := json.RawMessage{}
+	_ = json.NewDecoder(r.Body).Decode(&raw)
+	asked := fakeCompletion{}
+	_ = json.Unmarshal(raw, &asked)
+	e.mutex.Lock()
+	e.seen, e.bodies = append(e.seen, r.Clone(context.Background())), append(e.bodies, string(raw))
+	e.mutex.Unlock()
+	if strings.HasSuffix(r.URL.Path, "/cancel") {
+		return
+	}
+	if e.status != 0 {
+		w.WriteHeader(e.status)
+		fmt.Fprintf(w, `{"Code":%q,"Message":"no"}`, e.code)
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	if !asked.Stream {
+		e.whole(w, r, id)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Stream-Id", "s-"+id)
+	e.chunk(w, id, `{"index":0,"delta":{"role":"assistant","content":""},"finish_reason":null}`)
+	for word := asked.Resume.Tokens; word < e.words; word++ {
+		if e.before != nil {
+			e.before(w, r, word)
+		}
+		if word == e.crossAt {
+			id = "another"
+		}
+		e.chunk(w, id, fmt.Sprintf(`{"index":0,"delta":{"content":"w%d \"é\" "},"finish_reason":null}`, word))
+	}
+	e.chunk(w, id, `{"index":0,"delta":{},"finish_reason":"stop"}`)
+	fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":7,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", id, e.words)
+}
+
+func (e *fakeEngine) whole(w http.ResponseWriter, r *http.Request, id string) {
+	if e.before != nil {
+		e.before(w, r, 0)
+	}
+	if e.crossAt == 0 {
+		id = "another"
+	}
+	w.Header().Set("Content-Type", "application/json")
+	fmt.Fprintf(w, `{"id":%q,"object":"chat.completion","choices":[{"index":0,"message":{"role":"assistant","content":%q},"finish_reason":"stop"}],"usage":{"prompt_tokens":7,"completion_tokens":%d}}`,
+		id, words(e.words), e.words)
+}
+
+func (e *fakeEngine) chunk(w http.ResponseWriter, id, choice string) {
+	fmt.Fprintf(w, "data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"choices\":[%s]}\n\n", id, choice)
+	_ = http.NewResponseController(w).Flush()
+}
+
+// words is the output of an engine.
+func words(count int) string {
+	out := strings.Builder{}
+	for word := range count {
+		fmt.Fprintf(&out, "w%d \"é\" ", word)
+	}
+	return out.String()
+}
+
+// bench is a server with its fakes.
+type bench struct {
+	*Server
+	configurations *fakeConfigurations
+	dispatcher     *fakeDispatcher
+	usage          *fakeUsage
+	front          *httptest.Server
+}
+
+func newBench(t *testing.T, change func(*Options), endpoints ...winch.Endpoint) *bench {
+	t.Helper()
+	b := &bench{
+		configurations: newConfigurations(), usage: &fakeUsage{},
+		dispatcher: &fakeDispatcher{endpoints: endpoints, retries: 2},
+	}
+	options := Options{
+		Configurations: b.configurations, Dispatcher: b.dispatcher, Usage: b.usage,
+		Engines: engine.New(engine.Options{Secret: "ours"}), Services: service.New(service.Options{Secret: "ours"}),
+		Peers: peer.New(peer.Options{Secret: "hosts"}), PeerSecret: "hosts",
+		Clock: wallClock{}, Logger: hclog.NewNullLogger(), Meter: noop.Meter{},
+		Limits: Limits{ReadinessDelay: time.Millisecond, MinStall: 200 * time.Millisecond},
+	}
+	if change != nil {
+		change(&options)
+	}
+	server, err := New(options)
+	assert.NilError(t, err)
+	b.Server = server
+	mux := http.NewServeMux()
+	mux.Handle("/peer/", server.PeerHandler())
+	mux.Handle("/", server.Handler())
+	b.front = httptest.NewServer(mux)
+	t.Cleanup(func() {
+		b.front.CloseClientConnections()
+		ctx, stop := context.WithTimeout(context.Background(), time.Second)
+		defer stop()
+		_ = server.Drain(ctx)
+		b.front.Close()
+	})
+	return b
+}
--- /dev/null
+++ b/serving/caller/metrics.go
@@ -0,0 +1,86 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// metrics are the instruments of the caller port.
+type metrics struct {
+	requests   metric.Int64Counter
+	tokens     metric.Int64Counter
+	waste      metric.Int64Counter
+	resumes    metric.Int64Counter
+	crossings  metric.Int64Counter
+	firstToken metric.Float64Histogram
+}
+
+func newMetrics(meter metric.Meter, open func() int64) (*metrics, error) {
+	m := &metrics{}
+	var err error
+	counters := []struct {
+		into        *metric.Int64Counter
+		name        string
+		description string
+	}{
+		{&m.requests, "winch.serving.requests", "Requests that ended, by class and code."},
+		{&m.tokens, "winch.serving.tokens", "Output tokens delivered to callers, by class."},
+		{&m.waste, "winch.serving.tokens.wasted", "Output tokens that engines made and no caller got, by class."},
+		{&m.resumes, "winch.serving.attempts.repeated", "Completions that went on at another endpoint, by class."},
+		{&m.crossings, "winch.serving.answers.crossed", "Answers that were dropped because they belonged to another request."},
+	}
+	for _, counter := range counters {
+		if *counter.into, err = meter.Int64Counter(counter.name, metric.WithDescription(counter.description)); err != nil {
+			return nil, fmt.Errorf("create counter %s: %w", counter.name, err)
+		}
+	}
+	m.firstToken, err = meter.Float64Histogram("winch.serving.first_token", metric.WithUnit("s"),
+		metric.WithDescription("Time from a request's arrival to its first token or answer, by class."),
+		metric.WithExplicitBucketBoundaries(0.01, 0.03, 0.1, 0.2, 0.4, 0.7, 1, 1.3, 2, 4, 8, 16, 32))
+	if err != nil {
+		return nil, fmt.Errorf("create histogram of first tokens: %w", err)
+	}
+	_, err = meter.Int64ObservableGauge("winch.serving.requests.open", metric.WithDescription("Requests that are open."),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			observer.Observe(open())
+			return nil
+		}))
+	if err != nil {
+		return nil, fmt.Errorf("create gauge of open requests: %w", err)
+	}
+	return m, nil
+}
+
+func byClass(class winch.ClassID) metric.MeasurementOption {
+	return metric.WithAttributeSet(attribute.NewSet(attribute.String("Class", string(class))))
+}
+
+func (m *metrics) done(req *request, code string, _ time.Duration) {
+	ctx := context.Background()
+	m.requests.Add(ctx, 1, metric.WithAttributeSet(attribute.NewSet(
+		attribute.String("Class", string(req.class.ID)), attribute.String("Code", code))))
+	if req.output > 0 {
+		m.tokens.Add(ctx, int64(req.output), byClass(req.class.ID))
+	}
+	if req.firstToken > 0 {
+		m.firstToken.Record(ctx, req.firstToken.Seconds(), byClass(req.class.ID))
+	}
+}
+
+func (m *metrics) wasted(class winch.ClassID, tokens winch.Tokens) {
+	if tokens > 0 {
+		m.waste.Add(context.Background(), int64(tokens), byClass(class))
+	}
+}
+
+func (m *metrics) resumed(class winch.ClassID) {
+	m.resumes.Add(context.Background(), 1, byClass(class))
+}
+
+func (m *metrics) crossed() { m.crossings.Add(context.Background(), 1) }
--- /dev/null
+++ b/serving/caller/stream.go
@@ -0,0 +1,172 @@
+package caller
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+const (
+	outputSize = 4 << 10
+	// deadlineSteps is in how many steps of its length the write deadline is moved on.
+	deadlineSteps = 4
+)
+
+var errCallerGone = errors.New("caller takes nothing more")
+
+// output writes events to the caller. It collects what is at hand and flushes it at once.
+type output struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	timeout time.Duration
+	extends time.Time
+	buffer  []byte
+	// tokens are the output tokens in the buffer.
+	tokens winch.Tokens
+}
+
+func newOutput(w http.ResponseWriter, timeout time.Duration) *output {
+	return &output{w: w, control: http.NewResponseController(w), timeout: timeout}
+}
+
+func (o *output) event(data []byte) {
+	if o.buffer == nil {
+		o.buffer = make([]byte, 0, outputSize)
+	}
+	o.buffer = append(o.buffer, "data: "...)
+	o.buffer = append(o.buffer, data...)
+	o.buffer = append(o.buffer, "\n\n"...)
+}
+
+// begin writes the header of a stream.
+func (o *output) begin() {
+	header := o.w.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-cache")
+	o.w.WriteHeader(http.StatusOK)
+}
+
+// flush hands the buffer to the caller and returns the tokens that it held.
+func (o *output) flush() (winch.Tokens, error) {
+	if len(o.buffer) == 0 {
+		return 0, nil
+	}
+	// The connection's deadline is a matter of the kernel's clock, not of decisions.
+	if now := time.Now(); now.After(o.extends) {
+		_ = o.control.SetWriteDeadline(now.Add(o.timeout))
+		o.extends = now.Add(o.timeout / deadlineSteps)
+	}
+	tokens := o.tokens
+	_, err := o.w.Write(o.buffer)
+	o.buffer, o.tokens = o.buffer[:0], 0
+	if err == nil {
+		err = o.control.Flush()
+	}
+	if err != nil {
+		return tokens, fmt.Errorf("write to caller: %w: %w", errCallerGone, err)
+	}
+	return tokens, nil
+}
+
+// relayStream passes an engine's events on until the stream is complete or breaks.
+func (s *Server) relayStream(req *request, a *attempt, out *output) error {
+	chunks := s.options.Engines.Chunks(a.reply, req.id)
+	defer chunks.Close()
+	resumed := req.began
+	for {
+		chunk, err := chunks.Next()
+		if err == nil && chunk.Failed {
+			err = fmt.Errorf("engine's event: %w", winch.ErrOutcomeUnknown)
+		}
+		if err != nil {
+			if flushErr := s.deliver(req, a, out); flushErr != nil {
+				return flushErr
+			}
+			return s.broken(req, a, out, err)
+		}
+		a.progress.Add(1)
+		if chunk.Done {
+			return s.finish(req, a, out)
+		}
+		s.take(req, a, out, chunk, resumed)
+		if !chunks.Pending() {
+			if err := s.deliver(req, a, out); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// take puts one event into the output, unless the caller has it or did not ask for it.
+func (s *Server) take(req *request, a *attempt, out *output, chunk winch.Chunk, resumed bool) {
+	a.account.count(chunk)
+	if chunk.UsageOnly && !req.wantsUsage {
+		return
+	}
+	if resumed && chunk.Tokens == 0 && !chunk.Finished && !chunk.HasUsage {
+		return
+	}
+	if chunk.Tokens > 0 && !a.account.started {
+		s.first(s.now(), req, a)
+	}
+	if !req.began {
+		req.began = true
+		out.begin()
+	}
+	out.event(chunk.Data)
+	out.tokens += chunk.Tokens
+	req.text = append(req.text, chunk.Text...)
+	req.rigid = req.rigid || chunk.Opaque
+	a.account.finished = a.account.finished || chunk.Finished
+}
+
+// deliver flushes the output and counts the tokens in it as delivered.
+func (s *Server) deliver(req *request, a *attempt, out *output) error {
+	tokens, err := out.flush()
+	if err != nil {
+		s.metrics.wasted(req.class.ID, tokens)
+		return err
+	}
+	if tokens == 0 {
+		return nil
+	}
+	now := s.now()
+	req.tokens += tokens
+	req.output += tokens
+	a.account.deliver(tokens)
+	a.slot.Tokens(now, tokens)
+	s.report(now, req, a, reportStep)
+	return nil
+}
+
+// finish ends a complete stream.
+func (s *Server) finish(req *request, a *attempt, out *output) error {
+	a.complete = true
+	if !req.began {
+		req.began = true
+		out.begin()
+	}
+	out.event([]byte("[DONE]"))
+	return s.deliver(req, a, out)
+}
+
+// broken handles a stream that ended early. One that lacks nothing but its last
+// line is complete for the caller.
+func (s *Server) broken(req *request, a *attempt, out *output, err error) error {
+	if a.account.finished && !req.wantsUsage && a.ctx.Err() == nil {
+		return s.finish(req, a, out)
+	}
+	if errors.Is(err, winch.ErrCrossed) {
+		s.metrics.crossed()
+	}
+	return err
+}
+
+// fail ends a stream that has begun with an error event.
+func (o *output) fail(f *fault) {
+	o.event(encodeFault(f))
+	_, _ = o.flush()
+}
--- /dev/null
+++ b/serving/internal/once/transport.go
@@ -0,0 +1,130 @@
+// Package once sends HTTP calls that are never repeated silently.
+//
+// Go's HTTP transport repeats some calls by itself when a reused connection breaks:
+// those with an idempotent method or an Idempotency-Key header whose body it can
+// rewind, which includes every call without a body. Here each call has a body that
+// cannot be rewound, and a call that may not be repeated gets a connection of its
+// own, which also keeps it from racing with the server's closing of an idle one.
+//
+// # Usage
+//
+//	transport := once.New(once.Options{})
+//	response, err := transport.Send(ctx, "http://127.0.0.1:8080/bookings", call, nil)
+//	if errors.Is(err, winch.ErrUnavailable) {
+//		// No byte was written.
+//	}
+package once
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+const (
+	defaultDial = time.Second
+	defaultIdle = 256
+	idleTimeout = 30 * time.Second
+	keepAlive   = 15 * time.Second
+)
+
+// Options are the settings of a transport. The zero value of a limit stands for its default.
+type Options struct {
+	// IdleConnections is the most connections that are kept open to one server.
+	IdleConnections int
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// Unguarded leaves Go's transport free to repeat calls; for tests of the guard.
+	Unguarded bool
+}
+
+// Transport sends calls. It is safe for concurrent use.
+type Transport struct {
+	unguarded bool
+	// pooled carries calls that may be repeated by the sender, single the others.
+	pooled *http.Transport
+	single *http.Transport
+}
+
+// New returns a transport.
+func New(options Options) *Transport {
+	if options.IdleConnections == 0 {
+		options.IdleConnections = defaultIdle
+	}
+	if options.DialTimeout == 0 {
+		options.DialTimeout = defaultDial
+	}
+	return &Transport{
+		unguarded: options.Unguarded,
+		pooled:    connections(options, false),
+		single:    connections(options, true),
+	}
+}
+
+func connections(options Options, single bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: options.DialTimeout, KeepAlive: keepAlive}
+	return &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: options.IdleConnections,
+		IdleConnTimeout: idleTimeout, DisableCompression: true, DisableKeepAlives: single,
+	}
+}
+
+// Send sends the call to the address with the call's headers and the own ones,
+// which win. ErrUnavailable says that no byte was written, ErrOutcomeUnknown that
+// some may have been.
+func (t *Transport) Send(ctx context.Context, address string, call winch.Call, own http.Header) (*http.Response, error) {
+	written := &atomic.Bool{}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { written.Store(true) },
+	})
+	request, err := http.NewRequestWithContext(ctx, call.Method, address, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, fmt.Errorf("build call: %w: %w", winch.ErrUnavailable, err)
+	}
+	if !t.unguarded {
+		readOnce(request, call.Body)
+	}
+	for name, values := range call.Header {
+		request.Header[name] = values
+	}
+	for name, values := range own {
+		request.Header[name] = values
+	}
+	response, err := t.choose(call).RoundTrip(request)
+	if err == nil {
+		return response, nil
+	}
+	if written.Load() {
+		return nil, fmt.Errorf("send call: %w: %w", winch.ErrOutcomeUnknown, err)
+	}
+	return nil, fmt.Errorf("send call: %w: %w", winch.ErrUnavailable, err)
+}
+
+// Close closes the idle connections.
+func (t *Transport) Close() {
+	t.pooled.CloseIdleConnections()
+	t.single.CloseIdleConnections()
+}
+
+func (t *Transport) choose(call winch.Call) *http.Transport {
+	if call.Repeatable || t.unguarded {
+		return t.pooled
+	}
+	return t.single
+}
+
+// readOnce gives the request a body that cannot be rewound. An empty body must not
+// be nil or http.NoBody, which count as rewindable.
+func readOnce(request *http.Request, body []byte) {
+	request.GetBody = nil
+	request.ContentLength = int64(len(body))
+	request.Body = io.NopCloser(bytes.NewReader(body))
+}
