--- /dev/null
+++ b/dispatch/endpoint/account.go
@@ -0,0 +1,180 @@
+package endpoint
+
+import "github.com/arbutuswinch/winch"
+
+type accountKey struct {
+	tier         winch.Tier
+	organisation winch.OrganisationID
+}
+
+// account counts what an organisation was served in a tier, in weighted tokens.
+type account struct {
+	key    accountKey
+	weight float64
+	// served is compared between accounts of the tier; the lowest is served next.
+	served float64
+	// charged is what this host served, and never falls.
+	charged float64
+	// others is the last known sum of what other hosts charged, in tokens.
+	others      float64
+	othersKnown bool
+	// reported is the part of charged that was last reported.
+	reported float64
+	active   int
+	queues   []*accountQueue
+}
+
+// accountQueue is the part of a lane's queue that belongs to one account.
+type accountQueue struct {
+	lane           *lane
+	account        *account
+	oldest, newest *request
+	queued         int
+	heapIndex      int
+}
+
+func (q *accountQueue) push(r *request) {
+	if r.underWay() {
+		r.accountNext = q.oldest
+		if q.oldest != nil {
+			q.oldest.accountPrev = r
+		} else {
+			q.newest = r
+		}
+		q.oldest = r
+	} else {
+		r.accountPrev = q.newest
+		if q.newest != nil {
+			q.newest.accountNext = r
+		} else {
+			q.oldest = r
+		}
+		q.newest = r
+	}
+	q.queued++
+}
+
+func (q *accountQueue) remove(r *request) {
+	if r.accountPrev != nil {
+		r.accountPrev.accountNext = r.accountNext
+	} else {
+		q.oldest = r.accountNext
+	}
+	if r.accountNext != nil {
+		r.accountNext.accountPrev = r.accountPrev
+	} else {
+		q.newest = r.accountPrev
+	}
+	r.accountNext, r.accountPrev = nil, nil
+	q.queued--
+}
+
+func (l *lane) newAccountQueue(a *account) *accountQueue {
+	queue := &accountQueue{lane: l, account: a, heapIndex: -1}
+	l.byAccount[a] = queue
+	a.queues = append(a.queues, queue)
+	return queue
+}
+
+// charge adds weighted tokens to what the account was served, and keeps the heaps in order.
+func (a *account) charge(amount float64) {
+	if amount <= 0 {
+		return
+	}
+	a.served += amount / a.weight
+	for _, queue := range a.queues {
+		if queue.heapIndex >= 0 {
+			queue.lane.heapDown(queue.heapIndex)
+		}
+	}
+}
+
+func (l *lane) heapLess(i, j int) bool {
+	a, b := l.accounts[i], l.accounts[j]
+	if a.account.served != b.account.served {
+		return a.account.served < b.account.served
+	}
+	return a.account.key.organisation < b.account.key.organisation
+}
+
+func (l *lane) heapSwap(i, j int) {
+	l.accounts[i], l.accounts[j] = l.accounts[j], l.accounts[i]
+	l.accounts[i].heapIndex, l.accounts[j].heapIndex = i, j
+}
+
+func (l *lane) heapUp(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !l.heapLess(i, parent) {
+			return
+		}
+		l.heapSwap(i, parent)
+		i = parent
+	}
+}
+
+func (l *lane) heapDown(i int) {
+	for {
+		child := 2*i + 1
+		if child >= len(l.accounts) {
+			return
+		}
+		if child+1 < len(l.accounts) && l.heapLess(child+1, child) {
+			child++
+		}
+		if !l.heapLess(child, i) {
+			return
+		}
+		l.heapSwap(i, child)
+		i = child
+	}
+}
+
+func (l *lane) heapPush(q *accountQueue) {
+	q.heapIndex = len(l.accounts)
+	l.accounts = append(l.accounts, q)
+	l.heapUp(q.heapIndex)
+}
+
+func (l *lane) heapRemove(q *accountQueue) {
+	i, last := q.heapIndex, len(l.accounts)-1
+	l.heapSwap(i, last)
+	l.accounts[last] = nil
+	l.accounts = l.accounts[:last]
+	q.heapIndex = -1
+	if i < last {
+		l.heapDown(i)
+		l.heapUp(i)
+	}
+}
+
+// account returns the organisation's account in the tier.
+func (c *core) account(tier winch.Tier, organisation winch.OrganisationID) *account {
+	key := accountKey{tier: tier, organisation: organisation}
+	if a, found := c.accounts[key]; found {
+		return a
+	}
+	weight := 1.0
+	if configured := c.configuration.Organisations[organisation].Weight; configured > 0 {
+		weight = float64(configured)
+	}
+	a := &account{key: key, weight: weight}
+	c.accounts[key] = a
+	return a
+}
+
+// activate lifts a returning account to the level at which its tier is served, so
+// that it cannot claim service for the time in which it asked for none.
+func (c *core) activate(a *account) {
+	if a.active == 0 && a.served < c.level[a.key.tier] {
+		a.served = c.level[a.key.tier]
+	}
+	a.active++
+}
+
+// noteServed raises the level of the tier to that of the account just served.
+func (c *core) noteServed(a *account) {
+	if a.served > c.level[a.key.tier] {
+		c.level[a.key.tier] = a.served
+	}
+}
--- /dev/null
+++ b/dispatch/endpoint/codec.go
@@ -0,0 +1,259 @@
+package endpoint
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// figuresWire is columns rather than rows, to be short.
+type figuresWire struct {
+	Endpoints []string      `json:",omitempty"`
+	Running   []int         `json:",omitempty"`
+	Limits    []int         `json:",omitempty"` // tenths
+	Lanes     *lanesWire    `json:",omitempty"`
+	Accounts  *accountsWire `json:",omitempty"`
+	Remotes   []remoteWire  `json:",omitempty"`
+}
+
+// lanesWire has for each class and group a row of Queued, Running, Movable,
+// Urgent and the oldest wait in milliseconds.
+type lanesWire struct {
+	Classes []string
+	Groups  []string
+	Rows    [][laneColumns]int
+}
+
+const laneColumns = 5
+
+type accountsWire struct {
+	Organisations []string
+	Tiers         []int
+	Charged       []int64
+}
+
+type remoteWire struct {
+	DataCentre string `json:",omitempty"`
+	Age        int    `json:",omitempty"` // milliseconds
+	Groups     []string
+	Rooms      []int
+	Lanes      *lanesWire `json:",omitempty"`
+}
+
+const (
+	routePrefix = "/"
+	wireRows    = 4096
+	wireName    = 256
+)
+
+// encodeGroup writes a route with a leading slash and a model without.
+func encodeGroup(g group) string {
+	if g.route != "" {
+		return routePrefix + string(g.route)
+	}
+	return string(g.model)
+}
+
+func decodeGroup(text string) group {
+	if route, found := strings.CutPrefix(text, routePrefix); found {
+		return group{route: winch.RouteID(route)}
+	}
+	return group{model: winch.ModelID(text)}
+}
+
+func encodeLanes(lanes map[laneKey]laneFigures) *lanesWire {
+	if len(lanes) == 0 {
+		return nil
+	}
+	keys := make([]laneKey, 0, len(lanes))
+	for key := range lanes {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		if keys[i].class != keys[j].class {
+			return keys[i].class < keys[j].class
+		}
+		return keys[i].group.String() < keys[j].group.String()
+	})
+	wire := &lanesWire{}
+	for _, key := range keys {
+		l := lanes[key]
+		wire.Classes = append(wire.Classes, string(key.class))
+		wire.Groups = append(wire.Groups, encodeGroup(key.group))
+		wire.Rows = append(wire.Rows, [laneColumns]int{l.Queued, l.Running, l.Movable, l.Urgent, int(l.OldestWait.Milliseconds())})
+	}
+	return wire
+}
+
+func decodeLanes(wire *lanesWire) (map[laneKey]laneFigures, error) {
+	lanes := map[laneKey]laneFigures{}
+	if wire == nil {
+		return lanes, nil
+	}
+	if len(wire.Classes) != len(wire.Rows) || len(wire.Groups) != len(wire.Rows) || len(wire.Rows) > wireRows {
+		return nil, fmt.Errorf("decode Lanes: columns differ in length or exceed %d: %w", wireRows, winch.ErrInvalid)
+	}
+	for i, row := range wire.Rows {
+		for _, value := range row {
+			if value < 0 {
+				return nil, fmt.Errorf("decode Lanes.Rows: negative value: %w", winch.ErrInvalid)
+			}
+		}
+		key := laneKey{class: winch.ClassID(wire.Classes[i]), group: decodeGroup(wire.Groups[i])}
+		lanes[key] = laneFigures{
+			Queued: row[0], Running: row[1], Movable: row[2], Urgent: row[3],
+			OldestWait: time.Duration(row[4]) * time.Millisecond,
+		}
+	}
+	return lanes, nil
+}
+
+func encodeFigures(f figures) []byte {
+	wire := figuresWire{Lanes: encodeLanes(f.lanes), Accounts: encodeAccounts(f.charged)}
+	ids := make([]string, 0, len(f.endpoints))
+	for id := range f.endpoints {
+		ids = append(ids, string(id))
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		e := f.endpoints[winch.EndpointID(id)]
+		wire.Endpoints = append(wire.Endpoints, id)
+		wire.Running = append(wire.Running, e.Running)
+		wire.Limits = append(wire.Limits, int(e.Limit*10))
+	}
+	for centre, m := range f.remotes {
+		encoded := encodeRemote(m)
+		encoded.DataCentre, encoded.Age = string(centre), int(m.Age.Milliseconds())
+		wire.Remotes = append(wire.Remotes, encoded)
+	}
+	sort.Slice(wire.Remotes, func(i, j int) bool { return wire.Remotes[i].DataCentre < wire.Remotes[j].DataCentre })
+	return mustMarshal(wire)
+}
+
+func encodeAccounts(charged map[accountKey]int64) *accountsWire {
+	if len(charged) == 0 {
+		return nil
+	}
+	keys := make([]accountKey, 0, len(charged))
+	for key := range charged {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		if keys[i].organisation != keys[j].organisation {
+			return keys[i].organisation < keys[j].organisation
+		}
+		return keys[i].tier < keys[j].tier
+	})
+	wire := &accountsWire{}
+	for _, key := range keys {
+		wire.Organisations = append(wire.Organisations, string(key.organisation))
+		wire.Tiers = append(wire.Tiers, int(key.tier))
+		wire.Charged = append(wire.Charged, charged[key])
+	}
+	return wire
+}
+
+func encodeRemote(m remoteFigures) remoteWire {
+	wire := remoteWire{Groups: []string{}, Rooms: []int{}}
+	groups := make([]string, 0, len(m.rooms))
+	for g := range m.rooms {
+		groups = append(groups, encodeGroup(g))
+	}
+	sort.Strings(groups)
+	for _, g := range groups {
+		wire.Groups = append(wire.Groups, g)
+		wire.Rooms = append(wire.Rooms, m.rooms[decodeGroup(g)])
+	}
+	if len(m.lanes) <= remoteLanesTold {
+		wire.Lanes = encodeLanes(m.lanes)
+	}
+	return wire
+}
+
+// remoteLanesTold is the number of queues up to which hosts are told of another data centre's queues.
+const remoteLanesTold = 32
+
+// mustMarshal encodes structs that hold nothing which JSON cannot carry.
+func mustMarshal(value any) []byte {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
+
+func decodeFigures(encoded []byte) (figures, error) {
+	wire := figuresWire{}
+	if err := json.Unmarshal(encoded, &wire); err != nil {
+		return figures{}, fmt.Errorf("decode figures: %w: %w", winch.ErrInvalid, err)
+	}
+	if len(wire.Endpoints) != len(wire.Running) || len(wire.Limits) != len(wire.Running) || len(wire.Running) > wireRows {
+		return figures{}, fmt.Errorf("decode Endpoints: columns differ in length or exceed %d: %w", wireRows, winch.ErrInvalid)
+	}
+	f := newFigures()
+	for i, id := range wire.Endpoints {
+		if wire.Running[i] < 0 || wire.Limits[i] < 0 || len(id) > wireName {
+			return figures{}, fmt.Errorf("decode Running or Limits of %.64q: %w", id, winch.ErrInvalid)
+		}
+		f.endpoints[winch.EndpointID(id)] = endpointFigures{Running: wire.Running[i], Limit: float64(wire.Limits[i]) / 10}
+	}
+	lanes, err := decodeLanes(wire.Lanes)
+	if err != nil {
+		return figures{}, err
+	}
+	f.lanes = lanes
+	if err := decodeAccounts(wire.Accounts, f.charged); err != nil {
+		return figures{}, err
+	}
+	for _, remote := range wire.Remotes {
+		decoded, err := decodeRemote(remote)
+		if err != nil {
+			return figures{}, err
+		}
+		f.remotes[winch.DataCentreID(remote.DataCentre)] = decoded
+	}
+	return f, nil
+}
+
+func decodeAccounts(wire *accountsWire, charged map[accountKey]int64) error {
+	if wire == nil {
+		return nil
+	}
+	if len(wire.Organisations) != len(wire.Charged) || len(wire.Tiers) != len(wire.Charged) || len(wire.Charged) > wireRows {
+		return fmt.Errorf("decode Accounts: columns differ in length or exceed %d: %w", wireRows, winch.ErrInvalid)
+	}
+	for i, organisation := range wire.Organisations {
+		if wire.Charged[i] < 0 {
+			return fmt.Errorf("decode Accounts.Charged: negative value: %w", winch.ErrInvalid)
+		}
+		charged[accountKey{tier: winch.Tier(wire.Tiers[i]), organisation: winch.OrganisationID(organisation)}] = wire.Charged[i]
+	}
+	return nil
+}
+
+func decodeRemote(wire remoteWire) (remoteFigures, error) {
+	if len(wire.Groups) != len(wire.Rooms) || len(wire.Rooms) > wireRows || wire.Age < 0 {
+		return remoteFigures{}, fmt.Errorf("decode Remotes: columns differ in length or exceed %d: %w", wireRows, winch.ErrInvalid)
+	}
+	lanes, err := decodeLanes(wire.Lanes)
+	if err != nil {
+		return remoteFigures{}, err
+	}
+	m := remoteFigures{Age: time.Duration(wire.Age) * time.Millisecond, rooms: map[group]int{}, lanes: lanes}
+	for i, g := range wire.Groups {
+		m.rooms[decodeGroup(g)] = max(0, wire.Rooms[i])
+	}
+	return m, nil
+}
+
+func decodeRemoteDigest(encoded []byte) (remoteFigures, error) {
+	wire := remoteWire{}
+	if err := json.Unmarshal(encoded, &wire); err != nil {
+		return remoteFigures{}, fmt.Errorf("decode digest: %w: %w", winch.ErrInvalid, err)
+	}
+	return decodeRemote(wire)
+}
--- /dev/null
+++ b/dispatch/endpoint/configure.go
@@ -0,0 +1,227 @@
+package endpoint
+
+import (
+	"hash/fnv"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// configure takes a new configuration and the ordered endpoints in. Requests on
+// endpoints that are no longer there run on; queued ones whose lane went are refused.
+func (c *core) configure(now time.Time, configuration *winch.Configuration, ordered []winch.EndpointStatus) {
+	if c.started.IsZero() {
+		c.started = now
+	}
+	c.configuration = configuration
+	wanted := map[winch.EndpointID]winch.EndpointStatus{}
+	for id, spec := range configuration.Endpoints {
+		wanted[id] = winch.EndpointStatus{Endpoint: spec, State: winch.EndpointReady}
+	}
+	for _, status := range ordered {
+		wanted[status.Endpoint.ID] = status
+	}
+	for id, status := range wanted {
+		if status.Endpoint.DataCentre == c.self.DataCentre || c.self.DataCentre == "" {
+			c.setEndpoint(now, id, status)
+		}
+	}
+	for id, e := range c.endpoints {
+		if _, found := wanted[id]; !found {
+			c.leave(now, e, now)
+			delete(c.endpoints, id)
+		}
+	}
+	c.ordered = c.ordered[:0]
+	for _, e := range c.endpoints {
+		c.ordered = append(c.ordered, e)
+	}
+	sort.Slice(c.ordered, func(i, j int) bool { return c.ordered[i].spec.ID < c.ordered[j].spec.ID })
+	for _, a := range c.accounts {
+		a.weight = max(1, float64(configuration.Organisations[a.key.organisation].Weight))
+	}
+	c.setLanes(now)
+	c.refresh(now)
+	c.pump(now)
+}
+
+func (c *core) setEndpoint(now time.Time, id winch.EndpointID, status winch.EndpointStatus) {
+	e, found := c.endpoints[id]
+	if !found {
+		e = &endpoint{hash: hashOf(string(id)), limit: newLimiter(status.Endpoint.SlotLimit), factor: 1}
+		c.endpoints[id] = e
+	}
+	// An endpoint that comes up while others serve is loaded by degrees.
+	if now.Sub(c.started) > c.settings.RampTime && (!found || e.state == winch.EndpointWarming && status.State == winch.EndpointReady) {
+		e.inflating = now
+	}
+	e.spec = status.Endpoint
+	if ceiling := newLimiter(e.spec.SlotLimit).ceiling; ceiling != e.limit.ceiling {
+		e.limit.ceiling = ceiling
+		e.limit.value = min(e.limit.value, float64(ceiling))
+	}
+	if status.State == winch.EndpointLeaving {
+		c.leave(now, e, status.LeavesAt)
+		return
+	}
+	e.state, e.leavesAt = status.State, time.Time{}
+}
+
+// leave takes the endpoint out of service: no new work from now on, and the
+// streams are moved when the end is near.
+func (c *core) leave(now time.Time, e *endpoint, at time.Time) {
+	e.state, e.leavesAt = winch.EndpointLeaving, at
+	if !at.IsZero() && at.Sub(now) <= c.settings.LeaveMargin {
+		c.moveAll(now, e)
+	}
+}
+
+func hashOf(text string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(text))
+	return mix(hash.Sum64())
+}
+
+// setLanes builds the lanes anew, keeping the state of those that go on.
+func (c *core) setLanes(now time.Time) {
+	for _, l := range c.lanes {
+		l.endpoints = nil
+	}
+	for _, e := range c.ordered {
+		e.lanes = e.lanes[:0]
+		for _, model := range e.spec.Models {
+			c.addLanes(e, group{model: model})
+		}
+		for _, route := range e.spec.Routes {
+			c.addLanes(e, group{route: route})
+		}
+	}
+	c.addRemoteLanes()
+	c.sorted = c.sorted[:0]
+	for key, l := range c.lanes {
+		if _, found := c.configuration.Classes[key.class]; !found {
+			c.closeLane(now, l)
+			continue
+		}
+		c.sorted = append(c.sorted, l)
+	}
+	sort.Slice(c.sorted, func(i, j int) bool { return laneLess(c.sorted[i], c.sorted[j]) })
+	c.linkLanes()
+}
+
+func laneLess(a, b *lane) bool {
+	if a.class.Tier != b.class.Tier {
+		return a.class.Tier < b.class.Tier
+	}
+	if a.key.class != b.key.class {
+		return a.key.class < b.key.class
+	}
+	return a.key.group.String() < b.key.group.String()
+}
+
+// addLanes adds the endpoint to the lanes of all classes that may use it for the group.
+func (c *core) addLanes(e *endpoint, g group) {
+	for id, class := range c.configuration.Classes {
+		if len(e.spec.Classes) > 0 && !slices.Contains(e.spec.Classes, id) {
+			continue
+		}
+		if l := c.lane(class, g); l != nil {
+			l.endpoints = append(l.endpoints, e)
+			e.lanes = append(e.lanes, l)
+		}
+	}
+}
+
+// lane returns the lane of the class for the group, or nil when the class may not use it.
+func (c *core) lane(class winch.Class, g group) *lane {
+	if g.route != "" && c.configuration.Routes[g.route].Class != class.ID {
+		return nil
+	}
+	if g.model != "" && len(class.Models) > 0 && !slices.Contains(class.Models, g.model) {
+		return nil
+	}
+	key := laneKey{class: class.ID, group: g}
+	l, found := c.lanes[key]
+	if !found {
+		l = &lane{key: key, byAccount: map[*account]*accountQueue{}, budget: c.budget(g)}
+		c.lanes[key] = l
+	}
+	l.class = class
+	return l
+}
+
+// addRemoteLanes keeps a lane for what only other data centres serve.
+func (c *core) addRemoteLanes() {
+	for _, spec := range c.configuration.Endpoints {
+		for id, class := range c.configuration.Classes {
+			if len(spec.Classes) > 0 && !slices.Contains(spec.Classes, id) {
+				continue
+			}
+			for _, model := range spec.Models {
+				c.lane(class, group{model: model})
+			}
+			for _, route := range spec.Routes {
+				c.lane(class, group{route: route})
+			}
+		}
+	}
+}
+
+func (c *core) budget(g group) *retryBudget {
+	if budget, found := c.budgets[g]; found {
+		return budget
+	}
+	budget := &retryBudget{}
+	c.budgets[g] = budget
+	return budget
+}
+
+func (c *core) closeLane(now time.Time, l *lane) {
+	for l.oldest != nil {
+		c.refuse(now, l.oldest, l, winch.RefusedNoEndpoint, 0)
+	}
+	delete(c.lanes, l.key)
+}
+
+// linkLanes finds the lanes that share endpoints, and the part of the endpoints that this host uses.
+func (c *core) linkLanes() {
+	for _, l := range c.sorted {
+		l.rivals = l.rivals[:0]
+		l.first = true
+	}
+	for _, e := range c.ordered {
+		sort.Slice(e.lanes, func(i, j int) bool { return laneLess(e.lanes[i], e.lanes[j]) })
+		for _, l := range e.lanes {
+			l.first = l.first && !e.lanes[0].higher(l)
+			for _, rival := range e.lanes {
+				if !slices.Contains(l.rivals, rival) {
+					l.rivals = append(l.rivals, rival)
+				}
+			}
+		}
+	}
+	for _, l := range c.sorted {
+		if len(l.rivals) == 0 {
+			l.rivals = append(l.rivals, l)
+		}
+		sort.Slice(l.rivals, func(i, j int) bool { return laneLess(l.rivals[i], l.rivals[j]) })
+		c.setSubset(l)
+	}
+}
+
+// pump gives free slots to waiting requests on all endpoints.
+func (c *core) pump(now time.Time) {
+	for _, l := range c.sorted {
+		if l.queued == 0 {
+			continue
+		}
+		for _, e := range l.subset {
+			if l.queued == 0 {
+				break
+			}
+			c.fill(now, e)
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/endpoint/core.go
@@ -0,0 +1,409 @@
+package endpoint
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+type effectKind int
+
+const (
+	effectGranted effectKind = iota
+	effectQueued
+	effectRefused
+	effectPreempted
+	effectMoved
+	effectReleased
+	effectCancelled
+	effectEjected
+	effectRestored
+	effectQueueLong
+	effectQueueShort
+)
+
+// effect is a decision of the core for the shell to carry out and to log.
+type effect struct {
+	kind     effectKind
+	at       time.Time
+	request  *request
+	lane     *lane
+	endpoint *endpoint
+	remote   *remote
+	refusal  winch.Refusal
+	outcome  winch.Outcome
+	cause    string
+	wait     time.Duration
+	lower    lowerWork
+}
+
+// lowerWork is the work of lower tiers, known at a decision, that the same endpoints could give up.
+type lowerWork struct {
+	queued, running             int // of this host
+	othersQueued, othersRunning int // of the other hosts, by digest
+	floor                       int // kept by the floors of lower classes
+}
+
+func (w lowerWork) movable() int { return w.running + w.othersRunning }
+
+// core is the deciding part of the dispatcher. It is not safe for concurrent use.
+type core struct {
+	settings settings
+	features features
+	random   *rand.Rand
+	self     winch.Host
+	rank     int // of this host among those of its data centre
+	hosts    int
+
+	configuration *winch.Configuration
+	endpoints     map[winch.EndpointID]*endpoint
+	ordered       []*endpoint // by id
+	lanes         map[laneKey]*lane
+	sorted        []*lane // by tier, then class and group
+	budgets       map[group]*retryBudget
+	accounts      map[accountKey]*account
+	level         map[winch.Tier]float64
+	remotes       map[winch.DataCentreID]*remote
+	prefixes      map[winch.PrefixHash]winch.EndpointID
+	expiry        expiryHeap
+	free          []*request
+	effects       []effect
+	scores        []float64
+	hub           hub
+	started       time.Time
+	appliedAt     time.Time // when the other hosts' figures were true
+	appliedFrom   winch.HostID
+}
+
+type settings = Settings
+
+func newCore(self winch.Host, policy Policy, tuning Settings, seed uint64) *core {
+	return &core{
+		settings: tuning.withDefaults(), features: featuresOf(policy), self: self, hosts: 1,
+		random:        rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		configuration: &winch.Configuration{},
+		endpoints:     map[winch.EndpointID]*endpoint{},
+		lanes:         map[laneKey]*lane{},
+		budgets:       map[group]*retryBudget{},
+		accounts:      map[accountKey]*account{},
+		level:         map[winch.Tier]float64{},
+		remotes:       map[winch.DataCentreID]*remote{},
+		prefixes:      map[winch.PrefixHash]winch.EndpointID{},
+		hub:           newHub(),
+	}
+}
+
+func (c *core) emit(e effect) { c.effects = append(c.effects, e) }
+
+func (c *core) newRequest(now time.Time, work winch.Work, waiter any, p *progress) *request {
+	var r *request
+	if last := len(c.free) - 1; last >= 0 {
+		r, c.free = c.free[last], c.free[:last]
+		*r = request{}
+	} else {
+		r = &request{}
+	}
+	r.work, r.waiter, r.progress, r.queuedAt, r.heapIndex = work, waiter, p, now, -1
+	r.long = work.InputTokens >= c.settings.LongInput || work.OutputDone >= c.settings.LongOutput
+	return r
+}
+
+// recycle gives a request back for reuse, after the shell carried out its effects.
+func (c *core) recycle(r *request) {
+	if len(c.free) < requestsKept {
+		c.free = append(c.free, r)
+	}
+}
+
+const requestsKept = 4096
+
+// arrive takes a request in: it is granted, queued or refused, as the effects say.
+func (c *core) arrive(now time.Time, work winch.Work, waiter any, p *progress) *request {
+	r := c.newRequest(now, work, waiter, p)
+	l := c.laneOf(work)
+	if l == nil || len(l.endpoints) == 0 && len(c.remotes) == 0 {
+		c.refuse(now, r, l, winch.RefusedNoEndpoint, 0)
+		return r
+	}
+	r.lane = l
+	r.account = c.account(l.class.Tier, work.Organisation)
+	c.activate(r.account)
+	if l.queued == 0 {
+		if e := c.choose(now, l, r); e != nil {
+			c.grant(now, r, e)
+			return r
+		}
+	}
+	if c.handOver(now, r) {
+		return r
+	}
+	if !c.admit(now, r) {
+		return r
+	}
+	c.enqueue(now, r)
+	c.relieve(now, l)
+	return r
+}
+
+// laneOf returns the lane of the work, or nil when its class may not use its model or route.
+func (c *core) laneOf(work winch.Work) *lane {
+	return c.lanes[laneKey{class: work.Class, group: group{model: work.Model, route: work.Route}}]
+}
+
+func (c *core) choose(now time.Time, l *lane, r *request) *endpoint {
+	if c.blocked(now, l) {
+		return nil
+	}
+	return c.features.choice(c, now, l, r)
+}
+
+// blocked tells whether a higher tier waits for the lane's endpoints, here or at another host.
+func (c *core) blocked(now time.Time, l *lane) bool {
+	if !c.features.tiers || c.starved(now, l) {
+		return false
+	}
+	for _, rival := range l.rivals {
+		if !rival.higher(l) {
+			return false
+		}
+		if c.fresh(now, rival.othersAt) && rival.others.Urgent > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *core) fresh(now, at time.Time) bool {
+	return !at.IsZero() && now.Sub(at) <= c.settings.DigestHorizon
+}
+
+func (c *core) enqueue(now time.Time, r *request) {
+	l := r.lane
+	r.state = requestQueued
+	r.expires = c.expiryOf(now, r)
+	l.push(r)
+	c.expiry.push(r)
+	c.emit(effect{kind: effectQueued, at: now, request: r, lane: l})
+	if !l.warned && l.queued > l.queueLimit()/2 {
+		l.warned = true
+		c.emit(effect{kind: effectQueueLong, at: now, lane: l, wait: l.oldestWait(now)})
+	}
+}
+
+// expiryOf returns when the request is given up in the queue. A stream under way waits to its deadline.
+func (c *core) expiryOf(now time.Time, r *request) time.Time {
+	l := r.lane
+	end := r.queuedAt.Add(l.maxWait())
+	if r.underWay() {
+		end = now.Add(streamPatience)
+	}
+	if !r.work.Deadline.IsZero() {
+		latest := r.work.Deadline.Add(-secondsOf(l.firstToken.value))
+		if latest.Before(end) || r.underWay() {
+			end = latest
+		}
+	}
+	return end
+}
+
+// streamPatience is how long a stream under way waits for a new endpoint when it has no deadline.
+const streamPatience = 2 * time.Minute
+
+func secondsOf(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
+
+// grant gives the request a slot of the endpoint.
+func (c *core) grant(now time.Time, r *request, e *endpoint) {
+	if r.state == requestQueued {
+		c.unqueue(r)
+	}
+	l := r.lane
+	r.state, r.endpoint, r.grantedAt, r.collectedAt = requestRunning, e, now, now
+	if c.features.floors && c.floorDue(now, l) {
+		r.floor = true
+		l.floorRunning++
+		l.servedFloor++
+	}
+	e.add(r)
+	e.history.add(now, float64(e.running+e.others))
+	l.running++
+	if e.spec.Supply == winch.SupplyCheap {
+		l.cheapRunning++
+	}
+	c.noteServed(r.account)
+	c.charge(r.account, float64(r.work.InputTokens))
+	if r.work.Prefix != 0 {
+		c.rememberPrefix(r.work.Prefix, e.spec.ID)
+	}
+	c.emit(effect{kind: effectGranted, at: now, request: r, lane: l, endpoint: e, wait: now.Sub(r.queuedAt)})
+}
+
+func (c *core) charge(a *account, tokens float64) {
+	a.charged += tokens
+	a.charge(tokens)
+}
+
+func (c *core) unqueue(r *request) {
+	r.lane.remove(r)
+	c.expiry.remove(r)
+	r.state = requestIdle
+}
+
+// refuse gives the request up.
+func (c *core) refuse(now time.Time, r *request, l *lane, reason winch.RefusalReason, wait time.Duration) {
+	if r.state == requestQueued {
+		c.unqueue(r)
+	}
+	if r.account != nil {
+		r.account.active--
+	}
+	r.state = requestIdle
+	after := wait
+	if after < c.settings.RetryAfterMin {
+		after = c.settings.RetryAfterMin
+	}
+	if after > c.settings.RetryAfterMax {
+		after = c.settings.RetryAfterMax
+	}
+	refusal := winch.Refusal{Reason: reason, RetryAfter: after}
+	c.emit(effect{kind: effectRefused, at: now, request: r, lane: l, refusal: refusal, lower: c.lowerWork(now, l)})
+}
+
+// cancel takes a queued request out, since its caller left. It reports whether it was queued.
+func (c *core) cancel(now time.Time, r *request) bool {
+	if r.state != requestQueued {
+		return false
+	}
+	c.unqueue(r)
+	r.account.active--
+	return true
+}
+
+// release takes a slot back and gives it to the next request.
+func (c *core) release(now time.Time, r *request, outcome winch.Outcome) {
+	if r.state != requestRunning {
+		return
+	}
+	l, e := r.lane, r.endpoint
+	c.collect(now, r)
+	r.state = requestIdle
+	r.account.active--
+	c.emit(effect{kind: effectReleased, at: now, request: r, lane: l, endpoint: e, remote: r.remote, outcome: outcome,
+		wait: now.Sub(r.grantedAt)})
+	if r.remote != nil {
+		r.remote.release(outcome)
+		return
+	}
+	e.remove(r)
+	e.history.add(now, float64(e.running+e.others))
+	l.running--
+	if e.spec.Supply == winch.SupplyCheap {
+		l.cheapRunning--
+	}
+	if r.floor {
+		l.floorRunning--
+	}
+	if r.relieves && l.preempting > 0 {
+		l.preempting--
+	}
+	c.judge(now, r, outcome)
+	c.fill(now, e)
+}
+
+// judge learns from how the use of the slot ended.
+func (c *core) judge(now time.Time, r *request, outcome winch.Outcome) {
+	switch outcome {
+	case winch.OutcomeDone:
+		r.lane.hold.add(now.Sub(r.grantedAt).Seconds(), sampleWeight)
+		r.lane.budget.success(c.settings.RetryShare)
+		if r.work.Route != "" {
+			r.lane.firstToken.add(now.Sub(r.grantedAt).Seconds(), sampleWeight)
+			r.endpoint.limit.sampleFirst(now.Sub(r.grantedAt).Seconds())
+		}
+		c.answered(now, r.endpoint)
+	case winch.OutcomeUnsent:
+		c.failed(now, r.endpoint, true)
+	case winch.OutcomeFailed:
+		c.failed(now, r.endpoint, false)
+	case winch.OutcomeRejected:
+		r.endpoint.limit.value = max(1, min(r.endpoint.limit.value, float64(r.endpoint.running+1))*limitDecrease)
+	}
+}
+
+// fill gives the endpoint's free slots to waiting requests.
+func (c *core) fill(now time.Time, e *endpoint) {
+	for e.usable(now) && c.allowance(now, e) > 0 {
+		r := c.nextFor(now, e)
+		if r == nil {
+			return
+		}
+		c.grant(now, r, e)
+	}
+}
+
+// nextFor picks the request that the endpoint serves next: a starved class
+// below its floor, then the highest tier, and inside a tier the account served least.
+func (c *core) nextFor(now time.Time, e *endpoint) *request {
+	if !c.features.tiers {
+		return c.oldestFor(e)
+	}
+	for _, l := range e.lanes {
+		if l.queued > 0 && c.starved(now, l) && c.roomFor(e, l, l.oldest) {
+			if r := l.next(e, c.features.fairness); r != nil {
+				return r
+			}
+		}
+	}
+	var best *request
+	for _, l := range e.lanes {
+		if best != nil && best.lane.higher(l) {
+			break
+		}
+		if l.queued == 0 || c.blocked(now, l) {
+			continue
+		}
+		r := l.next(e, c.features.fairness)
+		if r != nil && c.roomFor(e, l, r) && (best == nil || c.before(r, best)) {
+			best = r
+		}
+	}
+	return best
+}
+
+func (c *core) before(r, other *request) bool {
+	if c.features.fairness && r.account != other.account {
+		return r.account.served < other.account.served
+	}
+	return r.queuedAt.Before(other.queuedAt)
+}
+
+func (c *core) oldestFor(e *endpoint) *request {
+	var best *request
+	for _, l := range e.lanes {
+		r := l.next(e, false)
+		if r != nil && (best == nil || r.queuedAt.Before(best.queuedAt)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// roomFor keeps long work to its share of an endpoint that serves a more urgent class.
+func (c *core) roomFor(e *endpoint, l *lane, r *request) bool {
+	if !c.features.longShare || !r.long || len(e.lanes) == 0 || !e.lanes[0].higher(l) {
+		return true
+	}
+	return float64(e.long) < max(1, c.settings.LongShare*e.limit.value)
+}
+
+// observeLoad takes an endpoint's report in.
+func (c *core) observeLoad(now time.Time, report winch.LoadReport) {
+	e, found := c.endpoints[report.Endpoint]
+	if !found {
+		return
+	}
+	e.observe(report)
+	if report.State == winch.EndpointLeaving && e.state == winch.EndpointReady {
+		c.leave(now, e, time.Time{})
+	}
+}
--- /dev/null
+++ b/dispatch/endpoint/dispatcher.go
@@ -0,0 +1,267 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// Dispatcher implements winch.Dispatcher and winch.LoadObserver. It is safe for concurrent use.
+type Dispatcher struct {
+	options Options
+	logger  hclog.Logger
+	metrics *metrics
+
+	lock sync.Mutex
+	core *core
+	// lines are the log lines of decisions, reused; guarded by lock.
+	spare [][]line
+}
+
+// New returns a dispatcher. It decides from the start; Run does the housekeeping.
+func New(options Options) (*Dispatcher, error) {
+	if err := options.check(); err != nil {
+		return nil, fmt.Errorf("create dispatcher: %w", err)
+	}
+	self := winch.Host{}
+	if options.Membership != nil {
+		self = options.Membership.Self()
+	}
+	d := &Dispatcher{
+		options: options, logger: options.Logger.Named("dispatch"),
+		core: newCore(self, options.Policy, options.Settings, options.Seed),
+	}
+	measures, err := newMetrics(options.Meter, d)
+	if err != nil {
+		return nil, fmt.Errorf("create dispatcher: %w", err)
+	}
+	d.metrics = measures
+	now := options.Clock.Now()
+	d.setHosts(now)
+	d.configure(now)
+	return d, nil
+}
+
+// Run does the housekeeping until the context ends, and returns the context's error.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	ticker := time.NewTicker(d.options.Settings.Tick)
+	defer ticker.Stop()
+	for {
+		configured, ordered := d.changes()
+		d.configure(d.options.Clock.Now())
+		if err := d.rounds(ctx, ticker, configured, ordered); err != nil {
+			return err
+		}
+	}
+}
+
+// changes returns the channels that tell of the next changes. They are taken
+// before the state is read, so that no change is missed.
+func (d *Dispatcher) changes() (configured, ordered <-chan struct{}) {
+	configured = d.options.Configurations.Changed()
+	if d.options.Source != nil {
+		ordered = d.options.Source.Changed()
+	}
+	return configured, ordered
+}
+
+// rounds does housekeeping until the endpoints change.
+func (d *Dispatcher) rounds(ctx context.Context, ticker *time.Ticker, configured, ordered <-chan struct{}) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-configured:
+			return nil
+		case <-ordered:
+			return nil
+		case <-ticker.C:
+			now := d.options.Clock.Now()
+			d.setHosts(now)
+			d.act(func() { d.core.tick(now) })
+		}
+	}
+}
+
+func (d *Dispatcher) configure(now time.Time) {
+	configuration := d.options.Configurations.Current()
+	if configuration == nil {
+		return
+	}
+	var ordered []winch.EndpointStatus
+	if d.options.Source != nil {
+		ordered = d.options.Source.Endpoints()
+	}
+	count := 0
+	d.act(func() {
+		d.core.configure(now, configuration, ordered)
+		count = len(d.core.ordered)
+	})
+	d.logger.Info("endpoints taken in", "Event", EventEndpointsChanged, "Revision", configuration.Revision,
+		"Endpoints", count, "Ordered", len(ordered))
+}
+
+func (d *Dispatcher) setHosts(now time.Time) {
+	membership := d.options.Membership
+	if membership == nil {
+		return
+	}
+	self := membership.Self()
+	var others []winch.Host
+	for _, centre := range membership.DataCentres() {
+		if centre != self.DataCentre {
+			others = append(others, membership.Hosts(now, centre)...)
+		}
+	}
+	own := membership.Hosts(now, self.DataCentre)
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.core.setHosts(own, others)
+}
+
+// Acquire waits for a slot of an endpoint.
+func (d *Dispatcher) Acquire(ctx context.Context, now time.Time, work winch.Work) (winch.Slot, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("acquire slot: %w", err)
+	}
+	s := newSlot(d)
+	d.act(func() { s.request = d.core.arrive(now, work, s, &s.progress) })
+	select {
+	case err := <-s.ready:
+		if err != nil {
+			return nil, err
+		}
+		return s, nil
+	case <-ctx.Done():
+		return nil, d.abandon(ctx, s)
+	}
+}
+
+// abandon takes the request of a caller that left out of the queue, or gives its slot back.
+func (d *Dispatcher) abandon(ctx context.Context, s *slot) error {
+	now := d.options.Clock.Now()
+	d.act(func() {
+		if s.request != nil && d.core.cancel(now, s.request) {
+			d.core.emit(effect{kind: effectCancelled, at: now, request: s.request, lane: s.request.lane})
+		}
+	})
+	select {
+	case err := <-s.ready:
+		if err == nil {
+			s.Release(now, winch.OutcomeCancelled)
+		}
+	default:
+	}
+	return fmt.Errorf("acquire slot: %w", ctx.Err())
+}
+
+// Retry spends from the retry budget of the work's model or route.
+func (d *Dispatcher) Retry(now time.Time, work winch.Work) bool {
+	d.lock.Lock()
+	allowed := d.core.budget(group{model: work.Model, route: work.Route}).spend(now, d.options.Settings.RetryFloor)
+	d.lock.Unlock()
+	if !allowed {
+		d.logger.Info("retry refused", "Event", EventRetryRefused, "At", stamp(now), "Request", string(work.Request),
+			"Class", string(work.Class), "Group", group{model: work.Model, route: work.Route}.String())
+	}
+	return allowed
+}
+
+// ObserveLoad takes an endpoint's load report in.
+func (d *Dispatcher) ObserveLoad(now time.Time, report winch.LoadReport) {
+	d.act(func() { d.core.observeLoad(now, report) })
+}
+
+// ObserveCache takes an engine's cache event in.
+func (d *Dispatcher) ObserveCache(_ time.Time, event winch.CacheEvent) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.core.observeCache(event)
+}
+
+// act runs a step of the core, carries its effects out, and logs them after the lock is given back.
+func (d *Dispatcher) act(step func()) {
+	d.lock.Lock()
+	step()
+	if len(d.core.effects) == 0 {
+		d.lock.Unlock()
+		return
+	}
+	lines := d.takeLines()
+	for i := range d.core.effects {
+		e := &d.core.effects[i]
+		lines = append(lines, d.core.line(e))
+		d.carryOut(e)
+	}
+	clear(d.core.effects)
+	d.core.effects = d.core.effects[:0]
+	d.lock.Unlock()
+	for i := range lines {
+		d.log(&lines[i])
+		d.metrics.count(&lines[i])
+	}
+	d.giveLines(lines)
+}
+
+func (d *Dispatcher) takeLines() []line {
+	if last := len(d.spare) - 1; last >= 0 {
+		lines := d.spare[last]
+		d.spare = d.spare[:last]
+		return lines
+	}
+	return nil
+}
+
+const spareLines = 64
+
+func (d *Dispatcher) giveLines(lines []line) {
+	clear(lines)
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	if len(d.spare) < spareLines {
+		d.spare = append(d.spare, lines[:0])
+	}
+}
+
+// carryOut tells the request's goroutine what was decided.
+func (d *Dispatcher) carryOut(e *effect) {
+	if e.request == nil {
+		return
+	}
+	s, found := e.request.waiter.(*slot)
+	if !found {
+		return
+	}
+	switch e.kind {
+	case effectGranted:
+		s.grant(e)
+	case effectRefused:
+		refusal := e.refusal
+		s.request = nil
+		d.core.recycle(e.request)
+		s.ready <- &refusal
+	case effectCancelled, effectReleased:
+		s.request = nil
+		d.core.recycle(e.request)
+	case effectPreempted, effectMoved:
+		close(s.preempted)
+	}
+}
+
+func (s *slot) grant(e *effect) {
+	if e.endpoint != nil {
+		s.endpoint = e.endpoint.spec
+		s.heard = &e.endpoint.lastHeard
+	} else {
+		host := s.dispatcher.core.peerOf(e.remote, e.request)
+		s.endpoint = winch.Endpoint{
+			ID: winch.EndpointID(host.ID), DataCentre: e.remote.centre, Kind: winch.EndpointPeer, Address: host.PeerAddress,
+		}
+	}
+	s.ready <- nil
+}
--- /dev/null
+++ b/dispatch/endpoint/health.go
@@ -0,0 +1,114 @@
+package endpoint
+
+import (
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// health decides whether an endpoint may get work. An ejected endpoint is left
+// alone for a back-off, then tried with one request at a time until one is answered.
+type health struct {
+	failures     int
+	ejectedUntil time.Time
+	backoff      time.Duration
+	probing      bool
+}
+
+// usable tells whether the endpoint may get another request.
+func (e *endpoint) usable(now time.Time) bool {
+	if e.state != winch.EndpointReady {
+		return false
+	}
+	if !e.health.probing {
+		return true
+	}
+	return !now.Before(e.health.ejectedUntil) && e.running == 0
+}
+
+// eject takes the endpoint out for a back-off that doubles each time.
+func (c *core) eject(now time.Time, e *endpoint, cause string) {
+	h := &e.health
+	switch {
+	case !h.probing || h.backoff == 0:
+		h.backoff = c.settings.EjectionTime
+	case h.backoff*2 > c.settings.EjectionMax:
+		h.backoff = c.settings.EjectionMax
+	default:
+		h.backoff *= 2
+	}
+	h.probing, h.failures = true, 0
+	h.ejectedUntil = now.Add(h.backoff)
+	c.emit(effect{kind: effectEjected, endpoint: e, cause: cause, wait: h.backoff})
+}
+
+// answered notes evidence that the endpoint works.
+func (c *core) answered(now time.Time, e *endpoint) {
+	e.health.failures = 0
+	if !e.health.probing || now.Before(e.health.ejectedUntil) {
+		return
+	}
+	e.health = health{}
+	e.inflating = now
+	c.emit(effect{kind: effectRestored, endpoint: e})
+}
+
+// failed counts a failure, and ejects the endpoint after several in a row.
+func (c *core) failed(now time.Time, e *endpoint, unreachable bool) {
+	if !c.features.ejection || now.Before(e.health.ejectedUntil) {
+		return
+	}
+	e.health.failures++
+	if e.health.probing || unreachable || e.health.failures >= c.settings.FailureLimit {
+		c.eject(now, e, "failures")
+	}
+}
+
+// checkSilence ejects an endpoint that has streams under way and says nothing.
+func (c *core) checkSilence(now time.Time, e *endpoint) {
+	if !c.features.ejection || e.running == 0 || e.spec.Kind != winch.EndpointEngine || now.Before(e.health.ejectedUntil) {
+		return
+	}
+	streaming, since := e.awaited()
+	heard := time.Unix(0, e.lastHeard.Load())
+	if heard.After(since) {
+		since = heard
+	}
+	limit := c.settings.SilenceLimit
+	if !streaming {
+		// A first token may take long on a busy engine.
+		limit *= firstTokenPatience
+	}
+	if now.Sub(since) > limit {
+		c.eject(now, e, "silence")
+		c.moveAll(now, e)
+	}
+}
+
+const firstTokenPatience = 3
+
+// awaited tells whether a stream is under way, and since when an answer is awaited at the longest.
+func (e *endpoint) awaited() (bool, time.Time) {
+	streaming, since := false, time.Time{}
+	for i := range e.tiers {
+		for r := e.tiers[i].newest; r != nil; r = r.runNext {
+			streaming = streaming || r.firstSeen
+			if since.IsZero() || r.grantedAt.Before(since) {
+				since = r.grantedAt
+			}
+		}
+	}
+	return streaming, since
+}
+
+// moveAll asks every stream to leave the endpoint.
+func (c *core) moveAll(now time.Time, e *endpoint) {
+	for i := range e.tiers {
+		for r := e.tiers[i].newest; r != nil; r = r.runNext {
+			if !r.preempted && r.work.Model != "" {
+				r.preempted = true
+				c.emit(effect{kind: effectMoved, request: r, endpoint: e, at: now})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/endpoint/limit.go
@@ -0,0 +1,114 @@
+package endpoint
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	limitInterval  = time.Second
+	limitDecrease  = 0.85
+	limitPressure  = 0.9 // share of the target from which the limit falls
+	limitHeadroom  = 0.7 // share of the target below which it may grow
+	sampleWeight   = 0.1
+	minimumSamples = 3
+)
+
+// limiter adapts the concurrency of an endpoint to its latency: additive
+// increase while the targets are met and the limit is used, multiplicative
+// decrease when the time to the first token or between tokens nears its target.
+type limiter struct {
+	value      float64
+	ceiling    int
+	firstToken average // seconds, since the last adjustment
+	interToken average
+	// slowness and steadyInter are long means, to compare endpoints with each other.
+	steadyInter average
+	steadyFirst average
+	adjustedAt  time.Time
+	peak        int // most requests at once since the last adjustment
+}
+
+func newLimiter(ceiling int) limiter {
+	if ceiling <= 0 {
+		ceiling = defaultSlotLimit
+	}
+	return limiter{value: float64(ceiling), ceiling: ceiling}
+}
+
+const defaultSlotLimit = 8
+
+// targets are those of the most urgent class at the endpoint, in seconds; zero means none.
+type targets struct {
+	firstToken float64
+	interToken float64
+}
+
+func (l *limiter) sampleFirst(seconds float64) {
+	l.firstToken.add(seconds, sampleWeight)
+	l.steadyFirst.add(seconds, sampleWeight)
+}
+
+func (l *limiter) sampleInter(seconds float64) {
+	l.interToken.add(seconds, sampleWeight)
+	l.steadyInter.add(seconds, sampleWeight)
+}
+
+// pressure returns the largest ratio of a measured time to its target, and
+// whether anything was measured.
+func (l *limiter) pressure(t targets) (float64, bool) {
+	pressure, measured := 0.0, false
+	if t.firstToken > 0 && l.firstToken.samples >= minimumSamples {
+		pressure, measured = l.firstToken.value/t.firstToken, true
+	}
+	if t.interToken > 0 && l.interToken.samples >= minimumSamples {
+		pressure, measured = math.Max(pressure, l.interToken.value/t.interToken), true
+	}
+	return pressure, measured
+}
+
+// adjust moves the limit once an interval.
+func (l *limiter) adjust(now time.Time, t targets, running int) {
+	if running > l.peak {
+		l.peak = running
+	}
+	if now.Sub(l.adjustedAt) < limitInterval {
+		return
+	}
+	pressure, measured := l.pressure(t)
+	switch {
+	case measured && pressure > limitPressure:
+		// More than is running cannot be the cause, so the cut starts from there.
+		l.value = math.Max(1, math.Min(l.value, float64(l.peak))*limitDecrease)
+	case (!measured || pressure < limitHeadroom) && float64(l.peak) >= math.Floor(l.value):
+		l.value = math.Min(float64(l.ceiling), l.value+1)
+	}
+	l.adjustedAt, l.peak = now, running
+	l.firstToken, l.interToken = average{}, average{}
+}
+
+// merge moves the limit half way to what the other hosts found.
+func (l *limiter) merge(others float64) {
+	if others < 1 {
+		return
+	}
+	l.value = math.Min(float64(l.ceiling), (l.value+others)/2)
+}
+
+// slots is the limit as a number of requests. Ramp time since the endpoint was
+// first seen scales it.
+func (e *endpoint) slots(now time.Time, ramp time.Duration) int {
+	value := e.limit.value
+	if !e.inflating.IsZero() {
+		age := now.Sub(e.inflating)
+		if age >= ramp {
+			e.inflating = time.Time{}
+		} else {
+			value *= math.Max(rampStart, float64(age)/float64(ramp))
+		}
+	}
+	return int(math.Max(1, value))
+}
+
+// rampStart is the share of its limit that a new endpoint gets at first.
+const rampStart = 0.25
--- /dev/null
+++ b/dispatch/endpoint/metrics.go
@@ -0,0 +1,85 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+)
+
+// metrics counts decisions and shows the queues.
+type metrics struct {
+	decisions metric.Int64Counter
+	waits     metric.Float64Histogram
+}
+
+func newMetrics(meter metric.Meter, d *Dispatcher) (*metrics, error) {
+	if meter == nil {
+		meter = noop.NewMeterProvider().Meter("dispatch")
+	}
+	decisions, err := meter.Int64Counter("winch_dispatch_decisions", metric.WithDescription("Decisions by kind, class and reason."))
+	if err != nil {
+		return nil, fmt.Errorf("create counter of decisions: %w", err)
+	}
+	waits, err := meter.Float64Histogram("winch_dispatch_wait", metric.WithUnit("s"), metric.WithDescription("Time in the queue of requests that got a slot."))
+	if err != nil {
+		return nil, fmt.Errorf("create histogram of waits: %w", err)
+	}
+	if err := observeQueues(meter, d); err != nil {
+		return nil, err
+	}
+	return &metrics{decisions: decisions, waits: waits}, nil
+}
+
+func observeQueues(meter metric.Meter, d *Dispatcher) error {
+	depth, err := meter.Int64ObservableGauge("winch_dispatch_queue_depth", metric.WithDescription("Queued requests of this host."))
+	if err != nil {
+		return fmt.Errorf("create gauge of depth: %w", err)
+	}
+	oldest, err := meter.Float64ObservableGauge("winch_dispatch_queue_oldest", metric.WithUnit("s"), metric.WithDescription("Wait of the oldest queued request."))
+	if err != nil {
+		return fmt.Errorf("create gauge of the oldest wait: %w", err)
+	}
+	drain, err := meter.Float64ObservableGauge("winch_dispatch_queue_drain", metric.WithUnit("s"), metric.WithDescription("Predicted time until the queue is empty."))
+	if err != nil {
+		return fmt.Errorf("create gauge of the drain: %w", err)
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
+		for _, status := range d.Queues(d.options.Clock.Now()) {
+			if status.Host != d.core.self.ID {
+				continue
+			}
+			attributes := metric.WithAttributes(attribute.String("class", string(status.Class)),
+				attribute.String("model", string(status.Model)), attribute.String("route", string(status.Route)))
+			observer.ObserveInt64(depth, int64(status.Queued), attributes)
+			observer.ObserveFloat64(oldest, status.OldestWait.Seconds(), attributes)
+			observer.ObserveFloat64(drain, status.PredictedDrain.Seconds(), attributes)
+		}
+		return nil
+	}, depth, oldest, drain)
+	if err != nil {
+		return fmt.Errorf("register gauges of queues: %w", err)
+	}
+	return nil
+}
+
+// String returns the kind as metrics name it.
+func (k effectKind) String() string {
+	names := [...]string{
+		effectGranted: "granted", effectQueued: "queued", effectRefused: "refused", effectPreempted: "preempted",
+		effectMoved: "moved", effectReleased: "released", effectCancelled: "cancelled", effectEjected: "ejected",
+		effectRestored: "restored", effectQueueLong: "queue_long", effectQueueShort: "queue_short",
+	}
+	return names[k]
+}
+
+// count counts a decision.
+func (m *metrics) count(l *line) {
+	m.decisions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", l.kind.String()),
+		attribute.String("class", string(l.class)), attribute.String("reason", string(l.refusal.Reason))))
+	if l.kind == effectGranted {
+		m.waits.Record(context.Background(), l.waited.Seconds(), metric.WithAttributes(attribute.String("class", string(l.class))))
+	}
+}
--- /dev/null
+++ b/dispatch/endpoint/queues.go
@@ -0,0 +1,80 @@
+package endpoint
+
+import (
+	"sort"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// Queues returns the queues of this host, and those of others as far as the
+// exchange told of them: at the hub each host's, elsewhere their sum.
+func (d *Dispatcher) Queues(now time.Time) []winch.QueueStatus {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	return d.core.queues(now)
+}
+
+func (c *core) queues(now time.Time) []winch.QueueStatus {
+	statuses := make([]winch.QueueStatus, 0, len(c.sorted))
+	for _, l := range c.sorted {
+		status := c.status(l.key, laneFigures{Queued: l.queued, Running: l.running, OldestWait: l.oldestWait(now)})
+		status.DataCentre, status.Host, status.PredictedDrain = c.self.DataCentre, c.self.ID, c.drain(now, l)
+		statuses = append(statuses, status)
+	}
+	if len(c.hub.reports) == 0 {
+		statuses = c.sums(now, statuses)
+	}
+	for id, report := range c.hub.reports {
+		if id == c.self.ID {
+			continue
+		}
+		for key, figures := range report.figures.lanes {
+			status := c.status(key, figures)
+			status.DataCentre, status.Host, status.Age = c.self.DataCentre, id, now.Sub(report.at)
+			statuses = append(statuses, status)
+		}
+	}
+	for centre, m := range c.remotes {
+		for key, figures := range m.lanes {
+			status := c.status(key, figures)
+			status.DataCentre, status.Age = centre, now.Sub(m.at)
+			statuses = append(statuses, status)
+		}
+	}
+	sort.SliceStable(statuses, func(i, j int) bool { return statusLess(statuses[i], statuses[j]) })
+	return statuses
+}
+
+// sums adds the figures of the data centre's other hosts together.
+func (c *core) sums(now time.Time, statuses []winch.QueueStatus) []winch.QueueStatus {
+	for _, l := range c.sorted {
+		if !c.fresh(now, l.othersAt) || l.others.Queued+l.others.Running == 0 {
+			continue
+		}
+		status := c.status(l.key, l.others)
+		status.DataCentre, status.Age = c.self.DataCentre, now.Sub(l.othersAt)
+		statuses = append(statuses, status)
+	}
+	return statuses
+}
+
+func (c *core) status(key laneKey, figures laneFigures) winch.QueueStatus {
+	return winch.QueueStatus{
+		Class: key.class, Model: key.group.model, Route: key.group.route, Tier: c.configuration.Classes[key.class].Tier,
+		Queued: figures.Queued, Running: figures.Running, OldestWait: figures.OldestWait,
+	}
+}
+
+func statusLess(a, b winch.QueueStatus) bool {
+	if a.DataCentre != b.DataCentre {
+		return a.DataCentre < b.DataCentre
+	}
+	if a.Tier != b.Tier {
+		return a.Tier < b.Tier
+	}
+	if a.Class != b.Class {
+		return a.Class < b.Class
+	}
+	return a.Host < b.Host
+}
--- /dev/null
+++ b/dispatch/endpoint/request.go
@@ -0,0 +1,127 @@
+package endpoint
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+type requestState int
+
+const (
+	requestIdle requestState = iota
+	requestQueued
+	requestRunning
+)
+
+// progress is written by the stream without the lock, and read by the core.
+// Instants are nanoseconds since 1970; zero stands for never.
+type progress struct {
+	first  atomic.Int64
+	last   atomic.Int64
+	tokens atomic.Int64
+}
+
+// request is one request in a queue or on an endpoint. Requests are reused.
+type request struct {
+	work     winch.Work
+	lane     *lane
+	account  *account
+	state    requestState
+	queuedAt time.Time
+	expires  time.Time
+	// heapIndex is the place in the heap of expiries, -1 outside.
+	heapIndex int
+	// The lane's queue in the order of arrival, and the account's within the lane.
+	laneNext, lanePrev       *request
+	accountNext, accountPrev *request
+	accountQueue             *accountQueue
+
+	endpoint         *endpoint
+	remote           *remote
+	runNext, runPrev *request
+	grantedAt        time.Time
+	collected        winch.Tokens
+	collectedAt      time.Time
+	firstSeen        bool
+	long             bool
+	floor            bool
+	preempted        bool
+	// relieves says that the preemption was for a request queued here.
+	relieves bool
+
+	progress *progress
+	waiter   any
+}
+
+// movable tells whether the request can go on elsewhere when its slot is taken.
+func (r *request) movable() bool { return r.work.Model != "" && !r.floor }
+
+// underWay tells whether the caller already got a part of the answer.
+func (r *request) underWay() bool { return r.work.OutputDone > 0 }
+
+func (r *request) excludes(id winch.EndpointID) bool {
+	for _, excluded := range r.work.Excluded {
+		if excluded == id {
+			return true
+		}
+	}
+	return false
+}
+
+// expiryHeap orders queued requests by the time at which they are given up.
+type expiryHeap []*request
+
+func (h expiryHeap) less(i, j int) bool { return h[i].expires.Before(h[j].expires) }
+
+func (h expiryHeap) swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapIndex, h[j].heapIndex = i, j
+}
+
+func (h expiryHeap) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !h.less(i, parent) {
+			return
+		}
+		h.swap(i, parent)
+		i = parent
+	}
+}
+
+func (h expiryHeap) down(i int) {
+	for {
+		child := 2*i + 1
+		if child >= len(h) {
+			return
+		}
+		if child+1 < len(h) && h.less(child+1, child) {
+			child++
+		}
+		if !h.less(child, i) {
+			return
+		}
+		h.swap(i, child)
+		i = child
+	}
+}
+
+func (h *expiryHeap) push(r *request) {
+	r.heapIndex = len(*h)
+	*h = append(*h, r)
+	h.up(r.heapIndex)
+}
+
+func (h *expiryHeap) remove(r *request) {
+	i, last := r.heapIndex, len(*h)-1
+	h.swap(i, last)
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	r.heapIndex = -1
+	if i < last {
+		h.down(i)
+		h.up(i)
+	}
+}
--- /dev/null
+++ b/dispatch/endpoint/slot.go
@@ -0,0 +1,64 @@
+package endpoint
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// slot is a request's place in a queue, and then its right to run on an endpoint.
+type slot struct {
+	dispatcher *Dispatcher
+	progress   progress
+	// request is guarded by the dispatcher's lock, and nil once it is over.
+	request *request
+	// ready gets nil for a grant, or the refusal.
+	ready     chan error
+	preempted chan struct{}
+	released  atomic.Bool
+	// endpoint and heard are set before ready.
+	endpoint winch.Endpoint
+	heard    *atomic.Int64
+}
+
+func newSlot(d *Dispatcher) *slot {
+	return &slot{dispatcher: d, ready: make(chan error, 1), preempted: make(chan struct{})}
+}
+
+// Endpoint returns the endpoint that runs the request.
+func (s *slot) Endpoint() winch.Endpoint { return s.endpoint }
+
+// Preempted returns a channel that is closed when the stream should move.
+func (s *slot) Preempted() <-chan struct{} { return s.preempted }
+
+// FirstToken notes the first token, or the first byte of a plain service's answer.
+func (s *slot) FirstToken(now time.Time) {
+	at := now.UnixNano()
+	s.progress.first.CompareAndSwap(0, at)
+	if s.heard != nil {
+		s.heard.Store(at)
+	}
+}
+
+// Tokens notes more tokens of output. It takes no lock.
+func (s *slot) Tokens(now time.Time, count winch.Tokens) {
+	at := now.UnixNano()
+	s.progress.last.Store(at)
+	s.progress.tokens.Add(int64(count))
+	if s.heard != nil {
+		s.heard.Store(at)
+	}
+}
+
+// Release gives the slot back. Calls after the first have no effect.
+func (s *slot) Release(now time.Time, outcome winch.Outcome) {
+	if s.released.Swap(true) {
+		return
+	}
+	s.dispatcher.act(func() {
+		if s.request != nil {
+			s.dispatcher.core.release(now, s.request, outcome)
+		}
+	})
+}
--- /dev/null
+++ b/dispatch/endpoint/state.go
@@ -0,0 +1,158 @@
+package endpoint
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// endpoint is what the host knows of one endpoint.
+type endpoint struct {
+	// What each choice reads stands first. The figures up to supply are renewed at each tick.
+	cap      int     // slots at present
+	fair     int     // this host's share of the slots
+	yields   bool    // another host waits for its share
+	factor   float64 // slowness relative to the endpoints of the same kind
+	running  int
+	others   int
+	othersAt time.Time
+	// offset is the reported load less what the hosts knew of when the report was true.
+	offset   float64
+	reported float64
+	asOf     time.Time
+
+	spec     winch.Endpoint
+	hash     uint64
+	ordered  bool
+	state    winch.EndpointState
+	leavesAt time.Time
+	lanes    []*lane // by tier, the highest first
+
+	tiers     []tierRunning // by tier, the highest first
+	long      int
+	models    []winch.LoadedModel
+	limit     limiter
+	health    health
+	lastHeard atomic.Int64 // nanoseconds since 1970
+	inflating time.Time    // when the endpoint was first seen, for the ramp; zero when it is over
+	history   history
+}
+
+// tierRunning lists the running requests of a tier, newest first.
+type tierRunning struct {
+	tier   winch.Tier
+	newest *request
+	count  int
+}
+
+func (e *endpoint) tier(tier winch.Tier) *tierRunning {
+	i := 0
+	for i < len(e.tiers) && e.tiers[i].tier < tier {
+		i++
+	}
+	if i < len(e.tiers) && e.tiers[i].tier == tier {
+		return &e.tiers[i]
+	}
+	e.tiers = append(e.tiers, tierRunning{})
+	copy(e.tiers[i+1:], e.tiers[i:])
+	e.tiers[i] = tierRunning{tier: tier}
+	return &e.tiers[i]
+}
+
+func (e *endpoint) add(r *request) {
+	list := e.tier(r.lane.class.Tier)
+	r.runNext, r.runPrev = list.newest, nil
+	if list.newest != nil {
+		list.newest.runPrev = r
+	}
+	list.newest = r
+	list.count++
+	e.running++
+	if r.long {
+		e.long++
+	}
+}
+
+func (e *endpoint) remove(r *request) {
+	list := e.tier(r.lane.class.Tier)
+	if r.runPrev != nil {
+		r.runPrev.runNext = r.runNext
+	} else {
+		list.newest = r.runNext
+	}
+	if r.runNext != nil {
+		r.runNext.runPrev = r.runPrev
+	}
+	r.runNext, r.runPrev = nil, nil
+	list.count--
+	e.running--
+	if r.long {
+		e.long--
+	}
+}
+
+// observe takes a load report in.
+func (e *endpoint) observe(report winch.LoadReport) {
+	if !report.AsOf.After(e.asOf) {
+		return
+	}
+	e.asOf, e.models = report.AsOf, report.Models
+	e.reported = float64(report.Running + report.Waiting)
+	e.offset = e.reported - e.history.at(report.AsOf)
+}
+
+// estimate returns the number of requests at the endpoint. A report counts what
+// every client of the endpoint sends; it is corrected by what the hosts gave and
+// took since, and loses weight with its age.
+func (e *endpoint) estimate(age, horizon time.Duration, correct bool) float64 {
+	own := float64(e.running + e.others)
+	if age >= horizon {
+		return own
+	}
+	if !correct {
+		return e.reported
+	}
+	trust := 1 - float64(age)/float64(horizon)
+	if offset := trust * e.offset; offset > 0 {
+		return own + offset
+	}
+	return own
+}
+
+const (
+	historySize = 64
+	historyStep = 250 * time.Millisecond
+)
+
+// history keeps how many requests the hosts had at the endpoint in the past.
+type history struct {
+	at0    [historySize]time.Time
+	counts [historySize]float64
+	next   int
+}
+
+func (h *history) add(now time.Time, count float64) {
+	last := (h.next + historySize - 1) % historySize
+	if now.Sub(h.at0[last]) < historyStep {
+		return
+	}
+	h.at0[h.next], h.counts[h.next] = now, count
+	h.next = (h.next + 1) % historySize
+}
+
+// at returns the count at the instant, or the oldest known.
+func (h *history) at(instant time.Time) float64 {
+	count := 0.0
+	for i := 1; i <= historySize; i++ {
+		slot := (h.next + historySize - i) % historySize
+		if h.at0[slot].IsZero() {
+			return count
+		}
+		count = h.counts[slot]
+		if !h.at0[slot].After(instant) {
+			return count
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/dispatch/endpoint/tick.go
@@ -0,0 +1,188 @@
+package endpoint
+
+import (
+	"math"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// tick does the housekeeping: it reads the progress of streams, adapts limits,
+// finds silent endpoints, gives up requests whose time is over, and fills free slots.
+func (c *core) tick(now time.Time) {
+	for _, e := range c.ordered {
+		c.collectAll(now, e)
+		c.checkSilence(now, e)
+		c.checkLeaving(now, e)
+		if c.features.adaptiveLimit {
+			e.limit.adjust(now, c.targetsOf(e), e.running+e.others)
+		}
+		e.history.add(now, float64(e.running+e.others))
+	}
+	c.refresh(now)
+	c.expire(now)
+	for _, l := range c.sorted {
+		risk := c.atRisk(now, l)
+		c.widen(l, risk)
+		if risk {
+			c.relieve(now, l)
+		}
+		c.relieveOthers(now, l)
+		if l.warned && l.queued < l.queueLimit()/4 {
+			l.warned = false
+			c.emit(effect{kind: effectQueueShort, at: now, lane: l})
+		}
+	}
+	c.pump(now)
+	c.handOverWaiting(now)
+}
+
+// expire gives up the queued requests whose time is over.
+func (c *core) expire(now time.Time) {
+	for len(c.expiry) > 0 && !c.expiry[0].expires.After(now) {
+		r := c.expiry[0]
+		reason := winch.RefusedWait
+		if !r.work.Deadline.IsZero() && now.Add(secondsOf(r.lane.firstToken.value)).After(r.work.Deadline) {
+			reason = winch.RefusedDeadline
+		}
+		c.refuse(now, r, r.lane, reason, c.drain(now, r.lane))
+	}
+}
+
+func (c *core) checkLeaving(now time.Time, e *endpoint) {
+	if e.state == winch.EndpointLeaving && !e.leavesAt.IsZero() && e.leavesAt.Sub(now) <= c.settings.LeaveMargin {
+		c.moveAll(now, e)
+	}
+}
+
+func (c *core) collectAll(now time.Time, e *endpoint) {
+	for i := range e.tiers {
+		for r := e.tiers[i].newest; r != nil; r = r.runNext {
+			c.collect(now, r)
+		}
+	}
+}
+
+// collect charges what the stream produced since the last time, and learns its times.
+func (c *core) collect(now time.Time, r *request) {
+	p := r.progress
+	if p == nil {
+		return
+	}
+	first, last, tokens := p.first.Load(), p.last.Load(), winch.Tokens(p.tokens.Load())
+	if first != 0 && !r.firstSeen {
+		r.firstSeen = true
+		at := time.Unix(0, first)
+		seconds := at.Sub(r.grantedAt).Seconds()
+		r.lane.firstToken.add(seconds, sampleWeight)
+		if r.endpoint != nil {
+			r.endpoint.limit.sampleFirst(seconds)
+			c.answered(now, r.endpoint)
+		}
+		r.collectedAt = at
+	}
+	delta := tokens - r.collected
+	if delta <= 0 {
+		return
+	}
+	r.collected = tokens
+	c.charge(r.account, float64(delta)*c.settings.OutputWeight)
+	if r.endpoint == nil {
+		return
+	}
+	at := time.Unix(0, last)
+	if r.firstSeen && at.After(r.collectedAt) {
+		r.endpoint.limit.sampleInter(at.Sub(r.collectedAt).Seconds() / float64(delta))
+		r.collectedAt = at
+	}
+	if !r.long && r.work.OutputDone+tokens >= c.settings.LongOutput {
+		r.long = true
+		r.endpoint.long++
+	}
+}
+
+// targetsOf returns the tightest targets of the classes that the endpoint serves.
+func (c *core) targetsOf(e *endpoint) targets {
+	t := targets{}
+	for _, l := range e.lanes {
+		if l.running == 0 && l.queued == 0 {
+			continue
+		}
+		t.firstToken = tighter(t.firstToken, l.class.FirstTokenTarget)
+		t.interToken = tighter(t.interToken, l.class.InterTokenTarget)
+	}
+	return t
+}
+
+func tighter(seconds float64, target time.Duration) float64 {
+	if target <= 0 || seconds > 0 && seconds < target.Seconds() {
+		return seconds
+	}
+	return target.Seconds()
+}
+
+// refresh renews the figures that choices read: slots, slowness and shares.
+func (c *core) refresh(now time.Time) {
+	for _, e := range c.ordered {
+		e.cap = e.slots(now, c.settings.RampTime)
+	}
+	for _, l := range c.sorted {
+		l.slots, l.steadyRoom = 0, 0
+		l.interMean, l.firstMean = average{}, average{}
+		for _, e := range l.endpoints {
+			l.interMean.addMean(e.limit.steadyInter)
+			l.firstMean.addMean(e.limit.steadyFirst)
+			if e.state != winch.EndpointReady || now.Before(e.health.ejectedUntil) {
+				continue
+			}
+			l.slots += float64(e.cap)
+			if e.spec.Supply != winch.SupplyCheap {
+				l.steadyRoom += float64(e.cap - e.upTo(l.class.Tier))
+			}
+		}
+	}
+	for _, e := range c.ordered {
+		e.factor = c.slowness(now, e)
+		c.share(now, e)
+	}
+}
+
+// upTo counts the running requests of the tier and higher ones.
+func (e *endpoint) upTo(tier winch.Tier) int {
+	count := 0
+	for i := range e.tiers {
+		if e.tiers[i].tier <= tier {
+			count += e.tiers[i].count
+		}
+	}
+	return count
+}
+
+const (
+	slownessMin  = 0.7
+	slownessMax  = 5
+	quietAfter   = 500 * time.Millisecond
+	quietPenalty = 2
+)
+
+// slowness compares the endpoint's times with those of the endpoints that serve the same.
+func (c *core) slowness(now time.Time, e *endpoint) float64 {
+	if len(e.lanes) == 0 {
+		return 1
+	}
+	factor := math.Max(ratio(e.limit.steadyInter, e.lanes[0].interMean), ratio(e.limit.steadyFirst, e.lanes[0].firstMean))
+	factor = math.Min(slownessMax, math.Max(slownessMin, factor))
+	if e.running > 0 && e.spec.Kind == winch.EndpointEngine {
+		if streaming, _ := e.awaited(); streaming && now.Sub(time.Unix(0, e.lastHeard.Load())) > quietAfter {
+			factor *= quietPenalty
+		}
+	}
+	return factor
+}
+
+func ratio(own, all average) float64 {
+	if own.samples < minimumSamples || all.value <= 0 {
+		return 1
+	}
+	return own.value / all.value
+}
--- /dev/null
+++ b/dispatch/endpoint/wait.go
@@ -0,0 +1,225 @@
+package endpoint
+
+import (
+	"math"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// starved tells whether the lane's oldest request has waited past half of the
+// longest wait while the class has less than its floor of the slots.
+func (c *core) starved(now time.Time, l *lane) bool {
+	return c.features.floors && l.queued > 0 && l.oldestWait(now) > l.maxWait()/2 && c.belowFloor(now, l)
+}
+
+func (c *core) belowFloor(now time.Time, l *lane) bool {
+	if l.class.Floor <= 0 {
+		return false
+	}
+	running := l.running
+	if c.fresh(now, l.othersAt) {
+		running += l.others.Running
+	}
+	return float64(running) < l.floorSlots()
+}
+
+// floorDue tells whether a slot granted now belongs to the lane's floor.
+func (c *core) floorDue(now time.Time, l *lane) bool {
+	if !c.belowFloor(now, l) {
+		return false
+	}
+	for _, rival := range l.rivals {
+		if rival.higher(l) && (rival.queued > 0 || c.fresh(now, rival.othersAt) && rival.others.Queued > 0) {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *lane) floorSlots() float64 {
+	if l.class.Floor <= 0 {
+		return 0
+	}
+	return math.Max(1, math.Floor(l.class.Floor*l.slots))
+}
+
+// lowerWork sums the lower-tier work that the lane's endpoints could give up.
+func (c *core) lowerWork(now time.Time, l *lane) lowerWork {
+	w := lowerWork{}
+	if l == nil {
+		return w
+	}
+	for _, rival := range l.rivals {
+		if !l.higher(rival) {
+			continue
+		}
+		w.queued += rival.queued
+		w.floor += rival.floorRunning
+		w.running += c.movableRunning(rival)
+		if c.fresh(now, rival.othersAt) {
+			w.othersQueued += rival.others.Queued
+			w.othersRunning += rival.others.Movable
+		}
+	}
+	return w
+}
+
+// movableRunning counts the lane's requests here that could be given up.
+func (c *core) movableRunning(l *lane) int {
+	if l.key.group.model == "" {
+		return 0
+	}
+	return l.running - l.floorRunning
+}
+
+// predictedWait returns how long a new request of the lane would wait. Lower
+// tiers count as if they had given way already, and a floor's slots as if they were free.
+func (c *core) predictedWait(now time.Time, l *lane, r *request) time.Duration {
+	ahead, taken := 1.0, 0.0
+	for _, rival := range l.rivals {
+		if l.higher(rival) {
+			continue
+		}
+		queued, running := float64(rival.queued), float64(rival.running)
+		if c.fresh(now, rival.othersAt) {
+			queued += float64(rival.others.Queued)
+			running += float64(rival.others.Running)
+		}
+		if rival == l {
+			queued = c.aheadInLane(l, r, queued)
+		}
+		ahead += queued
+		if rival.higher(l) {
+			taken += running
+		}
+		if rival.class.Tier == l.class.Tier || rival.higher(l) {
+			ahead += running
+		}
+	}
+	// What runs counts as work ahead; the slots themselves are taken off again.
+	ahead -= l.slots
+	if ahead <= 0 || l.hold.samples == 0 {
+		return 0
+	}
+	slots := math.Max(math.Max(l.slots-taken, l.floorSlots()), minimumSlots)
+	return secondsOf(ahead * l.hold.value / slots)
+}
+
+const minimumSlots = 0.5
+
+// aheadInLane returns how many of the lane's queued requests are served before a
+// new one of the account: a flood of one account does not stand before the others.
+func (c *core) aheadInLane(l *lane, r *request, queued float64) float64 {
+	if !c.features.fairness || r == nil {
+		return queued
+	}
+	own := 0.0
+	if queue, found := l.byAccount[r.account]; found {
+		own = float64(queue.queued)
+	}
+	return math.Min(queued, (own+1)*float64(len(l.accounts)+1))
+}
+
+// admit decides whether a request that finds no slot may queue. Refusals are effects.
+func (c *core) admit(now time.Time, r *request) bool {
+	l := r.lane
+	if r.underWay() {
+		return true
+	}
+	wait := c.predictedWait(now, l, r)
+	if c.features.earlyRefusal && c.tooLong(now, r, wait) && !c.canGiveWay(now, l) {
+		reason := winch.RefusedWait
+		if !r.work.Deadline.IsZero() && now.Add(wait).After(r.work.Deadline) {
+			reason = winch.RefusedDeadline
+		}
+		c.refuse(now, r, l, reason, wait)
+		return false
+	}
+	if l.queued < l.queueLimit() {
+		return true
+	}
+	return c.makeRoom(now, r, wait)
+}
+
+func (c *core) tooLong(now time.Time, r *request, wait time.Duration) bool {
+	if wait > r.lane.maxWait() {
+		return true
+	}
+	if r.work.Deadline.IsZero() {
+		return false
+	}
+	return now.Add(wait + secondsOf(r.lane.firstToken.value)).After(r.work.Deadline)
+}
+
+// canGiveWay tells whether lower tiers hold more slots than the lane's queue already waits for.
+func (c *core) canGiveWay(now time.Time, l *lane) bool {
+	if !c.features.tiers {
+		return false
+	}
+	waiting := 0
+	for _, rival := range l.rivals {
+		if !l.higher(rival) {
+			waiting += rival.queued
+		}
+	}
+	return c.lowerWork(now, l).movable() > waiting
+}
+
+// makeRoom finds a place in a full queue: the newest request of the lowest tier
+// goes first, then the newest of an account with a longer queue.
+func (c *core) makeRoom(now time.Time, r *request, wait time.Duration) bool {
+	l := r.lane
+	if c.features.tiers {
+		if victim := c.lowestQueued(l); victim != nil {
+			c.refuse(now, victim, victim.lane, winch.RefusedShed, c.predictedWait(now, victim.lane, victim))
+			return true
+		}
+		if c.canGiveWay(now, l) {
+			return true
+		}
+	}
+	if victim := c.floodVictim(l, r); victim != nil {
+		c.refuse(now, victim, l, winch.RefusedQueueFull, wait)
+		return true
+	}
+	c.refuse(now, r, l, winch.RefusedQueueFull, wait)
+	return false
+}
+
+// lowestQueued returns the newest queued request of the lowest tier below the lane's.
+func (c *core) lowestQueued(l *lane) *request {
+	for i := len(l.rivals) - 1; i >= 0 && l.higher(l.rivals[i]); i-- {
+		if victim := l.rivals[i].evictable(); victim != nil {
+			return victim
+		}
+	}
+	return nil
+}
+
+// floodVictim returns a request of an account that queues more than the arriving one's.
+func (c *core) floodVictim(l *lane, r *request) *request {
+	if !c.features.fairness {
+		return nil
+	}
+	victim := l.evictable()
+	if victim == nil || victim.accountQueue.queued <= 1 {
+		return nil
+	}
+	own := 0
+	if queue, found := l.byAccount[r.account]; found {
+		own = queue.queued
+	}
+	if victim.accountQueue.queued <= own+1 {
+		return nil
+	}
+	return victim
+}
+
+// drain returns the time until the lane's queue is empty.
+func (c *core) drain(now time.Time, l *lane) time.Duration {
+	if l.queued == 0 {
+		return 0
+	}
+	return c.predictedWait(now, l, nil)
+}
--- /dev/null
+++ b/load.go
@@ -0,0 +1,81 @@
+package winch
+
+import "time"
+
+// EndpointState is the state of an endpoint as the platform or the endpoint tells it.
+type EndpointState string
+
+// The states in which an endpoint stands.
+const (
+	EndpointWarming EndpointState = "Warming"
+	EndpointReady   EndpointState = "Ready"
+	EndpointLeaving EndpointState = "Leaving"
+)
+
+// EndpointStatus is an endpoint that was ordered, with its state.
+type EndpointStatus struct {
+	Endpoint Endpoint
+	State    EndpointState
+	// LeavesAt is when a leaving endpoint goes away; zero when that is not known.
+	LeavesAt time.Time
+}
+
+// EndpointSource gives the endpoints that were ordered. Those of the
+// configuration are not among them.
+type EndpointSource interface {
+	Endpoints() []EndpointStatus
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
+// LoadedModel is a model that an engine holds.
+type LoadedModel struct {
+	Model   ModelID
+	Adapter AdapterID
+	Version ModelVersion
+}
+
+// LoadReport is an endpoint's own report of its load.
+type LoadReport struct {
+	Endpoint EndpointID
+	// AsOf is when the report was true, by the clock of the host that takes it in.
+	AsOf            time.Time
+	Running         int
+	Waiting         int
+	TokensPerSecond float64
+	CacheUsed       Tokens
+	CacheLimit      Tokens
+	Models          []LoadedModel
+	Role            string
+	State           EndpointState
+}
+
+// CacheEvent tells that an engine keeps the prefix of a prompt, or dropped it.
+type CacheEvent struct {
+	Endpoint EndpointID
+	Prefix   PrefixHash
+	Evicted  bool
+}
+
+// LoadObserver takes in what endpoints report. Its methods must not block.
+type LoadObserver interface {
+	ObserveLoad(now time.Time, report LoadReport)
+	ObserveCache(now time.Time, event CacheEvent)
+}
+
+// QueueStatus is a class's queue at one host, or summed over a data centre when Host is empty.
+type QueueStatus struct {
+	DataCentre DataCentreID
+	Host       HostID
+	Class      ClassID
+	Model      ModelID
+	Route      RouteID
+	Tier       Tier
+	Queued     int
+	Running    int
+	OldestWait time.Duration
+	// PredictedDrain is the time until the queue is empty at the present rate.
+	PredictedDrain time.Duration
+	// Age is how old the figures are.
+	Age time.Duration
+}
