feat(load): read endpoints' load reports and share them between hosts

Cause: load was known only from own dispatches. Ruled out: every host reading every endpoint, which grows with hosts times endpoints.

--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -291,7 +291,7 @@
 	c.emit(effect{kind: effectReleased, at: now, request: r, lane: l, endpoint: e, remote: r.remote, outcome: outcome,
 		wait: now.Sub(r.grantedAt)})
 	if r.remote != nil {
-		r.remote.release(outcome)
+		r.remote.release(now, outcome)
 		return
 	}
 	e.remove(r)
--- a/dispatch/endpoint/queues.go
+++ b/dispatch/endpoint/queues.go
@@ -20,6 +20,7 @@
 	for _, l := range c.sorted {
 		status := c.status(l.key, laneFigures{Queued: l.queued, Running: l.running, OldestWait: l.oldestWait(now)})
 		status.DataCentre, status.Host, status.PredictedDrain = c.self.DataCentre, c.self.ID, c.drain(now, l)
+		status.Slots = int(l.slots)
 		statuses = append(statuses, status)
 	}
 	if len(c.hub.reports) == 0 {
--- a/dispatch/endpoint/remote.go
+++ b/dispatch/endpoint/remote.go
@@ -36,10 +36,11 @@
 
 func (m *remote) room(g group) int { return m.rooms[g] - m.given[g] }
 
-func (m *remote) release(outcome winch.Outcome) {
+// release learns from how a request ended that was handed over.
+func (m *remote) release(now time.Time, outcome winch.Outcome) {
 	m.running--
 	if outcome == winch.OutcomeUnsent || outcome == winch.OutcomeFailed || outcome == winch.OutcomeRejected {
-		clear(m.rooms)
+		m.blockedUntil = now.Add(remoteBackoff)
 	}
 }
 
@@ -79,7 +80,7 @@
 func (c *core) roomiest(now time.Time, g group, r *request) *remote {
 	var best *remote
 	for _, m := range c.remotes {
-		if !c.fresh(now, m.at) || m.room(g) <= 0 || len(m.hosts) == 0 {
+		if !c.fresh(now, m.at) || now.Before(m.blockedUntil) || m.room(g) <= 0 || len(m.hosts) == 0 {
 			continue
 		}
 		if best == nil || m.room(g) > best.room(g) || m.room(g) == best.room(g) && m.centre < best.centre {
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -24,7 +24,6 @@
 
 	spec     winch.Endpoint
 	hash     uint64
-	ordered  bool
 	state    winch.EndpointState
 	leavesAt time.Time
 	lanes    []*lane // by tier, the highest first
--- a/load.go
+++ b/load.go
@@ -73,9 +73,16 @@
 	Tier       Tier
 	Queued     int
 	Running    int
+	// Slots are those of the endpoints that the class may use, at their present limits.
+	Slots      int
 	OldestWait time.Duration
 	// PredictedDrain is the time until the queue is empty at the present rate.
 	PredictedDrain time.Duration
 	// Age is how old the figures are.
 	Age time.Duration
 }
+
+// QueueSource tells the queues of the system, as far as this host knows them.
+type QueueSource interface {
+	Queues(now time.Time) []QueueStatus
+}
--- /dev/null
+++ b/load/engine/codec.go
@@ -0,0 +1,74 @@
+package engine
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+const answerLimit = 1 << 20
+
+type loadAnswer struct {
+	AsOf            time.Time
+	Running         int
+	Waiting         int
+	TokensPerSecond float64
+	CacheUsed       int64
+	CacheLimit      int64
+	Models          []modelAnswer
+	Role            string
+	State           string
+}
+
+type modelAnswer struct {
+	Model   string
+	Adapter string
+	Version string
+}
+
+type cacheAnswer struct {
+	Events []eventAnswer
+	Next   int64
+}
+
+type eventAnswer struct {
+	Sequence int64
+	Prefix   uint64
+	Evicted  bool
+}
+
+// report maps the answer. A report cannot be of the future, whatever the endpoint's clock says.
+func (a loadAnswer) report(now time.Time, id winch.EndpointID) (winch.LoadReport, error) {
+	if a.Running < 0 || a.Waiting < 0 {
+		return winch.LoadReport{}, fmt.Errorf("Running or Waiting is negative: %w", winch.ErrInvalid)
+	}
+	report := winch.LoadReport{
+		Endpoint: id, AsOf: a.AsOf, Running: a.Running, Waiting: a.Waiting, TokensPerSecond: a.TokensPerSecond,
+		CacheUsed: winch.Tokens(a.CacheUsed), CacheLimit: winch.Tokens(a.CacheLimit), Role: a.Role,
+	}
+	if report.AsOf.IsZero() || report.AsOf.After(now) {
+		report.AsOf = now
+	}
+	for _, m := range a.Models {
+		report.Models = append(report.Models, winch.LoadedModel{
+			Model: winch.ModelID(m.Model), Adapter: winch.AdapterID(m.Adapter), Version: winch.ModelVersion(m.Version),
+		})
+	}
+	state, err := stateOf(a.State)
+	report.State = state
+	return report, err
+}
+
+func stateOf(text string) (winch.EndpointState, error) {
+	switch strings.ToLower(text) {
+	case "", "ready":
+		return winch.EndpointReady, nil
+	case "warming", "starting":
+		return winch.EndpointWarming, nil
+	case "leaving":
+		return winch.EndpointLeaving, nil
+	}
+	return "", fmt.Errorf("unknown State %.32q: %w", text, winch.ErrInvalid)
+}
--- /dev/null
+++ b/load/engine/engine.go
@@ -0,0 +1,255 @@
+// Package engine reads the load reports and cache events that endpoints publish.
+//
+// Each endpoint of the data centre is read by one of its live hosts, which is
+// chosen by rendezvous hash; when that host goes, the next takes over without
+// any agreement. Two hosts that see different lists for a moment both read, which is harmless.
+//
+// # Usage
+//
+//	reader, err := engine.New(engine.Options{
+//		Configurations: configurations, Source: ordered, Membership: members,
+//		Clock: clock, Logger: logger, Observer: observer,
+//	})
+//	if err != nil {
+//		return err
+//	}
+//	go reader.Run(ctx)
+//
+// Period and Timeout are durations. Errors of single reads are logged once for
+// each endpoint until it answers again; Run returns only the context's error.
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/httpjson"
+)
+
+const (
+	defaultPeriod  = time.Second
+	defaultTimeout = 800 * time.Millisecond
+)
+
+// Options are what a reader needs. Source may be nil.
+type Options struct {
+	Configurations winch.Configurations
+	Source         winch.EndpointSource
+	Membership     winch.Membership
+	Clock          winch.Clock
+	Logger         hclog.Logger
+	// Observer gets what was read.
+	Observer winch.LoadObserver
+	// Period is the time between reads of an endpoint.
+	Period time.Duration
+	// Timeout bounds a read.
+	Timeout time.Duration
+}
+
+// Reader reads the endpoints that fall to this host.
+type Reader struct {
+	options Options
+	logger  hclog.Logger
+
+	lock    sync.Mutex
+	targets map[winch.EndpointID]*target
+}
+
+// target is an endpoint that this host reads.
+type target struct {
+	spec   winch.Endpoint
+	client *httpjson.Client
+	busy   bool
+	failed bool
+	// after is the number of the last cache event taken in.
+	after int64
+}
+
+// New returns a reader.
+func New(options Options) (*Reader, error) {
+	switch {
+	case options.Configurations == nil:
+		return nil, errors.New("create load reader: Configurations is missing")
+	case options.Membership == nil:
+		return nil, errors.New("create load reader: Membership is missing")
+	case options.Clock == nil:
+		return nil, errors.New("create load reader: Clock is missing")
+	case options.Observer == nil:
+		return nil, errors.New("create load reader: Observer is missing")
+	}
+	if options.Logger == nil {
+		options.Logger = hclog.NewNullLogger()
+	}
+	if options.Period == 0 {
+		options.Period = defaultPeriod
+	}
+	if options.Timeout == 0 {
+		options.Timeout = defaultTimeout
+	}
+	return &Reader{options: options, logger: options.Logger.Named("load"), targets: map[winch.EndpointID]*target{}}, nil
+}
+
+// Run reads until the context ends, and returns the context's error.
+func (r *Reader) Run(ctx context.Context) error {
+	ticker := time.NewTicker(r.options.Period)
+	defer ticker.Stop()
+	reads := sync.WaitGroup{}
+	defer reads.Wait()
+	for {
+		for _, t := range r.due(r.options.Clock.Now()) {
+			reads.Go(func() { r.read(ctx, t) })
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// due returns the endpoints to read now, and marks them busy.
+func (r *Reader) due(now time.Time) []*target {
+	owned := Owned(r.options.Membership.Self(), r.hosts(now), r.endpoints())
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	kept := map[winch.EndpointID]*target{}
+	due := make([]*target, 0, len(owned))
+	for _, spec := range owned {
+		t, err := r.target(spec)
+		if err != nil {
+			r.logger.Warn("endpoint cannot be read", "Event", EventReadFailed, "Endpoint", string(spec.ID), "Error", err)
+			continue
+		}
+		kept[spec.ID] = t
+		if !t.busy {
+			t.busy = true
+			due = append(due, t)
+		}
+	}
+	r.targets = kept
+	return due
+}
+
+func (r *Reader) target(spec winch.Endpoint) (*target, error) {
+	if t, found := r.targets[spec.ID]; found && t.spec.Address == spec.Address {
+		return t, nil
+	}
+	client, err := httpjson.NewClient(httpjson.Options{Address: spec.Address, Timeout: r.options.Timeout, AnswerLimit: answerLimit})
+	if err != nil {
+		return nil, err
+	}
+	return &target{spec: spec, client: client}, nil
+}
+
+func (r *Reader) hosts(now time.Time) []winch.Host {
+	return r.options.Membership.Hosts(now, r.options.Membership.Self().DataCentre)
+}
+
+// endpoints returns those of this data centre.
+func (r *Reader) endpoints() []winch.Endpoint {
+	centre := r.options.Membership.Self().DataCentre
+	var endpoints []winch.Endpoint
+	for _, spec := range r.options.Configurations.Current().Endpoints {
+		if spec.DataCentre == centre {
+			endpoints = append(endpoints, spec)
+		}
+	}
+	if r.options.Source == nil {
+		return endpoints
+	}
+	for _, status := range r.options.Source.Endpoints() {
+		if status.Endpoint.DataCentre == centre && status.State != winch.EndpointWarming {
+			endpoints = append(endpoints, status.Endpoint)
+		}
+	}
+	return endpoints
+}
+
+// Owned returns the endpoints that fall to self among the hosts.
+func Owned(self winch.Host, hosts []winch.Host, endpoints []winch.Endpoint) []winch.Endpoint {
+	var owned []winch.Endpoint
+	for _, spec := range endpoints {
+		best, weight := self.ID, rank(self.ID, spec.ID)
+		for _, host := range hosts {
+			if w := rank(host.ID, spec.ID); w > weight || w == weight && host.ID < best {
+				best, weight = host.ID, w
+			}
+		}
+		if best == self.ID {
+			owned = append(owned, spec)
+		}
+	}
+	return owned
+}
+
+func rank(host winch.HostID, endpoint winch.EndpointID) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(endpoint))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write([]byte(host))
+	// FNV leaves the high bits of similar names alike, so they are spread once more.
+	x := hash.Sum64()
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
+
+// read reads the endpoint once.
+func (r *Reader) read(ctx context.Context, t *target) {
+	err := r.readLoad(ctx, t)
+	if err == nil && t.spec.Kind == winch.EndpointEngine {
+		err = r.readCache(ctx, t)
+	}
+	r.lock.Lock()
+	changed := t.failed != (err != nil)
+	t.failed, t.busy = err != nil, false
+	r.lock.Unlock()
+	if !changed || ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		r.logger.Warn("load report not read", "Event", EventReadFailed, "Endpoint", string(t.spec.ID), "Error", err)
+		return
+	}
+	r.logger.Info("load report read again", "Event", EventReadAgain, "Endpoint", string(t.spec.ID))
+}
+
+func (r *Reader) readLoad(ctx context.Context, t *target) error {
+	answer := loadAnswer{}
+	if err := t.client.Fetch(ctx, "/v1/load", &answer); err != nil {
+		return fmt.Errorf("read load report: %w", err)
+	}
+	now := r.options.Clock.Now()
+	report, err := answer.report(now, t.spec.ID)
+	if err != nil {
+		return fmt.Errorf("read load report: %w", err)
+	}
+	r.options.Observer.ObserveLoad(now, report)
+	return nil
+}
+
+func (r *Reader) readCache(ctx context.Context, t *target) error {
+	answer := cacheAnswer{}
+	if err := t.client.Fetch(ctx, "/v1/cache/events?after="+strconv.FormatInt(t.after, 10), &answer); err != nil {
+		if errors.Is(err, winch.ErrNotFound) {
+			return nil
+		}
+		return fmt.Errorf("read cache events: %w", err)
+	}
+	now := r.options.Clock.Now()
+	for _, event := range answer.Events {
+		r.options.Observer.ObserveCache(now, winch.CacheEvent{
+			Endpoint: t.spec.ID, Prefix: winch.PrefixHash(event.Prefix), Evicted: event.Evicted,
+		})
+	}
+	// An engine that started anew counts from the beginning.
+	t.after = answer.Next
+	return nil
+}
