feat(winchd): wire the parts into the daemon and serve three data centres on loopback

Cause: the slices stand alone; the whole path must run as processes. Ruled out: one port for all (callers must not reach peers' or operators' calls). Conclusion: usage reports and endpoint orders are wired when their parts stand.

--- /dev/null
+++ b/scripts/local.sh
@@ -0,0 +1,39 @@
+#!/usr/bin/env bash
+# Starts three data centres on loopback with stand-ins. Sourced by scripts/run.sh and scripts/up.sh.
+set -euo pipefail
+
+out=${OUT:-out/local}
+pids=()
+hosts=(a-1 a-2 b-1 b-2 c-1 c-2)
+
+start_all() {
+  rm -rf "$out" && mkdir -p "$out"
+  bin/standin --settings examples/local/standin.json >"$out/standin.log" 2>&1 &
+  pids+=($!)
+  local i=1 host
+  for host in "${hosts[@]}"; do
+    local port=$((18000 + 10 * i))
+    sed -e "s/@HOST@/$host/" -e "s/@CENTRE@/centre-${host%-*}/" -e "s/@CALLER@/$port/" -e "s/@PEER@/$((port + 1))/" \
+      -e "s/@OPERATOR@/$((port + 2))/" -e "s#@LOG@#$out/$host.log#" examples/local/winchd.json.template >"$out/$host.json"
+    bin/winchd check --settings "$out/$host.json" >/dev/null
+    bin/winchd run --settings "$out/$host.json" >"$out/$host.out" 2>&1 &
+    pids+=($!)
+    i=$((i + 1))
+  done
+}
+
+stop_all() {
+  local status=0 pid
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+    pid=${pids[$i]}
+    kill -TERM "$pid" 2>/dev/null || true
+  done
+  for pid in "${pids[@]}"; do
+    wait "$pid" || status=1
+  done
+  pids=()
+  return $status
+}
+
+callers=127.0.0.1:18010,127.0.0.1:18020,127.0.0.1:18030,127.0.0.1:18040,127.0.0.1:18050,127.0.0.1:18060
+operators=127.0.0.1:18012,127.0.0.1:18022,127.0.0.1:18032,127.0.0.1:18042,127.0.0.1:18052,127.0.0.1:18062
--- /dev/null
+++ b/winchd/daemon/operator.go
@@ -0,0 +1,94 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/httpjson"
+)
+
+// peerHandler serves the other hosts.
+func (d *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/peer/exchange", d.membership.exchange.Handler())
+	mux.Handle("/peer/digest", d.membership.exchange.Handler())
+	mux.Handle("/peer/serve/", d.serving.server.PeerHandler())
+	return httpjson.RequireSecret(d.settings.Peer.Secret, mux)
+}
+
+// operatorHandler serves operators, metrics and health.
+func (d *Daemon) operatorHandler() http.Handler {
+	operators := http.NewServeMux()
+	operators.Handle("/operator/notes", d.release.operator.Handler())
+	operators.Handle("/operator/notes/", d.release.operator.Handler())
+	operators.Handle("/operator/keys", d.release.operator.Handler())
+	operators.Handle("/operator/keys/", d.release.operator.Handler())
+	operators.HandleFunc("GET /operator/hosts", d.serveHosts)
+	operators.HandleFunc("GET /operator/endpoints", d.serveEndpoints)
+	operators.HandleFunc("GET /operator/queues", d.serveQueues)
+	operators.HandleFunc("GET /operator/requests/{id}", d.serveRequest)
+
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", d.metrics.handler)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", d.serveReady)
+	mux.Handle("/operator/", httpjson.RequireSecret(d.settings.Operator.Secret, operators))
+	return mux
+}
+
+// serveReady answers 200 while the balancer may send callers here.
+func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if d.serving.server.Draining() {
+		httpjson.WriteError(w, fmt.Errorf("stopping: %w", winch.ErrUnavailable))
+		return
+	}
+	if d.release.distributor.Authority(d.clock.Now()) == winch.AuthorityNone {
+		httpjson.WriteError(w, fmt.Errorf("no configuration yet: %w", winch.ErrUnavailable))
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (d *Daemon) serveHosts(w http.ResponseWriter, _ *http.Request) {
+	now := d.clock.Now()
+	answer := hostsWire{Self: string(d.settings.Host), Revision: int64(d.release.distributor.Current().Revision)}
+	for _, centre := range d.membership.table.DataCentres() {
+		hub, _ := d.membership.table.Hub(now, centre)
+		for _, host := range d.membership.table.Hosts(now, centre) {
+			answer.Hosts = append(answer.Hosts, encodeHost(host, host.ID == hub.ID))
+		}
+	}
+	httpjson.Write(w, http.StatusOK, answer)
+}
+
+func (d *Daemon) serveEndpoints(w http.ResponseWriter, _ *http.Request) {
+	answer := endpointsWire{}
+	for _, endpoint := range d.release.distributor.Current().Endpoints {
+		answer.Endpoints = append(answer.Endpoints, encodeEndpoint(winch.EndpointStatus{Endpoint: endpoint, State: winch.EndpointReady}))
+	}
+	if source := d.placement.source(); source != nil {
+		for _, status := range source.Endpoints() {
+			answer.Endpoints = append(answer.Endpoints, encodeEndpoint(status))
+		}
+	}
+	answer.sort()
+	httpjson.Write(w, http.StatusOK, answer)
+}
+
+func (d *Daemon) serveQueues(w http.ResponseWriter, _ *http.Request) {
+	answer := queuesWire{}
+	for _, queue := range d.dispatch.dispatcher.Queues(d.clock.Now()) {
+		answer.Queues = append(answer.Queues, encodeQueue(queue))
+	}
+	httpjson.Write(w, http.StatusOK, answer)
+}
+
+func (d *Daemon) serveRequest(w http.ResponseWriter, r *http.Request) {
+	explanation, found := d.serving.server.Explain(winch.RequestID(r.PathValue("id")))
+	if !found {
+		httpjson.WriteError(w, fmt.Errorf("request %s at this host: %w", r.PathValue("id"), winch.ErrNotFound))
+		return
+	}
+	httpjson.Write(w, http.StatusOK, encodeExplanation(explanation))
+}
--- /dev/null
+++ b/winchd/daemon/parts.go
@@ -0,0 +1,159 @@
+package daemon
+
+import (
+	"time"
+
+	dispatch "github.com/arbutuswinch/winch/dispatch/endpoint"
+	loadengine "github.com/arbutuswinch/winch/load/engine"
+	loadpeer "github.com/arbutuswinch/winch/load/peer"
+	memberpeer "github.com/arbutuswinch/winch/membership/peer"
+	memberplatform "github.com/arbutuswinch/winch/membership/platform"
+	releasestore "github.com/arbutuswinch/winch/release/keyvalue"
+	releaseoperator "github.com/arbutuswinch/winch/release/operator"
+	releasepeer "github.com/arbutuswinch/winch/release/peer"
+	"github.com/arbutuswinch/winch/serving/caller"
+	servingengine "github.com/arbutuswinch/winch/serving/engine"
+	servingpeer "github.com/arbutuswinch/winch/serving/peer"
+	servingservice "github.com/arbutuswinch/winch/serving/service"
+
+	"github.com/arbutuswinch/winch"
+)
+
+const idleConnections = 256
+
+// membershipParts tell which hosts are alive.
+type membershipParts struct {
+	table    *memberpeer.Table
+	exchange *memberpeer.Exchange
+}
+
+func (d *Daemon) buildMembership() error {
+	self := winch.Host{ID: d.settings.Host, DataCentre: d.settings.DataCentre, PeerAddress: d.settings.Peer.Address}
+	d.membership = &membershipParts{
+		table: memberpeer.NewTable(self, d.settings.DataCentres, d.settings.Membership.SuspectAfter, d.settings.Membership.ForgetAfter),
+	}
+	return nil
+}
+
+func (d *Daemon) buildExchange() error {
+	options := memberpeer.Options{
+		Table: d.membership.table, Clock: d.clock, Logger: d.logger, Secret: d.settings.Peer.Secret,
+		Transport:     d.traffic.Transport(),
+		ExchangeEvery: d.settings.Membership.ExchangeEvery, DigestEvery: d.settings.Membership.DigestEvery,
+		Sections: d.sections(),
+	}
+	if d.settings.Platform.Hosts != "" {
+		hosts, err := memberplatform.New(memberplatform.Options{Address: d.settings.Platform.Hosts, Timeout: d.settings.Platform.Timeout})
+		if err != nil {
+			return err
+		}
+		options.Hosts = hosts
+	}
+	exchange, err := memberpeer.New(options)
+	d.membership.exchange = exchange
+	return err
+}
+
+func (d *Daemon) sections() []winch.Section {
+	sections := []winch.Section{d.release.distributor.Section(), d.dispatch.dispatcher.Section(), d.dispatch.load}
+	sections = append(sections, d.usage.sections()...)
+	return append(sections, d.placement.sections()...)
+}
+
+// releaseParts hold the configuration.
+type releaseParts struct {
+	store       *releasestore.Store
+	distributor *releasepeer.Distributor
+	operator    *releaseoperator.Handler
+}
+
+func (d *Daemon) buildRelease() error {
+	store, err := releasestore.New(releasestore.Options{KeyValue: d.store, Incarnation: d.incarnation, Logger: d.logger})
+	if err != nil {
+		return err
+	}
+	distributor, err := releasepeer.New(releasepeer.Options{
+		Membership: d.membership.table, Log: store, Clock: d.clock, Incarnation: d.incarnation, Logger: d.logger, Meter: d.metrics.meter(),
+		FreshnessLimit: d.settings.Release.FreshnessLimit, IsolationGrace: d.settings.Release.IsolationGrace,
+	})
+	if err != nil {
+		return err
+	}
+	operator, err := releaseoperator.New(releaseoperator.Options{Log: store, Tracker: distributor, Clock: d.clock, Logger: d.logger})
+	if err != nil {
+		return err
+	}
+	d.release = &releaseParts{store: store, distributor: distributor, operator: operator}
+	return nil
+}
+
+// dispatchParts queue requests and choose endpoints.
+type dispatchParts struct {
+	dispatcher *dispatch.Dispatcher
+	reader     *loadengine.Reader
+	load       *loadpeer.Exchange
+}
+
+func (d *Daemon) buildDispatch() error {
+	dispatcher, err := dispatch.New(dispatch.Options{
+		Configurations: d.release.distributor, Source: d.placement.source(), Membership: d.membership.table, Clock: d.clock,
+		Logger: d.logger, Meter: d.metrics.meter(), Policy: dispatch.Policy(d.settings.Dispatch.Policy), Seed: d.settings.Dispatch.Seed,
+	})
+	if err != nil {
+		return err
+	}
+	load, err := loadpeer.New(loadpeer.Options{Observer: dispatcher})
+	if err != nil {
+		return err
+	}
+	reader, err := loadengine.New(loadengine.Options{
+		Configurations: d.release.distributor, Source: d.placement.source(), Membership: d.membership.table, Clock: d.clock,
+		Logger: d.logger, Observer: load, Period: d.settings.Dispatch.ReportEvery,
+	})
+	d.dispatch = &dispatchParts{dispatcher: dispatcher, reader: reader, load: load}
+	return err
+}
+
+// servingParts answer callers.
+type servingParts struct {
+	server *caller.Server
+}
+
+func (d *Daemon) buildServing() error {
+	server, err := caller.New(caller.Options{
+		Configurations: d.release.distributor, Dispatcher: d.dispatch.dispatcher, Usage: d.usage.recorder(),
+		Engines:  servingengine.New(servingengine.Options{Secret: d.settings.Endpoints.Credential, IdleConnections: idleConnections, DialTimeout: d.settings.Endpoints.DialTimeout}),
+		Services: servingservice.New(servingservice.Options{Secret: d.settings.Endpoints.Credential, IdleConnections: idleConnections, DialTimeout: d.settings.Endpoints.DialTimeout}),
+		Peers:    servingpeer.New(servingpeer.Options{Secret: d.settings.Peer.Secret, IdleConnections: idleConnections, DialTimeout: d.settings.Endpoints.DialTimeout}),
+		Clock:    d.clock, Logger: d.logger, Meter: d.metrics.meter(),
+		Limits:     d.callerLimits(),
+		PeerSecret: d.settings.Peer.Secret,
+	})
+	d.serving = &servingParts{server: server}
+	return err
+}
+
+func (d *Daemon) callerLimits() caller.Limits {
+	return caller.Limits{
+		Body: d.settings.Caller.BodyLimit, Timeout: d.settings.Caller.RequestTimeout,
+		ReadTimeout: d.settings.Caller.ReadTimeout, ReadinessDelay: max(d.settings.Shutdown.ReadinessDelay, time.Millisecond),
+	}
+}
+
+func (p *servingParts) parts() []part { return nil }
+
+// placementParts order endpoints.
+type placementParts struct{}
+
+func (d *Daemon) buildPlacement() error {
+	d.placement = &placementParts{}
+	return nil
+}
+
+func (d *Daemon) buildPlanner() error { return nil }
+
+func (p *placementParts) source() winch.EndpointSource { return nil }
+
+func (p *placementParts) sections() []winch.Section { return nil }
+
+func (p *placementParts) parts() []part { return nil }
--- a/winchd/main.go
+++ b/winchd/main.go
@@ -1,4 +1,118 @@
-// Command winchd is part of arbutuswinch.
+// Command winchd is the daemon of an entry host: it serves callers, the other
+// hosts and operators.
 package main
 
-func main() {}
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/arbutuswinch/winch/winchd/daemon"
+	"github.com/arbutuswinch/winch/winchd/settings"
+)
+
+// version is set by the linker at a release.
+var version = "development"
+
+// The exit codes.
+const (
+	exitFailed  = 1
+	exitUsage   = 2
+	exitInvalid = 3
+)
+
+type runCommand struct {
+	Settings string `arg:"--settings,-s,required" help:"file with the settings, in JSON" placeholder:"FILE"`
+}
+
+type checkCommand struct {
+	Settings string `arg:"--settings,-s,required" help:"file with the settings, in JSON" placeholder:"FILE"`
+}
+
+type versionCommand struct{}
+
+type arguments struct {
+	Run     *runCommand     `arg:"subcommand:run" help:"serve until SIGTERM or SIGINT; a stop finishes open requests"`
+	Check   *checkCommand   `arg:"subcommand:check" help:"check the settings and exit"`
+	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
+}
+
+// Description tells what the program is, in its help.
+func (arguments) Description() string {
+	return "winchd routes language-model traffic with service levels and priorities."
+}
+
+// Epilogue lists the exit codes, in its help.
+func (arguments) Epilogue() string {
+	return "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 invalid settings."
+}
+
+func main() {
+	args := arguments{}
+	parser := arg.MustParse(&args)
+	if parser.Subcommand() == nil {
+		parser.WriteHelp(os.Stderr)
+		os.Exit(exitUsage)
+	}
+	if err := execute(args); err != nil {
+		fmt.Fprintln(os.Stderr, "winchd:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	if errors.Is(err, settings.ErrInvalid) {
+		return exitInvalid
+	}
+	return exitFailed
+}
+
+func execute(args arguments) error {
+	switch {
+	case args.Version != nil:
+		fmt.Println("winchd", version)
+		return nil
+	case args.Check != nil:
+		_, err := settings.Load(args.Check.Settings)
+		if err == nil {
+			fmt.Println("settings are valid")
+		}
+		return err
+	}
+	return run(args.Run.Settings)
+}
+
+func run(path string) error {
+	loaded, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	logger, closeLog, err := newLogger(loaded.Log)
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	built, err := daemon.New(loaded, version, logger)
+	if err != nil {
+		return err
+	}
+	return built.Run()
+}
+
+// newLogger returns the process's logger and a function that closes its file.
+func newLogger(log settings.Log) (hclog.Logger, func(), error) {
+	output, closeLog := os.Stderr, func() {}
+	if log.File != "" {
+		file, err := os.OpenFile(log.File, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return nil, nil, fmt.Errorf("open log: %w", err)
+		}
+		output, closeLog = file, func() { _ = file.Close() }
+	}
+	return hclog.New(&hclog.LoggerOptions{
+		Name: "winchd", Level: hclog.LevelFromString(log.Level), Output: output, JSONFormat: log.JSON,
+	}), closeLog, nil
+}
