fix(winchload): start hosts by their run command and repeat the note

Cause: the daemon takes its settings by a subcommand, and refuses notes until it has a configuration's head. Ruled out: waiting for readiness before the note, since a host is ready only once there is a configuration.

--- a/winchload/bench/process.go
+++ b/winchload/bench/process.go
@@ -30,12 +30,12 @@
 }
 
 // startProcess starts the program; its output goes to a log file in the directory.
-func startProcess(directory, name, program, settings string) (*process, error) {
+func startProcess(directory, name, program string, arguments ...string) (*process, error) {
 	log, err := os.Create(filepath.Join(directory, name+".log"))
 	if err != nil {
 		return nil, fmt.Errorf("create log: %w", err)
 	}
-	command := exec.Command(program, "--settings", settings)
+	command := exec.Command(program, arguments...)
 	command.Stderr = log
 	out, err := command.StdoutPipe()
 	if err != nil {
--- a/winchload/bench/set.go
+++ b/winchload/bench/set.go
@@ -102,7 +102,7 @@
 	if err := s.waitAll(ctx, s.ready); err != nil {
 		return err
 	}
-	if err := s.apply(ctx, newNote(s.options.Experiment, addresses)); err != nil {
+	if err := s.applyNote(ctx, newNote(s.options.Experiment, addresses)); err != nil {
 		return err
 	}
 	return s.waitAll(ctx, s.serving)
@@ -113,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.platform, err = startProcess(s.options.Directory, "standin", s.options.Standin, path); err != nil {
+	if s.platform, err = startProcess(s.options.Directory, "standin", s.options.Standin, "--settings", path); err != nil {
 		return nil, err
 	}
 	line, err := s.platform.firstLine(ctx)
@@ -133,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	started, err := startProcess(s.options.Directory, host.Host, s.options.Winchd, path)
+	started, err := startProcess(s.options.Directory, host.Host, s.options.Winchd, "run", "--settings", path)
 	if err != nil {
 		return err
 	}
@@ -175,6 +175,16 @@
 	return nil
 }
 
+// applyNote tries until the note is taken; a note with the same id counts once.
+func (s *Set) applyNote(ctx context.Context, added note) error {
+	for {
+		err := s.apply(ctx, added)
+		if err == nil || !pause(ctx) {
+			return err
+		}
+	}
+}
+
 func pause(ctx context.Context) bool {
 	timer := time.NewTimer(pollInterval)
 	defer timer.Stop()
