--- a/winchload/bench/host.go
+++ b/winchload/bench/host.go
@@ -1,8 +1,6 @@
 package bench
 
 import (
-	"fmt"
-
 	"github.com/arbutuswinch/winch/winchload/control"
 	"github.com/arbutuswinch/winch/winchload/experiment"
 )
@@ -66,7 +64,7 @@
 	for _, centre := range loaded.DataCentres {
 		for i := range centre.Hosts {
 			host := hostSettings{
-				Host: fmt.Sprintf("%s-host-%d", centre.ID, i), DataCentre: centre.ID, DataCentres: centres,
+				Host: centre.HostID(i), DataCentre: centre.ID, DataCentres: centres,
 				Platform: hostPlatform{
 					KeyValue: addresses["keyvalue"], Orders: addresses["orders"], Usage: addresses["usage"], Hosts: addresses["hosts"],
 				},
@@ -75,15 +73,7 @@
 				Shutdown:  shutdownSection{ReadinessDelay: experiment.Duration(readinessDelay), DrainTimeout: experiment.Duration(drainTimeout)},
 				Log:       logSection{Level: options.LogLevel, JSON: true},
 			}
-			var err error
-			if host.Caller.Address, err = ports.chosen(); err != nil {
-				return nil, err
-			}
-			host.Peer.Secret, host.Operator.Secret = peerSecret, operatorSecret
-			if host.Peer.Address, err = ports.chosen(); err != nil {
-				return nil, err
-			}
-			if host.Operator.Address, err = ports.chosen(); err != nil {
+			if err := host.setAddresses(ports); err != nil {
 				return nil, err
 			}
 			hosts = append(hosts, host)
@@ -92,6 +82,18 @@
 	return hosts, nil
 }
 
+func (h *hostSettings) setAddresses(ports *portCounter) error {
+	h.Peer.Secret, h.Operator.Secret = peerSecret, operatorSecret
+	for _, address := range []*string{&h.Caller.Address, &h.Peer.Address, &h.Operator.Address} {
+		chosen, err := ports.chosen()
+		if err != nil {
+			return err
+		}
+		*address = chosen
+	}
+	return nil
+}
+
 // listed returns the hosts as the platform's host list names them.
 func listed(hosts []hostSettings) []control.Host {
 	out := make([]control.Host, 0, len(hosts))
--- a/winchload/bench/note.go
+++ b/winchload/bench/note.go
@@ -20,6 +20,7 @@
 	Classes       []classItem
 	Routes        []routeItem `json:",omitempty"`
 	Endpoints     []endpointItem
+	Pools         []poolItem `json:",omitempty"`
 }
 
 type organisationItem struct {
@@ -64,6 +65,19 @@
 	SlotLimit     int
 }
 
+type poolItem struct {
+	ID            string
+	DataCentre    string
+	Model         string
+	Classes       []string
+	Supply        string
+	Cost          int64
+	Min           int
+	Max           int
+	ChecksFencing bool
+	SlotLimit     int
+}
+
 // newNote returns the note; addresses are the stand-ins' own names for them.
 func newNote(loaded experiment.Experiment, addresses map[string]string) note {
 	out := note{ID: "load-" + loaded.Name}
@@ -80,6 +94,7 @@
 			out.Added.Routes = append(out.Added.Routes, routeItem{ID: class.Route, Class: class.ID, Idempotent: class.Idempotent})
 		}
 	}
+	out.Added.Pools = poolItems(loaded)
 	out.Added.Endpoints = append(engineItems(loaded, addresses), serviceItems(loaded, addresses)...)
 	return out
 }
@@ -98,7 +113,7 @@
 func engineItems(loaded experiment.Experiment, addresses map[string]string) []endpointItem {
 	out := []endpointItem{}
 	for _, group := range loaded.Engines {
-		classes := classesOf(loaded, func(class experiment.Class) bool { return class.Model == group.Model })
+		classes := classesOfModel(loaded, group.Model)
 		for i := range group.Count {
 			id := group.EngineID(i)
 			out = append(out, endpointItem{
@@ -110,6 +125,24 @@
 	return out
 }
 
+func poolItems(loaded experiment.Experiment) []poolItem {
+	out := []poolItem{}
+	for _, group := range loaded.Engines {
+		if group.Pool == "" {
+			continue
+		}
+		out = append(out, poolItem{
+			ID: group.Pool, DataCentre: group.DataCentre, Model: group.Model, Classes: classesOfModel(loaded, group.Model),
+			Supply: group.Supply, Cost: group.Cost, Min: group.Min, Max: group.Max, ChecksFencing: true, SlotLimit: group.BatchLimit,
+		})
+	}
+	return out
+}
+
+func classesOfModel(loaded experiment.Experiment, model string) []string {
+	return classesOf(loaded, func(class experiment.Class) bool { return class.Model == model })
+}
+
 func serviceItems(loaded experiment.Experiment, addresses map[string]string) []endpointItem {
 	out := []endpointItem{}
 	for _, group := range loaded.Services {
--- a/winchload/bench/process.go
+++ b/winchload/bench/process.go
@@ -31,9 +31,9 @@
 
 // startProcess starts the program; its output goes to a log file in the directory.
 func startProcess(directory, name, program string, arguments ...string) (*process, error) {
-	log, err := os.Create(filepath.Join(directory, name+".log"))
+	log, err := os.OpenFile(filepath.Join(directory, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
-		return nil, fmt.Errorf("create log: %w", err)
+		return nil, fmt.Errorf("open log: %w", err)
 	}
 	command := exec.Command(program, arguments...)
 	command.Stderr = log
@@ -96,6 +96,20 @@
 	_ = p.log.Close()
 }
 
+// kill ends the process without a warning.
+func (p *process) kill() {
+	_ = p.command.Process.Kill()
+	<-p.ended
+	_ = p.log.Close()
+}
+
+// pause stops the process for a while, as a host that is suspended.
+func (p *process) pause(duration time.Duration) {
+	_ = p.command.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(duration)
+	_ = p.command.Process.Signal(syscall.SIGCONT)
+}
+
 // mark remembers the processor time, from which cost counts.
 func (p *process) mark() { p.cpu = p.cpuTime() }
 
--- a/winchload/bench/set.go
+++ b/winchload/bench/set.go
@@ -27,6 +27,7 @@
 	"github.com/arbutuswinch/winch/winchload/control"
 	"github.com/arbutuswinch/winch/winchload/experiment"
 	"github.com/arbutuswinch/winch/winchload/result"
+	"github.com/arbutuswinch/winch/winchload/target"
 )
 
 const (
@@ -62,9 +63,17 @@
 	options  Options
 	http     *http.Client
 	platform *process
-	hosts    []*process
 	settings []hostSettings
 	control  string
+
+	mu      sync.Mutex
+	stopped bool
+	// hosts are the running processes, in the order of the settings.
+	hosts []*process
+	// paid is the cost of processes that were replaced.
+	paid []result.Process
+	// repairs are faults of hosts that are under way.
+	repairs sync.WaitGroup
 }
 
 // Start starts everything and returns when each host serves the experiment's models.
@@ -95,9 +104,11 @@
 		return fmt.Errorf("set host list: %w", err)
 	}
 	for _, host := range s.settings {
-		if err := s.startHost(host); err != nil {
+		started, err := s.startHost(host)
+		if err != nil {
 			return err
 		}
+		s.hosts = append(s.hosts, started)
 	}
 	if err := s.waitAll(ctx, s.ready); err != nil {
 		return err
@@ -128,17 +139,12 @@
 	return addresses, nil
 }
 
-func (s *Set) startHost(host hostSettings) error {
+func (s *Set) startHost(host hostSettings) (*process, error) {
 	path, err := s.write(host.Host, host)
 	if err != nil {
-		return err
-	}
-	started, err := startProcess(s.options.Directory, host.Host, s.options.Winchd, "run", "--settings", path)
-	if err != nil {
-		return err
+		return nil, err
 	}
-	s.hosts = append(s.hosts, started)
-	return nil
+	return startProcess(s.options.Directory, host.Host, s.options.Winchd, "run", "--settings", path)
 }
 
 func (s *Set) write(name string, value any) (string, error) {
@@ -196,11 +202,11 @@
 	}
 }
 
-// Targets returns the caller ports.
-func (s *Set) Targets() []string {
-	out := make([]string, 0, len(s.settings))
+// Targets returns the hosts' ports, by which a balancer sends requests and sees who is ready.
+func (s *Set) Targets() []target.Host {
+	out := make([]target.Host, 0, len(s.settings))
 	for _, host := range s.settings {
-		out = append(out, host.Caller.Address)
+		out = append(out, target.Host{Address: host.Caller.Address, Health: host.Operator.Address})
 	}
 	return out
 }
@@ -221,18 +227,27 @@
 	for _, p := range s.all() {
 		out = append(out, p.cost())
 	}
-	return out
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append(out, s.paid...)
 }
 
 func (s *Set) all() []*process {
-	if s.platform == nil {
-		return s.hosts
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := []*process{}
+	if s.platform != nil {
+		out = append(out, s.platform)
 	}
-	return append([]*process{s.platform}, s.hosts...)
+	return append(out, s.hosts...)
 }
 
 // Stop ends the hosts, and after them the stand-ins.
 func (s *Set) Stop() {
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	s.repairs.Wait()
 	group := sync.WaitGroup{}
 	for _, host := range s.hosts {
 		group.Go(func() { host.stop(stopGrace) })
--- a/winchload/commands.go
+++ b/winchload/commands.go
@@ -61,7 +61,11 @@
 	if err != nil {
 		return err
 	}
-	picker := target.NewBalancer(strings.Split(c.Targets, ","))
+	hosts := []target.Host{}
+	for _, address := range strings.Split(c.Targets, ",") {
+		hosts = append(hosts, target.Host{Address: address})
+	}
+	picker := target.NewBalancer(hosts)
 	return c.drive(ctx, loaded, picker, control.New(c.Control), false)
 }
 
--- a/winchload/drive/drive.go
+++ b/winchload/drive/drive.go
@@ -10,7 +10,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +38,8 @@
 	// Direct says that the targets are engines and services themselves.
 	Direct  bool
 	Control *control.Port
+	// Hosts sets faults of hosts; nil when the tool did not start them.
+	Hosts Hosts
 	// Faults are set unless it is false.
 	Faults   bool
 	Progress *progress.Line
@@ -43,6 +47,12 @@
 	Processes func() []result.Process
 }
 
+// Hosts are the system's processes.
+type Hosts interface {
+	// Fault stops, kills or pauses a host.
+	Fault(host, kind string, duration time.Duration) error
+}
+
 // Run sends the load and returns the measures.
 func Run(ctx context.Context, options Options) (result.Result, error) {
 	frame := result.Frame{Label: options.Label, Seed: options.Seed, Started: time.Now()}
@@ -108,14 +118,24 @@
 		if !sleepUntil(ctx, start.Add(planned.At)) {
 			return
 		}
-		set := control.Fault{
-			Target: planned.Target, Kind: planned.Fault.Kind, Duration: planned.Fault.Duration,
-			Delay: planned.Fault.Delay, Factor: planned.Fault.Factor, Count: planned.Fault.Count,
-		}
-		if err := options.Control.Fault(ctx, set); err != nil {
-			options.Progress.Say(fmt.Sprintf("fault %s on %s not set: %v", set.Kind, set.Target, err))
+		if err := setFault(ctx, options, planned); err != nil {
+			options.Progress.Say(fmt.Sprintf("fault %s on %s not set: %v", planned.Fault.Kind, planned.Target, err))
 			continue
 		}
-		options.Progress.Say(fmt.Sprintf("%s: %s on %s", planned.At.Round(time.Millisecond), set.Kind, set.Target))
+		options.Progress.Say(fmt.Sprintf("%s: %s on %s", planned.At.Round(time.Millisecond), planned.Fault.Kind, planned.Target))
+	}
+}
+
+func setFault(ctx context.Context, options Options, planned experiment.PlannedFault) error {
+	host, ofHost := strings.CutPrefix(planned.Target, "host/")
+	if !ofHost {
+		return options.Control.Fault(ctx, control.Fault{
+			Target: planned.Target, Kind: planned.Fault.Kind, Duration: planned.Fault.Duration,
+			Delay: planned.Fault.Delay, Factor: planned.Fault.Factor, Count: planned.Fault.Count,
+		})
+	}
+	if options.Hosts == nil {
+		return errors.New("the hosts were not started by the tool")
 	}
+	return options.Hosts.Fault(host, planned.Fault.Kind, time.Duration(planned.Fault.Duration))
 }
--- a/winchload/experiment/deployment.go
+++ b/winchload/experiment/deployment.go
@@ -16,6 +16,9 @@
 	return fmt.Sprintf("%s-%s-%d", g.DataCentre, g.Route, index)
 }
 
+// HostID returns the id of a data centre's host, numbered from zero.
+func (d DataCentre) HostID(index int) string { return fmt.Sprintf("%s-host-%d", d.ID, index) }
+
 // RouteOf returns the route of a plain service, or nothing.
 func (e Experiment) RouteOf(serviceID string) string {
 	for _, group := range e.Services {
--- a/winchload/experiment/experiment.go
+++ b/winchload/experiment/experiment.go
@@ -118,11 +118,15 @@
 	Hosts int
 }
 
-// EngineGroup is a set of like engines in one data centre.
+// EngineGroup is a set of like engines in one data centre. With Pool set they are
+// not there from the start: the system orders from Min to Max of them.
 type EngineGroup struct {
 	DataCentre string
 	Model      string
 	Count      int
+	Pool       string
+	Min        int
+	Max        int
 	// Supply is "Steady" or "Cheap".
 	Supply string
 	// Cost is the price of one engine, in thousandths of the currency unit an hour.
@@ -147,7 +151,10 @@
 	Slots      int
 }
 
-// Fault is a fault at a time that the seed draws from Spread after At, on one of the targets.
+// Fault is a fault at a time that the seed draws from Spread after At, on one of
+// the targets. Targets are those of the stand-ins, and "host/" with a host's id, for
+// which the kinds are "stop" (planned; the host starts again after Duration), "kill"
+// (likewise, without a warning) and "pause" (for Duration).
 type Fault struct {
 	At       Duration
 	Spread   Duration
@@ -199,6 +206,11 @@
 	if shares < 1-shareTolerance || shares > 1+shareTolerance {
 		return fieldError("Classes", fmt.Sprintf("shares sum up to %.3f", shares))
 	}
+	for i, group := range e.Engines {
+		if (group.Pool == "") == (group.Count == 0) || group.Min > group.Max {
+			return fieldError(fmt.Sprintf("Engines[%d]", i), "needs either Count, or Pool with Min and Max")
+		}
+	}
 	for i, fault := range e.Faults {
 		if len(fault.Targets) == 0 {
 			return fieldError(fmt.Sprintf("Faults[%d].Targets", i), "missing")
--- a/winchload/pair.go
+++ b/winchload/pair.go
@@ -118,9 +118,13 @@
 		return result.Result{}, fmt.Errorf("start set: %w", err)
 	}
 	defer set.Stop()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	balancer := target.NewBalancer(set.Targets())
+	go balancer.Watch(ctx)
 	set.Mark()
 	return drive.Run(ctx, drive.Options{
-		Experiment: loaded, Label: side.label, Seed: seed, Picker: target.NewBalancer(set.Targets()),
+		Experiment: loaded, Label: side.label, Seed: seed, Picker: balancer, Hosts: set,
 		Control: control.New(set.Control()), Faults: !c.NoFaults, Processes: set.Processes,
 		Progress: progress.New(os.Stderr, fmt.Sprintf("%s seed %d", side.label, seed), time.Duration(loaded.Duration)),
 	})
--- a/winchload/result/platform.go
+++ b/winchload/result/platform.go
@@ -87,8 +87,9 @@
 	total, count := 0.0, 0
 	for _, engines := range loaded.Engines {
 		if engines.Supply == supply || (engines.Supply == "" && supply == supplySteady) {
-			total += float64(engines.Cost) * float64(engines.Count)
-			count += engines.Count
+			number := engines.Count + engines.Max
+			total += float64(engines.Cost) * float64(number)
+			count += number
 		}
 	}
 	if supply == supplySteady {
--- a/winchload/target/target.go
+++ b/winchload/target/target.go
@@ -3,36 +3,100 @@
 //
 // # Usage
 //
-//	picker := target.NewBalancer([]string{"127.0.0.1:8001", "127.0.0.1:8002"})
+//	picker := target.NewBalancer([]target.Host{{Address: "127.0.0.1:8001", Health: "127.0.0.1:8003"}})
+//	go picker.Watch(ctx)
 //	picker, err := target.NewEndpoints(loaded, state)
 package target
 
 import (
+	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/arbutuswinch/winch/winchload/caller"
 	"github.com/arbutuswinch/winch/winchload/control"
 	"github.com/arbutuswinch/winch/winchload/experiment"
 )
 
-// Balancer gives requests to the router's hosts in turn.
+const (
+	healthInterval = 50 * time.Millisecond
+	healthTimeout  = time.Second
+)
+
+// Host is an entry host as a balancer knows it.
+type Host struct {
+	// Address is the caller port.
+	Address string
+	// Health is the port that tells whether the host is ready; empty when it is not asked.
+	Health string
+}
+
+// Balancer gives requests in turn to the router's hosts that are ready.
 type Balancer struct {
-	addresses []string
-	next      atomic.Uint64
+	hosts   []Host
+	unready []atomic.Bool
+	next    atomic.Uint64
+}
+
+// NewBalancer returns a balancer that takes all hosts to be ready until Watch says otherwise.
+func NewBalancer(hosts []Host) *Balancer {
+	return &Balancer{hosts: hosts, unready: make([]atomic.Bool, len(hosts))}
+}
+
+// Watch asks the hosts whether they are ready, until ctx is over.
+func (b *Balancer) Watch(ctx context.Context) {
+	client := &http.Client{Timeout: healthTimeout}
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	group := sync.WaitGroup{}
+	defer group.Wait()
+	for {
+		select {
+		case <-ticker.C:
+			group.Wait()
+			for i := range b.hosts {
+				group.Go(func() { b.check(ctx, client, i) })
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
-// NewBalancer returns a balancer over the hosts' caller ports.
-func NewBalancer(addresses []string) *Balancer { return &Balancer{addresses: addresses} }
+// check leaves a host out only when it says that it is not ready. One that does not
+// answer is found out by the refused connection.
+func (b *Balancer) check(ctx context.Context, client *http.Client, at int) {
+	if b.hosts[at].Health == "" {
+		return
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.hosts[at].Health+"/readyz", nil)
+	if err != nil {
+		return
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return
+	}
+	_ = response.Body.Close()
+	b.unready[at].Store(response.StatusCode != http.StatusOK)
+}
 
-// Pick returns the next host.
+// Pick returns the next host that is ready, or the next one when none is.
 func (b *Balancer) Pick(request experiment.Request, _ int) (caller.Target, bool) {
-	if len(b.addresses) == 0 {
+	if len(b.hosts) == 0 {
 		return caller.Target{}, false
 	}
-	at := b.next.Add(1) % uint64(len(b.addresses))
-	return caller.Target{Address: b.addresses[at], Path: "/services/" + request.Class.Route}, true
+	at := 0
+	for range b.hosts {
+		at = int(b.next.Add(1) % uint64(len(b.hosts)))
+		if !b.unready[at].Load() {
+			break
+		}
+	}
+	return caller.Target{Address: b.hosts[at].Address, Path: "/services/" + request.Class.Route}, true
 }
 
 // Endpoints gives requests to the endpoint with the fewest of the tool's own open ones.
