fix(winchload): count endpoint cost over the arrivals only

Ruled out: scaling by the run's length, which is wrong once endpoints are ordered. Before / after: read at the ends of the run / at the end of the warm-up and of the arrivals. Conclusion: costs of two sides are over the same time.

--- a/winchload/bench/platform.go
+++ b/winchload/bench/platform.go
@@ -2,7 +2,11 @@
 
 import "github.com/arbutuswinch/winch/winchload/experiment"
 
-const anyPort = "127.0.0.1:0"
+const (
+	anyPort = "127.0.0.1:0"
+	// eventGap is the share of cache events that engines never publish.
+	eventGap = 0.02
+)
 
 // The settings of the stand-ins, as far as an experiment needs them.
 type platformSettings struct {
@@ -58,6 +62,7 @@
 	PrefillTokensPerSecond int
 	CacheTokens            int
 	ReportLag              experiment.Duration
+	EventGap               float64
 	ChecksFencing          bool
 }
 
@@ -113,6 +118,6 @@
 		DataCentre: group.DataCentre, Supply: group.Supply, Models: []modelSection{{group.Model}},
 		BatchLimit: group.BatchLimit, WaitLimit: group.WaitLimit, StepBase: group.StepBase, StepPerSequence: group.StepPerSequence,
 		PrefillTokensPerSecond: group.PrefillTokensPerSecond, CacheTokens: group.CacheTokens,
-		ReportLag: group.ReportLag, ChecksFencing: group.ChecksFencing,
+		ReportLag: group.ReportLag, EventGap: eventGap, ChecksFencing: group.ChecksFencing,
 	}
 }
--- a/winchload/control/control.go
+++ b/winchload/control/control.go
@@ -122,6 +122,13 @@
 	return state, err
 }
 
+// Paid returns the state with few executions in it, for a reading during a run.
+func (p *Port) Paid(ctx context.Context) (State, error) {
+	state := State{}
+	err := p.do(ctx, http.MethodGet, "/control/state?executions=repeated", nil, &state)
+	return state, err
+}
+
 // Fault sets a fault.
 func (p *Port) Fault(ctx context.Context, fault Fault) error {
 	return p.do(ctx, http.MethodPost, "/control/faults", fault, nil)
--- a/winchload/drive/drive.go
+++ b/winchload/drive/drive.go
@@ -67,6 +67,7 @@
 	if options.Faults {
 		go setFaults(ctx, options, time.Now())
 	}
+	paid := watchPaid(ctx, options, time.Now())
 	send(ctx, options, client, collector)
 	stopProgress()
 	if options.Processes != nil {
@@ -76,9 +77,29 @@
 	if frame.After, err = options.Control.State(ctx); err != nil {
 		return result.Result{}, fmt.Errorf("read state after: %w", err)
 	}
+	frame.Open, frame.Close = paid()
 	return collector.Result(frame), ctx.Err()
 }
 
+// watchPaid reads how long endpoints have been paid for at the end of the warm-up and of the
+// arrivals, so that the tail of long answers does not count as cost. The returned
+// function waits for both readings.
+func watchPaid(ctx context.Context, options Options, start time.Time) func() (open, end control.State) {
+	states := [2]control.State{}
+	group := sync.WaitGroup{}
+	for i, at := range []experiment.Duration{options.Experiment.Warmup, options.Experiment.Duration} {
+		group.Go(func() {
+			if sleepUntil(ctx, start.Add(time.Duration(at))) {
+				states[i], _ = options.Control.Paid(ctx)
+			}
+		})
+	}
+	return func() (control.State, control.State) {
+		group.Wait()
+		return states[0], states[1]
+	}
+}
+
 // send sends the requests at their times and waits for the end of all.
 func send(ctx context.Context, options Options, client *caller.Client, collector *result.Collector) {
 	group := sync.WaitGroup{}
--- a/winchload/result/collector.go
+++ b/winchload/result/collector.go
@@ -205,7 +205,9 @@
 	Started time.Time
 	// Before and After are the stand-ins' states around the run.
 	Before, After control.State
-	Processes     []Process
+	// Open and Close are the states at the end of the warm-up and of the arrivals.
+	Open, Close control.State
+	Processes   []Process
 }
 
 // Result computes the measures.
--- a/winchload/result/collector_test.go
+++ b/winchload/result/collector_test.go
@@ -42,10 +42,11 @@
 	return loaded, c.Result(Frame{
 		Label: "Winch", Seed: 1,
 		Before: control.State{Engines: map[string]control.Engine{"e1": {OutputTokens: 100}}},
+		Open:   control.State{EndpointSeconds: map[string]float64{"Cheap": 5, "Steady": 5}},
+		Close:  control.State{EndpointSeconds: map[string]float64{"Cheap": 15, "Steady": 15}},
 		After: control.State{
-			Engines:         map[string]control.Engine{"e1": {OutputTokens: 400}, "e2": {OutputTokens: 300}},
-			Endpoints:       []control.Endpoint{{ID: "e2", Supply: "Cheap"}},
-			EndpointSeconds: map[string]float64{"Cheap": 10, "Steady": 10},
+			Engines:   map[string]control.Engine{"e1": {OutputTokens: 400}, "e2": {OutputTokens: 300}},
+			Endpoints: []control.Endpoint{{ID: "e2", Supply: "Cheap"}},
 			Executions: map[string]control.Executions{
 				"a": {ByKey: map[string]int{"k1": 1, "k2": 1, "k4": 1}, ByRequest: map[string]int{"r1": 1}},
 				"b": {ByKey: map[string]int{"k2": 1}},
--- a/winchload/result/platform.go
+++ b/winchload/result/platform.go
@@ -73,8 +73,8 @@
 // cost adds up what endpoints cost; engines of one supply are priced at the mean of their groups.
 func cost(loaded experiment.Experiment, r Result, frame Frame) Cost {
 	out := r.Cost
-	out.SteadySeconds = frame.After.EndpointSeconds[supplySteady] - frame.Before.EndpointSeconds[supplySteady]
-	out.CheapSeconds = frame.After.EndpointSeconds[supplyCheap] - frame.Before.EndpointSeconds[supplyCheap]
+	out.SteadySeconds = frame.Close.EndpointSeconds[supplySteady] - frame.Open.EndpointSeconds[supplySteady]
+	out.CheapSeconds = frame.Close.EndpointSeconds[supplyCheap] - frame.Open.EndpointSeconds[supplyCheap]
 	out.Paid = out.SteadySeconds*price(loaded, supplySteady) + out.CheapSeconds*price(loaded, supplyCheap)
 	if r.Total.Attained > 0 {
 		out.PaidPerThousand = out.Paid / float64(r.Total.Attained) * 1000
