--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,12 @@
 
 known-red:
 	@if [ -s KNOWN-RED.txt ]; then echo "Known red:"; cat KNOWN-RED.txt; else echo "known red: none"; fi
+
+run: build
+	scripts/run.sh
+
+up: build
+	scripts/run.sh stay
+
+faults: build
+	go test -count=1 -run TestFaults -v ./winchd/faults
--- a/httpjson/client.go
+++ b/httpjson/client.go
@@ -79,8 +79,13 @@
 func (e *Error) Unwrap() error { return e.kind }
 
 // NewTransport returns a transport for calls by IP number, without proxies.
-func NewTransport() *http.Transport {
+func NewTransport() *http.Transport { return newTransport("") }
+
+func newTransport(source string) *http.Transport {
 	dialer := &net.Dialer{Timeout: defaultDial, KeepAlive: 15 * time.Second}
+	if source != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(source)}
+	}
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 64,
--- a/httpjson/traffic.go
+++ b/httpjson/traffic.go
@@ -19,9 +19,10 @@
 // Received returns the number of bytes read so far.
 func (t *Traffic) Received() int64 { return t.received.Load() }
 
-// Transport returns a transport whose connections are counted.
-func (t *Traffic) Transport() *http.Transport {
-	transport := NewTransport()
+// Transport returns a transport whose connections are counted. Connections leave
+// from the IP number source, unless it is empty.
+func (t *Traffic) Transport(source string) *http.Transport {
+	transport := newTransport(source)
 	dial := transport.DialContext
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
--- /dev/null
+++ b/scripts/run.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Runs the main job: three data centres, a note, requests of each class, the decisions. With "stay" it goes on until interrupted.
+cd "$(dirname "$0")/.."
+. scripts/local.sh
+trap 'status=$?; stop_all || status=1; exit $status' EXIT
+
+ctl() { bin/winchctl "$@" --address "$operators" --secret local-operator-secret; }
+call() { bin/winchload call "$@"; }
+
+echo "== start: the stand-ins and six hosts of three data centres"
+start_all
+echo "== apply the release note examples/local/note.json and wait until it is accepted"
+ctl note apply examples/local/note.json --wait
+echo "== hosts"
+ctl hosts
+echo "== a request of each class, at hosts of different data centres"
+call --address 127.0.0.1:18010 --key stores-secret-1 --class store-floor --model atlas-8b --prompt "Is the silver mannequin in stock?" | tee "$out/answer"
+call --address 127.0.0.1:18030 --key corner-secret-1 --class display-plan --model atlas-8b --prompt "Plan the spring window." --tokens 40
+call --address 127.0.0.1:18050 --key stores-secret-1 --route hire --path confirm
+call --address 127.0.0.1:18060 --key stores-secret-1 --route stock --path mannequins
+echo "== why the first request went where it went"
+ctl explain "$(head -1 "$out/answer" | cut -d' ' -f1)"
+echo "== queues of all data centres"
+ctl queues
+echo "== decisions in the logs"
+grep -hE '"Event":(2001|3001)' "$out"/*.log | head -8
+echo "== endpoints, ordered ones among them"
+ctl endpoints
+echo "== a key is withdrawn, and stops working"
+ctl key withdraw corner-shop-1
+sleep 2
+if call --address 127.0.0.1:18030 --key corner-secret-1 --class display-plan --model atlas-8b 2>"$out/refused"; then
+  echo "the withdrawn key still works" >&2
+  exit 1
+fi
+grep -o 'invalid_api_key\|unauthorized\|401' "$out/refused" | head -1
+echo "== usage as the platform got it"
+ctl usage
+if [ "${1:-}" = stay ]; then
+  echo "== caller ports: $callers; stop with ctrl-c"
+  wait
+fi
+echo "== planned stop"
--- a/winchd/daemon/daemon.go
+++ b/winchd/daemon/daemon.go
@@ -97,7 +97,7 @@
 func (d *Daemon) buildStore() error {
 	store, err := platform.New(platform.Options{
 		Address: d.settings.Platform.KeyValue, Timeout: d.settings.Platform.Timeout,
-		Meter: d.metrics.meter(), Transport: d.traffic.Transport(),
+		Meter: d.metrics.meter(), Transport: d.traffic.Transport(""),
 	})
 	if err != nil {
 		return err
--- a/winchd/daemon/parts.go
+++ b/winchd/daemon/parts.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"time"
 
 	dispatch "github.com/arbutuswinch/winch/dispatch/endpoint"
@@ -19,7 +20,12 @@
 	"github.com/arbutuswinch/winch"
 )
 
-const idleConnections = 256
+const (
+	idleConnections = 256
+	// Several watches fit into the freshness limit, so that one that is lost does no harm.
+	watchesPerLimit = 4
+	maxWatchWait    = time.Second
+)
 
 // membershipParts tell which hosts are alive.
 type membershipParts struct {
@@ -28,7 +34,7 @@
 }
 
 func (d *Daemon) buildMembership() error {
-	self := winch.Host{ID: d.settings.Host, DataCentre: d.settings.DataCentre, PeerAddress: d.settings.Peer.Address}
+	self := winch.Host{ID: d.settings.Host, DataCentre: d.settings.DataCentre, PeerAddress: cmp.Or(d.settings.Peer.Advertise, d.settings.Peer.Address)}
 	d.membership = &membershipParts{
 		table: memberpeer.NewTable(self, d.settings.DataCentres, d.settings.Membership.SuspectAfter, d.settings.Membership.ForgetAfter),
 	}
@@ -38,7 +44,7 @@
 func (d *Daemon) buildExchange() error {
 	options := memberpeer.Options{
 		Table: d.membership.table, Clock: d.clock, Logger: d.logger, Secret: d.settings.Peer.Secret,
-		Transport:     d.traffic.Transport(),
+		Transport:     d.traffic.Transport(d.settings.Peer.Source),
 		ExchangeEvery: d.settings.Membership.ExchangeEvery, DigestEvery: d.settings.Membership.DigestEvery,
 		Sections: d.sections(),
 	}
@@ -75,6 +81,7 @@
 	distributor, err := releasepeer.New(releasepeer.Options{
 		Membership: d.membership.table, Log: store, Clock: d.clock, Incarnation: d.incarnation, Logger: d.logger, Meter: d.metrics.meter(),
 		FreshnessLimit: d.settings.Release.FreshnessLimit, IsolationGrace: d.settings.Release.IsolationGrace,
+		WatchWait: min(maxWatchWait, d.settings.Release.FreshnessLimit/watchesPerLimit),
 	})
 	if err != nil {
 		return err
--- a/winchd/settings/check.go
+++ b/winchd/settings/check.go
@@ -67,6 +67,8 @@
 	return errors.Join(
 		checkAddress("Caller.Address", s.Caller.Address, true),
 		checkAddress("Peer.Address", s.Peer.Address, true),
+		checkAddress("Peer.Advertise", s.Peer.Advertise, false),
+		checkSource(s.Peer.Source),
 		checkAddress("Operator.Address", s.Operator.Address, true),
 		checkAddress("Platform.KeyValue", s.Platform.KeyValue, true),
 		checkAddress("Platform.Orders", s.Platform.Orders, false),
@@ -88,6 +90,16 @@
 	return nil
 }
 
+func checkSource(source string) error {
+	if source == "" {
+		return nil
+	}
+	if _, err := netip.ParseAddr(source); err != nil {
+		return fieldError("Peer.Source", "must be an IP number")
+	}
+	return nil
+}
+
 func (s *Settings) checkSecrets() error {
 	var problems []error
 	if len(s.Peer.Secret) < secretMinimum {
--- a/winchd/settings/settings.go
+++ b/winchd/settings/settings.go
@@ -66,7 +66,12 @@
 
 // Peer is the port that the other entry hosts use.
 type Peer struct {
+	// Address is the IP number and port to listen on.
 	Address string
+	// Advertise is the address that other hosts are told, when it is not Address.
+	Advertise string
+	// Source is the IP number from which other hosts are called; empty leaves it to the system.
+	Source string
 	// Secret authenticates the hosts to each other.
 	Secret string
 	// SecretFile names a file that holds the secret, in place of Secret.
