feat(placement): order endpoints as the host in charge, and tell hosts of them

Cause: endpoint orders need an intent, a check at the last moment and an outcome, and every host must know the ordered endpoints. Ruled out: a new order while an older one of unknown outcome may still arrive; each host polling the platform. Conclusion: not yet run against the platform's stand-in.

--- /dev/null
+++ b/placement/platform/codec.go
@@ -0,0 +1,144 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+type wirePool struct {
+	Pool    string
+	Model   string
+	Adapter string
+	Version string
+	Supply  string
+	Count   int
+}
+
+type orderCall struct {
+	OrderID       string
+	FencingNumber int64
+	Holder        string
+	Pools         []wirePool
+}
+
+type wireEndpoint struct {
+	ID       string
+	Address  string
+	Pool     string
+	Model    string
+	Supply   string
+	State    string
+	LeavesAt *time.Time
+}
+
+type endpointsAnswer struct{ Endpoints []wireEndpoint }
+
+type wireIntent struct {
+	OrderID       string
+	FencingNumber int64
+	Holder        string
+	Incarnation   string
+	WriteID       string
+	Pools         []wirePool
+	Outcome       string
+}
+
+// summary is the list of endpoints, or what changed in it since an older one.
+type wireSummary struct {
+	Hash    uint64
+	Base    uint64
+	Changed []wireEndpoint
+	Removed []string
+}
+
+type wireReport struct{ Hash uint64 }
+
+// platformStates maps the platform's names of states to ours.
+var platformStates = map[string]winch.EndpointState{
+	"starting": winch.EndpointStarting,
+	"ready":    winch.EndpointReady,
+	"leaving":  winch.EndpointLeaving,
+	"gone":     winch.EndpointGone,
+}
+
+// platformSupplies maps the platform's names of supplies to ours.
+var platformSupplies = map[string]winch.Supply{
+	"steady": winch.SupplySteady, "Steady": winch.SupplySteady,
+	"cheap": winch.SupplyCheap, "Cheap": winch.SupplyCheap,
+}
+
+func encodePools(pools []winch.PoolOrder) []wirePool {
+	encoded := make([]wirePool, 0, len(pools))
+	for _, pool := range pools {
+		encoded = append(encoded, wirePool{
+			Pool:    string(pool.Pool),
+			Model:   string(pool.Model),
+			Adapter: string(pool.Adapter),
+			Version: string(pool.Version),
+			Supply:  string(pool.Supply),
+			Count:   pool.Count,
+		})
+	}
+	return encoded
+}
+
+func encodeOrder(order order, holder winch.HostID) ([]byte, error) {
+	encoded, err := json.Marshal(orderCall{
+		OrderID:       string(order.id),
+		FencingNumber: int64(order.number),
+		Holder:        string(holder),
+		Pools:         encodePools(order.pools),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encode order: %w", err)
+	}
+	return encoded, nil
+}
+
+func encodeEndpoint(endpoint winch.OrderedEndpoint) wireEndpoint {
+	encoded := wireEndpoint{
+		ID:      string(endpoint.ID),
+		Address: endpoint.Address,
+		Pool:    string(endpoint.Pool),
+		Model:   string(endpoint.Model),
+		Supply:  string(endpoint.Supply),
+		State:   string(endpoint.State),
+	}
+	if !endpoint.LeavesAt.IsZero() {
+		leaves := endpoint.LeavesAt
+		encoded.LeavesAt = &leaves
+	}
+	return encoded
+}
+
+func decodeEndpoint(wire wireEndpoint, centre winch.DataCentreID) winch.OrderedEndpoint {
+	decoded := winch.OrderedEndpoint{
+		ID:         winch.EndpointID(wire.ID),
+		DataCentre: centre,
+		Address:    wire.Address,
+		Pool:       winch.PoolID(wire.Pool),
+		Model:      winch.ModelID(wire.Model),
+		Supply:     winch.Supply(wire.Supply),
+		State:      winch.EndpointState(wire.State),
+	}
+	if wire.LeavesAt != nil {
+		decoded.LeavesAt = *wire.LeavesAt
+	}
+	return decoded
+}
+
+// decodePlatformEndpoint maps an endpoint as the platform names its states. An
+// unknown state counts as leaving, so that the endpoint gets no new work.
+func decodePlatformEndpoint(wire wireEndpoint, centre winch.DataCentreID) winch.OrderedEndpoint {
+	decoded := decodeEndpoint(wire, centre)
+	state, known := platformStates[wire.State]
+	if !known {
+		state = winch.EndpointLeaving
+	}
+	decoded.State = state
+	decoded.Supply = platformSupplies[wire.Supply]
+	return decoded
+}
--- /dev/null
+++ b/placement/platform/endpoints.go
@@ -0,0 +1,151 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/httpjson"
+)
+
+// EndpointsOptions are the settings of Endpoints.
+type EndpointsOptions struct {
+	// Address is the IP number and port of the order interface.
+	Address    string
+	DataCentre winch.DataCentreID
+	Membership winch.Membership
+	// Interval is the time between two reads of the list. The default is 1 s.
+	Interval time.Duration
+	Clock    winch.Clock
+	Logger   hclog.Logger
+}
+
+// Endpoints is the list of ordered endpoints. The hub of the data centre reads it
+// from the platform; the other hosts get it from the hub. It implements
+// winch.OrderedEndpoints and winch.Section and is safe for concurrent use.
+type Endpoints struct {
+	options EndpointsOptions
+	client  *httpjson.Client
+
+	mu      sync.Mutex
+	current []winch.OrderedEndpoint
+	hash    uint64
+	changed chan struct{}
+	// history has the newest lists by hash, the newest last.
+	history []listed
+	// known is the hash of the list that each host reported.
+	known map[winch.HostID]uint64
+}
+
+var (
+	_ winch.OrderedEndpoints = (*Endpoints)(nil)
+	_ winch.Section          = (*Endpoints)(nil)
+)
+
+// NewEndpoints returns a list that is not learnt yet.
+func NewEndpoints(options EndpointsOptions) (*Endpoints, error) {
+	if options.Membership == nil || options.Clock == nil || options.DataCentre == "" {
+		return nil, fmt.Errorf("endpoint options Membership, Clock and DataCentre are needed: %w", winch.ErrInvalid)
+	}
+	options.Interval = orDefault(options.Interval, defaultInterval)
+	if options.Logger == nil {
+		options.Logger = hclog.NewNullLogger()
+	}
+	client, err := httpjson.NewClient(httpjson.Options{Address: options.Address, Timeout: 2 * options.Interval})
+	if err != nil {
+		return nil, fmt.Errorf("create client of the order interface: %w", err)
+	}
+	return &Endpoints{
+		options: options, client: client,
+		changed: make(chan struct{}), known: map[winch.HostID]uint64{},
+	}, nil
+}
+
+// Current returns the newest list, or nil when none was learnt yet.
+func (e *Endpoints) Current() []winch.OrderedEndpoint {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current
+}
+
+// Changed returns a channel that is closed at the next change of the list.
+func (e *Endpoints) Changed() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.changed
+}
+
+// Run reads the list from the platform while this host is the hub, until ctx ends.
+func (e *Endpoints) Run(ctx context.Context) error {
+	ticker := time.NewTicker(e.options.Interval)
+	defer ticker.Stop()
+	for {
+		if e.isHub(e.options.Clock.Now()) {
+			e.poll(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (e *Endpoints) isHub(now time.Time) bool {
+	hub, found := e.options.Membership.Hub(now, e.options.DataCentre)
+	return found && hub.ID == e.options.Membership.Self().ID
+}
+
+func (e *Endpoints) poll(ctx context.Context) {
+	answer := endpointsAnswer{}
+	path := "/v1/datacentres/" + url.PathEscape(string(e.options.DataCentre)) + "/endpoints"
+	if err := e.client.Fetch(ctx, path, &answer); err != nil {
+		e.options.Logger.Warn("endpoints not read", "Event", EventEndpointsFailed, "DataCentre", e.options.DataCentre, "Error", err)
+		return
+	}
+	endpoints := make([]winch.OrderedEndpoint, 0, len(answer.Endpoints))
+	for _, wire := range answer.Endpoints {
+		endpoints = append(endpoints, decodePlatformEndpoint(wire, e.options.DataCentre))
+	}
+	e.set(endpoints)
+}
+
+// set takes a whole list in.
+func (e *Endpoints) set(endpoints []winch.OrderedEndpoint) {
+	slices.SortFunc(endpoints, func(a, b winch.OrderedEndpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	hash := hashOf(endpoints)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.current != nil && hash == e.hash {
+		return
+	}
+	e.logChanges(e.current, endpoints)
+	e.current, e.hash = endpoints, hash
+	e.history = append(e.history, listed{hash: hash, endpoints: endpoints})
+	if len(e.history) > historyLimit {
+		e.history = e.history[1:]
+	}
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+func (e *Endpoints) logChanges(before, after []winch.OrderedEndpoint) {
+	states := map[winch.EndpointID]winch.EndpointState{}
+	for _, endpoint := range before {
+		states[endpoint.ID] = endpoint.State
+	}
+	for _, endpoint := range after {
+		if states[endpoint.ID] == endpoint.State {
+			continue
+		}
+		e.options.Logger.Info("endpoint changed", "Event", EventEndpointChanged, "Endpoint", endpoint.ID,
+			"Pool", endpoint.Pool, "Supply", endpoint.Supply, "State", endpoint.State, "LeavesAt", endpoint.LeavesAt)
+	}
+}
--- /dev/null
+++ b/placement/platform/intents.go
@@ -0,0 +1,100 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// intents keeps the intent and the outcome of the newest order in the key-value
+// service. Each write is a compare-and-swap, so that a holder that was replaced
+// learns it when it writes.
+type intents struct {
+	store       winch.KeyValue
+	key         string
+	holder      winch.HostID
+	incarnation winch.Incarnation
+
+	number  winch.FencingNumber
+	known   bool
+	version winch.Version
+	writes  int
+}
+
+// write keeps the order with its outcome, which is empty for an intent.
+func (i *intents) write(ctx context.Context, order order, outcome outcome) error {
+	if !i.known || i.number != order.number {
+		if err := i.read(ctx, order.number); err != nil {
+			return err
+		}
+	}
+	i.writes++
+	record := wireIntent{
+		OrderID:       string(order.id),
+		FencingNumber: int64(order.number),
+		Holder:        string(i.holder),
+		Incarnation:   string(i.incarnation),
+		WriteID:       string(i.incarnation) + "/" + strconv.Itoa(i.writes),
+		Pools:         encodePools(order.pools),
+		Outcome:       string(outcome),
+	}
+	value, err := json.Marshal(record)
+	if err != nil {
+		return fmt.Errorf("encode intent: %w", err)
+	}
+	version, err := i.store.Put(ctx, i.key, value, i.version)
+	if errors.Is(err, winch.ErrOutcomeUnknown) {
+		version, err = i.readBack(ctx, record, err)
+	}
+	i.known = err == nil
+	if err != nil {
+		return fmt.Errorf("keep order %s: %w", order.id, err)
+	}
+	i.version = version
+	return nil
+}
+
+// read learns the version of the newest intent. One of a later term means that
+// this holder was replaced.
+func (i *intents) read(ctx context.Context, number winch.FencingNumber) error {
+	entry, found, err := i.get(ctx)
+	if err != nil {
+		return err
+	}
+	if found.FencingNumber > int64(number) {
+		return fmt.Errorf("intent of term %d found: %w", found.FencingNumber, winch.ErrNotInCharge)
+	}
+	i.known, i.version, i.number = true, entry.Version, number
+	return nil
+}
+
+// readBack learns whether a write took effect whose answer was lost.
+func (i *intents) readBack(ctx context.Context, record wireIntent, lost error) (winch.Version, error) {
+	entry, found, err := i.get(ctx)
+	if err != nil {
+		return 0, fmt.Errorf("read back: %w: %w", winch.ErrOutcomeUnknown, err)
+	}
+	if found.WriteID != record.WriteID {
+		return 0, lost
+	}
+	return entry.Version, nil
+}
+
+func (i *intents) get(ctx context.Context) (winch.Entry, wireIntent, error) {
+	found := wireIntent{}
+	entry, err := i.store.Get(ctx, i.key)
+	if errors.Is(err, winch.ErrNotFound) {
+		return winch.Entry{}, found, nil
+	}
+	if err != nil {
+		return winch.Entry{}, found, fmt.Errorf("read intent: %w", err)
+	}
+	if err := json.Unmarshal(entry.Value, &found); err != nil {
+		return winch.Entry{}, found, fmt.Errorf("decode intent: %w: %w", winch.ErrInvalid, err)
+	}
+	return entry, found, nil
+}
--- /dev/null
+++ b/placement/platform/orders.go
@@ -0,0 +1,231 @@
+// Package platform orders endpoints from the platform for one data centre, and
+// tells all hosts of the data centre which endpoints run because of orders.
+//
+// Only the host in charge of the data centre's orders sends any. For each it
+// keeps the intent in the key-value service, sends the order through the fenced
+// sender, which checks the term at the last moment, and keeps the outcome. An
+// order states the wanted end and carries an id, so that it may be repeated. One
+// whose outcome is unknown is repeated until it is answered or can no longer be on
+// its way, before another is given.
+//
+// # Usage
+//
+//	endpoints, err := platform.NewEndpoints(platform.EndpointsOptions{Address: address, DataCentre: "yard-1", Membership: membership, Clock: clock})
+//	if err != nil {
+//		return err
+//	}
+//	go endpoints.Run(ctx)
+//	orders, err := platform.New(platform.Options{
+//		Address: address, DataCentre: "yard-1", Charge: holder, Sender: sender, Store: store,
+//		Planner: planner, Endpoints: endpoints, Clock: clock, Holder: "host-1",
+//	})
+//	if err != nil {
+//		return err
+//	}
+//	go orders.Run(ctx)
+//
+// Without the key-value service nobody is in charge of new orders: running
+// endpoints stay.
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/arbutuswinch/winch"
+)
+
+const (
+	defaultInterval    = time.Second
+	defaultRepeatEvery = 10 * time.Second
+	defaultInFlight    = 2 * time.Second
+)
+
+// Options are the settings of Orders. The zero value of a duration stands for its default.
+type Options struct {
+	// Address is the IP number and port of the order interface.
+	Address     string
+	DataCentre  winch.DataCentreID
+	Holder      winch.HostID
+	Incarnation winch.Incarnation
+	Charge      winch.TermGuard
+	Sender      winch.FencedSender
+	Store       winch.KeyValue
+	Planner     winch.PlacementPlanner
+	Endpoints   winch.OrderedEndpoints
+	// Interval is the time between two plans. The default is 1 s.
+	Interval time.Duration
+	// RepeatEvery is the time after which an order is given anew while the endpoints don't match it. The default is 10 s.
+	RepeatEvery time.Duration
+	// InFlight is the longest time that an order may be on its way. The default is 2 s.
+	InFlight time.Duration
+	Clock    winch.Clock
+	Logger   hclog.Logger
+	Meter    metric.Meter
+}
+
+// Orders sends the orders of one data centre while this host is in charge of them.
+type Orders struct {
+	options Options
+	core    core
+	intents intents
+	counter metric.Int64Counter
+}
+
+// New returns Orders, which do nothing until Run.
+func New(options Options) (*Orders, error) {
+	if err := check(options); err != nil {
+		return nil, err
+	}
+	options = withDefaults(options)
+	counter, err := options.Meter.Int64Counter("winch_placement_orders", metric.WithDescription("Orders for endpoints by outcome."))
+	if err != nil {
+		return nil, fmt.Errorf("create order counter: %w", err)
+	}
+	return &Orders{
+		options: options,
+		counter: counter,
+		core:    core{incarnation: options.Incarnation, repeatEvery: options.RepeatEvery, inFlight: options.InFlight},
+		intents: intents{
+			store: options.Store, key: "placement/" + string(options.DataCentre) + "/order",
+			holder: options.Holder, incarnation: options.Incarnation,
+		},
+	}, nil
+}
+
+func check(options Options) error {
+	missing := map[string]bool{
+		"Charge": options.Charge == nil, "Sender": options.Sender == nil, "Store": options.Store == nil,
+		"Planner": options.Planner == nil, "Endpoints": options.Endpoints == nil, "Clock": options.Clock == nil,
+		"DataCentre": options.DataCentre == "", "Address": options.Address == "",
+	}
+	for field, isMissing := range missing {
+		if isMissing {
+			return fmt.Errorf("placement option %s is missing: %w", field, winch.ErrInvalid)
+		}
+	}
+	return nil
+}
+
+func withDefaults(options Options) Options {
+	options.Interval = orDefault(options.Interval, defaultInterval)
+	options.RepeatEvery = orDefault(options.RepeatEvery, defaultRepeatEvery)
+	options.InFlight = orDefault(options.InFlight, defaultInFlight)
+	if options.Incarnation == "" {
+		options.Incarnation = winch.Incarnation(uuid.NewString())
+	}
+	if options.Logger == nil {
+		options.Logger = hclog.NewNullLogger()
+	}
+	if options.Meter == nil {
+		options.Meter = noop.Meter{}
+	}
+	return options
+}
+
+func orDefault(value, fallback time.Duration) time.Duration {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
+
+// Run plans and orders until ctx ends. It returns nil.
+func (o *Orders) Run(ctx context.Context) error {
+	ticker := time.NewTicker(o.options.Interval)
+	defer ticker.Stop()
+	for {
+		o.step(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// step plans once and sends the order that is due.
+func (o *Orders) step(ctx context.Context) {
+	now := o.options.Clock.Now()
+	term, held := o.options.Charge.Term(now)
+	running := o.options.Endpoints.Current()
+	if !held || running == nil {
+		return
+	}
+	plan := o.options.Planner.Plan(now, o.options.DataCentre, running)
+	next, isNew, due := o.core.next(now, term, plan, running)
+	if !due {
+		return
+	}
+	if isNew && !o.intend(ctx, next) {
+		return
+	}
+	sent := o.options.Clock.Now()
+	outcome := o.send(ctx, next)
+	o.core.ended(sent, next, outcome)
+	if err := o.intents.write(ctx, next, outcome); err != nil {
+		o.options.Logger.Warn("outcome not kept", "Event", EventIntentFailed, "Order", next.id, "Error", err)
+	}
+}
+
+// intend keeps the intent and reports whether the order may be sent.
+func (o *Orders) intend(ctx context.Context, next order) bool {
+	if err := o.intents.write(ctx, next, ""); err != nil {
+		o.options.Logger.Warn("intent not kept", "Event", EventIntentFailed, "Order", next.id, "Error", err)
+		return false
+	}
+	for _, pool := range next.pools {
+		o.options.Logger.Info("order intended", "Event", EventOrderIntended, "Order", next.id, "FencingNumber", next.number,
+			"DataCentre", o.options.DataCentre, "Pool", pool.Pool, "Supply", pool.Supply, "Count", pool.Count)
+	}
+	return true
+}
+
+func (o *Orders) send(ctx context.Context, next order) outcome {
+	body, err := encodeOrder(next, o.options.Holder)
+	if err == nil {
+		_, err = o.options.Sender.Send(ctx, o.options.Charge, winch.FencedCall{
+			Address: o.options.Address,
+			Path:    "/v1/datacentres/" + url.PathEscape(string(o.options.DataCentre)) + "/orders",
+			Body:    body,
+			Number:  next.number,
+		})
+	}
+	outcome := outcomeOf(err)
+	o.counter.Add(context.WithoutCancel(ctx), 1, metric.WithAttributes(attribute.String("outcome", string(outcome))))
+	o.logOutcome(next, outcome, err)
+	return outcome
+}
+
+func (o *Orders) logOutcome(next order, outcome outcome, err error) {
+	logger := o.options.Logger.With("Order", next.id, "FencingNumber", next.number, "DataCentre", o.options.DataCentre)
+	switch outcome {
+	case outcomeDone:
+		logger.Info("order answered", "Event", EventOrderAnswered)
+	case outcomeFenced:
+		logger.Error("order fenced", "Event", EventOrderFenced, "Error", err)
+	default:
+		logger.Warn("order failed", "Event", EventOrderFailed, "Outcome", outcome, "Error", err)
+	}
+}
+
+func outcomeOf(err error) outcome {
+	switch {
+	case err == nil:
+		return outcomeDone
+	case errors.Is(err, winch.ErrFenced):
+		return outcomeFenced
+	case errors.Is(err, winch.ErrOutcomeUnknown):
+		return outcomeUnknown
+	}
+	return outcomeFailed
+}
--- /dev/null
+++ b/placement/platform/section.go
@@ -0,0 +1,158 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/arbutuswinch/winch"
+)
+
+const (
+	sectionName winch.SectionName = "Endpoints"
+	// historyLimit is the number of older lists against which changes are told.
+	historyLimit = 16
+)
+
+// listed is a list with its hash.
+type listed struct {
+	hash      uint64
+	endpoints []winch.OrderedEndpoint
+}
+
+// hashOf returns the same number on each host for the same list. It is never zero.
+func hashOf(endpoints []winch.OrderedEndpoint) uint64 {
+	digest := xxhash.New()
+	for _, e := range endpoints {
+		_, _ = fmt.Fprintf(digest, "%q%q%q%q%q%q%d\n", e.ID, e.Address, e.Pool, e.Model, e.Supply, e.State, e.LeavesAt.UnixNano())
+	}
+	return max(digest.Sum64(), 1)
+}
+
+// Name returns the section's name.
+func (e *Endpoints) Name() winch.SectionName { return sectionName }
+
+// Report tells the hub which list this host has.
+func (e *Endpoints) Report(time.Time) []byte {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	encoded, err := json.Marshal(wireReport{Hash: e.hash})
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
+
+// Collect notes which list a host has.
+func (e *Endpoints) Collect(_ time.Time, from winch.HostID, report []byte) error {
+	wire := wireReport{}
+	if err := json.Unmarshal(report, &wire); err != nil {
+		return fmt.Errorf("decode endpoint report of %s: %w: %w", from, winch.ErrInvalid, err)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.known[from] = wire.Hash
+	return nil
+}
+
+// Summary returns what changed since the list that the host has, or the whole list.
+func (e *Endpoints) Summary(_ time.Time, to winch.HostID) []byte {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.current == nil || e.known[to] == e.hash {
+		return nil
+	}
+	summary := wireSummary{Hash: e.hash}
+	base := []winch.OrderedEndpoint{}
+	for _, older := range e.history {
+		if older.hash == e.known[to] {
+			summary.Base, base = older.hash, older.endpoints
+		}
+	}
+	summary.Changed, summary.Removed = difference(base, e.current)
+	encoded, err := json.Marshal(summary)
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
+
+// difference returns the endpoints that are new or changed, and the ids that are gone.
+func difference(before, after []winch.OrderedEndpoint) (changed []wireEndpoint, removed []string) {
+	old := map[winch.EndpointID]winch.OrderedEndpoint{}
+	for _, endpoint := range before {
+		old[endpoint.ID] = endpoint
+	}
+	for _, endpoint := range after {
+		if previous, found := old[endpoint.ID]; !found || !same(previous, endpoint) {
+			changed = append(changed, encodeEndpoint(endpoint))
+		}
+		delete(old, endpoint.ID)
+	}
+	for id := range old {
+		removed = append(removed, string(id))
+	}
+	return changed, removed
+}
+
+func same(a, b winch.OrderedEndpoint) bool {
+	if !a.LeavesAt.Equal(b.LeavesAt) {
+		return false
+	}
+	a.LeavesAt, b.LeavesAt = time.Time{}, time.Time{}
+	return a == b
+}
+
+// Apply takes the hub's list in. Changes to a list that this host does not have are left out;
+// its next report asks for them again.
+func (e *Endpoints) Apply(_, _ time.Time, hub winch.HostID, summary []byte) error {
+	if len(summary) == 0 || hub == e.options.Membership.Self().ID {
+		return nil
+	}
+	wire := wireSummary{}
+	if err := json.Unmarshal(summary, &wire); err != nil {
+		return fmt.Errorf("decode endpoint summary of %s: %w: %w", hub, winch.ErrInvalid, err)
+	}
+	current, hash := e.snapshot()
+	if wire.Base != 0 && wire.Base != hash {
+		return nil
+	}
+	if wire.Base == 0 {
+		current = nil
+	}
+	e.set(merge(current, wire, e.options.DataCentre))
+	return nil
+}
+
+func (e *Endpoints) snapshot() ([]winch.OrderedEndpoint, uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current, e.hash
+}
+
+// merge applies the changes to the list.
+func merge(current []winch.OrderedEndpoint, wire wireSummary, centre winch.DataCentreID) []winch.OrderedEndpoint {
+	replaced := map[string]bool{}
+	merged := []winch.OrderedEndpoint{}
+	for _, id := range wire.Removed {
+		replaced[id] = true
+	}
+	for _, endpoint := range wire.Changed {
+		replaced[endpoint.ID] = true
+		merged = append(merged, decodeEndpoint(endpoint, centre))
+	}
+	for _, endpoint := range current {
+		if !replaced[string(endpoint.ID)] {
+			merged = append(merged, endpoint)
+		}
+	}
+	return merged
+}
+
+// Digest returns nothing: ordered endpoints are served by their own data centre.
+func (e *Endpoints) Digest(time.Time, winch.DataCentreID) []byte { return nil }
+
+// ApplyDigest takes nothing in.
+func (e *Endpoints) ApplyDigest(time.Time, time.Time, winch.DataCentreID, []byte) error { return nil }
