feat(usage): count, copy, seal and report usage once

Cause: each window must be reported with one set of figures, and counters must survive the loss of a host. Ruled out: seals under the window's key, which a replaced holder could overwrite after its successor's commit; acknowledgements without the base of the report, which lost counts when the hub changed (found by the state machine test). Before / after: none / counters by maximum through the exchange, chain of seals from a head, reports through the fenced sender; state machine tests pass. Conclusion: a killed host loses what it counted since its last exchange; not yet run with real processes.

--- /dev/null
+++ b/usage/billing/ledger.go
@@ -0,0 +1,231 @@
+package billing
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/usage"
+	"github.com/arbutuswinch/winch/usage/keyvalue"
+)
+
+// ledger is what a holder knows of its shard in the key-value service. It is
+// valid for one term: it begins with a rewrite of the head, after which nothing that
+// an earlier holder has on its way can change the chain of seals.
+type ledger struct {
+	store       winch.KeyValue
+	shard       winch.Shard
+	incarnation winch.Incarnation
+	number      winch.FencingNumber
+
+	head      keyvalue.Head
+	version   winch.Version
+	accounted usage.Totals
+	// unreported are the sealed windows whose reports are not known as answered, oldest first.
+	unreported []keyvalue.Seal
+	collected  map[usage.Source]map[winch.OrganisationID]usage.Counts
+	seals      []sealed
+	writes     int
+}
+
+// sealed names a seal that is kept, committed or not.
+type sealed struct {
+	window usage.Window
+	write  winch.WriteID
+}
+
+// open begins the term: it takes the head over and reads the chain.
+func open(ctx context.Context, store winch.KeyValue, shard winch.Shard, incarnation winch.Incarnation, number winch.FencingNumber) (*ledger, error) {
+	l := &ledger{store: store, shard: shard, incarnation: incarnation, number: number, accounted: usage.Totals{}}
+	entry, err := store.Get(ctx, keyvalue.HeadKey(shard))
+	switch {
+	case errors.Is(err, winch.ErrNotFound):
+	case err != nil:
+		return nil, fmt.Errorf("read head: %w", err)
+	default:
+		if l.head, err = keyvalue.DecodeHead(entry.Value); err != nil {
+			return nil, err
+		}
+		l.version = entry.Version
+	}
+	if l.head.Number > number {
+		return nil, fmt.Errorf("head of term %d found: %w", l.head.Number, winch.ErrNotInCharge)
+	}
+	if err := l.advance(ctx, l.head); err != nil {
+		return nil, err
+	}
+	return l, l.readChain(ctx)
+}
+
+// write names the next write.
+func (l *ledger) write() winch.WriteID {
+	l.writes++
+	return winch.WriteID(string(l.incarnation) + "-" + strconv.FormatInt(int64(l.version), 10) + "-" + strconv.Itoa(l.writes))
+}
+
+// advance replaces the head. A lost answer is resolved by reading the head back.
+func (l *ledger) advance(ctx context.Context, head keyvalue.Head) error {
+	head.Number, head.Write = l.number, l.write()
+	value, err := keyvalue.EncodeHead(head)
+	if err != nil {
+		return err
+	}
+	key := keyvalue.HeadKey(l.shard)
+	version, err := l.store.Put(ctx, key, value, l.version)
+	if errors.Is(err, winch.ErrOutcomeUnknown) {
+		version, err = l.readBack(ctx, key, err, func(value []byte) bool {
+			found, err := keyvalue.DecodeHead(value)
+			return err == nil && found.Write == head.Write
+		})
+	}
+	if err != nil {
+		return fmt.Errorf("write head: %w", err)
+	}
+	l.head, l.version = head, version
+	return nil
+}
+
+// readBack returns the entry's version when it is this ledger's write, else the error of the write.
+func (l *ledger) readBack(ctx context.Context, key string, lost error, own func([]byte) bool) (winch.Version, error) {
+	entry, err := l.store.Get(ctx, key)
+	if err != nil {
+		return 0, fmt.Errorf("read back: %w: %w", winch.ErrOutcomeUnknown, err)
+	}
+	if !own(entry.Value) {
+		return 0, lost
+	}
+	return entry.Version, nil
+}
+
+// readChain reads the seals, from the head backwards. Seals that the chain does not
+// lead to were never committed, and count for nothing.
+func (l *ledger) readChain(ctx context.Context) error {
+	entries, _, err := l.store.List(ctx, keyvalue.SealPrefix(l.shard))
+	if err != nil {
+		return fmt.Errorf("list seals: %w", err)
+	}
+	seals := map[winch.WriteID]keyvalue.Seal{}
+	for _, entry := range entries {
+		seal, err := keyvalue.DecodeSeal(entry.Value)
+		if err != nil {
+			return err
+		}
+		seals[seal.Write] = seal
+		l.seals = append(l.seals, sealed{window: seal.Window, write: seal.Write})
+	}
+	chain := []keyvalue.Seal{}
+	for at := l.head.LastSeal; at != ""; {
+		seal, found := seals[at]
+		if !found {
+			break
+		}
+		chain = append(chain, seal)
+		at = seal.Previous
+	}
+	for i := len(chain) - 1; i >= 0; i-- {
+		l.accounted.AddAll(chain[i].Increments)
+		if chain[i].Window > l.head.Reported {
+			l.unreported = append(l.unreported, chain[i])
+		}
+	}
+	return nil
+}
+
+// refresh reads the collected counts.
+func (l *ledger) refresh(ctx context.Context) error {
+	entries, _, err := l.store.List(ctx, keyvalue.CollectedPrefix(l.shard))
+	if err != nil {
+		return fmt.Errorf("list collected counts: %w", err)
+	}
+	l.collected = usage.Totals{}
+	for _, entry := range entries {
+		source, err := keyvalue.ParseCollectedKey(l.shard, entry.Key)
+		if err != nil {
+			return err
+		}
+		cells, err := keyvalue.DecodeCollected(source.Window, entry.Value)
+		if err != nil {
+			return err
+		}
+		for _, cell := range cells {
+			usage.Totals(l.collected).Add(source, cell.Slot.Organisation, cell.Counts)
+		}
+	}
+	return nil
+}
+
+// seal fixes the figures of the window: it writes the seal, and then the head, by
+// which the seal counts.
+func (l *ledger) seal(ctx context.Context, window usage.Window) (keyvalue.Seal, error) {
+	figures, increments := usage.Seal(window, l.collected, l.accounted)
+	seal := keyvalue.Seal{
+		Window: window, Previous: l.head.LastSeal, Write: l.write(), Figures: figures, Increments: increments,
+	}
+	if err := l.writeSeal(ctx, seal); err != nil {
+		return keyvalue.Seal{}, fmt.Errorf("write seal of %s: %w", window.Start(), err)
+	}
+	l.seals = append(l.seals, sealed{window: window, write: seal.Write})
+	head := l.head
+	head.Last, head.LastSeal = window, seal.Write
+	if err := l.advance(ctx, head); err != nil {
+		return keyvalue.Seal{}, err
+	}
+	l.accounted.AddAll(increments)
+	l.unreported = append(l.unreported, seal)
+	return seal, nil
+}
+
+// writeSeal creates the seal under a key of its own.
+func (l *ledger) writeSeal(ctx context.Context, seal keyvalue.Seal) error {
+	value, err := keyvalue.EncodeSeal(seal)
+	if err != nil {
+		return err
+	}
+	key := keyvalue.SealKey(l.shard, seal.Window, seal.Write)
+	_, err = l.store.Put(ctx, key, value, winch.VersionAbsent)
+	if errors.Is(err, winch.ErrOutcomeUnknown) {
+		_, err = l.readBack(ctx, key, err, func([]byte) bool { return true })
+	}
+	return err
+}
+
+// reported notes that the oldest unreported window was answered.
+func (l *ledger) reported(ctx context.Context, window usage.Window) error {
+	head := l.head
+	head.Reported = window
+	if err := l.advance(ctx, head); err != nil {
+		return err
+	}
+	l.unreported = l.unreported[1:]
+	return nil
+}
+
+// prune removes collected counts of windows before the limit, and seals of windows
+// as long again before it. No host stores counts of such windows any more.
+func (l *ledger) prune(ctx context.Context, limit usage.Window, retention time.Duration) error {
+	for source := range l.collected {
+		if source.Window >= limit {
+			continue
+		}
+		if err := l.store.Delete(ctx, keyvalue.CollectedKey(l.shard, source), winch.VersionAny); err != nil && !errors.Is(err, winch.ErrNotFound) {
+			return fmt.Errorf("remove collected counts: %w", err)
+		}
+		delete(l.collected, source)
+		delete(l.accounted, source)
+	}
+	kept := l.seals[:0]
+	for _, old := range l.seals {
+		if old.window >= limit-usage.Window(retention/time.Second) {
+			kept = append(kept, old)
+			continue
+		}
+		if err := l.store.Delete(ctx, keyvalue.SealKey(l.shard, old.window, old.write), winch.VersionAny); err != nil && !errors.Is(err, winch.ErrNotFound) {
+			return fmt.Errorf("remove seal: %w", err)
+		}
+	}
+	l.seals = kept
+	return nil
+}
--- /dev/null
+++ b/usage/billing/reporter.go
@@ -0,0 +1,260 @@
+// Package billing reports usage to the platform, each window of a shard once.
+//
+// The host in charge of a shard seals a window some time after its end: the
+// figures are written to the key-value service and become valid by a
+// compare-and-swap of the shard's head. Only sealed figures are sent, through the
+// fenced sender; a successor sends the same figures again when it can't tell that
+// they were answered. Counts that arrive after the seal go into a later window as an
+// adjustment.
+//
+// # Usage
+//
+//	reporter, err := billing.New(billing.Options{
+//		Address: address, Shard: 0, Charge: holder, Sender: sender, Store: store, Clock: clock, Host: "host-1",
+//	})
+//	if err != nil {
+//		return err
+//	}
+//	go reporter.Run(ctx)
+//
+// The holder's duty is usage/0 for shard 0, and so on; see Duty.
+package billing
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/usage"
+	"github.com/arbutuswinch/winch/usage/keyvalue"
+)
+
+const (
+	defaultWindow    = time.Minute
+	defaultGrace     = 10 * time.Second
+	defaultRetention = time.Hour
+	defaultInterval  = time.Second
+	reportPath       = "/v1/usage"
+)
+
+// Duty returns the duty of reporting a shard.
+func Duty(shard winch.Shard) winch.Duty { return winch.Duty("usage/" + strconv.Itoa(int(shard))) }
+
+// Options are the settings of a reporter. The zero value of a duration stands for its default.
+type Options struct {
+	// Address is the IP number and port of the usage interface.
+	Address     string
+	Shard       winch.Shard
+	Host        winch.HostID
+	Incarnation winch.Incarnation
+	Charge      winch.TermGuard
+	Sender      winch.FencedSender
+	Store       winch.KeyValue
+	// Window is the length of a reporting window in whole seconds, the same on all hosts. The default is 60 s.
+	Window time.Duration
+	// Grace is the time from a window's end to its seal. The default is 10 s.
+	Grace time.Duration
+	// Retention is how long counts may still be adjusted. The default is one hour.
+	Retention time.Duration
+	// Interval is the time between two looks. The default is 1 s.
+	Interval time.Duration
+	Clock    winch.Clock
+	Logger   hclog.Logger
+	Meter    metric.Meter
+}
+
+// Reporter seals and reports the windows of one shard while this host is in charge of it.
+type Reporter struct {
+	options  Options
+	lateness metric.Float64Histogram
+	adjusted metric.Int64Counter
+
+	ledger *ledger
+	// fenced is the term that the platform has refused.
+	fenced winch.FencingNumber
+	// looked is the newest closed window for which collected counts were read.
+	looked usage.Window
+}
+
+// New returns a reporter, which does nothing until Run.
+func New(options Options) (*Reporter, error) {
+	if options.Charge == nil || options.Sender == nil || options.Store == nil || options.Clock == nil || options.Address == "" {
+		return nil, fmt.Errorf("usage options Address, Charge, Sender, Store and Clock are needed: %w", winch.ErrInvalid)
+	}
+	options = withDefaults(options)
+	if options.Window < time.Second || options.Window%time.Second != 0 {
+		return nil, fmt.Errorf("usage option Window must be whole seconds: %w", winch.ErrInvalid)
+	}
+	lateness, err := options.Meter.Float64Histogram("winch_usage_report_lateness", metric.WithUnit("s"),
+		metric.WithDescription("Time from a window's end to the answer to its report."))
+	if err != nil {
+		return nil, fmt.Errorf("create lateness histogram: %w", err)
+	}
+	adjusted, err := options.Meter.Int64Counter("winch_usage_adjusted_tokens",
+		metric.WithDescription("Tokens that were reported in a later window than they were used in."))
+	if err != nil {
+		return nil, fmt.Errorf("create adjustment counter: %w", err)
+	}
+	return &Reporter{options: options, lateness: lateness, adjusted: adjusted}, nil
+}
+
+func withDefaults(options Options) Options {
+	options.Window = orDefault(options.Window, defaultWindow)
+	options.Grace = orDefault(options.Grace, defaultGrace)
+	options.Retention = orDefault(options.Retention, defaultRetention)
+	options.Interval = orDefault(options.Interval, defaultInterval)
+	if options.Incarnation == "" {
+		options.Incarnation = winch.Incarnation(uuid.NewString())
+	}
+	if options.Logger == nil {
+		options.Logger = hclog.NewNullLogger()
+	}
+	if options.Meter == nil {
+		options.Meter = noop.Meter{}
+	}
+	return options
+}
+
+func orDefault(value, fallback time.Duration) time.Duration {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
+
+// Run seals and reports until ctx ends. It returns nil.
+func (r *Reporter) Run(ctx context.Context) error {
+	ticker := time.NewTicker(r.options.Interval)
+	defer ticker.Stop()
+	for {
+		r.step(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// step seals what is due and reports what is sealed. After a failure the ledger is
+// read anew, since what became of its last write is not known.
+func (r *Reporter) step(ctx context.Context) {
+	now := r.options.Clock.Now()
+	term, held := r.options.Charge.Term(now)
+	if !held || term.Number == r.fenced {
+		r.ledger = nil
+		return
+	}
+	if err := r.work(ctx, now, term); err != nil {
+		r.options.Logger.Warn("usage not sealed", "Event", EventSealFailed, "Shard", r.options.Shard, "Error", err)
+		r.ledger = nil
+	}
+}
+
+func (r *Reporter) work(ctx context.Context, now time.Time, term winch.Term) error {
+	if r.ledger == nil || r.ledger.number != term.Number {
+		opened, err := open(ctx, r.options.Store, r.options.Shard, r.options.Incarnation, term.Number)
+		if err != nil {
+			return err
+		}
+		r.ledger, r.looked = opened, 0
+	}
+	if err := r.report(ctx); err != nil {
+		return err
+	}
+	if err := r.seal(ctx, now); err != nil {
+		return err
+	}
+	return r.report(ctx)
+}
+
+// seal seals the windows that are due. Collected counts are read once for each closed window.
+func (r *Reporter) seal(ctx context.Context, now time.Time) error {
+	closed := usage.WindowOf(now.Add(-r.options.Grace), r.options.Window)
+	if closed <= r.looked {
+		return nil
+	}
+	if err := r.ledger.refresh(ctx); err != nil {
+		return err
+	}
+	for {
+		window, due := usage.Next(now, r.options.Window, r.options.Grace, r.ledger.head.Last, r.ledger.collected, r.ledger.accounted)
+		if !due {
+			break
+		}
+		seal, err := r.ledger.seal(ctx, window)
+		if err != nil {
+			return err
+		}
+		r.logSeal(ctx, seal)
+	}
+	limit := usage.WindowOf(now.Add(-r.options.Retention-2*r.options.Window), r.options.Window)
+	if err := r.ledger.prune(ctx, limit, r.options.Retention); err != nil {
+		return err
+	}
+	r.looked = closed
+	return nil
+}
+
+func (r *Reporter) logSeal(ctx context.Context, seal keyvalue.Seal) {
+	sum, late := usage.Counts{}, usage.Counts{}
+	for _, figure := range seal.Figures {
+		sum = sum.Plus(figure.Counts)
+		if figure.Adjustment {
+			late = late.Plus(figure.Counts)
+		}
+	}
+	r.adjusted.Add(ctx, int64(late.InputTokens+late.OutputTokens))
+	r.options.Logger.Info("window sealed", "Event", EventWindowSealed, "Shard", r.options.Shard, "Window", seal.Window.Start(),
+		"Requests", sum.Requests, "Tokens", sum.InputTokens+sum.OutputTokens, "AdjustedTokens", late.InputTokens+late.OutputTokens)
+}
+
+// report sends the sealed windows that are not known as answered, oldest first. A
+// report that fails is sent again at the next step.
+func (r *Reporter) report(ctx context.Context) error {
+	for len(r.ledger.unreported) > 0 {
+		seal := r.ledger.unreported[0]
+		if !r.send(ctx, seal) {
+			return nil
+		}
+		if err := r.ledger.reported(ctx, seal.Window); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// send sends a sealed window and reports whether its report is settled.
+func (r *Reporter) send(ctx context.Context, seal keyvalue.Seal) bool {
+	logger := r.options.Logger.With("Shard", r.options.Shard, "Window", seal.Window.Start(), "FencingNumber", r.ledger.number)
+	body, err := encodeReport(r.options.Shard, r.options.Host, r.ledger.number, seal)
+	if err == nil {
+		_, err = r.options.Sender.Send(ctx, r.options.Charge, winch.FencedCall{
+			Address: r.options.Address, Path: reportPath, Body: body, Number: r.ledger.number,
+		})
+	}
+	switch {
+	case err == nil:
+		late := r.options.Clock.Now().Sub(seal.Window.End(r.options.Window))
+		r.lateness.Record(ctx, late.Seconds())
+		logger.Info("window reported", "Event", EventWindowReported, "Lateness", late)
+		return true
+	case errors.Is(err, winch.ErrConflict):
+		logger.Error("report differs", "Event", EventReportDiffers, "Error", err)
+		return true
+	case errors.Is(err, winch.ErrFenced):
+		r.fenced = r.ledger.number
+		logger.Error("report fenced", "Event", EventReportFenced, "Error", err)
+	default:
+		logger.Warn("report failed", "Event", EventReportFailed, "Error", err)
+	}
+	return false
+}
--- /dev/null
+++ b/usage/billing/reporter_test.go
@@ -0,0 +1,230 @@
+package billing
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/keyvalue/memory"
+	"github.com/arbutuswinch/winch/usage"
+	"github.com/arbutuswinch/winch/usage/keyvalue"
+)
+
+var start = time.Unix(6000, 0).UTC()
+
+// simulation is a platform with reporters, of which one is in charge in truth.
+type simulation struct {
+	t         assert.TestingT
+	store     *memory.Store
+	now       time.Time
+	inCharge  winch.FencingNumber
+	billed    map[time.Time][]wireFigure
+	reporters map[winch.FencingNumber]*Reporter
+	counted   map[usage.Source]usage.Counts
+	lose      bool
+	reports   int
+	// overtakeAt is the number of writes after which a successor acts, before the next write takes effect.
+	overtakeAt int
+}
+
+// overtaken is the store as the reporters see it.
+type overtaken struct {
+	*memory.Store
+	simulation *simulation
+}
+
+// Put lets a successor act before the write takes effect when that was asked for.
+func (o overtaken) Put(ctx context.Context, key string, value []byte, expect winch.Version) (winch.Version, error) {
+	if o.simulation.overtakeAt--; o.simulation.overtakeAt == 0 {
+		o.simulation.takeOver().step(ctx)
+	}
+	return o.Store.Put(ctx, key, value, expect)
+}
+
+func newSimulation(t assert.TestingT) *simulation {
+	return &simulation{
+		t: t, store: memory.New(), now: start, billed: map[time.Time][]wireFigure{},
+		reporters: map[winch.FencingNumber]*Reporter{}, counted: map[usage.Source]usage.Counts{},
+	}
+}
+
+// Now makes the simulation the reporters' clock.
+func (s *simulation) Now() time.Time { return s.now }
+
+// belief is the charge of a reporter that believes in its term for ever.
+type belief struct{ number winch.FencingNumber }
+
+func (b belief) Term(now time.Time) (winch.Term, bool) {
+	return winch.Term{Number: b.number, ValidUntil: now.Add(time.Second)}, true
+}
+
+func (b belief) Begin(now time.Time) (winch.Term, func(), error) {
+	term, _ := b.Term(now)
+	return term, func() {}, nil
+}
+
+// Send is the fenced sender with the platform behind it.
+func (s *simulation) Send(_ context.Context, _ winch.TermGuard, call winch.FencedCall) ([]byte, error) {
+	if call.Number != s.inCharge {
+		return nil, winch.ErrNotInCharge
+	}
+	report := reportCall{}
+	assert.NilError(s.t, json.Unmarshal(call.Body, &report))
+	s.reports++
+	first, found := s.billed[report.Window]
+	if found && !reflect.DeepEqual(first, report.Figures) {
+		assert.Assert(s.t, false, "window %s reported as %v and as %v", report.Window, first, report.Figures)
+	}
+	s.billed[report.Window] = report.Figures
+	if s.lose {
+		s.lose = false
+		return nil, winch.ErrOutcomeUnknown
+	}
+	return nil, nil
+}
+
+// takeOver puts a new reporter in charge; the others go on believing.
+func (s *simulation) takeOver() *Reporter {
+	s.inCharge++
+	reporter, err := New(Options{
+		Address: "127.0.0.1:1", Shard: 0, Host: "host", Incarnation: winch.Incarnation(fmt.Sprintf("i%d", s.inCharge)),
+		Charge: belief{number: s.inCharge}, Sender: s, Store: overtaken{Store: s.store, simulation: s}, Clock: s,
+	})
+	assert.NilError(s.t, err)
+	s.reporters[s.inCharge] = reporter
+	return reporter
+}
+
+// count stores counts as a data centre's hub does.
+func (s *simulation) count(ctx context.Context, window usage.Window, centre winch.DataCentreID, requests int64) {
+	source := usage.Source{Window: window, DataCentre: centre}
+	s.counted[source] = s.counted[source].Plus(usage.Counts{Requests: requests})
+	slot := usage.Slot{Window: window, Incarnation: "i", Organisation: "dealer"}
+	value, err := keyvalue.EncodeCollected([]usage.Cell{{Slot: slot, Counts: s.counted[source]}})
+	assert.NilError(s.t, err)
+	_, err = s.store.Put(ctx, keyvalue.CollectedKey(0, source), value, winch.VersionAny)
+	assert.NilError(s.t, err)
+}
+
+// assertBilled checks that all counts were billed once.
+func (s *simulation) assertBilled() {
+	counted, billed := int64(0), int64(0)
+	for _, counts := range s.counted {
+		counted += counts.Requests
+	}
+	for _, figures := range s.billed {
+		for _, figure := range figures {
+			billed += figure.Requests
+		}
+	}
+	assert.Equal(s.t, billed, counted)
+}
+
+func TestReporter(t *testing.T) {
+	t.Run("reports a window once", func(t *testing.T) {
+		s := newSimulation(t)
+		s.count(t.Context(), 6000, "yard-1", 3)
+		reporter := s.takeOver()
+		s.now = start.Add(69 * time.Second)
+		reporter.step(t.Context())
+		assert.Equal(t, s.reports, 0)
+		for range 5 {
+			s.now = s.now.Add(time.Second)
+			reporter.step(t.Context())
+		}
+		assert.Equal(t, s.reports, 1)
+		s.assertBilled()
+	})
+	t.Run("late counts become an adjustment", func(t *testing.T) {
+		s := newSimulation(t)
+		s.count(t.Context(), 6000, "yard-1", 3)
+		reporter := s.takeOver()
+		s.now = start.Add(70 * time.Second)
+		reporter.step(t.Context())
+		s.count(t.Context(), 6000, "yard-2", 2)
+		s.count(t.Context(), 6060, "yard-2", 1)
+		s.now = start.Add(130 * time.Second)
+		reporter.step(t.Context())
+		assert.DeepEqual(t, s.billed[start.Add(time.Minute)], []wireFigure{
+			{Organisation: "dealer", Requests: 1},
+			{Organisation: "dealer", Requests: 2, Adjustment: true},
+		})
+	})
+	t.Run("a successor sends the same figures", func(t *testing.T) {
+		s := newSimulation(t)
+		s.count(t.Context(), 6000, "yard-1", 3)
+		reporter := s.takeOver()
+		s.lose = true
+		s.now = start.Add(70 * time.Second)
+		reporter.step(t.Context())
+		s.count(t.Context(), 6000, "yard-1", 4)
+		s.takeOver().step(t.Context())
+		assert.Equal(t, s.reports, 2)
+		s.now = start.Add(130 * time.Second)
+		s.reporters[s.inCharge].step(t.Context())
+		s.assertBilled()
+	})
+	t.Run("old entries are removed", func(t *testing.T) {
+		s := newSimulation(t)
+		s.count(t.Context(), 6000, "yard-1", 3)
+		reporter := s.takeOver()
+		for range 130 {
+			s.now = s.now.Add(time.Minute)
+			reporter.step(t.Context())
+		}
+		entries, _, err := s.store.List(t.Context(), "usage/collected/")
+		assert.NilError(t, err)
+		assert.Equal(t, len(entries), 0)
+		entries, _, err = s.store.List(t.Context(), "usage/sealed/")
+		assert.NilError(t, err)
+		assert.Equal(t, len(entries), 0)
+		s.assertBilled()
+	})
+}
+
+// TestWindowsAreReportedOnce lets reporters that were replaced go on, and answers be lost.
+func TestWindowsAreReportedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx := context.Background()
+		s := newSimulation(t)
+		s.takeOver()
+		for range 200 {
+			s.randomStep(ctx, t)
+		}
+		s.store.LoseAnswers(0)
+		s.lose, s.overtakeAt = false, 0
+		last := s.takeOver()
+		s.now = s.now.Add(3 * time.Minute)
+		last.step(ctx)
+		s.assertBilled()
+	})
+}
+
+func (s *simulation) randomStep(ctx context.Context, t *rapid.T) {
+	switch rapid.IntRange(0, 9).Draw(t, "step") {
+	case 0, 1:
+		window := usage.WindowOf(s.now, time.Minute) - usage.Window(60*rapid.IntRange(0, 3).Draw(t, "age"))
+		s.store.LoseAnswers(0)
+		s.count(ctx, window, winch.DataCentreID(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "centre")), 1)
+	case 2, 3:
+		s.now = s.now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "seconds")) * time.Second)
+	case 4:
+		s.store.LoseAnswers(rapid.IntRange(1, 3).Draw(t, "lost"))
+	case 5:
+		s.lose = true
+	case 6:
+		s.takeOver()
+	case 7:
+		s.overtakeAt = rapid.IntRange(1, 4).Draw(t, "overtaken at")
+	default:
+		number := rapid.IntRange(1, int(s.inCharge)).Draw(t, "reporter")
+		s.reporters[winch.FencingNumber(number)].step(ctx)
+	}
+}
--- /dev/null
+++ b/usage/peer/codec.go
@@ -0,0 +1,109 @@
+package peer
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/usage"
+)
+
+type wireCounts struct {
+	Organisation string
+	Requests     int64
+	InputTokens  int64
+	OutputTokens int64
+}
+
+// wireBatch has the counters of one process and window.
+type wireBatch struct {
+	Incarnation string
+	Window      int64
+	Counts      []wireCounts
+}
+
+// wireReport has the host's counters that changed after Since and are not stored.
+// Copied and CopiedSequence acknowledge copies.
+type wireReport struct {
+	Incarnation    string
+	Since          uint64
+	Sequence       uint64
+	Batches        []wireBatch
+	Copied         string
+	CopiedSequence uint64
+}
+
+// wireSummary acknowledges the host's reports: all up to Received is in the hub's memory,
+// all up to Stored in the key-value service. Copies are for the host to keep.
+type wireSummary struct {
+	Hub      string
+	Of       string
+	Received uint64
+	Stored   uint64
+	Sequence uint64
+	Copies   []wireBatch
+	// StoredBefore says that the hub has stored all that it knows of earlier windows.
+	StoredBefore int64
+}
+
+func encodeBatches(cells []usage.Cell) []wireBatch {
+	type group struct {
+		incarnation winch.Incarnation
+		window      usage.Window
+	}
+	index := map[group]int{}
+	batches := []wireBatch{}
+	for _, cell := range cells {
+		key := group{incarnation: cell.Slot.Incarnation, window: cell.Slot.Window}
+		at, found := index[key]
+		if !found {
+			at = len(batches)
+			index[key] = at
+			batches = append(batches, wireBatch{Incarnation: string(key.incarnation), Window: int64(key.window)})
+		}
+		batches[at].Counts = append(batches[at].Counts, wireCounts{
+			Organisation: string(cell.Slot.Organisation),
+			Requests:     cell.Counts.Requests,
+			InputTokens:  int64(cell.Counts.InputTokens),
+			OutputTokens: int64(cell.Counts.OutputTokens),
+		})
+	}
+	return batches
+}
+
+func decodeBatches(batches []wireBatch) []usage.Cell {
+	cells := []usage.Cell{}
+	for _, batch := range batches {
+		for _, counts := range batch.Counts {
+			cells = append(cells, usage.Cell{
+				Slot: usage.Slot{
+					Window:       usage.Window(batch.Window),
+					Incarnation:  winch.Incarnation(batch.Incarnation),
+					Organisation: winch.OrganisationID(counts.Organisation),
+				},
+				Counts: usage.Counts{
+					Requests:     counts.Requests,
+					InputTokens:  winch.Tokens(counts.InputTokens),
+					OutputTokens: winch.Tokens(counts.OutputTokens),
+				},
+			})
+		}
+	}
+	return cells
+}
+
+func decodeReport(report []byte) (wireReport, error) {
+	wire := wireReport{}
+	if err := json.Unmarshal(report, &wire); err != nil {
+		return wire, fmt.Errorf("decode usage report: %w: %w", winch.ErrInvalid, err)
+	}
+	return wire, nil
+}
+
+func decodeSummary(summary []byte) (wireSummary, error) {
+	wire := wireSummary{}
+	if err := json.Unmarshal(summary, &wire); err != nil {
+		return wire, fmt.Errorf("decode usage summary: %w: %w", winch.ErrInvalid, err)
+	}
+	return wire, nil
+}
--- /dev/null
+++ b/usage/peer/counters.go
@@ -0,0 +1,225 @@
+// Package peer counts what organisations used on this host, and copies the
+// counters to other hosts through the periodic exchange.
+//
+// Each host reports its counters to the hub of its data centre. The hub copies them
+// to a second host and writes them to the key-value service. A host keeps its
+// counters until it knows that they are stored; the second host stores the copies
+// when the hub is replaced. All copies are merged by maximum, so that
+// repeats and crossings do no harm. A host that is killed loses what it counted
+// since its last exchange.
+//
+// # Usage
+//
+//	counters, err := peer.New(peer.Options{
+//		Store: store, Membership: membership, Clock: clock, Window: time.Minute, Shards: 4,
+//	})
+//	if err != nil {
+//		return err
+//	}
+//	go counters.Run(ctx)
+//	counters.Record(clock.Now(), record)
+//
+// Counters is a winch.Section and must be part of the exchange. Run writes what is
+// left to the key-value service when its context ends.
+package peer
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/usage"
+)
+
+const (
+	defaultWindow     = time.Minute
+	defaultShards     = 4
+	defaultStoreEvery = 15 * time.Second
+	defaultSettle     = 3 * time.Second
+	defaultRetention  = time.Hour
+	// keptWindows is the number of past windows of which stored counters are kept.
+	keptWindows = 3
+	storeTries  = 3
+	// lastStore bounds the writes at the end of Run.
+	lastStore = 5 * time.Second
+)
+
+// Options are the settings of Counters. The zero value of a setting stands for its default.
+type Options struct {
+	Store       winch.KeyValue
+	Membership  winch.Membership
+	Incarnation winch.Incarnation
+	// Window is the length of a reporting window in whole seconds, the same on all hosts. The default is 60 s.
+	Window time.Duration
+	// Shards is the number of shards of organisations, the same on all hosts. The default is 4.
+	Shards int
+	// StoreEvery is the time between two writes of a window's counters. The default is 15 s.
+	StoreEvery time.Duration
+	// Settle is the time after a window's end at which its counters are written besides. The default is 3 s.
+	Settle time.Duration
+	// Retention is how long counters that can't be stored are kept. The default is one hour.
+	Retention time.Duration
+	Clock     winch.Clock
+	Logger    hclog.Logger
+	Meter     metric.Meter
+}
+
+type hostState struct {
+	incarnation winch.Incarnation
+	received    uint64
+	stored      uint64
+	// copied is the sequence number up to which the host has copies of this process.
+	copied uint64
+}
+
+// Counters implements winch.UsageRecorder and winch.Section. It is safe for concurrent use.
+type Counters struct {
+	options Options
+	dropped metric.Int64Counter
+
+	mu    sync.Mutex
+	table table
+	// hub is the hub's incarnation, acked what it has of this process's counters.
+	hub   string
+	acked uint64
+	hosts map[winch.HostID]hostState
+	// copiedFrom is the hub whose copies are here, up to copiedSequence.
+	copiedFrom     string
+	copiedSequence uint64
+
+	// versions and the times below belong to Run.
+	versions  map[part]winch.Version
+	nextStore time.Time
+	settled   usage.Window
+}
+
+var (
+	_ winch.UsageRecorder = (*Counters)(nil)
+	_ winch.Section       = (*Counters)(nil)
+)
+
+// New returns counters of zero.
+func New(options Options) (*Counters, error) {
+	if options.Store == nil || options.Membership == nil || options.Clock == nil {
+		return nil, fmt.Errorf("usage options Store, Membership and Clock are needed: %w", winch.ErrInvalid)
+	}
+	options = withDefaults(options)
+	if options.Window < time.Second || options.Window%time.Second != 0 || options.Shards < 1 {
+		return nil, fmt.Errorf("usage option Window must be whole seconds and Shards positive: %w", winch.ErrInvalid)
+	}
+	dropped, err := options.Meter.Int64Counter("winch_usage_dropped",
+		metric.WithDescription("Counts that were given up since they could not be stored, by kind."))
+	if err != nil {
+		return nil, fmt.Errorf("create usage counter: %w", err)
+	}
+	return &Counters{
+		options:  options,
+		dropped:  dropped,
+		table:    newTable(options.Incarnation),
+		hosts:    map[winch.HostID]hostState{},
+		versions: map[part]winch.Version{},
+	}, nil
+}
+
+func withDefaults(options Options) Options {
+	options.Window = orDefault(options.Window, defaultWindow)
+	options.StoreEvery = orDefault(options.StoreEvery, defaultStoreEvery)
+	options.Settle = orDefault(options.Settle, defaultSettle)
+	options.Retention = orDefault(options.Retention, defaultRetention)
+	if options.Shards == 0 {
+		options.Shards = defaultShards
+	}
+	if options.Incarnation == "" {
+		options.Incarnation = winch.Incarnation(uuid.NewString())
+	}
+	if options.Logger == nil {
+		options.Logger = hclog.NewNullLogger()
+	}
+	if options.Meter == nil {
+		options.Meter = noop.Meter{}
+	}
+	return options
+}
+
+func orDefault(value, fallback time.Duration) time.Duration {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
+
+// Record counts a use in the window of the present time.
+func (c *Counters) Record(now time.Time, record winch.UsageRecord) {
+	counts := usage.Counts{Requests: record.Requests, InputTokens: record.InputTokens, OutputTokens: record.OutputTokens}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.add(usage.WindowOf(now, c.options.Window), record.Organisation, counts)
+}
+
+// Run writes counters to the key-value service while this host is the hub, until
+// ctx ends; then it writes what is left. It returns nil.
+func (c *Counters) Run(ctx context.Context) error {
+	ticker := time.NewTicker(min(time.Second, c.options.StoreEvery/4))
+	defer ticker.Stop()
+	for {
+		c.step(ctx, c.options.Clock.Now())
+		select {
+		case <-ctx.Done():
+			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastStore)
+			defer cancel()
+			c.store(last, scopeOwn)
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// step writes counters when that is due, and forgets old ones.
+func (c *Counters) step(ctx context.Context, now time.Time) {
+	ended := usage.WindowOf(now.Add(-c.options.Settle), c.options.Window)
+	if !now.Before(c.nextStore) || ended > c.settled {
+		c.nextStore = now.Add(c.options.StoreEvery)
+		c.settled = ended
+		wanted := scopeReported
+		if c.isHub(now) {
+			wanted = scopeAll
+		}
+		c.store(ctx, wanted)
+		c.prune(ctx, now)
+	}
+}
+
+func (c *Counters) isHub(now time.Time) bool {
+	self := c.options.Membership.Self()
+	hub, found := c.options.Membership.Hub(now, self.DataCentre)
+	return found && hub.ID == self.ID
+}
+
+func (c *Counters) prune(ctx context.Context, now time.Time) {
+	keep := usage.WindowOf(now.Add(-keptWindows*c.options.Window), c.options.Window)
+	limit := usage.WindowOf(now.Add(-c.options.Retention), c.options.Window)
+	c.mu.Lock()
+	lost := c.table.prune(keep, limit)
+	c.mu.Unlock()
+	for key := range c.versions {
+		if key.window < keep {
+			delete(c.versions, key)
+		}
+	}
+	if lost.IsZero() {
+		return
+	}
+	c.options.Logger.Error("counts dropped", "Event", EventCountsDropped,
+		"Requests", lost.Requests, "InputTokens", lost.InputTokens, "OutputTokens", lost.OutputTokens)
+	c.dropped.Add(ctx, lost.Requests, metric.WithAttributes(attribute.String("kind", "requests")))
+	c.dropped.Add(ctx, int64(lost.InputTokens), metric.WithAttributes(attribute.String("kind", "input_tokens")))
+	c.dropped.Add(ctx, int64(lost.OutputTokens), metric.WithAttributes(attribute.String("kind", "output_tokens")))
+}
--- /dev/null
+++ b/usage/peer/section.go
@@ -0,0 +1,140 @@
+package peer
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/usage"
+)
+
+const sectionName winch.SectionName = "Usage"
+
+// Name returns the section's name.
+func (c *Counters) Name() winch.SectionName { return sectionName }
+
+// Report returns this process's counters that the hub may not have.
+func (c *Counters) Report(time.Time) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	report := wireReport{
+		Incarnation:    string(c.options.Incarnation),
+		Since:          c.acked,
+		Sequence:       c.table.next(),
+		Copied:         c.copiedFrom,
+		CopiedSequence: c.copiedSequence,
+	}
+	report.Batches = encodeBatches(c.table.since(c.acked, true))
+	return encode(report)
+}
+
+func encode(value any) []byte {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
+
+// Collect takes a host's counters in. Those of windows beyond the retention are left out.
+func (c *Counters) Collect(now time.Time, from winch.HostID, report []byte) error {
+	wire, err := decodeReport(report)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state := c.hosts[from]
+	if state.incarnation != winch.Incarnation(wire.Incarnation) {
+		state = hostState{incarnation: winch.Incarnation(wire.Incarnation)}
+	}
+	// A report that goes on from what another hub had leaves a gap here.
+	if wire.Since <= state.received {
+		state.received = max(state.received, wire.Sequence)
+	}
+	state.copied = 0
+	if wire.Copied == string(c.options.Incarnation) {
+		state.copied = wire.CopiedSequence
+	}
+	c.hosts[from] = state
+	c.table.merge(c.recent(now, decodeBatches(wire.Batches)), true)
+	return nil
+}
+
+// recent leaves out counters of windows that are no longer billed.
+func (c *Counters) recent(now time.Time, cells []usage.Cell) []usage.Cell {
+	limit := usage.WindowOf(now.Add(-c.options.Retention), c.options.Window)
+	kept := cells[:0]
+	for _, cell := range cells {
+		if cell.Slot.Window >= limit {
+			kept = append(kept, cell)
+		}
+	}
+	return kept
+}
+
+// Summary acknowledges the host's report. The second host gets copies besides.
+func (c *Counters) Summary(now time.Time, to winch.HostID) []byte {
+	isSecond := c.isSecond(now, to)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state := c.hosts[to]
+	summary := wireSummary{
+		Hub:      string(c.options.Incarnation),
+		Of:       string(state.incarnation),
+		Received: state.received,
+		Stored:   state.stored,
+	}
+	if isSecond {
+		summary.Sequence = c.table.next()
+		summary.Copies = encodeBatches(c.table.since(state.copied, false))
+		summary.StoredBefore = int64(c.table.earliestUnstored(usage.WindowOf(now, c.options.Window)))
+	}
+	return encode(summary)
+}
+
+// isSecond reports whether the host is the first one of the data centre besides this one.
+func (c *Counters) isSecond(now time.Time, host winch.HostID) bool {
+	self := c.options.Membership.Self()
+	for _, other := range c.options.Membership.Hosts(now, self.DataCentre) {
+		if other.ID != self.ID {
+			return other.ID == host
+		}
+	}
+	return false
+}
+
+// Apply takes the hub's acknowledgement and its copies in.
+func (c *Counters) Apply(now, _ time.Time, hub winch.HostID, summary []byte) error {
+	if len(summary) == 0 || hub == c.options.Membership.Self().ID {
+		return nil
+	}
+	wire, err := decodeSummary(summary)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.hub != wire.Hub {
+		// The new hub may not have the former one's copies.
+		c.table.adoptCopies()
+		c.hub = wire.Hub
+	}
+	if wire.Of == string(c.options.Incarnation) {
+		c.acked = wire.Received
+		c.table.storedUpTo(wire.Stored)
+	}
+	if wire.Sequence == 0 {
+		return nil
+	}
+	c.table.merge(c.recent(now, decodeBatches(wire.Copies)), false)
+	c.copiedFrom, c.copiedSequence = wire.Hub, wire.Sequence
+	c.table.dropCopies(usage.Window(wire.StoredBefore))
+	return nil
+}
+
+// Digest returns nothing: other data centres' counts meet in the key-value service.
+func (c *Counters) Digest(time.Time, winch.DataCentreID) []byte { return nil }
+
+// ApplyDigest takes nothing in.
+func (c *Counters) ApplyDigest(time.Time, time.Time, winch.DataCentreID, []byte) error { return nil }
--- /dev/null
+++ b/usage/seal.go
@@ -0,0 +1,82 @@
+package usage
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// Figure is what is reported of one organisation.
+type Figure struct {
+	Organisation winch.OrganisationID
+	Counts       Counts
+	// Adjustment says that the counts belong to earlier windows.
+	Adjustment bool
+}
+
+// Next returns the window to seal now, if one is due: the earliest after the last
+// sealed one that has counts, or else the newest closed one when earlier windows
+// have counts that are not accounted for. A window is closed grace after its end.
+func Next(now time.Time, length, grace time.Duration, last Window, totals, accounted Totals) (Window, bool) {
+	closed := WindowOf(now.Add(-grace), length) - Window(length/time.Second)
+	if closed <= last {
+		return 0, false
+	}
+	earliest, found, late := closed, false, false
+	for source, organisations := range totals {
+		if source.Window > closed || !exceeds(organisations, accounted[source]) {
+			continue
+		}
+		if source.Window <= last {
+			late = true
+			continue
+		}
+		earliest, found = min(earliest, source.Window), true
+	}
+	return earliest, found || late
+}
+
+func exceeds(counted, accounted map[winch.OrganisationID]Counts) bool {
+	for organisation, counts := range counted {
+		if !counts.Beyond(accounted[organisation]).IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// Seal returns the figures for the window, sorted, and what they account for.
+func Seal(window Window, totals, accounted Totals) ([]Figure, Totals) {
+	increments := Totals{}
+	own := map[winch.OrganisationID]Counts{}
+	late := map[winch.OrganisationID]Counts{}
+	for source, organisations := range totals {
+		if source.Window > window {
+			continue
+		}
+		sums := own
+		if source.Window < window {
+			sums = late
+		}
+		for organisation, counts := range organisations {
+			increment := counts.Beyond(accounted[source][organisation])
+			if increment.IsZero() {
+				continue
+			}
+			increments.Add(source, organisation, increment)
+			sums[organisation] = sums[organisation].Plus(increment)
+		}
+	}
+	return append(figuresOf(own, false), figuresOf(late, true)...), increments
+}
+
+func figuresOf(sums map[winch.OrganisationID]Counts, adjustment bool) []Figure {
+	figures := make([]Figure, 0, len(sums))
+	for organisation, counts := range sums {
+		figures = append(figures, Figure{Organisation: organisation, Counts: counts, Adjustment: adjustment})
+	}
+	slices.SortFunc(figures, func(a, b Figure) int { return cmp.Compare(a.Organisation, b.Organisation) })
+	return figures
+}
