--- a/serving/caller/account.go
+++ b/serving/caller/account.go
@@ -66,23 +66,30 @@
 	s.record(now, req, a, winch.UsageRecord{OutputTokens: due})
 }
 
-// settle records what is left at the end of an attempt, and the input with the first that delivered.
+// settle records what is left of an attempt's output.
 func (s *Server) settle(now time.Time, req *request, a *attempt) {
-	if a.account.peer || req.organisation == "" {
+	if req.first == nil && (a.complete || a.account.tokens > 0) {
+		req.first = a
+	}
+	if a.account.known {
+		req.input = a.account.input
+	}
+	if a.account.peer {
 		return
 	}
-	record := winch.UsageRecord{OutputTokens: a.account.final() - a.account.reported}
-	served := a.complete || a.account.tokens > 0
-	if served && !req.counted {
-		req.counted = true
-		record.Requests, record.InputTokens = 1, req.input
-		if a.account.known {
-			record.InputTokens = a.account.input
-		}
+	if due := a.account.final() - a.account.reported; due > 0 && req.organisation != "" {
+		s.record(now, req, a, winch.UsageRecord{OutputTokens: due})
 	}
-	if record.Requests > 0 || record.OutputTokens > 0 {
-		s.record(now, req, a, record)
+}
+
+// bill records the request and its input, once, with the endpoint that served it
+// first. Where that was in another data centre, or where a peer hands over a stream
+// that has begun, the other host does it.
+func (s *Server) bill(now time.Time, req *request) {
+	if req.first == nil || req.first.account.peer || req.handedOn || req.organisation == "" {
+		return
 	}
+	s.record(now, req, req.first, winch.UsageRecord{Requests: 1, InputTokens: req.input})
 }
 
 func (s *Server) record(now time.Time, req *request, a *attempt, record winch.UsageRecord) {
@@ -90,8 +97,8 @@
 	s.options.Usage.Record(now, record)
 }
 
-// first notes the time of an attempt's first token.
-func (s *Server) first(now time.Time, req *request, a *attempt) {
+// noteFirst notes the time of an attempt's first token.
+func (s *Server) noteFirst(now time.Time, req *request, a *attempt) {
 	if a.account.started {
 		return
 	}
--- a/serving/caller/admit.go
+++ b/serving/caller/admit.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -49,11 +48,12 @@
 	// lastRefusal is what an endpoint that refused said.
 	lastRefusal *fault
 	began       bool
-	closing     bool
-	counted     bool
-	firstToken  time.Duration
-	output      winch.Tokens
-	outcome     string
+	// first is the first attempt that delivered something.
+	first *attempt
+	// handedOn: a peer hands over a stream that has begun.
+	handedOn   bool
+	firstToken time.Duration
+	output     winch.Tokens
 	// rigid says that output was delivered from which no engine can resume.
 	rigid bool
 }
@@ -184,7 +184,7 @@
 	if req.completion, f = decodeCompletion(body, req.local); f != nil {
 		return f
 	}
-	req.rigid = req.several
+	req.rigid, req.handedOn = req.several, req.tokens > 0
 	req.path = r.URL.Path
 	req.ledger.repeatable = true
 	named := winch.ClassID(r.Header.Get("X-Request-Class"))
@@ -221,7 +221,6 @@
 	}
 	body, f := s.readBody(w, r)
 	req.body = body
-	req.input = winch.Tokens(len(body) / bytesPerToken)
 	return f
 }
 
@@ -248,8 +247,3 @@
 	}
 	return errKeyWithdrawn
 }
-
-// left reports whether the caller went away.
-func left(ctx context.Context) bool {
-	return errors.Is(context.Cause(ctx), context.Canceled)
-}
--- a/serving/caller/completion.go
+++ b/serving/caller/completion.go
@@ -61,7 +61,7 @@
 		return fmt.Errorf("inspect answer: %w", err)
 	}
 	now := s.now()
-	s.first(now, req, a)
+	s.noteFirst(now, req, a)
 	a.account.usage(chunk)
 	a.slot.Tokens(now, a.account.tokens)
 	req.output += a.account.tokens
--- /dev/null
+++ b/serving/caller/events_test.go
@@ -0,0 +1,34 @@
+package caller
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+)
+
+// TestEvents holds the page of events against the code, for both packages that log.
+func TestEvents(t *testing.T) {
+	page, err := os.ReadFile("../../docs/EVENTS.md")
+	assert.NilError(t, err)
+	_, section, found := strings.Cut(string(page), "## 2000 Serving")
+	assert.Assert(t, found)
+	section, _, _ = strings.Cut(section, "\n## ")
+	rows := strings.Count(section, "\n| 2")
+	declared := 0
+	for _, file := range []string{"events.go", "../keyvalue/events.go"} {
+		source, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		for _, line := range strings.Split(string(source), "\n") {
+			name, rest, found := strings.Cut(strings.TrimSpace(line), " winch.EventNumber = ")
+			if !found {
+				continue
+			}
+			declared++
+			assert.Assert(t, cmp.Contains(section, "| "+rest+" | "+name+" |"))
+		}
+	}
+	assert.Equal(t, rows, declared)
+}
--- a/serving/caller/history.go
+++ b/serving/caller/history.go
@@ -75,6 +75,7 @@
 // conclusion writes the request's line in the log and keeps its explanation.
 func (s *Server) conclusion(req *request, f *fault) {
 	now := s.now()
+	s.bill(now, req)
 	code := "done"
 	if f != nil {
 		code = f.code
--- a/serving/caller/server_test.go
+++ b/serving/caller/server_test.go
@@ -28,6 +28,13 @@
 	}, poll.WithTimeout(testTimeout), poll.WithDelay(time.Millisecond))
 }
 
+// eventually polls for a state outside the test's own goroutine.
+func eventually(reached func() bool) {
+	for deadline := time.Now().Add(testTimeout); !reached() && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 type answered struct {
 	*http.Response
 	body string
--- a/serving/caller/service.go
+++ b/serving/caller/service.go
@@ -112,7 +112,7 @@
 			continue
 		}
 		a.complete = true
-		s.first(s.now(), req, a)
+		s.noteFirst(s.now(), req, a)
 		s.close(req, a, serviceOutcome(a.reply.Status))
 		req.began = true
 		state := s.stateOfAnswer(req, a.reply)
--- a/serving/caller/stream.go
+++ b/serving/caller/stream.go
@@ -110,7 +110,7 @@
 		return
 	}
 	if chunk.Tokens > 0 && !a.account.started {
-		s.first(s.now(), req, a)
+		s.noteFirst(s.now(), req, a)
 	}
 	if !req.began {
 		req.began = true
