--- a/serving/caller/stream_test.go
+++ b/serving/caller/stream_test.go
@@ -119,7 +119,7 @@
 }
 
 // open begins a stream and returns it with its connection still open.
-func (b *bench) open(t *testing.T, ctx context.Context) *http.Response {
+func (b *bench) open(ctx context.Context, t *testing.T) *http.Response {
 	t.Helper()
 	request, err := http.NewRequestWithContext(ctx, "POST", b.front.URL+"/v1/chat/completions", strings.NewReader(chatBody))
 	assert.NilError(t, err)
@@ -143,7 +143,7 @@
 	slow.before = holdAt(5)
 	b := newBench(t, nil, slow.endpoint("e1"))
 	ctx, leave := context.WithCancel(t.Context())
-	b.open(t, ctx)
+	b.open(ctx, t)
 	leave()
 	until(t, "the engine's work is cancelled", func() bool { return cancelled(slow) })
 	until(t, "the slot is given back", func() bool { return len(b.dispatcher.slot(0).outcomes()) == 1 })
@@ -155,7 +155,7 @@
 		slow := newEngine(t, 12)
 		slow.before = holdAt(5)
 		b := newBench(t, nil, slow.endpoint("e1"))
-		response := b.open(t, t.Context())
+		response := b.open(t.Context(), t)
 		b.configurations.withdraw()
 		assert.Equal(t, readStream(t, readAll(t, response)).code, "key_withdrawn")
 		assertFault(t, b.send(t, "POST", "/v1/chat/completions", chatBody), 401, "invalid_api_key", runStateNotRun)
@@ -188,7 +188,7 @@
 		}
 	}
 	b := newBench(t, nil, engine.endpoint("e1"))
-	response := b.open(t, t.Context())
+	response := b.open(t.Context(), t)
 	drained := make(chan error, 1)
 	go func() { drained <- b.Drain(t.Context()) }()
 	until(t, "new requests are refused", func() bool {
@@ -205,7 +205,7 @@
 	engine := newEngine(t, 12)
 	engine.before = holdAt(5)
 	b := newBench(t, nil, engine.endpoint("e1"))
-	response := b.open(t, t.Context())
+	response := b.open(t.Context(), t)
 	ctx, stop := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer stop()
 	assert.ErrorContains(t, b.Drain(ctx), "1 requests cut off")
