fix(serving): finish calls whose caller left, and spend no retry budget on preemption

Cause: a caller that timed out and repeated its keyed call got an unknown outcome, since its leaving had cut the first call. Ruled out: finishing every call; those that may be repeated are cancelled as before. Before / after: repeat answered outcome_unknown / with the kept answer (test). Conclusion: a call that may not be repeated ends with its time, its key or the host only.

--- a/serving/caller/admit.go
+++ b/serving/caller/admit.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -27,6 +28,9 @@
 
 // request is a caller's request and what became of it so far.
 type request struct {
+	// own is the context of the request without its caller: it ends with the request's
+	// time, its key or the host, but not when the caller leaves.
+	own          context.Context
 	id           winch.RequestID
 	keyed        bool
 	hash         winch.KeyHash
--- a/serving/caller/attempt.go
+++ b/serving/caller/attempt.go
@@ -108,7 +108,7 @@
 		return nil, faultOf(err)
 	}
 	a := &attempt{slot: slot, endpoint: slot.Endpoint(), started: now}
-	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	a.ctx, a.cancel = attemptContext(ctx, req)
 	a.account = account{base: req.tokens, peer: a.endpoint.Kind == winch.EndpointPeer}
 	req.attempts = append(req.attempts, AttemptExplanation{Endpoint: a.endpoint.ID, Waited: now.Sub(started)})
 	req.move(sendStarted)
@@ -118,6 +118,16 @@
 	return a, nil
 }
 
+// attemptContext returns the context of an attempt. A call that may not be repeated
+// goes on when its caller leaves: broken off, its outcome would be unknown, and
+// finished, its answer can be kept for the caller's repeat.
+func attemptContext(ctx context.Context, req *request) (context.Context, context.CancelCauseFunc) {
+	if req.ledger.repeatable {
+		return context.WithCancelCause(ctx)
+	}
+	return context.WithCancelCause(req.own)
+}
+
 func (s *Server) unacquired(ctx context.Context, req *request, err error) *fault {
 	if ctx.Err() != nil && !errors.Is(err, winch.ErrRefused) {
 		err = context.Cause(ctx)
@@ -212,6 +222,10 @@
 	case runStateRan:
 		return nil
 	}
+	if a.reply.Status == http.StatusUnauthorized {
+		// The peer does not take requests from this host.
+		return errEndpointRefused
+	}
 	return winch.ErrOutcomeUnknown
 }
 
--- a/serving/caller/recover.go
+++ b/serving/caller/recover.go
@@ -20,26 +20,24 @@
 
 // judge decides by the error of an attempt and the cause of its cancellation.
 func judge(err, cause error) verdict {
+	ruling := verdict{happening: connectionBroke, outcome: winch.OutcomeFailed, spends: true, exclude: true}
 	switch {
 	case errors.Is(err, errEndpointRefused):
-		return verdict{happening: endpointRefused, outcome: winch.OutcomeRejected, spends: true, exclude: true}
+		ruling.happening, ruling.outcome = endpointRefused, winch.OutcomeRejected
 	case errors.Is(err, winch.ErrUnavailable):
-		return verdict{happening: nothingWritten, outcome: winch.OutcomeUnsent, spends: true, exclude: true}
-	case errors.Is(err, errCallerGone), errors.Is(cause, winch.ErrPreempted):
-		return verdict{happening: connectionBroke, outcome: winch.OutcomeCancelled}
-	case cause != nil && !errors.Is(cause, errStalled):
-		return verdict{happening: connectionBroke, outcome: winch.OutcomeCancelled}
+		ruling.happening, ruling.outcome = nothingWritten, winch.OutcomeUnsent
 	}
-	return verdict{happening: connectionBroke, outcome: winch.OutcomeFailed, spends: true, exclude: true}
+	// What this host has cancelled is no failure of the endpoint.
+	if errors.Is(err, errCallerGone) || cause != nil && !errors.Is(cause, errStalled) {
+		ruling.outcome, ruling.spends, ruling.exclude = winch.OutcomeCancelled, false, false
+	}
+	return ruling
 }
 
 // recover ends a failed attempt. It returns the fault to answer with, or nil when
 // the request may be dispatched again.
 func (s *Server) recover(ctx context.Context, req *request, a *attempt, err error) *fault {
 	ruling := judge(err, context.Cause(a.ctx))
-	if ruling.outcome == winch.OutcomeUnsent && a.ctx.Err() != nil {
-		ruling.outcome, ruling.exclude = winch.OutcomeCancelled, false
-	}
 	s.logBroken(req, a, err)
 	s.close(req, a, ruling.outcome)
 	req.move(ruling.happening)
--- a/serving/caller/server.go
+++ b/serving/caller/server.go
@@ -71,8 +71,9 @@
 	if s.drain.begun() {
 		w.Header().Set("Connection", "close")
 	}
-	ctx, cancel := context.WithCancelCause(r.Context())
+	own, cancel := context.WithCancelCause(context.WithoutCancel(r.Context()))
 	defer cancel(nil)
+	req.own = own
 	s.open.add(req, cancel)
 	defer s.open.remove(req)
 	if f == nil && s.drain.refuses() {
@@ -82,14 +83,14 @@
 		f = s.admit(now, r, req)
 	}
 	if f == nil {
-		f = s.route(ctx, w, r, req)
+		f = s.route(w, r, req)
 	}
 	s.answer(w, req, f)
 	s.conclusion(req, f)
 }
 
 // route serves the request by its path.
-func (s *Server) route(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) *fault {
+func (s *Server) route(w http.ResponseWriter, r *http.Request, req *request) *fault {
 	s.open.identify(req)
 	path := r.URL.Path
 	switch {
@@ -97,21 +98,27 @@
 		if f := s.admitCompletion(w, r, req); f != nil {
 			return f
 		}
-		return s.within(ctx, req, func(ctx context.Context) *fault { return s.complete(ctx, w, req) })
+		return s.within(r.Context(), req, func(ctx context.Context) *fault { return s.complete(ctx, w, req) })
 	case strings.HasPrefix(path, servicesPrefix):
 		if f := s.admitService(w, r, req); f != nil {
 			return f
 		}
-		return s.within(ctx, req, func(ctx context.Context) *fault { return s.serveService(ctx, w, req) })
+		return s.within(r.Context(), req, func(ctx context.Context) *fault { return s.serveService(ctx, w, req) })
 	case path == "/v1/models" && r.Method == http.MethodGet:
 		return s.listModels(w, req)
 	}
 	return &fault{status: http.StatusNotFound, code: "not_found", message: "no such path"}
 }
 
-func (s *Server) within(ctx context.Context, req *request, do func(ctx context.Context) *fault) *fault {
-	ctx, stop := context.WithTimeoutCause(ctx, req.timeout, errDeadline)
+// within serves the request in a context that ends with its time limit, its key, the
+// host or its caller, whichever is first.
+func (s *Server) within(caller context.Context, req *request, do func(ctx context.Context) *fault) *fault {
+	own, stop := context.WithTimeoutCause(req.own, req.timeout, errDeadline)
 	defer stop()
+	req.own = own
+	ctx, leave := context.WithCancelCause(own)
+	defer leave(nil)
+	defer context.AfterFunc(caller, func() { leave(context.Canceled) })()
 	return do(ctx)
 }
 
--- a/serving/caller/service_test.go
+++ b/serving/caller/service_test.go
@@ -24,6 +24,8 @@
 	path     atomic.Pointer[string]
 	// cut breaks the connection off after the call was executed.
 	cut atomic.Bool
+	// hold delays the answer until it is closed.
+	hold atomic.Pointer[chan struct{}]
 	// status and body are the answer.
 	status int
 	body   string
@@ -48,6 +50,9 @@
 	if f.status != http.StatusServiceUnavailable {
 		f.executed.Add(1)
 	}
+	if hold := f.hold.Load(); hold != nil {
+		<-*hold
+	}
 	if f.cut.Load() {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err == nil {
@@ -236,6 +241,26 @@
 		assert.Equal(t, got.Header.Get("Retry-After"), "1")
 		assertExecuted(t, desk, 0)
 	})
+	t.Run("a call whose caller leaves is finished, and the repeat gets its answer", func(t *testing.T) {
+		b, desk, claims := start(t)
+		hold := make(chan struct{})
+		desk.hold.Store(&hold)
+		ctx, leave := context.WithCancel(t.Context())
+		request, err := http.NewRequestWithContext(ctx, "POST", b.front.URL+"/services/booking/holds", strings.NewReader(`{}`))
+		assert.NilError(t, err)
+		request.Header.Set("Authorization", "Bearer "+testSecret)
+		request.Header.Set("Idempotency-Key", "k")
+		go func() {
+			eventually(func() bool { return desk.executed.Load() == 1 })
+			leave()
+		}()
+		_, err = b.front.Client().Do(request)
+		assert.ErrorIs(t, err, context.Canceled)
+		close(hold)
+		until(t, "claim is finished", func() bool { state, _ := claims.state("k"); return state == winch.ClaimFinished })
+		assert.Equal(t, post(t, b, `{}`).Header.Get("X-Idempotent-Replay"), "true")
+		assertExecuted(t, desk, 1)
+	})
 	t.Run("a refused call gives its claim back", func(t *testing.T) {
 		b, desk, claims := start(t)
 		desk.status, desk.body = 503, `{"Code":"overloaded","Message":"full"}`
