feat(serving): collect whole answers from streams

Cause: a whole answer that lost its endpoint or was preempted ran again from the start, and a silent endpoint was not noticed before the deadline. Ruled out: for answers with more than text (tools, several choices, log probabilities), which are asked for whole. Conclusion: tokens of an answer that never reaches its caller are not counted as use.

--- a/serving/caller/account.go
+++ b/serving/caller/account.go
@@ -59,7 +59,7 @@
 // report records the delivered tokens once there are at least step of them.
 func (s *Server) report(now time.Time, req *request, a *attempt, step winch.Tokens) {
 	due := a.account.tokens - a.account.reported
-	if due < step || a.account.peer || req.organisation == "" {
+	if due < step || a.account.peer || req.collect || req.organisation == "" {
 		return
 	}
 	a.account.reported += due
@@ -77,19 +77,32 @@
 	if a.account.peer {
 		return
 	}
+	if req.collect {
+		req.held += a.account.final()
+		return
+	}
 	if due := a.account.final() - a.account.reported; due > 0 && req.organisation != "" {
 		s.record(now, req, a, winch.UsageRecord{OutputTokens: due})
 	}
 }
 
 // bill records the request and its input, once, with the endpoint that served it
-// first. Where that was in another data centre, or where a peer hands over a stream
+// first, and the output of an answer that was collected. Where that was in another data centre, or where a peer hands over a stream
 // that has begun, the other host does it.
 func (s *Server) bill(now time.Time, req *request) {
-	if req.first == nil || req.first.account.peer || req.handedOn || req.organisation == "" {
+	if req.first == nil || req.organisation == "" || req.collect && !req.began {
 		return
 	}
-	s.record(now, req, req.first, winch.UsageRecord{Requests: 1, InputTokens: req.input})
+	record := winch.UsageRecord{}
+	if !req.first.account.peer && !req.handedOn {
+		record.Requests, record.InputTokens = 1, req.input
+	}
+	if req.collect {
+		record.OutputTokens = req.held
+	}
+	if record.Requests > 0 || record.OutputTokens > 0 {
+		s.record(now, req, req.first, record)
+	}
 }
 
 func (s *Server) record(now time.Time, req *request, a *attempt, record winch.UsageRecord) {
--- a/serving/caller/admit.go
+++ b/serving/caller/admit.go
@@ -58,10 +58,15 @@
 	handedOn   bool
 	firstToken time.Duration
 	output     winch.Tokens
+	// held are the output tokens of an answer that is being collected.
+	held winch.Tokens
 	// rigid says that output was delivered from which no engine can resume.
 	rigid bool
 }
 
+// chat reports whether the request is a chat completion.
+func (req *request) chat() bool { return strings.HasSuffix(req.path, "/chat/completions") }
+
 // requestID returns the caller's id for the request, or a new one.
 func requestID(header http.Header) (winch.RequestID, *fault) {
 	id := header.Get("X-Request-Id")
--- a/serving/caller/codec.go
+++ b/serving/caller/codec.go
@@ -99,6 +99,8 @@
 	stream bool
 	// wantsUsage says that the caller asked for the counts at the stream's end.
 	wantsUsage bool
+	// collect says that a whole answer is to be made of a stream.
+	collect bool
 	// several says that more than one choice was asked for.
 	several bool
 	prefix  winch.PrefixHash
@@ -141,6 +143,11 @@
 		return completion{}, f
 	}
 	delete(fields, "resume")
+	decoded.collect = !decoded.stream && collectable(fields)
+	if decoded.collect {
+		decoded.stream = true
+		fields["stream"] = json.RawMessage("true")
+	}
 	if decoded.stream {
 		fields["stream_options"] = withUsage(fields["stream_options"])
 	}
--- a/serving/caller/completion.go
+++ b/serving/caller/completion.go
@@ -14,6 +14,9 @@
 // complete serves a completion until it is answered or given up.
 func (s *Server) complete(ctx context.Context, w http.ResponseWriter, req *request) *fault {
 	out := newOutput(w, s.options.Limits.WriteTimeout)
+	if req.collect {
+		out.collector = &collector{}
+	}
 	for {
 		a, f := s.dispatch(ctx, req)
 		if f != nil {
@@ -27,6 +30,10 @@
 		if f := s.recover(ctx, req, a, err); f != nil {
 			return f
 		}
+		if errors.Is(err, errOpaque) {
+			s.metrics.wasted(req.class.ID, req.tokens)
+			req.uncollected()
+		}
 		s.metrics.resumed(req.class.ID)
 	}
 }
--- a/serving/caller/fakes_test.go
+++ b/serving/caller/fakes_test.go
@@ -210,8 +210,10 @@
 	// status and code are set to refuse.
 	status int
 	code   string
-	// id replaces the request's id from the word on.
+	// crossAt is the word from which another request's id is sent.
 	crossAt int
+	// opaque adds output other than text to streams.
+	opaque bool
 }
 
 type fakeCompletion struct {
@@ -271,8 +273,11 @@
 		}
 		e.chunk(w, id, fmt.Sprintf(`{"index":0,"delta":{"content":"w%d \"é\" "},"finish_reason":null}`, word))
 	}
+	if e.opaque {
+		e.chunk(w, id, `{"index":0,"delta":{"reasoning":"hm"},"finish_reason":null}`)
+	}
 	e.chunk(w, id, `{"index":0,"delta":{},"finish_reason":"stop"}`)
-	fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":7,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", id, e.words)
+	fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":7,\"completion_tokens\":%d,\"total_tokens\":%d}}\n\ndata: [DONE]\n\n", id, e.words, e.words+7)
 }
 
 func (e *fakeEngine) whole(w http.ResponseWriter, r *http.Request, id string) {
@@ -283,8 +288,8 @@
 		id = "another"
 	}
 	w.Header().Set("Content-Type", "application/json")
-	fmt.Fprintf(w, `{"id":%q,"object":"chat.completion","choices":[{"index":0,"message":{"role":"assistant","content":%q},"finish_reason":"stop"}],"usage":{"prompt_tokens":7,"completion_tokens":%d}}`,
-		id, words(e.words), e.words)
+	fmt.Fprintf(w, `{"id":%q,"object":"chat.completion","choices":[{"index":0,"message":{"role":"assistant","content":%q},"finish_reason":"stop"}],"usage":{"prompt_tokens":7,"completion_tokens":%d,"total_tokens":%d}}`,
+		id, words(e.words), e.words, e.words+7)
 }
 
 func (e *fakeEngine) chunk(w http.ResponseWriter, id, choice string) {
--- a/serving/caller/guard_test.go
+++ b/serving/caller/guard_test.go
@@ -45,7 +45,7 @@
 	slow := newEngine(t, 3)
 	slow.before = func(_ http.ResponseWriter, _ *http.Request, _ int) { time.Sleep(100 * time.Millisecond) }
 	b := newBench(t, func(o *Options) { o.Limits.Stall = 20 * time.Millisecond }, slow.endpoint("e1"))
-	assert.Equal(t, b.send(t, "POST", "/v1/chat/completions", `{"model":"small"}`).StatusCode, 200)
+	assert.Equal(t, b.send(t, "POST", "/v1/chat/completions", `{"model":"small","n":1}`).StatusCode, 200)
 	until(t, "slot is released", func() bool { return len(b.dispatcher.slot(0).outcomes()) == 1 })
 	assert.DeepEqual(t, b.dispatcher.slot(0).outcomes(), []winch.Outcome{winch.OutcomeDone})
 }
--- a/serving/caller/recover.go
+++ b/serving/caller/recover.go
@@ -28,7 +28,7 @@
 		ruling.happening, ruling.outcome = nothingWritten, winch.OutcomeUnsent
 	}
 	// What this host has cancelled is no failure of the endpoint.
-	if errors.Is(err, errCallerGone) || cause != nil && !errors.Is(cause, errStalled) {
+	if errors.Is(err, errCallerGone) || errors.Is(err, errOpaque) || cause != nil && !errors.Is(cause, errStalled) {
 		ruling.outcome, ruling.spends, ruling.exclude = winch.OutcomeCancelled, false, false
 	}
 	return ruling
--- a/serving/caller/stream.go
+++ b/serving/caller/stream.go
@@ -24,6 +24,10 @@
 	timeout time.Duration
 	extends time.Time
 	buffer  []byte
+	// started says that the header was written, or would have been.
+	started bool
+	// collector is set when the answer is collected in place of being streamed.
+	collector *collector
 	// tokens are the output tokens in the buffer.
 	tokens winch.Tokens
 }
@@ -32,6 +36,16 @@
 	return &output{w: w, control: http.NewResponseController(w), timeout: timeout}
 }
 
+// add puts an event in.
+func (o *output) add(chunk winch.Chunk) {
+	o.tokens += chunk.Tokens
+	if o.collector != nil {
+		o.collector.take(chunk)
+		return
+	}
+	o.event(chunk.Data)
+}
+
 func (o *output) event(data []byte) {
 	if o.buffer == nil {
 		o.buffer = make([]byte, 0, outputSize)
@@ -41,18 +55,25 @@
 	o.buffer = append(o.buffer, "\n\n"...)
 }
 
-// begin writes the header of a stream.
-func (o *output) begin() {
+// begin writes the header of a stream. It reports whether the answer has begun for the caller.
+func (o *output) begin() bool {
+	o.started = true
+	if o.collector != nil {
+		return false
+	}
 	header := o.w.Header()
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Cache-Control", "no-cache")
 	o.w.WriteHeader(http.StatusOK)
+	return true
 }
 
 // flush hands the buffer to the caller and returns the tokens that it held.
 func (o *output) flush() (winch.Tokens, error) {
 	if len(o.buffer) == 0 {
-		return 0, nil
+		tokens := o.tokens
+		o.tokens = 0
+		return tokens, nil
 	}
 	// The connection's deadline is a matter of the kernel's clock, not of decisions.
 	if now := time.Now(); now.After(o.extends) {
@@ -75,7 +96,7 @@
 func (s *Server) relayStream(req *request, a *attempt, out *output) error {
 	chunks := s.options.Engines.Chunks(a.reply, req.id)
 	defer chunks.Close()
-	resumed := req.began
+	resumed := out.started
 	for {
 		chunk, err := chunks.Next()
 		if err == nil && chunk.Failed {
@@ -91,6 +112,9 @@
 		if chunk.Done {
 			return s.finish(req, a, out)
 		}
+		if chunk.Opaque && out.collector != nil {
+			return errOpaque
+		}
 		s.take(req, a, out, chunk, resumed)
 		if !chunks.Pending() {
 			if err := s.deliver(req, a, out); err != nil {
@@ -103,7 +127,7 @@
 // take puts one event into the output, unless the caller has it or did not ask for it.
 func (s *Server) take(req *request, a *attempt, out *output, chunk winch.Chunk, resumed bool) {
 	a.account.count(chunk)
-	if chunk.UsageOnly && !req.wantsUsage {
+	if chunk.UsageOnly && !req.wantsUsage && !req.collect {
 		return
 	}
 	if resumed && chunk.Tokens == 0 && !chunk.Finished && !chunk.HasUsage {
@@ -112,12 +136,10 @@
 	if chunk.Tokens > 0 && !a.account.started {
 		s.noteFirst(s.now(), req, a)
 	}
-	if !req.began {
-		req.began = true
-		out.begin()
+	if !out.started {
+		req.began = out.begin()
 	}
-	out.event(chunk.Data)
-	out.tokens += chunk.Tokens
+	out.add(chunk)
 	req.text = append(req.text, chunk.Text...)
 	req.rigid = req.rigid || chunk.Opaque
 	a.account.finished = a.account.finished || chunk.Finished
@@ -145,9 +167,14 @@
 // finish ends a complete stream.
 func (s *Server) finish(req *request, a *attempt, out *output) error {
 	a.complete = true
-	if !req.began {
-		req.began = true
-		out.begin()
+	if out.collector != nil {
+		if err := s.deliver(req, a, out); err != nil {
+			return err
+		}
+		return s.answerCollected(req, a, out)
+	}
+	if !out.started {
+		req.began = out.begin()
 	}
 	out.event([]byte("[DONE]"))
 	return s.deliver(req, a, out)
--- /dev/null
+++ b/serving/caller/whole.go
@@ -0,0 +1,162 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// errOpaque: the answer holds output that cannot be collected from a stream.
+var errOpaque = errors.New("output cannot be collected")
+
+// collector makes a whole answer of a stream. An answer that is asked for whole is
+// got as a stream, so that it can move to another endpoint without loss, and a
+// silent endpoint is noticed.
+type collector struct {
+	first  []byte
+	finish []byte
+	usage  []byte
+}
+
+func (c *collector) take(chunk winch.Chunk) {
+	if c.first == nil {
+		c.first = bytes.Clone(chunk.Data)
+	}
+	if chunk.Finished {
+		c.finish = bytes.Clone(chunk.Data)
+	}
+	if chunk.HasUsage {
+		c.usage = bytes.Clone(chunk.Data)
+	}
+}
+
+type chunkFields struct {
+	ID          string          `json:"id"`
+	Created     int64           `json:"created"`
+	Model       string          `json:"model"`
+	Fingerprint string          `json:"system_fingerprint,omitempty"`
+	Usage       json.RawMessage `json:"usage"`
+	Choices     []struct {
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+type wholeAnswer struct {
+	ID          string        `json:"id"`
+	Object      string        `json:"object"`
+	Created     int64         `json:"created"`
+	Model       string        `json:"model"`
+	Fingerprint string        `json:"system_fingerprint,omitempty"`
+	Choices     []wholeChoice `json:"choices"`
+	Usage       any           `json:"usage"`
+}
+
+type wholeChoice struct {
+	Index        int              `json:"index"`
+	Message      *wholeMessage    `json:"message,omitempty"`
+	Text         *json.RawMessage `json:"text,omitempty"`
+	Logprobs     any              `json:"logprobs"`
+	FinishReason *string          `json:"finish_reason"`
+}
+
+type wholeMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type wholeUsage struct {
+	PromptTokens     int64 `json:"prompt_tokens"`
+	CompletionTokens int64 `json:"completion_tokens"`
+	TotalTokens      int64 `json:"total_tokens"`
+}
+
+// encode writes the whole answer. Text is the inside of a JSON string.
+func (c *collector) encode(chat bool, text []byte, count wholeUsage, moved bool) ([]byte, error) {
+	first, last, usage := chunkFields{}, chunkFields{}, chunkFields{}
+	for _, part := range []struct {
+		data []byte
+		into *chunkFields
+	}{{c.first, &first}, {c.finish, &last}, {c.usage, &usage}} {
+		if part.data == nil {
+			continue
+		}
+		if err := json.Unmarshal(part.data, part.into); err != nil {
+			return nil, fmt.Errorf("collect answer: %w: %w", winch.ErrInvalid, err)
+		}
+	}
+	quoted := json.RawMessage(append(append([]byte{'"'}, text...), '"'))
+	choice := wholeChoice{Text: &quoted}
+	answer := wholeAnswer{
+		ID: first.ID, Object: "text_completion", Created: first.Created, Model: first.Model, Fingerprint: first.Fingerprint,
+		Usage: count,
+	}
+	if chat {
+		choice = wholeChoice{Message: &wholeMessage{Role: "assistant", Content: quoted}}
+		answer.Object = "chat.completion"
+	}
+	if len(last.Choices) > 0 {
+		choice.FinishReason = last.Choices[0].FinishReason
+	}
+	// After a move the engine's count may lack what came before.
+	if usage.Usage != nil && !moved {
+		answer.Usage = usage.Usage
+	}
+	answer.Choices = []wholeChoice{choice}
+	encoded, err := json.Marshal(answer)
+	if err != nil {
+		return nil, fmt.Errorf("encode collected answer: %w: %w", winch.ErrInvalid, err)
+	}
+	return encoded, nil
+}
+
+// answerCollected writes the whole answer to the caller.
+func (s *Server) answerCollected(req *request, a *attempt, out *output) error {
+	count := wholeUsage{PromptTokens: int64(req.input), CompletionTokens: int64(a.account.base + a.account.final())}
+	if a.account.known {
+		count.PromptTokens = int64(a.account.input)
+	}
+	count.TotalTokens = count.PromptTokens + count.CompletionTokens
+	body, err := out.collector.encode(req.chat(), req.text, count, len(req.attempts) > 1)
+	if err != nil {
+		return err
+	}
+	req.began = true
+	header := out.w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("X-Run-State", string(runStateRan))
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	out.w.WriteHeader(http.StatusOK)
+	if _, err := out.w.Write(body); err != nil {
+		return fmt.Errorf("write to caller: %w: %w", errCallerGone, err)
+	}
+	return nil
+}
+
+// collectable reports whether a whole answer can be made of the stream's text.
+func collectable(fields map[string]json.RawMessage) bool {
+	for _, name := range []string{
+		"tools", "functions", "logprobs", "top_logprobs", "best_of", "echo", "suffix", "audio", "modalities", "n", "resume",
+	} {
+		if _, found := fields[name]; found {
+			return false
+		}
+	}
+	return true
+}
+
+// uncollected goes back to asking for a whole answer.
+func (req *request) uncollected() {
+	fields := map[string]json.RawMessage{}
+	if json.Unmarshal(req.body, &fields) == nil {
+		delete(fields, "stream")
+		delete(fields, "stream_options")
+		req.body = encodeFields(fields)
+	}
+	req.collect, req.stream = false, false
+	req.tokens, req.output, req.held, req.text = 0, 0, 0, nil
+}
