fix(serving): never take a cancelled stream for a complete one

Cause: an engine that is told to stop ends its stream with finish_reason cancelled and no [DONE]; a stream that named a reason was taken for complete without its last line. Ruled out: passing the end on and correcting it later; the caller cannot take it back. Before / after (test): truncated output with [DONE] / whole output from the next endpoint. Conclusion: the end of a stream is held back until [DONE]; engines that do not hold a model are passed over.

--- a/serving/caller/account.go
+++ b/serving/caller/account.go
@@ -21,9 +21,8 @@
 	known  bool
 	input  winch.Tokens
 	output winch.Tokens
-	// finished says that the output is whole, started that the first token came.
-	finished bool
-	started  bool
+	// started says that the first token came.
+	started bool
 }
 
 func (a *account) count(chunk winch.Chunk) {
--- a/serving/caller/attempt.go
+++ b/serving/caller/attempt.go
@@ -193,6 +193,10 @@
 	if a.endpoint.Kind == winch.EndpointPeer {
 		return s.screenPeer(req, a)
 	}
+	if status == http.StatusNotFound && req.route.ID == "" {
+		// The engine does not hold the model, or no longer.
+		return errEndpointRefused
+	}
 	if status < http.StatusInternalServerError && status != http.StatusUnauthorized && status != http.StatusForbidden {
 		return nil
 	}
--- a/serving/caller/completion.go
+++ b/serving/caller/completion.go
@@ -67,6 +67,9 @@
 	if err != nil {
 		return fmt.Errorf("inspect answer: %w", err)
 	}
+	if chunk.Failed {
+		return fmt.Errorf("inspect answer: %w: it is not whole", winch.ErrOutcomeUnknown)
+	}
 	now := s.now()
 	s.noteFirst(now, req, a)
 	a.account.usage(chunk)
--- a/serving/caller/fakes_test.go
+++ b/serving/caller/fakes_test.go
@@ -212,6 +212,8 @@
 	code   string
 	// crossAt is the word from which another request's id is sent.
 	crossAt int
+	// end ends streams in its own way.
+	end func(w http.ResponseWriter, id string)
 	// opaque adds output other than text to streams.
 	opaque bool
 }
@@ -276,6 +278,10 @@
 	if e.opaque {
 		e.chunk(w, id, `{"index":0,"delta":{"reasoning":"hm"},"finish_reason":null}`)
 	}
+	if e.end != nil {
+		e.end(w, id)
+		return
+	}
 	e.chunk(w, id, `{"index":0,"delta":{},"finish_reason":"stop"}`)
 	fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":7,\"completion_tokens\":%d,\"total_tokens\":%d}}\n\ndata: [DONE]\n\n", id, e.words, e.words+7)
 }
--- a/serving/caller/stream.go
+++ b/serving/caller/stream.go
@@ -30,29 +30,62 @@
 	collector *collector
 	// tokens are the output tokens in the buffer.
 	tokens winch.Tokens
+	// tail holds the events from the one that names the end, until the stream is complete.
+	tail tail
+}
+
+// tail is the end of a stream. It is held back, since a stream that breaks before it
+// is complete goes on elsewhere, and must not be told to have ended.
+type tail struct {
+	held   bool
+	events []byte
+	text   []byte
+	tokens winch.Tokens
 }
 
 func newOutput(w http.ResponseWriter, timeout time.Duration) *output {
 	return &output{w: w, control: http.NewResponseController(w), timeout: timeout}
 }
 
-// add puts an event in.
-func (o *output) add(chunk winch.Chunk) {
-	o.tokens += chunk.Tokens
+// add puts an event in. It returns the text that the event adds to what the caller gets.
+func (o *output) add(chunk winch.Chunk) []byte {
 	if o.collector != nil {
 		o.collector.take(chunk)
-		return
 	}
-	o.event(chunk.Data)
+	if o.tail.held = o.tail.held || chunk.Finished; o.tail.held {
+		o.tail.events = appendEvent(o.tail.events, chunk.Data)
+		o.tail.text = append(o.tail.text, chunk.Text...)
+		o.tail.tokens += chunk.Tokens
+		return nil
+	}
+	o.tokens += chunk.Tokens
+	if o.collector == nil {
+		o.event(chunk.Data)
+	}
+	return chunk.Text
+}
+
+// complete puts the end of the stream in, and returns its text.
+func (o *output) complete() []byte {
+	o.tokens += o.tail.tokens
+	if o.collector == nil {
+		o.buffer = append(o.buffer, o.tail.events...)
+		o.event([]byte("[DONE]"))
+	}
+	return o.tail.text
 }
 
 func (o *output) event(data []byte) {
 	if o.buffer == nil {
 		o.buffer = make([]byte, 0, outputSize)
 	}
-	o.buffer = append(o.buffer, "data: "...)
-	o.buffer = append(o.buffer, data...)
-	o.buffer = append(o.buffer, "\n\n"...)
+	o.buffer = appendEvent(o.buffer, data)
+}
+
+func appendEvent(buffer, data []byte) []byte {
+	buffer = append(buffer, "data: "...)
+	buffer = append(buffer, data...)
+	return append(buffer, "\n\n"...)
 }
 
 // begin writes the header of a stream. It reports whether the answer has begun for the caller.
@@ -97,6 +130,7 @@
 	chunks := s.options.Engines.Chunks(a.reply, req.id)
 	defer chunks.Close()
 	resumed := out.started
+	out.tail = tail{}
 	for {
 		chunk, err := chunks.Next()
 		if err == nil && chunk.Failed {
@@ -106,7 +140,11 @@
 			if flushErr := s.deliver(req, a, out); flushErr != nil {
 				return flushErr
 			}
-			return s.broken(req, a, out, err)
+			if errors.Is(err, winch.ErrCrossed) {
+				s.metrics.crossed()
+			}
+			s.metrics.wasted(req.class.ID, out.tail.tokens)
+			return err
 		}
 		a.progress.Add(1)
 		if chunk.Done {
@@ -139,10 +177,8 @@
 	if !out.started {
 		req.began = out.begin()
 	}
-	out.add(chunk)
-	req.text = append(req.text, chunk.Text...)
+	req.text = append(req.text, out.add(chunk)...)
 	req.rigid = req.rigid || chunk.Opaque
-	a.account.finished = a.account.finished || chunk.Finished
 }
 
 // deliver flushes the output and counts the tokens in it as delivered.
@@ -167,29 +203,17 @@
 // finish ends a complete stream.
 func (s *Server) finish(req *request, a *attempt, out *output) error {
 	a.complete = true
-	if out.collector != nil {
-		if err := s.deliver(req, a, out); err != nil {
-			return err
-		}
-		return s.answerCollected(req, a, out)
-	}
 	if !out.started {
 		req.began = out.begin()
 	}
-	out.event([]byte("[DONE]"))
-	return s.deliver(req, a, out)
-}
-
-// broken handles a stream that ended early. One that lacks nothing but its last
-// line is complete for the caller.
-func (s *Server) broken(req *request, a *attempt, out *output, err error) error {
-	if a.account.finished && !req.wantsUsage && a.ctx.Err() == nil {
-		return s.finish(req, a, out)
+	req.text = append(req.text, out.complete()...)
+	if err := s.deliver(req, a, out); err != nil {
+		return err
 	}
-	if errors.Is(err, winch.ErrCrossed) {
-		s.metrics.crossed()
+	if out.collector != nil {
+		return s.answerCollected(req, a, out)
 	}
-	return err
+	return nil
 }
 
 // fail ends a stream that has begun with an error event.
--- a/serving/caller/stream_test.go
+++ b/serving/caller/stream_test.go
@@ -73,6 +73,28 @@
 	})
 }
 
+func TestStreamWithoutItsEnd(t *testing.T) {
+	ends := []struct {
+		name string
+		end  string
+	}{
+		{"the engine was told to stop", `{"index":0,"delta":{},"finish_reason":"cancelled"}`},
+		{"the connection breaks after the reason", `{"index":0,"delta":{},"finish_reason":"stop"}`},
+		{"the reason comes with a token", `{"index":0,"delta":{"content":"x"},"finish_reason":"length"}`},
+	}
+	for _, c := range ends {
+		t.Run(c.name, func(t *testing.T) {
+			bad, good := newEngine(t, 5), newEngine(t, 12)
+			bad.end = func(w http.ResponseWriter, id string) { bad.chunk(w, id, c.end) }
+			b := newBench(t, nil, bad.endpoint("e1"), good.endpoint("e2"))
+			got := b.send(t, "POST", "/v1/chat/completions", chatBody)
+			assertWhole(t, got.body, 12)
+			assert.Equal(t, strings.Count(got.body, `"finish_reason":"`), 1)
+			assert.Equal(t, strings.Count(got.body, `"role"`), 1)
+		})
+	}
+}
+
 func (s *fakeSlot) count() winch.Tokens {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/serving/engine/chunk.go
+++ b/serving/engine/chunk.go
@@ -75,16 +75,28 @@
 				chunk.Opaque = true
 			}
 		case "finish_reason":
-			if !s.null() {
-				s.skip()
-				chunk.Finished = true
-			}
+			finish(s, chunk)
 		default:
 			s.skip()
 		}
 	}
 }
 
+// finish reads the reason for which the output ends. An engine that was told to stop
+// names that as the reason; its output is not whole.
+func finish(s *scanner, chunk *winch.Chunk) {
+	if s.null() {
+		return
+	}
+	reason, _ := s.text()
+	switch string(reason) {
+	case "cancelled", "abort", "error":
+		chunk.Failed = true
+	default:
+		chunk.Finished = true
+	}
+}
+
 func delta(s *scanner, chunk *winch.Chunk) {
 	if !s.open('{') {
 		return
