feat(dispatch): audit decisions from the hosts' logs

Cause: shedding across hosts could not be judged. Ruled out: judging by one host's log alone, which does not know what ran elsewhere. Before / after: not measured.

--- /dev/null
+++ b/dispatch/audit/codec.go
@@ -0,0 +1,129 @@
+package audit
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// The numbers of the dispatcher's events that are read. They are part of the
+// log's format, as docs/EVENTS.md lists it.
+const (
+	routed     winch.EventNumber = 3001
+	queued     winch.EventNumber = 3002
+	refused    winch.EventNumber = 3003
+	preempted  winch.EventNumber = 3004
+	moved      winch.EventNumber = 3005
+	released   winch.EventNumber = 3006
+	handedOver winch.EventNumber = 3007
+	cancelled  winch.EventNumber = 3008
+	leaving    winch.EventNumber = 3015
+)
+
+const lineLimit = 1 << 20
+
+// Line is what a dispatcher logged of one decision.
+type Line struct {
+	Event              winch.EventNumber
+	At                 time.Time
+	Host               winch.HostID
+	DataCentre         winch.DataCentreID
+	Request            winch.RequestID
+	Organisation       winch.OrganisationID
+	Class              winch.ClassID
+	Tier               winch.Tier
+	VictimTier         winch.Tier
+	Group              string
+	Endpoint           winch.EndpointID
+	Reason             string
+	Floor              bool
+	Movable            bool
+	LowerQueued        int
+	LowerRunning       int
+	LowerOthersQueued  int
+	LowerOthersRunning int
+	Waiting            int
+}
+
+// lineWire has the fields of a log line; others are ignored.
+type lineWire struct {
+	Event              int
+	At                 time.Time
+	Host               string
+	DataCentre         string
+	Request            string
+	Organisation       string
+	Class              string
+	Tier               int
+	VictimTier         int
+	Group              string
+	Endpoint           string
+	Reason             string
+	Floor              bool
+	Movable            bool
+	LowerQueued        int
+	LowerRunning       int
+	LowerOthersQueued  int
+	LowerOthersRunning int
+	Waiting            int
+}
+
+// Read reads the lines that the audit needs from logs in JSON.
+func Read(logs ...io.Reader) ([]Line, error) {
+	var lines []Line
+	for _, log := range logs {
+		scanner := bufio.NewScanner(log)
+		scanner.Buffer(make([]byte, 0, 64<<10), lineLimit)
+		for scanner.Scan() {
+			line, wanted, err := parse(scanner.Bytes())
+			if err != nil {
+				return nil, err
+			}
+			if wanted {
+				lines = append(lines, line)
+			}
+		}
+		if err := scanner.Err(); err != nil {
+			return nil, fmt.Errorf("read log: %w", err)
+		}
+	}
+	return lines, nil
+}
+
+type eventWire struct{ Event int }
+
+// parse reads the event's number first, since other slices' lines may use the same names otherwise.
+func parse(text []byte) (Line, bool, error) {
+	if !bytes.Contains(text, []byte(`"Event"`)) {
+		return Line{}, false, nil
+	}
+	event := eventWire{}
+	if err := json.Unmarshal(text, &event); err != nil {
+		return Line{}, false, fmt.Errorf("read log line %.80q: %w: %w", text, winch.ErrInvalid, err)
+	}
+	switch winch.EventNumber(event.Event) {
+	case routed, queued, refused, preempted, moved, released, handedOver, cancelled, leaving:
+	default:
+		return Line{}, false, nil
+	}
+	wire := lineWire{}
+	if err := json.Unmarshal(text, &wire); err != nil {
+		return Line{}, false, fmt.Errorf("read log line %.80q: %w: %w", text, winch.ErrInvalid, err)
+	}
+	return wire.line(), true, nil
+}
+
+func (w lineWire) line() Line {
+	return Line{
+		Event: winch.EventNumber(w.Event), At: w.At, Host: winch.HostID(w.Host), DataCentre: winch.DataCentreID(w.DataCentre),
+		Request: winch.RequestID(w.Request), Organisation: winch.OrganisationID(w.Organisation), Class: winch.ClassID(w.Class),
+		Tier: winch.Tier(w.Tier), VictimTier: winch.Tier(w.VictimTier), Group: w.Group, Endpoint: winch.EndpointID(w.Endpoint),
+		Reason: w.Reason, Floor: w.Floor, Movable: w.Movable, LowerQueued: w.LowerQueued, LowerRunning: w.LowerRunning,
+		LowerOthersQueued: w.LowerOthersQueued, LowerOthersRunning: w.LowerOthersRunning, Waiting: w.Waiting,
+	}
+}
--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -72,6 +72,9 @@
 // leave takes the endpoint out of service: no new work from now on, and the
 // streams are moved when the end is near.
 func (c *core) leave(now time.Time, e *endpoint, at time.Time) {
+	if e.state != winch.EndpointLeaving {
+		c.emit(effect{kind: effectLeaving, at: now, endpoint: e})
+	}
 	e.state, e.leavesAt = winch.EndpointLeaving, at
 	if !at.IsZero() && at.Sub(now) <= c.settings.LeaveMargin {
 		c.moveAll(now, e)
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -21,6 +21,7 @@
 	effectRestored
 	effectQueueLong
 	effectQueueShort
+	effectLeaving
 )
 
 // effect is a decision of the core for the shell to carry out and to log.
@@ -43,6 +44,7 @@
 	queued, running             int // of this host
 	othersQueued, othersRunning int // of the other hosts, by digest
 	floor                       int // kept by the floors of lower classes
+	waiting                     int // queued here in the tier and above
 }
 
 func (w lowerWork) movable() int { return w.running + w.othersRunning }
@@ -303,9 +305,12 @@
 	if r.floor {
 		l.floorRunning--
 	}
-	if r.relieves && l.preempting > 0 {
+	if r.relieves {
 		l.preempting--
 	}
+	if r.preempted && !r.floor {
+		l.goingRunning--
+	}
 	c.judge(now, r, outcome)
 	c.fill(now, e)
 }
--- a/dispatch/endpoint/events.go
+++ b/dispatch/endpoint/events.go
@@ -32,4 +32,6 @@
 	EventEndpointsChanged winch.EventNumber = 3013
 	// EventRetryRefused: the retry budget did not allow another attempt.
 	EventRetryRefused winch.EventNumber = 3014
+	// EventLeaving: an endpoint was seen to leave; it gets no new work.
+	EventLeaving winch.EventNumber = 3015
 )
--- a/dispatch/endpoint/health.go
+++ b/dispatch/endpoint/health.go
@@ -107,6 +107,9 @@
 		for r := e.tiers[i].newest; r != nil; r = r.runNext {
 			if !r.preempted && r.work.Model != "" {
 				r.preempted = true
+				if !r.floor {
+					r.lane.goingRunning++
+				}
 				c.emit(effect{kind: effectMoved, request: r, endpoint: e, at: now})
 			}
 		}
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -45,8 +45,10 @@
 	hold       average // seconds from grant to release
 	firstToken average // seconds from grant to first token
 	slots      float64 // sum of the endpoints' limits
-	preempting int
-	turn       int
+	preempting int     // asked to leave for a request queued here
+	// goingRunning are those asked to leave for any reason, floor slots left out.
+	goingRunning int
+	turn         int
 
 	first        bool // no lane of the same group has a higher tier
 	cheapRunning int  // on cheap endpoints
--- a/dispatch/endpoint/log.go
+++ b/dispatch/endpoint/log.go
@@ -82,7 +82,7 @@
 func (l *line) lowerFields() []any {
 	return []any{
 		"LowerQueued", l.lower.queued, "LowerRunning", l.lower.running, "LowerOthersQueued", l.lower.othersQueued,
-		"LowerOthersRunning", l.lower.othersRunning, "LowerFloor", l.lower.floor,
+		"LowerOthersRunning", l.lower.othersRunning, "LowerFloor", l.lower.floor, "Waiting", l.lower.waiting,
 	}
 }
 
@@ -128,6 +128,9 @@
 			"Cause", l.cause, "Backoff", l.waited.String())
 	case effectRestored:
 		d.logger.Info("endpoint restored", "Event", EventRestored, "At", stamp(l.at), "Endpoint", string(l.endpoint))
+	case effectLeaving:
+		d.logger.Info("endpoint leaves", "Event", EventLeaving, "At", stamp(l.at), "DataCentre", string(d.core.self.DataCentre),
+			"Endpoint", string(l.endpoint))
 	case effectQueueLong:
 		d.logger.Warn("queue is long", "Event", EventQueueLong, "At", stamp(l.at), "Class", string(l.class), "Group", l.group.String(),
 			"Queued", l.queued, "OldestWait", l.waited.String())
--- a/dispatch/endpoint/preempt.go
+++ b/dispatch/endpoint/preempt.go
@@ -89,6 +89,7 @@
 
 func (c *core) preempt(now time.Time, r *request, l *lane, forOther bool) {
 	r.preempted, r.relieves = true, !forOther
+	r.lane.goingRunning++
 	if !forOther {
 		// Counted at the victim's lane and released with the victim.
 		r.lane.preempting++
--- a/dispatch/endpoint/wait.go
+++ b/dispatch/endpoint/wait.go
@@ -52,6 +52,7 @@
 	}
 	for _, rival := range l.rivals {
 		if !l.higher(rival) {
+			w.waiting += rival.queued
 			continue
 		}
 		w.queued += rival.queued
@@ -70,7 +71,7 @@
 	if l.key.group.model == "" {
 		return 0
 	}
-	return l.running - l.floorRunning
+	return max(0, l.running-l.floorRunning-l.goingRunning)
 }
 
 // predictedWait returns how long a new request of the lane would wait. Lower
@@ -128,7 +129,7 @@
 		return true
 	}
 	wait := c.predictedWait(now, l, r)
-	if c.features.earlyRefusal && c.tooLong(now, r, wait) && !c.canGiveWay(now, l) {
+	if c.features.earlyRefusal && c.tooLong(now, r, wait) && !c.giveWay(now, l) {
 		reason := winch.RefusedWait
 		if !r.work.Deadline.IsZero() && now.Add(wait).After(r.work.Deadline) {
 			reason = winch.RefusedDeadline
@@ -152,18 +153,20 @@
 	return now.Add(wait + secondsOf(r.lane.firstToken.value)).After(r.work.Deadline)
 }
 
-// canGiveWay tells whether lower tiers hold more slots than the lane's queue already waits for.
-func (c *core) canGiveWay(now time.Time, l *lane) bool {
-	if !c.features.tiers {
+// giveWay finds a slot for the request that is held by lower tiers. Work of this
+// host is preempted for it; other hosts learn by the next report.
+func (c *core) giveWay(now time.Time, l *lane) bool {
+	if !c.features.tiers || !c.features.preemption {
 		return false
 	}
-	waiting := 0
-	for _, rival := range l.rivals {
-		if !l.higher(rival) {
-			waiting += rival.queued
+	w := c.lowerWork(now, l)
+	if w.running > 0 {
+		if victim := c.victim(now, l); victim != nil {
+			c.preempt(now, victim, l, false)
+			return true
 		}
 	}
-	return c.lowerWork(now, l).movable() > waiting
+	return w.othersRunning > w.waiting
 }
 
 // makeRoom finds a place in a full queue: the newest request of the lowest tier
@@ -175,7 +178,7 @@
 			c.refuse(now, victim, victim.lane, winch.RefusedShed, c.predictedWait(now, victim.lane, victim))
 			return true
 		}
-		if c.canGiveWay(now, l) {
+		if c.giveWay(now, l) {
 			return true
 		}
 	}
