--- a/dispatch/endpoint/choose.go
+++ b/dispatch/endpoint/choose.go
@@ -20,7 +20,7 @@
 
 // allowance returns how many more requests this host may give to the endpoint.
 func (c *core) allowance(now time.Time, e *endpoint) int {
-	if !c.features.sharing || !c.fresh(now, e.othersAt) {
+	if !c.features.sharing || e.others == 0 && e.fair == 0 || !c.informed(now) {
 		return e.cap - e.running
 	}
 	allowed := e.cap - e.others
@@ -38,7 +38,8 @@
 
 // eligible tells whether the request may run on the endpoint now.
 func (c *core) eligible(now time.Time, l *lane, r *request, e *endpoint) bool {
-	return c.allowance(now, e) > 0 && e.usable(now) && !r.excludes(e.spec.ID) && c.roomFor(e, l, r)
+	return c.allowance(now, e) > 0 && e.usable(now) && (len(r.work.Excluded) == 0 || !r.excludes(e.spec.ID)) &&
+		(!r.long || c.roomFor(e, l, r)) && !c.pressed(now, e, l)
 }
 
 // chooseBest takes the better of two random endpoints among those whose score is
@@ -69,25 +70,20 @@
 		if !c.eligible(now, l, r, e) {
 			continue
 		}
-		c.scores[i] = c.score(now, l, r, e)
+		c.scores[i] = c.score(l, r, e)
 		best = math.Min(best, c.scores[i])
 	}
 	return best
 }
 
-func (c *core) score(now time.Time, l *lane, r *request, e *endpoint) float64 {
-	age := c.settings.ReportHorizon
-	score := 0.0
-	if !e.asOf.IsZero() {
-		age = min(age, now.Sub(e.asOf))
-		score = ageScore * float64(age) / float64(c.settings.ReportHorizon)
-	}
-	estimate := e.estimate(age, c.settings.ReportHorizon, c.features.corrections)
-	score += (estimate + 1) / float64(e.cap)
+func (c *core) score(l *lane, r *request, e *endpoint) float64 {
+	score := ageScore*e.age + (e.estimate(c.features.corrections)+1)/float64(e.cap)
 	if c.features.ownAnswers {
 		score *= e.factor
 	}
-	score += supplyScore(l, r, e)
+	if e.cheap {
+		score += supplyScore(l, r)
+	}
 	if r.work.Adapter != "" && !e.holds(r.work.Adapter) {
 		score += adapterScore
 	}
@@ -96,10 +92,7 @@
 
 // supplyScore prefers cheap endpoints for work that survives their loss. The
 // highest tier uses them only as far as steady endpoints could take its work over.
-func supplyScore(l *lane, r *request, e *endpoint) float64 {
-	if e.spec.Supply != winch.SupplyCheap {
-		return 0
-	}
+func supplyScore(l *lane, r *request) float64 {
 	if r.work.Model == "" {
 		return unsafeScore
 	}
@@ -120,33 +113,30 @@
 
 // chooseTwo takes the better of two random endpoints with a score up to the bound.
 func (c *core) chooseTwo(l *lane, bound float64) *endpoint {
-	first, second, seen := -1, -1, 0
+	count := 0
+	for _, score := range c.scores {
+		if score <= bound {
+			count++
+		}
+	}
+	if count == 0 {
+		return nil
+	}
+	first, second := c.random.IntN(count), 0
+	if count > 1 {
+		second = (first + 1 + c.random.IntN(count-1)) % count
+	}
+	chosen := -1
 	for i, score := range c.scores {
 		if score > bound {
 			continue
 		}
-		seen++
-		switch {
-		case seen == 1:
-			first = i
-		case seen == 2:
-			second = i
-		default:
-			// Each pair is equally likely in the end.
-			if place := c.random.IntN(seen); place == 0 {
-				first = i
-			} else if place == 1 {
-				second = i
-			}
+		if (first == 0 || second == 0) && (chosen < 0 || score < c.scores[chosen]) {
+			chosen = i
 		}
+		first, second = first-1, second-1
 	}
-	if first < 0 {
-		return nil
-	}
-	if second >= 0 && c.scores[second] < c.scores[first] {
-		first = second
-	}
-	return l.subset[first]
+	return l.subset[chosen]
 }
 
 // choosePrefix takes the endpoint known to keep the prefix, or the one with the
--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -57,7 +57,7 @@
 	if now.Sub(c.started) > c.settings.RampTime && (!found || e.state == winch.EndpointWarming && status.State == winch.EndpointReady) {
 		e.inflating = now
 	}
-	e.spec = status.Endpoint
+	e.spec, e.cheap = status.Endpoint, status.Endpoint.Supply == winch.SupplyCheap
 	if ceiling := newLimiter(e.spec.SlotLimit).ceiling; ceiling != e.limit.ceiling {
 		e.limit.ceiling = ceiling
 		e.limit.value = min(e.limit.value, float64(ceiling))
@@ -67,6 +67,7 @@
 		return
 	}
 	e.state, e.leavesAt = status.State, time.Time{}
+	e.serving = e.state == winch.EndpointReady
 }
 
 // leave takes the endpoint out of service: no new work from now on, and the
@@ -75,7 +76,7 @@
 	if e.state != winch.EndpointLeaving {
 		c.emit(effect{kind: effectLeaving, at: now, endpoint: e})
 	}
-	e.state, e.leavesAt = winch.EndpointLeaving, at
+	e.state, e.leavesAt, e.serving = winch.EndpointLeaving, at, false
 	if !at.IsZero() && at.Sub(now) <= c.settings.LeaveMargin {
 		c.moveAll(now, e)
 	}
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -169,7 +169,7 @@
 		if !rival.higher(l) {
 			return false
 		}
-		if c.fresh(now, rival.othersAt) && rival.others.Urgent > 0 {
+		if c.informed(now) && rival.others.Urgent > 0 {
 			return true
 		}
 	}
@@ -180,6 +180,9 @@
 	return !at.IsZero() && now.Sub(at) <= c.settings.DigestHorizon
 }
 
+// informed tells whether the figures of the other hosts are fresh.
+func (c *core) informed(now time.Time) bool { return c.fresh(now, c.appliedAt) }
+
 func (c *core) enqueue(now time.Time, r *request) {
 	l := r.lane
 	r.state = requestQueued
@@ -229,7 +232,7 @@
 	e.add(r)
 	e.history.add(now, float64(e.running+e.others))
 	l.running++
-	if e.spec.Supply == winch.SupplyCheap {
+	if e.cheap {
 		l.cheapRunning++
 	}
 	c.noteServed(r.account)
@@ -299,7 +302,7 @@
 	e.remove(r)
 	e.history.add(now, float64(e.running+e.others))
 	l.running--
-	if e.spec.Supply == winch.SupplyCheap {
+	if e.cheap {
 		l.cheapRunning--
 	}
 	if r.floor {
@@ -319,11 +322,11 @@
 func (c *core) judge(now time.Time, r *request, outcome winch.Outcome) {
 	switch outcome {
 	case winch.OutcomeDone:
-		r.lane.hold.add(now.Sub(r.grantedAt).Seconds(), sampleWeight)
+		r.lane.hold.add(now.Sub(r.grantedAt).Seconds(), holdWeight)
 		r.lane.budget.success(c.settings.RetryShare)
 		if r.work.Route != "" {
 			r.lane.firstToken.add(now.Sub(r.grantedAt).Seconds(), sampleWeight)
-			r.endpoint.limit.sampleFirst(now.Sub(r.grantedAt).Seconds())
+			r.endpoint.limit.sampleFirst(now.Sub(r.grantedAt).Seconds(), r.lane.class.FirstTokenTarget)
 		}
 		c.answered(now, r.endpoint)
 	case winch.OutcomeUnsent:
@@ -364,7 +367,7 @@
 		if best != nil && best.lane.higher(l) {
 			break
 		}
-		if l.queued == 0 || c.blocked(now, l) {
+		if l.queued == 0 || c.pressed(now, e, l) || c.blocked(now, l) {
 			continue
 		}
 		r := l.next(e, c.features.fairness)
@@ -408,6 +411,7 @@
 		return
 	}
 	e.observe(report)
+	e.weigh(now, c.settings.ReportHorizon)
 	if report.State == winch.EndpointLeaving && e.state == winch.EndpointReady {
 		c.leave(now, e, time.Time{})
 	}
--- /dev/null
+++ b/dispatch/endpoint/core_test.go
@@ -0,0 +1,354 @@
+package endpoint
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// bench is a core with a clock of its own.
+type bench struct {
+	*core
+	now time.Time
+}
+
+func newBench(configuration *winch.Configuration) *bench {
+	b := &bench{
+		core: newCore(winch.Host{ID: "h0", DataCentre: "a"}, PolicyWinch, Settings{}, 1),
+		now:  time.Unix(1_000_000, 0),
+	}
+	b.configure(b.now, configuration, nil)
+	return b
+}
+
+func (b *bench) request(class winch.ClassID, id int) *request {
+	return b.arrive(b.now, workOf(class, id), nil, &progress{})
+}
+
+// pass lets time go by with the usual ticks.
+func (b *bench) pass(length time.Duration) {
+	for end := b.now.Add(length); b.now.Before(end); {
+		b.now = b.now.Add(100 * time.Millisecond)
+		b.tick(b.now)
+	}
+}
+
+func (b *bench) count(kind effectKind) int {
+	count := 0
+	for _, e := range b.effects {
+		if e.kind == kind {
+			count++
+		}
+	}
+	return count
+}
+
+func (b *bench) only() *endpoint { return b.ordered[0] }
+
+func TestLeaving(t *testing.T) {
+	b := newBench(twoClasses(2, 4))
+	first := b.ordered[0].spec
+	var streams []*request
+	for i := range 4 {
+		streams = append(streams, b.request(stall, i))
+	}
+	status := winch.EndpointStatus{Endpoint: first, State: winch.EndpointLeaving, LeavesAt: b.now.Add(8 * time.Second)}
+	b.configure(b.now, b.configuration, []winch.EndpointStatus{status})
+	t.Run("gives a leaving endpoint no new work", func(t *testing.T) {
+		for i := range 2 {
+			assert.Equal(t, b.request(stall, 10+i).endpoint.spec.ID, b.ordered[1].spec.ID)
+		}
+	})
+	t.Run("leaves its streams alone until the end is near", func(t *testing.T) {
+		b.pass(time.Second)
+		assert.Equal(t, b.count(effectMoved), 0)
+	})
+	t.Run("moves each stream once when the end is near", func(t *testing.T) {
+		for _, r := range streams {
+			r.progress.first.Store(b.now.UnixNano())
+		}
+		on := b.ordered[0].running
+		assert.Assert(t, on > 0)
+		for range 50 {
+			b.now = b.now.Add(100 * time.Millisecond)
+			for _, e := range b.ordered {
+				e.lastHeard.Store(b.now.UnixNano())
+			}
+			b.tick(b.now)
+		}
+		assert.Equal(t, b.count(effectMoved), on)
+	})
+}
+
+func TestRamp(t *testing.T) {
+	b := newBench(twoClasses(1, 16))
+	b.pass(11 * time.Second)
+	added := winch.Endpoint{ID: "new", DataCentre: "a", Kind: winch.EndpointEngine, Models: []winch.ModelID{chat}, SlotLimit: 16}
+	b.configure(b.now, b.configuration, []winch.EndpointStatus{{Endpoint: added, State: winch.EndpointReady}})
+	t.Run("gives a new endpoint a part of its slots", func(t *testing.T) { assert.Equal(t, b.endpoints["new"].cap, 4) })
+	t.Run("gives it more by and by", func(t *testing.T) {
+		b.pass(6 * time.Second)
+		assert.Assert(t, b.endpoints["new"].cap > 8 && b.endpoints["new"].cap < 12)
+		b.pass(5 * time.Second)
+		assert.Equal(t, b.endpoints["new"].cap, 16)
+	})
+}
+
+func TestEjection(t *testing.T) {
+	t.Run("takes an unreachable endpoint out, and tries it with one request", func(t *testing.T) {
+		b := newBench(twoClasses(1, 4))
+		b.release(b.now, b.request(stall, 1), winch.OutcomeUnsent)
+		assert.Equal(t, b.request(stall, 2).state, requestQueued)
+		assert.Equal(t, b.request(stall, 3).state, requestQueued)
+		b.pass(1100 * time.Millisecond)
+		assert.Equal(t, b.only().running, 1)
+		b.release(b.now, b.only().tier(1).newest, winch.OutcomeDone)
+		assert.Equal(t, b.only().running, 1)
+		assert.Equal(t, b.count(effectRestored), 1)
+	})
+	t.Run("doubles the back-off", func(t *testing.T) {
+		b := newBench(twoClasses(1, 4))
+		for _, want := range []time.Duration{1, 2, 4, 8, 16, 30, 30} {
+			b.release(b.now, b.request(stall, 1), winch.OutcomeUnsent)
+			assert.Equal(t, b.only().health.backoff, want*time.Second)
+			b.now = b.now.Add(b.only().health.backoff)
+		}
+	})
+	t.Run("moves streams off an endpoint that went silent", func(t *testing.T) {
+		b := newBench(twoClasses(1, 4))
+		r := b.request(stall, 1)
+		r.progress.first.Store(b.now.UnixNano())
+		b.pass(1900 * time.Millisecond)
+		assert.Equal(t, b.count(effectEjected), 0)
+		b.pass(300 * time.Millisecond)
+		assert.Equal(t, b.count(effectEjected), 1)
+		assert.Equal(t, b.count(effectMoved), 1)
+	})
+}
+
+func TestRetryBudget(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	b := &retryBudget{}
+	spent := 0
+	for range 1000 {
+		if b.spend(now, 1) {
+			spent++
+		}
+	}
+	t.Run("keeps a storm to the floor", func(t *testing.T) { assert.Equal(t, spent, retryFloorMax) })
+	t.Run("allows a share of successes", func(t *testing.T) {
+		for range 200 {
+			b.success(0.1)
+		}
+		spent := 0
+		for range 1000 {
+			if b.spend(now, 1) {
+				spent++
+			}
+		}
+		assert.Assert(t, spent == 19 || spent == 20, "%d", spent)
+	})
+}
+
+func TestAperture(t *testing.T) {
+	for _, hosts := range []int{3, 7, 44} {
+		t.Run(fmt.Sprintf("%d hosts use all endpoints evenly", hosts), func(t *testing.T) {
+			uses := make([]int, 400)
+			for rank := range hosts {
+				for _, place := range aperture(400, rank, hosts, 200) {
+					uses[place]++
+				}
+			}
+			least, most := 1000, 0
+			for _, count := range uses {
+				least, most = min(least, count), max(most, count)
+			}
+			assert.Assert(t, least > 0 && most-least <= 2, "from %d to %d", least, most)
+		})
+	}
+	t.Run("all endpoints are used when there are few", func(t *testing.T) { assert.Equal(t, len(aperture(5, 1, 3, 64)), 5) })
+}
+
+func TestPrefix(t *testing.T) {
+	b := newBench(twoClasses(8, 16))
+	prefixed := func(id int) *request {
+		work := workOf(stall, id)
+		work.Prefix, work.InputTokens = 42, 500
+		return b.arrive(b.now, work, nil, nil)
+	}
+	home := prefixed(0).endpoint
+	t.Run("keeps to the endpoint of the prefix while its load allows", func(t *testing.T) {
+		for i := range 3 {
+			assert.Equal(t, prefixed(i).endpoint, home)
+		}
+	})
+	t.Run("gives way to load", func(t *testing.T) {
+		for i := range 40 {
+			prefixed(i)
+		}
+		assert.Assert(t, home.running < 16, "%d", home.running)
+	})
+	t.Run("follows cache events", func(t *testing.T) {
+		b := newBench(twoClasses(8, 16))
+		b.observeCache(winch.CacheEvent{Endpoint: "engine-005", Prefix: 7})
+		work := workOf(stall, 1)
+		work.Prefix, work.InputTokens = 7, 500
+		assert.Equal(t, b.arrive(b.now, work, nil, nil).endpoint.spec.ID, winch.EndpointID("engine-005"))
+		b.observeCache(winch.CacheEvent{Endpoint: "engine-005", Prefix: 7, Evicted: true})
+		assert.Equal(t, len(b.prefixes), 0)
+	})
+}
+
+func TestCheap(t *testing.T) {
+	configuration := twoClasses(4, 4)
+	for _, id := range []winch.EndpointID{"engine-000", "engine-001", "engine-002"} {
+		spec := configuration.Endpoints[id]
+		spec.Supply = winch.SupplyCheap
+		configuration.Endpoints[id] = spec
+	}
+	b := newBench(configuration)
+	t.Run("work of lower tiers goes to cheap endpoints first", func(t *testing.T) {
+		assert.Equal(t, b.request(notes, 1).endpoint.spec.Supply, winch.SupplyCheap)
+	})
+	t.Run("the highest tier uses them as far as steady ones could take over", func(t *testing.T) {
+		cheap := 0
+		for i := range 8 {
+			if b.request(stall, i).endpoint.cheap {
+				cheap++
+			}
+			b.refresh(b.now)
+		}
+		assert.Equal(t, cheap, 4)
+	})
+}
+
+func TestLongWork(t *testing.T) {
+	b := newBench(twoClasses(1, 8))
+	for i := range 8 {
+		work := workOf(notes, i)
+		work.InputTokens = 10_000
+		b.arrive(b.now, work, nil, nil)
+	}
+	t.Run("has a bounded share", func(t *testing.T) { assert.Equal(t, b.only().running, 4) })
+	t.Run("leaves room for short work", func(t *testing.T) {
+		assert.Equal(t, b.request(stall, 20).state, requestRunning)
+	})
+}
+
+func TestHandOver(t *testing.T) {
+	b := newBench(twoClasses(1, 1))
+	b.setHosts([]winch.Host{{ID: "h0", DataCentre: "a"}}, []winch.Host{{ID: "far", DataCentre: "b", PeerAddress: "127.0.0.1:9"}})
+	b.lanes[laneKey{class: stall, group: group{model: chat}}].hold.add(0.5, 1)
+	room := func() { b.applyRemote(b.now, "b", remoteFigures{rooms: map[group]int{{model: chat}: 1}}) }
+	b.request(stall, 1)
+	t.Run("queues when no other data centre has room", func(t *testing.T) {
+		assert.Equal(t, b.request(stall, 2).state, requestQueued)
+	})
+	b.now = b.now.Add(time.Millisecond)
+	room()
+	t.Run("keeps local work", func(t *testing.T) {
+		work := workOf(stall, 3)
+		work.Local = true
+		assert.Assert(t, b.arrive(b.now, work, nil, nil).remote == nil)
+	})
+	t.Run("hands over as many as there is room for", func(t *testing.T) {
+		r := b.request(stall, 4)
+		assert.Assert(t, r.remote != nil)
+		assert.Assert(t, b.request(stall, 5).remote == nil)
+		b.release(b.now, r, winch.OutcomeUnsent)
+	})
+	t.Run("pauses after a failure", func(t *testing.T) {
+		b.now = b.now.Add(time.Millisecond)
+		room()
+		assert.Assert(t, b.request(stall, 6).remote == nil)
+	})
+}
+
+// TestCoreInvariants drives the core with random events.
+func TestCoreInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench(twoClasses(rapid.IntRange(1, 4).Draw(t, "endpoints"), 3))
+		open := map[*request]bool{}
+		next := 0
+		pick := func(state requestState) *request {
+			for _, l := range b.sorted {
+				if state == requestQueued && l.oldest != nil {
+					return l.oldest
+				}
+			}
+			for _, e := range b.ordered {
+				for i := range e.tiers {
+					if state == requestRunning && e.tiers[i].newest != nil {
+						return e.tiers[i].newest
+					}
+				}
+			}
+			return nil
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				next++
+				work := workOf(rapid.SampledFrom([]winch.ClassID{stall, notes}).Draw(t, "class"), next)
+				work.Organisation = winch.OrganisationID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"))
+				work.OutputDone = winch.Tokens(rapid.IntRange(0, 1).Draw(t, "done"))
+				open[b.arrive(b.now, work, next, &progress{})] = true
+			},
+			"release": func(t *rapid.T) {
+				if r := pick(requestRunning); r != nil {
+					b.release(b.now, r, winch.Outcome(rapid.IntRange(0, 4).Draw(t, "outcome")))
+				}
+			},
+			"cancel": func(*rapid.T) {
+				if r := pick(requestQueued); r != nil {
+					b.cancel(b.now, r)
+				}
+			},
+			"tick": func(t *rapid.T) {
+				b.now = b.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "pause")) * time.Millisecond)
+				b.tick(b.now)
+			},
+			"": func(t *rapid.T) { b.checkInvariants(t, open) },
+		})
+	})
+}
+
+func (b *bench) checkInvariants(t *rapid.T, open map[*request]bool) {
+	queued, running := map[*lane]int{}, map[*endpoint]int{}
+	for r := range open {
+		switch r.state {
+		case requestQueued:
+			queued[r.lane]++
+			if r.heapIndex < 0 || b.expiry[r.heapIndex] != r {
+				t.Fatalf("request %s is queued without an expiry", r.work.Request)
+			}
+		case requestRunning:
+			running[r.endpoint]++
+		}
+	}
+	for _, l := range b.sorted {
+		if l.queued != queued[l] || l.running < 0 || l.preempting < 0 || l.goingRunning < 0 || l.floorRunning < 0 {
+			t.Fatalf("lane %v: queued %d of %d, running %d, preempting %d, going %d", l.key, l.queued, queued[l], l.running, l.preempting, l.goingRunning)
+		}
+		for i := 1; i < len(l.accounts); i++ {
+			if l.heapLess(i, (i-1)/2) {
+				t.Fatalf("lane %v: heap of accounts is out of order", l.key)
+			}
+		}
+	}
+	for _, e := range b.ordered {
+		if e.running != running[e] || e.running > e.spec.SlotLimit {
+			t.Fatalf("endpoint %s runs %d of %d, limit %d", e.spec.ID, e.running, running[e], e.spec.SlotLimit)
+		}
+	}
+	for i := 1; i < len(b.expiry); i++ {
+		if b.expiry.less(i, (i-1)/2) {
+			t.Fatalf("heap of expiries is out of order")
+		}
+	}
+	b.effects = b.effects[:0]
+}
--- a/dispatch/endpoint/dispatcher.go
+++ b/dispatch/endpoint/dispatcher.go
@@ -201,8 +201,11 @@
 	clear(d.core.effects)
 	d.core.effects = d.core.effects[:0]
 	d.lock.Unlock()
+	logged := d.logger.IsInfo()
 	for i := range lines {
-		d.log(&lines[i])
+		if logged {
+			d.log(&lines[i])
+		}
 		d.metrics.count(&lines[i])
 	}
 	d.giveLines(lines)
--- a/dispatch/endpoint/figures.go
+++ b/dispatch/endpoint/figures.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"slices"
 	"time"
 
 	"github.com/arbutuswinch/winch"
@@ -135,6 +136,16 @@
 	}
 }
 
+// hosts returns the hosts that report, sorted, so that sums come out the same each time.
+func (h *hub) hosts() []winch.HostID {
+	ids := make([]winch.HostID, 0, len(h.reports))
+	for id := range h.reports {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // summary adds up what all hosts but one told, the hub's own state included.
 func (c *core) summary(now time.Time, to winch.HostID) figures {
 	c.hub.drop(now, c.settings.DigestHorizon)
@@ -142,9 +153,9 @@
 	if to != c.self.ID {
 		sum.add(c.ownFigures(now, false))
 	}
-	for id, report := range c.hub.reports {
+	for _, id := range c.hub.hosts() {
 		if id != to && id != c.self.ID {
-			sum.add(report.figures)
+			sum.add(c.hub.reports[id].figures)
 		}
 	}
 	clear(sum.charged)
@@ -203,14 +214,14 @@
 	c.appliedAt, c.appliedFrom = asOf, from
 	for _, e := range c.ordered {
 		told := sum.endpoints[e.spec.ID]
-		e.others, e.othersAt = told.Running, asOf
+		e.others = told.Running
 		e.history.add(now, float64(e.running+e.others))
 		if c.features.adaptiveLimit && told.Running > 0 {
 			e.limit.merge(told.Limit)
 		}
 	}
 	for _, l := range c.sorted {
-		l.others, l.othersAt = sum.lanes[l.key], asOf
+		l.others = sum.lanes[l.key]
 	}
 	for key, charged := range sum.charged {
 		c.applyCharge(key, float64(charged), rebase)
@@ -249,7 +260,7 @@
 	waiting := map[group]int{}
 	for _, l := range c.sorted {
 		waiting[l.key.group] += l.queued
-		if c.fresh(now, l.othersAt) {
+		if c.informed(now) {
 			waiting[l.key.group] += l.others.Queued
 		}
 	}
@@ -258,7 +269,7 @@
 			continue
 		}
 		free := e.cap - e.running
-		if c.fresh(now, e.othersAt) {
+		if c.informed(now) {
 			free -= e.others
 		}
 		for _, model := range e.spec.Models {
--- a/dispatch/endpoint/health.go
+++ b/dispatch/endpoint/health.go
@@ -17,7 +17,7 @@
 
 // usable tells whether the endpoint may get another request.
 func (e *endpoint) usable(now time.Time) bool {
-	if e.state != winch.EndpointReady {
+	if !e.serving {
 		return false
 	}
 	if !e.health.probing {
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -58,8 +58,7 @@
 	aperture     int
 
 	others      laneFigures // other hosts of the data centre
-	othersAt    time.Time
-	givenAt     time.Time // last preemption for other hosts
+	givenAt     time.Time   // last preemption for other hosts
 	warned      bool
 	servedFloor uint64
 }
@@ -104,7 +103,7 @@
 	if l.oldest == nil {
 		return 0
 	}
-	return now.Sub(l.oldest.queuedAt)
+	return now.Sub(l.oldest.since)
 }
 
 // push queues the request. One that is under way goes before the others of its account.
@@ -123,9 +122,12 @@
 }
 
 func (l *lane) linkArrival(r *request) {
+	r.since = r.queuedAt
 	if r.underWay() {
 		r.laneNext = l.oldest
 		if l.oldest != nil {
+			// The wait of those behind it is not forgotten.
+			r.since = l.oldest.since
 			l.oldest.lanePrev = r
 		} else {
 			l.newest = r
--- a/dispatch/endpoint/limit.go
+++ b/dispatch/endpoint/limit.go
@@ -8,9 +8,10 @@
 const (
 	limitInterval  = time.Second
 	limitDecrease  = 0.85
-	limitPressure  = 0.9 // share of the target from which the limit falls
-	limitHeadroom  = 0.7 // share of the target below which it may grow
+	limitPressure  = 0.92 // share of the target from which the limit falls
+	limitHeadroom  = 0.82 // share of the target below which it may grow
 	sampleWeight   = 0.1
+	holdWeight     = 0.03 // lengths of answers vary much
 	minimumSamples = 3
 )
 
@@ -20,9 +21,9 @@
 type limiter struct {
 	value      float64
 	ceiling    int
-	firstToken average // seconds, since the last adjustment
-	interToken average
-	// slowness and steadyInter are long means, to compare endpoints with each other.
+	firstToken average // share of the class's target, since the last adjustment
+	interToken average // seconds, since the last adjustment
+	// The steady means go on over adjustments, to compare endpoints with each other.
 	steadyInter average
 	steadyFirst average
 	adjustedAt  time.Time
@@ -38,15 +39,15 @@
 
 const defaultSlotLimit = 8
 
-// targets are those of the most urgent class at the endpoint, in seconds; zero means none.
-type targets struct {
-	firstToken float64
-	interToken float64
-}
-
-func (l *limiter) sampleFirst(seconds float64) {
-	l.firstToken.add(seconds, sampleWeight)
-	l.steadyFirst.add(seconds, sampleWeight)
+// sampleFirst takes a time to the first token in. It is judged by the target of its
+// own class, since prompts of different classes differ in length.
+func (l *limiter) sampleFirst(seconds float64, target time.Duration) {
+	if target <= 0 {
+		return
+	}
+	share := seconds / target.Seconds()
+	l.firstToken.add(share, sampleWeight)
+	l.steadyFirst.add(share, sampleWeight)
 }
 
 func (l *limiter) sampleInter(seconds float64) {
@@ -54,28 +55,29 @@
 	l.steadyInter.add(seconds, sampleWeight)
 }
 
-// pressure returns the largest ratio of a measured time to its target, and
-// whether anything was measured.
-func (l *limiter) pressure(t targets) (float64, bool) {
+// pressure returns the largest share of a target that is used up, and whether
+// anything was measured. The target between tokens is that of the most urgent
+// class at the endpoint, in seconds; zero means none.
+func (l *limiter) pressure(interToken float64) (float64, bool) {
 	pressure, measured := 0.0, false
-	if t.firstToken > 0 && l.firstToken.samples >= minimumSamples {
-		pressure, measured = l.firstToken.value/t.firstToken, true
+	if l.firstToken.samples >= minimumSamples {
+		pressure, measured = l.firstToken.value, true
 	}
-	if t.interToken > 0 && l.interToken.samples >= minimumSamples {
-		pressure, measured = math.Max(pressure, l.interToken.value/t.interToken), true
+	if interToken > 0 && l.interToken.samples >= minimumSamples {
+		pressure, measured = math.Max(pressure, l.interToken.value/interToken), true
 	}
 	return pressure, measured
 }
 
 // adjust moves the limit once an interval.
-func (l *limiter) adjust(now time.Time, t targets, running int) {
+func (l *limiter) adjust(now time.Time, interToken float64, running int) {
 	if running > l.peak {
 		l.peak = running
 	}
 	if now.Sub(l.adjustedAt) < limitInterval {
 		return
 	}
-	pressure, measured := l.pressure(t)
+	pressure, measured := l.pressure(interToken)
 	switch {
 	case measured && pressure > limitPressure:
 		// More than is running cannot be the cause, so the cut starts from there.
--- a/dispatch/endpoint/metrics.go
+++ b/dispatch/endpoint/metrics.go
@@ -3,16 +3,20 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/arbutuswinch/winch"
 )
 
 // metrics counts decisions and shows the queues.
 type metrics struct {
 	decisions metric.Int64Counter
 	waits     metric.Float64Histogram
+	known     sync.Map // of labels to metric.MeasurementOption
 }
 
 func newMetrics(meter metric.Meter, d *Dispatcher) (*metrics, error) {
@@ -77,9 +81,26 @@
 
 // count counts a decision.
 func (m *metrics) count(l *line) {
-	m.decisions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", l.kind.String()),
-		attribute.String("class", string(l.class)), attribute.String("reason", string(l.refusal.Reason))))
+	m.decisions.Add(context.Background(), 1, m.attributes(labels{kind: l.kind, class: l.class, reason: l.refusal.Reason}))
 	if l.kind == effectGranted {
-		m.waits.Record(context.Background(), l.waited.Seconds(), metric.WithAttributes(attribute.String("class", string(l.class))))
+		m.waits.Record(context.Background(), l.waited.Seconds(), m.attributes(labels{kind: l.kind, class: l.class}))
+	}
+}
+
+// labels are what decisions are counted by.
+type labels struct {
+	kind   effectKind
+	class  winch.ClassID
+	reason winch.RefusalReason
+}
+
+// attributes returns the labels' attributes, which are built once.
+func (m *metrics) attributes(of labels) metric.MeasurementOption {
+	if known, found := m.known.Load(of); found {
+		return known.(metric.MeasurementOption)
 	}
+	built := metric.WithAttributeSet(attribute.NewSet(attribute.String("kind", of.kind.String()),
+		attribute.String("class", string(of.class)), attribute.String("reason", string(of.reason))))
+	m.known.Store(of, built)
+	return built
 }
--- /dev/null
+++ b/dispatch/endpoint/model_test.go
@@ -0,0 +1,435 @@
+package endpoint
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/dispatch/audit"
+)
+
+const (
+	modelStep    = 20 * time.Millisecond
+	exchangeStep = 500 * time.Millisecond
+	exchangeLag  = 100 * time.Millisecond
+	reportStep   = time.Second
+)
+
+// modelClass is a class of traffic: requests a second, and output lengths around a mean.
+type modelClass struct {
+	class        winch.Class
+	rate         func(at time.Duration) float64
+	input        winch.Tokens
+	output       float64
+	organisation func(random *rand.Rand) winch.OrganisationID
+}
+
+// modelRequest is a caller's request, through all its attempts.
+type modelRequest struct {
+	class    *modelClass
+	host     int
+	work     winch.Work
+	output   winch.Tokens
+	done     winch.Tokens
+	firstAt  time.Time
+	endedAt  time.Time
+	refused  winch.RefusalReason
+	finished bool
+	moves    int
+	served   *request
+	progress *progress
+	prefill  float64
+	produced float64
+	engine   *modelEngine
+	leaveAt  time.Time
+}
+
+// modelEngine batches: the more streams, the slower each, and prompts share the compute.
+type modelEngine struct {
+	id      winch.EndpointID
+	slow    float64
+	dead    bool
+	slots   int
+	streams []*modelRequest
+	// peak sums the squares of the streams at each step.
+	peak winch.Tokens
+}
+
+// model runs several hosts against engines in virtual time.
+type model struct {
+	t       *testing.T
+	now     time.Time
+	start   time.Time
+	random  *rand.Rand
+	classes []*modelClass
+	hosts   []*Dispatcher
+	logs    []*bytes.Buffer
+	engines map[winch.EndpointID]*modelEngine
+	order   []*modelEngine
+	all     []*modelRequest
+	lag     time.Duration
+	pending []effect
+	late    []func()
+	lateAt  []time.Time
+	served  map[winch.OrganisationID]winch.Tokens
+	wasted  winch.Tokens
+	// overSteps are the steps at which an engine had more than its slots and a quarter.
+	steps, overSteps int
+}
+
+type modelOptions struct {
+	hosts, engines, slots int
+	lag                   time.Duration
+	policy                Policy
+	seed                  uint64
+	classes               []*modelClass
+	guards                func(*features)
+	supply                func(i int) winch.Supply
+	settings              Settings
+}
+
+type modelClock struct{ m *model }
+
+func (c modelClock) Now() time.Time { return c.m.now }
+
+type modelMembership struct {
+	winch.Membership
+	self  winch.Host
+	hosts []winch.Host
+}
+
+func (m modelMembership) Self() winch.Host                  { return m.self }
+func (m modelMembership) DataCentres() []winch.DataCentreID { return []winch.DataCentreID{"a"} }
+func (m modelMembership) Hosts(time.Time, winch.DataCentreID) []winch.Host {
+	return m.hosts
+}
+
+func newModel(t *testing.T, o modelOptions) *model {
+	t.Helper()
+	start := time.Unix(1_000_000, 0)
+	m := &model{
+		t: t, now: start, start: start, random: rand.New(rand.NewPCG(o.seed, 7)), classes: o.classes, lag: o.lag,
+		engines: map[winch.EndpointID]*modelEngine{}, served: map[winch.OrganisationID]winch.Tokens{},
+	}
+	configuration := &winch.Configuration{Classes: map[winch.ClassID]winch.Class{}, Endpoints: map[winch.EndpointID]winch.Endpoint{}}
+	for _, class := range o.classes {
+		configuration.Classes[class.class.ID] = class.class
+	}
+	for i := range o.engines {
+		id := winch.EndpointID(fmt.Sprintf("e%d", i))
+		spec := winch.Endpoint{ID: id, DataCentre: "a", Kind: winch.EndpointEngine, Models: []winch.ModelID{chat}, SlotLimit: o.slots}
+		if o.supply != nil {
+			spec.Supply = o.supply(i)
+		}
+		configuration.Endpoints[id] = spec
+		e := &modelEngine{id: id, slow: 1, slots: o.slots}
+		m.engines[id] = e
+		m.order = append(m.order, e)
+	}
+	var members []winch.Host
+	for i := range o.hosts {
+		members = append(members, winch.Host{ID: winch.HostID(fmt.Sprintf("h%d", i)), DataCentre: "a"})
+	}
+	for i := range o.hosts {
+		buffer := &bytes.Buffer{}
+		d, err := New(Options{
+			Configurations: fixedConfigurations{configuration}, Membership: modelMembership{self: members[i], hosts: members},
+			Clock: modelClock{m}, Logger: hclog.New(&hclog.LoggerOptions{Output: buffer, JSONFormat: true}),
+			Policy: o.policy, Seed: o.seed + uint64(i), Settings: o.settings,
+		})
+		assert.NilError(t, err)
+		if o.guards != nil {
+			o.guards(&d.core.features)
+		}
+		m.hosts = append(m.hosts, d)
+		m.logs = append(m.logs, buffer)
+	}
+	return m
+}
+
+// do runs a step of a host's core and carries its effects out in the model.
+func (m *model) do(host int, step func(c *core)) {
+	d := m.hosts[host]
+	effects := []effect{}
+	d.act(func() {
+		step(d.core)
+		effects = append(effects, d.core.effects...)
+	})
+	for _, e := range effects {
+		m.apply(&e)
+	}
+}
+
+func (m *model) apply(e *effect) {
+	if e.request == nil {
+		return
+	}
+	r := e.request.waiter.(*modelRequest)
+	switch e.kind {
+	case effectGranted:
+		r.served, r.engine = e.request, m.engines[e.endpoint.spec.ID]
+		r.prefill, r.produced = float64(r.work.InputTokens+r.done), 0
+		r.engine.streams = append(r.engine.streams, r)
+	case effectRefused:
+		r.refused, r.endedAt = e.refusal.Reason, m.now
+	case effectPreempted, effectMoved:
+		r.leaveAt = m.now.Add(modelStep)
+	}
+}
+
+func (m *model) arrive(r *modelRequest) {
+	r.progress = &progress{}
+	r.work.OutputDone = r.done
+	m.do(r.host, func(c *core) { c.arrive(m.now, r.work, r, r.progress) })
+}
+
+// leave ends an attempt. The caller is told to go on elsewhere unless it is finished.
+func (m *model) leave(r *modelRequest, outcome winch.Outcome) {
+	e := r.engine
+	for i, other := range e.streams {
+		if other == r {
+			e.streams = append(e.streams[:i], e.streams[i+1:]...)
+			break
+		}
+	}
+	r.engine, r.leaveAt = nil, time.Time{}
+	served := r.served
+	m.do(r.host, func(c *core) { c.release(m.now, served, outcome) })
+}
+
+func (m *model) spawn() {
+	for _, class := range m.classes {
+		expected := class.rate(m.now.Sub(m.start)) * modelStep.Seconds()
+		for count := poisson(m.random, expected); count > 0; count-- {
+			r := &modelRequest{class: class, host: m.random.IntN(len(m.hosts))}
+			r.output = winch.Tokens(1 + m.random.ExpFloat64()*class.output)
+			r.work = winch.Work{
+				Request: winch.RequestID(fmt.Sprintf("r%d", len(m.all))), Organisation: class.organisation(m.random),
+				Class: class.class.ID, Model: chat, InputTokens: class.input, Arrived: m.now,
+			}
+			m.all = append(m.all, r)
+			m.arrive(r)
+		}
+	}
+}
+
+func poisson(random *rand.Rand, mean float64) int {
+	count, product, limit := 0, random.Float64(), math.Exp(-mean)
+	for product > limit {
+		count++
+		product *= random.Float64()
+	}
+	return count
+}
+
+const (
+	modelPrefill = 12000.0 // tokens a second
+	modelInter   = 0.020   // seconds between the tokens of a stream that is alone
+	modelBatch   = 8.0     // streams that double it
+)
+
+func (m *model) advance(e *modelEngine) {
+	if e.dead {
+		return
+	}
+	inter := modelInter * (1 + float64(len(e.streams))/modelBatch) * e.slow
+	budget := modelPrefill * modelStep.Seconds() / e.slow
+	for _, r := range append([]*modelRequest(nil), e.streams...) {
+		if r.prefill > 0 {
+			used := math.Min(budget, r.prefill)
+			budget -= used
+			r.prefill -= used
+			continue
+		}
+		before := winch.Tokens(r.produced)
+		r.produced += modelStep.Seconds() / inter
+		if news := winch.Tokens(r.produced) - before; news > 0 {
+			m.tokens(r, news)
+		}
+	}
+}
+
+func (m *model) tokens(r *modelRequest, count winch.Tokens) {
+	at := m.now.UnixNano()
+	if r.progress.first.CompareAndSwap(0, at) && r.firstAt.IsZero() {
+		r.firstAt = m.now
+	}
+	r.progress.last.Store(at)
+	r.progress.tokens.Add(int64(count))
+	m.hosts[r.host].core.endpoints[r.engine.id].lastHeard.Store(at)
+	r.done += count
+	m.served[r.work.Organisation] += count
+	if r.done >= r.output {
+		r.finished, r.endedAt = true, m.now
+		m.leave(r, winch.OutcomeDone)
+	}
+}
+
+// after runs something later.
+func (m *model) after(delay time.Duration, what func()) {
+	m.late = append(m.late, what)
+	m.lateAt = append(m.lateAt, m.now.Add(delay))
+}
+
+func (m *model) exchange() {
+	hub := m.hosts[0].Section()
+	for i, d := range m.hosts {
+		id := d.core.self.ID
+		assert.NilError(m.t, hub.Collect(m.now, id, d.Section().Report(m.now)))
+		summary, sent := hub.Summary(m.now, id), m.now
+		m.after(exchangeLag, func() {
+			told, err := decodeFigures(summary)
+			assert.NilError(m.t, err)
+			m.do(i, func(c *core) { c.applySummary(m.now, sent, "h0", told) })
+		})
+	}
+}
+
+func (m *model) report() {
+	for _, e := range m.order {
+		report := winch.LoadReport{Endpoint: e.id, AsOf: m.now, Running: len(e.streams), State: winch.EndpointReady}
+		m.after(m.lag, func() {
+			for i := range m.hosts {
+				m.do(i, func(c *core) { c.observeLoad(m.now, report) })
+			}
+		})
+	}
+}
+
+func (m *model) runLate() {
+	late, lateAt := m.late, m.lateAt
+	m.late, m.lateAt = nil, nil
+	for i, what := range late {
+		if lateAt[i].After(m.now) {
+			m.late, m.lateAt = append(m.late, what), append(m.lateAt, lateAt[i])
+			continue
+		}
+		what()
+	}
+}
+
+// run advances the model; each is called at every step.
+func (m *model) run(length time.Duration, each func(at time.Duration)) {
+	for end := m.now.Add(length); m.now.Before(end); m.now = m.now.Add(modelStep) {
+		at := m.now.Sub(m.start)
+		if each != nil {
+			each(at)
+		}
+		m.runLate()
+		if at%exchangeStep == 0 && len(m.hosts) > 1 {
+			m.exchange()
+		}
+		if at%reportStep == 0 {
+			m.report()
+		}
+		m.spawn()
+		m.observe()
+		for _, e := range m.order {
+			m.advance(e)
+			m.moves(e)
+		}
+		if at%(100*time.Millisecond) == 0 {
+			for i := range m.hosts {
+				m.do(i, func(c *core) { c.tick(m.now) })
+			}
+		}
+	}
+}
+
+func (m *model) observe() {
+	m.steps++
+	over := 0
+	for _, e := range m.order {
+		e.peak += winch.Tokens(len(e.streams) * len(e.streams))
+		if len(e.streams) > e.slots+e.slots/4 {
+			over = 1
+		}
+	}
+	m.overSteps += over
+}
+
+// moves takes preempted streams off the engine, and queues them anew.
+func (m *model) moves(e *modelEngine) {
+	for _, r := range append([]*modelRequest(nil), e.streams...) {
+		if r.leaveAt.IsZero() || r.leaveAt.After(m.now) {
+			continue
+		}
+		m.wasted += r.work.InputTokens + r.done
+		r.moves++
+		m.leave(r, winch.OutcomeCancelled)
+		m.arrive(r)
+	}
+}
+
+// outcome sums up a class.
+type outcome struct {
+	requests, attained, finished, refused, moves int
+	worstWait                                    time.Duration
+}
+
+func (o outcome) share() float64 { return float64(o.attained) / math.Max(1, float64(o.requests)) }
+
+// result judges the requests of the class that arrived between two instants.
+func (m *model) result(class winch.ClassID, from, to time.Duration) outcome {
+	sum := outcome{}
+	for _, r := range m.all {
+		at := r.work.Arrived.Sub(m.start)
+		if r.class.class.ID != class || at < from || at >= to {
+			continue
+		}
+		sum.requests++
+		sum.moves += r.moves
+		if r.refused != "" {
+			sum.refused++
+		}
+		if r.finished {
+			sum.finished++
+		}
+		if r.firstAt.IsZero() {
+			if r.refused == "" {
+				sum.worstWait = max(sum.worstWait, m.now.Sub(r.work.Arrived))
+			}
+			continue
+		}
+		sum.worstWait = max(sum.worstWait, r.firstAt.Sub(r.work.Arrived))
+		if r.attained() {
+			sum.attained++
+		}
+	}
+	return sum
+}
+
+// attained tells whether the request met its class's targets.
+func (r *modelRequest) attained() bool {
+	target := r.class.class
+	if r.firstAt.Sub(r.work.Arrived) > target.FirstTokenTarget || r.refused != "" {
+		return false
+	}
+	if target.InterTokenTarget == 0 || r.done < 2 {
+		return true
+	}
+	end := r.endedAt
+	if !r.finished {
+		return true
+	}
+	return end.Sub(r.firstAt) <= time.Duration(r.done)*target.InterTokenTarget
+}
+
+// audited replays the hosts' logs.
+func (m *model) audited() audit.Report {
+	var logs []io.Reader
+	for _, log := range m.logs {
+		logs = append(logs, bytes.NewReader(log.Bytes()))
+	}
+	lines, err := audit.Read(logs...)
+	assert.NilError(m.t, err)
+	return audit.Check(lines, audit.Settings{Notice: 3 * time.Second, Starvation: 45 * time.Second})
+}
--- a/dispatch/endpoint/options.go
+++ b/dispatch/endpoint/options.go
@@ -44,6 +44,9 @@
 	LeaveMargin time.Duration
 	// RiskShare is the share of the first-token target after which a wait counts as at risk.
 	RiskShare float64
+	// RefuseShare is the predicted wait, as a share of the first-token target, from
+	// which a request is turned away.
+	RefuseShare float64
 	// RetryShare is the share of successes that may be spent on retries, and RetryFloor the retries a
 	// second that are always allowed.
 	RetryShare float64
@@ -120,6 +123,7 @@
 	defaultDuration(&s.RetryAfterMin, time.Second)
 	defaultDuration(&s.RetryAfterMax, time.Minute)
 	defaultFloat(&s.RiskShare, 0.25)
+	defaultFloat(&s.RefuseShare, 0.5)
 	defaultFloat(&s.RetryShare, 0.1)
 	defaultFloat(&s.RetryFloor, 1)
 	defaultFloat(&s.LongShare, 0.5)
--- /dev/null
+++ b/dispatch/endpoint/policy_test.go
@@ -0,0 +1,300 @@
+package endpoint
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/dispatch/audit"
+)
+
+func steady(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+// burst has a higher rate between two instants.
+func burst(rate, high float64, from, to time.Duration) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at >= from && at < to {
+			return high
+		}
+		return rate
+	}
+}
+
+func tenOrganisations(random *rand.Rand) winch.OrganisationID {
+	return winch.OrganisationID(fmt.Sprintf("o%d", random.IntN(10)))
+}
+
+func stallClass(rate func(time.Duration) float64) *modelClass {
+	class := twoClasses(0, 0).Classes[stall]
+	return &modelClass{class: class, rate: rate, input: 200, output: 40, organisation: tenOrganisations}
+}
+
+func notesClass(rate func(time.Duration) float64) *modelClass {
+	class := twoClasses(0, 0).Classes[notes]
+	return &modelClass{class: class, rate: rate, input: 1500, output: 300, organisation: tenOrganisations}
+}
+
+// marketMorning is a burst of stall questions while provenance notes fill the engines.
+func marketMorning(policy Policy, seed uint64, guards func(*features)) modelOptions {
+	return modelOptions{
+		hosts: 3, engines: 4, slots: 16, lag: 5 * time.Second, policy: policy, seed: seed, guards: guards,
+		classes: []*modelClass{stallClass(burst(4, 22, 30*time.Second, 60*time.Second)), notesClass(steady(4))},
+	}
+}
+
+func (m *model) log(name string) {
+	report := m.audited()
+	m.t.Logf("%s: burst %+v (%.3f) stall %+v notes %+v wasted %d; audit routed %d refused %d preempted %d known %d true %d starved %d",
+		name, m.result(stall, 30*time.Second, 60*time.Second), m.result(stall, 30*time.Second, 60*time.Second).share(),
+		m.result(stall, 0, time.Hour), m.result(notes, 0, time.Hour), m.wasted, report.Routed, report.Refused, report.Preempted,
+		report.Count(audit.KindShedKnown), report.Count(audit.KindShedTrue), report.Count(audit.KindStarved))
+}
+
+func TestPolicyMarketMorning(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			m := newModel(t, marketMorning(PolicyWinch, seed, nil))
+			m.run(90*time.Second, nil)
+			m.log("winch")
+			report := m.audited()
+			assert.Assert(t, m.result(stall, 30*time.Second, 60*time.Second).share() > 0.9)
+			assert.Equal(t, len(report.Violations), 0, "%v", report.Violations)
+			for _, policy := range []Policy{PolicyRandom, PolicyLeastReported, PolicyFirstCome} {
+				base := newModel(t, marketMorning(policy, seed, nil))
+				base.run(90*time.Second, nil)
+				base.log(string(policy))
+				assert.Assert(t, base.result(stall, 30*time.Second, 60*time.Second).share() < 0.5)
+			}
+		})
+	}
+}
+
+// guardCase is a disturbance, and a measure of how well it was borne.
+type guardCase struct {
+	name    string
+	options func(guards func(*features)) modelOptions
+	length  time.Duration
+	disturb func(m *model, at time.Duration)
+	measure func(m *model) float64
+	off     func(f *features)
+	// seeds is the number of runs whose mean is judged, one when zero.
+	seeds int
+	// least is what the whole policy reaches, and worse what it loses without the guard.
+	least, worse float64
+}
+
+func guardCases() []guardCase {
+	burstShare := func(m *model) float64 { return m.result(stall, 30*time.Second, 60*time.Second).share() }
+	morning := func(guards func(*features)) modelOptions { return marketMorning(PolicyWinch, 1, guards) }
+	patient := func(guards func(*features)) modelOptions {
+		return marketMorning(PolicyWinch, 1, func(f *features) {
+			f.preemption = false
+			if guards != nil {
+				guards(f)
+			}
+		})
+	}
+	return []guardCase{
+		{
+			// Without preemption, which alone would hide the order of the queues.
+			name: "tiers", options: patient, length: 70 * time.Second, measure: burstShare,
+			off: func(f *features) { f.tiers = false }, least: 0.4, worse: 0.2,
+		},
+		{
+			name: "preemption", options: morning, length: 70 * time.Second, measure: burstShare,
+			off: func(f *features) { f.preemption = false }, least: 0.9, worse: 0.1,
+		},
+		{
+			name: "floors", options: flooded, length: 120 * time.Second, measure: notesServed,
+			off: func(f *features) { f.floors = false }, least: 0.02, worse: 0.02,
+		},
+		{
+			name: "fairness", options: oneOrganisationFloods, length: 60 * time.Second, measure: smallOrganisations,
+			off: func(f *features) { f.fairness = false }, least: 0.9, worse: 0.2,
+		},
+		{
+			name: "own answers", options: lateReports, length: 60 * time.Second, measure: attainment, disturb: slowTwo, seeds: 3,
+			off: func(f *features) { f.ownAnswers = false }, least: 0.98, worse: 0.01,
+		},
+		{
+			name: "ejection", options: lateReports, length: 60 * time.Second, measure: answered, disturb: crashOne,
+			off: func(f *features) { f.ejection = false }, least: 1, worse: 0.005,
+		},
+		{
+			name: "corrections", options: lateReports, length: 60 * time.Second, measure: evenness, seeds: 3,
+			off: func(f *features) { f.corrections = false }, least: 0.6, worse: 0.05,
+		},
+		{
+			name: "adaptive limit", options: wideSlots, length: 60 * time.Second, measure: attainment,
+			off: func(f *features) { f.adaptiveLimit = false }, least: 0.5, worse: 0.1,
+		},
+		{
+			name: "sharing", options: crowded, length: 60 * time.Second, measure: withinSlots,
+			off: func(f *features) { f.sharing = false }, least: 0.9, worse: 0.3,
+		},
+		{
+			name: "early refusal", options: flooded, length: 60 * time.Second, measure: promptRefusals,
+			off: func(f *features) { f.earlyRefusal = false }, least: 0.8, worse: 0.5,
+		},
+	}
+}
+
+func TestPolicyGuards(t *testing.T) {
+	for _, guard := range guardCases() {
+		t.Run(guard.name, func(t *testing.T) {
+			with, without := guard.run(t, nil), guard.run(t, guard.off)
+			t.Logf("with %.3f without %.3f", with, without)
+			assert.Assert(t, with >= guard.least, "with the guard %.3f", with)
+			assert.Assert(t, without <= with-guard.worse, "with %.3f without %.3f", with, without)
+		})
+	}
+}
+
+// run returns the mean of the measure over the seeds.
+func (g guardCase) run(t *testing.T, guards func(*features)) float64 {
+	t.Helper()
+	sum, runs := 0.0, max(1, g.seeds)
+	for i := range runs {
+		options := g.options(guards)
+		options.seed += uint64(i)
+		m := newModel(t, options)
+		m.run(g.length, func(at time.Duration) {
+			if g.disturb != nil {
+				g.disturb(m, at)
+			}
+		})
+		sum += g.measure(m)
+	}
+	return sum / float64(runs)
+}
+
+// flooded has more stall questions than the engines can answer, all the time.
+func flooded(guards func(*features)) modelOptions {
+	return modelOptions{
+		hosts: 3, engines: 4, slots: 16, lag: time.Second, policy: PolicyWinch, seed: 2, guards: guards,
+		classes: []*modelClass{stallClass(steady(40)), notesClass(steady(0.5))},
+	}
+}
+
+func notesServed(m *model) float64 {
+	sum := m.result(notes, 0, m.now.Sub(m.start)-60*time.Second)
+	return float64(sum.finished) / float64(sum.requests)
+}
+
+// promptRefusals is the share of refused questions that were turned away within a quarter second.
+func promptRefusals(m *model) float64 {
+	prompt, refused := 0.0, 0.0
+	for _, r := range m.all {
+		if r.class.class.ID != stall || r.refused == "" {
+			continue
+		}
+		refused++
+		if r.endedAt.Sub(r.work.Arrived) < 250*time.Millisecond {
+			prompt++
+		}
+	}
+	return prompt / max(1, refused)
+}
+
+// oneOrganisationFloods has one organisation ask for more than there is, and nine for little.
+func oneOrganisationFloods(guards func(*features)) modelOptions {
+	class := stallClass(steady(40))
+	class.organisation = func(random *rand.Rand) winch.OrganisationID {
+		if random.Float64() < 0.85 {
+			return "large"
+		}
+		return tenOrganisations(random)
+	}
+	return modelOptions{
+		hosts: 3, engines: 4, slots: 16, lag: time.Second, policy: PolicyWinch, seed: 3, guards: guards, classes: []*modelClass{class},
+	}
+}
+
+func smallOrganisations(m *model) float64 {
+	sum, attained := 0.0, 0.0
+	for _, r := range m.all {
+		if r.work.Organisation == "large" || r.work.Arrived.Sub(m.start) > 55*time.Second {
+			continue
+		}
+		sum++
+		if !r.firstAt.IsZero() && r.attained() {
+			attained++
+		}
+	}
+	return attained / sum
+}
+
+// lateReports has a load that fits, with reports that come 5 s late.
+func lateReports(guards func(*features)) modelOptions {
+	return modelOptions{
+		hosts: 3, engines: 6, slots: 16, lag: 5 * time.Second, policy: PolicyWinch, seed: 4, guards: guards,
+		classes: []*modelClass{stallClass(steady(20))},
+	}
+}
+
+func attainment(m *model) float64 {
+	return m.result(stall, 15*time.Second, m.now.Sub(m.start)-5*time.Second).share()
+}
+
+// answered is the share of requests that came to an end, the last seconds left out.
+func answered(m *model) float64 {
+	sum, ended := 0.0, 0.0
+	for _, r := range m.all {
+		if m.now.Sub(r.work.Arrived) < 20*time.Second {
+			continue
+		}
+		sum++
+		if r.finished || r.refused != "" {
+			ended++
+		}
+	}
+	return ended / sum
+}
+
+func slowTwo(m *model, at time.Duration) {
+	if at == 15*time.Second {
+		m.order[0].slow, m.order[1].slow = 5, 5
+	}
+}
+
+func crashOne(m *model, at time.Duration) {
+	if at == 15*time.Second {
+		m.order[0].dead = true
+	}
+}
+
+// evenness compares the least loaded engine with the most loaded one, over the run.
+func evenness(m *model) float64 {
+	most, least := winch.Tokens(0), winch.Tokens(1<<40)
+	for _, e := range m.order {
+		most, least = max(most, e.peak), min(least, e.peak)
+	}
+	return float64(least) / float64(most)
+}
+
+// wideSlots has slot limits far beyond what the engines can serve within the target.
+func wideSlots(guards func(*features)) modelOptions {
+	return modelOptions{
+		hosts: 3, engines: 3, slots: 64, lag: time.Second, policy: PolicyWinch, seed: 5, guards: guards,
+		classes: []*modelClass{stallClass(steady(24))},
+	}
+}
+
+// crowded has three hosts before two engines.
+func crowded(guards func(*features)) modelOptions {
+	return modelOptions{
+		hosts: 3, engines: 2, slots: 8, lag: time.Second, policy: PolicyWinch, seed: 6, guards: guards,
+		classes: []*modelClass{stallClass(steady(12))},
+	}
+}
+
+// withinSlots is the share of the time for which no engine had more than its slots and a quarter.
+func withinSlots(m *model) float64 {
+	return 1 - float64(m.overSteps)/float64(m.steps)
+}
--- a/dispatch/endpoint/preempt.go
+++ b/dispatch/endpoint/preempt.go
@@ -18,7 +18,7 @@
 			need += rival.queued
 		}
 	}
-	for ; need > 0; need-- {
+	for need = min(need, victimsAtOnce); need > 0; need-- {
 		victim := c.victim(now, l)
 		if victim == nil {
 			return
@@ -90,6 +90,7 @@
 func (c *core) preempt(now time.Time, r *request, l *lane, forOther bool) {
 	r.preempted, r.relieves = true, !forOther
 	r.lane.goingRunning++
+	r.endpoint.pressedBy, r.endpoint.pressedUntil = l.class.Tier, now.Add(pressPause).UnixNano()
 	if !forOther {
 		// Counted at the victim's lane and released with the victim.
 		r.lane.preempting++
@@ -99,7 +100,7 @@
 
 // relieveOthers gives up this host's part of the slots that a higher tier waits for at other hosts.
 func (c *core) relieveOthers(now time.Time, l *lane) {
-	if !c.features.preemption || !c.fresh(now, l.othersAt) || l.others.Urgent == 0 || now.Sub(l.givenAt) < reliefPause {
+	if !c.features.preemption || !c.informed(now) || l.others.Urgent == 0 || now.Sub(l.givenAt) < reliefPause {
 		return
 	}
 	w := c.lowerWork(now, l)
@@ -108,7 +109,7 @@
 	}
 	share := float64(w.running) / float64(w.movable())
 	need := int(math.Ceil(float64(l.others.Urgent) * share))
-	for ; need > 0; need-- {
+	for need = min(need, victimsAtOnce); need > 0; need-- {
 		victim := c.victim(now, l)
 		if victim == nil {
 			break
@@ -118,5 +119,17 @@
 	l.givenAt = now
 }
 
+// victimsAtOnce bounds the work of one decision.
+const victimsAtOnce = 16
+
 // reliefPause is the time for a slot given up to show in the waiting host's next report.
 const reliefPause = 1500 * time.Millisecond
+
+// pressPause is the time after a preemption for which the endpoint takes no work
+// of lower tiers, so that they are not preempted again at once.
+const pressPause = time.Second
+
+// pressed tells whether the endpoint is kept free for a tier above the lane's.
+func (c *core) pressed(now time.Time, e *endpoint, l *lane) bool {
+	return e.pressedUntil != 0 && now.UnixNano() < e.pressedUntil && e.pressedBy < l.class.Tier && !c.starved(now, l)
+}
--- a/dispatch/endpoint/queues.go
+++ b/dispatch/endpoint/queues.go
@@ -50,11 +50,11 @@
 // sums adds the figures of the data centre's other hosts together.
 func (c *core) sums(now time.Time, statuses []winch.QueueStatus) []winch.QueueStatus {
 	for _, l := range c.sorted {
-		if !c.fresh(now, l.othersAt) || l.others.Queued+l.others.Running == 0 {
+		if !c.informed(now) || l.others.Queued+l.others.Running == 0 {
 			continue
 		}
 		status := c.status(l.key, l.others)
-		status.DataCentre, status.Age = c.self.DataCentre, now.Sub(l.othersAt)
+		status.DataCentre, status.Age = c.self.DataCentre, now.Sub(c.appliedAt)
 		statuses = append(statuses, status)
 	}
 	return statuses
--- a/dispatch/endpoint/request.go
+++ b/dispatch/endpoint/request.go
@@ -30,7 +30,9 @@
 	account  *account
 	state    requestState
 	queuedAt time.Time
-	expires  time.Time
+	// since is the wait by which the lane's order goes; the lane's oldest has the earliest.
+	since   time.Time
+	expires time.Time
 	// heapIndex is the place in the heap of expiries, -1 outside.
 	heapIndex int
 	// The lane's queue in the order of arrival, and the account's within the lane.
--- /dev/null
+++ b/dispatch/endpoint/section_test.go
@@ -0,0 +1,112 @@
+package endpoint
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+)
+
+func TestSection(t *testing.T) {
+	configuration := twoClasses(1, 4)
+	first, second := newDispatcher(t, configuration, nil), newDispatcher(t, configuration, nil)
+	first.core.self, second.core.self = winch.Host{ID: "h1", DataCentre: "a"}, winch.Host{ID: "h2", DataCentre: "a"}
+	for i := range 3 {
+		mustAcquire(t, first, workOf(stall, i))
+	}
+	now := time.Now()
+	assert.NilError(t, second.Section().Collect(now, "h1", first.Section().Report(now)))
+	assert.NilError(t, first.Section().Apply(now, now, "h2", second.Section().Summary(now, "h1")))
+	assert.NilError(t, second.Section().Apply(now, now, "h2", second.Section().Summary(now, "h2")))
+	t.Run("hosts share the slots", func(t *testing.T) {
+		assert.Equal(t, second.core.ordered[0].others, 3)
+		assert.Equal(t, first.core.ordered[0].others, 0)
+		assert.Equal(t, second.core.allowance(now, second.core.ordered[0]), 1)
+	})
+	t.Run("figures that are too old are dropped", func(t *testing.T) {
+		later := now.Add(4 * time.Second)
+		second.act(func() { second.core.tick(later) })
+		assert.Equal(t, second.core.allowance(later, second.core.ordered[0]), 4)
+	})
+	t.Run("other data centres learn of free slots", func(t *testing.T) {
+		far := newDispatcher(t, configuration, nil)
+		assert.NilError(t, far.Section().ApplyDigest(now, now, "a", first.Section().Digest(now, "b")))
+		assert.Equal(t, far.core.remotes["a"].room(group{model: chat}), 1)
+	})
+	t.Run("queues of other hosts are seen at the hub", func(t *testing.T) {
+		found := false
+		for _, status := range second.Queues(now) {
+			found = found || status.Host == "h1" && status.Class == stall && status.Running == 3
+		}
+		assert.Assert(t, found)
+	})
+}
+
+func TestChargesOfOtherHosts(t *testing.T) {
+	b := newBench(twoClasses(1, 4))
+	a := b.account(1, "large")
+	told := func(from winch.HostID, charged int64) float64 {
+		b.now = b.now.Add(time.Second)
+		sum := newFigures()
+		sum.charged[a.key] = charged
+		b.applySummary(b.now, b.now, from, sum)
+		return a.served
+	}
+	t.Run("the first sum is a base", func(t *testing.T) { assert.Equal(t, told("h1", 5000), 0.0) })
+	t.Run("growth is charged", func(t *testing.T) { assert.Equal(t, told("h1", 5300), 300.0) })
+	t.Run("a new hub's sum is a base", func(t *testing.T) { assert.Equal(t, told("h2", 90_000), 300.0) })
+	t.Run("a lower sum is a base", func(t *testing.T) {
+		assert.Equal(t, told("h2", 100), 300.0)
+		assert.Equal(t, told("h2", 150), 350.0)
+	})
+}
+
+// figuresOf builds what a busy host tells.
+func figuresOf(endpoints, classes, organisations int) figures {
+	f := newFigures()
+	for i := range endpoints {
+		f.endpoints[winch.EndpointID(fmt.Sprintf("a-chat-%03d", i))] = endpointFigures{Running: 12, Limit: 15.5}
+	}
+	for i := range classes {
+		key := laneKey{class: winch.ClassID(fmt.Sprintf("class-%d", i)), group: group{model: "chat-large"}}
+		f.lanes[key] = laneFigures{Queued: 10, Running: 20, Movable: 12, Urgent: 2, OldestWait: 1234 * time.Millisecond}
+	}
+	for i := range organisations {
+		f.charged[accountKey{tier: 1, organisation: winch.OrganisationID(fmt.Sprintf("org-%04d", i))}] = 12_345_678
+	}
+	return f
+}
+
+func TestReportSize(t *testing.T) {
+	for _, size := range []struct{ endpoints, classes, organisations, limit int }{
+		{5, 4, 4, 600}, {5, 4, 10, 800}, {64, 12, 14, 2500}, {400, 54, 64, 12000},
+	} {
+		t.Run(fmt.Sprintf("%d endpoints %d classes %d organisations", size.endpoints, size.classes, size.organisations), func(t *testing.T) {
+			encoded := encodeFigures(figuresOf(size.endpoints, size.classes, size.organisations))
+			t.Logf("%d bytes", len(encoded))
+			assert.Assert(t, len(encoded) <= size.limit, "%d bytes", len(encoded))
+			decoded, err := decodeFigures(encoded)
+			assert.NilError(t, err)
+			assert.Equal(t, len(decoded.endpoints)+len(decoded.lanes)+len(decoded.charged), size.endpoints+size.classes+size.organisations)
+		})
+	}
+}
+
+func FuzzDecodeFigures(f *testing.F) {
+	f.Add(encodeFigures(figuresOf(2, 2, 2)))
+	f.Add([]byte(`{"Lanes":{"Classes":["a"],"Groups":["m"],"Rows":[[1,2,3,4,-5]]}}`))
+	f.Add([]byte(`{"Remotes":[{"DataCentre":"b","Groups":["/r"],"Rooms":[1]}]}`))
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		decoded, err := decodeFigures(encoded)
+		if err != nil {
+			assert.ErrorIs(t, err, winch.ErrInvalid)
+			return
+		}
+		for _, l := range decoded.lanes {
+			assert.Assert(t, l.Queued >= 0 && l.Running >= 0)
+		}
+	})
+}
--- a/dispatch/endpoint/share.go
+++ b/dispatch/endpoint/share.go
@@ -21,7 +21,7 @@
 			l := e.lanes[i]
 			count := float64(len(l.endpoints))
 			own += float64(l.queued+l.running) / count
-			if c.fresh(now, l.othersAt) {
+			if c.informed(now) {
 				others += float64(l.others.Queued+l.others.Running) / count
 				all += float64(l.others.Queued+l.others.Running) / count
 				waiting += l.others.Queued
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -9,19 +9,28 @@
 
 // endpoint is what the host knows of one endpoint.
 type endpoint struct {
-	// What each choice reads stands first. The figures up to supply are renewed at each tick.
-	cap      int     // slots at present
-	fair     int     // this host's share of the slots
-	yields   bool    // another host waits for its share
-	factor   float64 // slowness relative to the endpoints of the same kind
+	// What each choice reads stands first, and is renewed at each tick.
+	cap    int     // slots at present
+	fair   int     // this host's share of the slots, when they are contended
+	factor float64 // slowness relative to the endpoints of the same kind
+	age    float64 // of the report, as a share of the horizon
+	// extra is the load beyond what the hosts know of, as reported, with less weight the older it is.
+	extra    float64
 	running  int
 	others   int
-	othersAt time.Time
+	reported float64
+	// pressedBy is the tier for which work was preempted here last; the endpoint is
+	// kept free for it until pressedUntil, in nanoseconds since 1970.
+	pressedBy    winch.Tier
+	pressedUntil int64
+	yields       bool // another host waits for its share
+	serving      bool // ready, by its state
+	cheap        bool
+	health       health
+
 	// offset is the reported load less what the hosts knew of when the report was true.
 	offset   float64
-	reported float64
 	asOf     time.Time
-
 	spec     winch.Endpoint
 	hash     uint64
 	state    winch.EndpointState
@@ -32,7 +41,6 @@
 	long      int
 	models    []winch.LoadedModel
 	limit     limiter
-	health    health
 	lastHeard atomic.Int64 // nanoseconds since 1970
 	inflating time.Time    // when the endpoint was first seen, for the ramp; zero when it is over
 	history   history
@@ -101,22 +109,23 @@
 	e.offset = e.reported - e.history.at(report.AsOf)
 }
 
-// estimate returns the number of requests at the endpoint. A report counts what
-// every client of the endpoint sends; it is corrected by what the hosts gave and
-// took since, and loses weight with its age.
-func (e *endpoint) estimate(age, horizon time.Duration, correct bool) float64 {
-	own := float64(e.running + e.others)
-	if age >= horizon {
-		return own
+// weigh renews the weight of the report by its age.
+func (e *endpoint) weigh(now time.Time, horizon time.Duration) {
+	e.age, e.extra = 0, 0
+	if e.asOf.IsZero() {
+		return
 	}
-	if !correct {
+	e.age = min(1, float64(now.Sub(e.asOf))/float64(horizon))
+	e.extra = max(0, (1-e.age)*e.offset)
+}
+
+// estimate returns the number of requests at the endpoint: what the hosts gave it
+// and, by its report, what they do not know of.
+func (e *endpoint) estimate(correct bool) float64 {
+	if !correct && !e.asOf.IsZero() {
 		return e.reported
 	}
-	trust := 1 - float64(age)/float64(horizon)
-	if offset := trust * e.offset; offset > 0 {
-		return own + offset
-	}
-	return own
+	return float64(e.running+e.others) + e.extra
 }
 
 const (
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -15,7 +15,7 @@
 		c.checkSilence(now, e)
 		c.checkLeaving(now, e)
 		if c.features.adaptiveLimit {
-			e.limit.adjust(now, c.targetsOf(e), e.running+e.others)
+			e.limit.adjust(now, c.interTarget(e), e.running+e.others)
 		}
 		e.history.add(now, float64(e.running+e.others))
 	}
@@ -76,7 +76,7 @@
 		seconds := at.Sub(r.grantedAt).Seconds()
 		r.lane.firstToken.add(seconds, sampleWeight)
 		if r.endpoint != nil {
-			r.endpoint.limit.sampleFirst(seconds)
+			r.endpoint.limit.sampleFirst(seconds, r.lane.class.FirstTokenTarget)
 			c.answered(now, r.endpoint)
 		}
 		r.collectedAt = at
@@ -101,30 +101,28 @@
 	}
 }
 
-// targetsOf returns the tightest targets of the classes that the endpoint serves.
-func (c *core) targetsOf(e *endpoint) targets {
-	t := targets{}
+// interTarget returns the tightest target between tokens, in seconds, of the
+// classes that use the endpoint at present; zero when there is none.
+func (c *core) interTarget(e *endpoint) float64 {
+	tightest := 0.0
 	for _, l := range e.lanes {
-		if l.running == 0 && l.queued == 0 {
-			continue
+		target := l.class.InterTokenTarget.Seconds()
+		if target > 0 && l.running+l.queued > 0 && (tightest == 0 || target < tightest) {
+			tightest = target
 		}
-		t.firstToken = tighter(t.firstToken, l.class.FirstTokenTarget)
-		t.interToken = tighter(t.interToken, l.class.InterTokenTarget)
 	}
-	return t
-}
-
-func tighter(seconds float64, target time.Duration) float64 {
-	if target <= 0 || seconds > 0 && seconds < target.Seconds() {
-		return seconds
-	}
-	return target.Seconds()
+	return tightest
 }
 
 // refresh renews the figures that choices read: slots, slowness and shares.
 func (c *core) refresh(now time.Time) {
+	informed := c.informed(now)
 	for _, e := range c.ordered {
+		if !informed {
+			e.others = 0
+		}
 		e.cap = e.slots(now, c.settings.RampTime)
+		e.weigh(now, c.settings.ReportHorizon)
 	}
 	for _, l := range c.sorted {
 		l.slots, l.steadyRoom = 0, 0
@@ -132,11 +130,11 @@
 		for _, e := range l.endpoints {
 			l.interMean.addMean(e.limit.steadyInter)
 			l.firstMean.addMean(e.limit.steadyFirst)
-			if e.state != winch.EndpointReady || now.Before(e.health.ejectedUntil) {
+			if !e.serving || now.Before(e.health.ejectedUntil) {
 				continue
 			}
 			l.slots += float64(e.cap)
-			if e.spec.Supply != winch.SupplyCheap {
+			if !e.cheap {
 				l.steadyRoom += float64(e.cap - e.upTo(l.class.Tier))
 			}
 		}
--- a/dispatch/endpoint/wait.go
+++ b/dispatch/endpoint/wait.go
@@ -18,7 +18,7 @@
 		return false
 	}
 	running := l.running
-	if c.fresh(now, l.othersAt) {
+	if c.informed(now) {
 		running += l.others.Running
 	}
 	return float64(running) < l.floorSlots()
@@ -30,7 +30,7 @@
 		return false
 	}
 	for _, rival := range l.rivals {
-		if rival.higher(l) && (rival.queued > 0 || c.fresh(now, rival.othersAt) && rival.others.Queued > 0) {
+		if rival.higher(l) && (rival.queued > 0 || c.informed(now) && rival.others.Queued > 0) {
 			return true
 		}
 	}
@@ -58,7 +58,7 @@
 		w.queued += rival.queued
 		w.floor += rival.floorRunning
 		w.running += c.movableRunning(rival)
-		if c.fresh(now, rival.othersAt) {
+		if c.informed(now) {
 			w.othersQueued += rival.others.Queued
 			w.othersRunning += rival.others.Movable
 		}
@@ -83,12 +83,12 @@
 			continue
 		}
 		queued, running := float64(rival.queued), float64(rival.running)
-		if c.fresh(now, rival.othersAt) {
-			queued += float64(rival.others.Queued)
-			running += float64(rival.others.Running)
-		}
 		if rival == l {
-			queued = c.aheadInLane(l, r, queued)
+			queued = c.aheadInLane(l, r)
+		}
+		if c.informed(now) {
+			queued += c.aheadElsewhere(rival, queued)
+			running += float64(rival.others.Running)
 		}
 		ahead += queued
 		if rival.higher(l) {
@@ -109,9 +109,10 @@
 
 const minimumSlots = 0.5
 
-// aheadInLane returns how many of the lane's queued requests are served before a
-// new one of the account: a flood of one account does not stand before the others.
-func (c *core) aheadInLane(l *lane, r *request, queued float64) float64 {
+// aheadInLane returns how many of the lane's queued requests here are served before
+// a new one of the account: a flood of one account does not stand before the others.
+func (c *core) aheadInLane(l *lane, r *request) float64 {
+	queued := float64(l.queued)
 	if !c.features.fairness || r == nil {
 		return queued
 	}
@@ -122,6 +123,15 @@
 	return math.Min(queued, (own+1)*float64(len(l.accounts)+1))
 }
 
+// aheadElsewhere returns how many requests the other hosts serve meanwhile, in
+// proportion to those ahead here, since the hosts share the slots by demand.
+func (c *core) aheadElsewhere(l *lane, ahead float64) float64 {
+	if l.queued == 0 {
+		return math.Min(float64(l.others.Queued), float64(c.hosts))
+	}
+	return float64(l.others.Queued) * math.Min(1, ahead/float64(l.queued))
+}
+
 // admit decides whether a request that finds no slot may queue. Refusals are effects.
 func (c *core) admit(now time.Time, r *request) bool {
 	l := r.lane
@@ -143,8 +153,14 @@
 	return c.makeRoom(now, r, wait)
 }
 
+// tooLong tells whether a request with the predicted wait would miss its target or
+// its deadline, so that it is better turned away at once.
 func (c *core) tooLong(now time.Time, r *request, wait time.Duration) bool {
-	if wait > r.lane.maxWait() {
+	bound := r.lane.maxWait()
+	if target := r.lane.class.FirstTokenTarget; target > 0 {
+		bound = min(bound, time.Duration(float64(target)*c.settings.RefuseShare))
+	}
+	if wait > bound {
 		return true
 	}
 	if r.work.Deadline.IsZero() {
