feat(dispatch): take ordered endpoints in with their pools

Cause: two declarations of EndpointState would have met in the root package. Ruled out: a second type for the same states. Conclusion: load.go keeps EndpointStatus and EndpointSource; the states are those of placement.go.

--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -54,7 +54,7 @@
 		c.endpoints[id] = e
 	}
 	// An endpoint that comes up while others serve is loaded by degrees.
-	if now.Sub(c.started) > c.settings.RampTime && (!found || e.state == winch.EndpointWarming && status.State == winch.EndpointReady) {
+	if now.Sub(c.started) > c.settings.RampTime && (!found || e.state == winch.EndpointStarting && status.State == winch.EndpointReady) {
 		e.inflating = now
 	}
 	e.spec, e.cheap = status.Endpoint, status.Endpoint.Supply == winch.SupplyCheap
--- a/dispatch/endpoint/model_test.go
+++ b/dispatch/endpoint/model_test.go
@@ -76,7 +76,6 @@
 	order   []*modelEngine
 	all     []*modelRequest
 	lag     time.Duration
-	pending []effect
 	late    []func()
 	lateAt  []time.Time
 	served  map[winch.OrganisationID]winch.Tokens
--- /dev/null
+++ b/dispatch/endpoint/ordered.go
@@ -0,0 +1,36 @@
+package endpoint
+
+import (
+	"github.com/arbutuswinch/winch"
+)
+
+// Ordered implements winch.EndpointSource for endpoints that were ordered for
+// pools. What an order does not tell of them is taken from the pool's configuration.
+type Ordered struct {
+	Orders         winch.OrderedEndpoints
+	Configurations winch.Configurations
+}
+
+// Endpoints returns the ordered endpoints whose pool is configured.
+func (o Ordered) Endpoints() []winch.EndpointStatus {
+	pools := o.Configurations.Current().Pools
+	var statuses []winch.EndpointStatus
+	for _, ordered := range o.Orders.Current() {
+		pool, found := pools[ordered.Pool]
+		if !found || ordered.State == winch.EndpointGone {
+			continue
+		}
+		statuses = append(statuses, winch.EndpointStatus{
+			Endpoint: winch.Endpoint{
+				ID: ordered.ID, DataCentre: ordered.DataCentre, Kind: winch.EndpointEngine, Address: ordered.Address,
+				Models: []winch.ModelID{pool.Model}, Classes: pool.Classes, Supply: ordered.Supply, Cost: pool.Cost,
+				SlotLimit: pool.SlotLimit, Pool: pool.ID, ChecksFencing: pool.ChecksFencing,
+			},
+			State: ordered.State, LeavesAt: ordered.LeavesAt,
+		})
+	}
+	return statuses
+}
+
+// Changed returns a channel that is closed at the next change.
+func (o Ordered) Changed() <-chan struct{} { return o.Orders.Changed() }
--- a/load.go
+++ b/load.go
@@ -2,16 +2,6 @@
 
 import "time"
 
-// EndpointState is the state of an endpoint as the platform or the endpoint tells it.
-type EndpointState string
-
-// The states in which an endpoint stands.
-const (
-	EndpointWarming EndpointState = "Warming"
-	EndpointReady   EndpointState = "Ready"
-	EndpointLeaving EndpointState = "Leaving"
-)
-
 // EndpointStatus is an endpoint that was ordered, with its state.
 type EndpointStatus struct {
 	Endpoint Endpoint
--- a/load/engine/codec.go
+++ b/load/engine/codec.go
@@ -42,7 +42,7 @@
 // report maps the answer. A report cannot be of the future, whatever the endpoint's clock says.
 func (a loadAnswer) report(now time.Time, id winch.EndpointID) (winch.LoadReport, error) {
 	if a.Running < 0 || a.Waiting < 0 {
-		return winch.LoadReport{}, fmt.Errorf("Running or Waiting is negative: %w", winch.ErrInvalid)
+		return winch.LoadReport{}, fmt.Errorf("negative Running or Waiting: %w", winch.ErrInvalid)
 	}
 	report := winch.LoadReport{
 		Endpoint: id, AsOf: a.AsOf, Running: a.Running, Waiting: a.Waiting, TokensPerSecond: a.TokensPerSecond,
@@ -66,7 +66,7 @@
 	case "", "ready":
 		return winch.EndpointReady, nil
 	case "warming", "starting":
-		return winch.EndpointWarming, nil
+		return winch.EndpointStarting, nil
 	case "leaving":
 		return winch.EndpointLeaving, nil
 	}
--- a/load/engine/engine.go
+++ b/load/engine/engine.go
@@ -166,7 +166,7 @@
 		return endpoints
 	}
 	for _, status := range r.options.Source.Endpoints() {
-		if status.Endpoint.DataCentre == centre && status.State != winch.EndpointWarming {
+		if status.Endpoint.DataCentre == centre && status.State != winch.EndpointStarting {
 			endpoints = append(endpoints, status.Endpoint)
 		}
 	}
