--- a/dispatch/endpoint/model_test.go
+++ b/dispatch/endpoint/model_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"io"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -13,7 +12,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/arbutuswinch/winch"
-	"github.com/arbutuswinch/winch/dispatch/audit"
 )
 
 const (
@@ -367,68 +365,3 @@
 		m.arrive(r)
 	}
 }
-
-// outcome sums up a class.
-type outcome struct {
-	requests, attained, finished, refused, moves int
-	worstWait                                    time.Duration
-}
-
-func (o outcome) share() float64 { return float64(o.attained) / math.Max(1, float64(o.requests)) }
-
-// result judges the requests of the class that arrived between two instants.
-func (m *model) result(class winch.ClassID, from, to time.Duration) outcome {
-	sum := outcome{}
-	for _, r := range m.all {
-		at := r.work.Arrived.Sub(m.start)
-		if r.class.class.ID != class || at < from || at >= to {
-			continue
-		}
-		sum.requests++
-		sum.moves += r.moves
-		if r.refused != "" {
-			sum.refused++
-		}
-		if r.finished {
-			sum.finished++
-		}
-		if r.firstAt.IsZero() {
-			if r.refused == "" {
-				sum.worstWait = max(sum.worstWait, m.now.Sub(r.work.Arrived))
-			}
-			continue
-		}
-		sum.worstWait = max(sum.worstWait, r.firstAt.Sub(r.work.Arrived))
-		if r.attained() {
-			sum.attained++
-		}
-	}
-	return sum
-}
-
-// attained tells whether the request met its class's targets.
-func (r *modelRequest) attained() bool {
-	target := r.class.class
-	if r.firstAt.Sub(r.work.Arrived) > target.FirstTokenTarget || r.refused != "" {
-		return false
-	}
-	if target.InterTokenTarget == 0 || r.done < 2 {
-		return true
-	}
-	end := r.endedAt
-	if !r.finished {
-		return true
-	}
-	return end.Sub(r.firstAt) <= time.Duration(r.done)*target.InterTokenTarget
-}
-
-// audited replays the hosts' logs.
-func (m *model) audited() audit.Report {
-	var logs []io.Reader
-	for _, log := range m.logs {
-		logs = append(logs, bytes.NewReader(log.Bytes()))
-	}
-	lines, err := audit.Read(logs...)
-	assert.NilError(m.t, err)
-	return audit.Check(lines, audit.Settings{Notice: 3 * time.Second, Starvation: 45 * time.Second})
-}
--- a/load.go
+++ b/load.go
@@ -76,3 +76,20 @@
 type QueueSource interface {
 	Queues(now time.Time) []QueueStatus
 }
+
+// LoadObservers passes what it takes in on to each of several observers.
+type LoadObservers []LoadObserver
+
+// ObserveLoad passes the report on.
+func (o LoadObservers) ObserveLoad(now time.Time, report LoadReport) {
+	for _, observer := range o {
+		observer.ObserveLoad(now, report)
+	}
+}
+
+// ObserveCache passes the event on.
+func (o LoadObservers) ObserveCache(now time.Time, event CacheEvent) {
+	for _, observer := range o {
+		observer.ObserveCache(now, event)
+	}
+}
--- a/load/peer/codec.go
+++ b/load/peer/codec.go
@@ -21,12 +21,22 @@
 	Waiting   []int
 	// Leaving names the endpoints that leave.
 	Leaving []string `json:",omitempty"`
-	// Adapters are those that each endpoint holds, when any holds one.
-	Adapters map[string][]string `json:",omitempty"`
+	// Sets are the sets of models that endpoints hold, and Held the place of each
+	// endpoint's set, since most endpoints hold the same.
+	Sets []setWire `json:",omitempty"`
+	Held []int     `json:",omitempty"`
+}
+
+// setWire is columns, as reportsWire.
+type setWire struct {
+	Models   []string
+	Adapters []string
+	Versions []string
 }
 
 func encode(now time.Time, reports []winch.LoadReport) []byte {
 	wire := reportsWire{}
+	places := map[string]int{}
 	for _, report := range reports {
 		wire.Endpoints = append(wire.Endpoints, string(report.Endpoint))
 		wire.Ages = append(wire.Ages, max(0, now.Sub(report.AsOf).Milliseconds()))
@@ -35,15 +45,15 @@
 		if report.State == winch.EndpointLeaving {
 			wire.Leaving = append(wire.Leaving, string(report.Endpoint))
 		}
-		for _, loaded := range report.Models {
-			if loaded.Adapter == "" {
-				continue
-			}
-			if wire.Adapters == nil {
-				wire.Adapters = map[string][]string{}
-			}
-			wire.Adapters[string(report.Endpoint)] = append(wire.Adapters[string(report.Endpoint)], string(loaded.Adapter))
+		set := encodeSet(report.Models)
+		name := fmt.Sprint(set)
+		place, found := places[name]
+		if !found {
+			place = len(wire.Sets)
+			places[name] = place
+			wire.Sets = append(wire.Sets, set)
 		}
+		wire.Held = append(wire.Held, place)
 	}
 	encoded, err := json.Marshal(wire)
 	if err != nil {
@@ -52,6 +62,36 @@
 	return encoded
 }
 
+func encodeSet(models []winch.LoadedModel) setWire {
+	set := setWire{Models: []string{}, Adapters: []string{}, Versions: []string{}}
+	for _, loaded := range models {
+		set.Models = append(set.Models, string(loaded.Model))
+		set.Adapters = append(set.Adapters, string(loaded.Adapter))
+		set.Versions = append(set.Versions, string(loaded.Version))
+	}
+	return set
+}
+
+func decodeSets(wires []setWire) ([][]winch.LoadedModel, error) {
+	if len(wires) > reportLimit {
+		return nil, fmt.Errorf("decode Sets: more than %d: %w", reportLimit, winch.ErrInvalid)
+	}
+	sets := make([][]winch.LoadedModel, 0, len(wires))
+	for _, wire := range wires {
+		if len(wire.Adapters) != len(wire.Models) || len(wire.Versions) != len(wire.Models) || len(wire.Models) > nameLimit {
+			return nil, fmt.Errorf("decode Sets: columns differ in length or exceed %d: %w", nameLimit, winch.ErrInvalid)
+		}
+		var set []winch.LoadedModel
+		for i, model := range wire.Models {
+			set = append(set, winch.LoadedModel{
+				Model: winch.ModelID(model), Adapter: winch.AdapterID(wire.Adapters[i]), Version: winch.ModelVersion(wire.Versions[i]),
+			})
+		}
+		sets = append(sets, set)
+	}
+	return sets, nil
+}
+
 func decode(now time.Time, encoded []byte) ([]winch.LoadReport, error) {
 	if len(encoded) == 0 {
 		return nil, nil
@@ -61,28 +101,29 @@
 		return nil, fmt.Errorf("decode load reports: %w: %w", winch.ErrInvalid, err)
 	}
 	count := len(wire.Endpoints)
-	if len(wire.Ages) != count || len(wire.Running) != count || len(wire.Waiting) != count || count > reportLimit {
+	if len(wire.Ages) != count || len(wire.Running) != count || len(wire.Waiting) != count || len(wire.Held) != count || count > reportLimit {
 		return nil, fmt.Errorf("decode load reports: columns differ in length or exceed %d: %w", reportLimit, winch.ErrInvalid)
 	}
+	sets, err := decodeSets(wire.Sets)
+	if err != nil {
+		return nil, err
+	}
 	leaving := map[string]bool{}
 	for _, id := range wire.Leaving {
 		leaving[id] = true
 	}
 	reports := make([]winch.LoadReport, 0, count)
 	for i, id := range wire.Endpoints {
-		if wire.Ages[i] < 0 || wire.Running[i] < 0 || wire.Waiting[i] < 0 || len(id) > nameLimit {
+		if wire.Ages[i] < 0 || wire.Running[i] < 0 || wire.Waiting[i] < 0 || len(id) > nameLimit || wire.Held[i] < 0 || wire.Held[i] >= len(sets) {
 			return nil, fmt.Errorf("decode load report of %.64q: value out of range: %w", id, winch.ErrInvalid)
 		}
 		report := winch.LoadReport{
 			Endpoint: winch.EndpointID(id), AsOf: now.Add(-time.Duration(wire.Ages[i]) * time.Millisecond),
-			Running: wire.Running[i], Waiting: wire.Waiting[i], State: winch.EndpointReady,
+			Running: wire.Running[i], Waiting: wire.Waiting[i], State: winch.EndpointReady, Models: sets[wire.Held[i]],
 		}
 		if leaving[id] {
 			report.State = winch.EndpointLeaving
 		}
-		for _, adapter := range wire.Adapters[id] {
-			report.Models = append(report.Models, winch.LoadedModel{Adapter: winch.AdapterID(adapter)})
-		}
 		reports = append(reports, report)
 	}
 	return reports, nil
--- a/load/peer/peer_test.go
+++ b/load/peer/peer_test.go
@@ -72,7 +72,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	f.Add([]byte(`{"Endpoints":["e"],"Ages":[1],"Running":[1],"Waiting":[0]}`))
+	f.Add([]byte(`{"Endpoints":["e"],"Ages":[1],"Running":[1],"Waiting":[0],"Sets":[{"Models":["m"],"Adapters":[""],"Versions":["1"]}],"Held":[0]}`))
 	f.Add([]byte(`{"Endpoints":["e"]}`))
 	f.Fuzz(func(t *testing.T, encoded []byte) {
 		reports, err := decode(time.Unix(1000, 0), encoded)
