fix(dispatch): judge silence and first tokens of whole answers apart

Cause: an answer that does not stream has no first token before its end; it would cut limits and eject idle endpoints. Ruled out: no silence check without streams, which would leave requests on a crashed endpoint. Before / after: TestSilence fails / passes. Conclusion: the patience grows with the usual time of the classes that wait.

--- a/dispatch/endpoint/core_test.go
+++ b/dispatch/endpoint/core_test.go
@@ -131,6 +131,30 @@
 	})
 }
 
+func TestSilence(t *testing.T) {
+	t.Run("waits longer for answers that come as a whole", func(t *testing.T) {
+		b := newBench(twoClasses(1, 4))
+		b.lanes[laneKey{class: notes, group: group{model: chat}}].hold.add(10, 1)
+		b.request(notes, 1)
+		b.pass(29 * time.Second)
+		assert.Equal(t, b.count(effectEjected), 0)
+		b.pass(2 * time.Second)
+		assert.Equal(t, b.count(effectEjected), 1)
+		assert.Equal(t, b.count(effectMoved), 0)
+	})
+	t.Run("takes no first token from an answer that came as a whole", func(t *testing.T) {
+		b := newBench(twoClasses(1, 4))
+		r := b.request(stall, 1)
+		b.now = b.now.Add(8 * time.Second)
+		r.progress.first.Store(b.now.UnixNano())
+		r.progress.last.Store(b.now.UnixNano())
+		r.progress.tokens.Store(100)
+		b.release(b.now, r, winch.OutcomeDone)
+		assert.Equal(t, r.lane.firstToken.samples, 0)
+		assert.Equal(t, b.only().limit.firstToken.samples, 0)
+	})
+}
+
 func TestRetryBudget(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	b := &retryBudget{}
--- a/dispatch/endpoint/health.go
+++ b/dispatch/endpoint/health.go
@@ -69,36 +69,51 @@
 	if !c.features.ejection || e.running == 0 || e.spec.Kind != winch.EndpointEngine || now.Before(e.health.ejectedUntil) {
 		return
 	}
-	streaming, since := e.awaited()
-	heard := time.Unix(0, e.lastHeard.Load())
-	if heard.After(since) {
+	w := e.awaited()
+	since := w.since
+	if heard := time.Unix(0, e.lastHeard.Load()); heard.After(since) {
 		since = heard
 	}
 	limit := c.settings.SilenceLimit
-	if !streaming {
-		// A first token may take long on a busy engine.
-		limit *= firstTokenPatience
+	if !w.streaming || w.longPrompt {
+		// A prompt may keep an engine busy for long, and an answer may come as a whole.
+		limit = max(limit, secondsOf(w.usual)) * promptPatience
 	}
-	if now.Sub(since) > limit {
-		c.eject(now, e, "silence")
+	if now.Sub(since) <= limit {
+		return
+	}
+	move := w.streaming || e.health.probing
+	c.eject(now, e, "silence")
+	if move {
 		c.moveAll(now, e)
 	}
 }
 
-const firstTokenPatience = 3
+const promptPatience = 3
+
+// awaitedWork is what is known of the answers that an endpoint owes.
+type awaitedWork struct {
+	// streaming says that tokens of at least one stream have come.
+	streaming bool
+	// longPrompt says that a long prompt has no token yet.
+	longPrompt bool
+	since      time.Time // when the oldest was given
+	usual      float64   // the longest usual time of its classes, in seconds
+}
 
-// awaited tells whether a stream is under way, and since when an answer is awaited at the longest.
-func (e *endpoint) awaited() (bool, time.Time) {
-	streaming, since := false, time.Time{}
+func (e *endpoint) awaited() awaitedWork {
+	w := awaitedWork{}
 	for i := range e.tiers {
 		for r := e.tiers[i].newest; r != nil; r = r.runNext {
-			streaming = streaming || r.firstSeen
-			if since.IsZero() || r.grantedAt.Before(since) {
-				since = r.grantedAt
+			w.streaming = w.streaming || r.firstSeen
+			w.longPrompt = w.longPrompt || r.long && !r.firstSeen
+			w.usual = max(w.usual, r.lane.hold.value)
+			if w.since.IsZero() || r.grantedAt.Before(w.since) {
+				w.since = r.grantedAt
 			}
 		}
 	}
-	return streaming, since
+	return w
 }
 
 // moveAll asks every stream to leave the endpoint.
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -72,14 +72,14 @@
 	first, last, tokens := p.first.Load(), p.last.Load(), winch.Tokens(p.tokens.Load())
 	if first != 0 && !r.firstSeen {
 		r.firstSeen = true
-		at := time.Unix(0, first)
-		seconds := at.Sub(r.grantedAt).Seconds()
-		r.lane.firstToken.add(seconds, sampleWeight)
+		r.collectedAt = time.Unix(0, first)
+		// An answer that came as a whole tells nothing of the first token.
+		if whole := first == last && tokens > 1; !whole {
+			c.sampleFirst(r, r.collectedAt)
+		}
 		if r.endpoint != nil {
-			r.endpoint.limit.sampleFirst(seconds, r.lane.class.FirstTokenTarget)
 			c.answered(now, r.endpoint)
 		}
-		r.collectedAt = at
 	}
 	delta := tokens - r.collected
 	if delta <= 0 {
@@ -101,6 +101,14 @@
 	}
 }
 
+func (c *core) sampleFirst(r *request, at time.Time) {
+	seconds := at.Sub(r.grantedAt).Seconds()
+	r.lane.firstToken.add(seconds, sampleWeight)
+	if r.endpoint != nil {
+		r.endpoint.limit.sampleFirst(seconds, r.lane.class.FirstTokenTarget)
+	}
+}
+
 // interTarget returns the tightest target between tokens, in seconds, of the
 // classes that use the endpoint at present; zero when there is none.
 func (c *core) interTarget(e *endpoint) float64 {
@@ -171,7 +179,7 @@
 	factor := math.Max(ratio(e.limit.steadyInter, e.lanes[0].interMean), ratio(e.limit.steadyFirst, e.lanes[0].firstMean))
 	factor = math.Min(slownessMax, math.Max(slownessMin, factor))
 	if e.running > 0 && e.spec.Kind == winch.EndpointEngine {
-		if streaming, _ := e.awaited(); streaming && now.Sub(time.Unix(0, e.lastHeard.Load())) > quietAfter {
+		if e.awaited().streaming && now.Sub(time.Unix(0, e.lastHeard.Load())) > quietAfter {
 			factor *= quietPenalty
 		}
 	}
