--- a/serving/caller/account.go
+++ b/serving/caller/account.go
@@ -59,29 +59,49 @@
 // report records the delivered tokens once there are at least step of them.
 func (s *Server) report(now time.Time, req *request, a *attempt, step winch.Tokens) {
 	due := a.account.tokens - a.account.reported
-	if due < step || a.account.peer || req.organisation == "" {
+	if due < step || a.account.peer || req.collect || req.organisation == "" {
 		return
 	}
 	a.account.reported += due
 	s.record(now, req, a, winch.UsageRecord{OutputTokens: due})
 }
 
-// settle records what is left at the end of an attempt, and the input with the first that delivered.
+// settle records what is left of an attempt's output.
 func (s *Server) settle(now time.Time, req *request, a *attempt) {
-	if a.account.peer || req.organisation == "" {
+	if req.first == nil && (a.complete || a.account.tokens > 0) {
+		req.first = a
+	}
+	if a.account.known {
+		req.input = a.account.input
+	}
+	if a.account.peer {
+		return
+	}
+	if req.collect {
+		req.held += a.account.final()
 		return
 	}
-	record := winch.UsageRecord{OutputTokens: a.account.final() - a.account.reported}
-	served := a.complete || a.account.tokens > 0
-	if served && !req.counted {
-		req.counted = true
+	if due := a.account.final() - a.account.reported; due > 0 && req.organisation != "" {
+		s.record(now, req, a, winch.UsageRecord{OutputTokens: due})
+	}
+}
+
+// bill records the request and its input, once, with the endpoint that served it
+// first, and the output of an answer that was collected. Where that was in another data centre, or where a peer hands over a stream
+// that has begun, the other host does it.
+func (s *Server) bill(now time.Time, req *request) {
+	if req.first == nil || req.organisation == "" || req.collect && !req.began {
+		return
+	}
+	record := winch.UsageRecord{}
+	if !req.first.account.peer && !req.handedOn {
 		record.Requests, record.InputTokens = 1, req.input
-		if a.account.known {
-			record.InputTokens = a.account.input
-		}
+	}
+	if req.collect {
+		record.OutputTokens = req.held
 	}
 	if record.Requests > 0 || record.OutputTokens > 0 {
-		s.record(now, req, a, record)
+		s.record(now, req, req.first, record)
 	}
 }
 
@@ -90,8 +110,8 @@
 	s.options.Usage.Record(now, record)
 }
 
-// first notes the time of an attempt's first token.
-func (s *Server) first(now time.Time, req *request, a *attempt) {
+// noteFirst notes the time of an attempt's first token.
+func (s *Server) noteFirst(now time.Time, req *request, a *attempt) {
 	if a.account.started {
 		return
 	}
