--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -54,10 +54,10 @@
 		c.endpoints[id] = e
 	}
 	// An endpoint that comes up while others serve is loaded by degrees.
-	if now.Sub(c.started) > c.settings.RampTime && (!found || e.state == winch.EndpointWarming && status.State == winch.EndpointReady) {
+	if now.Sub(c.started) > c.settings.RampTime && (!found || e.state == winch.EndpointStarting && status.State == winch.EndpointReady) {
 		e.inflating = now
 	}
-	e.spec = status.Endpoint
+	e.spec, e.cheap = status.Endpoint, status.Endpoint.Supply == winch.SupplyCheap
 	if ceiling := newLimiter(e.spec.SlotLimit).ceiling; ceiling != e.limit.ceiling {
 		e.limit.ceiling = ceiling
 		e.limit.value = min(e.limit.value, float64(ceiling))
@@ -67,12 +67,16 @@
 		return
 	}
 	e.state, e.leavesAt = status.State, time.Time{}
+	e.serving = e.state == winch.EndpointReady
 }
 
 // leave takes the endpoint out of service: no new work from now on, and the
 // streams are moved when the end is near.
 func (c *core) leave(now time.Time, e *endpoint, at time.Time) {
-	e.state, e.leavesAt = winch.EndpointLeaving, at
+	if e.state != winch.EndpointLeaving {
+		c.emit(effect{kind: effectLeaving, at: now, endpoint: e})
+	}
+	e.state, e.leavesAt, e.serving = winch.EndpointLeaving, at, false
 	if !at.IsZero() && at.Sub(now) <= c.settings.LeaveMargin {
 		c.moveAll(now, e)
 	}
