feat(winchd): report usage and order endpoints as the host in charge

Cause: the daemon counted nothing and used only endpoints of the configuration. Ruled out: one lease for all duties (a slow usage shard would hold up orders). Conclusion: shards and data centres have their own leases.

--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -22,16 +22,21 @@
   done
 }
 
+# Stops the hosts, and after them the stand-ins; fails when one of them did.
 stop_all() {
+  local status=0
+  stop_each "${pids[@]:1}" || status=1
+  stop_each "${pids[@]:0:1}" || status=1
+  pids=()
+  return $status
+}
+
+stop_each() {
   local status=0 pid
-  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
-    pid=${pids[$i]}
-    kill -TERM "$pid" 2>/dev/null || true
-  done
-  for pid in "${pids[@]}"; do
+  [ $# -eq 0 ] || kill -TERM "$@" 2>/dev/null || true
+  for pid in "$@"; do
     wait "$pid" || status=1
   done
-  pids=()
   return $status
 }
 
--- a/winchd/daemon/daemon.go
+++ b/winchd/daemon/daemon.go
@@ -70,9 +70,9 @@
 		{"key-value client", d.buildStore},
 		{"membership", d.buildMembership},
 		{"release", d.buildRelease},
-		{"placement", d.buildPlacement},
+		{"endpoints", d.buildEndpoints},
 		{"dispatch", d.buildDispatch},
-		{"planner", d.buildPlanner},
+		{"orders", d.buildOrders},
 		{"usage", d.buildUsage},
 		{"serving", d.buildServing},
 		{"exchange", d.buildExchange},
@@ -135,8 +135,7 @@
 		{"load reader", d.dispatch.reader.Run},
 	}
 	parts = append(parts, d.usage.parts()...)
-	parts = append(parts, d.placement.parts()...)
-	return append(parts, d.serving.parts()...)
+	return append(parts, d.placement.parts()...)
 }
 
 // Run serves until a signal asks for a stop. A planned stop finishes open requests first.
@@ -171,6 +170,5 @@
 	if err := d.serving.server.Drain(drainCtx); err != nil {
 		d.logger.Error("drain incomplete", "Event", EventDrainIncomplete, "Open", d.serving.server.Open(), "Error", err)
 	}
-	d.usage.flush(drainCtx)
 	return nil
 }
--- a/winchd/daemon/operator.go
+++ b/winchd/daemon/operator.go
@@ -67,8 +67,8 @@
 	for _, endpoint := range d.release.distributor.Current().Endpoints {
 		answer.Endpoints = append(answer.Endpoints, encodeEndpoint(winch.EndpointStatus{Endpoint: endpoint, State: winch.EndpointReady}))
 	}
-	if source := d.placement.source(); source != nil {
-		for _, status := range source.Endpoints() {
+	if d.placement.source != nil {
+		for _, status := range d.placement.source.Endpoints() {
 			answer.Endpoints = append(answer.Endpoints, encodeEndpoint(status))
 		}
 	}
--- a/winchd/daemon/parts.go
+++ b/winchd/daemon/parts.go
@@ -14,6 +14,7 @@
 	releasepeer "github.com/arbutuswinch/winch/release/peer"
 	"github.com/arbutuswinch/winch/serving/caller"
 	servingengine "github.com/arbutuswinch/winch/serving/engine"
+	servingstore "github.com/arbutuswinch/winch/serving/keyvalue"
 	servingpeer "github.com/arbutuswinch/winch/serving/peer"
 	servingservice "github.com/arbutuswinch/winch/serving/service"
 
@@ -103,18 +104,18 @@
 
 func (d *Daemon) buildDispatch() error {
 	dispatcher, err := dispatch.New(dispatch.Options{
-		Configurations: d.release.distributor, Source: d.placement.source(), Membership: d.membership.table, Clock: d.clock,
+		Configurations: d.release.distributor, Source: d.placement.source, Membership: d.membership.table, Clock: d.clock,
 		Logger: d.logger, Meter: d.metrics.meter(), Policy: dispatch.Policy(d.settings.Dispatch.Policy), Seed: d.settings.Dispatch.Seed,
 	})
 	if err != nil {
 		return err
 	}
-	load, err := loadpeer.New(loadpeer.Options{Observer: dispatcher})
+	load, err := loadpeer.New(loadpeer.Options{Observer: observers{dispatcher, d.placement}})
 	if err != nil {
 		return err
 	}
 	reader, err := loadengine.New(loadengine.Options{
-		Configurations: d.release.distributor, Source: d.placement.source(), Membership: d.membership.table, Clock: d.clock,
+		Configurations: d.release.distributor, Source: d.placement.source, Membership: d.membership.table, Clock: d.clock,
 		Logger: d.logger, Observer: load, Period: d.settings.Dispatch.ReportEvery,
 	})
 	d.dispatch = &dispatchParts{dispatcher: dispatcher, reader: reader, load: load}
@@ -127,8 +128,14 @@
 }
 
 func (d *Daemon) buildServing() error {
+	claims, err := servingstore.New(servingstore.Options{
+		Store: d.store, Owner: d.incarnation, Logger: d.logger, Retention: d.settings.Claims.Retention,
+	})
+	if err != nil {
+		return err
+	}
 	server, err := caller.New(caller.Options{
-		Configurations: d.release.distributor, Dispatcher: d.dispatch.dispatcher, Usage: d.usage.recorder(),
+		Configurations: d.release.distributor, Dispatcher: d.dispatch.dispatcher, Usage: d.usage.counters, Claims: claims,
 		Engines:  servingengine.New(servingengine.Options{Secret: d.settings.Endpoints.Credential, IdleConnections: idleConnections, DialTimeout: d.settings.Endpoints.DialTimeout}),
 		Services: servingservice.New(servingservice.Options{Secret: d.settings.Endpoints.Credential, IdleConnections: idleConnections, DialTimeout: d.settings.Endpoints.DialTimeout}),
 		Peers:    servingpeer.New(servingpeer.Options{Secret: d.settings.Peer.Secret, IdleConnections: idleConnections, DialTimeout: d.settings.Endpoints.DialTimeout}),
@@ -146,21 +153,3 @@
 		ReadTimeout: d.settings.Caller.ReadTimeout, ReadinessDelay: max(d.settings.Shutdown.ReadinessDelay, time.Millisecond),
 	}
 }
-
-func (p *servingParts) parts() []part { return nil }
-
-// placementParts order endpoints.
-type placementParts struct{}
-
-func (d *Daemon) buildPlacement() error {
-	d.placement = &placementParts{}
-	return nil
-}
-
-func (d *Daemon) buildPlanner() error { return nil }
-
-func (p *placementParts) source() winch.EndpointSource { return nil }
-
-func (p *placementParts) sections() []winch.Section { return nil }
-
-func (p *placementParts) parts() []part { return nil }
--- /dev/null
+++ b/winchd/daemon/placement.go
@@ -0,0 +1,127 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/charge/fenced"
+	charge "github.com/arbutuswinch/winch/charge/keyvalue"
+	dispatch "github.com/arbutuswinch/winch/dispatch/endpoint"
+	"github.com/arbutuswinch/winch/placement/planner"
+	"github.com/arbutuswinch/winch/placement/platform"
+)
+
+const ordersDuty = "orders/"
+
+// placementParts order endpoints and tell which were ordered. Without an order
+// interface in the settings all parts are absent.
+type placementParts struct {
+	endpoints *platform.Endpoints
+	source    winch.EndpointSource
+	holder    *charge.Holder
+	planner   *planner.Planner
+	orders    *platform.Orders
+}
+
+func (d *Daemon) buildEndpoints() error {
+	d.placement = &placementParts{}
+	if d.settings.Platform.Orders == "" {
+		return nil
+	}
+	endpoints, err := platform.NewEndpoints(platform.EndpointsOptions{
+		Address: d.settings.Platform.Orders, DataCentre: d.settings.DataCentre,
+		Membership: d.membership.table, Clock: d.clock, Logger: d.logger,
+	})
+	if err != nil {
+		return err
+	}
+	d.placement.endpoints = endpoints
+	d.placement.source = dispatch.Ordered{Orders: endpoints, Configurations: d.release.distributor}
+	return nil
+}
+
+func (d *Daemon) buildOrders() error {
+	if d.placement.endpoints == nil || !d.settings.Placement.Enabled {
+		return nil
+	}
+	holder, err := d.newHolder(winch.Duty(ordersDuty+string(d.settings.DataCentre)), d.settings.DataCentre)
+	if err != nil {
+		return err
+	}
+	sender, err := fenced.New(fenced.Options{Clock: d.clock})
+	if err != nil {
+		return err
+	}
+	plans, err := planner.New(planner.Options{
+		Configurations: d.release.distributor, Queues: d.dispatch.dispatcher, Orders: d.placement.endpoints, Logger: d.logger,
+	})
+	if err != nil {
+		return err
+	}
+	orders, err := platform.New(platform.Options{
+		Address: d.settings.Platform.Orders, DataCentre: d.settings.DataCentre, Holder: d.settings.Host, Incarnation: d.incarnation,
+		Charge: holder, Sender: sender, Store: d.store, Planner: plans, Endpoints: d.placement.endpoints,
+		Interval: d.settings.Placement.PlanEvery, InFlight: d.settings.Charge.InFlight,
+		Clock: d.clock, Logger: d.logger, Meter: d.metrics.meter(),
+	})
+	d.placement.holder, d.placement.planner, d.placement.orders = holder, plans, orders
+	return err
+}
+
+// newHolder returns the lease of a duty.
+func (d *Daemon) newHolder(duty winch.Duty, centre winch.DataCentreID) (*charge.Holder, error) {
+	return charge.New(charge.Options{
+		Store: d.store, Duty: duty, DataCentre: centre, Membership: d.membership.table, Incarnation: d.incarnation,
+		TTL: d.settings.Charge.TTL, RenewEvery: d.settings.Charge.RenewEvery, InFlight: d.settings.Charge.InFlight,
+		Clock: d.clock, Logger: d.logger, Meter: d.metrics.meter(),
+	})
+}
+
+func (p *placementParts) sections() []winch.Section {
+	if p.endpoints == nil {
+		return nil
+	}
+	return []winch.Section{p.endpoints}
+}
+
+func (p *placementParts) parts() []part {
+	if p.endpoints == nil {
+		return nil
+	}
+	parts := []part{{"endpoint list", p.endpoints.Run}}
+	if p.orders != nil {
+		parts = append(parts, part{"order lease", p.holder.Run}, part{"orders", p.orders.Run})
+	}
+	return parts
+}
+
+// ObserveLoad passes reports on to the planner.
+func (p *placementParts) ObserveLoad(now time.Time, report winch.LoadReport) {
+	if p.planner != nil {
+		p.planner.ObserveLoad(now, report)
+	}
+}
+
+// ObserveCache passes cache events on to the planner.
+func (p *placementParts) ObserveCache(now time.Time, event winch.CacheEvent) {
+	if p.planner != nil {
+		p.planner.ObserveCache(now, event)
+	}
+}
+
+// observers passes load reports on to several observers.
+type observers []winch.LoadObserver
+
+// ObserveLoad passes a report on.
+func (o observers) ObserveLoad(now time.Time, report winch.LoadReport) {
+	for _, each := range o {
+		each.ObserveLoad(now, report)
+	}
+}
+
+// ObserveCache passes an event on.
+func (o observers) ObserveCache(now time.Time, event winch.CacheEvent) {
+	for _, each := range o {
+		each.ObserveCache(now, event)
+	}
+}
--- a/winchload/main.go
+++ b/winchload/main.go
@@ -8,6 +8,7 @@
 //	winchload direct --experiment experiments/probababa.json --control 127.0.0.1:7009 --out out/direct.json
 //	winchload pair --experiment experiments/probababa.json --policies Winch,Random --seeds 1,2,3 --out out/pair
 //	winchload table out/pair/*.json
+//	winchload call --address 127.0.0.1:8001 --key KEY --class store-floor --model atlas-8b
 //	winchload settings --experiment experiments/probababa.json --base-port 7000 --out out/set
 package main
 
@@ -27,6 +28,7 @@
 	Direct   *directCommand   `arg:"subcommand:direct" help:"send the same load straight to the stand-in endpoints"`
 	Pair     *pairCommand     `arg:"subcommand:pair" help:"start whole sets and compare policies or builds"`
 	Table    *tableCommand    `arg:"subcommand:table" help:"print a Markdown table of result files"`
+	Call     *callCommand     `arg:"subcommand:call" help:"send one request as a caller and show the answer"`
 	Settings *settingsCommand `arg:"subcommand:settings" help:"write the settings files and the release note of an experiment"`
 }
 
@@ -56,6 +58,8 @@
 		return args.Pair.execute(ctx)
 	case args.Table != nil:
 		return args.Table.execute(os.Stdout)
+	case args.Call != nil:
+		return args.Call.execute(ctx, os.Stdout)
 	case args.Settings != nil:
 		return args.Settings.execute()
 	}
