fix(serving): continue a stream that made progress without spending retry budget

Ruled out: no budget for repeats at all; an attempt that delivered nothing still spends. Conclusion: only attempts without output count as retries.

--- a/serving/caller/recover.go
+++ b/serving/caller/recover.go
@@ -38,6 +38,9 @@
 // the request may be dispatched again.
 func (s *Server) recover(ctx context.Context, req *request, a *attempt, err error) *fault {
 	ruling := judge(err, context.Cause(a.ctx))
+	// An attempt that delivered output needs no budget for the next: with progress in
+	// each attempt, continuing cannot multiply the load as repeats do.
+	ruling.spends = ruling.spends && a.account.tokens == 0
 	s.logBroken(req, a, err)
 	s.close(req, a, ruling.outcome)
 	req.move(ruling.happening)
