--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -21,6 +21,7 @@
 	effectRestored
 	effectQueueLong
 	effectQueueShort
+	effectLeaving
 )
 
 // effect is a decision of the core for the shell to carry out and to log.
@@ -43,6 +44,7 @@
 	queued, running             int // of this host
 	othersQueued, othersRunning int // of the other hosts, by digest
 	floor                       int // kept by the floors of lower classes
+	waiting                     int // queued here in the tier and above
 }
 
 func (w lowerWork) movable() int { return w.running + w.othersRunning }
@@ -167,7 +169,7 @@
 		if !rival.higher(l) {
 			return false
 		}
-		if c.fresh(now, rival.othersAt) && rival.others.Urgent > 0 {
+		if c.informed(now) && rival.others.Urgent > 0 {
 			return true
 		}
 	}
@@ -178,6 +180,9 @@
 	return !at.IsZero() && now.Sub(at) <= c.settings.DigestHorizon
 }
 
+// informed tells whether the figures of the other hosts are fresh.
+func (c *core) informed(now time.Time) bool { return c.fresh(now, c.appliedAt) }
+
 func (c *core) enqueue(now time.Time, r *request) {
 	l := r.lane
 	r.state = requestQueued
@@ -227,7 +232,7 @@
 	e.add(r)
 	e.history.add(now, float64(e.running+e.others))
 	l.running++
-	if e.spec.Supply == winch.SupplyCheap {
+	if e.cheap {
 		l.cheapRunning++
 	}
 	c.noteServed(r.account)
@@ -297,15 +302,18 @@
 	e.remove(r)
 	e.history.add(now, float64(e.running+e.others))
 	l.running--
-	if e.spec.Supply == winch.SupplyCheap {
+	if e.cheap {
 		l.cheapRunning--
 	}
 	if r.floor {
 		l.floorRunning--
 	}
-	if r.relieves && l.preempting > 0 {
+	if r.relieves {
 		l.preempting--
 	}
+	if r.preempted && !r.floor {
+		l.goingRunning--
+	}
 	c.judge(now, r, outcome)
 	c.fill(now, e)
 }
@@ -314,11 +322,11 @@
 func (c *core) judge(now time.Time, r *request, outcome winch.Outcome) {
 	switch outcome {
 	case winch.OutcomeDone:
-		r.lane.hold.add(now.Sub(r.grantedAt).Seconds(), sampleWeight)
+		r.lane.hold.add(now.Sub(r.grantedAt).Seconds(), holdWeight)
 		r.lane.budget.success(c.settings.RetryShare)
 		if r.work.Route != "" {
 			r.lane.firstToken.add(now.Sub(r.grantedAt).Seconds(), sampleWeight)
-			r.endpoint.limit.sampleFirst(now.Sub(r.grantedAt).Seconds())
+			r.endpoint.limit.sampleFirst(now.Sub(r.grantedAt).Seconds(), r.lane.class.FirstTokenTarget)
 		}
 		c.answered(now, r.endpoint)
 	case winch.OutcomeUnsent:
@@ -330,72 +338,6 @@
 	}
 }
 
-// fill gives the endpoint's free slots to waiting requests.
-func (c *core) fill(now time.Time, e *endpoint) {
-	for e.usable(now) && c.allowance(now, e) > 0 {
-		r := c.nextFor(now, e)
-		if r == nil {
-			return
-		}
-		c.grant(now, r, e)
-	}
-}
-
-// nextFor picks the request that the endpoint serves next: a starved class
-// below its floor, then the highest tier, and inside a tier the account served least.
-func (c *core) nextFor(now time.Time, e *endpoint) *request {
-	if !c.features.tiers {
-		return c.oldestFor(e)
-	}
-	for _, l := range e.lanes {
-		if l.queued > 0 && c.starved(now, l) && c.roomFor(e, l, l.oldest) {
-			if r := l.next(e, c.features.fairness); r != nil {
-				return r
-			}
-		}
-	}
-	var best *request
-	for _, l := range e.lanes {
-		if best != nil && best.lane.higher(l) {
-			break
-		}
-		if l.queued == 0 || c.blocked(now, l) {
-			continue
-		}
-		r := l.next(e, c.features.fairness)
-		if r != nil && c.roomFor(e, l, r) && (best == nil || c.before(r, best)) {
-			best = r
-		}
-	}
-	return best
-}
-
-func (c *core) before(r, other *request) bool {
-	if c.features.fairness && r.account != other.account {
-		return r.account.served < other.account.served
-	}
-	return r.queuedAt.Before(other.queuedAt)
-}
-
-func (c *core) oldestFor(e *endpoint) *request {
-	var best *request
-	for _, l := range e.lanes {
-		r := l.next(e, false)
-		if r != nil && (best == nil || r.queuedAt.Before(best.queuedAt)) {
-			best = r
-		}
-	}
-	return best
-}
-
-// roomFor keeps long work to its share of an endpoint that serves a more urgent class.
-func (c *core) roomFor(e *endpoint, l *lane, r *request) bool {
-	if !c.features.longShare || !r.long || len(e.lanes) == 0 || !e.lanes[0].higher(l) {
-		return true
-	}
-	return float64(e.long) < max(1, c.settings.LongShare*e.limit.value)
-}
-
 // observeLoad takes an endpoint's report in.
 func (c *core) observeLoad(now time.Time, report winch.LoadReport) {
 	e, found := c.endpoints[report.Endpoint]
@@ -403,6 +345,7 @@
 		return
 	}
 	e.observe(report)
+	e.weigh(now, c.settings.ReportHorizon)
 	if report.State == winch.EndpointLeaving && e.state == winch.EndpointReady {
 		c.leave(now, e, time.Time{})
 	}
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -15,7 +15,7 @@
 		c.checkSilence(now, e)
 		c.checkLeaving(now, e)
 		if c.features.adaptiveLimit {
-			e.limit.adjust(now, c.targetsOf(e), e.running+e.others)
+			e.limit.adjust(now, c.interTarget(e), e.running+e.others)
 		}
 		e.history.add(now, float64(e.running+e.others))
 	}
@@ -72,14 +72,14 @@
 	first, last, tokens := p.first.Load(), p.last.Load(), winch.Tokens(p.tokens.Load())
 	if first != 0 && !r.firstSeen {
 		r.firstSeen = true
-		at := time.Unix(0, first)
-		seconds := at.Sub(r.grantedAt).Seconds()
-		r.lane.firstToken.add(seconds, sampleWeight)
+		r.collectedAt = time.Unix(0, first)
+		// An answer that came as a whole tells nothing of the first token.
+		if whole := first == last && tokens > 1; !whole {
+			c.sampleFirst(r, r.collectedAt)
+		}
 		if r.endpoint != nil {
-			r.endpoint.limit.sampleFirst(seconds)
 			c.answered(now, r.endpoint)
 		}
-		r.collectedAt = at
 	}
 	delta := tokens - r.collected
 	if delta <= 0 {
@@ -101,30 +101,36 @@
 	}
 }
 
-// targetsOf returns the tightest targets of the classes that the endpoint serves.
-func (c *core) targetsOf(e *endpoint) targets {
-	t := targets{}
-	for _, l := range e.lanes {
-		if l.running == 0 && l.queued == 0 {
-			continue
-		}
-		t.firstToken = tighter(t.firstToken, l.class.FirstTokenTarget)
-		t.interToken = tighter(t.interToken, l.class.InterTokenTarget)
+func (c *core) sampleFirst(r *request, at time.Time) {
+	seconds := at.Sub(r.grantedAt).Seconds()
+	r.lane.firstToken.add(seconds, sampleWeight)
+	if r.endpoint != nil {
+		r.endpoint.limit.sampleFirst(seconds, r.lane.class.FirstTokenTarget)
 	}
-	return t
 }
 
-func tighter(seconds float64, target time.Duration) float64 {
-	if target <= 0 || seconds > 0 && seconds < target.Seconds() {
-		return seconds
+// interTarget returns the tightest target between tokens, in seconds, of the
+// classes that use the endpoint at present; zero when there is none.
+func (c *core) interTarget(e *endpoint) float64 {
+	tightest := 0.0
+	for _, l := range e.lanes {
+		target := l.class.InterTokenTarget.Seconds()
+		if target > 0 && l.running+l.queued > 0 && (tightest == 0 || target < tightest) {
+			tightest = target
+		}
 	}
-	return target.Seconds()
+	return tightest
 }
 
 // refresh renews the figures that choices read: slots, slowness and shares.
 func (c *core) refresh(now time.Time) {
+	informed := c.informed(now)
 	for _, e := range c.ordered {
+		if !informed {
+			e.others = 0
+		}
 		e.cap = e.slots(now, c.settings.RampTime)
+		e.weigh(now, c.settings.ReportHorizon)
 	}
 	for _, l := range c.sorted {
 		l.slots, l.steadyRoom = 0, 0
@@ -132,11 +138,11 @@
 		for _, e := range l.endpoints {
 			l.interMean.addMean(e.limit.steadyInter)
 			l.firstMean.addMean(e.limit.steadyFirst)
-			if e.state != winch.EndpointReady || now.Before(e.health.ejectedUntil) {
+			if !e.serving || now.Before(e.health.ejectedUntil) {
 				continue
 			}
 			l.slots += float64(e.cap)
-			if e.spec.Supply != winch.SupplyCheap {
+			if !e.cheap {
 				l.steadyRoom += float64(e.cap - e.upTo(l.class.Tier))
 			}
 		}
@@ -173,7 +179,7 @@
 	factor := math.Max(ratio(e.limit.steadyInter, e.lanes[0].interMean), ratio(e.limit.steadyFirst, e.lanes[0].firstMean))
 	factor = math.Min(slownessMax, math.Max(slownessMin, factor))
 	if e.running > 0 && e.spec.Kind == winch.EndpointEngine {
-		if streaming, _ := e.awaited(); streaming && now.Sub(time.Unix(0, e.lastHeard.Load())) > quietAfter {
+		if e.awaited().streaming && now.Sub(time.Unix(0, e.lastHeard.Load())) > quietAfter {
 			factor *= quietPenalty
 		}
 	}
--- a/dispatch/endpoint/wait.go
+++ b/dispatch/endpoint/wait.go
@@ -18,7 +18,7 @@
 		return false
 	}
 	running := l.running
-	if c.fresh(now, l.othersAt) {
+	if c.informed(now) {
 		running += l.others.Running
 	}
 	return float64(running) < l.floorSlots()
@@ -30,7 +30,7 @@
 		return false
 	}
 	for _, rival := range l.rivals {
-		if rival.higher(l) && (rival.queued > 0 || c.fresh(now, rival.othersAt) && rival.others.Queued > 0) {
+		if rival.higher(l) && (rival.queued > 0 || c.informed(now) && rival.others.Queued > 0) {
 			return true
 		}
 	}
@@ -52,12 +52,13 @@
 	}
 	for _, rival := range l.rivals {
 		if !l.higher(rival) {
+			w.waiting += rival.queued
 			continue
 		}
 		w.queued += rival.queued
 		w.floor += rival.floorRunning
 		w.running += c.movableRunning(rival)
-		if c.fresh(now, rival.othersAt) {
+		if c.informed(now) {
 			w.othersQueued += rival.others.Queued
 			w.othersRunning += rival.others.Movable
 		}
@@ -70,7 +71,7 @@
 	if l.key.group.model == "" {
 		return 0
 	}
-	return l.running - l.floorRunning
+	return max(0, l.running-l.floorRunning-l.goingRunning)
 }
 
 // predictedWait returns how long a new request of the lane would wait. Lower
@@ -82,12 +83,12 @@
 			continue
 		}
 		queued, running := float64(rival.queued), float64(rival.running)
-		if c.fresh(now, rival.othersAt) {
-			queued += float64(rival.others.Queued)
-			running += float64(rival.others.Running)
-		}
 		if rival == l {
-			queued = c.aheadInLane(l, r, queued)
+			queued = c.aheadInLane(l, r)
+		}
+		if c.informed(now) {
+			queued += c.aheadElsewhere(rival, queued)
+			running += float64(rival.others.Running)
 		}
 		ahead += queued
 		if rival.higher(l) {
@@ -108,9 +109,10 @@
 
 const minimumSlots = 0.5
 
-// aheadInLane returns how many of the lane's queued requests are served before a
-// new one of the account: a flood of one account does not stand before the others.
-func (c *core) aheadInLane(l *lane, r *request, queued float64) float64 {
+// aheadInLane returns how many of the lane's queued requests here are served before
+// a new one of the account: a flood of one account does not stand before the others.
+func (c *core) aheadInLane(l *lane, r *request) float64 {
+	queued := float64(l.queued)
 	if !c.features.fairness || r == nil {
 		return queued
 	}
@@ -121,6 +123,15 @@
 	return math.Min(queued, (own+1)*float64(len(l.accounts)+1))
 }
 
+// aheadElsewhere returns how many requests the other hosts serve meanwhile, in
+// proportion to those ahead here, since the hosts share the slots by demand.
+func (c *core) aheadElsewhere(l *lane, ahead float64) float64 {
+	if l.queued == 0 {
+		return math.Min(float64(l.others.Queued), float64(c.hosts))
+	}
+	return float64(l.others.Queued) * math.Min(1, ahead/float64(l.queued))
+}
+
 // admit decides whether a request that finds no slot may queue. Refusals are effects.
 func (c *core) admit(now time.Time, r *request) bool {
 	l := r.lane
@@ -128,7 +139,7 @@
 		return true
 	}
 	wait := c.predictedWait(now, l, r)
-	if c.features.earlyRefusal && c.tooLong(now, r, wait) && !c.canGiveWay(now, l) {
+	if c.features.earlyRefusal && c.tooLong(now, r, wait) && !c.giveWay(now, l) {
 		reason := winch.RefusedWait
 		if !r.work.Deadline.IsZero() && now.Add(wait).After(r.work.Deadline) {
 			reason = winch.RefusedDeadline
@@ -142,8 +153,14 @@
 	return c.makeRoom(now, r, wait)
 }
 
+// tooLong tells whether a request with the predicted wait would miss its target or
+// its deadline, so that it is better turned away at once.
 func (c *core) tooLong(now time.Time, r *request, wait time.Duration) bool {
-	if wait > r.lane.maxWait() {
+	bound := r.lane.maxWait()
+	if target := r.lane.class.FirstTokenTarget; target > 0 {
+		bound = min(bound, time.Duration(float64(target)*c.settings.RefuseShare))
+	}
+	if wait > bound {
 		return true
 	}
 	if r.work.Deadline.IsZero() {
@@ -152,18 +169,20 @@
 	return now.Add(wait + secondsOf(r.lane.firstToken.value)).After(r.work.Deadline)
 }
 
-// canGiveWay tells whether lower tiers hold more slots than the lane's queue already waits for.
-func (c *core) canGiveWay(now time.Time, l *lane) bool {
-	if !c.features.tiers {
+// giveWay finds a slot for the request that is held by lower tiers. Work of this
+// host is preempted for it; other hosts learn by the next report.
+func (c *core) giveWay(now time.Time, l *lane) bool {
+	if !c.features.tiers || !c.features.preemption {
 		return false
 	}
-	waiting := 0
-	for _, rival := range l.rivals {
-		if !l.higher(rival) {
-			waiting += rival.queued
+	w := c.lowerWork(now, l)
+	if w.running > 0 {
+		if victim := c.victim(now, l); victim != nil {
+			c.preempt(now, victim, l, false)
+			return true
 		}
 	}
-	return c.lowerWork(now, l).movable() > waiting
+	return w.othersRunning > w.waiting
 }
 
 // makeRoom finds a place in a full queue: the newest request of the lowest tier
@@ -175,7 +194,7 @@
 			c.refuse(now, victim, victim.lane, winch.RefusedShed, c.predictedWait(now, victim.lane, victim))
 			return true
 		}
-		if c.canGiveWay(now, l) {
+		if c.giveWay(now, l) {
 			return true
 		}
 	}
--- a/serving/caller/admit.go
+++ b/serving/caller/admit.go
@@ -28,6 +28,9 @@
 
 // request is a caller's request and what became of it so far.
 type request struct {
+	// own is the context of the request without its caller: it ends with the request's
+	// time, its key or the host, but not when the caller leaves.
+	own          context.Context
 	id           winch.RequestID
 	keyed        bool
 	hash         winch.KeyHash
@@ -49,15 +52,21 @@
 	// lastRefusal is what an endpoint that refused said.
 	lastRefusal *fault
 	began       bool
-	closing     bool
-	counted     bool
-	firstToken  time.Duration
-	output      winch.Tokens
-	outcome     string
+	// first is the first attempt that delivered something.
+	first *attempt
+	// handedOn: a peer hands over a stream that has begun.
+	handedOn   bool
+	firstToken time.Duration
+	output     winch.Tokens
+	// held are the output tokens of an answer that is being collected.
+	held winch.Tokens
 	// rigid says that output was delivered from which no engine can resume.
 	rigid bool
 }
 
+// chat reports whether the request is a chat completion.
+func (req *request) chat() bool { return strings.HasSuffix(req.path, "/chat/completions") }
+
 // requestID returns the caller's id for the request, or a new one.
 func requestID(header http.Header) (winch.RequestID, *fault) {
 	id := header.Get("X-Request-Id")
@@ -184,7 +193,7 @@
 	if req.completion, f = decodeCompletion(body, req.local); f != nil {
 		return f
 	}
-	req.rigid = req.several
+	req.rigid, req.handedOn = req.several, req.tokens > 0
 	req.path = r.URL.Path
 	req.ledger.repeatable = true
 	named := winch.ClassID(r.Header.Get("X-Request-Class"))
@@ -211,7 +220,7 @@
 		return refused(winch.RefusedNoEndpoint, "the route's class does not exist", time.Second)
 	}
 	req.route, req.class = route, class
-	req.ledger.repeatable = route.Idempotent
+	req.ledger.repeatable = route.Idempotent || s.options.unguarded.resends
 	req.path = "/" + rest
 	if r.URL.RawQuery != "" {
 		req.path += "?" + r.URL.RawQuery
@@ -221,7 +230,6 @@
 	}
 	body, f := s.readBody(w, r)
 	req.body = body
-	req.input = winch.Tokens(len(body) / bytesPerToken)
 	return f
 }
 
@@ -236,7 +244,7 @@
 
 // stillAuthorized reports why a request may no longer run, or nil.
 func (s *Server) stillAuthorized(now time.Time, req *request) error {
-	if !req.keyed || req.local {
+	if !req.keyed || req.local || s.options.unguarded.keys {
 		return nil
 	}
 	_, err := s.options.Configurations.Authorize(now, req.hash)
@@ -248,8 +256,3 @@
 	}
 	return errKeyWithdrawn
 }
-
-// left reports whether the caller went away.
-func left(ctx context.Context) bool {
-	return errors.Is(context.Cause(ctx), context.Canceled)
-}
--- a/serving/caller/attempt.go
+++ b/serving/caller/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -34,8 +35,12 @@
 }
 
 // watch cancels the attempt when its slot is preempted or the endpoint falls silent.
-func (s *Server) watch(a *attempt, class winch.Class) {
+func (s *Server) watch(a *attempt, class winch.Class, stream bool) {
 	first, next := s.options.Limits.stallAfter(class)
+	if !stream {
+		// A whole answer shows no progress before its end; its limit is the deadline.
+		first, next = math.MaxInt64, math.MaxInt64
+	}
 	ticker := time.NewTicker(first / stallChecks)
 	defer ticker.Stop()
 	silent, seen := 0, int64(0)
@@ -103,16 +108,26 @@
 		return nil, faultOf(err)
 	}
 	a := &attempt{slot: slot, endpoint: slot.Endpoint(), started: now}
-	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	a.ctx, a.cancel = attemptContext(ctx, req)
 	a.account = account{base: req.tokens, peer: a.endpoint.Kind == winch.EndpointPeer}
 	req.attempts = append(req.attempts, AttemptExplanation{Endpoint: a.endpoint.ID, Waited: now.Sub(started)})
 	req.move(sendStarted)
 	if req.route.ID == "" {
-		go s.watch(a, req.class)
+		go s.watch(a, req.class, req.stream)
 	}
 	return a, nil
 }
 
+// attemptContext returns the context of an attempt. A call that may not be repeated
+// goes on when its caller leaves: broken off, its outcome would be unknown, and
+// finished, its answer can be kept for the caller's repeat.
+func attemptContext(ctx context.Context, req *request) (context.Context, context.CancelCauseFunc) {
+	if req.ledger.repeatable {
+		return context.WithCancelCause(ctx)
+	}
+	return context.WithCancelCause(req.own)
+}
+
 func (s *Server) unacquired(ctx context.Context, req *request, err error) *fault {
 	if ctx.Err() != nil && !errors.Is(err, winch.ErrRefused) {
 		err = context.Cause(ctx)
@@ -146,7 +161,7 @@
 
 func (s *Server) call(req *request) winch.Call {
 	body := req.body
-	if req.tokens > 0 {
+	if req.tokens > 0 && !s.options.unguarded.resume {
 		body = withResume(body, req.tokens, req.text)
 	}
 	return winch.Call{
@@ -178,6 +193,10 @@
 	if a.endpoint.Kind == winch.EndpointPeer {
 		return s.screenPeer(req, a)
 	}
+	if status == http.StatusNotFound && req.route.ID == "" {
+		// The engine does not hold the model, or no longer.
+		return errEndpointRefused
+	}
 	if status < http.StatusInternalServerError && status != http.StatusUnauthorized && status != http.StatusForbidden {
 		return nil
 	}
@@ -207,6 +226,10 @@
 	case runStateRan:
 		return nil
 	}
+	if a.reply.Status == http.StatusUnauthorized {
+		// The peer does not take requests from this host.
+		return errEndpointRefused
+	}
 	return winch.ErrOutcomeUnknown
 }
 
--- a/serving/caller/fakes_test.go
+++ b/serving/caller/fakes_test.go
@@ -93,6 +93,8 @@
 	retries   int
 	// hold makes requests wait until their context ends.
 	hold bool
+	// granted runs before a slot is handed out.
+	granted func()
 }
 
 type fakeSlot struct {
@@ -119,6 +121,9 @@
 		if !excluded(work, endpoint.ID) {
 			slot := &fakeSlot{endpoint: endpoint, preempted: make(chan struct{})}
 			d.slots = append(d.slots, slot)
+			if d.granted != nil {
+				d.granted()
+			}
 			return slot, nil
 		}
 	}
@@ -198,7 +203,6 @@
 	server *httptest.Server
 	mutex  sync.Mutex
 	seen   []*http.Request
-	bodies []string
 	// words is the length of the whole output.
 	words int
 	// before runs before each word, with the number of the word.
@@ -206,8 +210,12 @@
 	// status and code are set to refuse.
 	status int
 	code   string
-	// id replaces the request's id from the word on.
+	// crossAt is the word from which another request's id is sent.
 	crossAt int
+	// end ends streams in its own way.
+	end func(w http.ResponseWriter, id string)
+	// opaque adds output other than text to streams.
+	opaque bool
 }
 
 type fakeCompletion struct {
@@ -236,19 +244,11 @@
 	return append([]*http.Request(nil), e.seen...)
 }
 
-func (e *fakeEngine) body(index int) string {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.bodies[index]
-}
-
 func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	raw := json.RawMessage{}
-	_ = json.NewDecoder(r.Body).Decode(&raw)
 	asked := fakeCompletion{}
-	_ = json.Unmarshal(raw, &asked)
+	_ = json.NewDecoder(r.Body).Decode(&asked)
 	e.mutex.Lock()
-	e.seen, e.bodies = append(e.seen, r.Clone(context.Background())), append(e.bodies, string(raw))
+	e.seen = append(e.seen, r.Clone(context.Background()))
 	e.mutex.Unlock()
 	if strings.HasSuffix(r.URL.Path, "/cancel") {
 		return
@@ -275,8 +275,15 @@
 		}
 		e.chunk(w, id, fmt.Sprintf(`{"index":0,"delta":{"content":"w%d \"é\" "},"finish_reason":null}`, word))
 	}
+	if e.opaque {
+		e.chunk(w, id, `{"index":0,"delta":{"reasoning":"hm"},"finish_reason":null}`)
+	}
+	if e.end != nil {
+		e.end(w, id)
+		return
+	}
 	e.chunk(w, id, `{"index":0,"delta":{},"finish_reason":"stop"}`)
-	fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":7,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", id, e.words)
+	fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":7,\"completion_tokens\":%d,\"total_tokens\":%d}}\n\ndata: [DONE]\n\n", id, e.words, e.words+7)
 }
 
 func (e *fakeEngine) whole(w http.ResponseWriter, r *http.Request, id string) {
@@ -287,8 +294,8 @@
 		id = "another"
 	}
 	w.Header().Set("Content-Type", "application/json")
-	fmt.Fprintf(w, `{"id":%q,"object":"chat.completion","choices":[{"index":0,"message":{"role":"assistant","content":%q},"finish_reason":"stop"}],"usage":{"prompt_tokens":7,"completion_tokens":%d}}`,
-		id, words(e.words), e.words)
+	fmt.Fprintf(w, `{"id":%q,"object":"chat.completion","choices":[{"index":0,"message":{"role":"assistant","content":%q},"finish_reason":"stop"}],"usage":{"prompt_tokens":7,"completion_tokens":%d,"total_tokens":%d}}`,
+		id, words(e.words), e.words, e.words+7)
 }
 
 func (e *fakeEngine) chunk(w http.ResponseWriter, id, choice string) {
