feat(winchload): follow release notes and usage reports through a run

Cause: the measures that the users name include late or wrong usage and notes in force within seconds; a result had neither. Ruled out: reading the hosts' own account of a note, which would not show a host that still takes a withdrawn key. Before / after: no figures / an added and withdrawn key in turn, asked of each host, and reported tokens over delivered ones.

--- a/winchload/bench/host.go
+++ b/winchload/bench/host.go
@@ -1,10 +1,15 @@
 package bench
 
 import (
+	"time"
+
 	"github.com/arbutuswinch/winch/winchload/control"
 	"github.com/arbutuswinch/winch/winchload/experiment"
 )
 
+// UsageWindow is the length of the usage windows of a set.
+const UsageWindow = 10 * time.Second
+
 const (
 	peerSecret     = "load-peer-secret"
 	operatorSecret = "load-operator-secret"
@@ -21,6 +26,7 @@
 	Platform    hostPlatform
 	Endpoints   endpointsSection
 	Dispatch    dispatchSection
+	Usage       usageSection
 	Shutdown    shutdownSection
 	Log         logSection
 }
@@ -44,6 +50,8 @@
 	Seed   uint64
 }
 
+type usageSection struct{ Window experiment.Duration }
+
 type shutdownSection struct {
 	ReadinessDelay experiment.Duration
 	DrainTimeout   experiment.Duration
@@ -70,6 +78,7 @@
 				},
 				Endpoints: endpointsSection{Credential: "load-endpoint-credential"},
 				Dispatch:  dispatchSection{Policy: options.Policy, Seed: options.Seed*1000 + uint64(len(hosts)) + 1},
+				Usage:     usageSection{Window: experiment.Duration(UsageWindow)},
 				Shutdown:  shutdownSection{ReadinessDelay: experiment.Duration(readinessDelay), DrainTimeout: experiment.Duration(drainTimeout)},
 				Log:       logSection{Level: options.LogLevel, JSON: true},
 			}
--- a/winchload/bench/set.go
+++ b/winchload/bench/set.go
@@ -26,6 +26,7 @@
 
 	"github.com/arbutuswinch/winch/winchload/control"
 	"github.com/arbutuswinch/winch/winchload/experiment"
+	"github.com/arbutuswinch/winch/winchload/probe"
 	"github.com/arbutuswinch/winch/winchload/result"
 	"github.com/arbutuswinch/winch/winchload/target"
 )
@@ -211,6 +212,17 @@
 	return out
 }
 
+// Prober returns a prober of the hosts.
+func (s *Set) Prober() *probe.Prober {
+	hosts := []probe.Host{}
+	for _, host := range s.settings {
+		hosts = append(hosts, probe.Host{Caller: host.Caller.Address, Operator: host.Operator.Address})
+	}
+	return probe.New(probe.Options{
+		Hosts: hosts, OperatorSecret: operatorSecret, Organisation: s.options.Experiment.Organisations[0].ID,
+	})
+}
+
 // Control returns the address of the stand-ins' control port.
 func (s *Set) Control() string { return s.control }
 
--- a/winchload/drive/drive.go
+++ b/winchload/drive/drive.go
@@ -40,6 +40,10 @@
 	Control *control.Port
 	// Hosts sets faults of hosts; nil when the tool did not start them.
 	Hosts Hosts
+	// Probe follows release notes until its context is over; it may be nil.
+	Probe func(ctx context.Context) result.Notes
+	// Settle is how long the last usage windows get to be reported.
+	Settle time.Duration
 	// Faults are set unless it is false.
 	Faults   bool
 	Progress *progress.Line
@@ -67,13 +71,14 @@
 	if options.Faults {
 		go setFaults(ctx, options, time.Now())
 	}
-	paid := watchPaid(ctx, options, time.Now())
+	paid, notes := watchPaid(ctx, options, time.Now()), startProbe(ctx, options)
 	send(ctx, options, client, collector)
 	stopProgress()
 	if options.Processes != nil {
 		frame.Processes = options.Processes()
 	}
-	sleepUntil(ctx, time.Now().Add(settle))
+	frame.Notes = notes()
+	sleepUntil(ctx, time.Now().Add(max(settle, options.Settle)))
 	if frame.After, err = options.Control.State(ctx); err != nil {
 		return result.Result{}, fmt.Errorf("read state after: %w", err)
 	}
@@ -81,6 +86,20 @@
 	return collector.Result(frame), ctx.Err()
 }
 
+// startProbe follows release notes; the returned function ends that.
+func startProbe(ctx context.Context, options Options) func() result.Notes {
+	if options.Probe == nil {
+		return func() result.Notes { return result.Notes{} }
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	seen := make(chan result.Notes, 1)
+	go func() { seen <- options.Probe(ctx) }()
+	return func() result.Notes {
+		cancel()
+		return <-seen
+	}
+}
+
 // watchPaid reads how long endpoints have been paid for at the end of the warm-up and of the
 // arrivals, so that the tail of long answers does not count as cost. The returned
 // function waits for both readings.
--- a/winchload/pair.go
+++ b/winchload/pair.go
@@ -126,6 +126,7 @@
 	return drive.Run(ctx, drive.Options{
 		Experiment: loaded, Label: side.label, Seed: seed, Picker: balancer, Hosts: set,
 		Control: control.New(set.Control()), Faults: !c.NoFaults, Processes: set.Processes,
+		Probe: set.Prober().Run, Settle: 2 * bench.UsageWindow,
 		Progress: progress.New(os.Stderr, fmt.Sprintf("%s seed %d", side.label, seed), time.Duration(loaded.Duration)),
 	})
 }
--- a/winchload/result/collector.go
+++ b/winchload/result/collector.go
@@ -29,10 +29,11 @@
 }
 
 func newGroup(name string) *group {
-	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, longestTime, digits) }
-	return &group{Group: Group{Name: name}, first: histogram(), inter: histogram(), took: histogram()}
+	return &group{Group: Group{Name: name}, first: newHistogram(), inter: newHistogram(), took: newHistogram()}
 }
 
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, longestTime, digits) }
+
 // Collector takes in outcomes. It is safe for concurrent use.
 type Collector struct {
 	experiment experiment.Experiment
@@ -44,6 +45,7 @@
 	organisations map[string]*group
 	goodTokens    int64
 	wholeTokens   int64
+	delivered     int64
 	codes         map[string]int
 	late          int
 	keyed         map[string]bool
@@ -80,6 +82,7 @@
 func (c *Collector) Add(request experiment.Request, outcome caller.Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.delivered += int64(outcome.Tokens)
 	if outcome.Kind == caller.Whole {
 		c.wholeTokens += int64(outcome.Tokens)
 	}
@@ -208,6 +211,7 @@
 	// Open and Close are the states at the end of the warm-up and of the arrivals.
 	Open, Close control.State
 	Processes   []Process
+	Notes       Notes
 }
 
 // Result computes the measures.
@@ -227,7 +231,8 @@
 	c.work(&r, frame)
 	c.confirm(&r, frame)
 	r.Cost = cost(c.experiment, r, frame)
-	r.Usage = usageOf(frame.After)
+	r.Usage = usageOf(frame.After, c.delivered)
+	r.Notes = frame.Notes
 	return r
 }
 
--- a/winchload/result/platform.go
+++ b/winchload/result/platform.go
@@ -104,18 +104,23 @@
 	return total / float64(count) / hourSeconds
 }
 
-func usageOf(after control.State) UsageState {
-	state := UsageState{Reports: len(after.Usage)}
+func usageOf(after control.State, delivered int64) UsageState {
+	state := UsageState{Reports: len(after.Usage), DeliveredTokens: delivered}
+	late := newHistogram()
 	for _, received := range after.Usage {
-		switch received.Verdict {
-		case "differs":
+		if received.Verdict == "differs" {
 			state.Differs++
-		case "billed":
-			for _, figures := range received.Report.Figures {
-				state.ReportedTokens += figures.OutputTokens
-			}
+		}
+		if received.Verdict != "billed" {
+			continue
+		}
+		_ = late.RecordValue(received.At.Sub(received.Report.Window).Microseconds())
+		for _, figures := range received.Report.Figures {
+			state.ReportedTokens += figures.OutputTokens
 		}
 	}
+	state.ReportedShare = ratio(float64(state.ReportedTokens), float64(delivered))
+	state.Late = quantiles(late)
 	return state
 }
 
--- a/winchload/result/result.go
+++ b/winchload/result/result.go
@@ -53,6 +53,7 @@
 	// LateSends counts requests that the load tool itself sent more than LateSend after their time.
 	LateSends int
 	Usage     UsageState
+	Notes     Notes
 	Processes []Process
 	Calls     map[string]map[string]int64
 	Series    []Point
@@ -112,8 +113,22 @@
 type UsageState struct {
 	Reports int
 	Differs int
-	// ReportedTokens are the output tokens in billed windows.
-	ReportedTokens int64
+	// ReportedTokens are the output tokens in billed windows, DeliveredTokens those that callers received.
+	ReportedTokens  int64
+	DeliveredTokens int64
+	ReportedShare   float64
+	// Late is the time from a window's start to its report.
+	Late Quantiles
+}
+
+// Notes says how release notes fared during the run. Times are in milliseconds.
+type Notes struct {
+	Applied int
+	Failed  int
+	// InForce are the times until an added key worked at the last host, UsedAfter
+	// those after which a withdrawn key was last taken by any host.
+	InForce   []float64
+	UsedAfter []float64
 }
 
 // Process is the cost of one process.
--- a/winchload/table/rows.go
+++ b/winchload/table/rows.go
@@ -95,6 +95,29 @@
 		count("confirmations, not run", func(r result.Result) int { return r.Confirmations.Lost }),
 		count("refusals that say not run and are false", func(r result.Result) int { return r.Confirmations.FalseRefusals }),
 		count("usage reports that differ", func(r result.Result) int { return r.Usage.Differs }),
+		plain("usage tokens reported, share of delivered", shareDigits, func(r result.Result) float64 { return r.Usage.ReportedShare }),
+		plain("usage report after its window's start, longest (ms)", 0, func(r result.Result) float64 { return r.Usage.Late.Max }),
+		count("notes applied", func(r result.Result) int { return r.Notes.Applied }),
+		count("notes not taken", func(r result.Result) int { return r.Notes.Failed }),
+		noteRow("added key works everywhere after, median (ms)", median, func(n result.Notes) []float64 { return n.InForce }),
+		noteRow("added key works everywhere after, longest (ms)", slices.Max[[]float64], func(n result.Notes) []float64 { return n.InForce }),
+		noteRow("withdrawn key last taken after, median (ms)", median, func(n result.Notes) []float64 { return n.UsedAfter }),
+		noteRow("withdrawn key last taken after, longest (ms)", slices.Max[[]float64], func(n result.Notes) []float64 { return n.UsedAfter }),
 		count("late sends of the tool", func(r result.Result) int { return r.LateSends }),
 	}
 }
+
+func noteRow(name string, of func([]float64) float64, times func(result.Notes) []float64) row {
+	return row{name: name, value: func(r result.Result) (float64, bool) {
+		seen := times(r.Notes)
+		if len(seen) == 0 {
+			return 0, false
+		}
+		return of(seen), true
+	}}
+}
+
+func median(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
