--- a/winchd/daemon/usage.go
+++ b/winchd/daemon/usage.go
@@ -51,7 +51,7 @@
 	reporter, err := billing.New(billing.Options{
 		Address: d.settings.Platform.Usage, Shard: shard, Host: d.settings.Host, Incarnation: d.incarnation,
 		Charge: holder, Sender: sender, Store: d.store, Window: d.settings.Usage.Window,
-		Clock: d.clock, Logger: d.logger, Meter: d.metrics.meter(),
+		Grace: d.settings.Usage.Grace, Clock: d.clock, Logger: d.logger, Meter: d.metrics.meter(),
 	})
 	if err != nil {
 		return err
--- a/winchd/faults/release_test.go
+++ b/winchd/faults/release_test.go
@@ -44,7 +44,7 @@
 	result.check(t)
 }
 
-// assertNeverHonoured calls every reachable host until the end and counts answers for the withdrawn key.
+// watchKey calls the hosts for a while and counts answers for the withdrawn key.
 func (s *system) watchKey(result *row, hosts []*host, until time.Duration) {
 	deadline := time.Now().Add(until)
 	for time.Now().Before(deadline) {
@@ -76,10 +76,11 @@
 	result.check(t)
 }
 
-func TestFaultsIsolatedDataCentre(t *testing.T) {
-	s := startSystem(t, nil)
+// isolateDataCentre withdraws a key while data centre c is cut off, and watches that no
+// host honours it after acceptance. It returns how long c honoured the key after the cut.
+func isolateDataCentre(t *testing.T, result *row, change func(id string, settings jsonObject)) time.Duration {
+	s := startSystem(t, change)
 	s.applyBase()
-	result := &row{promise: "acceptance waits for a data centre that is cut off, which stops honouring keys after the grace", faults: "data centre cut off from peers and platform"}
 	isolated := s.host("c-1")
 	s.cutPlatform("c", true)
 	s.isolate("c", linkCut)
@@ -93,16 +94,33 @@
 		status, err := s.noteStatus(s.hosts[0], "withdraw")
 		return err == nil && status.Accepted
 	})
-	accepted := time.Since(cut)
-	t.Logf("honoured for %s, accepted after %s", honoured, accepted)
-	if honoured < isolationGrace/2 {
-		result.violate("keys were honoured for %s only", honoured)
-	}
+	t.Logf("honoured for %s, accepted after %s", honoured, time.Since(cut))
 	s.watchKey(result, s.hosts, 2*time.Second)
 	s.cutPlatform("c", false)
 	s.isolate("c", linkOpen)
 	s.watchKey(result, s.hosts, 3*time.Second)
-	result.check(t)
+	return honoured
+}
+
+func TestFaultsIsolatedDataCentre(t *testing.T) {
+	const faults = "data centre cut off from peers and platform"
+	const promise = "acceptance waits for a data centre that is cut off, which stops honouring keys after the grace"
+	t.Run("guarded", func(t *testing.T) {
+		result := &row{promise: promise, faults: faults}
+		if honoured := isolateDataCentre(t, result, nil); honoured < isolationGrace/2 {
+			result.violate("keys were honoured for %s only", honoured)
+		}
+		result.check(t)
+	})
+	t.Run("a data centre that ignores the grace", func(t *testing.T) {
+		result := &row{promise: promise, faults: faults}
+		isolateDataCentre(t, result, func(id string, settings jsonObject) {
+			if id[:1] == "c" {
+				settings["Release"] = jsonObject{"FreshnessLimit": freshnessLimit.String(), "IsolationGrace": "10m"}
+			}
+		})
+		result.checkGuardOff(t)
+	})
 }
 
 func TestFaultsPlatformAway(t *testing.T) {
--- a/winchd/faults/system_test.go
+++ b/winchd/faults/system_test.go
@@ -171,7 +171,7 @@
 		"Endpoints":  jsonObject{"Credential": "faults-endpoint-credential"},
 		"Release":    jsonObject{"FreshnessLimit": freshnessLimit.String(), "IsolationGrace": isolationGrace.String()},
 		"Charge":     jsonObject{"TTL": "2s", "RenewEvery": "500ms", "InFlight": "500ms"},
-		"Usage":      jsonObject{"Window": usageWindow.String(), "Shards": 2},
+		"Usage":      jsonObject{"Window": usageWindow.String(), "Grace": "2s", "Shards": 2},
 		"Membership": jsonObject{"ExchangeEvery": "200ms", "DigestEvery": "300ms", "SuspectAfter": "1s"},
 		"Shutdown":   jsonObject{"ReadinessDelay": "300ms", "DrainTimeout": "20s"},
 	}
--- a/winchd/settings/check.go
+++ b/winchd/settings/check.go
@@ -128,6 +128,7 @@
 		{"Charge.RenewEvery", s.Charge.RenewEvery},
 		{"Charge.InFlight", s.Charge.InFlight},
 		{"Usage.Window", s.Usage.Window},
+		{"Usage.Grace", s.Usage.Grace},
 		{"Placement.PlanEvery", s.Placement.PlanEvery},
 		{"Membership.ExchangeEvery", s.Membership.ExchangeEvery},
 		{"Membership.DigestEvery", s.Membership.DigestEvery},
--- a/winchd/settings/settings.go
+++ b/winchd/settings/settings.go
@@ -134,6 +134,8 @@
 // Usage are the settings of usage reports.
 type Usage struct {
 	Window time.Duration
+	// Grace is the time from a window's end to its report.
+	Grace time.Duration
 	// Shards is the number of parts by which organisations are reported.
 	Shards int
 }
@@ -188,7 +190,7 @@
 		Dispatch:   Dispatch{Policy: "Winch", ReportEvery: 500 * time.Millisecond},
 		Release:    Release{FreshnessLimit: 6 * time.Second, IsolationGrace: 5 * time.Minute},
 		Charge:     Charge{TTL: 6 * time.Second, RenewEvery: 2 * time.Second, InFlight: 2 * time.Second},
-		Usage:      Usage{Window: time.Minute, Shards: 4},
+		Usage:      Usage{Window: time.Minute, Grace: 10 * time.Second, Shards: 4},
 		Placement:  Placement{Enabled: true, PlanEvery: time.Second},
 		Membership: Membership{ExchangeEvery: 500 * time.Millisecond, DigestEvery: time.Second, SuspectAfter: 2 * time.Second, ForgetAfter: 10 * time.Minute},
 		Claims:     Claims{Retention: time.Hour},
