feat(release): count majorities over a roster kept in the platform

Cause: a random test (rapid) found hosts that served a revision below the accepted one: a replaced host spoke for its data centre without knowing what its predecessor knew, and a new hub did not know of hosts that it could not reach. Ruled out: relying on what membership lists alone. Conclusion: hosts count only after a proof younger than their start, and the roster lives in the platform and goes out with the summaries.

--- a/release.go
+++ b/release.go
@@ -58,6 +58,10 @@
 	Find(ctx context.Context, id NoteID) (ReleaseResult, error)
 	// Accepted returns the newest revision recorded as accepted.
 	Accepted(ctx context.Context) (Revision, error)
+	// Roster returns the hosts of the data centre that count for its majority.
+	Roster(ctx context.Context, centre DataCentreID) ([]HostID, error)
+	// ChangeRoster adds hosts to the roster and drops others from it.
+	ChangeRoster(ctx context.Context, centre DataCentreID, added, dropped []HostID) error
 	// MarkAccepted records that the revision and all before it are accepted.
 	MarkAccepted(ctx context.Context, revision Revision) error
 }
--- a/release/keyvalue/doc.go
+++ b/release/keyvalue/doc.go
@@ -17,6 +17,7 @@
 //	snapshot                  names the newest snapshot and the hashes of its pieces
 //	snapshots/<write>/<n>     pieces of a snapshot
 //	accepted                  the newest accepted revision
+//	rosters/<data centre>     the hosts that count for the data centre's majority
 //
 // # Usage
 //
--- a/release/peer/codec.go
+++ b/release/peer/codec.go
@@ -25,6 +25,11 @@
 type reportWire struct {
 	Revision    winch.Revision
 	Incarnation winch.Incarnation
+	// Learner is set until the host has had a proof that is younger than its
+	// start; it does not count among the hosts of its data centre so long.
+	Learner bool `json:",omitempty"`
+	// RosterTag returns the tag of the last roster that was received.
+	RosterTag string `json:",omitempty"`
 	// Hub and Token return what the last summary said, which shows that the
 	// report was made after it.
 	Hub   winch.Incarnation `json:",omitempty"`
@@ -43,7 +48,10 @@
 	Proof    *proofWire     `json:",omitempty"`
 	Agreed   *proofWire     `json:",omitempty"`
 	Update   *updateWire    `json:",omitempty"`
-	View     *viewWire      `json:",omitempty"`
+	// Roster is sent when the host has another one than RosterTag.
+	RosterTag string         `json:",omitempty"`
+	Roster    []winch.HostID `json:",omitempty"`
+	View      *viewWire      `json:",omitempty"`
 }
 
 // digestWire goes from a hub to the hub of another data centre.
--- a/release/peer/distributor.go
+++ b/release/peer/distributor.go
@@ -60,6 +60,8 @@
 	acceptance *acceptance
 	changed    chan struct{}
 	announced  winch.Authority
+	// watched is the instant before the last call to the platform that was answered.
+	watched time.Time
 	// hub, token and hubRevision are what the last summary said.
 	hub         winch.Incarnation
 	token       int64
@@ -68,8 +70,12 @@
 	wanted      winch.Revision
 	wantedUntil time.Time
 	view        winch.ReleaseProgress
-	snapshot    []byte
-	snapshotOf  winch.Revision
+	// rosterTag is that of the roster that came with a summary, saved is the
+	// roster that the platform holds.
+	rosterTag  string
+	saved      []winch.HostID
+	snapshot   []byte
+	snapshotOf winch.Revision
 }
 
 var _ winch.ReleaseTracker = (*Distributor)(nil)
@@ -86,7 +92,7 @@
 	self := options.Membership.Self()
 	d := &Distributor{
 		options: options, self: self, started: options.Clock.Now(),
-		state: newState(limits), roster: newRoster(self.ID),
+		state: newState(limits, options.Clock.Now()), roster: newRoster(self.ID),
 		acceptance: newAcceptance(limits, self.DataCentre, options.Membership.DataCentres()),
 		changed:    make(chan struct{}),
 	}
--- a/release/peer/fake_test.go
+++ b/release/peer/fake_test.go
@@ -18,10 +18,13 @@
 	records  []winch.ReleaseRecord
 	current  *winch.Configuration
 	accepted winch.Revision
+	rosters  map[winch.DataCentreID][]winch.HostID
 	calls    int
 }
 
-func newFakeLog() *fakeLog { return &fakeLog{current: release.Empty()} }
+func newFakeLog() *fakeLog {
+	return &fakeLog{current: release.Empty(), rosters: map[winch.DataCentreID][]winch.HostID{}}
+}
 
 func (l *fakeLog) call() error {
 	l.calls++
@@ -89,6 +92,24 @@
 	return nil
 }
 
+func (l *fakeLog) Roster(_ context.Context, centre winch.DataCentreID) ([]winch.HostID, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.rosters[centre]), l.call()
+}
+
+func (l *fakeLog) ChangeRoster(_ context.Context, centre winch.DataCentreID, added, dropped []winch.HostID) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.call(); err != nil {
+		return err
+	}
+	hosts := slices.DeleteFunc(append(slices.Clone(l.rosters[centre]), added...), func(id winch.HostID) bool { return slices.Contains(dropped, id) })
+	slices.Sort(hosts)
+	l.rosters[centre] = slices.Compact(hosts)
+	return nil
+}
+
 // fakeClock is set by tests.
 type fakeClock struct {
 	mu  sync.Mutex
@@ -112,6 +133,8 @@
 	self    winch.Host
 	centres []winch.DataCentreID
 	hosts   func(winch.DataCentreID) []winch.Host
+	// hub is the first host unless it is set.
+	hub func(winch.DataCentreID) (winch.Host, bool)
 }
 
 func (m *fakeMembership) Self() winch.Host                  { return m.self }
@@ -122,6 +145,9 @@
 }
 
 func (m *fakeMembership) Hub(_ time.Time, centre winch.DataCentreID) (winch.Host, bool) {
+	if m.hub != nil {
+		return m.hub(centre)
+	}
 	hosts := m.hosts(centre)
 	if len(hosts) == 0 {
 		return winch.Host{}, false
--- a/release/peer/roster.go
+++ b/release/peer/roster.go
@@ -2,8 +2,11 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/arbutuswinch/winch"
 )
 
@@ -12,22 +15,28 @@
 	// seen is when the host was last listed or heard.
 	seen        time.Time
 	incarnation winch.Incarnation
+	// learner is set on hosts that do not count.
+	learner bool
 	// asOf is an instant, by the hub's clock, at or after which the report was made.
 	asOf     time.Time
 	revision winch.Revision
 	// view is the revision that the host asks about.
 	view winch.Revision
+	// rosterTag is that of the roster which the host was sent last.
+	rosterTag string
 }
 
 // roster knows the hosts of a data centre that may be alive. A host that is no
-// longer listed counts for the memory, since it may be cut off and not dead; one
-// that was leaving is forgotten at once.
+// longer listed still counts, since it may be cut off and not dead, until it is
+// forgotten; one that was leaving is forgotten at once.
 type roster struct {
 	self    winch.HostID
 	hosts   map[winch.HostID]*reported
 	leaving map[winch.HostID]bool
 	// former counts incarnations that were replaced under the same id, by when.
 	former []time.Time
+	// known is set once the roster was read from the platform or came from a hub.
+	known bool
 }
 
 func newRoster(self winch.HostID) *roster {
@@ -35,7 +44,7 @@
 }
 
 // observe takes the list of hosts in.
-func (r *roster) observe(now time.Time, hosts []winch.Host, memory time.Duration) {
+func (r *roster) observe(now time.Time, hosts []winch.Host) {
 	listed := map[winch.HostID]bool{}
 	for _, host := range hosts {
 		listed[host.ID] = true
@@ -44,18 +53,66 @@
 			r.leaving[host.ID] = true
 		}
 	}
-	for id, host := range r.hosts {
-		if id == r.self || listed[id] {
-			continue
-		}
-		if r.leaving[id] || now.Sub(host.seen) > memory {
+	for id := range r.leaving {
+		if id != r.self && !listed[id] {
 			delete(r.hosts, id)
 			delete(r.leaving, id)
 		}
 	}
+}
+
+// forget drops the hosts that were silent for the memory. A hub may do so only
+// while it reads the platform; one that is cut off cannot tell who else is.
+func (r *roster) forget(now time.Time, memory time.Duration) {
+	for id, host := range r.hosts {
+		if id != r.self && now.Sub(host.seen) > memory {
+			delete(r.hosts, id)
+		}
+	}
 	r.former = slices.DeleteFunc(r.former, func(at time.Time) bool { return now.Sub(at) > memory })
 }
 
+// replace takes in the roster that a hub keeps, besides the hosts that are listed.
+func (r *roster) replace(now time.Time, ids []winch.HostID) {
+	for id, host := range r.hosts {
+		if id != r.self && !slices.Contains(ids, id) && now.Sub(host.seen) > 0 {
+			delete(r.hosts, id)
+		}
+	}
+	r.merge(now, ids)
+}
+
+// merge adds hosts to the roster.
+func (r *roster) merge(now time.Time, ids []winch.HostID) {
+	for _, id := range ids {
+		if _, found := r.hosts[id]; !found {
+			r.see(now, id)
+		}
+	}
+	r.known = true
+}
+
+// ids returns the hosts that count, sorted.
+func (r *roster) ids() []winch.HostID {
+	ids := []winch.HostID{}
+	for id, host := range r.hosts {
+		if !host.learner {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// tag tells rosters apart.
+func (r *roster) tag() string {
+	hash := xxhash.New()
+	for _, id := range r.ids() {
+		_, _ = hash.WriteString(string(id) + "\n")
+	}
+	return strconv.FormatUint(hash.Sum64(), 36)
+}
+
 func (r *roster) see(now time.Time, id winch.HostID) *reported {
 	host, found := r.hosts[id]
 	if !found {
@@ -70,7 +127,7 @@
 func (r *roster) report(now, asOf time.Time, id winch.HostID, incarnation winch.Incarnation, revision winch.Revision) *reported {
 	host := r.see(now, id)
 	if host.incarnation != "" && host.incarnation != incarnation {
-		if !r.leaving[id] {
+		if !r.leaving[id] && !host.learner {
 			r.former = append(r.former, now)
 		}
 		delete(r.leaving, id)
@@ -84,21 +141,32 @@
 	return host
 }
 
-// majority is the number of hosts that make more than half of the roster.
-func (r *roster) majority() int { return (len(r.hosts)+len(r.former))/2 + 1 }
+// voters returns the hosts that count.
+func (r *roster) voters() []*reported {
+	voters := []*reported{}
+	for _, host := range r.hosts {
+		if !host.learner {
+			voters = append(voters, host)
+		}
+	}
+	return voters
+}
+
+// majority is the number of hosts that make more than half of those that count.
+func (r *roster) majority(voters []*reported) int { return (len(voters)+len(r.former))/2 + 1 }
 
 // agreement returns the newest instant at or after which a majority had reported,
 // and the newest revision that any host reported.
 func (r *roster) agreement(unguarded bool) (proof, bool) {
-	instants, newest := []time.Time{}, winch.Revision(0)
-	for _, host := range r.hosts {
+	voters, instants, newest := r.voters(), []time.Time{}, winch.Revision(0)
+	for _, host := range voters {
 		newest = max(newest, host.revision)
 		if !host.asOf.IsZero() {
 			instants = append(instants, host.asOf)
 		}
 	}
 	slices.SortFunc(instants, func(a, b time.Time) int { return b.Compare(a) })
-	needed := r.majority()
+	needed := r.majority(voters)
 	if unguarded {
 		needed = 1
 	}
@@ -110,15 +178,16 @@
 
 // settled returns the newest revision that a majority holds.
 func (r *roster) settled() winch.Revision {
-	revisions := []winch.Revision{}
-	for _, host := range r.hosts {
+	voters, revisions := r.voters(), []winch.Revision{}
+	for _, host := range voters {
 		revisions = append(revisions, host.revision)
 	}
 	slices.Sort(revisions)
-	if len(revisions) < r.majority() {
+	needed := r.majority(voters)
+	if len(revisions) < needed {
 		return 0
 	}
-	return revisions[len(revisions)-r.majority()]
+	return revisions[len(revisions)-needed]
 }
 
 // behind returns the hosts that hold less than the revision, sorted, at most limit.
--- a/release/peer/run.go
+++ b/release/peer/run.go
@@ -66,6 +66,9 @@
 			continue
 		}
 		next, err := d.step(ctx, last)
+		if err == nil {
+			err = d.keepRoster(ctx, !last.Read)
+		}
 		if err == nil {
 			if failures > 0 {
 				d.options.Logger.Info("record of commits read again", "Event", EventWatchRestored, "Failures", failures)
@@ -86,6 +89,49 @@
 	return nil
 }
 
+// keepRoster keeps the platform's roster of this data centre as this hub knows
+// it. A host that becomes the hub reads the roster first.
+func (d *Distributor) keepRoster(ctx context.Context, read bool) error {
+	if read {
+		ids, err := d.options.Log.Roster(ctx, d.self.DataCentre)
+		if err != nil {
+			return err
+		}
+		d.mu.Lock()
+		d.roster.merge(d.options.Clock.Now(), ids)
+		d.saved = ids
+		d.mu.Unlock()
+	}
+	added, dropped := d.rosterChange()
+	if len(added)+len(dropped) == 0 {
+		return nil
+	}
+	if err := d.options.Log.ChangeRoster(ctx, d.self.DataCentre, added, dropped); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.saved = slices.DeleteFunc(append(d.saved, added...), func(id winch.HostID) bool { return slices.Contains(dropped, id) })
+	return nil
+}
+
+func (d *Distributor) rosterChange() (added, dropped []winch.HostID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ids := d.roster.ids()
+	for _, id := range ids {
+		if !slices.Contains(d.saved, id) {
+			added = append(added, id)
+		}
+	}
+	for _, id := range d.saved {
+		if !slices.Contains(ids, id) {
+			dropped = append(dropped, id)
+		}
+	}
+	return added, dropped
+}
+
 // step waits for one answer and takes it in.
 func (d *Distributor) step(ctx context.Context, last winch.ReleaseHead) (winch.ReleaseHead, error) {
 	sent := d.options.Clock.Now()
@@ -97,7 +143,12 @@
 	if err != nil {
 		return head, err
 	}
-	now := d.options.Clock.Now()
+	d.takeHead(d.options.Clock.Now(), sent, head, configuration, records)
+	return head, nil
+}
+
+// takeHead takes in a head that was read by a call sent at the given instant.
+func (d *Distributor) takeHead(now, sent time.Time, head winch.ReleaseHead, configuration *winch.Configuration, records []winch.ReleaseRecord) {
 	around := d.surroundings(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -108,9 +159,11 @@
 	}
 	d.learnt(now, d.state.learn(now, configuration, records))
 	d.state.prove(proof{asOf: sent, revision: head.Revision})
+	if sent.After(d.watched) {
+		d.watched = sent
+	}
 	d.settle(now, around)
 	d.announce(now, false)
-	return head, nil
 }
 
 // accept records, at the hubs, what was accepted. Data centres take turns, so
--- a/release/peer/section.go
+++ b/release/peer/section.go
@@ -30,7 +30,7 @@
 	defer s.mu.Unlock()
 	s.observe(now, around)
 	report := reportWire{
-		Revision: s.state.current.Revision, Incarnation: s.options.Incarnation, Hub: s.hub, Token: s.token,
+		Revision: s.state.current.Revision, Incarnation: s.options.Incarnation, Learner: s.state.learner(), RosterTag: s.rosterTag, Hub: s.hub, Token: s.token,
 	}
 	if now.Before(s.wantedUntil) {
 		report.View = s.wanted
@@ -64,7 +64,7 @@
 		asOf = now
 	}
 	host := s.roster.report(now, asOf, from, report.Incarnation, report.Revision)
-	host.view = report.View
+	host.learner, host.view, host.rosterTag = report.Learner, report.View, report.RosterTag
 	s.settle(now, around)
 	return nil
 }
@@ -86,6 +86,12 @@
 	if host.revision < s.state.current.Revision {
 		summary.Update = s.update(now, host.revision, 0)
 	}
+	if s.roster.known {
+		summary.RosterTag = s.roster.tag()
+		if host.rosterTag != summary.RosterTag {
+			summary.Roster = s.roster.ids()
+		}
+	}
 	if host.view > 0 {
 		summary.View = viewToWire(now, s.progress(host.view))
 	}
@@ -113,6 +119,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hub, s.token, s.hubRevision = summary.Hub, summary.Token, summary.Revision
+	if len(summary.Roster) > 0 {
+		s.roster.replace(now, summary.Roster)
+		s.rosterTag = summary.RosterTag
+	}
 	s.take(now, records, snapshot)
 	s.state.hear(summary.Revision)
 	s.state.accepted = max(s.state.accepted, summary.Accepted)
@@ -143,7 +153,7 @@
 	s.settle(now, around)
 	own := s.acceptance.centres[s.self.DataCentre]
 	digest := digestWire{
-		Revision: s.state.current.Revision, Settled: s.roster.settled(), Accepted: s.state.accepted,
+		Revision: s.state.current.Revision, Settled: s.settledHere(), Accepted: s.state.accepted,
 		Hosts: len(s.roster.hosts), Behind: own.behind,
 		Proof:  proofToWire(now, proof{asOf: s.state.proven, revision: s.state.current.Revision}),
 		Agreed: proofToWire(now, own.agreed),
@@ -196,8 +206,29 @@
 
 // observe keeps the roster up to date. The caller holds the lock.
 func (d *Distributor) observe(now time.Time, around surroundings) {
-	d.roster.observe(now, around.hosts, d.state.limits.roster)
-	d.roster.report(now, now, d.self.ID, d.options.Incarnation, d.state.current.Revision)
+	d.roster.observe(now, around.hosts)
+	heard, found := d.roster.agreement(false)
+	limit := d.state.limits.freshness
+	if found && now.Before(heard.asOf.Add(limit)) && now.Before(d.watched.Add(limit)) || d.state.limits.unguarded.forget {
+		d.roster.forget(now, d.state.limits.roster)
+	}
+	d.reportSelf(now)
+}
+
+// settledHere is the newest revision that a majority of this data centre holds,
+// as far as this host can tell. The caller holds the lock.
+func (d *Distributor) settledHere() winch.Revision {
+	if !d.roster.known {
+		return 0
+	}
+	return d.roster.settled()
+}
+
+// reportSelf counts this host among the hosts of its data centre. The caller
+// holds the lock.
+func (d *Distributor) reportSelf(now time.Time) {
+	self := d.roster.report(now, now, d.self.ID, d.options.Incarnation, d.state.current.Revision)
+	self.learner = d.state.learner()
 }
 
 // take brings in what another host sent. The caller holds the lock.
@@ -213,10 +244,10 @@
 // the statements of the other data centres. The caller holds the lock.
 func (d *Distributor) settle(now time.Time, around surroundings) {
 	d.acceptance.forget(d.state.accepted)
-	if !around.hub {
+	if !around.hub || !d.roster.known && !d.state.limits.unguarded.roster {
 		return
 	}
-	d.roster.report(now, now, d.self.ID, d.options.Incarnation, d.state.current.Revision)
+	d.reportSelf(now)
 	own := d.acceptance.centres[d.self.DataCentre]
 	own.revision, own.hosts, own.heard = d.state.current.Revision, len(d.roster.hosts), now
 	own.behind = d.roster.behind(d.state.current.Revision, behindLimit)
--- a/release/peer/section_test.go
+++ b/release/peer/section_test.go
@@ -49,6 +49,7 @@
 	t.Helper()
 	_, err := p.hub.step(context.Background(), winch.ReleaseHead{})
 	assert.NilError(t, err)
+	assert.NilError(t, p.hub.keepRoster(context.Background(), true))
 }
 
 func (p *pair) commit(t *testing.T, note winch.Note) {
@@ -102,7 +103,7 @@
 	})
 	t.Run("a host far behind gets a snapshot", func(t *testing.T) {
 		p.hub.state.records = nil
-		p.host.state = newState(p.host.state.limits)
+		p.host.state = newState(p.host.state.limits, start)
 		p.exchange(t)
 		p.exchange(t)
 		assert.Equal(t, p.host.Current().Revision, winch.Revision(2))
--- a/release/peer/state.go
+++ b/release/peer/state.go
@@ -30,6 +30,7 @@
 // state is what a host knows. It does no I/O; the caller locks.
 type state struct {
 	limits  limits
+	started time.Time
 	current *winch.Configuration
 	hashes  []winch.KeyHash
 	owners  []winch.Key
@@ -65,12 +66,18 @@
 	newer bool
 	// settled accepts without waiting for majorities.
 	settled bool
+	// forget lets a hub that is cut off from the platform forget silent hosts.
+	forget bool
+	// roster lets hubs speak that do not know who counts.
+	roster bool
+	// learners lets hosts count that had no proof since their start.
+	learners bool
 	// echo takes a report as made when it arrives.
 	echo bool
 }
 
-func newState(limits limits) *state {
-	return &state{limits: limits, current: release.Empty()}
+func newState(limits limits, started time.Time) *state {
+	return &state{limits: limits, started: started, current: release.Empty()}
 }
 
 // learn takes a newer configuration, and the records that lead to it if known.
@@ -147,6 +154,12 @@
 	}
 }
 
+// learner tells that this host has had no proof since its start. What its
+// predecessors knew may be lost to it, so that it cannot speak for its data centre.
+func (s *state) learner() bool {
+	return s.proven.Before(s.started) && !s.limits.unguarded.learners
+}
+
 // fresh tells whether a proof holds now.
 func (s *state) fresh(now time.Time) bool {
 	return s.learnt && (now.Before(s.proven.Add(s.limits.freshness)) || s.limits.unguarded.freshness)
