fix(dispatch): preempt by the rate at which slots come free, and keep requests that ran before

Ruled out: retry budget (no event 3014). Conclusion: a request that lost its endpoint waits at the front, without early refusal.

--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -68,14 +68,17 @@
 	level         map[winch.Tier]float64
 	remotes       map[winch.DataCentreID]*remote
 	prefixes      map[winch.PrefixHash]winch.EndpointID
-	expiry        expiryHeap
-	free          []*request
-	effects       []effect
-	scores        []float64
-	hub           hub
-	started       time.Time
-	appliedAt     time.Time // when the other hosts' figures were true
-	appliedFrom   winch.HostID
+	// broken are requests whose last attempt did not end well, and when that was.
+	broken      map[winch.RequestID]time.Time
+	brokenAt    time.Time // when old ones were dropped last
+	expiry      expiryHeap
+	free        []*request
+	effects     []effect
+	scores      []float64
+	hub         hub
+	started     time.Time
+	appliedAt   time.Time // when the other hosts' figures were true
+	appliedFrom winch.HostID
 }
 
 type settings = Settings
@@ -92,6 +95,7 @@
 		level:         map[winch.Tier]float64{},
 		remotes:       map[winch.DataCentreID]*remote{},
 		prefixes:      map[winch.PrefixHash]winch.EndpointID{},
+		broken:        map[winch.RequestID]time.Time{},
 		hub:           newHub(),
 	}
 }
@@ -129,6 +133,9 @@
 		return r
 	}
 	r.lane = l
+	if _, r.again = c.broken[work.Request]; r.again {
+		delete(c.broken, work.Request)
+	}
 	r.account = c.account(l.class.Tier, work.Organisation)
 	c.activate(r.account)
 	if l.queued == 0 {
@@ -295,6 +302,9 @@
 	r.account.active--
 	c.emit(effect{kind: effectReleased, at: now, request: r, lane: l, endpoint: e, remote: r.remote, outcome: outcome,
 		wait: now.Sub(r.grantedAt)})
+	if outcome != winch.OutcomeDone {
+		c.broken[r.work.Request] = now
+	}
 	if r.remote != nil {
 		r.remote.release(now, outcome)
 		return
--- a/dispatch/endpoint/core_test.go
+++ b/dispatch/endpoint/core_test.go
@@ -376,3 +376,23 @@
 	}
 	b.effects = b.effects[:0]
 }
+
+func TestBrokenAttempt(t *testing.T) {
+	b := newBench(twoClasses(1, 1))
+	l := b.lanes[laneKey{class: stall, group: group{model: chat}}]
+	first := b.request(stall, 1)
+	b.request(stall, 2)
+	b.release(b.now, first, winch.OutcomeCancelled)
+	l.hold.add(100, 1)
+	t.Run("a request that ran before is not turned away for the wait", func(t *testing.T) {
+		assert.Equal(t, b.request(stall, 1).state, requestQueued)
+	})
+	t.Run("a new one is", func(t *testing.T) {
+		assert.Equal(t, b.request(stall, 3).state, requestIdle)
+	})
+	t.Run("is forgotten after a while", func(t *testing.T) {
+		b.broken["old"] = b.now
+		b.pass(12 * time.Second)
+		assert.Equal(t, len(b.broken), 0)
+	})
+}
--- a/dispatch/endpoint/health.go
+++ b/dispatch/endpoint/health.go
@@ -39,7 +39,7 @@
 	}
 	h.probing, h.failures = true, 0
 	h.ejectedUntil = now.Add(h.backoff)
-	c.emit(effect{kind: effectEjected, endpoint: e, cause: cause, wait: h.backoff})
+	c.emit(effect{kind: effectEjected, at: now, endpoint: e, cause: cause, wait: h.backoff})
 }
 
 // answered notes evidence that the endpoint works.
@@ -50,7 +50,7 @@
 	}
 	e.health = health{}
 	e.inflating = now
-	c.emit(effect{kind: effectRestored, endpoint: e})
+	c.emit(effect{kind: effectRestored, at: now, endpoint: e})
 }
 
 // failed counts a failure, and ejects the endpoint after several in a row.
--- a/dispatch/endpoint/preempt.go
+++ b/dispatch/endpoint/preempt.go
@@ -32,25 +32,40 @@
 	if l.queued == 0 {
 		return false
 	}
+	limit := c.riskLimit(l)
+	return l.oldestWait(now) > limit || c.slotWait(l) > limit
+}
+
+// riskLimit is the wait from which the lane's target is at risk: a share of what the
+// usual time to the first token leaves of it.
+func (c *core) riskLimit(l *lane) time.Duration {
 	target := l.class.FirstTokenTarget
 	if target <= 0 {
 		target = l.maxWait()
 	}
-	limit := time.Duration(float64(target) * c.settings.RiskShare)
-	return l.oldestWait(now)+secondsOf(l.firstToken.value) > limit || c.slotWait(l) > limit
+	left := max(target-secondsOf(l.firstToken.value), target/riskLeast)
+	return time.Duration(float64(left) * c.settings.RiskShare)
 }
 
-// slotWait is the mean time until one of the lane's endpoints frees a slot, times
-// the requests that wait for it.
+// riskLeast bounds the usual time to the first token to a part of the target.
+const riskLeast = 4
+
+// slotWait is the time in which slots for the lane's queued requests come free, at
+// the rate at which this host's requests on its endpoints usually end.
 func (c *core) slotWait(l *lane) time.Duration {
-	hold := 0.0
+	rate := 0.0
 	for _, rival := range l.rivals {
-		hold = math.Max(hold, rival.hold.value)
+		if rival.hold.value > 0 {
+			rate += float64(rival.running) / rival.hold.value
+		}
+	}
+	if rate == 0 {
+		return 0
 	}
-	return secondsOf(float64(l.queued) * hold / math.Max(1, l.slots))
+	return secondsOf(float64(l.queued) / rate)
 }
 
-// victim returns the newest request of the lowest tier that the lane's endpoints could give up.
+// victim returns the request of the lowest tier that the lane's endpoints could give up at the least cost.
 func (c *core) victim(now time.Time, l *lane) *request {
 	var best *request
 	for _, e := range l.endpoints {
@@ -61,7 +76,7 @@
 			if best != nil && e.tiers[i].tier < best.lane.class.Tier {
 				break
 			}
-			if r := newestMovable(&e.tiers[i]); r != nil && (best == nil || better(r, best)) {
+			if r := cheapestMovable(&e.tiers[i]); r != nil && (best == nil || better(r, best)) {
 				best = r
 				break
 			}
@@ -70,21 +85,30 @@
 	return best
 }
 
-func newestMovable(list *tierRunning) *request {
-	for r := list.newest; r != nil; r = r.runNext {
+// cheapestMovable returns the request among the newest whose restart costs least.
+func cheapestMovable(list *tierRunning) *request {
+	var best *request
+	seen := 0
+	for r := list.newest; r != nil && seen < victimSearch; r = r.runNext {
 		if r.movable() && !r.preempted {
-			return r
+			seen++
+			if best == nil || r.restartCost() < best.restartCost() {
+				best = r
+			}
 		}
 	}
-	return nil
+	return best
 }
 
+// victimSearch bounds the search on one endpoint.
+const victimSearch = 8
+
 // better tells whether giving r up wastes less than giving up the other.
 func better(r, other *request) bool {
 	if r.lane.class.Tier != other.lane.class.Tier {
 		return other.lane.higher(r.lane)
 	}
-	return r.grantedAt.After(other.grantedAt)
+	return r.restartCost() < other.restartCost()
 }
 
 func (c *core) preempt(now time.Time, r *request, l *lane, forOther bool) {
--- a/dispatch/endpoint/remote.go
+++ b/dispatch/endpoint/remote.go
@@ -70,11 +70,7 @@
 
 // waitAtRisk tells whether the wait predicted here endangers the class's target.
 func (c *core) waitAtRisk(now time.Time, r *request) bool {
-	target := r.lane.class.FirstTokenTarget
-	if target <= 0 {
-		target = r.lane.maxWait()
-	}
-	return c.predictedWait(now, r.lane, r) > time.Duration(float64(target)*c.settings.RiskShare)
+	return c.predictedWait(now, r.lane, r) > c.riskLimit(r.lane)
 }
 
 func (c *core) roomiest(now time.Time, g group, r *request) *remote {
--- a/dispatch/endpoint/request.go
+++ b/dispatch/endpoint/request.go
@@ -49,6 +49,7 @@
 	firstSeen        bool
 	long             bool
 	floor            bool
+	again            bool // ran before, without an end
 	preempted        bool
 	// relieves says that the preemption was for a request queued here.
 	relieves bool
@@ -60,8 +61,14 @@
 // movable tells whether the request can go on elsewhere when its slot is taken.
 func (r *request) movable() bool { return r.work.Model != "" && !r.floor }
 
-// underWay tells whether the caller already got a part of the answer.
-func (r *request) underWay() bool { return r.work.OutputDone > 0 }
+// underWay tells whether the request ran before: the caller got a part of the
+// answer, or an endpoint was given it and lost it.
+func (r *request) underWay() bool { return r.work.OutputDone > 0 || r.again }
+
+// restartCost is the work that an endpoint does again when the request moves.
+func (r *request) restartCost() winch.Tokens {
+	return r.work.InputTokens + r.work.OutputDone + r.collected
+}
 
 func (r *request) excludes(id winch.EndpointID) bool {
 	for _, excluded := range r.work.Excluded {
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -21,6 +21,7 @@
 	}
 	c.refresh(now)
 	c.expire(now)
+	c.forgetBroken(now)
 	for _, l := range c.sorted {
 		risk := c.atRisk(now, l)
 		c.widen(l, risk)
@@ -49,6 +50,21 @@
 	}
 }
 
+// brokenRetention is how long an attempt that did not end well is remembered.
+const brokenRetention = 10 * time.Second
+
+func (c *core) forgetBroken(now time.Time) {
+	if now.Sub(c.brokenAt) < time.Second {
+		return
+	}
+	c.brokenAt = now
+	for id, at := range c.broken {
+		if now.Sub(at) > brokenRetention {
+			delete(c.broken, id)
+		}
+	}
+}
+
 func (c *core) checkLeaving(now time.Time, e *endpoint) {
 	if e.state == winch.EndpointLeaving && !e.leavesAt.IsZero() && e.leavesAt.Sub(now) <= c.settings.LeaveMargin {
 		c.moveAll(now, e)
