test(standin): start ordered engines with a delay

Cause: the test asks for the state 'starting', and without a delay a busy machine shows 'ready'. Ruled out: dropping the expectation. Conclusion: the delay makes the state certain for 300 ms.

--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -35,7 +35,7 @@
 	first.ID, cheap.ID, cheap.Supply = "a1", "a2", "Cheap"
 	running, err := start(ctx, settings.Settings{
 		KeyValue: &settings.KeyValue{Address: anyPort},
-		Orders:   &settings.Orders{Address: anyPort, DataCentres: []settings.DataCentre{{ID: "a", ChecksFencing: true}}, Engine: fast},
+		Orders:   &settings.Orders{Address: anyPort, DataCentres: []settings.DataCentre{{ID: "a", ChecksFencing: true}}, StartDelay: wire.Duration(300 * time.Millisecond), Engine: fast},
 		Usage:    &settings.Usage{Address: anyPort},
 		Hosts:    &settings.Hosts{Address: anyPort, Hosts: []settings.Host{{ID: "h1", DataCentre: "a", PeerAddress: "127.0.0.1:1", State: "live"}}},
 		Weights:  &settings.Weights{Address: anyPort, PerSecond: 0.01, Burst: 1, Transfer: wire.Duration(time.Millisecond)},
