fix(winchload): count the last refusal of an added key, not the first use

Ruled out: leaving out hosts that once did not answer, which would hide a late one. Before / after: until the first use / until the last refusal.

--- a/winchload/probe/probe.go
+++ b/winchload/probe/probe.go
@@ -6,8 +6,8 @@
 //	prober := probe.New(probe.Options{Hosts: hosts, OperatorSecret: secret, Organisation: "oolong"})
 //	seen := prober.Run(ctx)
 //
-// Times count from the answer to the note's commit. Hosts that do not answer while a note
-// is followed are left out of it.
+// Times count from the answer to the note's commit, to the last answer of any host by
+// the old state. A host that does not answer says nothing.
 package probe
 
 import (
@@ -110,14 +110,14 @@
 	if !p.apply(ctx, operator, added) {
 		return
 	}
-	inForce := p.followAll(ctx, func(ctx context.Context, host Host, since time.Time) (time.Duration, bool) {
+	inForce := p.followAll(ctx, func(ctx context.Context, host Host, since time.Time) time.Duration {
 		return p.untilUsed(ctx, host, secret, since)
 	})
 	p.seen.InForce = append(p.seen.InForce, milliseconds(inForce))
 	if !p.apply(ctx, operator, note{ID: id + "-withdraw", Withdrawn: &withdrawnKeys{Keys: []string{id}}}) {
 		return
 	}
-	used := p.followAll(ctx, func(ctx context.Context, host Host, since time.Time) (time.Duration, bool) {
+	used := p.followAll(ctx, func(ctx context.Context, host Host, since time.Time) time.Duration {
 		return p.lastUse(ctx, host, secret, since)
 	})
 	p.seen.UsedAfter = append(p.seen.UsedAfter, milliseconds(used))
@@ -140,42 +140,43 @@
 }
 
 // followAll follows a note at all hosts and returns the longest time.
-func (p *Prober) followAll(ctx context.Context, follow func(context.Context, Host, time.Time) (time.Duration, bool)) time.Duration {
+func (p *Prober) followAll(ctx context.Context, follow func(context.Context, Host, time.Time) time.Duration) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, followLimit)
 	defer cancel()
 	since, longest := time.Now(), time.Duration(0)
 	mu, group := sync.Mutex{}, sync.WaitGroup{}
 	for _, host := range p.options.Hosts {
 		group.Go(func() {
-			took, answered := follow(ctx, host, since)
+			took := follow(ctx, host, since)
 			mu.Lock()
 			defer mu.Unlock()
-			if answered {
-				longest = max(longest, took)
-			}
+			longest = max(longest, took)
 		})
 	}
 	group.Wait()
 	return longest
 }
 
-// untilUsed returns when the host first took the key.
-func (p *Prober) untilUsed(ctx context.Context, host Host, secret string, since time.Time) (time.Duration, bool) {
-	answered := false
+// untilUsed returns when the host last refused the key before it took it. A host that
+// is down refuses nothing.
+func (p *Prober) untilUsed(ctx context.Context, host Host, secret string, since time.Time) time.Duration {
+	last := time.Duration(0)
 	for {
-		status, err := p.models(ctx, host, secret)
-		if status == http.StatusOK {
-			return time.Since(since), true
+		status, _ := p.models(ctx, host, secret)
+		switch status {
+		case http.StatusOK:
+			return last
+		case http.StatusUnauthorized:
+			last = time.Since(since)
 		}
-		answered = answered || err == nil
 		if !wait(ctx, pollInterval) {
-			return time.Since(since), answered
+			return last
 		}
 	}
 }
 
 // lastUse returns when the host last took the key, once it has refused it for a while.
-func (p *Prober) lastUse(ctx context.Context, host Host, secret string, since time.Time) (time.Duration, bool) {
+func (p *Prober) lastUse(ctx context.Context, host Host, secret string, since time.Time) time.Duration {
 	last := since
 	for time.Since(last) < quiet {
 		status, _ := p.models(ctx, host, secret)
@@ -186,7 +187,7 @@
 			break
 		}
 	}
-	return last.Sub(since), true
+	return last.Sub(since)
 }
 
 func (p *Prober) models(ctx context.Context, host Host, secret string) (int, error) {
--- a/winchload/result/result.go
+++ b/winchload/result/result.go
@@ -125,8 +125,8 @@
 type Notes struct {
 	Applied int
 	Failed  int
-	// InForce are the times until an added key worked at the last host, UsedAfter
-	// those after which a withdrawn key was last taken by any host.
+	// InForce are the times after which an added key was last refused by any host,
+	// UsedAfter those after which a withdrawn key was last taken.
 	InForce   []float64
 	UsedAfter []float64
 }
