feat(winchload): measure what control costs by hosts, endpoints, organisations and changes

Ruled out: estimates from message sizes (headers and runtime cost would be missing). Conclusion: reads of load reports count as control, so their connections are counted too.

--- a/load/engine/engine.go
+++ b/load/engine/engine.go
@@ -24,6 +24,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -52,6 +53,8 @@
 	Period time.Duration
 	// Timeout bounds a read.
 	Timeout time.Duration
+	// Transport carries the reads; nil stands for a transport of its own for each endpoint.
+	Transport http.RoundTripper
 }
 
 // Reader reads the endpoints that fall to this host.
@@ -142,7 +145,7 @@
 	if t, found := r.targets[spec.ID]; found && t.spec.Address == spec.Address {
 		return t, nil
 	}
-	client, err := httpjson.NewClient(httpjson.Options{Address: spec.Address, Timeout: r.options.Timeout, AnswerLimit: answerLimit})
+	client, err := httpjson.NewClient(httpjson.Options{Address: spec.Address, Timeout: r.options.Timeout, AnswerLimit: answerLimit, Transport: r.options.Transport})
 	if err != nil {
 		return nil, err
 	}
--- a/winchd/daemon/parts.go
+++ b/winchd/daemon/parts.go
@@ -116,7 +116,7 @@
 	}
 	reader, err := loadengine.New(loadengine.Options{
 		Configurations: d.release.distributor, Source: d.placement.source, Membership: d.membership.table, Clock: d.clock,
-		Logger: d.logger, Observer: load, Period: d.settings.Dispatch.ReportEvery,
+		Logger: d.logger, Observer: load, Period: d.settings.Dispatch.ReportEvery, Transport: d.traffic.Transport(""),
 	})
 	d.dispatch = &dispatchParts{dispatcher: dispatcher, reader: reader, load: load}
 	return err
--- /dev/null
+++ b/winchload/bench/inspect.go
@@ -0,0 +1,87 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// Host is a running host as a measurement addresses it.
+type Host struct {
+	Name       string
+	DataCentre string
+	Operator   string
+}
+
+// Hosts returns the hosts in the order of their processes.
+func (s *Set) Hosts() []Host {
+	hosts := make([]Host, 0, len(s.settings))
+	for _, each := range s.settings {
+		hosts = append(hosts, Host{Name: each.Host, DataCentre: each.DataCentre, Operator: each.Operator.Address})
+	}
+	return hosts
+}
+
+// Hubs returns the hosts through which the data centres exchange reports.
+func (s *Set) Hubs(ctx context.Context) (map[string]bool, error) {
+	body, err := s.call(ctx, http.MethodGet, "http://"+s.settings[0].Operator.Address+"/operator/hosts", operatorSecret, nil)
+	if err != nil {
+		return nil, err
+	}
+	answer := struct {
+		Hosts []struct {
+			ID  string
+			Hub bool
+		}
+	}{}
+	if err := json.Unmarshal([]byte(body), &answer); err != nil {
+		return nil, fmt.Errorf("decode hosts: %w", err)
+	}
+	hubs := map[string]bool{}
+	for _, host := range answer.Hosts {
+		hubs[host.ID] = host.Hub
+	}
+	return hubs, nil
+}
+
+// Metric returns the sum of a counter or gauge of the host over all its labels.
+func (s *Set) Metric(ctx context.Context, host Host, name string) (float64, error) {
+	body, err := s.call(ctx, http.MethodGet, "http://"+host.Operator+"/metrics", "", nil)
+	if err != nil {
+		return 0, err
+	}
+	sum := 0.0
+	for line := range strings.Lines(body) {
+		rest, found := strings.CutPrefix(line, name)
+		if !found || (rest[0] != ' ' && rest[0] != '{') {
+			continue
+		}
+		fields := strings.Fields(line)
+		value, err := strconv.ParseFloat(fields[len(fields)-1], 64)
+		if err != nil {
+			return 0, fmt.Errorf("read metric %s: %w", name, err)
+		}
+		sum += value
+	}
+	return sum, nil
+}
+
+// ChangeWeight commits a small note that changes one organisation.
+func (s *Set) ChangeWeight(ctx context.Context, host Host, number int) error {
+	organisation := organisationItem{ID: s.options.Experiment.Organisations[0].ID, Weight: 1 + number%2}
+	encoded, err := json.Marshal(struct {
+		ID      string
+		Changed struct{ Organisations []organisationItem }
+	}{
+		ID:      fmt.Sprintf("change-%d", number),
+		Changed: struct{ Organisations []organisationItem }{[]organisationItem{organisation}},
+	})
+	if err != nil {
+		return fmt.Errorf("encode change: %w", err)
+	}
+	_, err = s.call(ctx, http.MethodPost, "http://"+host.Operator+"/operator/notes", operatorSecret, encoded)
+	return err
+}
--- /dev/null
+++ b/winchload/capacity.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/arbutuswinch/winch/winchload/capacity"
+)
+
+// capacityCommand measures the slopes of control.
+type capacityCommand struct {
+	Winchd  string        `arg:"--winchd" default:"bin/winchd" help:"program of the daemon" placeholder:"FILE"`
+	Standin string        `arg:"--standin" default:"bin/standin" help:"program of the stand-ins" placeholder:"FILE"`
+	Measure time.Duration `arg:"--measure" default:"20s" help:"time for each point"`
+	Out     string        `arg:"--out" default:"out/capacity" help:"directory of settings and logs" placeholder:"DIR"`
+}
+
+func (c *capacityCommand) execute(ctx context.Context) error {
+	samples, err := capacity.Run(ctx, capacity.Options{
+		Winchd: c.Winchd, Standin: c.Standin, Directory: c.Out, Measure: c.Measure, Progress: os.Stderr,
+	})
+	if err != nil {
+		return fmt.Errorf("measure capacity: %w", err)
+	}
+	return capacity.Write(os.Stdout, samples)
+}
--- /dev/null
+++ b/winchload/capacity/fit.go
@@ -0,0 +1,97 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"slices"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Line is a fit of a cost by a dimension.
+type Line struct {
+	Dimension Dimension
+	Role      Role
+	Cost      string
+	Base      float64
+	Slope     float64
+	// R2 is the share of the variance that the line explains.
+	R2     float64
+	Values []float64
+	Costs  []float64
+}
+
+// At returns the cost that the line gives for a value.
+func (l Line) At(value float64) float64 { return l.Base + l.Slope*value }
+
+// costs are the kinds of cost with the factor to their unit of display.
+func costs() []struct {
+	name string
+	of   func(Sample, Role) float64
+} {
+	return []struct {
+		name string
+		of   func(Sample, Role) float64
+	}{
+		{"% of a core", func(s Sample, role Role) float64 { return 100 * s.Hosts[role].CPU }},
+		{"KB/s", func(s Sample, role Role) float64 { return s.Hosts[role].Bytes / 1024 }},
+		{"MB", func(s Sample, role Role) float64 { return s.Hosts[role].Memory / (1 << 20) }},
+		{"calls/s of all hosts", func(s Sample, _ Role) float64 { return s.Calls }},
+	}
+}
+
+// Fit fits a line to each cost of each dimension and role.
+func Fit(samples []Sample) []Line {
+	dimensions := []Dimension{}
+	for _, sample := range samples {
+		if !slices.Contains(dimensions, sample.Dimension) {
+			dimensions = append(dimensions, sample.Dimension)
+		}
+	}
+	lines := []Line{}
+	for _, dimension := range dimensions {
+		for _, role := range []Role{RoleMember, RoleHub} {
+			for _, cost := range costs() {
+				lines = append(lines, fitOne(samples, dimension, role, cost.name, cost.of))
+			}
+		}
+	}
+	return lines
+}
+
+func fitOne(samples []Sample, dimension Dimension, role Role, name string, of func(Sample, Role) float64) Line {
+	line := Line{Dimension: dimension, Role: role, Cost: name}
+	for _, sample := range samples {
+		if sample.Dimension == dimension {
+			line.Values = append(line.Values, sample.Value)
+			line.Costs = append(line.Costs, of(sample, role))
+		}
+	}
+	line.Base, line.Slope = stat.LinearRegression(line.Values, line.Costs, nil, false)
+	line.R2 = stat.RSquared(line.Values, line.Costs, nil, line.Base, line.Slope)
+	return line
+}
+
+// Write prints the samples and the fits as Markdown.
+func Write(out io.Writer, samples []Sample) error {
+	rows := "| dimension | role | cost | at | measured | base | slope | R2 |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n"
+	for _, line := range Fit(samples) {
+		rows += fmt.Sprintf("| %s | %s | %s | %s | %s | %.3g | %.3g | %.2f |\n", line.Dimension, line.Role, line.Cost,
+			list(line.Values), list(line.Costs), line.Base, line.Slope, line.R2)
+	}
+	if _, err := io.WriteString(out, rows); err != nil {
+		return fmt.Errorf("write table: %w", err)
+	}
+	return nil
+}
+
+func list(values []float64) string {
+	text := ""
+	for i, value := range values {
+		if i > 0 {
+			text += ", "
+		}
+		text += fmt.Sprintf("%.3g", value)
+	}
+	return text
+}
--- /dev/null
+++ b/winchload/capacity/points.go
@@ -0,0 +1,96 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/arbutuswinch/winch/winchload/experiment"
+)
+
+// Dimension names what a measurement varies.
+type Dimension string
+
+// The dimensions.
+const (
+	// DimensionHosts is the number of hosts of one data centre.
+	DimensionHosts Dimension = "hosts of a data centre"
+	// DimensionEndpoints is the number of endpoints of one data centre, at six hosts of it.
+	DimensionEndpoints Dimension = "endpoints of a data centre"
+	// DimensionOrganisations is the number of organisations.
+	DimensionOrganisations Dimension = "organisations"
+	// DimensionChanges is the number of changes a second.
+	DimensionChanges Dimension = "changes a second"
+	// DimensionCentres is the number of data centres, with two hosts each.
+	DimensionCentres Dimension = "data centres"
+)
+
+const (
+	defaultCentres   = 2
+	defaultHosts     = 4
+	defaultEndpoints = 4
+	defaultTenants   = 10
+)
+
+// point is one set of sizes.
+type point struct {
+	dimension        Dimension
+	value            float64
+	centres          int
+	hosts            int
+	endpoints        int
+	organisations    int
+	changesPerSecond float64
+}
+
+func points() []point {
+	all := []point{}
+	base := point{centres: defaultCentres, hosts: defaultHosts, endpoints: defaultEndpoints, organisations: defaultTenants}
+	for _, hosts := range []int{2, 6, 12, 20} {
+		next := base
+		next.dimension, next.value, next.hosts = DimensionHosts, float64(hosts), hosts
+		all = append(all, next)
+	}
+	for _, endpoints := range []int{6, 24, 60, 120} {
+		next := base
+		next.dimension, next.value, next.hosts, next.endpoints = DimensionEndpoints, float64(endpoints), 6, endpoints
+		all = append(all, next)
+	}
+	for _, organisations := range []int{10, 500, 2000} {
+		next := base
+		next.dimension, next.value, next.organisations = DimensionOrganisations, float64(organisations), organisations
+		all = append(all, next)
+	}
+	for _, changes := range []float64{0.25, 1, 4} {
+		next := base
+		next.dimension, next.value, next.changesPerSecond = DimensionChanges, changes, changes
+		all = append(all, next)
+	}
+	for _, centres := range []int{2, 5, 9} {
+		next := base
+		next.dimension, next.value, next.centres, next.hosts, next.endpoints = DimensionCentres, float64(centres), centres, 2, 2
+		all = append(all, next)
+	}
+	return all
+}
+
+// experiment returns a deployment of the point's sizes without load.
+func (p point) experiment() experiment.Experiment {
+	built := experiment.Experiment{
+		Name: "capacity", Duration: experiment.Duration(time.Minute),
+		Classes: []experiment.Class{{
+			ID: "urgent", Tier: 1, FirstTokenTarget: experiment.Duration(1300 * time.Millisecond), MaxWait: experiment.Duration(5 * time.Second),
+			QueueLimit: 100, Share: 1, Model: "model-0",
+		}},
+	}
+	for i := range p.organisations {
+		built.Organisations = append(built.Organisations, experiment.Organisation{ID: fmt.Sprintf("organisation-%d", i), Load: 1, Weight: 1})
+	}
+	for i := range p.centres {
+		centre := fmt.Sprintf("centre-%d", i)
+		built.DataCentres = append(built.DataCentres, experiment.DataCentre{ID: centre, Hosts: p.hosts})
+		built.Engines = append(built.Engines, experiment.EngineGroup{
+			DataCentre: centre, Model: "model-0", Count: p.endpoints, Supply: "Steady", BatchLimit: 16,
+		})
+	}
+	return built
+}
--- a/winchload/main.go
+++ b/winchload/main.go
@@ -29,6 +29,7 @@
 	Pair     *pairCommand     `arg:"subcommand:pair" help:"start whole sets and compare policies or builds"`
 	Table    *tableCommand    `arg:"subcommand:table" help:"print a Markdown table of result files"`
 	Call     *callCommand     `arg:"subcommand:call" help:"send one request as a caller and show the answer"`
+	Capacity *capacityCommand `arg:"subcommand:capacity" help:"measure what control costs by the number of hosts, endpoints, organisations and changes"`
 	Settings *settingsCommand `arg:"subcommand:settings" help:"write the settings files and the release note of an experiment"`
 }
 
@@ -60,6 +61,8 @@
 		return args.Table.execute(os.Stdout)
 	case args.Call != nil:
 		return args.Call.execute(ctx, os.Stdout)
+	case args.Capacity != nil:
+		return args.Capacity.execute(ctx)
 	case args.Settings != nil:
 		return args.Settings.execute()
 	}
