--- a/release/peer/run.go
+++ b/release/peer/run.go
@@ -33,16 +33,21 @@
 // tick announces changes of authority that come with time alone.
 func (d *Distributor) tick(ctx context.Context) error {
 	for pause(ctx, tickPeriod) {
-		now := d.options.Clock.Now()
-		around := d.surroundings(now)
-		d.mu.Lock()
-		d.settle(now, around)
-		d.announce(now, false)
-		d.mu.Unlock()
+		d.review(d.options.Clock.Now())
 	}
 	return nil
 }
 
+// review draws what follows from the passing of time.
+func (d *Distributor) review(now time.Time) {
+	around := d.surroundings(now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.observe(now, around)
+	d.settle(now, around)
+	d.announce(now, false)
+}
+
 func pause(ctx context.Context, duration time.Duration) bool {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
@@ -92,7 +97,7 @@
 // keepRoster keeps the platform's roster of this data centre as this hub knows
 // it. A host that becomes the hub reads the roster first.
 func (d *Distributor) keepRoster(ctx context.Context, read bool) error {
-	if read {
+	if read && !d.state.limits.unguarded.roster {
 		ids, err := d.options.Log.Roster(ctx, d.self.DataCentre)
 		if err != nil {
 			return err
--- a/release/peer/world_test.go
+++ b/release/peer/world_test.go
@@ -43,6 +43,8 @@
 	flying   []func()
 	notes    int
 	replaced int
+	// hubless is a data centre that does not reach the platform.
+	hubless winch.DataCentreID
 }
 
 func newWorld(t assert.TestingT, limits limits, centres, hosts int) *world {
@@ -143,7 +145,7 @@
 
 // watch lets a hub read the platform.
 func (w *world) watch(s *simulated, delayed bool) {
-	if w.hub(s, s.host.DataCentre) != s || !w.platform[s.group] {
+	if w.hub(s, s.host.DataCentre) != s || !w.platform[s.group] || s.host.DataCentre == w.hubless {
 		return
 	}
 	reader, sent := s.distributor, s.Now()
@@ -194,6 +196,7 @@
 		w.exchange(s, false)
 	}
 	for _, s := range w.hosts {
+		s.distributor.review(s.Now())
 		w.accept(s)
 	}
 }
