perf(serving): share writes of claims and read contended heads first

Cause: hosts that write one head conflict, and each conflict cost a write. Conclusion: 8 shards, 50 writes a second for each host; for hundreds of hosts one host should gather each shard's claims.

--- a/serving/keyvalue/claims.go
+++ b/serving/keyvalue/claims.go
@@ -37,6 +37,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/time/rate"
 
 	"github.com/arbutuswinch/winch"
 )
@@ -46,6 +47,7 @@
 	defaultRetention   = 10 * time.Minute
 	defaultGroupDelay  = 4 * time.Millisecond
 	defaultTimeout     = time.Second
+	defaultWriteRate   = 50
 	defaultAnswerLimit = 4 << 10
 	defaultSealSize    = 48 << 10
 	defaultHeadLimit   = 512 << 10
@@ -67,6 +69,9 @@
 	Retention time.Duration
 	// GroupDelay is how long a write waits for further claims.
 	GroupDelay time.Duration
+	// WriteRate is the most writes that this process makes a second, before repeats.
+	// Claims that come faster share writes.
+	WriteRate int
 	// Timeout bounds the write of a group.
 	Timeout time.Duration
 	// AnswerLimit is the largest answer that is kept, in bytes.
@@ -102,8 +107,9 @@
 	}
 	options.fill()
 	c := &Claims{options: options, held: map[claimID]token{}}
+	limiter := rate.NewLimiter(rate.Limit(options.WriteRate), options.Shards)
 	for number := range options.Shards {
-		c.shards = append(c.shards, newShard(options, options.Prefix+strconv.Itoa(number)))
+		c.shards = append(c.shards, newShard(options, limiter, options.Prefix+strconv.Itoa(number)))
 	}
 	return c, nil
 }
@@ -113,7 +119,7 @@
 		into     *int
 		standard int
 	}{
-		{&o.Shards, defaultShards}, {&o.AnswerLimit, defaultAnswerLimit},
+		{&o.Shards, defaultShards}, {&o.WriteRate, defaultWriteRate}, {&o.AnswerLimit, defaultAnswerLimit},
 		{&o.SealSize, defaultSealSize}, {&o.HeadLimit, defaultHeadLimit},
 	} {
 		if *number.into == 0 {
--- a/serving/keyvalue/claims_test.go
+++ b/serving/keyvalue/claims_test.go
@@ -121,7 +121,7 @@
 func newClaims(t assert.TestingT, store winch.KeyValue, owner string, change func(*Options)) *Claims {
 	options := Options{
 		Store: store, Owner: winch.Incarnation(owner), Logger: hclog.NewNullLogger(),
-		Shards: 1, GroupDelay: 100 * time.Microsecond, Timeout: 200 * time.Millisecond, Retention: time.Minute,
+		Shards: 1, WriteRate: 1 << 20, GroupDelay: 100 * time.Microsecond, Timeout: 200 * time.Millisecond, Retention: time.Minute,
 	}
 	if change != nil {
 		change(&options)
@@ -197,6 +197,22 @@
 	assert.Assert(t, store.puts <= 20, "200 claims took %d writes", store.puts)
 }
 
+func TestWriteRate(t *testing.T) {
+	store := newStore()
+	one := newClaims(t, store, "one", func(o *Options) { o.WriteRate = 50 })
+	begun, group := time.Now(), sync.WaitGroup{}
+	for number := range 100 {
+		group.Go(func() {
+			_, err := one.Acquire(t.Context(), begin(), keyed(fmt.Sprint(number), "b"))
+			assert.Check(t, err)
+			assert.Check(t, one.Abandon(t.Context(), begin(), keyed(fmt.Sprint(number), "b")))
+		})
+	}
+	group.Wait()
+	allowed := 50*time.Since(begun).Seconds() + 2
+	assert.Assert(t, float64(store.puts) <= allowed, "%d writes, %.0f allowed", store.puts, allowed)
+}
+
 func TestFaults(t *testing.T) {
 	now := begin()
 	t.Run("a lost answer is resolved by reading back", func(t *testing.T) {
--- a/serving/keyvalue/sealed.go
+++ b/serving/keyvalue/sealed.go
@@ -21,6 +21,9 @@
 		s.head, s.version = head{records: map[claimID]record{}}, winch.VersionAbsent
 	case err != nil:
 		return readError("read claims", err)
+	case s.version == entry.Version:
+		// Nobody else wrote since.
+		s.contended = false
 	default:
 		decoded, err := decodeHead(entry.Value)
 		if err != nil {
--- a/serving/keyvalue/shard.go
+++ b/serving/keyvalue/shard.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/arbutuswinch/winch"
 )
 
@@ -19,6 +21,7 @@
 // shard carries the operations of one shard out, one group after the other.
 type shard struct {
 	options Options
+	limiter *rate.Limiter
 	key     string
 	mutex   sync.Mutex
 	waiting []*operation
@@ -30,14 +33,17 @@
 	known   bool
 	head    head
 	version winch.Version
+	// contended says that other hosts write the head too: it is read before each
+	// write then, since reads are the more plentiful.
+	contended bool
 	// index remembers the sealed claims, loaded the sealed entries that are in it.
 	index  map[claimID]trace
 	loaded map[string]time.Time
 	seals  int
 }
 
-func newShard(options Options, key string) *shard {
-	return &shard{options: options, key: key, index: map[claimID]trace{}, loaded: map[string]time.Time{}}
+func newShard(options Options, limiter *rate.Limiter, key string) *shard {
+	return &shard{options: options, limiter: limiter, key: key, index: map[claimID]trace{}, loaded: map[string]time.Time{}}
 }
 
 // do carries the operation out with others that wait. Its result is in the operation.
@@ -57,6 +63,7 @@
 func (s *shard) run() {
 	for {
 		time.Sleep(s.options.GroupDelay)
+		_ = s.limiter.Wait(context.Background())
 		s.mutex.Lock()
 		group := s.waiting
 		s.waiting = nil
@@ -75,6 +82,7 @@
 // commit writes a group. Every operation gets a result.
 func (s *shard) commit(ctx context.Context, group []*operation) {
 	now := newest(group)
+	s.forgetContended()
 	uncertain, fresh := false, false
 	for backoff := firstBackoff; ; backoff = min(2*backoff, longestBackoff) {
 		fresh = fresh || !s.known
@@ -83,6 +91,7 @@
 			s.conclude(ctx, group)
 			return
 		}
+		s.contended = s.contended || errors.Is(err, winch.ErrConflict)
 		uncertain = uncertain || errors.Is(err, winch.ErrOutcomeUnknown)
 		if err == nil {
 			continue
@@ -94,6 +103,13 @@
 	}
 }
 
+// forgetContended makes a contended head be read again.
+func (s *shard) forgetContended() {
+	if s.contended {
+		s.known = false
+	}
+}
+
 // try reads the head, unless it is known, and writes the group once.
 func (s *shard) try(ctx context.Context, now time.Time, group []*operation, fresh bool) (bool, error) {
 	if err := s.refresh(ctx); err != nil {
