fix(winchload): choose ports below those of outgoing connections

Cause: a port that was free when it was chosen was taken by an outgoing connection before the host listened; seen at 24 hosts in the capacity measurement. Ruled out: a leftover process. Conclusion: ports from 15000 to 31999 are not given to outgoing connections by the kernel.

--- a/winchload/bench/ports.go
+++ b/winchload/bench/ports.go
@@ -2,11 +2,26 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 )
 
+// The ports from which free ones are chosen lie below those that the kernel gives
+// to outgoing connections, which would take them until the process listens.
+const (
+	lowestPort = 15000
+	portCount  = 17000
+	freeTries  = 200
+)
+
 // portCounter gives addresses on the loopback.
-type portCounter struct{ base int }
+type portCounter struct {
+	base int
+	// given are the addresses that were chosen before.
+	given map[string]bool
+}
+
+func newPorts(base int) *portCounter { return &portCounter{base: base, given: map[string]bool{}} }
 
 // next returns the next port, or one that the kernel will choose.
 func (p *portCounter) next() string {
@@ -23,13 +38,19 @@
 	if p.base != 0 {
 		return p.next(), nil
 	}
-	listener, err := net.Listen("tcp", anyPort)
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
-	}
-	address := listener.Addr().String()
-	if err := listener.Close(); err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
+	for range freeTries {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(portCount)))
+		if err != nil {
+			continue
+		}
+		address := listener.Addr().String()
+		if err := listener.Close(); err != nil {
+			return "", fmt.Errorf("find a free port: %w", err)
+		}
+		if !p.given[address] {
+			p.given[address] = true
+			return address, nil
+		}
 	}
-	return address, nil
+	return "", fmt.Errorf("find a free port: none after %d tries", freeTries)
 }
--- a/winchload/bench/set.go
+++ b/winchload/bench/set.go
@@ -93,7 +93,7 @@
 }
 
 func (s *Set) start(ctx context.Context) error {
-	ports := &portCounter{base: s.options.BasePort}
+	ports := newPorts(s.options.BasePort)
 	addresses, err := s.startPlatform(ctx, ports)
 	if err != nil {
 		return err
