--- a/release/keyvalue/commit.go
+++ b/release/keyvalue/commit.go
@@ -135,6 +135,9 @@
 }
 
 func (a *attempt) swap(ctx context.Context, value []byte, expect winch.Version) error {
+	if a.store.unguarded.expect {
+		expect = winch.VersionAny
+	}
 	_, err := a.store.options.KeyValue.Put(ctx, a.store.headKey(), value, expect)
 	if errors.Is(err, winch.ErrConflict) {
 		return fmt.Errorf("swap head: %w", errLost)
@@ -151,7 +154,7 @@
 // committed tells whether the note's id was committed before the head was read.
 func (a *attempt) committed(ctx context.Context, read storedHead) (winch.ReleaseResult, bool, error) {
 	found, err := a.store.find(ctx, read, a.note.ID)
-	if errors.Is(err, winch.ErrNotFound) {
+	if errors.Is(err, winch.ErrNotFound) || a.store.unguarded.find {
 		return winch.ReleaseResult{}, false, nil
 	}
 	if err != nil {
@@ -232,7 +235,7 @@
 // archive copies the head to its record and its index. It must be done before
 // the head is replaced.
 func (s *Store) archive(ctx context.Context, read storedHead) error {
-	if read.head.Record == nil {
+	if read.head.Record == nil || s.unguarded.index {
 		return nil
 	}
 	if err := s.put(ctx, s.recordKey(read.head.Revision), read.entry.Value); err != nil {
--- /dev/null
+++ b/release/keyvalue/random_test.go
@@ -0,0 +1,158 @@
+package keyvalue
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// TestCommitsUnderFaults commits in turn from several stores, with faults of all
+// kinds. A note that was answered is committed once, at its revision; one that
+// failed for good is not committed.
+func TestCommitsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		service := newFakeService()
+		stores := []*Store{}
+		for i := range 3 {
+			store, err := New(Options{KeyValue: service, Incarnation: winch.Incarnation(fmt.Sprint(i))})
+			assert.NilError(t, err)
+			stores = append(stores, store)
+		}
+		answered, unknown := map[winch.NoteID]winch.Revision{}, map[winch.NoteID]bool{}
+		service.fail = faults(rapid.Uint64().Draw(t, "faults"))
+		for range rapid.IntRange(1, 12).Draw(t, "commits") {
+			note := organisationNote(fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "note")), 0)
+			result, err := rapid.SampledFrom(stores).Draw(t, "store").Commit(context.Background(), nil, note)
+			earlier, found := answered[note.ID]
+			switch {
+			case err == nil:
+				assert.Assert(t, !found || result.Revision == earlier)
+				answered[note.ID] = result.Revision
+			case errors.Is(err, winch.ErrOutcomeUnknown):
+				unknown[note.ID] = true
+			default:
+				assert.ErrorIs(t, err, winch.ErrUnavailable)
+				_, committed := history(t, service)[note.ID]
+				assert.Assert(t, !committed || found || unknown[note.ID], "note %s was refused and committed", note.ID)
+			}
+		}
+		seen := history(t, service)
+		for id, revision := range answered {
+			assert.Equal(t, seen[id], revision)
+		}
+	})
+}
+
+// faults returns a fault for half of the calls, by a seed.
+func faults(seed uint64) func(string, string) fault {
+	return func(string, string) fault {
+		seed = seed*6364136223846793005 + 1442695040888963407
+		if draw := seed >> 33 % 10; draw < 5 {
+			return fault(draw)
+		}
+		return faultNone
+	}
+}
+
+// history reads all commits without faults: each id stands once.
+func history(t assert.TestingT, service *fakeService) map[winch.NoteID]winch.Revision {
+	fail := service.fail
+	defer func() { service.fail = fail }()
+	service.fail = func(string, string) fault { return faultNone }
+	store, err := New(Options{KeyValue: service, Incarnation: "reader"})
+	assert.NilError(t, err)
+	head, err := store.Head(context.Background())
+	assert.NilError(t, err)
+	records, err := store.records(context.Background(), 1, head.Revision)
+	assert.NilError(t, err)
+	seen := map[winch.NoteID]winch.Revision{}
+	for _, record := range records {
+		_, twice := seen[record.Note.ID]
+		assert.Assert(t, !twice, "note %s stands twice", record.Note.ID)
+		seen[record.Note.ID] = record.Revision
+	}
+	return seen
+}
+
+// operation is one call of a racing operator: a commit of a change from a base.
+type operation struct {
+	base     winch.Revision
+	revision winch.Revision
+	conflict bool
+}
+
+// commitModel says that a change from a base succeeds when no other change of the
+// same item was committed since, and takes the next revision.
+func commitModel() porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return winch.Revision(1) },
+		Step: func(state, input, output any) (bool, any) {
+			revision, base, result := state.(winch.Revision), input.(winch.Revision), output.(operation)
+			if result.conflict {
+				return base < revision, revision
+			}
+			return base == revision && result.revision == revision+1, revision + 1
+		},
+	}
+}
+
+// TestRacingCommits checks the history of operators who change the same item.
+func TestRacingCommits(t *testing.T) {
+	service := newFakeService()
+	first := newStore(t, service, "first")
+	_, err := first.Commit(t.Context(), nil, organisationNote("x", 0))
+	assert.NilError(t, err)
+	var mu sync.Mutex
+	history := []porcupine.Operation{}
+	began := time.Now()
+	var group sync.WaitGroup
+	for client := range 4 {
+		group.Go(func() {
+			store := newStore(t, service, winch.Incarnation(fmt.Sprint(client)))
+			for i := range 12 {
+				head, err := store.Head(t.Context())
+				assert.Check(t, err)
+				call := time.Since(began)
+				result := changeFrom(t, store, head.Revision, fmt.Sprintf("%d-%d", client, i))
+				mu.Lock()
+				history = append(history, porcupine.Operation{
+					ClientId: client, Input: head.Revision, Call: int64(call), Output: result, Return: int64(time.Since(began)),
+				})
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	assert.Assert(t, porcupine.CheckOperations(commitModel(), history))
+	t.Run("the model refuses a lost update", func(t *testing.T) {
+		wrong := []porcupine.Operation{
+			{ClientId: 0, Input: winch.Revision(1), Call: 0, Output: operation{base: 1, revision: 2}, Return: 1},
+			{ClientId: 1, Input: winch.Revision(1), Call: 2, Output: operation{base: 1, revision: 3}, Return: 3},
+		}
+		assert.Assert(t, !porcupine.CheckOperations(commitModel(), wrong))
+	})
+}
+
+func changeFrom(t *testing.T, store *Store, base winch.Revision, id string) operation {
+	_, err := store.Commit(t.Context(), nil, winch.Note{
+		ID: winch.NoteID(id), Base: base,
+		Changed: winch.Items{Organisations: []winch.Organisation{{ID: "x", Weight: 1 + int(base)}}},
+	})
+	result, findErr := store.Find(t.Context(), winch.NoteID(id))
+	if errors.Is(err, winch.ErrConflict) {
+		assert.Check(t, errors.Is(findErr, winch.ErrNotFound))
+		return operation{base: base, conflict: true}
+	}
+	assert.Check(t, err)
+	assert.Check(t, findErr)
+	return operation{base: base, revision: result.Revision}
+}
--- a/release/keyvalue/store.go
+++ b/release/keyvalue/store.go
@@ -44,6 +44,18 @@
 	options Options
 	// snapshot is the newest revision that is known to have a snapshot.
 	snapshot atomic.Int64
+	// unguarded takes rules out, for tests that show that each is needed.
+	unguarded guards
+}
+
+// guards are rules that a test may take out.
+type guards struct {
+	// find commits without looking for the note's id.
+	find bool
+	// index replaces the head without having indexed it.
+	index bool
+	// expect swaps the head whichever it is.
+	expect bool
 }
 
 var _ winch.ReleaseLog = (*Store)(nil)
