feat(winchctl): check, apply and follow notes, add and withdraw keys, show tables

Cause: operators need a command line with exit codes that scripts can act on. Conclusion: secrets are hashed before a call leaves; calls go on to the next address.

--- /dev/null
+++ b/winchctl/command.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// The exit codes.
+const (
+	exitDone        = 0
+	exitUsage       = 2
+	exitRefused     = 3
+	exitConflict    = 4
+	exitUnavailable = 5
+)
+
+// streams are the standard streams of the process.
+type streams struct {
+	in       io.Reader
+	out, err io.Writer
+}
+
+// options are the flags that all commands share.
+type options struct {
+	Address []string      `arg:"--address,separate,env:WINCH_ADDRESS" placeholder:"IP:PORT" help:"operators' address of a host; give several to try one after the other"`
+	Secret  string        `arg:"--secret" placeholder:"FILE" help:"file that holds the operators' secret; without it WINCH_SECRET is taken"`
+	Env     string        `arg:"--,env:WINCH_SECRET" json:"-"`
+	JSON    bool          `arg:"--json" help:"print the answers as JSON"`
+	Timeout time.Duration `arg:"--timeout" default:"15s" help:"time for one call to one host"`
+}
+
+type arguments struct {
+	options
+	Note      *noteCommand      `arg:"subcommand:note" help:"check, apply and follow release notes"`
+	Key       *keyCommand       `arg:"subcommand:key" help:"add and withdraw keys"`
+	Hosts     *hostsCommand     `arg:"subcommand:hosts" help:"show the hosts"`
+	Endpoints *endpointsCommand `arg:"subcommand:endpoints" help:"show the endpoints"`
+	Queues    *queuesCommand    `arg:"subcommand:queues" help:"show the queues of all data centres"`
+	Usage     *usageCommand     `arg:"subcommand:usage" help:"show the usage windows and their reports"`
+	Explain   *explainCommand   `arg:"subcommand:explain" help:"show what was decided for a request"`
+}
+
+// Description is shown in the help.
+func (arguments) Description() string {
+	return "winchctl drives arbutuswinch through its operators' API."
+}
+
+// Epilogue is shown at the end of the help.
+func (arguments) Epilogue() string {
+	return "Exit codes: 0 done, 2 wrong usage, 3 refused or invalid, 4 conflict with another note, 5 unavailable or outcome unknown."
+}
+
+// command is one of the subcommands.
+type command interface {
+	run(ctx context.Context, c *console) error
+}
+
+// console is what a command works with.
+type console struct {
+	streams
+	options options
+	hosts   *hosts
+}
+
+// errUsage marks errors in the arguments.
+var errUsage = errors.New("wrong usage")
+
+func run(ctx context.Context, args []string, s streams) int {
+	parsed := arguments{}
+	parser, err := arg.NewParser(arg.Config{Program: "winchctl", Out: s.err}, &parsed)
+	if err != nil {
+		fmt.Fprintln(s.err, "winchctl:", err)
+		return exitUsage
+	}
+	switch err := parser.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(s.out, parser.SubcommandNames()...)
+		return exitDone
+	case err != nil:
+		return usage(parser, s, err)
+	}
+	chosen, found := parser.Subcommand().(command)
+	if !found {
+		return usage(parser, s, fmt.Errorf("a command is missing: %w", errUsage))
+	}
+	hosts, err := newHosts(parsed.options)
+	if err == nil {
+		err = chosen.run(ctx, &console{streams: s, options: parsed.options, hosts: hosts})
+	}
+	if errors.Is(err, errUsage) {
+		return usage(parser, s, err)
+	}
+	if err != nil {
+		fmt.Fprintln(s.err, "winchctl:", err)
+	}
+	return exitCode(err)
+}
+
+func usage(parser *arg.Parser, s streams, err error) int {
+	_ = parser.WriteUsageForSubcommand(s.err, parser.SubcommandNames()...)
+	fmt.Fprintln(s.err, "winchctl:", err)
+	return exitUsage
+}
+
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.Is(err, winch.ErrConflict):
+		return exitConflict
+	case errors.Is(err, winch.ErrInvalid), errors.Is(err, winch.ErrUnauthorized), errors.Is(err, winch.ErrNotFound):
+		return exitRefused
+	}
+	return exitUnavailable
+}
--- /dev/null
+++ b/winchctl/hosts.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/httpjson"
+)
+
+// hosts calls the first host that answers.
+type hosts struct {
+	clients   []*httpjson.Client
+	addresses []string
+}
+
+func newHosts(options options) (*hosts, error) {
+	secret := options.Env
+	if options.Secret != "" {
+		body, err := os.ReadFile(options.Secret)
+		if err != nil {
+			return nil, fmt.Errorf("read --secret: %w: %w", errUsage, err)
+		}
+		secret = strings.TrimSpace(string(body))
+	}
+	if secret == "" {
+		return nil, fmt.Errorf("--secret or WINCH_SECRET is missing: %w", errUsage)
+	}
+	if len(options.Address) == 0 {
+		return nil, fmt.Errorf("--address or WINCH_ADDRESS is missing: %w", errUsage)
+	}
+	h := &hosts{addresses: options.Address}
+	for _, address := range options.Address {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return nil, fmt.Errorf("--address %q is not an IP number and port: %w", address, errUsage)
+		}
+		client, err := httpjson.NewClient(httpjson.Options{Address: address, Secret: secret, Timeout: options.Timeout})
+		if err != nil {
+			return nil, err
+		}
+		h.clients = append(h.clients, client)
+	}
+	return h, nil
+}
+
+// call repeats the call at the next host when one did not answer. All calls may
+// be repeated: they read, or commit a note of a fixed id.
+func (h *hosts) call(ctx context.Context, method, path string, in any) (json.RawMessage, error) {
+	failures, unknown := []error{}, false
+	for i, client := range h.clients {
+		var answer json.RawMessage
+		err := client.Do(ctx, method, path, in, &answer)
+		if err == nil {
+			return answer, nil
+		}
+		err = fmt.Errorf("%s: %w", h.addresses[i], err)
+		if !retriable(err) {
+			return nil, err
+		}
+		unknown = unknown || errors.Is(err, winch.ErrOutcomeUnknown)
+		failures = append(failures, err)
+	}
+	err := errors.Join(failures...)
+	if unknown && method != "GET" {
+		return nil, fmt.Errorf("outcome unknown, the note may be committed; repeat with the same id to find out: %w", err)
+	}
+	return nil, err
+}
+
+func retriable(err error) bool {
+	return errors.Is(err, winch.ErrUnavailable) || errors.Is(err, winch.ErrOutcomeUnknown) || errors.Is(err, winch.ErrRateLimited)
+}
--- /dev/null
+++ b/winchctl/key.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net/url"
+	"os"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"github.com/arbutuswinch/winch"
+)
+
+type keyCommand struct {
+	Add      *addKeyCommand      `arg:"subcommand:add" help:"add a key"`
+	Withdraw *withdrawKeyCommand `arg:"subcommand:withdraw" help:"withdraw a key"`
+}
+
+func (*keyCommand) run(context.Context, *console) error {
+	return fmt.Errorf("key needs add or withdraw: %w", errUsage)
+}
+
+type addKeyCommand struct {
+	waiting
+	ID           string `arg:"positional,required" help:"id of the key"`
+	Organisation string `arg:"positional,required" help:"organisation that the key acts for"`
+	KeyFile      string `arg:"--key-file" placeholder:"FILE" help:"file that holds the caller's secret; without it one is made and printed"`
+	Note         string `arg:"--note" placeholder:"ID" help:"id of the note; give it again to repeat a call whose outcome is unknown"`
+}
+
+// addKey is the call's body. The secret itself stays here.
+type addKey struct {
+	Note         winch.NoteID
+	ID           winch.KeyID
+	Organisation winch.OrganisationID
+	Hash         string
+}
+
+func (c *addKeyCommand) run(ctx context.Context, console *console) error {
+	secret, err := c.secret(console)
+	if err != nil {
+		return err
+	}
+	note := noteID(c.Note)
+	body := addKey{
+		Note: note, ID: winch.KeyID(c.ID),
+		Organisation: winch.OrganisationID(c.Organisation), Hash: winch.HashKey(secret).String(),
+	}
+	return console.apply(ctx, note, "POST", "/operator/keys", body, c.waiting)
+}
+
+// secret reads the caller's secret, or makes one and prints it on the error
+// stream, so that it is not taken for a part of the answer.
+func (c *addKeyCommand) secret(console *console) (string, error) {
+	if c.KeyFile != "" {
+		body, err := os.ReadFile(c.KeyFile)
+		secret := strings.TrimSpace(string(body))
+		if err != nil || secret == "" {
+			return "", fmt.Errorf("read --key-file %s: no secret: %w", c.KeyFile, errUsage)
+		}
+		return secret, nil
+	}
+	if c.Note != "" {
+		return "", fmt.Errorf("--note needs --key-file, since a new secret would be another note: %w", errUsage)
+	}
+	secret := rand.Text()
+	fmt.Fprintln(console.err, "secret of the new key, shown only once:", secret)
+	return secret, nil
+}
+
+type withdrawKeyCommand struct {
+	waiting
+	ID   string `arg:"positional,required" help:"id of the key"`
+	Note string `arg:"--note" placeholder:"ID" help:"id of the note; give it again to repeat a call whose outcome is unknown"`
+}
+
+func (c *withdrawKeyCommand) run(ctx context.Context, console *console) error {
+	note := noteID(c.Note)
+	path := "/operator/keys/" + url.PathEscape(c.ID) + "?note=" + url.QueryEscape(string(note))
+	return console.apply(ctx, note, "DELETE", path, nil, c.waiting)
+}
+
+func noteID(given string) winch.NoteID {
+	if given == "" {
+		given = uuid.NewString()
+	}
+	return winch.NoteID(given)
+}
--- /dev/null
+++ b/winchctl/note.go
@@ -0,0 +1,191 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/release"
+)
+
+const (
+	pollPeriod = time.Second
+)
+
+type noteCommand struct {
+	Check  *checkCommand  `arg:"subcommand:check" help:"check a note file against the configuration in force, and commit nothing"`
+	Apply  *applyCommand  `arg:"subcommand:apply" help:"commit a note"`
+	Status *statusCommand `arg:"subcommand:status" help:"show what became of a note"`
+}
+
+func (*noteCommand) run(context.Context, *console) error {
+	return fmt.Errorf("note needs check, apply or status: %w", errUsage)
+}
+
+type checkCommand struct {
+	File string `arg:"positional,required" help:"note file, - for standard input; a key may have Secret in place of Hash, which is hashed here"`
+}
+
+func (c *checkCommand) run(ctx context.Context, console *console) error {
+	_, wire, err := console.readNote(c.File)
+	if err != nil {
+		return err
+	}
+	answer, err := console.hosts.call(ctx, "POST", "/operator/notes/check", wire)
+	if err != nil {
+		return err
+	}
+	return console.show(answer)
+}
+
+type waiting struct {
+	Wait    bool          `arg:"--wait" help:"wait until the note is accepted and print its progress"`
+	WaitFor time.Duration `arg:"--wait-for" default:"10m" help:"longest time to wait"`
+}
+
+type applyCommand struct {
+	waiting
+	File string `arg:"positional,required" help:"note file, - for standard input; a key may have Secret in place of Hash, which is hashed here"`
+}
+
+func (c *applyCommand) run(ctx context.Context, console *console) error {
+	note, wire, err := console.readNote(c.File)
+	if err != nil {
+		return err
+	}
+	return console.apply(ctx, note.ID, "POST", "/operator/notes", wire, c.waiting)
+}
+
+type statusCommand struct {
+	waiting
+	ID string `arg:"positional,required" help:"id of the note"`
+}
+
+func (c *statusCommand) run(ctx context.Context, console *console) error {
+	if c.Wait {
+		return console.follow(ctx, winch.NoteID(c.ID), c.WaitFor)
+	}
+	answer, err := console.hosts.call(ctx, "GET", notePath(winch.NoteID(c.ID)), nil)
+	if err != nil {
+		return err
+	}
+	return console.show(answer)
+}
+
+func notePath(id winch.NoteID) string { return "/operator/notes/" + url.PathEscape(string(id)) }
+
+// readNote reads a note file and returns what may leave this machine: hashes, no secrets.
+func (c *console) readNote(file string) (winch.Note, json.RawMessage, error) {
+	var body []byte
+	var err error
+	if file == "-" {
+		body, err = io.ReadAll(io.LimitReader(c.in, release.MaxNoteSize+1))
+	} else {
+		body, err = os.ReadFile(file)
+	}
+	if err != nil {
+		return winch.Note{}, nil, fmt.Errorf("read note: %w: %w", winch.ErrInvalid, err)
+	}
+	note, err := release.DecodeNoteFile(body)
+	if err != nil {
+		return note, nil, err
+	}
+	wire, err := release.EncodeNote(note)
+	return note, wire, err
+}
+
+// apply commits a note and shows the answer, or waits until it is accepted.
+func (c *console) apply(ctx context.Context, id winch.NoteID, method, path string, in any, waiting waiting) error {
+	answer, err := c.hosts.call(ctx, method, path, in)
+	if err != nil {
+		return fmt.Errorf("note %s: %w", id, err)
+	}
+	if waiting.Wait {
+		return c.follow(ctx, id, waiting.WaitFor)
+	}
+	return c.show(answer)
+}
+
+// statusAnswer is what the operators' API says of a note.
+type statusAnswer struct {
+	Revision winch.Revision
+	Accepted bool
+	Centres  []centreAnswer
+}
+
+type centreAnswer struct {
+	DataCentre winch.DataCentreID
+	InForce    bool
+	Behind     []winch.HostID
+	Until      time.Time
+}
+
+// line tells the progress in one line.
+func (s statusAnswer) line() string {
+	if s.Accepted {
+		return fmt.Sprintf("revision %d: accepted", s.Revision)
+	}
+	inForce, waits := 0, []string{}
+	for _, centre := range s.Centres {
+		if centre.InForce {
+			inForce++
+			continue
+		}
+		wait := string(centre.DataCentre)
+		if !centre.Until.IsZero() {
+			wait += " until " + centre.Until.Local().Format(time.TimeOnly)
+		}
+		waits = append(waits, wait)
+	}
+	line := fmt.Sprintf("revision %d: committed, in force in %d of %d data centres", s.Revision, inForce, len(s.Centres))
+	if len(s.Centres) == 0 {
+		line = fmt.Sprintf("revision %d: committed", s.Revision)
+	}
+	if len(waits) > 0 {
+		line += ", waiting for " + strings.Join(waits, ", ")
+	}
+	return line
+}
+
+// follow polls the note's status until it is accepted. Hosts that do not answer
+// meanwhile do not end the wait.
+func (c *console) follow(ctx context.Context, id winch.NoteID, longest time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, longest)
+	defer cancel()
+	shown := ""
+	for {
+		answer, err := c.hosts.call(ctx, "GET", notePath(id), nil)
+		status := statusAnswer{}
+		if err == nil {
+			err = json.Unmarshal(answer, &status)
+		}
+		if err != nil && !retriable(err) {
+			return err
+		}
+		line := status.line()
+		if err != nil {
+			line = "no host answers"
+		}
+		if line != shown && !c.options.JSON {
+			fmt.Fprintln(c.out, line)
+			shown = line
+		}
+		if status.Accepted {
+			if c.options.JSON {
+				return c.show(answer)
+			}
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("note %s: not accepted yet: %w", id, winch.ErrOutcomeUnknown)
+		case <-time.After(pollPeriod):
+		}
+	}
+}
--- /dev/null
+++ b/winchctl/show.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/url"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// The commands that read /operator/<name> and print it.
+type (
+	hostsCommand     struct{}
+	endpointsCommand struct{}
+	queuesCommand    struct{}
+	usageCommand     struct{}
+)
+
+func (*hostsCommand) run(ctx context.Context, c *console) error {
+	return c.fetch(ctx, "/operator/hosts")
+}
+
+func (*endpointsCommand) run(ctx context.Context, c *console) error {
+	return c.fetch(ctx, "/operator/endpoints")
+}
+
+func (*queuesCommand) run(ctx context.Context, c *console) error {
+	return c.fetch(ctx, "/operator/queues")
+}
+
+func (*usageCommand) run(ctx context.Context, c *console) error {
+	return c.fetch(ctx, "/operator/usage")
+}
+
+type explainCommand struct {
+	Request string `arg:"positional,required" help:"id of the request, from the header X-Request-Id of its answer"`
+}
+
+func (c *explainCommand) run(ctx context.Context, console *console) error {
+	return console.fetch(ctx, "/operator/requests/"+url.PathEscape(c.Request))
+}
+
+func (c *console) fetch(ctx context.Context, path string) error {
+	answer, err := c.hosts.call(ctx, "GET", path, nil)
+	if err != nil {
+		return err
+	}
+	return c.show(answer)
+}
+
+// show prints an answer as JSON, or its values line by line and its lists as tables.
+func (c *console) show(answer json.RawMessage) error {
+	if c.options.JSON {
+		indented := bytes.Buffer{}
+		if err := json.Indent(&indented, answer, "", "  "); err != nil {
+			return fmt.Errorf("print answer: %w", err)
+		}
+		fmt.Fprintln(c.out, strings.TrimSpace(indented.String()))
+		return nil
+	}
+	if rows, isList := objects(answer); isList {
+		writeTable(c.out, "", rows)
+		return nil
+	}
+	for _, field := range fields(answer) {
+		if rows, isList := objects(field.value); isList {
+			writeTable(c.out, field.name, rows)
+			continue
+		}
+		fmt.Fprintf(c.out, "%s: %s\n", field.name, text(field.value))
+	}
+	return nil
+}
+
+// field is a member of a JSON object.
+type field struct {
+	name  string
+	value json.RawMessage
+}
+
+// fields returns the members of an object in their order.
+func fields(raw json.RawMessage) []field {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	if token, err := decoder.Token(); err != nil || token != json.Delim('{') {
+		return []field{{name: "Answer", value: raw}}
+	}
+	members := []field{}
+	for decoder.More() {
+		token, err := decoder.Token()
+		name, isText := token.(string)
+		member := field{name: name}
+		if err != nil || !isText || decoder.Decode(&member.value) != nil {
+			return members
+		}
+		members = append(members, member)
+	}
+	return members
+}
+
+// objects returns the rows of a list of objects.
+func objects(raw json.RawMessage) ([][]field, bool) {
+	list := []json.RawMessage{}
+	if err := json.Unmarshal(raw, &list); err != nil || list == nil {
+		return nil, false
+	}
+	rows := [][]field{}
+	for _, element := range list {
+		if !bytes.HasPrefix(bytes.TrimSpace(element), []byte("{")) {
+			return nil, false
+		}
+		rows = append(rows, fields(element))
+	}
+	return rows, len(rows) > 0
+}
+
+func writeTable(out io.Writer, title string, rows [][]field) {
+	if title != "" {
+		fmt.Fprintf(out, "\n%s\n", title)
+	}
+	columns := []string{}
+	for _, row := range rows {
+		for _, cell := range row {
+			if !slices.Contains(columns, cell.name) {
+				columns = append(columns, cell.name)
+			}
+		}
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, strings.ToUpper(strings.Join(columns, "\t")))
+	for _, row := range rows {
+		cells := make([]string, len(columns))
+		for _, cell := range row {
+			cells[slices.Index(columns, cell.name)] = text(cell.value)
+		}
+		fmt.Fprintln(table, strings.Join(cells, "\t"))
+	}
+	_ = table.Flush()
+}
+
+// text returns a value as it stands in a table.
+func text(raw json.RawMessage) string {
+	var value any
+	if err := json.Unmarshal(raw, &value); err != nil {
+		return string(raw)
+	}
+	switch value := value.(type) {
+	case nil:
+		return "-"
+	case string:
+		return value
+	case []any:
+		words := []string{}
+		for _, element := range value {
+			words = append(words, fmt.Sprint(element))
+		}
+		return strings.Join(words, ",")
+	}
+	return string(raw)
+}
