--- /dev/null
+++ b/release/operator/handler_test.go
@@ -0,0 +1,166 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/release"
+)
+
+var now = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fakeRelease is a log of commits and a host's part in their distribution.
+type fakeRelease struct {
+	winch.ReleaseLog
+	winch.ReleaseTracker
+	current  *winch.Configuration
+	notes    map[winch.NoteID]winch.Revision
+	recent   bool
+	accepted winch.Revision
+	err      error
+}
+
+func (f *fakeRelease) Now() time.Time { return now }
+
+func (f *fakeRelease) Commit(_ context.Context, current *winch.Configuration, note winch.Note) (winch.ReleaseResult, error) {
+	if f.err != nil {
+		return winch.ReleaseResult{}, f.err
+	}
+	if err := release.Check(current, note); err != nil {
+		return winch.ReleaseResult{}, err
+	}
+	record := winch.ReleaseRecord{Revision: current.Revision + 1, Note: note}
+	f.notes[note.ID] = record.Revision
+	return winch.ReleaseResult{Revision: record.Revision, Record: &record, Configuration: release.Next(current, record)}, nil
+}
+
+func (f *fakeRelease) Find(_ context.Context, id winch.NoteID) (winch.ReleaseResult, error) {
+	revision, found := f.notes[id]
+	if f.err != nil || !found {
+		return winch.ReleaseResult{}, fmt.Errorf("find: %w", winch.ErrNotFound)
+	}
+	return winch.ReleaseResult{Note: id, Revision: revision}, nil
+}
+
+func (f *fakeRelease) Accepted(context.Context) (winch.Revision, error) { return f.accepted, f.err }
+func (f *fakeRelease) Current() *winch.Configuration                    { return f.current }
+func (f *fakeRelease) Learn(_ time.Time, result winch.ReleaseResult) {
+	f.current = result.Configuration
+}
+
+func (f *fakeRelease) Recent(id winch.NoteID) (winch.Revision, bool) {
+	return f.notes[id], f.recent && f.notes[id] > 0
+}
+
+func (f *fakeRelease) Progress(_ time.Time, revision winch.Revision) winch.ReleaseProgress {
+	return winch.ReleaseProgress{Revision: revision, Centres: []winch.ReleaseCentre{
+		{DataCentre: "a", Revision: revision, InForce: true, Hosts: 2, Heard: now},
+		{DataCentre: "b", Hosts: 2, Behind: []winch.HostID{"h3"}, Until: now.Add(time.Minute)},
+	}}
+}
+
+func newFake() *fakeRelease {
+	return &fakeRelease{current: release.Empty(), notes: map[winch.NoteID]winch.Revision{}, recent: true}
+}
+
+// call returns the status and the decoded answer.
+func call(t *testing.T, fake *fakeRelease, method, path, body string) (int, map[string]any) {
+	t.Helper()
+	handler, err := New(Options{Log: fake, Tracker: fake, Clock: fake})
+	assert.NilError(t, err)
+	recorder := httptest.NewRecorder()
+	handler.Handler().ServeHTTP(recorder, httptest.NewRequest(method, path, strings.NewReader(body)))
+	answer := map[string]any{}
+	assert.NilError(t, json.Unmarshal(recorder.Body.Bytes(), &answer))
+	return recorder.Code, answer
+}
+
+const organisation = `{"ID": "n1", "Added": {"Organisations": [{"ID": "o", "Weight": 1}]}}`
+
+func TestNotes(t *testing.T) {
+	fake := newFake()
+	t.Run("check commits nothing", func(t *testing.T) {
+		status, answer := call(t, fake, "POST", "/operator/notes/check", organisation)
+		assert.Equal(t, status, http.StatusOK)
+		assert.DeepEqual(t, answer["Items"], []any{"Organisations[o]"})
+		assert.Equal(t, len(fake.notes), 0)
+	})
+	t.Run("apply says where it is in force", func(t *testing.T) {
+		status, answer := call(t, fake, "POST", "/operator/notes", organisation)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, answer["Revision"], 1.0)
+		assert.Equal(t, answer["Committed"], true)
+		assert.Equal(t, answer["Accepted"], false)
+		waiting := answer["Centres"].([]any)[1].(map[string]any)
+		assert.Equal(t, waiting["Until"], "2030-01-01T00:01:00Z")
+		assert.DeepEqual(t, waiting["Behind"], []any{"h3"})
+	})
+	t.Run("status at a host that has not learnt of it", func(t *testing.T) {
+		other := newFake()
+		other.notes, other.recent, other.accepted = fake.notes, false, 1
+		status, answer := call(t, other, "GET", "/operator/notes/n1", "")
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, answer["Accepted"], true)
+	})
+	t.Run("an unknown note", func(t *testing.T) {
+		status, _ := call(t, fake, "GET", "/operator/notes/n2", "")
+		assert.Equal(t, status, http.StatusNotFound)
+	})
+	t.Run("a bad field", func(t *testing.T) {
+		status, answer := call(t, fake, "POST", "/operator/notes", `{"ID": "n", "Added": {"Organisations": [{"ID": "p", "Weight": 0}]}}`)
+		assert.Equal(t, status, http.StatusBadRequest)
+		assert.Assert(t, strings.HasPrefix(answer["Message"].(string), "Added.Organisations[0].Weight: 0 is not between"))
+	})
+	t.Run("a conflict names the revision and the items", func(t *testing.T) {
+		lost := newFake()
+		lost.err = fmt.Errorf("commit: %w", &winch.ReleaseConflict{Revision: 4, Items: []string{"Keys[k]"}})
+		status, answer := call(t, lost, "POST", "/operator/notes", organisation)
+		assert.Equal(t, status, http.StatusConflict)
+		assert.Equal(t, answer["Revision"], 4.0)
+		assert.DeepEqual(t, answer["Items"], []any{"Keys[k]"})
+	})
+	t.Run("the platform is away", func(t *testing.T) {
+		away := newFake()
+		away.err = fmt.Errorf("commit: %w", winch.ErrUnavailable)
+		status, _ := call(t, away, "POST", "/operator/notes", organisation)
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+	})
+}
+
+func TestKeys(t *testing.T) {
+	fake := newFake()
+	_, _ = call(t, fake, "POST", "/operator/notes", organisation)
+	hash := winch.HashKey("secret").String()
+	t.Run("add", func(t *testing.T) {
+		status, _ := call(t, fake, "POST", "/operator/keys", `{"Note": "n2", "ID": "k", "Organisation": "o", "Hash": "`+hash+`"}`)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, fake.current.Keys["k"].Hash, winch.HashKey("secret"))
+	})
+	t.Run("list without hashes", func(t *testing.T) {
+		_, answer := call(t, fake, "GET", "/operator/keys", "")
+		assert.DeepEqual(t, answer["Keys"], []any{map[string]any{"ID": "k", "Organisation": "o"}})
+	})
+	t.Run("withdraw", func(t *testing.T) {
+		status, _ := call(t, fake, "DELETE", "/operator/keys/k?note=n3", "")
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, len(fake.current.Keys), 0)
+	})
+	t.Run("a note id is needed", func(t *testing.T) {
+		status, answer := call(t, fake, "DELETE", "/operator/keys/k", "")
+		assert.Equal(t, status, http.StatusBadRequest)
+		assert.Assert(t, strings.Contains(answer["Message"].(string), "ID: is missing"))
+	})
+	t.Run("a bad hash", func(t *testing.T) {
+		status, _ := call(t, fake, "POST", "/operator/keys", `{"Note": "n4", "ID": "k", "Organisation": "o", "Hash": "12"}`)
+		assert.Equal(t, status, http.StatusBadRequest)
+	})
+}
