--- /dev/null
+++ b/dispatch/endpoint/health.go
@@ -0,0 +1,132 @@
+package endpoint
+
+import (
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// health decides whether an endpoint may get work. An ejected endpoint is left
+// alone for a back-off, then tried with one request at a time until one is answered.
+type health struct {
+	failures     int
+	ejectedUntil time.Time
+	backoff      time.Duration
+	probing      bool
+}
+
+// usable tells whether the endpoint may get another request.
+func (e *endpoint) usable(now time.Time) bool {
+	if !e.serving {
+		return false
+	}
+	if !e.health.probing {
+		return true
+	}
+	return !now.Before(e.health.ejectedUntil) && e.running == 0
+}
+
+// eject takes the endpoint out for a back-off that doubles each time.
+func (c *core) eject(now time.Time, e *endpoint, cause string) {
+	h := &e.health
+	switch {
+	case !h.probing || h.backoff == 0:
+		h.backoff = c.settings.EjectionTime
+	case h.backoff*2 > c.settings.EjectionMax:
+		h.backoff = c.settings.EjectionMax
+	default:
+		h.backoff *= 2
+	}
+	h.probing, h.failures = true, 0
+	h.ejectedUntil = now.Add(h.backoff)
+	c.emit(effect{kind: effectEjected, at: now, endpoint: e, cause: cause, wait: h.backoff})
+}
+
+// answered notes evidence that the endpoint works.
+func (c *core) answered(now time.Time, e *endpoint) {
+	e.health.failures = 0
+	if !e.health.probing || now.Before(e.health.ejectedUntil) {
+		return
+	}
+	e.health = health{}
+	e.inflating = now
+	c.emit(effect{kind: effectRestored, at: now, endpoint: e})
+}
+
+// failed counts a failure, and ejects the endpoint after several in a row.
+func (c *core) failed(now time.Time, e *endpoint, unreachable bool) {
+	if !c.features.ejection || now.Before(e.health.ejectedUntil) {
+		return
+	}
+	e.health.failures++
+	if e.health.probing || unreachable || e.health.failures >= c.settings.FailureLimit {
+		c.eject(now, e, "failures")
+	}
+}
+
+// checkSilence ejects an endpoint that has streams under way and says nothing.
+func (c *core) checkSilence(now time.Time, e *endpoint) {
+	if !c.features.ejection || e.running == 0 || e.spec.Kind != winch.EndpointEngine || now.Before(e.health.ejectedUntil) {
+		return
+	}
+	w := e.awaited()
+	since := w.since
+	if heard := time.Unix(0, e.lastHeard.Load()); heard.After(since) {
+		since = heard
+	}
+	limit := c.settings.SilenceLimit
+	if !w.streaming || w.longPrompt {
+		// A prompt may keep an engine busy for long, and an answer may come as a whole.
+		limit = max(limit, secondsOf(w.usual)) * promptPatience
+	}
+	if now.Sub(since) <= limit {
+		return
+	}
+	move := w.streaming || e.health.probing
+	c.eject(now, e, "silence")
+	if move {
+		c.moveAll(now, e)
+	}
+}
+
+const promptPatience = 3
+
+// awaitedWork is what is known of the answers that an endpoint owes.
+type awaitedWork struct {
+	// streaming says that tokens of at least one stream have come.
+	streaming bool
+	// longPrompt says that a long prompt has no token yet.
+	longPrompt bool
+	since      time.Time // when the oldest was given
+	usual      float64   // the longest usual time of its classes, in seconds
+}
+
+func (e *endpoint) awaited() awaitedWork {
+	w := awaitedWork{}
+	for i := range e.tiers {
+		for r := e.tiers[i].newest; r != nil; r = r.runNext {
+			w.streaming = w.streaming || r.firstSeen
+			w.longPrompt = w.longPrompt || r.long && !r.firstSeen
+			w.usual = max(w.usual, r.lane.hold.value)
+			if w.since.IsZero() || r.grantedAt.Before(w.since) {
+				w.since = r.grantedAt
+			}
+		}
+	}
+	return w
+}
+
+// moveAll asks every stream to leave the endpoint.
+func (c *core) moveAll(now time.Time, e *endpoint) {
+	for i := range e.tiers {
+		for r := e.tiers[i].newest; r != nil; r = r.runNext {
+			if !r.preempted && r.work.Model != "" {
+				r.preempted = true
+				if !r.floor {
+					r.lane.goingRunning++
+				}
+				c.emit(effect{kind: effectMoved, request: r, endpoint: e, at: now})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/endpoint/preempt.go
@@ -0,0 +1,159 @@
+package endpoint
+
+import (
+	"math"
+	"time"
+)
+
+// relieve makes lower tiers give way when requests of the lane wait and their target is at risk.
+func (c *core) relieve(now time.Time, l *lane) {
+	if !c.features.preemption || !c.atRisk(now, l) {
+		return
+	}
+	need := 0
+	for _, rival := range l.rivals {
+		if l.higher(rival) {
+			need -= rival.preempting
+		} else {
+			need += rival.queued
+		}
+	}
+	for need = min(need, victimsAtOnce); need > 0; need-- {
+		victim := c.victim(now, l)
+		if victim == nil {
+			return
+		}
+		c.preempt(now, victim, l, false)
+	}
+}
+
+// atRisk tells whether requests of the lane would miss their target by waiting for a slot.
+func (c *core) atRisk(now time.Time, l *lane) bool {
+	if l.queued == 0 {
+		return false
+	}
+	limit := c.riskLimit(l)
+	return l.oldestWait(now) > limit || c.slotWait(l) > limit
+}
+
+// riskLimit is the wait from which the lane's target is at risk: a share of what the
+// usual time to the first token leaves of it.
+func (c *core) riskLimit(l *lane) time.Duration {
+	target := l.class.FirstTokenTarget
+	if target <= 0 {
+		target = l.maxWait()
+	}
+	left := max(target-secondsOf(l.firstToken.value), target/riskLeast)
+	return time.Duration(float64(left) * c.settings.RiskShare)
+}
+
+// riskLeast bounds the usual time to the first token to a part of the target.
+const riskLeast = 4
+
+// slotWait is the time in which slots for the lane's queued requests come free, at
+// the rate at which this host's requests on its endpoints usually end.
+func (c *core) slotWait(l *lane) time.Duration {
+	rate := 0.0
+	for _, rival := range l.rivals {
+		if rival.hold.value > 0 {
+			rate += float64(rival.running) / rival.hold.value
+		}
+	}
+	if rate == 0 {
+		return 0
+	}
+	return secondsOf(float64(l.queued) / rate)
+}
+
+// victim returns the request of the lowest tier that the lane's endpoints could give up at the least cost.
+func (c *core) victim(now time.Time, l *lane) *request {
+	var best *request
+	for _, e := range l.endpoints {
+		if !e.usable(now) {
+			continue
+		}
+		for i := len(e.tiers) - 1; i >= 0 && e.tiers[i].tier > l.class.Tier; i-- {
+			if best != nil && e.tiers[i].tier < best.lane.class.Tier {
+				break
+			}
+			if r := cheapestMovable(&e.tiers[i]); r != nil && (best == nil || better(r, best)) {
+				best = r
+				break
+			}
+		}
+	}
+	return best
+}
+
+// cheapestMovable returns the request among the newest whose restart costs least.
+func cheapestMovable(list *tierRunning) *request {
+	var best *request
+	seen := 0
+	for r := list.newest; r != nil && seen < victimSearch; r = r.runNext {
+		if r.movable() && !r.preempted {
+			seen++
+			if best == nil || r.restartCost() < best.restartCost() {
+				best = r
+			}
+		}
+	}
+	return best
+}
+
+// victimSearch bounds the search on one endpoint.
+const victimSearch = 8
+
+// better tells whether giving r up wastes less than giving up the other.
+func better(r, other *request) bool {
+	if r.lane.class.Tier != other.lane.class.Tier {
+		return other.lane.higher(r.lane)
+	}
+	return r.restartCost() < other.restartCost()
+}
+
+func (c *core) preempt(now time.Time, r *request, l *lane, forOther bool) {
+	r.preempted, r.relieves = true, !forOther
+	r.lane.goingRunning++
+	r.endpoint.pressedBy, r.endpoint.pressedUntil = l.class.Tier, now.Add(pressPause).UnixNano()
+	if !forOther {
+		// Counted at the victim's lane and released with the victim.
+		r.lane.preempting++
+	}
+	c.emit(effect{kind: effectPreempted, at: now, request: r, lane: l, endpoint: r.endpoint, lower: c.lowerWork(now, r.lane)})
+}
+
+// relieveOthers gives up this host's part of the slots that a higher tier waits for at other hosts.
+func (c *core) relieveOthers(now time.Time, l *lane) {
+	if !c.features.preemption || !c.informed(now) || l.others.Urgent == 0 || now.Sub(l.givenAt) < reliefPause {
+		return
+	}
+	w := c.lowerWork(now, l)
+	if w.running == 0 {
+		return
+	}
+	share := float64(w.running) / float64(w.movable())
+	need := int(math.Ceil(float64(l.others.Urgent) * share))
+	for need = min(need, victimsAtOnce); need > 0; need-- {
+		victim := c.victim(now, l)
+		if victim == nil {
+			break
+		}
+		c.preempt(now, victim, l, true)
+	}
+	l.givenAt = now
+}
+
+// victimsAtOnce bounds the work of one decision.
+const victimsAtOnce = 16
+
+// reliefPause is the time for a slot given up to show in the waiting host's next report.
+const reliefPause = 1500 * time.Millisecond
+
+// pressPause is the time after a preemption for which the endpoint takes no work
+// of lower tiers, so that they are not preempted again at once.
+const pressPause = time.Second
+
+// pressed tells whether the endpoint is kept free for a tier above the lane's.
+func (c *core) pressed(now time.Time, e *endpoint, l *lane) bool {
+	return e.pressedUntil != 0 && now.UnixNano() < e.pressedUntil && e.pressedBy < l.class.Tier && !c.starved(now, l)
+}
--- /dev/null
+++ b/scripts/local.sh
@@ -0,0 +1,44 @@
+#!/usr/bin/env bash
+# Starts three data centres on loopback with stand-ins. Sourced by scripts/run.sh and scripts/up.sh.
+set -euo pipefail
+
+out=${OUT:-out/local}
+pids=()
+hosts=(a-1 a-2 b-1 b-2 c-1 c-2)
+
+start_all() {
+  rm -rf "$out" && mkdir -p "$out"
+  bin/standin --settings examples/local/standin.json >"$out/standin.log" 2>&1 &
+  pids+=($!)
+  local i=1 host
+  for host in "${hosts[@]}"; do
+    local port=$((18000 + 10 * i))
+    sed -e "s/@HOST@/$host/" -e "s/@CENTRE@/centre-${host%-*}/" -e "s/@CALLER@/$port/" -e "s/@PEER@/$((port + 1))/" \
+      -e "s/@OPERATOR@/$((port + 2))/" -e "s#@LOG@#$out/$host.log#" examples/local/winchd.json.template >"$out/$host.json"
+    bin/winchd check --settings "$out/$host.json" >/dev/null
+    bin/winchd run --settings "$out/$host.json" >"$out/$host.out" 2>&1 &
+    pids+=($!)
+    i=$((i + 1))
+  done
+}
+
+# Stops the hosts, and after them the stand-ins; fails when one of them did.
+stop_all() {
+  local status=0
+  stop_each "${pids[@]:1}" || status=1
+  stop_each "${pids[@]:0:1}" || status=1
+  pids=()
+  return $status
+}
+
+stop_each() {
+  local status=0 pid
+  [ $# -eq 0 ] || kill -TERM "$@" 2>/dev/null || true
+  for pid in "$@"; do
+    wait "$pid" || status=1
+  done
+  return $status
+}
+
+callers=127.0.0.1:18010,127.0.0.1:18020,127.0.0.1:18030,127.0.0.1:18040,127.0.0.1:18050,127.0.0.1:18060
+operators=127.0.0.1:18012,127.0.0.1:18022,127.0.0.1:18032,127.0.0.1:18042,127.0.0.1:18052,127.0.0.1:18062
--- /dev/null
+++ b/winchload/target/target.go
@@ -0,0 +1,162 @@
+// Package target chooses where a request is sent: to the router's hosts as a
+// balancer would, or straight to the endpoints.
+//
+// # Usage
+//
+//	picker := target.NewBalancer([]target.Host{{Address: "127.0.0.1:8001", Health: "127.0.0.1:8003"}})
+//	go picker.Watch(ctx)
+//	picker, err := target.NewEndpoints(loaded, state)
+package target
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/arbutuswinch/winch/winchload/caller"
+	"github.com/arbutuswinch/winch/winchload/control"
+	"github.com/arbutuswinch/winch/winchload/experiment"
+)
+
+const (
+	healthInterval = 50 * time.Millisecond
+	healthTimeout  = time.Second
+)
+
+// Host is an entry host as a balancer knows it.
+type Host struct {
+	// Address is the caller port.
+	Address string
+	// Health is the port that tells whether the host is ready; empty when it is not asked.
+	Health string
+}
+
+// Balancer gives requests in turn to the router's hosts that are ready.
+type Balancer struct {
+	hosts   []Host
+	unready []atomic.Bool
+	next    atomic.Uint64
+}
+
+// NewBalancer returns a balancer that takes all hosts to be ready until Watch says otherwise.
+func NewBalancer(hosts []Host) *Balancer {
+	return &Balancer{hosts: hosts, unready: make([]atomic.Bool, len(hosts))}
+}
+
+// Watch asks the hosts whether they are ready, until ctx is over.
+func (b *Balancer) Watch(ctx context.Context) {
+	client := &http.Client{Timeout: healthTimeout}
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	group := sync.WaitGroup{}
+	defer group.Wait()
+	for {
+		select {
+		case <-ticker.C:
+			group.Wait()
+			for i := range b.hosts {
+				group.Go(func() { b.check(ctx, client, i) })
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// check leaves a host out only when it says that it is not ready. One that does not
+// answer is found out by the refused connection.
+func (b *Balancer) check(ctx context.Context, client *http.Client, at int) {
+	if b.hosts[at].Health == "" {
+		return
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.hosts[at].Health+"/readyz", nil)
+	if err != nil {
+		return
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return
+	}
+	_ = response.Body.Close()
+	b.unready[at].Store(response.StatusCode != http.StatusOK)
+}
+
+// Pick returns the next host that is ready, or the next one when none is.
+func (b *Balancer) Pick(request experiment.Request, _ int) (caller.Target, bool) {
+	if len(b.hosts) == 0 {
+		return caller.Target{}, false
+	}
+	at := 0
+	for range b.hosts {
+		at = int(b.next.Add(1) % uint64(len(b.hosts)))
+		if !b.unready[at].Load() {
+			break
+		}
+	}
+	return caller.Target{Address: b.hosts[at].Address, Path: "/services/" + request.Class.Route}, true
+}
+
+// Endpoints gives requests to the endpoint with the fewest of the tool's own open ones.
+type Endpoints struct {
+	mu     sync.Mutex
+	groups map[string][]*endpoint
+}
+
+type endpoint struct {
+	address string
+	open    int
+}
+
+// NewEndpoints returns a picker over the endpoints that the stand-ins run.
+func NewEndpoints(loaded experiment.Experiment, state control.State) (*Endpoints, error) {
+	picker := &Endpoints{groups: map[string][]*endpoint{}}
+	for _, running := range state.Endpoints {
+		if running.State != "ready" {
+			continue
+		}
+		name := "model/" + running.Model
+		if running.Kind == "service" {
+			name = "route/" + loaded.RouteOf(running.ID)
+		}
+		picker.groups[name] = append(picker.groups[name], &endpoint{address: running.Address})
+	}
+	for _, class := range loaded.Classes {
+		if len(picker.groups[groupOf(&class)]) == 0 {
+			return nil, fmt.Errorf("no endpoint for class %s", class.ID)
+		}
+	}
+	return picker, nil
+}
+
+func groupOf(class *experiment.Class) string {
+	if class.Route != "" {
+		return "route/" + class.Route
+	}
+	return "model/" + class.Model
+}
+
+// Pick returns the least used endpoint.
+func (e *Endpoints) Pick(request experiment.Request, _ int) (caller.Target, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var chosen *endpoint
+	for _, candidate := range e.groups[groupOf(request.Class)] {
+		if chosen == nil || candidate.open < chosen.open {
+			chosen = candidate
+		}
+	}
+	if chosen == nil {
+		return caller.Target{}, false
+	}
+	chosen.open++
+	return caller.Target{Address: chosen.address, Done: func() { e.release(chosen) }}, true
+}
+
+func (e *Endpoints) release(used *endpoint) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	used.open--
+}
