perf(dispatch): preempt only for requests that free slots will not serve in time

Cause: each urgent arrival preempted at once while slots would have come free (trial with processes). Ruled out: a wait without bound on natural ends, which loses attainment in the burst.

--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -356,6 +356,7 @@
 	}
 	e.observe(report)
 	e.weigh(now, c.settings.ReportHorizon)
+	c.hint(now, e, report.AsOf)
 	if report.State == winch.EndpointLeaving && e.state == winch.EndpointReady {
 		c.leave(now, e, time.Time{})
 	}
--- a/dispatch/endpoint/core_test.go
+++ b/dispatch/endpoint/core_test.go
@@ -396,3 +396,25 @@
 		assert.Equal(t, len(b.broken), 0)
 	})
 }
+
+func TestHint(t *testing.T) {
+	b := newBench(twoClasses(1, 4))
+	for range 3 {
+		b.release(b.now, b.request(stall, 1), winch.OutcomeUnsent)
+		b.now = b.now.Add(b.only().health.backoff)
+	}
+	b.release(b.now, b.request(stall, 1), winch.OutcomeUnsent)
+	assert.Equal(t, b.request(stall, 2).state, requestQueued)
+	report := func(at time.Time) {
+		b.observeLoad(b.now, winch.LoadReport{Endpoint: b.only().spec.ID, AsOf: at, State: winch.EndpointReady})
+	}
+	t.Run("a report from before the ejection says nothing", func(t *testing.T) {
+		report(b.now.Add(-time.Second))
+		assert.Equal(t, b.only().running, 0)
+	})
+	t.Run("a report from after it lets one request try", func(t *testing.T) {
+		b.now = b.now.Add(time.Second)
+		report(b.now)
+		assert.Equal(t, b.only().running, 1)
+	})
+}
--- a/dispatch/endpoint/figures.go
+++ b/dispatch/endpoint/figures.go
@@ -64,12 +64,13 @@
 	return own
 }
 
-// urgent counts the queued requests for which lower tiers should give way.
+// urgent counts the queued requests for which other hosts should give way. All of
+// the lane's count when one is at risk, since the figures are late.
 func (c *core) urgent(now time.Time, l *lane) int {
-	if !c.atRisk(now, l) {
+	if c.atRisk(now, l) == 0 {
 		return 0
 	}
-	return max(0, l.queued)
+	return l.queued
 }
 
 // hub collects the figures of the data centre's hosts.
--- a/dispatch/endpoint/health.go
+++ b/dispatch/endpoint/health.go
@@ -13,6 +13,9 @@
 	ejectedUntil time.Time
 	backoff      time.Duration
 	probing      bool
+	ejectedAt    time.Time
+	// hinted says that a report showed the endpoint alive after its ejection.
+	hinted bool
 }
 
 // usable tells whether the endpoint may get another request.
@@ -37,7 +40,7 @@
 	default:
 		h.backoff *= 2
 	}
-	h.probing, h.failures = true, 0
+	h.probing, h.failures, h.ejectedAt = true, 0, now
 	h.ejectedUntil = now.Add(h.backoff)
 	c.emit(effect{kind: effectEjected, at: now, endpoint: e, cause: cause, wait: h.backoff})
 }
@@ -53,6 +56,17 @@
 	c.emit(effect{kind: effectRestored, at: now, endpoint: e})
 }
 
+// hint lets an ejected endpoint be tried early, once, when its own report shows it
+// alive after the ejection.
+func (c *core) hint(now time.Time, e *endpoint, asOf time.Time) {
+	h := &e.health
+	if !h.probing || h.hinted || !now.Before(h.ejectedUntil) || !asOf.After(h.ejectedAt) {
+		return
+	}
+	h.hinted, h.ejectedUntil = true, now
+	c.fill(now, e)
+}
+
 // failed counts a failure, and ejects the endpoint after several in a row.
 func (c *core) failed(now time.Time, e *endpoint, unreachable bool) {
 	if !c.features.ejection || now.Before(e.health.ejectedUntil) {
--- a/dispatch/endpoint/options.go
+++ b/dispatch/endpoint/options.go
@@ -122,7 +122,7 @@
 	defaultDuration(&s.LeaveMargin, 5*time.Second)
 	defaultDuration(&s.RetryAfterMin, time.Second)
 	defaultDuration(&s.RetryAfterMax, time.Minute)
-	defaultFloat(&s.RiskShare, 0.25)
+	defaultFloat(&s.RiskShare, 0.15)
 	defaultFloat(&s.RefuseShare, 0.5)
 	defaultFloat(&s.RetryShare, 0.1)
 	defaultFloat(&s.RetryFloor, 1)
--- a/dispatch/endpoint/preempt.go
+++ b/dispatch/endpoint/preempt.go
@@ -5,17 +5,17 @@
 	"time"
 )
 
-// relieve makes lower tiers give way when requests of the lane wait and their target is at risk.
+// relieve makes lower tiers give way for requests of the lane whose target is at risk.
 func (c *core) relieve(now time.Time, l *lane) {
-	if !c.features.preemption || !c.atRisk(now, l) {
+	if !c.features.preemption {
 		return
 	}
-	need := 0
+	need := c.atRisk(now, l)
 	for _, rival := range l.rivals {
 		if l.higher(rival) {
 			need -= rival.preempting
-		} else {
-			need += rival.queued
+		} else if rival != l {
+			need += c.atRisk(now, rival)
 		}
 	}
 	for need = min(need, victimsAtOnce); need > 0; need-- {
@@ -27,42 +27,50 @@
 	}
 }
 
-// atRisk tells whether requests of the lane would miss their target by waiting for a slot.
-func (c *core) atRisk(now time.Time, l *lane) bool {
+// atRisk returns how many of the lane's queued requests would miss their target by
+// waiting for slots: those that are more than come free in time by themselves, and
+// at least one when the oldest has waited for long.
+func (c *core) atRisk(now time.Time, l *lane) int {
 	if l.queued == 0 {
-		return false
+		return 0
+	}
+	left := c.timeLeft(l)
+	count := l.queued - int(c.slotRate(l)*left.Seconds()*naturalShare)
+	if l.oldestWait(now) > time.Duration(float64(left)*c.settings.RiskShare) {
+		count = max(1, count)
 	}
-	limit := c.riskLimit(l)
-	return l.oldestWait(now) > limit || c.slotWait(l) > limit
+	return max(0, count)
 }
 
-// riskLimit is the wait from which the lane's target is at risk: a share of what the
-// usual time to the first token leaves of it.
+// naturalShare is the share of the time left in which slots must come free.
+const naturalShare = 0.3
+
+// riskLimit is the wait from which the lane's target is at risk.
 func (c *core) riskLimit(l *lane) time.Duration {
+	return time.Duration(float64(c.timeLeft(l)) * c.settings.RiskShare)
+}
+
+// timeLeft is what the usual time to the first token leaves of the lane's target.
+func (c *core) timeLeft(l *lane) time.Duration {
 	target := l.class.FirstTokenTarget
 	if target <= 0 {
 		target = l.maxWait()
 	}
-	left := max(target-secondsOf(l.firstToken.value), target/riskLeast)
-	return time.Duration(float64(left) * c.settings.RiskShare)
+	return max(target-secondsOf(l.firstToken.value), target/timeLeftLeast)
 }
 
-// riskLeast bounds the usual time to the first token to a part of the target.
-const riskLeast = 4
+// timeLeftLeast bounds the usual time to the first token to a part of the target.
+const timeLeftLeast = 4
 
-// slotWait is the time in which slots for the lane's queued requests come free, at
-// the rate at which this host's requests on its endpoints usually end.
-func (c *core) slotWait(l *lane) time.Duration {
+// slotRate is how many of this host's requests on the lane's endpoints usually end in a second.
+func (c *core) slotRate(l *lane) float64 {
 	rate := 0.0
 	for _, rival := range l.rivals {
 		if rival.hold.value > 0 {
 			rate += float64(rival.running) / rival.hold.value
 		}
 	}
-	if rate == 0 {
-		return 0
-	}
-	return secondsOf(float64(l.queued) / rate)
+	return rate
 }
 
 // victim returns the request of the lowest tier that the lane's endpoints could give up at the least cost.
--- a/dispatch/endpoint/remote.go
+++ b/dispatch/endpoint/remote.go
@@ -51,7 +51,7 @@
 	if r.work.Local || !c.features.sharing || l.class.FirstTokenTarget > 0 && l.class.FirstTokenTarget < handOverMinimum {
 		return false
 	}
-	if l.slots > 0 && !c.atRisk(now, l) && !c.waitAtRisk(now, r) {
+	if l.slots > 0 && c.atRisk(now, l) == 0 && !c.waitAtRisk(now, r) {
 		return false
 	}
 	best := c.roomiest(now, l.key.group, r)
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -24,8 +24,8 @@
 	c.forgetBroken(now)
 	for _, l := range c.sorted {
 		risk := c.atRisk(now, l)
-		c.widen(l, risk)
-		if risk {
+		c.widen(l, risk > 0)
+		if risk > 0 {
 			c.relieve(now, l)
 		}
 		c.relieveOthers(now, l)
