--- a/winchload/bench/note.go
+++ b/winchload/bench/note.go
@@ -133,7 +133,8 @@
 		}
 		out = append(out, poolItem{
 			ID: group.Pool, DataCentre: group.DataCentre, Model: group.Model, Classes: classesOfModel(loaded, group.Model),
-			Supply: group.Supply, Cost: group.Cost, Min: group.Min, Max: group.Max, ChecksFencing: true, SlotLimit: group.BatchLimit,
+			Supply: group.Supply, Cost: group.Cost, Min: group.Min, Max: group.Max,
+			ChecksFencing: loaded.ChecksFencing(group.DataCentre), SlotLimit: group.BatchLimit,
 		})
 	}
 	return out
--- a/winchload/bench/platform.go
+++ b/winchload/bench/platform.go
@@ -91,7 +91,7 @@
 		Control: section{ports.next()},
 	}
 	for _, centre := range loaded.DataCentres {
-		out.Orders.DataCentres = append(out.Orders.DataCentres, centreSection{ID: centre.ID, ChecksFencing: true})
+		out.Orders.DataCentres = append(out.Orders.DataCentres, centreSection{ID: centre.ID, ChecksFencing: centre.ChecksFencing})
 	}
 	for _, group := range loaded.Engines {
 		for i := range group.Count {
--- a/winchload/experiment/deployment.go
+++ b/winchload/experiment/deployment.go
@@ -19,6 +19,16 @@
 // HostID returns the id of a data centre's host, numbered from zero.
 func (d DataCentre) HostID(index int) string { return fmt.Sprintf("%s-host-%d", d.ID, index) }
 
+// ChecksFencing tells whether the order interface of a data centre refuses old fencing numbers.
+func (e Experiment) ChecksFencing(centre string) bool {
+	for _, known := range e.DataCentres {
+		if known.ID == centre {
+			return known.ChecksFencing
+		}
+	}
+	return false
+}
+
 // RouteOf returns the route of a plain service, or nothing.
 func (e Experiment) RouteOf(serviceID string) string {
 	for _, group := range e.Services {
--- a/winchload/experiment/experiment.go
+++ b/winchload/experiment/experiment.go
@@ -116,6 +116,8 @@
 type DataCentre struct {
 	ID    string
 	Hosts int
+	// ChecksFencing says that the order interface there refuses old fencing numbers.
+	ChecksFencing bool
 }
 
 // EngineGroup is a set of like engines in one data centre. With Pool set they are
--- a/winchload/pair.go
+++ b/winchload/pair.go
@@ -33,6 +33,9 @@
 	Out        string        `arg:"--out,required" help:"directory for results, plots, settings and logs" placeholder:"DIR"`
 }
 
+// usageSettle is how long the last usage window may take to close and to be reported.
+const usageSettle = 2*bench.UsageWindow + 3*time.Second
+
 // variant is one side of the comparison.
 type variant struct {
 	label  string
@@ -126,7 +129,7 @@
 	return drive.Run(ctx, drive.Options{
 		Experiment: loaded, Label: side.label, Seed: seed, Picker: balancer, Hosts: set,
 		Control: control.New(set.Control()), Faults: !c.NoFaults, Processes: set.Processes,
-		Probe: set.Prober().Run, Settle: 2 * bench.UsageWindow,
+		Probe: set.Prober().Run, Settle: usageSettle,
 		Progress: progress.New(os.Stderr, fmt.Sprintf("%s seed %d", side.label, seed), time.Duration(loaded.Duration)),
 	})
 }
