feat(winchload): find false refusals of completions

Cause: a refusal that says "not run" was checked for plain calls only, since engines did not record whose requests they took. Ruled out: telling by the engines' totals, which repeats and moved streams change. Before / after: plain calls / all calls, by the request ids that engines accepted. The engine's options move to a file of their own.

--- a/standin/control/control.go
+++ b/standin/control/control.go
@@ -33,11 +33,13 @@
 
 // State is what the stand-ins saw.
 type State struct {
-	At              time.Time
-	Addresses       map[string]string
-	Calls           map[counts.Service]map[counts.Kind]int64
-	Executions      map[string]service.Executions
-	Engines         map[string]engine.Totals
+	At         time.Time
+	Addresses  map[string]string
+	Calls      map[counts.Service]map[counts.Kind]int64
+	Executions map[string]service.Executions
+	Engines    map[string]engine.Totals
+	// Completions counts the requests that each engine accepted, by request id.
+	Completions     map[string]map[string]int
 	Orders          []orders.Received
 	Usage           []usage.Received
 	Secrets         map[string][]string
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -22,32 +22,18 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
-	"github.com/arbutuswinch/winch/standin/counts"
 	"github.com/arbutuswinch/winch/standin/fault"
 	"github.com/arbutuswinch/winch/standin/wire"
 )
 
-// The defaults of the options.
-const (
-	DefaultBatchLimit             = 16
-	DefaultWaitLimit              = 64
-	DefaultStepBase               = 15 * time.Millisecond
-	DefaultStepPerSequence        = 500 * time.Microsecond
-	DefaultPrefillTokensPerSecond = 10000
-	DefaultChunkTokens            = 512
-	DefaultCacheTokens            = 200_000
-	DefaultReportLag              = 200 * time.Millisecond
-	DefaultEventLag               = 300 * time.Millisecond
-)
-
 const (
 	jitter = 0.05
 	// catchUp is how far the engine may be behind before it gives lost time up.
 	catchUp = 100 * time.Millisecond
 	// importGain is how much faster computed state is imported than computed.
 	importGain = 10
+	// recordLimit is how many request ids are recorded.
+	recordLimit = 200_000
 )
 
 // State tells whether the engine takes work.
@@ -60,40 +46,6 @@
 	StateLeaving State = "leaving"
 )
 
-// Weights names what an engine has loaded.
-type Weights struct {
-	Model   string
-	Adapter string
-	Version string
-}
-
-// Options are the settings of an engine. Zero numbers stand for the defaults.
-type Options struct {
-	ID     string
-	Models []Weights
-	// BatchLimit is how many requests run at once, WaitLimit how many wait.
-	BatchLimit int
-	WaitLimit  int
-	// A step takes StepBase, StepPerSequence for each request that decodes, and the time of its prefill chunk.
-	StepBase               time.Duration
-	StepPerSequence        time.Duration
-	PrefillTokensPerSecond int
-	ChunkTokens            int
-	CacheTokens            int
-	ReportLag              time.Duration
-	EventLag               time.Duration
-	// EventGap is the share of cache events that are never published.
-	EventGap      float64
-	ChecksFencing bool
-	Preempts      bool
-	// WeightStore is the address of the weight store; empty loads at once.
-	WeightStore string
-	Seed        uint64
-	Counts      *counts.Table
-	Board       *fault.Board
-	Logger      hclog.Logger
-}
-
 // Totals are what the engine did since its start.
 type Totals struct {
 	Requests     int64
@@ -125,6 +77,7 @@
 	reports  reports
 	totals   Totals
 	streams  map[string]*sequence
+	accepted map[string]int
 	orderSeq int64
 	random   *rand.Rand
 	state    State
@@ -151,49 +104,18 @@
 			prefillPerToken: time.Second / time.Duration(options.PrefillTokensPerSecond),
 			chunkTokens:     options.ChunkTokens,
 		}},
-		cache:   newCache(options.CacheTokens, options.EventGap, random),
-		streams: map[string]*sequence{},
-		random:  random,
-		state:   StateReady,
-		orders:  orders{answered: map[string]bool{}},
-		loaded:  options.Models,
+		cache:    newCache(options.CacheTokens, options.EventGap, random),
+		streams:  map[string]*sequence{},
+		accepted: map[string]int{},
+		random:   random,
+		state:    StateReady,
+		orders:   orders{answered: map[string]bool{}},
+		loaded:   options.Models,
 	}
 	e.routes()
 	return e
 }
 
-func withDefaults(options Options) Options {
-	setInt := func(value *int, standard int) {
-		if *value == 0 {
-			*value = standard
-		}
-	}
-	setTime := func(value *time.Duration, standard time.Duration) {
-		if *value == 0 {
-			*value = standard
-		}
-	}
-	setInt(&options.BatchLimit, DefaultBatchLimit)
-	setInt(&options.WaitLimit, DefaultWaitLimit)
-	setTime(&options.StepBase, DefaultStepBase)
-	setTime(&options.StepPerSequence, DefaultStepPerSequence)
-	setInt(&options.PrefillTokensPerSecond, DefaultPrefillTokensPerSecond)
-	setInt(&options.ChunkTokens, DefaultChunkTokens)
-	setInt(&options.CacheTokens, DefaultCacheTokens)
-	setTime(&options.ReportLag, DefaultReportLag)
-	setTime(&options.EventLag, DefaultEventLag)
-	if options.Counts == nil {
-		options.Counts = counts.New()
-	}
-	if options.Board == nil {
-		options.Board = fault.NewBoard()
-	}
-	if options.Logger == nil {
-		options.Logger = hclog.NewNullLogger()
-	}
-	return options
-}
-
 // Run steps the batch until ctx is over.
 func (e *Engine) Run(ctx context.Context) {
 	due := time.Now()
@@ -292,8 +214,8 @@
 	})
 }
 
-// submit queues a sequence; false means that the engine is overloaded or not ready.
-func (e *Engine) submit(now time.Time, added *sequence) bool {
+// submit queues a request's sequence; false means that the engine is overloaded or not ready.
+func (e *Engine) submit(now time.Time, request string, added *sequence) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.current() == StateWarming || len(e.batch.waiting) >= e.options.WaitLimit {
@@ -301,6 +223,9 @@
 		return false
 	}
 	e.totals.Requests++
+	if _, known := e.accepted[request]; known || len(e.accepted) < recordLimit {
+		e.accepted[request]++
+	}
 	if e.state == StateLeaving {
 		e.totals.RequestsAfterNotice++
 		e.totals.LatestAfterNotice = wire.Duration(now.Sub(e.noticed))
@@ -340,6 +265,20 @@
 	return e.totals
 }
 
+// Accepted returns how often each request was accepted, by request id. With repeated
+// set, only those accepted more than once are listed.
+func (e *Engine) Accepted(repeated bool) map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := map[string]int{}
+	for request, count := range e.accepted {
+		if count > 1 || !repeated {
+			out[request] = count
+		}
+	}
+	return out
+}
+
 // Secrets returns the credentials and cookies that came with requests.
 func (e *Engine) Secrets() []string { return e.secrets.list() }
 
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -58,7 +58,7 @@
 		return
 	}
 	_, rejected := e.options.Board.Take(time.Now(), e.target, fault.Reject)
-	if rejected || !e.submit(time.Now(), own) {
+	if rejected || !e.submit(time.Now(), r.Header.Get("X-Request-Id"), own) {
 		e.count("overloaded")
 		w.Header().Set("Retry-After", "1")
 		writeError(w, http.StatusServiceUnavailable, "overloaded", "the engine takes no more work")
--- /dev/null
+++ b/standin/engine/options.go
@@ -0,0 +1,89 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/arbutuswinch/winch/standin/counts"
+	"github.com/arbutuswinch/winch/standin/fault"
+)
+
+// The defaults of the options.
+const (
+	DefaultBatchLimit             = 16
+	DefaultWaitLimit              = 64
+	DefaultStepBase               = 15 * time.Millisecond
+	DefaultStepPerSequence        = 500 * time.Microsecond
+	DefaultPrefillTokensPerSecond = 10000
+	DefaultChunkTokens            = 512
+	DefaultCacheTokens            = 200_000
+	DefaultReportLag              = 200 * time.Millisecond
+	DefaultEventLag               = 300 * time.Millisecond
+)
+
+// Weights names what an engine has loaded.
+type Weights struct {
+	Model   string
+	Adapter string
+	Version string
+}
+
+// Options are the settings of an engine. Zero numbers stand for the defaults.
+type Options struct {
+	ID     string
+	Models []Weights
+	// BatchLimit is how many requests run at once, WaitLimit how many wait.
+	BatchLimit int
+	WaitLimit  int
+	// A step takes StepBase, StepPerSequence for each request that decodes, and the time of its prefill chunk.
+	StepBase               time.Duration
+	StepPerSequence        time.Duration
+	PrefillTokensPerSecond int
+	ChunkTokens            int
+	CacheTokens            int
+	ReportLag              time.Duration
+	EventLag               time.Duration
+	// EventGap is the share of cache events that are never published.
+	EventGap      float64
+	ChecksFencing bool
+	Preempts      bool
+	// WeightStore is the address of the weight store; empty loads at once.
+	WeightStore string
+	Seed        uint64
+	Counts      *counts.Table
+	Board       *fault.Board
+	Logger      hclog.Logger
+}
+
+func withDefaults(options Options) Options {
+	setInt := func(value *int, standard int) {
+		if *value == 0 {
+			*value = standard
+		}
+	}
+	setTime := func(value *time.Duration, standard time.Duration) {
+		if *value == 0 {
+			*value = standard
+		}
+	}
+	setInt(&options.BatchLimit, DefaultBatchLimit)
+	setInt(&options.WaitLimit, DefaultWaitLimit)
+	setTime(&options.StepBase, DefaultStepBase)
+	setTime(&options.StepPerSequence, DefaultStepPerSequence)
+	setInt(&options.PrefillTokensPerSecond, DefaultPrefillTokensPerSecond)
+	setInt(&options.ChunkTokens, DefaultChunkTokens)
+	setInt(&options.CacheTokens, DefaultCacheTokens)
+	setTime(&options.ReportLag, DefaultReportLag)
+	setTime(&options.EventLag, DefaultEventLag)
+	if options.Counts == nil {
+		options.Counts = counts.New()
+	}
+	if options.Board == nil {
+		options.Board = fault.NewBoard()
+	}
+	if options.Logger == nil {
+		options.Logger = hclog.NewNullLogger()
+	}
+	return options
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -200,6 +200,7 @@
 		Calls:           p.counts.Snapshot(),
 		Executions:      map[string]service.Executions{},
 		Engines:         map[string]engine.Totals{},
+		Completions:     map[string]map[string]int{},
 		Orders:          p.orders.Received(),
 		Usage:           p.usage.Received(),
 		Secrets:         map[string][]string{},
@@ -213,6 +214,7 @@
 	}
 	for _, own := range p.engines {
 		state.Engines[own.ID()] = own.Totals()
+		state.Completions[own.ID()] = own.Accepted(repeated)
 		state.Secrets[own.ID()] = own.Secrets()
 	}
 	return state
--- a/winchload/control/control.go
+++ b/winchload/control/control.go
@@ -41,10 +41,12 @@
 
 // State is the part of the stand-ins' state that the load tool uses.
 type State struct {
-	Addresses       map[string]string
-	Calls           map[string]map[string]int64
-	Executions      map[string]Executions
-	Engines         map[string]Engine
+	Addresses  map[string]string
+	Calls      map[string]map[string]int64
+	Executions map[string]Executions
+	Engines    map[string]Engine
+	// Completions counts the requests that each engine accepted, by request id.
+	Completions     map[string]map[string]int
 	Endpoints       []Endpoint
 	EndpointSeconds map[string]float64
 	Usage           []UsageReport
--- a/winchload/result/collector.go
+++ b/winchload/result/collector.go
@@ -89,9 +89,7 @@
 	if request.Key != "" {
 		c.keyed[request.Key] = outcome.Kind == caller.Whole
 	}
-	if request.Class.Route != "" {
-		c.notRun = append(c.notRun, outcome.NotRun...)
-	}
+	c.notRun = append(c.notRun, outcome.NotRun...)
 	if request.At < time.Duration(c.experiment.Warmup) {
 		return
 	}
--- a/winchload/result/collector_test.go
+++ b/winchload/result/collector_test.go
@@ -39,14 +39,17 @@
 	add(1, 0, "k3", 4*time.Second, caller.Outcome{Kind: caller.Whole})
 	add(1, 0, "k4", 4*time.Second, caller.Outcome{Kind: caller.Failed})
 	add(1, 0, "k5", 4*time.Second, caller.Outcome{Kind: caller.Refused})
+	add(0, 0, "", 4*time.Second, caller.Outcome{Kind: caller.Refused, NotRun: []string{"c1"}})
+	add(0, 0, "", 4*time.Second, caller.Outcome{Kind: caller.Refused, NotRun: []string{"c2"}})
 	return loaded, c.Result(Frame{
 		Label: "Winch", Seed: 1,
 		Before: control.State{Engines: map[string]control.Engine{"e1": {OutputTokens: 100}}},
 		Open:   control.State{EndpointSeconds: map[string]float64{"Cheap": 5, "Steady": 5}},
 		Close:  control.State{EndpointSeconds: map[string]float64{"Cheap": 15, "Steady": 15}},
 		After: control.State{
-			Engines:   map[string]control.Engine{"e1": {OutputTokens: 400}, "e2": {OutputTokens: 300}},
-			Endpoints: []control.Endpoint{{ID: "e2", Supply: "Cheap"}},
+			Engines:     map[string]control.Engine{"e1": {OutputTokens: 400}, "e2": {OutputTokens: 300}},
+			Completions: map[string]map[string]int{"e1": {"c1": 1}},
+			Endpoints:   []control.Endpoint{{ID: "e2", Supply: "Cheap"}},
 			Executions: map[string]control.Executions{
 				"a": {ByKey: map[string]int{"k1": 1, "k2": 1, "k4": 1}, ByRequest: map[string]int{"r1": 1}},
 				"b": {ByKey: map[string]int{"k2": 1}},
@@ -58,11 +61,11 @@
 func TestResult(t *testing.T) {
 	_, r := sample()
 	t.Run("counts without the warm-up", func(t *testing.T) {
-		assert.Equal(t, r.Total.Offered, 45)
+		assert.Equal(t, r.Total.Offered, 47)
 	})
 	t.Run("attains only in target", func(t *testing.T) {
 		assert.Equal(t, r.Classes[1].Name, "talk")
-		assert.Equal(t, r.Classes[1].Attainment, 0.5)
+		assert.Equal(t, r.Classes[1].Attained, 20)
 		assert.Equal(t, r.Worst.Name, "small")
 		assert.Equal(t, r.Worst.Attainment, 0.0)
 		assert.Equal(t, r.GoodputTokens, 22.0)
@@ -75,9 +78,12 @@
 	t.Run("counts the cost", func(t *testing.T) {
 		assert.Equal(t, r.Cost.Paid, 30.0)
 	})
+	t.Run("finds refusals that are false", func(t *testing.T) {
+		assert.Equal(t, r.FalseRefusals, 2)
+	})
 	t.Run("compares answers with executions", func(t *testing.T) {
 		assert.Equal(t, r.Confirmations, Confirmations{
-			Offered: 5, Single: 1, Doubled: 1, Phantom: 1, Unknown: 1, Lost: 1, FalseRefusals: 1,
+			Offered: 5, Single: 1, Doubled: 1, Phantom: 1, Unknown: 1, Lost: 1,
 		})
 	})
 }
--- a/winchload/result/platform.go
+++ b/winchload/result/platform.go
@@ -44,13 +44,18 @@
 			byRequest[id] += count
 		}
 	}
+	for _, accepted := range frame.After.Completions {
+		for id, count := range accepted {
+			byRequest[id] += count
+		}
+	}
 	r.Confirmations.Offered = len(c.keyed)
 	for key, answered := range c.keyed {
 		r.Confirmations.count(answered, byKey[key])
 	}
 	for _, id := range c.notRun {
 		if byRequest[id] > 0 {
-			r.Confirmations.FalseRefusals++
+			r.FalseRefusals++
 		}
 	}
 }
--- a/winchload/result/result.go
+++ b/winchload/result/result.go
@@ -49,6 +49,8 @@
 
 	Cost          Cost
 	Confirmations Confirmations
+	// FalseRefusals are attempts that were said to be not run, and that an endpoint had taken.
+	FalseRefusals int
 	Codes         map[string]int
 	// LateSends counts requests that the load tool itself sent more than LateSend after their time.
 	LateSends int
@@ -105,8 +107,6 @@
 	Unknown int
 	// Lost were neither executed nor answered as done.
 	Lost int
-	// FalseRefusals are attempts of plain services, keyed or not, that were said to be not run and were executed.
-	FalseRefusals int
 }
 
 // UsageState is how the usage reports stand.
--- a/winchload/table/rows.go
+++ b/winchload/table/rows.go
@@ -93,7 +93,7 @@
 		count("confirmations, answered but not run", func(r result.Result) int { return r.Confirmations.Phantom }),
 		count("confirmations, run but not answered", func(r result.Result) int { return r.Confirmations.Unknown }),
 		count("confirmations, not run", func(r result.Result) int { return r.Confirmations.Lost }),
-		count("refusals that say not run and are false", func(r result.Result) int { return r.Confirmations.FalseRefusals }),
+		count("refusals that say not run and are false", func(r result.Result) int { return r.FalseRefusals }),
 		count("usage reports that differ", func(r result.Result) int { return r.Usage.Differs }),
 		plain("usage tokens reported, share of delivered", shareDigits, func(r result.Result) float64 { return r.Usage.ReportedShare }),
 		plain("usage report after its window's start, longest (ms)", 0, func(r result.Result) float64 { return r.Usage.Late.Max }),
