--- a/release/keyvalue/store.go
+++ b/release/keyvalue/store.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/release"
 )
 
 const (
@@ -65,6 +66,9 @@
 	if options.KeyValue == nil || options.Incarnation == "" {
 		return nil, fmt.Errorf("release store: KeyValue and Incarnation are needed: %w", winch.ErrInvalid)
 	}
+	if err := release.CheckName("Incarnation", string(options.Incarnation)); err != nil {
+		return nil, err
+	}
 	if options.Prefix == "" {
 		options.Prefix = defaultPrefix
 	}
--- a/release/keyvalue/store_test.go
+++ b/release/keyvalue/store_test.go
@@ -213,3 +213,13 @@
 		assert.Equal(t, accepted, step.want)
 	}
 }
+
+func TestNew(t *testing.T) {
+	for _, options := range []Options{
+		{}, {KeyValue: newFakeService()}, {KeyValue: newFakeService(), Incarnation: "with spaces"},
+		{KeyValue: newFakeService(), Incarnation: "a", Retention: 1},
+	} {
+		_, err := New(options)
+		assert.ErrorIs(t, err, winch.ErrInvalid)
+	}
+}
--- a/release/object.go
+++ b/release/object.go
@@ -213,6 +213,14 @@
 
 var errName = errors.New("must be printable ASCII without spaces, quotes or brackets")
 
+// CheckName refuses names that no document may hold. The error matches winch.ErrInvalid.
+func CheckName(path, name string) error {
+	if err := checkName(name); err != nil {
+		return Fault(path, "%v", err)
+	}
+	return nil
+}
+
 // checkName bounds names, which also stand in paths, keys and log lines.
 func checkName(name string) error {
 	if len(name) > maxNameLength {
--- a/release/peer/codec.go
+++ b/release/peer/codec.go
@@ -104,7 +104,11 @@
 	if p.asOf.IsZero() {
 		return nil
 	}
-	return &proofWire{Age: max(0, now.Sub(p.asOf)).String(), Revision: p.revision}
+	age := max(0, now.Sub(p.asOf))
+	if rest := age % time.Millisecond; rest > 0 {
+		age += time.Millisecond - rest
+	}
+	return &proofWire{Age: age.String(), Revision: p.revision}
 }
 
 // proofFromWire counts the age from an instant before the statement was made.
--- a/release/peer/distributor.go
+++ b/release/peer/distributor.go
@@ -53,6 +53,8 @@
 	options Options
 	self    winch.Host
 	started time.Time
+	// tag stands for this incarnation in messages.
+	tag winch.Incarnation
 
 	mu         sync.Mutex
 	state      *state
@@ -91,7 +93,7 @@
 	}
 	self := options.Membership.Self()
 	d := &Distributor{
-		options: options, self: self, started: options.Clock.Now(),
+		options: options, self: self, started: options.Clock.Now(), tag: winch.Incarnation(tagOf(string(options.Incarnation))),
 		state: newState(limits, options.Clock.Now()), roster: newRoster(self.ID),
 		acceptance: newAcceptance(limits, self.DataCentre, options.Membership.DataCentres()),
 		changed:    make(chan struct{}),
--- a/release/peer/roster.go
+++ b/release/peer/roster.go
@@ -75,7 +75,7 @@
 // replace takes in the roster that a hub keeps, besides the hosts that are listed.
 func (r *roster) replace(now time.Time, ids []winch.HostID) {
 	for id, host := range r.hosts {
-		if id != r.self && !slices.Contains(ids, id) && now.Sub(host.seen) > 0 {
+		if id != r.self && !host.learner && !slices.Contains(ids, id) && now.After(host.seen) {
 			delete(r.hosts, id)
 		}
 	}
@@ -106,13 +106,16 @@
 
 // tag tells rosters apart.
 func (r *roster) tag() string {
-	hash := xxhash.New()
+	names := ""
 	for _, id := range r.ids() {
-		_, _ = hash.WriteString(string(id) + "\n")
+		names += string(id) + "\n"
 	}
-	return strconv.FormatUint(hash.Sum64(), 36)
+	return tagOf(names)
 }
 
+// tagOf shortens a text that is sent often.
+func tagOf(text string) string { return strconv.FormatUint(xxhash.Sum64String(text), 36) }
+
 func (r *roster) see(now time.Time, id winch.HostID) *reported {
 	host, found := r.hosts[id]
 	if !found {
--- a/release/peer/section.go
+++ b/release/peer/section.go
@@ -30,7 +30,7 @@
 	defer s.mu.Unlock()
 	s.observe(now, around)
 	report := reportWire{
-		Revision: s.state.current.Revision, Incarnation: s.options.Incarnation, Learner: s.state.learner(), RosterTag: s.rosterTag, Hub: s.hub, Token: s.token,
+		Revision: s.state.current.Revision, Incarnation: s.tag, Learner: s.state.learner(), RosterTag: s.rosterTag, Hub: s.hub, Token: s.token,
 	}
 	if now.Before(s.wantedUntil) {
 		report.View = s.wanted
@@ -57,7 +57,7 @@
 	s.take(now, records, snapshot)
 	s.state.hear(report.Revision)
 	asOf := time.Time{}
-	if report.Hub == s.options.Incarnation && report.Token > 0 {
+	if report.Hub == s.tag && report.Token > 0 {
 		asOf = s.started.Add(time.Duration(report.Token))
 	}
 	if s.state.limits.unguarded.echo {
@@ -77,7 +77,7 @@
 	s.observe(now, around)
 	s.settle(now, around)
 	summary := summaryWire{
-		Hub: s.options.Incarnation, Token: int64(now.Sub(s.started)), Revision: s.state.current.Revision,
+		Hub: s.tag, Token: int64(now.Sub(s.started)), Revision: s.state.current.Revision,
 		Accepted: s.state.accepted,
 		Proof:    proofToWire(now, proof{asOf: s.state.proven, revision: s.state.current.Revision}),
 		Agreed:   proofToWire(now, s.acceptance.centres[s.self.DataCentre].agreed),
@@ -104,6 +104,10 @@
 	if err := decode(body, "summary", &summary); err != nil {
 		return err
 	}
+	if summary.Hub == s.tag {
+		// The hub tells itself nothing new.
+		return nil
+	}
 	records, snapshot, err := decodeUpdate(summary.Update)
 	if err != nil {
 		return err
@@ -227,7 +231,7 @@
 // reportSelf counts this host among the hosts of its data centre. The caller
 // holds the lock.
 func (d *Distributor) reportSelf(now time.Time) {
-	self := d.roster.report(now, now, d.self.ID, d.options.Incarnation, d.state.current.Revision)
+	self := d.roster.report(now, now, d.self.ID, d.tag, d.state.current.Revision)
 	self.learner = d.state.learner()
 }
 
--- a/release/peer/world_test.go
+++ b/release/peer/world_test.go
@@ -115,6 +115,8 @@
 	sender, receiver, sent := s.distributor, hub.distributor, s.Now()
 	report := sender.Section().Report(sent)
 	if hub == s {
+		assert.NilError(w.t, sender.Section().Collect(sent, s.id(), report))
+		assert.NilError(w.t, sender.Section().Apply(sent, sent, s.id(), sender.Section().Summary(sent, s.id())))
 		return
 	}
 	w.flight(delayed, func() {
