--- /dev/null
+++ b/release/peer/benchmark_test.go
@@ -0,0 +1,95 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/release"
+)
+
+// large returns a configuration of 2,000 organisations with two keys each,
+// 3,600 endpoints and 100 classes.
+func large() *winch.Configuration {
+	configuration := release.Empty()
+	configuration.Revision = 1
+	for i := range 100 {
+		id := winch.ClassID(fmt.Sprintf("class-%d", i))
+		configuration.Classes[id] = winch.Class{ID: id, Tier: 1, FirstTokenTarget: 1, MaxWait: 1, QueueLimit: 1, Models: []winch.ModelID{"model"}}
+	}
+	for i := range 2000 {
+		id := winch.OrganisationID(fmt.Sprintf("organisation-%d", i))
+		configuration.Organisations[id] = winch.Organisation{ID: id, Weight: 1}
+		for k := range 2 {
+			key := winch.KeyID(fmt.Sprintf("key-%d-%d", i, k))
+			configuration.Keys[key] = winch.Key{ID: key, Organisation: id, Hash: winch.HashKey(string(key))}
+		}
+	}
+	for i := range 3600 {
+		id := winch.EndpointID(fmt.Sprintf("endpoint-%d", i))
+		configuration.Endpoints[id] = winch.Endpoint{
+			ID: id, DataCentre: "dc", Kind: winch.EndpointEngine, Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250+1),
+			Models: []winch.ModelID{"model"}, Classes: []winch.ClassID{"class-1"}, Supply: winch.SupplySteady, SlotLimit: 8,
+		}
+	}
+	return configuration
+}
+
+func BenchmarkChange(b *testing.B) {
+	s := newState(defaultLimits(), start)
+	s.learn(start, large(), nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		note := winch.Note{ID: "n", Withdrawn: winch.ItemIDs{Keys: []winch.KeyID{"key-1-1"}}}
+		s.follow(start, []winch.ReleaseRecord{{Revision: s.current.Revision + 1, Note: note}})
+	}
+}
+
+func BenchmarkCheck(b *testing.B) {
+	configuration := large()
+	note := winch.Note{ID: "n", Withdrawn: winch.ItemIDs{Keys: []winch.KeyID{"key-1-1"}}}
+	for b.Loop() {
+		if err := release.Check(configuration, note); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	configuration := large()
+	for b.Loop() {
+		body, err := release.EncodeConfiguration(configuration)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(body)), "bytes")
+	}
+}
+
+func BenchmarkAuthorize(b *testing.B) {
+	s := newState(defaultLimits(), start)
+	s.learn(start, large(), nil)
+	s.prove(proof{asOf: start, revision: 1})
+	for name, hash := range map[string]winch.KeyHash{"known": winch.HashKey("key-7-1"), "unknown": winch.HashKey("nobody")} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				_, _ = s.find(hash)
+			}
+		})
+	}
+}
+
+// BenchmarkMessages reports the bytes of one exchange and one digest at rest.
+func BenchmarkMessages(b *testing.B) {
+	w := newWorld(b, defaultLimits(), 9, 5)
+	w.commit(w.at("0-0"), true)
+	w.rounds(20e9)
+	host, hub := w.at("0-1"), w.at("0-0")
+	for b.Loop() {
+		report := host.distributor.Section().Report(host.Now())
+		summary := hub.distributor.Section().Summary(hub.Now(), "0-1")
+		b.ReportMetric(float64(len(report)), "report-B")
+		b.ReportMetric(float64(len(summary)), "summary-B")
+		b.ReportMetric(float64(len(hub.distributor.Section().Digest(hub.Now(), "dc1"))), "digest-B")
+	}
+}
--- a/release/peer/section.go
+++ b/release/peer/section.go
@@ -80,7 +80,7 @@
 		Hub: s.tag, Token: int64(now.Sub(s.started)), Revision: s.state.current.Revision,
 		Accepted: s.state.accepted,
 		Proof:    proofToWire(now, proof{asOf: s.state.proven, revision: s.state.current.Revision}),
-		Agreed:   proofToWire(now, s.acceptance.centres[s.self.DataCentre].agreed),
+		Agreed:   s.agreement(now),
 	}
 	host := s.roster.see(now, to)
 	if host.revision < s.state.current.Revision {
@@ -138,6 +138,16 @@
 	return nil
 }
 
+// agreement is what the majority of this data centre states. It is left out
+// while the hub reads the platform, since proofs from there reach further. The
+// caller holds the lock.
+func (d *Distributor) agreement(now time.Time) *proofWire {
+	if now.Sub(d.watched) < 2*d.options.WatchWait+time.Second {
+		return nil
+	}
+	return proofToWire(now, d.acceptance.centres[d.self.DataCentre].agreed)
+}
+
 // believe takes in what a hub states, when there is anything.
 func (d *Distributor) believe(proven, agreed proof) {
 	if !proven.asOf.IsZero() {
@@ -160,7 +170,7 @@
 		Revision: s.state.current.Revision, Settled: s.settledHere(), Accepted: s.state.accepted,
 		Hosts: len(s.roster.hosts), Behind: own.behind,
 		Proof:  proofToWire(now, proof{asOf: s.state.proven, revision: s.state.current.Revision}),
-		Agreed: proofToWire(now, own.agreed),
+		Agreed: s.agreement(now),
 	}
 	if other, found := s.acceptance.centres[to]; found && !other.heard.IsZero() && other.revision < s.state.current.Revision {
 		digest.Update = s.update(now, other.revision, settleTime)
