refactor(dispatch): name things by their standard terms, and warn of old queues too

Cause: names that needed explaining; a queue could be old without being long. Ruled out: a warning for each request. Conclusion: event 3011 tells of length and of age.

--- a/dispatch/endpoint/choose.go
+++ b/dispatch/endpoint/choose.go
@@ -39,7 +39,7 @@
 // eligible tells whether the request may run on the endpoint now.
 func (c *core) eligible(now time.Time, l *lane, r *request, e *endpoint) bool {
 	return c.allowance(now, e) > 0 && e.usable(now) && (len(r.work.Excluded) == 0 || !r.excludes(e.spec.ID)) &&
-		(!r.long || c.roomFor(e, l, r)) && !c.pressed(now, e, l)
+		(!r.long || c.roomFor(e, l, r)) && !c.reserved(now, e, l)
 }
 
 // chooseBest takes the better of two random endpoints among those whose score is
--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -55,7 +55,7 @@
 	}
 	// An endpoint that comes up while others serve is loaded by degrees.
 	if now.Sub(c.started) > c.settings.RampTime && (!found || e.state == winch.EndpointStarting && status.State == winch.EndpointReady) {
-		e.inflating = now
+		e.rampSince = now
 	}
 	e.spec, e.cheap = status.Endpoint, status.Endpoint.Supply == winch.SupplyCheap
 	if ceiling := newLimiter(e.spec.SlotLimit).ceiling; ceiling != e.limit.ceiling {
@@ -192,25 +192,25 @@
 // linkLanes finds the lanes that share endpoints, and the part of the endpoints that this host uses.
 func (c *core) linkLanes() {
 	for _, l := range c.sorted {
-		l.rivals = l.rivals[:0]
+		l.competitors = l.competitors[:0]
 		l.first = true
 	}
 	for _, e := range c.ordered {
 		sort.Slice(e.lanes, func(i, j int) bool { return laneLess(e.lanes[i], e.lanes[j]) })
 		for _, l := range e.lanes {
 			l.first = l.first && !e.lanes[0].higher(l)
-			for _, rival := range e.lanes {
-				if !slices.Contains(l.rivals, rival) {
-					l.rivals = append(l.rivals, rival)
+			for _, competitor := range e.lanes {
+				if !slices.Contains(l.competitors, competitor) {
+					l.competitors = append(l.competitors, competitor)
 				}
 			}
 		}
 	}
 	for _, l := range c.sorted {
-		if len(l.rivals) == 0 {
-			l.rivals = append(l.rivals, l)
+		if len(l.competitors) == 0 {
+			l.competitors = append(l.competitors, l)
 		}
-		sort.Slice(l.rivals, func(i, j int) bool { return laneLess(l.rivals[i], l.rivals[j]) })
+		sort.Slice(l.competitors, func(i, j int) bool { return laneLess(l.competitors[i], l.competitors[j]) })
 		c.setSubset(l)
 	}
 }
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -151,7 +151,7 @@
 		return r
 	}
 	c.enqueue(now, r)
-	c.relieve(now, l)
+	c.preemptFor(now, l)
 	return r
 }
 
@@ -172,11 +172,11 @@
 	if !c.features.tiers || c.starved(now, l) {
 		return false
 	}
-	for _, rival := range l.rivals {
-		if !rival.higher(l) {
+	for _, competitor := range l.competitors {
+		if !competitor.higher(l) {
 			return false
 		}
-		if c.informed(now) && rival.others.Urgent > 0 {
+		if c.informed(now) && competitor.others.Urgent > 0 {
 			return true
 		}
 	}
@@ -197,10 +197,7 @@
 	l.push(r)
 	c.expiry.push(r)
 	c.emit(effect{kind: effectQueued, at: now, request: r, lane: l})
-	if !l.warned && l.queued > l.queueLimit()/2 {
-		l.warned = true
-		c.emit(effect{kind: effectQueueLong, at: now, lane: l, wait: l.oldestWait(now)})
-	}
+	c.watchLength(now, l)
 }
 
 // expiryOf returns when the request is given up in the queue. A stream under way waits to its deadline.
@@ -318,11 +315,11 @@
 	if r.floor {
 		l.floorRunning--
 	}
-	if r.relieves {
+	if r.forOwnQueue {
 		l.preempting--
 	}
 	if r.preempted && !r.floor {
-		l.goingRunning--
+		l.movingRunning--
 	}
 	c.judge(now, r, outcome)
 	c.fill(now, e)
@@ -356,7 +353,7 @@
 	}
 	e.observe(report)
 	e.weigh(now, c.settings.ReportHorizon)
-	c.hint(now, e, report.AsOf)
+	c.probeEarly(now, e, report.AsOf)
 	if report.State == winch.EndpointLeaving && e.state == winch.EndpointReady {
 		c.leave(now, e, time.Time{})
 	}
--- a/dispatch/endpoint/core_test.go
+++ b/dispatch/endpoint/core_test.go
@@ -355,8 +355,8 @@
 		}
 	}
 	for _, l := range b.sorted {
-		if l.queued != queued[l] || l.running < 0 || l.preempting < 0 || l.goingRunning < 0 || l.floorRunning < 0 {
-			t.Fatalf("lane %v: queued %d of %d, running %d, preempting %d, going %d", l.key, l.queued, queued[l], l.running, l.preempting, l.goingRunning)
+		if l.queued != queued[l] || l.running < 0 || l.preempting < 0 || l.movingRunning < 0 || l.floorRunning < 0 {
+			t.Fatalf("lane %v: queued %d of %d, running %d, preempting %d, going %d", l.key, l.queued, queued[l], l.running, l.preempting, l.movingRunning)
 		}
 		for i := 1; i < len(l.accounts); i++ {
 			if l.heapLess(i, (i-1)/2) {
@@ -397,7 +397,7 @@
 	})
 }
 
-func TestHint(t *testing.T) {
+func TestProbeEarly(t *testing.T) {
 	b := newBench(twoClasses(1, 4))
 	for range 3 {
 		b.release(b.now, b.request(stall, 1), winch.OutcomeUnsent)
--- a/dispatch/endpoint/events.go
+++ b/dispatch/endpoint/events.go
@@ -24,9 +24,9 @@
 	EventEjected winch.EventNumber = 3009
 	// EventRestored: an ejected endpoint answered a probe and gets work again.
 	EventRestored winch.EventNumber = 3010
-	// EventQueueLong: a queue passed half of its limit.
+	// EventQueueLong: a queue passed half of its length limit, or its oldest request half of its wait.
 	EventQueueLong winch.EventNumber = 3011
-	// EventQueueShort: a queue that was long fell below a quarter of its limit.
+	// EventQueueShort: a queue that was long fell to a quarter of both limits.
 	EventQueueShort winch.EventNumber = 3012
 	// EventEndpointsChanged: a configuration or the ordered endpoints were taken in.
 	EventEndpointsChanged winch.EventNumber = 3013
--- a/dispatch/endpoint/figures.go
+++ b/dispatch/endpoint/figures.go
@@ -112,7 +112,7 @@
 	last, known := a.last[from]
 	a.last[from] = charged
 	delta := charged - last
-	if !known && len(a.last) > 1 && charged > firstChargeLimit {
+	if !known && len(a.last) > 1 && charged > firstChargeMax {
 		// A host whose past this hub does not know.
 		return
 	}
@@ -125,8 +125,8 @@
 	a.changedAt = now
 }
 
-// firstChargeLimit is the most that a host's first report may add to an account.
-const firstChargeLimit = 100_000
+// firstChargeMax is the most that a host's first report may add to an account.
+const firstChargeMax = 100_000
 
 // drop forgets hosts that have not reported for the horizon.
 func (h *hub) drop(now time.Time, horizon time.Duration) {
@@ -232,7 +232,7 @@
 	}
 	c.refresh(now)
 	for _, l := range c.sorted {
-		c.relieveOthers(now, l)
+		c.preemptForOthers(now, l)
 	}
 	c.pump(now)
 }
--- a/dispatch/endpoint/health.go
+++ b/dispatch/endpoint/health.go
@@ -14,8 +14,8 @@
 	backoff      time.Duration
 	probing      bool
 	ejectedAt    time.Time
-	// hinted says that a report showed the endpoint alive after its ejection.
-	hinted bool
+	// probedEarly says that a report showed the endpoint alive after its ejection.
+	probedEarly bool
 }
 
 // usable tells whether the endpoint may get another request.
@@ -52,18 +52,18 @@
 		return
 	}
 	e.health = health{}
-	e.inflating = now
+	e.rampSince = now
 	c.emit(effect{kind: effectRestored, at: now, endpoint: e})
 }
 
-// hint lets an ejected endpoint be tried early, once, when its own report shows it
+// probeEarly lets an ejected endpoint be tried early, once, when its own report shows it
 // alive after the ejection.
-func (c *core) hint(now time.Time, e *endpoint, asOf time.Time) {
+func (c *core) probeEarly(now time.Time, e *endpoint, asOf time.Time) {
 	h := &e.health
-	if !h.probing || h.hinted || !now.Before(h.ejectedUntil) || !asOf.After(h.ejectedAt) {
+	if !h.probing || h.probedEarly || !now.Before(h.ejectedUntil) || !asOf.After(h.ejectedAt) {
 		return
 	}
-	h.hinted, h.ejectedUntil = true, now
+	h.probedEarly, h.ejectedUntil = true, now
 	c.fill(now, e)
 }
 
@@ -137,7 +137,7 @@
 			if !r.preempted && r.work.Model != "" {
 				r.preempted = true
 				if !r.floor {
-					r.lane.goingRunning++
+					r.lane.movingRunning++
 				}
 				c.emit(effect{kind: effectMoved, request: r, endpoint: e, at: now})
 			}
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -31,9 +31,9 @@
 	endpoints []*endpoint
 	// subset is the part of endpoints that this host uses.
 	subset []*endpoint
-	// rivals are the lanes that share an endpoint with this one, itself included.
-	rivals []*lane
-	budget *retryBudget
+	// competitors are the lanes that share an endpoint with this one, itself included.
+	competitors []*lane
+	budget      *retryBudget
 
 	oldest, newest *request
 	byAccount      map[*account]*accountQueue
@@ -46,9 +46,9 @@
 	firstToken average // seconds from grant to first token
 	slots      float64 // sum of the endpoints' limits
 	preempting int     // asked to leave for a request queued here
-	// goingRunning are those asked to leave for any reason, floor slots left out.
-	goingRunning int
-	turn         int
+	// movingRunning are those asked to leave for any reason, floor slots left out.
+	movingRunning int
+	turn          int
 
 	first        bool // no lane of the same group has a higher tier
 	cheapRunning int  // on cheap endpoints
@@ -58,7 +58,7 @@
 	aperture     int
 
 	others      laneFigures // other hosts of the data centre
-	givenAt     time.Time   // last preemption for other hosts
+	preemptedAt time.Time   // last preemption for other hosts
 	warned      bool
 	servedFloor uint64
 }
--- a/dispatch/endpoint/limit.go
+++ b/dispatch/endpoint/limit.go
@@ -101,10 +101,10 @@
 // first seen scales it.
 func (e *endpoint) slots(now time.Time, ramp time.Duration) int {
 	value := e.limit.value
-	if !e.inflating.IsZero() {
-		age := now.Sub(e.inflating)
+	if !e.rampSince.IsZero() {
+		age := now.Sub(e.rampSince)
 		if age >= ramp {
-			e.inflating = time.Time{}
+			e.rampSince = time.Time{}
 		} else {
 			value *= math.Max(rampStart, float64(age)/float64(ramp))
 		}
--- a/dispatch/endpoint/log.go
+++ b/dispatch/endpoint/log.go
@@ -122,20 +122,22 @@
 }
 
 func (d *Dispatcher) logState(l *line) {
+	fields := []any{"At", stamp(l.at), "Host", string(d.core.self.ID), "DataCentre", string(d.core.self.DataCentre)}
+	if l.endpoint != "" {
+		fields = append(fields, "Endpoint", string(l.endpoint))
+	} else {
+		fields = append(fields, "Class", string(l.class), "Group", l.group.String(), "Queued", l.queued)
+	}
 	switch l.kind {
 	case effectEjected:
-		d.logger.Warn("endpoint ejected", "Event", EventEjected, "At", stamp(l.at), "Endpoint", string(l.endpoint),
-			"Cause", l.cause, "Backoff", l.waited.String())
+		d.logger.Warn("endpoint ejected", append(fields, "Event", EventEjected, "Cause", l.cause, "Backoff", l.waited.String())...)
 	case effectRestored:
-		d.logger.Info("endpoint restored", "Event", EventRestored, "At", stamp(l.at), "Endpoint", string(l.endpoint))
+		d.logger.Info("endpoint restored", append(fields, "Event", EventRestored)...)
 	case effectLeaving:
-		d.logger.Info("endpoint leaves", "Event", EventLeaving, "At", stamp(l.at), "DataCentre", string(d.core.self.DataCentre),
-			"Endpoint", string(l.endpoint))
+		d.logger.Info("endpoint leaves", append(fields, "Event", EventLeaving)...)
 	case effectQueueLong:
-		d.logger.Warn("queue is long", "Event", EventQueueLong, "At", stamp(l.at), "Class", string(l.class), "Group", l.group.String(),
-			"Queued", l.queued, "OldestWait", l.waited.String())
+		d.logger.Warn("queue is long", append(fields, "Event", EventQueueLong, "OldestWait", l.waited.String())...)
 	case effectQueueShort:
-		d.logger.Info("queue is short again", "Event", EventQueueShort, "At", stamp(l.at), "Class", string(l.class),
-			"Group", l.group.String(), "Queued", l.queued)
+		d.logger.Info("queue is short again", append(fields, "Event", EventQueueShort)...)
 	}
 }
--- /dev/null
+++ b/dispatch/endpoint/ordered_test.go
@@ -0,0 +1,34 @@
+package endpoint
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+)
+
+type fixedOrders struct{ list []winch.OrderedEndpoint }
+
+func (f fixedOrders) Current() []winch.OrderedEndpoint { return f.list }
+func (f fixedOrders) Changed() <-chan struct{}         { return nil }
+
+func TestOrdered(t *testing.T) {
+	configuration := &winch.Configuration{Pools: map[winch.PoolID]winch.Pool{
+		"p": {ID: "p", Model: chat, Classes: []winch.ClassID{stall}, SlotLimit: 7, Cost: 3},
+	}}
+	source := Ordered{Configurations: fixedConfigurations{configuration}, Orders: fixedOrders{list: []winch.OrderedEndpoint{
+		{ID: "e1", DataCentre: "a", Pool: "p", Supply: winch.SupplyCheap, State: winch.EndpointReady},
+		{ID: "e2", Pool: "p", State: winch.EndpointGone},
+		{ID: "e3", Pool: "unknown", State: winch.EndpointReady},
+	}}}
+	statuses := source.Endpoints()
+	t.Run("leaves out what is gone or has no pool", func(t *testing.T) { assert.Equal(t, len(statuses), 1) })
+	t.Run("takes the rest from the pool", func(t *testing.T) {
+		spec := statuses[0].Endpoint
+		assert.Equal(t, spec.SlotLimit, 7)
+		assert.DeepEqual(t, spec.Models, []winch.ModelID{chat})
+		assert.DeepEqual(t, spec.Classes, []winch.ClassID{stall})
+		assert.Equal(t, spec.Supply, winch.SupplyCheap)
+	})
+}
--- a/dispatch/endpoint/preempt.go
+++ b/dispatch/endpoint/preempt.go
@@ -5,17 +5,17 @@
 	"time"
 )
 
-// relieve makes lower tiers give way for requests of the lane whose target is at risk.
-func (c *core) relieve(now time.Time, l *lane) {
+// preemptFor makes lower tiers give way for requests of the lane whose target is at risk.
+func (c *core) preemptFor(now time.Time, l *lane) {
 	if !c.features.preemption {
 		return
 	}
 	need := c.atRisk(now, l)
-	for _, rival := range l.rivals {
-		if l.higher(rival) {
-			need -= rival.preempting
-		} else if rival != l {
-			need += c.atRisk(now, rival)
+	for _, competitor := range l.competitors {
+		if l.higher(competitor) {
+			need -= competitor.preempting
+		} else if competitor != l {
+			need += c.atRisk(now, competitor)
 		}
 	}
 	for need = min(need, victimsAtOnce); need > 0; need-- {
@@ -65,9 +65,9 @@
 // slotRate is how many of this host's requests on the lane's endpoints usually end in a second.
 func (c *core) slotRate(l *lane) float64 {
 	rate := 0.0
-	for _, rival := range l.rivals {
-		if rival.hold.value > 0 {
-			rate += float64(rival.running) / rival.hold.value
+	for _, competitor := range l.competitors {
+		if competitor.hold.value > 0 {
+			rate += float64(competitor.running) / competitor.hold.value
 		}
 	}
 	return rate
@@ -120,9 +120,9 @@
 }
 
 func (c *core) preempt(now time.Time, r *request, l *lane, forOther bool) {
-	r.preempted, r.relieves = true, !forOther
-	r.lane.goingRunning++
-	r.endpoint.pressedBy, r.endpoint.pressedUntil = l.class.Tier, now.Add(pressPause).UnixNano()
+	r.preempted, r.forOwnQueue = true, !forOther
+	r.lane.movingRunning++
+	r.endpoint.reservedFor, r.endpoint.reservedUntil = l.class.Tier, now.Add(reservePause).UnixNano()
 	if !forOther {
 		// Counted at the victim's lane and released with the victim.
 		r.lane.preempting++
@@ -130,9 +130,9 @@
 	c.emit(effect{kind: effectPreempted, at: now, request: r, lane: l, endpoint: r.endpoint, lower: c.lowerWork(now, r.lane)})
 }
 
-// relieveOthers gives up this host's part of the slots that a higher tier waits for at other hosts.
-func (c *core) relieveOthers(now time.Time, l *lane) {
-	if !c.features.preemption || !c.informed(now) || l.others.Urgent == 0 || now.Sub(l.givenAt) < reliefPause {
+// preemptForOthers gives up this host's part of the slots that a higher tier waits for at other hosts.
+func (c *core) preemptForOthers(now time.Time, l *lane) {
+	if !c.features.preemption || !c.informed(now) || l.others.Urgent == 0 || now.Sub(l.preemptedAt) < exchangePause {
 		return
 	}
 	w := c.lowerWork(now, l)
@@ -148,20 +148,20 @@
 		}
 		c.preempt(now, victim, l, true)
 	}
-	l.givenAt = now
+	l.preemptedAt = now
 }
 
 // victimsAtOnce bounds the work of one decision.
 const victimsAtOnce = 16
 
-// reliefPause is the time for a slot given up to show in the waiting host's next report.
-const reliefPause = 1500 * time.Millisecond
+// exchangePause is the time for a slot given up to show in the waiting host's next report.
+const exchangePause = 1500 * time.Millisecond
 
-// pressPause is the time after a preemption for which the endpoint takes no work
+// reservePause is the time after a preemption for which the endpoint takes no work
 // of lower tiers, so that they are not preempted again at once.
-const pressPause = time.Second
+const reservePause = time.Second
 
-// pressed tells whether the endpoint is kept free for a tier above the lane's.
-func (c *core) pressed(now time.Time, e *endpoint, l *lane) bool {
-	return e.pressedUntil != 0 && now.UnixNano() < e.pressedUntil && e.pressedBy < l.class.Tier && !c.starved(now, l)
+// reserved tells whether the endpoint is kept free for a tier above the lane's.
+func (c *core) reserved(now time.Time, e *endpoint, l *lane) bool {
+	return e.reservedUntil != 0 && now.UnixNano() < e.reservedUntil && e.reservedFor < l.class.Tier && !c.starved(now, l)
 }
--- a/dispatch/endpoint/request.go
+++ b/dispatch/endpoint/request.go
@@ -51,8 +51,8 @@
 	floor            bool
 	again            bool // ran before, without an end
 	preempted        bool
-	// relieves says that the preemption was for a request queued here.
-	relieves bool
+	// forOwnQueue says that the preemption was for a request queued here.
+	forOwnQueue bool
 
 	progress *progress
 	waiter   any
--- a/dispatch/endpoint/serve.go
+++ b/dispatch/endpoint/serve.go
@@ -31,7 +31,7 @@
 		if best != nil && best.lane.higher(l) {
 			break
 		}
-		if l.queued == 0 || c.pressed(now, e, l) || c.blocked(now, l) {
+		if l.queued == 0 || c.reserved(now, e, l) || c.blocked(now, l) {
 			continue
 		}
 		r := l.next(e, c.features.fairness)
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -19,14 +19,14 @@
 	running  int
 	others   int
 	reported float64
-	// pressedBy is the tier for which work was preempted here last; the endpoint is
-	// kept free for it until pressedUntil, in nanoseconds since 1970.
-	pressedBy    winch.Tier
-	pressedUntil int64
-	yields       bool // another host waits for its share
-	serving      bool // ready, by its state
-	cheap        bool
-	health       health
+	// reservedFor is the tier for which work was preempted here last; the endpoint is
+	// kept free for it until reservedUntil, in nanoseconds since 1970.
+	reservedFor   winch.Tier
+	reservedUntil int64
+	yields        bool // another host waits for its share
+	serving       bool // ready, by its state
+	cheap         bool
+	health        health
 
 	// offset is the reported load less what the hosts knew of when the report was true.
 	offset   float64
@@ -42,7 +42,7 @@
 	models    []winch.LoadedModel
 	limit     limiter
 	lastHeard atomic.Int64 // nanoseconds since 1970
-	inflating time.Time    // when the endpoint was first seen, for the ramp; zero when it is over
+	rampSince time.Time    // when the endpoint was first seen, for the ramp; zero when it is over
 	history   history
 }
 
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -26,13 +26,10 @@
 		risk := c.atRisk(now, l)
 		c.widen(l, risk > 0)
 		if risk > 0 {
-			c.relieve(now, l)
-		}
-		c.relieveOthers(now, l)
-		if l.warned && l.queued < l.queueLimit()/4 {
-			l.warned = false
-			c.emit(effect{kind: effectQueueShort, at: now, lane: l})
+			c.preemptFor(now, l)
 		}
+		c.preemptForOthers(now, l)
+		c.watchLength(now, l)
 	}
 	c.pump(now)
 	c.handOverWaiting(now)
@@ -50,6 +47,19 @@
 	}
 }
 
+// watchLength warns when a queue is long or old, and tells when it no longer is.
+func (c *core) watchLength(now time.Time, l *lane) {
+	oldest := l.oldestWait(now)
+	switch {
+	case !l.warned && (l.queued > l.queueLimit()/2 || oldest > l.maxWait()/2):
+		l.warned = true
+		c.emit(effect{kind: effectQueueLong, at: now, lane: l, wait: oldest})
+	case l.warned && l.queued <= l.queueLimit()/4 && oldest <= l.maxWait()/4:
+		l.warned = false
+		c.emit(effect{kind: effectQueueShort, at: now, lane: l})
+	}
+}
+
 // brokenRetention is how long an attempt that did not end well is remembered.
 const brokenRetention = 10 * time.Second
 
--- a/dispatch/endpoint/wait.go
+++ b/dispatch/endpoint/wait.go
@@ -29,8 +29,8 @@
 	if !c.belowFloor(now, l) {
 		return false
 	}
-	for _, rival := range l.rivals {
-		if rival.higher(l) && (rival.queued > 0 || c.informed(now) && rival.others.Queued > 0) {
+	for _, competitor := range l.competitors {
+		if competitor.higher(l) && (competitor.queued > 0 || c.informed(now) && competitor.others.Queued > 0) {
 			return true
 		}
 	}
@@ -50,17 +50,17 @@
 	if l == nil {
 		return w
 	}
-	for _, rival := range l.rivals {
-		if !l.higher(rival) {
-			w.waiting += rival.queued
+	for _, competitor := range l.competitors {
+		if !l.higher(competitor) {
+			w.waiting += competitor.queued
 			continue
 		}
-		w.queued += rival.queued
-		w.floor += rival.floorRunning
-		w.running += c.movableRunning(rival)
+		w.queued += competitor.queued
+		w.floor += competitor.floorRunning
+		w.running += c.movableRunning(competitor)
 		if c.informed(now) {
-			w.othersQueued += rival.others.Queued
-			w.othersRunning += rival.others.Movable
+			w.othersQueued += competitor.others.Queued
+			w.othersRunning += competitor.others.Movable
 		}
 	}
 	return w
@@ -71,30 +71,30 @@
 	if l.key.group.model == "" {
 		return 0
 	}
-	return max(0, l.running-l.floorRunning-l.goingRunning)
+	return max(0, l.running-l.floorRunning-l.movingRunning)
 }
 
 // predictedWait returns how long a new request of the lane would wait. Lower
 // tiers count as if they had given way already, and a floor's slots as if they were free.
 func (c *core) predictedWait(now time.Time, l *lane, r *request) time.Duration {
 	ahead, taken := 1.0, 0.0
-	for _, rival := range l.rivals {
-		if l.higher(rival) {
+	for _, competitor := range l.competitors {
+		if l.higher(competitor) {
 			continue
 		}
-		queued, running := float64(rival.queued), float64(rival.running)
-		if rival == l {
+		queued, running := float64(competitor.queued), float64(competitor.running)
+		if competitor == l {
 			queued = c.aheadInLane(l, r)
 		}
 		if c.informed(now) {
-			queued += c.aheadElsewhere(rival, queued)
-			running += float64(rival.others.Running)
+			queued += c.aheadElsewhere(competitor, queued)
+			running += float64(competitor.others.Running)
 		}
 		ahead += queued
-		if rival.higher(l) {
+		if competitor.higher(l) {
 			taken += running
 		}
-		if rival.class.Tier == l.class.Tier || rival.higher(l) {
+		if competitor.class.Tier == l.class.Tier || competitor.higher(l) {
 			ahead += running
 		}
 	}
@@ -208,8 +208,8 @@
 
 // lowestQueued returns the newest queued request of the lowest tier below the lane's.
 func (c *core) lowestQueued(l *lane) *request {
-	for i := len(l.rivals) - 1; i >= 0 && l.higher(l.rivals[i]); i-- {
-		if victim := l.rivals[i].evictable(); victim != nil {
+	for i := len(l.competitors) - 1; i >= 0 && l.higher(l.competitors[i]); i-- {
+		if victim := l.competitors[i].evictable(); victim != nil {
 			return victim
 		}
 	}
