perf(dispatch): keep a few slots free where preemptions recur

Ruled out: a pause of one second after each preemption, which was too short for the rate of urgent arrivals.

--- a/dispatch/endpoint/core_test.go
+++ b/dispatch/endpoint/core_test.go
@@ -418,3 +418,27 @@
 		assert.Equal(t, b.only().running, 1)
 	})
 }
+
+func TestReserve(t *testing.T) {
+	b := newBench(twoClasses(1, 8))
+	for i := range 8 {
+		b.request(notes, i)
+	}
+	for range 2 {
+		b.preempt(b.now, b.victim(b.now, b.sorted[0]), b.sorted[0], false)
+	}
+	for r := b.only().tier(3).newest; r != nil; r = b.only().tier(3).newest {
+		b.release(b.now, r, winch.OutcomeCancelled)
+	}
+	for i := range 8 {
+		b.request(notes, 10+i)
+	}
+	t.Run("keeps slots free where work was preempted", func(t *testing.T) { assert.Equal(t, b.only().running, 6) })
+	t.Run("lets the higher tier use them", func(t *testing.T) {
+		assert.Equal(t, b.request(stall, 30).state, requestRunning)
+	})
+	t.Run("ends when preemptions end", func(t *testing.T) {
+		b.pass(15 * time.Second)
+		assert.Equal(t, b.only().running, 8)
+	})
+}
--- a/dispatch/endpoint/preempt.go
+++ b/dispatch/endpoint/preempt.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/arbutuswinch/winch"
 )
 
 // preemptFor makes lower tiers give way for requests of the lane whose target is at risk.
@@ -122,7 +124,7 @@
 func (c *core) preempt(now time.Time, r *request, l *lane, forOther bool) {
 	r.preempted, r.forOwnQueue = true, !forOther
 	r.lane.movingRunning++
-	r.endpoint.reservedFor, r.endpoint.reservedUntil = l.class.Tier, now.Add(reservePause).UnixNano()
+	r.endpoint.raiseReserve(l.class.Tier)
 	if !forOther {
 		// Counted at the victim's lane and released with the victim.
 		r.lane.preempting++
@@ -157,11 +159,23 @@
 // exchangePause is the time for a slot given up to show in the waiting host's next report.
 const exchangePause = 1500 * time.Millisecond
 
-// reservePause is the time after a preemption for which the endpoint takes no work
-// of lower tiers, so that they are not preempted again at once.
-const reservePause = time.Second
+const (
+	reserveShare = 0.25 // of the endpoint's slots, the most that are kept free
+	reserveDecay = 10 * time.Second
+)
+
+func (e *endpoint) raiseReserve(tier winch.Tier) {
+	e.reservedFor = tier
+	e.reserve = math.Min(e.reserve+1, reserveShare*float64(e.cap))
+}
+
+// decayReserve lowers the reserve by a tick's share.
+func (e *endpoint) decayReserve(tick time.Duration) {
+	e.reserve *= 1 - float64(tick)/float64(reserveDecay)
+}
 
-// reserved tells whether the endpoint is kept free for a tier above the lane's.
+// reserved tells whether the endpoint's free slots are kept for a tier above the
+// lane's. Each preemption makes the endpoint do a prompt again, so where they recur a few free slots cost less.
 func (c *core) reserved(now time.Time, e *endpoint, l *lane) bool {
-	return e.reservedUntil != 0 && now.UnixNano() < e.reservedUntil && e.reservedFor < l.class.Tier && !c.starved(now, l)
+	return e.reserve >= 1 && e.reservedFor < l.class.Tier && float64(c.allowance(now, e)) <= math.Floor(e.reserve) && !c.starved(now, l)
 }
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -19,14 +19,14 @@
 	running  int
 	others   int
 	reported float64
-	// reservedFor is the tier for which work was preempted here last; the endpoint is
-	// kept free for it until reservedUntil, in nanoseconds since 1970.
-	reservedFor   winch.Tier
-	reservedUntil int64
-	yields        bool // another host waits for its share
-	serving       bool // ready, by its state
-	cheap         bool
-	health        health
+	// reserve is the number of slots kept free for reservedFor and the tiers above. It
+	// grows with each preemption here and decays.
+	reserve     float64
+	reservedFor winch.Tier
+	yields      bool // another host waits for its share
+	serving     bool // ready, by its state
+	cheap       bool
+	health      health
 
 	// offset is the reported load less what the hosts knew of when the report was true.
 	offset   float64
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -14,6 +14,7 @@
 		c.collectAll(now, e)
 		c.checkSilence(now, e)
 		c.checkLeaving(now, e)
+		e.decayReserve(c.settings.Tick)
 		if c.features.adaptiveLimit {
 			e.limit.adjust(now, c.interTarget(e), e.running+e.others)
 		}
