feat: make run shows the whole path, from a note to reported usage

Cause: a newcomer needs one command for the main job. Ruled out: curl (not on every machine); winchload call uses the public client library.

--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -22,6 +22,17 @@
   done
 }
 
+# Waits until every host answers operators.
+wait_ready() {
+  local address
+  for address in "${operators[@]}"; do
+    for _ in $(seq 100); do
+      bin/winchctl --address "$address" --secret "$out/operator-secret" hosts >/dev/null 2>&1 && break
+      sleep 0.1
+    done
+  done
+}
+
 # Stops the hosts, and after them the stand-ins; fails when one of them did.
 stop_all() {
   local status=0
@@ -40,5 +51,5 @@
   return $status
 }
 
-callers=127.0.0.1:18010,127.0.0.1:18020,127.0.0.1:18030,127.0.0.1:18040,127.0.0.1:18050,127.0.0.1:18060
-operators=127.0.0.1:18012,127.0.0.1:18022,127.0.0.1:18032,127.0.0.1:18042,127.0.0.1:18052,127.0.0.1:18062
+callers=(127.0.0.1:18010 127.0.0.1:18020 127.0.0.1:18030 127.0.0.1:18040 127.0.0.1:18050 127.0.0.1:18060)
+operators=(127.0.0.1:18012 127.0.0.1:18022 127.0.0.1:18032 127.0.0.1:18042 127.0.0.1:18052 127.0.0.1:18062)
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -4,11 +4,13 @@
 . scripts/local.sh
 trap 'status=$?; stop_all || status=1; exit $status' EXIT
 
-ctl() { bin/winchctl "$@" --address "$operators" --secret local-operator-secret; }
+ctl() { bin/winchctl "${operators[@]/#/--address=}" --secret "$out/operator-secret" "$@"; }
 call() { bin/winchload call "$@"; }
 
 echo "== start: the stand-ins and six hosts of three data centres"
 start_all
+echo local-operator-secret >"$out/operator-secret"
+wait_ready
 echo "== apply the release note examples/local/note.json and wait until it is accepted"
 ctl note apply examples/local/note.json --wait
 echo "== hosts"
@@ -34,10 +36,16 @@
   exit 1
 fi
 grep -o 'invalid_api_key\|unauthorized\|401' "$out/refused" | head -1
-echo "== usage as the platform got it"
-ctl usage
+echo "== usage of the last window, reported once"
+for _ in $(seq 40); do
+  ctl usage >"$out/usage"
+  grep -q department-stores "$out/usage" && break
+  sleep 0.5
+done
+cat "$out/usage"
+grep -q department-stores "$out/usage"
 if [ "${1:-}" = stay ]; then
-  echo "== caller ports: $callers; stop with ctrl-c"
+  echo "== caller ports: ${callers[*]}; stop with ctrl-c"
   wait
 fi
 echo "== planned stop"
--- a/winchd/daemon/operator.go
+++ b/winchd/daemon/operator.go
@@ -27,6 +27,7 @@
 	operators.HandleFunc("GET /operator/hosts", d.serveHosts)
 	operators.HandleFunc("GET /operator/endpoints", d.serveEndpoints)
 	operators.HandleFunc("GET /operator/queues", d.serveQueues)
+	operators.HandleFunc("GET /operator/usage", d.serveUsage)
 	operators.HandleFunc("GET /operator/requests/{id}", d.serveRequest)
 
 	mux := http.NewServeMux()
--- a/winchd/daemon/usage.go
+++ b/winchd/daemon/usage.go
@@ -1,11 +1,17 @@
 package daemon
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"net/http"
+	"time"
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/charge/fenced"
+	"github.com/arbutuswinch/winch/httpjson"
 	"github.com/arbutuswinch/winch/usage/billing"
+	"github.com/arbutuswinch/winch/usage/keyvalue"
 	"github.com/arbutuswinch/winch/usage/peer"
 )
 
@@ -66,3 +72,63 @@
 func (u *usageParts) parts() []part {
 	return append([]part{{"usage counters", u.counters.Run}}, u.reports...)
 }
+
+type figureWire struct {
+	Shard        int
+	Window       string
+	Reported     bool
+	Organisation string
+	Requests     int64
+	InputTokens  int64
+	OutputTokens int64
+	Adjustment   bool
+}
+
+type usageWire struct {
+	Figures []figureWire
+}
+
+// serveUsage answers the figures of each shard's last sealed window.
+func (d *Daemon) serveUsage(w http.ResponseWriter, r *http.Request) {
+	answer := usageWire{}
+	for shard := range winch.Shard(d.settings.Usage.Shards) {
+		figures, err := d.lastFigures(r.Context(), shard)
+		if err != nil {
+			httpjson.WriteError(w, err)
+			return
+		}
+		answer.Figures = append(answer.Figures, figures...)
+	}
+	httpjson.Write(w, http.StatusOK, answer)
+}
+
+func (d *Daemon) lastFigures(ctx context.Context, shard winch.Shard) ([]figureWire, error) {
+	entry, err := d.store.Get(ctx, keyvalue.HeadKey(shard))
+	if errors.Is(err, winch.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read usage of shard %d: %w", shard, err)
+	}
+	head, err := keyvalue.DecodeHead(entry.Value)
+	if err != nil || head.LastSeal == "" {
+		return nil, err
+	}
+	sealed, err := d.store.Get(ctx, keyvalue.SealKey(shard, head.Last, head.LastSeal))
+	if err != nil {
+		return nil, fmt.Errorf("read seal of shard %d: %w", shard, err)
+	}
+	seal, err := keyvalue.DecodeSeal(sealed.Value)
+	if err != nil {
+		return nil, err
+	}
+	figures := []figureWire{}
+	for _, figure := range seal.Figures {
+		figures = append(figures, figureWire{
+			Shard: int(shard), Window: head.Last.Start().Format(time.RFC3339), Reported: head.Reported >= head.Last,
+			Organisation: string(figure.Organisation), Requests: figure.Counts.Requests,
+			InputTokens: int64(figure.Counts.InputTokens), OutputTokens: int64(figure.Counts.OutputTokens), Adjustment: figure.Adjustment,
+		})
+	}
+	return figures, nil
+}
