--- a/winchd/faults/system_test.go
+++ b/winchd/faults/system_test.go
@@ -61,9 +61,10 @@
 	keyValue map[string]*toxiproxy.Proxy
 }
 
-// startSystem starts everything; change may alter the settings of the hosts.
+// startSystem starts everything, beside the systems of other tests; change may alter the settings of the hosts.
 func startSystem(t *testing.T, change func(id string, settings jsonObject)) *system {
 	t.Helper()
+	t.Parallel()
 	s := &system{t: t, directory: t.TempDir(), centres: []string{"a", "b", "c"}, keyValue: map[string]*toxiproxy.Proxy{}}
 	s.startPlatform()
 	for _, centre := range s.centres {
