fix(release): state majorities before the last proof is too old

Cause: the hub left the majority out for 2 x WatchWait + 1 s after its last read, which is all of a freshness limit of 2 s; when the platform went away, hosts had no evidence for one exchange and refused keys as isolated. Ruled out: late digests (IsolationGrace is 6 s there); lost majorities (all hosts alive). Before / after: the new test fails at 2 s and passes at the default of 6 s / passes at both. Conclusion: the margin is now half the freshness limit.

--- a/release/peer/section.go
+++ b/release/peer/section.go
@@ -139,10 +139,11 @@
 }
 
 // agreement is what the majority of this data centre states. It is left out
-// while the hub reads the platform, since proofs from there reach further. The
+// while the hub reads the platform, since proofs from there reach further, and
+// begins early enough to reach all hosts before their last proof is too old. The
 // caller holds the lock.
 func (d *Distributor) agreement(now time.Time) *proofWire {
-	if now.Sub(d.watched) < 2*d.options.WatchWait+time.Second {
+	if now.Sub(d.watched) < d.options.FreshnessLimit/2 {
 		return nil
 	}
 	return proofToWire(now, d.acceptance.centres[d.self.DataCentre].agreed)
--- a/release/peer/section_test.go
+++ b/release/peer/section_test.go
@@ -19,7 +19,9 @@
 	hub, host *Distributor
 }
 
-func newPair(t *testing.T) *pair {
+func newPair(t *testing.T) *pair { return newPairOf(t, defaultFreshness, defaultWatchWait) }
+
+func newPairOf(t *testing.T, freshness, watchWait time.Duration) *pair {
 	t.Helper()
 	p := &pair{clock: &fakeClock{now: start}, log: newFakeLog()}
 	hosts := []winch.Host{{ID: "h1", DataCentre: "a"}, {ID: "h2", DataCentre: "a"}}
@@ -30,6 +32,7 @@
 				hosts: func(winch.DataCentreID) []winch.Host { return hosts },
 			},
 			Log: p.log, Clock: p.clock, Incarnation: winch.Incarnation("start of " + hosts[i].ID),
+			FreshnessLimit: freshness, WatchWait: watchWait,
 		})
 		assert.NilError(t, err)
 		*into = distributor
@@ -114,3 +117,26 @@
 		assertKey(t, p.host, p.clock.Now(), "k", winch.ErrIsolated)
 	})
 }
+
+// assertNoGap takes the platform away and asks for the key at every exchange until after the freshness limit.
+func assertNoGap(t *testing.T, freshness, watchWait time.Duration) {
+	t.Helper()
+	const period = 200 * time.Millisecond
+	p := newPairOf(t, freshness, watchWait)
+	p.commit(t, keyNote("k"))
+	p.watch(t)
+	for away := time.Duration(0); away < 2*freshness; away += period {
+		p.exchange(t)
+		p.clock.now = p.clock.now.Add(period)
+		assertKey(t, p.host, p.clock.Now(), "k", nil)
+	}
+}
+
+func TestPlatformGoesAway(t *testing.T) {
+	t.Run("keys are honoured without a gap at the default limits", func(t *testing.T) {
+		assertNoGap(t, defaultFreshness, defaultWatchWait)
+	})
+	t.Run("keys are honoured without a gap at short limits", func(t *testing.T) {
+		assertNoGap(t, 2*time.Second, 500*time.Millisecond)
+	})
+}
