test(faults): keep ports reserved until the hosts take them

Cause: systems beside each other chose the same port now and then (a host ended with 'address already in use' in one of two runs). Ruled out: ports of outgoing connections (the range lies below them). Conclusion: the reservation is given up just before the start.

--- a/winchd/faults/system_test.go
+++ b/winchd/faults/system_test.go
@@ -29,6 +29,9 @@
 	isolationGrace = 6 * time.Second
 	usageWindow    = 4 * time.Second
 	waitLimit      = 30 * time.Second
+
+	lowestPort = 20000
+	portCount  = 12000
 )
 
 // jsonObject is settings or a message that a test writes.
@@ -42,6 +45,7 @@
 	peer     string
 	operator string
 	link     *link
+	reserved []net.Listener
 	config   string
 	log      string
 	process  *process
@@ -126,28 +130,30 @@
 }
 
 func (s *system) addHost(id, centre string) {
-	h := &host{
-		id: id, centre: centre, caller: freeAddress(s.t), peer: freeAddress(s.t), operator: freeAddress(s.t),
-		config: id + ".json", log: filepath.Join(s.directory, id),
+	h := &host{id: id, centre: centre, config: id + ".json", log: filepath.Join(s.directory, id)}
+	for _, address := range []*string{&h.caller, &h.peer, &h.operator} {
+		listener := reservePort(s.t)
+		h.reserved = append(h.reserved, listener)
+		*address = listener.Addr().String()
 	}
 	h.link = newLink(s.t, h.peer)
 	h.api = s.client(h.operator, operatorSecret)
 	s.hosts = append(s.hosts, h)
 }
 
-// freeAddress returns a loopback address whose port is free, below the ports that
-// the system gives to outgoing connections.
-func freeAddress(t *testing.T) string {
+// reservePort listens on a free loopback port below those that the system gives to
+// outgoing connections, until the host takes its place.
+func reservePort(t *testing.T) net.Listener {
 	t.Helper()
 	for range 100 {
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000)))
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(portCount)))
 		if err == nil {
-			defer listener.Close()
-			return listener.Addr().String()
+			t.Cleanup(func() { _ = listener.Close() })
+			return listener
 		}
 	}
 	t.Fatal("no free port")
-	return ""
+	return nil
 }
 
 func (s *system) publishHosts() {
@@ -183,6 +189,9 @@
 }
 
 func (s *system) startHost(h *host) {
+	for _, listener := range h.reserved {
+		_ = listener.Close()
+	}
 	h.process = startProcess(s.t, h.log, program(s.t, "winchd"), "run", "--settings", filepath.Join(s.directory, h.config))
 }
 
