--- /dev/null
+++ b/models/usage.pml
@@ -0,0 +1,146 @@
+/*
+ * Seals and reports of usage windows.
+ *
+ * Counts of a shard only grow. Two holders, of which the first may be paused at any
+ * step and go on after the second has taken over, seal windows and send sealed
+ * figures. A seal is written under a key of its own and counts when the head names
+ * it; the head is changed by compare-and-swap, and its answer may be lost. What was
+ * counted but is in no seal of the chain goes into the next window's seal.
+ *
+ * Checked: all reports of a window have the same figures, and at the end each count
+ * was reported once.
+ * Left out: that two holders do not send at the same time, which charge.pml checks;
+ * here also the holder that was replaced may send what is sealed.
+ *
+ * Each of these takes out one guard:
+ *   NO_COMPARE     the head is written without comparing its version
+ *   SEND_UNSEALED  figures are sent before the head names their seal
+ *   ONE_KEY        a window's seal has one key, which every holder may write
+ *   LOST_IS_FAILED a head whose answer was lost is taken as not written: its version is
+ *                  read anew, and the window sealed anew
+ */
+#define HOLDERS 2
+#define WINDOWS 2
+#define GROWTH 3
+#define NONE 255
+#define LIMIT 20
+
+byte counted;
+byte closedWindows;
+
+/* the head */
+byte headVersion = 1;
+byte headLast;          /* number of sealed windows */
+byte headReported;
+
+/* what the chain of seals holds: figures by window */
+byte seal[3];
+
+/* what the platform got */
+byte billed[3] = NONE;
+byte finished;
+
+inline report(w, figures)
+{
+	assert(billed[w] == NONE || billed[w] == figures);
+	billed[w] = figures
+}
+
+active proctype Counting()
+{
+	do
+	:: atomic { counted < GROWTH && closedWindows < WINDOWS -> counted++ }
+	:: atomic { closedWindows < WINDOWS -> closedWindows++ }
+	:: closedWindows == WINDOWS -> break
+	od
+}
+
+proctype Holder(byte h)
+{
+	byte version, last, reported, figures, sum;
+	bool done, lost;
+open:
+	/* read the head and take it over */
+	atomic { version = headVersion; last = headLast; reported = headReported; done = false; lost = false };
+	atomic {
+		if
+		:: version == headVersion -> headVersion++; version = headVersion
+		:: else -> goto open
+		fi
+	}
+	do
+	:: atomic { reported < last ->
+		figures = seal[reported + 1] };
+		atomic { report(reported + 1, figures) };
+		atomic {
+			if
+			:: version == headVersion -> headVersion++; version = headVersion; headReported = reported + 1; reported++
+			:: else -> goto replaced
+			fi
+		}
+	:: atomic { reported == last && last < closedWindows ->
+		/* everything counted that no seal of the chain accounts for */
+		sum = (last >= 1 -> seal[1] : 0) + (last >= 2 -> seal[2] : 0);
+		figures = counted - sum; sum = 0 };
+#ifdef SEND_UNSEALED
+		atomic { report(last + 1, figures) };
+#endif
+#ifdef ONE_KEY
+		atomic { seal[last + 1] = figures };
+#endif
+		atomic { /* the head names the seal */
+			if
+#ifdef NO_COMPARE
+			:: true ->
+#else
+			:: version == headVersion ->
+#endif
+				headVersion++; version = headVersion; headLast = last + 1;
+#ifndef ONE_KEY
+				seal[last + 1] = figures;
+#endif
+				done = true
+#ifndef NO_COMPARE
+			:: else -> done = false
+#endif
+			fi;
+			if
+			:: lost = false
+			:: lost = true
+			fi
+		};
+		atomic {
+			if
+#ifdef LOST_IS_FAILED
+			:: done && lost && headVersion < LIMIT -> version = headVersion
+			:: done && lost && headVersion >= LIMIT -> goto replaced
+			:: !done || !lost -> if :: done -> last++ :: else -> goto replaced fi
+#else
+			/* a lost answer is resolved by reading the head back */
+			:: done && (!lost || headVersion == version) -> last++
+			:: done && lost && headVersion != version -> goto replaced
+			:: !done -> goto replaced
+#endif
+			fi;
+			figures = 0
+		}
+	:: atomic { reported == last && last == WINDOWS -> break }
+	od;
+replaced:
+	atomic {
+		figures = 0;
+		if
+		:: headReported < WINDOWS && closedWindows <= WINDOWS && h == 1 -> goto open
+		:: else
+		fi
+	}
+	finished++
+}
+
+init
+{
+	atomic { run Holder(0); run Holder(1) }
+	finished == HOLDERS && closedWindows == WINDOWS && headReported == WINDOWS;
+	assert(billed[1] + billed[2] == seal[1] + seal[2]);
+	assert(billed[1] + billed[2] <= counted)
+}
