fix(release): forget leaving hosts only once they must have ended

Cause: a host that leaves goes on serving while it drains, yet was forgotten as soon as it was no longer listed; and a data centre replaced as a whole could never reach a majority again. Before / after: forgotten at once / after LongestStop, and after twelve times the roster memory when the majority is silent.

--- a/release/peer/distributor.go
+++ b/release/peer/distributor.go
@@ -16,11 +16,14 @@
 	defaultGrace     = 5 * time.Minute
 	defaultMargin    = 500 * time.Millisecond
 	defaultWatchWait = time.Second
+	defaultStop      = 2 * time.Minute
 	viewInterest     = 30 * time.Second
 	// settleTime is how long a record is left to reach other data centres
 	// through the platform before it is sent in digests.
 	settleTime  = 2 * time.Second
 	behindLimit = 16
+	// lostMajorityFactor lengthens the memory of a roster whose majority is silent.
+	lostMajorityFactor = 12
 )
 
 // Options are the settings of a Distributor. The zero value of a duration
@@ -44,6 +47,9 @@
 	// RosterMemory is how long a host that is no longer listed counts towards
 	// its data centre's majority. The default is FreshnessLimit + IsolationGrace.
 	RosterMemory time.Duration
+	// LongestStop is the time within which a host that is leaving has ended. It
+	// must be longer than the hosts' planned stop; the default is two minutes.
+	LongestStop time.Duration
 	// WatchWait is the longest wait of one watch call.
 	WatchWait time.Duration
 }
@@ -108,6 +114,7 @@
 	}{
 		{&o.FreshnessLimit, defaultFreshness}, {&o.IsolationGrace, defaultGrace},
 		{&o.Margin, defaultMargin}, {&o.WatchWait, defaultWatchWait},
+		{&o.LongestStop, defaultStop},
 	} {
 		if *setting.value == 0 {
 			*setting.value = setting.fallback
--- a/release/peer/random_test.go
+++ b/release/peer/random_test.go
@@ -54,6 +54,11 @@
 		"platform": func(t *rapid.T) {
 			w.platform[rapid.IntRange(0, 2).Draw(t, "group")] = rapid.Bool().Draw(t, "reached")
 		},
+		"leave": func(t *rapid.T) {
+			if s := anyHost(t); !s.host.Leaving && w.staying(s.host.DataCentre) > 1 {
+				s.host.Leaving, s.leavesAt = true, w.now+time.Duration(rapid.IntRange(0, 110).Draw(t, "s"))*time.Second
+			}
+		},
 		"replace": func(t *rapid.T) { replaceHost(t, w, anyHost(t)) },
 	}
 }
--- a/release/peer/roster.go
+++ b/release/peer/roster.go
@@ -28,11 +28,12 @@
 
 // roster knows the hosts of a data centre that may be alive. A host that is no
 // longer listed still counts, since it may be cut off and not dead, until it is
-// forgotten; one that was leaving is forgotten at once.
+// forgotten; one that was leaving is forgotten when it must have ended.
 type roster struct {
-	self    winch.HostID
-	hosts   map[winch.HostID]*reported
-	leaving map[winch.HostID]bool
+	self  winch.HostID
+	hosts map[winch.HostID]*reported
+	// leaving tells since when hosts were seen to be leaving.
+	leaving map[winch.HostID]time.Time
 	// former counts incarnations that were replaced under the same id, by when.
 	former []time.Time
 	// known is set once the roster was read from the platform or came from a hub.
@@ -40,21 +41,21 @@
 }
 
 func newRoster(self winch.HostID) *roster {
-	return &roster{self: self, hosts: map[winch.HostID]*reported{}, leaving: map[winch.HostID]bool{}}
+	return &roster{self: self, hosts: map[winch.HostID]*reported{}, leaving: map[winch.HostID]time.Time{}}
 }
 
 // observe takes the list of hosts in.
-func (r *roster) observe(now time.Time, hosts []winch.Host) {
+func (r *roster) observe(now time.Time, hosts []winch.Host, stop time.Duration) {
 	listed := map[winch.HostID]bool{}
 	for _, host := range hosts {
 		listed[host.ID] = true
 		r.see(now, host.ID)
-		if host.Leaving {
-			r.leaving[host.ID] = true
+		if _, found := r.leaving[host.ID]; host.Leaving && !found {
+			r.leaving[host.ID] = now
 		}
 	}
-	for id := range r.leaving {
-		if id != r.self && !listed[id] {
+	for id, since := range r.leaving {
+		if id != r.self && !listed[id] && now.Sub(since) > stop {
 			delete(r.hosts, id)
 			delete(r.leaving, id)
 		}
@@ -130,7 +131,7 @@
 func (r *roster) report(now, asOf time.Time, id winch.HostID, incarnation winch.Incarnation, revision winch.Revision) *reported {
 	host := r.see(now, id)
 	if host.incarnation != "" && host.incarnation != incarnation {
-		if !r.leaving[id] && !host.learner {
+		if _, left := r.leaving[id]; !left && !host.learner {
 			r.former = append(r.former, now)
 		}
 		delete(r.leaving, id)
--- a/release/peer/section.go
+++ b/release/peer/section.go
@@ -220,15 +220,29 @@
 
 // observe keeps the roster up to date. The caller holds the lock.
 func (d *Distributor) observe(now time.Time, around surroundings) {
-	d.roster.observe(now, around.hosts)
-	heard, found := d.roster.agreement(false)
-	limit := d.state.limits.freshness
-	if found && now.Before(heard.asOf.Add(limit)) && now.Before(d.watched.Add(limit)) || d.state.limits.unguarded.forget {
-		d.roster.forget(now, d.state.limits.roster)
-	}
+	d.roster.observe(now, around.hosts, d.options.LongestStop)
+	d.forget(now)
 	d.reportSelf(now)
 }
 
+// forget drops silent hosts from the roster. Those who remain must be a majority
+// of it, so that no majority of an older roster exists elsewhere; without one, as
+// when a whole data centre was replaced, hosts are kept for much longer.
+func (d *Distributor) forget(now time.Time) {
+	limit, memory := d.state.limits.freshness, d.state.limits.roster
+	if d.state.limits.unguarded.forget {
+		d.roster.forget(now, memory)
+		return
+	}
+	if !now.Before(d.watched.Add(limit)) {
+		return
+	}
+	if heard, found := d.roster.agreement(false); !found || !now.Before(heard.asOf.Add(limit)) {
+		memory *= lostMajorityFactor
+	}
+	d.roster.forget(now, memory)
+}
+
 // settledHere is the newest revision that a majority of this data centre holds,
 // as far as this host can tell. The caller holds the lock.
 func (d *Distributor) settledHere() winch.Revision {
--- a/release/peer/world_test.go
+++ b/release/peer/world_test.go
@@ -18,6 +18,7 @@
 	offset      time.Duration
 	rate        float64
 	group       int
+	leavesAt    time.Duration
 	incarnation int
 	distributor *Distributor
 	world       *world
@@ -184,8 +185,25 @@
 	}
 }
 
+// reap ends the hosts whose planned stop is over.
+func (w *world) reap() {
+	w.hosts = slices.DeleteFunc(w.hosts, func(s *simulated) bool { return s.host.Leaving && w.now >= s.leavesAt })
+}
+
+// staying counts the hosts of a data centre that are not leaving.
+func (w *world) staying(centre winch.DataCentreID) int {
+	count := 0
+	for _, s := range w.hosts {
+		if s.host.DataCentre == centre && !s.host.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
 // round lets everybody talk, as far as the partitions allow.
 func (w *world) round() {
+	w.reap()
 	for _, s := range w.hosts {
 		w.watch(s, false)
 	}
@@ -211,6 +229,7 @@
 
 // violation names a host that serves less than what was accepted, if there is one.
 func (w *world) violation() string {
+	w.reap()
 	for _, s := range w.hosts {
 		current := s.distributor.Current().Revision
 		if s.distributor.Authority(s.Now()) == winch.AuthorityFull && current < w.log.accepted {
