--- a/dispatch/endpoint/figures.go
+++ b/dispatch/endpoint/figures.go
@@ -64,12 +64,13 @@
 	return own
 }
 
-// urgent counts the queued requests for which lower tiers should give way.
+// urgent counts the queued requests for which other hosts should give way. All of
+// the lane's count when one is at risk, since the figures are late.
 func (c *core) urgent(now time.Time, l *lane) int {
-	if !c.atRisk(now, l) {
+	if c.atRisk(now, l) == 0 {
 		return 0
 	}
-	return max(0, l.queued)
+	return l.queued
 }
 
 // hub collects the figures of the data centre's hosts.
@@ -111,7 +112,7 @@
 	last, known := a.last[from]
 	a.last[from] = charged
 	delta := charged - last
-	if !known && len(a.last) > 1 && charged > firstChargeLimit {
+	if !known && len(a.last) > 1 && charged > firstChargeMax {
 		// A host whose past this hub does not know.
 		return
 	}
@@ -124,8 +125,8 @@
 	a.changedAt = now
 }
 
-// firstChargeLimit is the most that a host's first report may add to an account.
-const firstChargeLimit = 100_000
+// firstChargeMax is the most that a host's first report may add to an account.
+const firstChargeMax = 100_000
 
 // drop forgets hosts that have not reported for the horizon.
 func (h *hub) drop(now time.Time, horizon time.Duration) {
@@ -231,7 +232,7 @@
 	}
 	c.refresh(now)
 	for _, l := range c.sorted {
-		c.relieveOthers(now, l)
+		c.preemptForOthers(now, l)
 	}
 	c.pump(now)
 }
--- a/dispatch/endpoint/preempt.go
+++ b/dispatch/endpoint/preempt.go
@@ -3,19 +3,21 @@
 import (
 	"math"
 	"time"
+
+	"github.com/arbutuswinch/winch"
 )
 
-// relieve makes lower tiers give way when requests of the lane wait and their target is at risk.
-func (c *core) relieve(now time.Time, l *lane) {
-	if !c.features.preemption || !c.atRisk(now, l) {
+// preemptFor makes lower tiers give way for requests of the lane whose target is at risk.
+func (c *core) preemptFor(now time.Time, l *lane) {
+	if !c.features.preemption {
 		return
 	}
-	need := 0
-	for _, rival := range l.rivals {
-		if l.higher(rival) {
-			need -= rival.preempting
-		} else {
-			need += rival.queued
+	need := c.atRisk(now, l)
+	for _, competitor := range l.competitors {
+		if l.higher(competitor) {
+			need -= competitor.preempting
+		} else if competitor != l {
+			need += c.atRisk(now, competitor)
 		}
 	}
 	for need = min(need, victimsAtOnce); need > 0; need-- {
@@ -27,42 +29,50 @@
 	}
 }
 
-// atRisk tells whether requests of the lane would miss their target by waiting for a slot.
-func (c *core) atRisk(now time.Time, l *lane) bool {
+// atRisk returns how many of the lane's queued requests would miss their target by
+// waiting for slots: those that are more than come free in time by themselves, and
+// at least one when the oldest has waited for long.
+func (c *core) atRisk(now time.Time, l *lane) int {
 	if l.queued == 0 {
-		return false
+		return 0
 	}
-	limit := c.riskLimit(l)
-	return l.oldestWait(now) > limit || c.slotWait(l) > limit
+	left := c.timeLeft(l)
+	count := l.queued - int(c.slotRate(l)*left.Seconds()*naturalShare)
+	if l.oldestWait(now) > time.Duration(float64(left)*c.settings.RiskShare) {
+		count = max(1, count)
+	}
+	return max(0, count)
 }
 
-// riskLimit is the wait from which the lane's target is at risk: a share of what the
-// usual time to the first token leaves of it.
+// naturalShare is the share of the time left in which slots must come free.
+const naturalShare = 0.3
+
+// riskLimit is the wait from which the lane's target is at risk.
 func (c *core) riskLimit(l *lane) time.Duration {
+	return time.Duration(float64(c.timeLeft(l)) * c.settings.RiskShare)
+}
+
+// timeLeft is what the usual time to the first token leaves of the lane's target.
+func (c *core) timeLeft(l *lane) time.Duration {
 	target := l.class.FirstTokenTarget
 	if target <= 0 {
 		target = l.maxWait()
 	}
-	left := max(target-secondsOf(l.firstToken.value), target/riskLeast)
-	return time.Duration(float64(left) * c.settings.RiskShare)
+	return max(target-secondsOf(l.firstToken.value), target/timeLeftLeast)
 }
 
-// riskLeast bounds the usual time to the first token to a part of the target.
-const riskLeast = 4
+// timeLeftLeast bounds the usual time to the first token to a part of the target.
+const timeLeftLeast = 4
 
-// slotWait is the time in which slots for the lane's queued requests come free, at
-// the rate at which this host's requests on its endpoints usually end.
-func (c *core) slotWait(l *lane) time.Duration {
+// slotRate is how many of this host's requests on the lane's endpoints usually end in a second.
+func (c *core) slotRate(l *lane) float64 {
 	rate := 0.0
-	for _, rival := range l.rivals {
-		if rival.hold.value > 0 {
-			rate += float64(rival.running) / rival.hold.value
+	for _, competitor := range l.competitors {
+		if competitor.hold.value > 0 {
+			rate += float64(competitor.running) / competitor.hold.value
 		}
 	}
-	if rate == 0 {
-		return 0
-	}
-	return secondsOf(float64(l.queued) / rate)
+	return rate
 }
 
 // victim returns the request of the lowest tier that the lane's endpoints could give up at the least cost.
@@ -112,9 +122,9 @@
 }
 
 func (c *core) preempt(now time.Time, r *request, l *lane, forOther bool) {
-	r.preempted, r.relieves = true, !forOther
-	r.lane.goingRunning++
-	r.endpoint.pressedBy, r.endpoint.pressedUntil = l.class.Tier, now.Add(pressPause).UnixNano()
+	r.preempted, r.forOwnQueue = true, !forOther
+	r.lane.movingRunning++
+	r.endpoint.raiseReserve(l.class.Tier)
 	if !forOther {
 		// Counted at the victim's lane and released with the victim.
 		r.lane.preempting++
@@ -122,9 +132,9 @@
 	c.emit(effect{kind: effectPreempted, at: now, request: r, lane: l, endpoint: r.endpoint, lower: c.lowerWork(now, r.lane)})
 }
 
-// relieveOthers gives up this host's part of the slots that a higher tier waits for at other hosts.
-func (c *core) relieveOthers(now time.Time, l *lane) {
-	if !c.features.preemption || !c.informed(now) || l.others.Urgent == 0 || now.Sub(l.givenAt) < reliefPause {
+// preemptForOthers gives up this host's part of the slots that a higher tier waits for at other hosts.
+func (c *core) preemptForOthers(now time.Time, l *lane) {
+	if !c.features.preemption || !c.informed(now) || l.others.Urgent == 0 || now.Sub(l.preemptedAt) < exchangePause {
 		return
 	}
 	w := c.lowerWork(now, l)
@@ -140,20 +150,32 @@
 		}
 		c.preempt(now, victim, l, true)
 	}
-	l.givenAt = now
+	l.preemptedAt = now
 }
 
 // victimsAtOnce bounds the work of one decision.
 const victimsAtOnce = 16
 
-// reliefPause is the time for a slot given up to show in the waiting host's next report.
-const reliefPause = 1500 * time.Millisecond
+// exchangePause is the time for a slot given up to show in the waiting host's next report.
+const exchangePause = 1500 * time.Millisecond
+
+const (
+	reserveShare = 0.25 // of the endpoint's slots, the most that are kept free
+	reserveDecay = 10 * time.Second
+)
+
+func (e *endpoint) raiseReserve(tier winch.Tier) {
+	e.reservedFor = tier
+	e.reserve = math.Min(e.reserve+1, reserveShare*float64(e.cap))
+}
 
-// pressPause is the time after a preemption for which the endpoint takes no work
-// of lower tiers, so that they are not preempted again at once.
-const pressPause = time.Second
+// decayReserve lowers the reserve by a tick's share.
+func (e *endpoint) decayReserve(tick time.Duration) {
+	e.reserve *= 1 - float64(tick)/float64(reserveDecay)
+}
 
-// pressed tells whether the endpoint is kept free for a tier above the lane's.
-func (c *core) pressed(now time.Time, e *endpoint, l *lane) bool {
-	return e.pressedUntil != 0 && now.UnixNano() < e.pressedUntil && e.pressedBy < l.class.Tier && !c.starved(now, l)
+// reserved tells whether the endpoint's free slots are kept for a tier above the
+// lane's. Each preemption makes the endpoint do a prompt again, so where they recur a few free slots cost less.
+func (c *core) reserved(now time.Time, e *endpoint, l *lane) bool {
+	return e.reserve >= 1 && e.reservedFor < l.class.Tier && float64(c.allowance(now, e)) <= math.Floor(e.reserve) && !c.starved(now, l)
 }
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -14,6 +14,7 @@
 		c.collectAll(now, e)
 		c.checkSilence(now, e)
 		c.checkLeaving(now, e)
+		e.decayReserve(c.settings.Tick)
 		if c.features.adaptiveLimit {
 			e.limit.adjust(now, c.interTarget(e), e.running+e.others)
 		}
@@ -24,15 +25,12 @@
 	c.forgetBroken(now)
 	for _, l := range c.sorted {
 		risk := c.atRisk(now, l)
-		c.widen(l, risk)
-		if risk {
-			c.relieve(now, l)
-		}
-		c.relieveOthers(now, l)
-		if l.warned && l.queued < l.queueLimit()/4 {
-			l.warned = false
-			c.emit(effect{kind: effectQueueShort, at: now, lane: l})
+		c.widen(l, risk > 0)
+		if risk > 0 {
+			c.preemptFor(now, l)
 		}
+		c.preemptForOthers(now, l)
+		c.watchLength(now, l)
 	}
 	c.pump(now)
 	c.handOverWaiting(now)
@@ -50,6 +48,19 @@
 	}
 }
 
+// watchLength warns when a queue is long or old, and tells when it no longer is.
+func (c *core) watchLength(now time.Time, l *lane) {
+	oldest := l.oldestWait(now)
+	switch {
+	case !l.warned && (l.queued > l.queueLimit()/2 || oldest > l.maxWait()/2):
+		l.warned = true
+		c.emit(effect{kind: effectQueueLong, at: now, lane: l, wait: oldest})
+	case l.warned && l.queued <= l.queueLimit()/4 && oldest <= l.maxWait()/4:
+		l.warned = false
+		c.emit(effect{kind: effectQueueShort, at: now, lane: l})
+	}
+}
+
 // brokenRetention is how long an attempt that did not end well is remembered.
 const brokenRetention = 10 * time.Second
 
--- a/winchload/result/result.go
+++ b/winchload/result/result.go
@@ -49,6 +49,8 @@
 
 	Cost          Cost
 	Confirmations Confirmations
+	// FalseRefusals are attempts that were said to be not run, and that an endpoint had taken.
+	FalseRefusals int
 	Codes         map[string]int
 	// LateSends counts requests that the load tool itself sent more than LateSend after their time.
 	LateSends int
@@ -105,8 +107,6 @@
 	Unknown int
 	// Lost were neither executed nor answered as done.
 	Lost int
-	// FalseRefusals are attempts of plain services, keyed or not, that were said to be not run and were executed.
-	FalseRefusals int
 }
 
 // UsageState is how the usage reports stand.
@@ -125,8 +125,8 @@
 type Notes struct {
 	Applied int
 	Failed  int
-	// InForce are the times until an added key worked at the last host, UsedAfter
-	// those after which a withdrawn key was last taken by any host.
+	// InForce are the times after which an added key was last refused by any host,
+	// UsedAfter those after which a withdrawn key was last taken.
 	InForce   []float64
 	UsedAfter []float64
 }
