fix(keyvalue): refuse keyed calls at once while the key-value service hangs

Cause: with a slow service each group waited for its limit, and each refusal up to two of them. Ruled out: a shorter limit for all writes, which would refuse at every slow answer. Conclusion: after a failed group one group tries at a time.

--- a/serving/caller/history.go
+++ b/serving/caller/history.go
@@ -91,7 +91,7 @@
 	}
 	s.options.Logger.Info("request done", "Event", EventRequestDone, "Request", req.id,
 		"Organisation", req.organisation, "Class", req.class.ID, "Endpoint", last, "State", string(state), "Code", code,
-		"FirstToken", req.firstToken, "Took", took, "Tokens", req.output, "Attempts", len(req.attempts))
+		"FirstToken", req.firstToken.String(), "Took", took.String(), "Tokens", req.output, "Attempts", len(req.attempts))
 	s.metrics.done(req, code, took)
 	s.history.add(Explanation{
 		Request: req.id, Organisation: req.organisation, Class: req.class.ID, Model: req.model, Route: req.route.ID,
--- a/serving/keyvalue/claims_test.go
+++ b/serving/keyvalue/claims_test.go
@@ -252,6 +252,45 @@
 	})
 }
 
+// hangingStore answers nothing before the context ends.
+type hangingStore struct {
+	*fakeStore
+	began chan struct{}
+}
+
+func (s *hangingStore) Get(ctx context.Context, _ string) (winch.Entry, error) {
+	s.began <- struct{}{}
+	<-ctx.Done()
+	return winch.Entry{}, winch.ErrUnavailable
+}
+
+func TestHangingStoreHoldsOneGroup(t *testing.T) {
+	store := &hangingStore{fakeStore: newStore(), began: make(chan struct{}, 100)}
+	one := newClaims(t, store, "one", nil)
+	_, err := one.Acquire(t.Context(), begin(), keyed("first", "b"))
+	assert.ErrorIs(t, err, winch.ErrUnavailable)
+	<-store.began
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		one.shards[0].mutex.Lock()
+		defer one.shards[0].mutex.Unlock()
+		if one.shards[0].running {
+			return poll.Continue("the first group is not over")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+	probe := make(chan error, 1)
+	go func() {
+		_, err := one.Acquire(context.Background(), begin(), keyed("probe", "b"))
+		probe <- err
+	}()
+	<-store.began
+	begun := time.Now()
+	_, err = one.Acquire(t.Context(), begin(), keyed("second", "b"))
+	assert.ErrorIs(t, err, winch.ErrUnavailable)
+	assert.Assert(t, time.Since(begun) < one.options.Timeout/2, "the refusal was held")
+	assert.ErrorIs(t, <-probe, winch.ErrUnavailable)
+}
+
 // outageAfterPut goes away with its first write.
 type outageAfterPut struct {
 	*fakeStore
--- a/serving/keyvalue/shard.go
+++ b/serving/keyvalue/shard.go
@@ -26,6 +26,9 @@
 	mutex   sync.Mutex
 	waiting []*operation
 	running bool
+	// away says that the last group failed. One group at a time tries again then, and
+	// acquisitions that come meanwhile are refused at once.
+	away bool
 
 	// What follows belongs to the goroutine that runs the groups.
 
@@ -50,6 +53,11 @@
 // It takes at most the time limits of two groups.
 func (s *shard) do(o *operation) {
 	s.mutex.Lock()
+	if s.away && s.running && o.kind == acquire {
+		s.mutex.Unlock()
+		o.err = errAway
+		return
+	}
 	s.waiting = append(s.waiting, o)
 	if !s.running {
 		s.running = true
@@ -74,13 +82,35 @@
 		}
 		s.mutex.Unlock()
 		ctx, stop := context.WithTimeout(context.Background(), s.options.Timeout)
-		s.commit(ctx, group)
+		s.noteAway(!s.commit(ctx, group))
 		stop()
 	}
 }
 
-// commit writes a group. Every operation gets a result.
-func (s *shard) commit(ctx context.Context, group []*operation) {
+var errAway = fmt.Errorf("%w: the key-value service has just failed", winch.ErrUnavailable)
+
+// noteAway takes the result of a group. After a failure it refuses the acquisitions that wait.
+func (s *shard) noteAway(away bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.away = away
+	if !away {
+		return
+	}
+	kept := s.waiting[:0]
+	for _, o := range s.waiting {
+		if o.kind != acquire {
+			kept = append(kept, o)
+			continue
+		}
+		o.err = errAway
+		close(o.done)
+	}
+	s.waiting = kept
+}
+
+// commit writes a group. Every operation gets a result. It reports whether the group was written.
+func (s *shard) commit(ctx context.Context, group []*operation) bool {
 	now := newest(group)
 	s.forgetContended()
 	uncertain, fresh := false, false
@@ -89,7 +119,7 @@
 		done, err := s.try(ctx, now, group, fresh)
 		if done {
 			s.conclude(ctx, group)
-			return
+			return true
 		}
 		s.contended = s.contended || errors.Is(err, winch.ErrConflict)
 		uncertain = uncertain || errors.Is(err, winch.ErrOutcomeUnknown)
@@ -98,7 +128,7 @@
 		}
 		if !passing(err) || !pause(ctx, backoff) {
 			fail(group, uncertain, err)
-			return
+			return false
 		}
 	}
 }
