fix(keyvalue): read again when the answer to a read is lost

Cause: a lost answer to a read was taken for an outage, and keyed calls were refused. Ruled out: counting it as unknown; a read has no effect. Conclusion: lost reads are repeated within the group's limit.

--- a/serving/keyvalue/claims_test.go
+++ b/serving/keyvalue/claims_test.go
@@ -26,8 +26,10 @@
 	version winch.Version
 	faults  []fault
 	away    bool
-	puts    int
-	gets    int
+	// lostReads is how many reads lose their answers.
+	lostReads int
+	puts      int
+	gets      int
 }
 
 type fault int
@@ -52,6 +54,10 @@
 	if s.away {
 		return winch.Entry{}, winch.ErrUnavailable
 	}
+	if s.lostReads > 0 {
+		s.lostReads--
+		return winch.Entry{}, winch.ErrOutcomeUnknown
+	}
 	if entry, found := s.entries[key]; found {
 		return entry, nil
 	}
@@ -221,6 +227,11 @@
 		assertState(t, newClaims(t, store, "one", nil), now, keyed("k", "b"), winch.ClaimGranted)
 		assert.Equal(t, store.puts, 1)
 	})
+	t.Run("a read whose answer is lost is repeated", func(t *testing.T) {
+		store := newStore()
+		store.lostReads = 2
+		assertState(t, newClaims(t, store, "one", nil), now, keyed("k", "b"), winch.ClaimGranted)
+	})
 	t.Run("a write that did not arrive is repeated", func(t *testing.T) {
 		store := newStore()
 		store.faults = []fault{faultDropped, faultLimited}
--- a/serving/keyvalue/sealed.go
+++ b/serving/keyvalue/sealed.go
@@ -40,10 +40,16 @@
 	return nil
 }
 
+// errReadLost: the answer to a read was lost. A read has no effect, so it is tried again.
+var errReadLost = errors.New("answer to a read lost")
+
 // readError says of a failed read that it had no effect, whatever became of it.
 func readError(what string, err error) error {
-	if errors.Is(err, winch.ErrRateLimited) {
+	switch {
+	case errors.Is(err, winch.ErrRateLimited):
 		return fmt.Errorf("%s: %w", what, err)
+	case errors.Is(err, winch.ErrOutcomeUnknown):
+		return fmt.Errorf("%s: %w: %s", what, errReadLost, err.Error())
 	}
 	return fmt.Errorf("%s: %w: %s", what, winch.ErrUnavailable, err.Error())
 }
--- a/serving/keyvalue/shard.go
+++ b/serving/keyvalue/shard.go
@@ -161,7 +161,7 @@
 // passing reports whether another try is worthwhile.
 func passing(err error) bool {
 	return errors.Is(err, winch.ErrConflict) || errors.Is(err, winch.ErrRateLimited) ||
-		errors.Is(err, winch.ErrOutcomeUnknown)
+		errors.Is(err, winch.ErrOutcomeUnknown) || errors.Is(err, errReadLost)
 }
 
 // pause waits for a time around the backoff; false means that the context ended.
