--- a/serving/keyvalue/claims_test.go
+++ b/serving/keyvalue/claims_test.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
-	"sort"
 	"strings"
 	"sync"
 	"testing"
@@ -19,103 +18,6 @@
 	"github.com/arbutuswinch/winch"
 )
 
-// fakeStore is the key-value service in memory. Faults are taken from a list, one for each write.
-type fakeStore struct {
-	mutex   sync.Mutex
-	entries map[string]winch.Entry
-	version winch.Version
-	faults  []fault
-	away    bool
-	puts    int
-	gets    int
-}
-
-type fault int
-
-const (
-	faultNone fault = iota
-	// faultLost: the write takes effect and its answer is lost.
-	faultLost
-	// faultDropped: the write has no effect, and nobody is told.
-	faultDropped
-	// faultUnavailable and faultLimited: no effect, and the writer is told.
-	faultUnavailable
-	faultLimited
-)
-
-func newStore() *fakeStore { return &fakeStore{entries: map[string]winch.Entry{}} }
-
-func (s *fakeStore) Get(_ context.Context, key string) (winch.Entry, error) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.gets++
-	if s.away {
-		return winch.Entry{}, winch.ErrUnavailable
-	}
-	if entry, found := s.entries[key]; found {
-		return entry, nil
-	}
-	return winch.Entry{}, winch.ErrNotFound
-}
-
-func (s *fakeStore) List(context.Context, string) ([]winch.Entry, winch.Version, error) {
-	return nil, 0, nil
-}
-
-func (s *fakeStore) Watch(context.Context, string, winch.Version, time.Duration) ([]winch.Entry, winch.Version, error) {
-	return nil, 0, nil
-}
-
-func (s *fakeStore) Put(_ context.Context, key string, value []byte, expect winch.Version) (winch.Version, error) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.puts++
-	next := faultNone
-	if len(s.faults) > 0 {
-		next, s.faults = s.faults[0], s.faults[1:]
-	}
-	switch {
-	case s.away, next == faultUnavailable:
-		return 0, winch.ErrUnavailable
-	case next == faultLimited:
-		return 0, winch.ErrRateLimited
-	case next == faultDropped:
-		return 0, winch.ErrOutcomeUnknown
-	case expect != winch.VersionAny && s.entries[key].Version != expect:
-		return 0, winch.ErrConflict
-	}
-	s.version++
-	s.entries[key] = winch.Entry{Key: key, Value: append([]byte(nil), value...), Version: s.version}
-	if next == faultLost {
-		return 0, winch.ErrOutcomeUnknown
-	}
-	return s.version, nil
-}
-
-func (s *fakeStore) Delete(_ context.Context, key string, _ winch.Version) error {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	delete(s.entries, key)
-	return nil
-}
-
-func (s *fakeStore) keys() string {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	names := []string{}
-	for name := range s.entries {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return strings.Join(names, " ")
-}
-
-func (s *fakeStore) setAway(away bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.away = away
-}
-
 func begin() time.Time { return time.Date(2026, 5, 1, 9, 0, 0, 0, time.UTC) }
 
 func newClaims(t assert.TestingT, store winch.KeyValue, owner string, change func(*Options)) *Claims {
@@ -221,6 +123,11 @@
 		assertState(t, newClaims(t, store, "one", nil), now, keyed("k", "b"), winch.ClaimGranted)
 		assert.Equal(t, store.puts, 1)
 	})
+	t.Run("a read whose answer is lost is repeated", func(t *testing.T) {
+		store := newStore()
+		store.lostReads = 2
+		assertState(t, newClaims(t, store, "one", nil), now, keyed("k", "b"), winch.ClaimGranted)
+	})
 	t.Run("a write that did not arrive is repeated", func(t *testing.T) {
 		store := newStore()
 		store.faults = []fault{faultDropped, faultLimited}
@@ -252,6 +159,45 @@
 	})
 }
 
+// hangingStore answers nothing before the context ends.
+type hangingStore struct {
+	*fakeStore
+	began chan struct{}
+}
+
+func (s *hangingStore) Get(ctx context.Context, _ string) (winch.Entry, error) {
+	s.began <- struct{}{}
+	<-ctx.Done()
+	return winch.Entry{}, winch.ErrUnavailable
+}
+
+func TestHangingStoreHoldsOneGroup(t *testing.T) {
+	store := &hangingStore{fakeStore: newStore(), began: make(chan struct{}, 100)}
+	one := newClaims(t, store, "one", nil)
+	_, err := one.Acquire(t.Context(), begin(), keyed("first", "b"))
+	assert.ErrorIs(t, err, winch.ErrUnavailable)
+	<-store.began
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		one.shards[0].mutex.Lock()
+		defer one.shards[0].mutex.Unlock()
+		if one.shards[0].running {
+			return poll.Continue("the first group is not over")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+	probe := make(chan error, 1)
+	go func() {
+		_, err := one.Acquire(context.Background(), begin(), keyed("probe", "b"))
+		probe <- err
+	}()
+	<-store.began
+	begun := time.Now()
+	_, err = one.Acquire(t.Context(), begin(), keyed("second", "b"))
+	assert.ErrorIs(t, err, winch.ErrUnavailable)
+	assert.Assert(t, time.Since(begun) < one.options.Timeout/2, "the refusal was held")
+	assert.ErrorIs(t, <-probe, winch.ErrUnavailable)
+}
+
 // outageAfterPut goes away with its first write.
 type outageAfterPut struct {
 	*fakeStore
