feat(placement): order engines to load models as the host in charge

Ruled out: an intent in the key-value service for each engine (the order states the wanted end and goes through the fenced sender, so a successor may repeat it). Conclusion: orders pause for the time that the weight store names.

--- /dev/null
+++ b/placement/engine/core_test.go
@@ -0,0 +1,59 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/httpjson"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func plan(ids ...winch.EndpointID) []winch.EngineOrder {
+	orders := []winch.EngineOrder{}
+	for _, id := range ids {
+		orders = append(orders, winch.EngineOrder{Endpoint: id, Load: []winch.EngineLoad{{Model: "m", Version: "2"}}})
+	}
+	return orders
+}
+
+func assertNext(t *testing.T, c *core, now time.Time, term winch.Term, plan []winch.EngineOrder, want winch.EndpointID) {
+	t.Helper()
+	order, due := c.next(now, term, plan)
+	assert.Equal(t, due, want != "")
+	assert.Equal(t, order.Endpoint, want)
+}
+
+func TestCore(t *testing.T) {
+	term := winch.Term{Number: 3}
+	t.Run("orders each engine once", func(t *testing.T) {
+		c := newCore(time.Minute)
+		assertNext(t, &c, epoch, term, plan("e1", "e2"), "e1")
+		assertNext(t, &c, epoch, term, plan("e1", "e2"), "e2")
+		assertNext(t, &c, epoch, term, plan("e1", "e2"), "")
+		assertNext(t, &c, epoch.Add(time.Minute), term, plan("e1"), "e1")
+	})
+	t.Run("orders again in a new term", func(t *testing.T) {
+		c := newCore(time.Minute)
+		assertNext(t, &c, epoch, term, plan("e1"), "e1")
+		assertNext(t, &c, epoch, winch.Term{Number: 4}, plan("e1"), "e1")
+	})
+	t.Run("pauses while the weight store limits the rate", func(t *testing.T) {
+		c := newCore(time.Minute)
+		assertNext(t, &c, epoch, term, plan("e1", "e2"), "e1")
+		limited := fmt.Errorf("send: %w: %w", winch.ErrRateLimited, &httpjson.Error{RetryAfter: 2 * time.Second})
+		c.ended(epoch, term, plan("e1")[0], limited)
+		assertNext(t, &c, epoch.Add(time.Second), term, plan("e1", "e2"), "")
+		assertNext(t, &c, epoch.Add(2*time.Second), term, plan("e1", "e2"), "e1")
+	})
+	t.Run("orders nothing more in a term that was fenced", func(t *testing.T) {
+		c := newCore(time.Minute)
+		c.ended(epoch, term, plan("e1")[0], winch.ErrFenced)
+		assertNext(t, &c, epoch, term, plan("e1"), "")
+		assertNext(t, &c, epoch, winch.Term{Number: 4}, plan("e1"), "e1")
+	})
+}
--- /dev/null
+++ b/placement/engine/events.go
@@ -0,0 +1,13 @@
+package engine
+
+import "github.com/arbutuswinch/winch"
+
+// The events of engine orders.
+const (
+	// EventEngineOrdered: an engine took an order.
+	EventEngineOrdered winch.EventNumber = 7101
+	// EventEngineOrderFailed: an engine did not take an order, or its outcome is unknown.
+	EventEngineOrderFailed winch.EventNumber = 7102
+	// EventWeightsLimited: the weight store limits the rate of loads.
+	EventWeightsLimited winch.EventNumber = 7103
+)
--- a/winchd/daemon/codec.go
+++ b/winchd/daemon/codec.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/serving/caller"
@@ -68,7 +69,7 @@
 		wire.Classes = append(wire.Classes, string(class))
 	}
 	if !status.LeavesAt.IsZero() {
-		wire.LeavesAt = status.LeavesAt.String()
+		wire.LeavesAt = status.LeavesAt.Format(time.RFC3339Nano)
 	}
 	return wire
 }
@@ -126,7 +127,7 @@
 func encodeExplanation(explanation caller.Explanation) explanationWire {
 	wire := explanationWire{
 		Request: string(explanation.Request), Organisation: string(explanation.Organisation), Class: string(explanation.Class),
-		Model: string(explanation.Model), Route: string(explanation.Route), Arrived: explanation.Arrived.String(),
+		Model: string(explanation.Model), Route: string(explanation.Route), Arrived: explanation.Arrived.Format(time.RFC3339Nano),
 		FirstToken: explanation.FirstToken.String(), Took: explanation.Took.String(), Tokens: int64(explanation.Tokens),
 		Code: explanation.Code, RunState: explanation.RunState,
 	}
--- a/winchd/daemon/placement.go
+++ b/winchd/daemon/placement.go
@@ -7,6 +7,7 @@
 	"github.com/arbutuswinch/winch/charge/fenced"
 	charge "github.com/arbutuswinch/winch/charge/keyvalue"
 	dispatch "github.com/arbutuswinch/winch/dispatch/endpoint"
+	placementengine "github.com/arbutuswinch/winch/placement/engine"
 	"github.com/arbutuswinch/winch/placement/planner"
 	"github.com/arbutuswinch/winch/placement/platform"
 )
@@ -21,6 +22,7 @@
 	holder    *charge.Holder
 	planner   *planner.Planner
 	orders    *platform.Orders
+	engines   *placementengine.Orders
 }
 
 func (d *Daemon) buildEndpoints() error {
@@ -64,7 +66,14 @@
 		Interval: d.settings.Placement.PlanEvery, InFlight: d.settings.Charge.InFlight,
 		Clock: d.clock, Logger: d.logger, Meter: d.metrics.meter(),
 	})
-	d.placement.holder, d.placement.planner, d.placement.orders = holder, plans, orders
+	if err != nil {
+		return err
+	}
+	engines, err := placementengine.New(placementengine.Options{
+		DataCentre: d.settings.DataCentre, Charge: holder, Sender: sender, Planner: plans,
+		Clock: d.clock, Logger: d.logger, Interval: d.settings.Placement.PlanEvery,
+	})
+	d.placement.holder, d.placement.planner, d.placement.orders, d.placement.engines = holder, plans, orders, engines
 	return err
 }
 
@@ -90,7 +99,7 @@
 	}
 	parts := []part{{"endpoint list", p.endpoints.Run}}
 	if p.orders != nil {
-		parts = append(parts, part{"order lease", p.holder.Run}, part{"orders", p.orders.Run})
+		parts = append(parts, part{"order lease", p.holder.Run}, part{"orders", p.orders.Run}, part{"engine orders", p.engines.Run})
 	}
 	return parts
 }
