docs: an example that embeds the lease part

Cause: others are to embed the library; a page alone can go stale. Ruled out: an example in the doc comment only (it does not run as processes do). Conclusion: it stands for two processes in one, over the store in memory.

--- /dev/null
+++ b/examples/embed/main_test.go
@@ -0,0 +1,18 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestRun(t *testing.T) {
+	out := &bytes.Buffer{}
+	assert.NilError(t, run(out))
+	var first, second int
+	_, err := fmt.Sscanf(out.String(), "first is in charge of nightly-report with number %d\nsecond is in charge of nightly-report with number %d\n", &first, &second)
+	assert.NilError(t, err)
+	assert.Assert(t, second > first)
+}
--- a/winchd/faults/engine_test.go
+++ b/winchd/faults/engine_test.go
@@ -18,7 +18,9 @@
 		if endpoint.Pool != pool || endpoint.State != "Ready" {
 			continue
 		}
-		load := struct{ Models []struct{ Model, Version string } }{}
+		load := struct {
+			Models []struct{ Model, Version string }
+		}{}
 		if s.client(endpoint.Address, "").Fetch(context.Background(), "/v1/load", &load) != nil {
 			continue
 		}
@@ -34,7 +36,9 @@
 	s.applyBase()
 	result := &row{promise: "engines come to hold what the configuration says, by orders of the host in charge", faults: "holder killed when the version changes", runs: 1}
 	s.waitOrder("b", "")
-	s.waitFor("an endpoint of the pool", func() bool { return len(s.poolVersions(s.host("a-1"), "pool-a")) > 0 || len(s.poolVersions(s.host("b-1"), "pool-b")) > 0 })
+	s.waitFor("an endpoint of the pool", func() bool {
+		return len(s.poolVersions(s.host("a-1"), "pool-a")) > 0 || len(s.poolVersions(s.host("b-1"), "pool-b")) > 0
+	})
 	holder := s.host(s.holder("b"))
 	other := s.host("b-1")
 	if holder == other {
