refactor: one periodic loop and the standard library's defaults for all slices

Ruled out: an options type shared by the slices (they would depend on each other's fields). Conclusion: tests of all packages concerned pass.

--- a/charge/keyvalue/holder.go
+++ b/charge/keyvalue/holder.go
@@ -27,6 +27,7 @@
 package keyvalue
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -113,29 +114,16 @@
 }
 
 func withDefaults(options Options) Options {
-	options.TTL = orDefault(options.TTL, defaultTTL)
-	options.RenewEvery = orDefault(options.RenewEvery, defaultRenewEvery)
-	options.InFlight = orDefault(options.InFlight, defaultInFlight)
-	options.Drift = orDefault(options.Drift, defaultDrift)
-	if options.Incarnation == "" {
-		options.Incarnation = winch.Incarnation(uuid.NewString())
-	}
-	if options.Logger == nil {
-		options.Logger = hclog.NewNullLogger()
-	}
-	if options.Meter == nil {
-		options.Meter = noop.Meter{}
-	}
+	options.TTL = cmp.Or(options.TTL, defaultTTL)
+	options.RenewEvery = cmp.Or(options.RenewEvery, defaultRenewEvery)
+	options.InFlight = cmp.Or(options.InFlight, defaultInFlight)
+	options.Drift = cmp.Or(options.Drift, defaultDrift)
+	options.Incarnation = cmp.Or(options.Incarnation, winch.Incarnation(uuid.NewString()))
+	options.Logger = cmp.Or[hclog.Logger](options.Logger, hclog.NewNullLogger())
+	options.Meter = cmp.Or[metric.Meter](options.Meter, noop.Meter{})
 	return options
 }
 
-func orDefault(value, fallback time.Duration) time.Duration {
-	if value == 0 {
-		return fallback
-	}
-	return value
-}
-
 func check(options Options) error {
 	switch {
 	case options.Store == nil:
--- a/load/engine/engine.go
+++ b/load/engine/engine.go
@@ -20,6 +20,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -88,15 +89,9 @@
 	case options.Observer == nil:
 		return nil, errors.New("create load reader: Observer is missing")
 	}
-	if options.Logger == nil {
-		options.Logger = hclog.NewNullLogger()
-	}
-	if options.Period == 0 {
-		options.Period = defaultPeriod
-	}
-	if options.Timeout == 0 {
-		options.Timeout = defaultTimeout
-	}
+	options.Logger = cmp.Or[hclog.Logger](options.Logger, hclog.NewNullLogger())
+	options.Period = cmp.Or(options.Period, defaultPeriod)
+	options.Timeout = cmp.Or(options.Timeout, defaultTimeout)
 	return &Reader{options: options, logger: options.Logger.Named("load"), targets: map[winch.EndpointID]*target{}}, nil
 }
 
--- a/membership/peer/exchange.go
+++ b/membership/peer/exchange.go
@@ -15,6 +15,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -27,6 +28,7 @@
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/httpjson"
+	"github.com/arbutuswinch/winch/internal/periodic"
 )
 
 const (
@@ -81,10 +83,10 @@
 	if options.Table == nil || options.Clock == nil || options.Logger == nil {
 		return nil, fmt.Errorf("create exchange: table, clock and logger are needed: %w", winch.ErrInvalid)
 	}
-	setDefault(&options.ExchangeEvery, defaultExchangeEvery)
-	setDefault(&options.DigestEvery, defaultDigestEvery)
-	setDefault(&options.ListEvery, defaultListEvery)
-	setDefault(&options.Timeout, defaultTimeout)
+	options.ExchangeEvery = cmp.Or(options.ExchangeEvery, defaultExchangeEvery)
+	options.DigestEvery = cmp.Or(options.DigestEvery, defaultDigestEvery)
+	options.ListEvery = cmp.Or(options.ListEvery, defaultListEvery)
+	options.Timeout = cmp.Or(options.Timeout, defaultTimeout)
 	return &Exchange{
 		options: options, table: options.Table,
 		clients:      map[string]*httpjson.Client{},
@@ -93,35 +95,16 @@
 	}, nil
 }
 
-func setDefault(value *time.Duration, standard time.Duration) {
-	if *value == 0 {
-		*value = standard
-	}
-}
-
 // Run exchanges until ctx is done.
 func (e *Exchange) Run(ctx context.Context) error {
 	e.readHosts(ctx)
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return every(ctx, e.options.ExchangeEvery, e.exchange) })
-	group.Go(func() error { return every(ctx, e.options.DigestEvery, e.sendDigests) })
-	group.Go(func() error { return every(ctx, e.options.ListEvery, e.refresh) })
+	group.Go(func() error { return periodic.Run(ctx, e.options.ExchangeEvery, e.exchange) })
+	group.Go(func() error { return periodic.Run(ctx, e.options.DigestEvery, e.sendDigests) })
+	group.Go(func() error { return periodic.Run(ctx, e.options.ListEvery, e.refresh) })
 	return group.Wait()
 }
 
-func every(ctx context.Context, period time.Duration, do func(context.Context)) error {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		do(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
-}
-
 // exchange reports to the hub; when the hub does not answer, to the next one.
 func (e *Exchange) exchange(ctx context.Context) {
 	for range 2 {
--- a/placement/engine/orders.go
+++ b/placement/engine/orders.go
@@ -19,6 +19,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -29,6 +30,7 @@
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/httpjson"
+	"github.com/arbutuswinch/winch/internal/periodic"
 )
 
 const (
@@ -63,30 +65,15 @@
 	if options.Charge == nil || options.Sender == nil || options.Planner == nil || options.Clock == nil {
 		return nil, fmt.Errorf("engine orders: Charge, Sender, Planner and Clock are needed: %w", winch.ErrInvalid)
 	}
-	if options.Interval == 0 {
-		options.Interval = defaultInterval
-	}
-	if options.RepeatEvery == 0 {
-		options.RepeatEvery = defaultRepeatEvery
-	}
-	if options.Logger == nil {
-		options.Logger = hclog.NewNullLogger()
-	}
+	options.Interval = cmp.Or(options.Interval, defaultInterval)
+	options.RepeatEvery = cmp.Or(options.RepeatEvery, defaultRepeatEvery)
+	options.Logger = cmp.Or[hclog.Logger](options.Logger, hclog.NewNullLogger())
 	return &Orders{options: options, core: newCore(options.RepeatEvery)}, nil
 }
 
 // Run plans and orders until ctx ends. It returns nil.
 func (o *Orders) Run(ctx context.Context) error {
-	ticker := time.NewTicker(o.options.Interval)
-	defer ticker.Stop()
-	for {
-		o.step(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	return periodic.Run(ctx, o.options.Interval, o.step)
 }
 
 // step plans once and sends the first order that is due.
--- a/placement/platform/endpoints.go
+++ b/placement/platform/endpoints.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/url"
@@ -13,6 +14,7 @@
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/httpjson"
+	"github.com/arbutuswinch/winch/internal/periodic"
 )
 
 // EndpointsOptions are the settings of Endpoints.
@@ -54,10 +56,8 @@
 	if options.Membership == nil || options.Clock == nil || options.DataCentre == "" {
 		return nil, fmt.Errorf("endpoint options Membership, Clock and DataCentre are needed: %w", winch.ErrInvalid)
 	}
-	options.Interval = orDefault(options.Interval, defaultInterval)
-	if options.Logger == nil {
-		options.Logger = hclog.NewNullLogger()
-	}
+	options.Interval = cmp.Or(options.Interval, defaultInterval)
+	options.Logger = cmp.Or[hclog.Logger](options.Logger, hclog.NewNullLogger())
 	client, err := httpjson.NewClient(httpjson.Options{Address: options.Address, Timeout: 2 * options.Interval})
 	if err != nil {
 		return nil, fmt.Errorf("create client of the order interface: %w", err)
@@ -84,18 +84,11 @@
 
 // Run reads the list from the platform while this host is the hub, until ctx ends.
 func (e *Endpoints) Run(ctx context.Context) error {
-	ticker := time.NewTicker(e.options.Interval)
-	defer ticker.Stop()
-	for {
+	return periodic.Run(ctx, e.options.Interval, func(ctx context.Context) {
 		if e.isHub(e.options.Clock.Now()) {
 			e.poll(ctx)
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	})
 }
 
 func (e *Endpoints) isHub(now time.Time) bool {
--- a/placement/platform/orders.go
+++ b/placement/platform/orders.go
@@ -29,6 +29,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -42,6 +43,7 @@
 	"go.opentelemetry.io/otel/metric/noop"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/periodic"
 )
 
 const (
@@ -117,40 +119,18 @@
 }
 
 func withDefaults(options Options) Options {
-	options.Interval = orDefault(options.Interval, defaultInterval)
-	options.RepeatEvery = orDefault(options.RepeatEvery, defaultRepeatEvery)
-	options.InFlight = orDefault(options.InFlight, defaultInFlight)
-	if options.Incarnation == "" {
-		options.Incarnation = winch.Incarnation(uuid.NewString())
-	}
-	if options.Logger == nil {
-		options.Logger = hclog.NewNullLogger()
-	}
-	if options.Meter == nil {
-		options.Meter = noop.Meter{}
-	}
+	options.Interval = cmp.Or(options.Interval, defaultInterval)
+	options.RepeatEvery = cmp.Or(options.RepeatEvery, defaultRepeatEvery)
+	options.InFlight = cmp.Or(options.InFlight, defaultInFlight)
+	options.Incarnation = cmp.Or(options.Incarnation, winch.Incarnation(uuid.NewString()))
+	options.Logger = cmp.Or[hclog.Logger](options.Logger, hclog.NewNullLogger())
+	options.Meter = cmp.Or[metric.Meter](options.Meter, noop.Meter{})
 	return options
 }
 
-func orDefault(value, fallback time.Duration) time.Duration {
-	if value == 0 {
-		return fallback
-	}
-	return value
-}
-
 // Run plans and orders until ctx ends. It returns nil.
 func (o *Orders) Run(ctx context.Context) error {
-	ticker := time.NewTicker(o.options.Interval)
-	defer ticker.Stop()
-	for {
-		o.step(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	return periodic.Run(ctx, o.options.Interval, o.step)
 }
 
 // step plans once and sends the order that is due.
--- a/usage/billing/reporter.go
+++ b/usage/billing/reporter.go
@@ -21,6 +21,7 @@
 package billing
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -33,6 +34,7 @@
 	"go.opentelemetry.io/otel/metric/noop"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/periodic"
 	"github.com/arbutuswinch/winch/usage"
 	"github.com/arbutuswinch/winch/usage/keyvalue"
 )
@@ -107,41 +109,19 @@
 }
 
 func withDefaults(options Options) Options {
-	options.Window = orDefault(options.Window, defaultWindow)
-	options.Grace = orDefault(options.Grace, defaultGrace)
-	options.Retention = orDefault(options.Retention, defaultRetention)
-	options.Interval = orDefault(options.Interval, defaultInterval)
-	if options.Incarnation == "" {
-		options.Incarnation = winch.Incarnation(uuid.NewString())
-	}
-	if options.Logger == nil {
-		options.Logger = hclog.NewNullLogger()
-	}
-	if options.Meter == nil {
-		options.Meter = noop.Meter{}
-	}
+	options.Window = cmp.Or(options.Window, defaultWindow)
+	options.Grace = cmp.Or(options.Grace, defaultGrace)
+	options.Retention = cmp.Or(options.Retention, defaultRetention)
+	options.Interval = cmp.Or(options.Interval, defaultInterval)
+	options.Incarnation = cmp.Or(options.Incarnation, winch.Incarnation(uuid.NewString()))
+	options.Logger = cmp.Or[hclog.Logger](options.Logger, hclog.NewNullLogger())
+	options.Meter = cmp.Or[metric.Meter](options.Meter, noop.Meter{})
 	return options
 }
 
-func orDefault(value, fallback time.Duration) time.Duration {
-	if value == 0 {
-		return fallback
-	}
-	return value
-}
-
 // Run seals and reports until ctx ends. It returns nil.
 func (r *Reporter) Run(ctx context.Context) error {
-	ticker := time.NewTicker(r.options.Interval)
-	defer ticker.Stop()
-	for {
-		r.step(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	return periodic.Run(ctx, r.options.Interval, r.step)
 }
 
 // step seals what is due and reports what is sealed. After a failure the ledger is
--- a/usage/peer/counters.go
+++ b/usage/peer/counters.go
@@ -24,6 +24,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -130,32 +131,17 @@
 }
 
 func withDefaults(options Options) Options {
-	options.Window = orDefault(options.Window, defaultWindow)
-	options.StoreEvery = orDefault(options.StoreEvery, defaultStoreEvery)
-	options.Settle = orDefault(options.Settle, defaultSettle)
-	options.Retention = orDefault(options.Retention, defaultRetention)
-	if options.Shards == 0 {
-		options.Shards = defaultShards
-	}
-	if options.Incarnation == "" {
-		options.Incarnation = winch.Incarnation(uuid.NewString())
-	}
-	if options.Logger == nil {
-		options.Logger = hclog.NewNullLogger()
-	}
-	if options.Meter == nil {
-		options.Meter = noop.Meter{}
-	}
+	options.Window = cmp.Or(options.Window, defaultWindow)
+	options.StoreEvery = cmp.Or(options.StoreEvery, defaultStoreEvery)
+	options.Settle = cmp.Or(options.Settle, defaultSettle)
+	options.Retention = cmp.Or(options.Retention, defaultRetention)
+	options.Shards = cmp.Or(options.Shards, defaultShards)
+	options.Incarnation = cmp.Or(options.Incarnation, winch.Incarnation(uuid.NewString()))
+	options.Logger = cmp.Or[hclog.Logger](options.Logger, hclog.NewNullLogger())
+	options.Meter = cmp.Or[metric.Meter](options.Meter, noop.Meter{})
 	return options
 }
 
-func orDefault(value, fallback time.Duration) time.Duration {
-	if value == 0 {
-		return fallback
-	}
-	return value
-}
-
 // Record counts a use in the window of the present time.
 func (c *Counters) Record(now time.Time, record winch.UsageRecord) {
 	counts := usage.Counts{Requests: record.Requests, InputTokens: record.InputTokens, OutputTokens: record.OutputTokens}
