test(dispatch): recycle a request once in the benchmark

Cause: the benchmark put requests twice into the free list, and then ran without end. Ruled out: the shell, which recycles only on a refusal, a cancellation or the release of a running request. Before / after: no end / ends. Conclusion: artefact of the benchmark.

--- a/dispatch/endpoint/bench_test.go
+++ b/dispatch/endpoint/bench_test.go
@@ -55,7 +55,7 @@
 				for i := range works {
 					works[i] = benchWork(i)
 				}
-				running := make([]*request, 0, endpoints*16)
+				running := make([]*request, 0, endpoints*16+1)
 				for _, e := range c.ordered {
 					for i := range e.tiers {
 						for r := e.tiers[i].newest; r != nil; r = r.runNext {
@@ -67,11 +67,15 @@
 				b.ResetTimer()
 				for i := range b.N {
 					c.arrive(now, works[i%len(works)], nil, nil)
-					c.release(now, running[i%len(running)], winch.OutcomeDone)
-					c.recycle(running[i%len(running)])
+					if place := i % len(running); running[place].state == requestRunning {
+						c.release(now, running[place], winch.OutcomeDone)
+						c.recycle(running[place])
+						running[place] = running[len(running)-1]
+						running = running[:len(running)-1]
+					}
 					for j := range c.effects {
 						if c.effects[j].kind == effectGranted {
-							running[i%len(running)] = c.effects[j].request
+							running = append(running, c.effects[j].request)
 						}
 					}
 					c.effects = c.effects[:0]
