feat(membership): compact exchanges, periods that follow the number of hosts

Ruled out: a standard content encoding, since without a dictionary short bodies hardly shrink. Conclusion: bodies go through deflate with a dictionary of field names; exchange and digest periods grow above 20 hosts and 4 data centres, and the time to suspicion with them.

--- a/httpjson/client.go
+++ b/httpjson/client.go
@@ -52,6 +52,8 @@
 	AnswerLimit int64
 	// Transport replaces the default one.
 	Transport http.RoundTripper
+	// Compactor shortens the bodies, when the server's handler has the same one.
+	Compactor *Compactor
 }
 
 // Client calls one server. It is safe for concurrent use.
@@ -151,6 +153,9 @@
 		if err != nil {
 			return nil, nil, fmt.Errorf("encode call of %s: %w", path, err)
 		}
+		if encoded, err = c.shorten(encoded); err != nil {
+			return nil, nil, fmt.Errorf("encode call of %s: %w", path, err)
+		}
 		body = bytes.NewReader(encoded)
 	}
 	written := &atomic.Bool{}
@@ -160,15 +165,41 @@
 		return nil, nil, fmt.Errorf("build call of %s: %w", path, err)
 	}
 	request.GetBody = nil
-	request.Header.Set("Content-Type", "application/json")
+	c.describe(request, in != nil)
 	if c.options.Secret != "" {
 		request.Header.Set("Authorization", "Bearer "+c.options.Secret)
 	}
 	return request, written, nil
 }
 
+func (c *Client) shorten(encoded []byte) ([]byte, error) {
+	if c.options.Compactor == nil {
+		return encoded, nil
+	}
+	return c.options.Compactor.shorten(encoded)
+}
+
+// describe sets only the headers that the server needs: at several calls a
+// second for each peer, headers are a good part of the traffic.
+func (c *Client) describe(request *http.Request, body bool) {
+	request.Header.Set("User-Agent", "")
+	switch {
+	case !body:
+	case c.options.Compactor != nil:
+		request.Header.Set("Content-Encoding", compactEncoding)
+	default:
+		request.Header.Set("Content-Type", "application/json")
+	}
+}
+
 func (c *Client) answer(response *http.Response, method, path string, out any) error {
-	body, err := io.ReadAll(io.LimitReader(response.Body, c.options.AnswerLimit+1))
+	var content io.Reader = response.Body
+	if c.options.Compactor != nil && response.Header.Get("Content-Encoding") == compactEncoding {
+		reader := c.options.Compactor.reader(response.Body)
+		defer reader.Close()
+		content = reader
+	}
+	body, err := io.ReadAll(io.LimitReader(content, c.options.AnswerLimit+1))
 	if err != nil {
 		return fmt.Errorf("read answer of %s: %w: %w", path, winch.ErrOutcomeUnknown, err)
 	}
--- a/membership/peer/exchange.go
+++ b/membership/peer/exchange.go
@@ -52,9 +52,11 @@
 	Secret string
 	// Transport carries the calls to other hosts; nil stands for a transport of its own.
 	Transport http.RoundTripper
-	// ExchangeEvery is the time between two exchanges with the hub.
+	// ExchangeEvery is the time between two exchanges with the hub, up to twenty hosts of a
+	// data centre; above, it grows with their number up to twice as long.
 	ExchangeEvery time.Duration
-	// DigestEvery is the time between two digests to another data centre.
+	// DigestEvery is the time between two digests to another data centre, up to four data
+	// centres; above, it grows with their number up to one and a half times as long.
 	DigestEvery time.Duration
 	// ListEvery is the time between two readings of the host list by a hub.
 	ListEvery time.Duration
@@ -66,6 +68,7 @@
 type Exchange struct {
 	options Options
 	table   *Table
+	compact *httpjson.Compactor
 
 	mu       sync.Mutex
 	clients  map[string]*httpjson.Client
@@ -86,7 +89,7 @@
 	setDefault(&options.ListEvery, defaultListEvery)
 	setDefault(&options.Timeout, defaultTimeout)
 	return &Exchange{
-		options: options, table: options.Table,
+		options: options, table: options.Table, compact: newCompactor(),
 		clients:      map[string]*httpjson.Client{},
 		remote:       map[winch.DataCentreID]hostSet{},
 		acknowledged: map[winch.DataCentreID]uint64{},
@@ -103,21 +106,33 @@
 func (e *Exchange) Run(ctx context.Context) error {
 	e.readHosts(ctx)
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return every(ctx, e.options.ExchangeEvery, e.exchange) })
-	group.Go(func() error { return every(ctx, e.options.DigestEvery, e.sendDigests) })
-	group.Go(func() error { return every(ctx, e.options.ListEvery, e.refresh) })
+	group.Go(func() error { return every(ctx, e.exchangePeriod, e.exchange) })
+	group.Go(func() error { return every(ctx, e.digestPeriod, e.sendDigests) })
+	group.Go(func() error { return every(ctx, e.listPeriod, e.refresh) })
 	return group.Wait()
 }
 
-func every(ctx context.Context, period time.Duration, do func(context.Context)) error {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
+func (e *Exchange) exchangePeriod() time.Duration {
+	return scaled(e.options.ExchangeEvery, e.table.ExchangeFactor())
+}
+
+func (e *Exchange) digestPeriod() time.Duration {
+	return scaled(e.options.DigestEvery, e.table.DigestFactor())
+}
+
+func (e *Exchange) listPeriod() time.Duration { return e.options.ListEvery }
+
+// every starts a round at each period, or at once when the one before took longer.
+func every(ctx context.Context, period func() time.Duration, do func(context.Context)) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		do(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case started := <-timer.C:
+			do(ctx)
+			timer.Reset(max(0, period()-time.Since(started)))
 		}
 	}
 }
@@ -259,7 +274,7 @@
 	}
 	client, err := httpjson.NewClient(httpjson.Options{
 		Address: address, Secret: e.options.Secret,
-		Timeout: e.options.Timeout, Transport: e.options.Transport,
+		Timeout: e.options.Timeout, Transport: e.options.Transport, Compactor: e.compact,
 	})
 	if err != nil {
 		return nil, err
--- a/membership/peer/handler.go
+++ b/membership/peer/handler.go
@@ -17,7 +17,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /peer/exchange", e.serveExchange)
 	mux.HandleFunc("POST /peer/digest", e.serveDigest)
-	return mux
+	return e.compact.Handler(mux)
 }
 
 func (e *Exchange) serveExchange(w http.ResponseWriter, r *http.Request) {
--- a/membership/peer/table.go
+++ b/membership/peer/table.go
@@ -22,6 +22,8 @@
 	leaving bool
 	hosts   map[winch.HostID]*member
 	centres map[winch.DataCentreID]bool
+	// counts are the numbers of other hosts that are known of each data centre.
+	counts map[winch.DataCentreID]int
 }
 
 type member struct {
@@ -35,13 +37,14 @@
 
 // NewTable returns a table that knows only the host itself and the data centres
 // that are named. A host is believed dead when nothing was heard of it for
-// suspectAfter, and forgotten when that goes on for forgetAfter and the platform
-// no longer lists it.
+// suspectAfter, longer among many hosts or data centres, and forgotten when that
+// goes on for forgetAfter and the platform no longer lists it.
 func NewTable(self winch.Host, centres []winch.DataCentreID, suspectAfter, forgetAfter time.Duration) *Table {
 	table := &Table{
 		self: self, suspectAfter: suspectAfter, forgetAfter: forgetAfter,
 		hosts:   map[winch.HostID]*member{},
 		centres: map[winch.DataCentreID]bool{self.DataCentre: true},
+		counts:  map[winch.DataCentreID]int{},
 	}
 	for _, centre := range centres {
 		table.centres[centre] = true
@@ -91,6 +94,8 @@
 	}
 	if heard := now.Add(-age); heard.After(known.heard) {
 		known.heard = heard
+		t.counts[known.host.DataCentre]--
+		t.counts[host.DataCentre]++
 		known.host = host
 	}
 }
@@ -186,6 +191,7 @@
 	known := t.hosts[host.ID]
 	if known == nil {
 		known = &member{host: host, firstSeen: now}
+		t.counts[host.DataCentre]++
 		t.hosts[host.ID] = known
 	}
 	return known
@@ -195,12 +201,12 @@
 // of the doubt for a while after it was first seen.
 func (t *Table) alive(now time.Time, known *member) bool {
 	if known.heard.IsZero() {
-		return known.failed.IsZero() && known.listed && now.Sub(known.firstSeen) < t.suspectAfter
+		return known.failed.IsZero() && known.listed && now.Sub(known.firstSeen) < t.suspicion(known.host.DataCentre)
 	}
 	if known.failed.After(known.heard) {
 		return false
 	}
-	return now.Sub(known.heard) < t.suspectAfter
+	return now.Sub(known.heard) < t.suspicion(known.host.DataCentre)
 }
 
 func (t *Table) live(now time.Time, centre winch.DataCentreID) []winch.Host {
@@ -227,6 +233,7 @@
 		}
 		if !known.listed && now.Sub(last) > t.forgetAfter {
 			delete(t.hosts, id)
+			t.counts[known.host.DataCentre]--
 		}
 	}
 }
