feat(load): a budget of reads for each host

Cause: a host read each of its endpoints twice every half second, whatever their number. Not yet measured.

--- a/load/engine/engine.go
+++ b/load/engine/engine.go
@@ -49,7 +49,8 @@
 	Logger         hclog.Logger
 	// Observer gets what was read.
 	Observer winch.LoadObserver
-	// Period is the time between reads of an endpoint.
+	// Period is the shortest time between two reads of an endpoint's load. It grows with the
+	// number of endpoints that the host reads; cache events are read more seldom.
 	Period time.Duration
 	// Timeout bounds a read.
 	Timeout time.Duration
@@ -72,6 +73,9 @@
 	client *httpjson.Client
 	busy   bool
 	failed bool
+	// loadDue and cacheDue are when the endpoint is to be read next.
+	loadDue  time.Time
+	cacheDue time.Time
 	// after is the number of the last cache event taken in.
 	after int64
 }
@@ -107,8 +111,8 @@
 	reads := sync.WaitGroup{}
 	defer reads.Wait()
 	for {
-		for _, t := range r.due(r.options.Clock.Now()) {
-			reads.Go(func() { r.read(ctx, t) })
+		for _, next := range r.due(r.options.Clock.Now()) {
+			reads.Go(func() { r.read(ctx, next) })
 		}
 		select {
 		case <-ctx.Done():
@@ -118,23 +122,29 @@
 	}
 }
 
+// reading is one endpoint that is due, and whether its cache events are.
+type reading struct {
+	*target
+	cache bool
+}
+
 // due returns the endpoints to read now, and marks them busy.
-func (r *Reader) due(now time.Time) []*target {
+func (r *Reader) due(now time.Time) []reading {
 	owned := Owned(r.options.Membership.Self(), r.hosts(now), r.endpoints())
+	paces := pacesOf(r.options.Period, len(owned))
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	kept := map[winch.EndpointID]*target{}
-	due := make([]*target, 0, len(owned))
-	for _, spec := range owned {
+	due := make([]reading, 0, len(owned))
+	for i, spec := range owned {
 		t, err := r.target(spec)
 		if err != nil {
 			r.logger.Warn("endpoint cannot be read", "Event", EventReadFailed, "Endpoint", string(spec.ID), "Error", err)
 			continue
 		}
 		kept[spec.ID] = t
-		if !t.busy {
-			t.busy = true
-			due = append(due, t)
+		if next, isDue := t.next(now, paces, i, len(owned)); isDue {
+			due = append(due, next)
 		}
 	}
 	r.targets = kept
@@ -205,14 +215,17 @@
 }
 
 // read reads the endpoint once.
-func (r *Reader) read(ctx context.Context, t *target) {
-	err := r.readLoad(ctx, t)
-	if err == nil && t.spec.Kind == winch.EndpointEngine {
-		err = r.readCache(ctx, t)
+func (r *Reader) read(ctx context.Context, t reading) {
+	err := r.readLoad(ctx, t.target)
+	if err == nil && t.cache {
+		err = r.readCache(ctx, t.target)
 	}
 	r.lock.Lock()
 	changed := t.failed != (err != nil)
 	t.failed, t.busy = err != nil, false
+	if t.cache && err != nil {
+		t.cacheDue = time.Time{}
+	}
 	r.lock.Unlock()
 	if !changed || ctx.Err() != nil {
 		return
