--- a/membership/peer/exchange.go
+++ b/membership/peer/exchange.go
@@ -54,9 +54,11 @@
 	Secret string
 	// Transport carries the calls to other hosts; nil stands for a transport of its own.
 	Transport http.RoundTripper
-	// ExchangeEvery is the time between two exchanges with the hub.
+	// ExchangeEvery is the time between two exchanges with the hub, up to twenty hosts of a
+	// data centre; above, it grows with their number up to twice as long.
 	ExchangeEvery time.Duration
-	// DigestEvery is the time between two digests to another data centre.
+	// DigestEvery is the time between two digests to another data centre, up to four data
+	// centres; above, it grows with their number up to one and a half times as long.
 	DigestEvery time.Duration
 	// ListEvery is the time between two readings of the host list by a hub.
 	ListEvery time.Duration
@@ -68,6 +70,7 @@
 type Exchange struct {
 	options Options
 	table   *Table
+	compact *httpjson.Compactor
 
 	mu       sync.Mutex
 	clients  map[string]*httpjson.Client
@@ -88,7 +91,7 @@
 	options.ListEvery = cmp.Or(options.ListEvery, defaultListEvery)
 	options.Timeout = cmp.Or(options.Timeout, defaultTimeout)
 	return &Exchange{
-		options: options, table: options.Table,
+		options: options, table: options.Table, compact: newCompactor(),
 		clients:      map[string]*httpjson.Client{},
 		remote:       map[winch.DataCentreID]hostSet{},
 		acknowledged: map[winch.DataCentreID]uint64{},
@@ -99,12 +102,20 @@
 func (e *Exchange) Run(ctx context.Context) error {
 	e.readHosts(ctx)
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return periodic.Run(ctx, e.options.ExchangeEvery, e.exchange) })
-	group.Go(func() error { return periodic.Run(ctx, e.options.DigestEvery, e.sendDigests) })
+	group.Go(func() error { return periodic.RunPaced(ctx, e.exchangePeriod, e.exchange) })
+	group.Go(func() error { return periodic.RunPaced(ctx, e.digestPeriod, e.sendDigests) })
 	group.Go(func() error { return periodic.Run(ctx, e.options.ListEvery, e.refresh) })
 	return group.Wait()
 }
 
+func (e *Exchange) exchangePeriod() time.Duration {
+	return scaled(e.options.ExchangeEvery, e.table.ExchangeFactor())
+}
+
+func (e *Exchange) digestPeriod() time.Duration {
+	return scaled(e.options.DigestEvery, e.table.DigestFactor())
+}
+
 // exchange reports to the hub; when the hub does not answer, to the next one.
 func (e *Exchange) exchange(ctx context.Context) {
 	for range 2 {
@@ -242,7 +253,7 @@
 	}
 	client, err := httpjson.NewClient(httpjson.Options{
 		Address: address, Secret: e.options.Secret,
-		Timeout: e.options.Timeout, Transport: e.options.Transport,
+		Timeout: e.options.Timeout, Transport: e.options.Transport, Compactor: e.compact,
 	})
 	if err != nil {
 		return nil, err
