fix(release): go on by the majorities of more than half of the data centres

Cause: a proof without the platform needed the majority of every data centre, so that one crash in a data centre of two hosts, or one data centre cut off, ended keyed serving everywhere after the grace. Ruled out: counting hosts over all data centres (a random test found both sides of a partition with a majority, since hosts had joined unseen). Conclusion: acceptance needs more than half of the data centres connected in turn.

--- a/release/peer/acceptance.go
+++ b/release/peer/acceptance.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/arbutuswinch/winch"
@@ -84,11 +85,30 @@
 	if at, settled = a.centres[id].settled.when(revision); settled {
 		return at.Add(a.limits.freshness + a.limits.margin), true, true
 	}
-	own, found := a.centres[a.self].settled.when(revision)
+	held, found := a.held(revision)
 	if !found {
 		return time.Time{}, false, false
 	}
-	return own.Add(a.limits.freshness + a.limits.grace + a.limits.margin), false, true
+	return held.Add(a.limits.freshness + a.limits.grace + a.limits.margin), false, true
+}
+
+// majority is the number of data centres that make more than half of them.
+func (a *acceptance) majority() int { return len(a.centres)/2 + 1 }
+
+// held returns the instant by which a majority of the data centres had settled
+// the revision.
+func (a *acceptance) held(revision winch.Revision) (time.Time, bool) {
+	instants := []time.Time{}
+	for _, c := range a.centres {
+		if at, found := c.settled.when(revision); found {
+			instants = append(instants, at)
+		}
+	}
+	if len(instants) < a.majority() {
+		return time.Time{}, false
+	}
+	slices.SortFunc(instants, func(a, b time.Time) int { return a.Compare(b) })
+	return instants[a.majority()-1], true
 }
 
 // at returns the instant from which the revision is accepted.
@@ -136,18 +156,22 @@
 	}
 }
 
-// peersProof joins the statements of the majorities of all data centres.
+// peersProof joins the newest statements of the majorities of more than half of
+// the data centres.
 func (a *acceptance) peersProof() (proof, bool) {
-	joined, first := proof{}, true
+	agreed := []proof{}
 	for _, c := range a.centres {
-		if c.agreed.asOf.IsZero() {
-			return proof{}, false
-		}
-		if first || c.agreed.asOf.Before(joined.asOf) {
-			joined.asOf = c.agreed.asOf
+		if !c.agreed.asOf.IsZero() {
+			agreed = append(agreed, c.agreed)
 		}
-		first = false
-		joined.revision = max(joined.revision, c.agreed.revision)
+	}
+	if len(agreed) < a.majority() {
+		return proof{}, false
+	}
+	slices.SortFunc(agreed, func(a, b proof) int { return b.asOf.Compare(a.asOf) })
+	joined := proof{asOf: agreed[a.majority()-1].asOf}
+	for _, p := range agreed {
+		joined.revision = max(joined.revision, p.revision)
 	}
 	return joined, true
 }
--- a/release/peer/doc.go
+++ b/release/peer/doc.go
@@ -6,16 +6,16 @@
 // A host serves keyed requests only while it holds a proof that is younger than
 // the freshness limit L: as of an instant on its own clock no revision newer than
 // its own could have been accepted. A proof comes from the platform through the
-// hub, from another data centre's hub, or from a statement of a majority of the
-// hosts of every data centre. Ages are added up along the way, so that clocks need
+// hub, from another data centre's hub, or from statements of the majorities of the
+// hosts of more than half of the data centres. Ages are added up along the way, so that clocks need
 // not agree.
 //
 // A data centre without any proof goes on for the isolation grace G, as long as a
 // majority of its hosts agree that they know of nothing newer.
 //
-// A revision is accepted when the majority of the hosts of this data centre hold
-// it, and for each other data centre either a majority was heard to hold it at
-// least L ago, or it has been L+G since this data centre's majority held it.
+// A data centre has settled a revision when a majority of its hosts hold it. A
+// revision is accepted when more than half of the data centres have settled it,
+// and each other one has settled it too, at least L ago, or L+G have passed.
 // After that no host that lacks the revision can hold a proof or a grace.
 //
 // # Usage
--- a/release/peer/guards_test.go
+++ b/release/peer/guards_test.go
@@ -174,6 +174,11 @@
 		w.rounds(10 * time.Second)
 		assertKey(t, w.at("2-1").distributor, w.at("2-1").Now(), "1", winch.ErrIsolated)
 	})
+	t.Run("the others go on", func(t *testing.T) {
+		for _, id := range []winch.HostID{"0-0", "0-2", "1-1"} {
+			assert.Assert(t, w.at(id).distributor.state.fresh(w.at(id).Now()))
+		}
+	})
 	t.Run("it comes back", func(t *testing.T) {
 		w.split(0, "2-0", "2-1", "2-2")
 		w.rounds(3 * time.Second)
@@ -181,6 +186,19 @@
 	})
 }
 
+// TestCrashWhilePlatformAway takes the majority from a data centre of two hosts.
+func TestCrashWhilePlatformAway(t *testing.T) {
+	w := newWorld(t, defaultLimits(), 3, 2)
+	w.commit(w.at("0-0"), true)
+	w.rounds(15 * time.Second)
+	w.platform[0] = false
+	w.split(5, "2-0")
+	w.rounds(time.Hour)
+	for _, id := range []winch.HostID{"0-0", "0-1", "1-1", "2-1"} {
+		assert.Assert(t, w.at(id).distributor.state.fresh(w.at(id).Now()), "host %s", id)
+	}
+}
+
 func TestStrictKeys(t *testing.T) {
 	w := newWorld(t, defaultLimits(), 2, 1)
 	w.commit(w.at("0-0"), true)
--- a/release/peer/section.go
+++ b/release/peer/section.go
@@ -186,6 +186,11 @@
 	if err := decode(body, "digest", &digest); err != nil {
 		return err
 	}
+	other, found := s.acceptance.centres[from]
+	if !found {
+		// Majorities are of the data centres in the settings.
+		return release.Fault("From", "%q is no data centre of the settings", from)
+	}
 	records, snapshot, err := decodeUpdate(digest.Update)
 	if err != nil {
 		return err
@@ -205,11 +210,6 @@
 	s.state.hear(digest.Revision)
 	s.state.accepted = max(s.state.accepted, digest.Accepted)
 	s.believe(proven, proof{})
-	other, found := s.acceptance.centres[from]
-	if !found {
-		other = &centre{}
-		s.acceptance.centres[from] = other
-	}
 	other.revision, other.hosts, other.behind, other.heard = digest.Revision, digest.Hosts, digest.Behind, now
 	other.settled.reach(now, digest.Settled)
 	if agreed.asOf.After(other.agreed.asOf) {
