--- a/release/peer/benchmark_test.go
+++ b/release/peer/benchmark_test.go
@@ -93,3 +93,18 @@
 		b.ReportMetric(float64(len(hub.distributor.Section().Digest(hub.Now(), "dc1"))), "digest-B")
 	}
 }
+
+// BenchmarkHub measures one exchange at the hub of a data centre of 44 hosts.
+func BenchmarkHub(b *testing.B) {
+	w := newWorld(b, defaultLimits(), 1, 44)
+	w.commit(w.at("0-0"), true)
+	w.rounds(20e9)
+	host, hub := w.at("0-1"), w.at("0-0")
+	report := host.distributor.Section().Report(host.Now())
+	for b.Loop() {
+		if err := hub.distributor.Section().Collect(hub.Now(), "0-1", report); err != nil {
+			b.Fatal(err)
+		}
+		hub.distributor.Section().Summary(hub.Now(), "0-1")
+	}
+}
--- a/release/peer/doc.go
+++ b/release/peer/doc.go
@@ -7,8 +7,8 @@
 // the freshness limit L: as of an instant on its own clock no revision newer than
 // its own could have been accepted. A proof comes from the platform through the
 // hub, from another data centre's hub, or from statements of the majorities of the
-// hosts of more than half of the data centres. Ages are added up along the way, so that clocks need
-// not agree.
+// hosts of more than half of the data centres. Ages are added up along the way, so
+// that clocks need not agree.
 //
 // A data centre without any proof goes on for the isolation grace G, as long as a
 // majority of its hosts agree that they know of nothing newer.
