--- a/dispatch/endpoint/options.go
+++ b/dispatch/endpoint/options.go
@@ -45,7 +45,7 @@
 	// RiskShare is the share of the first-token target after which a wait counts as at risk.
 	RiskShare float64
 	// RefuseShare is the predicted wait, as a share of the first-token target, from
-	// which a request is turned away.
+	// which a request is turned away; for long targets, two seconds less than the target.
 	RefuseShare float64
 	// RetryShare is the share of successes that may be spent on retries, and RetryFloor the retries a
 	// second that are always allowed.
--- a/dispatch/endpoint/wait.go
+++ b/dispatch/endpoint/wait.go
@@ -153,12 +153,16 @@
 	return c.makeRoom(now, r, wait)
 }
 
+// refuseMargin bounds the margin below a long target, within which bursts pass.
+const refuseMargin = 2 * time.Second
+
 // tooLong tells whether a request with the predicted wait would miss its target or
 // its deadline, so that it is better turned away at once.
 func (c *core) tooLong(now time.Time, r *request, wait time.Duration) bool {
 	bound := r.lane.maxWait()
 	if target := r.lane.class.FirstTokenTarget; target > 0 {
-		bound = min(bound, time.Duration(float64(target)*c.settings.RefuseShare))
+		margin := min(time.Duration(float64(target)*(1-c.settings.RefuseShare)), refuseMargin)
+		bound = min(bound, target-margin)
 	}
 	if wait > bound {
 		return true
