--- a/load/engine/engine.go
+++ b/load/engine/engine.go
@@ -20,10 +20,12 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -52,6 +54,8 @@
 	Period time.Duration
 	// Timeout bounds a read.
 	Timeout time.Duration
+	// Transport carries the reads; nil stands for a transport of its own for each endpoint.
+	Transport http.RoundTripper
 }
 
 // Reader reads the endpoints that fall to this host.
@@ -85,15 +89,9 @@
 	case options.Observer == nil:
 		return nil, errors.New("create load reader: Observer is missing")
 	}
-	if options.Logger == nil {
-		options.Logger = hclog.NewNullLogger()
-	}
-	if options.Period == 0 {
-		options.Period = defaultPeriod
-	}
-	if options.Timeout == 0 {
-		options.Timeout = defaultTimeout
-	}
+	options.Logger = cmp.Or[hclog.Logger](options.Logger, hclog.NewNullLogger())
+	options.Period = cmp.Or(options.Period, defaultPeriod)
+	options.Timeout = cmp.Or(options.Timeout, defaultTimeout)
 	return &Reader{options: options, logger: options.Logger.Named("load"), targets: map[winch.EndpointID]*target{}}, nil
 }
 
@@ -142,7 +140,7 @@
 	if t, found := r.targets[spec.ID]; found && t.spec.Address == spec.Address {
 		return t, nil
 	}
-	client, err := httpjson.NewClient(httpjson.Options{Address: spec.Address, Timeout: r.options.Timeout, AnswerLimit: answerLimit})
+	client, err := httpjson.NewClient(httpjson.Options{Address: spec.Address, Timeout: r.options.Timeout, AnswerLimit: answerLimit, Transport: r.options.Transport})
 	if err != nil {
 		return nil, err
 	}
--- a/release/keyvalue/store.go
+++ b/release/keyvalue/store.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/release"
 )
 
 const (
@@ -44,6 +45,18 @@
 	options Options
 	// snapshot is the newest revision that is known to have a snapshot.
 	snapshot atomic.Int64
+	// unguarded takes rules out, for tests that show that each is needed.
+	unguarded guards
+}
+
+// guards are rules that a test may take out.
+type guards struct {
+	// find commits without looking for the note's id.
+	find bool
+	// index replaces the head without having indexed it.
+	index bool
+	// expect swaps the head whichever it is.
+	expect bool
 }
 
 var _ winch.ReleaseLog = (*Store)(nil)
@@ -53,6 +66,9 @@
 	if options.KeyValue == nil || options.Incarnation == "" {
 		return nil, fmt.Errorf("release store: KeyValue and Incarnation are needed: %w", winch.ErrInvalid)
 	}
+	if err := release.CheckName("Incarnation", string(options.Incarnation)); err != nil {
+		return nil, err
+	}
 	if options.Prefix == "" {
 		options.Prefix = defaultPrefix
 	}
--- a/release/peer/distributor.go
+++ b/release/peer/distributor.go
@@ -16,11 +16,14 @@
 	defaultGrace     = 5 * time.Minute
 	defaultMargin    = 500 * time.Millisecond
 	defaultWatchWait = time.Second
+	defaultStop      = 2 * time.Minute
 	viewInterest     = 30 * time.Second
 	// settleTime is how long a record is left to reach other data centres
 	// through the platform before it is sent in digests.
 	settleTime  = 2 * time.Second
 	behindLimit = 16
+	// lostMajorityFactor lengthens the memory of a roster whose majority is silent.
+	lostMajorityFactor = 12
 )
 
 // Options are the settings of a Distributor. The zero value of a duration
@@ -44,6 +47,9 @@
 	// RosterMemory is how long a host that is no longer listed counts towards
 	// its data centre's majority. The default is FreshnessLimit + IsolationGrace.
 	RosterMemory time.Duration
+	// LongestStop is the time within which a host that is leaving has ended. It
+	// must be longer than the hosts' planned stop; the default is two minutes.
+	LongestStop time.Duration
 	// WatchWait is the longest wait of one watch call.
 	WatchWait time.Duration
 }
@@ -53,6 +59,8 @@
 	options Options
 	self    winch.Host
 	started time.Time
+	// tag stands for this incarnation in messages.
+	tag winch.Incarnation
 
 	mu         sync.Mutex
 	state      *state
@@ -60,6 +68,8 @@
 	acceptance *acceptance
 	changed    chan struct{}
 	announced  winch.Authority
+	// watched is the instant before the last call to the platform that was answered.
+	watched time.Time
 	// hub, token and hubRevision are what the last summary said.
 	hub         winch.Incarnation
 	token       int64
@@ -68,8 +78,12 @@
 	wanted      winch.Revision
 	wantedUntil time.Time
 	view        winch.ReleaseProgress
-	snapshot    []byte
-	snapshotOf  winch.Revision
+	// rosterTag is that of the roster that came with a summary, saved is the
+	// roster that the platform holds.
+	rosterTag  string
+	saved      []winch.HostID
+	snapshot   []byte
+	snapshotOf winch.Revision
 }
 
 var _ winch.ReleaseTracker = (*Distributor)(nil)
@@ -85,8 +99,8 @@
 	}
 	self := options.Membership.Self()
 	d := &Distributor{
-		options: options, self: self, started: options.Clock.Now(),
-		state: newState(limits), roster: newRoster(self.ID),
+		options: options, self: self, started: options.Clock.Now(), tag: winch.Incarnation(tagOf(string(options.Incarnation))),
+		state: newState(limits, options.Clock.Now()), roster: newRoster(self.ID),
 		acceptance: newAcceptance(limits, self.DataCentre, options.Membership.DataCentres()),
 		changed:    make(chan struct{}),
 	}
@@ -100,6 +114,7 @@
 	}{
 		{&o.FreshnessLimit, defaultFreshness}, {&o.IsolationGrace, defaultGrace},
 		{&o.Margin, defaultMargin}, {&o.WatchWait, defaultWatchWait},
+		{&o.LongestStop, defaultStop},
 	} {
 		if *setting.value == 0 {
 			*setting.value = setting.fallback
--- a/release/peer/section.go
+++ b/release/peer/section.go
@@ -30,7 +30,7 @@
 	defer s.mu.Unlock()
 	s.observe(now, around)
 	report := reportWire{
-		Revision: s.state.current.Revision, Incarnation: s.options.Incarnation, Hub: s.hub, Token: s.token,
+		Revision: s.state.current.Revision, Incarnation: s.tag, Learner: s.state.learner(), RosterTag: s.rosterTag, Hub: s.hub, Token: s.token,
 	}
 	if now.Before(s.wantedUntil) {
 		report.View = s.wanted
@@ -57,14 +57,14 @@
 	s.take(now, records, snapshot)
 	s.state.hear(report.Revision)
 	asOf := time.Time{}
-	if report.Hub == s.options.Incarnation && report.Token > 0 {
+	if report.Hub == s.tag && report.Token > 0 {
 		asOf = s.started.Add(time.Duration(report.Token))
 	}
 	if s.state.limits.unguarded.echo {
 		asOf = now
 	}
 	host := s.roster.report(now, asOf, from, report.Incarnation, report.Revision)
-	host.view = report.View
+	host.learner, host.view, host.rosterTag = report.Learner, report.View, report.RosterTag
 	s.settle(now, around)
 	return nil
 }
@@ -77,15 +77,21 @@
 	s.observe(now, around)
 	s.settle(now, around)
 	summary := summaryWire{
-		Hub: s.options.Incarnation, Token: int64(now.Sub(s.started)), Revision: s.state.current.Revision,
+		Hub: s.tag, Token: int64(now.Sub(s.started)), Revision: s.state.current.Revision,
 		Accepted: s.state.accepted,
 		Proof:    proofToWire(now, proof{asOf: s.state.proven, revision: s.state.current.Revision}),
-		Agreed:   proofToWire(now, s.acceptance.centres[s.self.DataCentre].agreed),
+		Agreed:   s.agreement(now),
 	}
 	host := s.roster.see(now, to)
 	if host.revision < s.state.current.Revision {
 		summary.Update = s.update(now, host.revision, 0)
 	}
+	if s.roster.known {
+		summary.RosterTag = s.roster.tag()
+		if host.rosterTag != summary.RosterTag {
+			summary.Roster = s.roster.ids()
+		}
+	}
 	if host.view > 0 {
 		summary.View = viewToWire(now, s.progress(host.view))
 	}
@@ -98,6 +104,10 @@
 	if err := decode(body, "summary", &summary); err != nil {
 		return err
 	}
+	if summary.Hub == s.tag {
+		// The hub tells itself nothing new.
+		return nil
+	}
 	records, snapshot, err := decodeUpdate(summary.Update)
 	if err != nil {
 		return err
@@ -113,6 +123,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hub, s.token, s.hubRevision = summary.Hub, summary.Token, summary.Revision
+	if len(summary.Roster) > 0 {
+		s.roster.replace(now, summary.Roster)
+		s.rosterTag = summary.RosterTag
+	}
 	s.take(now, records, snapshot)
 	s.state.hear(summary.Revision)
 	s.state.accepted = max(s.state.accepted, summary.Accepted)
@@ -124,6 +138,17 @@
 	return nil
 }
 
+// agreement is what the majority of this data centre states. It is left out
+// while the hub reads the platform, since proofs from there reach further, and
+// begins early enough to reach all hosts before their last proof is too old. The
+// caller holds the lock.
+func (d *Distributor) agreement(now time.Time) *proofWire {
+	if now.Sub(d.watched) < d.options.FreshnessLimit/2 {
+		return nil
+	}
+	return proofToWire(now, d.acceptance.centres[d.self.DataCentre].agreed)
+}
+
 // believe takes in what a hub states, when there is anything.
 func (d *Distributor) believe(proven, agreed proof) {
 	if !proven.asOf.IsZero() {
@@ -143,10 +168,10 @@
 	s.settle(now, around)
 	own := s.acceptance.centres[s.self.DataCentre]
 	digest := digestWire{
-		Revision: s.state.current.Revision, Settled: s.roster.settled(), Accepted: s.state.accepted,
+		Revision: s.state.current.Revision, Settled: s.settledHere(), Accepted: s.state.accepted,
 		Hosts: len(s.roster.hosts), Behind: own.behind,
 		Proof:  proofToWire(now, proof{asOf: s.state.proven, revision: s.state.current.Revision}),
-		Agreed: proofToWire(now, own.agreed),
+		Agreed: s.agreement(now),
 	}
 	if other, found := s.acceptance.centres[to]; found && !other.heard.IsZero() && other.revision < s.state.current.Revision {
 		digest.Update = s.update(now, other.revision, settleTime)
@@ -196,8 +221,43 @@
 
 // observe keeps the roster up to date. The caller holds the lock.
 func (d *Distributor) observe(now time.Time, around surroundings) {
-	d.roster.observe(now, around.hosts, d.state.limits.roster)
-	d.roster.report(now, now, d.self.ID, d.options.Incarnation, d.state.current.Revision)
+	d.roster.observe(now, around.hosts, d.options.LongestStop)
+	d.forget(now)
+	d.reportSelf(now)
+}
+
+// forget drops silent hosts from the roster. Those who remain must be a majority
+// of it, so that no majority of an older roster exists elsewhere; without one, as
+// when a whole data centre was replaced, hosts are kept for much longer.
+func (d *Distributor) forget(now time.Time) {
+	limit, memory := d.state.limits.freshness, d.state.limits.roster
+	if d.state.limits.unguarded.forget {
+		d.roster.forget(now, memory)
+		return
+	}
+	if !now.Before(d.watched.Add(limit)) {
+		return
+	}
+	if heard, found := d.roster.agreement(false); !found || !now.Before(heard.asOf.Add(limit)) {
+		memory *= lostMajorityFactor
+	}
+	d.roster.forget(now, memory)
+}
+
+// settledHere is the newest revision that a majority of this data centre holds,
+// as far as this host can tell. The caller holds the lock.
+func (d *Distributor) settledHere() winch.Revision {
+	if !d.roster.known {
+		return 0
+	}
+	return d.roster.settled()
+}
+
+// reportSelf counts this host among the hosts of its data centre. The caller
+// holds the lock.
+func (d *Distributor) reportSelf(now time.Time) {
+	self := d.roster.report(now, now, d.self.ID, d.tag, d.state.current.Revision)
+	self.learner = d.state.learner()
 }
 
 // take brings in what another host sent. The caller holds the lock.
@@ -213,10 +273,10 @@
 // the statements of the other data centres. The caller holds the lock.
 func (d *Distributor) settle(now time.Time, around surroundings) {
 	d.acceptance.forget(d.state.accepted)
-	if !around.hub {
+	if !around.hub || !d.roster.known && !d.state.limits.unguarded.roster {
 		return
 	}
-	d.roster.report(now, now, d.self.ID, d.options.Incarnation, d.state.current.Revision)
+	d.reportSelf(now)
 	own := d.acceptance.centres[d.self.DataCentre]
 	own.revision, own.hosts, own.heard = d.state.current.Revision, len(d.roster.hosts), now
 	own.behind = d.roster.behind(d.state.current.Revision, behindLimit)
--- a/serving/keyvalue/shard.go
+++ b/serving/keyvalue/shard.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/arbutuswinch/winch"
 )
 
@@ -19,10 +21,14 @@
 // shard carries the operations of one shard out, one group after the other.
 type shard struct {
 	options Options
+	limiter *rate.Limiter
 	key     string
 	mutex   sync.Mutex
 	waiting []*operation
 	running bool
+	// away says that the last group failed. One group at a time tries again then, and
+	// acquisitions that come meanwhile are refused at once.
+	away bool
 
 	// What follows belongs to the goroutine that runs the groups.
 
@@ -30,20 +36,28 @@
 	known   bool
 	head    head
 	version winch.Version
+	// contended says that other hosts write the head too: it is read before each
+	// write then, since reads are the more plentiful.
+	contended bool
 	// index remembers the sealed claims, loaded the sealed entries that are in it.
 	index  map[claimID]trace
 	loaded map[string]time.Time
 	seals  int
 }
 
-func newShard(options Options, key string) *shard {
-	return &shard{options: options, key: key, index: map[claimID]trace{}, loaded: map[string]time.Time{}}
+func newShard(options Options, limiter *rate.Limiter, key string) *shard {
+	return &shard{options: options, limiter: limiter, key: key, index: map[claimID]trace{}, loaded: map[string]time.Time{}}
 }
 
 // do carries the operation out with others that wait. Its result is in the operation.
 // It takes at most the time limits of two groups.
 func (s *shard) do(o *operation) {
 	s.mutex.Lock()
+	if s.away && s.running && o.kind == acquire {
+		s.mutex.Unlock()
+		o.err = errAway
+		return
+	}
 	s.waiting = append(s.waiting, o)
 	if !s.running {
 		s.running = true
@@ -57,6 +71,7 @@
 func (s *shard) run() {
 	for {
 		time.Sleep(s.options.GroupDelay)
+		_ = s.limiter.Wait(context.Background())
 		s.mutex.Lock()
 		group := s.waiting
 		s.waiting = nil
@@ -67,33 +82,64 @@
 		}
 		s.mutex.Unlock()
 		ctx, stop := context.WithTimeout(context.Background(), s.options.Timeout)
-		s.commit(ctx, group)
+		s.noteAway(!s.commit(ctx, group))
 		stop()
 	}
 }
 
-// commit writes a group. Every operation gets a result.
-func (s *shard) commit(ctx context.Context, group []*operation) {
+var errAway = fmt.Errorf("%w: the key-value service has just failed", winch.ErrUnavailable)
+
+// noteAway takes the result of a group. After a failure it refuses the acquisitions that wait.
+func (s *shard) noteAway(away bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.away = away
+	if !away {
+		return
+	}
+	kept := s.waiting[:0]
+	for _, o := range s.waiting {
+		if o.kind != acquire {
+			kept = append(kept, o)
+			continue
+		}
+		o.err = errAway
+		close(o.done)
+	}
+	s.waiting = kept
+}
+
+// commit writes a group. Every operation gets a result. It reports whether the group was written.
+func (s *shard) commit(ctx context.Context, group []*operation) bool {
 	now := newest(group)
+	s.forgetContended()
 	uncertain, fresh := false, false
 	for backoff := firstBackoff; ; backoff = min(2*backoff, longestBackoff) {
 		fresh = fresh || !s.known
 		done, err := s.try(ctx, now, group, fresh)
 		if done {
 			s.conclude(ctx, group)
-			return
+			return true
 		}
+		s.contended = s.contended || errors.Is(err, winch.ErrConflict)
 		uncertain = uncertain || errors.Is(err, winch.ErrOutcomeUnknown)
 		if err == nil {
 			continue
 		}
 		if !passing(err) || !pause(ctx, backoff) {
 			fail(group, uncertain, err)
-			return
+			return false
 		}
 	}
 }
 
+// forgetContended makes a contended head be read again.
+func (s *shard) forgetContended() {
+	if s.contended {
+		s.known = false
+	}
+}
+
 // try reads the head, unless it is known, and writes the group once.
 func (s *shard) try(ctx context.Context, now time.Time, group []*operation, fresh bool) (bool, error) {
 	if err := s.refresh(ctx); err != nil {
@@ -115,7 +161,7 @@
 // passing reports whether another try is worthwhile.
 func passing(err error) bool {
 	return errors.Is(err, winch.ErrConflict) || errors.Is(err, winch.ErrRateLimited) ||
-		errors.Is(err, winch.ErrOutcomeUnknown)
+		errors.Is(err, winch.ErrOutcomeUnknown) || errors.Is(err, errReadLost)
 }
 
 // pause waits for a time around the backoff; false means that the context ended.
--- a/winchd/daemon/operator.go
+++ b/winchd/daemon/operator.go
@@ -27,6 +27,7 @@
 	operators.HandleFunc("GET /operator/hosts", d.serveHosts)
 	operators.HandleFunc("GET /operator/endpoints", d.serveEndpoints)
 	operators.HandleFunc("GET /operator/queues", d.serveQueues)
+	operators.HandleFunc("GET /operator/usage", d.serveUsage)
 	operators.HandleFunc("GET /operator/requests/{id}", d.serveRequest)
 
 	mux := http.NewServeMux()
@@ -67,8 +68,8 @@
 	for _, endpoint := range d.release.distributor.Current().Endpoints {
 		answer.Endpoints = append(answer.Endpoints, encodeEndpoint(winch.EndpointStatus{Endpoint: endpoint, State: winch.EndpointReady}))
 	}
-	if source := d.placement.source(); source != nil {
-		for _, status := range source.Endpoints() {
+	if d.placement.source != nil {
+		for _, status := range d.placement.source.Endpoints() {
 			answer.Endpoints = append(answer.Endpoints, encodeEndpoint(status))
 		}
 	}
--- a/winchd/daemon/parts.go
+++ b/winchd/daemon/parts.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"time"
 
 	dispatch "github.com/arbutuswinch/winch/dispatch/endpoint"
@@ -13,13 +14,19 @@
 	releasepeer "github.com/arbutuswinch/winch/release/peer"
 	"github.com/arbutuswinch/winch/serving/caller"
 	servingengine "github.com/arbutuswinch/winch/serving/engine"
+	servingstore "github.com/arbutuswinch/winch/serving/keyvalue"
 	servingpeer "github.com/arbutuswinch/winch/serving/peer"
 	servingservice "github.com/arbutuswinch/winch/serving/service"
 
 	"github.com/arbutuswinch/winch"
 )
 
-const idleConnections = 256
+const (
+	idleConnections = 256
+	// Several watches fit into the freshness limit, so that one that is lost does no harm.
+	watchesPerLimit = 4
+	maxWatchWait    = time.Second
+)
 
 // membershipParts tell which hosts are alive.
 type membershipParts struct {
@@ -28,7 +35,7 @@
 }
 
 func (d *Daemon) buildMembership() error {
-	self := winch.Host{ID: d.settings.Host, DataCentre: d.settings.DataCentre, PeerAddress: d.settings.Peer.Address}
+	self := winch.Host{ID: d.settings.Host, DataCentre: d.settings.DataCentre, PeerAddress: cmp.Or(d.settings.Peer.Advertise, d.settings.Peer.Address)}
 	d.membership = &membershipParts{
 		table: memberpeer.NewTable(self, d.settings.DataCentres, d.settings.Membership.SuspectAfter, d.settings.Membership.ForgetAfter),
 	}
@@ -38,7 +45,7 @@
 func (d *Daemon) buildExchange() error {
 	options := memberpeer.Options{
 		Table: d.membership.table, Clock: d.clock, Logger: d.logger, Secret: d.settings.Peer.Secret,
-		Transport:     d.traffic.Transport(),
+		Transport:     d.traffic.Transport(d.settings.Peer.Source),
 		ExchangeEvery: d.settings.Membership.ExchangeEvery, DigestEvery: d.settings.Membership.DigestEvery,
 		Sections: d.sections(),
 	}
@@ -75,6 +82,7 @@
 	distributor, err := releasepeer.New(releasepeer.Options{
 		Membership: d.membership.table, Log: store, Clock: d.clock, Incarnation: d.incarnation, Logger: d.logger, Meter: d.metrics.meter(),
 		FreshnessLimit: d.settings.Release.FreshnessLimit, IsolationGrace: d.settings.Release.IsolationGrace,
+		WatchWait: min(maxWatchWait, d.settings.Release.FreshnessLimit/watchesPerLimit),
 	})
 	if err != nil {
 		return err
@@ -96,19 +104,19 @@
 
 func (d *Daemon) buildDispatch() error {
 	dispatcher, err := dispatch.New(dispatch.Options{
-		Configurations: d.release.distributor, Source: d.placement.source(), Membership: d.membership.table, Clock: d.clock,
+		Configurations: d.release.distributor, Source: d.placement.source, Membership: d.membership.table, Clock: d.clock,
 		Logger: d.logger, Meter: d.metrics.meter(), Policy: dispatch.Policy(d.settings.Dispatch.Policy), Seed: d.settings.Dispatch.Seed,
 	})
 	if err != nil {
 		return err
 	}
-	load, err := loadpeer.New(loadpeer.Options{Observer: dispatcher})
+	load, err := loadpeer.New(loadpeer.Options{Observer: observers{dispatcher, d.placement}})
 	if err != nil {
 		return err
 	}
 	reader, err := loadengine.New(loadengine.Options{
-		Configurations: d.release.distributor, Source: d.placement.source(), Membership: d.membership.table, Clock: d.clock,
-		Logger: d.logger, Observer: load, Period: d.settings.Dispatch.ReportEvery,
+		Configurations: d.release.distributor, Source: d.placement.source, Membership: d.membership.table, Clock: d.clock,
+		Logger: d.logger, Observer: load, Period: d.settings.Dispatch.ReportEvery, Transport: d.traffic.Transport(""),
 	})
 	d.dispatch = &dispatchParts{dispatcher: dispatcher, reader: reader, load: load}
 	return err
@@ -120,8 +128,14 @@
 }
 
 func (d *Daemon) buildServing() error {
+	claims, err := servingstore.New(servingstore.Options{
+		Store: d.store, Owner: d.incarnation, Logger: d.logger, Retention: d.settings.Claims.Retention,
+	})
+	if err != nil {
+		return err
+	}
 	server, err := caller.New(caller.Options{
-		Configurations: d.release.distributor, Dispatcher: d.dispatch.dispatcher, Usage: d.usage.recorder(),
+		Configurations: d.release.distributor, Dispatcher: d.dispatch.dispatcher, Usage: d.usage.counters, Claims: claims,
 		Engines:  servingengine.New(servingengine.Options{Secret: d.settings.Endpoints.Credential, IdleConnections: idleConnections, DialTimeout: d.settings.Endpoints.DialTimeout}),
 		Services: servingservice.New(servingservice.Options{Secret: d.settings.Endpoints.Credential, IdleConnections: idleConnections, DialTimeout: d.settings.Endpoints.DialTimeout}),
 		Peers:    servingpeer.New(servingpeer.Options{Secret: d.settings.Peer.Secret, IdleConnections: idleConnections, DialTimeout: d.settings.Endpoints.DialTimeout}),
@@ -139,21 +153,3 @@
 		ReadTimeout: d.settings.Caller.ReadTimeout, ReadinessDelay: max(d.settings.Shutdown.ReadinessDelay, time.Millisecond),
 	}
 }
-
-func (p *servingParts) parts() []part { return nil }
-
-// placementParts order endpoints.
-type placementParts struct{}
-
-func (d *Daemon) buildPlacement() error {
-	d.placement = &placementParts{}
-	return nil
-}
-
-func (d *Daemon) buildPlanner() error { return nil }
-
-func (p *placementParts) source() winch.EndpointSource { return nil }
-
-func (p *placementParts) sections() []winch.Section { return nil }
-
-func (p *placementParts) parts() []part { return nil }
--- a/winchd/settings/settings.go
+++ b/winchd/settings/settings.go
@@ -66,7 +66,12 @@
 
 // Peer is the port that the other entry hosts use.
 type Peer struct {
+	// Address is the IP number and port to listen on.
 	Address string
+	// Advertise is the address that other hosts are told, when it is not Address.
+	Advertise string
+	// Source is the IP number from which other hosts are called; empty leaves it to the system.
+	Source string
 	// Secret authenticates the hosts to each other.
 	Secret string
 	// SecretFile names a file that holds the secret, in place of Secret.
@@ -129,6 +134,8 @@
 // Usage are the settings of usage reports.
 type Usage struct {
 	Window time.Duration
+	// Grace is the time from a window's end to its report.
+	Grace time.Duration
 	// Shards is the number of parts by which organisations are reported.
 	Shards int
 }
@@ -183,7 +190,7 @@
 		Dispatch:   Dispatch{Policy: "Winch", ReportEvery: 500 * time.Millisecond},
 		Release:    Release{FreshnessLimit: 6 * time.Second, IsolationGrace: 5 * time.Minute},
 		Charge:     Charge{TTL: 6 * time.Second, RenewEvery: 2 * time.Second, InFlight: 2 * time.Second},
-		Usage:      Usage{Window: time.Minute, Shards: 4},
+		Usage:      Usage{Window: time.Minute, Grace: 10 * time.Second, Shards: 4},
 		Placement:  Placement{Enabled: true, PlanEvery: time.Second},
 		Membership: Membership{ExchangeEvery: 500 * time.Millisecond, DigestEvery: time.Second, SuspectAfter: 2 * time.Second, ForgetAfter: 10 * time.Minute},
 		Claims:     Claims{Retention: time.Hour},
--- a/winchload/control/control.go
+++ b/winchload/control/control.go
@@ -41,10 +41,12 @@
 
 // State is the part of the stand-ins' state that the load tool uses.
 type State struct {
-	Addresses       map[string]string
-	Calls           map[string]map[string]int64
-	Executions      map[string]Executions
-	Engines         map[string]Engine
+	Addresses  map[string]string
+	Calls      map[string]map[string]int64
+	Executions map[string]Executions
+	Engines    map[string]Engine
+	// Completions counts the requests that each engine accepted, by request id.
+	Completions     map[string]map[string]int
 	Endpoints       []Endpoint
 	EndpointSeconds map[string]float64
 	Usage           []UsageReport
@@ -122,6 +124,13 @@
 	return state, err
 }
 
+// Paid returns the state with few executions in it, for a reading during a run.
+func (p *Port) Paid(ctx context.Context) (State, error) {
+	state := State{}
+	err := p.do(ctx, http.MethodGet, "/control/state?executions=repeated", nil, &state)
+	return state, err
+}
+
 // Fault sets a fault.
 func (p *Port) Fault(ctx context.Context, fault Fault) error {
 	return p.do(ctx, http.MethodPost, "/control/faults", fault, nil)
--- a/winchload/pair.go
+++ b/winchload/pair.go
@@ -33,6 +33,9 @@
 	Out        string        `arg:"--out,required" help:"directory for results, plots, settings and logs" placeholder:"DIR"`
 }
 
+// usageSettle is how long the last usage window may take to close and to be reported.
+const usageSettle = 2*bench.UsageWindow + 3*time.Second
+
 // variant is one side of the comparison.
 type variant struct {
 	label  string
@@ -118,10 +121,15 @@
 		return result.Result{}, fmt.Errorf("start set: %w", err)
 	}
 	defer set.Stop()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	balancer := target.NewBalancer(set.Targets())
+	go balancer.Watch(ctx)
 	set.Mark()
 	return drive.Run(ctx, drive.Options{
-		Experiment: loaded, Label: side.label, Seed: seed, Picker: target.NewBalancer(set.Targets()),
+		Experiment: loaded, Label: side.label, Seed: seed, Picker: balancer, Hosts: set,
 		Control: control.New(set.Control()), Faults: !c.NoFaults, Processes: set.Processes,
+		Probe: set.Prober().Run, Settle: usageSettle,
 		Progress: progress.New(os.Stderr, fmt.Sprintf("%s seed %d", side.label, seed), time.Duration(loaded.Duration)),
 	})
 }
--- a/winchload/result/platform.go
+++ b/winchload/result/platform.go
@@ -44,13 +44,18 @@
 			byRequest[id] += count
 		}
 	}
+	for _, accepted := range frame.After.Completions {
+		for id, count := range accepted {
+			byRequest[id] += count
+		}
+	}
 	r.Confirmations.Offered = len(c.keyed)
 	for key, answered := range c.keyed {
 		r.Confirmations.count(answered, byKey[key])
 	}
 	for _, id := range c.notRun {
 		if byRequest[id] > 0 {
-			r.Confirmations.FalseRefusals++
+			r.FalseRefusals++
 		}
 	}
 }
@@ -73,8 +78,8 @@
 // cost adds up what endpoints cost; engines of one supply are priced at the mean of their groups.
 func cost(loaded experiment.Experiment, r Result, frame Frame) Cost {
 	out := r.Cost
-	out.SteadySeconds = frame.After.EndpointSeconds[supplySteady] - frame.Before.EndpointSeconds[supplySteady]
-	out.CheapSeconds = frame.After.EndpointSeconds[supplyCheap] - frame.Before.EndpointSeconds[supplyCheap]
+	out.SteadySeconds = frame.Close.EndpointSeconds[supplySteady] - frame.Open.EndpointSeconds[supplySteady]
+	out.CheapSeconds = frame.Close.EndpointSeconds[supplyCheap] - frame.Open.EndpointSeconds[supplyCheap]
 	out.Paid = out.SteadySeconds*price(loaded, supplySteady) + out.CheapSeconds*price(loaded, supplyCheap)
 	if r.Total.Attained > 0 {
 		out.PaidPerThousand = out.Paid / float64(r.Total.Attained) * 1000
@@ -87,8 +92,9 @@
 	total, count := 0.0, 0
 	for _, engines := range loaded.Engines {
 		if engines.Supply == supply || (engines.Supply == "" && supply == supplySteady) {
-			total += float64(engines.Cost) * float64(engines.Count)
-			count += engines.Count
+			number := engines.Count + engines.Max
+			total += float64(engines.Cost) * float64(number)
+			count += number
 		}
 	}
 	if supply == supplySteady {
@@ -103,18 +109,23 @@
 	return total / float64(count) / hourSeconds
 }
 
-func usageOf(after control.State) UsageState {
-	state := UsageState{Reports: len(after.Usage)}
+func usageOf(after control.State, delivered int64) UsageState {
+	state := UsageState{Reports: len(after.Usage), DeliveredTokens: delivered}
+	late := newHistogram()
 	for _, received := range after.Usage {
-		switch received.Verdict {
-		case "differs":
+		if received.Verdict == "differs" {
 			state.Differs++
-		case "billed":
-			for _, figures := range received.Report.Figures {
-				state.ReportedTokens += figures.OutputTokens
-			}
+		}
+		if received.Verdict != "billed" {
+			continue
+		}
+		_ = late.RecordValue(received.At.Sub(received.Report.Window).Microseconds())
+		for _, figures := range received.Report.Figures {
+			state.ReportedTokens += figures.OutputTokens
 		}
 	}
+	state.ReportedShare = ratio(float64(state.ReportedTokens), float64(delivered))
+	state.Late = quantiles(late)
 	return state
 }
 
--- a/winchload/result/result.go
+++ b/winchload/result/result.go
@@ -49,10 +49,13 @@
 
 	Cost          Cost
 	Confirmations Confirmations
+	// FalseRefusals are attempts that were said to be not run, and that an endpoint had taken.
+	FalseRefusals int
 	Codes         map[string]int
 	// LateSends counts requests that the load tool itself sent more than LateSend after their time.
 	LateSends int
 	Usage     UsageState
+	Notes     Notes
 	Processes []Process
 	Calls     map[string]map[string]int64
 	Series    []Point
@@ -104,16 +107,28 @@
 	Unknown int
 	// Lost were neither executed nor answered as done.
 	Lost int
-	// FalseRefusals are attempts of plain services, keyed or not, that were said to be not run and were executed.
-	FalseRefusals int
 }
 
 // UsageState is how the usage reports stand.
 type UsageState struct {
 	Reports int
 	Differs int
-	// ReportedTokens are the output tokens in billed windows.
-	ReportedTokens int64
+	// ReportedTokens are the output tokens in billed windows, DeliveredTokens those that callers received.
+	ReportedTokens  int64
+	DeliveredTokens int64
+	ReportedShare   float64
+	// Late is the time from a window's start to its report.
+	Late Quantiles
+}
+
+// Notes says how release notes fared during the run. Times are in milliseconds.
+type Notes struct {
+	Applied int
+	Failed  int
+	// InForce are the times after which an added key was last refused by any host,
+	// UsedAfter those after which a withdrawn key was last taken.
+	InForce   []float64
+	UsedAfter []float64
 }
 
 // Process is the cost of one process.
