perf(dispatch): tell a host only of the endpoints that it uses

Cause: a summary with all 400 endpoints of a data centre passes a host's share of control traffic. Ruled out: rarer exchanges, which make the figures older for all. Conclusion: a wider aperture is told to the hub and gets more.

--- a/dispatch/endpoint/aperture.go
+++ b/dispatch/endpoint/aperture.go
@@ -1,6 +1,11 @@
 package endpoint
 
-import "sort"
+import (
+	"slices"
+	"sort"
+
+	"github.com/arbutuswinch/winch"
+)
 
 // aperture returns the places, on a ring of count endpoints, that the host of the
 // given rank uses. The arcs of the hosts are spread evenly, so that every endpoint
@@ -17,8 +22,7 @@
 	return places
 }
 
-// setSubset fills the part of the lane's endpoints that this host uses. The ring is
-// in the order of the endpoints' hashes, so that it does not follow their names.
+// setSubset fills the part of the lane's endpoints that this host uses.
 func (c *core) setSubset(l *lane) {
 	if l.aperture < c.settings.Aperture {
 		l.aperture = c.settings.Aperture
@@ -27,14 +31,47 @@
 		l.subset = l.endpoints
 		return
 	}
-	ring := append([]*endpoint(nil), l.endpoints...)
-	sort.Slice(ring, func(i, j int) bool { return ring[i].hash < ring[j].hash })
+	l.subset = c.arc(l, c.rank, l.aperture)
+}
+
+// arc returns the lane's endpoints for the host of the given rank.
+func (c *core) arc(l *lane, rank, size int) []*endpoint {
 	// Each endpoint must be used by some host, so an arc is no shorter than the distance between hosts.
-	size := max(l.aperture, (len(ring)+c.hosts-1)/c.hosts)
-	l.subset = nil
-	for _, place := range aperture(len(ring), c.rank, c.hosts, size) {
-		l.subset = append(l.subset, ring[place])
+	size = max(size, (len(l.ring)+c.hosts-1)/c.hosts)
+	arc := make([]*endpoint, 0, size)
+	for _, place := range aperture(len(l.ring), rank, c.hosts, size) {
+		arc = append(arc, l.ring[place])
+	}
+	return arc
+}
+
+// setRing orders the lane's endpoints by their hashes, so that arcs do not follow their names.
+func (l *lane) setRing() {
+	l.ring = append(l.ring[:0], l.endpoints...)
+	sort.Slice(l.ring, func(i, j int) bool { return l.ring[i].hash < l.ring[j].hash })
+}
+
+// restrict leaves in the figures for a host only the endpoints that it uses, so that
+// what hosts are told does not grow with the data centre.
+func (c *core) restrict(sum *figures, to winch.HostID) {
+	rank := slices.Index(c.hostIDs, to)
+	if rank < 0 || len(sum.endpoints) <= c.settings.Aperture {
+		return
+	}
+	size := max(c.settings.Aperture, c.hub.reports[to].figures.aperture)
+	used := map[winch.EndpointID]endpointFigures{}
+	for _, l := range c.sorted {
+		endpoints := l.endpoints
+		if len(endpoints) > size {
+			endpoints = c.arc(l, rank, size)
+		}
+		for _, e := range endpoints {
+			if told, found := sum.endpoints[e.spec.ID]; found {
+				used[e.spec.ID] = told
+			}
+		}
 	}
+	sum.endpoints = used
 }
 
 // widen doubles the lane's part of the endpoints while requests are at risk, and
--- a/dispatch/endpoint/codec.go
+++ b/dispatch/endpoint/codec.go
@@ -18,6 +18,7 @@
 	Lanes     *lanesWire    `json:",omitempty"`
 	Accounts  *accountsWire `json:",omitempty"`
 	Remotes   []remoteWire  `json:",omitempty"`
+	Aperture  int           `json:",omitempty"`
 }
 
 // lanesWire has for each class and group a row of Queued, Running, Movable,
@@ -113,7 +114,7 @@
 }
 
 func encodeFigures(f figures) []byte {
-	wire := figuresWire{Lanes: encodeLanes(f.lanes), Accounts: encodeAccounts(f.charged)}
+	wire := figuresWire{Lanes: encodeLanes(f.lanes), Accounts: encodeAccounts(f.charged), Aperture: f.aperture}
 	ids := make([]string, 0, len(f.endpoints))
 	for id := range f.endpoints {
 		ids = append(ids, string(id))
@@ -195,6 +196,7 @@
 		return figures{}, fmt.Errorf("decode Endpoints: columns differ in length or exceed %d: %w", wireRows, winch.ErrInvalid)
 	}
 	f := newFigures()
+	f.aperture = max(0, wire.Aperture)
 	for i, id := range wire.Endpoints {
 		if wire.Running[i] < 0 || wire.Limits[i] < 0 || len(id) > wireName {
 			return figures{}, fmt.Errorf("decode Running or Limits of %.64q: %w", id, winch.ErrInvalid)
--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -211,6 +211,7 @@
 			l.competitors = append(l.competitors, l)
 		}
 		sort.Slice(l.competitors, func(i, j int) bool { return laneLess(l.competitors[i], l.competitors[j]) })
+		l.setRing()
 		c.setSubset(l)
 	}
 }
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -57,6 +57,7 @@
 	self     winch.Host
 	rank     int // of this host among those of its data centre
 	hosts    int
+	hostIDs  []winch.HostID // of its data centre, sorted
 
 	configuration *winch.Configuration
 	endpoints     map[winch.EndpointID]*endpoint
--- a/dispatch/endpoint/figures.go
+++ b/dispatch/endpoint/figures.go
@@ -20,6 +20,8 @@
 	// charged are sums of weighted tokens that never fall.
 	charged map[accountKey]int64
 	remotes map[winch.DataCentreID]remoteFigures
+	// aperture is the number of endpoints of a lane that the host uses, when it is widened.
+	aperture int
 }
 
 // remoteFigures are what is known of another data centre.
@@ -46,6 +48,9 @@
 		}
 	}
 	for _, l := range c.sorted {
+		if l.aperture > c.settings.Aperture {
+			own.aperture = max(own.aperture, l.aperture)
+		}
 		if l.queued == 0 && l.running == 0 {
 			continue
 		}
@@ -159,6 +164,7 @@
 			sum.add(c.hub.reports[id].figures)
 		}
 	}
+	c.restrict(&sum, to)
 	clear(sum.charged)
 	c.chargeSelf(now)
 	for key, a := range c.hub.charged {
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -31,6 +31,8 @@
 	endpoints []*endpoint
 	// subset is the part of endpoints that this host uses.
 	subset []*endpoint
+	// ring has the endpoints in the order in which hosts share them out.
+	ring []*endpoint
 	// competitors are the lanes that share an endpoint with this one, itself included.
 	competitors []*lane
 	budget      *retryBudget
--- a/dispatch/endpoint/remote.go
+++ b/dispatch/endpoint/remote.go
@@ -107,7 +107,9 @@
 // rank, those of the others take requests over.
 func (c *core) setHosts(own []winch.Host, others []winch.Host) {
 	rank, hosts := 0, max(1, len(own))
+	c.hostIDs = c.hostIDs[:0]
 	for i, host := range own {
+		c.hostIDs = append(c.hostIDs, host.ID)
 		if host.ID == c.self.ID {
 			rank = i
 		}
--- a/dispatch/endpoint/section_test.go
+++ b/dispatch/endpoint/section_test.go
@@ -110,3 +110,35 @@
 		}
 	})
 }
+
+func TestSummaryOfManyEndpoints(t *testing.T) {
+	hosts := make([]winch.Host, 44)
+	for i := range hosts {
+		hosts[i] = winch.Host{ID: winch.HostID(fmt.Sprintf("host-%02d", i)), DataCentre: "a"}
+	}
+	hub := newBench(twoClasses(400, 16))
+	hub.self = hosts[0]
+	hub.setHosts(hosts, nil)
+	told := figuresOf(0, 0, 0)
+	for _, e := range hub.ordered {
+		told.endpoints[e.spec.ID] = endpointFigures{Running: 1, Limit: 16}
+	}
+	hub.hub.collect(hub.now, "host-01", told)
+	t.Run("a host is told of the endpoints that it uses", func(t *testing.T) {
+		other := newBench(twoClasses(400, 16))
+		other.self = hosts[7]
+		other.setHosts(hosts, nil)
+		sum := hub.summary(hub.now, "host-07")
+		assert.Equal(t, len(sum.endpoints), 64)
+		for _, e := range other.sorted[0].subset {
+			assert.Equal(t, sum.endpoints[e.spec.ID].Running, 1)
+		}
+		t.Logf("%d bytes", len(encodeFigures(sum)))
+	})
+	t.Run("a host with a wider aperture is told of more", func(t *testing.T) {
+		wide := newFigures()
+		wide.aperture = 128
+		hub.hub.collect(hub.now, "host-07", wide)
+		assert.Equal(t, len(hub.summary(hub.now, "host-07").endpoints), 128)
+	})
+}
