test(charge): stop holders in processes of their own at each step of a send

Cause: orders must never come from two processes in charge, also when a holder is stopped in the middle of a send. Ruled out: stopping only from outside, which hardly ever hits the instant between the last check and the last write. Conclusion: timeouts alone are left to chance after a stop; the guards don't need them.

--- /dev/null
+++ b/charge/fenced/duel_test.go
@@ -0,0 +1,199 @@
+package fenced
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch/httpjson"
+	"github.com/arbutuswinch/winch/keyvalue/memory"
+)
+
+const (
+	duelSeed   = 7
+	duelFaults = 10
+)
+
+// link is a connection between processes that can be slowed and cut.
+type link struct{ proxy *toxiproxy.Proxy }
+
+func newLink(t *testing.T, upstream string) *link {
+	t.Helper()
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
+	proxy := toxiproxy.NewProxy(server, "link", "127.0.0.1:0", upstream)
+	assert.NilError(t, proxy.Start())
+	t.Cleanup(proxy.Stop)
+	return &link{proxy: proxy}
+}
+
+func (l *link) slow(t *testing.T, latency time.Duration) {
+	t.Helper()
+	for _, stream := range []string{"upstream", "downstream"} {
+		toxic := fmt.Sprintf(`{"name":"slow-%s","type":"latency","stream":"%s","attributes":{"latency":%d}}`, stream, stream, latency.Milliseconds())
+		_, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(toxic))
+		assert.NilError(t, err)
+	}
+}
+
+// cut lets nothing through in either direction until heal.
+func (l *link) cut(t *testing.T) {
+	t.Helper()
+	for _, stream := range []string{"upstream", "downstream"} {
+		toxic := fmt.Sprintf(`{"name":"cut-%s","type":"timeout","stream":"%s","attributes":{"timeout":0}}`, stream, stream)
+		_, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(toxic))
+		assert.NilError(t, err)
+	}
+}
+
+func (l *link) heal(t *testing.T) {
+	t.Helper()
+	for _, stream := range []string{"upstream", "downstream"} {
+		assert.NilError(t, l.proxy.Toxics.RemoveToxic(t.Context(), "cut-"+stream))
+	}
+}
+
+// terms returns the number of terms in which orders were accepted.
+func (r *receiver) terms() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	seen := map[int64]bool{}
+	for _, got := range r.accepted {
+		seen[got.Number] = true
+	}
+	return len(seen)
+}
+
+// TestHoldersNeverOverlap lets two processes compete for the duty and order all the
+// time, while they are stopped at any moment, cut off from the key-value service and
+// lose its answers. The receiver is slow to reach and ignores fencing numbers.
+func TestHoldersNeverOverlap(t *testing.T) {
+	random := rand.New(rand.NewPCG(duelSeed, duelSeed))
+	store := memory.New()
+	target := &receiver{}
+	receiverLink := newLink(t, serve(t, target))
+	receiverLink.slow(t, 20*time.Millisecond)
+	storeAddress := storeServer(t, store)
+	processes, links := []*exec.Cmd{}, []*link{}
+	for i := range 2 {
+		links = append(links, newLink(t, storeAddress))
+		told := helper{
+			Name: fmt.Sprintf("host-%d", i), Store: links[i].proxy.Listen, Receiver: receiverLink.proxy.Listen, Orders: 1 << 20,
+		}
+		processes = append(processes, told.start(t))
+	}
+	for range duelFaults {
+		before, _ := target.counts()
+		waitFor(t, "orders", func() bool { accepted, _ := target.counts(); return accepted > before })
+		i := random.IntN(2)
+		store.LoseAnswers(random.IntN(3))
+		if random.IntN(2) == 0 {
+			links[i].cut(t)
+			waitForTakeover(t, target, random)
+			links[i].heal(t)
+			continue
+		}
+		assert.NilError(t, processes[i].Process.Signal(syscall.SIGSTOP))
+		waitForTakeover(t, target, random)
+		assert.NilError(t, processes[i].Process.Signal(syscall.SIGCONT))
+	}
+	accepted, violations := target.counts()
+	t.Logf("orders %d, terms %d, violations %d", accepted, target.terms(), violations)
+	assert.Equal(t, violations, 0)
+	assert.Assert(t, target.terms() > 1)
+}
+
+// waitForTakeover waits until the other process orders, in case the one with the
+// fault was in charge, or only until some more orders came.
+func waitForTakeover(t *testing.T, target *receiver, random *rand.Rand) {
+	t.Helper()
+	before, _ := target.counts()
+	more := 1 + random.IntN(10)
+	waitFor(t, "more orders", func() bool { accepted, _ := target.counts(); return accepted >= before+more })
+}
+
+// slowReceiver accepts connections and reads nothing until told.
+type slowReceiver struct {
+	listener net.Listener
+	read     chan struct{}
+	got      chan bool
+}
+
+func newSlowReceiver(t *testing.T) *slowReceiver {
+	t.Helper()
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	r := &slowReceiver{listener: listener, read: make(chan struct{}), got: make(chan bool, 1)}
+	go r.serve()
+	return r
+}
+
+// serve reads one request when told, and reports whether it was whole.
+func (r *slowReceiver) serve() {
+	conn, err := r.listener.Accept()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	<-r.read
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	r.got <- readsWhole(conn)
+}
+
+// TestUndeliveredBytesAreDropped stops a holder whose order stands in the kernel's
+// send queue, since the receiver does not read, and lets the receiver read after
+// the successor's term began.
+func TestUndeliveredBytesAreDropped(t *testing.T) {
+	cases := map[string]struct {
+		told  helper
+		whole bool
+	}{
+		"all guards":               {told: helper{Stop: stageHeld}},
+		"without waiting":          {told: helper{Stop: stageSent, Drain: true}},
+		"without waiting or abort": {told: helper{Stop: stageSent, Drain: true, Abort: true}, whole: true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			slow := newSlowReceiver(t)
+			told := test.told
+			told.Name, told.Orders, told.Padding = "frozen", 1, 200_000
+			told.Store, told.Receiver = storeServer(t, memory.New()), slow.listener.Addr().String()
+			process := told.start(t)
+			waitFor(t, "the holder to stop", func() bool { return processState(process.Process.Pid) == "T" })
+			successor := told
+			successor.Receiver = serve(t, &receiver{})
+			succeed(t, successor)
+			close(slow.read)
+			assert.Equal(t, <-slow.got, test.whole)
+		})
+	}
+}
+
+func readsWhole(conn net.Conn) bool {
+	request, err := readRequest(conn)
+	if err != nil {
+		return false
+	}
+	got := order{}
+	return httpjson.Decode(nil, request, 8<<20, &got) == nil
+}
+
+func readRequest(conn net.Conn) (*http.Request, error) {
+	return http.ReadRequest(bufio.NewReader(conn))
+}
--- /dev/null
+++ b/charge/fenced/frozen_test.go
@@ -0,0 +1,355 @@
+package fenced
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/arbutuswinch/winch"
+	charge "github.com/arbutuswinch/winch/charge/keyvalue"
+	"github.com/arbutuswinch/winch/clock/boottime"
+	"github.com/arbutuswinch/winch/httpjson"
+	"github.com/arbutuswinch/winch/keyvalue/memory"
+	"github.com/arbutuswinch/winch/keyvalue/platform"
+)
+
+const (
+	testTTL      = time.Second
+	testRenew    = 200 * time.Millisecond
+	testInFlight = 400 * time.Millisecond
+	testDrift    = 50 * time.Millisecond
+	testMargin   = 100 * time.Millisecond
+	helperEnv    = "WINCH_TEST_HOLDER"
+)
+
+// helper is what a holder in a process of its own is told.
+type helper struct {
+	Name     string
+	Store    string
+	Receiver string
+	// Stop is the stage at which the process stops itself; zero for none.
+	Stop stage
+	// Orders is the number of orders to send; the process ends after them.
+	Orders     int
+	Padding    int
+	Timers     bool
+	Hold       bool
+	Check      bool
+	Drain      bool
+	Abort      bool
+	NoWatchdog bool
+}
+
+// TestMain runs the test binary as a holder when it is told so.
+func TestMain(m *testing.M) {
+	settings := os.Getenv(helperEnv)
+	if settings == "" {
+		os.Exit(m.Run())
+	}
+	told := helper{}
+	if err := json.Unmarshal([]byte(settings), &told); err != nil {
+		panic(err)
+	}
+	if err := told.run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// candidate is a membership whose host is always the candidate.
+type candidate struct {
+	winch.Membership
+	name string
+}
+
+func (c candidate) Self() winch.Host { return winch.Host{ID: winch.HostID(c.name)} }
+
+func (c candidate) Candidate(time.Time, winch.Duty, winch.DataCentreID) bool { return true }
+
+// contender is a holder with a sender.
+type contender struct {
+	holder *charge.Holder
+	sender *Sender
+	clock  winch.Clock
+}
+
+func newContender(told helper) (*contender, error) {
+	clock, err := boottime.New()
+	if err != nil {
+		return nil, err
+	}
+	store, err := platform.New(platform.Options{Address: told.Store, Timeout: testRenew})
+	if err != nil {
+		return nil, err
+	}
+	holder, err := charge.New(charge.Options{
+		Store: store, Duty: "orders/yard-1", Membership: candidate{name: told.Name}, Clock: clock,
+		TTL: testTTL, RenewEvery: testRenew, InFlight: testInFlight, Drift: testDrift,
+	})
+	if err != nil {
+		return nil, err
+	}
+	sender, err := New(Options{
+		Clock: clock, Margin: testMargin, NoWatchdog: told.NoWatchdog,
+		off:   guardsOff{timers: told.Timers, hold: told.Hold, check: told.Check, drain: told.Drain, abort: told.Abort},
+		reach: told.stopAt,
+	})
+	return &contender{holder: holder, sender: sender, clock: clock}, err
+}
+
+// stopAt stops the process as SIGSTOP from outside would, at this very place.
+func (h helper) stopAt(reached stage) {
+	if reached == h.Stop {
+		_ = unix.Tgkill(os.Getpid(), unix.Gettid(), unix.SIGSTOP)
+	}
+}
+
+// order sends one order if the contender is in charge, and reports whether it tried to.
+func (c *contender) order(ctx context.Context, told helper, count int) bool {
+	term, held := c.holder.Term(c.clock.Now())
+	if !held {
+		return false
+	}
+	body, err := json.Marshal(order{
+		Number: int64(term.Number), ID: fmt.Sprintf("%s-%d", told.Name, count), Padding: strings.Repeat("x", told.Padding),
+	})
+	if err == nil {
+		_, _ = c.sender.Send(ctx, c.holder, winch.FencedCall{Address: told.Receiver, Path: "/", Body: body, Number: term.Number})
+	}
+	return err == nil
+}
+
+func (h helper) run() error {
+	contender, err := newContender(h)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	go func() { _ = contender.holder.Run(ctx) }()
+	for sent := 0; sent < h.Orders && ctx.Err() == nil; {
+		if contender.order(ctx, h, sent) {
+			sent++
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return nil
+}
+
+// start starts the helper; the test kills it at its end.
+func (h helper) start(t *testing.T) *exec.Cmd {
+	t.Helper()
+	encoded, err := json.Marshal(h)
+	assert.NilError(t, err)
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), helperEnv+"="+string(encoded))
+	command.Stderr = os.Stderr
+	assert.NilError(t, command.Start())
+	t.Cleanup(func() { _ = command.Process.Kill() })
+	return command
+}
+
+type order struct {
+	Number  int64
+	ID      string
+	Padding string
+}
+
+// receiver takes orders. It refuses old numbers only when it checks them.
+type receiver struct {
+	checks bool
+
+	mu       sync.Mutex
+	highest  int64
+	accepted []order
+	// violations counts orders that were accepted after one of a later term.
+	violations int
+}
+
+func (r *receiver) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	got := order{}
+	if err := httpjson.Decode(w, request, 8<<20, &got); err != nil {
+		httpjson.WriteError(w, err)
+		return
+	}
+	if !r.take(got) {
+		httpjson.WriteError(w, winch.ErrFenced)
+		return
+	}
+	httpjson.Write(w, http.StatusOK, struct{}{})
+}
+
+func (r *receiver) take(got order) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.checks && got.Number < r.highest {
+		return false
+	}
+	if got.Number < r.highest {
+		r.violations++
+	}
+	r.highest = max(r.highest, got.Number)
+	r.accepted = append(r.accepted, got)
+	return true
+}
+
+func (r *receiver) counts() (accepted, violations int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.accepted), r.violations
+}
+
+// storeServer answers the key-value protocol's calls from a memory store.
+func storeServer(t *testing.T, store *memory.Store) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.HandleFunc("/v1/get", func(w http.ResponseWriter, r *http.Request) {
+		call := struct{ Key string }{}
+		assert.Check(t, httpjson.Decode(w, r, 1<<20, &call))
+		entry, err := store.Get(r.Context(), call.Key)
+		if err != nil && !errors.Is(err, winch.ErrNotFound) {
+			httpjson.WriteError(w, err)
+			return
+		}
+		httpjson.Write(w, http.StatusOK, map[string]any{"Found": err == nil, "Entry": entry})
+	})
+	mux.HandleFunc("/v1/put", func(w http.ResponseWriter, r *http.Request) {
+		call := struct {
+			Key    string
+			Value  []byte
+			Expect winch.Version
+		}{}
+		assert.Check(t, httpjson.Decode(w, r, 1<<20, &call))
+		version, err := store.Put(r.Context(), call.Key, call.Value, call.Expect)
+		if err != nil {
+			httpjson.WriteError(w, err)
+			return
+		}
+		httpjson.Write(w, http.StatusOK, map[string]any{"Version": version})
+	})
+	return serve(t, mux)
+}
+
+func serve(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// processState returns the letter of /proc/PID/stat: T is stopped, Z has ended.
+func processState(pid int) string {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return "Z"
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	return fields[0]
+}
+
+func waitFor(t *testing.T, what string, happened func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if happened() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(30*time.Second))
+}
+
+// succeed lets a contender in this process take the duty over and send one order.
+func succeed(t *testing.T, told helper) {
+	t.Helper()
+	told.Name, told.Stop, told.Padding = "successor", 0, 0
+	successor, err := newContender(told)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = successor.holder.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	waitFor(t, "the successor's order", func() bool { return successor.order(ctx, told, 0) })
+}
+
+// freeze runs a holder that stops itself at the stage, lets a successor take over
+// and wakes the holder. It returns the number of violations and whether the holder was killed.
+func freeze(t *testing.T, told helper, checks bool, lost int) (violations int, killed bool) {
+	t.Helper()
+	store := memory.New()
+	store.LoseAnswers(lost)
+	target := &receiver{checks: checks}
+	told.Name, told.Orders = "frozen", 1
+	told.Store, told.Receiver = storeServer(t, store), serve(t, target)
+	process := told.start(t)
+	waitFor(t, "the holder to stop", func() bool { return processState(process.Process.Pid) == "T" })
+	succeed(t, told)
+	assert.NilError(t, ignoreEnded(process.Process.Signal(syscall.SIGCONT)))
+	killed = hasBeenKilled(process.Wait())
+	_, violations = target.counts()
+	return violations, killed
+}
+
+func ignoreEnded(err error) error {
+	if errors.Is(err, os.ErrProcessDone) {
+		return nil
+	}
+	return err
+}
+
+func hasBeenKilled(err error) bool {
+	ended := &exec.ExitError{}
+	return errors.As(err, &ended) && ended.Sys().(syscall.WaitStatus).Signaled()
+}
+
+// TestFrozenHolderCompletesNoOrder stops a holder at each stage of a send.
+func TestFrozenHolderCompletesNoOrder(t *testing.T) {
+	for stop := stageBegun; stop <= stageSent; stop++ {
+		for _, checks := range []bool{false, true} {
+			for _, timers := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, receiver checks %v, no timers %v", stageName(stop), checks, timers), func(t *testing.T) {
+					t.Parallel()
+					violations, killed := freeze(t, helper{Stop: stop, Timers: timers}, checks, 3)
+					t.Logf("violations %d, killed %v", violations, killed)
+					assert.Equal(t, violations, 0)
+					assert.Equal(t, killed, stop == stageChecked)
+				})
+			}
+		}
+	}
+}
+
+// TestGuardsAreNeeded takes out one guard and expects the violation that it prevents. The
+// timeouts are taken out as well: whether they fire in time after a stop is left to chance.
+func TestGuardsAreNeeded(t *testing.T) {
+	cases := map[string]helper{
+		"bytes held back": {Stop: stageHalfWritten, Timers: true, Hold: true},
+		"clock checked":   {Stop: stageDrained, Timers: true, Check: true},
+		"kernel timer":    {Stop: stageChecked, Timers: true, NoWatchdog: true},
+	}
+	for name, told := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			violations, _ := freeze(t, told, false, 0)
+			t.Logf("violations without it: %d", violations)
+			assert.Equal(t, violations, 1)
+		})
+		t.Run(name+", receiver checks", func(t *testing.T) {
+			t.Parallel()
+			violations, _ := freeze(t, told, true, 0)
+			assert.Equal(t, violations, 0)
+		})
+	}
+}
--- a/charge/fenced/sender.go
+++ b/charge/fenced/sender.go
@@ -64,9 +64,15 @@
 
 // guardsOff takes out single guards, to show that tests notice it.
 type guardsOff struct {
-	hold  bool
+	// timers sets no timeouts, which after a stop may fire early enough or not.
+	timers bool
+	// hold writes the whole request at once.
+	hold bool
+	// check writes the last bytes without looking at the clock.
 	check bool
+	// drain does not wait for the receiver before the last bytes.
 	drain bool
+	// abort lets the kernel go on delivering after the term.
 	abort bool
 }
 
--- a/charge/fenced/transport.go
+++ b/charge/fenced/transport.go
@@ -43,6 +43,9 @@
 		return nil, fmt.Errorf("encode request: %w", err)
 	}
 	ctx := request.Context()
+	if t.options.off.timers {
+		ctx = context.WithoutCancel(ctx)
+	}
 	conn, err := t.dial(ctx, request.URL.Host)
 	if err != nil {
 		return nil, err
@@ -113,8 +116,10 @@
 	if err != nil {
 		return err
 	}
-	if err := conn.SetDeadline(time.Now().Add(left)); err != nil {
-		return fmt.Errorf("set deadline: %w", err)
+	if !t.options.off.timers {
+		if err := conn.SetDeadline(time.Now().Add(left)); err != nil {
+			return fmt.Errorf("set deadline: %w", err)
+		}
 	}
 	if err := conn.SetLinger(0); err != nil {
 		return fmt.Errorf("set linger: %w", err)
@@ -186,7 +191,14 @@
 	if err != nil {
 		return err
 	}
-	defer timer.disarm()
+	err = t.release(ctx, conn, tail)
+	timer.disarm()
+	t.options.reach(stageSent)
+	return err
+}
+
+// release checks the term and writes the bytes on the same thread.
+func (t *transport) release(ctx context.Context, conn *net.TCPConn, tail []byte) error {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return fmt.Errorf("access socket: %w", err)
@@ -201,7 +213,6 @@
 		written, writeErr = unix.Write(int(fd), tail)
 		return true
 	})
-	t.options.reach(stageSent)
 	if err != nil {
 		return fmt.Errorf("release request: %w", err)
 	}
@@ -216,7 +227,7 @@
 
 // arm starts the watchdog. A term that is over is an error, not a reason to kill the process.
 func (t *transport) arm() (*watchdog, error) {
-	if t.options.NoWatchdog {
+	if t.options.NoWatchdog || t.options.off.check {
 		return nil, nil
 	}
 	left := t.kill.Sub(t.options.Clock.Now())
