--- a/usage/billing/reporter.go
+++ b/usage/billing/reporter.go
@@ -135,7 +135,7 @@
 	ticker := time.NewTicker(r.options.Interval)
 	defer ticker.Stop()
 	for {
-		r.step(ctx)
+		r.Step(ctx, r.options.Clock.Now())
 		select {
 		case <-ctx.Done():
 			return nil
@@ -144,10 +144,10 @@
 	}
 }
 
-// step seals what is due and reports what is sealed. After a failure the ledger is
-// read anew, since what became of its last write is not known.
-func (r *Reporter) step(ctx context.Context) {
-	now := r.options.Clock.Now()
+// Step seals what is due now and reports what is sealed; Run calls it once in an
+// interval. After a failure the ledger is read anew, since what became of its last
+// write is not known.
+func (r *Reporter) Step(ctx context.Context, now time.Time) {
 	term, held := r.options.Charge.Term(now)
 	if !held || term.Number == r.fenced {
 		r.ledger = nil
--- a/usage/billing/reporter_test.go
+++ b/usage/billing/reporter_test.go
@@ -43,7 +43,7 @@
 // Put lets a successor act before the write takes effect when that was asked for.
 func (o overtaken) Put(ctx context.Context, key string, value []byte, expect winch.Version) (winch.Version, error) {
 	if o.simulation.overtakeAt--; o.simulation.overtakeAt == 0 {
-		o.simulation.takeOver().step(ctx)
+		o.simulation.takeOver().Step(ctx, o.simulation.now)
 	}
 	return o.Store.Put(ctx, key, value, expect)
 }
@@ -133,11 +133,11 @@
 		s.count(t.Context(), 6000, "yard-1", 3)
 		reporter := s.takeOver()
 		s.now = start.Add(69 * time.Second)
-		reporter.step(t.Context())
+		reporter.Step(t.Context(), s.now)
 		assert.Equal(t, s.reports, 0)
 		for range 5 {
 			s.now = s.now.Add(time.Second)
-			reporter.step(t.Context())
+			reporter.Step(t.Context(), s.now)
 		}
 		assert.Equal(t, s.reports, 1)
 		s.assertBilled()
@@ -147,11 +147,11 @@
 		s.count(t.Context(), 6000, "yard-1", 3)
 		reporter := s.takeOver()
 		s.now = start.Add(70 * time.Second)
-		reporter.step(t.Context())
+		reporter.Step(t.Context(), s.now)
 		s.count(t.Context(), 6000, "yard-2", 2)
 		s.count(t.Context(), 6060, "yard-2", 1)
 		s.now = start.Add(130 * time.Second)
-		reporter.step(t.Context())
+		reporter.Step(t.Context(), s.now)
 		assert.DeepEqual(t, s.billed[start.Add(time.Minute)], []wireFigure{
 			{Organisation: "dealer", Requests: 1},
 			{Organisation: "dealer", Requests: 2, Adjustment: true},
@@ -163,12 +163,12 @@
 		reporter := s.takeOver()
 		s.lose = true
 		s.now = start.Add(70 * time.Second)
-		reporter.step(t.Context())
+		reporter.Step(t.Context(), s.now)
 		s.count(t.Context(), 6000, "yard-1", 4)
-		s.takeOver().step(t.Context())
+		s.takeOver().Step(t.Context(), s.now)
 		assert.Equal(t, s.reports, 2)
 		s.now = start.Add(130 * time.Second)
-		s.reporters[s.inCharge].step(t.Context())
+		s.reporters[s.inCharge].Step(t.Context(), s.now)
 		s.assertBilled()
 	})
 	t.Run("old entries are removed", func(t *testing.T) {
@@ -177,7 +177,7 @@
 		reporter := s.takeOver()
 		for range 130 {
 			s.now = s.now.Add(time.Minute)
-			reporter.step(t.Context())
+			reporter.Step(t.Context(), s.now)
 		}
 		entries, _, err := s.store.List(t.Context(), "usage/collected/")
 		assert.NilError(t, err)
@@ -202,7 +202,7 @@
 		s.lose, s.overtakeAt = false, 0
 		last := s.takeOver()
 		s.now = s.now.Add(3 * time.Minute)
-		last.step(ctx)
+		last.Step(ctx, s.now)
 		s.assertBilled()
 	})
 }
@@ -225,6 +225,6 @@
 		s.overtakeAt = rapid.IntRange(1, 4).Draw(t, "overtaken at")
 	default:
 		number := rapid.IntRange(1, int(s.inCharge)).Draw(t, "reporter")
-		s.reporters[winch.FencingNumber(number)].step(ctx)
+		s.reporters[winch.FencingNumber(number)].Step(ctx, s.now)
 	}
 }
--- a/usage/peer/counters.go
+++ b/usage/peer/counters.go
@@ -170,7 +170,7 @@
 	ticker := time.NewTicker(min(time.Second, c.options.StoreEvery/4))
 	defer ticker.Stop()
 	for {
-		c.step(ctx, c.options.Clock.Now())
+		c.Step(ctx, c.options.Clock.Now())
 		select {
 		case <-ctx.Done():
 			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastStore)
@@ -182,8 +182,9 @@
 	}
 }
 
-// step writes counters when that is due, and forgets old ones.
-func (c *Counters) step(ctx context.Context, now time.Time) {
+// Step writes counters when that is due now, and forgets old ones; Run calls it
+// once a second.
+func (c *Counters) Step(ctx context.Context, now time.Time) {
 	ended := usage.WindowOf(now.Add(-c.options.Settle), c.options.Window)
 	if !now.Before(c.nextStore) || ended > c.settled {
 		c.nextStore = now.Add(c.options.StoreEvery)
--- a/usage/peer/counters_test.go
+++ b/usage/peer/counters_test.go
@@ -105,7 +105,7 @@
 func (y *yard) second(ctx context.Context) {
 	y.now = y.now.Add(time.Second)
 	for _, h := range y.hosts {
-		h.counters.step(ctx, y.now)
+		h.counters.Step(ctx, y.now)
 	}
 }
 
