--- /dev/null
+++ b/dispatch/endpoint/limit.go
@@ -0,0 +1,116 @@
+package endpoint
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	limitInterval  = time.Second
+	limitDecrease  = 0.85
+	limitPressure  = 0.92 // share of the target from which the limit falls
+	limitHeadroom  = 0.82 // share of the target below which it may grow
+	sampleWeight   = 0.1
+	holdWeight     = 0.03 // lengths of answers vary much
+	minimumSamples = 3
+)
+
+// limiter adapts the concurrency of an endpoint to its latency: additive
+// increase while the targets are met and the limit is used, multiplicative
+// decrease when the time to the first token or between tokens nears its target.
+type limiter struct {
+	value      float64
+	ceiling    int
+	firstToken average // share of the class's target, since the last adjustment
+	interToken average // seconds, since the last adjustment
+	// The steady means go on over adjustments, to compare endpoints with each other.
+	steadyInter average
+	steadyFirst average
+	adjustedAt  time.Time
+	peak        int // most requests at once since the last adjustment
+}
+
+func newLimiter(ceiling int) limiter {
+	if ceiling <= 0 {
+		ceiling = defaultSlotLimit
+	}
+	return limiter{value: float64(ceiling), ceiling: ceiling}
+}
+
+const defaultSlotLimit = 8
+
+// sampleFirst takes a time to the first token in. It is judged by the target of its
+// own class, since prompts of different classes differ in length.
+func (l *limiter) sampleFirst(seconds float64, target time.Duration) {
+	if target <= 0 {
+		return
+	}
+	share := seconds / target.Seconds()
+	l.firstToken.add(share, sampleWeight)
+	l.steadyFirst.add(share, sampleWeight)
+}
+
+func (l *limiter) sampleInter(seconds float64) {
+	l.interToken.add(seconds, sampleWeight)
+	l.steadyInter.add(seconds, sampleWeight)
+}
+
+// pressure returns the largest share of a target that is used up, and whether
+// anything was measured. The target between tokens is that of the most urgent
+// class at the endpoint, in seconds; zero means none.
+func (l *limiter) pressure(interToken float64) (float64, bool) {
+	pressure, measured := 0.0, false
+	if l.firstToken.samples >= minimumSamples {
+		pressure, measured = l.firstToken.value, true
+	}
+	if interToken > 0 && l.interToken.samples >= minimumSamples {
+		pressure, measured = math.Max(pressure, l.interToken.value/interToken), true
+	}
+	return pressure, measured
+}
+
+// adjust moves the limit once an interval.
+func (l *limiter) adjust(now time.Time, interToken float64, running int) {
+	if running > l.peak {
+		l.peak = running
+	}
+	if now.Sub(l.adjustedAt) < limitInterval {
+		return
+	}
+	pressure, measured := l.pressure(interToken)
+	switch {
+	case measured && pressure > limitPressure:
+		// More than is running cannot be the cause, so the cut starts from there.
+		l.value = math.Max(1, math.Min(l.value, float64(l.peak))*limitDecrease)
+	case (!measured || pressure < limitHeadroom) && float64(l.peak) >= math.Floor(l.value):
+		l.value = math.Min(float64(l.ceiling), l.value+1)
+	}
+	l.adjustedAt, l.peak = now, running
+	l.firstToken, l.interToken = average{}, average{}
+}
+
+// merge moves the limit half way to what the other hosts found.
+func (l *limiter) merge(others float64) {
+	if others < 1 {
+		return
+	}
+	l.value = math.Min(float64(l.ceiling), (l.value+others)/2)
+}
+
+// slots is the limit as a number of requests. Ramp time since the endpoint was
+// first seen scales it.
+func (e *endpoint) slots(now time.Time, ramp time.Duration) int {
+	value := e.limit.value
+	if !e.rampSince.IsZero() {
+		age := now.Sub(e.rampSince)
+		if age >= ramp {
+			e.rampSince = time.Time{}
+		} else {
+			value *= math.Max(rampStart, float64(age)/float64(ramp))
+		}
+	}
+	return int(math.Max(1, value))
+}
+
+// rampStart is the share of its limit that a new endpoint gets at first.
+const rampStart = 0.25
--- /dev/null
+++ b/dispatch/endpoint/preempt.go
@@ -0,0 +1,181 @@
+package endpoint
+
+import (
+	"math"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// preemptFor makes lower tiers give way for requests of the lane whose target is at risk.
+func (c *core) preemptFor(now time.Time, l *lane) {
+	if !c.features.preemption {
+		return
+	}
+	need := c.atRisk(now, l)
+	for _, competitor := range l.competitors {
+		if l.higher(competitor) {
+			need -= competitor.preempting
+		} else if competitor != l {
+			need += c.atRisk(now, competitor)
+		}
+	}
+	for need = min(need, victimsAtOnce); need > 0; need-- {
+		victim := c.victim(now, l)
+		if victim == nil {
+			return
+		}
+		c.preempt(now, victim, l, false)
+	}
+}
+
+// atRisk returns how many of the lane's queued requests would miss their target by
+// waiting for slots: those that are more than come free in time by themselves, and
+// at least one when the oldest has waited for long.
+func (c *core) atRisk(now time.Time, l *lane) int {
+	if l.queued == 0 {
+		return 0
+	}
+	left := c.timeLeft(l)
+	count := l.queued - int(c.slotRate(l)*left.Seconds()*naturalShare)
+	if l.oldestWait(now) > time.Duration(float64(left)*c.settings.RiskShare) {
+		count = max(1, count)
+	}
+	return max(0, count)
+}
+
+// naturalShare is the share of the time left in which slots must come free.
+const naturalShare = 0.3
+
+// riskLimit is the wait from which the lane's target is at risk.
+func (c *core) riskLimit(l *lane) time.Duration {
+	return time.Duration(float64(c.timeLeft(l)) * c.settings.RiskShare)
+}
+
+// timeLeft is what the usual time to the first token leaves of the lane's target.
+func (c *core) timeLeft(l *lane) time.Duration {
+	target := l.class.FirstTokenTarget
+	if target <= 0 {
+		target = l.maxWait()
+	}
+	return max(target-secondsOf(l.firstToken.value), target/timeLeftLeast)
+}
+
+// timeLeftLeast bounds the usual time to the first token to a part of the target.
+const timeLeftLeast = 4
+
+// slotRate is how many of this host's requests on the lane's endpoints usually end in a second.
+func (c *core) slotRate(l *lane) float64 {
+	rate := 0.0
+	for _, competitor := range l.competitors {
+		if competitor.hold.value > 0 {
+			rate += float64(competitor.running) / competitor.hold.value
+		}
+	}
+	return rate
+}
+
+// victim returns the request of the lowest tier that the lane's endpoints could give up at the least cost.
+func (c *core) victim(now time.Time, l *lane) *request {
+	var best *request
+	for _, e := range l.endpoints {
+		if !e.usable(now) {
+			continue
+		}
+		for i := len(e.tiers) - 1; i >= 0 && e.tiers[i].tier > l.class.Tier; i-- {
+			if best != nil && e.tiers[i].tier < best.lane.class.Tier {
+				break
+			}
+			if r := cheapestMovable(&e.tiers[i]); r != nil && (best == nil || better(r, best)) {
+				best = r
+				break
+			}
+		}
+	}
+	return best
+}
+
+// cheapestMovable returns the request among the newest whose restart costs least.
+func cheapestMovable(list *tierRunning) *request {
+	var best *request
+	seen := 0
+	for r := list.newest; r != nil && seen < victimSearch; r = r.runNext {
+		if r.movable() && !r.preempted {
+			seen++
+			if best == nil || r.restartCost() < best.restartCost() {
+				best = r
+			}
+		}
+	}
+	return best
+}
+
+// victimSearch bounds the search on one endpoint.
+const victimSearch = 8
+
+// better tells whether giving r up wastes less than giving up the other.
+func better(r, other *request) bool {
+	if r.lane.class.Tier != other.lane.class.Tier {
+		return other.lane.higher(r.lane)
+	}
+	return r.restartCost() < other.restartCost()
+}
+
+func (c *core) preempt(now time.Time, r *request, l *lane, forOther bool) {
+	r.preempted, r.forOwnQueue = true, !forOther
+	r.lane.movingRunning++
+	r.endpoint.raiseReserve(l.class.Tier)
+	if !forOther {
+		// Counted at the victim's lane and released with the victim.
+		r.lane.preempting++
+	}
+	c.emit(effect{kind: effectPreempted, at: now, request: r, lane: l, endpoint: r.endpoint, lower: c.lowerWork(now, r.lane)})
+}
+
+// preemptForOthers gives up this host's part of the slots that a higher tier waits for at other hosts.
+func (c *core) preemptForOthers(now time.Time, l *lane) {
+	if !c.features.preemption || !c.informed(now) || l.others.Urgent == 0 || now.Sub(l.preemptedAt) < exchangePause {
+		return
+	}
+	w := c.lowerWork(now, l)
+	if w.running == 0 {
+		return
+	}
+	share := float64(w.running) / float64(w.movable())
+	need := int(math.Ceil(float64(l.others.Urgent) * share))
+	for need = min(need, victimsAtOnce); need > 0; need-- {
+		victim := c.victim(now, l)
+		if victim == nil {
+			break
+		}
+		c.preempt(now, victim, l, true)
+	}
+	l.preemptedAt = now
+}
+
+// victimsAtOnce bounds the work of one decision.
+const victimsAtOnce = 16
+
+// exchangePause is the time for a slot given up to show in the waiting host's next report.
+const exchangePause = 1500 * time.Millisecond
+
+const (
+	reserveShare = 0.25 // of the endpoint's slots, the most that are kept free
+	reserveDecay = 10 * time.Second
+)
+
+func (e *endpoint) raiseReserve(tier winch.Tier) {
+	e.reservedFor = tier
+	e.reserve = math.Min(e.reserve+1, reserveShare*float64(e.cap))
+}
+
+// decayReserve lowers the reserve by a tick's share.
+func (e *endpoint) decayReserve(tick time.Duration) {
+	e.reserve *= 1 - float64(tick)/float64(reserveDecay)
+}
+
+// reserved tells whether the endpoint's free slots are kept for a tier above the
+// lane's. Each preemption makes the endpoint do a prompt again, so where they recur a few free slots cost less.
+func (c *core) reserved(now time.Time, e *endpoint, l *lane) bool {
+	return e.reserve >= 1 && e.reservedFor < l.class.Tier && float64(c.allowance(now, e)) <= math.Floor(e.reserve) && !c.starved(now, l)
+}
--- a/httpjson/client.go
+++ b/httpjson/client.go
@@ -52,6 +52,8 @@
 	AnswerLimit int64
 	// Transport replaces the default one.
 	Transport http.RoundTripper
+	// Compactor shortens the bodies, when the server's handler has the same one.
+	Compactor *Compactor
 }
 
 // Client calls one server. It is safe for concurrent use.
@@ -79,8 +81,13 @@
 func (e *Error) Unwrap() error { return e.kind }
 
 // NewTransport returns a transport for calls by IP number, without proxies.
-func NewTransport() *http.Transport {
+func NewTransport() *http.Transport { return newTransport("") }
+
+func newTransport(source string) *http.Transport {
 	dialer := &net.Dialer{Timeout: defaultDial, KeepAlive: 15 * time.Second}
+	if source != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(source)}
+	}
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 64,
@@ -146,6 +153,9 @@
 		if err != nil {
 			return nil, nil, fmt.Errorf("encode call of %s: %w", path, err)
 		}
+		if encoded, err = c.shorten(encoded); err != nil {
+			return nil, nil, fmt.Errorf("encode call of %s: %w", path, err)
+		}
 		body = bytes.NewReader(encoded)
 	}
 	written := &atomic.Bool{}
@@ -155,15 +165,41 @@
 		return nil, nil, fmt.Errorf("build call of %s: %w", path, err)
 	}
 	request.GetBody = nil
-	request.Header.Set("Content-Type", "application/json")
+	c.describe(request, in != nil)
 	if c.options.Secret != "" {
 		request.Header.Set("Authorization", "Bearer "+c.options.Secret)
 	}
 	return request, written, nil
 }
 
+func (c *Client) shorten(encoded []byte) ([]byte, error) {
+	if c.options.Compactor == nil {
+		return encoded, nil
+	}
+	return c.options.Compactor.shorten(encoded)
+}
+
+// describe sets only the headers that the server needs: at several calls a
+// second for each peer, headers are a good part of the traffic.
+func (c *Client) describe(request *http.Request, body bool) {
+	request.Header.Set("User-Agent", "")
+	switch {
+	case !body:
+	case c.options.Compactor != nil:
+		request.Header.Set("Content-Encoding", compactEncoding)
+	default:
+		request.Header.Set("Content-Type", "application/json")
+	}
+}
+
 func (c *Client) answer(response *http.Response, method, path string, out any) error {
-	body, err := io.ReadAll(io.LimitReader(response.Body, c.options.AnswerLimit+1))
+	var content io.Reader = response.Body
+	if c.options.Compactor != nil && response.Header.Get("Content-Encoding") == compactEncoding {
+		reader := c.options.Compactor.reader(response.Body)
+		defer reader.Close()
+		content = reader
+	}
+	body, err := io.ReadAll(io.LimitReader(content, c.options.AnswerLimit+1))
 	if err != nil {
 		return fmt.Errorf("read answer of %s: %w: %w", path, winch.ErrOutcomeUnknown, err)
 	}
--- /dev/null
+++ b/standin/engine/cache.go
@@ -0,0 +1,126 @@
+package engine
+
+import (
+	"container/list"
+	"math/rand/v2"
+	"time"
+)
+
+// eventLimit is how many cache events are kept for readers.
+const eventLimit = 8192
+
+// cacheEvent says that the leading part of a prompt was stored or evicted.
+type cacheEvent struct {
+	sequence int64
+	prefix   uint64
+	evicted  bool
+	at       time.Time
+}
+
+// cache is a prefix cache that evicts the least recently used block.
+type cache struct {
+	limit  int
+	blocks map[uint64]*list.Element
+	order  *list.List
+	// leads are the leading parts that begin with a stored block.
+	leads  map[uint64]map[uint64]struct{}
+	events []cacheEvent
+	next   int64
+	gap    float64
+	random *rand.Rand
+}
+
+func newCache(limitTokens int, gap float64, random *rand.Rand) *cache {
+	return &cache{
+		limit:  limitTokens / blockTokens,
+		blocks: map[uint64]*list.Element{},
+		order:  list.New(),
+		leads:  map[uint64]map[uint64]struct{}{},
+		gap:    gap,
+		random: random,
+	}
+}
+
+// cached returns how many tokens of the prompt's start are stored.
+func (c *cache) cached(blocks []uint64) int {
+	stored := 0
+	for stored < len(blocks) && c.blocks[blocks[stored]] != nil {
+		stored++
+	}
+	c.touch(blocks[:stored])
+	return stored * blockTokens
+}
+
+// touch marks blocks as used, the first one as the last to be evicted.
+func (c *cache) touch(blocks []uint64) {
+	for i := len(blocks) - 1; i >= 0; i-- {
+		if element, found := c.blocks[blocks[i]]; found {
+			c.order.MoveToFront(element)
+			continue
+		}
+		c.blocks[blocks[i]] = c.order.PushFront(blocks[i])
+	}
+}
+
+// store keeps the prompt's blocks and evicts others over the limit. Prompts
+// shorter than a block are not stored.
+func (c *cache) store(now time.Time, read prompt) {
+	if len(read.blocks) == 0 {
+		return
+	}
+	c.touch(read.blocks)
+	c.remember(now, read.blocks[0], read.lead)
+	for c.order.Len() > c.limit {
+		block := c.order.Remove(c.order.Back()).(uint64)
+		delete(c.blocks, block)
+		c.forget(now, block)
+	}
+}
+
+func (c *cache) remember(now time.Time, first, lead uint64) {
+	if c.leads[first] == nil {
+		c.leads[first] = map[uint64]struct{}{}
+	}
+	if _, known := c.leads[first][lead]; !known {
+		c.leads[first][lead] = struct{}{}
+		c.publish(now, lead, false)
+	}
+}
+
+func (c *cache) forget(now time.Time, first uint64) {
+	for lead := range c.leads[first] {
+		c.publish(now, lead, true)
+	}
+	delete(c.leads, first)
+}
+
+func (c *cache) publish(now time.Time, prefix uint64, evicted bool) {
+	c.next++
+	if c.random.Float64() < c.gap {
+		return
+	}
+	c.events = append(c.events, cacheEvent{sequence: c.next, prefix: prefix, evicted: evicted, at: now})
+	if len(c.events) > 2*eventLimit {
+		c.events = append([]cacheEvent(nil), c.events[eventLimit:]...)
+	}
+}
+
+// since returns the events after the sequence number that happened until the instant.
+func (c *cache) since(after int64, until time.Time) []cacheEvent {
+	out := []cacheEvent{}
+	for _, event := range c.events {
+		if event.sequence > after && !event.at.After(until) {
+			out = append(out, event)
+		}
+	}
+	return out
+}
+
+func (c *cache) used() int { return c.order.Len() * blockTokens }
+
+func (c *cache) clear() {
+	c.blocks = map[uint64]*list.Element{}
+	c.order = list.New()
+	c.leads = map[uint64]map[uint64]struct{}{}
+	c.events = nil
+}
--- /dev/null
+++ b/winchload/bench/host.go
@@ -0,0 +1,113 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/arbutuswinch/winch/winchload/control"
+	"github.com/arbutuswinch/winch/winchload/experiment"
+)
+
+// UsageWindow is the length of the usage windows of a set.
+const UsageWindow = 10 * time.Second
+
+const (
+	peerSecret     = "load-peer-secret"
+	operatorSecret = "load-operator-secret"
+)
+
+// The settings of a host, as far as an experiment sets them; the rest are its defaults.
+type hostSettings struct {
+	Host        string
+	DataCentre  string
+	DataCentres []string
+	Caller      section
+	Peer        secretSection
+	Operator    secretSection
+	Platform    hostPlatform
+	Endpoints   endpointsSection
+	Dispatch    dispatchSection
+	Usage       usageSection
+	Shutdown    shutdownSection
+	Log         logSection
+}
+
+type secretSection struct {
+	Address string
+	Secret  string
+}
+
+type hostPlatform struct {
+	KeyValue string
+	Orders   string
+	Usage    string
+	Hosts    string
+}
+
+type endpointsSection struct{ Credential string }
+
+type dispatchSection struct {
+	Policy string
+	Seed   uint64
+}
+
+type usageSection struct{ Window experiment.Duration }
+
+type shutdownSection struct {
+	ReadinessDelay experiment.Duration
+	DrainTimeout   experiment.Duration
+}
+
+type logSection struct {
+	Level string
+	JSON  bool
+	File  string `json:",omitempty"`
+}
+
+// newHosts returns the settings of all hosts of the deployment.
+func newHosts(loaded experiment.Experiment, addresses map[string]string, options Options, ports *portCounter) ([]hostSettings, error) {
+	centres, hosts := []string{}, []hostSettings{}
+	for _, centre := range loaded.DataCentres {
+		centres = append(centres, centre.ID)
+	}
+	for _, centre := range loaded.DataCentres {
+		for i := range centre.Hosts {
+			host := hostSettings{
+				Host: centre.HostID(i), DataCentre: centre.ID, DataCentres: centres,
+				Platform: hostPlatform{
+					KeyValue: addresses["keyvalue"], Orders: addresses["orders"], Usage: addresses["usage"], Hosts: addresses["hosts"],
+				},
+				Endpoints: endpointsSection{Credential: "load-endpoint-credential"},
+				Dispatch:  dispatchSection{Policy: options.Policy, Seed: options.Seed*1000 + uint64(len(hosts)) + 1},
+				Usage:     usageSection{Window: experiment.Duration(UsageWindow)},
+				Shutdown:  shutdownSection{ReadinessDelay: experiment.Duration(readinessDelay), DrainTimeout: experiment.Duration(drainTimeout)},
+				Log:       logSection{Level: options.LogLevel, JSON: true},
+			}
+			if err := host.setAddresses(ports); err != nil {
+				return nil, err
+			}
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts, nil
+}
+
+func (h *hostSettings) setAddresses(ports *portCounter) error {
+	h.Peer.Secret, h.Operator.Secret = peerSecret, operatorSecret
+	for _, address := range []*string{&h.Caller.Address, &h.Peer.Address, &h.Operator.Address} {
+		chosen, err := ports.chosen()
+		if err != nil {
+			return err
+		}
+		*address = chosen
+	}
+	return nil
+}
+
+// listed returns the hosts as the platform's host list names them.
+func listed(hosts []hostSettings) []control.Host {
+	out := make([]control.Host, 0, len(hosts))
+	for _, host := range hosts {
+		out = append(out, control.Host{ID: host.Host, DataCentre: host.DataCentre, PeerAddress: host.Peer.Address, State: "live"})
+	}
+	return out
+}
