--- a/usage/billing/reporter.go
+++ b/usage/billing/reporter.go
@@ -121,13 +121,13 @@
 
 // Run seals and reports until ctx ends. It returns nil.
 func (r *Reporter) Run(ctx context.Context) error {
-	return periodic.Run(ctx, r.options.Interval, r.step)
+	return periodic.Run(ctx, r.options.Interval, func(ctx context.Context) { r.Step(ctx, r.options.Clock.Now()) })
 }
 
-// step seals what is due and reports what is sealed. After a failure the ledger is
-// read anew, since what became of its last write is not known.
-func (r *Reporter) step(ctx context.Context) {
-	now := r.options.Clock.Now()
+// Step seals what is due now and reports what is sealed; Run calls it once in an
+// interval. After a failure the ledger is read anew, since what became of its last
+// write is not known.
+func (r *Reporter) Step(ctx context.Context, now time.Time) {
 	term, held := r.options.Charge.Term(now)
 	if !held || term.Number == r.fenced {
 		r.ledger = nil
