fix(serving,dispatch): spare open requests a short lapse of evidence, and never send a negative age

Cause: a host that was paused for 5 s woke with evidence 6.15 s old, over the limit of 6 s, and ended 27 open streams as isolated 0.17 s before its next exchange. Figures were encoded with an instant that was read before the lock, so that one taken meanwhile had a negative age, and the whole section was refused (44 lines of event 8004 in three load trials). Ruled out: a longer freshness limit (acceptance would wait as long); counting the delay from when the lapse is noticed (a host frozen past an acceptance would deliver for a second). Before / after: 27 streams ended / open requests go on for a second from the instant at which the evidence lapsed, acceptance waits a second longer for it; unit tests of both, fault tests pass (60.8 s, four systems at once). Conclusion: new requests are refused at once as before.

--- a/dispatch/endpoint/codec.go
+++ b/dispatch/endpoint/codec.go
@@ -85,7 +85,7 @@
 		l := lanes[key]
 		wire.Classes = append(wire.Classes, string(key.class))
 		wire.Groups = append(wire.Groups, encodeGroup(key.group))
-		wire.Rows = append(wire.Rows, [laneColumns]int{l.Queued, l.Running, l.Movable, l.Urgent, int(l.OldestWait.Milliseconds())})
+		wire.Rows = append(wire.Rows, [laneColumns]int{l.Queued, l.Running, l.Movable, l.Urgent, milliseconds(l.OldestWait)})
 	}
 	return wire
 }
@@ -128,7 +128,7 @@
 	}
 	for centre, m := range f.remotes {
 		encoded := encodeRemote(m)
-		encoded.DataCentre, encoded.Age = string(centre), int(m.Age.Milliseconds())
+		encoded.DataCentre, encoded.Age = string(centre), milliseconds(m.Age)
 		wire.Remotes = append(wire.Remotes, encoded)
 	}
 	sort.Slice(wire.Remotes, func(i, j int) bool { return wire.Remotes[i].DataCentre < wire.Remotes[j].DataCentre })
@@ -178,6 +178,10 @@
 // remoteLanesTold is the number of queues up to which hosts are told of another data centre's queues.
 const remoteLanesTold = 32
 
+// milliseconds rounds a duration down. One that is measured from an instant which a
+// concurrent call took later is below zero, and counts as none.
+func milliseconds(d time.Duration) int { return int(max(0, d.Milliseconds())) }
+
 // mustMarshal encodes structs that hold nothing which JSON cannot carry.
 func mustMarshal(value any) []byte {
 	encoded, err := json.Marshal(value)
--- a/dispatch/endpoint/section_test.go
+++ b/dispatch/endpoint/section_test.go
@@ -142,3 +142,15 @@
 		assert.Equal(t, len(hub.summary(hub.now, "host-07").endpoints), 128)
 	})
 }
+
+func TestFiguresFromAConcurrentCall(t *testing.T) {
+	// A figure that was taken just after the instant of the encoding has an age below zero.
+	encoded := encodeFigures(figures{
+		lanes:   map[laneKey]laneFigures{{class: "urgent", group: group{model: "m"}}: {Queued: 1, OldestWait: -time.Second}},
+		remotes: map[winch.DataCentreID]remoteFigures{"b": {Age: -time.Second}},
+	})
+	decoded, err := decodeFigures(encoded)
+	assert.NilError(t, err)
+	assert.Equal(t, decoded.remotes["b"].Age, time.Duration(0))
+	assert.Equal(t, decoded.lanes[laneKey{class: "urgent", group: group{model: "m"}}].OldestWait, time.Duration(0))
+}
--- a/errors.go
+++ b/errors.go
@@ -1,6 +1,9 @@
 package winch
 
-import "errors"
+import (
+	"errors"
+	"time"
+)
 
 // Errors that cross the borders of the slices. Callers test them with errors.Is.
 var (
@@ -29,3 +32,14 @@
 	// ErrInvalid: the input breaks a rule; the text names the field.
 	ErrInvalid = errors.New("invalid")
 )
+
+// Isolation says since when keys cannot be confirmed here. It matches ErrIsolated.
+type Isolation struct {
+	Since time.Time
+}
+
+// Error returns the sentinel's text.
+func (i *Isolation) Error() string { return ErrIsolated.Error() }
+
+// Is reports whether target is ErrIsolated.
+func (i *Isolation) Is(target error) bool { return target == ErrIsolated }
--- a/release/peer/section_test.go
+++ b/release/peer/section_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -140,3 +141,17 @@
 		assertNoGap(t, 2*time.Second, 500*time.Millisecond)
 	})
 }
+
+func TestIsolationTellsSinceWhen(t *testing.T) {
+	p := newPair(t)
+	p.commit(t, keyNote("k"))
+	p.watch(t)
+	proven := p.clock.Now()
+	p.exchange(t)
+	p.clock.now = proven.Add(time.Hour)
+	_, err := p.host.Authorize(p.clock.Now(), winch.HashKey("k"))
+	var isolation *winch.Isolation
+	assert.Assert(t, errors.As(err, &isolation))
+	assert.ErrorIs(t, err, winch.ErrIsolated)
+	assert.Assert(t, isolation.Since.Equal(proven.Add(defaultFreshness)), "since %s", isolation.Since)
+}
--- a/release/peer/state.go
+++ b/release/peer/state.go
@@ -181,11 +181,24 @@
 	return winch.AuthorityOpen
 }
 
+// lapsed returns when the last proof or grace ended.
+func (s *state) lapsed() time.Time {
+	end := s.proven.Add(s.limits.freshness)
+	grace := s.agreed.Add(s.limits.freshness)
+	if last := end.Add(s.limits.grace); grace.After(last) {
+		grace = last
+	}
+	if grace.After(end) {
+		return grace
+	}
+	return end
+}
+
 // authorize takes the same steps whether or not the key is known.
 func (s *state) authorize(now time.Time, hash winch.KeyHash) (winch.Key, error) {
 	fresh := s.fresh(now)
 	if !fresh && !s.graced(now) {
-		return winch.Key{}, fmt.Errorf("authorize key: %w", winch.ErrIsolated)
+		return winch.Key{}, fmt.Errorf("authorize key: %w", &winch.Isolation{Since: s.lapsed()})
 	}
 	key, found := s.find(hash)
 	organisation := s.current.Organisations[key.Organisation]
@@ -193,7 +206,7 @@
 		return winch.Key{}, fmt.Errorf("authorize key: %w", winch.ErrUnauthorized)
 	}
 	if !fresh && organisation.StrictKeys {
-		return winch.Key{}, fmt.Errorf("authorize key of a strict organisation: %w", winch.ErrIsolated)
+		return winch.Key{}, fmt.Errorf("authorize key of a strict organisation: %w", &winch.Isolation{Since: s.proven.Add(s.limits.freshness)})
 	}
 	return key, nil
 }
--- a/serving/caller/drain.go
+++ b/serving/caller/drain.go
@@ -63,26 +63,38 @@
 
 // watchKeys ends the open requests of keys that are no longer valid.
 func (s *Server) watchKeys() {
+	recheck := time.NewTimer(0)
+	defer recheck.Stop()
 	for {
 		changed := s.options.Configurations.Changed()
-		s.checkKeys()
+		if s.checkKeys() {
+			recheck.Reset(s.options.Limits.LapseDelay / lapseChecks)
+		}
 		select {
 		case <-changed:
+		case <-recheck.C:
 		case <-s.drain.stopped:
 			return
 		}
 	}
 }
 
-func (s *Server) checkKeys() {
+// lapseChecks is how often keys that cannot be confirmed are looked at within the delay.
+const lapseChecks = 5
+
+// checkKeys ends the requests whose key was withdrawn, and those whose key could not
+// be confirmed for the delay. It reports whether some still may be confirmed.
+func (s *Server) checkKeys() bool {
 	if s.options.unguarded.keys {
-		return
+		return false
 	}
 	now := s.now()
-	invalidKeys := map[winch.KeyHash]error{}
+	invalidKeys, pending := map[winch.KeyHash]error{}, false
 	for hash := range s.open.hashes() {
 		_, err := s.options.Configurations.Authorize(now, hash)
 		switch {
+		case s.lapsing(now, err):
+			pending = true
 		case errors.Is(err, winch.ErrIsolated):
 			invalidKeys[hash] = errIsolated
 		case err != nil:
@@ -92,4 +104,11 @@
 	if count := s.open.cancel(invalidKeys); count > 0 {
 		s.options.Logger.Info("requests ended with their keys", "Event", EventKeysEnded, "Keys", len(invalidKeys), "Requests", count)
 	}
+	return pending
+}
+
+// lapsing tells whether err says that the key cannot be confirmed, but not for longer than the delay.
+func (s *Server) lapsing(now time.Time, err error) bool {
+	var isolation *winch.Isolation
+	return errors.As(err, &isolation) && now.Sub(isolation.Since) < s.options.Limits.LapseDelay
 }
--- a/serving/caller/options.go
+++ b/serving/caller/options.go
@@ -21,6 +21,7 @@
 	defaultStallFactor    = 20
 	defaultMinStall       = 2 * time.Second
 	defaultStall          = 30 * time.Second
+	defaultLapseDelay     = time.Second
 	defaultHistory        = 4096
 )
 
@@ -43,6 +44,9 @@
 	MinStall    time.Duration
 	// Stall is the same limit for classes without the target.
 	Stall time.Duration
+	// LapseDelay is how long open requests go on while their key cannot be confirmed. A
+	// withdrawal counts as accepted only after it, so releases add it to their margin.
+	LapseDelay time.Duration
 	// History is the number of finished requests that can be explained.
 	History int
 }
@@ -99,6 +103,7 @@
 	setDuration(&l.ReadTimeout, defaultReadTimeout)
 	setDuration(&l.WriteTimeout, defaultWriteTimeout)
 	setDuration(&l.ReadinessDelay, defaultReadinessDelay)
+	setDuration(&l.LapseDelay, defaultLapseDelay)
 	setDuration(&l.MinStall, defaultMinStall)
 	setDuration(&l.Stall, defaultStall)
 	if l.StallFactor == 0 {
--- a/winchd/daemon/parts.go
+++ b/winchd/daemon/parts.go
@@ -26,6 +26,10 @@
 	// Several watches fit into the freshness limit, so that one that is lost does no harm.
 	watchesPerLimit = 4
 	maxWatchWait    = time.Second
+	// Open requests go on for lapseDelay while their key cannot be confirmed; clocks may
+	// differ by clockMargin over the limits of a release.
+	lapseDelay  = time.Second
+	clockMargin = 500 * time.Millisecond
 )
 
 // membershipParts tell which hosts are alive.
@@ -82,6 +86,7 @@
 	distributor, err := releasepeer.New(releasepeer.Options{
 		Membership: d.membership.table, Log: store, Clock: d.clock, Incarnation: d.incarnation, Logger: d.logger, Meter: d.metrics.meter(),
 		FreshnessLimit: d.settings.Release.FreshnessLimit, IsolationGrace: d.settings.Release.IsolationGrace,
+		Margin:    clockMargin + lapseDelay,
 		WatchWait: min(maxWatchWait, d.settings.Release.FreshnessLimit/watchesPerLimit),
 	})
 	if err != nil {
@@ -150,6 +155,6 @@
 func (d *Daemon) callerLimits() caller.Limits {
 	return caller.Limits{
 		Body: d.settings.Caller.BodyLimit, Timeout: d.settings.Caller.RequestTimeout,
-		ReadTimeout: d.settings.Caller.ReadTimeout, ReadinessDelay: max(d.settings.Shutdown.ReadinessDelay, time.Millisecond),
+		LapseDelay: lapseDelay, ReadTimeout: d.settings.Caller.ReadTimeout, ReadinessDelay: max(d.settings.Shutdown.ReadinessDelay, time.Millisecond),
 	}
 }
