fix(charge): take a released duty back when nobody took it over

Cause: a candidate that is alive but cut off from the key-value service left the duty unheld until the membership changed. Ruled out: every host trying after a while, which brings the storm back. Conclusion: a last holder that died does not come back; then it stays unheld.

--- a/charge/keyvalue/core.go
+++ b/charge/keyvalue/core.go
@@ -98,8 +98,19 @@
 	// closing says that the term is being given up.
 	closing  bool
 	released bool
+	// standInUntil is until when the duty is held although another host is the
+	// candidate, which did not take it over.
+	standInUntil time.Time
 }
 
+const (
+	// patienceTTLs is the number of TTLs after which a holder that gave the duty up
+	// takes it back when nobody took it over.
+	patienceTTLs = 2
+	// standInTTLs is the number of TTLs for which it then holds the duty.
+	standInTTLs = 10
+)
+
 // term returns the term if it has begun and is valid.
 func (c *core) term(now time.Time) (winch.Term, bool) {
 	h := c.holding
@@ -124,16 +135,33 @@
 		return action{step: stepDone}
 	}
 	if !candidate {
-		return action{step: stepWait}
+		return c.nextFormer(now)
 	}
 	return c.nextCandidate(now)
 }
 
+// nextFormer decides for a host that is not the candidate. It acts only when its
+// own release was not taken up: the candidate may be cut off from the service.
+func (c *core) nextFormer(now time.Time) action {
+	if !c.released || !c.seen.known {
+		return action{step: stepWait}
+	}
+	if c.unsure {
+		return action{step: stepRead}
+	}
+	if now.Sub(c.seen.since) < patienceTTLs*c.settings.ttl {
+		return action{step: stepWait}
+	}
+	c.standInUntil = now.Add(standInTTLs * c.settings.ttl)
+	return c.write(now, stepWrite, c.seen.version, false)
+}
+
 func (c *core) nextHolder(now time.Time, candidate, stopping bool) action {
 	if c.unsure {
 		return action{step: stepRead}
 	}
-	if stopping || !candidate || c.closing {
+	leaves := !candidate && !now.Before(c.standInUntil)
+	if stopping || leaves || c.closing {
 		c.closing = true
 		return c.write(now, stepRelease, c.holding.version, true)
 	}
@@ -200,7 +228,8 @@
 	if pending.release {
 		c.drop()
 		c.released = true
-		c.seen = observation{}
+		own := record{incarnation: c.settings.incarnation, ttl: c.settings.ttl, inFlight: c.settings.inFlight, released: true}
+		c.seen = observation{known: true, version: version, record: own, since: now, readAt: now}
 		return
 	}
 	if !c.holding.held {
@@ -257,6 +286,7 @@
 	}
 	c.attempt = attempt{}
 	c.drop()
+	c.released = !absent && found.released && found.incarnation == c.settings.incarnation
 	if c.seen.known && c.seen.absent == absent && c.seen.version == version {
 		c.seen.readAt = now
 		return
--- a/charge/keyvalue/core_test.go
+++ b/charge/keyvalue/core_test.go
@@ -235,6 +235,46 @@
 	})
 }
 
+func TestFormerHolder(t *testing.T) {
+	released := func(t *testing.T) (*core, time.Time) {
+		c := newCore("a")
+		acquireAfterAbsence(t, &c)
+		assert.Equal(t, c.next(start, false, false).step, stepRelease)
+		c.wrote(start, 2, resultDone)
+		return &c, start.Add(patienceTTLs * defaultTTL)
+	}
+	t.Run("takes the duty back when nobody took it over", func(t *testing.T) {
+		c, patient := released(t)
+		assert.Equal(t, c.next(patient.Add(-1), false, false).step, stepWait)
+		back := c.next(patient, false, false)
+		assert.Equal(t, back.step, stepWrite)
+		assert.Equal(t, back.expect, winch.Version(2))
+		c.wrote(patient, 3, resultDone)
+		_, held := c.term(patient.Add(defaultInFlight))
+		assert.Assert(t, held)
+		assert.Equal(t, c.next(patient.Add(defaultRenewEvery), false, false).step, stepWrite)
+	})
+	t.Run("gives it up again after a while", func(t *testing.T) {
+		c, patient := released(t)
+		c.next(patient, false, false)
+		c.wrote(patient, 3, resultDone)
+		assert.Equal(t, c.next(patient.Add(standInTTLs*defaultTTL), false, false).step, stepRelease)
+	})
+	t.Run("leaves it to whoever took it over", func(t *testing.T) {
+		c, patient := released(t)
+		c.next(patient, false, false)
+		c.wrote(patient, 0, resultConflict)
+		assert.Equal(t, c.next(patient, false, false).step, stepRead)
+		c.read(patient, false, 5, record{holder: "b", incarnation: "b", ttl: defaultTTL})
+		assert.Equal(t, c.next(patient.Add(time.Hour), false, false).step, stepWait)
+	})
+	t.Run("does nothing without a release of its own", func(t *testing.T) {
+		c := newCore("a")
+		c.read(start, false, 2, record{incarnation: "b", released: true, ttl: defaultTTL})
+		assert.Equal(t, c.next(start.Add(time.Hour), false, false).step, stepWait)
+	})
+}
+
 func acquireAfterAbsence(t *testing.T, c *core) {
 	t.Helper()
 	c.read(start, true, 0, record{})
