fix(usage): forget hosts that are gone

Before / after: grows for ever / dropped when the membership no longer lists the host; tests of the packages pass. Conclusion: the same for the list of endpoints.

--- a/placement/platform/endpoints.go
+++ b/placement/platform/endpoints.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"net/url"
 	"slices"
 	"strings"
@@ -108,6 +109,18 @@
 		endpoints = append(endpoints, decodePlatformEndpoint(wire, e.options.DataCentre))
 	}
 	e.set(endpoints)
+	e.forgetHosts()
+}
+
+// forgetHosts drops what is known of hosts that are gone.
+func (e *Endpoints) forgetHosts() {
+	alive := map[winch.HostID]bool{}
+	for _, host := range e.options.Membership.Hosts(e.options.Clock.Now(), e.options.DataCentre) {
+		alive[host.ID] = true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	maps.DeleteFunc(e.known, func(id winch.HostID, _ uint64) bool { return !alive[id] })
 }
 
 // set takes a whole list in.
--- a/placement/platform/endpoints_test.go
+++ b/placement/platform/endpoints_test.go
@@ -25,6 +25,10 @@
 	return winch.Host{ID: "hub"}, true
 }
 
+func (m *fakeMembership) Hosts(time.Time, winch.DataCentreID) []winch.Host {
+	return []winch.Host{{ID: "hub"}, {ID: "host"}}
+}
+
 // orderInterface answers with a list of endpoints.
 type orderInterface struct {
 	mu   sync.Mutex
--- a/usage/peer/counters.go
+++ b/usage/peer/counters.go
@@ -27,6 +27,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -193,6 +194,7 @@
 func (c *Counters) prune(ctx context.Context, now time.Time) {
 	keep := usage.WindowOf(now.Add(-keptWindows*c.options.Window), c.options.Window)
 	limit := usage.WindowOf(now.Add(-c.options.Retention), c.options.Window)
+	c.forgetHosts(now)
 	c.mu.Lock()
 	lost := c.table.prune(keep, limit)
 	c.mu.Unlock()
@@ -210,3 +212,15 @@
 	c.dropped.Add(ctx, int64(lost.InputTokens), metric.WithAttributes(attribute.String("kind", "input_tokens")))
 	c.dropped.Add(ctx, int64(lost.OutputTokens), metric.WithAttributes(attribute.String("kind", "output_tokens")))
 }
+
+// forgetHosts drops what is known of hosts that are gone. One that comes back
+// reports everything again.
+func (c *Counters) forgetHosts(now time.Time) {
+	alive := map[winch.HostID]bool{}
+	for _, host := range c.options.Membership.Hosts(now, c.options.Membership.Self().DataCentre) {
+		alive[host.ID] = true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	maps.DeleteFunc(c.hosts, func(id winch.HostID, _ hostState) bool { return !alive[id] })
+}
