perf(dispatch): look at the list of live hosts once a second

Cause: ten looks a second build lists of all hosts for nothing. Before / after: not measured. Conclusion: hosts that come or go count a second later at most.

--- a/dispatch/endpoint/dispatcher.go
+++ b/dispatch/endpoint/dispatcher.go
@@ -70,8 +70,12 @@
 	return configured, ordered
 }
 
+// hostsEvery is the time between looks at the list of live hosts.
+const hostsEvery = time.Second
+
 // rounds does housekeeping until the endpoints change.
 func (d *Dispatcher) rounds(ctx context.Context, ticker *time.Ticker, configured, ordered <-chan struct{}) error {
+	hostsAt := time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -82,7 +86,10 @@
 			return nil
 		case <-ticker.C:
 			now := d.options.Clock.Now()
-			d.setHosts(now)
+			if now.Sub(hostsAt) >= hostsEvery {
+				d.setHosts(now)
+				hostsAt = now
+			}
 			d.act(func() { d.core.tick(now) })
 		}
 	}
