--- /dev/null
+++ b/dispatch/endpoint/section_bench_test.go
@@ -0,0 +1,59 @@
+package endpoint
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// benchHub is a hub whose members all have requests on all endpoints.
+func benchHub(b *testing.B, hosts, endpoints int) (*core, time.Time) {
+	b.Helper()
+	c, now := benchCore(endpoints, 0)
+	for host := range hosts {
+		told := newFigures()
+		for i, e := range c.ordered {
+			told.endpoints[e.spec.ID] = endpointFigures{Running: (host + i) % 3, Limit: 16}
+		}
+		for _, l := range c.sorted {
+			told.lanes[l.key] = laneFigures{Queued: host, Running: host}
+		}
+		for i := range accountsTold {
+			told.charged[accountKey{tier: 1, organisation: winch.OrganisationID(fmt.Sprintf("organisation-%d", i))}] = int64(1000 + host)
+		}
+		c.hub.collect(now, winch.HostID(fmt.Sprintf("host-%d", host)), told)
+	}
+	return c, now
+}
+
+// BenchmarkSummary measures the hub's answer to one member; it reports its bytes too,
+// as JSON and deflated.
+func BenchmarkSummary(b *testing.B) {
+	for _, size := range []struct{ hosts, endpoints int }{{6, 24}, {20, 100}, {44, 100}, {44, 400}} {
+		b.Run(fmt.Sprintf("hosts=%d/endpoints=%d", size.hosts, size.endpoints), func(b *testing.B) {
+			c, now := benchHub(b, size.hosts, size.endpoints)
+			var encoded []byte
+			b.ReportAllocs()
+			for b.Loop() {
+				encoded = encodeFigures(c.summary(now, "host-0"))
+			}
+			deflated := &bytes.Buffer{}
+			writer, err := flate.NewWriter(deflated, flate.DefaultCompression)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if _, err := writer.Write(encoded); err != nil {
+				b.Fatal(err)
+			}
+			if err := writer.Close(); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(len(encoded)), "JSON-B/op")
+			b.ReportMetric(float64(deflated.Len()), "deflated-B/op")
+		})
+	}
+}
--- a/load/peer/peer.go
+++ b/load/peer/peer.go
@@ -31,6 +31,8 @@
 	sectionName     winch.SectionName = "Load"
 	defaultReports                    = 40
 	reportRetention                   = 15 * time.Second
+	// forgetPeriod bounds the work of forgetting, which goes through all hosts and endpoints.
+	forgetPeriod = time.Second
 )
 
 // Options are what an exchange needs.
@@ -52,6 +54,8 @@
 	known map[winch.EndpointID]knownReport
 	// told says when each host was last told of an endpoint, and of which report.
 	told map[winch.HostID]map[winch.EndpointID]toldReport
+	// forgotAt is when old reports were last dropped.
+	forgotAt time.Time
 }
 
 type knownReport struct {
@@ -144,6 +148,9 @@
 	}
 	var news []winch.LoadReport
 	for id, known := range x.known {
+		if now.Sub(known.report.AsOf) > reportRetention {
+			continue
+		}
 		if known.from != to && known.report.AsOf.After(told[id].asOf) {
 			news = append(news, known.report)
 		}
@@ -169,6 +176,10 @@
 
 // forget drops reports that are too old to be of use, and hosts that stopped asking.
 func (x *Exchange) forget(now time.Time) {
+	if now.Sub(x.forgotAt) < forgetPeriod {
+		return
+	}
+	x.forgotAt = now
 	for id, known := range x.known {
 		if now.Sub(known.report.AsOf) > reportRetention {
 			delete(x.known, id)
--- a/winchload/capacity.go
+++ b/winchload/capacity.go
@@ -14,12 +14,13 @@
 	Winchd  string        `arg:"--winchd" default:"bin/winchd" help:"program of the daemon" placeholder:"FILE"`
 	Standin string        `arg:"--standin" default:"bin/standin" help:"program of the stand-ins" placeholder:"FILE"`
 	Measure time.Duration `arg:"--measure" default:"20s" help:"time for each point"`
+	Only    string        `arg:"--only" help:"the one dimension to measure" placeholder:"DIMENSION"`
 	Out     string        `arg:"--out" default:"out/capacity" help:"directory of settings and logs" placeholder:"DIR"`
 }
 
 func (c *capacityCommand) execute(ctx context.Context) error {
 	samples, err := capacity.Run(ctx, capacity.Options{
-		Winchd: c.Winchd, Standin: c.Standin, Directory: c.Out, Measure: c.Measure, Progress: os.Stderr,
+		Winchd: c.Winchd, Standin: c.Standin, Directory: c.Out, Measure: c.Measure, Only: capacity.Dimension(c.Only), Progress: os.Stderr,
 	})
 	if err != nil {
 		return fmt.Errorf("measure capacity: %w", err)
--- a/winchload/capacity/capacity.go
+++ b/winchload/capacity/capacity.go
@@ -46,6 +46,8 @@
 	Directory string
 	// Measure is the time over which each point is measured.
 	Measure time.Duration
+	// Only names the one dimension to measure; empty stands for all.
+	Only Dimension
 	// Progress gets a line for each point.
 	Progress io.Writer
 }
@@ -77,6 +79,9 @@
 	}
 	samples := []Sample{}
 	for _, point := range points() {
+		if options.Only != "" && point.dimension != options.Only {
+			continue
+		}
 		sample, err := measure(ctx, options, point)
 		if err != nil {
 			return nil, fmt.Errorf("measure %s %v: %w", point.dimension, point.value, err)
--- a/winchload/capacity/points.go
+++ b/winchload/capacity/points.go
@@ -45,7 +45,7 @@
 func points() []point {
 	all := []point{}
 	base := point{centres: defaultCentres, hosts: defaultHosts, endpoints: defaultEndpoints, organisations: defaultTenants}
-	for _, hosts := range []int{2, 6, 12, 20} {
+	for _, hosts := range []int{2, 6, 20, 32, 44} {
 		next := base
 		next.dimension, next.value, next.hosts = DimensionHosts, float64(hosts), hosts
 		all = append(all, next)
