--- a/membership/peer/exchange.go
+++ b/membership/peer/exchange.go
@@ -15,6 +15,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -27,6 +28,7 @@
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/httpjson"
+	"github.com/arbutuswinch/winch/internal/periodic"
 )
 
 const (
@@ -84,10 +86,10 @@
 	if options.Table == nil || options.Clock == nil || options.Logger == nil {
 		return nil, fmt.Errorf("create exchange: table, clock and logger are needed: %w", winch.ErrInvalid)
 	}
-	setDefault(&options.ExchangeEvery, defaultExchangeEvery)
-	setDefault(&options.DigestEvery, defaultDigestEvery)
-	setDefault(&options.ListEvery, defaultListEvery)
-	setDefault(&options.Timeout, defaultTimeout)
+	options.ExchangeEvery = cmp.Or(options.ExchangeEvery, defaultExchangeEvery)
+	options.DigestEvery = cmp.Or(options.DigestEvery, defaultDigestEvery)
+	options.ListEvery = cmp.Or(options.ListEvery, defaultListEvery)
+	options.Timeout = cmp.Or(options.Timeout, defaultTimeout)
 	return &Exchange{
 		options: options, table: options.Table, compact: newCompactor(),
 		clients:      map[string]*httpjson.Client{},
@@ -96,19 +98,13 @@
 	}, nil
 }
 
-func setDefault(value *time.Duration, standard time.Duration) {
-	if *value == 0 {
-		*value = standard
-	}
-}
-
 // Run exchanges until ctx is done.
 func (e *Exchange) Run(ctx context.Context) error {
 	e.readHosts(ctx)
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return every(ctx, e.exchangePeriod, e.exchange) })
-	group.Go(func() error { return every(ctx, e.digestPeriod, e.sendDigests) })
-	group.Go(func() error { return every(ctx, e.listPeriod, e.refresh) })
+	group.Go(func() error { return periodic.RunPaced(ctx, e.exchangePeriod, e.exchange) })
+	group.Go(func() error { return periodic.RunPaced(ctx, e.digestPeriod, e.sendDigests) })
+	group.Go(func() error { return periodic.Run(ctx, e.options.ListEvery, e.refresh) })
 	return group.Wait()
 }
 
@@ -120,23 +116,6 @@
 	return scaled(e.options.DigestEvery, e.table.DigestFactor())
 }
 
-func (e *Exchange) listPeriod() time.Duration { return e.options.ListEvery }
-
-// every starts a round at each period, or at once when the one before took longer.
-func every(ctx context.Context, period func() time.Duration, do func(context.Context)) error {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case started := <-timer.C:
-			do(ctx)
-			timer.Reset(max(0, period()-time.Since(started)))
-		}
-	}
-}
-
 // exchange reports to the hub; when the hub does not answer, to the next one.
 func (e *Exchange) exchange(ctx context.Context) {
 	for range 2 {
