perf(membership): hosts are kept sorted

Cause: each question for a data centre's hosts went through all hosts and sorted; the hub asks several times for each exchange. Conclusion: members are kept in order for each data centre.

--- a/membership/peer/pace.go
+++ b/membership/peer/pace.go
@@ -44,7 +44,7 @@
 }
 
 func (t *Table) exchangeFactor() float64 {
-	return stretch(t.counts[t.self.DataCentre]+1, steadyHosts, hostsFactor)
+	return stretch(len(t.sorted[t.self.DataCentre])+1, steadyHosts, hostsFactor)
 }
 
 func (t *Table) digestFactor() float64 { return stretch(len(t.centres), steadyCentres, centresFactor) }
--- a/membership/peer/table.go
+++ b/membership/peer/table.go
@@ -21,9 +21,9 @@
 	mu      sync.Mutex
 	leaving bool
 	hosts   map[winch.HostID]*member
+	// sorted are the members of each data centre by id.
+	sorted  map[winch.DataCentreID][]*member
 	centres map[winch.DataCentreID]bool
-	// counts are the numbers of other hosts that are known of each data centre.
-	counts map[winch.DataCentreID]int
 }
 
 type member struct {
@@ -44,7 +44,7 @@
 		self: self, suspectAfter: suspectAfter, forgetAfter: forgetAfter,
 		hosts:   map[winch.HostID]*member{},
 		centres: map[winch.DataCentreID]bool{self.DataCentre: true},
-		counts:  map[winch.DataCentreID]int{},
+		sorted:  map[winch.DataCentreID][]*member{},
 	}
 	for _, centre := range centres {
 		table.centres[centre] = true
@@ -94,8 +94,11 @@
 	}
 	if heard := now.Add(-age); heard.After(known.heard) {
 		known.heard = heard
-		t.counts[known.host.DataCentre]--
-		t.counts[host.DataCentre]++
+		if known.host.DataCentre != host.DataCentre {
+			t.remove(known)
+			known.host = host
+			t.enter(known)
+		}
 		known.host = host
 	}
 }
@@ -191,8 +194,8 @@
 	known := t.hosts[host.ID]
 	if known == nil {
 		known = &member{host: host, firstSeen: now}
-		t.counts[host.DataCentre]++
 		t.hosts[host.ID] = known
+		t.enter(known)
 	}
 	return known
 }
@@ -209,20 +212,38 @@
 	return now.Sub(known.heard) < t.suspicion(known.host.DataCentre)
 }
 
+// live returns the live hosts of the data centre, sorted by id.
 func (t *Table) live(now time.Time, centre winch.DataCentreID) []winch.Host {
-	hosts := []winch.Host{}
-	if centre == t.self.DataCentre {
-		self := t.self
-		self.Leaving = t.leaving
-		hosts = append(hosts, self)
-	}
-	for _, known := range t.hosts {
-		if known.host.DataCentre == centre && t.alive(now, known) {
+	hosts := make([]winch.Host, 0, len(t.sorted[centre])+1)
+	for _, known := range t.sorted[centre] {
+		if t.alive(now, known) {
 			hosts = append(hosts, known.host)
 		}
 	}
-	slices.SortFunc(hosts, func(a, b winch.Host) int { return cmp.Compare(a.ID, b.ID) })
-	return hosts
+	if centre != t.self.DataCentre {
+		return hosts
+	}
+	self := t.self
+	self.Leaving = t.leaving
+	at, _ := slices.BinarySearchFunc(hosts, self.ID, func(host winch.Host, id winch.HostID) int { return cmp.Compare(host.ID, id) })
+	return slices.Insert(hosts, at, self)
+}
+
+func (t *Table) enter(known *member) {
+	centre := known.host.DataCentre
+	t.sorted[centre] = slices.Insert(t.sorted[centre], t.place(known), known)
+}
+
+func (t *Table) remove(known *member) {
+	centre, at := known.host.DataCentre, t.place(known)
+	t.sorted[centre] = slices.Delete(t.sorted[centre], at, at+1)
+}
+
+// place returns where the member stands, or is to stand, among its data centre's.
+func (t *Table) place(known *member) int {
+	at, _ := slices.BinarySearchFunc(t.sorted[known.host.DataCentre], known.host.ID,
+		func(other *member, id winch.HostID) int { return cmp.Compare(other.host.ID, id) })
+	return at
 }
 
 func (t *Table) forget(now time.Time) {
@@ -233,7 +254,7 @@
 		}
 		if !known.listed && now.Sub(last) > t.forgetAfter {
 			delete(t.hosts, id)
-			t.counts[known.host.DataCentre]--
+			t.remove(known)
 		}
 	}
 }
--- a/membership/peer/table_test.go
+++ b/membership/peer/table_test.go
@@ -113,3 +113,20 @@
 		}
 	})
 }
+
+func TestTableOrder(t *testing.T) {
+	t.Run("sorts hosts however they were heard of", func(t *testing.T) {
+		table := NewTable(host("a-2", "a"), nil, suspectAfter, forgetAfter)
+		for _, id := range []string{"a-3", "a-1", "a-4"} {
+			table.Heard(epoch, host(id, "a"), 0)
+		}
+		assertHosts(t, table.Hosts(epoch, "a"), "a-1", "a-2", "a-3", "a-4")
+	})
+	t.Run("follows a host to another data centre", func(t *testing.T) {
+		table := newTable()
+		table.Heard(epoch, host("h", "b"), 0)
+		table.Heard(epoch.Add(1), host("h", "a"), 0)
+		assertHosts(t, table.Hosts(epoch.Add(1), "a"), "a-1", "h")
+		assertHosts(t, table.Hosts(epoch.Add(1), "b"))
+	})
+}
