refactor: standard terms for names in release, claims, stand-ins and load tool

Cause: names such as insist, letGo, comeBack, believe and surroundings need explaining. Ruled out: renaming in dispatch, membership and load while others change them. Before / after: fifteen names changed; tests unchanged but for the names.

--- a/release/peer/distributor.go
+++ b/release/peer/distributor.go
@@ -198,16 +198,16 @@
 	d.learnt(now, d.state.learn(now, result.Configuration, records))
 }
 
-// surroundings is what membership says. It is asked for without the lock, since
+// liveHosts is what membership says. It is asked for without the lock, since
 // membership calls the section.
-type surroundings struct {
+type liveHosts struct {
 	hosts []winch.Host
 	hub   bool
 }
 
-func (d *Distributor) surroundings(now time.Time) surroundings {
+func (d *Distributor) liveHosts(now time.Time) liveHosts {
 	hub, found := d.options.Membership.Hub(now, d.self.DataCentre)
-	return surroundings{
+	return liveHosts{
 		hosts: d.options.Membership.Hosts(now, d.self.DataCentre),
 		hub:   found && hub.ID == d.self.ID,
 	}
--- a/release/peer/progress.go
+++ b/release/peer/progress.go
@@ -11,15 +11,15 @@
 // Progress tells how far the data centres are with the revision. A host that is
 // no hub asks its hub, and has no centres to tell of until that has answered.
 func (d *Distributor) Progress(now time.Time, revision winch.Revision) winch.ReleaseProgress {
-	around := d.surroundings(now)
+	live := d.liveHosts(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.wanted < revision || !now.Before(d.wantedUntil) {
 		d.wanted = revision
 	}
 	d.wantedUntil = now.Add(viewInterest)
-	if around.hub {
-		d.settle(now, around)
+	if live.hub {
+		d.settle(now, live)
 		return d.progress(revision)
 	}
 	progress := winch.ReleaseProgress{Revision: revision, Accepted: d.state.accepted >= revision}
--- a/release/peer/run.go
+++ b/release/peer/run.go
@@ -40,11 +40,11 @@
 
 // review draws what follows from the passing of time.
 func (d *Distributor) review(now time.Time) {
-	around := d.surroundings(now)
+	live := d.liveHosts(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.observe(now, around)
-	d.settle(now, around)
+	d.observe(now, live)
+	d.settle(now, live)
 	d.announce(now, false)
 }
 
@@ -59,7 +59,7 @@
 	}
 }
 
-func (d *Distributor) isHub() bool { return d.surroundings(d.options.Clock.Now()).hub }
+func (d *Distributor) isHub() bool { return d.liveHosts(d.options.Clock.Now()).hub }
 
 // watch follows the head. The instant before each call is what its answer proves for.
 func (d *Distributor) watch(ctx context.Context) error {
@@ -154,7 +154,7 @@
 
 // takeHead takes in a head that was read by a call sent at the given instant.
 func (d *Distributor) takeHead(now, sent time.Time, head winch.ReleaseHead, configuration *winch.Configuration, records []winch.ReleaseRecord) {
-	around := d.surroundings(now)
+	live := d.liveHosts(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if head.Revision < d.state.current.Revision {
@@ -167,7 +167,7 @@
 	if sent.After(d.watched) {
 		d.watched = sent
 	}
-	d.settle(now, around)
+	d.settle(now, live)
 	d.announce(now, false)
 }
 
@@ -210,10 +210,10 @@
 // due returns the newest revision that this hub should record as accepted now.
 func (d *Distributor) due(now time.Time) (winch.Revision, bool) {
 	turn := max(0, slices.Index(d.options.Membership.DataCentres(), d.self.DataCentre))
-	around := d.surroundings(now)
+	live := d.liveHosts(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.settle(now, around)
+	d.settle(now, live)
 	revision := d.acceptance.newest(now.Add(-time.Duration(turn)*acceptStagger), d.state.accepted)
 	return revision, revision > d.state.accepted
 }
--- a/release/peer/section.go
+++ b/release/peer/section.go
@@ -25,10 +25,10 @@
 
 // Report returns what this host tells its hub.
 func (s section) Report(now time.Time) []byte {
-	around := s.surroundings(now)
+	live := s.liveHosts(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.observe(now, around)
+	s.observe(now, live)
 	report := reportWire{
 		Revision: s.state.current.Revision, Incarnation: s.tag, Learner: s.state.learner(), RosterTag: s.rosterTag, Hub: s.hub, Token: s.token,
 	}
@@ -51,11 +51,11 @@
 	if err != nil {
 		return err
 	}
-	around := s.surroundings(now)
+	live := s.liveHosts(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.take(now, records, snapshot)
-	s.state.hear(report.Revision)
+	s.state.noteRevision(report.Revision)
 	asOf := time.Time{}
 	if report.Hub == s.tag && report.Token > 0 {
 		asOf = s.started.Add(time.Duration(report.Token))
@@ -65,17 +65,17 @@
 	}
 	host := s.roster.report(now, asOf, from, report.Incarnation, report.Revision)
 	host.learner, host.view, host.rosterTag = report.Learner, report.View, report.RosterTag
-	s.settle(now, around)
+	s.settle(now, live)
 	return nil
 }
 
 // Summary returns what the hub answers to the host.
 func (s section) Summary(now time.Time, to winch.HostID) []byte {
-	around := s.surroundings(now)
+	live := s.liveHosts(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.observe(now, around)
-	s.settle(now, around)
+	s.observe(now, live)
+	s.settle(now, live)
 	summary := summaryWire{
 		Hub: s.tag, Token: int64(now.Sub(s.started)), Revision: s.state.current.Revision,
 		Accepted: s.state.accepted,
@@ -128,9 +128,9 @@
 		s.rosterTag = summary.RosterTag
 	}
 	s.take(now, records, snapshot)
-	s.state.hear(summary.Revision)
+	s.state.noteRevision(summary.Revision)
 	s.state.accepted = max(s.state.accepted, summary.Accepted)
-	s.believe(proven, agreed)
+	s.applyProofs(proven, agreed)
 	if summary.View != nil {
 		s.view = viewFromWire(now, summary.View)
 	}
@@ -149,8 +149,8 @@
 	return proofToWire(now, d.acceptance.centres[d.self.DataCentre].agreed)
 }
 
-// believe takes in what a hub states, when there is anything.
-func (d *Distributor) believe(proven, agreed proof) {
+// applyProofs takes in what a hub states, when there is anything.
+func (d *Distributor) applyProofs(proven, agreed proof) {
 	if !proven.asOf.IsZero() {
 		d.state.prove(proven)
 	}
@@ -161,11 +161,11 @@
 
 // Digest returns what the hub of this data centre tells the hubs of others.
 func (s section) Digest(now time.Time, to winch.DataCentreID) []byte {
-	around := s.surroundings(now)
+	live := s.liveHosts(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.observe(now, around)
-	s.settle(now, around)
+	s.observe(now, live)
+	s.settle(now, live)
 	own := s.acceptance.centres[s.self.DataCentre]
 	digest := digestWire{
 		Revision: s.state.current.Revision, Settled: s.settledHere(), Accepted: s.state.accepted,
@@ -203,25 +203,25 @@
 	if err != nil {
 		return err
 	}
-	around := s.surroundings(now)
+	live := s.liveHosts(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.take(now, records, snapshot)
-	s.state.hear(digest.Revision)
+	s.state.noteRevision(digest.Revision)
 	s.state.accepted = max(s.state.accepted, digest.Accepted)
-	s.believe(proven, proof{})
+	s.applyProofs(proven, proof{})
 	other.revision, other.hosts, other.behind, other.heard = digest.Revision, digest.Hosts, digest.Behind, now
 	other.settled.reach(now, digest.Settled)
 	if agreed.asOf.After(other.agreed.asOf) {
 		other.agreed = agreed
 	}
-	s.settle(now, around)
+	s.settle(now, live)
 	return nil
 }
 
 // observe keeps the roster up to date. The caller holds the lock.
-func (d *Distributor) observe(now time.Time, around surroundings) {
-	d.roster.observe(now, around.hosts, d.options.LongestStop)
+func (d *Distributor) observe(now time.Time, live liveHosts) {
+	d.roster.observe(now, live.hosts, d.options.LongestStop)
 	d.forget(now)
 	d.reportSelf(now)
 }
@@ -271,9 +271,9 @@
 
 // settle draws, at the hub, what follows from the reports of its hosts and from
 // the statements of the other data centres. The caller holds the lock.
-func (d *Distributor) settle(now time.Time, around surroundings) {
+func (d *Distributor) settle(now time.Time, live liveHosts) {
 	d.acceptance.forget(d.state.accepted)
-	if !around.hub || !d.roster.known && !d.state.limits.unguarded.roster {
+	if !live.hub || !d.roster.known && !d.state.limits.unguarded.roster {
 		return
 	}
 	d.reportSelf(now)
--- a/release/peer/state.go
+++ b/release/peer/state.go
@@ -83,7 +83,7 @@
 // learn takes a newer configuration, and the records that lead to it if known.
 // Revisions only go up.
 func (s *state) learn(now time.Time, configuration *winch.Configuration, records []winch.ReleaseRecord) bool {
-	s.hear(configuration.Revision)
+	s.noteRevision(configuration.Revision)
 	s.learnt = s.learnt || configuration.Revision > 0
 	if configuration.Revision <= s.current.Revision {
 		return false
@@ -108,7 +108,7 @@
 func (s *state) follow(now time.Time, records []winch.ReleaseRecord) bool {
 	next, taken := s.current, []winch.ReleaseRecord{}
 	for _, record := range records {
-		s.hear(record.Revision)
+		s.noteRevision(record.Revision)
 		if record.Revision == next.Revision+1 {
 			next = release.Next(next, record)
 			taken = append(taken, record)
@@ -117,7 +117,7 @@
 	return s.learn(now, next, taken)
 }
 
-func (s *state) hear(revision winch.Revision) { s.known = max(s.known, revision) }
+func (s *state) noteRevision(revision winch.Revision) { s.known = max(s.known, revision) }
 
 func (s *state) index() {
 	s.owners = s.owners[:0:0]
@@ -133,7 +133,7 @@
 
 // prove takes a proof in. One for a revision that this host lacks is no use.
 func (s *state) prove(p proof) {
-	s.hear(p.revision)
+	s.noteRevision(p.revision)
 	if p.revision > s.current.Revision && !s.limits.unguarded.newer {
 		return
 	}
@@ -145,7 +145,7 @@
 
 // agree takes in that a majority of the data centre knew nothing newer.
 func (s *state) agree(p proof) {
-	s.hear(p.revision)
+	s.noteRevision(p.revision)
 	if p.revision > s.current.Revision && !s.limits.unguarded.newer {
 		return
 	}
@@ -165,8 +165,8 @@
 	return s.learnt && (now.Before(s.proven.Add(s.limits.freshness)) || s.limits.unguarded.freshness)
 }
 
-// graced tells whether the data centre is cut off, but not for long.
-func (s *state) graced(now time.Time) bool {
+// withinGrace tells whether the data centre is cut off, but not for long.
+func (s *state) withinGrace(now time.Time) bool {
 	return s.learnt && now.Before(s.agreed.Add(s.limits.freshness)) &&
 		now.Before(s.proven.Add(s.limits.freshness+s.limits.grace))
 }
@@ -175,7 +175,7 @@
 	switch {
 	case !s.learnt:
 		return winch.AuthorityNone
-	case s.fresh(now) || s.graced(now):
+	case s.fresh(now) || s.withinGrace(now):
 		return winch.AuthorityFull
 	}
 	return winch.AuthorityOpen
@@ -197,7 +197,7 @@
 // authorize takes the same steps whether or not the key is known.
 func (s *state) authorize(now time.Time, hash winch.KeyHash) (winch.Key, error) {
 	fresh := s.fresh(now)
-	if !fresh && !s.graced(now) {
+	if !fresh && !s.withinGrace(now) {
 		return winch.Key{}, fmt.Errorf("authorize key: %w", &winch.Isolation{Since: s.lapsed()})
 	}
 	key, found := s.find(hash)
--- a/serving/keyvalue/claims.go
+++ b/serving/keyvalue/claims.go
@@ -182,14 +182,14 @@
 		return fmt.Errorf("conclude claim: %w", winch.ErrNotFound)
 	}
 	o.token = held
-	defer c.letGo(o.id, held)
-	return c.insist(ctx, o)
+	defer c.unhold(o.id, held)
+	return c.doUntilKnown(ctx, o)
 }
 
-// insist repeats the operation, which is idempotent, until it succeeded or the context ends.
-func (c *Claims) insist(ctx context.Context, o *operation) error {
+// doUntilKnown repeats the operation, which is idempotent, until it succeeded or the context ends.
+func (c *Claims) doUntilKnown(ctx context.Context, o *operation) error {
 	for pause := firstPause; ; pause = min(2*pause, longestPause) {
-		try := o.again()
+		try := o.retryCopy()
 		c.shardOf(o.id).do(try)
 		if try.err == nil || errors.Is(try.err, winch.ErrConflict) {
 			return try.err
@@ -210,7 +210,7 @@
 	defer stop()
 	o := c.operation(forget, now, request)
 	o.token = written
-	if err := c.insist(ctx, o); err != nil {
+	if err := c.doUntilKnown(ctx, o); err != nil {
 		c.options.Logger.Warn("claim not forgotten", "Event", EventClaimNotForgotten, "Error", err)
 	}
 }
@@ -243,7 +243,7 @@
 	return held, found
 }
 
-func (c *Claims) letGo(id claimID, held token) {
+func (c *Claims) unhold(id claimID, held token) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.held[id] == held {
--- a/serving/keyvalue/claims_test.go
+++ b/serving/keyvalue/claims_test.go
@@ -63,7 +63,7 @@
 		claim := assertState(t, two, now, keyed("k", "b"), winch.ClaimFinished)
 		assert.DeepEqual(t, claim, answerOf("yes"))
 	})
-	t.Run("an abandoned claim can be taken again", func(t *testing.T) {
+	t.Run("an abandoned claim can be taken retryCopy", func(t *testing.T) {
 		store := newStore()
 		one, two := newClaims(t, store, "one", nil), newClaims(t, store, "two", nil)
 		assertState(t, one, now, keyed("k", "b"), winch.ClaimGranted)
--- a/serving/keyvalue/head.go
+++ b/serving/keyvalue/head.go
@@ -31,8 +31,8 @@
 	done   chan struct{}
 }
 
-// again returns the operation with a result of its own.
-func (o *operation) again() *operation {
+// retryCopy returns the operation with a result of its own.
+func (o *operation) retryCopy() *operation {
 	copied := *o
 	copied.err, copied.done = nil, make(chan struct{})
 	return &copied
--- a/serving/keyvalue/shard.go
+++ b/serving/keyvalue/shard.go
@@ -82,15 +82,15 @@
 		}
 		s.mutex.Unlock()
 		ctx, stop := context.WithTimeout(context.Background(), s.options.Timeout)
-		s.noteAway(!s.commit(ctx, group))
+		s.setUnavailable(!s.commit(ctx, group))
 		stop()
 	}
 }
 
 var errAway = fmt.Errorf("%w: the key-value service has just failed", winch.ErrUnavailable)
 
-// noteAway takes the result of a group. After a failure it refuses the acquisitions that wait.
-func (s *shard) noteAway(away bool) {
+// setUnavailable takes the result of a group. After a failure it refuses the acquisitions that wait.
+func (s *shard) setUnavailable(away bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.away = away
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -69,7 +69,7 @@
 		return
 	}
 	c.touch(read.blocks)
-	c.remember(now, read.blocks[0], read.lead)
+	c.remember(now, read.blocks[0], read.prefixHash)
 	for c.order.Len() > c.limit {
 		block := c.order.Remove(c.order.Back()).(uint64)
 		delete(c.blocks, block)
@@ -77,19 +77,19 @@
 	}
 }
 
-func (c *cache) remember(now time.Time, first, lead uint64) {
+func (c *cache) remember(now time.Time, first, prefixHash uint64) {
 	if c.leads[first] == nil {
 		c.leads[first] = map[uint64]struct{}{}
 	}
-	if _, known := c.leads[first][lead]; !known {
-		c.leads[first][lead] = struct{}{}
-		c.publish(now, lead, false)
+	if _, known := c.leads[first][prefixHash]; !known {
+		c.leads[first][prefixHash] = struct{}{}
+		c.publish(now, prefixHash, false)
 	}
 }
 
 func (c *cache) forget(now time.Time, first uint64) {
-	for lead := range c.leads[first] {
-		c.publish(now, lead, true)
+	for prefixHash := range c.leads[first] {
+		c.publish(now, prefixHash, true)
 	}
 	delete(c.leads, first)
 }
--- a/standin/engine/codec.go
+++ b/standin/engine/codec.go
@@ -71,9 +71,9 @@
 	return text.String(), nil
 }
 
-// lead hashes the model and the leading part of the prompt, by which cache events
+// prefixHash hashes the model and the leading part of the prompt, by which cache events
 // name what is stored: the start of the first message's JSON, or of the prompt's.
-func (c completionCall) lead() uint64 {
+func (c completionCall) prefixHash() uint64 {
 	raw := c.Prompt
 	if len(c.Messages) > 0 {
 		raw = c.Messages[0]
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -51,7 +51,7 @@
 		return
 	}
 	read := readPrompt(text, call.limit())
-	read.lead = call.lead()
+	read.prefixHash = call.prefixHash()
 	own, from, err := newSequence(call, read, r.Header.Get("X-Priority"))
 	if err != nil {
 		writeError(w, http.StatusBadRequest, "invalid", err.Error())
--- a/standin/engine/prompt.go
+++ b/standin/engine/prompt.go
@@ -23,8 +23,8 @@
 type prompt struct {
 	hash   uint64
 	tokens int
-	// lead names the leading part in cache events.
-	lead uint64
+	// prefixHash names the leading part in cache events.
+	prefixHash uint64
 	// blocks are the hashes of the text's leading parts, each one block longer.
 	blocks []uint64
 	// length is the number of output tokens; capped says that the caller's limit cut it.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -120,11 +120,11 @@
 	f.mu.Unlock()
 	m.runner.Crash()
 	if back > 0 {
-		time.AfterFunc(back, func() { f.comeBack(time.Now(), id) })
+		time.AfterFunc(back, func() { f.readmit(time.Now(), id) })
 	}
 }
 
-func (f *Fleet) comeBack(now time.Time, id string) {
+func (f *Fleet) readmit(now time.Time, id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.members[id]
--- a/standin/keyvalue/lease.go
+++ b/standin/keyvalue/lease.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// tie moves the key from the lease that it is tied to, if any, to another one.
-func (s *Store) tie(key string, next LeaseID) {
+// attachLease moves the key from the lease that it is tied to, if any, to another one.
+func (s *Store) attachLease(key string, next LeaseID) {
 	if present := s.items[key]; present != nil && present.lease != "" && s.leases[present.lease] != nil {
 		delete(s.leases[present.lease].keys, key)
 	}
--- a/standin/keyvalue/store.go
+++ b/standin/keyvalue/store.go
@@ -111,7 +111,7 @@
 	if tied != "" && s.leases[tied] == nil {
 		return Entry{}, ErrNoLease
 	}
-	s.tie(key, tied)
+	s.attachLease(key, tied)
 	s.record(key)
 	s.items[key] = &item{value: value, version: s.revision, lease: tied}
 	s.notify(key)
@@ -155,7 +155,7 @@
 
 // remove deletes an entry that exists.
 func (s *Store) remove(key string) {
-	s.tie(key, "")
+	s.attachLease(key, "")
 	delete(s.items, key)
 	s.record(key)
 	s.notify(key)
--- a/winchload/drive/drive.go
+++ b/winchload/drive/drive.go
@@ -71,7 +71,7 @@
 	if options.Faults {
 		go setFaults(ctx, options, time.Now())
 	}
-	paid, notes := watchPaid(ctx, options, time.Now()), startProbe(ctx, options)
+	paid, notes := sampleCost(ctx, options, time.Now()), startProbe(ctx, options)
 	send(ctx, options, client, collector)
 	stopProgress()
 	if options.Processes != nil {
@@ -100,10 +100,10 @@
 	}
 }
 
-// watchPaid reads how long endpoints have been paid for at the end of the warm-up and of the
+// sampleCost reads how long endpoints have been paid for at the end of the warm-up and of the
 // arrivals, so that the tail of long answers does not count as cost. The returned
 // function waits for both readings.
-func watchPaid(ctx context.Context, options Options, start time.Time) func() (open, end control.State) {
+func sampleCost(ctx context.Context, options Options, start time.Time) func() (open, end control.State) {
 	states := [2]control.State{}
 	group := sync.WaitGroup{}
 	for i, at := range []experiment.Duration{options.Experiment.Warmup, options.Experiment.Duration} {
@@ -159,10 +159,10 @@
 			return
 		}
 		if err := setFault(ctx, options, planned); err != nil {
-			options.Progress.Say(fmt.Sprintf("fault %s on %s not set: %v", planned.Fault.Kind, planned.Target, err))
+			options.Progress.Println(fmt.Sprintf("fault %s on %s not set: %v", planned.Fault.Kind, planned.Target, err))
 			continue
 		}
-		options.Progress.Say(fmt.Sprintf("%s: %s on %s", planned.At.Round(time.Millisecond), planned.Fault.Kind, planned.Target))
+		options.Progress.Println(fmt.Sprintf("%s: %s on %s", planned.At.Round(time.Millisecond), planned.Fault.Kind, planned.Target))
 	}
 }
 
--- a/winchload/probe/probe.go
+++ b/winchload/probe/probe.go
@@ -68,7 +68,7 @@
 // Run adds and withdraws keys until ctx is over, and returns what was seen.
 func (p *Prober) Run(ctx context.Context) result.Notes {
 	for number := 1; wait(ctx, p.options.Interval); number++ {
-		p.cycle(ctx, number)
+		p.addAndWithdraw(ctx, number)
 	}
 	return p.seen
 }
@@ -100,8 +100,8 @@
 	Hash         string
 }
 
-// cycle adds one key, follows it, withdraws it and follows that.
-func (p *Prober) cycle(ctx context.Context, number int) {
+// addAndWithdraw adds one key, follows it, withdraws it and follows that.
+func (p *Prober) addAndWithdraw(ctx context.Context, number int) {
 	id := "probe-" + strconv.Itoa(number)
 	secret := "load-secret-" + id
 	hash := sha256.Sum256([]byte(secret))
@@ -110,14 +110,14 @@
 	if !p.apply(ctx, operator, added) {
 		return
 	}
-	inForce := p.followAll(ctx, func(ctx context.Context, host Host, since time.Time) time.Duration {
+	inForce := p.measureAll(ctx, func(ctx context.Context, host Host, since time.Time) time.Duration {
 		return p.untilUsed(ctx, host, secret, since)
 	})
 	p.seen.InForce = append(p.seen.InForce, milliseconds(inForce))
 	if !p.apply(ctx, operator, note{ID: id + "-withdraw", Withdrawn: &withdrawnKeys{Keys: []string{id}}}) {
 		return
 	}
-	used := p.followAll(ctx, func(ctx context.Context, host Host, since time.Time) time.Duration {
+	used := p.measureAll(ctx, func(ctx context.Context, host Host, since time.Time) time.Duration {
 		return p.lastUse(ctx, host, secret, since)
 	})
 	p.seen.UsedAfter = append(p.seen.UsedAfter, milliseconds(used))
@@ -139,8 +139,8 @@
 	return true
 }
 
-// followAll follows a note at all hosts and returns the longest time.
-func (p *Prober) followAll(ctx context.Context, follow func(context.Context, Host, time.Time) time.Duration) time.Duration {
+// measureAll follows a note at all hosts and returns the longest time.
+func (p *Prober) measureAll(ctx context.Context, follow func(context.Context, Host, time.Time) time.Duration) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, followLimit)
 	defer cancel()
 	since, longest := time.Now(), time.Duration(0)
--- a/winchload/probe/probe_test.go
+++ b/winchload/probe/probe_test.go
@@ -48,7 +48,7 @@
 	prober := New(Options{Hosts: []Host{{Caller: address, Operator: address}}, Organisation: "o"})
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	prober.cycle(ctx, 1)
+	prober.addAndWithdraw(ctx, 1)
 	assert.Equal(t, prober.seen.Applied, 2)
 	assert.Assert(t, prober.seen.InForce[0] >= milliseconds(pollInterval))
 	assert.Assert(t, prober.seen.InForce[0] < milliseconds(quiet))
--- a/winchload/progress/progress.go
+++ b/winchload/progress/progress.go
@@ -87,8 +87,8 @@
 		l.label, passed.Round(time.Second), l.length, offered, share, refused, broken, end))
 }
 
-// Say prints a line of text.
-func (l *Line) Say(text string) {
+// Println prints a line of text.
+func (l *Line) Println(text string) {
 	if l != nil {
 		l.print(text + "\n")
 	}
