fix(placement): let no engine order overtake one of unknown outcome

Cause: after an order whose answer was lost, another one could be sent at once, and the old one could arrive after it. Ruled out: an intent for each engine (waiting for the time in flight is enough). Conclusion: the same order may be repeated; another waits for InFlight.

--- a/placement/engine/core.go
+++ b/placement/engine/core.go
@@ -11,7 +11,9 @@
 // core decides which engine is ordered next. It does no I/O.
 type core struct {
 	repeatEvery time.Duration
-	given       map[winch.EndpointID]given
+	// inFlight is the longest time that an order of unknown outcome may be on its way.
+	inFlight time.Duration
+	given    map[winch.EndpointID]given
 	// pausedUntil is when the weight store takes loads again.
 	pausedUntil time.Time
 	// fenced is the term after which a higher one was seen.
@@ -24,10 +26,12 @@
 	number winch.FencingNumber
 	load   []winch.EngineLoad
 	role   string
+	// unknown says that the order may still be on its way.
+	unknown bool
 }
 
-func newCore(repeatEvery time.Duration) core {
-	return core{repeatEvery: repeatEvery, given: map[winch.EndpointID]given{}}
+func newCore(repeatEvery, inFlight time.Duration) core {
+	return core{repeatEvery: repeatEvery, inFlight: inFlight, given: map[winch.EndpointID]given{}}
 }
 
 // next returns the first order of the plan that is due.
@@ -38,7 +42,7 @@
 	}
 	for _, order := range plan {
 		last, found := c.given[order.Endpoint]
-		if found && last.number == term.Number && last.same(order) && now.Sub(last.at) < c.repeatEvery {
+		if found && c.wait(now, term, last, order) {
 			continue
 		}
 		c.given[order.Endpoint] = given{at: now, number: term.Number, load: order.Load, role: order.Role}
@@ -47,6 +51,18 @@
 	return winch.EngineOrder{}, false
 }
 
+// wait tells whether the engine must not be ordered yet: it was just given the same
+// order, or another one may still be on its way to it.
+func (c *core) wait(now time.Time, term winch.Term, last given, order winch.EngineOrder) bool {
+	if last.number != term.Number {
+		return false
+	}
+	if last.same(order) {
+		return now.Sub(last.at) < c.repeatEvery
+	}
+	return last.unknown && now.Sub(last.at) < c.inFlight
+}
+
 // ended takes the outcome of an order in.
 func (c *core) ended(now time.Time, term winch.Term, order winch.EngineOrder, err error) {
 	switch {
@@ -54,6 +70,10 @@
 		c.pausedUntil = now.Add(retryAfter(err))
 		// The engine is ordered again after the pause.
 		delete(c.given, order.Endpoint)
+	case errors.Is(err, winch.ErrOutcomeUnknown):
+		last := c.given[order.Endpoint]
+		last.at, last.unknown = now, true
+		c.given[order.Endpoint] = last
 	case errors.Is(err, winch.ErrFenced):
 		c.fenced = term.Number
 	}
--- a/placement/engine/orders.go
+++ b/placement/engine/orders.go
@@ -36,6 +36,7 @@
 const (
 	defaultInterval    = time.Second
 	defaultRepeatEvery = 15 * time.Second
+	defaultInFlight    = 2 * time.Second
 	defaultPause       = time.Second
 	ordersPath         = "/v1/orders"
 )
@@ -52,6 +53,8 @@
 	Interval time.Duration
 	// RepeatEvery is the time after which an engine is given the same order again.
 	RepeatEvery time.Duration
+	// InFlight is the longest time that an order of unknown outcome may be on its way.
+	InFlight time.Duration
 }
 
 // Orders sends the orders to the engines of one data centre.
@@ -67,8 +70,9 @@
 	}
 	options.Interval = cmp.Or(options.Interval, defaultInterval)
 	options.RepeatEvery = cmp.Or(options.RepeatEvery, defaultRepeatEvery)
+	options.InFlight = cmp.Or(options.InFlight, defaultInFlight)
 	options.Logger = cmp.Or[hclog.Logger](options.Logger, hclog.NewNullLogger())
-	return &Orders{options: options, core: newCore(options.RepeatEvery)}, nil
+	return &Orders{options: options, core: newCore(options.RepeatEvery, options.InFlight)}, nil
 }
 
 // Run plans and orders until ctx ends. It returns nil.
--- a/winchd/daemon/placement.go
+++ b/winchd/daemon/placement.go
@@ -71,7 +71,7 @@
 	}
 	engines, err := placementengine.New(placementengine.Options{
 		DataCentre: d.settings.DataCentre, Charge: holder, Sender: sender, Planner: plans,
-		Clock: d.clock, Logger: d.logger, Interval: d.settings.Placement.PlanEvery,
+		Clock: d.clock, Logger: d.logger, Interval: d.settings.Placement.PlanEvery, InFlight: d.settings.Charge.InFlight,
 	})
 	d.placement.holder, d.placement.planner, d.placement.orders, d.placement.engines = holder, plans, orders, engines
 	return err
