fix(dispatch): keep an endpoint out that says it leaves, whatever notes are applied

Ruled out: late reports (the state was known for more than three seconds). Conclusion: what an endpoint says of itself stands beside what the configuration says; event 3016 tells of its return.

--- a/dispatch/audit/audit_test.go
+++ b/dispatch/audit/audit_test.go
@@ -72,6 +72,10 @@
 		leaves := entry(leaving, 0, "", 0, `,"Endpoint":"e1"`)
 		assertOnly(t, check(t, leaves, entry(routed, 2, "r1", 1, onE1), entry(routed, 9, "r2", 1, onE1)), KindLateWork)
 	})
+	t.Run("allows work on an endpoint that came back", func(t *testing.T) {
+		leaves, back := entry(leaving, 0, "", 0, `,"Endpoint":"e1"`), entry(returned, 8, "", 0, `,"Endpoint":"e1"`)
+		assertOnly(t, check(t, leaves, back, entry(routed, 9, "r2", 1, onE1)))
+	})
 	t.Run("finds a class that is never served", func(t *testing.T) {
 		assertOnly(t, check(t, entry(queued, 0, "low", 3, ""), entry(routed, 60, "high", 1, onE1)), KindStarved)
 	})
--- a/dispatch/audit/codec.go
+++ b/dispatch/audit/codec.go
@@ -23,6 +23,7 @@
 	handedOver winch.EventNumber = 3007
 	cancelled  winch.EventNumber = 3008
 	leaving    winch.EventNumber = 3015
+	returned   winch.EventNumber = 3016
 )
 
 const lineLimit = 1 << 20
@@ -107,7 +108,7 @@
 		return Line{}, false, fmt.Errorf("read log line %.80q: %w: %w", text, winch.ErrInvalid, err)
 	}
 	switch winch.EventNumber(event.Event) {
-	case routed, queued, refused, preempted, moved, released, handedOver, cancelled, leaving:
+	case routed, queued, refused, preempted, moved, released, handedOver, cancelled, leaving, returned:
 	default:
 		return Line{}, false, nil
 	}
--- a/dispatch/audit/timeline.go
+++ b/dispatch/audit/timeline.go
@@ -83,6 +83,8 @@
 		if _, found := a.leaving[l.Endpoint]; !found {
 			a.leaving[l.Endpoint] = l.At
 		}
+	case returned:
+		delete(a.leaving, l.Endpoint)
 	}
 }
 
--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -30,7 +30,8 @@
 	}
 	for id, e := range c.endpoints {
 		if _, found := wanted[id]; !found {
-			c.leave(now, e, now)
+			e.state, e.leavesAt = winch.EndpointLeaving, now
+			c.setServing(now, e)
 			delete(c.endpoints, id)
 		}
 	}
@@ -62,24 +63,8 @@
 		e.limit.ceiling = ceiling
 		e.limit.value = min(e.limit.value, float64(ceiling))
 	}
-	if status.State == winch.EndpointLeaving {
-		c.leave(now, e, status.LeavesAt)
-		return
-	}
-	e.state, e.leavesAt = status.State, time.Time{}
-	e.serving = e.state == winch.EndpointReady
-}
-
-// leave takes the endpoint out of service: no new work from now on, and the
-// streams are moved when the end is near.
-func (c *core) leave(now time.Time, e *endpoint, at time.Time) {
-	if e.state != winch.EndpointLeaving {
-		c.emit(effect{kind: effectLeaving, at: now, endpoint: e})
-	}
-	e.state, e.leavesAt, e.serving = winch.EndpointLeaving, at, false
-	if !at.IsZero() && at.Sub(now) <= c.settings.LeaveMargin {
-		c.moveAll(now, e)
-	}
+	e.state, e.leavesAt = status.State, status.LeavesAt
+	c.setServing(now, e)
 }
 
 func hashOf(text string) uint64 {
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -22,6 +22,7 @@
 	effectQueueLong
 	effectQueueShort
 	effectLeaving
+	effectReturned
 )
 
 // effect is a decision of the core for the shell to carry out and to log.
@@ -355,7 +356,5 @@
 	e.observe(report)
 	e.weigh(now, c.settings.ReportHorizon)
 	c.probeEarly(now, e, report.AsOf)
-	if report.State == winch.EndpointLeaving && e.state == winch.EndpointReady {
-		c.leave(now, e, time.Time{})
-	}
+	c.hear(now, e, report)
 }
--- a/dispatch/endpoint/core_test.go
+++ b/dispatch/endpoint/core_test.go
@@ -85,6 +85,33 @@
 	})
 }
 
+func TestReportedLeaving(t *testing.T) {
+	b := newBench(twoClasses(1, 4))
+	r := b.request(stall, 1)
+	report := func(state winch.EndpointState) {
+		b.now = b.now.Add(time.Millisecond)
+		b.observeLoad(b.now, winch.LoadReport{Endpoint: b.only().spec.ID, AsOf: b.now, State: state})
+	}
+	report(winch.EndpointLeaving)
+	t.Run("holds over a change of the configuration", func(t *testing.T) {
+		b.configure(b.now, b.configuration, nil)
+		assert.Equal(t, b.request(stall, 2).state, requestQueued)
+		assert.Equal(t, b.count(effectLeaving), 1)
+	})
+	t.Run("moves streams that do not end by themselves", func(t *testing.T) {
+		assert.Assert(t, !r.preempted)
+		b.pass(1100 * time.Millisecond)
+		assert.Assert(t, r.preempted)
+	})
+	t.Run("ends when the endpoint says that it is ready", func(t *testing.T) {
+		b.release(b.now, r, winch.OutcomeCancelled)
+		report(winch.EndpointReady)
+		assert.Equal(t, b.count(effectReturned), 1)
+		b.pass(100 * time.Millisecond)
+		assert.Equal(t, b.only().running, 1)
+	})
+}
+
 func TestRamp(t *testing.T) {
 	b := newBench(twoClasses(1, 16))
 	b.pass(11 * time.Second)
--- a/dispatch/endpoint/events.go
+++ b/dispatch/endpoint/events.go
@@ -34,4 +34,6 @@
 	EventRetryRefused winch.EventNumber = 3014
 	// EventLeaving: an endpoint was seen to leave; it gets no new work.
 	EventLeaving winch.EventNumber = 3015
+	// EventReturned: an endpoint that was leaving is ready again.
+	EventReturned winch.EventNumber = 3016
 )
--- a/dispatch/endpoint/log.go
+++ b/dispatch/endpoint/log.go
@@ -135,6 +135,8 @@
 		d.logger.Info("endpoint restored", append(fields, "Event", EventRestored)...)
 	case effectLeaving:
 		d.logger.Info("endpoint leaves", append(fields, "Event", EventLeaving)...)
+	case effectReturned:
+		d.logger.Info("endpoint is back", append(fields, "Event", EventReturned)...)
 	case effectQueueLong:
 		d.logger.Warn("queue is long", append(fields, "Event", EventQueueLong, "OldestWait", l.waited.String())...)
 	case effectQueueShort:
--- a/dispatch/endpoint/metrics.go
+++ b/dispatch/endpoint/metrics.go
@@ -74,7 +74,7 @@
 	names := [...]string{
 		effectGranted: "granted", effectQueued: "queued", effectRefused: "refused", effectPreempted: "preempted",
 		effectMoved: "moved", effectReleased: "released", effectCancelled: "cancelled", effectEjected: "ejected",
-		effectRestored: "restored", effectQueueLong: "queue_long", effectQueueShort: "queue_short", effectLeaving: "leaving",
+		effectRestored: "restored", effectQueueLong: "queue_long", effectQueueShort: "queue_short", effectLeaving: "leaving", effectReturned: "returned",
 	}
 	return names[k]
 }
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -35,7 +35,13 @@
 	hash     uint64
 	state    winch.EndpointState
 	leavesAt time.Time
-	lanes    []*lane // by tier, the highest first
+	// says is the state by the endpoint's own report of saysAt; goesAt is when its streams
+	// are moved after it said that it leaves.
+	says    winch.EndpointState
+	saysAt  time.Time
+	goesAt  time.Time
+	leaving bool
+	lanes   []*lane // by tier, the highest first
 
 	tiers     []tierRunning // by tier, the highest first
 	long      int
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -76,12 +76,6 @@
 	}
 }
 
-func (c *core) checkLeaving(now time.Time, e *endpoint) {
-	if e.state == winch.EndpointLeaving && !e.leavesAt.IsZero() && e.leavesAt.Sub(now) <= c.settings.LeaveMargin {
-		c.moveAll(now, e)
-	}
-}
-
 func (c *core) collectAll(now time.Time, e *endpoint) {
 	for i := range e.tiers {
 		for r := e.tiers[i].newest; r != nil; r = r.runNext {
