fix(dispatch): blame no endpoint for a pause of the host

Ruled out: engines that hung (the other host heard them). Conclusion: silence counts from when the host goes on; lower work counts only on endpoints that could use the slot.

--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -71,14 +71,17 @@
 	remotes       map[winch.DataCentreID]*remote
 	prefixes      map[winch.PrefixHash]winch.EndpointID
 	// broken are requests whose last attempt did not end well, and when that was.
-	broken      map[winch.RequestID]time.Time
-	brokenAt    time.Time // when old ones were dropped last
-	expiry      expiryHeap
-	free        []*request
-	effects     []effect
-	scores      []float64
-	hub         hub
-	started     time.Time
+	broken   map[winch.RequestID]time.Time
+	brokenAt time.Time // when old ones were dropped last
+	expiry   expiryHeap
+	free     []*request
+	effects  []effect
+	scores   []float64
+	hub      hub
+	started  time.Time
+	tickedAt time.Time
+	// wokeAt is when the host last went on after a pause, in which it heard of no endpoint.
+	wokeAt      time.Time
 	appliedAt   time.Time // when the other hosts' figures were true
 	appliedFrom winch.HostID
 }
@@ -320,7 +323,7 @@
 	if r.forOwnQueue {
 		l.preempting--
 	}
-	if r.preempted && !r.floor {
+	if r.preempted && r.movable() {
 		l.movingRunning--
 	}
 	c.judge(now, r, outcome)
--- a/dispatch/endpoint/core_test.go
+++ b/dispatch/endpoint/core_test.go
@@ -336,6 +336,11 @@
 		}
 	}
 	for _, e := range b.ordered {
+		for _, list := range e.tiers {
+			if list.movable < 0 || list.movable > list.count {
+				t.Fatalf("endpoint %s tier %d: %d of %d movable", e.spec.ID, list.tier, list.movable, list.count)
+			}
+		}
 		if e.running != running[e] || e.running > e.spec.SlotLimit {
 			t.Fatalf("endpoint %s runs %d of %d, limit %d", e.spec.ID, e.running, running[e], e.spec.SlotLimit)
 		}
--- a/dispatch/endpoint/health.go
+++ b/dispatch/endpoint/health.go
@@ -88,6 +88,9 @@
 	if heard := time.Unix(0, e.lastHeard.Load()); heard.After(since) {
 		since = heard
 	}
+	if c.wokeAt.After(since) {
+		since = c.wokeAt
+	}
 	limit := c.settings.SilenceLimit
 	if !w.streaming || w.longPrompt {
 		// A prompt may keep an engine busy for long, and an answer may come as a whole.
@@ -135,10 +138,7 @@
 	for i := range e.tiers {
 		for r := e.tiers[i].newest; r != nil; r = r.runNext {
 			if !r.preempted && r.work.Model != "" {
-				r.preempted = true
-				if !r.floor {
-					r.lane.movingRunning++
-				}
+				e.markMoving(r)
 				c.emit(effect{kind: effectMoved, request: r, endpoint: e, at: now})
 			}
 		}
--- a/dispatch/endpoint/health_test.go
+++ b/dispatch/endpoint/health_test.go
@@ -42,6 +42,16 @@
 }
 
 func TestSilence(t *testing.T) {
+	t.Run("blames no endpoint for a pause of the host", func(t *testing.T) {
+		b := newBench(twoClasses(1, 4))
+		b.pass(time.Second)
+		b.request(stall, 1).progress.first.Store(b.now.UnixNano())
+		b.now = b.now.Add(10 * time.Second)
+		b.pass(1500 * time.Millisecond)
+		assert.Equal(t, b.count(effectEjected), 0)
+		b.pass(time.Second)
+		assert.Equal(t, b.count(effectEjected), 1)
+	})
 	t.Run("waits longer for answers that come as a whole", func(t *testing.T) {
 		b := newBench(twoClasses(1, 4))
 		b.lanes[laneKey{class: notes, group: group{model: chat}}].hold.add(10, 1)
--- a/dispatch/endpoint/preempt.go
+++ b/dispatch/endpoint/preempt.go
@@ -122,8 +122,8 @@
 }
 
 func (c *core) preempt(now time.Time, r *request, l *lane, forOther bool) {
-	r.preempted, r.forOwnQueue = true, !forOther
-	r.lane.movingRunning++
+	r.forOwnQueue = !forOther
+	r.endpoint.markMoving(r)
 	r.endpoint.raiseReserve(l.class.Tier)
 	if !forOther {
 		// Counted at the victim's lane and released with the victim.
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -57,6 +57,8 @@
 	tier   winch.Tier
 	newest *request
 	count  int
+	// movable are those that could be given up and were not asked to move yet.
+	movable int
 }
 
 func (e *endpoint) tier(tier winch.Tier) *tierRunning {
@@ -81,12 +83,34 @@
 	}
 	list.newest = r
 	list.count++
+	if r.movable() {
+		list.movable++
+	}
 	e.running++
 	if r.long {
 		e.long++
 	}
 }
 
+// markMoving notes that the request was asked to leave the endpoint.
+func (e *endpoint) markMoving(r *request) {
+	r.preempted = true
+	if !r.movable() {
+		return
+	}
+	r.lane.movingRunning++
+	e.tier(r.lane.class.Tier).movable--
+}
+
+// movableBelow counts the requests of lower tiers that the endpoint could give up.
+func (e *endpoint) movableBelow(tier winch.Tier) int {
+	count := 0
+	for i := len(e.tiers) - 1; i >= 0 && e.tiers[i].tier > tier; i-- {
+		count += e.tiers[i].movable
+	}
+	return count
+}
+
 func (e *endpoint) remove(r *request) {
 	list := e.tier(r.lane.class.Tier)
 	if r.runPrev != nil {
@@ -99,6 +123,9 @@
 	}
 	r.runNext, r.runPrev = nil, nil
 	list.count--
+	if r.movable() && !r.preempted {
+		list.movable--
+	}
 	e.running--
 	if r.long {
 		e.long--
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -10,6 +10,10 @@
 // tick does the housekeeping: it reads the progress of streams, adapts limits,
 // finds silent endpoints, gives up requests whose time is over, and fills free slots.
 func (c *core) tick(now time.Time) {
+	if now.Sub(c.tickedAt) > pauseTicks*c.settings.Tick {
+		c.wokeAt = now
+	}
+	c.tickedAt = now
 	for _, e := range c.ordered {
 		c.collectAll(now, e)
 		c.checkSilence(now, e)
@@ -36,6 +40,9 @@
 	c.handOverWaiting(now)
 }
 
+// pauseTicks is the number of ticks without one after which the host was paused.
+const pauseTicks = 5
+
 // expire gives up the queued requests whose time is over.
 func (c *core) expire(now time.Time) {
 	for len(c.expiry) > 0 && !c.expiry[0].expires.After(now) {
--- a/dispatch/endpoint/wait.go
+++ b/dispatch/endpoint/wait.go
@@ -50,6 +50,11 @@
 	if l == nil {
 		return w
 	}
+	for _, e := range l.endpoints {
+		if e.usable(now) {
+			w.running += e.movableBelow(l.class.Tier)
+		}
+	}
 	for _, competitor := range l.competitors {
 		if !l.higher(competitor) {
 			w.waiting += competitor.queued
@@ -57,7 +62,6 @@
 		}
 		w.queued += competitor.queued
 		w.floor += competitor.floorRunning
-		w.running += c.movableRunning(competitor)
 		if c.informed(now) {
 			w.othersQueued += competitor.others.Queued
 			w.othersRunning += competitor.others.Movable
