--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -10,6 +10,10 @@
 // tick does the housekeeping: it reads the progress of streams, adapts limits,
 // finds silent endpoints, gives up requests whose time is over, and fills free slots.
 func (c *core) tick(now time.Time) {
+	if now.Sub(c.tickedAt) > pauseTicks*c.settings.Tick {
+		c.wokeAt = now
+	}
+	c.tickedAt = now
 	for _, e := range c.ordered {
 		c.collectAll(now, e)
 		c.checkSilence(now, e)
@@ -36,6 +40,9 @@
 	c.handOverWaiting(now)
 }
 
+// pauseTicks is the number of ticks without one after which the host was paused.
+const pauseTicks = 5
+
 // expire gives up the queued requests whose time is over.
 func (c *core) expire(now time.Time) {
 	for len(c.expiry) > 0 && !c.expiry[0].expires.After(now) {
@@ -76,12 +83,6 @@
 	}
 }
 
-func (c *core) checkLeaving(now time.Time, e *endpoint) {
-	if e.state == winch.EndpointLeaving && !e.leavesAt.IsZero() && e.leavesAt.Sub(now) <= c.settings.LeaveMargin {
-		c.moveAll(now, e)
-	}
-}
-
 func (c *core) collectAll(now time.Time, e *endpoint) {
 	for i := range e.tiers {
 		for r := e.tiers[i].newest; r != nil; r = r.runNext {
