--- a/winchload/capacity/points.go
+++ b/winchload/capacity/points.go
@@ -20,6 +20,8 @@
 	DimensionOrganisations Dimension = "organisations"
 	// DimensionChanges is the number of changes a second.
 	DimensionChanges Dimension = "changes a second"
+	// DimensionScale is the number of hosts of one data centre with about nine endpoints for each of them.
+	DimensionScale Dimension = "hosts with nine endpoints each"
 	// DimensionCentres is the number of data centres, with two hosts each.
 	DimensionCentres Dimension = "data centres"
 )
@@ -29,6 +31,7 @@
 	defaultHosts     = 4
 	defaultEndpoints = 4
 	defaultTenants   = 10
+	endpointsPerHost = 9
 )
 
 // point is one set of sizes.
@@ -55,6 +58,11 @@
 		next.dimension, next.value, next.hosts, next.endpoints = DimensionEndpoints, float64(endpoints), 6, endpoints
 		all = append(all, next)
 	}
+	for _, hosts := range []int{11, 22, 44} {
+		next := base
+		next.dimension, next.value, next.centres, next.hosts, next.endpoints = DimensionScale, float64(hosts), 1, hosts, endpointsPerHost*hosts
+		all = append(all, next)
+	}
 	for _, organisations := range []int{10, 500, 2000} {
 		next := base
 		next.dimension, next.value, next.organisations = DimensionOrganisations, float64(organisations), organisations
