feat(winchload): scenarios by overlay, matrix of policies and seeds, audit of the hosts' decisions

Cause: the comparison of policies was by hand, one experiment at a time, and no run was audited. Conclusion: matrix runs each scenario's policies after one another with each seed and goes on where it was broken off. Ruled out: sixteen copies of the deployments; a scenario names its Base and sets only what differs.

--- /dev/null
+++ b/winchload/audit.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/arbutuswinch/winch/dispatch/audit"
+	"github.com/arbutuswinch/winch/winchload/result"
+)
+
+const (
+	defaultNotice     = 3 * time.Second
+	defaultStarvation = 15 * time.Second
+)
+
+// auditCommand reads the decisions of a set's hosts.
+type auditCommand struct {
+	Directory  string        `arg:"positional,required" help:"directory with the hosts' logs, level info" placeholder:"DIR"`
+	Notice     time.Duration `arg:"--notice" default:"3s" help:"time for which a leaving endpoint may still get work"`
+	Starvation time.Duration `arg:"--starvation" default:"15s" help:"time for which a class may wait without any of it being served"`
+}
+
+func (c *auditCommand) execute(out io.Writer) error {
+	counted, err := audited(c.Directory, c.Notice, c.Starvation, out)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "routed %d, refused %d, preempted %d; known to the host: %d shed; by the merged lines: %d shed, %d preempted, %d starved, %d late work\n",
+		counted.Routed, counted.Refused, counted.Preemptions, counted.ShedKnown, counted.ShedTrue, counted.Preempted, counted.Starved, counted.LateWork)
+	return err
+}
+
+// audited audits the logs in a set's directory; violations are listed to a writer that is not nil.
+func audited(directory string, notice, starvation time.Duration, list io.Writer) (*result.Audit, error) {
+	paths, err := filepath.Glob(filepath.Join(directory, "*.log"))
+	if err != nil || len(paths) == 0 {
+		return nil, fmt.Errorf("audit %s: no logs", directory)
+	}
+	logs := make([]io.Reader, 0, len(paths))
+	for _, path := range paths {
+		log, err := os.Open(path)
+		if err != nil {
+			return nil, fmt.Errorf("open log: %w", err)
+		}
+		defer log.Close()
+		logs = append(logs, log)
+	}
+	lines, err := audit.Read(logs...)
+	if err != nil {
+		return nil, fmt.Errorf("audit %s: %w", directory, err)
+	}
+	report := audit.Check(lines, audit.Settings{Notice: notice, Starvation: starvation})
+	for _, violation := range report.Violations {
+		if list != nil {
+			_, _ = fmt.Fprintln(list, violation)
+		}
+	}
+	return &result.Audit{
+		Routed: report.Routed, Refused: report.Refused, Preemptions: report.Preempted,
+		ShedKnown: report.Count(audit.KindShedKnown), ShedTrue: report.Count(audit.KindShedTrue),
+		Preempted: report.Count(audit.KindPreempted), Starved: report.Count(audit.KindStarved), LateWork: report.Count(audit.KindLateWork),
+	}, nil
+}
--- a/winchload/experiment/draw.go
+++ b/winchload/experiment/draw.go
@@ -126,11 +126,14 @@
 	random := rand.New(rand.NewPCG(seed, faultStream))
 	planned := make([]PlannedFault, 0, len(e.Faults))
 	for _, fault := range e.Faults {
-		planned = append(planned, PlannedFault{
-			At:     time.Duration(fault.At) + time.Duration(random.Float64()*float64(fault.Spread)),
-			Target: fault.Targets[random.IntN(len(fault.Targets))],
-			Fault:  fault,
-		})
+		at := time.Duration(fault.At) + time.Duration(random.Float64()*float64(fault.Spread))
+		targets := fault.Targets
+		if !fault.All {
+			targets = []string{fault.Targets[random.IntN(len(fault.Targets))]}
+		}
+		for _, target := range targets {
+			planned = append(planned, PlannedFault{At: at, Target: target, Fault: fault})
+		}
 	}
 	sort.SliceStable(planned, func(i, j int) bool { return planned[i].At < planned[j].At })
 	return planned
--- a/winchload/experiment/experiment.go
+++ b/winchload/experiment/experiment.go
@@ -12,14 +12,13 @@
 //	}
 //
 // The load is an open loop: requests arrive when they arrive, however long the
-// earlier ones take. Unknown fields of the file are errors.
+// earlier ones take. Unknown fields of the file are errors. A file with a Base, the
+// path of another from its own directory, takes over all fields that it does not set.
 package experiment
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
 	"time"
 )
 
@@ -154,13 +153,15 @@
 }
 
 // Fault is a fault at a time that the seed draws from Spread after At, on one of
-// the targets. Targets are those of the stand-ins, and "host/" with a host's id, for
+// the targets, or on all of them. Targets are those of the stand-ins, and "host/" with a host's id, for
 // which the kinds are "stop" (planned; the host starts again after Duration), "kill"
 // (likewise, without a warning) and "pause" (for Duration).
 type Fault struct {
-	At       Duration
-	Spread   Duration
-	Targets  []string
+	At      Duration
+	Spread  Duration
+	Targets []string
+	// All sets the fault on each of the targets at the same time.
+	All      bool
 	Kind     string
 	Duration Duration
 	Delay    Duration
@@ -168,22 +169,6 @@
 	Count    int
 }
 
-// Load reads and checks the file.
-func Load(path string) (Experiment, error) {
-	file, err := os.Open(path)
-	if err != nil {
-		return Experiment{}, fmt.Errorf("open experiment: %w", err)
-	}
-	defer file.Close()
-	decoder := json.NewDecoder(file)
-	decoder.DisallowUnknownFields()
-	loaded := Experiment{}
-	if err := decoder.Decode(&loaded); err != nil {
-		return Experiment{}, fmt.Errorf("decode experiment: %w: %w", ErrInvalid, err)
-	}
-	return loaded, loaded.Check()
-}
-
 func fieldError(field, rule string) error {
 	return fmt.Errorf("%s: %w: %s", field, ErrInvalid, rule)
 }
--- a/winchload/experiment/experiment_test.go
+++ b/winchload/experiment/experiment_test.go
@@ -15,8 +15,10 @@
 func TestCheckedInExperiments(t *testing.T) {
 	paths, err := filepath.Glob("../../experiments/*.json")
 	assert.NilError(t, err)
-	assert.Assert(t, len(paths) > 0)
-	for _, path := range paths {
+	scenarios, err := filepath.Glob("../../experiments/scenarios/*.json")
+	assert.NilError(t, err)
+	assert.Assert(t, len(paths) > 0 && len(scenarios) > 0)
+	for _, path := range append(paths, scenarios...) {
 		t.Run(filepath.Base(path), func(t *testing.T) {
 			loaded, err := Load(path)
 			assert.NilError(t, err)
@@ -36,6 +38,30 @@
 	assert.ErrorContains(t, err, "Rates")
 }
 
+func write(t *testing.T, directory, name, text string) string {
+	t.Helper()
+	path := filepath.Join(directory, name)
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestBase(t *testing.T) {
+	directory := t.TempDir()
+	write(t, directory, "base.json", `{"Name": "base", "Duration": "9s", "Rate": 4, "Organisations": [{"ID": "o", "Load": 3}],
+		"Classes": [{"ID": "a", "Model": "m", "Share": 1}], "Faults": [{"Kind": "crash", "Targets": ["x"], "Count": 2}]}`)
+	t.Run("fields of the base stay unless they are set", func(t *testing.T) {
+		loaded, err := Load(write(t, directory, "over.json", `{"Base": "base.json", "Name": "over", "Faults": [{"Kind": "leave", "Targets": ["y"]}]}`))
+		assert.NilError(t, err)
+		assert.Equal(t, loaded.Name, "over")
+		assert.Equal(t, loaded.Duration, Duration(9*time.Second))
+		assert.DeepEqual(t, loaded.Faults, []Fault{{Kind: "leave", Targets: []string{"y"}}})
+	})
+	t.Run("a circle of files is an error", func(t *testing.T) {
+		_, err := Load(write(t, directory, "circle.json", `{"Base": "circle.json"}`))
+		assert.ErrorIs(t, err, ErrInvalid)
+	})
+}
+
 func twoClasses() Experiment {
 	return Experiment{
 		Name: "test", Duration: Duration(100 * time.Second), Rate: 50,
@@ -107,4 +133,9 @@
 	planned := twoClasses().PlannedFaults(3)
 	assert.DeepEqual(t, planned, twoClasses().PlannedFaults(3))
 	assert.Assert(t, planned[0].At >= time.Second && planned[0].At < 2*time.Second)
+	all := twoClasses()
+	all.Faults[0].All = true
+	planned = all.PlannedFaults(3)
+	assert.Equal(t, len(planned), 2)
+	assert.Equal(t, planned[0].At, planned[1].At)
 }
--- /dev/null
+++ b/winchload/experiment/file.go
@@ -0,0 +1,66 @@
+package experiment
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+const (
+	baseField = "Base"
+	baseLimit = 4
+)
+
+// Load reads and checks the file, and those that it builds on.
+func Load(path string) (Experiment, error) {
+	fields, err := merged(path, baseLimit)
+	if err != nil {
+		return Experiment{}, err
+	}
+	encoded, err := json.Marshal(fields)
+	if err != nil {
+		return Experiment{}, fmt.Errorf("encode experiment: %w", err)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(encoded))
+	decoder.DisallowUnknownFields()
+	loaded := Experiment{}
+	if err := decoder.Decode(&loaded); err != nil {
+		return Experiment{}, fmt.Errorf("decode experiment: %w: %w", ErrInvalid, err)
+	}
+	return loaded, loaded.Check()
+}
+
+// merged returns the fields of the file over those of its base. Whole fields are
+// replaced: a list is not mixed with the base's.
+func merged(path string, depth int) (map[string]json.RawMessage, error) {
+	if depth == 0 {
+		return nil, fieldError(baseField, "too many files that build on each other")
+	}
+	encoded, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read experiment: %w", err)
+	}
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal(encoded, &fields); err != nil {
+		return nil, fmt.Errorf("decode experiment %s: %w: %w", path, ErrInvalid, err)
+	}
+	text, based := fields[baseField]
+	if !based {
+		return fields, nil
+	}
+	base := ""
+	if err := json.Unmarshal(text, &base); err != nil {
+		return nil, fieldError(baseField, "must be a path")
+	}
+	out, err := merged(filepath.Join(filepath.Dir(path), base), depth-1)
+	if err != nil {
+		return nil, err
+	}
+	delete(fields, baseField)
+	for name, value := range fields {
+		out[name] = value
+	}
+	return out, nil
+}
--- a/winchload/main.go
+++ b/winchload/main.go
@@ -8,6 +8,8 @@
 //	winchload direct --experiment experiments/probababa.json --control 127.0.0.1:7009 --out out/direct.json
 //	winchload pair --experiment experiments/probababa.json --policies Winch,Random --seeds 1,2,3 --out out/pair
 //	winchload table out/pair/*.json
+//	winchload matrix --scenarios experiments/scenarios --policies Winch,LeastReported --seeds 1,2,3,4,5 --parallel 3 --out out/matrix
+//	winchload audit out/matrix/probababa-burst-Winch-1
 //	winchload call --address 127.0.0.1:8001 --key KEY --class store-floor --model atlas-8b
 //	winchload settings --experiment experiments/probababa.json --base-port 7000 --out out/set
 package main
@@ -27,6 +29,8 @@
 	Run      *runCommand      `arg:"subcommand:run" help:"drive running hosts"`
 	Direct   *directCommand   `arg:"subcommand:direct" help:"send the same load straight to the stand-in endpoints"`
 	Pair     *pairCommand     `arg:"subcommand:pair" help:"start whole sets and compare policies or builds"`
+	Matrix   *matrixCommand   `arg:"subcommand:matrix" help:"run all scenarios of a directory with several policies and seeds"`
+	Audit    *auditCommand    `arg:"subcommand:audit" help:"find decisions that broke a rule in the logs of a set's hosts"`
 	Table    *tableCommand    `arg:"subcommand:table" help:"print a Markdown table of result files"`
 	Call     *callCommand     `arg:"subcommand:call" help:"send one request as a caller and show the answer"`
 	Capacity *capacityCommand `arg:"subcommand:capacity" help:"measure what control costs by the number of hosts, endpoints, organisations and changes"`
@@ -57,6 +61,10 @@
 		return args.Direct.execute(ctx)
 	case args.Pair != nil:
 		return args.Pair.execute(ctx)
+	case args.Matrix != nil:
+		return args.Matrix.execute(ctx)
+	case args.Audit != nil:
+		return args.Audit.execute(os.Stdout)
 	case args.Table != nil:
 		return args.Table.execute(os.Stdout)
 	case args.Call != nil:
--- /dev/null
+++ b/winchload/matrix.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/arbutuswinch/winch/winchload/experiment"
+	"github.com/arbutuswinch/winch/winchload/result"
+	"github.com/arbutuswinch/winch/winchload/table"
+)
+
+type matrixCommand struct {
+	Scenarios string        `arg:"--scenarios" default:"experiments/scenarios" help:"directory of experiment files" placeholder:"DIR"`
+	Policies  string        `arg:"--policies" default:"Winch,LeastReported,Random,FirstCome" help:"policies to compare, with commas"`
+	Winchd    string        `arg:"--winchd" default:"bin/winchd" help:"the hosts' program"`
+	Seeds     string        `arg:"--seeds" default:"1,2,3,4,5" help:"seeds, with commas"`
+	Parallel  int           `arg:"--parallel" default:"1" help:"sets that run at once; each takes about one processor"`
+	Settle    time.Duration `arg:"--settle" default:"1s" help:"wait for usage reports after each run"`
+	setOptions
+}
+
+// cell is a scenario with a seed; its policies run after one another.
+type cell struct {
+	loaded experiment.Experiment
+	seed   uint64
+	number int
+}
+
+// execute runs all cells, up to Parallel at once, and prints the table. Results whose
+// files exist are kept, so that a matrix that was broken off goes on where it was.
+func (c *matrixCommand) execute(ctx context.Context) error {
+	cells, err := c.cells()
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+		return fmt.Errorf("create directory: %w", err)
+	}
+	pair := pairCommand{Policies: c.Policies, Builds: c.Winchd}
+	run := runner{setOptions: c.setOptions, faults: true, logLevel: "info", settle: c.Settle, resume: true, audit: true}
+	measured := make([][]result.Result, len(cells))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(max(c.Parallel, 1))
+	for i, each := range cells {
+		group.Go(func() error {
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+			var err error
+			measured[i], err = run.seed(ctx, each.loaded, each.seed, turned(pair.variants(), each.number))
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return fmt.Errorf("run matrix: %w", err)
+	}
+	return table.WriteScenarios(os.Stdout, slices.Concat(measured...))
+}
+
+// cells returns all scenarios with the first seed before those with the next one.
+func (c *matrixCommand) cells() ([]cell, error) {
+	paths, err := filepath.Glob(filepath.Join(c.Scenarios, "*.json"))
+	if err != nil || len(paths) == 0 {
+		return nil, fmt.Errorf("no scenarios in %s: %w", c.Scenarios, experiment.ErrInvalid)
+	}
+	seeds, err := seedsOf(c.Seeds)
+	if err != nil {
+		return nil, err
+	}
+	cells := []cell{}
+	for number, seed := range seeds {
+		for _, path := range paths {
+			loaded, err := experiment.Load(path)
+			if err != nil {
+				return nil, fmt.Errorf("load %s: %w", path, err)
+			}
+			cells = append(cells, cell{loaded: loaded, seed: seed, number: number})
+		}
+	}
+	return cells, nil
+}
--- a/winchload/result/result.go
+++ b/winchload/result/result.go
@@ -56,6 +56,8 @@
 	LateSends int
 	Usage     UsageState
 	Notes     Notes
+	// Audit is nil when the hosts' decisions were not read.
+	Audit     *Audit
 	Processes []Process
 	Calls     map[string]map[string]int64
 	Series    []Point
@@ -131,6 +133,20 @@
 	UsedAfter []float64
 }
 
+// Audit counts decisions, and those that broke a rule.
+type Audit struct {
+	Routed      int
+	Refused     int
+	Preemptions int
+	// ShedKnown were refused although the deciding host knew of lower-tier work that could be given up.
+	ShedKnown int
+	// The others are judged by the merged lines of all hosts. ShedTrue were refused although such work ran, known or not.
+	ShedTrue  int
+	Preempted int
+	Starved   int
+	LateWork  int
+}
+
 // Process is the cost of one process.
 type Process struct {
 	Name string
--- a/winchload/table/rows.go
+++ b/winchload/table/rows.go
@@ -22,7 +22,29 @@
 			func(g result.Group) float64 { return g.Attainment }))
 	}
 	all = append(all, workRows()...)
-	return append(all, proofRows()...)
+	return append(append(all, proofRows()...), auditRows(results)...)
+}
+
+// auditRows returns the violations, when any result has an audit.
+func auditRows(results []result.Result) []row {
+	if !slices.ContainsFunc(results, func(r result.Result) bool { return r.Audit != nil }) {
+		return nil
+	}
+	count := func(name string, of func(*result.Audit) int) row {
+		return row{name: name, value: func(r result.Result) (float64, bool) {
+			if r.Audit == nil {
+				return 0, false
+			}
+			return float64(of(r.Audit)), true
+		}}
+	}
+	return []row{
+		count("audit, shed (known to the host)", func(a *result.Audit) int { return a.ShedKnown }),
+		count("audit, shed (merged)", func(a *result.Audit) int { return a.ShedTrue }),
+		count("audit, preempted for no higher tier", func(a *result.Audit) int { return a.Preempted }),
+		count("audit, starved", func(a *result.Audit) int { return a.Starved }),
+		count("audit, late work", func(a *result.Audit) int { return a.LateWork }),
+	}
 }
 
 func namesOf(results []result.Result, groups func(result.Result) []result.Group) []string {
--- /dev/null
+++ b/winchload/table/scenario.go
@@ -0,0 +1,93 @@
+package table
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/arbutuswinch/winch/winchload/result"
+)
+
+// WriteScenarios prints a line for each experiment and label, with the mean over its
+// seeds and the lowest and highest value. Experiments with the same classes share a table.
+func WriteScenarios(out io.Writer, results []result.Result) error {
+	classes, sets := []string{}, map[string][]result.Result{}
+	for _, measured := range results {
+		of := classesOf(measured)
+		if !slices.Contains(classes, of) {
+			classes = append(classes, of)
+		}
+		sets[of] = append(sets[of], measured)
+	}
+	for _, of := range classes {
+		if err := writeScenarios(out, sets[of]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func classesOf(measured result.Result) string {
+	names := []string{}
+	for _, class := range measured.Classes {
+		names = append(names, class.Name)
+	}
+	return strings.Join(names, ", ")
+}
+
+func writeScenarios(out io.Writer, results []result.Result) error {
+	columns, text := scenarioColumns(results), strings.Builder{}
+	text.WriteString("| scenario | policy | seeds |")
+	for _, column := range columns {
+		text.WriteString(" " + column.name + " |")
+	}
+	text.WriteString("\n| --- | --- | --- |" + strings.Repeat(" --- |", len(columns)) + "\n")
+	for _, name := range experimentsOf(results) {
+		of := slices.DeleteFunc(slices.Clone(results), func(r result.Result) bool { return r.Experiment != name })
+		labels := labelsOf(of)
+		slices.Sort(labels)
+		for _, label := range labels {
+			fmt.Fprintf(&text, "| %s | %s | %s |", name, label, seedsOf(of, label))
+			for _, column := range columns {
+				text.WriteString(" " + cell(of, label, column) + " |")
+			}
+			text.WriteByte('\n')
+		}
+	}
+	text.WriteByte('\n')
+	if _, err := io.WriteString(out, text.String()); err != nil {
+		return fmt.Errorf("write table: %w", err)
+	}
+	return nil
+}
+
+func experimentsOf(results []result.Result) []string {
+	names := []string{}
+	for _, measured := range results {
+		if !slices.Contains(names, measured.Experiment) {
+			names = append(names, measured.Experiment)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// scenarioColumns returns the measures by which policies are compared.
+func scenarioColumns(results []result.Result) []row {
+	wanted := []string{
+		"attainment, worst organisation", "goodput (tokens/s)", "wasted tokens, share", "paid for endpoints (thousandths)",
+		"work on cheap engines, share", "requests cut", "failed with an error", "late sends of the tool",
+	}
+	columns, all := []row{}, rows(results)
+	for _, column := range all {
+		if strings.HasPrefix(column.name, "attainment, ") && column.name != "attainment, all" && !slices.Contains(wanted, column.name) {
+			columns = append(columns, column)
+		}
+	}
+	for _, name := range wanted {
+		at := slices.IndexFunc(all, func(r row) bool { return r.name == name })
+		columns = append(columns, all[at])
+	}
+	return append(columns, auditRows(results)...)
+}
--- a/winchload/table/table.go
+++ b/winchload/table/table.go
@@ -4,6 +4,9 @@
 // # Usage
 //
 //	err := table.Write(os.Stdout, results)
+//
+// WriteScenarios prints a line for each experiment and label instead, in a table for
+// each set of classes.
 package table
 
 import (
--- a/winchload/table/table_test.go
+++ b/winchload/table/table_test.go
@@ -19,3 +19,21 @@
 	assert.Equal(t, lines[0], "| measure | A (seeds 1, 2) | B (seeds 1) |")
 	assert.Equal(t, lines[2], "| attainment, talk | 0.625 (0.500 to 0.750) | 0.250 |")
 }
+
+func TestWriteScenarios(t *testing.T) {
+	of := func(name, label, class string, cut int) result.Result {
+		return result.Result{
+			Experiment: name, Label: label, Seed: 1, Classes: []result.Group{{Name: class, Attainment: 0.5}},
+			Total: result.Group{Cut: cut}, Audit: &result.Audit{ShedTrue: 7},
+		}
+	}
+	out := strings.Builder{}
+	assert.NilError(t, WriteScenarios(&out, []result.Result{of("two", "A", "talk", 3), of("one", "B", "talk", 1), of("one", "A", "talk", 2), of("other", "A", "hold", 4)}))
+	lines := strings.Split(out.String(), "\n")
+	assert.Assert(t, strings.HasPrefix(lines[0], "| scenario | policy | seeds | attainment, talk | attainment, worst organisation |"))
+	for i, start := range []string{"| one | A | 1 | 0.500 |", "| one | B | 1 |", "| two | A | 1 |"} {
+		assert.Assert(t, strings.HasPrefix(lines[2+i], start), lines[2+i])
+	}
+	assert.Assert(t, strings.HasSuffix(lines[2], "| 2 | 0 | 0 | 0 | 7 | 0 | 0 | 0 |"), lines[2])
+	assert.Assert(t, strings.Contains(lines[6], "attainment, hold"))
+}
