--- a/winchload/bench/set.go
+++ b/winchload/bench/set.go
@@ -39,6 +39,7 @@
 	drainTimeout   = time.Minute
 
 	startTimeout = 60 * time.Second
+	startTries   = 4
 	stopGrace    = drainTimeout + 10*time.Second
 	pollInterval = 100 * time.Millisecond
 	callTimeout  = 5 * time.Second
@@ -78,7 +79,21 @@
 }
 
 // Start starts everything and returns when each host serves the experiment's models.
+// When a process ends at once, such as after another program took its port, it
+// starts again with other ports and no logs.
 func Start(ctx context.Context, options Options) (*Set, error) {
+	for try := 1; ; try++ {
+		set, err := startOnce(ctx, options)
+		if !errors.Is(err, errEnded) || try == startTries || options.BasePort != 0 {
+			return set, err
+		}
+		if err := os.RemoveAll(options.Directory); err != nil {
+			return nil, fmt.Errorf("remove what is left of a start: %w", err)
+		}
+	}
+}
+
+func startOnce(ctx context.Context, options Options) (*Set, error) {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	if err := os.MkdirAll(options.Directory, 0o755); err != nil {
