--- a/membership/peer/pace.go
+++ b/membership/peer/pace.go
@@ -18,8 +18,8 @@
 	centresFactor = 1.5
 )
 
-// stretch returns the factor on a period for the number of parties.
-func stretch(parties, steady int, most float64) float64 {
+// periodFactor returns the factor on a period for the number of parties.
+func periodFactor(parties, steady int, most float64) float64 {
 	return min(most, max(1, float64(parties)/float64(steady)))
 }
 
@@ -44,14 +44,14 @@
 }
 
 func (t *Table) exchangeFactor() float64 {
-	return stretch(len(t.sorted[t.self.DataCentre])+1, steadyHosts, hostsFactor)
+	return periodFactor(len(t.sorted[t.self.DataCentre])+1, steadyHosts, hostsFactor)
 }
 
-func (t *Table) digestFactor() float64 { return stretch(len(t.centres), steadyCentres, centresFactor) }
+func (t *Table) digestFactor() float64 { return periodFactor(len(t.centres), steadyCentres, centresFactor) }
 
-// suspicion returns the silence after which a host of the data centre is believed
+// suspectTimeout returns the silence after which a host of the data centre is believed
 // dead. It follows the periods by which hosts are heard.
-func (t *Table) suspicion(centre winch.DataCentreID) time.Duration {
+func (t *Table) suspectTimeout(centre winch.DataCentreID) time.Duration {
 	factor := t.exchangeFactor()
 	if centre != t.self.DataCentre {
 		factor = max(factor, t.digestFactor())
--- a/membership/peer/pace_test.go
+++ b/membership/peer/pace_test.go
@@ -40,13 +40,13 @@
 		assertSuspected(t, table, "a", suspectAfter)
 		assertSuspected(t, table, "b", suspectAfter)
 	})
-	t.Run("stretches exchanges and suspicion with the hosts", func(t *testing.T) {
+	t.Run("stretches exchanges and suspectTimeout with the hosts", func(t *testing.T) {
 		table := largeTable(30, 2)
 		assert.Equal(t, table.ExchangeFactor(), 1.5)
 		assertSuspected(t, table, "a", suspectAfter*3/2)
 		assert.Equal(t, largeTable(200, 2).ExchangeFactor(), 2.0)
 	})
-	t.Run("stretches digests and suspicion with the data centres", func(t *testing.T) {
+	t.Run("stretches digests and suspectTimeout with the data centres", func(t *testing.T) {
 		table := largeTable(2, 9)
 		assert.Equal(t, table.DigestFactor(), 1.5)
 		assertSuspected(t, table, "a", suspectAfter)
--- a/membership/peer/table.go
+++ b/membership/peer/table.go
@@ -204,12 +204,12 @@
 // of the doubt for a while after it was first seen.
 func (t *Table) alive(now time.Time, known *member) bool {
 	if known.heard.IsZero() {
-		return known.failed.IsZero() && known.listed && now.Sub(known.firstSeen) < t.suspicion(known.host.DataCentre)
+		return known.failed.IsZero() && known.listed && now.Sub(known.firstSeen) < t.suspectTimeout(known.host.DataCentre)
 	}
 	if known.failed.After(known.heard) {
 		return false
 	}
-	return now.Sub(known.heard) < t.suspicion(known.host.DataCentre)
+	return now.Sub(known.heard) < t.suspectTimeout(known.host.DataCentre)
 }
 
 // live returns the live hosts of the data centre, sorted by id.
