fix(winchload): leave the ports of make run alone

Cause: the load tool chose ports from 15000, among them the fixed ones of make run (17001 to 18062); make run failed once beside other runs, as a host's port was taken (not proved). Ruled out: free ports for make run (its addresses stand in the printed commands). Before / after: ranges overlap / the tool chooses from 19000 to 31999.

--- a/winchload/bench/ports.go
+++ b/winchload/bench/ports.go
@@ -9,8 +9,8 @@
 // The ports from which free ones are chosen lie below those that the kernel gives
 // to outgoing connections, which would take them until the process listens.
 const (
-	lowestPort = 15000
-	portCount  = 17000
+	lowestPort = 19000
+	portCount  = 13000
 	freeTries  = 200
 )
 
