--- a/membership/peer/pace.go
+++ b/membership/peer/pace.go
@@ -47,7 +47,9 @@
 	return periodFactor(len(t.sorted[t.self.DataCentre])+1, steadyHosts, hostsFactor)
 }
 
-func (t *Table) digestFactor() float64 { return periodFactor(len(t.centres), steadyCentres, centresFactor) }
+func (t *Table) digestFactor() float64 {
+	return periodFactor(len(t.centres), steadyCentres, centresFactor)
+}
 
 // suspectTimeout returns the silence after which a host of the data centre is believed
 // dead. It follows the periods by which hosts are heard.
