--- a/winchload/commands.go
+++ b/winchload/commands.go
@@ -118,7 +118,8 @@
 }
 
 type tableCommand struct {
-	Files []string `arg:"positional,required" help:"result files" placeholder:"FILE"`
+	Files     []string `arg:"positional,required" help:"result files" placeholder:"FILE"`
+	Scenarios bool     `arg:"--by-scenario" help:"a line for each experiment and policy, as matrix prints it"`
 }
 
 func (c *tableCommand) execute(out io.Writer) error {
@@ -130,5 +131,8 @@
 		}
 		results = append(results, loaded)
 	}
+	if c.Scenarios {
+		return table.WriteScenarios(out, results)
+	}
 	return table.Write(out, results)
 }
