fix(dispatch): count lower work in another data centre as room for a higher tier

Cause: hand-over looked at free slots alone, and those told were none as soon as anything waited there. Test: TestHandOver, 'hands over to lower work that would give way'. The section test reads the told slots, as the method is gone.

--- a/dispatch/endpoint/core_test.go
+++ b/dispatch/endpoint/core_test.go
@@ -257,6 +257,22 @@
 		assert.Assert(t, b.request(stall, 5).remote == nil)
 		b.release(b.now, r, winch.OutcomeUnsent)
 	})
+	t.Run("hands over to lower work that would give way", func(t *testing.T) {
+		b.now = b.now.Add(time.Second + remoteBackoff)
+		told := func(movable, queued int) {
+			b.now = b.now.Add(time.Millisecond)
+			b.applyRemote(b.now, "b", remoteFigures{lanes: map[laneKey]laneFigures{
+				{class: notes, group: group{model: chat}}: {Movable: movable}, {class: stall, group: group{model: chat}}: {Queued: queued},
+			}})
+		}
+		told(2, 1)
+		r := b.request(stall, 7)
+		assert.Assert(t, r.remote != nil)
+		assert.Assert(t, b.request(stall, 8).remote == nil)
+		told(2, 2)
+		assert.Assert(t, b.request(stall, 9).remote == nil)
+		b.release(b.now, r, winch.OutcomeUnsent)
+	})
 	t.Run("pauses after a failure", func(t *testing.T) {
 		b.now = b.now.Add(time.Millisecond)
 		room()
--- a/dispatch/endpoint/remote.go
+++ b/dispatch/endpoint/remote.go
@@ -34,7 +34,26 @@
 	return fresh
 }
 
-func (m *remote) room(g group) int { return m.rooms[g] - m.given[g] }
+// room returns how many of the lane's requests the data centre may take: its free
+// slots, and what its lower tiers would give up beyond what waits there for that.
+func (c *core) room(m *remote, l *lane) int {
+	room := m.rooms[l.key.group] - m.given[l.key.group]
+	if !c.features.tiers || !c.features.preemption {
+		return room
+	}
+	lower := 0
+	for key, figures := range m.lanes {
+		there := c.lanes[key]
+		switch {
+		case there == nil || key.group != l.key.group:
+		case l.higher(there):
+			lower += figures.Movable
+		default:
+			lower -= figures.Queued
+		}
+	}
+	return room + max(0, lower)
+}
 
 // release learns from how a request ended that was handed over.
 func (m *remote) release(now time.Time, outcome winch.Outcome) {
@@ -54,7 +73,7 @@
 	if l.slots > 0 && c.atRisk(now, l) == 0 && !c.waitAtRisk(now, r) {
 		return false
 	}
-	best := c.roomiest(now, l.key.group, r)
+	best := c.roomiest(now, l, r)
 	if best == nil {
 		return false
 	}
@@ -73,14 +92,16 @@
 	return c.predictedWait(now, r.lane, r) > c.riskLimit(r.lane)
 }
 
-func (c *core) roomiest(now time.Time, g group, r *request) *remote {
+func (c *core) roomiest(now time.Time, l *lane, r *request) *remote {
 	var best *remote
+	most := 0
 	for _, m := range c.remotes {
-		if !c.fresh(now, m.at) || now.Before(m.blockedUntil) || m.room(g) <= 0 || len(m.hosts) == 0 {
+		if !c.fresh(now, m.at) || now.Before(m.blockedUntil) || len(m.hosts) == 0 {
 			continue
 		}
-		if best == nil || m.room(g) > best.room(g) || m.room(g) == best.room(g) && m.centre < best.centre {
-			best = m
+		room := c.room(m, l)
+		if room > most || room == most && best != nil && m.centre < best.centre {
+			best, most = m, room
 		}
 	}
 	if best == nil || r.excludes(winch.EndpointID(c.peerOf(best, r).ID)) {
--- a/dispatch/endpoint/section_test.go
+++ b/dispatch/endpoint/section_test.go
@@ -34,7 +34,7 @@
 	t.Run("other data centres learn of free slots", func(t *testing.T) {
 		far := newDispatcher(t, configuration, nil)
 		assert.NilError(t, far.Section().ApplyDigest(now, now, "a", first.Section().Digest(now, "b")))
-		assert.Equal(t, far.core.remotes["a"].room(group{model: chat}), 1)
+		assert.Equal(t, far.core.remotes["a"].rooms[group{model: chat}], 1)
 	})
 	t.Run("queues of other hosts are seen at the hub", func(t *testing.T) {
 		found := false
