fix(dispatch): hold the lowest tier's long prompts back while others are unread

Cause: engines read prompts in the order in which they came. Ruled out: the engine's priorities, which order who enters the batch and not what is read in it. The bound on the share is the same. Unproved: prompts of other hosts at the endpoint are not known.

--- a/dispatch/endpoint/choose.go
+++ b/dispatch/endpoint/choose.go
@@ -15,7 +15,8 @@
 	unsafeScore     = 0.5 // for work on a cheap endpoint that would be lost with it
 	absorbScore     = 2
 	adapterScore    = 0.5
-	affinityMinimum = 64 // tokens
+	unreadScore     = 0.25 // for prompts before the request's up to the limit
+	affinityMinimum = 64   // tokens
 )
 
 // allowance returns how many more requests this host may give to the endpoint.
@@ -39,7 +40,7 @@
 // eligible tells whether the request may run on the endpoint now.
 func (c *core) eligible(now time.Time, l *lane, r *request, e *endpoint) bool {
 	return c.allowance(now, e) > 0 && e.usable(now) && (len(r.work.Excluded) == 0 || !r.excludes(e.spec.ID)) &&
-		(!r.long || c.roomFor(e, l, r)) && !c.reserved(now, e, l)
+		c.roomFor(e, l, r) && !c.reserved(now, e, l)
 }
 
 // chooseBest takes the better of two random endpoints among those whose score is
@@ -81,6 +82,9 @@
 	if c.features.ownAnswers {
 		score *= e.factor
 	}
+	if c.features.longShare {
+		score += unreadScore * min(1, float64(e.unread)/float64(c.settings.UnreadLimit))
+	}
 	if e.cheap {
 		score += supplyScore(l, r)
 	}
--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -178,12 +178,13 @@
 func (c *core) linkLanes() {
 	for _, l := range c.sorted {
 		l.competitors = l.competitors[:0]
-		l.first = true
+		l.first, l.last = true, true
 	}
 	for _, e := range c.ordered {
 		sort.Slice(e.lanes, func(i, j int) bool { return laneLess(e.lanes[i], e.lanes[j]) })
 		for _, l := range e.lanes {
 			l.first = l.first && !e.lanes[0].higher(l)
+			l.last = l.last && !l.higher(e.lanes[len(e.lanes)-1])
 			for _, competitor := range e.lanes {
 				if !slices.Contains(l.competitors, competitor) {
 					l.competitors = append(l.competitors, competitor)
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -53,6 +53,7 @@
 	turn          int
 
 	first        bool // no lane of the same group has a higher tier
+	last         bool // none has a lower one
 	cheapRunning int  // on cheap endpoints
 	steadyRoom   float64
 	interMean    average // of the endpoints' times between tokens
--- a/dispatch/endpoint/options.go
+++ b/dispatch/endpoint/options.go
@@ -56,6 +56,9 @@
 	LongInput  winch.Tokens
 	LongOutput winch.Tokens
 	LongShare  float64
+	// UnreadLimit is how many tokens of prompts may wait to be read at an endpoint that
+	// serves a more urgent class when the lowest tier adds its own.
+	UnreadLimit winch.Tokens
 	// OutputWeight is the charge for an output token relative to an input token.
 	OutputWeight float64
 	// Aperture is the number of endpoints of a class and model up to which a host uses all.
@@ -134,6 +137,9 @@
 	if s.LongInput == 0 {
 		s.LongInput = 4096
 	}
+	if s.UnreadLimit == 0 {
+		s.UnreadLimit = 2048
+	}
 	if s.LongOutput == 0 {
 		s.LongOutput = 1024
 	}
--- a/dispatch/endpoint/request.go
+++ b/dispatch/endpoint/request.go
@@ -46,6 +46,7 @@
 	grantedAt        time.Time
 	collected        winch.Tokens
 	collectedAt      time.Time
+	unread           winch.Tokens // of the prompt, until the first token
 	firstSeen        bool
 	long             bool
 	floor            bool
--- a/dispatch/endpoint/serve.go
+++ b/dispatch/endpoint/serve.go
@@ -61,9 +61,14 @@
 }
 
 // roomFor keeps long work to its share of an endpoint that serves a more urgent class.
+// Engines read prompts in the order in which they came, so an urgent request would wait
+// for all those before it: the lowest tier's wait here until the endpoint has read the others.
 func (c *core) roomFor(e *endpoint, l *lane, r *request) bool {
-	if !c.features.longShare || !r.long || len(e.lanes) == 0 || !e.lanes[0].higher(l) {
+	if !c.features.longShare || len(e.lanes) == 0 || !e.lanes[0].higher(l) {
 		return true
 	}
-	return float64(e.long) < max(1, c.settings.LongShare*e.limit.value)
+	if r.long && float64(e.long) >= max(1, c.settings.LongShare*e.limit.value) {
+		return false
+	}
+	return !l.last || e.unread == 0 || e.unread+r.work.InputTokens <= c.settings.UnreadLimit
 }
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -45,6 +45,7 @@
 
 	tiers     []tierRunning // by tier, the highest first
 	long      int
+	unread    winch.Tokens // of this host's prompts below the highest tier, without a first token
 	models    []winch.LoadedModel
 	limit     limiter
 	lastHeard atomic.Int64 // nanoseconds since 1970
@@ -90,6 +91,10 @@
 	if r.long {
 		e.long++
 	}
+	if !r.lane.first {
+		r.unread = r.work.InputTokens + r.work.OutputDone
+		e.unread += r.unread
+	}
 }
 
 // markMoving notes that the request was asked to leave the endpoint.
@@ -130,6 +135,13 @@
 	if r.long {
 		e.long--
 	}
+	e.read(r)
+}
+
+// read notes that the endpoint has read the request's prompt, or never will.
+func (e *endpoint) read(r *request) {
+	e.unread -= r.unread
+	r.unread = 0
 }
 
 // observe takes a load report in.
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -106,6 +106,7 @@
 			c.sampleFirst(r, r.collectedAt)
 		}
 		if r.endpoint != nil {
+			r.endpoint.read(r)
 			c.answered(now, r.endpoint)
 		}
 	}
--- /dev/null
+++ b/dispatch/endpoint/unread_test.go
@@ -0,0 +1,37 @@
+package endpoint
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+)
+
+func TestUnreadPrompt(t *testing.T) {
+	b := newBench(twoClasses(2, 8))
+	reading, other := b.ordered[0], b.ordered[1]
+	place := func(id int, tokens winch.Tokens, away *endpoint) *request {
+		work := workOf(notes, id)
+		work.InputTokens, work.Excluded = tokens, []winch.EndpointID{away.spec.ID}
+		return b.arrive(b.now, work, nil, &progress{})
+	}
+	long := place(1, 10_000, other)
+	place(2, 10, reading)
+	place(3, 10, reading)
+	t.Run("keeps urgent work off until it is read", func(t *testing.T) {
+		assert.Equal(t, b.request(stall, 4).endpoint, other)
+	})
+	t.Run("counts no more once the first token came", func(t *testing.T) {
+		long.progress.first.Store(b.now.UnixNano())
+		b.collectAll(b.now, reading)
+		assert.Equal(t, reading.unread, winch.Tokens(0))
+		assert.Equal(t, b.request(stall, 5).endpoint, reading)
+	})
+	t.Run("counts no more once the request left", func(t *testing.T) {
+		left := place(6, 10_000, other)
+		assert.Equal(t, reading.unread, winch.Tokens(10_000))
+		b.release(b.now, left, winch.OutcomeCancelled)
+		assert.Equal(t, reading.unread, winch.Tokens(0))
+	})
+}
