--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -52,6 +52,8 @@
 	movingRunning int
 	turn          int
 
+	// usual is how many of the class's requests run at all hosts, over usualTime.
+	usual        float64
 	first        bool // no lane of the same group has a higher tier
 	last         bool // none has a lower one
 	cheapRunning int  // on cheap endpoints
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -28,6 +28,7 @@
 	c.expire(now)
 	c.forgetBroken(now)
 	for _, l := range c.sorted {
+		c.noteUsual(now, l)
 		risk := c.atRisk(now, l)
 		c.widen(l, risk > 0)
 		if risk > 0 {
--- a/dispatch/endpoint/wait.go
+++ b/dispatch/endpoint/wait.go
@@ -96,7 +96,7 @@
 		}
 		ahead += queued
 		if competitor.higher(l) {
-			taken += running
+			taken += l.takenOver(running, competitor.usual)
 		}
 		if competitor.class.Tier == l.class.Tier || competitor.higher(l) {
 			ahead += running
@@ -111,7 +111,27 @@
 	return secondsOf(ahead * l.hold.value / slots)
 }
 
-const minimumSlots = 0.5
+const (
+	minimumSlots = 0.5
+	// usualTime is how far back the usual use of slots reaches.
+	usualTime = 20 * time.Second
+)
+
+// takenOver returns how many slots a higher tier takes while the lane waits for its
+// target: a burst that is seen now will be over for a target as long as usualTime.
+func (l *lane) takenOver(running, usual float64) float64 {
+	share := math.Min(1, float64(l.class.FirstTokenTarget)/float64(usualTime))
+	return running - share*math.Max(0, running-usual)
+}
+
+// noteUsual takes the present use of slots in, once a tick.
+func (c *core) noteUsual(now time.Time, l *lane) {
+	running := float64(l.running)
+	if c.informed(now) {
+		running += float64(l.others.Running)
+	}
+	l.usual += (running - l.usual) * float64(c.settings.Tick) / float64(usualTime)
+}
 
 // aheadInLane returns how many of the lane's queued requests here are served before
 // a new one of the account: a flood of one account does not stand before the others.
