--- a/dispatch/endpoint/core_test.go
+++ b/dispatch/endpoint/core_test.go
@@ -225,9 +225,15 @@
 func TestLongWork(t *testing.T) {
 	b := newBench(twoClasses(1, 8))
 	for i := range 8 {
-		work := workOf(notes, i)
+		work, p := workOf(notes, i), &progress{}
 		work.InputTokens = 10_000
-		b.arrive(b.now, work, nil, nil)
+		b.arrive(b.now, work, nil, p)
+		t.Run("waits until the prompt before it is read", func(t *testing.T) {
+			assert.Assert(t, b.only().unread <= work.InputTokens)
+		})
+		p.first.Store(b.now.UnixNano())
+		b.collectAll(b.now, b.only())
+		b.pump(b.now)
 	}
 	t.Run("has a bounded share", func(t *testing.T) { assert.Equal(t, b.only().running, 4) })
 	t.Run("leaves room for short work", func(t *testing.T) {
@@ -257,6 +263,22 @@
 		assert.Assert(t, b.request(stall, 5).remote == nil)
 		b.release(b.now, r, winch.OutcomeUnsent)
 	})
+	t.Run("hands over to lower work that would give way", func(t *testing.T) {
+		b.now = b.now.Add(time.Second + remoteBackoff)
+		told := func(movable, queued int) {
+			b.now = b.now.Add(time.Millisecond)
+			b.applyRemote(b.now, "b", remoteFigures{lanes: map[laneKey]laneFigures{
+				{class: notes, group: group{model: chat}}: {Movable: movable}, {class: stall, group: group{model: chat}}: {Queued: queued},
+			}})
+		}
+		told(2, 1)
+		r := b.request(stall, 7)
+		assert.Assert(t, r.remote != nil)
+		assert.Assert(t, b.request(stall, 8).remote == nil)
+		told(2, 2)
+		assert.Assert(t, b.request(stall, 9).remote == nil)
+		b.release(b.now, r, winch.OutcomeUnsent)
+	})
 	t.Run("pauses after a failure", func(t *testing.T) {
 		b.now = b.now.Add(time.Millisecond)
 		room()
