--- a/winchd/faults/caller_test.go
+++ b/winchd/faults/caller_test.go
@@ -181,21 +181,29 @@
 
 // streamEnd tells how a stream ended: "done", the code of its error event, or "cut".
 type streamEnd struct {
-	how  string
-	text string
-	took time.Duration
+	how      string
+	runState string
+	text     string
+	took     time.Duration
 }
 
 // stream reads a completion of so many tokens to its end; begun is called at the first token.
 func (s *system) stream(h *host, key string, tokens int, begun func()) streamEnd {
-	response, err := http.DefaultClient.Do(s.completion(h, key, tokens, true))
+	return readStream(http.DefaultClient, s.completion(h, key, tokens, true), begun)
+}
+
+func readStream(client *http.Client, request *http.Request, begun func()) streamEnd {
+	response, err := client.Do(request)
 	if err != nil {
 		return streamEnd{how: "cut"}
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		body, _ := io.ReadAll(response.Body)
-		return streamEnd{how: errorCode(body)}
+		body, err := io.ReadAll(response.Body)
+		if err != nil {
+			return streamEnd{how: "cut"}
+		}
+		return streamEnd{how: errorCode(body), runState: response.Header.Get("X-Run-State")}
 	}
 	started, text := time.Now(), strings.Builder{}
 	lines := bufio.NewScanner(response.Body)
--- a/winchd/faults/system_test.go
+++ b/winchd/faults/system_test.go
@@ -239,6 +239,20 @@
 	return nil
 }
 
+// keepLogs leaves the settings and logs of all processes in a directory when the test fails.
+func (s *system) keepLogs(name string) {
+	s.t.Cleanup(func() {
+		if !s.t.Failed() {
+			return
+		}
+		kept, err := os.MkdirTemp("", name)
+		if err == nil {
+			err = os.CopyFS(kept, os.DirFS(s.directory))
+		}
+		s.t.Logf("logs are kept in %s: %v", kept, err)
+	})
+}
+
 // isolate sets what becomes of all traffic between the data centre and the others, both ways.
 func (s *system) isolate(centre string, state linkState) {
 	for _, h := range s.hosts {
@@ -277,7 +291,10 @@
 		ByRequest map[string]int
 		ByKey     map[string]int
 	}
-	Orders []struct {
+	// Completions counts what each engine accepted, by request id.
+	Completions map[string]map[string]int
+	Engines     map[string]struct{ OutputTokens int64 }
+	Orders      []struct {
 		DataCentre    string
 		FencingNumber int64
 		Holder        string
