--- a/winchd/faults/together_judge_test.go
+++ b/winchd/faults/together_judge_test.go
@@ -83,7 +83,9 @@
 		}
 		return after["a"] > before["a"] && after["b"] > before["b"] && after["c"] > before["c"]
 	})
-	g.becomes("usage is reported of windows after the faults", func() bool { return g.reportedSince(healed) })
+	g.becomes("usage is reported of windows after the faults", func() bool {
+		return g.serves(g.hosts[0], "urgent") && g.reportedSince(healed)
+	})
 	g.becomes("everything served is reported", func() bool {
 		least, _ := g.records.bounds()
 		return g.judgeUsage(&row{}) >= least
--- a/winchd/faults/together_records_test.go
+++ b/winchd/faults/together_records_test.go
@@ -32,9 +32,10 @@
 const (
 	// heldFor is how long a killed host may hold counts that the other host of its data centre lacks.
 	heldFor = 3 * time.Second
-	// heldAlone is the same if one of the two was away shortly before: whoever is alone holds
-	// its counts until they are written, which also waits for the key-value service.
-	heldAlone = time.Minute
+	// heldAlone is the same if one of the two was away shortly before: who is alone holds its
+	// counts until they are written, three seconds after the window's end, by the one that
+	// took over. Faults of the key-value service before add to it.
+	heldAlone = usageWindow + 8*time.Second
 )
 
 // served is a completion as its caller saw it.
@@ -53,6 +54,9 @@
 
 // records are what the callers of a run saw. They are safe for concurrent use.
 type records struct {
+	schedule schedule
+	begun    time.Time
+
 	mu     sync.Mutex
 	rows   map[string]*row
 	away   []absence
@@ -64,8 +68,8 @@
 	notRun []string
 }
 
-func newRecords(faults string) *records {
-	r := &records{rows: map[string]*row{}, answers: map[string][]answer{}}
+func newRecords(faults string, drawn schedule) *records {
+	r := &records{schedule: drawn, begun: time.Now(), rows: map[string]*row{}, answers: map[string][]answer{}}
 	for _, promise := range promises {
 		r.rows[promise] = &row{promise: promise, faults: faults}
 	}
@@ -142,14 +146,26 @@
 
 // holds returns how long before its death the host may have held counts alone.
 func (r *records) holds(kill absence) time.Duration {
+	alone := heldAlone + r.writesLate(kill)
 	for _, other := range r.away {
-		if other.host.centre == kill.host.centre && other.at.Before(kill.at) && other.at.After(kill.at.Add(-heldAlone)) {
-			return heldAlone
+		if other.host.centre == kill.host.centre && other.at.Before(kill.at) && other.at.After(kill.at.Add(-alone-longestFault)) {
+			return alone
 		}
 	}
 	return heldFor
 }
 
+// writesLate returns how long in all the data centre could not write to the key-value service before the kill.
+func (r *records) writesLate(kill absence) time.Duration {
+	late := time.Duration(0)
+	for _, fault := range r.schedule {
+		if fault.target == "keyvalue" || fault.target == "platform/"+kill.host.centre {
+			late += max(0, min(fault.length, kill.at.Sub(r.begun.Add(fault.at))))
+		}
+	}
+	return late
+}
+
 // wrongToken returns the first token of the text that the request should not have got; empty if there is none.
 func wrongToken(prompt, text string) (tokens int, wrong string) {
 	hash := xxhash.Sum64String("user\n"+prompt+"\n") & 0xffff
--- a/winchd/faults/together_schedule_test.go
+++ b/winchd/faults/together_schedule_test.go
@@ -15,6 +15,8 @@
 	fewestFaults  = 16
 	faultSpread   = 9
 	shortestFault = time.Second
+	longestFault  = 8 * time.Second
+	lengthStep    = 100 * time.Millisecond
 )
 
 // chance is one fault of a schedule: the kind shows at the target from at on, for length.
@@ -70,7 +72,7 @@
 		fault := chance{
 			target: chosen.targets[random.IntN(len(chosen.targets))],
 			kind:   chosen.kinds[random.IntN(len(chosen.kinds))],
-			length: shortestFault + time.Duration(random.IntN(71))*100*time.Millisecond,
+			length: shortestFault + time.Duration(random.IntN(int((longestFault-shortestFault)/lengthStep)+1))*lengthStep,
 		}
 		fault.at = time.Duration(random.IntN(int((faultsFor-fault.length)/time.Millisecond))) * time.Millisecond
 		if !slices.ContainsFunc(drawn, fault.overlaps) {
--- a/winchd/faults/together_test.go
+++ b/winchd/faults/together_test.go
@@ -52,11 +52,12 @@
 	s.applyBase()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	drawn := drawSchedule(seed)
 	g := &together{
-		system: s, schedule: drawSchedule(seed), lives: newLives(s.hosts), ctx: ctx, done: make(chan struct{}),
-		records: newRecords(fmt.Sprintf("everything at once, seed %d", seed)), keys: &keyRounds{states: map[string]keyState{}},
+		system: s, schedule: drawn, lives: newLives(s.hosts), ctx: ctx, done: make(chan struct{}),
+		records: newRecords(fmt.Sprintf("everything at once, seed %d", seed), drawn), keys: &keyRounds{states: map[string]keyState{}},
 	}
-	g.records.serve(time.Now(), 0, 100) // applyBase asked for at least one token of each host.
+	g.records.serve(time.Now(), 0, int64(len(s.hosts))) // applyBase got one token of each host.
 	g.keys.raise(s.waitAccepted(s.hosts[0], "base").Revision)
 	t.Logf("seed %d:\n%s", seed, g.schedule)
 
