--- a/winchd/faults/together_judge_test.go
+++ b/winchd/faults/together_judge_test.go
@@ -59,7 +59,7 @@
 }
 
 // heal waits until everything works again, and counts as violations what does not before the context ends.
-func (g *together) heal() {
+func (g *together) heal(callersEnded <-chan struct{}) {
 	healed := time.Now()
 	for _, h := range g.hosts {
 		g.becomes("host "+h.id+" is ready", func() bool { return g.ready(h) })
@@ -83,6 +83,14 @@
 		}
 		return after["a"] > before["a"] && after["b"] > before["b"] && after["c"] > before["c"]
 	})
+	g.becomes("all calls and notes have ended", func() bool {
+		select {
+		case <-callersEnded:
+			return true
+		default:
+			return false
+		}
+	})
 	g.becomes("usage is reported of windows after the faults", func() bool {
 		return g.serves(g.hosts[0], "urgent") && g.reportedSince(healed)
 	})
--- a/winchd/faults/together_test.go
+++ b/winchd/faults/together_test.go
@@ -70,8 +70,13 @@
 	close(g.done)
 	mustHeal := time.AfterFunc(waitLimit, cancel)
 	defer mustHeal.Stop()
-	group.Wait()
-	g.heal()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		group.Wait()
+	}()
+	g.heal(ended)
+	<-ended
 	g.judgeKeys()
 	g.judge()
 	for _, promise := range promises {
