--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -22,6 +22,7 @@
 	effectQueueLong
 	effectQueueShort
 	effectLeaving
+	effectReturned
 )
 
 // effect is a decision of the core for the shell to carry out and to log.
@@ -70,14 +71,17 @@
 	remotes       map[winch.DataCentreID]*remote
 	prefixes      map[winch.PrefixHash]winch.EndpointID
 	// broken are requests whose last attempt did not end well, and when that was.
-	broken      map[winch.RequestID]time.Time
-	brokenAt    time.Time // when old ones were dropped last
-	expiry      expiryHeap
-	free        []*request
-	effects     []effect
-	scores      []float64
-	hub         hub
-	started     time.Time
+	broken   map[winch.RequestID]time.Time
+	brokenAt time.Time // when old ones were dropped last
+	expiry   expiryHeap
+	free     []*request
+	effects  []effect
+	scores   []float64
+	hub      hub
+	started  time.Time
+	tickedAt time.Time
+	// wokeAt is when the host last went on after a pause, in which it heard of no endpoint.
+	wokeAt      time.Time
 	appliedAt   time.Time // when the other hosts' figures were true
 	appliedFrom winch.HostID
 }
@@ -319,7 +323,7 @@
 	if r.forOwnQueue {
 		l.preempting--
 	}
-	if r.preempted && !r.floor {
+	if r.preempted && r.movable() {
 		l.movingRunning--
 	}
 	c.judge(now, r, outcome)
@@ -355,7 +359,5 @@
 	e.observe(report)
 	e.weigh(now, c.settings.ReportHorizon)
 	c.probeEarly(now, e, report.AsOf)
-	if report.State == winch.EndpointLeaving && e.state == winch.EndpointReady {
-		c.leave(now, e, time.Time{})
-	}
+	c.hear(now, e, report)
 }
