fix(dispatch): a service call waits no longer than its class says, and a stranded one goes back

Cause: a confirmation was handed over to a host whose only service refused the connection. Its attempt counted as under way, so the request waited to its deadline (5 min) instead of MaxWait (5 s), for an endpoint that it excludes, at a host that may not hand it on. The caller waited for more than a minute. Ruled out: forgetting unsent attempts altogether, which would also take their place in the queue from them. Conclusion: expiry follows the class for calls of routes, as the comment said (streams wait to their deadline); a request that was handed over and excludes all endpoints here is refused at once, so that its first host can choose again.

--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -141,6 +141,11 @@
 	if _, r.again = c.broken[work.Request]; r.again {
 		delete(c.broken, work.Request)
 	}
+	if work.Local && r.work.OutputDone == 0 && l.excluded(r) {
+		// Only the host that handed the request over can choose another data centre.
+		c.refuse(now, r, l, winch.RefusedNoEndpoint, 0)
+		return r
+	}
 	r.account = c.account(l.class.Tier, work.Organisation)
 	c.activate(r.account)
 	if l.queued == 0 {
@@ -205,16 +210,17 @@
 	c.watchLength(now, l)
 }
 
-// expiryOf returns when the request is given up in the queue. A stream under way waits to its deadline.
+// expiryOf returns when the request is given up in the queue. A stream under way waits to its
+// deadline; a service call has no part of its answer yet, and waits no longer than its class says.
 func (c *core) expiryOf(now time.Time, r *request) time.Time {
 	l := r.lane
-	end := r.queuedAt.Add(l.maxWait())
-	if r.underWay() {
+	end, patient := r.queuedAt.Add(l.maxWait()), r.underWay() && r.work.Model != ""
+	if patient {
 		end = now.Add(streamPatience)
 	}
 	if !r.work.Deadline.IsZero() {
 		latest := r.work.Deadline.Add(-secondsOf(l.firstToken.value))
-		if latest.Before(end) || r.underWay() {
+		if latest.Before(end) || patient {
 			end = latest
 		}
 	}
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -188,6 +188,19 @@
 	return nil
 }
 
+// excluded tells whether the request may run on none of the data centre's endpoints any more.
+func (l *lane) excluded(r *request) bool {
+	if len(r.work.Excluded) == 0 {
+		return false
+	}
+	for _, e := range l.endpoints {
+		if !r.excludes(e.spec.ID) {
+			return false
+		}
+	}
+	return true
+}
+
 // excludedSearch bounds the search for a request that may run on an endpoint.
 const excludedSearch = 16
 
--- /dev/null
+++ b/dispatch/endpoint/stranded_test.go
@@ -0,0 +1,38 @@
+package endpoint
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+)
+
+func TestServiceCallWaitsNoLongerThanItsClass(t *testing.T) {
+	b := newBench(&winch.Configuration{
+		Revision: 1,
+		Classes:  map[winch.ClassID]winch.Class{stall: {ID: stall, Tier: 1, FirstTokenTarget: time.Second, MaxWait: 3 * time.Second, QueueLimit: 100}},
+		Routes:   map[winch.RouteID]winch.Route{"hire": {ID: "hire", Class: stall}},
+		Endpoints: map[winch.EndpointID]winch.Endpoint{
+			"desk": {ID: "desk", DataCentre: "a", Kind: winch.EndpointService, Routes: []winch.RouteID{"hire"}, Classes: []winch.ClassID{stall}, SlotLimit: 4},
+		},
+	})
+	work := winch.Work{Request: "r1", Organisation: "depot", Class: stall, Route: "hire", Deadline: b.now.Add(5 * time.Minute)}
+	b.release(b.now, b.arrive(b.now, work, nil, &progress{}), winch.OutcomeUnsent)
+	work.Excluded = []winch.EndpointID{"desk"}
+	again := b.arrive(b.now, work, nil, &progress{})
+	assert.Equal(t, again.state, requestQueued)
+	b.pass(3200 * time.Millisecond)
+	assert.Equal(t, b.count(effectRefused), 1)
+}
+
+func TestHandedOverWithoutEndpoint(t *testing.T) {
+	b := newBench(twoClasses(1, 4))
+	work := workOf(stall, 1)
+	work.Local, work.Deadline = true, b.now.Add(5*time.Minute)
+	b.release(b.now, b.arrive(b.now, work, nil, &progress{}), winch.OutcomeFailed)
+	work.Excluded = []winch.EndpointID{b.only().spec.ID}
+	b.arrive(b.now, work, nil, &progress{})
+	assert.Equal(t, b.count(effectRefused), 1)
+}
