test(faults): a grace that is shorter than the longest faults

Cause: with a grace of 6 s no note is accepted without a data centre before a fault of at most 8 s is over, so acceptance during cuts was hardly judged. Conclusion: TestFaultsTogether sets 2 s; the judges are unchanged.

--- a/winchd/faults/together_test.go
+++ b/winchd/faults/together_test.go
@@ -16,6 +16,10 @@
 // seedsVariable names more seeds, such as "10-30" or "7".
 const seedsVariable = "WINCH_FAULT_SEEDS"
 
+// shortGrace is short enough that notes are accepted, without a data centre that is cut off or a
+// host that is frozen, before the longest faults end.
+const shortGrace = 2 * time.Second
+
 // togetherSeeds returns the seeds that are always tried, or those of the environment.
 func togetherSeeds(t *testing.T) []uint64 {
 	t.Helper()
@@ -47,7 +51,9 @@
 }
 
 func runTogether(t *testing.T, seed uint64) {
-	s := startSystem(t, nil)
+	s := startSystem(t, func(_ string, settings jsonObject) {
+		settings["Release"] = jsonObject{"FreshnessLimit": freshnessLimit.String(), "IsolationGrace": shortGrace.String()}
+	})
 	s.keepLogs(fmt.Sprintf("together-%d-", seed))
 	s.applyBase()
 	ctx, cancel := context.WithCancel(context.Background())
