refactor(release): decode and apply what a hub states in one place

Cause: summaries and digests decoded update, proof and agreement by the same lines twice. Ruled out: one message for both (a digest has no roster and no view). Before / after: two copies of 12 lines / decodeStatement and applyStatement.

--- a/release/peer/codec.go
+++ b/release/peer/codec.go
@@ -182,3 +182,29 @@
 	}
 	return progress
 }
+
+// statement is what a hub states in a summary or a digest.
+type statement struct {
+	records  []winch.ReleaseRecord
+	snapshot *winch.Configuration
+	// proven and agreed are zero when the hub states none.
+	proven proof
+	agreed proof
+}
+
+// decodeStatement decodes the parts that summaries and digests share.
+func decodeStatement(update *updateWire, proven, agreed *proofWire, before time.Time) (statement, error) {
+	records, snapshot, err := decodeUpdate(update)
+	if err != nil {
+		return statement{}, err
+	}
+	provenProof, err := proofFromWire("Proof", proven, before)
+	if err != nil {
+		return statement{}, err
+	}
+	agreedProof, err := proofFromWire("Agreed", agreed, before)
+	if err != nil {
+		return statement{}, err
+	}
+	return statement{records: records, snapshot: snapshot, proven: provenProof, agreed: agreedProof}, nil
+}
--- a/release/peer/section.go
+++ b/release/peer/section.go
@@ -108,15 +108,7 @@
 		// The hub tells itself nothing new.
 		return nil
 	}
-	records, snapshot, err := decodeUpdate(summary.Update)
-	if err != nil {
-		return err
-	}
-	proven, err := proofFromWire("Proof", summary.Proof, sent)
-	if err != nil {
-		return err
-	}
-	agreed, err := proofFromWire("Agreed", summary.Agreed, sent)
+	stated, err := decodeStatement(summary.Update, summary.Proof, summary.Agreed, sent)
 	if err != nil {
 		return err
 	}
@@ -127,10 +119,8 @@
 		s.roster.replace(now, summary.Roster)
 		s.rosterTag = summary.RosterTag
 	}
-	s.take(now, records, snapshot)
-	s.state.noteRevision(summary.Revision)
-	s.state.accepted = max(s.state.accepted, summary.Accepted)
-	s.applyProofs(proven, agreed)
+	s.applyStatement(now, stated, summary.Revision, summary.Accepted)
+	s.state.agree(stated.agreed)
 	if summary.View != nil {
 		s.view = viewFromWire(now, summary.View)
 	}
@@ -149,14 +139,12 @@
 	return proofToWire(now, d.acceptance.centres[d.self.DataCentre].agreed)
 }
 
-// applyProofs takes in what a hub states, when there is anything.
-func (d *Distributor) applyProofs(proven, agreed proof) {
-	if !proven.asOf.IsZero() {
-		d.state.prove(proven)
-	}
-	if !agreed.asOf.IsZero() {
-		d.state.agree(agreed)
-	}
+// applyStatement takes in what a hub knows. The caller holds the lock.
+func (d *Distributor) applyStatement(now time.Time, stated statement, revision, accepted winch.Revision) {
+	d.take(now, stated.records, stated.snapshot)
+	d.state.noteRevision(revision)
+	d.state.accepted = max(d.state.accepted, accepted)
+	d.state.prove(stated.proven)
 }
 
 // Digest returns what the hub of this data centre tells the hubs of others.
@@ -191,29 +179,18 @@
 		// Majorities are of the data centres in the settings.
 		return release.Fault("From", "%q is no data centre of the settings", from)
 	}
-	records, snapshot, err := decodeUpdate(digest.Update)
-	if err != nil {
-		return err
-	}
-	proven, err := proofFromWire("Proof", digest.Proof, sent)
-	if err != nil {
-		return err
-	}
-	agreed, err := proofFromWire("Agreed", digest.Agreed, sent)
+	stated, err := decodeStatement(digest.Update, digest.Proof, digest.Agreed, sent)
 	if err != nil {
 		return err
 	}
 	live := s.liveHosts(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.take(now, records, snapshot)
-	s.state.noteRevision(digest.Revision)
-	s.state.accepted = max(s.state.accepted, digest.Accepted)
-	s.applyProofs(proven, proof{})
+	s.applyStatement(now, stated, digest.Revision, digest.Accepted)
 	other.revision, other.hosts, other.behind, other.heard = digest.Revision, digest.Hosts, digest.Behind, now
 	other.settled.reach(now, digest.Settled)
-	if agreed.asOf.After(other.agreed.asOf) {
-		other.agreed = agreed
+	if stated.agreed.asOf.After(other.agreed.asOf) {
+		other.agreed = stated.agreed
 	}
 	s.settle(now, live)
 	return nil
--- a/release/peer/state.go
+++ b/release/peer/state.go
@@ -131,8 +131,11 @@
 	}
 }
 
-// prove takes a proof in. One for a revision that this host lacks is no use.
+// prove takes a proof in. A zero one says nothing, and one for a revision that this host lacks is no use.
 func (s *state) prove(p proof) {
+	if p.asOf.IsZero() {
+		return
+	}
 	s.noteRevision(p.revision)
 	if p.revision > s.current.Revision && !s.limits.unguarded.newer {
 		return
@@ -143,8 +146,11 @@
 	}
 }
 
-// agree takes in that a majority of the data centre knew nothing newer.
+// agree takes in that a majority of the data centre knew nothing newer. A zero proof says nothing.
 func (s *state) agree(p proof) {
+	if p.asOf.IsZero() {
+		return
+	}
 	s.noteRevision(p.revision)
 	if p.revision > s.current.Revision && !s.limits.unguarded.newer {
 		return
