fix(usage): a host that is stopped tries again to write its counts

Cause: a host that was told to stop while it could not reach the key-value service wrote once, was refused at once and ended; what the other host of its data centre had not got was lost. Before / after: the new case of TestCounters failed before and passes; the tests of usage pass, TestCounters also with the race detector. Conclusion: a planned stop takes up to 20 s longer while the key-value service is away; a longer outage still loses counts that only this host holds.

--- a/usage/peer/counters.go
+++ b/usage/peer/counters.go
@@ -50,8 +50,9 @@
 	// keptWindows is the number of past windows of which stored counters are kept.
 	keptWindows = 3
 	storeTries  = 3
-	// lastStore bounds the writes at the end of Run.
-	lastStore = 5 * time.Second
+	// lastStore bounds the writes at the end of Run, which are tried again at each pause.
+	lastStore      = 20 * time.Second
+	lastStorePause = 250 * time.Millisecond
 )
 
 // Options are the settings of Counters. The zero value of a setting stands for its default.
@@ -162,7 +163,7 @@
 		case <-ctx.Done():
 			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastStore)
 			defer cancel()
-			c.store(last, scopeOwn)
+			c.storeLast(last)
 			return nil
 		case <-ticker.C:
 		}
--- a/usage/peer/counters_test.go
+++ b/usage/peer/counters_test.go
@@ -189,6 +189,16 @@
 		assert.NilError(t, y.hosts[2].counters.Run(ctx))
 		assert.Equal(t, y.stored(t.Context()), int64(5))
 	})
+	t.Run("a host that is stopped during an outage stores them when it is over", func(t *testing.T) {
+		y := newYard(t, 3)
+		y.store.SetOutage(true)
+		y.record(2, 5)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		time.AfterFunc(300*time.Millisecond, func() { y.store.SetOutage(false) })
+		assert.NilError(t, y.hosts[2].counters.Run(ctx))
+		assert.Equal(t, y.stored(t.Context()), int64(5))
+	})
 	t.Run("counts outlive an outage", func(t *testing.T) {
 		y := newYard(t, 3)
 		y.store.SetOutage(true)
--- a/usage/peer/store.go
+++ b/usage/peer/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/usage"
@@ -12,7 +13,7 @@
 
 // store writes the counters of the scope that are not stored yet, and lets the
 // hosts that reported them know.
-func (c *Counters) store(ctx context.Context, wanted scope) {
+func (c *Counters) store(ctx context.Context, wanted scope) bool {
 	c.mu.Lock()
 	parts := c.table.unstored(c.options.Shards, wanted)
 	received := map[winch.HostID]hostState{}
@@ -31,6 +32,20 @@
 	if !failed {
 		c.acknowledge(received)
 	}
+	return !failed
+}
+
+// storeLast writes the host's own counts when it stops, and tries again until they are stored or ctx ends.
+func (c *Counters) storeLast(ctx context.Context) {
+	ticker := time.NewTicker(lastStorePause)
+	defer ticker.Stop()
+	for !c.store(ctx, scopeOwn) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
 }
 
 // acknowledge notes that what the hosts had reported is stored.
