fix(winchd): leave the parts time to write their last usage counts

Cause: counts are written for up to 20 s at a planned stop while the key-value service is away, but the process ended its parts after 10 s, with a non-zero status. Before / after: 10 s / 30 s; a stop without an outage is as short as before. Conclusion: not run by itself; the planned stops of the fault tests cover the normal case.

--- a/winchd/daemon/daemon.go
+++ b/winchd/daemon/daemon.go
@@ -28,7 +28,8 @@
 	"github.com/arbutuswinch/winch/winchd/settings"
 )
 
-const stopTimeout = 10 * time.Second
+// stopTimeout is longer than the time for which usage counts are written at the end.
+const stopTimeout = 30 * time.Second
 
 // Daemon is one entry host's process.
 type Daemon struct {
