fix(membership,charge,usage): read a late host list soon, and log an outage once in a while

Ruled out: reading the list each second for good (a hub would call five times as often). Before / after: the new test of a late list fails at the old period / passes; failed lease calls warn once in ten renewal periods, counts once a round.

--- a/charge/keyvalue/holder.go
+++ b/charge/keyvalue/holder.go
@@ -52,6 +52,8 @@
 	// ticksPerRenewal is how often the core is asked within one renewal period.
 	ticksPerRenewal = 20
 	releaseTick     = 5 * time.Millisecond
+	// warnEvery is the number of renewal periods between two warnings of failed calls.
+	warnEvery = 10
 )
 
 // Options are the settings of a holder. The zero value of a duration stands for its default.
@@ -83,7 +85,9 @@
 	core    core
 	working int
 	begun   bool
-	gauge   metric.Int64Gauge
+	// nextWarning is when a failed call is logged as a warning again. Only Run uses it.
+	nextWarning time.Time
+	gauge       metric.Int64Gauge
 }
 
 var _ winch.TermGuard = (*Holder)(nil)
@@ -334,6 +338,14 @@
 	}
 }
 
+// failed logs a call that failed, as a warning once in a while only, since an outage
+// fails every call of every duty.
 func (h *Holder) failed(call string, err error) {
-	h.options.Logger.Warn("lease call failed", "Event", EventStoreFailed, "Duty", h.options.Duty, "Call", call, "Error", err)
+	now := h.options.Clock.Now()
+	level := hclog.Debug
+	if !now.Before(h.nextWarning) {
+		level = hclog.Warn
+		h.nextWarning = now.Add(warnEvery * h.options.RenewEvery)
+	}
+	h.options.Logger.Log(level, "lease call failed", "Event", EventStoreFailed, "Duty", h.options.Duty, "Call", call, "Error", err)
 }
--- a/membership/peer/exchange.go
+++ b/membership/peer/exchange.go
@@ -36,6 +36,7 @@
 	defaultDigestEvery   = time.Second
 	defaultListEvery     = 5 * time.Second
 	defaultTimeout       = time.Second
+	aloneListEvery       = time.Second
 )
 
 // HostLister reads the platform's host list.
@@ -104,7 +105,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return periodic.RunPaced(ctx, e.exchangePeriod, e.exchange) })
 	group.Go(func() error { return periodic.RunPaced(ctx, e.digestPeriod, e.sendDigests) })
-	group.Go(func() error { return periodic.Run(ctx, e.options.ListEvery, e.refresh) })
+	group.Go(func() error { return periodic.RunPaced(ctx, e.listPeriod, e.refresh) })
 	return group.Wait()
 }
 
@@ -210,6 +211,15 @@
 	}
 }
 
+// listPeriod is shorter while the host knows no other of its data centre, as when the
+// platform's list lagged behind the start of all hosts.
+func (e *Exchange) listPeriod() time.Duration {
+	if e.table.alone() {
+		return min(aloneListEvery, e.options.ListEvery)
+	}
+	return e.options.ListEvery
+}
+
 // refresh reads the platform's host list, as hub or when the host knows no other,
 // and tries hosts that were not heard of for a while.
 func (e *Exchange) refresh(ctx context.Context) {
--- a/membership/peer/exchange_test.go
+++ b/membership/peer/exchange_test.go
@@ -183,3 +183,34 @@
 		}
 	})
 }
+
+// lateList names the other hosts only after it was read a few times.
+type lateList struct {
+	mu    sync.Mutex
+	reads int
+	hosts []winch.Host
+}
+
+func (l *lateList) List(context.Context) ([]winch.Host, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads++
+	if l.reads < 3 {
+		return nil, nil
+	}
+	return l.hosts, nil
+}
+
+func TestLateHostList(t *testing.T) {
+	table := NewTable(host("a-1", "a"), nil, time.Second, time.Minute)
+	exchange, err := New(Options{
+		Table: table, Hosts: &lateList{hosts: []winch.Host{host("a-2", "a")}}, Clock: wallClock{}, Logger: hclog.NewNullLogger(),
+		ListEvery: time.Hour,
+	})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = exchange.Run(ctx) }()
+	waitFor(t, "the other host although the list is read once an hour", func() bool { return !table.alone() })
+	assert.Equal(t, exchange.listPeriod(), time.Hour)
+}
--- a/membership/peer/table.go
+++ b/membership/peer/table.go
@@ -229,6 +229,13 @@
 	return slices.Insert(hosts, at, self)
 }
 
+// alone tells whether no other host of the data centre was ever listed or heard, or all were forgotten.
+func (t *Table) alone() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.sorted[t.self.DataCentre]) == 0
+}
+
 func (t *Table) enter(known *member) {
 	centre := known.host.DataCentre
 	t.sorted[centre] = slices.Insert(t.sorted[centre], t.place(known), known)
--- a/usage/peer/store.go
+++ b/usage/peer/store.go
@@ -21,18 +21,18 @@
 		received[host] = state
 	}
 	c.mu.Unlock()
-	failed := false
+	failed, last := 0, error(nil)
 	for key := range parts {
 		if err := c.storePart(ctx, key); err != nil {
-			failed = true
-			c.options.Logger.Warn("counts not stored", "Event", EventCountsNotStored,
-				"Shard", key.shard, "Window", key.window.Start(), "Error", err)
+			failed, last = failed+1, err
 		}
 	}
-	if !failed {
-		c.acknowledge(received)
+	if failed > 0 {
+		c.options.Logger.Warn("counts not stored", "Event", EventCountsNotStored, "Parts", failed, "Error", last)
+		return false
 	}
-	return !failed
+	c.acknowledge(received)
+	return true
 }
 
 // storeLast writes the host's own counts when it stops, and tries again until they are stored or ctx ends.
