--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -216,7 +216,7 @@
 	l := r.lane
 	end, patient := r.queuedAt.Add(l.maxWait()), r.underWay() && r.work.Model != ""
 	if patient {
-		end = now.Add(streamPatience)
+		end = now.Add(resumeTimeout)
 	}
 	if !r.work.Deadline.IsZero() {
 		latest := r.work.Deadline.Add(-secondsOf(l.firstToken.value))
@@ -227,8 +227,8 @@
 	return end
 }
 
-// streamPatience is how long a stream under way waits for a new endpoint when it has no deadline.
-const streamPatience = 2 * time.Minute
+// resumeTimeout is how long a stream under way waits for a new endpoint when it has no deadline.
+const resumeTimeout = 2 * time.Minute
 
 func secondsOf(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
 
--- a/dispatch/endpoint/remote.go
+++ b/dispatch/endpoint/remote.go
@@ -73,7 +73,7 @@
 	if l.slots > 0 && c.atRisk(now, l) == 0 && !c.waitAtRisk(now, r) {
 		return false
 	}
-	best := c.roomiest(now, l, r)
+	best := c.withMostRoom(now, l, r)
 	if best == nil {
 		return false
 	}
@@ -92,7 +92,7 @@
 	return c.predictedWait(now, r.lane, r) > c.riskLimit(r.lane)
 }
 
-func (c *core) roomiest(now time.Time, l *lane, r *request) *remote {
+func (c *core) withMostRoom(now time.Time, l *lane, r *request) *remote {
 	var best *remote
 	most := 0
 	for _, m := range c.remotes {
--- a/dispatch/endpoint/wait.go
+++ b/dispatch/endpoint/wait.go
@@ -163,7 +163,7 @@
 		return true
 	}
 	wait := c.predictedWait(now, l, r)
-	if c.features.earlyRefusal && c.tooLong(now, r, wait) && !c.giveWay(now, l) {
+	if c.features.earlyRefusal && c.tooLong(now, r, wait) && !c.preemptLower(now, l) {
 		reason := winch.RefusedWait
 		if !r.work.Deadline.IsZero() && now.Add(wait).After(r.work.Deadline) {
 			reason = winch.RefusedDeadline
@@ -174,7 +174,7 @@
 	if l.queued < l.queueLimit() {
 		return true
 	}
-	return c.makeRoom(now, r, wait)
+	return c.evictQueued(now, r, wait)
 }
 
 // refuseMargin bounds the margin below a long target, within which bursts pass.
@@ -197,9 +197,9 @@
 	return now.Add(wait + secondsOf(r.lane.firstToken.value)).After(r.work.Deadline)
 }
 
-// giveWay finds a slot for the request that is held by lower tiers. Work of this
+// preemptLower finds a slot for the request that is held by lower tiers. Work of this
 // host is preempted for it; other hosts learn by the next report.
-func (c *core) giveWay(now time.Time, l *lane) bool {
+func (c *core) preemptLower(now time.Time, l *lane) bool {
 	if !c.features.tiers || !c.features.preemption {
 		return false
 	}
@@ -213,20 +213,20 @@
 	return w.othersRunning > w.waiting
 }
 
-// makeRoom finds a place in a full queue: the newest request of the lowest tier
+// evictQueued finds a place in a full queue: the newest request of the lowest tier
 // goes first, then the newest of an account with a longer queue.
-func (c *core) makeRoom(now time.Time, r *request, wait time.Duration) bool {
+func (c *core) evictQueued(now time.Time, r *request, wait time.Duration) bool {
 	l := r.lane
 	if c.features.tiers {
 		if victim := c.lowestQueued(l); victim != nil {
 			c.refuse(now, victim, victim.lane, winch.RefusedShed, c.predictedWait(now, victim.lane, victim))
 			return true
 		}
-		if c.giveWay(now, l) {
+		if c.preemptLower(now, l) {
 			return true
 		}
 	}
-	if victim := c.floodVictim(l, r); victim != nil {
+	if victim := c.victimOfLongestQueue(l, r); victim != nil {
 		c.refuse(now, victim, l, winch.RefusedQueueFull, wait)
 		return true
 	}
@@ -244,8 +244,8 @@
 	return nil
 }
 
-// floodVictim returns a request of an account that queues more than the arriving one's.
-func (c *core) floodVictim(l *lane, r *request) *request {
+// victimOfLongestQueue returns a request of an account that queues more than the arriving one's.
+func (c *core) victimOfLongestQueue(l *lane, r *request) *request {
 	if !c.features.fairness {
 		return nil
 	}
