--- a/winchd/daemon/parts.go
+++ b/winchd/daemon/parts.go
@@ -115,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	load, err := loadpeer.New(loadpeer.Options{Observer: observers{dispatcher, d.placement}})
+	load, err := loadpeer.New(loadpeer.Options{Observer: winch.LoadObservers{dispatcher, d.placement}})
 	if err != nil {
 		return err
 	}
--- a/winchd/daemon/placement.go
+++ b/winchd/daemon/placement.go
@@ -117,20 +117,3 @@
 		p.planner.ObserveCache(now, event)
 	}
 }
-
-// observers passes load reports on to several observers.
-type observers []winch.LoadObserver
-
-// ObserveLoad passes a report on.
-func (o observers) ObserveLoad(now time.Time, report winch.LoadReport) {
-	for _, each := range o {
-		each.ObserveLoad(now, report)
-	}
-}
-
-// ObserveCache passes an event on.
-func (o observers) ObserveCache(now time.Time, event winch.CacheEvent) {
-	for _, each := range o {
-		each.ObserveCache(now, event)
-	}
-}
