--- a/configuration.go
+++ b/configuration.go
@@ -10,8 +10,6 @@
 	// StrictKeys makes the organisation's keys lapse within seconds in a data
 	// centre that is cut off, in place of the isolation grace.
 	StrictKeys bool
-	// Tier goes before that of forwarding routes; zero stands for none.
-	Tier Tier
 }
 
 // Key lets callers act for an organisation.
@@ -90,8 +88,6 @@
 	SlotLimit int
 	// Pool is set on endpoints that were ordered.
 	Pool PoolID
-	// StartedAt tells the starts of an endpoint apart that keeps its id, as it says itself.
-	StartedAt time.Time
 }
 
 // Pool is a set of like endpoints that the system orders by demand.
@@ -122,7 +118,9 @@
 	Endpoints     map[EndpointID]Endpoint
 	Pools         map[PoolID]Pool
 	// Forwards are the forwarding routes; release notes do not change them.
-	Forwards      []Forward
+	Forwards []Forward
+	// Tiers are the tiers of organisations that go before those of forwarding routes.
+	Tiers         map[OrganisationID]Tier
 	ForwardLimits ForwardLimits
 	Scalings      map[ModelID]Scaling
 	// Connections is the most connections that one endpoint of a model takes from all hosts.
--- a/dispatch.go
+++ b/dispatch.go
@@ -18,6 +18,14 @@
 	Prefix  PrefixHash
 	// InputTokens is an estimate.
 	InputTokens Tokens
+	// OutputTokens is the most output that the caller asked for; zero when unknown.
+	OutputTokens Tokens
+	// Parts are the parts of the prompt that other requests may share, in their order.
+	Parts []PromptPart
+	// Fixed says that the request cannot go on elsewhere once it was sent.
+	Fixed bool
+	// Plain says that the answer is no stream.
+	Plain bool
 	// OutputDone counts the tokens already delivered, on a stream that resumes.
 	OutputDone Tokens
 	Arrived    time.Time
--- a/dispatch/endpoint/choose.go
+++ b/dispatch/endpoint/choose.go
@@ -97,7 +97,7 @@
 // supplyScore prefers cheap endpoints for work that survives their loss. The
 // highest tier uses them only as far as steady endpoints could take its work over.
 func supplyScore(l *lane, r *request) float64 {
-	if r.work.Model == "" {
+	if r.plain() {
 		return unsafeScore
 	}
 	if l.first && float64(l.cheapRunning) >= l.steadyRoom {
--- a/dispatch/endpoint/codec.go
+++ b/dispatch/endpoint/codec.go
@@ -15,6 +15,7 @@
 	Endpoints []string      `json:",omitempty"`
 	Running   []int         `json:",omitempty"`
 	Limits    []int         `json:",omitempty"` // tenths
+	Unread    []int64       `json:",omitempty"`
 	Lanes     *lanesWire    `json:",omitempty"`
 	Accounts  *accountsWire `json:",omitempty"`
 	Remotes   []remoteWire  `json:",omitempty"`
@@ -125,6 +126,9 @@
 		wire.Endpoints = append(wire.Endpoints, id)
 		wire.Running = append(wire.Running, e.Running)
 		wire.Limits = append(wire.Limits, int(e.Limit*10))
+		if f.prompts {
+			wire.Unread = append(wire.Unread, int64(max(0, e.Unread)))
+		}
 	}
 	for centre, m := range f.remotes {
 		encoded := encodeRemote(m)
@@ -205,7 +209,9 @@
 		if wire.Running[i] < 0 || wire.Limits[i] < 0 || len(id) > wireName {
 			return figures{}, fmt.Errorf("decode Running or Limits of %.64q: %w", id, winch.ErrInvalid)
 		}
-		f.endpoints[winch.EndpointID(id)] = endpointFigures{Running: wire.Running[i], Limit: float64(wire.Limits[i]) / 10}
+		f.endpoints[winch.EndpointID(id)] = endpointFigures{
+			Running: wire.Running[i], Limit: float64(wire.Limits[i]) / 10, Unread: wire.unread(i),
+		}
 	}
 	lanes, err := decodeLanes(wire.Lanes)
 	if err != nil {
@@ -225,6 +231,14 @@
 	return f, nil
 }
 
+// unread returns the unread tokens of a row; hosts of an earlier version tell none.
+func (w *figuresWire) unread(row int) winch.Tokens {
+	if row >= len(w.Unread) {
+		return 0
+	}
+	return winch.Tokens(max(0, w.Unread[row]))
+}
+
 func decodeAccounts(wire *accountsWire, charged map[accountKey]int64) error {
 	if wire == nil {
 		return nil
--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -24,15 +24,13 @@
 		wanted[status.Endpoint.ID] = status
 	}
 	for id, status := range wanted {
-		if status.Endpoint.DataCentre == c.self.DataCentre || c.self.DataCentre == "" {
+		if status.Endpoint.DataCentre == c.self.DataCentre || c.self.DataCentre == "" || c.home != "" {
 			c.setEndpoint(now, id, status)
 		}
 	}
 	for id, e := range c.endpoints {
 		if _, found := wanted[id]; !found {
-			e.state, e.leavesAt = winch.EndpointLeaving, now
-			c.setServing(now, e)
-			delete(c.endpoints, id)
+			c.abandon(now, e)
 		}
 	}
 	c.ordered = c.ordered[:0]
@@ -50,6 +48,11 @@
 
 func (c *core) setEndpoint(now time.Time, id winch.EndpointID, status winch.EndpointStatus) {
 	e, found := c.endpoints[id]
+	if found && !e.startedAt.Equal(status.StartedAt) {
+		// It started anew, and holds and knows nothing of before.
+		c.abandon(now, e)
+		found = false
+	}
 	if !found {
 		e = &endpoint{hash: hashOf(string(id)), limit: newLimiter(status.Endpoint.SlotLimit), factor: 1}
 		c.endpoints[id] = e
@@ -58,6 +61,7 @@
 	if now.Sub(c.started) > c.settings.RampTime && (!found || e.state == winch.EndpointStarting && status.State == winch.EndpointReady) {
 		e.rampSince = now
 	}
+	e.startedAt = status.StartedAt
 	e.spec, e.cheap = status.Endpoint, status.Endpoint.Supply == winch.SupplyCheap
 	if ceiling := newLimiter(e.spec.SlotLimit).ceiling; ceiling != e.limit.ceiling {
 		e.limit.ceiling = ceiling
@@ -67,6 +71,13 @@
 	c.setServing(now, e)
 }
 
+// abandon forgets an endpoint. Requests that run there go on, or move when they can.
+func (c *core) abandon(now time.Time, e *endpoint) {
+	e.state, e.leavesAt = winch.EndpointLeaving, now
+	c.setServing(now, e)
+	delete(c.endpoints, e.spec.ID)
+}
+
 func hashOf(text string) uint64 {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(text))
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -78,6 +78,8 @@
 	effects  []effect
 	scores   []float64
 	hub      hub
+	// home is the data centre whose endpoints are nearer than others; empty when all are alike.
+	home     winch.DataCentreID
 	started  time.Time
 	tickedAt time.Time
 	// wokeAt is when the host last went on after a pause, in which it heard of no endpoint.
@@ -214,7 +216,7 @@
 // deadline; a service call has no part of its answer yet, and waits no longer than its class says.
 func (c *core) expiryOf(now time.Time, r *request) time.Time {
 	l := r.lane
-	end, patient := r.queuedAt.Add(l.maxWait()), r.underWay() && r.work.Model != ""
+	end, patient := r.queuedAt.Add(l.maxWait()), r.underWay() && !r.plain()
 	if patient {
 		end = now.Add(resumeTimeout)
 	}
@@ -245,6 +247,7 @@
 		l.servedFloor++
 	}
 	e.add(r)
+	c.noteGiven(now, r, e)
 	e.history.add(now, float64(e.running+e.others))
 	l.running++
 	if e.cheap {
@@ -342,7 +345,7 @@
 	case winch.OutcomeDone:
 		r.lane.hold.add(now.Sub(r.grantedAt).Seconds(), holdWeight)
 		r.lane.budget.success(c.settings.RetryShare)
-		if r.work.Route != "" {
+		if r.plain() {
 			r.lane.firstToken.add(now.Sub(r.grantedAt).Seconds(), sampleWeight)
 			r.endpoint.limit.sampleFirst(now.Sub(r.grantedAt).Seconds(), r.lane.class.FirstTokenTarget)
 		}
--- a/dispatch/endpoint/dispatcher.go
+++ b/dispatch/endpoint/dispatcher.go
@@ -36,6 +36,7 @@
 		options: options, logger: options.Logger.Named("dispatch"),
 		core: newCore(self, options.Policy, options.Settings, options.Seed),
 	}
+	d.core.home = options.Home
 	measures, err := newMetrics(options.Meter, d)
 	if err != nil {
 		return nil, fmt.Errorf("create dispatcher: %w", err)
@@ -275,3 +276,15 @@
 	}
 	s.ready <- nil
 }
+
+// noteFirst takes a first token in at once where the choice counts on it.
+func (d *Dispatcher) noteFirst(now time.Time, s *slot) {
+	if !d.core.features.prompts {
+		return
+	}
+	d.act(func() {
+		if s.request != nil {
+			d.core.collect(now, s.request)
+		}
+	})
+}
--- a/dispatch/endpoint/figures.go
+++ b/dispatch/endpoint/figures.go
@@ -11,6 +11,8 @@
 type endpointFigures struct {
 	Running int
 	Limit   float64
+	// Unread are the tokens of prompts that the endpoint has still to read.
+	Unread winch.Tokens
 }
 
 // figures are what a host, or several together, tell the others.
@@ -22,6 +24,8 @@
 	remotes map[winch.DataCentreID]remoteFigures
 	// aperture is the number of endpoints of a lane that the host uses, when it is widened.
 	aperture int
+	// prompts says that the unread tokens count.
+	prompts bool
 }
 
 // remoteFigures are what is known of another data centre.
@@ -42,9 +46,10 @@
 // since the last report, when onlyChanged is set.
 func (c *core) ownFigures(now time.Time, onlyChanged bool) figures {
 	own := newFigures()
+	own.prompts = c.features.prompts
 	for _, e := range c.ordered {
 		if e.running > 0 {
-			own.endpoints[e.spec.ID] = endpointFigures{Running: e.running, Limit: e.limit.value}
+			own.endpoints[e.spec.ID] = endpointFigures{Running: e.running, Limit: e.limit.value, Unread: e.prompts.unread}
 		}
 	}
 	for _, l := range c.sorted {
@@ -156,6 +161,7 @@
 func (c *core) summary(now time.Time, to winch.HostID) figures {
 	c.hub.drop(now, c.settings.DigestHorizon)
 	sum := newFigures()
+	sum.prompts = c.features.prompts
 	if to != c.self.ID {
 		sum.add(c.ownFigures(now, false))
 	}
@@ -199,6 +205,7 @@
 		weight := float64(sum.Running + e.Running)
 		sum.Limit = (sum.Limit*float64(sum.Running) + e.Limit*float64(e.Running)) / max(1, weight)
 		sum.Running += e.Running
+		sum.Unread += e.Unread
 		f.endpoints[id] = sum
 	}
 	for key, l := range other.lanes {
@@ -222,6 +229,7 @@
 	for _, e := range c.ordered {
 		told := sum.endpoints[e.spec.ID]
 		e.others = told.Running
+		e.prompts.others = told.Unread
 		e.history.add(now, float64(e.running+e.others))
 		if c.features.adaptiveLimit && told.Running > 0 {
 			e.limit.merge(told.Limit)
--- a/dispatch/endpoint/health.go
+++ b/dispatch/endpoint/health.go
@@ -137,7 +137,7 @@
 func (c *core) moveAll(now time.Time, e *endpoint) {
 	for i := range e.tiers {
 		for r := e.tiers[i].newest; r != nil; r = r.runNext {
-			if !r.preempted && r.work.Model != "" {
+			if !r.preempted && r.mayMove() {
 				e.markMoving(r)
 				c.emit(effect{kind: effectMoved, request: r, endpoint: e, at: now})
 			}
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -56,6 +56,7 @@
 	usual        float64
 	first        bool // no lane of the same group has a higher tier
 	last         bool // none has a lower one
+	split        bool // a part of the endpoints is set aside for the highest tier
 	cheapRunning int  // on cheap endpoints
 	steadyRoom   float64
 	interMean    average // of the endpoints' times between tokens
--- a/dispatch/endpoint/options.go
+++ b/dispatch/endpoint/options.go
@@ -14,13 +14,16 @@
 // Policy names a way to choose endpoints and to order queues.
 type Policy string
 
-// The policies. All but PolicyWinch are baselines to measure against: they keep
+// The policies. All but PolicyWinch and PolicyPrompts are baselines to measure against: they keep
 // the configured slot limits, know no tiers and refuse only when a queue is full or a wait is over.
 const (
 	PolicyWinch         Policy = "Winch"
 	PolicyRandom        Policy = "Random"
 	PolicyLeastReported Policy = "LeastReported"
 	PolicyFirstCome     Policy = "FirstCome"
+	// PolicyPrompts chooses by the prompts that endpoints have still to read, and gives
+	// what arrives to an endpoint at once while one has a slot.
+	PolicyPrompts Policy = "Prompts"
 )
 
 // Settings tune the decisions. The zero value of a field stands for its default.
@@ -78,7 +81,10 @@
 	Meter          metric.Meter
 	Policy         Policy
 	Seed           uint64
-	Settings       Settings
+	// Home is the data centre whose endpoints are nearer than others. It matters where the
+	// hosts of all data centres exchange their figures, and Membership names none.
+	Home     winch.DataCentreID
+	Settings Settings
 }
 
 func (o *Options) check() error {
@@ -94,7 +100,7 @@
 	switch o.Policy {
 	case "":
 		o.Policy = PolicyWinch
-	case PolicyWinch, PolicyRandom, PolicyLeastReported, PolicyFirstCome:
+	case PolicyWinch, PolicyPrompts, PolicyRandom, PolicyLeastReported, PolicyFirstCome:
 	default:
 		return fmt.Errorf("check options: Policy %q: %w", o.Policy, winch.ErrInvalid)
 	}
@@ -162,6 +168,7 @@
 	earlyRefusal  bool
 	sharing       bool // limits are shared with the other hosts
 	longShare     bool
+	prompts       bool // endpoints are judged by the prompts that they have still to read
 	choice        func(c *core, now time.Time, l *lane, r *request) *endpoint
 }
 
@@ -173,6 +180,11 @@
 		return features{choice: chooseLeastReported}
 	case PolicyFirstCome:
 		return features{choice: chooseFirstFree}
+	case PolicyPrompts:
+		return features{
+			tiers: true, floors: true, fairness: true, ejection: true, ownAnswers: true, corrections: true,
+			earlyRefusal: true, prompts: true, choice: choosePrompts,
+		}
 	}
 	return features{
 		tiers: true, preemption: true, floors: true, fairness: true, adaptiveLimit: true, ejection: true,
--- a/dispatch/endpoint/request.go
+++ b/dispatch/endpoint/request.go
@@ -47,6 +47,7 @@
 	collected        winch.Tokens
 	collectedAt      time.Time
 	unread           winch.Tokens // of the prompt, until the first token
+	toRead           winch.Tokens // of the prompt, less what the endpoint keeps, until the first token
 	firstSeen        bool
 	long             bool
 	floor            bool
@@ -60,7 +61,13 @@
 }
 
 // movable tells whether the request can go on elsewhere when its slot is taken.
-func (r *request) movable() bool { return r.work.Model != "" && !r.floor }
+func (r *request) movable() bool { return r.mayMove() && !r.floor }
+
+// mayMove tells whether the request is a stream that can go on elsewhere.
+func (r *request) mayMove() bool { return r.work.Model != "" && !r.work.Fixed }
+
+// plain tells whether the answer is no stream.
+func (r *request) plain() bool { return r.work.Model == "" || r.work.Plain }
 
 // underWay tells whether the request ran before: the caller got a part of the
 // answer, or an endpoint was given it and lost it.
--- a/dispatch/endpoint/slot.go
+++ b/dispatch/endpoint/slot.go
@@ -39,6 +39,7 @@
 	if s.heard != nil {
 		s.heard.Store(at)
 	}
+	s.dispatcher.noteFirst(now, s)
 }
 
 // Tokens notes more tokens of output. It takes no lock.
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -29,12 +29,14 @@
 	health      health
 
 	// offset is the reported load less what the hosts knew of when the report was true.
-	offset   float64
-	asOf     time.Time
-	spec     winch.Endpoint
-	hash     uint64
-	state    winch.EndpointState
-	leavesAt time.Time
+	offset float64
+	asOf   time.Time
+	spec   winch.Endpoint
+	// startedAt tells the starts of the endpoint apart; zero when it does not say.
+	startedAt time.Time
+	hash      uint64
+	state     winch.EndpointState
+	leavesAt  time.Time
 	// says is the state by the endpoint's own report of saysAt; goesAt is when its streams
 	// are moved after it said that it leaves.
 	says    winch.EndpointState
@@ -46,6 +48,7 @@
 	tiers     []tierRunning // by tier, the highest first
 	long      int
 	unread    winch.Tokens // of this host's prompts below the highest tier, without a first token
+	prompts   promptLoad
 	models    []winch.LoadedModel
 	limit     limiter
 	lastHeard atomic.Int64 // nanoseconds since 1970
@@ -136,6 +139,7 @@
 		e.long--
 	}
 	e.read(r)
+	e.noteRead(r)
 }
 
 // read notes that the endpoint has read the request's prompt, or never will.
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -108,6 +108,7 @@
 		}
 		if r.endpoint != nil {
 			r.endpoint.read(r)
+			r.endpoint.noteRead(r)
 			c.answered(now, r.endpoint)
 		}
 	}
@@ -181,6 +182,7 @@
 		e.factor = c.slowness(now, e)
 		c.share(now, e)
 	}
+	c.setAside(now)
 }
 
 // upTo counts the running requests of the tier and higher ones.
--- a/forward.go
+++ b/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 )
@@ -78,10 +79,12 @@
 
 // ConfigurationSource reads the configuration from where operators keep it.
 type ConfigurationSource interface {
-	// Fetch returns the newest configuration and the version of its entry. It returns nil
-	// when the entry still has the known version. Errors: ErrNotFound before the first
-	// configuration, ErrInvalid for one that cannot be read, ErrUnavailable.
-	Fetch(ctx context.Context, known Version) (*Configuration, Version, error)
+	// Fetch returns the newest configuration as it is kept, and the version of its entry. It
+	// returns nil when the entry still has the known version. Errors: ErrNotFound before the
+	// first configuration, ErrUnavailable and ErrRateLimited.
+	Fetch(ctx context.Context, known Version) ([]byte, Version, error)
+	// Decode reads what Fetch returned here or at another host. The error matches ErrInvalid.
+	Decode(raw []byte) (*Configuration, error)
 }
 
 // ConfirmedConfigurations tells besides how old the evidence is that the configuration is the newest.
@@ -142,12 +145,13 @@
 }
 
 // ForwardReply is the answer of an endpoint to a forwarded request. Body must be
-// closed; closing it before its end closes the connection.
+// closed; closing it before its end closes the connection. Read returns io.EOF only when
+// the body is complete.
 type ForwardReply struct {
 	Status int
 	// Header holds what is passed on to the caller.
 	Header http.Header
-	Body   ReplyBody
+	Body   io.ReadCloser
 	// NotExecuted says that the endpoint did not run the request and never will.
 	NotExecuted bool
 	// Misdirected says besides that another endpoint has the address.
@@ -158,13 +162,6 @@
 	Load *EndpointLoad
 }
 
-// ReplyBody is the body of an endpoint's answer. Read returns io.EOF only when the body
-// is complete.
-type ReplyBody interface {
-	Read(p []byte) (int, error)
-	Close() error
-}
-
 // EndpointLoad is what an endpoint says of its load in an answer.
 type EndpointLoad struct {
 	Running int
@@ -177,7 +174,40 @@
 // Errors: ErrUnavailable says that no byte can have reached the endpoint,
 // ErrOutcomeUnknown that some may have. After ErrCrossed the outcome is unknown as well.
 type ForwardSender interface {
-	Forward(ctx context.Context, now time.Time, endpoint Endpoint, call ForwardCall) (*ForwardReply, error)
+	Forward(ctx context.Context, endpoint Endpoint, call ForwardCall) (*ForwardReply, error)
+}
+
+// ExchangeCall is one HTTP call as it is written.
+type ExchangeCall struct {
+	// Address is the IP number and port of the server.
+	Address string
+	// Peer names the server; connections are kept for each apart, since addresses are used again.
+	Peer   string
+	Method string
+	// Target is the path with the query.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// ID is what the server echoes in IDHeader.
+	ID       string
+	IDHeader string
+}
+
+// ExchangeAnswer is the answer to a call. Body must be closed; Read returns io.EOF only
+// when the body is complete.
+type ExchangeAnswer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+}
+
+// Exchanger makes HTTP calls, each written once at most.
+//
+// Errors: ErrUnavailable says that no byte was written, ErrOutcomeUnknown that some may
+// have been, ErrCrossed besides that the answer belonged to another call.
+type Exchanger interface {
+	Exchange(ctx context.Context, call ExchangeCall) (*ExchangeAnswer, error)
 }
 
 // ForwardProtocol translates the headers of callers' requests and of the host's own answers.
--- a/load.go
+++ b/load.go
@@ -8,6 +8,9 @@
 	State    EndpointState
 	// LeavesAt is when a leaving endpoint goes away; zero when that is not known.
 	LeavesAt time.Time
+	// StartedAt tells the starts of an endpoint apart that keeps its id, as it says itself;
+	// zero when it does not.
+	StartedAt time.Time
 }
 
 // EndpointSource gives the endpoints that were ordered. Those of the
--- /dev/null
+++ b/placement/registry/follower.go
@@ -0,0 +1,158 @@
+// Package registry follows the list of endpoints that register themselves.
+//
+// The list is read at a fixed pace. While it cannot be read, the last one counts.
+//
+// # Usage
+//
+//	follower, err := registry.New(registry.Options{Lister: lister, Clock: clock, Logger: logger})
+//	if err != nil {
+//		return err
+//	}
+//	go follower.Run(ctx)
+//	endpoints := follower.Endpoints()
+//
+// A follower is the dispatcher's winch.EndpointSource.
+package registry
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/periodic"
+)
+
+const (
+	defaultPollEvery = 600 * time.Millisecond
+	// warnEvery is the number of failed calls between two warnings.
+	warnEvery = 10
+	// leaveSlack is the difference of two statements of a leave time that says nothing new.
+	leaveSlack = 500 * time.Millisecond
+)
+
+// Options are the settings of a follower. The zero value of a duration stands for its default.
+type Options struct {
+	Lister winch.EndpointLister
+	Clock  winch.Clock
+	Logger hclog.Logger
+	// PollEvery is the time between two readings. The default is 600 ms.
+	PollEvery time.Duration
+}
+
+// Follower implements winch.EndpointSource. It is safe for concurrent use.
+type Follower struct {
+	options Options
+
+	mu      sync.Mutex
+	current []winch.EndpointStatus
+	readAt  time.Time
+	changed chan struct{}
+	// failures counts the failed calls in a row; only Run uses it.
+	failures int
+}
+
+var _ winch.EndpointSource = (*Follower)(nil)
+
+// New returns a follower, which knows no endpoint until Run.
+func New(options Options) (*Follower, error) {
+	if options.Lister == nil || options.Clock == nil || options.Logger == nil {
+		return nil, fmt.Errorf("create endpoint follower: Lister, Clock and Logger are needed: %w", winch.ErrInvalid)
+	}
+	options.PollEvery = cmp.Or(options.PollEvery, defaultPollEvery)
+	return &Follower{options: options, changed: make(chan struct{})}, nil
+}
+
+// Run reads the list until ctx ends. It returns nil.
+func (f *Follower) Run(ctx context.Context) error {
+	return periodic.RunPaced(ctx, func() time.Duration { return f.options.PollEvery }, f.Step)
+}
+
+// Step reads the list once; Run calls it at its pace.
+func (f *Follower) Step(ctx context.Context) {
+	sent := f.options.Clock.Now()
+	listed, err := f.options.Lister.ListEndpoints(ctx, sent)
+	if err != nil {
+		f.failed(err)
+		return
+	}
+	if f.failures > 0 {
+		f.options.Logger.Info("endpoint list regained", "Event", EventListRegained, "Failures", f.failures)
+		f.failures = 0
+	}
+	f.take(sent, listed)
+}
+
+func (f *Follower) failed(err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	if f.failures%warnEvery == 0 {
+		f.options.Logger.Warn("endpoint list failed", "Event", EventListFailed, "Failures", f.failures, "Error", err)
+	}
+	f.failures++
+}
+
+// take replaces the list, and logs what changed.
+func (f *Follower) take(at time.Time, listed []winch.EndpointStatus) {
+	slices.SortFunc(listed, func(a, b winch.EndpointStatus) int { return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID) })
+	f.mu.Lock()
+	before := f.current
+	f.readAt = at
+	same := slices.EqualFunc(before, listed, equal)
+	if !same {
+		f.current = listed
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+	f.mu.Unlock()
+	if !same {
+		f.logChanges(before, listed)
+	}
+}
+
+func equal(a, b winch.EndpointStatus) bool {
+	return a.State == b.State && a.Endpoint.ID == b.Endpoint.ID && a.Endpoint.Address == b.Endpoint.Address &&
+		a.StartedAt.Equal(b.StartedAt) && a.Endpoint.SlotLimit == b.Endpoint.SlotLimit &&
+		a.Endpoint.Supply == b.Endpoint.Supply && slices.Equal(a.Endpoint.Models, b.Endpoint.Models) &&
+		a.LeavesAt.IsZero() == b.LeavesAt.IsZero() && a.LeavesAt.Sub(b.LeavesAt).Abs() < leaveSlack
+}
+
+func (f *Follower) logChanges(before, after []winch.EndpointStatus) {
+	known := map[winch.EndpointID]winch.EndpointStatus{}
+	for _, status := range before {
+		known[status.Endpoint.ID] = status
+	}
+	for _, status := range after {
+		old, found := known[status.Endpoint.ID]
+		delete(known, status.Endpoint.ID)
+		if !found || !equal(old, status) {
+			f.options.Logger.Info("endpoint listed", "Event", EventEndpointListed, "Endpoint", status.Endpoint.ID,
+				"State", status.State, "Before", old.State, "Models", status.Endpoint.Models, "DataCentre", status.Endpoint.DataCentre,
+				"Address", status.Endpoint.Address, "Supply", status.Endpoint.Supply, "LeavesAt", status.LeavesAt)
+		}
+	}
+	for id := range known {
+		f.options.Logger.Info("endpoint no longer listed", "Event", EventEndpointUnlisted, "Endpoint", id)
+	}
+}
+
+// Endpoints returns the newest list. It must not be modified.
+func (f *Follower) Endpoints() []winch.EndpointStatus {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current
+}
+
+// Changed returns a channel that is closed at the next change of the list.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
--- a/serving/caller/drain.go
+++ b/serving/caller/drain.go
@@ -4,60 +4,30 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/arbutuswinch/winch"
 )
 
-// drain is the state of a stop.
-type drain struct {
-	leaving  atomic.Bool
-	refusing atomic.Bool
-	stopped  chan struct{}
-	once     *sync.Once
-}
-
-func newDrain() drain { return drain{stopped: make(chan struct{}), once: &sync.Once{}} }
-
-func (d *drain) begun() bool   { return d.leaving.Load() }
-func (d *drain) refuses() bool { return d.refusing.Load() }
-
 // Draining reports whether a stop has begun; the host is then not ready for new connections.
-func (s *Server) Draining() bool { return s.drain.begun() }
+func (s *Server) Draining() bool { return s.drain.Begun() }
 
 // Open returns the number of open requests.
-func (s *Server) Open() int64 { return s.open.count() }
+func (s *Server) Open() int64 { return s.open.Count() }
 
 // Drain stops the server gracefully. Requests are still taken during the readiness
 // delay, then refused as not run; open ones are finished. What is open when the
 // context ends is cut off with an error event and reported as the error.
 func (s *Server) Drain(ctx context.Context) error {
-	s.drain.leaving.Store(true)
-	s.options.Logger.Info("stop begun", "Event", EventDrainBegun, "Open", s.open.count())
-	delay := time.NewTimer(s.options.Limits.ReadinessDelay)
-	defer delay.Stop()
-	select {
-	case <-delay.C:
-	case <-ctx.Done():
-	}
-	s.drain.refusing.Store(true)
-	defer s.drain.once.Do(func() { close(s.drain.stopped) })
-	select {
-	case <-s.open.empty():
-		s.background.Wait()
-		s.options.Logger.Info("stop ended", "Event", EventDrainEnded, "Cut", 0)
-		return nil
-	case <-ctx.Done():
-	}
-	cut := s.open.cancelAll(errStopping)
-	<-s.open.empty()
+	s.options.Logger.Info("stop begun", "Event", EventDrainBegun, "Open", s.open.Count())
+	defer s.stopWatch.Do(func() { close(s.stopped) })
+	cut := s.drain.Run(ctx, s.open, s.options.Limits.ReadinessDelay, errStopping)
 	s.background.Wait()
-	s.options.Logger.Warn("stop ended", "Event", EventDrainEnded, "Cut", cut)
 	if cut == 0 {
+		s.options.Logger.Info("stop ended", "Event", EventDrainEnded, "Cut", 0)
 		return nil
 	}
+	s.options.Logger.Warn("stop ended", "Event", EventDrainEnded, "Cut", cut)
 	return fmt.Errorf("drain caller port: %d requests cut off: %w", cut, ctx.Err())
 }
 
@@ -73,7 +43,7 @@
 		select {
 		case <-changed:
 		case <-recheck.C:
-		case <-s.drain.stopped:
+		case <-s.stopped:
 			return
 		}
 	}
@@ -90,7 +60,7 @@
 	}
 	now := s.now()
 	invalidKeys, pending := map[winch.KeyHash]error{}, false
-	for hash := range s.open.hashes() {
+	for hash := range s.open.Hashes() {
 		_, err := s.options.Configurations.Authorize(now, hash)
 		switch {
 		case s.lapsing(now, err):
@@ -101,7 +71,7 @@
 			invalidKeys[hash] = errKeyWithdrawn
 		}
 	}
-	if count := s.open.cancel(invalidKeys); count > 0 {
+	if count := s.open.Cancel(invalidKeys); count > 0 {
 		s.options.Logger.Info("requests ended with their keys", "Event", EventKeysEnded, "Keys", len(invalidKeys), "Requests", count)
 	}
 	return pending
--- a/serving/caller/events_test.go
+++ b/serving/caller/events_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert/cmp"
 )
 
-// TestEvents holds the page of events against the code, for both packages that log.
+// TestEvents holds the page of events against the code, for the packages of the slice that log.
 func TestEvents(t *testing.T) {
 	page, err := os.ReadFile("../../docs/EVENTS.md")
 	assert.NilError(t, err)
@@ -18,7 +18,7 @@
 	section, _, _ = strings.Cut(section, "\n## ")
 	rows := strings.Count(section, "\n| 2")
 	declared := 0
-	for _, file := range []string{"events.go", "../keyvalue/events.go"} {
+	for _, file := range []string{"events.go", "../keyvalue/events.go", "../forward/events.go"} {
 		source, err := os.ReadFile(file)
 		assert.NilError(t, err)
 		for _, line := range strings.Split(string(source), "\n") {
--- a/serving/caller/server.go
+++ b/serving/caller/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/httpjson"
+	"github.com/arbutuswinch/winch/serving/internal/open"
 )
 
 // peerPrefix is the path below which peers hand requests over.
@@ -21,10 +22,13 @@
 type Server struct {
 	options    Options
 	catalogues *catalogues
-	open       *registry
+	open       *open.Set
 	history    *history
 	metrics    *metrics
-	drain      drain
+	drain      open.Drain
+	// stopped is closed at the end of a planned stop; it ends the watch over keys.
+	stopped   chan struct{}
+	stopWatch sync.Once
 	// background holds what outlives its request: cancels at engines and claims.
 	background sync.WaitGroup
 }
@@ -35,14 +39,14 @@
 		return nil, err
 	}
 	options.Limits.fill()
-	open := newRegistry()
-	instruments, err := newMetrics(options.Meter, open.count)
+	set := open.NewSet()
+	instruments, err := newMetrics(options.Meter, set.Count)
 	if err != nil {
 		return nil, err
 	}
 	s := &Server{
-		options: options, catalogues: &catalogues{source: options.Configurations}, open: open,
-		history: newHistory(options.Limits.History), metrics: instruments, drain: newDrain(),
+		options: options, catalogues: &catalogues{source: options.Configurations}, open: set,
+		history: newHistory(options.Limits.History), metrics: instruments, stopped: make(chan struct{}),
 	}
 	go s.watchKeys()
 	return s, nil
@@ -68,20 +72,23 @@
 	id, f := requestID(r.Header)
 	req.id = id
 	w.Header().Set("X-Request-Id", string(id))
-	if s.drain.begun() {
+	if s.drain.Begun() {
 		w.Header().Set("Connection", "close")
 	}
 	own, cancel := context.WithCancelCause(context.WithoutCancel(r.Context()))
 	defer cancel(nil)
 	req.own = own
-	s.open.add(req, cancel)
-	defer s.open.remove(req)
-	if f == nil && s.drain.refuses() {
+	entry := s.open.Add(cancel)
+	defer s.open.Remove(entry)
+	if f == nil && s.drain.Refuses() {
 		f = refused(winch.RefusedStopping, "this host stops", time.Second)
 	}
 	if f == nil {
 		f = s.admit(now, r, req)
 	}
+	if f == nil && req.keyed && !req.local {
+		entry.Identify(req.hash)
+	}
 	if f == nil {
 		f = s.route(w, r, req)
 	}
@@ -91,7 +98,6 @@
 
 // route serves the request by its path.
 func (s *Server) route(w http.ResponseWriter, r *http.Request, req *request) *fault {
-	s.open.identify(req)
 	path := r.URL.Path
 	switch {
 	case path == "/v1/chat/completions", path == "/v1/completions":
--- /dev/null
+++ b/serving/forward/admit.go
@@ -0,0 +1,167 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// grant is what a configuration allows a request.
+type grant struct {
+	configuration *winch.Configuration
+	forward       *winch.Forward
+	class         winch.Class
+	model         winch.ModelID
+	organisation  winch.OrganisationID
+	// keyed says that the grant rests on a key.
+	keyed bool
+}
+
+// evidence is how old the proof is that the configuration is the newest.
+type evidence struct {
+	age    time.Duration
+	limits *Limits
+}
+
+// rejects tells whether the configuration is known well enough to say that something does not exist.
+func (e evidence) rejects() bool { return e.age <= e.limits.RejectLimit }
+
+// trustsKeys tells whether keys may admit requests.
+func (e evidence) trustsKeys() bool { return e.age <= e.limits.KeyLimit }
+
+// authorizer finds a key in the configuration.
+type authorizer func(hash winch.KeyHash) (winch.Key, error)
+
+// admit decides by the configuration whether the request may run. It does no I/O.
+func admit(configuration *winch.Configuration, request *winch.ForwardRequest, proof evidence, authorize authorizer) (grant, *fault) {
+	if len(configuration.Forwards) == 0 {
+		return grant{}, unready("no configuration yet")
+	}
+	forward := match(configuration.Forwards, request.Host, request.Path)
+	if forward == nil {
+		if !proof.rejects() {
+			return grant{}, unready("no route, and the configuration may be out of date")
+		}
+		return grant{}, &fault{status: http.StatusNotFound, reason: "no_route", message: "no route matches"}
+	}
+	g := grant{configuration: configuration, forward: forward, model: target(forward, request.ID)}
+	if f := g.identify(request, proof, authorize); f != nil {
+		return grant{}, f
+	}
+	tier := forward.Tier
+	if own := configuration.Tiers[g.organisation]; own != 0 {
+		tier = own
+	}
+	class, found := configuration.Classes[forward.Classes[tier]]
+	if !found {
+		class = configuration.Classes[forward.Classes[forward.Tier]]
+	}
+	g.class = class
+	return g, nil
+}
+
+// identify finds the organisation. A route that is open to all needs no key, and takes
+// none amiss.
+func (g *grant) identify(request *winch.ForwardRequest, proof evidence, authorize authorizer) *fault {
+	needed := !g.forward.Open && len(g.configuration.Organisations) > 0
+	if request.Secret == "" {
+		if needed {
+			return g.reject(proof)
+		}
+		return nil
+	}
+	if !needed && !proof.trustsKeys() {
+		return nil
+	}
+	key, err := authorize(winch.HashKey(request.Secret))
+	switch {
+	case err == nil && (!needed || proof.trustsKeys()):
+		g.organisation, g.keyed = key.Organisation, needed
+		return nil
+	case !needed:
+		return nil
+	case errors.Is(err, winch.ErrUnauthorized):
+		return g.reject(proof)
+	}
+	return unready("keys cannot be confirmed at present")
+}
+
+func (g *grant) reject(proof evidence) *fault {
+	if !proof.rejects() {
+		return unready("the key is unknown, and the configuration may be out of date")
+	}
+	return &fault{status: http.StatusUnauthorized, reason: "unknown_key", message: "a valid key is required"}
+}
+
+// match returns the route with the longest prefix of the path among those of the host.
+func match(forwards []winch.Forward, host, path string) *winch.Forward {
+	var best *winch.Forward
+	for i := range forwards {
+		forward := &forwards[i]
+		if forward.Host == host && strings.HasPrefix(path, forward.Prefix) && (best == nil || len(forward.Prefix) > len(best.Prefix)) {
+			best = forward
+		}
+	}
+	return best
+}
+
+// target picks the request's service by the weights, the same one each time for one request.
+func target(forward *winch.Forward, id winch.RequestID) winch.ModelID {
+	if len(forward.Targets) == 1 {
+		return forward.Targets[0].Model
+	}
+	total := 0
+	for _, each := range forward.Targets {
+		total += each.Weight
+	}
+	point := int(hashOf(id) % uint64(max(1, total)))
+	for _, each := range forward.Targets {
+		if point < each.Weight {
+			return each.Model
+		}
+		point -= each.Weight
+	}
+	return forward.Targets[0].Model
+}
+
+// readBody reads the whole body within the limit.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *fault) {
+	if r.ContentLength > limit {
+		return nil, tooLarge(limit)
+	}
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	if r.ContentLength > 0 {
+		body := make([]byte, r.ContentLength)
+		if _, err := io.ReadFull(r.Body, body); err != nil {
+			return nil, unread(err)
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, tooLarge(limit)
+	case err != nil:
+		return nil, unread(err)
+	}
+	return body, nil
+}
+
+func tooLarge(limit int64) *fault {
+	return &fault{
+		status: http.StatusRequestEntityTooLarge, reason: "body_too_large",
+		message: fmt.Sprintf("the body is larger than %d bytes", limit),
+	}
+}
+
+func unread(err error) *fault {
+	return &fault{status: http.StatusBadRequest, reason: "body_unread", message: "the body could not be read", cause: err}
+}
--- /dev/null
+++ b/serving/forward/record.go
@@ -0,0 +1,105 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// metrics are the instruments of the forwarding port.
+type metrics struct {
+	requests metric.Int64Counter
+	attempts metric.Int64Counter
+	first    metric.Float64Histogram
+	duration metric.Float64Histogram
+}
+
+func newMetrics(meter metric.Meter, open func() int64) (*metrics, error) {
+	m := &metrics{}
+	var err error
+	if m.requests, err = meter.Int64Counter("winch_forward_requests", metric.WithDescription("Forwarded requests by class and result.")); err != nil {
+		return nil, fmt.Errorf("create request counter: %w", err)
+	}
+	if m.attempts, err = meter.Int64Counter("winch_forward_attempts", metric.WithDescription("Attempts at endpoints by result.")); err != nil {
+		return nil, fmt.Errorf("create attempt counter: %w", err)
+	}
+	if m.first, err = meter.Float64Histogram("winch_forward_first_seconds", metric.WithUnit("s"),
+		metric.WithDescription("Time from arrival to the first event or the whole answer.")); err != nil {
+		return nil, fmt.Errorf("create first-event histogram: %w", err)
+	}
+	if m.duration, err = meter.Float64Histogram("winch_forward_seconds", metric.WithUnit("s"),
+		metric.WithDescription("Time from arrival to the end of the request.")); err != nil {
+		return nil, fmt.Errorf("create duration histogram: %w", err)
+	}
+	_, err = meter.Int64ObservableGauge("winch_forward_open", metric.WithDescription("Forwarded requests that are open."),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			observer.Observe(open())
+			return nil
+		}))
+	if err != nil {
+		return nil, fmt.Errorf("create gauge of open requests: %w", err)
+	}
+	return m, nil
+}
+
+// record logs and counts what became of the request.
+func (s *Server) record(req *request, f *fault) {
+	status, reason, after := req.status, "", ""
+	if f != nil {
+		reason = f.reason
+		if !req.began {
+			status = f.status
+		}
+		if f.retryAfter > 0 {
+			after = f.retryAfter.String()
+		}
+	}
+	took := s.now().Sub(req.arrived)
+	class, route, revision := winch.ClassID(""), winch.RouteID(""), winch.Revision(0)
+	if req.grant.forward != nil {
+		class, route, revision = req.grant.class.ID, req.grant.forward.ID, req.grant.configuration.Revision
+	}
+	s.options.Logger.Info("request done", "Event", EventForwardDone, "Request", string(req.ID), "Route", string(route), "Class", string(class),
+		"Organisation", string(req.grant.organisation), "Status", status, "Reason", reason, "RetryAfter", after,
+		"RunState", string(req.ledger.RunState()), "Revision", revision, "ProofAge", req.proofAge.String(), "First", req.first.String(),
+		"Took", took.String(), "Left", req.deadline.Sub(req.arrived.Add(took)).String(), "LastEvent", req.lastEvent,
+		"Attempts", attemptsText(req.attempts), "Path", s.pathOf(req, status))
+	labels := metric.WithAttributes(attribute.String("class", string(class)), attribute.Int("status", status), attribute.String("reason", reason))
+	ctx := context.WithoutCancel(req.own)
+	s.metrics.requests.Add(ctx, 1, labels)
+	byClass := metric.WithAttributes(attribute.String("class", string(class)))
+	s.metrics.duration.Record(ctx, took.Seconds(), byClass)
+	if req.first > 0 {
+		s.metrics.first.Record(ctx, req.first.Seconds(), byClass)
+	}
+	for _, each := range req.attempts {
+		s.metrics.attempts.Add(ctx, 1, metric.WithAttributes(attribute.String("result", each.outcome)))
+	}
+}
+
+// pathOf returns host and path where they explain why no route served the request.
+func (s *Server) pathOf(req *request, status int) string {
+	if status != http.StatusNotFound && req.grant.forward != nil {
+		return ""
+	}
+	return req.Host + req.Path
+}
+
+// attemptsText tells for each attempt the endpoint, how long it was waited for, how long
+// it took, its status and its outcome.
+func attemptsText(attempts []attemptRecord) string {
+	text := strings.Builder{}
+	for i, each := range attempts {
+		if i > 0 {
+			text.WriteByte(' ')
+		}
+		fmt.Fprintf(&text, "%s/%s/%s/%d/%s", each.endpoint, each.waited, each.took, each.status, each.outcome)
+	}
+	return text.String()
+}
--- /dev/null
+++ b/serving/forward/relay.go
@@ -0,0 +1,177 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+const (
+	// readSize is the buffer for the events of a stream.
+	readSize = 4 << 10
+	// eventLimit is the largest event in bytes.
+	eventLimit = 1 << 20
+)
+
+// errDisorder: the events of a stream do not go on where they should.
+var errDisorder = errors.New("events out of order")
+
+// relayWhole reads the whole answer, and then passes it on.
+func (s *Server) relayWhole(w http.ResponseWriter, req *request, a *attempt) error {
+	s.count(req, a)
+	body, err := io.ReadAll(io.LimitReader(a.reply.Body, s.options.Limits.Answer+1))
+	if err != nil {
+		return fmt.Errorf("read answer: %w: %w", winch.ErrOutcomeUnknown, err)
+	}
+	if int64(len(body)) > s.options.Limits.Answer {
+		return fmt.Errorf("read answer: more than %d bytes: %w", s.options.Limits.Answer, winch.ErrOutcomeUnknown)
+	}
+	header := w.Header()
+	passHeader(header, a.reply.Header)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	req.began, req.status = true, a.reply.Status
+	s.extendWrite(w)
+	w.WriteHeader(a.reply.Status)
+	if _, err := w.Write(body); err != nil {
+		return fmt.Errorf("write to caller: %w: %w", errCallerGone, err)
+	}
+	return nil
+}
+
+func passHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+	if _, found := to["Content-Type"]; !found {
+		// Keeps the library from guessing one.
+		to["Content-Type"] = nil
+	}
+}
+
+func (s *Server) extendWrite(w http.ResponseWriter) {
+	// The connection's deadline is a matter of the kernel's clock, not of decisions. A writer
+	// without deadlines, as in tests, is as well.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.options.Limits.WriteTimeout))
+}
+
+// count notes that the endpoint has begun to run the request, once for each request.
+func (s *Server) count(req *request, a *attempt) {
+	now := s.now()
+	if !a.delivered {
+		a.delivered = true
+		a.slot.FirstToken(now)
+	}
+	if req.first == 0 {
+		req.first = now.Sub(req.arrived)
+	}
+	if req.counted || req.grant.organisation == "" {
+		return
+	}
+	req.counted = true
+	s.options.Usage.Record(now, winch.UsageRecord{
+		Organisation: req.grant.organisation, Class: req.grant.class.ID, Supply: a.endpoint.Supply,
+		Requests: 1, InputTokens: req.InputTokens,
+	})
+}
+
+// relayStream passes events on as they come, whole ones only, until the stream is complete or breaks.
+func (s *Server) relayStream(w http.ResponseWriter, req *request, a *attempt) error {
+	events := eventReader{source: bufio.NewReaderSize(a.reply.Body, readSize)}
+	control := http.NewResponseController(w)
+	for {
+		event, err := events.next()
+		if err != nil && !errors.Is(err, io.EOF) {
+			return fmt.Errorf("read stream: %w: %w", winch.ErrOutcomeUnknown, err)
+		}
+		complete := err != nil
+		if complete && !req.began {
+			s.beginStream(w, req, a)
+		}
+		if len(event) > 0 {
+			if err := s.passEvent(w, req, a, event); err != nil {
+				return err
+			}
+		}
+		if complete {
+			return nil
+		}
+		if events.source.Buffered() == 0 {
+			s.extendWrite(w)
+			if err := control.Flush(); err != nil {
+				return fmt.Errorf("write to caller: %w: %w", errCallerGone, err)
+			}
+		}
+	}
+}
+
+func (s *Server) beginStream(w http.ResponseWriter, req *request, a *attempt) {
+	passHeader(w.Header(), a.reply.Header)
+	s.extendWrite(w)
+	req.began, req.status = true, a.reply.Status
+	w.WriteHeader(a.reply.Status)
+}
+
+// passEvent passes one event on. Events that do not follow the last one are not passed on.
+func (s *Server) passEvent(w http.ResponseWriter, req *request, a *attempt, event []byte) error {
+	if id, found := eventID(event); found {
+		if id <= req.lastEvent {
+			return fmt.Errorf("event %d after %d: %w", id, req.lastEvent, errDisorder)
+		}
+		req.lastEvent = id
+	}
+	s.count(req, a)
+	a.slot.Tokens(s.now(), 1)
+	if !req.began {
+		s.beginStream(w, req, a)
+	}
+	if _, err := w.Write(event); err != nil {
+		return fmt.Errorf("write to caller: %w: %w", errCallerGone, err)
+	}
+	return nil
+}
+
+// eventReader reads a stream of server-sent events.
+type eventReader struct {
+	source *bufio.Reader
+	event  []byte
+}
+
+// next returns the next event with its blank line. At the end of the stream it returns
+// what is left with io.EOF. The event is valid until the next call.
+func (r *eventReader) next() ([]byte, error) {
+	r.event = r.event[:0]
+	for {
+		line, err := r.source.ReadSlice('\n')
+		r.event = append(r.event, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+		case err != nil:
+			return r.event, err
+		case len(bytes.TrimRight(line, "\r\n")) == 0:
+			return r.event, nil
+		}
+		if len(r.event) > eventLimit {
+			return nil, fmt.Errorf("read event: more than %d bytes: %w", eventLimit, winch.ErrInvalid)
+		}
+	}
+}
+
+// eventID returns the number in the event's id field.
+func eventID(event []byte) (int64, bool) {
+	for line := range bytes.Lines(event) {
+		value, found := bytes.CutPrefix(line, []byte("id:"))
+		if !found {
+			continue
+		}
+		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		return id, err == nil
+	}
+	return 0, false
+}
--- a/winchd/daemon/daemon.go
+++ b/winchd/daemon/daemon.go
@@ -25,9 +25,13 @@
 	"github.com/arbutuswinch/winch/clock/boottime"
 	"github.com/arbutuswinch/winch/httpjson"
 	"github.com/arbutuswinch/winch/keyvalue/platform"
+	"github.com/arbutuswinch/winch/winchd/process"
 	"github.com/arbutuswinch/winch/winchd/settings"
 )
 
+// callerIdleTimeout is how long callers may keep a connection without using it.
+const callerIdleTimeout = 2 * time.Minute
+
 // stopTimeout is longer than the time for which usage counts are written at the end.
 const stopTimeout = 30 * time.Second
 
@@ -38,7 +42,7 @@
 	version     string
 	clock       winch.Clock
 	incarnation winch.Incarnation
-	metrics     *metrics
+	metrics     *process.Metrics
 	traffic     *httpjson.Traffic
 	store       winch.KeyValue
 
@@ -50,7 +54,7 @@
 	serving    *servingParts
 
 	servers []transport.Server
-	runner  *runner
+	runner  *process.Runner
 }
 
 // New builds the process and opens its ports; Run serves.
@@ -87,18 +91,18 @@
 }
 
 func (d *Daemon) buildMetrics() error {
-	built, err := newMetrics()
+	built, err := process.NewMetrics()
 	if err != nil {
 		return err
 	}
 	d.metrics = built
-	return built.observeTraffic(d.traffic)
+	return built.ObserveTraffic(d.traffic)
 }
 
 func (d *Daemon) buildStore() error {
 	store, err := platform.New(platform.Options{
 		Address: d.settings.Platform.KeyValue, Timeout: d.settings.Platform.Timeout,
-		Meter: d.metrics.meter(), Transport: d.traffic.Transport(""),
+		Meter: d.metrics.Meter(), Transport: d.traffic.Transport(""),
 	})
 	if err != nil {
 		return err
@@ -108,32 +112,32 @@
 }
 
 func (d *Daemon) buildServers() error {
-	callerLimits := serverLimits{
-		headerLimit: d.settings.Caller.HeaderLimit, readTimeout: d.settings.Caller.ReadTimeout, idleTimeout: idleTimeout,
+	callerLimits := process.ServerLimits{
+		HeaderLimit: d.settings.Caller.HeaderLimit, ReadTimeout: d.settings.Caller.ReadTimeout, IdleTimeout: callerIdleTimeout,
 	}
-	callers, err := newServer(d.settings.Caller.Address, d.serving.server.Handler(), callerLimits, nil)
+	callers, err := process.NewServer(d.settings.Caller.Address, d.serving.server.Handler(), callerLimits, nil)
 	if err != nil {
 		return err
 	}
-	peers, err := newServer(d.settings.Peer.Address, d.peerHandler(), internalLimits(), d.traffic)
+	peers, err := process.NewServer(d.settings.Peer.Address, d.peerHandler(), process.InternalLimits(), d.traffic)
 	if err != nil {
 		return err
 	}
-	operators, err := newServer(d.settings.Operator.Address, d.operatorHandler(), internalLimits(), nil)
+	operators, err := process.NewServer(d.settings.Operator.Address, d.operatorHandler(), process.InternalLimits(), nil)
 	if err != nil {
 		return err
 	}
-	d.runner = newRunner(d.logger, d.parts())
+	d.runner = process.NewRunner(d.logger, d.parts())
 	d.servers = []transport.Server{callers, peers, operators, d.runner}
 	return nil
 }
 
-func (d *Daemon) parts() []part {
-	parts := []part{
-		{"exchange", d.membership.exchange.Run},
-		{"distributor", d.release.distributor.Run},
-		{"dispatcher", d.dispatch.dispatcher.Run},
-		{"load reader", d.dispatch.reader.Run},
+func (d *Daemon) parts() []process.Part {
+	parts := []process.Part{
+		{Name: "exchange", Run: d.membership.exchange.Run},
+		{Name: "distributor", Run: d.release.distributor.Run},
+		{Name: "dispatcher", Run: d.dispatch.dispatcher.Run},
+		{Name: "load reader", Run: d.dispatch.reader.Run},
 	}
 	parts = append(parts, d.usage.parts()...)
 	return append(parts, d.placement.parts()...)
@@ -145,16 +149,16 @@
 		kratos.Name("winchd"),
 		kratos.ID(string(d.settings.Host)),
 		kratos.Version(d.version),
-		kratos.Logger(kratosLogger{logger: d.logger}),
+		kratos.Logger(process.KratosLogger{Logger: d.logger}),
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
 		kratos.StopTimeout(stopTimeout),
 		kratos.Server(d.servers...),
 		kratos.BeforeStop(d.drain),
 	)
-	d.logger.Info("started", "Event", EventStarted, "Host", d.settings.Host, "DataCentre", d.settings.DataCentre,
+	d.logger.Info("started", "Event", process.EventStarted, "Host", d.settings.Host, "DataCentre", d.settings.DataCentre,
 		"Incarnation", d.incarnation, "Version", d.version, "Caller", d.settings.Caller.Address)
 	err := app.Run()
-	d.logger.Info("stopped", "Event", EventStopped, "Error", err)
+	d.logger.Info("stopped", "Event", process.EventStopped, "Error", err)
 	if err != nil {
 		return fmt.Errorf("run: %w", err)
 	}
@@ -164,12 +168,12 @@
 // drain is the planned stop: the host hands its duties on, reports that it is not
 // ready, and finishes or moves what is open.
 func (d *Daemon) drain(ctx context.Context) error {
-	d.logger.Info("stopping", "Event", EventStopping, "Open", d.serving.server.Open())
+	d.logger.Info("stopping", "Event", process.EventStopping, "Open", d.serving.server.Open())
 	d.membership.table.Leave()
 	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.settings.Shutdown.DrainTimeout)
 	defer cancel()
 	if err := d.serving.server.Drain(drainCtx); err != nil {
-		d.logger.Error("drain incomplete", "Event", EventDrainIncomplete, "Open", d.serving.server.Open(), "Error", err)
+		d.logger.Error("drain incomplete", "Event", process.EventDrainIncomplete, "Open", d.serving.server.Open(), "Error", err)
 	}
 	return nil
 }
--- a/winchd/daemon/operator.go
+++ b/winchd/daemon/operator.go
@@ -31,7 +31,7 @@
 	operators.HandleFunc("GET /operator/requests/{id}", d.serveRequest)
 
 	mux := http.NewServeMux()
-	mux.Handle("/metrics", d.metrics.handler)
+	mux.Handle("/metrics", d.metrics.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", d.serveReady)
 	mux.Handle("/operator/", httpjson.RequireSecret(d.settings.Operator.Secret, operators))
--- a/winchd/daemon/parts.go
+++ b/winchd/daemon/parts.go
@@ -84,7 +84,7 @@
 		return err
 	}
 	distributor, err := releasepeer.New(releasepeer.Options{
-		Membership: d.membership.table, Log: store, Clock: d.clock, Incarnation: d.incarnation, Logger: d.logger, Meter: d.metrics.meter(),
+		Membership: d.membership.table, Log: store, Clock: d.clock, Incarnation: d.incarnation, Logger: d.logger, Meter: d.metrics.Meter(),
 		FreshnessLimit: d.settings.Release.FreshnessLimit, IsolationGrace: d.settings.Release.IsolationGrace,
 		Margin:    clockMargin + lapseDelay,
 		WatchWait: min(maxWatchWait, d.settings.Release.FreshnessLimit/watchesPerLimit),
@@ -110,7 +110,7 @@
 func (d *Daemon) buildDispatch() error {
 	dispatcher, err := dispatch.New(dispatch.Options{
 		Configurations: d.release.distributor, Source: d.placement.source, Membership: d.membership.table, Clock: d.clock,
-		Logger: d.logger, Meter: d.metrics.meter(), Policy: dispatch.Policy(d.settings.Dispatch.Policy), Seed: d.settings.Dispatch.Seed,
+		Logger: d.logger, Meter: d.metrics.Meter(), Policy: dispatch.Policy(d.settings.Dispatch.Policy), Seed: d.settings.Dispatch.Seed,
 	})
 	if err != nil {
 		return err
@@ -144,7 +144,7 @@
 		Engines:  servingengine.New(servingengine.Options{Secret: d.settings.Endpoints.Credential, IdleConnections: idleConnections, DialTimeout: d.settings.Endpoints.DialTimeout}),
 		Services: servingservice.New(servingservice.Options{Secret: d.settings.Endpoints.Credential, IdleConnections: idleConnections, DialTimeout: d.settings.Endpoints.DialTimeout}),
 		Peers:    servingpeer.New(servingpeer.Options{Secret: d.settings.Peer.Secret, IdleConnections: idleConnections, DialTimeout: d.settings.Endpoints.DialTimeout}),
-		Clock:    d.clock, Logger: d.logger, Meter: d.metrics.meter(),
+		Clock:    d.clock, Logger: d.logger, Meter: d.metrics.Meter(),
 		Limits:     d.callerLimits(),
 		PeerSecret: d.settings.Peer.Secret,
 	})
--- a/winchd/daemon/placement.go
+++ b/winchd/daemon/placement.go
@@ -10,6 +10,7 @@
 	placementengine "github.com/arbutuswinch/winch/placement/engine"
 	"github.com/arbutuswinch/winch/placement/planner"
 	"github.com/arbutuswinch/winch/placement/platform"
+	"github.com/arbutuswinch/winch/winchd/process"
 )
 
 const ordersDuty = "orders/"
@@ -64,7 +65,7 @@
 		Address: d.settings.Platform.Orders, DataCentre: d.settings.DataCentre, Holder: d.settings.Host, Incarnation: d.incarnation,
 		Charge: holder, Sender: sender, Store: d.store, Planner: plans, Endpoints: d.placement.endpoints,
 		Interval: d.settings.Placement.PlanEvery, InFlight: d.settings.Charge.InFlight,
-		Clock: d.clock, Logger: d.logger, Meter: d.metrics.meter(),
+		Clock: d.clock, Logger: d.logger, Meter: d.metrics.Meter(),
 	})
 	if err != nil {
 		return err
@@ -82,7 +83,7 @@
 	return charge.New(charge.Options{
 		Store: d.store, Duty: duty, DataCentre: centre, Membership: d.membership.table, Incarnation: d.incarnation,
 		TTL: d.settings.Charge.TTL, RenewEvery: d.settings.Charge.RenewEvery, InFlight: d.settings.Charge.InFlight,
-		Clock: d.clock, Logger: d.logger, Meter: d.metrics.meter(),
+		Clock: d.clock, Logger: d.logger, Meter: d.metrics.Meter(),
 	})
 }
 
@@ -93,13 +94,13 @@
 	return []winch.Section{p.endpoints}
 }
 
-func (p *placementParts) parts() []part {
+func (p *placementParts) parts() []process.Part {
 	if p.endpoints == nil {
 		return nil
 	}
-	parts := []part{{"endpoint list", p.endpoints.Run}}
+	parts := []process.Part{{Name: "endpoint list", Run: p.endpoints.Run}}
 	if p.orders != nil {
-		parts = append(parts, part{"order lease", p.holder.Run}, part{"orders", p.orders.Run}, part{"engine orders", p.engines.Run})
+		parts = append(parts, process.Part{Name: "order lease", Run: p.holder.Run}, process.Part{Name: "orders", Run: p.orders.Run}, process.Part{Name: "engine orders", Run: p.engines.Run})
 	}
 	return parts
 }
--- a/winchd/daemon/usage.go
+++ b/winchd/daemon/usage.go
@@ -13,19 +13,20 @@
 	"github.com/arbutuswinch/winch/usage/billing"
 	"github.com/arbutuswinch/winch/usage/keyvalue"
 	"github.com/arbutuswinch/winch/usage/peer"
+	"github.com/arbutuswinch/winch/winchd/process"
 )
 
 // usageParts count and report what organisations used.
 type usageParts struct {
 	counters *peer.Counters
-	reports  []part
+	reports  []process.Part
 }
 
 func (d *Daemon) buildUsage() error {
 	counters, err := peer.New(peer.Options{
 		Store: d.store, Membership: d.membership.table, Incarnation: d.incarnation,
 		Window: d.settings.Usage.Window, Shards: d.settings.Usage.Shards, StoreEvery: d.settings.Usage.Window / storesPerWindow,
-		Clock: d.clock, Logger: d.logger, Meter: d.metrics.meter(),
+		Clock: d.clock, Logger: d.logger, Meter: d.metrics.Meter(),
 	})
 	if err != nil {
 		return err
@@ -57,20 +58,20 @@
 	reporter, err := billing.New(billing.Options{
 		Address: d.settings.Platform.Usage, Shard: shard, Host: d.settings.Host, Incarnation: d.incarnation,
 		Charge: holder, Sender: sender, Store: d.store, Window: d.settings.Usage.Window,
-		Grace: d.settings.Usage.Grace, Clock: d.clock, Logger: d.logger, Meter: d.metrics.meter(),
+		Grace: d.settings.Usage.Grace, Clock: d.clock, Logger: d.logger, Meter: d.metrics.Meter(),
 	})
 	if err != nil {
 		return err
 	}
 	d.usage.reports = append(d.usage.reports,
-		part{fmt.Sprintf("usage lease %d", shard), holder.Run}, part{fmt.Sprintf("usage reports %d", shard), reporter.Run})
+		process.Part{Name: fmt.Sprintf("usage lease %d", shard), Run: holder.Run}, process.Part{Name: fmt.Sprintf("usage reports %d", shard), Run: reporter.Run})
 	return nil
 }
 
 func (u *usageParts) sections() []winch.Section { return []winch.Section{u.counters} }
 
-func (u *usageParts) parts() []part {
-	return append([]part{{"usage counters", u.counters.Run}}, u.reports...)
+func (u *usageParts) parts() []process.Part {
+	return append([]process.Part{{Name: "usage counters", Run: u.counters.Run}}, u.reports...)
 }
 
 type figureWire struct {
--- /dev/null
+++ b/winchd/forwarder/forwarder.go
@@ -0,0 +1,337 @@
+// Package forwarder builds the process of an entry host that forwards requests on the
+// users' platform, and runs it as a kratos application.
+//
+// # Usage
+//
+//	built, err := forwarder.New(loaded, version, logger)
+//	if err != nil {
+//		return err
+//	}
+//	err = built.Run() // until SIGTERM or SIGINT, or until a part fails
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	"github.com/go-kratos/kratos/v2/transport"
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/clock/boottime"
+	dispatch "github.com/arbutuswinch/winch/dispatch/endpoint"
+	members "github.com/arbutuswinch/winch/membership/keyvalue"
+	memberpeer "github.com/arbutuswinch/winch/membership/peer"
+	endpoints "github.com/arbutuswinch/winch/placement/registry"
+	"github.com/arbutuswinch/winch/platform/caller"
+	"github.com/arbutuswinch/winch/platform/operator"
+	"github.com/arbutuswinch/winch/platform/registry"
+	"github.com/arbutuswinch/winch/platform/runner"
+	"github.com/arbutuswinch/winch/platform/store"
+	release "github.com/arbutuswinch/winch/release/source"
+	"github.com/arbutuswinch/winch/serving/exact"
+	"github.com/arbutuswinch/winch/serving/forward"
+	"github.com/arbutuswinch/winch/winchd/process"
+	"github.com/arbutuswinch/winch/winchd/settings"
+)
+
+const (
+	// stopShare is the part of the grace time after which open requests are cut off.
+	stopShare = 0.88
+	// stopTimeout is for what is written at the end.
+	stopTimeout = 30 * time.Second
+	// readinessDelay is the time in which the balancer notices that the host is not ready.
+	readinessDelay = 2500 * time.Millisecond
+	// keyMargin is taken off the time after which a withdrawn key admits no request: what
+	// passes between the last look and the endpoint's start.
+	keyMargin = 900 * time.Millisecond
+	// isolationLimit is the age of the evidence up to which keys count where the platform sets none.
+	isolationLimit = 5 * time.Minute
+	// rejectMargin is taken off the time within which a configuration is in force.
+	rejectMargin = 400 * time.Millisecond
+	// dialTimeout bounds the connecting to an endpoint.
+	dialTimeout = 400 * time.Millisecond
+	// exchangeEvery is the time between two exchanges with the hub.
+	exchangeEvery = 250 * time.Millisecond
+	suspectAfter  = 1500 * time.Millisecond
+	forgetAfter   = time.Minute
+	listEvery     = 5 * time.Second
+	// memoryShare is the part of the memory limit at which the garbage collector works harder.
+	memoryShare = 0.7
+)
+
+// exchangeGroup is the data centre under which all hosts exchange their figures: every
+// host uses the endpoints of all data centres, so each must know what the others give them.
+const exchangeGroup winch.DataCentreID = "all"
+
+// Forwarder is one entry host's process.
+type Forwarder struct {
+	settings    settings.Forwarding
+	logger      hclog.Logger
+	version     string
+	clock       winch.Clock
+	incarnation winch.Incarnation
+	metrics     *process.Metrics
+	store       winch.LeasedKeyValue
+
+	table         *memberpeer.Table
+	hosts         *members.Registry
+	peers         *peers
+	configuration *release.Follower
+	endpoints     *endpoints.Follower
+	dispatcher    *dispatch.Dispatcher
+	exchanger     *exact.Client
+	server        *forward.Server
+
+	servers []transport.Server
+}
+
+// New builds the process and opens its ports; Run serves.
+func New(loaded settings.Forwarding, version string, logger hclog.Logger) (*Forwarder, error) {
+	if loaded.Limits.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(loaded.Limits.Memory) * memoryShare))
+	}
+	clock, err := boottime.New()
+	if err != nil {
+		return nil, err
+	}
+	f := &Forwarder{
+		settings: loaded, logger: logger, version: version, clock: clock, incarnation: winch.Incarnation(uuid.NewString()),
+	}
+	for _, step := range []struct {
+		name  string
+		build func() error
+	}{
+		{"metrics", f.buildMetrics},
+		{"store", f.buildStore},
+		{"membership", f.buildMembership},
+		{"configuration", f.buildConfiguration},
+		{"endpoints", f.buildEndpoints},
+		{"dispatch", f.buildDispatch},
+		{"serving", f.buildServing},
+		{"exchange", f.buildExchange},
+		{"servers", f.buildServers},
+	} {
+		if err := step.build(); err != nil {
+			return nil, fmt.Errorf("build %s: %w", step.name, err)
+		}
+	}
+	return f, nil
+}
+
+func (f *Forwarder) buildMetrics() error {
+	built, err := process.NewMetrics()
+	f.metrics = built
+	return err
+}
+
+func (f *Forwarder) buildStore() error {
+	built, err := store.New(store.Options{Address: f.settings.Store.Address, Timeout: f.settings.Store.Timeout, Meter: f.metrics.Meter()})
+	f.store = built
+	return err
+}
+
+func (f *Forwarder) buildMembership() error {
+	self := winch.Host{ID: f.settings.Host, DataCentre: exchangeGroup, PeerAddress: f.settings.Peer.Address}
+	f.table = memberpeer.NewTable(self, nil, suspectAfter, forgetAfter)
+	built, err := members.New(members.Options{Store: f.store, Self: self, Logger: f.logger})
+	f.hosts = built
+	return err
+}
+
+func (f *Forwarder) buildConfiguration() error {
+	built, err := release.New(release.Options{
+		Source: operator.New(f.store), Clock: f.clock, Logger: f.logger, FreshnessLimit: f.keyLimit(),
+	})
+	f.configuration = built
+	return err
+}
+
+// keyLimit is the age of the evidence for the configuration up to which keys are honoured.
+func (f *Forwarder) keyLimit() time.Duration {
+	if f.settings.Bounds.Revoke == 0 {
+		return isolationLimit
+	}
+	return max(f.settings.Bounds.Revoke-keyMargin, f.settings.Bounds.Revoke/2)
+}
+
+func (f *Forwarder) buildEndpoints() error {
+	built, err := endpoints.New(endpoints.Options{
+		Lister: registry.New(registry.Options{Store: f.store, Logger: f.logger}), Clock: f.clock, Logger: f.logger,
+	})
+	f.endpoints = built
+	return err
+}
+
+func (f *Forwarder) buildDispatch() error {
+	built, err := dispatch.New(dispatch.Options{
+		Configurations: f.configuration, Source: f.endpoints, Membership: f.table, Clock: f.clock, Logger: f.logger,
+		Meter: f.metrics.Meter(), Policy: dispatch.PolicyPrompts, Home: f.settings.DataCentre, Seed: uint64(time.Now().UnixNano()),
+		Settings: f.dispatchSettings(),
+	})
+	f.dispatcher = built
+	return err
+}
+
+const (
+	// hostsAssumed is the number of hosts among which the repeats are divided that are always allowed.
+	hostsAssumed = 8
+	// retryShareUsed is the part of the allowed share of repeats that hosts use of themselves.
+	retryShareUsed = 0.6
+	// retryFloorUsed is the same for the repeats that are always allowed.
+	retryFloorUsed = 0.7
+)
+
+func (f *Forwarder) dispatchSettings() dispatch.Settings {
+	bounds := f.settings.Bounds
+	return dispatch.Settings{
+		RetryShare:    bounds.RetryShare * retryShareUsed,
+		RetryFloor:    float64(bounds.RetryMinimum) / bounds.RetryWindow.Seconds() / hostsAssumed * retryFloorUsed,
+		RetryAfterMin: 300 * time.Millisecond, RetryAfterMax: 5 * time.Second,
+		SilenceLimit: time.Second, RampTime: time.Second,
+	}
+}
+
+func (f *Forwarder) buildServing() error {
+	f.exchanger = exact.New(exact.Options{DialTimeout: dialTimeout})
+	built, err := forward.New(forward.Options{
+		Configurations: f.configuration, Dispatcher: f.dispatcher, Protocol: caller.Protocol{}, Sender: runner.New(f.exchanger),
+		Usage: noUsage{}, Loads: f.dispatcher, Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
+		Limits: forward.Limits{
+			ReadinessDelay: readinessDelay, RejectLimit: f.settings.Bounds.Apply - rejectMargin, KeyLimit: f.keyLimit(),
+		},
+	})
+	f.server = built
+	return err
+}
+
+// noUsage counts nothing.
+type noUsage struct{}
+
+// Record drops the record.
+func (noUsage) Record(time.Time, winch.UsageRecord) {}
+
+func (f *Forwarder) buildExchange() error {
+	f.peers = newPeers(f.hosts, f.logger, func(secret string) (*memberpeer.Exchange, error) {
+		return memberpeer.New(memberpeer.Options{
+			Table: f.table, Hosts: f.hosts, Clock: f.clock, Logger: f.logger, Secret: secret,
+			ExchangeEvery: exchangeEvery, ListEvery: listEvery, Sections: f.sections(),
+		})
+	})
+	return nil
+}
+
+func (f *Forwarder) sections() []winch.Section {
+	return []winch.Section{f.configuration.Section(), f.dispatcher.Section()}
+}
+
+func (f *Forwarder) buildServers() error {
+	callers, err := process.NewServer(f.settings.Caller.Address, f.server.Handler(), callerLimits(), nil)
+	if err != nil {
+		return err
+	}
+	// Paths are matched and passed on byte by byte, which the library's router would change.
+	callers.Handler = f.server.Handler()
+	ready, err := process.NewServer(f.settings.Caller.ReadyAddress, http.HandlerFunc(f.serveReady), process.InternalLimits(), nil)
+	if err != nil {
+		return err
+	}
+	peers, err := process.NewServer(f.settings.Peer.Address, f.peers.handler(), process.InternalLimits(), nil)
+	if err != nil {
+		return err
+	}
+	f.servers = []transport.Server{callers, ready, peers, process.NewRunner(f.logger, f.parts())}
+	if f.settings.Caller.MetricsAddress == "" {
+		return nil
+	}
+	metrics, err := process.NewServer(f.settings.Caller.MetricsAddress, f.metrics.Handler(), process.InternalLimits(), nil)
+	f.servers = append(f.servers, metrics)
+	return err
+}
+
+const (
+	callerHeaderLimit   = 64 << 10
+	callerHeaderTimeout = 5 * time.Second
+	// callerIdleTimeout is longer than any time for which callers keep connections.
+	callerIdleTimeout = 2 * time.Minute
+)
+
+func callerLimits() process.ServerLimits {
+	return process.ServerLimits{HeaderLimit: callerHeaderLimit, ReadTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout}
+}
+
+func (f *Forwarder) parts() []process.Part {
+	return []process.Part{
+		{Name: "configuration", Run: f.configuration.Run},
+		{Name: "endpoint list", Run: f.endpoints.Run},
+		{Name: "host entry", Run: f.hosts.Run},
+		{Name: "exchange", Run: f.peers.run},
+		{Name: "dispatcher", Run: f.dispatcher.Run},
+		{Name: "kept connections", Run: f.exchanger.Run},
+	}
+}
+
+// serveReady answers 200 while the balancer may send callers here.
+func (f *Forwarder) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !f.ready(f.clock.Now()) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// ready tells whether the host can serve: it does not stop, knows a configuration and
+// endpoints, and can confirm keys where keys are needed.
+func (f *Forwarder) ready(now time.Time) bool {
+	if f.server.Draining() || len(f.endpoints.Endpoints()) == 0 {
+		return false
+	}
+	switch f.configuration.Authority(now) {
+	case winch.AuthorityFull:
+		return true
+	case winch.AuthorityOpen:
+		return len(f.configuration.Current().Organisations) == 0
+	}
+	return false
+}
+
+// Run serves until a signal asks for a stop. A planned stop finishes open requests first.
+func (f *Forwarder) Run() error {
+	app := kratos.New(
+		kratos.Name("winchd"),
+		kratos.ID(string(f.settings.Host)),
+		kratos.Version(f.version),
+		kratos.Logger(process.KratosLogger{Logger: f.logger}),
+		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
+		kratos.StopTimeout(stopTimeout),
+		kratos.Server(f.servers...),
+		kratos.BeforeStop(f.drain),
+	)
+	f.logger.Info("started", "Event", process.EventStarted, "Host", f.settings.Host, "DataCentre", f.settings.DataCentre,
+		"Incarnation", f.incarnation, "Version", f.version, "Caller", f.settings.Caller.Address)
+	err := app.Run()
+	f.logger.Info("stopped", "Event", process.EventStopped, "Error", err)
+	if err != nil {
+		return fmt.Errorf("run: %w", err)
+	}
+	return nil
+}
+
+// drain is the planned stop: the host reports that it is not ready, and finishes what is open.
+func (f *Forwarder) drain(ctx context.Context) error {
+	f.logger.Info("stopping", "Event", process.EventStopping, "Open", f.server.Open())
+	f.table.Leave()
+	limit := time.Duration(float64(f.settings.Bounds.Grace) * stopShare)
+	ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	defer cancel()
+	if err := f.server.Drain(ending); err != nil {
+		f.logger.Error("drain incomplete", "Event", process.EventDrainIncomplete, "Open", f.server.Open(), "Error", err)
+	}
+	return nil
+}
--- a/winchd/main.go
+++ b/winchd/main.go
@@ -11,6 +11,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/arbutuswinch/winch/winchd/daemon"
+	"github.com/arbutuswinch/winch/winchd/forwarder"
+	"github.com/arbutuswinch/winch/winchd/logs"
 	"github.com/arbutuswinch/winch/winchd/settings"
 )
 
@@ -32,11 +34,16 @@
 	Settings string `arg:"--settings,-s,required" help:"file with the settings, in JSON" placeholder:"FILE"`
 }
 
+type forwardCommand struct {
+	Settings string `arg:"--settings,-s,required,env:ARBUTUSWINCH_SETTINGS" help:"file with the settings, in JSON" placeholder:"FILE"`
+}
+
 type versionCommand struct{}
 
 type arguments struct {
 	Run     *runCommand     `arg:"subcommand:run" help:"serve until SIGTERM or SIGINT; a stop finishes open requests"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check the settings and exit"`
+	Forward *forwardCommand `arg:"subcommand:forward" help:"forward requests on the users' platform until SIGTERM or SIGINT"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 }
 
@@ -82,9 +89,29 @@
 		}
 		return err
 	}
+	if args.Forward != nil {
+		return runForward(args.Forward.Settings)
+	}
 	return run(args.Run.Settings)
 }
 
+func runForward(path string) error {
+	loaded, err := settings.LoadForwarding(path)
+	if err != nil {
+		return err
+	}
+	output := logs.New(os.Stdout, logs.DefaultLines)
+	defer output.Close()
+	logger := hclog.New(&hclog.LoggerOptions{
+		Name: "winchd", Level: hclog.LevelFromString(loaded.Log.Level), Output: output, JSONFormat: loaded.Log.JSON,
+	})
+	built, err := forwarder.New(loaded, version, logger)
+	if err != nil {
+		return err
+	}
+	return built.Run()
+}
+
 func run(path string) error {
 	loaded, err := settings.Load(path)
 	if err != nil {
--- a/winchd/daemon/events.go
+++ b/winchd/process/events.go
@@ -1,4 +1,4 @@
-package daemon
+package process
 
 import "github.com/arbutuswinch/winch"
 
--- /dev/null
+++ b/winchd/process/server.go
@@ -0,0 +1,127 @@
+// Package process holds what the processes of all kinds of entry host have in common:
+// HTTP servers, parts that run beside them, metrics and the library's log.
+//
+// # Usage
+//
+//	server, err := process.NewServer("127.0.0.1:8080", handler, process.InternalLimits(), nil)
+//	if err != nil {
+//		return err
+//	}
+//	parts := process.NewRunner(logger, []process.Part{{Name: "exchange", Run: exchange.Run}})
+//	app := kratos.New(kratos.Server(server, parts))
+package process
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	klog "github.com/go-kratos/kratos/v2/log"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/arbutuswinch/winch/httpjson"
+)
+
+// ServerLimits bound what a client can make a server hold.
+type ServerLimits struct {
+	HeaderLimit int
+	ReadTimeout time.Duration
+	IdleTimeout time.Duration
+}
+
+const (
+	internalHeaderLimit = 32 << 10
+	internalReadTimeout = 10 * time.Second
+	internalIdleTimeout = 2 * time.Minute
+)
+
+// InternalLimits are those of ports that callers do not use.
+func InternalLimits() ServerLimits {
+	return ServerLimits{HeaderLimit: internalHeaderLimit, ReadTimeout: internalReadTimeout, IdleTimeout: internalIdleTimeout}
+}
+
+// NewServer returns a kratos server on the address. It listens at once, so that a
+// taken port is an error of the start. A nil traffic counts nothing.
+func NewServer(address string, handler http.Handler, limits ServerLimits, traffic *httpjson.Traffic) (*khttp.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	if traffic != nil {
+		listener = traffic.Listener(listener)
+	}
+	server := khttp.NewServer(khttp.Address(address), khttp.Listener(listener), khttp.Timeout(0))
+	server.HandlePrefix("/", handler)
+	server.ReadHeaderTimeout = limits.ReadTimeout
+	server.MaxHeaderBytes = limits.HeaderLimit
+	server.IdleTimeout = limits.IdleTimeout
+	return server, nil
+}
+
+// Part is work that runs until its context is done.
+type Part struct {
+	Name string
+	Run  func(ctx context.Context) error
+}
+
+// Runner runs parts as one kratos server, so that the application starts and stops them.
+type Runner struct {
+	logger hclog.Logger
+	parts  []Part
+	cancel context.CancelFunc
+	done   chan struct{}
+	ctx    context.Context
+}
+
+// NewRunner returns a runner of the parts.
+func NewRunner(logger hclog.Logger, parts []Part) *Runner {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Runner{logger: logger, parts: parts, ctx: ctx, cancel: cancel, done: make(chan struct{})}
+}
+
+// Start runs the parts until Stop, or until one of them fails.
+func (r *Runner) Start(context.Context) error {
+	defer close(r.done)
+	group, ctx := errgroup.WithContext(r.ctx)
+	for _, each := range r.parts {
+		group.Go(func() error {
+			err := each.Run(ctx)
+			if err != nil && ctx.Err() == nil {
+				r.logger.Error("part failed", "Event", EventPartFailed, "Part", each.Name, "Error", err)
+				return fmt.Errorf("run %s: %w", each.Name, err)
+			}
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
+// Stop ends the parts and waits for them.
+func (r *Runner) Stop(ctx context.Context) error {
+	r.cancel()
+	select {
+	case <-r.done:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("stop parts: %w", ctx.Err())
+	}
+}
+
+// KratosLogger passes kratos's own lines on to hclog.
+type KratosLogger struct {
+	Logger hclog.Logger
+}
+
+// Log writes one line of kratos.
+func (l KratosLogger) Log(level klog.Level, keyvals ...any) error {
+	if level >= klog.LevelWarn {
+		l.Logger.Warn("kratos", append([]any{"Event", EventLibrary}, keyvals...)...)
+		return nil
+	}
+	l.Logger.Debug("kratos", append([]any{"Event", EventLibrary}, keyvals...)...)
+	return nil
+}
--- a/winchd/settings/settings.go
+++ b/winchd/settings/settings.go
@@ -214,28 +214,36 @@
 
 // Parse decodes and checks settings. Errors match ErrInvalid and name the field.
 func Parse(content []byte) (Settings, error) {
+	parsed := Default()
+	if err := decode(content, &parsed); err != nil {
+		return Settings{}, err
+	}
+	if err := parsed.readSecrets(); err != nil {
+		return Settings{}, err
+	}
+	if err := parsed.check(); err != nil {
+		return Settings{}, err
+	}
+	return parsed, nil
+}
+
+// decode reads JSON into the settings that result points to.
+func decode(content []byte, result any) error {
 	raw := map[string]any{}
 	if err := json.Unmarshal(content, &raw); err != nil {
-		return Settings{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+		return fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	parsed := Default()
 	decoder, err := mapstructure.NewDecoder(&mapstructure.DecoderConfig{
-		Result:      &parsed,
+		Result:      result,
 		ErrorUnused: true,
 		DecodeHook:  mapstructure.StringToTimeDurationHookFunc(),
 		MatchName:   func(key, field string) bool { return key == field },
 	})
 	if err != nil {
-		return Settings{}, fmt.Errorf("create decoder: %w", err)
+		return fmt.Errorf("create decoder: %w", err)
 	}
 	if err := decoder.Decode(raw); err != nil {
-		return Settings{}, fmt.Errorf("%w: %w", ErrInvalid, err)
-	}
-	if err := parsed.readSecrets(); err != nil {
-		return Settings{}, err
+		return fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	if err := parsed.check(); err != nil {
-		return Settings{}, err
-	}
-	return parsed, nil
+	return nil
 }
