feat(dispatch): endpoints set aside for the classes with the shortest targets

Ruled out: slots (64 each, under 10 in use), processor of the hosts (0.03 cores). A request's tier is now the rank of the organisation's priority and then the route's.

--- a/configuration.go
+++ b/configuration.go
@@ -119,8 +119,8 @@
 	Pools         map[PoolID]Pool
 	// Forwards are the forwarding routes; release notes do not change them.
 	Forwards []Forward
-	// Tiers are the tiers of organisations that go before those of forwarding routes.
-	Tiers         map[OrganisationID]Tier
+	// Grades are those of organisations that go before the tiers of forwarding routes.
+	Grades        map[OrganisationID]Grade
 	ForwardLimits ForwardLimits
 	Scalings      map[ModelID]Scaling
 	// Connections is the most connections that one endpoint of a model takes from all hosts.
--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -209,6 +209,7 @@
 		}
 		sort.Slice(l.competitors, func(i, j int) bool { return laneLess(l.competitors[i], l.competitors[j]) })
 		l.setRing()
+		l.setQuick()
 		c.setSubset(l)
 	}
 }
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -56,7 +56,8 @@
 	usual        float64
 	first        bool // no lane of the same group has a higher tier
 	last         bool // none has a lower one
-	split        bool // a part of the endpoints is set aside for the highest tier
+	split        bool // a part of the endpoints is set aside for quick classes
+	quick        bool // the class's target is among the shortest
 	cheapRunning int  // on cheap endpoints
 	steadyRoom   float64
 	interMean    average // of the endpoints' times between tokens
--- a/dispatch/endpoint/prompts.go
+++ b/dispatch/endpoint/prompts.go
@@ -9,10 +9,10 @@
 
 // The choice by prompts answers one load: prompts of very different lengths on engines that
 // read them between the tokens of other requests. What delays a first token there, and the
-// pauses of streams, is how much of prompts the engine has still to read, not how many requests run. So
-// each host keeps account of the unread tokens that the hosts gave to each endpoint, less
-// what the endpoint keeps of prompts that it read before, and keeps long prompts away
-// from a part of the endpoints that serves the highest tier.
+// pauses of streams, is how much of prompts the engine has still to read, not how many
+// requests run. So each host keeps account of the unread tokens that the hosts gave to each
+// endpoint, less what the endpoint keeps of prompts that it read before, and keeps long
+// prompts away from a part of the endpoints, which serves the classes with the shortest targets.
 
 const (
 	// partRetention is how long an endpoint is expected to keep a part of a prompt after its last use.
@@ -23,10 +23,13 @@
 	runningWeight = 60
 	// awayWeight is the cost of serving from another data centre, in tokens of prompts to read.
 	awayWeight = 150
-	// strangerWeight keeps the highest tier on its own endpoints until those are loaded, in tokens.
+	// strangerWeight keeps quick classes on the endpoints that are set aside for them, and others
+	// away from those, until their own are loaded, in tokens.
 	strangerWeight = 6000
-	// urgentShare is the part of the endpoints that is set aside for the highest tier.
-	urgentShare = 0.34
+	// quickShare is the part of the endpoints that is set aside for quick classes.
+	quickShare = 0.34
+	// quickTargets is how many times the shortest target a quick class's may be.
+	quickTargets = 1.5
 )
 
 // promptLoad is what an endpoint has still to read, in tokens.
@@ -37,8 +40,8 @@
 	others winch.Tokens
 	// parts are the chains of prompt parts that were given to the endpoint, with the time of the last use.
 	parts map[winch.PrefixHash]time.Time
-	// urgent says that the endpoint is set aside for the highest tier.
-	urgent bool
+	// quick says that the endpoint is set aside for quick classes.
+	quick bool
 }
 
 // chain extends the hash of a chain of parts.
@@ -127,7 +130,7 @@
 	var home *endpoint
 	weight := uint64(0)
 	for _, e := range l.subset {
-		if !e.usable(now) || e.prompts.urgent != l.first && l.split {
+		if !e.usable(now) || e.prompts.quick != l.quick && l.split {
 			continue
 		}
 		if w := mix(uint64(shared) ^ e.hash); home == nil || w > weight {
@@ -144,7 +147,7 @@
 	if c.home != "" && e.spec.DataCentre != c.home {
 		cost += awayWeight
 	}
-	if l.split && e.prompts.urgent != l.first {
+	if l.split && e.prompts.quick != l.quick {
 		cost += strangerWeight
 	}
 	if e == home {
@@ -175,7 +178,7 @@
 	r.toRead = 0
 }
 
-// setAside settles which endpoints serve the highest tier. Every host comes to the same
+// setAside settles which endpoints serve quick classes. Every host comes to the same
 // result from the same list: steady endpoints go before cheap ones, then by their hashes.
 func (c *core) setAside(now time.Time) {
 	for _, l := range c.sorted {
@@ -185,10 +188,9 @@
 		return
 	}
 	for _, l := range c.sorted {
-		if !l.first || l.last || !l.isEngines() {
-			continue
+		if l.quick {
+			c.setAsideFor(now, l)
 		}
-		c.setAsideFor(now, l)
 	}
 }
 
@@ -201,9 +203,9 @@
 			}
 		}
 	}
-	count := int(math.Round(urgentShare * float64(len(usable))))
+	count := int(math.Round(quickShare * float64(len(usable))))
 	for i, e := range usable {
-		e.prompts.urgent = i < count
+		e.prompts.quick = i < count
 	}
 	split := count > 0 && count < len(usable)
 	for _, competitor := range l.competitors {
@@ -215,3 +217,17 @@
 func (l *lane) isEngines() bool {
 	return len(l.endpoints) > 0 && l.endpoints[0].spec.Kind == winch.EndpointEngine
 }
+
+// setQuick settles which classes are quick: those with the shortest targets, where others
+// share their engines.
+func (l *lane) setQuick() {
+	shortest, longest := time.Duration(math.MaxInt64), time.Duration(0)
+	for _, competitor := range l.competitors {
+		if target := competitor.class.FirstTokenTarget; target > 0 {
+			shortest, longest = min(shortest, target), max(longest, target)
+		}
+	}
+	bound := time.Duration(float64(shortest) * quickTargets)
+	target := l.class.FirstTokenTarget
+	l.quick = l.isEngines() && target > 0 && target <= bound && longest > bound
+}
--- a/forward.go
+++ b/forward.go
@@ -21,6 +21,13 @@
 	ForwardStream ForwardKind = "Stream"
 )
 
+// Grade orders organisations by importance; 0 is the highest. Requests of a higher grade
+// go before others whatever their route.
+type Grade int
+
+// NoGrade stands for organisations without a grade, and for requests without an organisation.
+const NoGrade Grade = -1
+
 // ForwardTarget is a service among which a forwarding route shares its requests.
 type ForwardTarget struct {
 	Model ModelID
@@ -40,15 +47,13 @@
 	Resumable bool
 	// Open lets callers without a key use the route.
 	Open bool
-	Tier Tier
 	// Timeout is the longest that a request is kept waiting for its answer.
 	Timeout time.Duration
 	// MaxAttempts is the most endpoints to which one request is sent.
 	MaxAttempts int
 	Targets     []ForwardTarget
-	// Classes are the request classes by tier: that of the route, and those that
-	// organisations with a tier of their own have.
-	Classes map[Tier]ClassID
+	// Classes are the request classes by the grade of the organisation.
+	Classes map[Grade]ClassID
 }
 
 // Repeatable tells whether a request may be sent again after it may have run.
--- a/serving/forward/admit.go
+++ b/serving/forward/admit.go
@@ -53,15 +53,11 @@
 	if f := g.identify(request, proof, authorize); f != nil {
 		return grant{}, f
 	}
-	tier := forward.Tier
-	if own := configuration.Tiers[g.organisation]; own != 0 {
-		tier = own
-	}
-	class, found := configuration.Classes[forward.Classes[tier]]
+	grade, found := configuration.Grades[g.organisation]
 	if !found {
-		class = configuration.Classes[forward.Classes[forward.Tier]]
+		grade = winch.NoGrade
 	}
-	g.class = class
+	g.class = configuration.Classes[forward.Classes[grade]]
 	return g, nil
 }
 
