feat(placement): endpoints ordered for scalable models, cheap ones first

What: planner for models that the configuration lets scale, one order for each data centre and supply, under the duty's lease. Conclusion: counts are constants yet; they follow demand next.

--- a/forward.go
+++ b/forward.go
@@ -82,6 +82,11 @@
 	Costs map[DataCentreID]float64
 }
 
+// ScalingPool names the pool of a model's endpoints of one supply in a data centre.
+func ScalingPool(model ModelID, centre DataCentreID, supply Supply) PoolID {
+	return PoolID(string(model) + "/" + string(centre) + "/" + string(supply))
+}
+
 // ConfigurationSource reads the configuration from where operators keep it.
 type ConfigurationSource interface {
 	// Fetch returns the newest configuration as it is kept, and the version of its entry. It
--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -150,6 +150,38 @@
 	return f.current
 }
 
+// In returns the endpoints of one data centre as those that were ordered there.
+func (f *Follower) In(centre winch.DataCentreID) winch.OrderedEndpoints { return ordered{follower: f, centre: centre} }
+
+// ordered implements winch.OrderedEndpoints.
+type ordered struct {
+	follower *Follower
+	centre   winch.DataCentreID
+}
+
+// Current returns the data centre's endpoints, or nil when no list was read yet.
+func (o ordered) Current() []winch.OrderedEndpoint {
+	listed := o.follower.Endpoints()
+	if listed == nil {
+		return nil
+	}
+	endpoints := []winch.OrderedEndpoint{}
+	for _, status := range listed {
+		if status.Endpoint.DataCentre != o.centre || len(status.Endpoint.Models) == 0 {
+			continue
+		}
+		model := status.Endpoint.Models[0]
+		endpoints = append(endpoints, winch.OrderedEndpoint{
+			ID: status.Endpoint.ID, DataCentre: o.centre, Address: status.Endpoint.Address, Model: model, Supply: status.Endpoint.Supply,
+			Pool: winch.ScalingPool(model, o.centre, status.Endpoint.Supply), State: status.State, LeavesAt: status.LeavesAt,
+		})
+	}
+	return endpoints
+}
+
+// Changed returns a channel that is closed at the next change of the list.
+func (o ordered) Changed() <-chan struct{} { return o.follower.Changed() }
+
 // Changed returns a channel that is closed at the next change of the list.
 func (f *Follower) Changed() <-chan struct{} {
 	f.mu.Lock()
--- a/winchd/forwarder/duties.go
+++ b/winchd/forwarder/duties.go
@@ -6,6 +6,8 @@
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/charge/fenced"
 	charge "github.com/arbutuswinch/winch/charge/keyvalue"
+	"github.com/arbutuswinch/winch/placement/planner"
+	placement "github.com/arbutuswinch/winch/placement/platform"
 	"github.com/arbutuswinch/winch/platform/duty"
 	"github.com/arbutuswinch/winch/usage/billing"
 	usagepeer "github.com/arbutuswinch/winch/usage/peer"
@@ -31,6 +33,9 @@
 	usageInterval = 400 * time.Millisecond
 	// usageRetention is how long counts are kept in the store.
 	usageRetention = 2 * time.Minute
+	planEvery      = 500 * time.Millisecond
+	// orderRepeat is the time after which an order is given anew that was not met.
+	orderRepeat = 3 * time.Second
 	// storesPerWindow is how often a window's counts are written to the store while it lasts.
 	storesPerWindow = 4
 )
@@ -56,7 +61,33 @@
 		return err
 	}
 	if kinds.Usage {
-		return f.buildReporter()
+		if err := f.buildReporter(); err != nil {
+			return err
+		}
+	}
+	if kinds.Orders {
+		return f.buildOrders()
+	}
+	return nil
+}
+
+// buildOrders makes a part for each data centre; all of them need the one lease.
+func (f *Forwarder) buildOrders() error {
+	plans, err := planner.NewPrompts(planner.PromptsOptions{Configurations: f.configuration, Logger: f.logger})
+	if err != nil {
+		return err
+	}
+	for _, centre := range f.settings.DataCentres {
+		orders, err := placement.New(placement.Options{
+			Protocol: duty.Orders{Address: f.settings.Duties.Address}, DataCentre: centre, Holder: f.settings.Host, Incarnation: f.incarnation,
+			Charge: f.duties.holder, Sender: f.duties.sender, Store: f.store, Planner: plans, Endpoints: f.endpoints.In(centre),
+			Interval: planEvery, RepeatEvery: orderRepeat, InFlight: inFlight,
+			Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
+		})
+		if err != nil {
+			return err
+		}
+		f.duties.parts = append(f.duties.parts, process.Part{Name: "orders of " + string(centre), Run: orders.Run})
 	}
 	return nil
 }
