fix(forward): a failure of the second endpoint is not the rest of a stream; flush before waiting

Found by the new test besides: whole events stayed unflushed while the next one was half buffered. Ruled out: the endpoint's framing (its own answer was 500, whole). Also: the cause of a cancelled attempt was always logged as 'context canceled'; a request that ran into its time after a send is answered 504.

--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -151,7 +151,9 @@
 }
 
 // In returns the endpoints of one data centre as those that were ordered there.
-func (f *Follower) In(centre winch.DataCentreID) winch.OrderedEndpoints { return ordered{follower: f, centre: centre} }
+func (f *Follower) In(centre winch.DataCentreID) winch.OrderedEndpoints {
+	return ordered{follower: f, centre: centre}
+}
 
 // ordered implements winch.OrderedEndpoints.
 type ordered struct {
--- /dev/null
+++ b/serving/forward/admit_test.go
@@ -0,0 +1,124 @@
+package forward
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// stale makes the evidence for the configuration as old as the age.
+func (w *world) stale(age time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.confirmed = time.Now().Add(-age)
+}
+
+func TestAdmission(t *testing.T) {
+	ok := answer{status: 200, body: "answer"}
+	cases := []struct {
+		name   string
+		path   string
+		header []string
+		age    time.Duration
+		status int
+		sent   bool
+	}{
+		{name: "with a key", path: "/safe/x", status: 200, sent: true},
+		{name: "unknown key", path: "/safe/x", header: []string{"X-Key", "other"}, status: 401},
+		{name: "no key", path: "/safe/x", header: []string{"X-Key", ""}, status: 401},
+		{name: "no route", path: "/none/x", status: 404},
+		{name: "prefixes end with a slash", path: "/safe", status: 404},
+		{name: "no id", path: "/safe/x", header: []string{"X-Id", ""}, status: 400},
+		{name: "malformed header", path: "/safe/x", header: []string{"X-Timeout", "soon"}, status: 400},
+		{name: "open route without a key", path: "/safe/open/x", header: []string{"X-Key", ""}, status: 200, sent: true},
+		{name: "open route with an unknown key", path: "/safe/open/x", header: []string{"X-Key", "other"}, status: 200, sent: true},
+		{name: "unknown key by old evidence", path: "/safe/x", header: []string{"X-Key", "other"}, age: 2 * time.Second, status: 503},
+		{name: "no route by old evidence", path: "/none/x", age: 2 * time.Second, status: 503},
+		{name: "key by evidence that is not too old", path: "/safe/x", age: 3 * time.Second, status: 200, sent: true},
+		{name: "key by evidence that is too old", path: "/safe/x", age: 5 * time.Second, status: 503},
+		{name: "open route by evidence that is too old", path: "/safe/open/x", age: time.Minute, status: 200, sent: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, ok)
+			w.stale(c.age)
+			answered := w.ask(c.path, c.header...)
+			assert.Equal(t, answered.status, c.status, answered.body)
+			assert.Equal(t, len(w.calls) == 1, c.sent)
+			assert.Equal(t, answered.header.Get("X-Retry") != "", c.status == 503, "only a 503 asks the caller to come back")
+		})
+	}
+	t.Run("before the first configuration", func(t *testing.T) {
+		w := newWorld(t)
+		w.configuration = &winch.Configuration{}
+		assert.Equal(t, w.ask("/safe/x").status, 503)
+	})
+	t.Run("body over the limit", func(t *testing.T) {
+		w := newWorld(t)
+		w.change(func(c *winch.Configuration) { c.ForwardLimits.BodyBytes = 3 })
+		assert.Equal(t, w.ask("/safe/x").status, 413)
+	})
+}
+
+func TestOrganisation(t *testing.T) {
+	t.Run("of the key", func(t *testing.T) {
+		w := newWorld(t, answer{status: 200})
+		w.ask("/safe/x")
+		assert.Equal(t, w.calls[0].Organisation, dealer)
+	})
+	t.Run("none on an open route without a key", func(t *testing.T) {
+		w := newWorld(t, answer{status: 200})
+		w.ask("/safe/open/x", "X-Key", "other")
+		assert.Equal(t, w.calls[0].Organisation, winch.OrganisationID(""))
+	})
+}
+
+func TestChangesWhileItWaits(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(c *winch.Configuration)
+		status int
+		reason string
+	}{
+		{"key withdrawn", func(c *winch.Configuration) { clear(c.Keys) }, 401, "unknown_key"},
+		{"route removed", func(c *winch.Configuration) { c.Forwards = c.Forwards[1:] }, 404, "no_route"},
+		{
+			"route moved to another service",
+			func(c *winch.Configuration) {
+				c.Forwards[0].Targets = []winch.ForwardTarget{{Model: "other", Weight: 1}}
+			},
+			503, "route_changed",
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t)
+			w.granted = func() { w.change(c.change) }
+			answered := w.ask("/safe/x")
+			assert.Equal(t, answered.status, c.status)
+			assert.Assert(t, strings.HasPrefix(answered.body, c.reason), answered.body)
+			w.assertCalls()
+		})
+	}
+	t.Run("evidence grows too old", func(t *testing.T) {
+		w := newWorld(t)
+		w.granted = func() { w.stale(time.Minute) }
+		assert.Equal(t, w.ask("/safe/x").status, 503)
+		w.assertCalls()
+	})
+}
+
+func TestTargetsByWeight(t *testing.T) {
+	forward := &winch.Forward{Targets: []winch.ForwardTarget{{Model: "a", Weight: 90}, {Model: "b", Weight: 10}}}
+	counts := map[winch.ModelID]int{}
+	for i := range 10_000 {
+		id := winch.RequestID(strings.Repeat("x", i%7) + time.Duration(i).String())
+		assert.Equal(t, target(forward, id), target(forward, id))
+		counts[target(forward, id)]++
+	}
+	assert.Assert(t, counts["b"] > 800 && counts["b"] < 1200, "%v", counts)
+}
--- a/serving/forward/attempt.go
+++ b/serving/forward/attempt.go
@@ -82,10 +82,10 @@
 // denied is the answer to a request that may no longer run. One that was sent before
 // cannot be told that it was not run.
 func (s *Server) denied(req *request, f *fault) *fault {
-	if f.reason != reasonCallerLeft && req.sends > 0 && req.ledger.RunState() != ledger.NotRun {
-		return lost(f.reason)
+	if req.ledger.RunState() == ledger.NotRun || f.promisesNothing() {
+		return f
 	}
-	return f
+	return lost(f.reason)
 }
 
 func (s *Server) unacquired(ctx context.Context, req *request, err error) *fault {
@@ -196,6 +196,9 @@
 		return errNotAuthentic
 	case promisesNotRun(reply.Status):
 		return errAmbiguous
+	case req.began && reply.Status != http.StatusOK:
+		// The caller has the beginning of another answer.
+		return errFailedStatus
 	case reply.Status >= http.StatusInternalServerError && req.mayRepeat():
 		return errFailedStatus
 	}
--- a/serving/forward/fault.go
+++ b/serving/forward/fault.go
@@ -84,6 +84,11 @@
 	return left()
 }
 
+// promisesNothing tells whether the answer says nothing of the request's execution.
+func (f *fault) promisesNothing() bool {
+	return f.reason == reasonCallerLeft || f.status == http.StatusBadGateway || f.status == http.StatusGatewayTimeout
+}
+
 // write answers with the fault. It must not be called once an answer has begun.
 func (f *fault) write(w http.ResponseWriter, protocol winch.ForwardProtocol, request *winch.ForwardRequest) {
 	header := w.Header()
--- a/serving/forward/relay.go
+++ b/serving/forward/relay.go
@@ -102,7 +102,7 @@
 		if complete {
 			return nil
 		}
-		if events.source.Buffered() == 0 {
+		if !events.pending() {
 			s.extendWrite(w)
 			if err := control.Flush(); err != nil {
 				return fmt.Errorf("write to caller: %w: %w", errCallerGone, err)
@@ -163,6 +163,13 @@
 	}
 }
 
+// pending tells whether a further whole event is at hand without waiting.
+func (r *eventReader) pending() bool {
+	// What is buffered can always be peeked at.
+	buffered, _ := r.source.Peek(r.source.Buffered())
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
+}
+
 // eventID returns the number in the event's id field.
 func eventID(event []byte) (int64, bool) {
 	for line := range bytes.Lines(event) {
--- a/serving/forward/settle.go
+++ b/serving/forward/settle.go
@@ -105,7 +105,7 @@
 
 // close ends an attempt: it ends what still runs, gives the slot back and notes the outcome.
 func (s *Server) close(req *request, a *attempt, outcome winch.Outcome, err error) {
-	now := s.now()
+	now, cause := s.now(), causeText(a.ctx)
 	a.cancel(nil)
 	if a.reply != nil {
 		// The body is closed before its end only when the connection is given up.
@@ -120,7 +120,7 @@
 	}
 	last.outcome = reasonOf(err)
 	s.options.Logger.Info("attempt failed", "Event", EventAttemptFailed, "Request", string(req.ID), "Endpoint", string(a.endpoint.ID),
-		"Status", last.status, "Reason", last.outcome, "Took", last.took.String(), "Cause", causeText(a.ctx), "Error", err.Error())
+		"Status", last.status, "Reason", last.outcome, "Took", last.took.String(), "Cause", cause, "Error", err.Error())
 }
 
 func causeText(ctx context.Context) string {
