--- a/release/source/follower.go
+++ b/release/source/follower.go
@@ -142,6 +142,13 @@
 	}
 }
 
+// SetFreshnessLimit changes the age of the evidence up to which keys are honoured.
+func (f *Follower) SetFreshnessLimit(limit time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.options.FreshnessLimit = limit
+}
+
 // Current returns the newest configuration that was learnt, never nil.
 func (f *Follower) Current() *winch.Configuration {
 	f.mu.Lock()
--- a/serving/forward/admit.go
+++ b/serving/forward/admit.go
@@ -25,14 +25,20 @@
 // evidence is how old the proof is that the configuration is the newest.
 type evidence struct {
 	age    time.Duration
-	limits *Limits
+	limits proofLimits
+}
+
+// proofLimits are the ages up to which evidence counts.
+type proofLimits struct {
+	reject time.Duration
+	key    time.Duration
 }
 
 // rejects tells whether the configuration is known well enough to say that something does not exist.
-func (e evidence) rejects() bool { return e.age <= e.limits.RejectLimit }
+func (e evidence) rejects() bool { return e.age <= e.limits.reject }
 
 // trustsKeys tells whether keys may admit requests.
-func (e evidence) trustsKeys() bool { return e.age <= e.limits.KeyLimit }
+func (e evidence) trustsKeys() bool { return e.age <= e.limits.key }
 
 // authorizer finds a key in the configuration.
 type authorizer func(hash winch.KeyHash) (winch.Key, error)
--- a/serving/forward/server.go
+++ b/serving/forward/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/arbutuswinch/winch"
@@ -17,6 +18,7 @@
 	open    *open.Set
 	drain   open.Drain
 	metrics *metrics
+	proof   atomic.Pointer[proofLimits]
 }
 
 // New returns a server.
@@ -29,7 +31,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Server{options: options, open: set, metrics: instruments}, nil
+	server := &Server{options: options, open: set, metrics: instruments}
+	server.SetProofLimits(options.Limits.RejectLimit, options.Limits.KeyLimit)
+	return server, nil
+}
+
+// SetProofLimits changes the ages of the evidence for the configuration up to which it
+// decides that something does not exist, and up to which a key admits a request.
+func (s *Server) SetProofLimits(reject, key time.Duration) {
+	s.proof.Store(&proofLimits{reject: reject, key: key})
 }
 
 // request is a caller's request and what became of it so far.
@@ -133,7 +143,7 @@
 
 // admit looks up what the configuration in force allows the request.
 func (s *Server) admit(now time.Time, req *request) *fault {
-	proof := evidence{age: now.Sub(s.options.Configurations.ConfirmedAt()), limits: &s.options.Limits}
+	proof := evidence{age: now.Sub(s.options.Configurations.ConfirmedAt()), limits: *s.proof.Load()}
 	granted, f := admit(s.options.Configurations.Current(), req.ForwardRequest, proof, func(hash winch.KeyHash) (winch.Key, error) {
 		return s.options.Configurations.Authorize(now, hash)
 	})
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	built, err := forwarder.New(loaded, version, logger)
+//	built, err := forwarder.New(path, loaded, version, logger)
 //	if err != nil {
 //		return err
 //	}
@@ -73,6 +73,7 @@
 
 // Forwarder is one entry host's process.
 type Forwarder struct {
+	path        string
 	settings    settings.Forwarding
 	logger      hclog.Logger
 	version     string
@@ -96,8 +97,9 @@
 	servers []transport.Server
 }
 
-// New builds the process and opens its ports; Run serves.
-func New(loaded settings.Forwarding, version string, logger hclog.Logger) (*Forwarder, error) {
+// New builds the process and opens its ports; Run serves. The settings were read from the
+// file at path, and are read anew when it changes.
+func New(path string, loaded settings.Forwarding, version string, logger hclog.Logger) (*Forwarder, error) {
 	if loaded.Limits.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(loaded.Limits.Memory) * memoryShare))
 	}
@@ -106,7 +108,7 @@
 		return nil, err
 	}
 	f := &Forwarder{
-		settings: loaded, logger: logger, version: version, clock: clock, agreed: agreed.New(clock, time.Now), incarnation: winch.Incarnation(uuid.NewString()),
+		path: path, settings: loaded, logger: logger, version: version, clock: clock, agreed: agreed.New(clock, time.Now), incarnation: winch.Incarnation(uuid.NewString()),
 	}
 	for _, step := range []struct {
 		name  string
@@ -152,18 +154,31 @@
 
 func (f *Forwarder) buildConfiguration() error {
 	built, err := release.New(release.Options{
-		Source: operator.New(f.store), Clock: f.clock, Logger: f.logger, FreshnessLimit: f.keyLimit(),
+		Source: operator.New(f.store), Clock: f.clock, Logger: f.logger, FreshnessLimit: keyLimit(f.settings.Bounds),
 	})
 	f.configuration = built
 	return err
 }
 
 // keyLimit is the age of the evidence for the configuration up to which keys are honoured.
-func (f *Forwarder) keyLimit() time.Duration {
-	if f.settings.Bounds.Revoke == 0 {
+func keyLimit(bounds settings.ForwardingBounds) time.Duration {
+	if bounds.Revoke == 0 {
 		return isolationLimit
 	}
-	return max(f.settings.Bounds.Revoke-keyMargin, f.settings.Bounds.Revoke/2)
+	return max(bounds.Revoke-keyMargin, bounds.Revoke/2)
+}
+
+// rejectLimit is the age of the evidence up to which the configuration decides that a
+// route or a key does not exist.
+func rejectLimit(bounds settings.ForwardingBounds) time.Duration {
+	return max(bounds.Apply-rejectMargin, bounds.Apply/2)
+}
+
+// apply takes in changed settings of a process that serves.
+func (f *Forwarder) apply(changed settings.Forwarding) {
+	f.logger.SetLevel(hclog.LevelFromString(changed.Log.Level))
+	f.configuration.SetFreshnessLimit(keyLimit(changed.Bounds))
+	f.server.SetProofLimits(rejectLimit(changed.Bounds), keyLimit(changed.Bounds))
 }
 
 func (f *Forwarder) buildEndpoints() error {
@@ -209,7 +224,7 @@
 		Configurations: f.configuration, Dispatcher: f.dispatcher, Protocol: caller.Protocol{}, Sender: runner.New(f.exchanger),
 		Usage: f, Loads: f.dispatcher, Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
 		Limits: forward.Limits{
-			ReadinessDelay: readinessDelay, RejectLimit: f.settings.Bounds.Apply - rejectMargin, KeyLimit: f.keyLimit(),
+			ReadinessDelay: readinessDelay, RejectLimit: rejectLimit(f.settings.Bounds), KeyLimit: keyLimit(f.settings.Bounds),
 		},
 	})
 	f.server = built
@@ -273,6 +288,7 @@
 		{Name: "exchange", Run: f.peers.run},
 		{Name: "dispatcher", Run: f.dispatcher.Run},
 		{Name: "kept connections", Run: f.exchanger.Run},
+		{Name: "settings", Run: (&reloader{path: f.path, logger: f.logger, current: f.settings, apply: f.apply}).run},
 	}, f.duties.parts...)
 }
 
--- a/winchd/main.go
+++ b/winchd/main.go
@@ -105,7 +105,7 @@
 	logger := hclog.New(&hclog.LoggerOptions{
 		Name: "winchd", Level: hclog.LevelFromString(loaded.Log.Level), Output: output, JSONFormat: loaded.Log.JSON,
 	})
-	built, err := forwarder.New(loaded, version, logger)
+	built, err := forwarder.New(path, loaded, version, logger)
 	if err != nil {
 		return err
 	}
