--- a/serving/forward/record.go
+++ b/serving/forward/record.go
@@ -18,6 +18,7 @@
 	attempts metric.Int64Counter
 	first    metric.Float64Histogram
 	duration metric.Float64Histogram
+	pause    metric.Float64Histogram
 }
 
 func newMetrics(meter metric.Meter, open func() int64) (*metrics, error) {
@@ -37,6 +38,10 @@
 		metric.WithDescription("Time from arrival to the end of the request.")); err != nil {
 		return nil, fmt.Errorf("create duration histogram: %w", err)
 	}
+	if m.pause, err = meter.Float64Histogram("winch_forward_pause_seconds", metric.WithUnit("s"),
+		metric.WithDescription("Longest time between two events of a stream.")); err != nil {
+		return nil, fmt.Errorf("create pause histogram: %w", err)
+	}
 	_, err = meter.Int64ObservableGauge("winch_forward_open", metric.WithDescription("Forwarded requests that are open."),
 		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
 			observer.Observe(open())
@@ -68,13 +73,16 @@
 	s.options.Logger.Info("request done", "Event", EventForwardDone, "Request", string(req.ID), "Route", string(route), "Class", string(class),
 		"Organisation", string(req.grant.organisation), "Status", status, "Reason", reason, "RetryAfter", after,
 		"RunState", string(req.ledger.RunState()), "Revision", revision, "ProofAge", req.proofAge.String(), "First", req.first.String(),
-		"Took", took.String(), "Left", req.deadline.Sub(req.arrived.Add(took)).String(), "LastEvent", req.lastEvent,
+		"Took", took.String(), "Left", req.deadline.Sub(req.arrived.Add(took)).String(), "LastEvent", req.lastEvent, "Pause", req.pause.String(),
 		"Attempts", attemptsText(req.attempts), "Path", s.pathOf(req, status))
 	labels := metric.WithAttributes(attribute.String("class", string(class)), attribute.Int("status", status), attribute.String("reason", reason))
 	ctx := context.WithoutCancel(req.own)
 	s.metrics.requests.Add(ctx, 1, labels)
 	byClass := metric.WithAttributes(attribute.String("class", string(class)))
 	s.metrics.duration.Record(ctx, took.Seconds(), byClass)
+	if req.pause > 0 {
+		s.metrics.pause.Record(ctx, req.pause.Seconds(), byClass)
+	}
 	if req.first > 0 {
 		s.metrics.first.Record(ctx, req.first.Seconds(), byClass)
 	}
--- a/serving/forward/relay.go
+++ b/serving/forward/relay.go
@@ -127,7 +127,12 @@
 		req.lastEvent = id
 	}
 	s.count(req, a)
-	a.slot.Tokens(s.now(), 1)
+	now := s.now()
+	if !req.eventAt.IsZero() {
+		req.pause = max(req.pause, now.Sub(req.eventAt))
+	}
+	req.eventAt = now
+	a.slot.Tokens(now, 1)
 	if !req.began {
 		s.beginStream(w, req, a)
 	}
--- a/serving/forward/server.go
+++ b/serving/forward/server.go
@@ -65,7 +65,10 @@
 	lastEvent int64
 	status    int
 	first     time.Duration
-	counted   bool
+	// eventAt is when the newest event came, pause the longest time between two.
+	eventAt time.Time
+	pause   time.Duration
+	counted bool
 }
 
 // Handler serves the caller port.
