--- a/dispatch/endpoint/prompts.go
+++ b/dispatch/endpoint/prompts.go
@@ -25,7 +25,7 @@
 	awayWeight = 150
 	// strangerWeight keeps quick classes on the endpoints that are set aside for them, and others
 	// away from those, until their own are loaded, in tokens.
-	strangerWeight = 6000
+	strangerWeight = 40000
 	// quickShare is the part of the endpoints that is set aside for quick classes.
 	quickShare = 0.34
 	// quickTargets is how many times the shortest target a quick class's may be.
