--- a/dispatch/endpoint/codec.go
+++ b/dispatch/endpoint/codec.go
@@ -23,14 +23,14 @@
 }
 
 // lanesWire has for each class and group a row of Queued, Running, Movable,
-// Urgent and the oldest wait in milliseconds.
+// Urgent, the oldest wait in milliseconds and Asked.
 type lanesWire struct {
 	Classes []string
 	Groups  []string
 	Rows    [][laneColumns]int
 }
 
-const laneColumns = 5
+const laneColumns = 6
 
 type accountsWire struct {
 	Organisations []string
@@ -86,7 +86,7 @@
 		l := lanes[key]
 		wire.Classes = append(wire.Classes, string(key.class))
 		wire.Groups = append(wire.Groups, encodeGroup(key.group))
-		wire.Rows = append(wire.Rows, [laneColumns]int{l.Queued, l.Running, l.Movable, l.Urgent, milliseconds(l.OldestWait)})
+		wire.Rows = append(wire.Rows, [laneColumns]int{l.Queued, l.Running, l.Movable, l.Urgent, milliseconds(l.OldestWait), l.Asked})
 	}
 	return wire
 }
@@ -108,7 +108,7 @@
 		key := laneKey{class: winch.ClassID(wire.Classes[i]), group: decodeGroup(wire.Groups[i])}
 		lanes[key] = laneFigures{
 			Queued: row[0], Running: row[1], Movable: row[2], Urgent: row[3],
-			OldestWait: time.Duration(row[4]) * time.Millisecond,
+			OldestWait: time.Duration(row[4]) * time.Millisecond, Asked: row[5],
 		}
 	}
 	return lanes, nil
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -70,6 +70,8 @@
 	level         map[winch.Tier]float64
 	remotes       map[winch.DataCentreID]*remote
 	prefixes      map[winch.PrefixHash]winch.EndpointID
+	// speeds are the prompt tokens that endpoints of a group read in a second.
+	speeds map[group]average
 	// broken are requests whose last attempt did not end well, and when that was.
 	broken   map[winch.RequestID]time.Time
 	brokenAt time.Time // when old ones were dropped last
@@ -102,6 +104,7 @@
 		level:         map[winch.Tier]float64{},
 		remotes:       map[winch.DataCentreID]*remote{},
 		prefixes:      map[winch.PrefixHash]winch.EndpointID{},
+		speeds:        map[group]average{},
 		broken:        map[winch.RequestID]time.Time{},
 		hub:           newHub(),
 	}
@@ -248,6 +251,7 @@
 	}
 	e.add(r)
 	c.noteGiven(now, r, e)
+	l.noteAsked(now, r.toRead)
 	e.history.add(now, float64(e.running+e.others))
 	l.running++
 	if e.cheap {
--- a/dispatch/endpoint/figures.go
+++ b/dispatch/endpoint/figures.go
@@ -56,11 +56,12 @@
 		if l.aperture > c.settings.Aperture {
 			own.aperture = max(own.aperture, l.aperture)
 		}
-		if l.queued == 0 && l.running == 0 {
+		if l.queued == 0 && l.running == 0 && l.asked.per(now) < 1 {
 			continue
 		}
 		own.lanes[l.key] = laneFigures{
 			Queued: l.queued, Running: l.running, Movable: c.movableRunning(l), Urgent: c.urgent(now, l), OldestWait: l.oldestWait(now),
+			Asked: int(l.asked.per(now)),
 		}
 	}
 	for key, a := range c.accounts {
@@ -215,6 +216,7 @@
 		sum.Movable += l.Movable
 		sum.Urgent += l.Urgent
 		sum.OldestWait = max(sum.OldestWait, l.OldestWait)
+		sum.Asked += l.Asked
 		f.lanes[key] = sum
 	}
 }
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -45,6 +45,7 @@
 	floorRunning   int
 
 	hold       average // seconds from grant to release
+	asked      rate    // tokens of prompts to read
 	firstToken average // seconds from grant to first token
 	slots      float64 // sum of the endpoints' limits
 	preempting int     // asked to leave for a request queued here
@@ -79,6 +80,8 @@
 	// Urgent are queued requests whose target is at risk.
 	Urgent     int
 	OldestWait time.Duration
+	// Asked are the tokens of prompts to read a second.
+	Asked int
 }
 
 func (l *lane) higher(other *lane) bool { return l.class.Tier < other.class.Tier }
--- a/dispatch/endpoint/prompts.go
+++ b/dispatch/endpoint/prompts.go
@@ -168,6 +168,7 @@
 // noteGiven takes a request into the account of the endpoint's unread tokens.
 func (c *core) noteGiven(now time.Time, r *request, e *endpoint) {
 	r.toRead = max(0, r.work.InputTokens-e.prompts.kept(now, r.work.Parts))
+	r.ahead = e.prompts.unread + e.prompts.others + r.toRead
 	e.prompts.unread += r.toRead
 	e.prompts.use(now, r.work.Parts)
 }
--- a/dispatch/endpoint/queues.go
+++ b/dispatch/endpoint/queues.go
@@ -18,7 +18,7 @@
 func (c *core) queues(now time.Time) []winch.QueueStatus {
 	statuses := make([]winch.QueueStatus, 0, len(c.sorted))
 	for _, l := range c.sorted {
-		status := c.status(l.key, laneFigures{Queued: l.queued, Running: l.running, OldestWait: l.oldestWait(now)})
+		status := c.status(l.key, laneFigures{Queued: l.queued, Running: l.running, OldestWait: l.oldestWait(now), Asked: int(l.asked.per(now))})
 		status.DataCentre, status.Host, status.PredictedDrain = c.self.DataCentre, c.self.ID, c.drain(now, l)
 		status.Slots = int(l.slots)
 		statuses = append(statuses, status)
@@ -50,7 +50,7 @@
 // sums adds the figures of the data centre's other hosts together.
 func (c *core) sums(now time.Time, statuses []winch.QueueStatus) []winch.QueueStatus {
 	for _, l := range c.sorted {
-		if !c.informed(now) || l.others.Queued+l.others.Running == 0 {
+		if !c.informed(now) || l.others.Queued+l.others.Running+l.others.Asked == 0 {
 			continue
 		}
 		status := c.status(l.key, l.others)
@@ -64,6 +64,7 @@
 	return winch.QueueStatus{
 		Class: key.class, Model: key.group.model, Route: key.group.route, Tier: c.configuration.Classes[key.class].Tier,
 		Queued: figures.Queued, Running: figures.Running, OldestWait: figures.OldestWait,
+		PromptRate: float64(figures.Asked), PromptSpeed: c.speeds[key.group].value,
 	}
 }
 
--- a/dispatch/endpoint/request.go
+++ b/dispatch/endpoint/request.go
@@ -48,6 +48,7 @@
 	collectedAt      time.Time
 	unread           winch.Tokens // of the prompt, until the first token
 	toRead           winch.Tokens // of the prompt, less what the endpoint keeps, until the first token
+	ahead            winch.Tokens // that the endpoint had to read up to the request's prompt
 	firstSeen        bool
 	long             bool
 	floor            bool
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -135,6 +135,7 @@
 func (c *core) sampleFirst(r *request, at time.Time) {
 	seconds := at.Sub(r.grantedAt).Seconds()
 	r.lane.firstToken.add(seconds, sampleWeight)
+	c.sampleReading(r, seconds)
 	if r.endpoint != nil {
 		r.endpoint.limit.sampleFirst(seconds, r.lane.class.FirstTokenTarget)
 	}
--- a/load.go
+++ b/load.go
@@ -69,6 +69,11 @@
 	// Slots are those of the endpoints that the class may use, at their present limits.
 	Slots      int
 	OldestWait time.Duration
+	// PromptRate is how many tokens of prompts the requests bring to be read, a second.
+	PromptRate float64
+	// PromptSpeed is how many an endpoint reads in a second, as this host learnt; zero when it
+	// has not.
+	PromptSpeed float64
 	// PredictedDrain is the time until the queue is empty at the present rate.
 	PredictedDrain time.Duration
 	// Age is how old the figures are.
--- a/winchd/forwarder/duties.go
+++ b/winchd/forwarder/duties.go
@@ -35,7 +35,7 @@
 	usageRetention = 2 * time.Minute
 	planEvery      = 500 * time.Millisecond
 	// orderRepeat is the time after which an order is given anew that was not met.
-	orderRepeat = 3 * time.Second
+	orderRepeat = 1500 * time.Millisecond
 	// storesPerWindow is how often a window's counts are written to the store while it lasts.
 	storesPerWindow = 4
 )
@@ -73,7 +73,9 @@
 
 // buildOrders makes a part for each data centre; all of them need the one lease.
 func (f *Forwarder) buildOrders() error {
-	plans, err := planner.NewPrompts(planner.PromptsOptions{Configurations: f.configuration, Logger: f.logger})
+	plans, err := planner.NewPrompts(planner.PromptsOptions{
+		Configurations: f.configuration, Queues: f.dispatcher, Endpoints: f.endpoints, Logger: f.logger,
+	})
 	if err != nil {
 		return err
 	}
