--- a/placement/planner/prompts.go
+++ b/placement/planner/prompts.go
@@ -75,7 +75,8 @@
 	// high is the most endpoints that ran since the pool was last given fewer.
 	high int
 	// taken says that the endpoints were taken away and are not to be had.
-	taken bool
+	taken   bool
+	takenAt time.Time
 	// held is the most stand-ins that were needed in the last while.
 	held   int
 	heldAt time.Time
@@ -177,11 +178,12 @@
 	steadyPool := winch.ScalingPool(scaling.Model, centre, winch.SupplySteady)
 	cheap, steady := countReady(running, cheapPool), countReady(running, steadyPool)
 	want := wantedCheap(demand.peak, max(len(scaling.Costs), all.centres), scaling)
-	taken := p.takenAway(cheapPool, cheap)
+	taken := p.takenAway(now, cheapPool, cheap, scaling.StartTime)
 	standIn := p.hold(now, steadyPool, standIns(demand.now*p.options.Settings.Use/standInUse, all.ready-steady))
 	switch {
 	case taken:
-		standIn = min(standIn, scaling.Max-1)
+		// One cheap endpoint stays ordered: its start tells that there are some again.
+		standIn = min(max(standIn, p.pool(steadyPool).count), scaling.Max-1)
 	case cheap < want:
 		// What runs already waits for the cheap ones as far as there is room beside them.
 		standIn = min(steady, max(standIn, scaling.Max-want))
@@ -204,7 +206,7 @@
 	leastCheap = 8
 	// standInUse is the share of its time for which an endpoint may read prompts before
 	// steady ones stand in: more than is planned for, since they are dear and a reclaim is short.
-	standInUse = 0.4
+	standInUse = 0.7
 )
 
 // wantedCheap returns how many cheap endpoints each data centre has, so that the others
@@ -218,15 +220,15 @@
 func standIns(demand float64, ready int) int { return max(0, int(math.Ceil(demand))-ready) }
 
 // takenAway tells whether the pool's cheap endpoints were taken away and are not to be had:
-// half of them went, and since then fewer run than are ordered.
-func (p *Prompts) takenAway(pool winch.PoolID, ready int) bool {
+// half of them went, and since then none could have started.
+func (p *Prompts) takenAway(now time.Time, pool winch.PoolID, ready int, startTime time.Duration) bool {
 	state := p.pool(pool)
 	state.high = max(state.high, ready)
 	switch {
-	case state.taken && state.count > 0 && ready >= state.count:
+	case state.taken && state.count > 0 && ready >= state.count && now.Sub(state.takenAt) > startTime:
 		state.taken, state.high = false, ready
 	case !state.taken && 2*ready <= state.high && state.high > 0 && state.count >= state.high:
-		state.taken = true
+		state.taken, state.takenAt = true, now
 	case !state.taken && state.count < state.high:
 		state.high = max(ready, state.count)
 	}
