--- a/charge/keyvalue/core.go
+++ b/charge/keyvalue/core.go
@@ -98,6 +98,8 @@
 	// closing says that the term is being given up.
 	closing  bool
 	released bool
+	// substitute says that another host is the first to take the duty over; this one looks less often.
+	substitute bool
 	// standInUntil is until when the duty is held although another host is the
 	// candidate, which did not take it over.
 	standInUntil time.Time
@@ -180,12 +182,20 @@
 		return c.write(now, stepWrite, winch.VersionAbsent, false)
 	case s.record.released || now.Sub(s.since) >= s.record.ttl:
 		return c.write(now, stepWrite, s.version, false)
-	case now.Sub(s.readAt) >= c.settings.renewEvery:
+	case now.Sub(s.readAt) >= c.observeEvery():
 		return action{step: stepRead}
 	}
 	return action{step: stepWait}
 }
 
+// observeEvery is the time between two looks at the record of another holder.
+func (c *core) observeEvery() time.Duration {
+	if c.substitute {
+		return c.settings.ttl
+	}
+	return c.settings.renewEvery
+}
+
 // write prepares a write of the record. A new term's record has no number yet.
 func (c *core) write(now time.Time, kind step, expect winch.Version, released bool) action {
 	c.writes++
--- a/charge/keyvalue/holder.go
+++ b/charge/keyvalue/holder.go
@@ -203,18 +203,21 @@
 	}
 }
 
-// candidate tells whether this host may take the duty on.
-func (h *Holder) candidate(now time.Time) bool {
-	if h.options.AnyHost {
-		return !h.options.Membership.Self().Leaving
+// candidate tells whether this host may take the duty on, and whether it does so only
+// when the host that Membership names does not.
+func (h *Holder) candidate(now time.Time) (candidate, substitute bool) {
+	named := h.options.Membership.Candidate(now, h.options.Duty, h.options.DataCentre)
+	if !h.options.AnyHost {
+		return named, false
 	}
-	return h.options.Membership.Candidate(now, h.options.Duty, h.options.DataCentre)
+	return !h.options.Membership.Self().Leaving, !named
 }
 
 // act takes the next step and reports whether the loop is done.
 func (h *Holder) act(ctx context.Context, now time.Time, stopping bool) bool {
-	candidate := h.candidate(now)
+	candidate, substitute := h.candidate(now)
 	h.mu.Lock()
+	h.core.substitute = substitute
 	action := h.core.next(now, candidate, stopping)
 	h.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, h.options.RenewEvery)
--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -44,6 +44,8 @@
 	Logger hclog.Logger
 	// PollEvery is the time between two readings. The default is 600 ms.
 	PollEvery time.Duration
+	// Relayed is the age up to which a list that another host passed on spares a reading. The default is none.
+	Relayed time.Duration
 }
 
 // Follower implements winch.EndpointSource. It is safe for concurrent use.
@@ -52,8 +54,13 @@
 
 	mu      sync.Mutex
 	current []winch.EndpointStatus
+	hash    uint64
 	readAt  time.Time
 	changed chan struct{}
+	// known are the hashes of the lists that other hosts have, at the hub.
+	known map[winch.HostID]uint64
+	// ownAt is when this host read the list last.
+	ownAt time.Time
 	// failures counts the failed calls in a row; only Run uses it.
 	failures int
 }
@@ -66,7 +73,7 @@
 		return nil, fmt.Errorf("create endpoint follower: Lister, Clock and Logger are needed: %w", winch.ErrInvalid)
 	}
 	options.PollEvery = cmp.Or(options.PollEvery, defaultPollEvery)
-	return &Follower{options: options, changed: make(chan struct{})}, nil
+	return &Follower{options: options, changed: make(chan struct{}), known: map[winch.HostID]uint64{}}, nil
 }
 
 // Run reads the list until ctx ends. It returns nil.
@@ -77,6 +84,9 @@
 // Step reads the list once; Run calls it at its pace.
 func (f *Follower) Step(ctx context.Context) {
 	sent := f.options.Clock.Now()
+	if f.relayed(sent) {
+		return
+	}
 	listed, err := f.options.Lister.ListEndpoints(ctx, sent)
 	if err != nil {
 		f.failed(err)
@@ -86,9 +96,19 @@
 		f.options.Logger.Info("endpoint list regained", "Event", EventListRegained, "Failures", f.failures)
 		f.failures = 0
 	}
+	f.mu.Lock()
+	f.ownAt = sent
+	f.mu.Unlock()
 	f.take(sent, listed)
 }
 
+// relayed tells whether another host's list is new enough to spare a reading.
+func (f *Follower) relayed(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readAt.After(f.ownAt) && now.Sub(f.readAt) <= f.options.Relayed
+}
+
 func (f *Follower) failed(err error) {
 	if errors.Is(err, context.Canceled) {
 		return
@@ -107,7 +127,7 @@
 	f.readAt = at
 	same := slices.EqualFunc(before, listed, equal)
 	if !same {
-		f.current = listed
+		f.current, f.hash = listed, hashOf(listed)
 		close(f.changed)
 		f.changed = make(chan struct{})
 	}
--- /dev/null
+++ b/placement/registry/section.go
@@ -0,0 +1,175 @@
+package registry
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/arbutuswinch/winch"
+)
+
+const sectionName winch.SectionName = "Registered"
+
+// listWire tells which list a host has, how old it is, and the list itself when the
+// receiver lacks it.
+type listWire struct {
+	Hash      uint64
+	AgeMS     int64
+	Endpoints []endpointWire `json:",omitempty"`
+}
+
+type endpointWire struct {
+	ID         string
+	DataCentre string
+	Kind       string
+	Address    string
+	Models     []string
+	Supply     string
+	SlotLimit  int
+	State      string
+	// LeavesMS is the time until the endpoint goes away; zero when that is not known.
+	LeavesMS int64 `json:",omitempty"`
+	// Started is the endpoint's start in Unix milliseconds; zero when it does not say.
+	Started int64 `json:",omitempty"`
+}
+
+// section is the follower's part of the exchange between hosts: the hub reads the list
+// for the others.
+type section struct{ f *Follower }
+
+// Section returns the follower's part of the exchange between hosts.
+func (f *Follower) Section() winch.Section { return section{f: f} }
+
+// Name returns the section's name.
+func (s section) Name() winch.SectionName { return sectionName }
+
+// Report tells the hub which list this host has.
+func (s section) Report(now time.Time) []byte {
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	return s.f.encode(now, s.f.hash)
+}
+
+// Collect notes which list a host has.
+func (s section) Collect(_ time.Time, from winch.HostID, report []byte) error {
+	wire := listWire{}
+	if err := json.Unmarshal(report, &wire); err != nil {
+		return fmt.Errorf("decode list of %s: %w: %w", from, winch.ErrInvalid, err)
+	}
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	s.f.known[from] = wire.Hash
+	return nil
+}
+
+// Summary tells a host the list, when it has another one.
+func (s section) Summary(now time.Time, to winch.HostID) []byte {
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	return s.f.encode(now, s.f.known[to])
+}
+
+// Apply takes the hub's list in. It was true before the exchange.
+func (s section) Apply(_, sent time.Time, hub winch.HostID, summary []byte) error {
+	if len(summary) == 0 {
+		return nil
+	}
+	wire := listWire{}
+	if err := json.Unmarshal(summary, &wire); err != nil {
+		return fmt.Errorf("decode list of %s: %w: %w", hub, winch.ErrInvalid, err)
+	}
+	if wire.Hash == 0 {
+		return nil
+	}
+	readAt := sent.Add(-time.Duration(wire.AgeMS) * time.Millisecond)
+	s.f.mu.Lock()
+	older, same := !readAt.After(s.f.readAt), wire.Hash == s.f.hash
+	if !older && same {
+		s.f.readAt = readAt
+	}
+	s.f.mu.Unlock()
+	if older || same || wire.Endpoints == nil {
+		return nil
+	}
+	s.f.take(readAt, decodeEndpoints(sent, wire.Endpoints))
+	return nil
+}
+
+// Digest returns nothing.
+func (s section) Digest(time.Time, winch.DataCentreID) []byte { return nil }
+
+// ApplyDigest takes nothing in.
+func (s section) ApplyDigest(time.Time, time.Time, winch.DataCentreID, []byte) error { return nil }
+
+// encode tells the list to a host that has the one with the known hash.
+func (f *Follower) encode(now time.Time, known uint64) []byte {
+	if f.current == nil {
+		return nil
+	}
+	wire := listWire{Hash: f.hash, AgeMS: max(0, now.Sub(f.readAt).Milliseconds()+1)}
+	if known != f.hash {
+		wire.Endpoints = encodeEndpoints(now, f.current)
+	}
+	encoded, err := json.Marshal(wire)
+	if err != nil {
+		// Structs of numbers and strings can always be encoded.
+		f.options.Logger.Error("list not encoded", "Event", EventListFailed, "Error", err)
+		return nil
+	}
+	return encoded
+}
+
+func encodeEndpoints(now time.Time, listed []winch.EndpointStatus) []endpointWire {
+	wire := make([]endpointWire, 0, len(listed))
+	for _, status := range listed {
+		e := endpointWire{
+			ID: string(status.Endpoint.ID), DataCentre: string(status.Endpoint.DataCentre), Kind: string(status.Endpoint.Kind),
+			Address: status.Endpoint.Address, Supply: string(status.Endpoint.Supply), SlotLimit: status.Endpoint.SlotLimit, State: string(status.State),
+		}
+		for _, model := range status.Endpoint.Models {
+			e.Models = append(e.Models, string(model))
+		}
+		if !status.LeavesAt.IsZero() {
+			e.LeavesMS = max(1, status.LeavesAt.Sub(now).Milliseconds())
+		}
+		if !status.StartedAt.IsZero() {
+			e.Started = status.StartedAt.UnixMilli()
+		}
+		wire = append(wire, e)
+	}
+	return wire
+}
+
+func decodeEndpoints(now time.Time, wire []endpointWire) []winch.EndpointStatus {
+	listed := make([]winch.EndpointStatus, 0, len(wire))
+	for _, e := range wire {
+		status := winch.EndpointStatus{State: winch.EndpointState(e.State), Endpoint: winch.Endpoint{
+			ID: winch.EndpointID(e.ID), DataCentre: winch.DataCentreID(e.DataCentre), Kind: winch.EndpointKind(e.Kind),
+			Address: e.Address, Supply: winch.Supply(e.Supply), SlotLimit: e.SlotLimit,
+		}}
+		for _, model := range e.Models {
+			status.Endpoint.Models = append(status.Endpoint.Models, winch.ModelID(model))
+		}
+		if e.LeavesMS > 0 {
+			status.LeavesAt = now.Add(time.Duration(e.LeavesMS) * time.Millisecond)
+		}
+		if e.Started > 0 {
+			status.StartedAt = time.UnixMilli(e.Started)
+		}
+		listed = append(listed, status)
+	}
+	return listed
+}
+
+// hashOf returns the same number on each host for the same list. It is never zero.
+func hashOf(listed []winch.EndpointStatus) uint64 {
+	digest := xxhash.New()
+	for _, s := range listed {
+		// Writing to a digest cannot fail. The time of leaving is left out: hosts differ in it.
+		_, _ = fmt.Fprintf(digest, "%q%q%q%q%q%d%q%v%d\n", s.Endpoint.ID, s.Endpoint.DataCentre, s.Endpoint.Kind, s.Endpoint.Address,
+			s.Endpoint.Models, s.Endpoint.SlotLimit, s.Endpoint.Supply, s.State, s.StartedAt.UnixMilli())
+	}
+	return max(digest.Sum64(), 1)
+}
--- a/release/source/follower.go
+++ b/release/source/follower.go
@@ -50,6 +50,8 @@
 	PollEvery time.Duration
 	// FreshnessLimit is the age of the evidence up to which keys are honoured. The default is 4 s.
 	FreshnessLimit time.Duration
+	// Relayed is the age up to which evidence that another host passed on spares a reading. The default is none.
+	Relayed time.Duration
 }
 
 // Follower implements winch.ConfirmedConfigurations. It is safe for concurrent use.
@@ -63,6 +65,8 @@
 	reports map[winch.HostID]evidence
 	// hubVersion is what the hub told last.
 	hubVersion winch.Version
+	// ownAt is when this host read the source last.
+	ownAt time.Time
 	// failures counts the failed calls in a row; only Run uses it.
 	failures int
 }
@@ -89,12 +93,19 @@
 
 // Step reads the source once; Run calls it at its pace.
 func (f *Follower) Step(ctx context.Context) {
+	sent := f.options.Clock.Now()
 	f.mu.Lock()
 	known := f.state.version
+	relayed := f.state.confirmedAt.After(f.ownAt) && sent.Sub(f.state.confirmedAt) <= f.options.Relayed
 	f.mu.Unlock()
-	sent := f.options.Clock.Now()
+	if relayed {
+		return
+	}
 	raw, version, err := f.options.Source.Fetch(ctx, known)
 	if err == nil {
+		f.mu.Lock()
+		f.ownAt = sent
+		f.mu.Unlock()
 		err = f.take(raw, version, sent, "source")
 	}
 	f.note(err)
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -155,6 +155,7 @@
 func (f *Forwarder) buildConfiguration() error {
 	built, err := release.New(release.Options{
 		Source: operator.New(f.store), Clock: f.clock, Logger: f.logger, FreshnessLimit: keyLimit(f.settings.Bounds),
+		Relayed: relayedLimit(f.settings.Bounds),
 	})
 	f.configuration = built
 	return err
@@ -174,6 +175,10 @@
 	return max(bounds.Apply-rejectMargin, bounds.Apply/2)
 }
 
+// relayedLimit is the age up to which what the hub has read spares this host a reading: the
+// hub's pace and that of the exchange, and half of what a configuration may take.
+func relayedLimit(bounds settings.ForwardingBounds) time.Duration { return bounds.Apply / 2 }
+
 // apply takes in changed settings of a process that serves.
 func (f *Forwarder) apply(changed settings.Forwarding) {
 	f.logger.SetLevel(hclog.LevelFromString(changed.Log.Level))
@@ -184,6 +189,7 @@
 func (f *Forwarder) buildEndpoints() error {
 	built, err := endpoints.New(endpoints.Options{
 		Lister: registry.New(registry.Options{Store: f.store, Logger: f.logger}), Clock: f.clock, Logger: f.logger,
+		Relayed: relayedLimit(f.settings.Bounds),
 	})
 	f.endpoints = built
 	return err
@@ -242,7 +248,7 @@
 }
 
 func (f *Forwarder) sections() []winch.Section {
-	return []winch.Section{f.configuration.Section(), f.dispatcher.Section(), f.agreed.Section(), f.duties.counters}
+	return []winch.Section{f.configuration.Section(), f.endpoints.Section(), f.dispatcher.Section(), f.agreed.Section(), f.duties.counters}
 }
 
 func (f *Forwarder) buildServers() error {
