--- /dev/null
+++ b/dispatch/endpoint/prompts_test.go
@@ -0,0 +1,205 @@
+package endpoint
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+)
+
+const (
+	promptModel winch.ModelID = "pool"
+	// readSpeed is what the engines of these tests read in a millisecond.
+	readSpeed = 40
+)
+
+// promptCore returns a core with engines that serve chat and plans.
+func promptCore(engines int, policy Policy) (*core, time.Time) {
+	now := time.Unix(1000, 0)
+	c := newCore(winch.Host{ID: "h"}, policy, Settings{RampTime: time.Millisecond}, 1)
+	c.home = "a"
+	configuration := &winch.Configuration{Classes: map[winch.ClassID]winch.Class{
+		"chat": {ID: "chat", Tier: 1, FirstTokenTarget: 300 * time.Millisecond, InterTokenTarget: 250 * time.Millisecond, Models: []winch.ModelID{promptModel}},
+		"plan": {ID: "plan", Tier: 3, FirstTokenTarget: 1500 * time.Millisecond, Models: []winch.ModelID{promptModel}},
+	}}
+	statuses := []winch.EndpointStatus{}
+	for i := range engines {
+		statuses = append(statuses, winch.EndpointStatus{State: winch.EndpointReady, Endpoint: winch.Endpoint{
+			ID: winch.EndpointID(fmt.Sprintf("e%02d", i)), DataCentre: "a", Kind: winch.EndpointEngine, Models: []winch.ModelID{promptModel}, SlotLimit: 64,
+		}})
+	}
+	c.configure(now, configuration, statuses)
+	c.tick(now)
+	return c, now
+}
+
+// ask gives a request to an engine, and returns it.
+func (c *core) ask(now time.Time, id int, class winch.ClassID, tokens winch.Tokens, parts ...winch.PromptPart) *request {
+	return c.arrive(now, winch.Work{
+		Request: winch.RequestID(fmt.Sprint(id)), Class: class, Model: promptModel, InputTokens: tokens, Parts: parts, Fixed: true, Arrived: now,
+	}, nil, &progress{})
+}
+
+func TestUnreadTokens(t *testing.T) {
+	c, now := promptCore(2, PolicyPrompts)
+	parts := []winch.PromptPart{{ID: 1, Tokens: 2500}, {ID: 2, Tokens: 3800}, {ID: 3, Tokens: 2900}}
+	first := c.ask(now, 1, "plan", 9200, parts...)
+	e := first.endpoint
+	t.Run("count until the first token", func(t *testing.T) {
+		assert.Equal(t, e.prompts.unread, winch.Tokens(9200))
+		first.progress.first.Store(now.UnixNano())
+		c.collect(now, first)
+		assert.Equal(t, e.prompts.unread, winch.Tokens(0))
+	})
+	t.Run("leave out what the endpoint keeps", func(t *testing.T) {
+		other := []winch.PromptPart{parts[0], parts[1], {ID: 4, Tokens: 1000}}
+		assert.Equal(t, e.prompts.kept(now, other), winch.Tokens(6300))
+		assert.Equal(t, e.prompts.kept(now.Add(time.Hour), other), winch.Tokens(0))
+		assert.Equal(t, e.prompts.kept(now, []winch.PromptPart{{ID: 9, Tokens: 5}, parts[1]}), winch.Tokens(0), "a part counts behind the same parts only")
+	})
+	t.Run("are given back when the slot is", func(t *testing.T) {
+		second := c.ask(now, 2, "plan", 5000)
+		at := second.endpoint
+		c.release(now, second, winch.OutcomeFailed)
+		assert.Equal(t, at.prompts.unread, winch.Tokens(0))
+	})
+}
+
+func TestSharedPartsMeet(t *testing.T) {
+	// Hosts that know nothing of each other's requests choose the same endpoint for the same parts.
+	one, now := promptCore(12, PolicyPrompts)
+	two, _ := promptCore(12, PolicyPrompts)
+	same := 0
+	for i := range 40 {
+		parts := []winch.PromptPart{{ID: 1, Tokens: 2500}, {ID: winch.PrefixHash(100 + i), Tokens: 3800}, {ID: winch.PrefixHash(1000 + i), Tokens: 100}}
+		a, b := one.ask(now, i, "plan", 6400, parts...), two.ask(now, i, "plan", 6400, parts...)
+		if a.endpoint.spec.ID == b.endpoint.spec.ID {
+			same++
+		}
+		one.release(now, a, winch.OutcomeDone)
+		two.release(now, b, winch.OutcomeDone)
+	}
+	assert.Assert(t, same >= 36, "%d of 40", same)
+}
+
+func TestQuickClassesHaveTheirOwn(t *testing.T) {
+	c, now := promptCore(9, PolicyPrompts)
+	chat, plan := map[winch.EndpointID]bool{}, map[winch.EndpointID]bool{}
+	for i := range 60 {
+		chat[c.ask(now, i, "chat", 700).endpoint.spec.ID] = true
+		long := c.ask(now, 100+i, "plan", 9000)
+		plan[long.endpoint.spec.ID] = true
+		if i >= 6 {
+			c.release(now, long, winch.OutcomeDone)
+		}
+	}
+	assert.Equal(t, len(chat), 3)
+	for id := range chat {
+		assert.Assert(t, !plan[id], "%s serves both", id)
+	}
+	t.Run("with one class only all serve it", func(t *testing.T) {
+		c, now := promptCore(9, PolicyPrompts)
+		delete(c.configuration.Classes, "chat")
+		c.setLanes(now)
+		c.tick(now)
+		plan := map[winch.EndpointID]bool{}
+		for i := range 60 {
+			plan[c.ask(now, i, "plan", 9000).endpoint.spec.ID] = true
+		}
+		assert.Equal(t, len(plan), 9)
+	})
+}
+
+// engineSim reads prompts one after the other and so delays the tokens of its streams.
+type engineSim struct{ busyUntil time.Time }
+
+// playMix plays a burst of long prompts beside chat, and returns the share of chat
+// requests whose first token and pauses are within target.
+func playMix(policy Policy) float64 {
+	c, now := promptCore(12, policy)
+	sims := map[winch.EndpointID]*engineSim{}
+	type running struct {
+		r     *request
+		first time.Time
+		end   time.Time
+	}
+	var streams []*running
+	inTime, all := 0, 0
+	late := map[*running]bool{}
+	for step := range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		arrivals := []winch.ClassID{}
+		if step%4 == 0 {
+			arrivals = append(arrivals, "chat")
+		}
+		if step%3 == 0 {
+			arrivals = append(arrivals, "plan")
+		}
+		for i, class := range arrivals {
+			tokens := winch.Tokens(700)
+			if class == "plan" {
+				tokens = 9000
+			}
+			r := c.ask(now, step*10+i, class, tokens)
+			if r.endpoint == nil {
+				continue
+			}
+			sim, found := sims[r.endpoint.spec.ID]
+			if !found {
+				sim = &engineSim{}
+				sims[r.endpoint.spec.ID] = sim
+			}
+			if sim.busyUntil.Before(now) {
+				sim.busyUntil = now
+			}
+			read := time.Duration(float64(tokens)/readSpeed) * time.Millisecond
+			sim.busyUntil = sim.busyUntil.Add(read)
+			stream := &running{r: r, first: sim.busyUntil, end: sim.busyUntil.Add(time.Second)}
+			// While the engine reads a long prompt, the streams that run there stand still for longer than the target.
+			if class == "plan" {
+				for _, other := range streams {
+					if other.r.endpoint == r.endpoint && other.r.work.Class == "chat" && other.end.After(now) {
+						late[other] = true
+					}
+				}
+			}
+			if class == "chat" && (stream.first.Sub(now) > 300*time.Millisecond) {
+				late[stream] = true
+			}
+			streams = append(streams, stream)
+		}
+		kept := streams[:0]
+		for _, stream := range streams {
+			if !stream.first.After(now) && stream.r.progress.first.Load() == 0 {
+				stream.r.progress.first.Store(stream.first.UnixNano())
+				c.collect(now, stream.r)
+			}
+			if stream.end.After(now) {
+				kept = append(kept, stream)
+				continue
+			}
+			if stream.r.work.Class == "chat" {
+				all++
+				if !late[stream] {
+					inTime++
+				}
+			}
+			c.release(now, stream.r, winch.OutcomeDone)
+		}
+		streams = kept
+		if step%10 == 0 {
+			c.tick(now)
+		}
+	}
+	return float64(inTime) / float64(all)
+}
+
+func TestChatBesideLongPrompts(t *testing.T) {
+	// The load that this policy answers: chat with short pauses beside a burst of long prompts.
+	prompts, reported := playMix(PolicyPrompts), playMix(PolicyFirstCome)
+	assert.Assert(t, prompts > 0.95, "in time: %.2f", prompts)
+	assert.Assert(t, reported < 0.8, "in time by turns: %.2f", reported)
+}
--- /dev/null
+++ b/placement/registry/follower_test.go
@@ -0,0 +1,137 @@
+package registry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// lister gives a list that tests set.
+type lister struct {
+	listed []winch.EndpointStatus
+	err    error
+	calls  int
+}
+
+func (l *lister) ListEndpoints(context.Context, time.Time) ([]winch.EndpointStatus, error) {
+	l.calls++
+	return append([]winch.EndpointStatus{}, l.listed...), l.err
+}
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+func status(id winch.EndpointID, state winch.EndpointState) winch.EndpointStatus {
+	return winch.EndpointStatus{State: state, Endpoint: winch.Endpoint{
+		ID: id, DataCentre: "a", Kind: winch.EndpointEngine, Address: "10.1.0.9:80", Models: []winch.ModelID{"pool"},
+		Supply: winch.SupplyCheap, SlotLimit: 64,
+	}}
+}
+
+func newFollower(t *testing.T, l *lister, c *clock) *Follower {
+	t.Helper()
+	f, err := New(Options{Lister: l, Clock: c, Logger: hclog.NewNullLogger(), Relayed: time.Second})
+	assert.NilError(t, err)
+	return f
+}
+
+func assertStates(t *testing.T, f *Follower, want ...winch.EndpointState) {
+	t.Helper()
+	var got []winch.EndpointState
+	for _, each := range f.Endpoints() {
+		got = append(got, each.State)
+	}
+	assert.DeepEqual(t, got, want)
+}
+
+func TestFollower(t *testing.T) {
+	l, c := &lister{}, &clock{now: time.Unix(1000, 0)}
+	f := newFollower(t, l, c)
+	assert.Assert(t, f.In("a").Current() == nil, "nothing was read yet")
+	l.listed = []winch.EndpointStatus{status("b", winch.EndpointReady), status("a", winch.EndpointReady)}
+	changed := f.Changed()
+	f.Step(t.Context())
+	<-changed
+	assertStates(t, f, winch.EndpointReady, winch.EndpointReady)
+	t.Run("the last list counts while none can be read", func(t *testing.T) {
+		l.err = winch.ErrUnavailable
+		f.Step(t.Context())
+		assertStates(t, f, winch.EndpointReady, winch.EndpointReady)
+		l.err = nil
+	})
+	t.Run("a leaving endpoint", func(t *testing.T) {
+		l.listed[0].State, l.listed[0].LeavesAt = winch.EndpointLeaving, c.now.Add(2*time.Second)
+		f.Step(t.Context())
+		assertStates(t, f, winch.EndpointReady, winch.EndpointLeaving)
+	})
+	t.Run("nothing new is no change", func(t *testing.T) {
+		changed := f.Changed()
+		l.listed[0].LeavesAt = l.listed[0].LeavesAt.Add(100 * time.Millisecond)
+		f.Step(t.Context())
+		select {
+		case <-changed:
+			t.Fatal("told a change")
+		default:
+		}
+	})
+	t.Run("as ordered endpoints", func(t *testing.T) {
+		ordered := f.In("a").Current()
+		assert.Equal(t, len(ordered), 2)
+		assert.Equal(t, ordered[0].Pool, winch.ScalingPool("pool", "a", winch.SupplyCheap))
+		assert.Equal(t, len(f.In("b").Current()), 0)
+	})
+	t.Run("an entry that is gone", func(t *testing.T) {
+		l.listed = l.listed[1:]
+		f.Step(t.Context())
+		assertStates(t, f, winch.EndpointReady)
+	})
+}
+
+func TestRelay(t *testing.T) {
+	c := &clock{now: time.Unix(1000, 0)}
+	leaving := status("b", winch.EndpointLeaving)
+	leaving.LeavesAt, leaving.StartedAt = c.now.Add(3*time.Second), time.UnixMilli(5)
+	hubList, hostList := &lister{listed: []winch.EndpointStatus{status("a", winch.EndpointReady), leaving}}, &lister{err: winch.ErrUnavailable}
+	hub, host := newFollower(t, hubList, c), newFollower(t, hostList, c)
+	exchange := func() []byte {
+		assert.NilError(t, hub.Section().Collect(c.now, "host", host.Section().Report(c.now)))
+		summary := hub.Section().Summary(c.now, "host")
+		assert.NilError(t, host.Section().Apply(c.now, c.now, "hub", summary))
+		return summary
+	}
+	hub.Step(t.Context())
+	t.Run("the hub's list is taken as it is", func(t *testing.T) {
+		host.Section().Report(c.now)
+		summary := hub.Section().Summary(c.now, "host")
+		assert.NilError(t, host.Section().Apply(c.now, c.now, "hub", summary))
+		assert.DeepEqual(t, host.Endpoints(), hub.Endpoints())
+	})
+	t.Run("it is sent once only", func(t *testing.T) {
+		exchange()
+		assert.Assert(t, len(exchange()) < 60)
+	})
+	t.Run("it spares a reading while it is new", func(t *testing.T) {
+		c.now = c.now.Add(500 * time.Millisecond)
+		host.Step(t.Context())
+		assert.Equal(t, hostList.calls, 0)
+		c.now = c.now.Add(time.Second)
+		host.Step(t.Context())
+		assert.Equal(t, hostList.calls, 1)
+	})
+	t.Run("an older list replaces no newer one", func(t *testing.T) {
+		hostList.err, hostList.listed = nil, []winch.EndpointStatus{status("c", winch.EndpointReady)}
+		host.Step(t.Context())
+		exchange()
+		assertStates(t, host, winch.EndpointReady)
+	})
+	t.Run("malformed", func(t *testing.T) {
+		assert.ErrorIs(t, host.Section().Apply(c.now, c.now, "hub", []byte("{")), winch.ErrInvalid)
+		assert.ErrorIs(t, hub.Section().Collect(c.now, "host", []byte("{")), winch.ErrInvalid)
+	})
+}
--- /dev/null
+++ b/winchd/logs/writer_test.go
@@ -0,0 +1,71 @@
+package logs
+
+import (
+	"bytes"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// gate is a target that holds the first write until it is opened.
+type gate struct {
+	open chan struct{}
+	once sync.Once
+
+	mu      sync.Mutex
+	written bytes.Buffer
+}
+
+func (g *gate) Write(data []byte) (int, error) {
+	g.once.Do(func() { <-g.open })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.written.Write(data)
+}
+
+func line(t *testing.T, w *Writer, text string) {
+	t.Helper()
+	count, err := w.Write([]byte(text + "\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, count, len(text)+1)
+}
+
+func TestWriter(t *testing.T) {
+	t.Run("writes all lines in their order", func(t *testing.T) {
+		target := &gate{open: make(chan struct{})}
+		close(target.open)
+		w := New(target, 100)
+		for _, text := range []string{"a", "b", "c"} {
+			line(t, w, text)
+		}
+		assert.NilError(t, w.Close())
+		assert.Equal(t, target.written.String(), "a\nb\nc\n")
+	})
+	t.Run("never blocks, and tells how many lines were dropped", func(t *testing.T) {
+		target := &gate{open: make(chan struct{})}
+		w := New(target, 2)
+		for range 50 {
+			line(t, w, "x")
+		}
+		close(target.open)
+		assert.NilError(t, w.Close())
+		written, dropped := target.written.String(), 0
+		for _, match := range regexp.MustCompile(`"Dropped":(\d+)`).FindAllStringSubmatch(written, -1) {
+			count, err := strconv.Atoi(match[1])
+			assert.NilError(t, err)
+			dropped += count
+		}
+		assert.Assert(t, dropped > 0)
+		assert.Equal(t, strings.Count(written, "x\n")+dropped, 50, "each line is written or counted")
+	})
+	t.Run("takes lines after its end", func(t *testing.T) {
+		w := New(&bytes.Buffer{}, 2)
+		assert.NilError(t, w.Close())
+		line(t, w, "late")
+		assert.NilError(t, w.Close())
+	})
+}
