--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -33,6 +33,11 @@
 	defaultPollEvery = 600 * time.Millisecond
 	// warnEvery is the number of failed calls between two warnings.
 	warnEvery = 10
+	// outageAge is the age of the last list from which the next one counts as the first after an outage.
+	outageAge = 1500 * time.Millisecond
+	// returnTime is the time after an outage in which endpoints whose entries lapsed meanwhile
+	// enter themselves again.
+	returnTime = 1800 * time.Millisecond
 	// leaveSlack is the difference of two statements of a leave time that says nothing new.
 	leaveSlack = 500 * time.Millisecond
 )
@@ -59,6 +64,8 @@
 	changed chan struct{}
 	// known are the hashes of the lists that other hosts have, at the hub.
 	known map[winch.HostID]uint64
+	// returnUntil is until when endpoints stay that are missing after an outage.
+	returnUntil time.Time
 	// ownAt is when this host read the list last.
 	ownAt time.Time
 	// failures counts the failed calls in a row; only Run uses it.
@@ -96,10 +103,31 @@
 		f.options.Logger.Info("endpoint list regained", "Event", EventListRegained, "Failures", f.failures)
 		f.failures = 0
 	}
+	f.take(sent, f.afterOutage(sent, listed))
+}
+
+// afterOutage adds the endpoints that are missing for a while after an outage, since
+// entries lapse while the list is away, and their endpoints have to enter themselves again.
+func (f *Follower) afterOutage(sent time.Time, listed []winch.EndpointStatus) []winch.EndpointStatus {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.ownAt = sent
-	f.mu.Unlock()
-	f.take(sent, listed)
+	if !f.readAt.IsZero() && sent.Sub(f.readAt) > outageAge {
+		f.returnUntil = sent.Add(returnTime)
+	}
+	if !sent.Before(f.returnUntil) {
+		return listed
+	}
+	present := map[winch.EndpointID]bool{}
+	for _, status := range listed {
+		present[status.Endpoint.ID] = true
+	}
+	for _, status := range f.current {
+		if !present[status.Endpoint.ID] {
+			listed = append(listed, status)
+		}
+	}
+	return listed
 }
 
 // relayed tells whether another host's list is new enough to spare a reading.
--- a/placement/registry/follower_test.go
+++ b/placement/registry/follower_test.go
@@ -86,6 +86,23 @@
 		assert.Equal(t, ordered[0].Pool, winch.ScalingPool("pool", "a", winch.SupplyCheap))
 		assert.Equal(t, len(f.In("b").Current()), 0)
 	})
+	t.Run("entries that lapsed in an outage have time to come back", func(t *testing.T) {
+		whole := l.listed
+		l.err = winch.ErrUnavailable
+		f.Step(t.Context())
+		c.now = c.now.Add(4 * time.Second)
+		l.err, l.listed = nil, whole[:1]
+		f.Step(t.Context())
+		assertStates(t, f, winch.EndpointReady, winch.EndpointLeaving)
+		c.now = c.now.Add(time.Second)
+		f.Step(t.Context())
+		assertStates(t, f, winch.EndpointReady, winch.EndpointLeaving)
+		c.now = c.now.Add(time.Second)
+		f.Step(t.Context())
+		assert.Equal(t, len(f.Endpoints()), 1, "one that is still missing is gone")
+		l.listed = whole
+		f.Step(t.Context())
+	})
 	t.Run("an entry that is gone", func(t *testing.T) {
 		l.listed = l.listed[1:]
 		f.Step(t.Context())
@@ -120,7 +137,7 @@
 		c.now = c.now.Add(500 * time.Millisecond)
 		host.Step(t.Context())
 		assert.Equal(t, hostList.calls, 0)
-		c.now = c.now.Add(time.Second)
+		c.now = c.now.Add(600 * time.Millisecond)
 		host.Step(t.Context())
 		assert.Equal(t, hostList.calls, 1)
 	})
--- a/serving/caller/drain.go
+++ b/serving/caller/drain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/serving/internal/open"
 )
 
 // Draining reports whether a stop has begun; the host is then not ready for new connections.
@@ -21,7 +22,7 @@
 func (s *Server) Drain(ctx context.Context) error {
 	s.options.Logger.Info("stop begun", "Event", EventDrainBegun, "Open", s.open.Count())
 	defer s.stopWatch.Do(func() { close(s.stopped) })
-	cut := s.drain.Run(ctx, s.open, s.options.Limits.ReadinessDelay, errStopping)
+	cut := s.drain.Run(ctx, s.open, open.Stop{ReadinessDelay: s.options.Limits.ReadinessDelay, Cause: errStopping})
 	s.background.Wait()
 	if cut == 0 {
 		s.options.Logger.Info("stop ended", "Event", EventDrainEnded, "Cut", 0)
--- a/serving/forward/admit.go
+++ b/serving/forward/admit.go
@@ -165,5 +165,8 @@
 }
 
 func unread(err error) *fault {
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
+		return left()
+	}
 	return &fault{status: http.StatusBadRequest, reason: "body_unread", message: "the body could not be read", cause: err}
 }
--- a/serving/forward/fault.go
+++ b/serving/forward/fault.go
@@ -20,6 +20,10 @@
 	errSlowAttempt = errors.New("attempt took too long")
 )
 
+// stoppingRetry is when a caller should come back that a stopping host refuses: a new
+// connection reaches another host.
+const stoppingRetry = 50 * time.Millisecond
+
 // reasonCallerLeft is the reason of requests whose caller went away.
 const reasonCallerLeft = "caller_left"
 
@@ -79,7 +83,7 @@
 	case errors.Is(cause, errStopping) && sent:
 		return lost("stopping")
 	case errors.Is(cause, errStopping):
-		return notRun(string(winch.RefusedStopping), defaultUnreadyRetry)
+		return notRun(string(winch.RefusedStopping), stoppingRetry)
 	}
 	return left()
 }
--- a/serving/forward/options.go
+++ b/serving/forward/options.go
@@ -36,6 +36,10 @@
 	// ReadinessDelay is how long connections are still taken once a stop began, until the
 	// balancer has noticed.
 	ReadinessDelay time.Duration
+	// TakeStreams is how long streams are taken once a stop began, and Take how long other
+	// requests are, on connections that callers still use. Neither is shorter than ReadinessDelay.
+	TakeStreams time.Duration
+	Take        time.Duration
 	// RejectLimit is the age of the evidence for the configuration up to which it decides that
 	// a route or a key does not exist.
 	RejectLimit time.Duration
--- a/serving/forward/record.go
+++ b/serving/forward/record.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
@@ -73,7 +74,7 @@
 	s.options.Logger.Info("request done", "Event", EventForwardDone, "Request", string(req.ID), "Route", string(route), "Class", string(class),
 		"Organisation", string(req.grant.organisation), "Status", status, "Reason", reason, "RetryAfter", after,
 		"RunState", string(req.ledger.RunState()), "Revision", revision, "ProofAge", req.proofAge.String(), "First", req.first.String(),
-		"Took", took.String(), "Left", req.deadline.Sub(req.arrived.Add(took)).String(), "LastEvent", req.lastEvent, "Pause", req.pause.String(),
+		"Took", took.String(), "Left", req.left(took).String(), "LastEvent", req.lastEvent, "Pause", req.pause.String(),
 		"Attempts", attemptsText(req.attempts), "Path", s.pathOf(req, status))
 	labels := metric.WithAttributes(attribute.String("class", string(class)), attribute.Int("status", status), attribute.String("reason", reason))
 	ctx := context.WithoutCancel(req.own)
@@ -91,6 +92,14 @@
 	}
 }
 
+// left returns what is left of the request's time; zero when it was not admitted.
+func (req *request) left(took time.Duration) time.Duration {
+	if req.deadline.IsZero() {
+		return 0
+	}
+	return req.deadline.Sub(req.arrived.Add(took))
+}
+
 // pathOf returns host and path where they explain why no route served the request.
 func (s *Server) pathOf(req *request, status int) string {
 	if status != http.StatusNotFound && req.grant.forward != nil {
--- a/serving/forward/server.go
+++ b/serving/forward/server.go
@@ -80,12 +80,15 @@
 // Open returns the number of open requests.
 func (s *Server) Open() int64 { return s.open.Count() }
 
-// Drain stops the server gracefully. Requests are still taken during the readiness
-// delay, then refused as not run; open ones are finished. What is open when the context
-// ends is cut off and reported as the error.
+// Drain stops the server gracefully. Requests are still taken for a while, streams for a
+// shorter one, then refused as not run; open ones are finished. What is open when the
+// context ends is cut off and reported as the error.
 func (s *Server) Drain(ctx context.Context) error {
 	s.options.Logger.Info("stop begun", "Event", EventDrainBegun, "Open", s.open.Count())
-	cut := s.drain.Run(ctx, s.open, s.options.Limits.ReadinessDelay, errStopping)
+	limits := &s.options.Limits
+	cut := s.drain.Run(ctx, s.open, open.Stop{
+		ReadinessDelay: limits.ReadinessDelay, TakeLong: limits.TakeStreams, Take: limits.Take, Cause: errStopping,
+	})
 	s.options.Logger.Info("stop ended", "Event", EventDrainEnded, "Cut", cut)
 	if cut == 0 {
 		return nil
@@ -117,7 +120,7 @@
 func (s *Server) accept(decoding error, req *request) *fault {
 	switch {
 	case s.drain.Refuses():
-		return notRun(string(winch.RefusedStopping), defaultUnreadyRetry)
+		return notRun(string(winch.RefusedStopping), stoppingRetry)
 	case decoding != nil:
 		return &fault{status: http.StatusBadRequest, reason: "bad_header", message: decoding.Error()}
 	case req.ID == "":
@@ -131,6 +134,9 @@
 	if f := s.admit(req.arrived, req); f != nil {
 		return f
 	}
+	if req.grant.forward.Kind == winch.ForwardStream && s.drain.RefusesLong() {
+		return notRun(string(winch.RefusedStopping), stoppingRetry)
+	}
 	limit := req.grant.configuration.ForwardLimits.BodyBytes
 	if limit <= 0 {
 		limit = s.options.Limits.Body
--- a/serving/internal/open/set.go
+++ b/serving/internal/open/set.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/arbutuswinch/winch"
 )
@@ -20,6 +21,7 @@
 type Set struct {
 	mutex   sync.Mutex
 	entries map[*Entry]bool
+	added   int64
 	// idle is closed when the last request ends, once somebody waits for that.
 	idle chan struct{}
 }
@@ -42,6 +44,7 @@
 	defer s.mutex.Unlock()
 	entry := &Entry{set: s, cancel: cancel}
 	s.entries[entry] = true
+	s.added++
 	return entry
 }
 
@@ -107,6 +110,39 @@
 	return len(s.entries)
 }
 
+// quietTime is how long no request may come until a server counts as unused: requests may
+// have been on their way when callers learnt of the stop.
+const quietTime = 250 * time.Millisecond
+
+// quiet waits until no request was open for the quiet time, or ctx ends, and reports which.
+func (s *Set) quiet(ctx context.Context) bool {
+	for {
+		select {
+		case <-s.Empty():
+		case <-ctx.Done():
+			return false
+		}
+		before := s.entered()
+		timer := time.NewTimer(quietTime)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return s.Count() == 0
+		}
+		if s.entered() == before {
+			return true
+		}
+	}
+}
+
+// entered returns how many requests were ever added.
+func (s *Set) entered() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.added
+}
+
 // Empty returns a channel that is closed when no request is open.
 func (s *Set) Empty() <-chan struct{} {
 	s.mutex.Lock()
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -45,6 +45,10 @@
 const (
 	// stopShare is the part of the grace time after which open requests are cut off.
 	stopShare = 0.88
+	// takeStreams is how long streams are still taken: later ones could not end within the grace time.
+	takeStreams = 2900 * time.Millisecond
+	// takeShare is the part of the grace time in which other requests are still taken.
+	takeShare = 0.6
 	// stopTimeout is for what is written at the end.
 	stopTimeout = 30 * time.Second
 	// readinessDelay is the time in which the balancer notices that the host is not ready.
@@ -230,7 +234,8 @@
 		Configurations: f.configuration, Dispatcher: f.dispatcher, Protocol: caller.Protocol{}, Sender: runner.New(f.exchanger),
 		Usage: f, Loads: f.dispatcher, Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
 		Limits: forward.Limits{
-			ReadinessDelay: readinessDelay, RejectLimit: rejectLimit(f.settings.Bounds), KeyLimit: keyLimit(f.settings.Bounds),
+			ReadinessDelay: readinessDelay, TakeStreams: takeStreams,
+			Take: time.Duration(float64(f.settings.Bounds.Grace) * takeShare), RejectLimit: rejectLimit(f.settings.Bounds), KeyLimit: keyLimit(f.settings.Bounds),
 		},
 	})
 	f.server = built
--- a/winchd/process/server.go
+++ b/winchd/process/server.go
@@ -56,6 +56,9 @@
 	}
 	server := khttp.NewServer(khttp.Address(address), khttp.Listener(listener), khttp.Timeout(0))
 	server.HandlePrefix("/", handler)
+	// The library ends the context of every request when the application begins to stop;
+	// requests that are open then are finished.
+	server.ConnContext = func(ctx context.Context, _ net.Conn) context.Context { return context.WithoutCancel(ctx) }
 	server.ReadHeaderTimeout = limits.ReadTimeout
 	server.MaxHeaderBytes = limits.HeaderLimit
 	server.IdleTimeout = limits.IdleTimeout
