--- a/dispatch/endpoint/log.go
+++ b/dispatch/endpoint/log.go
@@ -31,6 +31,11 @@
 	cause        string
 	lower        lowerWork
 	victimTier   winch.Tier
+	// toRead and ahead are the tokens of prompts to read of the request, and up to its end;
+	// figuresAge is how old the other hosts' part of them was.
+	toRead     winch.Tokens
+	ahead      winch.Tokens
+	figuresAge time.Duration
 }
 
 // line copies what the effect tells.
@@ -40,10 +45,14 @@
 		out.request, out.organisation, out.class = r.work.Request, r.work.Organisation, r.work.Class
 		out.group = group{model: r.work.Model, route: r.work.Route}
 		out.floor, out.movable, out.underWay, out.tokens = r.floor, r.movable(), r.underWay(), r.collected
+		out.toRead, out.ahead = r.toRead, r.ahead
 		if r.lane != nil {
 			out.victimTier = r.lane.class.Tier
 		}
 	}
+	if !c.appliedAt.IsZero() {
+		out.figuresAge = e.at.Sub(c.appliedAt)
+	}
 	if l := e.lane; l != nil {
 		out.class, out.tier, out.group, out.queued = l.key.class, l.class.Tier, l.key.group, l.queued
 	}
@@ -118,7 +127,8 @@
 		return
 	}
 	d.logger.Info("request routed", d.common(EventRouted, l, "Endpoint", string(l.endpoint), "Supply", string(l.supply),
-		"Running", l.running, "Limit", l.limit, "Waited", l.waited.String(), "Floor", l.floor, "Movable", l.movable)...)
+		"Running", l.running, "Limit", l.limit, "Waited", l.waited.String(), "Floor", l.floor, "Movable", l.movable,
+		"ToRead", int64(l.toRead), "Ahead", int64(l.ahead), "FiguresAge", l.figuresAge.String())...)
 }
 
 func (d *Dispatcher) logState(l *line) {
--- /dev/null
+++ b/serving/forward/record_test.go
@@ -0,0 +1,67 @@
+package forward
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+)
+
+// record reads the lines of the event.
+func recorded(t *testing.T, log *bytes.Buffer, event winch.EventNumber) []map[string]any {
+	t.Helper()
+	lines := []map[string]any{}
+	for _, text := range bytes.Split(bytes.TrimSpace(log.Bytes()), []byte("\n")) {
+		line := map[string]any{}
+		assert.NilError(t, json.Unmarshal(text, &line))
+		if line["Event"] == float64(event) {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+// TestEveryRequestHasItsLine holds each way in which a request ends to one line with what decided it.
+func TestEveryRequestHasItsLine(t *testing.T) {
+	cases := []struct {
+		name    string
+		path    string
+		header  []string
+		answers []answer
+		refusal *winch.Refusal
+		status  float64
+		reason  string
+		state   string
+		failed  int
+	}{
+		{name: "answered", path: "/safe/x", answers: []answer{{status: 200}}, status: 200, state: "ran"},
+		{name: "no route", path: "/none/x", status: 404, reason: "no_route", state: "not_run"},
+		{name: "unknown key", path: "/safe/x", header: []string{"X-Key", "other"}, status: 401, reason: "unknown_key", state: "not_run"},
+		{name: "malformed", path: "/safe/x", header: []string{"X-Timeout", "x"}, status: 400, reason: "bad_header", state: "not_run"},
+		{name: "refused", path: "/safe/x", refusal: &winch.Refusal{Reason: winch.RefusedWait}, status: 429, reason: "predicted_wait", state: "not_run"},
+		{name: "lost", path: "/once/x", answers: []answer{{err: errLost}}, status: 502, reason: "broken", state: "outcome_unknown", failed: 1},
+		{name: "tried twice", path: "/safe/x", answers: []answer{{err: errLost}, {status: 200}}, status: 200, state: "ran", failed: 1},
+		{name: "cut", path: "/chat/x", answers: []answer{{status: 200, body: event(1), breaks: true}}, status: 200, reason: "broken", state: "outcome_unknown", failed: 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			log := &bytes.Buffer{}
+			w := newWorld(t, c.answers...)
+			w.server.options.Logger = hclog.New(&hclog.LoggerOptions{Output: log, JSONFormat: true})
+			w.refusal = c.refusal
+			w.ask(c.path, c.header...)
+			w.front.Close()
+			lines := recorded(t, log, EventForwardDone)
+			assert.Equal(t, len(lines), 1)
+			assert.Equal(t, lines[0]["Request"], "r1")
+			assert.Equal(t, lines[0]["Status"], c.status)
+			assert.Equal(t, lines[0]["Reason"], c.reason)
+			assert.Equal(t, lines[0]["RunState"], c.state)
+			assert.Equal(t, len(recorded(t, log, EventAttemptFailed)), c.failed)
+		})
+	}
+}
