fix(placement): what has time to come back is not told to other hosts; one data centre keeps steady endpoints

Ruled out: the age of the relay (the hub's list was 0 s old), retries. Test: TestRelay 'what has time to come back at the hub is not told to others'.

--- a/placement/planner/prompts.go
+++ b/placement/planner/prompts.go
@@ -177,7 +177,9 @@
 	cheapPool := winch.ScalingPool(scaling.Model, centre, winch.SupplyCheap)
 	steadyPool := winch.ScalingPool(scaling.Model, centre, winch.SupplySteady)
 	cheap, steady := countReady(running, cheapPool), countReady(running, steadyPool)
-	want := wantedCheap(demand.peak, max(len(scaling.Costs), all.centres), scaling)
+	centres := max(len(scaling.Costs), all.centres)
+	want := wantedCheap(demand.peak, centres, scaling)
+	base := p.baseSteady(demand.peak, centres, steady, scaling)
 	taken := p.takenAway(now, cheapPool, cheap, scaling.StartTime)
 	standIn := p.hold(now, steadyPool, standIns(demand.now*p.options.Settings.Use/standInUse, all.ready-steady))
 	switch {
@@ -190,6 +192,7 @@
 	default:
 		standIn = min(steady, standIn)
 	}
+	standIn = max(standIn, base)
 	want = min(want, scaling.Max-standIn)
 	standIn = max(standIn, scaling.Min-want)
 	p.note(cheapPool, want, demand)
@@ -216,6 +219,20 @@
 	return min(max(want, scaling.Min, leastCheap), scaling.Max)
 }
 
+// baseSteady returns how many steady endpoints a data centre always has: none where others
+// bear the loss of its cheap ones, and in the only one as many as carry the peak by themselves.
+func (p *Prompts) baseSteady(peak float64, centres, steady int, scaling winch.Scaling) int {
+	if centres > 1 {
+		return 0
+	}
+	need := int(math.Ceil(peak * p.options.Settings.Use / standInUse))
+	if peak == 0 {
+		// Before any demand was seen, what runs stays.
+		need = steady
+	}
+	return min(max(need, scaling.Min), scaling.Max-1)
+}
+
 // standIns returns how many steady endpoints the demand asks for beside the ready ones.
 func standIns(demand float64, ready int) int { return max(0, int(math.Ceil(demand))-ready) }
 
--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -57,9 +57,12 @@
 type Follower struct {
 	options Options
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// listed is the newest list, which other hosts are told, and hash its hash.
+	listed []winch.EndpointStatus
+	hash   uint64
+	// current is listed with the endpoints that have time to come back.
 	current []winch.EndpointStatus
-	hash    uint64
 	readAt  time.Time
 	changed chan struct{}
 	// known are the hashes of the lists that other hosts have, at the hub.
@@ -103,21 +106,23 @@
 		f.options.Logger.Info("endpoint list regained", "Event", EventListRegained, "Failures", f.failures)
 		f.failures = 0
 	}
-	f.take(sent, f.afterOutage(sent, listed))
+	f.mu.Lock()
+	f.ownAt = sent
+	f.mu.Unlock()
+	f.take(sent, listed)
 }
 
 // afterOutage adds the endpoints that are missing for a while after an outage, since
-// entries lapse while the list is away, and their endpoints have to enter themselves again.
-func (f *Follower) afterOutage(sent time.Time, listed []winch.EndpointStatus) []winch.EndpointStatus {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.ownAt = sent
-	if !f.readAt.IsZero() && sent.Sub(f.readAt) > outageAge {
-		f.returnUntil = sent.Add(returnTime)
+// entries lapse while the list is away, and their endpoints have to enter themselves
+// again. Other hosts are not told of those: they may know better.
+func (f *Follower) afterOutage(at time.Time, listed []winch.EndpointStatus) []winch.EndpointStatus {
+	if !f.readAt.IsZero() && at.Sub(f.readAt) > outageAge {
+		f.returnUntil = at.Add(returnTime)
 	}
-	if !sent.Before(f.returnUntil) {
+	if !at.Before(f.returnUntil) {
 		return listed
 	}
+	listed = slices.Clone(listed)
 	present := map[winch.EndpointID]bool{}
 	for _, status := range listed {
 		present[status.Endpoint.ID] = true
@@ -127,9 +132,14 @@
 			listed = append(listed, status)
 		}
 	}
+	sortByID(listed)
 	return listed
 }
 
+func sortByID(listed []winch.EndpointStatus) {
+	slices.SortFunc(listed, func(a, b winch.EndpointStatus) int { return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID) })
+}
+
 // relayed tells whether another host's list is new enough to spare a reading.
 func (f *Follower) relayed(now time.Time) bool {
 	f.mu.Lock()
@@ -149,19 +159,19 @@
 
 // take replaces the list, and logs what changed.
 func (f *Follower) take(at time.Time, listed []winch.EndpointStatus) {
-	slices.SortFunc(listed, func(a, b winch.EndpointStatus) int { return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID) })
+	sortByID(listed)
 	f.mu.Lock()
-	before := f.current
-	f.readAt = at
-	same := slices.EqualFunc(before, listed, equal)
+	before, after := f.current, f.afterOutage(at, listed)
+	f.listed, f.hash, f.readAt = listed, hashOf(listed), at
+	same := slices.EqualFunc(before, after, equal)
 	if !same {
-		f.current, f.hash = listed, hashOf(listed)
+		f.current = after
 		close(f.changed)
 		f.changed = make(chan struct{})
 	}
 	f.mu.Unlock()
 	if !same {
-		f.logChanges(before, listed)
+		f.logChanges(before, after)
 	}
 }
 
--- a/placement/registry/follower_test.go
+++ b/placement/registry/follower_test.go
@@ -147,6 +147,16 @@
 		exchange()
 		assertStates(t, host, winch.EndpointReady)
 	})
+	t.Run("what has time to come back at the hub is not told to others", func(t *testing.T) {
+		c.now = c.now.Add(4 * time.Second)
+		hubList.listed = []winch.EndpointStatus{status("a", winch.EndpointReady)}
+		hub.Step(t.Context())
+		assertStates(t, hub, winch.EndpointReady, winch.EndpointLeaving)
+		hostList.listed = hubList.listed
+		host.readAt = c.now.Add(-100 * time.Millisecond)
+		exchange()
+		assertStates(t, host, winch.EndpointReady)
+	})
 	t.Run("malformed", func(t *testing.T) {
 		assert.ErrorIs(t, host.Section().Apply(c.now, c.now, "hub", []byte("{")), winch.ErrInvalid)
 		assert.ErrorIs(t, hub.Section().Collect(c.now, "host", []byte("{")), winch.ErrInvalid)
--- a/placement/registry/section.go
+++ b/placement/registry/section.go
@@ -54,6 +54,9 @@
 
 // Collect notes which list a host has.
 func (s section) Collect(_ time.Time, from winch.HostID, report []byte) error {
+	if len(report) == 0 {
+		return nil
+	}
 	wire := listWire{}
 	if err := json.Unmarshal(report, &wire); err != nil {
 		return fmt.Errorf("decode list of %s: %w: %w", from, winch.ErrInvalid, err)
@@ -85,15 +88,15 @@
 	}
 	readAt := sent.Add(-time.Duration(wire.AgeMS) * time.Millisecond)
 	s.f.mu.Lock()
-	older, same := !readAt.After(s.f.readAt), wire.Hash == s.f.hash
-	if !older && same {
-		s.f.readAt = readAt
+	older, listed := !readAt.After(s.f.readAt), s.f.listed
+	if wire.Hash != s.f.hash {
+		listed = decodeEndpoints(sent, wire.Endpoints)
 	}
 	s.f.mu.Unlock()
-	if older || same || wire.Endpoints == nil {
+	if older || wire.Hash != hashOf(listed) {
 		return nil
 	}
-	s.f.take(readAt, decodeEndpoints(sent, wire.Endpoints))
+	s.f.take(readAt, listed)
 	return nil
 }
 
@@ -105,12 +108,12 @@
 
 // encode tells the list to a host that has the one with the known hash.
 func (f *Follower) encode(now time.Time, known uint64) []byte {
-	if f.current == nil {
+	if f.listed == nil {
 		return nil
 	}
 	wire := listWire{Hash: f.hash, AgeMS: max(0, now.Sub(f.readAt).Milliseconds()+1)}
 	if known != f.hash {
-		wire.Endpoints = encodeEndpoints(now, f.current)
+		wire.Endpoints = encodeEndpoints(now, f.listed)
 	}
 	encoded, err := json.Marshal(wire)
 	if err != nil {
--- a/serving/forward/relay.go
+++ b/serving/forward/relay.go
@@ -71,7 +71,7 @@
 	if req.first == 0 {
 		req.first = now.Sub(req.arrived)
 	}
-	if req.counted || req.grant.organisation == "" {
+	if req.counted {
 		return
 	}
 	req.counted = true
