--- /dev/null
+++ b/internal/dependency/dependency_test.go
@@ -0,0 +1,27 @@
+package dependency
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+)
+
+func TestLines(t *testing.T) {
+	log := &bytes.Buffer{}
+	d := New("store", hclog.New(&hclog.LoggerOptions{Output: log, JSONFormat: true}), 1, 2)
+	d.Note(nil)
+	d.Note(context.Canceled)
+	assert.Equal(t, log.Len(), 0)
+	for range warnEvery + 1 {
+		d.Note(errors.New("away"))
+	}
+	assert.Equal(t, strings.Count(log.String(), "store failed"), 2, "at the loss, and once in a while")
+	d.Note(nil)
+	d.Note(nil)
+	assert.Equal(t, strings.Count(log.String(), "store regained"), 1)
+}
--- a/membership/keyvalue/registry.go
+++ b/membership/keyvalue/registry.go
@@ -27,6 +27,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/dependency"
 	"github.com/arbutuswinch/winch/internal/periodic"
 )
 
@@ -39,8 +40,6 @@
 	renewalsPerTTL = 4
 	// endTimeout bounds the removal of the entry at the end.
 	endTimeout = time.Second
-	// warnEvery is the number of failed calls between two warnings.
-	warnEvery = 10
 )
 
 // Options are the settings of a registry. The zero value of TTL stands for 12 s.
@@ -56,8 +55,9 @@
 type Registry struct {
 	options Options
 	// lease is zero while the host is not entered. Only Run uses it.
-	lease    winch.LeaseID
-	failures int
+	lease winch.LeaseID
+	// entry logs the loss and the return of the entry. Only Run uses it.
+	entry *dependency.Dependency
 }
 
 // New returns a registry, which enters nothing until Run.
@@ -66,7 +66,9 @@
 		return nil, fmt.Errorf("create host registry: Store, Self and Logger are needed: %w", winch.ErrInvalid)
 	}
 	options.TTL = cmp.Or(options.TTL, defaultTTL)
-	return &Registry{options: options}, nil
+	return &Registry{
+		options: options, entry: dependency.New("host entry", options.Logger, EventEntryFailed, EventEntryRegained),
+	}, nil
 }
 
 // Run keeps the host entered until ctx ends, and then removes the entry. It returns nil.
@@ -84,19 +86,7 @@
 }
 
 // step renews the entry, or enters the host anew.
-func (r *Registry) step(ctx context.Context) {
-	err := r.renew(ctx)
-	switch {
-	case err == nil && r.failures > 0:
-		r.options.Logger.Info("host entry regained", "Event", EventEntryRegained, "Failures", r.failures)
-		r.failures = 0
-	case err != nil && ctx.Err() == nil:
-		if r.failures%warnEvery == 0 {
-			r.options.Logger.Warn("host entry failed", "Event", EventEntryFailed, "Error", err)
-		}
-		r.failures++
-	}
-}
+func (r *Registry) step(ctx context.Context) { r.entry.Note(r.renew(ctx)) }
 
 func (r *Registry) renew(ctx context.Context) error {
 	if r.lease != 0 {
--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -17,7 +17,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -26,13 +25,12 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/dependency"
 	"github.com/arbutuswinch/winch/internal/periodic"
 )
 
 const (
 	defaultPollEvery = 600 * time.Millisecond
-	// warnEvery is the number of failed calls between two warnings.
-	warnEvery = 10
 	// outageAge is the age of the last list from which the next one counts as the first after an outage.
 	outageAge = 1500 * time.Millisecond
 	// returnTime is the time after an outage in which endpoints whose entries lapsed meanwhile
@@ -71,8 +69,8 @@
 	returnUntil time.Time
 	// ownAt is when this host read the list last.
 	ownAt time.Time
-	// failures counts the failed calls in a row; only Run uses it.
-	failures int
+	// list logs the loss and the return of the list; only Run uses it.
+	list *dependency.Dependency
 }
 
 var _ winch.EndpointSource = (*Follower)(nil)
@@ -83,7 +81,10 @@
 		return nil, fmt.Errorf("create endpoint follower: Lister, Clock and Logger are needed: %w", winch.ErrInvalid)
 	}
 	options.PollEvery = cmp.Or(options.PollEvery, defaultPollEvery)
-	return &Follower{options: options, changed: make(chan struct{}), known: map[winch.HostID]uint64{}}, nil
+	return &Follower{
+		options: options, changed: make(chan struct{}), known: map[winch.HostID]uint64{},
+		list: dependency.New("endpoint list", options.Logger, EventListFailed, EventListRegained),
+	}, nil
 }
 
 // Run reads the list until ctx ends. It returns nil.
@@ -98,14 +99,10 @@
 		return
 	}
 	listed, err := f.options.Lister.ListEndpoints(ctx, sent)
+	f.list.Note(err)
 	if err != nil {
-		f.failed(err)
 		return
 	}
-	if f.failures > 0 {
-		f.options.Logger.Info("endpoint list regained", "Event", EventListRegained, "Failures", f.failures)
-		f.failures = 0
-	}
 	f.mu.Lock()
 	f.ownAt = sent
 	f.mu.Unlock()
@@ -147,16 +144,6 @@
 	return f.readAt.After(f.ownAt) && now.Sub(f.readAt) <= f.options.Relayed
 }
 
-func (f *Follower) failed(err error) {
-	if errors.Is(err, context.Canceled) {
-		return
-	}
-	if f.failures%warnEvery == 0 {
-		f.options.Logger.Warn("endpoint list failed", "Event", EventListFailed, "Failures", f.failures, "Error", err)
-	}
-	f.failures++
-}
-
 // take replaces the list, and logs what changed.
 func (f *Follower) take(at time.Time, listed []winch.EndpointStatus) {
 	sortByID(listed)
--- a/release/source/follower.go
+++ b/release/source/follower.go
@@ -23,7 +23,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -31,14 +30,13 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/dependency"
 	"github.com/arbutuswinch/winch/internal/periodic"
 )
 
 const (
 	defaultPollEvery      = 600 * time.Millisecond
 	defaultFreshnessLimit = 4 * time.Second
-	// warnEvery is the number of failed calls between two warnings.
-	warnEvery = 10
 )
 
 // Options are the settings of a follower. The zero value of a duration stands for its default.
@@ -67,8 +65,8 @@
 	hubVersion winch.Version
 	// ownAt is when this host read the source last.
 	ownAt time.Time
-	// failures counts the failed calls in a row; only Run uses it.
-	failures int
+	// source logs the loss and the return of the source; only Run uses it.
+	source *dependency.Dependency
 }
 
 var _ winch.ConfirmedConfigurations = (*Follower)(nil)
@@ -83,6 +81,7 @@
 	return &Follower{
 		options: options, state: state{configuration: &winch.Configuration{}},
 		changed: make(chan struct{}), reports: map[winch.HostID]evidence{},
+		source: dependency.New("configuration source", options.Logger, EventSourceFailed, EventSourceRegained),
 	}, nil
 }
 
@@ -108,7 +107,7 @@
 		f.mu.Unlock()
 		err = f.take(raw, version, sent, "source")
 	}
-	f.note(err)
+	f.source.Note(err)
 }
 
 // take brings in what was the newest at the instant confirmed. Raw is nil for evidence only.
@@ -138,21 +137,6 @@
 	return nil
 }
 
-// note logs when the source is lost and regained.
-func (f *Follower) note(err error) {
-	switch {
-	case err == nil && f.failures > 0:
-		f.options.Logger.Info("configuration source regained", "Event", EventSourceRegained, "Failures", f.failures)
-		f.failures = 0
-	case err != nil && errors.Is(err, context.Canceled):
-	case err != nil:
-		if f.failures%warnEvery == 0 {
-			f.options.Logger.Warn("configuration source failed", "Event", EventSourceFailed, "Failures", f.failures, "Error", err)
-		}
-		f.failures++
-	}
-}
-
 // SetFreshnessLimit changes the age of the evidence up to which keys are honoured.
 func (f *Follower) SetFreshnessLimit(limit time.Duration) {
 	f.mu.Lock()
--- a/winchd/daemon/daemon.go
+++ b/winchd/daemon/daemon.go
@@ -13,10 +13,8 @@
 import (
 	"context"
 	"fmt"
-	"syscall"
 	"time"
 
-	"github.com/go-kratos/kratos/v2"
 	"github.com/go-kratos/kratos/v2/transport"
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
@@ -32,9 +30,6 @@
 // callerIdleTimeout is how long callers may keep a connection without using it.
 const callerIdleTimeout = 2 * time.Minute
 
-// stopTimeout is longer than the time for which usage counts are written at the end.
-const stopTimeout = 30 * time.Second
-
 // Daemon is one entry host's process.
 type Daemon struct {
 	settings    settings.Settings
@@ -145,24 +140,10 @@
 
 // Run serves until a signal asks for a stop. A planned stop finishes open requests first.
 func (d *Daemon) Run() error {
-	app := kratos.New(
-		kratos.Name("winchd"),
-		kratos.ID(string(d.settings.Host)),
-		kratos.Version(d.version),
-		kratos.Logger(process.KratosLogger{Logger: d.logger}),
-		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
-		kratos.StopTimeout(stopTimeout),
-		kratos.Server(d.servers...),
-		kratos.BeforeStop(d.drain),
-	)
-	d.logger.Info("started", "Event", process.EventStarted, "Host", d.settings.Host, "DataCentre", d.settings.DataCentre,
-		"Incarnation", d.incarnation, "Version", d.version, "Caller", d.settings.Caller.Address)
-	err := app.Run()
-	d.logger.Info("stopped", "Event", process.EventStopped, "Error", err)
-	if err != nil {
-		return fmt.Errorf("run: %w", err)
-	}
-	return nil
+	return process.Application{
+		Host: d.settings.Host, Version: d.version, Logger: d.logger, Servers: d.servers, Drain: d.drain,
+		Started: []any{"DataCentre", d.settings.DataCentre, "Incarnation", d.incarnation, "Caller", d.settings.Caller.Address},
+	}.Run()
 }
 
 // drain is the planned stop: the host hands its duties on, reports that it is not
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -15,10 +15,8 @@
 	"fmt"
 	"net/http"
 	"runtime/debug"
-	"syscall"
 	"time"
 
-	"github.com/go-kratos/kratos/v2"
 	"github.com/go-kratos/kratos/v2/transport"
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
@@ -49,8 +47,6 @@
 	takeStreams = 2900 * time.Millisecond
 	// takeShare is the part of the grace time in which other requests are still taken.
 	takeShare = 0.6
-	// stopTimeout is for what is written at the end.
-	stopTimeout = 30 * time.Second
 	// readinessDelay is the time in which the balancer notices that the host is not ready.
 	readinessDelay = 2500 * time.Millisecond
 	// keyMargin is taken off the time after which a withdrawn key admits no request: what
@@ -329,24 +325,10 @@
 
 // Run serves until a signal asks for a stop. A planned stop finishes open requests first.
 func (f *Forwarder) Run() error {
-	app := kratos.New(
-		kratos.Name("winchd"),
-		kratos.ID(string(f.settings.Host)),
-		kratos.Version(f.version),
-		kratos.Logger(process.KratosLogger{Logger: f.logger}),
-		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
-		kratos.StopTimeout(stopTimeout),
-		kratos.Server(f.servers...),
-		kratos.BeforeStop(f.drain),
-	)
-	f.logger.Info("started", "Event", process.EventStarted, "Host", f.settings.Host, "DataCentre", f.settings.DataCentre,
-		"Incarnation", f.incarnation, "Version", f.version, "Caller", f.settings.Caller.Address)
-	err := app.Run()
-	f.logger.Info("stopped", "Event", process.EventStopped, "Error", err)
-	if err != nil {
-		return fmt.Errorf("run: %w", err)
-	}
-	return nil
+	return process.Application{
+		Host: f.settings.Host, Version: f.version, Logger: f.logger, Servers: f.servers, Drain: f.drain,
+		Started: []any{"DataCentre", f.settings.DataCentre, "Incarnation", f.incarnation, "Caller", f.settings.Caller.Address},
+	}.Run()
 }
 
 // drain is the planned stop: the host reports that it is not ready, and finishes what is open.
--- a/winchd/process/server.go
+++ b/winchd/process/server.go
@@ -114,17 +114,17 @@
 	}
 }
 
-// KratosLogger passes kratos's own lines on to hclog.
-type KratosLogger struct {
-	Logger hclog.Logger
+// kratosLogger passes kratos's own lines on to hclog.
+type kratosLogger struct {
+	logger hclog.Logger
 }
 
 // Log writes one line of kratos.
-func (l KratosLogger) Log(level klog.Level, keyvals ...any) error {
+func (l kratosLogger) Log(level klog.Level, keyvals ...any) error {
 	if level >= klog.LevelWarn {
-		l.Logger.Warn("kratos", append([]any{"Event", EventLibrary}, keyvals...)...)
+		l.logger.Warn("kratos", append([]any{"Event", EventLibrary}, keyvals...)...)
 		return nil
 	}
-	l.Logger.Debug("kratos", append([]any{"Event", EventLibrary}, keyvals...)...)
+	l.logger.Debug("kratos", append([]any{"Event", EventLibrary}, keyvals...)...)
 	return nil
 }
