fix(dispatch): credit for retries fades, and hosts divide what all may spend

Cause: read-through: a host could save up 100 retries from a calm time, and took an eighth of the common floor however many hosts there are; six hosts together could spend 600 in a window that allows 94 (21 requests a second, ratio 0.2, 52 besides). Test: TestRetriesOfAllHosts plays ten calm minutes and a failing service; TestRetryFloorOfAllHosts.

--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -173,7 +173,10 @@
 	if budget, found := c.budgets[g]; found {
 		return budget
 	}
-	budget := &retryBudget{}
+	budget := &retryBudget{window: c.settings.RetryWindow}
+	if c.settings.RetryFloorAll > 0 {
+		budget.burst = max(1, c.settings.RetryFloorAll/float64(max(c.settings.RetryHosts, 1))*retryBurstTime.Seconds())
+	}
 	c.budgets[g] = budget
 	return budget
 }
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -58,7 +58,9 @@
 	self     winch.Host
 	rank     int // of this host among those of its data centre
 	hosts    int
-	hostIDs  []winch.HostID // of its data centre, sorted
+	// hostsMost is the most hosts that were known at once.
+	hostsMost int
+	hostIDs   []winch.HostID // of its data centre, sorted
 
 	configuration *winch.Configuration
 	endpoints     map[winch.EndpointID]*endpoint
@@ -348,7 +350,7 @@
 	switch outcome {
 	case winch.OutcomeDone:
 		r.lane.hold.add(now.Sub(r.grantedAt).Seconds(), holdWeight)
-		r.lane.budget.success(c.settings.RetryShare)
+		r.lane.budget.success(now, c.settings.RetryShare)
 		if r.plain() {
 			r.lane.firstToken.add(now.Sub(r.grantedAt).Seconds(), sampleWeight)
 			r.endpoint.limit.sampleFirst(now.Sub(r.grantedAt).Seconds(), r.lane.class.FirstTokenTarget)
--- a/dispatch/endpoint/core_test.go
+++ b/dispatch/endpoint/core_test.go
@@ -138,7 +138,7 @@
 	t.Run("keeps a storm to the floor", func(t *testing.T) { assert.Equal(t, spent, retryFloorMax) })
 	t.Run("allows a share of successes", func(t *testing.T) {
 		for range 200 {
-			b.success(0.1)
+			b.success(now, 0.1)
 		}
 		spent := 0
 		for range 1000 {
--- a/dispatch/endpoint/dispatcher.go
+++ b/dispatch/endpoint/dispatcher.go
@@ -171,7 +171,7 @@
 // Retry spends from the retry budget of the work's model or route.
 func (d *Dispatcher) Retry(now time.Time, work winch.Work) bool {
 	d.lock.Lock()
-	allowed := d.core.budget(group{model: work.Model, route: work.Route}).spend(now, d.options.Settings.RetryFloor)
+	allowed := d.core.budget(group{model: work.Model, route: work.Route}).spend(now, d.core.retryFloor())
 	d.lock.Unlock()
 	if !allowed {
 		d.logger.Info("retry refused", "Event", EventRetryRefused, "At", stamp(now), "Request", string(work.Request),
--- a/dispatch/endpoint/log.go
+++ b/dispatch/endpoint/log.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/arbutuswinch/winch"
@@ -79,11 +80,14 @@
 	return names[outcome]
 }
 
+// centre is the data centre in which the host stands, also where the hosts of all exchange their figures.
+func (d *Dispatcher) centre() string { return string(cmp.Or(d.options.Home, d.core.self.DataCentre)) }
+
 // common are the fields that every line about a request has.
 func (d *Dispatcher) common(event winch.EventNumber, l *line, more ...any) []any {
 	fields := make([]any, 0, 18+len(more))
 	fields = append(fields, "Event", event, "At", stamp(l.at), "Host", string(d.core.self.ID),
-		"DataCentre", string(d.core.self.DataCentre), "Request", string(l.request), "Organisation", string(l.organisation),
+		"DataCentre", d.centre(), "Request", string(l.request), "Organisation", string(l.organisation),
 		"Class", string(l.class), "Tier", int(l.tier), "Group", l.group.String())
 	return append(fields, more...)
 }
@@ -132,7 +136,7 @@
 }
 
 func (d *Dispatcher) logState(l *line) {
-	fields := []any{"At", stamp(l.at), "Host", string(d.core.self.ID), "DataCentre", string(d.core.self.DataCentre)}
+	fields := []any{"At", stamp(l.at), "Host", string(d.core.self.ID), "DataCentre", d.centre()}
 	if l.endpoint != "" {
 		fields = append(fields, "Endpoint", string(l.endpoint))
 	} else {
--- a/dispatch/endpoint/options.go
+++ b/dispatch/endpoint/options.go
@@ -54,6 +54,14 @@
 	// second that are always allowed.
 	RetryShare float64
 	RetryFloor float64
+	// RetryFloorAll are the retries a second that are always allowed to all hosts together; when
+	// it is set, each host takes its part in place of RetryFloor.
+	RetryFloorAll float64
+	// RetryHosts is the least number of hosts among which RetryFloorAll is divided: a host that
+	// knows few others may be cut off from them.
+	RetryHosts int
+	// RetryWindow is the time over which the share of successes fades; zero stands for no end.
+	RetryWindow time.Duration
 	// LongInput and LongOutput are the tokens from which work is long; LongShare is its
 	// share of an endpoint that also serves a more urgent class.
 	LongInput  winch.Tokens
--- a/dispatch/endpoint/prompts_test.go
+++ b/dispatch/endpoint/prompts_test.go
@@ -203,3 +203,53 @@
 	assert.Assert(t, prompts > 0.95, "in time: %.2f", prompts)
 	assert.Assert(t, reported < 0.8, "in time by turns: %.2f", reported)
 }
+
+func TestRetryFloorOfAllHosts(t *testing.T) {
+	c := newCore(winch.Host{ID: "h"}, PolicyPrompts, Settings{RetryFloorAll: 4, RetryHosts: 8}, 1)
+	assert.Equal(t, c.retryFloor(), 0.5, "a host that knows no other assumes some")
+	hosts := make([]winch.Host, 40)
+	c.setHosts(hosts, nil)
+	assert.Equal(t, c.retryFloor(), 0.1)
+	c.setHosts(hosts[:3], nil)
+	assert.Equal(t, c.retryFloor(), 0.1, "a host that is cut off takes no larger part")
+}
+
+// TestRetriesOfAllHosts plays a long calm time and then a service that fails every request: all
+// hosts together repeat no more within a window than a fifth of the requests and a few besides.
+func TestRetriesOfAllHosts(t *testing.T) {
+	const (
+		hosts   = 6
+		perHost = 5 // requests a second
+		window  = 10 * time.Second
+		ratio   = 0.2
+		least   = 52
+	)
+	now := time.Unix(1000, 0)
+	cores := make([]*core, hosts)
+	for i := range cores {
+		cores[i] = newCore(winch.Host{ID: "h"}, PolicyPrompts, Settings{
+			RetryShare: 0.4 * ratio, RetryFloorAll: 0.4 * least / window.Seconds(), RetryHosts: 8, RetryWindow: window,
+		}, 1)
+		cores[i].setHosts(make([]winch.Host, hosts), nil)
+	}
+	step := time.Second / perHost
+	play := func(wait time.Duration, fails bool) int {
+		retries := 0
+		for end := now.Add(wait); now.Before(end); now = now.Add(step) {
+			for _, c := range cores {
+				b := c.budget(group{model: "desk"})
+				if !fails {
+					b.success(now, c.settings.RetryShare)
+				} else if b.spend(now, c.retryFloor()) {
+					retries++
+				}
+			}
+		}
+		return retries
+	}
+	play(10*time.Minute, false)
+	retries := play(window, true)
+	allowed := int(ratio*hosts*perHost*window.Seconds()) + least
+	assert.Assert(t, retries <= allowed, "%d of %d", retries, allowed)
+	assert.Assert(t, retries > least/2, "%d", retries)
+}
--- a/dispatch/endpoint/remote.go
+++ b/dispatch/endpoint/remote.go
@@ -128,6 +128,7 @@
 // rank, those of the others take requests over.
 func (c *core) setHosts(own []winch.Host, others []winch.Host) {
 	rank, hosts := 0, max(1, len(own))
+	c.hostsMost = max(c.hostsMost, hosts)
 	c.hostIDs = c.hostIDs[:0]
 	for i, host := range own {
 		c.hostIDs = append(c.hostIDs, host.ID)
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -206,19 +206,21 @@
 }
 
 const (
-	// hostsAssumed is the number of hosts among which the repeats are divided that are always allowed.
+	// hostsAssumed is the least number of hosts among which the repeats are divided that are always allowed.
 	hostsAssumed = 8
 	// retryShareUsed is the part of the allowed share of repeats that hosts use of themselves.
-	retryShareUsed = 0.6
+	retryShareUsed = 0.4
 	// retryFloorUsed is the same for the repeats that are always allowed.
-	retryFloorUsed = 0.7
+	retryFloorUsed = 0.4
 )
 
 func (f *Forwarder) dispatchSettings() dispatch.Settings {
 	bounds := f.settings.Bounds
 	return dispatch.Settings{
 		RetryShare:    bounds.RetryShare * retryShareUsed,
-		RetryFloor:    float64(bounds.RetryMinimum) / bounds.RetryWindow.Seconds() / hostsAssumed * retryFloorUsed,
+		RetryFloorAll: float64(bounds.RetryMinimum) / bounds.RetryWindow.Seconds() * retryFloorUsed,
+		RetryHosts:    hostsAssumed,
+		RetryWindow:   bounds.RetryWindow,
 		RetryAfterMin: 300 * time.Millisecond, RetryAfterMax: 5 * time.Second,
 		SilenceLimit: time.Second, RampTime: time.Second,
 	}
