test(faults): ports are reserved once for all tests of a process

A port is free between its release by the test and the host's listen; another parallel test could reserve it then. The log of a host that ended is shown now.

--- a/winchd/faults/system_test.go
+++ b/winchd/faults/system_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -83,7 +84,7 @@
 	}
 	for _, h := range s.hosts {
 		s.waitFor("host "+h.id+" answers", func() bool {
-			assert.Assert(t, h.process.running(), "host %s ended, see its log", h.id)
+			assert.Assert(t, h.process.running(), "host %s ended: %s", h.id, s.logOf(h))
 			return s.get(h, "/operator/hosts", nil) == nil
 		})
 	}
@@ -141,12 +142,20 @@
 	s.hosts = append(s.hosts, h)
 }
 
+// portsTaken are the ports that were reserved by any test of this process. One that a host
+// is about to listen on is free for a moment, in which another test must not take it.
+var portsTaken sync.Map
+
 // reservePort listens on a free loopback port below those that the system gives to
 // outgoing connections, until the host takes its place.
 func reservePort(t *testing.T) net.Listener {
 	t.Helper()
 	for range 100 {
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(portCount)))
+		port := lowestPort + rand.IntN(portCount)
+		if _, taken := portsTaken.LoadOrStore(port, true); taken {
+			continue
+		}
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err == nil {
 			t.Cleanup(func() { _ = listener.Close() })
 			return listener
@@ -239,6 +248,22 @@
 	return nil
 }
 
+// logOf returns the last lines that a host wrote.
+func (s *system) logOf(h *host) string {
+	text := ""
+	for _, suffix := range []string{".err", ".out"} {
+		content, err := os.ReadFile(h.log + suffix)
+		if err != nil {
+			content = []byte(err.Error())
+		}
+		text += string(content[max(0, len(content)-logTail):])
+	}
+	return text
+}
+
+// logTail is how many bytes of a log are shown.
+const logTail = 2000
+
 // keepLogs leaves the settings and logs of all processes in a directory when the test fails.
 func (s *system) keepLogs(name string) {
 	s.t.Cleanup(func() {
