fix(serving): a stop is not quiet beside an open request

Cause: a request that came between the end of the last one and the count counted as before the quiet time, so that new requests were refused beside it. The stop itself went on waiting for it, so nothing was cut.

--- a/serving/internal/open/drain_test.go
+++ b/serving/internal/open/drain_test.go
@@ -32,8 +32,14 @@
 func TestDrain(t *testing.T) {
 	t.Run("waits for a request that crosses the stop", func(t *testing.T) {
 		d, set := Drain{}, NewSet()
+		first := set.Add(func(error) {})
 		ended := begin(t.Context(), &d, set, Stop{ReadinessDelay: time.Millisecond, Take: time.Minute})
-		waitFor(t, "begins", d.Begun)
+		waitFor(t, "waits for the open request", func() bool {
+			set.mutex.Lock()
+			defer set.mutex.Unlock()
+			return set.idle != nil
+		})
+		set.Remove(first)
 		entry := set.Add(func(error) {})
 		select {
 		case <-ended:
--- a/serving/internal/open/set.go
+++ b/serving/internal/open/set.go
@@ -130,7 +130,7 @@
 			timer.Stop()
 			return s.Count() == 0
 		}
-		if s.entered() == before {
+		if s.entered() == before && s.Count() == 0 {
 			return true
 		}
 	}
