refactor(forward): drop what nothing reads

LastEvent stood behind a condition that its only writer makes needless (it starts at zero and only goes up; the sender itself leaves out zero).

Ruled out: a use by name in tests or other modules (build and vet of all).

Shown by: tests of the root, serving/forward, platform and winchd/logs, vet, formatter and linters on the packages touched.

--- a/forward.go
+++ b/forward.go
@@ -150,8 +150,6 @@
 	Timeout time.Duration
 	// LastEvent is the event after which a stream is to go on; zero stands for its start.
 	LastEvent int64
-	// Repeatable says that the call may run more than once.
-	Repeatable bool
 }
 
 // ForwardReply is the answer of an endpoint to a forwarded request. Body must be
--- a/serving/forward/attempt.go
+++ b/serving/forward/attempt.go
@@ -149,10 +149,7 @@
 func (s *Server) send(w http.ResponseWriter, req *request, a *attempt) error {
 	call := winch.ForwardCall{
 		Request: req.ForwardRequest, Body: req.body, Organisation: req.grant.organisation, Tier: req.grant.class.Tier,
-		Timeout: req.deadline.Sub(a.started), Repeatable: req.ledger.Repeatable,
-	}
-	if req.lastEvent > 0 {
-		call.LastEvent = req.lastEvent
+		Timeout: req.deadline.Sub(a.started), LastEvent: req.lastEvent,
 	}
 	reply, err := s.options.Sender.Forward(a.ctx, a.endpoint, call)
 	if err != nil {
--- a/winchd/logs/writer.go
+++ b/winchd/logs/writer.go
@@ -59,9 +59,6 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of lines that were dropped and not told of yet.
-func (w *Writer) Dropped() int64 { return w.dropped.Load() }
-
 // run writes what is queued, several lines at once where there are some.
 func (w *Writer) run() {
 	defer close(w.done)
