test(charge): wait until the receiver has taken all

Cause of the known red "bytes held back" (violations without it: 0, want 1): freeze read the receiver's counts as soon as the woken holder had ended. The receiver's server may not have read the holder's last bytes by then, so a violation came after the count.

Ruled out: a reset that drops the bytes at the receiver (no read ended in an error with late reads; Linux keeps what has arrived); the timers (off there); the successor's order not sent (its term was fresh).

The same gap could hide a violation in TestFrozenHolderCompletesNoOrder. Both now read late on purpose and count after every connection was read to its end. Without the wait: TestGuardsAreNeeded/bytes_held_back fails.

--- a/charge/fenced/frozen_test.go
+++ b/charge/fenced/frozen_test.go
@@ -6,11 +6,9 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -163,56 +161,6 @@
 	return command
 }
 
-type order struct {
-	Number  int64
-	ID      string
-	Padding string
-}
-
-// receiver takes orders. It refuses old numbers only when it checks them.
-type receiver struct {
-	checks bool
-
-	mu       sync.Mutex
-	highest  int64
-	accepted []order
-	// violations counts orders that were accepted after one of a later term.
-	violations int
-}
-
-func (r *receiver) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	got := order{}
-	if err := httpjson.Decode(w, request, 8<<20, &got); err != nil {
-		httpjson.WriteError(w, err)
-		return
-	}
-	if !r.take(got) {
-		httpjson.WriteError(w, winch.ErrFenced)
-		return
-	}
-	httpjson.Write(w, http.StatusOK, struct{}{})
-}
-
-func (r *receiver) take(got order) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.checks && got.Number < r.highest {
-		return false
-	}
-	if got.Number < r.highest {
-		r.violations++
-	}
-	r.highest = max(r.highest, got.Number)
-	r.accepted = append(r.accepted, got)
-	return true
-}
-
-func (r *receiver) counts() (accepted, violations int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.accepted), r.violations
-}
-
 // storeServer answers the key-value protocol's calls from a memory store.
 func storeServer(t *testing.T, store *memory.Store) string {
 	t.Helper()
@@ -244,13 +192,6 @@
 	return serve(t, mux)
 }
 
-func serve(t *testing.T, handler http.Handler) string {
-	t.Helper()
-	server := httptest.NewServer(handler)
-	t.Cleanup(server.Close)
-	return strings.TrimPrefix(server.URL, "http://")
-}
-
 // processState returns the letter of /proc/PID/stat: T is stopped, Z has ended.
 func processState(pid int) string {
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
@@ -290,14 +231,15 @@
 	t.Helper()
 	store := memory.New()
 	store.LoseAnswers(lost)
-	target := &receiver{checks: checks}
+	target := newLateReceiver(t, checks)
 	told.Name, told.Orders = "frozen", 1
-	told.Store, told.Receiver = storeServer(t, store), serve(t, target)
+	told.Store, told.Receiver = storeServer(t, store), address(target.server)
 	process := told.start(t)
 	waitFor(t, "the holder to stop", func() bool { return processState(process.Process.Pid) == "T" })
 	succeed(t, told)
 	assert.NilError(t, ignoreEnded(process.Process.Signal(syscall.SIGCONT)))
 	killed = hasBeenKilled(process.Wait())
+	target.settle(t)
 	_, violations = target.counts()
 	return violations, killed
 }
--- /dev/null
+++ b/charge/fenced/receiver_test.go
@@ -0,0 +1,152 @@
+package fenced
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/httpjson"
+)
+
+type order struct {
+	Number  int64
+	ID      string
+	Padding string
+}
+
+// receiver takes orders. It refuses old numbers only when it checks them.
+type receiver struct {
+	checks bool
+
+	mu       sync.Mutex
+	highest  int64
+	accepted []order
+	// violations counts orders that were accepted after one of a later term.
+	violations int
+}
+
+func (r *receiver) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	got := order{}
+	if err := httpjson.Decode(w, request, 8<<20, &got); err != nil {
+		httpjson.WriteError(w, err)
+		return
+	}
+	if !r.take(got) {
+		httpjson.WriteError(w, winch.ErrFenced)
+		return
+	}
+	httpjson.Write(w, http.StatusOK, struct{}{})
+}
+
+func (r *receiver) take(got order) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.checks && got.Number < r.highest {
+		return false
+	}
+	if got.Number < r.highest {
+		r.violations++
+	}
+	r.highest = max(r.highest, got.Number)
+	r.accepted = append(r.accepted, got)
+	return true
+}
+
+func (r *receiver) counts() (accepted, violations int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.accepted), r.violations
+}
+
+func serve(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	return address(start(t, httptest.NewUnstartedServer(handler)))
+}
+
+func start(t *testing.T, server *httptest.Server) *httptest.Server {
+	t.Helper()
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
+
+func address(server *httptest.Server) string { return strings.TrimPrefix(server.URL, "http://") }
+
+// lateReads is how long a late connection leaves bytes that have arrived unread.
+const lateReads = 30 * time.Millisecond
+
+// lateListener accepts connections that are read late, as on a busy machine.
+type lateListener struct{ net.Listener }
+
+// Accept returns the next connection.
+func (l lateListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return lateConn{conn}, err
+}
+
+type lateConn struct{ net.Conn }
+
+// Read waits after the first byte.
+func (c lateConn) Read(into []byte) (int, error) {
+	if len(into) < 2 {
+		return c.Conn.Read(into)
+	}
+	if _, err := c.Conn.Read(into[:1]); err != nil {
+		return 0, err
+	}
+	time.Sleep(lateReads)
+	_ = c.Conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+	more, err := c.Conn.Read(into[1:])
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = nil
+	}
+	return 1 + more, err
+}
+
+// lateReceiver is a receiver that reads late, and the server in front of it.
+type lateReceiver struct {
+	receiver
+	server *httptest.Server
+	open   atomic.Int64
+}
+
+func newLateReceiver(t *testing.T, checks bool) *lateReceiver {
+	t.Helper()
+	late := &lateReceiver{receiver: receiver{checks: checks}}
+	server := httptest.NewUnstartedServer(&late.receiver)
+	server.Listener = lateListener{server.Listener}
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			late.open.Add(1)
+		case http.StateClosed:
+			late.open.Add(-1)
+		}
+	}
+	late.server = start(t, server)
+	return late
+}
+
+// settle waits until all that ended senders had sent is read and taken. Connections are
+// accepted in order, so after one of its own there is no unseen earlier one.
+func (r *lateReceiver) settle(t *testing.T) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, r.server.URL, nil)
+	assert.NilError(t, err)
+	request.Close = true
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	waitFor(t, "the receiver to read all", func() bool { return r.open.Load() == 0 })
+}
