feat(usage): a seal waits for the hosts whose counts are missing

Cause: a window was sealed 2.5 s after its end with what the store held then.

Ruled out: a fixed later seal (6.5 s for all windows) makes reports late when the holder ends or the store goes away in between; wrong cuts of windows by the clocks (the sums over two windows are right).

Change: entries name the hosts that are complete in the window. The seal comes 1.1 s after the end when all hosts alive in the window are, else up to 6.5 s after it, or 2 s after the begin of the term or the store's return. A host whose counts the hub does not store in time stores them itself.

These tests fail without their part: TestSealWaits (wait), "a host is not complete at a new hub" (gap), "the other hosts store" (storing for themselves).

--- a/usage/billing/events.go
+++ b/usage/billing/events.go
@@ -16,4 +16,6 @@
 	EventReportFenced winch.EventNumber = 6105
 	// EventSealFailed: collected counts could not be read, or a seal could not be kept.
 	EventSealFailed winch.EventNumber = 6106
+	// EventSealWaits: a window that is due is not sealed yet, as counts of hosts are missing.
+	EventSealWaits winch.EventNumber = 6107
 )
--- a/usage/billing/ledger.go
+++ b/usage/billing/ledger.go
@@ -20,6 +20,8 @@
 	shard       winch.Shard
 	incarnation winch.Incarnation
 	number      winch.FencingNumber
+	// opened is when the head was taken over.
+	opened time.Time
 
 	head      keyvalue.Head
 	version   winch.Version
@@ -27,8 +29,10 @@
 	// unreported are the sealed windows whose reports are not known as answered, oldest first.
 	unreported []keyvalue.Seal
 	collected  map[usage.Source]map[winch.OrganisationID]usage.Counts
-	seals      []sealed
-	writes     int
+	// complete are the hosts whose counts of a window are all collected.
+	complete map[usage.Window]usage.Hosts
+	seals    []sealed
+	writes   int
 }
 
 // sealed names a seal that is kept, committed or not.
@@ -38,8 +42,9 @@
 }
 
 // open begins the term: it takes the head over and reads the chain.
-func open(ctx context.Context, store winch.KeyValue, shard winch.Shard, incarnation winch.Incarnation, number winch.FencingNumber) (*ledger, error) {
-	l := &ledger{store: store, shard: shard, incarnation: incarnation, number: number, accounted: usage.Totals{}}
+func open(ctx context.Context, now time.Time, options Options, number winch.FencingNumber) (*ledger, error) {
+	store, shard := options.Store, options.Shard
+	l := &ledger{store: store, shard: shard, incarnation: options.Incarnation, number: number, opened: now, accounted: usage.Totals{}}
 	entry, err := store.Get(ctx, keyvalue.HeadKey(shard))
 	switch {
 	case errors.Is(err, winch.ErrNotFound):
@@ -140,17 +145,21 @@
 	if err != nil {
 		return fmt.Errorf("list collected counts: %w", err)
 	}
-	l.collected = usage.Totals{}
+	l.collected, l.complete = usage.Totals{}, map[usage.Window]usage.Hosts{}
 	for _, entry := range entries {
 		source, err := keyvalue.ParseCollectedKey(l.shard, entry.Key)
 		if err != nil {
 			return err
 		}
-		cells, err := keyvalue.DecodeCollected(source.Window, entry.Value)
+		collected, err := keyvalue.DecodeCollected(source.Window, entry.Value)
 		if err != nil {
 			return err
 		}
-		for _, cell := range cells {
+		if l.complete[source.Window] == nil {
+			l.complete[source.Window] = usage.Hosts{}
+		}
+		l.complete[source.Window].AddAll(collected.Complete)
+		for _, cell := range collected.Cells {
 			usage.Totals(l.collected).Add(source, cell.Slot.Organisation, cell.Counts)
 		}
 	}
--- a/usage/billing/reporter.go
+++ b/usage/billing/reporter.go
@@ -64,6 +64,14 @@
 	Window time.Duration
 	// Grace is the time from a window's end to its seal. The default is 10 s.
 	Grace time.Duration
+	// LongestGrace is the time from a window's end to its seal while counts of hosts are
+	// missing. The default is Grace.
+	LongestGrace time.Duration
+	// CatchUp is the least time from the begin of a term, or from the platform's return, to a
+	// seal while counts of hosts are missing. The default is zero.
+	CatchUp time.Duration
+	// Membership tells whose counts to wait for; nil stands for nobody's.
+	Membership winch.Membership
 	// Retention is how long counts may still be adjusted. The default is one hour.
 	Retention time.Duration
 	// Interval is the time between two looks. The default is 1 s.
@@ -86,6 +94,10 @@
 	fenced winch.FencingNumber
 	// looked is the newest closed window for which collected counts were read.
 	looked usage.Window
+	// waits is the window whose wait was logged last.
+	waits usage.Window
+	// awaited are the hosts that counted not long ago.
+	awaited awaited
 }
 
 // New returns a reporter, which does nothing until Run.
@@ -107,12 +119,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("create adjustment counter: %w", err)
 	}
-	return &Reporter{options: options, lateness: lateness, adjusted: adjusted}, nil
+	return &Reporter{options: options, lateness: lateness, adjusted: adjusted, awaited: awaited{}}, nil
 }
 
 func withDefaults(options Options) Options {
 	options.Window = cmp.Or(options.Window, defaultWindow)
 	options.Grace = cmp.Or(options.Grace, defaultGrace)
+	options.LongestGrace = max(options.LongestGrace, options.Grace)
 	options.Retention = cmp.Or(options.Retention, defaultRetention)
 	options.Interval = cmp.Or(options.Interval, defaultInterval)
 	options.Incarnation = cmp.Or(options.Incarnation, winch.Incarnation(uuid.NewString()))
@@ -133,6 +146,7 @@
 // step takes the present time by the clock of the term, and by that of the windows. After
 // a failure the ledger is read anew, since what became of its last write is not known.
 func (r *Reporter) step(ctx context.Context, now, windows time.Time) {
+	r.awaited.see(r.options.Membership, now, windows)
 	term, held := r.options.Charge.Term(now)
 	if !held || term.Number == r.fenced {
 		r.ledger = nil
@@ -146,7 +160,7 @@
 
 func (r *Reporter) work(ctx context.Context, now time.Time, term winch.Term) error {
 	if r.ledger == nil || r.ledger.number != term.Number {
-		opened, err := open(ctx, r.options.Store, r.options.Shard, r.options.Incarnation, term.Number)
+		opened, err := open(ctx, now, r.options, term.Number)
 		if err != nil {
 			return err
 		}
@@ -170,17 +184,26 @@
 	if err := r.ledger.refresh(ctx); err != nil {
 		return err
 	}
+	waits := false
 	for {
 		window, due := usage.Next(now, r.options.Window, r.options.Grace, r.ledger.head.Last, r.ledger.collected, r.ledger.accounted)
 		if !due {
 			break
 		}
+		if missing := r.missing(now, window); len(missing) > 0 {
+			r.logWait(now, window, missing)
+			waits = true
+			break
+		}
 		seal, err := r.ledger.seal(ctx, window)
 		if err != nil {
 			return err
 		}
 		r.logSeal(ctx, seal)
 	}
+	if waits || len(r.missing(now, closed-usage.Window(r.options.Window/time.Second))) > 0 {
+		return nil
+	}
 	limit := usage.WindowOf(now.Add(-r.options.Retention-2*r.options.Window), r.options.Window)
 	if err := r.ledger.prune(ctx, limit, r.options.Retention); err != nil {
 		return err
@@ -189,6 +212,33 @@
 	return nil
 }
 
+// waitsUntil returns when the window is sealed though counts are missing.
+func (r *Reporter) waitsUntil(window usage.Window) time.Time {
+	until := window.End(r.options.Window).Add(r.options.LongestGrace)
+	if caughtUp := r.ledger.opened.Add(r.options.CatchUp); caughtUp.After(until) {
+		return caughtUp
+	}
+	return until
+}
+
+// missing returns the hosts whose counts of the window are worth waiting for.
+func (r *Reporter) missing(now time.Time, window usage.Window) []winch.HostID {
+	if !now.Before(r.waitsUntil(window)) {
+		return nil
+	}
+	return r.awaited.missing(window.Start(), r.ledger.complete[window])
+}
+
+// logWait tells once for each window that its seal waits.
+func (r *Reporter) logWait(now time.Time, window usage.Window, missing []winch.HostID) {
+	if r.waits == window {
+		return
+	}
+	r.waits = window
+	r.options.Logger.Info("seal waits for counts", "Event", EventSealWaits, "Shard", r.options.Shard,
+		"Window", window.Start(), "Hosts", missing, "Until", r.waitsUntil(window), "Now", now)
+}
+
 func (r *Reporter) logSeal(ctx context.Context, seal keyvalue.Seal) {
 	sum, late := usage.Counts{}, usage.Counts{}
 	for _, figure := range seal.Figures {
--- a/usage/billing/reporter_test.go
+++ b/usage/billing/reporter_test.go
@@ -17,6 +17,11 @@
 	"github.com/arbutuswinch/winch/usage/keyvalue"
 )
 
+const (
+	longestGrace = 40 * time.Second
+	catchUp      = 4 * time.Second
+)
+
 var start = time.Unix(6000, 0).UTC()
 
 // simulation is a platform with reporters, of which one is in charge in truth.
@@ -32,6 +37,25 @@
 	reports   int
 	// overtakeAt is the number of writes after which a successor acts, before the next write takes effect.
 	overtakeAt int
+	// alive are the hosts that reporters see, complete those whose counts are all stored.
+	alive    []winch.HostID
+	complete usage.Hosts
+}
+
+// sight is the membership as the reporters see it.
+type sight struct {
+	winch.Membership
+	simulation *simulation
+}
+
+func (s sight) DataCentres() []winch.DataCentreID { return []winch.DataCentreID{"yard-1"} }
+
+func (s sight) Hosts(time.Time, winch.DataCentreID) []winch.Host {
+	hosts := []winch.Host{}
+	for _, id := range s.simulation.alive {
+		hosts = append(hosts, winch.Host{ID: id})
+	}
+	return hosts
 }
 
 // overtaken is the store as the reporters see it.
@@ -96,6 +120,7 @@
 	reporter, err := New(Options{
 		Protocol: Own{Address: "127.0.0.1:1"}, Shard: 0, Host: "host", Incarnation: winch.Incarnation(fmt.Sprintf("i%d", s.inCharge)),
 		Charge: belief{number: s.inCharge}, Sender: s, Store: overtaken{Store: s.store, simulation: s}, Clock: s,
+		LongestGrace: longestGrace, CatchUp: catchUp, Membership: sight{simulation: s},
 	})
 	assert.NilError(s.t, err)
 	s.reporters[s.inCharge] = reporter
@@ -107,7 +132,9 @@
 	source := usage.Source{Window: window, DataCentre: centre}
 	s.counted[source] = s.counted[source].Plus(usage.Counts{Requests: requests})
 	slot := usage.Slot{Window: window, Incarnation: "i", Organisation: "dealer"}
-	value, err := keyvalue.EncodeCollected([]usage.Cell{{Slot: slot, Counts: s.counted[source]}})
+	value, err := keyvalue.EncodeCollected(keyvalue.Collected{
+		Cells: []usage.Cell{{Slot: slot, Counts: s.counted[source]}}, Complete: s.complete,
+	})
 	assert.NilError(s.t, err)
 	_, err = s.store.Put(ctx, keyvalue.CollectedKey(0, source), value, winch.VersionAny)
 	assert.NilError(s.t, err)
@@ -189,6 +216,71 @@
 	})
 }
 
+// TestSealWaits lets hosts be out of touch while a window ends.
+func TestSealWaits(t *testing.T) {
+	cases := []struct {
+		name     string
+		alive    []winch.HostID
+		complete usage.Hosts
+		// leave is when the hosts that are not complete are no longer seen.
+		leave time.Duration
+		after time.Duration
+		seals bool
+	}{
+		{"all hosts' counts are there", []winch.HostID{"a", "b"}, usage.Hosts{"a": true, "b": true}, time.Hour, 70 * time.Second, true},
+		{"a host's counts are missing", []winch.HostID{"a", "b"}, usage.Hosts{"a": true}, time.Hour, 99 * time.Second, false},
+		{"they are missing for long", []winch.HostID{"a", "b"}, usage.Hosts{"a": true}, time.Hour, 100 * time.Second, true},
+		{"a host is out of touch", []winch.HostID{"a", "b"}, usage.Hosts{"a": true}, 10 * time.Second, 99 * time.Second, false},
+		{"a host was gone before the window", []winch.HostID{"a", "b"}, usage.Hosts{"a": true}, -time.Second, 70 * time.Second, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSimulation(t)
+			s.alive, s.complete = c.alive, c.complete
+			reporter := s.takeOver()
+			for s.now = start.Add(-70 * time.Second); s.now.Before(start.Add(c.after)); s.now = s.now.Add(time.Second) {
+				if !s.now.Before(start.Add(c.leave)) {
+					s.alive = []winch.HostID{"a"}
+				}
+				reporter.Step(t.Context(), s.now)
+			}
+			s.count(t.Context(), 6000, "yard-1", 3)
+			reporter.Step(t.Context(), s.now)
+			assert.Equal(t, s.reports > 0, c.seals)
+		})
+	}
+	t.Run("the platform was away", func(t *testing.T) {
+		s := newSimulation(t)
+		s.alive = []winch.HostID{"a"}
+		s.count(t.Context(), 6000, "yard-1", 3)
+		reporter := s.takeOver()
+		s.store.SetOutage(true)
+		s.now = start.Add(110 * time.Second)
+		reporter.Step(t.Context(), s.now)
+		s.store.SetOutage(false)
+		reporter.Step(t.Context(), s.now)
+		s.now = s.now.Add(catchUp - time.Second)
+		reporter.Step(t.Context(), s.now)
+		assert.Equal(t, s.reports, 0)
+		s.now = s.now.Add(time.Second)
+		reporter.Step(t.Context(), s.now)
+		assert.Equal(t, s.reports, 1)
+	})
+	t.Run("the missing counts come", func(t *testing.T) {
+		s := newSimulation(t)
+		s.alive, s.complete = []winch.HostID{"a", "b"}, usage.Hosts{"a": true}
+		s.count(t.Context(), 6000, "yard-1", 3)
+		reporter := s.takeOver()
+		s.now = start.Add(71 * time.Second)
+		reporter.Step(t.Context(), s.now)
+		s.complete = usage.Hosts{"a": true, "b": true}
+		s.count(t.Context(), 6000, "yard-1", 4)
+		s.now = start.Add(72 * time.Second)
+		reporter.Step(t.Context(), s.now)
+		assert.DeepEqual(t, s.billed[start], []wireFigure{{Organisation: "dealer", Requests: 7}})
+	})
+}
+
 // TestWindowsAreReportedOnce lets reporters that were replaced go on, and answers be lost.
 func TestWindowsAreReportedOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/usage/keyvalue/codec.go
+++ b/usage/keyvalue/codec.go
@@ -17,6 +17,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -31,9 +33,12 @@
 	OutputTokens int64
 }
 
+// wireCollected has the counters of one process, or the hosts whose counts are complete,
+// which stand in an element of their own.
 type wireCollected struct {
-	Incarnation string
-	Counts      []wireCounts
+	Incarnation   string       `json:",omitempty"`
+	Counts        []wireCounts `json:",omitempty"`
+	CompleteHosts []string     `json:",omitempty"`
 }
 
 type wireFigure struct {
@@ -66,6 +71,14 @@
 	Reported      int64
 }
 
+// Collected is what a data centre collected for one window.
+type Collected struct {
+	Cells []usage.Cell
+	// Complete are the hosts that will count nothing more in the window, and all of whose
+	// counts are among the cells.
+	Complete usage.Hosts
+}
+
 // Seal fixes the figures of a window.
 type Seal struct {
 	Window usage.Window
@@ -119,10 +132,10 @@
 func HeadKey(shard winch.Shard) string { return fmt.Sprintf("usage/head/%04d", shard) }
 
 // EncodeCollected encodes the counters of one window.
-func EncodeCollected(cells []usage.Cell) ([]byte, error) {
+func EncodeCollected(collected Collected) ([]byte, error) {
 	grouped := []wireCollected{}
 	index := map[winch.Incarnation]int{}
-	for _, cell := range cells {
+	for _, cell := range collected.Cells {
 		at, found := index[cell.Slot.Incarnation]
 		if !found {
 			at = len(grouped)
@@ -131,6 +144,13 @@
 		}
 		grouped[at].Counts = append(grouped[at].Counts, encodeCounts(cell.Slot.Organisation, cell.Counts))
 	}
+	if len(collected.Complete) > 0 {
+		complete := wireCollected{}
+		for _, host := range slices.Sorted(maps.Keys(collected.Complete)) {
+			complete.CompleteHosts = append(complete.CompleteHosts, string(host))
+		}
+		grouped = append(grouped, complete)
+	}
 	encoded, err := json.Marshal(grouped)
 	if err != nil {
 		return nil, fmt.Errorf("encode collected counts: %w", err)
@@ -139,15 +159,18 @@
 }
 
 // DecodeCollected decodes the counters of the window.
-func DecodeCollected(window usage.Window, value []byte) ([]usage.Cell, error) {
+func DecodeCollected(window usage.Window, value []byte) (Collected, error) {
 	grouped := []wireCollected{}
 	if err := json.Unmarshal(value, &grouped); err != nil {
-		return nil, fmt.Errorf("decode collected counts: %w: %w", winch.ErrInvalid, err)
+		return Collected{}, fmt.Errorf("decode collected counts: %w: %w", winch.ErrInvalid, err)
 	}
-	cells := []usage.Cell{}
+	collected := Collected{Complete: usage.Hosts{}}
 	for _, group := range grouped {
+		for _, host := range group.CompleteHosts {
+			collected.Complete[winch.HostID(host)] = true
+		}
 		for _, counts := range group.Counts {
-			cells = append(cells, usage.Cell{
+			collected.Cells = append(collected.Cells, usage.Cell{
 				Slot: usage.Slot{
 					Window:       window,
 					Incarnation:  winch.Incarnation(group.Incarnation),
@@ -157,7 +180,7 @@
 			})
 		}
 	}
-	return cells, nil
+	return collected, nil
 }
 
 // EncodeSeal encodes a seal.
--- a/usage/peer/codec.go
+++ b/usage/peer/codec.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/usage"
@@ -23,9 +24,11 @@
 }
 
 // wireReport has the host's counters that changed after Since and are not stored.
-// Copied and CopiedSequence acknowledge copies.
+// Copied and CopiedSequence acknowledge copies. AsOf is the time of the windows by the
+// host's clock: it counts nothing more in windows that ended before.
 type wireReport struct {
 	Incarnation    string
+	AsOf           time.Time
 	Since          uint64
 	Sequence       uint64
 	Batches        []wireBatch
--- a/usage/peer/counters.go
+++ b/usage/peer/counters.go
@@ -2,9 +2,10 @@
 // counters to other hosts through the periodic exchange.
 //
 // Each host reports its counters to the hub of its data centre. The hub copies them
-// to a second host and writes them to the key-value service. A host keeps its
-// counters until it knows that they are stored; the second host stores the copies
-// when the hub is replaced. All copies are merged by maximum, so that
+// to a second host and writes them to the key-value service, with the names of the
+// hosts whose counts of the window are complete. A host keeps its
+// counters until it knows that they are stored, and stores them itself when the hub is
+// late; the second host stores the copies when the hub is replaced or late. All copies are merged by maximum, so that
 // repeats and crossings do no harm. A host that is killed loses what it counted
 // since its last exchange.
 //
@@ -50,6 +51,8 @@
 	// keptWindows is the number of past windows of which stored counters are kept.
 	keptWindows = 3
 	storeTries  = 3
+	// lateStores is how many writes a hub may miss before other hosts store for themselves.
+	lateStores = 2
 	// lastStore bounds the writes at the end of Run, which are tried again at each pause.
 	lastStore      = 20 * time.Second
 	lastStorePause = 250 * time.Millisecond
@@ -78,7 +81,9 @@
 type hostState struct {
 	incarnation winch.Incarnation
 	received    uint64
-	stored      uint64
+	// asOf is the time of the windows up to which all that the host counted is here.
+	asOf   time.Time
+	stored uint64
 	// copied is the sequence number up to which the host has copies of this process.
 	copied uint64
 }
@@ -99,7 +104,9 @@
 	copiedSequence uint64
 
 	// versions and the times below belong to Run.
-	versions  map[part]winch.Version
+	versions map[part]winch.Version
+	// complete are the hosts that the stored entries call complete.
+	complete  map[part]usage.Hosts
 	nextStore time.Time
 	settled   usage.Window
 }
@@ -129,6 +136,7 @@
 		table:    newTable(options.Incarnation),
 		hosts:    map[winch.HostID]hostState{},
 		versions: map[part]winch.Version{},
+		complete: map[part]usage.Hosts{},
 	}, nil
 }
 
@@ -174,14 +182,14 @@
 // once a second.
 func (c *Counters) Step(ctx context.Context, now time.Time) {
 	ended := usage.WindowOf(now.Add(-c.options.Settle), c.options.Window)
-	if !now.Before(c.nextStore) || ended > c.settled {
+	wanted := scopeReported
+	if c.isHub(now) || c.hubIsLate(now) {
+		wanted = scopeAll
+	}
+	if !now.Before(c.nextStore) || ended > c.settled || wanted == scopeAll && c.hasCompleted(now) {
 		c.nextStore = now.Add(c.options.StoreEvery)
 		c.settled = ended
-		wanted := scopeReported
-		if c.isHub(now) {
-			wanted = scopeAll
-		}
-		c.store(ctx, wanted)
+		c.store(ctx, now, wanted)
 		c.prune(ctx, now)
 	}
 }
@@ -192,6 +200,16 @@
 	return found && hub.ID == self.ID
 }
 
+// hubIsLate reports whether the hub should long have stored what this host has of ended
+// windows: the platform may have turned it away alone.
+func (c *Counters) hubIsLate(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	earliest := c.table.earliestUnstored(usage.WindowOf(now, c.options.Window))
+	late := earliest.End(c.options.Window).Add(c.options.Settle + lateStores*c.options.StoreEvery)
+	return !now.Before(late)
+}
+
 func (c *Counters) prune(ctx context.Context, now time.Time) {
 	keep := usage.WindowOf(now.Add(-keptWindows*c.options.Window), c.options.Window)
 	limit := usage.WindowOf(now.Add(-c.options.Retention), c.options.Window)
@@ -204,6 +222,7 @@
 			delete(c.versions, key)
 		}
 	}
+	maps.DeleteFunc(c.complete, func(key part, _ usage.Hosts) bool { return key.window < keep })
 	if lost.IsZero() {
 		return
 	}
--- a/usage/peer/counters_test.go
+++ b/usage/peer/counters_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/keyvalue/memory"
+	"github.com/arbutuswinch/winch/usage"
 	"github.com/arbutuswinch/winch/usage/keyvalue"
 )
 
@@ -27,13 +28,30 @@
 
 type host struct {
 	winch.Membership
-	id       winch.HostID
-	yard     *yard
-	counters *Counters
+	winch.KeyValue
+	// turnedAway says that the key-value service answers this host no more.
+	turnedAway bool
+	id         winch.HostID
+	yard       *yard
+	counters   *Counters
 }
 
 func (h *host) Self() winch.Host { return winch.Host{ID: h.id, DataCentre: "yard-1"} }
 
+func (h *host) Get(ctx context.Context, key string) (winch.Entry, error) {
+	if h.turnedAway {
+		return winch.Entry{}, winch.ErrUnavailable
+	}
+	return h.KeyValue.Get(ctx, key)
+}
+
+func (h *host) Put(ctx context.Context, key string, value []byte, expect winch.Version) (winch.Version, error) {
+	if h.turnedAway {
+		return 0, winch.ErrUnavailable
+	}
+	return h.KeyValue.Put(ctx, key, value, expect)
+}
+
 func (h *host) Hub(time.Time, winch.DataCentreID) (winch.Host, bool) {
 	return h.yard.hosts[0].Self(), true
 }
@@ -63,7 +81,8 @@
 func (y *yard) start() {
 	y.next++
 	h := &host{id: winch.HostID(fmt.Sprintf("host-%02d", y.next)), yard: y}
-	counters, err := New(Options{Store: y.store, Membership: h, Incarnation: winch.Incarnation(h.id), Clock: y})
+	h.KeyValue = y.store
+	counters, err := New(Options{Store: h, Membership: h, Incarnation: winch.Incarnation(h.id), Clock: y})
 	assert.NilError(y.t, err)
 	h.counters = counters
 	y.hosts = append(y.hosts, h)
@@ -124,9 +143,9 @@
 		for _, entry := range entries {
 			source, err := keyvalue.ParseCollectedKey(shard, entry.Key)
 			assert.NilError(y.t, err)
-			cells, err := keyvalue.DecodeCollected(source.Window, entry.Value)
+			collected, err := keyvalue.DecodeCollected(source.Window, entry.Value)
 			assert.NilError(y.t, err)
-			for _, cell := range cells {
+			for _, cell := range collected.Cells {
 				sum += cell.Counts.Requests
 			}
 		}
@@ -134,6 +153,28 @@
 	return sum
 }
 
+// pass lets time pass.
+func (y *yard) pass(ctx context.Context, time time.Duration) {
+	for until := y.now.Add(time); y.now.Before(until); {
+		y.second(ctx)
+	}
+}
+
+// complete returns the hosts that the one stored entry calls complete.
+func (y *yard) complete(ctx context.Context) usage.Hosts {
+	found := usage.Hosts{}
+	for shard := range winch.Shard(defaultShards) {
+		entries, _, err := y.store.List(ctx, keyvalue.CollectedPrefix(shard))
+		assert.NilError(y.t, err)
+		for _, entry := range entries {
+			collected, err := keyvalue.DecodeCollected(0, entry.Value)
+			assert.NilError(y.t, err)
+			found.AddAll(collected.Complete)
+		}
+	}
+	return found
+}
+
 // settle lets everything be stored and checks that no more than stated was lost, and nothing counted twice.
 func (y *yard) settle(ctx context.Context) {
 	y.store.SetOutage(false)
@@ -210,6 +251,47 @@
 		y.settle(t.Context())
 		assert.Equal(t, y.stored(t.Context()), int64(5))
 	})
+	t.Run("the other hosts store when the hub alone is turned away", func(t *testing.T) {
+		y := newYard(t, 3)
+		y.hosts[0].turnedAway = true
+		for at := range y.hosts {
+			y.record(at, int64(at+1))
+		}
+		for y.now.Before(time.Unix(6000, 0).Add(defaultWindow + defaultSettle + 3*defaultStoreEvery)) {
+			y.exchangeAll()
+			y.second(t.Context())
+		}
+		assert.Equal(t, y.stored(t.Context()), int64(6))
+	})
+	t.Run("an entry names the hosts whose counts it has in full", func(t *testing.T) {
+		y := newYard(t, 3)
+		y.record(2, 5)
+		y.exchangeAll()
+		y.second(t.Context())
+		assert.DeepEqual(t, y.complete(t.Context()), usage.Hosts{})
+		y.pass(t.Context(), time.Minute)
+		y.exchange(1, false)
+		y.pass(t.Context(), 2*defaultStoreEvery)
+		assert.DeepEqual(t, y.complete(t.Context()), usage.Hosts{"host-01": true, "host-02": true})
+		y.exchange(2, false)
+		y.pass(t.Context(), 2*defaultStoreEvery)
+		assert.DeepEqual(t, y.complete(t.Context()), usage.Hosts{"host-01": true, "host-02": true, "host-03": true})
+	})
+	t.Run("a host is not complete at a new hub before all its counts are there", func(t *testing.T) {
+		y := newYard(t, 3)
+		y.record(2, 5)
+		y.exchange(2, false)
+		y.record(2, 5)
+		y.pass(t.Context(), defaultWindow)
+		y.kill(0)
+		y.exchange(1, true)
+		y.pass(t.Context(), 2*defaultStoreEvery)
+		assert.DeepEqual(t, y.complete(t.Context()), usage.Hosts{"host-02": true})
+		y.exchange(1, false)
+		y.exchange(1, false)
+		y.pass(t.Context(), 2*defaultStoreEvery)
+		assert.DeepEqual(t, y.complete(t.Context()), usage.Hosts{"host-02": true, "host-03": true})
+	})
 	t.Run("nothing is sent twice when all is stored", func(t *testing.T) {
 		y := newYard(t, 3)
 		y.record(2, 5)
--- a/usage/peer/section.go
+++ b/usage/peer/section.go
@@ -19,6 +19,7 @@
 	defer c.mu.Unlock()
 	report := wireReport{
 		Incarnation:    string(c.options.Incarnation),
+		AsOf:           c.options.Clock.Now(),
 		Since:          c.acked,
 		Sequence:       c.table.next(),
 		Copied:         c.copiedFrom,
@@ -51,6 +52,7 @@
 	// A report that goes on from what another hub had leaves a gap here.
 	if wire.Since <= state.received {
 		state.received = max(state.received, wire.Sequence)
+		state.asOf = wire.AsOf
 	}
 	state.copied = 0
 	if wire.Copied == string(c.options.Incarnation) {
--- a/usage/peer/store.go
+++ b/usage/peer/store.go
@@ -13,9 +13,12 @@
 
 // store writes the counters of the scope that are not stored yet, and lets the
 // hosts that reported them know.
-func (c *Counters) store(ctx context.Context, wanted scope) bool {
+func (c *Counters) store(ctx context.Context, now time.Time, wanted scope) bool {
 	c.mu.Lock()
 	parts := c.table.unstored(c.options.Shards, wanted)
+	if wanted == scopeAll {
+		c.addCompleted(now, parts)
+	}
 	received := map[winch.HostID]hostState{}
 	for host, state := range c.hosts {
 		received[host] = state
@@ -23,7 +26,7 @@
 	c.mu.Unlock()
 	failed, last := 0, error(nil)
 	for key := range parts {
-		if err := c.storePart(ctx, key); err != nil {
+		if err := c.storePart(ctx, now, key); err != nil {
 			failed, last = failed+1, err
 		}
 	}
@@ -39,7 +42,7 @@
 func (c *Counters) storeLast(ctx context.Context) {
 	ticker := time.NewTicker(lastStorePause)
 	defer ticker.Stop()
-	for !c.store(ctx, scopeOwn) {
+	for !c.store(ctx, c.options.Clock.Now(), scopeOwn) {
 		select {
 		case <-ctx.Done():
 			return
@@ -48,6 +51,47 @@
 	}
 }
 
+// addCompleted adds the parts whose entries do not call all hosts complete that are.
+func (c *Counters) addCompleted(now time.Time, parts map[part]bool) {
+	for key := range c.table.parts(c.options.Shards) {
+		stored := usage.Hosts{}
+		stored.AddAll(c.complete[key])
+		if stored.AddAll(c.completeHosts(now, key)) {
+			parts[key] = true
+		}
+	}
+}
+
+// hasCompleted reports whether a host is complete in a settled window whose entry does not say so.
+func (c *Counters) hasCompleted(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	parts := map[part]bool{}
+	c.addCompleted(now, parts)
+	for key := range parts {
+		if !now.Before(key.window.End(c.options.Window).Add(c.options.Settle)) {
+			return true
+		}
+	}
+	return false
+}
+
+// completeHosts returns the hosts whose counts of the part are all here or in its entry.
+func (c *Counters) completeHosts(now time.Time, key part) usage.Hosts {
+	complete := usage.Hosts{}
+	complete.AddAll(c.complete[key])
+	end := key.window.End(c.options.Window)
+	if !now.Before(end) {
+		complete[c.options.Membership.Self().ID] = true
+	}
+	for host, state := range c.hosts {
+		if !state.asOf.Before(end) {
+			complete[host] = true
+		}
+	}
+	return complete
+}
+
 // acknowledge notes that what the hosts had reported is stored.
 func (c *Counters) acknowledge(received map[winch.HostID]hostState) {
 	c.mu.Lock()
@@ -63,10 +107,10 @@
 
 // storePart writes one entry. It merges what the entry holds when somebody else
 // wrote it, or when the answer to a write was lost.
-func (c *Counters) storePart(ctx context.Context, key part) error {
+func (c *Counters) storePart(ctx context.Context, now time.Time, key part) error {
 	err := error(nil)
 	for range storeTries {
-		if err = c.tryPart(ctx, key); err == nil {
+		if err = c.tryPart(ctx, now, key); err == nil {
 			c.options.Logger.Debug("counts stored", "Event", EventCountsStored, "Shard", key.shard, "Window", key.window.Start())
 			return nil
 		}
@@ -78,7 +122,7 @@
 	return err
 }
 
-func (c *Counters) tryPart(ctx context.Context, key part) error {
+func (c *Counters) tryPart(ctx context.Context, now time.Time, key part) error {
 	source := usage.Source{Window: key.window, DataCentre: c.options.Membership.Self().DataCentre}
 	name := keyvalue.CollectedKey(key.shard, source)
 	version, known := c.versions[key]
@@ -90,9 +134,9 @@
 		version = found
 	}
 	c.mu.Lock()
-	cells := c.table.of(key, c.options.Shards)
+	collected := keyvalue.Collected{Cells: c.table.of(key, c.options.Shards), Complete: c.completeHosts(now, key)}
 	c.mu.Unlock()
-	value, err := keyvalue.EncodeCollected(cells)
+	value, err := keyvalue.EncodeCollected(collected)
 	if err != nil {
 		return err
 	}
@@ -103,7 +147,8 @@
 	c.versions[key] = version
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.table.markStored(cells)
+	c.table.markStored(collected.Cells)
+	c.complete[key] = collected.Complete
 	return nil
 }
 
@@ -116,13 +161,14 @@
 	if err != nil {
 		return 0, fmt.Errorf("read stored counts: %w", err)
 	}
-	cells, err := keyvalue.DecodeCollected(key.window, entry.Value)
+	collected, err := keyvalue.DecodeCollected(key.window, entry.Value)
 	if err != nil {
 		return 0, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.table.merge(cells, false)
-	c.table.markStored(cells)
+	c.table.merge(collected.Cells, false)
+	c.table.markStored(collected.Cells)
+	c.complete[key] = collected.Complete
 	return entry.Version, nil
 }
--- a/usage/peer/table.go
+++ b/usage/peer/table.go
@@ -151,6 +151,15 @@
 	return parts
 }
 
+// parts returns the parts of all counters.
+func (t *table) parts(shards int) map[part]bool {
+	parts := map[part]bool{}
+	for slot := range t.cells {
+		parts[part{shard: usage.ShardOf(slot.Organisation, shards), window: slot.Window}] = true
+	}
+	return parts
+}
+
 // of returns all counters of the part.
 func (t *table) of(wanted part, shards int) []usage.Cell {
 	cells := []usage.Cell{}
--- a/winchd/forwarder/duties.go
+++ b/winchd/forwarder/duties.go
@@ -27,9 +27,15 @@
 	// usageShards: all organisations are reported together.
 	usageShards = 1
 	// usageSettle is the time after a window's end at which its last counts are stored.
-	usageSettle = 1200 * time.Millisecond
+	usageSettle = 600 * time.Millisecond
 	// usageGrace is the time from a window's end to its seal.
-	usageGrace    = 2500 * time.Millisecond
+	usageGrace = 1100 * time.Millisecond
+	// usageLateShare is the part of the time for a report after which a window is sealed though
+	// counts are missing. The rest is for a successor, should the host in charge end.
+	usageLateShare = 0.65
+	// usageCatchUp is how long a holder that has just begun, or found the platform again, lets
+	// the hosts store what they have.
+	usageCatchUp  = 2 * time.Second
 	usageInterval = 400 * time.Millisecond
 	// usageRetention is how long counts are kept in the store.
 	usageRetention = 2 * time.Minute
@@ -128,7 +134,8 @@
 	reporter, err := billing.New(billing.Options{
 		Protocol: duty.Usage{Address: f.settings.Duties.Address}, Host: f.settings.Host, Incarnation: f.incarnation,
 		Charge: f.duties.holder, Sender: f.duties.sender, Store: f.store, Window: f.settings.Bounds.UsageWindow,
-		Grace: usageGrace, Retention: usageRetention, Interval: usageInterval,
+		Grace: usageGrace, LongestGrace: time.Duration(usageLateShare * float64(f.settings.Bounds.UsageLate)), CatchUp: usageCatchUp,
+		Membership: f.table, Retention: usageRetention, Interval: usageInterval,
 		Clock: f.clock, Windows: f.agreed, Logger: f.logger, Meter: f.metrics.Meter(),
 	})
 	if err != nil {
