feat(dispatch): wait for the endpoint that keeps the shared parts

Load: long prompts on subjects that come back within seconds, on engines of which each host knows only part of the work.

Cause: a request left the endpoint that keeps its subject as soon as another one had 6,300 tokens (165 ms) less to read, though its target was 1.5 s away.

Change: tokens of shared parts that would be read again weigh 12 times more, up to the work for which 0.9 of the target can be waited.

--- a/dispatch/endpoint/prompts.go
+++ b/dispatch/endpoint/prompts.go
@@ -21,6 +21,13 @@
 	partsKept = 4096
 	// runningWeight is the work of a running request, in tokens of prompts to read.
 	runningWeight = 60
+	// rereadWeight is what a token costs besides that others keep, when it is read again.
+	rereadWeight = 12
+	// patienceShare is the part of the target for the first token that is spent on waiting
+	// for an endpoint that keeps shared parts.
+	patienceShare = 0.9
+	// usualSpeed is how many tokens of prompts endpoints read in a second, until that is learnt.
+	usualSpeed = 30_000
 	// awayWeight is the cost of serving from another data centre, in tokens of prompts to read.
 	awayWeight = 150
 	// strangerWeight keeps quick classes on the endpoints that are set aside for them, and others
@@ -140,9 +147,13 @@
 	return home
 }
 
-// promptCost is the work before the request's first token at the endpoint, in tokens of prompts to read.
+// promptCost is the work before the request's first token at the endpoint, in tokens of
+// prompts to read. Shared parts that others keep weigh more than the time to read them: that
+// work is taken from all requests. They weigh no more than the request can wait for, so that
+// a subject which asks for more than one endpoint reads is read by others as well.
 func (c *core) promptCost(now time.Time, l *lane, r *request, e, home *endpoint) float64 {
-	unread := c.unreadAt(now, r, e, home)
+	kept := c.keptAt(now, r, e, home)
+	unread := max(0, r.work.InputTokens-kept)
 	cost := float64(e.prompts.unread+e.prompts.others+unread)*e.factor + runningWeight*float64(e.running+e.others)
 	if c.home != "" && e.spec.DataCentre != c.home {
 		cost += awayWeight
@@ -153,16 +164,26 @@
 	if e == home {
 		cost--
 	}
-	return cost
+	missing := max(0, sharedTokens(r.work.Parts)-kept)
+	return cost + min(rereadWeight*float64(missing), c.patience(l))
 }
 
-// unreadAt is what the endpoint would have to read of the request's prompt.
-func (c *core) unreadAt(now time.Time, r *request, e, home *endpoint) winch.Tokens {
+// patience is the work for which a request waits rather than have shared parts read again.
+func (c *core) patience(l *lane) float64 {
+	speed := c.speeds[l.key.group].value
+	if speed == 0 {
+		speed = usualSpeed
+	}
+	return patienceShare * speed * l.class.FirstTokenTarget.Seconds()
+}
+
+// keptAt is what the endpoint is expected to keep of the request's prompt.
+func (c *core) keptAt(now time.Time, r *request, e, home *endpoint) winch.Tokens {
 	kept := e.prompts.kept(now, r.work.Parts)
 	if e == home {
 		kept = max(kept, sharedTokens(r.work.Parts))
 	}
-	return max(0, r.work.InputTokens-kept)
+	return kept
 }
 
 // noteGiven takes a request into the account of the endpoint's unread tokens.
