test(forwarder): recovery and silent links of real processes

The test binary runs itself as host.

A first form of the test found that two of ten requests to a silent endpoint end with 502 when nothing was served before: the retries of a host that has just started are one, and the endpoint is left after three failures.

--- /dev/null
+++ b/winchd/forwarder/process_test.go
@@ -0,0 +1,218 @@
+package forwarder
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/platform/standin"
+	"github.com/arbutuswinch/winch/platform/wire"
+	"github.com/arbutuswinch/winch/winchd/settings"
+)
+
+// settingsEnv names the settings of a host in a process of its own.
+const settingsEnv = "WINCH_TEST_FORWARD"
+
+// TestMain runs the test binary as a host when it is told so.
+func TestMain(m *testing.M) {
+	path := os.Getenv(settingsEnv)
+	if path == "" {
+		os.Exit(m.Run())
+	}
+	if err := runHost(path); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func runHost(path string) error {
+	loaded, err := settings.LoadForwarding(path)
+	if err != nil {
+		return err
+	}
+	built, err := New(path, loaded, "test", hclog.New(&hclog.LoggerOptions{Output: os.Stdout, Level: hclog.Warn, JSONFormat: true}))
+	if err != nil {
+		return err
+	}
+	return built.Run()
+}
+
+const configurationOfTests = `{"version":1,"routes":[
+ {"name":"desk","host":"a.example","prefix":"/desk/","type":"idempotent","timeout_ms":2000,"target_latency_ms":200,"priority":1,"service":"desk","max_attempts":2},
+ {"name":"open","host":"a.example","prefix":"/open/","type":"idempotent","timeout_ms":2000,"target_latency_ms":200,"priority":1,"service":"desk","max_attempts":2,"auth_exempt":true}],
+"services":[{"name":"desk","max_connections":96}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"dealer","api_keys":["k1"],"priority":1}]}`
+
+// platform is the platform's side: a store and two endpoints, each behind a link.
+type platform struct {
+	t         *testing.T
+	store     *standin.Store
+	storeLink *toxiproxy.Proxy
+	endpoints []*standin.Endpoint
+	links     []*toxiproxy.Proxy
+	requests  atomic.Int64
+}
+
+func newPlatform(t *testing.T) *platform {
+	t.Helper()
+	p := &platform{t: t, store: standin.NewStore()}
+	p.storeLink = newLink(t, serve(t, p.store))
+	p.store.Set(standin.ConfigurationKey, []byte(configurationOfTests))
+	for _, id := range []winch.EndpointID{"i-0", "i-1"} {
+		endpoint := standin.NewEndpoint(id)
+		link := newLink(t, serve(t, endpoint))
+		assert.NilError(t, p.store.Register(id, "desk", "a", link.Listen, 8))
+		p.endpoints, p.links = append(p.endpoints, endpoint), append(p.links, link)
+	}
+	return p
+}
+
+func serve(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func newLink(t *testing.T, upstream string) *toxiproxy.Proxy {
+	t.Helper()
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
+	proxy := toxiproxy.NewProxy(server, "link", "127.0.0.1:0", upstream)
+	assert.NilError(t, proxy.Start())
+	t.Cleanup(proxy.Stop)
+	return proxy
+}
+
+// silence lets nothing through in either direction until heal; connections stay open.
+func silence(t *testing.T, link *toxiproxy.Proxy) {
+	t.Helper()
+	for _, stream := range []string{"upstream", "downstream"} {
+		toxic := fmt.Sprintf(`{"name":"silent-%s","type":"timeout","stream":"%s","attributes":{"timeout":0}}`, stream, stream)
+		_, err := link.Toxics.AddToxicJson(strings.NewReader(toxic))
+		assert.NilError(t, err)
+	}
+}
+
+func heal(t *testing.T, link *toxiproxy.Proxy) {
+	t.Helper()
+	for _, stream := range []string{"upstream", "downstream"} {
+		assert.NilError(t, link.Toxics.RemoveToxic(t.Context(), "silent-"+stream))
+	}
+}
+
+// hostProcess is a host in a process of its own.
+type hostProcess struct {
+	platform *platform
+	path     string
+	caller   string
+	ready    string
+	command  *exec.Cmd
+}
+
+// freePorts returns addresses that were free a moment ago.
+func freePorts(t *testing.T, count int) []string {
+	t.Helper()
+	addresses := make([]string, count)
+	for i := range addresses {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer func() { assert.NilError(t, listener.Close()) }()
+		addresses[i] = listener.Addr().String()
+	}
+	return addresses
+}
+
+func (p *platform) newHost(name string) *hostProcess {
+	p.t.Helper()
+	ports := freePorts(p.t, 3)
+	encoded, err := json.Marshal(map[string]any{
+		"Host": name, "DataCentre": "a", "DataCentres": []string{"a"},
+		"Caller": map[string]any{"Address": ports[0], "ReadyAddress": ports[1]},
+		"Peer":   map[string]any{"Address": ports[2]},
+		"Store":  map[string]any{"Address": p.storeLink.Listen},
+		"Bounds": map[string]any{"Revoke": "4s"},
+	})
+	assert.NilError(p.t, err)
+	h := &hostProcess{platform: p, path: filepath.Join(p.t.TempDir(), name+".json"), caller: ports[0], ready: ports[1]}
+	assert.NilError(p.t, os.WriteFile(h.path, encoded, 0o600))
+	h.start()
+	return h
+}
+
+func (h *hostProcess) start() {
+	h.platform.t.Helper()
+	h.command = exec.Command(os.Args[0])
+	h.command.Env = append(os.Environ(), settingsEnv+"="+h.path)
+	h.command.Stderr = os.Stderr
+	assert.NilError(h.platform.t, h.command.Start())
+	command := h.command
+	h.platform.t.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+}
+
+func (h *hostProcess) kill() {
+	h.platform.t.Helper()
+	assert.NilError(h.platform.t, h.command.Process.Kill())
+	_ = h.command.Wait()
+}
+
+// ask sends a request with the key, and returns the status; zero stands for none.
+func (h *hostProcess) ask(path, key string) int {
+	h.platform.t.Helper()
+	request, err := http.NewRequestWithContext(h.platform.t.Context(), http.MethodGet, "http://"+h.caller+path, nil)
+	assert.NilError(h.platform.t, err)
+	request.Host = "a.example"
+	request.Header.Set(wire.RequestID, fmt.Sprintf("r%d", h.platform.requests.Add(1)))
+	request.Header.Set(wire.Deadline, "2000")
+	if key != "" {
+		request.Header.Set(wire.Authorization, wire.Scheme+" "+key)
+	}
+	client := http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0
+	}
+	assert.NilError(h.platform.t, response.Body.Close())
+	return response.StatusCode
+}
+
+func (h *hostProcess) isReady() bool {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + h.ready + "/")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// within polls until it happened.
+func within(t *testing.T, limit time.Duration, what string, happened func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if happened() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(50*time.Millisecond), poll.WithTimeout(limit))
+}
