fix(platform): what the configuration tells is used, or not decoded

Cause: limits and costs were decoded that nothing read (connections of an endpoint, costs of endpoints, times of headers and idle connections), the header limit was not held, and the event that a caller goes on from bounded no event.

Change: the header limit is held by 431; on routes that may resume, events up to the caller's last one are not passed on and later attempts go on from it. The rest is no longer decoded; a scaling names the data centres in which endpoints may be ordered. Times of headers and idle connections stay those of the port, which are longer than the platform's, so that no caller within the platform's limits is cut off.

Tests: "header over the limit" (was 200), "events that the caller has" (were passed on).

--- a/configuration.go
+++ b/configuration.go
@@ -123,8 +123,6 @@
 	Grades        map[OrganisationID]Grade
 	ForwardLimits ForwardLimits
 	Scalings      map[ModelID]Scaling
-	// Connections is the most connections that one endpoint of a model takes from all hosts.
-	Connections map[ModelID]int
 }
 
 // Items are parts of a configuration that a note adds or changes.
--- a/forward.go
+++ b/forward.go
@@ -63,10 +63,9 @@
 
 // ForwardLimits bound what callers may send to forwarding routes. Zero stands for no limit.
 type ForwardLimits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// HeaderBytes bounds the names and values of a request's header together.
+	HeaderBytes int
+	BodyBytes   int64
 }
 
 // Scaling says how many endpoints of a model may be ordered in each data centre.
@@ -76,10 +75,8 @@
 	Max   int
 	// StartTime is the time from an order until an endpoint serves.
 	StartTime time.Duration
-	// CheapCost is the cost of a cheap endpoint relative to a steady one.
-	CheapCost float64
-	// Costs are the costs of a steady endpoint by data centre, relative to each other.
-	Costs map[DataCentreID]float64
+	// DataCentres are those in which they may be ordered, sorted; none stands for all.
+	DataCentres []DataCentreID
 }
 
 // ScalingPool names the pool of a model's endpoints of one supply in a data centre.
--- a/placement/planner/prompts.go
+++ b/placement/planner/prompts.go
@@ -110,7 +110,7 @@
 	queues, endpoints := p.options.Queues.Queues(now), p.options.Endpoints.Endpoints()
 	models := make([]winch.ModelID, 0, len(configuration.Scalings))
 	for model, scaling := range configuration.Scalings {
-		if _, offered := scaling.Costs[centre]; offered || len(scaling.Costs) == 0 {
+		if len(scaling.DataCentres) == 0 || slices.Contains(scaling.DataCentres, centre) {
 			models = append(models, model)
 		}
 	}
@@ -177,7 +177,7 @@
 	cheapPool := winch.ScalingPool(scaling.Model, centre, winch.SupplyCheap)
 	steadyPool := winch.ScalingPool(scaling.Model, centre, winch.SupplySteady)
 	cheap, steady := countReady(running, cheapPool), countReady(running, steadyPool)
-	centres := max(len(scaling.Costs), all.centres)
+	centres := max(len(scaling.DataCentres), all.centres)
 	want := wantedCheap(demand.peak, centres, scaling)
 	base := p.baseSteady(demand.peak, centres, steady, scaling)
 	taken := p.takenAway(now, cheapPool, cheap, scaling.StartTime)
--- a/placement/planner/prompts_test.go
+++ b/placement/planner/prompts_test.go
@@ -39,12 +39,8 @@
 }
 
 func (s *site) Current() *winch.Configuration {
-	costs := map[winch.DataCentreID]float64{}
-	for _, centre := range centres {
-		costs[centre] = 1
-	}
 	return &winch.Configuration{Scalings: map[winch.ModelID]winch.Scaling{
-		pool: {Model: pool, Min: 1, Max: s.max, StartTime: startTime, CheapCost: 0.15, Costs: costs},
+		pool: {Model: pool, Min: 1, Max: s.max, StartTime: startTime, DataCentres: centres},
 	}}
 }
 func (s *site) Authorize(time.Time, winch.KeyHash) (winch.Key, error) { return winch.Key{}, nil }
--- a/serving/forward/admit.go
+++ b/serving/forward/admit.go
@@ -131,6 +131,23 @@
 	return forward.Targets[0].Model
 }
 
+// checkHeader refuses a request whose header is larger than the limit; zero stands for none.
+func checkHeader(r *http.Request, limit int) *fault {
+	size := 0
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	if limit <= 0 || size <= limit {
+		return nil
+	}
+	return &fault{
+		status: http.StatusRequestHeaderFieldsTooLarge, reason: "header_too_large",
+		message: fmt.Sprintf("the header has %d bytes, of which %d are allowed", size, limit),
+	}
+}
+
 // readBody reads the whole body within the limit.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *fault) {
 	if r.ContentLength > limit {
--- a/serving/forward/admit_test.go
+++ b/serving/forward/admit_test.go
@@ -62,6 +62,12 @@
 		w.change(func(c *winch.Configuration) { c.ForwardLimits.BodyBytes = 3 })
 		assert.Equal(t, w.ask("/safe/x").status, 413)
 	})
+	t.Run("header over the limit", func(t *testing.T) {
+		w := newWorld(t)
+		w.change(func(c *winch.Configuration) { c.ForwardLimits.HeaderBytes = 2000 })
+		assert.Equal(t, w.ask("/safe/x", "Note", strings.Repeat("x", 2000)).status, 431)
+		assert.Equal(t, len(w.calls), 0)
+	})
 }
 
 func TestOrganisation(t *testing.T) {
--- a/serving/forward/fakes_test.go
+++ b/serving/forward/fakes_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -210,6 +211,13 @@
 		ID: winch.RequestID(r.Header.Get("X-Id")), Host: r.Host, Target: r.RequestURI, Path: path, Method: r.Method,
 		Secret: r.Header.Get("X-Key"), Header: http.Header{},
 	}
+	if text := r.Header.Get("X-Last"); text != "" {
+		last, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return request, fmt.Errorf("X-Last: %w", winch.ErrInvalid)
+		}
+		request.LastEvent = last
+	}
 	if text := r.Header.Get("X-Timeout"); text != "" {
 		timeout, err := time.ParseDuration(text)
 		if err != nil {
--- a/serving/forward/server.go
+++ b/serving/forward/server.go
@@ -137,6 +137,13 @@
 	if req.grant.forward.Kind == winch.ForwardStream && s.drain.RefusesLong() {
 		return notRun(string(winch.RefusedStopping), stoppingRetry)
 	}
+	if f := checkHeader(r, req.grant.configuration.ForwardLimits.HeaderBytes); f != nil {
+		return f
+	}
+	if req.grant.forward.Resumable {
+		// The caller has the events up to this one already.
+		req.lastEvent = req.LastEvent
+	}
 	limit := req.grant.configuration.ForwardLimits.BodyBytes
 	if limit <= 0 {
 		limit = s.options.Limits.Body
--- a/serving/forward/stream_test.go
+++ b/serving/forward/stream_test.go
@@ -41,6 +41,15 @@
 		assert.Equal(t, answered.body, event(1)+event(2))
 		assert.Assert(t, !answered.whole)
 	})
+	t.Run("goes on after the caller's last event", func(t *testing.T) {
+		w := newWorld(t, answer{status: 200, body: event(3), breaks: true}, answer{status: 200, body: event(4)})
+		assert.Equal(t, w.ask("/plan/x", "X-Last", "2").body, event(3)+event(4))
+		w.assertCalls(2, 3)
+	})
+	t.Run("events that the caller has are not passed on", func(t *testing.T) {
+		w := newWorld(t, answer{status: 200, body: event(2) + event(3)}, answer{status: 200, body: event(3)})
+		assert.Equal(t, w.ask("/plan/x", "X-Last", "2").body, event(3))
+	})
 	t.Run("breaks before its first event", func(t *testing.T) {
 		w := newWorld(t, answer{status: 200, breaks: true})
 		assert.Equal(t, w.ask("/chat/x").status, 502)
--- a/winchd/forwarder/process_test.go
+++ b/winchd/forwarder/process_test.go
@@ -54,13 +54,6 @@
 	return built.Run()
 }
 
-const configurationOfTests = `{"version":1,"routes":[
- {"name":"desk","host":"a.example","prefix":"/desk/","type":"idempotent","timeout_ms":2000,"target_latency_ms":200,"priority":1,"service":"desk","max_attempts":2},
- {"name":"open","host":"a.example","prefix":"/open/","type":"idempotent","timeout_ms":2000,"target_latency_ms":200,"priority":1,"service":"desk","max_attempts":2,"auth_exempt":true}],
-"services":[{"name":"desk","max_connections":96}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":[{"name":"dealer","api_keys":["k1"],"priority":1}]}`
-
 // platform is the platform's side: a store and two endpoints, each behind a link.
 type platform struct {
 	t         *testing.T
@@ -75,7 +68,7 @@
 	t.Helper()
 	p := &platform{t: t, store: standin.NewStore()}
 	p.storeLink = newLink(t, serve(t, p.store))
-	p.store.Set(standin.ConfigurationKey, []byte(configurationOfTests))
+	p.store.Set(standin.ConfigurationKey, []byte(standin.DeskConfiguration))
 	for _, id := range []winch.EndpointID{"i-0", "i-1"} {
 		endpoint := standin.NewEndpoint(id)
 		link := newLink(t, serve(t, endpoint))
