fix(serving): a call that is given up does not arrive later

Cause: the call was written at 24.112 s to a data centre that was cut off from 22.0 to 27.2 s. At 25.0 s the host gave it up and closed the connection (502). A close leaves what waits in the machine to be sent on: it was repeated with growing pauses until the link was back, and reached the endpoint at 30.405 s, which ran it. The pauses of 0.2 to 3.2 s add up to 6.2 s.

Ruled out: an old list (the host had taken the leave in at 26.6 s), a retry (its log has one attempt), the time for unacknowledged bytes (1.5 s, it does not end a closed connection there).

Change: a connection whose call is given up is closed without lingering, on both protocols' ways to endpoints.

--- a/serving/exact/conn.go
+++ b/serving/exact/conn.go
@@ -44,15 +44,20 @@
 	failed  atomic.Bool
 }
 
-// abort closes the connection while a call uses it.
-func (c *conn) abort() { _ = c.plain.Close() }
+// abort closes the connection while a call uses it, and drops what of the call this machine
+// has not sent yet: behind a silent link it would arrive when nobody waits for it any more.
+func (c *conn) abort() {
+	// Both fail only on a connection that is closed already.
+	_ = c.plain.SetLinger(0)
+	_ = c.plain.Close()
+}
 
 // discard ends the use of the connection for good.
 func (c *conn) discard() {
 	if c.stop != nil {
 		c.stop()
 	}
-	_ = c.plain.Close()
+	c.abort()
 }
 
 func (c *conn) wrote() bool { return c.written.Load() > 0 }
--- a/serving/internal/once/transport.go
+++ b/serving/internal/once/transport.go
@@ -71,8 +71,21 @@
 
 func connections(options Options, single bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: options.DialTimeout, KeepAlive: keepAlive}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		// What of a call that was given up waits in this machine is dropped: behind a silent
+		// link it would arrive when nobody waits for it any more.
+		if err := conn.(*net.TCPConn).SetLinger(0); err != nil {
+			_ = conn.Close()
+			return nil, fmt.Errorf("set linger: %w", err)
+		}
+		return conn, nil
+	}
 	return &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: options.IdleConnections,
+		DialContext: dial, MaxIdleConnsPerHost: options.IdleConnections,
 		IdleConnTimeout: idleTimeout, DisableCompression: true, DisableKeepAlives: single,
 	}
 }
