fix(release): a report that comes late proves nothing newer

Cause: the hub counted a host's evidence from the report's receipt, less the age that the host told when it wrote it.

Change: the hub stamps its summaries by its own clock, and a host tells its evidence relative to the last stamp that it got; without one it does not count. So evidence is never younger than it is, whatever the way takes. Summaries were bounded by the exchange before.

The small error had a use: the hub's own evidence came back 1 to 2 ms younger and spared it each second reading.

Tests: "a report that comes late makes evidence no younger" (5 s younger before), "evidence of a host that the hub has not answered yet does not count".

--- a/release/source/follower.go
+++ b/release/source/follower.go
@@ -24,6 +24,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -63,6 +64,9 @@
 	reports map[winch.HostID]evidence
 	// hubVersion is what the hub told last.
 	hubVersion winch.Version
+	// origin names this process in its stamps; stamp is the last of the hub's.
+	origin uint64
+	stamp  stamp
 	// ownAt is when this host read the source last.
 	ownAt time.Time
 	// source logs the loss and the return of the source; only Run uses it.
@@ -80,7 +84,7 @@
 	options.FreshnessLimit = cmp.Or(options.FreshnessLimit, defaultFreshnessLimit)
 	return &Follower{
 		options: options, state: state{configuration: &winch.Configuration{}},
-		changed: make(chan struct{}), reports: map[winch.HostID]evidence{},
+		changed: make(chan struct{}), reports: map[winch.HostID]evidence{}, origin: rand.Uint64() | 1,
 		source: dependency.New("configuration source", options.Logger, EventSourceFailed, EventSourceRegained),
 	}, nil
 }
--- a/release/source/follower_test.go
+++ b/release/source/follower_test.go
@@ -144,7 +144,9 @@
 	})
 	t.Run("the configuration is sent once only", func(t *testing.T) {
 		exchange(t, host, hub, c, 0)
-		assert.Assert(t, len(hub.Section().Summary(c.now, "host")) < 60)
+		wire, err := decodeEvidence(hub.Section().Summary(c.now, "host"))
+		assert.NilError(t, err)
+		assert.Equal(t, len(wire.Configuration), 0)
 	})
 	t.Run("young evidence spares a reading", func(t *testing.T) {
 		hub.Step(t.Context())
@@ -163,6 +165,28 @@
 		exchange(t, host, hub, c, 0)
 		assertKey(t, hub, c.now, winch.ErrUnauthorized)
 	})
+	t.Run("a report that comes late makes evidence no younger", func(t *testing.T) {
+		source.err = winch.ErrUnavailable
+		exchange(t, host, hub, c, 0)
+		c.now = c.now.Add(time.Second)
+		host.Step(t.Context())
+		report := host.Section().Report(c.now)
+		c.now = c.now.Add(5 * time.Second)
+		assert.NilError(t, hub.Section().Collect(c.now, "host", report))
+		assert.Assert(t, !hub.ConfirmedAt().After(host.ConfirmedAt()), "%s after %s", hub.ConfirmedAt(), host.ConfirmedAt())
+	})
+	t.Run("evidence of a host that the hub has not answered yet does not count", func(t *testing.T) {
+		fresh, err := New(Options{Source: &operator{version: 9}, Clock: c, Logger: hclog.NewNullLogger()})
+		assert.NilError(t, err)
+		fresh.Step(t.Context())
+		before := hub.ConfirmedAt()
+		assert.NilError(t, hub.Section().Collect(c.now, "fresh", fresh.Section().Report(c.now)))
+		assert.Equal(t, hub.ConfirmedAt(), before)
+		exchange(t, fresh, hub, c, 0)
+		exchange(t, fresh, hub, c, 0)
+		lost := fresh.ConfirmedAt().Sub(hub.ConfirmedAt())
+		assert.Assert(t, lost >= 0 && lost <= 2*time.Millisecond, "%s", lost)
+	})
 	t.Run("malformed evidence", func(t *testing.T) {
 		assert.ErrorIs(t, host.Section().Apply(c.now, c.now, "hub", []byte("{")), winch.ErrInvalid)
 		assert.ErrorIs(t, host.Section().Collect(c.now, "a", []byte(`{"Version":1,"AgeMS":-5}`)), winch.ErrInvalid)
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -54,6 +54,9 @@
 	keyMargin = 900 * time.Millisecond
 	// isolationLimit is the age of the evidence up to which keys count where the platform sets none.
 	isolationLimit = 5 * time.Minute
+	// pollShare is the part of the time within which a configuration is in force between two
+	// readings; the rest is for the exchange between hosts and for one reading that fails.
+	pollShare = 0.45
 	// rejectMargin is taken off the time within which a configuration is in force.
 	rejectMargin = 400 * time.Millisecond
 	// dialTimeout bounds the connecting to an endpoint.
@@ -155,7 +158,7 @@
 func (f *Forwarder) buildConfiguration() error {
 	built, err := release.New(release.Options{
 		Source: operator.New(f.store), Clock: f.clock, Logger: f.logger, FreshnessLimit: keyLimit(f.settings.Bounds),
-		Relayed: relayedLimit(f.settings.Bounds),
+		PollEvery: time.Duration(pollShare * float64(f.settings.Bounds.Apply)), Relayed: relayedLimit(f.settings.Bounds),
 	})
 	f.configuration = built
 	return err
