--- a/usage/billing/reporter.go
+++ b/usage/billing/reporter.go
@@ -184,32 +184,39 @@
 	if err := r.ledger.refresh(ctx); err != nil {
 		return err
 	}
-	waits := false
+	if waits, err := r.sealDue(ctx, now); waits || err != nil {
+		return err
+	}
+	// Counts of the newest window may be missing altogether.
+	newest := closed - usage.Window(r.options.Window/time.Second)
+	if len(r.missing(now, newest)) > 0 {
+		return nil
+	}
+	limit := usage.WindowOf(now.Add(-r.options.Retention-2*r.options.Window), r.options.Window)
+	if err := r.ledger.prune(ctx, limit, r.options.Retention); err != nil {
+		return err
+	}
+	r.looked = closed
+	return nil
+}
+
+// sealDue seals the windows that are due, up to one that waits for counts.
+func (r *Reporter) sealDue(ctx context.Context, now time.Time) (waits bool, err error) {
 	for {
 		window, due := usage.Next(now, r.options.Window, r.options.Grace, r.ledger.head.Last, r.ledger.collected, r.ledger.accounted)
 		if !due {
-			break
+			return false, nil
 		}
 		if missing := r.missing(now, window); len(missing) > 0 {
 			r.logWait(now, window, missing)
-			waits = true
-			break
+			return true, nil
 		}
 		seal, err := r.ledger.seal(ctx, window)
 		if err != nil {
-			return err
+			return false, err
 		}
 		r.logSeal(ctx, seal)
 	}
-	if waits || len(r.missing(now, closed-usage.Window(r.options.Window/time.Second))) > 0 {
-		return nil
-	}
-	limit := usage.WindowOf(now.Add(-r.options.Retention-2*r.options.Window), r.options.Window)
-	if err := r.ledger.prune(ctx, limit, r.options.Retention); err != nil {
-		return err
-	}
-	r.looked = closed
-	return nil
 }
 
 // waitsUntil returns when the window is sealed though counts are missing.
--- a/usage/peer/counters.go
+++ b/usage/peer/counters.go
@@ -3,11 +3,11 @@
 //
 // Each host reports its counters to the hub of its data centre. The hub copies them
 // to a second host and writes them to the key-value service, with the names of the
-// hosts whose counts of the window are complete. A host keeps its
-// counters until it knows that they are stored, and stores them itself when the hub is
-// late; the second host stores the copies when the hub is replaced or late. All copies are merged by maximum, so that
-// repeats and crossings do no harm. A host that is killed loses what it counted
-// since its last exchange.
+// hosts whose counts of the window are complete. A host keeps its counters until it
+// knows that they are stored, and stores them itself when the hub is late; the second
+// host stores the copies when the hub is replaced or late. All copies are merged by
+// maximum, so that repeats and crossings do no harm. A host that is killed loses what
+// it counted since its last exchange.
 //
 // # Usage
 //
