--- a/usage/peer/counters_test.go
+++ b/usage/peer/counters_test.go
@@ -251,6 +251,17 @@
 		y.settle(t.Context())
 		assert.Equal(t, y.stored(t.Context()), int64(5))
 	})
+	t.Run("nothing is sent twice when all is stored", func(t *testing.T) {
+		y := newYard(t, 3)
+		y.record(2, 5)
+		y.settle(t.Context())
+		report, err := decodeReport(y.hosts[2].counters.Report(y.now))
+		assert.NilError(t, err)
+		assert.Equal(t, len(report.Batches), 0)
+	})
+}
+
+func TestEntries(t *testing.T) {
 	t.Run("the other hosts store when the hub alone is turned away", func(t *testing.T) {
 		y := newYard(t, 3)
 		y.hosts[0].turnedAway = true
@@ -292,14 +303,6 @@
 		y.pass(t.Context(), 2*defaultStoreEvery)
 		assert.DeepEqual(t, y.complete(t.Context()), usage.Hosts{"host-02": true, "host-03": true})
 	})
-	t.Run("nothing is sent twice when all is stored", func(t *testing.T) {
-		y := newYard(t, 3)
-		y.record(2, 5)
-		y.settle(t.Context())
-		report, err := decodeReport(y.hosts[2].counters.Report(y.now))
-		assert.NilError(t, err)
-		assert.Equal(t, len(report.Batches), 0)
-	})
 }
 
 // TestNothingIsLostBeyondTheStatedAmount kills hosts one at a time, with full
