fix(usage): a host that dropped copies reads an entry before it writes it

When the hub tells that it has stored them, the copies are dropped, and the next write at the known version left them out of the entry.

Ruled out: the marks of complete hosts (fails without them as well); without storing for itself the sequence passes.

Change: a drop of copies makes all known versions void; a drop during a write is a conflict, and the write begins anew.

--- a/usage/peer/counters.go
+++ b/usage/peer/counters.go
@@ -78,6 +78,13 @@
 	Meter     metric.Meter
 }
 
+// writtenPart is what is known of a stored entry.
+type writtenPart struct {
+	version winch.Version
+	// drops is the number of drops at which this process held all cells of the entry.
+	drops int
+}
+
 type hostState struct {
 	incarnation winch.Incarnation
 	received    uint64
@@ -102,9 +109,12 @@
 	// copiedFrom is the hub whose copies are here, up to copiedSequence.
 	copiedFrom     string
 	copiedSequence uint64
+	// drops counts how often copies were dropped, after which entries must be read before
+	// they are written.
+	drops int
 
 	// versions and the times below belong to Run.
-	versions map[part]winch.Version
+	versions map[part]writtenPart
 	// complete are the hosts that the stored entries call complete.
 	complete  map[part]usage.Hosts
 	nextStore time.Time
@@ -135,7 +145,7 @@
 		dropped:  dropped,
 		table:    newTable(options.Incarnation),
 		hosts:    map[winch.HostID]hostState{},
-		versions: map[part]winch.Version{},
+		versions: map[part]writtenPart{},
 		complete: map[part]usage.Hosts{},
 	}, nil
 }
--- a/usage/peer/section.go
+++ b/usage/peer/section.go
@@ -131,7 +131,9 @@
 	}
 	c.table.merge(c.recent(now, decodeBatches(wire.Copies)), false)
 	c.copiedFrom, c.copiedSequence = wire.Hub, wire.Sequence
-	c.table.dropCopies(usage.Window(wire.StoredBefore))
+	if c.table.dropCopies(usage.Window(wire.StoredBefore)) {
+		c.drops++
+	}
 	return nil
 }
 
--- a/usage/peer/store.go
+++ b/usage/peer/store.go
@@ -125,8 +125,12 @@
 func (c *Counters) tryPart(ctx context.Context, now time.Time, key part) error {
 	source := usage.Source{Window: key.window, DataCentre: c.options.Membership.Self().DataCentre}
 	name := keyvalue.CollectedKey(key.shard, source)
-	version, known := c.versions[key]
-	if !known {
+	c.mu.Lock()
+	drops := c.drops
+	c.mu.Unlock()
+	written, known := c.versions[key]
+	version := written.version
+	if !known || written.drops != drops {
 		found, err := c.readPart(ctx, key, name)
 		if err != nil {
 			return err
@@ -134,6 +138,10 @@
 		version = found
 	}
 	c.mu.Lock()
+	if c.drops != drops {
+		c.mu.Unlock()
+		return fmt.Errorf("store counts: copies were dropped: %w", winch.ErrConflict)
+	}
 	collected := keyvalue.Collected{Cells: c.table.of(key, c.options.Shards), Complete: c.completeHosts(now, key)}
 	c.mu.Unlock()
 	value, err := keyvalue.EncodeCollected(collected)
@@ -144,7 +152,7 @@
 	if err != nil {
 		return fmt.Errorf("store counts: %w", err)
 	}
-	c.versions[key] = version
+	c.versions[key] = writtenPart{version: version, drops: drops}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.markStored(collected.Cells)
--- a/usage/peer/table.go
+++ b/usage/peer/table.go
@@ -100,13 +100,16 @@
 	}
 }
 
-// dropCopies forgets copies of windows before the given one: the hub has stored them.
-func (t *table) dropCopies(before usage.Window) {
+// dropCopies forgets copies of windows before the given one: the hub has stored them. It
+// reports whether there were any.
+func (t *table) dropCopies(before usage.Window) bool {
+	known := len(t.cells)
 	for slot, found := range t.cells {
 		if slot.Window < before && t.isCopy(slot, found) {
 			delete(t.cells, slot)
 		}
 	}
+	return len(t.cells) < known
 }
 
 // earliestUnstored returns the earliest window with a counter that is not stored.
