fix(serving): calls that are not acknowledged are reset before the system ends them

Cause: the call was written at 26.3 s on a kept connection into a cut of 23.9 to 29.6 s. At 26.888 s the system ended the connection ("read: connection timed out"): its probes of the idle connection had been unanswered for 3 s, and a connection that ends so is not reset. The bytes came 6.3 s after they were written, when the link was back.

Change: the system's probes are off while bytes may be on their way, and on while an answer is awaited or read; a call that is not acknowledged within 0.75 of the time for that is reset by the client.

TestCallsThatAreNotAcknowledged fails without the reset ("connection timed out").

--- a/serving/exact/client.go
+++ b/serving/exact/client.go
@@ -39,10 +39,13 @@
 	defaultDialTimeout = time.Second
 	// defaultAckTimeout is how long sent bytes may stay unacknowledged: silent links show only so.
 	defaultAckTimeout = 1500 * time.Millisecond
-	probeIdle         = time.Second
-	probeInterval     = time.Second
-	probeCount        = 2
-	readSize          = 4 << 10
+	// ackShare is the part of that time after which a call that is not acknowledged is reset by
+	// the client itself: what the system ends may still arrive from a link that holds it up.
+	ackShare      = 0.75
+	probeIdle     = time.Second
+	probeInterval = time.Second
+	probeCount    = 2
+	readSize      = 4 << 10
 	// inlineBody is the largest body that is written before the answer is waited for.
 	inlineBody = 2 << 10
 	// skipLimit bounds the answers of other calls that are skipped.
@@ -92,7 +95,11 @@
 	}
 	conn.stop = context.AfterFunc(ctx, conn.abort)
 	conn.write(head, call.Body)
+	watch := conn.expectAck(time.Duration(ackShare * float64(c.options.AckTimeout)))
 	response, err := c.await(conn, call)
+	if watch.stop() {
+		err = errSilent
+	}
 	if err != nil {
 		conn.discard()
 		conn.waitWritten()
@@ -101,6 +108,7 @@
 		}
 		return nil, fmt.Errorf("read answer: %w: %w", winch.ErrOutcomeUnknown, err)
 	}
+	conn.probe(true)
 	return response, nil
 }
 
@@ -161,7 +169,9 @@
 		_ = opened.Close()
 		return nil, fmt.Errorf("connect: %w: %w", winch.ErrUnavailable, err)
 	}
-	return &conn{client: c, key: poolKey(call), plain: opened, reader: bufio.NewReaderSize(opened, readSize)}, nil
+	built := &conn{client: c, key: poolKey(call), plain: opened, reader: bufio.NewReaderSize(opened, readSize)}
+	built.probe(false)
+	return built, nil
 }
 
 func setAckTimeout(plain *net.TCPConn, timeout time.Duration) error {
--- a/serving/exact/conn.go
+++ b/serving/exact/conn.go
@@ -188,6 +188,7 @@
 		_ = c.plain.Close()
 		return
 	}
+	c.probe(false)
 	c.keepUntil = time.Now().Add(b.keep)
 	c.client.put(c)
 }
--- a/serving/exact/given_up_test.go
+++ b/serving/exact/given_up_test.go
@@ -37,3 +37,26 @@
 	assert.Assert(t, err != nil, "the connection ended as after a whole call")
 	assert.Assert(t, len(got) < len(body), "the whole call of %d bytes arrived", len(got))
 }
+
+// TestCallsThatAreNotAcknowledged lets the server's machine take only a part of a call.
+func TestCallsThatAreNotAcknowledged(t *testing.T) {
+	listener := slowtest.Listen(t)
+	client := New(Options{AckTimeout: time.Second})
+	ended := make(chan error, 1)
+	started := time.Now()
+	go func() {
+		_, err := client.Exchange(t.Context(), winch.ExchangeCall{
+			Address: listener.Addr().String(), Peer: "p", Method: "GET", Host: "h", Target: "/" + strings.Repeat("x", 200<<10), ID: "1", IDHeader: "X-Id",
+		})
+		ended <- err
+	}()
+	conn, err := listener.Accept()
+	assert.NilError(t, err)
+	slowtest.WaitForBytes(t, conn)
+	err = <-ended
+	assert.ErrorIs(t, err, winch.ErrOutcomeUnknown)
+	assert.ErrorIs(t, err, errSilent)
+	assert.Assert(t, time.Since(started) < time.Second, "the system is not waited for")
+	_, err = io.ReadAll(conn)
+	assert.Assert(t, err != nil, "the connection ended as after a whole call")
+}
