refactor(socket): one piece for what the socket tells

The forwarding client wrote again what the fenced sender had: calls on a connection's socket, the time for unacknowledged bytes and their number; the slow receiver of the tests had a third copy. All three use internal/socket.

--- a/charge/fenced/transport.go
+++ b/charge/fenced/transport.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/socket"
 )
 
 const (
@@ -132,10 +133,7 @@
 	if t.options.off.abort {
 		return nil
 	}
-	milliseconds := max(int(wait.Milliseconds()), 1)
-	return control(conn, func(fd int) error {
-		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, milliseconds)
-	})
+	return socket.SetAckTimeout(conn, wait)
 }
 
 // writeHead writes all but the bytes held back, in two parts.
@@ -161,11 +159,7 @@
 	ticker := time.NewTicker(drainTick)
 	defer ticker.Stop()
 	for t.options.Clock.Now().Before(t.end) {
-		queued := 0
-		err := control(conn, func(fd int) (err error) {
-			queued, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
-			return err
-		})
+		queued, err := socket.Unacknowledged(conn)
 		if err != nil {
 			return err
 		}
@@ -258,22 +252,6 @@
 	}
 }
 
-// control runs a call on the connection's socket.
-func control(conn *net.TCPConn, call func(fd int) error) error {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return fmt.Errorf("access socket: %w", err)
-	}
-	var callErr error
-	if err := raw.Control(func(fd uintptr) { callErr = call(int(fd)) }); err != nil {
-		return fmt.Errorf("access socket: %w", err)
-	}
-	if callErr != nil {
-		return fmt.Errorf("set up socket: %w", callErr)
-	}
-	return nil
-}
-
 // body closes the connection with the answer's body.
 type body struct {
 	io.ReadCloser
--- /dev/null
+++ b/internal/socket/socket.go
@@ -0,0 +1,62 @@
+// Package socket reads and sets what the standard library does not show of a TCP connection.
+//
+// # Usage
+//
+//	if err := socket.SetAckTimeout(conn, time.Second); err != nil {
+//		return err
+//	}
+//	waiting, err := socket.Unacknowledged(conn)
+package socket
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Control runs a call on the connection's socket.
+func Control(conn syscall.Conn, call func(fd int) error) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("access socket: %w", err)
+	}
+	return ControlRaw(raw, call)
+}
+
+// ControlRaw is Control for a socket that is not connected yet.
+func ControlRaw(raw syscall.RawConn, call func(fd int) error) error {
+	var callErr error
+	if err := raw.Control(func(fd uintptr) { callErr = call(int(fd)) }); err != nil {
+		return fmt.Errorf("access socket: %w", err)
+	}
+	if callErr != nil {
+		return fmt.Errorf("use socket: %w", callErr)
+	}
+	return nil
+}
+
+// SetAckTimeout lets the system drop the connection, with what it could not deliver, when
+// sent bytes stay unacknowledged for so long. Less than a millisecond counts as one.
+func SetAckTimeout(conn syscall.Conn, timeout time.Duration) error {
+	milliseconds := max(int(timeout.Milliseconds()), 1)
+	return Control(conn, func(fd int) error {
+		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, milliseconds)
+	})
+}
+
+// Unacknowledged returns the number of written bytes that the receiver's machine has not confirmed.
+func Unacknowledged(conn syscall.Conn) (int, error) { return queued(conn, unix.SIOCOUTQ) }
+
+// Unread returns the number of bytes that came and were not read.
+func Unread(conn syscall.Conn) (int, error) { return queued(conn, unix.SIOCINQ) }
+
+func queued(conn syscall.Conn, request uint) (int, error) {
+	count := 0
+	err := Control(conn, func(fd int) (err error) {
+		count, err = unix.IoctlGetInt(fd, request)
+		return err
+	})
+	return count, err
+}
--- a/serving/exact/ack.go
+++ b/serving/exact/ack.go
@@ -4,7 +4,7 @@
 	"errors"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/arbutuswinch/winch/internal/socket"
 )
 
 // errSilent: the server's machine did not acknowledge the call in time.
@@ -57,11 +57,7 @@
 
 // unacknowledged tells whether the server's machine has not confirmed all that was written.
 func (c *conn) unacknowledged() bool {
-	waiting := 0
-	err := onDescriptor(c.plain, func(fd int) (err error) {
-		waiting, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
-		return err
-	})
+	waiting, err := socket.Unacknowledged(c.plain)
 	// A connection that is closed meanwhile has nothing to wait for.
 	return err == nil && waiting > 0
 }
--- a/serving/exact/client.go
+++ b/serving/exact/client.go
@@ -29,10 +29,9 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/internal/periodic"
+	"github.com/arbutuswinch/winch/internal/socket"
 )
 
 const (
@@ -165,7 +164,7 @@
 		return nil, fmt.Errorf("connect: %w: %w", winch.ErrUnavailable, err)
 	}
 	opened := plain.(*net.TCPConn)
-	if err := setAckTimeout(opened, c.options.AckTimeout); err != nil {
+	if err := socket.SetAckTimeout(opened, c.options.AckTimeout); err != nil {
 		_ = opened.Close()
 		return nil, fmt.Errorf("connect: %w: %w", winch.ErrUnavailable, err)
 	}
@@ -174,24 +173,6 @@
 	return built, nil
 }
 
-func setAckTimeout(plain *net.TCPConn, timeout time.Duration) error {
-	return onDescriptor(plain, func(fd int) error {
-		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-	})
-}
-
-func onDescriptor(plain *net.TCPConn, do func(fd int) error) error {
-	raw, err := plain.SyscallConn()
-	if err != nil {
-		return fmt.Errorf("get descriptor: %w", err)
-	}
-	failure := error(nil)
-	if err := raw.Control(func(fd uintptr) { failure = do(int(fd)) }); err != nil {
-		return fmt.Errorf("use descriptor: %w", err)
-	}
-	return failure
-}
-
 // await reads the answer of the call, and skips those of others.
 func (c *Client) await(conn *conn, call winch.ExchangeCall) (*winch.ExchangeAnswer, error) {
 	for range skipLimit {
--- a/serving/exact/conn.go
+++ b/serving/exact/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/arbutuswinch/winch/internal/socket"
 )
 
 const (
@@ -128,7 +130,7 @@
 		return false
 	}
 	quiet := false
-	err := onDescriptor(c.plain, func(fd int) error {
+	err := socket.Control(c.plain, func(fd int) error {
 		_, _, err := unix.Recvfrom(fd, make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		quiet = errors.Is(err, unix.EAGAIN)
 		return nil
--- a/serving/exact/given_up_test.go
+++ b/serving/exact/given_up_test.go
@@ -13,29 +13,14 @@
 	"github.com/arbutuswinch/winch/serving/internal/slowtest"
 )
 
-// TestCallsThatAreGivenUpDoNotArrive gives a call up whose bytes wait in this machine, as
-// behind a link that lets nothing through: they must not arrive when it does again.
 func TestCallsThatAreGivenUpDoNotArrive(t *testing.T) {
-	listener := slowtest.Listen(t)
 	client := New(Options{AckTimeout: time.Minute})
-	ctx, giveUp := context.WithCancel(t.Context())
-	body := []byte(strings.Repeat("x", 200<<10))
-	ended := make(chan error, 1)
-	go func() {
+	slowtest.AssertGivenUpCallsDoNotArrive(t, func(ctx context.Context, address string, body []byte) error {
 		_, err := client.Exchange(ctx, winch.ExchangeCall{
-			Address: listener.Addr().String(), Peer: "p", Method: "POST", Host: "h", Target: "/", ID: "1", IDHeader: "X-Id", Body: body,
+			Address: address, Peer: "p", Method: "POST", Host: "h", Target: "/", ID: "1", IDHeader: "X-Id", Body: body,
 		})
-		ended <- err
-	}()
-	conn, err := listener.Accept()
-	assert.NilError(t, err)
-	// What the server's buffer does not take waits in this machine.
-	slowtest.WaitForBytes(t, conn)
-	giveUp()
-	assert.ErrorIs(t, <-ended, winch.ErrOutcomeUnknown)
-	got, err := io.ReadAll(conn)
-	assert.Assert(t, err != nil, "the connection ended as after a whole call")
-	assert.Assert(t, len(got) < len(body), "the whole call of %d bytes arrived", len(got))
+		return err
+	})
 }
 
 // TestCallsThatAreNotAcknowledged lets the server's machine take only a part of a call.
--- a/serving/internal/slowtest/listener.go
+++ b/serving/internal/slowtest/listener.go
@@ -1,5 +1,5 @@
 // Package slowtest has receivers for tests that take few bytes before they are read, so
-// that the rest of what is sent waits at its sender.
+// that the rest of what is sent waits at its sender, and what all clients must do then.
 //
 // # Usage
 //
@@ -9,13 +9,19 @@
 package slowtest
 
 import (
+	"context"
+	"io"
 	"net"
+	"strings"
 	"syscall"
 	"testing"
 
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/socket"
 )
 
 // receiveBuffer is the size of the receive buffer in bytes.
@@ -25,7 +31,7 @@
 func Listen(t *testing.T) net.Listener {
 	t.Helper()
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return onDescriptor(raw, func(fd int) error {
+		return socket.ControlRaw(raw, func(fd int) error {
 			return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
 		})
 	}}
@@ -38,14 +44,8 @@
 // WaitForBytes waits until bytes have arrived that are not read.
 func WaitForBytes(t *testing.T, conn net.Conn) {
 	t.Helper()
-	raw, err := conn.(*net.TCPConn).SyscallConn()
-	assert.NilError(t, err)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		waiting := 0
-		err := onDescriptor(raw, func(fd int) (err error) {
-			waiting, err = unix.IoctlGetInt(fd, unix.SIOCINQ)
-			return err
-		})
+		waiting, err := socket.Unread(conn.(*net.TCPConn))
 		switch {
 		case err != nil:
 			return poll.Error(err)
@@ -56,10 +56,26 @@
 	})
 }
 
-func onDescriptor(raw syscall.RawConn, do func(fd int) error) error {
-	failure := error(nil)
-	if err := raw.Control(func(fd uintptr) { failure = do(int(fd)) }); err != nil {
-		return err
-	}
-	return failure
+// bodySize is more than such a receiver takes before it reads, and less than a sender keeps.
+const bodySize = 200 << 10
+
+// AssertGivenUpCallsDoNotArrive gives a call up whose bytes wait in this machine, as behind
+// a link that lets nothing through: they must not arrive when it does again. Send makes the
+// call, with the body, to the address.
+func AssertGivenUpCallsDoNotArrive(t *testing.T, send func(ctx context.Context, address string, body []byte) error) {
+	t.Helper()
+	listener := Listen(t)
+	ctx, giveUp := context.WithCancel(t.Context())
+	body := []byte(strings.Repeat("x", bodySize))
+	ended := make(chan error, 1)
+	go func() { ended <- send(ctx, listener.Addr().String(), body) }()
+	conn, err := listener.Accept()
+	assert.NilError(t, err)
+	// What the receiver's buffer does not take waits in this machine.
+	WaitForBytes(t, conn)
+	giveUp()
+	assert.ErrorIs(t, <-ended, winch.ErrOutcomeUnknown)
+	got, err := io.ReadAll(conn)
+	assert.Assert(t, err != nil, "the connection ended as after a whole call")
+	assert.Assert(t, len(got) < len(body), "the whole call of %d bytes arrived", len(got))
 }
