refactor(membership): sections without digests share that they have none

They embed winch.NoDigest; the reason, where one was given, stands at the embedding. Behaviour as before.

--- a/clock/agreed/clock.go
+++ b/clock/agreed/clock.go
@@ -97,7 +97,10 @@
 }
 
 // section is the clock's part of the exchange between hosts.
-type section struct{ c *Clock }
+type section struct {
+	winch.NoDigest
+	c *Clock
+}
 
 // Section returns the clock's part of the exchange between hosts.
 func (c *Clock) Section() winch.Section { return section{c: c} }
@@ -142,12 +145,6 @@
 	return nil
 }
 
-// Digest returns nothing.
-func (s section) Digest(time.Time, winch.DataCentreID) []byte { return nil }
-
-// ApplyDigest takes nothing in.
-func (s section) ApplyDigest(time.Time, time.Time, winch.DataCentreID, []byte) error { return nil }
-
 func encode(wire any) []byte {
 	encoded, err := json.Marshal(wire)
 	if err != nil {
--- a/load/peer/peer.go
+++ b/load/peer/peer.go
@@ -45,6 +45,8 @@
 
 // Exchange implements winch.LoadObserver for the reader, and winch.Section.
 type Exchange struct {
+	// Other data centres are told of free slots, not of endpoints.
+	winch.NoDigest
 	options Options
 
 	lock sync.Mutex
@@ -209,9 +211,3 @@
 	}
 	return nil
 }
-
-// Digest returns nothing: other data centres are told of free slots, not of endpoints.
-func (x *Exchange) Digest(time.Time, winch.DataCentreID) []byte { return nil }
-
-// ApplyDigest ignores digests.
-func (x *Exchange) ApplyDigest(time.Time, time.Time, winch.DataCentreID, []byte) error { return nil }
--- a/membership.go
+++ b/membership.go
@@ -25,6 +25,15 @@
 	Candidate(now time.Time, duty Duty, centre DataCentreID) bool
 }
 
+// NoDigest is for sections that have nothing to say to other data centres.
+type NoDigest struct{}
+
+// Digest returns nothing.
+func (NoDigest) Digest(time.Time, DataCentreID) []byte { return nil }
+
+// ApplyDigest takes nothing in.
+func (NoDigest) ApplyDigest(time.Time, time.Time, DataCentreID, []byte) error { return nil }
+
 // SectionName names one slice's part of an exchange.
 type SectionName string
 
--- a/placement/platform/endpoints.go
+++ b/placement/platform/endpoints.go
@@ -34,6 +34,8 @@
 // from the platform; the other hosts get it from the hub. It implements
 // winch.OrderedEndpoints and winch.Section and is safe for concurrent use.
 type Endpoints struct {
+	// Ordered endpoints are served by their own data centre.
+	winch.NoDigest
 	options EndpointsOptions
 	client  *httpjson.Client
 
--- a/placement/platform/section.go
+++ b/placement/platform/section.go
@@ -150,9 +150,3 @@
 	}
 	return merged
 }
-
-// Digest returns nothing: ordered endpoints are served by their own data centre.
-func (e *Endpoints) Digest(time.Time, winch.DataCentreID) []byte { return nil }
-
-// ApplyDigest takes nothing in.
-func (e *Endpoints) ApplyDigest(time.Time, time.Time, winch.DataCentreID, []byte) error { return nil }
--- a/placement/registry/section.go
+++ b/placement/registry/section.go
@@ -37,7 +37,10 @@
 
 // section is the follower's part of the exchange between hosts: the hub reads the list
 // for the others.
-type section struct{ f *Follower }
+type section struct {
+	winch.NoDigest
+	f *Follower
+}
 
 // Section returns the follower's part of the exchange between hosts.
 func (f *Follower) Section() winch.Section { return section{f: f} }
@@ -100,12 +103,6 @@
 	return nil
 }
 
-// Digest returns nothing.
-func (s section) Digest(time.Time, winch.DataCentreID) []byte { return nil }
-
-// ApplyDigest takes nothing in.
-func (s section) ApplyDigest(time.Time, time.Time, winch.DataCentreID, []byte) error { return nil }
-
 // encode tells the list to a host that has the one with the known hash.
 func (f *Follower) encode(now time.Time, known uint64) []byte {
 	if f.listed == nil {
--- a/usage/peer/counters.go
+++ b/usage/peer/counters.go
@@ -97,6 +97,8 @@
 
 // Counters implements winch.UsageRecorder and winch.Section. It is safe for concurrent use.
 type Counters struct {
+	// Other data centres' counts meet in the key-value service.
+	winch.NoDigest
 	options Options
 	dropped metric.Int64Counter
 
--- a/usage/peer/section.go
+++ b/usage/peer/section.go
@@ -136,9 +136,3 @@
 	}
 	return nil
 }
-
-// Digest returns nothing: other data centres' counts meet in the key-value service.
-func (c *Counters) Digest(time.Time, winch.DataCentreID) []byte { return nil }
-
-// ApplyDigest takes nothing in.
-func (c *Counters) ApplyDigest(time.Time, time.Time, winch.DataCentreID, []byte) error { return nil }
