refactor(usage,release): no state that follows from other state

Whether a part has newly complete hosts is seen from the size of the set, since it only grows: the copy that was compared with is gone, and with it a second meaning of AddAll. A hub kept the evidence of each host's report, of which only the version was read. The hub's stamp is echoed as it came, without a way over a time and back. The section of the configuration embeds winch.NoDigest as the others do. Behaviour as before.

--- a/release/source/follower.go
+++ b/release/source/follower.go
@@ -60,8 +60,8 @@
 	mu      sync.Mutex
 	state   state
 	changed chan struct{}
-	// reports are what the other hosts told, at the hub.
-	reports map[winch.HostID]evidence
+	// reports are the versions that the other hosts told, at the hub.
+	reports map[winch.HostID]winch.Version
 	// hubVersion is what the hub told last.
 	hubVersion winch.Version
 	// origin names this process in its stamps; stamp is the last of the hub's.
@@ -84,7 +84,7 @@
 	options.FreshnessLimit = cmp.Or(options.FreshnessLimit, defaultFreshnessLimit)
 	return &Follower{
 		options: options, state: state{configuration: &winch.Configuration{}},
-		changed: make(chan struct{}), reports: map[winch.HostID]evidence{}, origin: rand.Uint64() | 1,
+		changed: make(chan struct{}), reports: map[winch.HostID]winch.Version{}, origin: rand.Uint64() | 1,
 		source: dependency.New("configuration source", options.Logger, EventSourceFailed, EventSourceRegained),
 	}, nil
 }
--- a/release/source/section.go
+++ b/release/source/section.go
@@ -21,7 +21,8 @@
 type stamp struct {
 	// origin names the hub's process; zero stands for none.
 	origin uint64
-	at     time.Time
+	// at is in Unix nanoseconds, as the hub told it.
+	at int64
 	// received is when it came, by this host's clock.
 	received time.Time
 }
@@ -44,7 +45,11 @@
 }
 
 // section is the follower's part of the exchange between hosts.
-type section struct{ f *Follower }
+type section struct {
+	// Each data centre's hosts read the source.
+	winch.NoDigest
+	f *Follower
+}
 
 // Section returns the follower's part of the exchange between hosts.
 func (f *Follower) Section() winch.Section { return section{f: f} }
@@ -70,7 +75,7 @@
 		told.confirmed = earlier(now, time.Unix(0, wire.Stamp).Add(time.Duration(wire.AfterMS)*time.Millisecond))
 	}
 	s.f.mu.Lock()
-	s.f.reports[from] = told
+	s.f.reports[from] = told.version
 	s.f.mu.Unlock()
 	return s.f.takeEvidence(told, wire.Configuration, string(from))
 }
@@ -79,7 +84,7 @@
 func (s section) Summary(now time.Time, to winch.HostID) []byte {
 	s.f.mu.Lock()
 	defer s.f.mu.Unlock()
-	wire := s.f.tell(now, s.f.reports[to].version)
+	wire := s.f.tell(now, s.f.reports[to])
 	wire.Origin, wire.Stamp = s.f.origin, now.UnixNano()
 	return s.f.marshal(wire)
 }
@@ -93,23 +98,17 @@
 	told := evidence{version: winch.Version(wire.Version), confirmed: sent.Add(-time.Duration(wire.AgeMS) * time.Millisecond)}
 	s.f.mu.Lock()
 	s.f.hubVersion = told.version
-	s.f.stamp = stamp{origin: wire.Origin, at: time.Unix(0, wire.Stamp), received: now}
+	s.f.stamp = stamp{origin: wire.Origin, at: wire.Stamp, received: now}
 	s.f.mu.Unlock()
 	return s.f.takeEvidence(told, wire.Configuration, string(hub))
 }
 
-// Digest returns nothing: each data centre's hosts read the source.
-func (s section) Digest(time.Time, winch.DataCentreID) []byte { return nil }
-
-// ApplyDigest takes nothing in.
-func (s section) ApplyDigest(time.Time, time.Time, winch.DataCentreID, []byte) error { return nil }
-
 // report is what this host tells the hub.
 func (f *Follower) report(now time.Time) evidenceWire {
 	wire := f.tell(now, f.hubVersion)
 	if f.stamp.origin != 0 {
 		after := f.state.confirmedAt.Sub(f.stamp.received)
-		wire.Origin, wire.Stamp, wire.AfterMS = f.stamp.origin, f.stamp.at.UnixNano(), after.Milliseconds()-1
+		wire.Origin, wire.Stamp, wire.AfterMS = f.stamp.origin, f.stamp.at, after.Milliseconds()-1
 	}
 	return wire
 }
--- a/usage/billing/ledger.go
+++ b/usage/billing/ledger.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"strconv"
 	"time"
 
@@ -158,7 +159,7 @@
 		if l.complete[source.Window] == nil {
 			l.complete[source.Window] = usage.Hosts{}
 		}
-		l.complete[source.Window].AddAll(collected.Complete)
+		maps.Copy(l.complete[source.Window], collected.Complete)
 		for _, cell := range collected.Cells {
 			usage.Totals(l.collected).Add(source, cell.Slot.Organisation, cell.Counts)
 		}
--- a/usage/peer/counters_test.go
+++ b/usage/peer/counters_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -169,7 +170,7 @@
 		for _, entry := range entries {
 			collected, err := keyvalue.DecodeCollected(0, entry.Value)
 			assert.NilError(y.t, err)
-			found.AddAll(collected.Complete)
+			maps.Copy(found, collected.Complete)
 		}
 	}
 	return found
--- a/usage/peer/store.go
+++ b/usage/peer/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/arbutuswinch/winch"
@@ -54,9 +55,7 @@
 // addCompleted adds the parts whose entries do not call all hosts complete that are.
 func (c *Counters) addCompleted(now time.Time, parts map[part]bool) {
 	for key := range c.table.parts(c.options.Shards) {
-		stored := usage.Hosts{}
-		stored.AddAll(c.complete[key])
-		if stored.AddAll(c.completeHosts(now, key)) {
+		if len(c.completeHosts(now, key)) > len(c.complete[key]) {
 			parts[key] = true
 		}
 	}
@@ -79,7 +78,7 @@
 // completeHosts returns the hosts whose counts of the part are all here or in its entry.
 func (c *Counters) completeHosts(now time.Time, key part) usage.Hosts {
 	complete := usage.Hosts{}
-	complete.AddAll(c.complete[key])
+	maps.Copy(complete, c.complete[key])
 	end := key.window.End(c.options.Window)
 	if !now.Before(end) {
 		complete[c.options.Membership.Self().ID] = true
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -18,7 +18,6 @@
 package usage
 
 import (
-	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -99,13 +98,6 @@
 // Hosts is a set of hosts.
 type Hosts map[winch.HostID]bool
 
-// AddAll adds all hosts of the other set, and reports whether one was new.
-func (h Hosts) AddAll(other Hosts) bool {
-	before := len(h)
-	maps.Copy(h, other)
-	return len(h) > before
-}
-
 // Source is where counts of a window come from.
 type Source struct {
 	Window     Window
