refactor(httpjson): results and calls without effect of both key-value clients

The client of the platform's store wrote again how the product's own client names a call's result for the counter, and how an error of a call without effect reads. Both use httpjson; the store's not_found stays its own. Behaviour as before.

--- a/keyvalue/platform/client.go
+++ b/keyvalue/platform/client.go
@@ -166,29 +166,10 @@
 	if answer, found := httpjson.StatusOf(err); found && answer.Status == http.StatusGone {
 		return fmt.Errorf("%w: %w", ErrCompacted, err)
 	}
-	if errors.Is(err, winch.ErrOutcomeUnknown) {
-		return fmt.Errorf("%w: %s", winch.ErrUnavailable, err.Error())
-	}
-	return err
+	return httpjson.WithoutEffect(err)
 }
 
 func (c *Client) count(ctx context.Context, kind string, err error) {
 	c.counter.Add(context.WithoutCancel(ctx), 1, metric.WithAttributes(
-		attribute.String("kind", kind), attribute.String("result", resultOf(err))))
-}
-
-func resultOf(err error) string {
-	switch {
-	case err == nil:
-		return "done"
-	case errors.Is(err, winch.ErrConflict):
-		return "conflict"
-	case errors.Is(err, winch.ErrRateLimited):
-		return "rate_limited"
-	case errors.Is(err, winch.ErrUnavailable):
-		return "unavailable"
-	case errors.Is(err, winch.ErrOutcomeUnknown):
-		return "outcome_unknown"
-	}
-	return "failed"
+		attribute.String("kind", kind), attribute.String("result", httpjson.ResultOf(err))))
 }
