test: one link that is slowed and cut

The tests of the forwarding host had written the fenced sender's link through a proxy again (cut was called silence). Both use internal/linktest. Assertions as before; both packages pass.

--- a/charge/fenced/duel_test.go
+++ b/charge/fenced/duel_test.go
@@ -7,17 +7,14 @@
 	"net"
 	"net/http"
 	"os/exec"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
 
-	toxiproxy "github.com/Shopify/toxiproxy/v2"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/arbutuswinch/winch/httpjson"
+	"github.com/arbutuswinch/winch/internal/linktest"
 	"github.com/arbutuswinch/winch/keyvalue/memory"
 )
 
@@ -26,44 +23,6 @@
 	duelFaults = 10
 )
 
-// link is a connection between processes that can be slowed and cut.
-type link struct{ proxy *toxiproxy.Proxy }
-
-func newLink(t *testing.T, upstream string) *link {
-	t.Helper()
-	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
-	proxy := toxiproxy.NewProxy(server, "link", "127.0.0.1:0", upstream)
-	assert.NilError(t, proxy.Start())
-	t.Cleanup(proxy.Stop)
-	return &link{proxy: proxy}
-}
-
-func (l *link) slow(t *testing.T, latency time.Duration) {
-	t.Helper()
-	for _, stream := range []string{"upstream", "downstream"} {
-		toxic := fmt.Sprintf(`{"name":"slow-%s","type":"latency","stream":"%s","attributes":{"latency":%d}}`, stream, stream, latency.Milliseconds())
-		_, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(toxic))
-		assert.NilError(t, err)
-	}
-}
-
-// cut lets nothing through in either direction until heal.
-func (l *link) cut(t *testing.T) {
-	t.Helper()
-	for _, stream := range []string{"upstream", "downstream"} {
-		toxic := fmt.Sprintf(`{"name":"cut-%s","type":"timeout","stream":"%s","attributes":{"timeout":0}}`, stream, stream)
-		_, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(toxic))
-		assert.NilError(t, err)
-	}
-}
-
-func (l *link) heal(t *testing.T) {
-	t.Helper()
-	for _, stream := range []string{"upstream", "downstream"} {
-		assert.NilError(t, l.proxy.Toxics.RemoveToxic(t.Context(), "cut-"+stream))
-	}
-}
-
 // terms returns the number of terms in which orders were accepted.
 func (r *receiver) terms() int {
 	r.mu.Lock()
@@ -82,14 +41,14 @@
 	random := rand.New(rand.NewPCG(duelSeed, duelSeed))
 	store := memory.New()
 	target := &receiver{}
-	receiverLink := newLink(t, serve(t, target))
-	receiverLink.slow(t, 20*time.Millisecond)
+	receiverLink := linktest.New(t, serve(t, target))
+	receiverLink.Slow(t, 20*time.Millisecond)
 	storeAddress := storeServer(t, store)
-	processes, links := []*exec.Cmd{}, []*link{}
+	processes, links := []*exec.Cmd{}, []*linktest.Link{}
 	for i := range 2 {
-		links = append(links, newLink(t, storeAddress))
+		links = append(links, linktest.New(t, storeAddress))
 		told := helper{
-			Name: fmt.Sprintf("host-%d", i), Store: links[i].proxy.Listen, Receiver: receiverLink.proxy.Listen, Orders: 1 << 20,
+			Name: fmt.Sprintf("host-%d", i), Store: links[i].Address(), Receiver: receiverLink.Address(), Orders: 1 << 20,
 		}
 		processes = append(processes, told.start(t))
 	}
@@ -99,9 +58,9 @@
 		i := random.IntN(2)
 		store.LoseAnswers(random.IntN(3))
 		if random.IntN(2) == 0 {
-			links[i].cut(t)
+			links[i].Cut(t)
 			waitForTakeover(t, target, random)
-			links[i].heal(t)
+			links[i].Heal(t)
 			continue
 		}
 		assert.NilError(t, processes[i].Process.Signal(syscall.SIGSTOP))
--- a/winchd/forwarder/process_test.go
+++ b/winchd/forwarder/process_test.go
@@ -14,14 +14,12 @@
 	"testing"
 	"time"
 
-	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/hashicorp/go-hclog"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/linktest"
 	"github.com/arbutuswinch/winch/platform/standin"
 	"github.com/arbutuswinch/winch/platform/wire"
 	"github.com/arbutuswinch/winch/winchd/settings"
@@ -58,21 +56,21 @@
 type platform struct {
 	t         *testing.T
 	store     *standin.Store
-	storeLink *toxiproxy.Proxy
+	storeLink *linktest.Link
 	endpoints []*standin.Endpoint
-	links     []*toxiproxy.Proxy
+	links     []*linktest.Link
 	requests  atomic.Int64
 }
 
 func newPlatform(t *testing.T) *platform {
 	t.Helper()
 	p := &platform{t: t, store: standin.NewStore()}
-	p.storeLink = newLink(t, serve(t, p.store))
+	p.storeLink = linktest.New(t, serve(t, p.store))
 	p.store.Set(standin.ConfigurationKey, []byte(standin.DeskConfiguration))
 	for _, id := range []winch.EndpointID{"i-0", "i-1"} {
 		endpoint := standin.NewEndpoint(id)
-		link := newLink(t, serve(t, endpoint))
-		assert.NilError(t, p.store.Register(id, "desk", "a", link.Listen, 8))
+		link := linktest.New(t, serve(t, endpoint))
+		assert.NilError(t, p.store.Register(id, "desk", "a", link.Address(), 8))
 		p.endpoints, p.links = append(p.endpoints, endpoint), append(p.links, link)
 	}
 	return p
@@ -85,32 +83,6 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-func newLink(t *testing.T, upstream string) *toxiproxy.Proxy {
-	t.Helper()
-	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
-	proxy := toxiproxy.NewProxy(server, "link", "127.0.0.1:0", upstream)
-	assert.NilError(t, proxy.Start())
-	t.Cleanup(proxy.Stop)
-	return proxy
-}
-
-// silence lets nothing through in either direction until heal; connections stay open.
-func silence(t *testing.T, link *toxiproxy.Proxy) {
-	t.Helper()
-	for _, stream := range []string{"upstream", "downstream"} {
-		toxic := fmt.Sprintf(`{"name":"silent-%s","type":"timeout","stream":"%s","attributes":{"timeout":0}}`, stream, stream)
-		_, err := link.Toxics.AddToxicJson(strings.NewReader(toxic))
-		assert.NilError(t, err)
-	}
-}
-
-func heal(t *testing.T, link *toxiproxy.Proxy) {
-	t.Helper()
-	for _, stream := range []string{"upstream", "downstream"} {
-		assert.NilError(t, link.Toxics.RemoveToxic(t.Context(), "silent-"+stream))
-	}
-}
-
 // hostProcess is a host in a process of its own.
 type hostProcess struct {
 	platform *platform
@@ -140,7 +112,7 @@
 		"Host": name, "DataCentre": "a", "DataCentres": []string{"a"},
 		"Caller": map[string]any{"Address": ports[0], "ReadyAddress": ports[1]},
 		"Peer":   map[string]any{"Address": ports[2]},
-		"Store":  map[string]any{"Address": p.storeLink.Listen},
+		"Store":  map[string]any{"Address": p.storeLink.Address()},
 		"Bounds": map[string]any{"Revoke": "4s"},
 	})
 	assert.NilError(p.t, err)
--- a/winchd/forwarder/recovery_test.go
+++ b/winchd/forwarder/recovery_test.go
@@ -80,28 +80,28 @@
 		if p.endpoints[used].Ran() == 0 {
 			used = 1
 		}
-		silence(t, p.links[used])
+		p.links[used].Cut(t)
 		for range 10 {
 			asked := time.Now()
 			assert.Equal(t, h.ask("/desk/x", "k1"), http.StatusOK)
 			// A slow attempt gives way at 2.5 targets; the second one is quick.
 			assert.Assert(t, time.Since(asked) < 500*time.Millisecond+target, "%s", time.Since(asked))
 		}
-		heal(t, p.links[used])
-		silence(t, p.links[1-used])
+		p.links[used].Heal(t)
+		p.links[1-used].Cut(t)
 		within(t, startLimit, "the endpoint to run requests again", func() bool { return h.ask("/desk/x", "k1") == http.StatusOK })
 	})
 	t.Run("to the store", func(t *testing.T) {
 		p := newPlatform(t)
 		h := p.newHost("h-0")
 		within(t, startLimit, "the start", h.isReady)
-		silence(t, p.storeLink)
+		p.storeLink.Cut(t)
 		silent := time.Now()
 		assert.Equal(t, h.ask("/desk/x", "k1"), http.StatusOK)
 		within(t, startLimit, "keys to be too old", func() bool { return h.ask("/desk/x", "k1") == http.StatusServiceUnavailable })
 		assert.Assert(t, time.Since(silent) < 4*time.Second, "a key that is withdrawn meanwhile admits requests for %s", time.Since(silent))
 		assert.Equal(t, h.ask("/open/x", ""), http.StatusOK, "routes without keys are served on")
-		heal(t, p.storeLink)
+		p.storeLink.Heal(t)
 		healed := time.Now()
 		within(t, startLimit, "keys to count again", func() bool { return h.ask("/desk/x", "k1") == http.StatusOK })
 		assert.Assert(t, time.Since(healed) < 2*time.Second, "keys count again after %s", time.Since(healed))
