--- a/forward.go
+++ b/forward.go
@@ -161,7 +161,7 @@
 
 // ForwardReply is the response of an endpoint to a forwarded request. Body must be
 // closed; closing it before EOF closes the connection. Read returns io.EOF only when
-// the body is complete.
+// the body is complete as far as its framing tells.
 type ForwardReply struct {
 	Status int
 	// Header holds the headers that are forwarded to the caller.
@@ -174,6 +174,8 @@
 	// Authentic is set when the response bears a signature of the endpoint. The signature is not
 	// verified.
 	Authentic bool
+	// EndsWithConnection is that of ExchangeAnswer.
+	EndsWithConnection bool
 	// Load is nil when the endpoint does not report its load.
 	Load *EndpointLoad
 }
@@ -212,11 +214,14 @@
 }
 
 // ExchangeAnswer is the response to an ExchangeCall. Body must be closed; Read returns io.EOF
-// only when the body is complete.
+// only when the body is complete as far as its framing tells.
 type ExchangeAnswer struct {
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// EndsWithConnection is set when the body has neither a length nor chunks: it ends when the
+	// server closes the connection, which a server that was killed does as well.
+	EndsWithConnection bool
 }
 
 // Exchanger makes HTTP calls, each of which is written at most once.
--- a/serving/forward/attempt.go
+++ b/serving/forward/attempt.go
@@ -29,6 +29,8 @@
 	took     time.Duration
 	status   int
 	outcome  string
+	// endsWithConnection is that of winch.ExchangeAnswer.
+	endsWithConnection bool
 }
 
 // run sends the request to one endpoint after another until one of them responds, as far as
@@ -164,7 +166,8 @@
 	}
 	a.reply = reply
 	s.observeLoad(a)
-	req.attempts[len(req.attempts)-1].status = reply.Status
+	last := &req.attempts[len(req.attempts)-1]
+	last.status, last.endsWithConnection = reply.Status, reply.EndsWithConnection
 	if err := checkReply(req, reply); err != nil {
 		return err
 	}
--- a/serving/forward/record.go
+++ b/serving/forward/record.go
@@ -74,7 +74,7 @@
 	s.options.Logger.Info("request finished", "Event", EventForwardDone, "Request", string(req.ID), "Route", string(route), "Class", string(class),
 		"Organisation", string(req.admission.organisation), "Status", status, "Reason", reason, "RetryAfter", retryAfter,
 		"RunState", string(req.tracker.RunState()), "Revision", revision, "ProofAge", req.configurationAge.String(), "First", req.timeToFirstOutput.String(),
-		"Took", took.String(), "Left", req.remaining(took).String(), "LastEvent", req.lastEvent, "Pause", req.longestPause.String(),
+		"Took", took.String(), "Left", req.remaining(took).String(), "LastEvent", req.lastEvent, "Pause", req.longestPause.String(), "Tail", req.tailBytes, "EndsWithConnection", req.endsWithConnection(),
 		"Attempts", formatAttempts(req.attempts), "Path", s.pathIfNotAdmitted(req, status))
 	labels := metric.WithAttributes(attribute.String("class", string(class)), attribute.Int("status", status), attribute.String("reason", reason))
 	ctx := context.WithoutCancel(req.detached)
@@ -101,6 +101,11 @@
 	return req.deadline.Sub(req.arrived.Add(took))
 }
 
+// endsWithConnection reports whether the response of the last attempt had neither a length nor chunks.
+func (req *request) endsWithConnection() bool {
+	return len(req.attempts) > 0 && req.attempts[len(req.attempts)-1].endsWithConnection
+}
+
 // pathIfNotAdmitted returns the host and path of a request that was never admitted or got a
 // 404, and an empty string for all others.
 func (s *Server) pathIfNotAdmitted(req *request, status int) string {
--- a/serving/forward/relay.go
+++ b/serving/forward/relay.go
@@ -94,6 +94,9 @@
 			return fmt.Errorf("read stream: %w: %w", winch.ErrOutcomeUnknown, err)
 		}
 		streamEnded := err != nil // Only io.EOF remains.
+		if streamEnded {
+			req.tailBytes = len(event)
+		}
 		if streamEnded && !req.responseStarted {
 			s.startStream(w, req, a)
 		}
--- a/serving/forward/server.go
+++ b/serving/forward/server.go
@@ -71,6 +71,8 @@
 	lastEventAt   time.Time
 	longestPause  time.Duration
 	usageRecorded bool
+	// tailBytes is the number of bytes that followed the last complete event of a stream.
+	tailBytes int
 }
 
 // Handler returns the handler for callers' requests.
--- a/serving/httpexchange/client.go
+++ b/serving/httpexchange/client.go
@@ -196,7 +196,9 @@
 		if isResponseTo(response, call) {
 			body := &responseBody{conn: conn, reader: response.Body, reusable: reusable(response)}
 			body.idleTime = idleTime(response.Header)
-			return &winch.ExchangeAnswer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+			return &winch.ExchangeAnswer{
+				Status: response.StatusCode, Header: response.Header, Body: body, EndsWithConnection: !framed(response),
+			}, nil
 		}
 		conn.receivedOtherResponse = true
 		if err := skipResponse(response); err != nil {
@@ -215,7 +217,7 @@
 
 // skipResponse reads a response to another call to its end.
 func skipResponse(response *http.Response) error {
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if !framed(response) {
 		return fmt.Errorf("skip response to another call: %w: its length is not known", winch.ErrResponseMismatch)
 	}
 	// Without an error from CopyN the body has at least maxSkippedBody bytes and is not read
--- a/serving/httpexchange/conn.go
+++ b/serving/httpexchange/conn.go
@@ -173,10 +173,14 @@
 	return err == nil && quiet
 }
 
+// framed reports whether the response has a length or chunks, which tell where its body ends.
+func framed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
 // reusable reports whether the response permits reuse of the connection.
 func reusable(response *http.Response) bool {
-	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	return framed && !response.Close && response.ProtoAtLeast(1, 1)
+	return framed(response) && !response.Close && response.ProtoAtLeast(1, 1)
 }
 
 // idleTime returns how long an idle connection is kept, according to the Keep-Alive header.
