fix(forward): a stream that ends inside an event is broken off, not complete

Cause: a response with neither a length nor chunks ends with its connection, and relayStream took any end of the body that was not an error as the end of the stream. A server that is killed closes its connections in order, so that its last event was relayed in part, and the caller's answer was ended with its last chunk. Evidence: the attempts of the failed requests are logged as done, without 2202, while those that were reset are broken; TestStreamThatIsBrokenOffDoesNotLookComplete failed before ('"" looks complete after 48 of 96 bytes') for this framing alone. Why this works: an event ends with a blank line, so a rest without one proves that the stream was cut, however it was framed; so does a body without any event that ends with its connection. The request then goes the way of a connection that was lost: it is resumed if its route allows that, and otherwise the caller's connection is closed without a last chunk. Ruled out: a reset taken for an end, chunks without the last one taken as whole (the same test, all framings, each byte). Looked for elsewhere: streams of the product's own protocol need [DONE]; responses of engines that are not streamed are parsed.

--- a/serving/forward/relay.go
+++ b/serving/forward/relay.go
@@ -20,8 +20,12 @@
 	maxEventBytes = 1 << 20
 )
 
-// errEventOrder: the event ids of a stream do not increase.
-var errEventOrder = errors.New("events out of order")
+var (
+	// errEventOrder: the event ids of a stream do not increase.
+	errEventOrder = errors.New("events out of order")
+	// errCutStream: the body of a stream ended in order, but the stream did not.
+	errCutStream = errors.New("stream is cut off")
+)
 
 // relayBuffered reads the complete response before it relays it.
 func (s *Server) relayBuffered(w http.ResponseWriter, req *request, a *attempt) error {
@@ -84,7 +88,7 @@
 }
 
 // relayStream relays each event once it is complete, until the stream ends or breaks. At the end
-// of the stream it also relays what follows the last complete event.
+// of the stream it also relays comments and blank lines that follow the last event.
 func (s *Server) relayStream(w http.ResponseWriter, req *request, a *attempt) error {
 	events := eventReader{source: bufio.NewReaderSize(a.reply.Body, streamBufferSize)}
 	controller := http.NewResponseController(w)
@@ -96,6 +100,9 @@
 		streamEnded := err != nil // Only io.EOF remains.
 		if streamEnded {
 			req.tailBytes = len(event)
+			if err := checkStreamEnd(req, a.reply, event); err != nil {
+				return err
+			}
 		}
 		if streamEnded && !req.responseStarted {
 			s.startStream(w, req, a)
@@ -117,6 +124,30 @@
 	}
 }
 
+// checkStreamEnd returns errCutStream if the stream has ended inside an event, or before its first event
+// with its connection. A server that is killed closes its connections in order, so
+// the end of the body alone does not prove that the stream is complete.
+func checkStreamEnd(req *request, reply *winch.ForwardReply, tail []byte) error {
+	switch {
+	case insideEvent(tail):
+		return fmt.Errorf("stream ended inside an event: %w: %w", winch.ErrOutcomeUnknown, errCutStream)
+	case reply.EndsWithConnection && !req.responseStarted:
+		return fmt.Errorf("connection ended before the first event: %w: %w", winch.ErrOutcomeUnknown, errCutStream)
+	}
+	return nil
+}
+
+// insideEvent reports whether the bytes that follow the last blank line of a stream are part of an
+// event. Whole comment lines are not.
+func insideEvent(tail []byte) bool {
+	for line := range bytes.Lines(tail) {
+		if !bytes.HasPrefix(line, []byte(":")) || !bytes.HasSuffix(line, []byte("\n")) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Server) startStream(w http.ResponseWriter, req *request, a *attempt) {
 	copyHeader(w.Header(), a.reply.Header)
 	s.extendWriteDeadline(w)
