fix(quarantine): requests that break with a deadly one do not accuse their parts

Cause: requests that waited at the same endpoint were accused although a part in quarantine explains that crash; and a host decided 0.36 s after the first crash, before the outputs that other hosts had seen could arrive. Change: a part in quarantine explains the whole crash of the endpoint, also to other hosts; crashes of endpoints are counted, not requests; a part is held 1 s after its first crash at the earliest; an output of another host is taken over when it is 0.2 s later. Shown by TestRequestsThatBrokeWithADeadlyOneAreInnocent and TestPartIsHeldOnlyWhenOutputsOfOtherHostsCanBeKnown.

--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -1,17 +1,19 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/arbutuswinch/winch"
 )
 
-// decide puts parts in quarantine until the remaining crashes convict no further part.
-func (e *Evidence) decide(now time.Time) []Change {
+// Decide puts parts in quarantine until the remaining crashes convict no further part. It is called for each crash, and must be
+// called from time to time, because of Settings.Settle.
+func (e *Evidence) Decide(now time.Time) []Change {
 	var changes []Change
 	for {
-		part, chain := e.mostAccused()
+		part, chain := e.mostAccused(now)
 		if chain == nil {
 			return changes
 		}
@@ -27,9 +29,10 @@
 		e.dropEarliestHold()
 	}
 	e.holds[hold.Part] = hold
-	for id, crash := range e.crashes {
+	for _, crash := range e.Crashes() {
 		if slices.Contains(crash.Parts, hold.Part) {
-			e.dropCrash(id)
+			e.dropCrash(crash.Request)
+			e.explain(crash.Endpoint, crash.At)
 		}
 	}
 }
@@ -41,29 +44,34 @@
 }
 
 // mostAccused returns the part to put in quarantine with its crashes, or nil crashes if there is none.
-func (e *Evidence) mostAccused() (winch.PrefixHash, []winch.EndpointCrash) {
-	var best winch.PrefixHash
+func (e *Evidence) mostAccused(now time.Time) (winch.PrefixHash, []winch.EndpointCrash) {
+	best, bestCount := winch.PrefixHash(0), 0
 	var bestChain []winch.EndpointCrash
-	for part, count := range e.accusations {
-		if count < max(e.settings.MinCrashes, len(bestChain)) {
+	for part, records := range e.accusations {
+		if records < max(e.settings.MinCrashes, bestCount) {
 			continue
 		}
 		chain := e.chain(part)
-		if countCrashes(chain) < e.settings.MinCrashes || !consecutive(chain) {
+		count := countCrashes(chain)
+		if count < e.settings.MinCrashes || !consecutive(chain) || now.Sub(chain[0].At) < e.settings.Settle {
 			continue
 		}
-		if len(chain) > len(bestChain) || len(chain) == len(bestChain) && moreSpecific(chain, part, best) {
-			best, bestChain = part, chain
+		if count > bestCount || count == bestCount && moreSpecific(chain, part, best) {
+			best, bestCount, bestChain = part, count, chain
 		}
 	}
 	return best, bestChain
 }
 
-// moreSpecific reports whether the part comes after the other one in the prompts.
+// moreSpecific reports whether the part comes after the other one in the prompts of the chain. Of parts that are in no
+// prompt together it prefers the larger number, so that all hosts choose the same.
 func moreSpecific(chain []winch.EndpointCrash, part, other winch.PrefixHash) bool {
-	parts := chain[len(chain)-1].Parts
-	at, otherAt := slices.Index(parts, part), slices.Index(parts, other)
-	return at > otherAt || at == otherAt && part > other
+	for _, crash := range chain {
+		if at := slices.Index(crash.Parts, other); at >= 0 {
+			return slices.Index(crash.Parts, part) > at
+		}
+	}
+	return part > other
 }
 
 // chain returns the crashes in which the part was present and that are not cleared by output, sorted by time.
@@ -78,9 +86,6 @@
 	return chain
 }
 
-// sameCrash is the time within which two requests at one endpoint are taken to have broken in the same crash of it.
-const sameCrash = time.Second
-
 // countCrashes returns how many crashes of endpoints the chain has; one crash may have hit several requests.
 func countCrashes(chain []winch.EndpointCrash) int {
 	latest, count := map[winch.EndpointID]time.Time{}, 0
@@ -99,16 +104,32 @@
 	return slices.ContainsFunc(chain[1:], func(crash winch.EndpointCrash) bool { return crash.SentAt.After(chain[0].At) })
 }
 
+// State is what a host tells the others.
+type State struct {
+	Crashes   []winch.EndpointCrash
+	Outputs   []Output
+	Holds     []Hold
+	Explained []Explained
+}
+
+// State returns what this host knows.
+func (e *Evidence) State() State {
+	return State{Crashes: e.Crashes(), Outputs: e.Outputs(), Holds: e.Holds(), Explained: e.Explained()}
+}
+
 // Merge adds what another host knows, and returns what changes.
-func (e *Evidence) Merge(now time.Time, crashes []winch.EndpointCrash, outputs []Output, holds []Hold) []Change {
+func (e *Evidence) Merge(now time.Time, received State) []Change {
 	var changes []Change
-	for _, output := range outputs {
+	for _, output := range received.Outputs {
 		changes = append(changes, e.mergeOutput(output)...)
 	}
-	for _, hold := range holds {
+	for _, hold := range received.Holds {
 		changes = append(changes, e.mergeHold(now, hold)...)
 	}
-	for _, crash := range crashes {
+	for _, explained := range received.Explained {
+		e.explain(explained.Endpoint, explained.At)
+	}
+	for _, crash := range received.Crashes {
 		if !e.cleared(crash) {
 			changes = append(changes, e.AddCrash(now, crash)...)
 		}
@@ -117,7 +138,7 @@
 }
 
 func (e *Evidence) mergeOutput(output Output) []Change {
-	if !output.At.After(e.outputs[output.Part].Add(clockTolerance)) {
+	if !output.At.After(e.outputs[output.Part].Add(outputTolerance)) {
 		return nil
 	}
 	e.setOutput(output.Part, output.At)
@@ -167,3 +188,13 @@
 	slices.SortFunc(outputs, func(a, b Output) int { return a.At.Compare(b.At) })
 	return outputs
 }
+
+// Explained returns the crashes under parts in quarantine, sorted by endpoint.
+func (e *Evidence) Explained() []Explained {
+	explained := make([]Explained, 0, len(e.explained))
+	for endpoint, at := range e.explained {
+		explained = append(explained, Explained{Endpoint: endpoint, At: at})
+	}
+	slices.SortFunc(explained, func(a, b Explained) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return explained
+}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -13,13 +13,19 @@
 	defaultTerm       = 30 * time.Second
 	defaultMaxTerm    = 2 * time.Minute
 	defaultRetention  = 10 * time.Minute
-	// maxCrashes, maxHolds and maxOutputs bound the memory, and the messages between hosts, for a caller whose parts are always new.
-	maxCrashes = 64
-	maxHolds   = 128
-	maxOutputs = 256
+	defaultSettle     = time.Second
+	// maxCrashes, maxHolds, maxOutputs and maxExplained bound the memory, and the messages between hosts, for a caller whose parts are always new.
+	maxCrashes   = 64
+	maxHolds     = 128
+	maxOutputs   = 256
+	maxExplained = 64
 	// clockTolerance is the difference above which another host's time of the same event counts as later. A time that is
 	// passed on grows by the delay of the message, and must not grow with each exchange.
 	clockTolerance = time.Second
+	// outputTolerance is the same for outputs, which clear parts and have to be known soon.
+	outputTolerance = 200 * time.Millisecond
+	// sameCrash is the time within which two requests at one endpoint are taken to have broken in the same crash of it.
+	sameCrash = time.Second
 )
 
 // Settings are the settings of Evidence. Fields that are zero get their defaults.
@@ -32,6 +38,9 @@
 	MaxTerm time.Duration
 	// Retention is how long a crash counts, and how long a quarantine stays without a trial. The default is 10 min.
 	Retention time.Duration
+	// Settle is the time from the first crash until a part is put in quarantine at the earliest, in which the outputs
+	// that other hosts have seen arrive. The default is 1 s.
+	Settle time.Duration
 }
 
 // Hold is the quarantine of one part.
@@ -52,6 +61,12 @@
 	At   time.Time
 }
 
+// Explained is the latest crash of an endpoint under a part in quarantine. The other requests that broke in it are innocent.
+type Explained struct {
+	Endpoint winch.EndpointID
+	At       time.Time
+}
+
 // ChangeKind says what happened to the quarantine of a part.
 type ChangeKind string
 
@@ -79,6 +94,8 @@
 	accusations map[winch.PrefixHash]int
 	outputs     map[winch.PrefixHash]time.Time
 	holds       map[winch.PrefixHash]Hold
+	// explained holds the times of Explained.
+	explained map[winch.EndpointID]time.Time
 }
 
 // New returns empty evidence.
@@ -87,15 +104,17 @@
 	settings.Term = cmp.Or(settings.Term, defaultTerm)
 	settings.MaxTerm = cmp.Or(settings.MaxTerm, defaultMaxTerm)
 	settings.Retention = cmp.Or(settings.Retention, defaultRetention)
+	settings.Settle = cmp.Or(settings.Settle, defaultSettle)
 	return &Evidence{
 		settings: settings, crashes: map[winch.RequestID]winch.EndpointCrash{}, accusations: map[winch.PrefixHash]int{},
 		outputs: map[winch.PrefixHash]time.Time{}, holds: map[winch.PrefixHash]Hold{},
+		explained: map[winch.EndpointID]time.Time{},
 	}
 }
 
 // Empty reports whether there is neither a crash nor a part in quarantine.
 func (e *Evidence) Empty() bool {
-	return len(e.crashes) == 0 && len(e.holds) == 0 && len(e.outputs) == 0
+	return len(e.crashes) == 0 && len(e.holds) == 0 && len(e.outputs) == 0 && len(e.explained) == 0
 }
 
 // Holds returns the parts in quarantine, sorted by part.
@@ -115,9 +134,13 @@
 	}
 	for _, part := range crash.Parts {
 		if hold, found := e.holds[part]; found {
+			e.explain(crash.Endpoint, crash.At)
 			return e.failTrial(now, hold, crash)
 		}
 	}
+	if e.isExplained(crash) {
+		return nil
+	}
 	if known, found := e.crashes[crash.Request]; found {
 		if !crash.At.Before(known.At) {
 			return nil
@@ -131,7 +154,7 @@
 	for _, part := range crash.Parts {
 		e.accusations[part]++
 	}
-	return e.decide(now)
+	return e.Decide(now)
 }
 
 // failTrial doubles the term of a part if the crash was that of its trial on this host. Other crashes with a part in
@@ -146,6 +169,29 @@
 	return []Change{{Kind: Extended, Hold: hold, Crashes: []winch.EndpointCrash{crash}}}
 }
 
+// isExplained reports whether the endpoint crashed under a part in quarantine.
+func (e *Evidence) isExplained(crash winch.EndpointCrash) bool {
+	at, found := e.explained[crash.Endpoint]
+	return found && crash.At.Sub(at).Abs() <= sameCrash
+}
+
+// explain drops the requests that broke in the same crash of the endpoint.
+func (e *Evidence) explain(endpoint winch.EndpointID, at time.Time) {
+	if known, found := e.explained[endpoint]; found && at.Sub(known) <= sameCrash {
+		return
+	}
+	if len(e.explained) >= maxExplained {
+		oldest := slices.MinFunc(e.Explained(), func(a, b Explained) int { return a.At.Compare(b.At) })
+		delete(e.explained, oldest.Endpoint)
+	}
+	e.explained[endpoint] = at
+	for id, crash := range e.crashes {
+		if crash.Endpoint == endpoint && e.isExplained(crash) {
+			e.dropCrash(id)
+		}
+	}
+}
+
 func (e *Evidence) oldestCrash() winch.RequestID {
 	oldest := winch.RequestID("")
 	for id, crash := range e.crashes {
@@ -233,6 +279,11 @@
 			delete(e.outputs, part)
 		}
 	}
+	for endpoint, at := range e.explained {
+		if now.Sub(at) > e.settings.Retention {
+			delete(e.explained, endpoint)
+		}
+	}
 	var changes []Change
 	for part, hold := range e.holds {
 		if now.Sub(hold.Until) > e.settings.Retention {
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -117,6 +117,41 @@
 	})
 }
 
+func TestRequestsThatBrokeWithADeadlyOneAreInnocent(t *testing.T) {
+	e, told := New(Settings{}), New(Settings{})
+	for second := 1.0; second <= 5; second++ {
+		crash, waiting := crashAt(second, system, deadly), crashAt(second, system, other+winch.PrefixHash(second))
+		waiting.Endpoint = crash.Endpoint
+		addCrashes(e, crash, waiting)
+		// The other host has seen only those that waited there.
+		exchange(at(second+0.1), 20*time.Millisecond, told, e)
+		addCrashes(told, waiting)
+	}
+	assertHeld(t, e, deadly)
+	assertHeld(t, told, deadly)
+	assert.Equal(t, len(told.Crashes()), 0)
+}
+
+func TestPartIsHeldOnlyWhenOutputsOfOtherHostsCanBeKnown(t *testing.T) {
+	crashes := []winch.EndpointCrash{crashAt(1, system), crashAt(1.35, system), crashAt(1.4, system), crashAt(1.45, system)}
+	t.Run("nothing arrives", func(t *testing.T) {
+		e := New(Settings{})
+		addCrashes(e, crashes...)
+		e.Decide(at(1.9))
+		assertHeld(t, e)
+		e.Decide(at(2))
+		assertHeld(t, e, system)
+	})
+	t.Run("output of another host arrives", func(t *testing.T) {
+		e := New(Settings{})
+		e.outputs[system] = at(0.99)
+		addCrashes(e, crashes...)
+		e.Merge(at(1.9), State{Outputs: []Output{{Part: system, At: at(1.5)}}})
+		e.Decide(at(2))
+		assertHeld(t, e)
+	})
+}
+
 func TestAdmit(t *testing.T) {
 	held := func() *Evidence {
 		e := New(Settings{Term: 30 * time.Second, MaxTerm: 2 * time.Minute})
@@ -178,17 +213,20 @@
 // exchange merges what b knows into a, where it arrives after the delay.
 func exchange(now time.Time, delay time.Duration, a, b *Evidence) {
 	shift := func(t time.Time) time.Time { return t.Add(delay) }
-	crashes, outputs, holds := b.Crashes(), b.Outputs(), b.Holds()
-	for i := range crashes {
-		crashes[i].SentAt, crashes[i].At = shift(crashes[i].SentAt), shift(crashes[i].At)
+	known := b.State()
+	for i := range known.Crashes {
+		known.Crashes[i].SentAt, known.Crashes[i].At = shift(known.Crashes[i].SentAt), shift(known.Crashes[i].At)
+	}
+	for i := range known.Outputs {
+		known.Outputs[i].At = shift(known.Outputs[i].At)
 	}
-	for i := range outputs {
-		outputs[i].At = shift(outputs[i].At)
+	for i, hold := range known.Holds {
+		known.Holds[i] = Hold{Part: hold.Part, FirstCrash: shift(hold.FirstCrash), Until: shift(hold.Until), Term: hold.Term}
 	}
-	for i := range holds {
-		holds[i].Until, holds[i].FirstCrash, holds[i].trial = shift(holds[i].Until), shift(holds[i].FirstCrash), ""
+	for i := range known.Explained {
+		known.Explained[i].At = shift(known.Explained[i].At)
 	}
-	a.Merge(now.Add(delay), crashes, outputs, holds)
+	a.Merge(now.Add(delay), known)
 }
 
 func TestHostsThatSeeOneCrashEachHoldThePart(t *testing.T) {
@@ -230,11 +268,12 @@
 	for i := range 20_000 {
 		part := winch.PrefixHash(random.Uint64())
 		seconds := float64(i)
-		addCrashes(e, crashAt(seconds, part, part+1), crashAt(seconds+0.4, part, part+2), crashAt(seconds+0.8, part, part+3))
-		e.AddOutput(at(seconds+0.9), []winch.PrefixHash{part + 1, part + 2})
+		addCrashes(e, crashAt(seconds, part, part+1), crashAt(seconds+0.6, part, part+2), crashAt(seconds+1.2, part, part+3))
+		e.AddOutput(at(seconds+1.3), []winch.PrefixHash{part + 1, part + 2})
 	}
 	assert.Assert(t, len(e.crashes) <= maxCrashes, "%d", len(e.crashes))
 	assert.Assert(t, len(e.holds) <= maxHolds, "%d", len(e.holds))
 	assert.Assert(t, len(e.outputs) <= maxOutputs, "%d", len(e.outputs))
+	assert.Assert(t, len(e.explained) <= maxExplained, "%d", len(e.explained))
 	assert.Assert(t, len(e.accusations) <= 2*maxCrashes, "%d", len(e.accusations))
 }
--- a/quarantine/peer/codec.go
+++ b/quarantine/peer/codec.go
@@ -21,6 +21,8 @@
 	Crashes []crashWire  `json:",omitempty"`
 	Outputs []outputWire `json:",omitempty"`
 	Holds   []holdWire   `json:",omitempty"`
+	// Explained has one row for each endpoint.
+	Explained []explainedWire `json:",omitempty"`
 }
 
 type crashWire struct {
@@ -36,6 +38,11 @@
 	Age  int64
 }
 
+type explainedWire struct {
+	Endpoint string
+	Age      int64
+}
+
 type holdWire struct {
 	Part     string
 	CrashAge int64
@@ -56,12 +63,9 @@
 	return winch.PrefixHash(value), nil
 }
 
-func encodeState(now time.Time, evidence *quarantine.Evidence) []byte {
-	if evidence.Empty() {
-		return nil
-	}
+func encodeState(now time.Time, known quarantine.State) []byte {
 	wire := stateWire{}
-	for _, crash := range evidence.Crashes() {
+	for _, crash := range known.Crashes {
 		row := crashWire{
 			Request: string(crash.Request), Endpoint: string(crash.Endpoint),
 			SentAge: now.Sub(crash.SentAt).Milliseconds(), Age: now.Sub(crash.At).Milliseconds(),
@@ -71,59 +75,58 @@
 		}
 		wire.Crashes = append(wire.Crashes, row)
 	}
-	for _, output := range evidence.Outputs() {
+	for _, output := range known.Outputs {
 		wire.Outputs = append(wire.Outputs, outputWire{Part: encodePart(output.Part), Age: now.Sub(output.At).Milliseconds()})
 	}
-	for _, hold := range evidence.Holds() {
+	for _, hold := range known.Holds {
 		wire.Holds = append(wire.Holds, holdWire{
 			Part: encodePart(hold.Part), CrashAge: now.Sub(hold.FirstCrash).Milliseconds(),
 			Left: hold.Until.Sub(now).Milliseconds(), Term: hold.Term.Milliseconds(),
 		})
 	}
+	for _, explained := range known.Explained {
+		wire.Explained = append(wire.Explained, explainedWire{Endpoint: string(explained.Endpoint), Age: now.Sub(explained.At).Milliseconds()})
+	}
 	// Strings and integers always encode.
 	encoded, _ := json.Marshal(wire)
 	return encoded
 }
 
-// state is a decoded message.
-type state struct {
-	crashes []winch.EndpointCrash
-	outputs []quarantine.Output
-	holds   []quarantine.Hold
-}
-
-func decodeState(now time.Time, message []byte) (state, error) {
-	wire, decoded := stateWire{}, state{}
+func decodeState(now time.Time, message []byte) (quarantine.State, error) {
+	wire, decoded := stateWire{}, quarantine.State{}
 	if err := json.Unmarshal(message, &wire); err != nil {
-		return state{}, fmt.Errorf("decode quarantine: %w: %w", winch.ErrInvalid, err)
+		return quarantine.State{}, fmt.Errorf("decode quarantine: %w: %w", winch.ErrInvalid, err)
 	}
-	if max(len(wire.Crashes), len(wire.Outputs), len(wire.Holds)) > maxWireRows {
-		return state{}, fmt.Errorf("decode quarantine: more than %d rows: %w", maxWireRows, winch.ErrInvalid)
+	if max(len(wire.Crashes), len(wire.Outputs), len(wire.Holds), len(wire.Explained)) > maxWireRows {
+		return quarantine.State{}, fmt.Errorf("decode quarantine: more than %d rows: %w", maxWireRows, winch.ErrInvalid)
 	}
 	ago := func(milliseconds int64) time.Time { return now.Add(-time.Duration(milliseconds) * time.Millisecond) }
 	for _, row := range wire.Crashes {
 		crash, err := decodeCrash(row, ago)
 		if err != nil {
-			return state{}, fmt.Errorf("decode Crashes: %w", err)
+			return quarantine.State{}, fmt.Errorf("decode Crashes: %w", err)
 		}
-		decoded.crashes = append(decoded.crashes, crash)
+		decoded.Crashes = append(decoded.Crashes, crash)
 	}
 	for _, row := range wire.Outputs {
 		part, err := ParsePart(row.Part)
 		if err != nil {
-			return state{}, fmt.Errorf("decode Outputs: %w", err)
+			return quarantine.State{}, fmt.Errorf("decode Outputs: %w", err)
 		}
-		decoded.outputs = append(decoded.outputs, quarantine.Output{Part: part, At: ago(row.Age)})
+		decoded.Outputs = append(decoded.Outputs, quarantine.Output{Part: part, At: ago(row.Age)})
 	}
 	for _, row := range wire.Holds {
 		part, err := ParsePart(row.Part)
 		if err != nil {
-			return state{}, fmt.Errorf("decode Holds: %w", err)
+			return quarantine.State{}, fmt.Errorf("decode Holds: %w", err)
 		}
-		decoded.holds = append(decoded.holds, quarantine.Hold{
+		decoded.Holds = append(decoded.Holds, quarantine.Hold{
 			Part: part, FirstCrash: ago(row.CrashAge), Until: ago(-row.Left), Term: time.Duration(row.Term) * time.Millisecond,
 		})
 	}
+	for _, row := range wire.Explained {
+		decoded.Explained = append(decoded.Explained, quarantine.Explained{Endpoint: winch.EndpointID(row.Endpoint), At: ago(row.Age)})
+	}
 	return decoded, nil
 }
 
--- a/quarantine/peer/guard.go
+++ b/quarantine/peer/guard.go
@@ -46,7 +46,8 @@
 	probeCount   = 2
 	// maxWaitingPerEndpoint bounds the requests that wait for the probe of one endpoint.
 	maxWaitingPerEndpoint = 64
-	pruneEvery            = time.Second
+	// decideEvery is the interval at which old evidence is forgotten, and at which parts are held whose crashes had to settle.
+	decideEvery = 200 * time.Millisecond
 )
 
 // Options are the dependencies and settings of a Guard. Only Meter may be nil.
@@ -116,11 +117,16 @@
 	return g.evidence.Holds()
 }
 
-// Run forgets old evidence until ctx ends. It returns nil.
+// Run decides on evidence that has settled, and forgets old evidence, until ctx ends. It returns nil.
 func (g *Guard) Run(ctx context.Context) error {
-	return periodic.Run(ctx, pruneEvery, func(context.Context) {
+	return periodic.Run(ctx, decideEvery, func(context.Context) {
 		now := g.options.Clock.Now()
-		g.update(func() []quarantine.Change { return g.evidence.Prune(now) })
+		g.update(func() []quarantine.Change {
+			if g.evidence.Empty() {
+				return nil
+			}
+			return append(g.evidence.Prune(now), g.evidence.Decide(now)...)
+		})
 	})
 }
 
--- a/quarantine/peer/guard_test.go
+++ b/quarantine/peer/guard_test.go
@@ -164,7 +164,7 @@
 }
 
 func FuzzDecodeState(f *testing.F) {
-	f.Add([]byte(`{"Crashes":[{"Request":"r","Endpoint":"e","Parts":["a"],"SentAge":2,"Age":1}],"Outputs":[{"Part":"a","Age":1}],"Holds":[{"Part":"b","CrashAge":1,"Left":-1,"Term":3}]}`))
+	f.Add([]byte(`{"Crashes":[{"Request":"r","Endpoint":"e","Parts":["a"],"SentAge":2,"Age":1}],"Outputs":[{"Part":"a","Age":1}],"Holds":[{"Part":"b","CrashAge":1,"Left":-1,"Term":3}],"Explained":[{"Endpoint":"e","Age":1}]}`))
 	f.Fuzz(func(t *testing.T, message []byte) {
 		received, err := decodeState(start, message)
 		if err != nil {
@@ -172,8 +172,8 @@
 			return
 		}
 		evidence := quarantine.New(quarantine.Settings{})
-		evidence.Merge(start, received.crashes, received.outputs, received.holds)
-		_, err = decodeState(start, append(encodeState(start, evidence), []byte(" ")...))
-		assert.Assert(t, err == nil || evidence.Empty())
+		evidence.Merge(start, received)
+		_, err = decodeState(start, encodeState(start, evidence.State()))
+		assert.NilError(t, err)
 	})
 }
--- a/quarantine/peer/section.go
+++ b/quarantine/peer/section.go
@@ -14,7 +14,10 @@
 func (g *Guard) Report(now time.Time) []byte {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return encodeState(now, g.evidence)
+	if g.evidence.Empty() {
+		return nil
+	}
+	return encodeState(now, g.evidence.State())
 }
 
 // Collect merges a host's report. It is called on the hub.
@@ -47,7 +50,7 @@
 		return err
 	}
 	g.update(func() []quarantine.Change {
-		return g.evidence.Merge(now, received.crashes, received.outputs, received.holds)
+		return g.evidence.Merge(now, received)
 	})
 	return nil
 }
