perf(relay): hosts read an unreachable source less often, except the hub

Change: after two failed reads in a row the interval grows, up to three times, but not at the hub, whose first reading reaches all hosts with the next exchange. One hanging read does not change it (TestLeavingEndpointIsKnownInTimeWhenAReadHangs failed with a back-off from the first failure on).

--- a/internal/relay/pacer.go
+++ b/internal/relay/pacer.go
@@ -35,6 +35,8 @@
 	settings Settings
 	// relayedAt is when the newest relayed reading was made.
 	relayedAt time.Time
+	// hub is the host that relayed a reading last; empty before the first one.
+	hub winch.HostID
 	// failedReads is the number of failed reads since the last successful one.
 	failedReads int
 }
@@ -73,6 +75,7 @@
 
 // Received records that the hub relayed a reading that was made at the given time.
 func (p *Pacer) Received(hub winch.HostID, readAt time.Time) {
+	p.hub = hub
 	if hub != p.settings.Self && readAt.After(p.relayedAt) {
 		p.relayedAt = readAt
 	}
@@ -83,10 +86,26 @@
 	return p.relayedAt.IsZero() || now.Sub(p.relayedAt) > p.settings.MaxAge
 }
 
+const (
+	// maxBackoff is the largest multiple of PollEvery to which failed reads raise the interval.
+	maxBackoff = 3
+	// promptRetries is the number of failed reads in a row after which the interval is still the usual one.
+	promptRetries = 2
+)
+
+// pollInterval returns the interval between this host's own reads. It grows with failed ones, but not at the hub, which
+// finds out for all hosts when the source is back, nor as long as no hub is known.
+func (p *Pacer) pollInterval() time.Duration {
+	if p.hub == "" || p.hub == p.settings.Self {
+		return p.settings.PollEvery
+	}
+	return time.Duration(min(1+max(0, p.failedReads-promptRetries), maxBackoff)) * p.settings.PollEvery
+}
+
 // Until returns how long to wait before Due is asked again.
 func (p *Pacer) Until(now time.Time) time.Duration {
 	if p.Due(now) {
-		return p.settings.PollEvery
+		return p.pollInterval()
 	}
 	expires := p.relayedAt.Add(p.settings.MaxAge)
 	return min(p.settings.PollEvery, max(minInterval, expires.Sub(now)+time.Millisecond))
--- a/internal/relay/pacer_test.go
+++ b/internal/relay/pacer_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
 )
 
 func TestPacer(t *testing.T) {
@@ -33,6 +35,23 @@
 		p.ReadDone(nil)
 		assert.Equal(t, p.ReadTimeout(), 600*time.Millisecond)
 	})
+	t.Run("reads less often after failed reads, unless it is the hub", func(t *testing.T) {
+		for _, hub := range []winch.HostID{"a", "b", ""} {
+			p := NewPacer(Settings{Self: "a", PollEvery: 600 * time.Millisecond, MaxAge: 1500 * time.Millisecond})
+			if hub != "" {
+				p.Received(hub, now)
+			}
+			for _, factor := range []time.Duration{1, 1, 1, 2, 3, 3} {
+				if hub != "b" {
+					factor = 1
+				}
+				assert.Equal(t, p.Until(now.Add(time.Minute)), factor*600*time.Millisecond)
+				p.ReadDone(errors.New("busy"))
+			}
+			p.ReadDone(nil)
+			assert.Equal(t, p.Until(now.Add(time.Minute)), 600*time.Millisecond)
+		}
+	})
 	t.Run("wakes when the reading gets too old", func(t *testing.T) {
 		assert.Equal(t, p.Until(now), 600*time.Millisecond)
 		assert.Equal(t, p.Until(now.Add(1400*time.Millisecond)), 101*time.Millisecond)
