refactor(relay): one reader of the store for configuration and endpoint list

The two followers had the same loop, timeout, pacing and log of the dependency; relay.Reader has them now. A configuration that cannot be decoded counts as a failed read. No other change; tests of both followers as before.

--- a/internal/relay/pacer.go
+++ b/internal/relay/pacer.go
@@ -6,12 +6,10 @@
 //
 // # Usage
 //
-//	pacer := relay.NewPacer(relay.Settings{Self: "host-1", PollEvery: 600 * time.Millisecond, MaxAge: 1500 * time.Millisecond})
-//	pacer.Received("host-2", readAt)
-//	if pacer.Due(now) {
-//		// Read the source.
-//	}
-//	timer.Reset(pacer.Until(now))
+//	settings := relay.Settings{Self: "host-1", PollEvery: 600 * time.Millisecond, MaxAge: 1500 * time.Millisecond}
+//	reader := relay.NewReader(settings, clock, dependency.New("list", logger, EventListFailed, EventListRecovered), readList)
+//	go reader.Run(ctx)
+//	reader.Received("host-2", readAt) // for each reading that the hub relays
 package relay
 
 import (
--- /dev/null
+++ b/internal/relay/reader_test.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch/internal/dependency"
+)
+
+type fixedClock struct{ now time.Time }
+
+func (c *fixedClock) Now() time.Time { return c.now }
+
+func TestReader(t *testing.T) {
+	clock, reads, failure := &fixedClock{now: time.Unix(1000, 0)}, 0, error(nil)
+	r := NewReader(Settings{Self: "a", PollEvery: 600 * time.Millisecond, MaxAge: 1500 * time.Millisecond}, clock,
+		dependency.New("source", hclog.NewNullLogger(), 1, 2), func(ctx context.Context, sent time.Time) error {
+			deadline, limited := ctx.Deadline()
+			assert.Assert(t, limited && time.Until(deadline) <= 600*time.Millisecond<<min(reads, 2))
+			assert.Equal(t, sent, clock.now)
+			reads++
+			return failure
+		})
+	t.Run("reads while nothing is relayed", func(t *testing.T) {
+		r.Step(t.Context())
+		assert.Equal(t, reads, 1)
+	})
+	t.Run("does not read what is relayed", func(t *testing.T) {
+		r.Received("b", clock.now)
+		r.Step(t.Context())
+		assert.Equal(t, reads, 1)
+	})
+	t.Run("reads less often while reads fail", func(t *testing.T) {
+		clock.now, failure = clock.now.Add(time.Minute), errors.New("busy")
+		for range 4 {
+			r.Step(t.Context())
+		}
+		assert.Equal(t, reads, 5)
+		assert.Equal(t, r.untilNextStep(), 1800*time.Millisecond)
+	})
+}
--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -27,7 +27,6 @@
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/internal/dependency"
-	"github.com/arbutuswinch/winch/internal/periodic"
 	"github.com/arbutuswinch/winch/internal/relay"
 )
 
@@ -74,11 +73,9 @@
 	hostHashes map[winch.HostID]uint64
 	// graceUntil is when endpoints that are missing after an outage are removed.
 	graceUntil time.Time
-	pacer      *relay.Pacer
+	reader     *relay.Reader
 	// readFailed reports whether a read of this host failed since the last list.
 	readFailed bool
-	// listDependency logs when reads of the list start to fail and when they work again. Only Run uses it.
-	listDependency *dependency.Dependency
 }
 
 var _ winch.EndpointSource = (*Follower)(nil)
@@ -89,46 +86,31 @@
 		return nil, fmt.Errorf("create endpoint follower: Lister, Clock and Logger are required: %w", winch.ErrInvalid)
 	}
 	options.PollEvery = cmp.Or(options.PollEvery, defaultPollEvery)
-	return &Follower{
-		options: options, changed: make(chan struct{}), hostHashes: map[winch.HostID]uint64{},
-		pacer:          relay.NewPacer(relay.Settings{Self: options.Self, PollEvery: options.PollEvery, MaxAge: options.MaxRelayedAge}),
-		listDependency: dependency.New("access to the endpoint list", options.Logger, EventListFailed, EventListRecovered),
-	}, nil
+	follower := &Follower{options: options, changed: make(chan struct{}), hostHashes: map[winch.HostID]uint64{}}
+	follower.reader = relay.NewReader(
+		relay.Settings{Self: options.Self, PollEvery: options.PollEvery, MaxAge: options.MaxRelayedAge}, options.Clock,
+		dependency.New("access to the endpoint list", options.Logger, EventListFailed, EventListRecovered), follower.read)
+	return follower, nil
 }
 
 // Run reads the list until ctx is done: at the interval PollEvery or, while another host relays it, as soon as the relayed
 // list is older than MaxRelayedAge. It returns nil.
-func (f *Follower) Run(ctx context.Context) error {
-	// Unlike periodic.Run, RunPaced leaves at least one interval between the starts of two
-	// reads, also after a slow one.
-	return periodic.RunPaced(ctx, f.untilNextStep, f.Step)
-}
-
-// untilNextStep returns the time until the next read may be due.
-func (f *Follower) untilNextStep() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.pacer.Until(f.options.Clock.Now())
-}
+func (f *Follower) Run(ctx context.Context) error { return f.reader.Run(ctx) }
 
 // Step reads the list once, unless a list from another host is recent enough. Run calls it periodically.
-func (f *Follower) Step(ctx context.Context) {
-	sent := f.options.Clock.Now()
-	if !f.readDue(sent) {
-		return
-	}
-	readCtx, cancel := context.WithTimeout(ctx, f.readTimeout())
-	defer cancel()
-	statuses, err := f.options.Lister.ListEndpoints(readCtx, sent)
-	f.listDependency.Note(err)
-	f.mu.Lock()
-	f.readFailed = f.readFailed || err != nil
-	f.pacer.ReadDone(err)
-	f.mu.Unlock()
+func (f *Follower) Step(ctx context.Context) { f.reader.Step(ctx) }
+
+// read reads the list. It implements relay.ReadFunc.
+func (f *Follower) read(ctx context.Context, sent time.Time) error {
+	statuses, err := f.options.Lister.ListEndpoints(ctx, sent)
 	if err != nil {
-		return
+		f.mu.Lock()
+		f.readFailed = true
+		f.mu.Unlock()
+		return err
 	}
 	f.update(reading{at: sent, received: f.options.Clock.Now(), from: ownReading}, statuses)
+	return nil
 }
 
 // keepMissingAfterOutage returns the list and, during the grace time after an outage, also
@@ -161,19 +143,6 @@
 	slices.SortFunc(statuses, func(a, b winch.EndpointStatus) int { return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID) })
 }
 
-func (f *Follower) readTimeout() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.pacer.ReadTimeout()
-}
-
-// readDue reports whether this host has to read the list itself.
-func (f *Follower) readDue(now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.pacer.Due(now)
-}
-
 // reading tells when and by whom a list was read.
 type reading struct {
 	// at is when the read began, and received when this host got the list.
--- a/placement/registry/section.go
+++ b/placement/registry/section.go
@@ -102,7 +102,7 @@
 	// hash, and the host's list has changed since.
 	usable := notNewer || wire.Hash == hashOf(statuses)
 	if usable {
-		s.f.pacer.Received(hub, readAt)
+		s.f.reader.Received(hub, readAt)
 	}
 	s.f.mu.Unlock()
 	if notNewer || !usable {
--- a/release/source/follower.go
+++ b/release/source/follower.go
@@ -34,7 +34,6 @@
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/internal/dependency"
-	"github.com/arbutuswinch/winch/internal/periodic"
 	"github.com/arbutuswinch/winch/internal/relay"
 )
 
@@ -74,10 +73,8 @@
 	// its clock in each summary, to recognize its own readings in reports.
 	origin uint64
 	// stamp is the reading of the hub's clock in its last summary.
-	stamp receivedStamp
-	pacer *relay.Pacer
-	// sourceLog logs when the source fails and recovers; only Run uses it.
-	sourceLog *dependency.Dependency
+	stamp  receivedStamp
+	reader *relay.Reader
 }
 
 var _ winch.ConfirmedConfigurations = (*Follower)(nil)
@@ -90,48 +87,34 @@
 	options.PollEvery = cmp.Or(options.PollEvery, defaultPollEvery)
 	options.FreshnessLimit = cmp.Or(options.FreshnessLimit, defaultFreshnessLimit)
 	// An origin of zero means that no stamp was received, so the lowest bit is set.
-	return &Follower{
+	follower := &Follower{
 		options: options, state: state{configuration: &winch.Configuration{}},
-		pacer:   relay.NewPacer(relay.Settings{Self: options.Self, PollEvery: options.PollEvery, MaxAge: options.MaxRelayedAge}),
 		changed: make(chan struct{}), reportedVersions: map[winch.HostID]winch.Version{}, origin: rand.Uint64() | 1,
-		sourceLog: dependency.New("configuration source", options.Logger, EventSourceFailed, EventSourceRecovered),
-	}, nil
+	}
+	follower.reader = relay.NewReader(
+		relay.Settings{Self: options.Self, PollEvery: options.PollEvery, MaxAge: options.MaxRelayedAge}, options.Clock,
+		dependency.New("configuration source", options.Logger, EventSourceFailed, EventSourceRecovered), follower.read)
+	return follower, nil
 }
 
 // Run reads the source until ctx is done: at the interval PollEvery or, while the hub relays evidence, as soon as that is
 // older than MaxRelayedAge. It returns nil.
-func (f *Follower) Run(ctx context.Context) error {
-	return periodic.RunPaced(ctx, f.untilNextStep, f.Step)
-}
-
-// untilNextStep returns the time until the next read may be due.
-func (f *Follower) untilNextStep() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.pacer.Until(f.options.Clock.Now())
-}
+func (f *Follower) Run(ctx context.Context) error { return f.reader.Run(ctx) }
 
 // Step reads the source once, unless recent evidence from another host makes that
 // unnecessary. Run calls it at each interval.
-func (f *Follower) Step(ctx context.Context) {
-	sent := f.options.Clock.Now()
+func (f *Follower) Step(ctx context.Context) { f.reader.Step(ctx) }
+
+// read fetches the configuration. It implements relay.ReadFunc.
+func (f *Follower) read(ctx context.Context, sent time.Time) error {
 	f.mu.Lock()
 	known := f.state.version
-	due, timeout := f.pacer.Due(sent), f.pacer.ReadTimeout()
 	f.mu.Unlock()
-	if !due {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	raw, version, err := f.options.Source.Fetch(ctx, known)
-	f.mu.Lock()
-	f.pacer.ReadDone(err)
-	f.mu.Unlock()
-	if err == nil {
-		err = f.applyVersion(raw, version, sent, "source")
+	if err != nil {
+		return err
 	}
-	f.sourceLog.Note(err)
+	return f.applyVersion(raw, version, sent, "source")
 }
 
 // applyVersion records that version was the newest at the time confirmed. Raw is its
--- a/release/source/section.go
+++ b/release/source/section.go
@@ -118,9 +118,10 @@
 // recordRelay records evidence from the hub. Evidence for a version that this host does not have cannot replace a read.
 func (f *Follower) recordRelay(hub winch.HostID, received evidence) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	if received.version != 0 && f.state.version >= received.version {
-		f.pacer.Received(hub, received.confirmed)
+	version := f.state.version
+	f.mu.Unlock()
+	if received.version != 0 && version >= received.version {
+		f.reader.Received(hub, received.confirmed)
 	}
 }
 
