perf(quarantine): hosts report only what they have seen themselves

Cause: each host sent the hub all that it had been told, up to 64 crashes and 256 outputs for ten minutes after many engines had crashed: 60 hosts twice a second, more rows than the processor of a small hub decodes (computed, not measured). Change: reports hold a host's own crashes, its outputs of the last 3 s and the parts in quarantine; the hub's message is encoded once for all hosts in 50 ms; outputs of parts that are neither accused nor held are kept for 10 s, explained crashes for 1 min.

--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -112,6 +112,30 @@
 	Explained []Explained
 }
 
+// seenOutputsTold is the age up to which a host tells of its own outputs. Of a part that is in use there are newer ones.
+const seenOutputsTold = 3 * time.Second
+
+// Seen returns what this host has seen itself, and the parts in quarantine.
+func (e *Evidence) Seen(now time.Time) State {
+	seen := State{Holds: e.Holds()}
+	for _, crash := range e.Crashes() {
+		if e.seen[crash.Request] {
+			seen.Crashes = append(seen.Crashes, crash)
+		}
+	}
+	for part, at := range e.seenOutputs {
+		if now.Sub(at) <= seenOutputsTold {
+			seen.Outputs = append(seen.Outputs, Output{Part: part, At: at})
+		}
+	}
+	for _, explained := range e.Explained() {
+		if now.Sub(explained.At) <= seenOutputsTold {
+			seen.Explained = append(seen.Explained, explained)
+		}
+	}
+	return seen
+}
+
 // State returns what this host knows.
 func (e *Evidence) State() State {
 	return State{Crashes: e.Crashes(), Outputs: e.Outputs(), Holds: e.Holds(), Explained: e.Explained()}
@@ -131,7 +155,7 @@
 	}
 	for _, crash := range received.Crashes {
 		if !e.cleared(crash) {
-			changes = append(changes, e.AddCrash(now, crash)...)
+			changes = append(changes, e.addCrash(now, crash)...)
 		}
 	}
 	return changes
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -24,6 +24,10 @@
 	clockTolerance = time.Second
 	// outputTolerance is the same for outputs, which clear parts and have to be known soon.
 	outputTolerance = 200 * time.Millisecond
+	// outputsKept is how long the output of a part is kept that is neither accused nor in quarantine, for hosts that
+	// accuse it, and explainedKept the same for explained crashes.
+	outputsKept   = 10 * time.Second
+	explainedKept = time.Minute
 	// sameCrash is the time within which two requests at one endpoint are taken to have broken in the same crash of it.
 	sameCrash = time.Second
 )
@@ -90,6 +94,9 @@
 type Evidence struct {
 	settings Settings
 	crashes  map[winch.RequestID]winch.EndpointCrash
+	// seen are the crashes that this host has seen itself, seenOutputs its own outputs.
+	seen        map[winch.RequestID]bool
+	seenOutputs map[winch.PrefixHash]time.Time
 	// accusations is the number of crashes in which a part was present.
 	accusations map[winch.PrefixHash]int
 	outputs     map[winch.PrefixHash]time.Time
@@ -108,7 +115,7 @@
 	return &Evidence{
 		settings: settings, crashes: map[winch.RequestID]winch.EndpointCrash{}, accusations: map[winch.PrefixHash]int{},
 		outputs: map[winch.PrefixHash]time.Time{}, holds: map[winch.PrefixHash]Hold{},
-		explained: map[winch.EndpointID]time.Time{},
+		explained: map[winch.EndpointID]time.Time{}, seen: map[winch.RequestID]bool{}, seenOutputs: map[winch.PrefixHash]time.Time{},
 	}
 }
 
@@ -127,8 +134,16 @@
 	return holds
 }
 
-// AddCrash adds a crash that this host has seen or was told of, and returns what changes.
+// AddCrash adds a crash that this host has seen, and returns what changes.
 func (e *Evidence) AddCrash(now time.Time, crash winch.EndpointCrash) []Change {
+	changes := e.addCrash(now, crash)
+	if _, kept := e.crashes[crash.Request]; kept {
+		e.seen[crash.Request] = true
+	}
+	return changes
+}
+
+func (e *Evidence) addCrash(now time.Time, crash winch.EndpointCrash) []Change {
 	if now.Sub(crash.At) > e.settings.Retention || len(crash.Parts) == 0 {
 		return nil
 	}
@@ -209,6 +224,7 @@
 		}
 	}
 	delete(e.crashes, id)
+	delete(e.seen, id)
 }
 
 // AddOutput records that an endpoint has begun to answer a request with the parts. Only parts that are accused or in
@@ -220,10 +236,11 @@
 	var changes []Change
 	for _, part := range parts {
 		hold, held := e.holds[part]
-		if !held && e.accusations[part] == 0 || !at.After(e.outputs[part]) {
+		if !e.matters(part) || !at.After(e.outputs[part]) {
 			continue
 		}
 		e.setOutput(part, at)
+		e.seenOutputs[part] = at
 		if held && at.After(hold.FirstCrash) {
 			delete(e.holds, part)
 			changes = append(changes, Change{Kind: Released, Hold: hold})
@@ -235,11 +252,22 @@
 func (e *Evidence) setOutput(part winch.PrefixHash, at time.Time) {
 	if _, known := e.outputs[part]; !known && len(e.outputs) >= maxOutputs {
 		oldest := slices.MinFunc(e.Outputs(), func(a, b Output) int { return a.At.Compare(b.At) })
-		delete(e.outputs, oldest.Part)
+		e.dropOutput(oldest.Part)
 	}
 	e.outputs[part] = at
 }
 
+func (e *Evidence) dropOutput(part winch.PrefixHash) {
+	delete(e.outputs, part)
+	delete(e.seenOutputs, part)
+}
+
+// matters reports whether the part is accused or in quarantine.
+func (e *Evidence) matters(part winch.PrefixHash) bool {
+	_, held := e.holds[part]
+	return held || e.accusations[part] > 0
+}
+
 // MayRetry reports whether a request with the parts may be sent to another endpoint: a part of it was present in at most one crash.
 func (e *Evidence) MayRetry(parts []winch.PrefixHash) bool {
 	return !slices.ContainsFunc(parts, func(part winch.PrefixHash) bool {
@@ -275,12 +303,12 @@
 		}
 	}
 	for part, at := range e.outputs {
-		if now.Sub(at) > e.settings.Retention {
-			delete(e.outputs, part)
+		if now.Sub(at) > outputsKept && !e.matters(part) {
+			e.dropOutput(part)
 		}
 	}
 	for endpoint, at := range e.explained {
-		if now.Sub(at) > e.settings.Retention {
+		if now.Sub(at) > explainedKept {
 			delete(e.explained, endpoint)
 		}
 	}
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -277,3 +277,21 @@
 	assert.Assert(t, len(e.explained) <= maxExplained, "%d", len(e.explained))
 	assert.Assert(t, len(e.accusations) <= 2*maxCrashes, "%d", len(e.accusations))
 }
+
+func TestHostTellsTheHubOnlyWhatItHasSeen(t *testing.T) {
+	hub, host := New(Settings{}), New(Settings{})
+	addCrashes(hub, crashAt(1, system, subject))
+	hub.AddOutput(at(2), []winch.PrefixHash{system})
+	exchange(at(2.1), 10*time.Millisecond, host, hub)
+	assert.Equal(t, len(host.State().Crashes), 1)
+	assert.Equal(t, len(host.State().Outputs), 1)
+	seen := host.Seen(at(2.2))
+	assert.Equal(t, len(seen.Crashes), 0)
+	assert.Equal(t, len(seen.Outputs), 0)
+	addCrashes(host, crashAt(3, system, deadly))
+	host.AddOutput(at(3.5), []winch.PrefixHash{system})
+	seen = host.Seen(at(3.6))
+	assert.Equal(t, len(seen.Crashes), 1)
+	assert.Equal(t, len(seen.Outputs), 1)
+	assert.Equal(t, len(host.Seen(at(10)).Outputs), 0)
+}
--- a/quarantine/peer/guard.go
+++ b/quarantine/peer/guard.go
@@ -46,6 +46,8 @@
 	probeCount   = 2
 	// maxWaitingPerEndpoint bounds the requests that wait for the probe of one endpoint.
 	maxWaitingPerEndpoint = 64
+	// summaryReuse is how long the hub sends the same message to its hosts. The ages in it are wrong by as much.
+	summaryReuse = 50 * time.Millisecond
 	// decideEvery is the interval at which old evidence is forgotten, and at which parts are held whose crashes had to settle.
 	decideEvery = 200 * time.Millisecond
 )
@@ -76,6 +78,9 @@
 	mu       sync.Mutex
 	evidence *quarantine.Evidence
 	policy   Policy
+	// summary is the message of the hub that was encoded at summaryAt.
+	summary   []byte
+	summaryAt time.Time
 	// waiting holds, by endpoint, the attempts that broke while the endpoint is probed.
 	waiting map[winch.EndpointID][]winch.EndpointCrash
 }
--- a/quarantine/peer/section.go
+++ b/quarantine/peer/section.go
@@ -10,14 +10,14 @@
 // Name returns the section's name.
 func (g *Guard) Name() winch.SectionName { return sectionName }
 
-// Report returns what this host knows, nil if there is nothing.
+// Report returns what this host has seen itself, nil if nothing is known at all.
 func (g *Guard) Report(now time.Time) []byte {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.evidence.Empty() {
 		return nil
 	}
-	return encodeState(now, g.evidence.State())
+	return encodeState(now, g.evidence.Seen(now))
 }
 
 // Collect merges a host's report. It is called on the hub.
@@ -26,7 +26,17 @@
 }
 
 // Summary returns what the hub knows.
-func (g *Guard) Summary(now time.Time, _ winch.HostID) []byte { return g.Report(now) }
+func (g *Guard) Summary(now time.Time, _ winch.HostID) []byte {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.evidence.Empty() {
+		return nil
+	}
+	if now.Sub(g.summaryAt).Abs() > summaryReuse {
+		g.summary, g.summaryAt = encodeState(now, g.evidence.State()), now
+	}
+	return g.summary
+}
 
 // Apply merges what the hub knows.
 func (g *Guard) Apply(now, _ time.Time, _ winch.HostID, summary []byte) error {
@@ -34,7 +44,7 @@
 }
 
 // Digest returns what this data centre knows.
-func (g *Guard) Digest(now time.Time, _ winch.DataCentreID) []byte { return g.Report(now) }
+func (g *Guard) Digest(now time.Time, _ winch.DataCentreID) []byte { return g.Summary(now, "") }
 
 // ApplyDigest merges what another data centre knows.
 func (g *Guard) ApplyDigest(now, _ time.Time, _ winch.DataCentreID, digest []byte) error {
