--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -205,12 +205,9 @@
 	f.logger.SetLevel(hclog.LevelFromString(changed.Log.Level))
 	f.configuration.SetFreshnessLimit(keyLimit(changed.Bounds))
 	f.server.SetFreshnessLimits(rejectLimit(changed.Bounds), keyLimit(changed.Bounds))
-	policy, err := quarantinePolicy(changed.Quarantine)
-	if err != nil {
+	if err := f.applyQuarantine(changed.Quarantine); err != nil {
 		f.logger.Error("settings of the quarantine rejected", "Event", EventReloadFailed, "Cause", "policy", "Error", err)
-		return
 	}
-	f.quarantine.SetPolicy(policy)
 }
 
 func (f *Forwarder) buildEndpoints() error {
@@ -258,36 +255,6 @@
 	}
 }
 
-func (f *Forwarder) buildQuarantine() error {
-	f.exchanger = httpexchange.New(httpexchange.Options{DialTimeout: dialTimeout})
-	built, err := quarantine.New(quarantine.Options{
-		Membership: f.table, Endpoints: f.endpoints, Prober: f.exchanger, Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
-	})
-	if err != nil {
-		return err
-	}
-	f.quarantine = built
-	policy, err := quarantinePolicy(f.settings.Quarantine)
-	if err != nil {
-		return err
-	}
-	f.quarantine.SetPolicy(policy)
-	return nil
-}
-
-// quarantinePolicy decodes the settings of the quarantine. The error matches winch.ErrInvalid and names the field.
-func quarantinePolicy(loaded settings.ForwardingQuarantine) (quarantine.Policy, error) {
-	policy := quarantine.Policy{Disabled: loaded.Disabled}
-	for i, text := range loaded.Exempt {
-		part, err := quarantine.ParsePart(text)
-		if err != nil {
-			return quarantine.Policy{}, fmt.Errorf("Quarantine.Exempt[%d]: %w", i, err)
-		}
-		policy.Exempt = append(policy.Exempt, part)
-	}
-	return policy, nil
-}
-
 func (f *Forwarder) buildServing() error {
 	built, err := forward.New(forward.Options{
 		Configurations: f.configuration, Dispatcher: f.dispatcher, Protocol: caller.Protocol{}, Sender: runner.New(f.exchanger),
