test(forwarder): ports of hosts and engines cannot be taken by outgoing connections

Cause: TestPartThatCrashesEngineAfterEngineIsStopped failed twice in 9 runs of the package beside load, once with its output kept: 'listen tcp 127.0.0.1:41525: bind: address already in use', so that a host never served. freePorts returned ports of 127.0.0.1, from which the outgoing connections of all tests get theirs. Change: freePorts returns each address once, of 127.0.0.2.

--- a/winchd/forwarder/process_test.go
+++ b/winchd/forwarder/process_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -94,15 +95,22 @@
 	command  *exec.Cmd
 }
 
-// freePorts returns addresses with ports that are free at the time of the call.
+// reservedAddresses are the addresses that freePorts has returned.
+var reservedAddresses sync.Map
+
+// freePorts returns addresses whose ports stay free until a server of the test listens there. They are not of 127.0.0.1, from
+// which outgoing connections on the loopback interface get their ports, and are returned once only.
 func freePorts(t *testing.T, count int) []string {
 	t.Helper()
-	addresses := make([]string, count)
-	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	addresses := make([]string, 0, count)
+	for len(addresses) < count {
+		listener, err := net.Listen("tcp", "127.0.0.2:0")
 		assert.NilError(t, err)
-		defer func() { assert.NilError(t, listener.Close()) }()
-		addresses[i] = listener.Addr().String()
+		address := listener.Addr().String()
+		assert.NilError(t, listener.Close())
+		if _, reserved := reservedAddresses.LoadOrStore(address, true); !reserved {
+			addresses = append(addresses, address)
+		}
 	}
 	return addresses
 }
