--- a/winchd/forwarder/process_test.go
+++ b/winchd/forwarder/process_test.go
@@ -10,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -95,22 +94,27 @@
 	command  *exec.Cmd
 }
 
-// reservedAddresses are the addresses that freePorts has returned.
-var reservedAddresses sync.Map
+// firstPort and lastPort bound the ports of freePorts. They are below those that the kernel gives to outgoing connections.
+const (
+	firstPort = 10_000
+	lastPort  = 15_999
+)
+
+// nextPort is the port at which freePorts goes on.
+var nextPort = atomic.Int64{}
 
-// freePorts returns addresses whose ports stay free until a server of the test listens there. They are not of 127.0.0.1, from
-// which outgoing connections on the loopback interface get their ports, and are returned once only.
+// freePorts returns addresses whose ports stay free until a server of the test listens there, since each port is tried once only.
 func freePorts(t *testing.T, count int) []string {
 	t.Helper()
 	addresses := make([]string, 0, count)
 	for len(addresses) < count {
-		listener, err := net.Listen("tcp", "127.0.0.2:0")
-		assert.NilError(t, err)
-		address := listener.Addr().String()
-		assert.NilError(t, listener.Close())
-		if _, reserved := reservedAddresses.LoadOrStore(address, true); !reserved {
-			addresses = append(addresses, address)
+		port := firstPort + (int64(os.Getpid())*100+nextPort.Add(1))%(lastPort-firstPort+1)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
 		}
+		assert.NilError(t, listener.Close())
+		addresses = append(addresses, listener.Addr().String())
 	}
 	return addresses
 }
