test(forwarder): an engine of the test starts again once, and waits for its port

Two requests that crash one engine at the same time also started it twice. Change: listening is tried for a second, a crash of an engine that is down does nothing. All checks and bounds as before.

--- a/winchd/forwarder/crashing_part_test.go
+++ b/winchd/forwarder/crashing_part_test.go
@@ -49,12 +49,17 @@
 	t.Helper()
 	e := &crashingEngine{t: t, id: id, deadly: deadly, address: freePorts(t, 1)[0]}
 	e.start()
-	t.Cleanup(e.crash)
+	t.Cleanup(func() { e.crash() })
 	return e
 }
 
 func (e *crashingEngine) start() {
 	listener, err := net.Listen("tcp", e.address)
+	for attempts := 0; err != nil && attempts < 50; attempts++ {
+		// The port may be released a little later than its listener is closed.
+		<-time.After(20 * time.Millisecond)
+		listener, err = net.Listen("tcp", e.address)
+	}
 	if err != nil {
 		e.t.Errorf("engine %s: %v", e.id, err)
 		return
@@ -66,11 +71,16 @@
 	go func() { _ = server.Serve(listener) }()
 }
 
-// crash closes the port and all connections.
-func (e *crashingEngine) crash() {
+// crash closes the port and all connections. It returns false if the engine was down.
+func (e *crashingEngine) crash() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.server == nil {
+		return false
+	}
 	_ = e.server.Close()
+	e.server = nil
+	return true
 }
 
 // ServeHTTP streams two events, or crashes.
@@ -90,9 +100,10 @@
 	_ = http.NewResponseController(w).Flush()
 	<-time.After(engineReadTime)
 	if deadly {
-		e.deadly.record(&e.deadly.crashes)
-		e.crash()
-		time.AfterFunc(engineDowntime, e.start)
+		if e.crash() {
+			e.deadly.record(&e.deadly.crashes)
+			time.AfterFunc(engineDowntime, e.start)
+		}
 		return
 	}
 	_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
