feat(registry): endpoints carry the version of their software, and the log tells it

Change: platform/registry decodes the version (a value of another type makes the entry unusable, as for other fields; a missing one is unknown), winch.Endpoint has Software, relayed lists carry it and their hash covers it, release notes may state it. 7601 tells version and start of an endpoint, 2201 the version of each attempt, and Resumes and ResumedAfter. Hosts of a build without versions and hosts of this one do not use each other's relayed lists, since the hashes differ; each reads for itself until all are of one build. No decision has changed.

--- a/configuration.go
+++ b/configuration.go
@@ -94,6 +94,8 @@
 	SlotLimit int
 	// Pool is set for endpoints that were ordered from the platform.
 	Pool PoolID
+	// Software is the version of the endpoint's software. Endpoints of several versions may serve the same model.
+	Software SoftwareVersion
 }
 
 // Pool is a set of identical endpoints that is scaled with demand.
--- a/forward.go
+++ b/forward.go
@@ -141,6 +141,9 @@
 	Parts []PromptPart
 	// LastEvent is the event after which a stream is resumed; zero means from the start.
 	LastEvent int64
+	// Resumes is the request that brought the caller the first event of the stream that is resumed; empty if the caller does not
+	// resume one, or does not say.
+	Resumes RequestID
 	// Header holds the headers that are forwarded to the endpoint.
 	Header http.Header
 }
--- a/ids.go
+++ b/ids.go
@@ -39,6 +39,10 @@
 // ModelVersion identifies a version of a model's weights.
 type ModelVersion string
 
+// SoftwareVersion identifies a version of the software that an endpoint runs. It is not the version of a model's weights, which
+// is ModelVersion. It is empty when the version is not known.
+type SoftwareVersion string
+
 // RequestID identifies one request of a caller.
 type RequestID string
 
--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -181,7 +181,7 @@
 func equalStatus(a, b winch.EndpointStatus) bool {
 	return a.State == b.State && a.Endpoint.ID == b.Endpoint.ID && a.Endpoint.Address == b.Endpoint.Address &&
 		a.StartedAt.Equal(b.StartedAt) && a.Endpoint.SlotLimit == b.Endpoint.SlotLimit &&
-		a.Endpoint.Supply == b.Endpoint.Supply && slices.Equal(a.Endpoint.Models, b.Endpoint.Models) &&
+		a.Endpoint.Supply == b.Endpoint.Supply && a.Endpoint.Software == b.Endpoint.Software && slices.Equal(a.Endpoint.Models, b.Endpoint.Models) &&
 		a.LeavesAt.IsZero() == b.LeavesAt.IsZero() && a.LeavesAt.Sub(b.LeavesAt).Abs() < leaveTolerance
 }
 
@@ -203,7 +203,8 @@
 		if !found || !equalStatus(previous, status) {
 			logger.Info("endpoint added or changed", "Event", EventEndpointListed, "Endpoint", status.Endpoint.ID,
 				"State", status.State, "Before", previous.State, "Models", status.Endpoint.Models, "DataCentre", status.Endpoint.DataCentre,
-				"Address", status.Endpoint.Address, "Supply", status.Endpoint.Supply, "LeavesAt", status.LeavesAt)
+				"Address", status.Endpoint.Address, "Supply", status.Endpoint.Supply, "LeavesAt", status.LeavesAt,
+				"Software", status.Endpoint.Software, "Started", status.StartedAt)
 		}
 	}
 	for id := range previousByID {
--- a/placement/registry/follower_test.go
+++ b/placement/registry/follower_test.go
@@ -162,6 +162,23 @@
 		exchange()
 		assertStates(t, host, winch.EndpointReady)
 	})
+	t.Run("a change of the software version alone is relayed", func(t *testing.T) {
+		changed := status("a", winch.EndpointReady)
+		changed.Endpoint.Software = "v2"
+		c.now = c.now.Add(4 * time.Second)
+		hubList.statuses = []winch.EndpointStatus{changed}
+		hub.Step(t.Context())
+		exchange()
+		exchange()
+		assert.Equal(t, host.Endpoints()[0].Endpoint.Software, winch.SoftwareVersion("v2"))
+	})
+	t.Run("the list of a host that does not know of versions is not used", func(t *testing.T) {
+		// Its hash does not cover the versions. The receiver reads the list itself.
+		summary := []byte(`{"Hash":77,"AgeMS":1,"Endpoints":[{"ID":"a","DataCentre":"a","Kind":"Engine","Address":"10.1.0.9:80","Models":["pool"],"Supply":"Cheap","SlotLimit":64,"State":"Ready"}]}`)
+		c.now = c.now.Add(time.Second)
+		assert.NilError(t, host.Section().Apply(c.now, c.now, "hub", summary))
+		assert.Equal(t, host.Endpoints()[0].Endpoint.Software, winch.SoftwareVersion("v2"))
+	})
 	t.Run("malformed messages are rejected", func(t *testing.T) {
 		assert.ErrorIs(t, host.Section().Apply(c.now, c.now, "hub", []byte("{")), winch.ErrInvalid)
 		assert.ErrorIs(t, hub.Section().Collect(c.now, "host", []byte("{")), winch.ErrInvalid)
--- a/placement/registry/section.go
+++ b/placement/registry/section.go
@@ -28,7 +28,9 @@
 	Models     []string
 	Supply     string
 	SlotLimit  int
-	State      string
+	// Software is empty when the version is not known, and in messages of hosts that do not know of versions yet.
+	Software string `json:",omitempty"`
+	State    string
 	// LeavesMS is the time in milliseconds until the endpoint leaves, or zero when that is not known.
 	LeavesMS int64 `json:",omitempty"`
 	// Started is when the endpoint started in Unix milliseconds, or zero when it does not report that.
@@ -138,6 +140,7 @@
 		e := endpointWire{
 			ID: string(status.Endpoint.ID), DataCentre: string(status.Endpoint.DataCentre), Kind: string(status.Endpoint.Kind),
 			Address: status.Endpoint.Address, Supply: string(status.Endpoint.Supply), SlotLimit: status.Endpoint.SlotLimit, State: string(status.State),
+			Software: string(status.Endpoint.Software),
 		}
 		for _, model := range status.Endpoint.Models {
 			e.Models = append(e.Models, string(model))
@@ -159,7 +162,7 @@
 	for _, e := range wire {
 		status := winch.EndpointStatus{State: winch.EndpointState(e.State), Endpoint: winch.Endpoint{
 			ID: winch.EndpointID(e.ID), DataCentre: winch.DataCentreID(e.DataCentre), Kind: winch.EndpointKind(e.Kind),
-			Address: e.Address, Supply: winch.Supply(e.Supply), SlotLimit: e.SlotLimit,
+			Address: e.Address, Supply: winch.Supply(e.Supply), SlotLimit: e.SlotLimit, Software: winch.SoftwareVersion(e.Software),
 		}}
 		for _, model := range e.Models {
 			status.Endpoint.Models = append(status.Endpoint.Models, winch.ModelID(model))
@@ -182,8 +185,8 @@
 	for _, s := range statuses {
 		// Writing to a digest cannot fail. The leave time is left out, since hosts compute
 		// slightly different ones.
-		_, _ = fmt.Fprintf(digest, "%q%q%q%q%q%d%q%v%d\n", s.Endpoint.ID, s.Endpoint.DataCentre, s.Endpoint.Kind, s.Endpoint.Address,
-			s.Endpoint.Models, s.Endpoint.SlotLimit, s.Endpoint.Supply, s.State, s.StartedAt.UnixMilli())
+		_, _ = fmt.Fprintf(digest, "%q%q%q%q%q%d%q%q%v%d\n", s.Endpoint.ID, s.Endpoint.DataCentre, s.Endpoint.Kind, s.Endpoint.Address,
+			s.Endpoint.Models, s.Endpoint.SlotLimit, s.Endpoint.Supply, s.Endpoint.Software, s.State, s.StartedAt.UnixMilli())
 	}
 	return max(digest.Sum64(), 1)
 }
--- a/release/codec.go
+++ b/release/codec.go
@@ -76,7 +76,8 @@
 	Cost          winch.Cost
 	ChecksFencing bool `json:",omitempty"`
 	SlotLimit     int
-	Pool          winch.PoolID `json:",omitempty"`
+	Pool          winch.PoolID          `json:",omitempty"`
+	Software      winch.SoftwareVersion `json:",omitempty"`
 }
 
 type poolWire struct {
--- a/release/note.go
+++ b/release/note.go
@@ -172,6 +172,7 @@
 		ChecksFencing: o.boolean("ChecksFencing"),
 		SlotLimit:     int(o.integer("SlotLimit")),
 		Pool:          winch.PoolID(o.optionalName("Pool")),
+		Software:      winch.SoftwareVersion(o.optionalName("Software")),
 	}
 }
 
--- a/release/note_test.go
+++ b/release/note_test.go
@@ -15,7 +15,7 @@
 	"Keys": [{"ID": "k", "Organisation": "o", "Hash": "` + hash + `"}],
 	"Classes": [{"ID": "c", "Tier": 1, "FirstTokenTarget": "1.3s", "InterTokenTarget": "77ms", "MaxWait": "5s", "QueueLimit": 10, "Floor": 0.2, "Models": ["org/m"]}],
 	"Routes": [{"ID": "r", "Class": "c", "Open": true, "Idempotent": true}],
-	"Endpoints": [{"ID": "e", "DataCentre": "a", "Kind": "Engine", "Address": "10.0.0.1:80", "Models": ["org/m"], "Routes": ["r"], "Classes": ["c"], "Supply": "Cheap", "Cost": 5, "ChecksFencing": true, "SlotLimit": 8, "Pool": "p"}],
+	"Endpoints": [{"ID": "e", "DataCentre": "a", "Kind": "Engine", "Address": "10.0.0.1:80", "Models": ["org/m"], "Routes": ["r"], "Classes": ["c"], "Supply": "Cheap", "Cost": 5, "ChecksFencing": true, "SlotLimit": 8, "Pool": "p", "Software": "v1.2"}],
 	"Pools": [{"ID": "p", "DataCentre": "a", "Model": "org/m", "Adapter": "x", "Version": "v", "Classes": ["c"], "Supply": "Steady", "Cost": 9, "Min": 1, "Max": 2, "SlotLimit": 8}]
 }}`
 
--- a/serving/forward/attempt.go
+++ b/serving/forward/attempt.go
@@ -27,6 +27,7 @@
 // attemptRecord is the summary of an attempt for the log.
 type attemptRecord struct {
 	endpoint winch.EndpointID
+	software winch.SoftwareVersion
 	waited   time.Duration
 	took     time.Duration
 	status   int
@@ -79,7 +80,7 @@
 	}
 	a := &attempt{slot: slot, endpoint: slot.Endpoint(), started: now}
 	a.ctx, a.cancel = s.attemptContext(ctx, req)
-	req.attempts = append(req.attempts, attemptRecord{endpoint: a.endpoint.ID, waited: now.Sub(started)})
+	req.attempts = append(req.attempts, attemptRecord{endpoint: a.endpoint.ID, software: a.endpoint.Software, waited: now.Sub(started)})
 	req.updateTracker(runstate.SendStarted)
 	return a, nil
 }
--- a/serving/forward/record.go
+++ b/serving/forward/record.go
@@ -74,7 +74,7 @@
 	s.options.Logger.Info("request finished", "Event", EventForwardDone, "Request", string(req.ID), "Route", string(route), "Class", string(class),
 		"Organisation", string(req.admission.organisation), "Status", status, "Reason", reason, "RetryAfter", retryAfter,
 		"RunState", string(req.tracker.RunState()), "Revision", revision, "ProofAge", req.configurationAge.String(), "First", req.timeToFirstOutput.String(),
-		"Took", took.String(), "Left", req.remaining(took).String(), "LastEvent", req.lastEvent, "Pause", req.longestPause.String(), "Tail", req.tailBytes, "EndsWithConnection", req.endsWithConnection(),
+		"Took", took.String(), "Left", req.remaining(took).String(), "Resumes", string(req.Resumes), "ResumedAfter", req.LastEvent, "LastEvent", req.lastEvent, "Pause", req.longestPause.String(), "Tail", req.tailBytes, "EndsWithConnection", req.endsWithConnection(),
 		"Attempts", formatAttempts(req.attempts), "Path", s.pathIfNotAdmitted(req, status))
 	labels := metric.WithAttributes(attribute.String("class", string(class)), attribute.Int("status", status), attribute.String("reason", reason))
 	ctx := context.WithoutCancel(req.detached)
@@ -116,14 +116,14 @@
 }
 
 // formatAttempts lists for each attempt the endpoint, the wait for its slot, the duration,
-// the status and the outcome.
+// the status, the outcome and the software version of the endpoint.
 func formatAttempts(attempts []attemptRecord) string {
 	text := strings.Builder{}
 	for i, attempt := range attempts {
 		if i > 0 {
 			text.WriteByte(' ')
 		}
-		fmt.Fprintf(&text, "%s/%s/%s/%d/%s", attempt.endpoint, attempt.waited, attempt.took, attempt.status, attempt.outcome)
+		fmt.Fprintf(&text, "%s/%s/%s/%d/%s/%s", attempt.endpoint, attempt.waited, attempt.took, attempt.status, attempt.outcome, attempt.software)
 	}
 	return text.String()
 }
