feat(dispatch): a request can need endpoints of one software version

Change: winch.Work.Software names the version that began the response. Such requests queue apart from the others, so that neither holds up the other; they are served from all endpoints of the version, in or outside the host's aperture; without one they wait 2 s and are refused (RefusedSoftware). A version is unknown after a lost or refused connection until the list was read 1.5 s later, shows another start, or an older connection still brings output. A leaving endpoint keeps streams that can go on nowhere else, and such streams are not preempted. A response that began at an unknown version is refused if there are several.

--- a/dispatch.go
+++ b/dispatch.go
@@ -31,8 +31,11 @@
 	// earlier endpoints. A request whose response has started, but whose tokens were not counted,
 	// has the value 1.
 	OutputDone Tokens
-	Arrived    time.Time
-	Deadline   time.Time
+	// Software is the software version of the endpoint that began the response. Only endpoints of that version may continue it. It
+	// is empty when the response has not started, or when that version is not known.
+	Software SoftwareVersion
+	Arrived  time.Time
+	Deadline time.Time
 	// Excluded are the endpoints at which the request has already failed.
 	Excluded []EndpointID
 	// LocalOnly forbids forwarding the request to another data centre.
@@ -52,6 +55,9 @@
 	RefusedDeadline RefusalReason = "deadline"
 	// RefusedNoEndpoint: there is no endpoint for the request.
 	RefusedNoEndpoint RefusalReason = "no_endpoint"
+	// RefusedSoftware: the response has started, and no endpoint of the software version that began it serves, or that
+	// version is not known.
+	RefusedSoftware RefusalReason = "software_version"
 	// RefusedShed: a queue was full, and the request was removed from its queue in favour of a
 	// request of a higher tier.
 	RefusedShed RefusalReason = "shed_for_higher_tier"
@@ -93,6 +99,8 @@
 	OutcomeFailed
 	// OutcomeRejected: the endpoint was overloaded and rejected the request without executing it.
 	OutcomeRejected
+	// OutcomeRestarted: the endpoint has started again since it was listed. It never received the request.
+	OutcomeRestarted
 )
 
 // Dispatcher queues requests and assigns each a slot at an endpoint.
@@ -108,6 +116,8 @@
 // Slot is the right to run one request at an endpoint. Release must be called exactly once.
 type Slot interface {
 	Endpoint() Endpoint
+	// StartedAt returns when the listed run of the endpoint started, by the endpoint's clock. It is zero if that is not known.
+	StartedAt() time.Time
 	// Preempted returns a channel that is closed when the stream should move to another
 	// endpoint, because a higher tier needs the slot or the endpoint is shutting down.
 	Preempted() <-chan struct{}
--- a/dispatch/endpoint/admission.go
+++ b/dispatch/endpoint/admission.go
@@ -77,7 +77,7 @@
 	if l.key.group.model == "" {
 		return 0
 	}
-	return max(0, l.running-l.floorRunning-l.movingRunning)
+	return max(0, l.running-l.floorRunning-l.movingRunning-l.pinned)
 }
 
 // predictedWait returns how long a new request of the lane would wait. It assumes that lower
--- a/dispatch/endpoint/choose.go
+++ b/dispatch/endpoint/choose.go
@@ -43,8 +43,12 @@
 
 // eligible reports whether the request may run on the endpoint now.
 func (c *core) eligible(now time.Time, l *lane, r *request, e *endpoint) bool {
-	return c.availableSlots(now, e) > 0 && e.usable(now) && (len(r.work.Excluded) == 0 || !r.excludes(e.spec.ID)) &&
-		c.admitsPrompt(e, l, r) && !c.reserved(now, e, l)
+	return (len(r.work.Excluded) == 0 || !r.excludes(e.spec.ID)) && c.hasRoomFor(now, l, r, e)
+}
+
+// hasRoomFor reports whether the endpoint can serve a request like this one now.
+func (c *core) hasRoomFor(now time.Time, l *lane, r *request, e *endpoint) bool {
+	return c.availableSlots(now, e) > 0 && e.usable(now) && c.admitsPrompt(e, l, r) && !c.reserved(now, e, l)
 }
 
 // chooseByScore returns an eligible endpoint with a low score, or nil if none is eligible. A
--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -56,7 +56,7 @@
 		found = false
 	}
 	if !found {
-		e = &endpoint{hash: hashOf(string(id)), limit: newLimiter(status.Endpoint.SlotLimit), slowdown: 1}
+		e = &endpoint{hash: hashOf(string(id)), limit: newLimiter(status.Endpoint.SlotLimit), slowdown: 1, streamsMayMove: true}
 		c.endpoints[id] = e
 	}
 	// An endpoint that starts gets its load gradually. During this host's first RampTime, all endpoints
@@ -189,6 +189,9 @@
 	for l.oldest != nil {
 		c.refuse(now, l.oldest, l, winch.RefusedNoEndpoint, 0)
 	}
+	for len(l.bound) > 0 {
+		c.refuse(now, l.bound[0], l, winch.RefusedNoEndpoint, 0)
+	}
 	delete(c.lanes, l.key)
 }
 
@@ -215,6 +218,7 @@
 			l.competitors = append(l.competitors, l)
 		}
 		sort.Slice(l.competitors, func(i, j int) bool { return laneLess(l.competitors[i], l.competitors[j]) })
+		l.setMixedSoftware()
 		l.setRing()
 		l.setLatencySensitive()
 		c.setSubset(l)
@@ -223,6 +227,7 @@
 
 // fillAll assigns the free slots of all endpoints to queued requests.
 func (c *core) fillAll(now time.Time) {
+	c.fillBound(now)
 	if c.features.prefillAware {
 		c.fillByChoice(now)
 		return
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -83,8 +83,12 @@
 	incompleteAttempts map[winch.RequestID]time.Time
 	incompletePrunedAt time.Time // when expired entries of incompleteAttempts were last removed
 	expiry             expiryHeap
-	freeRequests       []*request
-	effects            []effect
+	// boundQueued is the number of bound requests in the queues of all lanes.
+	boundQueued int
+	// listReadAt is when the newest list of endpoints was read; zero if that is not known.
+	listReadAt   time.Time
+	freeRequests []*request
+	effects      []effect
 	// scores holds the result of the last scoreAll, by the index of the endpoint in the lane's subset.
 	scores []float64
 	hub    hub
@@ -164,8 +168,16 @@
 		c.refuse(now, r, l, winch.RefusedNoEndpoint, 0)
 		return r
 	}
+	if r.beganAtUnknownSoftware() {
+		c.refuse(now, r, l, winch.RefusedSoftware, 0)
+		return r
+	}
 	r.account = c.account(l.class.Tier, work.Organisation)
 	c.activate(r.account)
+	if r.bound() {
+		c.arriveBound(now, r)
+		return r
+	}
 	if l.queued == 0 {
 		if e := c.choose(now, l, r); e != nil {
 			c.grant(now, r, e)
@@ -293,7 +305,11 @@
 }
 
 func (c *core) unqueue(r *request) {
-	r.lane.remove(r)
+	if r.bound() {
+		c.removeBound(r)
+	} else {
+		r.lane.remove(r)
+	}
 	c.expiry.remove(r)
 	r.state = requestInactive
 }
--- a/dispatch/endpoint/dispatcher.go
+++ b/dispatch/endpoint/dispatcher.go
@@ -92,7 +92,10 @@
 				d.setHosts(now)
 				hostsAt = now
 			}
-			d.runStep(func() { d.core.tick(now) })
+			d.runStep(func() {
+				d.core.listReadAt = d.listReadAt()
+				d.core.tick(now)
+			})
 		}
 	}
 }
@@ -106,8 +109,9 @@
 	if d.options.Source != nil {
 		ordered = d.options.Source.Endpoints()
 	}
-	count := 0
+	count, readAt := 0, d.listReadAt()
 	d.runStep(func() {
+		d.core.listReadAt = readAt
 		d.core.configure(now, configuration, ordered)
 		count = len(d.core.sortedEndpoints)
 	})
@@ -115,6 +119,14 @@
 		"Endpoints", count, "Ordered", len(ordered))
 }
 
+// listReadAt returns when the newest list of endpoints was read, or zero.
+func (d *Dispatcher) listReadAt() time.Time {
+	if d.options.Source == nil {
+		return time.Time{}
+	}
+	return d.options.Source.ReadAt()
+}
+
 func (d *Dispatcher) setHosts(now time.Time) {
 	membership := d.options.Membership
 	if membership == nil {
@@ -270,6 +282,8 @@
 func (s *slot) grant(e *effect) {
 	if e.endpoint != nil {
 		s.endpoint = e.endpoint.spec
+		s.endpoint.Software = s.dispatcher.core.knownSoftware(e.at, e.endpoint)
+		s.startedAt = e.endpoint.startedAt
 		s.endpointLastHeard = &e.endpoint.lastHeard
 	} else {
 		host := s.dispatcher.core.receivingHost(e.remote, e.request)
--- a/dispatch/endpoint/health.go
+++ b/dispatch/endpoint/health.go
@@ -143,7 +143,7 @@
 func (c *core) moveStreams(now time.Time, e *endpoint) {
 	for i := range e.tiers {
 		for r := e.tiers[i].newest; r != nil; r = r.runNext {
-			if !r.preempted && r.resumable() {
+			if !r.preempted && r.resumable() && (e.streamsMayMove || !r.begun()) {
 				e.markMoving(r)
 				c.emit(effect{kind: effectMoved, request: r, endpoint: e, at: now})
 			}
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -41,8 +41,15 @@
 	oldest, newest *request
 	byAccount      map[*account]*accountQueue
 	// queueHeap holds the accounts' queues that are not empty, as a min-heap by account.served.
-	queueHeap    []*accountQueue
-	queued       int
+	queueHeap []*accountQueue
+	queued    int
+	// bound are the queued requests that only endpoints of one software version can serve, in order of arrival. They are in none of the
+	// other queues and counts.
+	bound []*request
+	// mixedSoftware is set if the endpoints have several software versions.
+	mixedSoftware bool
+	// pinned counts the running requests that could be preempted if another endpoint of their software version served.
+	pinned       int
 	running      int
 	floorRunning int
 	// queuedTokens is the sum of the prompt tokens of the queued requests that no other request shares.
--- a/dispatch/endpoint/log.go
+++ b/dispatch/endpoint/log.go
@@ -73,7 +73,7 @@
 func outcomeName(outcome winch.Outcome) string {
 	names := [...]string{
 		winch.OutcomeDone: "Done", winch.OutcomeCancelled: "Cancelled", winch.OutcomeUnsent: "Unsent",
-		winch.OutcomeFailed: "Failed", winch.OutcomeRejected: "Rejected",
+		winch.OutcomeFailed: "Failed", winch.OutcomeRejected: "Rejected", winch.OutcomeRestarted: "Restarted",
 	}
 	if outcome < 0 || int(outcome) >= len(names) {
 		return "Unknown"
--- a/dispatch/endpoint/ordered.go
+++ b/dispatch/endpoint/ordered.go
@@ -1,6 +1,8 @@
 package endpoint
 
 import (
+	"time"
+
 	"github.com/arbutuswinch/winch"
 )
 
@@ -32,5 +34,8 @@
 	return statuses
 }
 
+// ReadAt returns zero: the age of the list of ordered endpoints is not known.
+func (o OrderedSource) ReadAt() time.Time { return time.Time{} }
+
 // Changed returns a channel that is closed at the next change.
 func (o OrderedSource) Changed() <-chan struct{} { return o.Orders.Changed() }
--- a/dispatch/endpoint/preempt.go
+++ b/dispatch/endpoint/preempt.go
@@ -84,7 +84,7 @@
 func (c *core) victim(now time.Time, l *lane) *request {
 	var best *request
 	for _, e := range l.endpoints {
-		if !e.usable(now) {
+		if !e.usable(now) || !e.streamsMayMove {
 			continue
 		}
 		for i := len(e.tiers) - 1; i >= 0 && e.tiers[i].tier > l.class.Tier; i-- {
--- a/dispatch/endpoint/release.go
+++ b/dispatch/endpoint/release.go
@@ -57,9 +57,13 @@
 		}
 		c.recordSuccess(now, r.endpoint)
 	case winch.OutcomeUnsent:
+		r.endpoint.recordLostConnection(now)
 		c.recordFailure(now, r.endpoint, true)
 	case winch.OutcomeFailed:
+		r.endpoint.recordLostConnection(now)
 		c.recordFailure(now, r.endpoint, false)
+	case winch.OutcomeRestarted:
+		r.endpoint.recordLostConnection(now)
 	case winch.OutcomeRejected:
 		// The endpoint refused the request because of its load, which was this request and those still
 		// running, so the decrease starts there.
--- a/dispatch/endpoint/remote.go
+++ b/dispatch/endpoint/remote.go
@@ -70,10 +70,16 @@
 // for it or its target is at risk here. It reports whether it did.
 func (c *core) handOver(now time.Time, r *request) bool {
 	l := r.lane
-	if r.work.LocalOnly || !c.features.sharing || l.class.FirstTokenTarget > 0 && l.class.FirstTokenTarget < handOverMinimum {
+	if l.slots > 0 && c.atRisk(now, l) == 0 && !c.waitAtRisk(now, r) {
 		return false
 	}
-	if l.slots > 0 && c.atRisk(now, l) == 0 && !c.waitAtRisk(now, r) {
+	return c.handOverToBest(now, r)
+}
+
+// handOverToBest hands the request over to the data centre with most capacity, if there is one.
+func (c *core) handOverToBest(now time.Time, r *request) bool {
+	l := r.lane
+	if r.work.LocalOnly || !c.features.sharing || l.class.FirstTokenTarget > 0 && l.class.FirstTokenTarget < handOverMinimum {
 		return false
 	}
 	best := c.remoteWithMostCapacity(now, l, r)
--- a/dispatch/endpoint/request.go
+++ b/dispatch/endpoint/request.go
@@ -34,6 +34,8 @@
 	// request behind it. The first request of the queue therefore always shows the longest wait.
 	waitingSince time.Time
 	expires      time.Time
+	// softwareSeenAt is when an endpoint of the version that a queued, bound request needs was last seen to serve.
+	softwareSeenAt time.Time
 	// heapIndex is the index in the expiry heap, or -1 if the request is not in it.
 	heapIndex int
 	// Links of the lane's queue in the order of arrival, and of the account's queue within the lane.
@@ -79,6 +81,9 @@
 // the response, or an earlier attempt did not complete, even if it never reached its endpoint.
 func (r *request) attemptedBefore() bool { return r.work.OutputDone > 0 || r.retried }
 
+// begun reports whether the caller has received part of the response.
+func (r *request) begun() bool { return r.firstSeen || r.work.OutputDone > 0 }
+
 // restartCost returns the number of tokens that another endpoint has to process again if the request moves.
 func (r *request) restartCost() winch.Tokens {
 	return r.work.InputTokens + r.work.OutputDone + r.chargedOutput
--- a/dispatch/endpoint/serve.go
+++ b/dispatch/endpoint/serve.go
@@ -5,6 +5,7 @@
 // fill assigns the endpoint's free slots to queued requests. If prompts are limited, the end of a request frees no
 // particular endpoint, so that the requests are assigned to any.
 func (c *core) fill(now time.Time, e *endpoint) {
+	c.fillBound(now)
 	if c.features.prefillAware {
 		c.fillByChoice(now)
 		return
--- a/dispatch/endpoint/slot.go
+++ b/dispatch/endpoint/slot.go
@@ -18,8 +18,9 @@
 	ready     chan error
 	preempted chan struct{}
 	released  atomic.Bool
-	// endpoint and endpointLastHeard are set before ready is signalled.
+	// endpoint, startedAt and endpointLastHeard are set before ready is signalled.
 	endpoint          winch.Endpoint
+	startedAt         time.Time
 	endpointLastHeard *atomic.Int64
 }
 
@@ -30,6 +31,9 @@
 // Endpoint returns the endpoint that runs the request.
 func (s *slot) Endpoint() winch.Endpoint { return s.endpoint }
 
+// StartedAt returns when the listed run of the endpoint started, or zero.
+func (s *slot) StartedAt() time.Time { return s.startedAt }
+
 // Preempted returns a channel that is closed when the stream should move.
 func (s *slot) Preempted() <-chan struct{} { return s.preempted }
 
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -26,6 +26,8 @@
 	reservedFor   winch.Tier
 	othersWaiting bool // other hosts have queued requests and may use their share
 	serving       bool // the endpoint is ready and not leaving
+	// streamsMayMove is set if the endpoint's streams can go on at another endpoint.
+	streamsMayMove bool
 	// cheap is set if the platform may withdraw the endpoint (winch.SupplyCheap). The others are
 	// called steady.
 	cheap  bool
@@ -37,9 +39,11 @@
 	spec           winch.Endpoint
 	// startedAt identifies the endpoint's current run, to detect restarts; zero if it is not known.
 	startedAt time.Time
-	hash      uint64
-	state     winch.EndpointState // given by the platform or the configuration
-	leavesAt  time.Time
+	// connectionLostAt is when a connection to the endpoint was last lost or refused; zero once its software version is known again.
+	connectionLostAt time.Time
+	hash             uint64
+	state            winch.EndpointState // given by the platform or the configuration
+	leavesAt         time.Time
 	// reportedState is the state in the endpoint's own load report, made at reportedStateAt. After
 	// a report that the endpoint is leaving, its streams are moved at moveStreamsAt.
 	reportedState   winch.EndpointState
@@ -116,6 +120,9 @@
 // movableBelow counts the requests of lower tiers on the endpoint that could be preempted.
 func (e *endpoint) movableBelow(tier winch.Tier) int {
 	count := 0
+	if !e.streamsMayMove {
+		return 0
+	}
 	for i := len(e.tiers) - 1; i >= 0 && e.tiers[i].tier > tier; i-- {
 		count += e.tiers[i].movable
 	}
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -28,6 +28,7 @@
 	}
 	c.refresh(now)
 	c.expire(now)
+	c.refuseUnservedSoftware(now)
 	c.pruneIncomplete(now)
 	for _, l := range c.sortedLanes {
 		c.updateAverageRunning(now, l)
@@ -130,6 +131,7 @@
 		return
 	}
 	at := time.Unix(0, last)
+	r.endpoint.recordAlive(r.grantedAt, at)
 	if r.firstSeen && at.After(r.lastOutputAt) {
 		r.endpoint.limit.sampleInterToken(at.Sub(r.lastOutputAt).Seconds() / float64(delta))
 		r.lastOutputAt = at
@@ -192,6 +194,7 @@
 		e.slowdown = c.slowdownOf(now, e)
 		c.computeFairShare(now, e)
 	}
+	c.setStreamsMayMove(now)
 	c.partitionEndpoints(now)
 	c.updatePrefillBudgets(now)
 }
--- a/load.go
+++ b/load.go
@@ -18,6 +18,8 @@
 // of the configuration are not included.
 type EndpointSource interface {
 	Endpoints() []EndpointStatus
+	// ReadAt returns when the newest list was read, by the host's clock. It is zero if that is not known.
+	ReadAt() time.Time
 	// Changed returns a channel that is closed at the next change.
 	Changed() <-chan struct{}
 }
--- a/placement/planner/prefill_test.go
+++ b/placement/planner/prefill_test.go
@@ -45,6 +45,7 @@
 }
 func (s *simulation) Authorize(time.Time, winch.KeyHash) (winch.Key, error) { return winch.Key{}, nil }
 func (s *simulation) Authority(time.Time) winch.Authority                   { return winch.AuthorityFull }
+func (s *simulation) ReadAt() time.Time                                     { return time.Time{} }
 func (s *simulation) Changed() <-chan struct{}                              { return nil }
 
 func (s *simulation) Queues(time.Time) []winch.QueueStatus {
--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -219,6 +219,13 @@
 	return f.current
 }
 
+// ReadAt returns when the newest list was read, by this host or by the one that relayed it; zero before the first list.
+func (f *Follower) ReadAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readAt
+}
+
 // OrderedEndpoints returns the registered endpoints of one data centre as winch.OrderedEndpoints.
 func (f *Follower) OrderedEndpoints(centre winch.DataCentreID) winch.OrderedEndpoints {
 	return dataCentreView{follower: f, centre: centre}
--- a/quarantine/peer/guard_test.go
+++ b/quarantine/peer/guard_test.go
@@ -31,6 +31,7 @@
 
 func (f *fakeDependencies) Endpoints() []winch.EndpointStatus { return f.endpoints }
 
+func (f *fakeDependencies) ReadAt() time.Time        { return time.Time{} }
 func (f *fakeDependencies) Changed() <-chan struct{} { return nil }
 
 func (f *fakeDependencies) Refuses(context.Context, string) bool {
--- a/winchd/daemon/codec.go
+++ b/winchd/daemon/codec.go
@@ -152,6 +152,8 @@
 		return "Failed"
 	case winch.OutcomeRejected:
 		return "Rejected"
+	case winch.OutcomeRestarted:
+		return "Restarted"
 	}
 	return "Unknown"
 }
