fix(forward): a stream goes on only at the software version that began it

Cause: a stream was taken for continuable at any endpoint of its service; hosts neither knew versions nor which one began a stream. The class of fault is a hidden assumption that replicas are interchangeable. Change: the first event that is relayed binds the stream (winch.StreamOrigins, package origin). Unknown is refused as not run, unless one version only has served for as long as a stream can last. Before a stream goes on, the engine is asked whether it is still the run that was listed. A stream goes on at the model of its route that began it. The engines now report their start.

--- a/forward.go
+++ b/forward.go
@@ -148,6 +148,14 @@
 	Header http.Header
 }
 
+// StreamID identifies the request's stream over all attempts of the caller: it is the request that brought its first event.
+func (r *ForwardRequest) StreamID() RequestID {
+	if r.Resumes != "" && r.LastEvent > 0 {
+		return r.Resumes
+	}
+	return r.ID
+}
+
 // ForwardCall is one attempt to execute a forwarded request at an endpoint.
 type ForwardCall struct {
 	Request *ForwardRequest
@@ -196,6 +204,8 @@
 // ErrOutcomeUnknown that some may have. After ErrResponseMismatch the outcome is unknown as well.
 type ForwardSender interface {
 	Forward(ctx context.Context, endpoint Endpoint, call ForwardCall) (*ForwardReply, error)
+	// StartedAt asks a model engine when it started, by its own clock. The result is zero if it does not tell.
+	StartedAt(ctx context.Context, endpoint Endpoint) (time.Time, error)
 }
 
 // ExchangeCall is one HTTP request as it is written to the connection. It is not related to the
--- /dev/null
+++ b/origin.go
@@ -0,0 +1,54 @@
+package winch
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// ErrOriginUnknown: it is not known which software version began a stream, and several have served.
+var ErrOriginUnknown = errors.New("software version that began the stream is unknown")
+
+// StreamOrigin tells which endpoint brought a caller the first event of a stream.
+type StreamOrigin struct {
+	Model ModelID
+	// Endpoint is empty if another host has told the origin.
+	Endpoint EndpointID
+	// Software is empty if the version was not known when the stream began.
+	Software SoftwareVersion
+	// At is when its latest part began to be relayed, by the clock of the host that uses this value.
+	At time.Time
+}
+
+// OriginSource names how the origin of a stream is known.
+type OriginSource string
+
+// The sources of an origin.
+const (
+	// OriginRecorded: this host has a record of the stream, its own or one that it keeps for another host.
+	OriginRecorded OriginSource = "record"
+	// OriginTold: another host has told it on request.
+	OriginTold OriginSource = "host"
+	// OriginOnlyVersion: there is no record, but only one version has served for as long as a stream can last.
+	OriginOnlyVersion OriginSource = "only_version"
+	// OriginUnknown: none of these.
+	OriginUnknown OriginSource = "unknown"
+)
+
+// FoundOrigin is the answer of StreamOrigins.Find.
+type FoundOrigin struct {
+	StreamOrigin
+	Source OriginSource
+	// MayBeKnownLater is set if the origin is unknown because a host that may know it did not answer.
+	MayBeKnownLater bool
+}
+
+// StreamOrigins records which software version began each stream, and finds it again on any host.
+type StreamOrigins interface {
+	// Record records the origin of the stream that the request began. It must be called before the first event is sent to the
+	// caller, and again when another request goes on with the stream. It does not block.
+	Record(stream RequestID, origin StreamOrigin)
+	// Find returns the origin of a stream of the model that the request began. It may ask other hosts, for a short time. The error
+	// is ErrOriginUnknown; the result then tells whether a later call may succeed.
+	Find(ctx context.Context, now time.Time, stream RequestID, model ModelID) (FoundOrigin, error)
+}
--- /dev/null
+++ b/origin/book.go
@@ -0,0 +1,264 @@
+// Package origin remembers which software version began each stream, and which versions have served each model.
+//
+// A caller may take a stream up at any host, and the stream may go on only at the version that began it. Package
+// origin/peer exchanges what is remembered with the other hosts.
+//
+// # Usage
+//
+//	book := origin.New()
+//	book.ObserveList(now, source.ReadAt(), source.Endpoints(), memory)
+//	book.Record(stream, winch.StreamOrigin{Model: model, Endpoint: endpoint.ID, Software: endpoint.Software, At: now}, memory)
+//	only, single := book.OnlyVersion(now, model, memory)
+//
+// All times are those of this host's clock.
+package origin
+
+import (
+	"slices"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+)
+
+const (
+	// maxRecords bounds the memory for streams, whatever callers send. The oldest records are dropped.
+	maxRecords = 1 << 15
+	// maxVersions bounds the versions of one model that are remembered.
+	maxVersions = 64
+	// restartMargin is how much earlier than the last list with the old start time an endpoint may have started again: it
+	// needs some time to write its new entry.
+	restartMargin = 1500 * time.Millisecond
+)
+
+// record is what is known of one stream.
+type record struct {
+	origin winch.StreamOrigin
+	// own is set if this host relayed the stream.
+	own bool
+	// untold is set if the record, or its latest change, has not been given to other hosts.
+	untold bool
+}
+
+// Book holds the records of streams and the versions that have served. It is not safe for concurrent use.
+type Book struct {
+	streams map[winch.RequestID]*record
+	// order holds the streams in the order in which they were recorded. A stream may occur several times.
+	order []recordedAt
+	// served maps each version of a model to the last time at which it is known to have been listed or to have served.
+	served map[winch.ModelID]map[winch.SoftwareVersion]time.Time
+	// listed is the list that was observed last, and listReadAt when it was read.
+	listed     map[winch.EndpointID]winch.EndpointStatus
+	listReadAt time.Time
+	untold     []winch.RequestID
+}
+
+type recordedAt struct {
+	stream winch.RequestID
+	at     time.Time
+}
+
+// Told is the record of a stream that is given to other hosts.
+type Told struct {
+	Stream winch.RequestID
+	Origin winch.StreamOrigin
+}
+
+// Served is a version of a model's endpoints, and the last time at which it is known to have served.
+type Served struct {
+	Software winch.SoftwareVersion
+	At       time.Time
+}
+
+// New returns an empty book.
+func New() *Book {
+	return &Book{
+		streams: map[winch.RequestID]*record{}, served: map[winch.ModelID]map[winch.SoftwareVersion]time.Time{},
+		listed: map[winch.EndpointID]winch.EndpointStatus{},
+	}
+}
+
+// Len returns the number of streams that are remembered.
+func (b *Book) Len() int { return len(b.streams) }
+
+// Record records the origin of a stream that this host relays. While its model has one version only, other hosts
+// need not know it.
+func (b *Book) Record(stream winch.RequestID, origin winch.StreamOrigin, memory time.Duration) {
+	b.observeBegin(origin)
+	r := b.put(stream, origin)
+	r.own = true
+	if _, single := b.OnlyVersion(origin.At, origin.Model, memory); !single {
+		b.markUntold(stream, r)
+	}
+}
+
+// Keep records the origin of a stream that another host relays. It replaces an earlier record of that host.
+func (b *Book) Keep(stream winch.RequestID, origin winch.StreamOrigin) {
+	b.observeBegin(origin)
+	b.put(stream, origin)
+}
+
+// observeBegin records that the version has served. An endpoint whose version was not known when the stream began may have the same as
+// the others.
+func (b *Book) observeBegin(origin winch.StreamOrigin) {
+	if origin.Software != "" {
+		b.ObserveServed(origin.Model, origin.Software, origin.At)
+	}
+}
+
+func (b *Book) put(stream winch.RequestID, origin winch.StreamOrigin) *record {
+	r, found := b.streams[stream]
+	if !found {
+		r = &record{}
+		b.streams[stream] = r
+	}
+	r.origin = origin
+	b.order = append(b.order, recordedAt{stream: stream, at: origin.At})
+	for len(b.streams) > maxRecords || len(b.order) > 2*maxRecords {
+		b.dropOldest()
+	}
+	return r
+}
+
+// dropOldest removes the first entry of order, and its stream unless that was recorded again later.
+func (b *Book) dropOldest() {
+	oldest := b.order[0]
+	b.order = b.order[1:]
+	if r, found := b.streams[oldest.stream]; found && !r.origin.At.After(oldest.at) {
+		delete(b.streams, oldest.stream)
+	}
+}
+
+func (b *Book) markUntold(stream winch.RequestID, r *record) {
+	if !r.untold {
+		r.untold = true
+		b.untold = append(b.untold, stream)
+	}
+}
+
+// Lookup returns the origin of the stream, if it is remembered.
+func (b *Book) Lookup(stream winch.RequestID) (winch.StreamOrigin, bool) {
+	r, found := b.streams[stream]
+	if !found {
+		return winch.StreamOrigin{}, false
+	}
+	return r.origin, true
+}
+
+// TakeUntold returns the records that other hosts have not been given yet.
+func (b *Book) TakeUntold() []Told {
+	told := make([]Told, 0, len(b.untold))
+	for _, stream := range b.untold {
+		if r, found := b.streams[stream]; found {
+			r.untold = false
+			told = append(told, Told{Stream: stream, Origin: r.origin})
+		}
+	}
+	b.untold = b.untold[:0]
+	return told
+}
+
+// ObserveServed records that the version of the model's endpoints served at the time.
+func (b *Book) ObserveServed(model winch.ModelID, software winch.SoftwareVersion, at time.Time) {
+	versions := b.served[model]
+	if versions == nil {
+		versions = map[winch.SoftwareVersion]time.Time{}
+		b.served[model] = versions
+	}
+	if _, found := versions[software]; !found && len(versions) >= maxVersions {
+		return
+	}
+	if at.After(versions[software]) {
+		versions[software] = at
+	}
+}
+
+// Served returns the versions of the model that have served within the time that a stream is remembered.
+func (b *Book) Served(now time.Time, model winch.ModelID, memory time.Duration) []Served {
+	var served []Served
+	for software, at := range b.served[model] {
+		if now.Sub(at) <= memory {
+			served = append(served, Served{Software: software, At: at})
+		}
+	}
+	return served
+}
+
+// OnlyVersion returns the version of the model if it is the only one that has served for as long as a stream is remembered. A
+// version that is not known counts as one.
+func (b *Book) OnlyVersion(now time.Time, model winch.ModelID, memory time.Duration) (winch.SoftwareVersion, bool) {
+	served := b.Served(now, model, memory)
+	if len(served) != 1 {
+		return "", false
+	}
+	return served[0].Software, true
+}
+
+// ObserveList updates the versions that have served from the list of endpoints in use, which was read at readAt. Streams that this host relays are marked to be
+// told when their model gets a second version. Their versions become unknown if their endpoint may have started again
+// with another version before they began.
+func (b *Book) ObserveList(now, readAt time.Time, statuses []winch.EndpointStatus, memory time.Duration) {
+	if readAt.IsZero() {
+		return
+	}
+	single := map[winch.ModelID]bool{}
+	for model := range b.served {
+		_, single[model] = b.OnlyVersion(now, model, memory)
+	}
+	listed := make(map[winch.EndpointID]winch.EndpointStatus, len(statuses))
+	for _, status := range statuses {
+		listed[status.Endpoint.ID] = status
+		for _, model := range status.Endpoint.Models {
+			b.ObserveServed(model, status.Endpoint.Software, now)
+		}
+		before, found := b.listed[status.Endpoint.ID]
+		if found && before.Endpoint.Software != status.Endpoint.Software {
+			b.doubt(status.Endpoint.ID, b.listReadAt.Add(-restartMargin))
+		}
+	}
+	b.listed, b.listReadAt = listed, readAt
+	for model, wasSingle := range single {
+		if _, stillSingle := b.OnlyVersion(now, model, memory); wasSingle && !stillSingle {
+			b.tellAll(model)
+		}
+	}
+}
+
+// doubt makes the version unknown of the streams that this host began at the endpoint since the time.
+func (b *Book) doubt(endpoint winch.EndpointID, since time.Time) {
+	for stream, r := range b.streams {
+		if r.own && r.origin.Endpoint == endpoint && !r.origin.At.Before(since) && r.origin.Software != "" {
+			r.origin.Software = ""
+			b.markUntold(stream, r)
+		}
+	}
+}
+
+// tellAll marks the streams of the model that this host relays as untold.
+func (b *Book) tellAll(model winch.ModelID) {
+	for stream, r := range b.streams {
+		if r.own && r.origin.Model == model {
+			b.markUntold(stream, r)
+		}
+	}
+}
+
+// Prune forgets the streams and versions that are older than a stream can last.
+func (b *Book) Prune(now time.Time, memory time.Duration) {
+	for len(b.order) > 0 && now.Sub(b.order[0].at) > memory {
+		b.dropOldest()
+	}
+	if len(b.order) == 0 {
+		b.order = nil
+	}
+	b.untold = slices.DeleteFunc(b.untold, func(stream winch.RequestID) bool { return b.streams[stream] == nil })
+	for model, versions := range b.served {
+		for software, at := range versions {
+			if now.Sub(at) > memory {
+				delete(versions, software)
+			}
+		}
+		if len(versions) == 0 {
+			delete(b.served, model)
+		}
+	}
+}
--- a/serving/forward/admit.go
+++ b/serving/forward/admit.go
@@ -58,7 +58,7 @@
 		}
 		return admission{}, &fault{status: http.StatusNotFound, reason: "no_route", message: "no route matches"}
 	}
-	a := admission{configuration: configuration, route: route, model: chooseTarget(route, request.ID)}
+	a := admission{configuration: configuration, route: route, model: chooseTarget(route, request.StreamID())}
 	if f := a.authenticate(request, fresh, authorize); f != nil {
 		return admission{}, f
 	}
@@ -116,8 +116,8 @@
 	return best
 }
 
-// chooseTarget picks a model by weight. The choice is a hash of the request id, so a
-// request gets the same one each time.
+// chooseTarget picks a model by weight. The choice is a hash of the id, so a request gets the same
+// one each time, and so does one that takes up a stream.
 func chooseTarget(route *winch.Forward, id winch.RequestID) winch.ModelID {
 	if len(route.Targets) == 1 {
 		return route.Targets[0].Model
--- a/serving/forward/attempt.go
+++ b/serving/forward/attempt.go
@@ -40,6 +40,9 @@
 // the tracker, the route and the retry budget allow.
 func (s *Server) run(ctx context.Context, w http.ResponseWriter, req *request) *fault {
 	for {
+		if f := s.findOrigin(ctx, req); f != nil {
+			return s.faultAfterAttempts(req, f)
+		}
 		a, f := s.acquire(ctx, req)
 		if f != nil {
 			return f
@@ -158,7 +161,7 @@
 		Request: req.ID, Organisation: req.admission.organisation, Class: req.admission.class.ID, Model: req.admission.model,
 		InputTokens: req.InputTokens, OutputTokens: req.OutputTokens, Parts: req.Parts, Arrived: req.arrived, Deadline: req.deadline,
 		Excluded: req.excluded, NotResumable: !req.admission.route.Repeatable() || req.admission.route.Kind != winch.ForwardStream,
-		NonStreaming: req.admission.route.Kind != winch.ForwardStream,
+		NonStreaming: req.admission.route.Kind != winch.ForwardStream, Software: req.origin.Software,
 	}
 	if req.responseStarted {
 		// The number of delivered tokens is not known here. Any number above zero marks a request
@@ -174,6 +177,9 @@
 		Request: req.ForwardRequest, Body: req.body, Organisation: req.admission.organisation, Tier: req.admission.class.Tier,
 		Timeout: req.deadline.Sub(a.started), LastEvent: req.lastEvent,
 	}
+	if err := s.checkStillListed(req, a); err != nil {
+		return err
+	}
 	reply, err := s.options.Sender.Forward(a.ctx, a.endpoint, call)
 	if err != nil {
 		return err
--- a/serving/forward/cut_test.go
+++ b/serving/forward/cut_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -34,6 +35,10 @@
 	}, nil
 }
 
+func (s exchangeSender) StartedAt(context.Context, winch.Endpoint) (time.Time, error) {
+	return time.Time{}, nil
+}
+
 // cutEndpoint sends one response to each request, and then ends the connection: in order, or with a reset.
 type cutEndpoint struct {
 	responses chan string
--- a/serving/forward/events.go
+++ b/serving/forward/events.go
@@ -13,4 +13,6 @@
 	EventDrainStarted winch.EventNumber = 2203
 	// EventDrainEnded: the graceful shutdown has ended.
 	EventDrainEnded winch.EventNumber = 2204
+	// EventStartUnread: an endpoint did not tell when it started, before a stream was to go on there.
+	EventStartUnread winch.EventNumber = 2205
 )
--- a/serving/forward/options.go
+++ b/serving/forward/options.go
@@ -60,10 +60,12 @@
 	Loads winch.LoadObserver
 	// Quarantine holds back requests that would crash endpoints.
 	Quarantine winch.Quarantine
-	Clock      winch.Clock
-	Logger     hclog.Logger
-	Meter      metric.Meter
-	Limits     Limits
+	// Origins tells at which software version a stream has to go on.
+	Origins winch.StreamOrigins
+	Clock   winch.Clock
+	Logger  hclog.Logger
+	Meter   metric.Meter
+	Limits  Limits
 }
 
 func (o *Options) check() error {
@@ -72,7 +74,7 @@
 		missing bool
 	}{
 		{"Configurations", o.Configurations == nil}, {"Dispatcher", o.Dispatcher == nil}, {"Protocol", o.Protocol == nil},
-		{"Sender", o.Sender == nil}, {"Usage", o.Usage == nil}, {"Loads", o.Loads == nil}, {"Quarantine", o.Quarantine == nil}, {"Clock", o.Clock == nil},
+		{"Sender", o.Sender == nil}, {"Usage", o.Usage == nil}, {"Loads", o.Loads == nil}, {"Quarantine", o.Quarantine == nil}, {"Origins", o.Origins == nil}, {"Clock", o.Clock == nil},
 		{"Logger", o.Logger == nil},
 	} {
 		if field.missing {
--- a/serving/forward/record.go
+++ b/serving/forward/record.go
@@ -74,7 +74,8 @@
 	s.options.Logger.Info("request finished", "Event", EventForwardDone, "Request", string(req.ID), "Route", string(route), "Class", string(class),
 		"Organisation", string(req.admission.organisation), "Status", status, "Reason", reason, "RetryAfter", retryAfter,
 		"RunState", string(req.tracker.RunState()), "Revision", revision, "ProofAge", req.configurationAge.String(), "First", req.timeToFirstOutput.String(),
-		"Took", took.String(), "Left", req.remaining(took).String(), "Resumes", string(req.Resumes), "ResumedAfter", req.LastEvent, "LastEvent", req.lastEvent, "Pause", req.longestPause.String(), "Tail", req.tailBytes, "EndsWithConnection", req.endsWithConnection(),
+		"Took", took.String(), "Left", req.remaining(took).String(), "Resumes", string(req.Resumes), "ResumedAfter", req.LastEvent,
+		"Software", string(req.origin.Software), "OriginSource", string(req.originSource), "LastEvent", req.lastEvent, "Pause", req.longestPause.String(), "Tail", req.tailBytes, "EndsWithConnection", req.endsWithConnection(),
 		"Attempts", formatAttempts(req.attempts), "Path", s.pathIfNotAdmitted(req, status))
 	labels := metric.WithAttributes(attribute.String("class", string(class)), attribute.Int("status", status), attribute.String("reason", reason))
 	ctx := context.WithoutCancel(req.detached)
--- a/serving/forward/relay.go
+++ b/serving/forward/relay.go
@@ -175,6 +175,7 @@
 		}
 		req.lastEvent = id
 	}
+	s.recordOrigin(req, a)
 	s.recordFirstOutput(req, a)
 	s.observeAnswer(req, a)
 	now := s.now()
--- a/serving/forward/server.go
+++ b/serving/forward/server.go
@@ -63,7 +63,10 @@
 	responseStarted bool
 	// lastEvent is the id of the latest event that was relayed, or of the one that the
 	// caller resumes after.
-	lastEvent         int64
+	lastEvent int64
+	// origin tells which software version began the stream; its Model is empty while no event has reached the caller.
+	origin            winch.StreamOrigin
+	originSource      winch.OriginSource
 	status            int
 	timeToFirstOutput time.Duration
 	// lastEventAt is when the latest event arrived, longestPause the longest time between two
@@ -176,6 +179,7 @@
 	req.configurationAge = fresh.age
 	if f == nil {
 		req.admission = admitted
+		f = req.keepModel()
 	}
 	return f
 }
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -27,6 +27,7 @@
 	dispatch "github.com/arbutuswinch/winch/dispatch/endpoint"
 	members "github.com/arbutuswinch/winch/membership/keyvalue"
 	memberpeer "github.com/arbutuswinch/winch/membership/peer"
+	origins "github.com/arbutuswinch/winch/origin/peer"
 	endpoints "github.com/arbutuswinch/winch/placement/registry"
 	"github.com/arbutuswinch/winch/platform/caller"
 	"github.com/arbutuswinch/winch/platform/operator"
@@ -106,6 +107,7 @@
 	dispatcher    *dispatch.Dispatcher
 	exchanger     *httpexchange.Client
 	quarantine    *quarantine.Guard
+	origins       *origins.Keeper
 	server        *forward.Server
 	duties        *duties
 
@@ -138,6 +140,7 @@
 		{"dispatch", f.buildDispatch},
 		{"duties", f.buildDuties},
 		{"quarantine", f.buildQuarantine},
+		{"stream origins", f.buildOrigins},
 		{"serving", f.buildServing},
 		{"exchange", f.buildExchange},
 		{"servers", f.buildServers},
@@ -258,7 +261,7 @@
 func (f *Forwarder) buildServing() error {
 	built, err := forward.New(forward.Options{
 		Configurations: f.configuration, Dispatcher: f.dispatcher, Protocol: caller.Protocol{}, Sender: runner.New(f.exchanger),
-		Usage: f, Loads: f.dispatcher, Quarantine: f.quarantine, Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
+		Usage: f, Loads: f.dispatcher, Quarantine: f.quarantine, Origins: f.origins, Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
 		Limits: forward.Limits{
 			ReadinessDelay: readinessDelay, AcceptStreams: acceptStreamsFor,
 			AcceptRequests: time.Duration(float64(f.settings.Bounds.Grace) * acceptShare), RejectMaxAge: rejectLimit(f.settings.Bounds), KeyMaxAge: keyLimit(f.settings.Bounds),
@@ -268,8 +271,16 @@
 	return err
 }
 
+func (f *Forwarder) buildOrigins() error {
+	built, err := origins.New(origins.Options{
+		Membership: f.table, Endpoints: f.endpoints, Configurations: f.configuration, Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
+	})
+	f.origins = built
+	return err
+}
+
 func (f *Forwarder) buildExchange() error {
-	f.peers = newPeers(f.hosts, f.logger, func(secret string) (*memberpeer.Exchange, error) {
+	f.peers = newPeers(f.hosts, f.origins, f.logger, func(secret string) (*memberpeer.Exchange, error) {
 		return memberpeer.New(memberpeer.Options{
 			Table: f.table, Hosts: f.hosts, Clock: f.clock, Logger: f.logger, Secret: secret,
 			ExchangeEvery: exchangeEvery, ListEvery: listEvery, Sections: f.sections(),
@@ -330,6 +341,7 @@
 		{Name: "dispatcher", Run: f.dispatcher.Run},
 		{Name: "pruning of idle connections", Run: f.exchanger.Run},
 		{Name: "quarantine", Run: f.quarantine.Run},
+		{Name: "stream origins", Run: f.origins.Run},
 		{Name: "settings", Run: (&reloader{path: f.path, logger: f.logger, current: f.settings, apply: f.apply}).run},
 	}, f.duties.tasks...)
 }
--- a/winchd/forwarder/peers.go
+++ b/winchd/forwarder/peers.go
@@ -12,30 +12,32 @@
 	"github.com/arbutuswinch/winch/httpjson"
 	members "github.com/arbutuswinch/winch/membership/keyvalue"
 	memberpeer "github.com/arbutuswinch/winch/membership/peer"
+	origins "github.com/arbutuswinch/winch/origin/peer"
 )
 
 // secretRetryInterval is the interval between attempts to read the shared secret of the hosts.
 const secretRetryInterval = 300 * time.Millisecond
 
-// peers runs the exchange with the other hosts once the shared secret is known. The secret is read
+// peers runs the exchange with the other hosts, and the calls about stream origins, once the shared secret is known. The secret is read
 // from the platform's store, which may be unavailable when the host starts.
 type peers struct {
-	hosts  *members.Registry
-	logger hclog.Logger
+	hosts   *members.Registry
+	origins *origins.Keeper
+	logger  hclog.Logger
 	// build creates the exchange with the secret.
 	build func(secret string) (*memberpeer.Exchange, error)
-	// exchangeHandler is the handler of the exchange, which requires the secret. It is nil until the secret is known.
-	exchangeHandler atomic.Pointer[http.Handler]
+	// authenticated is the handler for other hosts, which requires the secret. It is nil until the secret is known.
+	authenticated atomic.Pointer[http.Handler]
 }
 
-func newPeers(hosts *members.Registry, logger hclog.Logger, build func(secret string) (*memberpeer.Exchange, error)) *peers {
-	return &peers{hosts: hosts, logger: logger, build: build}
+func newPeers(hosts *members.Registry, keeper *origins.Keeper, logger hclog.Logger, build func(secret string) (*memberpeer.Exchange, error)) *peers {
+	return &peers{hosts: hosts, origins: keeper, logger: logger, build: build}
 }
 
 // handler serves the other hosts. It rejects their requests until the secret is known.
 func (p *peers) handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		handler := p.exchangeHandler.Load()
+		handler := p.authenticated.Load()
 		if handler == nil {
 			httpjson.WriteError(w, winch.ErrUnavailable)
 			return
@@ -54,8 +56,12 @@
 	if err != nil {
 		return err
 	}
-	handler := httpjson.RequireSecret(secret, exchange.Handler())
-	p.exchangeHandler.Store(&handler)
+	mux := http.NewServeMux()
+	mux.Handle("/peer/", exchange.Handler())
+	mux.Handle(origins.Prefix, p.origins.Handler())
+	handler := httpjson.RequireSecret(secret, mux)
+	p.authenticated.Store(&handler)
+	p.origins.Connect(secret)
 	return exchange.Run(ctx)
 }
 
