--- a/errors.go
+++ b/errors.go
@@ -30,6 +30,8 @@
 	ErrRefused = errors.New("refused")
 	// ErrPreempted: the slot was revoked for a higher tier, or because the endpoint is shutting down.
 	ErrPreempted = errors.New("preempted")
+	// ErrOriginUnknown: it is not known which software version began a stream, and several have served.
+	ErrOriginUnknown = errors.New("software version that began the stream is unknown")
 	// ErrInvalid: the input is invalid; the text names the field.
 	ErrInvalid = errors.New("invalid")
 )
--- a/origin.go
+++ b/origin.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 )
 
-// ErrOriginUnknown: it is not known which software version began a stream, and several have served.
-var ErrOriginUnknown = errors.New("software version that began the stream is unknown")
-
 // StreamOrigin tells which endpoint brought a caller the first event of a stream.
 type StreamOrigin struct {
 	Model ModelID
