fix(forward): streams of an endpoint that has started again under its id before the list told

Cause: the version of a stream was that of the list, which may be older than the endpoint's run; hosts without a connection to it do not see that it ended. Change: while several versions serve, an engine on a connection that is younger than the list by the registration time is asked for its start after the first event; if it is another run, the stream's version is unknown until the list names that run, and the dispatcher prefers other endpoints for streams that may be resumed. No call in a service with one version.

The product's own protocol binds responses too: hosts tell each other the version (X-Endpoint-Software), and ordered endpoints carry it.

--- a/backend.go
+++ b/backend.go
@@ -27,6 +27,8 @@
 	Body   []byte
 	// Repeatable is set when the call may be executed more than once.
 	Repeatable bool
+	// Software is the software version that began the response, if it has begun and the version is known.
+	Software SoftwareVersion
 }
 
 // Reply is an endpoint's response. Body must be closed; closing it before EOF
@@ -37,6 +39,8 @@
 	Body   io.ReadCloser
 	// Stream is the endpoint's ID for a stream that can be cancelled.
 	Stream string
+	// Software is the software version at which the response began, if another host relays it and knows the version.
+	Software SoftwareVersion
 }
 
 // Sender sends calls to endpoints of one kind. It never retries a call on its own.
--- a/dispatch.go
+++ b/dispatch.go
@@ -123,6 +123,8 @@
 	Preempted() <-chan struct{}
 	// FirstToken reports that the first token, or the first byte of a plain service's response, has arrived.
 	FirstToken(now time.Time)
+	// Restarted reports that the endpoint has started again since it was listed, so that its software version is not known.
+	Restarted(now time.Time)
 	// Tokens reports that count more output tokens have arrived.
 	Tokens(now time.Time, count Tokens)
 	Release(now time.Time, outcome Outcome)
--- a/dispatch/endpoint/ordered.go
+++ b/dispatch/endpoint/ordered.go
@@ -27,6 +27,7 @@
 				ID: ordered.ID, DataCentre: ordered.DataCentre, Kind: winch.EndpointEngine, Address: ordered.Address,
 				Models: []winch.ModelID{pool.Model}, Classes: pool.Classes, Supply: ordered.Supply, Cost: pool.Cost,
 				SlotLimit: pool.SlotLimit, Pool: pool.ID, ChecksFencing: pool.ChecksFencing,
+				Software: ordered.Software,
 			},
 			State: ordered.State, LeavesAt: ordered.LeavesAt,
 		})
--- a/dispatch/endpoint/prefill.go
+++ b/dispatch/endpoint/prefill.go
@@ -209,6 +209,7 @@
 	cached := c.expectedCached(now, r, e, preferred)
 	uncached := max(0, r.work.InputTokens-cached)
 	cost := float64(e.prefill.pending+e.prefill.others+uncached)*e.slowdown + runningRequestCost*float64(e.running+e.others)
+	cost += c.unknownSoftwarePenalty(now, l, r, e)
 	if c.home != "" && e.spec.DataCentre != c.home {
 		cost += remoteDataCentreCost
 	}
--- a/dispatch/endpoint/slot.go
+++ b/dispatch/endpoint/slot.go
@@ -47,6 +47,15 @@
 	s.dispatcher.recordFirstToken(now, s)
 }
 
+// Restarted records that the endpoint has started again since it was listed.
+func (s *slot) Restarted(now time.Time) {
+	s.dispatcher.lock.Lock()
+	defer s.dispatcher.lock.Unlock()
+	if s.request != nil && s.request.endpoint != nil && s.request.endpoint.startedAt.Equal(s.startedAt) {
+		s.request.endpoint.recordLostConnection(now)
+	}
+}
+
 // Tokens records further output tokens. It takes no lock.
 func (s *slot) Tokens(now time.Time, count winch.Tokens) {
 	at := now.UnixNano()
--- a/dispatch/endpoint/software.go
+++ b/dispatch/endpoint/software.go
@@ -17,6 +17,8 @@
 	softwareSettleTime = 1500 * time.Millisecond
 	// bufferedOutputTime is how long output can be read from a connection after its endpoint has ended.
 	bufferedOutputTime = 300 * time.Millisecond
+	// unknownSoftwareCost is the cost, in prompt tokens, of an endpoint whose software version is not known, for streams that may be resumed.
+	unknownSoftwareCost = 5000
 	// softwareReturnTime is how long a bound request waits while no endpoint of its version serves.
 	softwareReturnTime = 2 * time.Second
 )
@@ -52,6 +54,14 @@
 // recordLostConnection records that the endpoint may have ended, and may start again with another software version.
 func (e *endpoint) recordLostConnection(now time.Time) { e.connectionLostAt = now }
 
+// unknownSoftwarePenalty returns the additional cost, in prompt tokens, of a stream that could not be resumed after all.
+func (c *core) unknownSoftwarePenalty(now time.Time, l *lane, r *request, e *endpoint) float64 {
+	if l.mixedSoftware && r.resumable() && c.knownSoftware(now, e) == "" {
+		return unknownSoftwareCost
+	}
+	return 0
+}
+
 // servesSoftware reports whether the endpoint has the software version that the request needs, if it needs one.
 func (c *core) servesSoftware(now time.Time, r *request, e *endpoint) bool {
 	return !r.bound() || c.knownSoftware(now, e) == r.work.Software
--- a/dispatch/endpoint/software_test.go
+++ b/dispatch/endpoint/software_test.go
@@ -193,6 +193,24 @@
 	}
 }
 
+func TestResumableStreamsPreferEndpointsOfKnownVersions(t *testing.T) {
+	chosen := func(mutate func(work *winch.Work)) winch.EndpointID {
+		tc, statuses := newVersionCore(PolicyPrefill, "v1", "v2")
+		// With one class no endpoint is reserved.
+		configuration := twoClasses(0, 0)
+		delete(configuration.Classes, background)
+		tc.configure(tc.now, configuration, statuses)
+		tc.listReadAt = tc.now
+		tc.endpoints["e0"].recordLostConnection(tc.now)
+		tc.endpoints["e1"].prefill.pending = 1000
+		work := workOf(interactive, 1)
+		mutate(&work)
+		return tc.arrive(tc.now, work, nil, &progress{}).endpoint.spec.ID
+	}
+	assert.Equal(t, chosen(func(*winch.Work) {}), winch.EndpointID("e1"))
+	assert.Equal(t, chosen(func(work *winch.Work) { work.NotResumable = true }), winch.EndpointID("e0"))
+}
+
 func TestOutputOnAnOlderConnectionShowsThatTheEndpointHasNotStartedAgain(t *testing.T) {
 	statuses := versions("v1", "v2")
 	statuses[0].Endpoint.SlotLimit = 3
--- a/forward.go
+++ b/forward.go
@@ -185,8 +185,9 @@
 	// Authentic is set when the response bears a signature of the endpoint. The signature is not
 	// verified.
 	Authentic bool
-	// EndsWithConnection is that of ExchangeAnswer.
+	// EndsWithConnection and ConnectionAge are those of ExchangeAnswer.
 	EndsWithConnection bool
+	ConnectionAge      time.Duration
 	// Load is nil when the endpoint does not report its load.
 	Load *EndpointLoad
 }
@@ -235,6 +236,8 @@
 	// EndsWithConnection is set when the body has neither a length nor chunks: it ends when the
 	// server closes the connection, which a server that was killed does as well.
 	EndsWithConnection bool
+	// ConnectionAge is how long the connection had been open when the head of the response was read.
+	ConnectionAge time.Duration
 }
 
 // Exchanger makes HTTP calls, each of which is written at most once.
--- a/origin.go
+++ b/origin.go
@@ -12,6 +12,11 @@
 	Endpoint EndpointID
 	// Software is empty if the version was not known when the stream began.
 	Software SoftwareVersion
+	// StartedAt is when the endpoint started, as it has told itself; zero if it was not asked.
+	StartedAt time.Time
+	// ConnectedAt is when the connection to the endpoint was opened; zero if another host has told the origin. An endpoint
+	// that has started again since its list was read has no older connections.
+	ConnectedAt time.Time
 	// At is when its latest part began to be relayed, by the clock of the host that uses this value.
 	At time.Time
 }
@@ -42,8 +47,10 @@
 // StreamOrigins records which software version began each stream, and finds it again on any host.
 type StreamOrigins interface {
 	// Record records the origin of the stream that the request began. It must be called before the first event is sent to the
-	// caller, and again when another request goes on with the stream. It does not block.
-	Record(stream RequestID, origin StreamOrigin)
+	// caller, and again when another request goes on with the stream, or when it turns out that the version is not known. It does not
+	// block. It reports whether the endpoint should be asked if it is the run that was listed: several versions serve, and
+	// it may have started again since.
+	Record(stream RequestID, origin StreamOrigin) bool
 	// Find returns the origin of a stream of the model that the request began. It may ask other hosts, for a short time. The error
 	// is ErrOriginUnknown; the result then tells whether a later call may succeed.
 	Find(ctx context.Context, now time.Time, stream RequestID, model ModelID) (FoundOrigin, error)
--- a/origin/book.go
+++ b/origin/book.go
@@ -50,6 +50,8 @@
 	listed     map[winch.EndpointID]winch.EndpointStatus
 	listReadAt time.Time
 	untold     []winch.RequestID
+	// unresolved are the endpoints of which another run than the listed one has begun streams of this host.
+	unresolved map[winch.EndpointID]bool
 }
 
 type recordedAt struct {
@@ -73,7 +75,7 @@
 func New() *Book {
 	return &Book{
 		streams: map[winch.RequestID]*record{}, served: map[winch.ModelID]map[winch.SoftwareVersion]time.Time{},
-		listed: map[winch.EndpointID]winch.EndpointStatus{},
+		listed: map[winch.EndpointID]winch.EndpointStatus{}, unresolved: map[winch.EndpointID]bool{},
 	}
 }
 
@@ -81,14 +83,19 @@
 func (b *Book) Len() int { return len(b.streams) }
 
 // Record records the origin of a stream that this host relays. While its model has one version only, other hosts
-// need not know it.
-func (b *Book) Record(stream winch.RequestID, origin winch.StreamOrigin, memory time.Duration) {
+// need not know it. It reports whether the endpoint may have started again with another version since it was listed.
+func (b *Book) Record(stream winch.RequestID, origin winch.StreamOrigin, memory time.Duration) bool {
 	b.observeBegin(origin)
 	r := b.put(stream, origin)
 	r.own = true
-	if _, single := b.OnlyVersion(origin.At, origin.Model, memory); !single {
-		b.markUntold(stream, r)
+	if origin.Software == "" && !origin.StartedAt.IsZero() {
+		b.unresolved[origin.Endpoint] = true
 	}
+	if _, single := b.OnlyVersion(origin.At, origin.Model, memory); single {
+		return false
+	}
+	b.markUntold(stream, r)
+	return origin.Software != "" && origin.ConnectedAt.After(b.listReadAt.Add(-restartMargin))
 }
 
 // Keep records the origin of a stream that another host relays. It replaces an earlier record of that host.
@@ -210,6 +217,7 @@
 		for _, model := range status.Endpoint.Models {
 			b.ObserveServed(model, status.Endpoint.Software, now)
 		}
+		b.resolve(status)
 		before, found := b.listed[status.Endpoint.ID]
 		if found && before.Endpoint.Software != status.Endpoint.Software {
 			b.doubt(status.Endpoint.ID, b.listReadAt.Add(-restartMargin))
@@ -226,13 +234,27 @@
 // doubt makes the version unknown of the streams that this host began at the endpoint since the time.
 func (b *Book) doubt(endpoint winch.EndpointID, since time.Time) {
 	for stream, r := range b.streams {
-		if r.own && r.origin.Endpoint == endpoint && !r.origin.At.Before(since) && r.origin.Software != "" {
+		if r.own && r.origin.Endpoint == endpoint && !r.origin.At.Before(since) && r.origin.Software != "" && r.origin.StartedAt.IsZero() {
 			r.origin.Software = ""
 			b.markUntold(stream, r)
 		}
 	}
 }
 
+// resolve sets the version of the streams that this host began at the listed run of the endpoint before that was listed.
+func (b *Book) resolve(status winch.EndpointStatus) {
+	if status.StartedAt.IsZero() || status.Endpoint.Software == "" || !b.unresolved[status.Endpoint.ID] {
+		return
+	}
+	delete(b.unresolved, status.Endpoint.ID)
+	for stream, r := range b.streams {
+		if r.own && r.origin.Endpoint == status.Endpoint.ID && r.origin.Software == "" && r.origin.StartedAt.Equal(status.StartedAt) {
+			r.origin.Software = status.Endpoint.Software
+			b.markUntold(stream, r)
+		}
+	}
+}
+
 // tellAll marks the streams of the model that this host relays as untold.
 func (b *Book) tellAll(model winch.ModelID) {
 	for stream, r := range b.streams {
--- a/origin/book_test.go
+++ b/origin/book_test.go
@@ -121,6 +121,40 @@
 	assertUntold(t, b, 2)
 }
 
+func TestVersionOfARunThatWasNotListedYet(t *testing.T) {
+	b := New()
+	listed := func(software winch.SoftwareVersion, startedAt float64) []winch.EndpointStatus {
+		a := endpoint("a", software)
+		a.StartedAt = after(startedAt)
+		return []winch.EndpointStatus{a, endpoint("b", "v2")}
+	}
+	b.ObserveList(after(5), after(5), listed("v1", 0), memory)
+	for stream, startedAt := range map[winch.RequestID]float64{"listed next": 6, "never listed": 7} {
+		known := begin("a", "", after(8))
+		known.StartedAt = after(startedAt)
+		b.Record(stream, known, memory)
+	}
+	b.TakeUntold()
+	b.ObserveList(after(9), after(9), listed("v3", 6), memory)
+	assertSoftware(t, b, "listed next", "v3")
+	assertSoftware(t, b, "never listed", "")
+	assertUntold(t, b, 1)
+}
+
+func TestEndpointIsToBeAskedOnlyIfItMayHaveStartedAgain(t *testing.T) {
+	ask := func(connected float64, software ...winch.SoftwareVersion) bool {
+		b := New()
+		b.ObserveList(after(5), after(5), []winch.EndpointStatus{endpoint("a", "v1"), endpoint("b", software[0])}, memory)
+		known := begin("a", "v1", after(6))
+		known.ConnectedAt = after(connected)
+		return b.Record("s", known, memory)
+	}
+	assert.Assert(t, ask(5.9, "v2"), "its connection is newer than the list")
+	assert.Assert(t, ask(4, "v2"), "it may not have registered when the list was read")
+	assert.Assert(t, !ask(3, "v2"), "its connection is older")
+	assert.Assert(t, !ask(5.9, "v1"), "one version only")
+}
+
 func TestBounds(t *testing.T) {
 	t.Run("the oldest streams are dropped", func(t *testing.T) {
 		b := New()
--- a/origin/peer/keeper.go
+++ b/origin/peer/keeper.go
@@ -160,10 +160,11 @@
 }
 
 // Record implements winch.StreamOrigins.
-func (k *Keeper) Record(stream winch.RequestID, known winch.StreamOrigin) {
+func (k *Keeper) Record(stream winch.RequestID, known winch.StreamOrigin) bool {
 	memory := k.memory()
 	k.mu.Lock()
-	k.book.Record(stream, known, memory)
+	mayHaveRestarted := k.book.Record(stream, known, memory)
 	k.mu.Unlock()
 	k.signal()
+	return mayHaveRestarted
 }
--- a/placement.go
+++ b/placement.go
@@ -27,7 +27,9 @@
 	Pool    PoolID
 	Model   ModelID
 	Supply  Supply
-	State   EndpointState
+	// Software is the version of the endpoint's software; empty if the platform does not tell it.
+	Software SoftwareVersion
+	State    EndpointState
 	// LeavesAt is when the endpoint will be removed. It is set only in state EndpointLeaving, and
 	// only if the time is known.
 	LeavesAt time.Time
--- a/placement/platform/codec.go
+++ b/placement/platform/codec.go
@@ -33,6 +33,7 @@
 	Pool     string
 	Model    string
 	Supply   string
+	Software string `json:",omitempty"`
 	State    string
 	LeavesAt *time.Time
 }
@@ -123,8 +124,8 @@
 		Address: endpoint.Address,
 		Pool:    string(endpoint.Pool),
 		Model:   string(endpoint.Model),
-		Supply:  string(endpoint.Supply),
-		State:   string(endpoint.State),
+		Supply:  string(endpoint.Supply), Software: string(endpoint.Software),
+		State: string(endpoint.State),
 	}
 	if !endpoint.LeavesAt.IsZero() {
 		leaves := endpoint.LeavesAt
@@ -140,8 +141,8 @@
 		Address:    wire.Address,
 		Pool:       winch.PoolID(wire.Pool),
 		Model:      winch.ModelID(wire.Model),
-		Supply:     winch.Supply(wire.Supply),
-		State:      winch.EndpointState(wire.State),
+		Supply:     winch.Supply(wire.Supply), Software: winch.SoftwareVersion(wire.Software),
+		State: winch.EndpointState(wire.State),
 	}
 	if wire.LeavesAt != nil {
 		decoded.LeavesAt = *wire.LeavesAt
--- a/placement/platform/section.go
+++ b/placement/platform/section.go
@@ -27,7 +27,7 @@
 func hashOf(endpoints []winch.OrderedEndpoint) uint64 {
 	digest := xxhash.New()
 	for _, e := range endpoints {
-		_, _ = fmt.Fprintf(digest, "%q%q%q%q%q%q%d\n", e.ID, e.Address, e.Pool, e.Model, e.Supply, e.State, e.LeavesAt.UnixNano())
+		_, _ = fmt.Fprintf(digest, "%q%q%q%q%q%q%q%d\n", e.ID, e.Address, e.Pool, e.Model, e.Supply, e.Software, e.State, e.LeavesAt.UnixNano())
 	}
 	return max(digest.Sum64(), 1)
 }
--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -252,7 +252,7 @@
 		// Scaling, since registered endpoints have no pool of their own.
 		model := status.Endpoint.Models[0]
 		endpoints = append(endpoints, winch.OrderedEndpoint{
-			ID: status.Endpoint.ID, DataCentre: v.centre, Address: status.Endpoint.Address, Model: model, Supply: status.Endpoint.Supply,
+			ID: status.Endpoint.ID, DataCentre: v.centre, Address: status.Endpoint.Address, Model: model, Supply: status.Endpoint.Supply, Software: status.Endpoint.Software,
 			Pool: winch.ScalingPool(model, v.centre, status.Endpoint.Supply), State: status.State, LeavesAt: status.LeavesAt,
 		})
 	}
--- a/serving/caller/admit.go
+++ b/serving/caller/admit.go
@@ -12,6 +12,7 @@
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/serving/internal/runstate"
+	"github.com/arbutuswinch/winch/serving/peer"
 )
 
 const (
@@ -71,6 +72,8 @@
 	// notResumable says that no engine can resume the stream, because several choices were
 	// requested or the output delivered so far is not plain text.
 	notResumable bool
+	// software is the software version that began the response; empty while it has not begun, and if the version is not known.
+	software winch.SoftwareVersion
 }
 
 // chat reports whether the request is a chat completion.
@@ -122,6 +125,7 @@
 }
 
 func (s *Server) authorizePeer(header http.Header, req *request) *apiError {
+	req.software = winch.SoftwareVersion(header.Get(peer.SoftwareHeader))
 	req.organisation = winch.OrganisationID(header.Get("X-Organisation"))
 	if req.organisation == "" {
 		return nil
--- a/serving/caller/attempt.go
+++ b/serving/caller/attempt.go
@@ -171,6 +171,7 @@
 		Model: req.model, Route: req.route.ID, Prefix: req.prefix,
 		InputTokens: req.inputTokens, OutputDone: req.deliveredTokens,
 		Arrived: req.arrived, Deadline: deadline, Excluded: req.excludedEndpoints, LocalOnly: req.fromPeer,
+		Software: req.software,
 	}
 }
 
@@ -182,6 +183,7 @@
 	return winch.Call{
 		Request: req.id, Organisation: req.organisation, Class: req.class.ID, Tier: req.class.Tier, Route: req.route.ID,
 		Method: req.method, Path: req.path, Header: req.header, Body: body, Repeatable: req.tracker.Repeatable,
+		Software: req.software,
 	}
 }
 
--- a/serving/caller/peer_test.go
+++ b/serving/caller/peer_test.go
@@ -8,12 +8,54 @@
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/serving/internal/runstate"
+	"github.com/arbutuswinch/winch/serving/peer"
 )
 
 func (server *testServer) peerEndpoint(id winch.EndpointID) winch.Endpoint {
 	return winch.Endpoint{ID: id, Kind: winch.EndpointPeer, Address: strings.TrimPrefix(server.httpServer.URL, "http://")}
 }
 
+// withSoftware returns the endpoint with a software version.
+func withSoftware(endpoint winch.Endpoint, software winch.SoftwareVersion) winch.Endpoint {
+	endpoint.Software = software
+	return endpoint
+}
+
+func TestResponseGoesOnAtTheSoftwareVersionThatBeganIt(t *testing.T) {
+	t.Run("at an endpoint of this data centre", func(t *testing.T) {
+		bad, good := newFakeEngine(t, 12), newFakeEngine(t, 12)
+		bad.beforeWord = breakBeforeWord(5)
+		server := newTestServer(t, nil, withSoftware(bad.endpoint("e1"), "v1"), withSoftware(good.endpoint("e2"), "v1"))
+		server.send(t, "POST", "/v1/chat/completions", chatBody, "X-Request-Class", "stall")
+		assert.Equal(t, server.dispatcher.works[0].Software, winch.SoftwareVersion(""))
+		assert.Equal(t, server.dispatcher.works[1].Software, winch.SoftwareVersion("v1"))
+	})
+	t.Run("not by an attempt that broke before its first event", func(t *testing.T) {
+		unreachable := winch.Endpoint{ID: "e1", Kind: winch.EndpointEngine, Address: "127.0.0.1:1", Software: "v1"}
+		server := newTestServer(t, nil, unreachable, newFakeEngine(t, 12).endpoint("e2"))
+		server.send(t, "POST", "/v1/chat/completions", chatBody, "X-Request-Class", "stall")
+		assert.Equal(t, server.dispatcher.works[1].Software, winch.SoftwareVersion(""))
+	})
+	t.Run("in another data centre", func(t *testing.T) {
+		bad, good := newFakeEngine(t, 12), newFakeEngine(t, 12)
+		bad.beforeWord = breakBeforeWord(5)
+		remote := newTestServer(t, nil, good.endpoint("e2"))
+		local := newTestServer(t, nil, withSoftware(bad.endpoint("e1"), "v1"), remote.peerEndpoint("p"))
+		local.send(t, "POST", "/v1/chat/completions", chatBody, "X-Request-Class", "stall")
+		assert.Equal(t, remote.dispatcher.works[0].Software, winch.SoftwareVersion("v1"))
+	})
+	t.Run("after another data centre began it", func(t *testing.T) {
+		bad, good := newFakeEngine(t, 12), newFakeEngine(t, 12)
+		bad.beforeWord = breakBeforeWord(5)
+		remote := newTestServer(t, nil, withSoftware(bad.endpoint("e1"), "v3"))
+		local := newTestServer(t, nil, remote.peerEndpoint("p"), good.endpoint("e2"))
+		response := local.send(t, "POST", "/v1/chat/completions", chatBody, "X-Request-Class", "stall")
+		assert.Equal(t, response.Header.Get(peer.SoftwareHeader), "", "callers are not told")
+		works := local.dispatcher.works
+		assert.Equal(t, works[len(works)-1].Software, winch.SoftwareVersion("v3"))
+	})
+}
+
 func TestServingThroughPeer(t *testing.T) {
 	t.Run("stream that breaks locally is resumed in the other data centre", func(t *testing.T) {
 		bad, good := newFakeEngine(t, 12), newFakeEngine(t, 12)
--- a/serving/caller/stream.go
+++ b/serving/caller/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/serving/peer"
 )
 
 const (
@@ -184,12 +185,26 @@
 		s.noteFirstToken(s.now(), req, a)
 	}
 	if !out.started {
+		s.bindSoftware(req, a, out)
 		req.responseStarted = out.begin()
 	}
 	req.deliveredText = append(req.deliveredText, out.add(chunk)...)
 	req.notResumable = req.notResumable || chunk.NonText
 }
 
+// bindSoftware records the software version that begins the response, and tells it to the host that forwarded the request.
+func (s *Server) bindSoftware(req *request, a *attempt, out *output) {
+	if !req.continuesStream {
+		req.software = a.endpoint.Software
+		if a.endpoint.Kind == winch.EndpointPeer {
+			req.software = a.reply.Software
+		}
+	}
+	if req.fromPeer && req.software != "" {
+		out.w.Header().Set(peer.SoftwareHeader, string(req.software))
+	}
+}
+
 // deliver flushes the output and counts its tokens as delivered, or as collected if the
 // response is collected.
 func (s *Server) deliver(req *request, a *attempt, out *output) error {
--- a/serving/forward/attempt.go
+++ b/serving/forward/attempt.go
@@ -177,7 +177,7 @@
 		Request: req.ForwardRequest, Body: req.body, Organisation: req.admission.organisation, Tier: req.admission.class.Tier,
 		Timeout: req.deadline.Sub(a.started), LastEvent: req.lastEvent,
 	}
-	if err := s.checkStillListed(req, a); err != nil {
+	if _, err := s.checkStillListed(a.ctx, req.streamKey(), req.origin.Software, a); err != nil {
 		return err
 	}
 	reply, err := s.options.Sender.Forward(a.ctx, a.endpoint, call)
--- a/serving/forward/events.go
+++ b/serving/forward/events.go
@@ -15,4 +15,6 @@
 	EventDrainEnded winch.EventNumber = 2204
 	// EventStartUnread: an endpoint did not tell when it started, before a stream was to go on there.
 	EventStartUnread winch.EventNumber = 2205
+	// EventOriginDoubted: a stream has begun at an endpoint that has started again since it was listed.
+	EventOriginDoubted winch.EventNumber = 2206
 )
--- a/serving/forward/fakes_test.go
+++ b/serving/forward/fakes_test.go
@@ -190,12 +190,15 @@
 	mu      sync.Mutex
 	known   map[winch.RequestID]winch.StreamOrigin
 	version winch.SoftwareVersion
+	// confirm is set if endpoints should be asked whether they are still the runs that were listed.
+	confirm bool
 }
 
-func (f *fakeOrigins) Record(stream winch.RequestID, origin winch.StreamOrigin) {
+func (f *fakeOrigins) Record(stream winch.RequestID, origin winch.StreamOrigin) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.known[stream] = origin
+	return f.confirm && origin.Software != ""
 }
 
 func (f *fakeOrigins) Find(_ context.Context, _ time.Time, stream winch.RequestID, model winch.ModelID) (winch.FoundOrigin, error) {
@@ -223,6 +226,7 @@
 }
 func (s *fakeSlot) StartedAt() time.Time           { return listedStart }
 func (s *fakeSlot) Preempted() <-chan struct{}     { return nil }
+func (s *fakeSlot) Restarted(time.Time)            {}
 func (s *fakeSlot) FirstToken(time.Time)           {}
 func (s *fakeSlot) Tokens(time.Time, winch.Tokens) {}
 func (s *fakeSlot) Release(_ time.Time, outcome winch.Outcome) {
--- a/serving/forward/origin.go
+++ b/serving/forward/origin.go
@@ -73,24 +73,24 @@
 // errRestarted: the endpoint has started again since it was listed, perhaps with another software version.
 var errRestarted = errors.New("endpoint has started again since it was listed")
 
-// checkStillListed returns errRestarted if the stream has to go on at one software version and the endpoint no longer is the one
-// that was listed with it. Without an answer the list is believed.
-func (s *Server) checkStillListed(req *request, a *attempt) error {
+// checkStillListed returns errRestarted if the stream needs a software version and the endpoint no longer is the run
+// that was listed with it, and when that run started. Without an answer the list is believed.
+func (s *Server) checkStillListed(ctx context.Context, stream winch.RequestID, software winch.SoftwareVersion, a *attempt) (time.Time, error) {
 	listed := a.slot.StartedAt()
-	if req.origin.Software == "" || listed.IsZero() || a.endpoint.Kind != winch.EndpointEngine {
-		return nil
+	if software == "" || listed.IsZero() || a.endpoint.Kind != winch.EndpointEngine {
+		return listed, nil
 	}
-	ctx, cancel := context.WithTimeout(a.ctx, startCheckTimeout)
+	ctx, cancel := context.WithTimeout(ctx, startCheckTimeout)
 	defer cancel()
 	started, err := s.options.Sender.StartedAt(ctx, a.endpoint)
 	switch {
 	case err != nil:
-		s.options.Logger.Info("start time of an endpoint not read", "Event", EventStartUnread, "Request", string(req.ID),
+		s.options.Logger.Info("start time of an endpoint not read", "Event", EventStartUnread, "Stream", string(stream),
 			"Endpoint", string(a.endpoint.ID), "Error", err)
 	case !started.IsZero() && !started.Equal(listed):
-		return fmt.Errorf("listed with start %s, started %s: %w", listed, started, errRestarted)
+		return started, fmt.Errorf("listed with start %s, started %s: %w", listed, started, errRestarted)
 	}
-	return nil
+	return started, nil
 }
 
 // recordOrigin records, before the first event of an attempt is sent to the caller, which software version began the stream.
@@ -102,5 +102,21 @@
 		req.origin = winch.StreamOrigin{Model: req.admission.model, Endpoint: a.endpoint.ID, Software: a.endpoint.Software}
 	}
 	req.origin.At = s.now()
-	s.options.Origins.Record(req.streamKey(), req.origin)
+	req.origin.ConnectedAt = req.origin.At.Add(-a.reply.ConnectionAge)
+	if s.options.Origins.Record(req.streamKey(), req.origin) {
+		go s.confirmOrigin(req.detached, req.streamKey(), req.origin, a)
+	}
+}
+
+// confirmOrigin records that the version at which the stream began is not known if the endpoint has started again since it was listed.
+func (s *Server) confirmOrigin(ctx context.Context, stream winch.RequestID, origin winch.StreamOrigin, a *attempt) {
+	started, err := s.checkStillListed(ctx, stream, origin.Software, a)
+	if err == nil {
+		return
+	}
+	a.slot.Restarted(s.now())
+	s.options.Logger.Info("stream began at an unknown software version", "Event", EventOriginDoubted, "Stream", string(stream),
+		"Endpoint", string(a.endpoint.ID), "Error", err)
+	origin.Software, origin.StartedAt, origin.At = "", started, s.now()
+	s.options.Origins.Record(stream, origin)
 }
--- a/serving/forward/origin_test.go
+++ b/serving/forward/origin_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/arbutuswinch/winch"
 )
@@ -108,6 +109,32 @@
 	})
 }
 
+func TestVersionIsNotKnownIfTheEndpointHasStartedAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		started time.Time
+		want    winch.SoftwareVersion
+	}{
+		"the run that was listed": {listedStart, "v-e0"}, "no answer": {time.Time{}, "v-e0"}, "another run": {listedStart.Add(time.Second), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ts := newTestServer(t, stubResponse{status: 200, body: event(1)})
+			ts.origins.confirm, ts.starts = true, []time.Time{c.started}
+			ts.post("/plan/x")
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				ts.mu.Lock()
+				asked := len(ts.starts) == 0
+				ts.mu.Unlock()
+				ts.origins.mu.Lock()
+				defer ts.origins.mu.Unlock()
+				if asked && ts.origins.known["dealer/r1"].Software == c.want {
+					return poll.Success()
+				}
+				return poll.Continue("%+v", ts.origins.known)
+			}, poll.WithTimeout(5*time.Second))
+		})
+	}
+}
+
 func TestStreamDoesNotGoOnAtAnEndpointThatHasStartedAgain(t *testing.T) {
 	ts := newTestServer(t, stubResponse{status: 200, body: event(3)})
 	ts.origins.known["dealer/r0"] = winch.StreamOrigin{Model: testModel, Software: "v7"}
--- a/serving/httpexchange/client.go
+++ b/serving/httpexchange/client.go
@@ -187,7 +187,7 @@
 		return nil, fmt.Errorf("connect: %w: %w", winch.ErrUnavailable, err)
 	}
 	limit := &headLimit{source: tcp}
-	opened := &conn{client: c, key: poolKey(call), tcp: tcp, reader: bufio.NewReaderSize(limit, readBufferSize), headLimit: limit}
+	opened := &conn{client: c, key: poolKey(call), tcp: tcp, reader: bufio.NewReaderSize(limit, readBufferSize), headLimit: limit, openedAt: time.Now()}
 	opened.setKeepAlive(false)
 	return opened, nil
 }
@@ -214,6 +214,7 @@
 			body.idleTime = idleTime(response.Header)
 			return &winch.ExchangeAnswer{
 				Status: response.StatusCode, Header: response.Header, Body: body, EndsWithConnection: !framed(response),
+				ConnectionAge: time.Since(conn.openedAt),
 			}, nil
 		}
 		conn.receivedOtherResponse = true
--- a/serving/httpexchange/conn.go
+++ b/serving/httpexchange/conn.go
@@ -34,8 +34,10 @@
 type conn struct {
 	client *Client
 	key    string
-	tcp    *net.TCPConn
-	reader *bufio.Reader
+	// openedAt is when the connection was opened.
+	openedAt time.Time
+	tcp      *net.TCPConn
+	reader   *bufio.Reader
 	// headLimit is the source of reader.
 	headLimit *headLimit
 	// stopContextWatch stops watching the call's context. It returns false if the context has
--- a/serving/peer/client.go
+++ b/serving/peer/client.go
@@ -24,6 +24,10 @@
 // Prefix is the path prefix of requests that one host forwards to another.
 const Prefix = "/peer/serve"
 
+// SoftwareHeader names the software version that began a response: in a request, if a part of the response was delivered, and in the
+// response.
+const SoftwareHeader = "X-Endpoint-Software"
+
 // Options are the settings of a client. Limits that are zero get their defaults.
 type Options struct {
 	// Secret is the bearer token that all hosts share.
@@ -59,7 +63,9 @@
 		_ = response.Body.Close()
 		return nil, fmt.Errorf("match answer of peer %s: %w", endpoint.Address, winch.ErrResponseMismatch)
 	}
-	return &winch.Reply{Status: response.StatusCode, Header: response.Header, Body: response.Body}, nil
+	return &winch.Reply{
+		Status: response.StatusCode, Header: response.Header, Body: response.Body, Software: winch.SoftwareVersion(response.Header.Get(SoftwareHeader)),
+	}, nil
 }
 
 // callerPath returns the path that the caller used. For plain services, which have a Route,
@@ -77,6 +83,9 @@
 	header.Set("X-Request-Id", string(call.Request))
 	header.Set("X-Organisation", string(call.Organisation))
 	header.Set("X-Request-Class", string(call.Class))
+	if call.Software != "" {
+		header.Set(SoftwareHeader, string(call.Software))
+	}
 	if deadline, found := ctx.Deadline(); found {
 		remaining := max(time.Until(deadline), time.Millisecond)
 		header.Set("X-Request-Timeout", strconv.FormatInt(remaining.Milliseconds(), 10)+"ms")
