--- a/origin/peer/keeper_test.go
+++ b/origin/peer/keeper_test.go
@@ -38,11 +38,11 @@
 
 // hostGroup is a set of hosts that know each other.
 type hostGroup struct {
-	t     *testing.T
+	t     testing.TB
 	hosts []*testHost
 }
 
-func newGroup(t *testing.T, count int, software ...winch.SoftwareVersion) *hostGroup {
+func newGroup(t testing.TB, count int, software ...winch.SoftwareVersion) *hostGroup {
 	t.Helper()
 	g := &hostGroup{t: t}
 	for i := range count {
