fix(origin): what a host records before it knows the secret is told later

Cause: the records were taken from the book and dropped, since there was no client yet. Change: they stay until Connect; TestStreamThatBeganBeforeTheSecretWasKnownIsTold failed before. The test waits until its hosts know each other, since what a host has begun cannot be known by the others before.

--- a/origin/peer/keeper.go
+++ b/origin/peer/keeper.go
@@ -97,7 +97,10 @@
 }
 
 // Connect sets the secret that the hosts share. Other hosts can be told and asked from then on.
-func (k *Keeper) Connect(secret string) { k.clients.Store(newClients(secret)) }
+func (k *Keeper) Connect(secret string) {
+	k.clients.Store(newClients(secret))
+	k.signal()
+}
 
 // Run observes the list of endpoints and tells other hosts, until ctx ends. It returns nil.
 func (k *Keeper) Run(ctx context.Context) error {
--- a/origin/peer/keeper_test.go
+++ b/origin/peer/keeper_test.go
@@ -215,6 +215,17 @@
 	g.waitKept("s", 1+tellHosts)
 }
 
+func TestStreamThatBeganBeforeTheSecretWasKnownIsTold(t *testing.T) {
+	g := newGroup(t, 4, "v1", "v2")
+	late := g.hosts[0].keeper
+	late.clients.Store(nil)
+	g.hosts[0].begin("s", "v1")
+	<-time.After(3 * tellPause)
+	assert.Equal(t, g.keeping("s"), 1)
+	late.Connect(secret)
+	g.waitKept("s", 1+tellHosts)
+}
+
 func TestVersionThatWasUnknownWhenTheStreamBegan(t *testing.T) {
 	g := newGroup(t, 4, "v1", "v2")
 	g.hosts[0].begin("s", "")
--- a/origin/peer/tell.go
+++ b/origin/peer/tell.go
@@ -90,13 +90,18 @@
 			return
 		case <-k.wake:
 		}
+		all := k.clients.Load()
+		if all == nil {
+			// What is recorded until then is told after Connect.
+			continue
+		}
 		k.mu.Lock()
 		told := k.book.TakeUntold()
 		k.mu.Unlock()
 		if len(told) == 0 {
 			continue
 		}
-		k.tellAll(ctx, told)
+		k.tellAll(ctx, all, told)
 		select {
 		case <-ctx.Done():
 			return
@@ -106,11 +111,8 @@
 }
 
 // tellAll gives each record to the hosts that keep it, with one message to each host.
-func (k *Keeper) tellAll(ctx context.Context, told []origin.Told) {
-	now, all := k.options.Clock.Now(), k.clients.Load()
-	if all == nil {
-		return
-	}
+func (k *Keeper) tellAll(ctx context.Context, all *clients, told []origin.Told) {
+	now := k.options.Clock.Now()
 	batches, hosts := map[winch.HostID]*tellCall{}, map[winch.HostID]winch.Host{}
 	for _, each := range told {
 		ranked := k.ranked(now, each.Stream)
