--- a/serving/forward/attempt.go
+++ b/serving/forward/attempt.go
@@ -55,18 +55,32 @@
 	}
 }
 
-// acquire waits for a slot and checks again, before and after the wait, whether the request
-// is still admitted.
+// acquire waits for a slot, at an endpoint that is still the run that was listed if the request needs a software version. It checks,
+// before the wait and last of all, whether the request is still admitted.
 func (s *Server) acquire(ctx context.Context, req *request) (*attempt, *fault) {
 	started := s.now()
-	if f := s.checkSend(started, req); f != nil {
-		return nil, s.faultAfterAttempts(req, f)
-	}
-	slot, err := s.options.Dispatcher.Acquire(ctx, started, s.newWork(req))
-	if err != nil {
-		return nil, s.acquireFailure(ctx, req, err)
+	for {
+		if f := s.checkSend(s.now(), req); f != nil {
+			return nil, s.faultAfterAttempts(req, f)
+		}
+		slot, err := s.options.Dispatcher.Acquire(ctx, s.now(), s.newWork(req))
+		if err != nil {
+			return nil, s.acquireFailure(ctx, req, err)
+		}
+		req.updateTracker(runstate.SlotGranted)
+		if _, err = s.checkStillListed(ctx, req.streamKey(), req.origin.Software, slot); err == nil {
+			return s.beginAttempt(ctx, req, slot, started)
+		}
+		s.options.Logger.Info("endpoint not used for a stream", "Event", EventOriginDoubted, "Stream", string(req.streamKey()),
+			"Endpoint", string(slot.Endpoint().ID), "Error", err)
+		slot.Release(s.now(), winch.OutcomeRestarted)
+		req.updateTracker(runstate.SlotReturned)
+		req.excluded = append(req.excluded, slot.Endpoint().ID)
 	}
-	req.updateTracker(runstate.SlotGranted)
+}
+
+// beginAttempt returns an attempt with the slot, for which the request has waited since started, if the request is still admitted.
+func (s *Server) beginAttempt(ctx context.Context, req *request, slot winch.Slot, started time.Time) (*attempt, *fault) {
 	now := s.now()
 	model := req.admission.model
 	f := s.checkSend(now, req)
@@ -177,9 +191,6 @@
 		Request: req.ForwardRequest, Body: req.body, Organisation: req.admission.organisation, Tier: req.admission.class.Tier,
 		Timeout: req.deadline.Sub(a.started), LastEvent: req.lastEvent,
 	}
-	if _, err := s.checkStillListed(a.ctx, req.streamKey(), req.origin.Software, a); err != nil {
-		return err
-	}
 	reply, err := s.options.Sender.Forward(a.ctx, a.endpoint, call)
 	if err != nil {
 		return err
--- a/serving/forward/attempt_result.go
+++ b/serving/forward/attempt_result.go
@@ -33,11 +33,6 @@
 		if !cancelled {
 			result.Outcome = winch.OutcomeUnsent
 		}
-	case errors.Is(err, errRestarted):
-		result.Event, result.sent, result.needsRetryBudget = runstate.NothingWritten, false, false
-		if !cancelled {
-			result.Outcome = winch.OutcomeRestarted
-		}
 	case result.Event == runstate.NothingWritten:
 		result.sent, result.needsRetryBudget = false, false
 	}
@@ -92,8 +87,6 @@
 
 func failureReason(err error) string {
 	switch {
-	case errors.Is(err, errRestarted):
-		return "restarted"
 	case errors.Is(err, errMisdirected):
 		return "misdirected"
 	case errors.Is(err, errEndpointRefused):
--- a/serving/forward/fakes_test.go
+++ b/serving/forward/fakes_test.go
@@ -79,9 +79,12 @@
 	answered    int
 	broken      int
 	outcomes    []winch.Outcome
+	firstTokens int
 	origins     *fakeOrigins
 	// starts are the start times that the endpoints tell, in this order; further ones tell none.
 	starts []time.Time
+	// onStart is called before each of these, with the lock held.
+	onStart func()
 	// works are the requests for a slot.
 	works []winch.Work
 }
@@ -227,8 +230,14 @@
 func (s *fakeSlot) StartedAt() time.Time           { return listedStart }
 func (s *fakeSlot) Preempted() <-chan struct{}     { return nil }
 func (s *fakeSlot) Restarted(time.Time)            {}
-func (s *fakeSlot) FirstToken(time.Time)           {}
 func (s *fakeSlot) Tokens(time.Time, winch.Tokens) {}
+
+func (s *fakeSlot) FirstToken(time.Time) {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	s.server.firstTokens++
+}
+
 func (s *fakeSlot) Release(_ time.Time, outcome winch.Outcome) {
 	s.server.mu.Lock()
 	defer s.server.mu.Unlock()
@@ -246,6 +255,9 @@
 	}
 	started := ts.starts[0]
 	ts.starts = ts.starts[1:]
+	if ts.onStart != nil {
+		ts.onStart()
+	}
 	return started, nil
 }
 
--- a/serving/forward/origin.go
+++ b/serving/forward/origin.go
@@ -75,18 +75,18 @@
 
 // checkStillListed returns errRestarted if the stream needs a software version and the endpoint no longer is the run
 // that was listed with it, and when that run started. Without an answer the list is believed.
-func (s *Server) checkStillListed(ctx context.Context, stream winch.RequestID, software winch.SoftwareVersion, a *attempt) (time.Time, error) {
-	listed := a.slot.StartedAt()
-	if software == "" || listed.IsZero() || a.endpoint.Kind != winch.EndpointEngine {
+func (s *Server) checkStillListed(ctx context.Context, stream winch.RequestID, software winch.SoftwareVersion, slot winch.Slot) (time.Time, error) {
+	listed, endpoint := slot.StartedAt(), slot.Endpoint()
+	if software == "" || listed.IsZero() || endpoint.Kind != winch.EndpointEngine {
 		return listed, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, startCheckTimeout)
 	defer cancel()
-	started, err := s.options.Sender.StartedAt(ctx, a.endpoint)
+	started, err := s.options.Sender.StartedAt(ctx, endpoint)
 	switch {
 	case err != nil:
 		s.options.Logger.Info("start time of an endpoint not read", "Event", EventStartUnread, "Stream", string(stream),
-			"Endpoint", string(a.endpoint.ID), "Error", err)
+			"Endpoint", string(endpoint.ID), "Error", err)
 	case !started.IsZero() && !started.Equal(listed):
 		return started, fmt.Errorf("listed with start %s, started %s: %w", listed, started, errRestarted)
 	}
@@ -110,7 +110,7 @@
 
 // confirmOrigin records that the version at which the stream began is not known if the endpoint has started again since it was listed.
 func (s *Server) confirmOrigin(ctx context.Context, stream winch.RequestID, origin winch.StreamOrigin, a *attempt) {
-	started, err := s.checkStillListed(ctx, stream, origin.Software, a)
+	started, err := s.checkStillListed(ctx, stream, origin.Software, a.slot)
 	if err == nil {
 		return
 	}
--- a/serving/forward/origin_test.go
+++ b/serving/forward/origin_test.go
@@ -144,3 +144,11 @@
 	assert.DeepEqual(t, ts.outcomes, []winch.Outcome{winch.OutcomeRestarted, winch.OutcomeDone})
 	assert.DeepEqual(t, ts.works[1].Excluded, []winch.EndpointID{"e0"})
 }
+
+func TestKeyThatIsWithdrawnWhileAnEndpointIsAskedIsNotUsed(t *testing.T) {
+	ts := newTestServer(t)
+	ts.origins.known["dealer/r0"] = winch.StreamOrigin{Model: testModel, Software: "v7"}
+	ts.starts, ts.onStart = []time.Time{listedStart}, func() { ts.configuration.Keys = map[winch.KeyID]winch.Key{} }
+	assert.Equal(t, ts.post("/plan/x", "X-Last", "2", "X-Resumes", "r0").status, http.StatusUnauthorized)
+	ts.assertResumePoints()
+}
