fix(forward): an error response is no first token

Ruled out: stale figures (oldest status 0.5 s), the hub or the store (the rate was right). Change: only a response without an error reports a first token; usage still counts it. TestErrorResponseIsNoFirstToken failed for 404 and 500 before.

--- a/serving/forward/attempt_test.go
+++ b/serving/forward/attempt_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -174,3 +175,14 @@
 		assert.Equal(t, ts.post("/safe/x").status, 503)
 	})
 }
+
+func TestErrorResponseIsNoFirstToken(t *testing.T) {
+	for status, want := range map[int]int{http.StatusOK: 1, http.StatusNotFound: 0, http.StatusInternalServerError: 0} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			ts := newTestServer(t, stubResponse{status: status, body: "x"})
+			assert.Equal(t, ts.post("/once/x").status, status)
+			assert.Equal(t, ts.firstTokens, want)
+			assert.Equal(t, len(ts.usage), 1, "the endpoint has run it in each case")
+		})
+	}
+}
--- a/serving/forward/relay.go
+++ b/serving/forward/relay.go
@@ -29,7 +29,12 @@
 
 // relayBuffered reads the complete response before it relays it.
 func (s *Server) relayBuffered(w http.ResponseWriter, req *request, a *attempt) error {
-	s.recordFirstOutput(req, a)
+	if a.reply.Status < http.StatusBadRequest {
+		s.recordFirstOutput(req, a)
+	} else {
+		// An error comes without the prompt having been read, so its time is no time to a first token.
+		s.recordRun(s.now(), req, a)
+	}
 	body, err := io.ReadAll(io.LimitReader(a.reply.Body, s.options.Limits.Answer+1))
 	if err != nil {
 		return fmt.Errorf("read response: %w: %w", winch.ErrOutcomeUnknown, err)
@@ -68,15 +73,19 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.options.Limits.WriteTimeout))
 }
 
-// recordFirstOutput reports the first output of an attempt to its slot. For the first attempt
-// with output it also records the time to the first output and the usage of the request. The
-// output of a buffered response starts with its header.
+// recordFirstOutput reports the first output of an attempt to its slot, and records that it ran. The output of a
+// buffered response starts with its header.
 func (s *Server) recordFirstOutput(req *request, a *attempt) {
 	now := s.now()
 	if !a.outputStarted {
 		a.outputStarted = true
 		a.slot.FirstToken(now)
 	}
+	s.recordRun(now, req, a)
+}
+
+// recordRun records, for the first attempt that ran, the time to its output and the usage of the request.
+func (s *Server) recordRun(now time.Time, req *request, a *attempt) {
 	if req.timeToFirstOutput == 0 {
 		req.timeToFirstOutput = now.Sub(req.arrived)
 	}
