--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -8,12 +8,12 @@
 	"github.com/arbutuswinch/winch"
 )
 
-// Decide puts parts in quarantine until the remaining crashes convict no further part. It is called for each crash, and must be
+// Decide puts parts in quarantine until the remaining crashes are explained by no further part. It is called for each crash, and must be
 // called from time to time, because of Settings.Settle.
 func (e *Evidence) Decide(now time.Time) []Change {
 	var changes []Change
 	for {
-		part, chain := e.mostAccused(now)
+		part, chain := e.mostSuspected(now)
 		if chain == nil {
 			return changes
 		}
@@ -43,11 +43,11 @@
 	delete(e.holds, earliest.Part)
 }
 
-// mostAccused returns the part to put in quarantine with its crashes, or nil crashes if there is none.
-func (e *Evidence) mostAccused(now time.Time) (winch.PrefixHash, []winch.EndpointCrash) {
+// mostSuspected returns the part to put in quarantine with its crashes, or nil crashes if there is none.
+func (e *Evidence) mostSuspected(now time.Time) (winch.PrefixHash, []winch.EndpointCrash) {
 	best, bestCount := winch.PrefixHash(0), 0
 	var bestChain []winch.EndpointCrash
-	for part, records := range e.accusations {
+	for part, records := range e.crashCounts {
 		if records < max(e.settings.MinCrashes, bestCount) {
 			continue
 		}
@@ -193,7 +193,7 @@
 	return nil
 }
 
-// Crashes returns the crashes that convict no part yet, sorted by time.
+// Crashes returns the crashes that no part in quarantine explains, sorted by time.
 func (e *Evidence) Crashes() []winch.EndpointCrash {
 	crashes := make([]winch.EndpointCrash, 0, len(e.crashes))
 	for _, crash := range e.crashes {
@@ -203,7 +203,7 @@
 	return crashes
 }
 
-// Outputs returns the latest outputs with parts that are or were accused.
+// Outputs returns the latest outputs with parts that are or were suspected.
 func (e *Evidence) Outputs() []Output {
 	outputs := make([]Output, 0, len(e.outputs))
 	for part, at := range e.outputs {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -24,8 +24,8 @@
 	clockTolerance = time.Second
 	// outputTolerance is the same for outputs, which clear parts and have to be known soon.
 	outputTolerance = 200 * time.Millisecond
-	// outputsKept is how long the output of a part is kept that is neither accused nor in quarantine, for hosts that
-	// accuse it, and explainedKept the same for explained crashes.
+	// outputsKept is how long the output of a part is kept that is neither suspected nor in quarantine, for hosts that
+	// suspect it, and explainedKept the same for explained crashes.
 	outputsKept   = 10 * time.Second
 	explainedKept = time.Minute
 	// sameCrash is the time within which two requests at one endpoint are taken to have broken in the same crash of it.
@@ -65,7 +65,7 @@
 	At   time.Time
 }
 
-// Explained is the latest crash of an endpoint under a part in quarantine. The other requests that broke in it are innocent.
+// Explained is the latest crash of an endpoint under a part in quarantine. The other requests that broke in it did not cause it.
 type Explained struct {
 	Endpoint winch.EndpointID
 	At       time.Time
@@ -97,8 +97,8 @@
 	// seen are the crashes that this host has seen itself, seenOutputs its own outputs.
 	seen        map[winch.RequestID]bool
 	seenOutputs map[winch.PrefixHash]time.Time
-	// accusations is the number of crashes in which a part was present.
-	accusations map[winch.PrefixHash]int
+	// crashCounts is the number of crashes in which a part was present.
+	crashCounts map[winch.PrefixHash]int
 	outputs     map[winch.PrefixHash]time.Time
 	holds       map[winch.PrefixHash]Hold
 	// explained holds the times of Explained.
@@ -113,7 +113,7 @@
 	settings.Retention = cmp.Or(settings.Retention, defaultRetention)
 	settings.Settle = cmp.Or(settings.Settle, defaultSettle)
 	return &Evidence{
-		settings: settings, crashes: map[winch.RequestID]winch.EndpointCrash{}, accusations: map[winch.PrefixHash]int{},
+		settings: settings, crashes: map[winch.RequestID]winch.EndpointCrash{}, crashCounts: map[winch.PrefixHash]int{},
 		outputs: map[winch.PrefixHash]time.Time{}, holds: map[winch.PrefixHash]Hold{},
 		explained: map[winch.EndpointID]time.Time{}, seen: map[winch.RequestID]bool{}, seenOutputs: map[winch.PrefixHash]time.Time{},
 	}
@@ -167,7 +167,7 @@
 	}
 	e.crashes[crash.Request] = crash
 	for _, part := range crash.Parts {
-		e.accusations[part]++
+		e.crashCounts[part]++
 	}
 	return e.Decide(now)
 }
@@ -219,18 +219,18 @@
 
 func (e *Evidence) dropCrash(id winch.RequestID) {
 	for _, part := range e.crashes[id].Parts {
-		if e.accusations[part]--; e.accusations[part] <= 0 {
-			delete(e.accusations, part)
+		if e.crashCounts[part]--; e.crashCounts[part] <= 0 {
+			delete(e.crashCounts, part)
 		}
 	}
 	delete(e.crashes, id)
 	delete(e.seen, id)
 }
 
-// AddOutput records that an endpoint has begun to answer a request with the parts. Only parts that are accused or in
+// AddOutput records that an endpoint has begun to answer a request with the parts. Only parts that are suspected or in
 // quarantine matter.
 func (e *Evidence) AddOutput(at time.Time, parts []winch.PrefixHash) []Change {
-	if len(e.accusations) == 0 && len(e.holds) == 0 {
+	if len(e.crashCounts) == 0 && len(e.holds) == 0 {
 		return nil
 	}
 	var changes []Change
@@ -262,16 +262,16 @@
 	delete(e.seenOutputs, part)
 }
 
-// matters reports whether the part is accused or in quarantine.
+// matters reports whether the part is suspected or in quarantine.
 func (e *Evidence) matters(part winch.PrefixHash) bool {
 	_, held := e.holds[part]
-	return held || e.accusations[part] > 0
+	return held || e.crashCounts[part] > 0
 }
 
 // MayRetry reports whether a request with the parts may be sent to another endpoint: a part of it was present in at most one crash.
 func (e *Evidence) MayRetry(parts []winch.PrefixHash) bool {
 	return !slices.ContainsFunc(parts, func(part winch.PrefixHash) bool {
-		return e.accusations[part] > 1 && len(e.chain(part)) > 1
+		return e.crashCounts[part] > 1 && len(e.chain(part)) > 1
 	})
 }
 
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -275,7 +275,7 @@
 	assert.Assert(t, len(e.holds) <= maxHolds, "%d", len(e.holds))
 	assert.Assert(t, len(e.outputs) <= maxOutputs, "%d", len(e.outputs))
 	assert.Assert(t, len(e.explained) <= maxExplained, "%d", len(e.explained))
-	assert.Assert(t, len(e.accusations) <= 2*maxCrashes, "%d", len(e.accusations))
+	assert.Assert(t, len(e.crashCounts) <= 2*maxCrashes, "%d", len(e.crashCounts))
 }
 
 func TestHostTellsTheHubOnlyWhatItHasSeen(t *testing.T) {
--- a/quarantine/peer/guard.go
+++ b/quarantine/peer/guard.go
@@ -5,7 +5,7 @@
 // others still stops what it can see. Merging is idempotent, and messages may be repeated or come in any order.
 //
 // An attempt that broke counts as a crash only if its endpoint refuses connections afterwards: a cut link and an answer that was
-// broken off accuse nobody, and neither does an endpoint that said that it leaves, or that is no longer listed.
+// broken off make no part suspect, and neither does an endpoint that said that it leaves, or that is no longer listed.
 //
 // # Usage
 //
