feat(dispatch): endpoints that say that they leave, or want no requests for a time, are believed

Cause: neither header was read; a host went on with the list, which may be older. Change: the head of each response, whatever the request and its outcome, gives the endpoint's word (winch.EndpointWord). One that leaves gets no request, retry or resumed stream from this host until it has started again (another start, or its entry went and came); its streams stay. Logs 3017 to 3019. The word of an earlier run is ignored. Not done: points 4, 5 and 7 of the issue, the product's own protocol and stand-in, the answer to the question for an engine's start.

--- a/dispatch/endpoint/admission.go
+++ b/dispatch/endpoint/admission.go
@@ -107,7 +107,7 @@
 	}
 	// Running requests were counted as work ahead, so the slots that they occupy are subtracted.
 	ahead -= l.slots
-	prefillWait := c.prefillWait(l, r)
+	prefillWait := max(c.prefillWait(l, r), l.restWait(now))
 	if ahead <= 0 || l.holdTime.samples == 0 {
 		return prefillWait
 	}
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -23,6 +23,9 @@
 	effectQueueShort
 	effectLeaving
 	effectReturned
+	effectSaysLeaving
+	effectRests
+	effectRested
 )
 
 // effect is a decision of the core that the Dispatcher applies and logs.
@@ -37,7 +40,7 @@
 	outcome  winch.Outcome
 	cause    string
 	// duration is the time queued (granted), the time the slot was held (released), the back-off
-	// (ejected), or the wait of the oldest request (queue long).
+	// (ejected), the rest (rests), or the wait of the oldest request (queue long).
 	duration  time.Duration
 	lowerTier lowerTierWork
 }
@@ -326,14 +329,7 @@
 	if l != nil && !r.retried {
 		l.addPrompt(now, r.work.InputTokens-sharedTokens(r.work.Parts))
 	}
-	retryAfter := wait
-	if retryAfter < c.settings.RetryAfterMin {
-		retryAfter = c.settings.RetryAfterMin
-	}
-	if retryAfter > c.settings.RetryAfterMax {
-		retryAfter = c.settings.RetryAfterMax
-	}
-	refusal := winch.Refusal{Reason: reason, RetryAfter: retryAfter}
+	refusal := winch.Refusal{Reason: reason, RetryAfter: c.retryAfter(now, l, wait)}
 	c.emit(effect{kind: effectRefused, at: now, request: r, lane: l, refusal: refusal, lowerTier: c.countLowerTier(now, l)})
 }
 
--- a/dispatch/endpoint/dispatcher.go
+++ b/dispatch/endpoint/dispatcher.go
@@ -11,7 +11,7 @@
 	"github.com/arbutuswinch/winch"
 )
 
-// Dispatcher implements winch.Dispatcher and winch.LoadObserver. It is safe for concurrent use.
+// Dispatcher implements winch.Dispatcher, winch.LoadObserver and winch.EndpointListener. It is safe for concurrent use.
 type Dispatcher struct {
 	options Options
 	logger  hclog.Logger
@@ -199,6 +199,14 @@
 	d.runStep(func() { d.core.observeLoad(now, report) })
 }
 
+// ObserveWord applies what an endpoint has said of itself.
+func (d *Dispatcher) ObserveWord(now, startedAt time.Time, word winch.EndpointWord) {
+	if !word.Leaving && word.RestsFor <= 0 {
+		return
+	}
+	d.runStep(func() { d.core.observeWord(now, startedAt, word) })
+}
+
 // ObserveCache applies an engine's cache event.
 func (d *Dispatcher) ObserveCache(_ time.Time, event winch.CacheEvent) {
 	d.lock.Lock()
--- a/dispatch/endpoint/events.go
+++ b/dispatch/endpoint/events.go
@@ -36,4 +36,10 @@
 	EventEndpointLeaving winch.EventNumber = 3015
 	// EventEndpointReturned: an endpoint that was leaving is in service again.
 	EventEndpointReturned winch.EventNumber = 3016
+	// EventEndpointSaysLeaving: an endpoint has said in an answer that it leaves.
+	EventEndpointSaysLeaving winch.EventNumber = 3017
+	// EventEndpointRests: an endpoint has turned a request away and wants none for a time.
+	EventEndpointRests winch.EventNumber = 3018
+	// EventEndpointRested: the time is over for which an endpoint wanted no requests.
+	EventEndpointRested winch.EventNumber = 3019
 )
--- a/dispatch/endpoint/leaving.go
+++ b/dispatch/endpoint/leaving.go
@@ -27,7 +27,7 @@
 
 // setServing determines whether the endpoint gets requests, and emits an effect when it starts or stops leaving.
 func (c *core) setServing(now time.Time, e *endpoint) {
-	leaving := e.state == winch.EndpointLeaving || e.reportedState == winch.EndpointLeaving
+	leaving := e.state == winch.EndpointLeaving || e.reportedState == winch.EndpointLeaving || e.saysLeaving
 	if leaving != e.leaving {
 		kind := effectLeaving
 		if !leaving {
--- a/dispatch/endpoint/log.go
+++ b/dispatch/endpoint/log.go
@@ -154,6 +154,12 @@
 		d.logger.Info("endpoint leaving, gets no new requests", append(fields, "Event", EventEndpointLeaving)...)
 	case effectReturned:
 		d.logger.Info("endpoint back in service", append(fields, "Event", EventEndpointReturned)...)
+	case effectSaysLeaving:
+		d.logger.Info("endpoint says that it leaves", append(fields, "Event", EventEndpointSaysLeaving, "Request", l.cause)...)
+	case effectRests:
+		d.logger.Info("endpoint wants no requests", append(fields, "Event", EventEndpointRests, "Request", l.cause, "For", l.duration.String())...)
+	case effectRested:
+		d.logger.Info("endpoint takes requests again", append(fields, "Event", EventEndpointRested)...)
 	case effectQueueLong:
 		d.logger.Warn("queue long: over half of its length limit or maximum wait", append(fields, "Event", EventQueueLong, "OldestWait", l.duration.String())...)
 	case effectQueueShort:
--- a/dispatch/endpoint/prefill.go
+++ b/dispatch/endpoint/prefill.go
@@ -288,7 +288,7 @@
 	usable := make([]*endpoint, 0, len(l.ring))
 	for _, cheapSupply := range []bool{false, true} {
 		for _, e := range l.ring {
-			if e.cheap == cheapSupply && e.serving && !now.Before(e.health.ejectedUntil) {
+			if e.cheap == cheapSupply && e.serving && !e.paused(now) {
 				usable = append(usable, e)
 			}
 		}
--- a/dispatch/endpoint/prefill_budget.go
+++ b/dispatch/endpoint/prefill_budget.go
@@ -91,7 +91,7 @@
 func (l *lane) partitionSize(now time.Time) int {
 	count := 0
 	for _, e := range l.endpoints {
-		if !e.serving || now.Before(e.health.ejectedUntil) || l.partitioned && e.prefill.latencySensitive && !l.latencySensitive {
+		if !e.serving || e.paused(now) || l.partitioned && e.prefill.latencySensitive && !l.latencySensitive {
 			continue
 		}
 		count++
--- a/dispatch/endpoint/software.go
+++ b/dispatch/endpoint/software.go
@@ -208,7 +208,7 @@
 		}
 		software := c.knownSoftware(now, e)
 		return software != "" && slices.ContainsFunc(l.endpoints, func(other *endpoint) bool {
-			return other != e && other.serving && !now.Before(other.health.ejectedUntil) && c.knownSoftware(now, other) == software
+			return other != e && other.serving && !other.paused(now) && c.knownSoftware(now, other) == software
 		})
 	}
 	return true
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -32,6 +32,8 @@
 	// called steady.
 	cheap  bool
 	health health
+	// restsUntil is the time until which the endpoint wants no requests from this host, as it has said itself.
+	restsUntil time.Time
 
 	// reportedExcess is the load in the last report minus the requests that the hosts had on the endpoint at that time.
 	reportedExcess float64
@@ -49,8 +51,11 @@
 	reportedState   winch.EndpointState
 	reportedStateAt time.Time
 	moveStreamsAt   time.Time
-	leaving         bool    // state or reportedState is EndpointLeaving; see setServing
-	lanes           []*lane // highest tier first
+	// saysLeaving is set once the endpoint has said in an answer that it leaves. Only a new run of it takes requests again.
+	saysLeaving bool
+	resting     bool    // restsUntil has not been logged as over
+	leaving     bool    // state or reportedState is EndpointLeaving, or the endpoint says so; see setServing
+	lanes       []*lane // highest tier first
 
 	tiers            []tierRunning // highest tier first
 	longRunning      int           // running requests that count as long work
--- a/dispatch/endpoint/stats.go
+++ b/dispatch/endpoint/stats.go
@@ -299,7 +299,7 @@
 		}
 	}
 	for _, e := range c.sortedEndpoints {
-		if e.state != winch.EndpointReady || now.Before(e.health.ejectedUntil) {
+		if e.state != winch.EndpointReady || e.paused(now) {
 			continue
 		}
 		spare := e.cap - e.running
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -18,6 +18,7 @@
 		c.readAllProgress(now, e)
 		c.checkSilence(now, e)
 		c.checkLeaving(now, e)
+		c.checkRest(now, e)
 		e.decayReserve(c.settings.Tick)
 		if c.features.adaptiveLimit {
 			e.limit.adjust(now, c.interTokenTarget(e), e.running+e.others)
@@ -181,7 +182,7 @@
 		for _, e := range l.endpoints {
 			l.meanInterToken.addMean(e.limit.longRunInterToken)
 			l.meanFirstToken.addMean(e.limit.longRunFirstToken)
-			if !e.serving || now.Before(e.health.ejectedUntil) {
+			if !e.serving || e.paused(now) {
 				continue
 			}
 			l.slots += float64(e.cap)
--- a/load.go
+++ b/load.go
@@ -46,6 +46,23 @@
 	State           EndpointState
 }
 
+// EndpointWord is what an endpoint says of itself in an answer, whatever the request and its outcome.
+type EndpointWord struct {
+	Endpoint EndpointID
+	// Request is the request that it answered.
+	Request RequestID
+	// Leaving is set if the endpoint will end. It takes no further requests, whatever the list of endpoints says.
+	Leaving bool
+	// RestsFor is how long the endpoint, which has turned the request away, wants no requests from this host; zero if it does not say.
+	RestsFor time.Duration
+}
+
+// EndpointListener receives what endpoints say of themselves. Its methods must not block.
+type EndpointListener interface {
+	// ObserveWord applies the word of the run of the endpoint that started at startedAt, as listed.
+	ObserveWord(now, startedAt time.Time, word EndpointWord)
+}
+
 // CacheEvent reports that an engine has cached a prompt prefix, or has evicted it.
 type CacheEvent struct {
 	Endpoint EndpointID
--- a/serving/forward/attempt.go
+++ b/serving/forward/attempt.go
@@ -196,7 +196,7 @@
 		return err
 	}
 	a.reply = reply
-	s.observeLoad(a)
+	s.observeEndpoint(req, a)
 	last := &req.attempts[len(req.attempts)-1]
 	last.status, last.endsWithConnection = reply.Status, reply.EndsWithConnection
 	if err := checkReply(req, reply); err != nil {
@@ -262,12 +262,16 @@
 	return req.tracker.Repeatable && req.sends+1 < req.admission.route.MaxAttempts
 }
 
-func (s *Server) observeLoad(a *attempt) {
+// observeEndpoint passes on what the endpoint says of itself in the head of its response, whatever becomes of the request.
+func (s *Server) observeEndpoint(req *request, a *attempt) {
+	now := s.now()
+	s.options.Listener.ObserveWord(now, a.slot.StartedAt(), winch.EndpointWord{
+		Endpoint: a.endpoint.ID, Request: req.ID, Leaving: a.reply.Leaving, RestsFor: a.reply.RestsFor,
+	})
 	load := a.reply.Load
 	if load == nil {
 		return
 	}
-	now := s.now()
 	s.options.Loads.ObserveLoad(now, winch.LoadReport{
 		Endpoint: a.endpoint.ID, AsOf: now, Running: load.Running, Waiting: load.Waiting,
 	})
--- a/serving/forward/attempt_test.go
+++ b/serving/forward/attempt_test.go
@@ -186,3 +186,22 @@
 		})
 	}
 }
+
+func TestEndpointSpeaksForItselfInEachResponse(t *testing.T) {
+	for name, c := range map[string]struct {
+		path     string
+		response stubResponse
+		want     winch.EndpointWord
+	}{
+		"success":            {"/safe/x", stubResponse{status: 200, leaving: true}, winch.EndpointWord{Endpoint: "e0", Request: "r1", Leaving: true}},
+		"error":              {"/once/x", stubResponse{status: 500, leaving: true}, winch.EndpointWord{Endpoint: "e0", Request: "r1", Leaving: true}},
+		"stream that breaks": {"/chat/x", stubResponse{status: 200, body: event(1), truncated: true, leaving: true}, winch.EndpointWord{Endpoint: "e0", Request: "r1", Leaving: true}},
+		"refusal":            {"/safe/open/", stubResponse{status: 503, notRun: true, restsFor: time.Second}, winch.EndpointWord{Endpoint: "e0", Request: "r1", RestsFor: time.Second}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ts := newTestServer(t, c.response)
+			ts.post(c.path)
+			assert.DeepEqual(t, ts.words, []winch.EndpointWord{c.want})
+		})
+	}
+}
--- a/serving/forward/fakes_test.go
+++ b/serving/forward/fakes_test.go
@@ -80,6 +80,7 @@
 	broken      int
 	outcomes    []winch.Outcome
 	firstTokens int
+	words       []winch.EndpointWord
 	origins     *fakeOrigins
 	// starts are the start times that the endpoints tell, in this order; further ones tell none.
 	starts []time.Time
@@ -98,6 +99,8 @@
 	notRun      bool
 	unsigned    bool
 	misdirected bool
+	leaving     bool
+	restsFor    time.Duration
 	// waitFor delays the response until the channel is closed.
 	waitFor <-chan struct{}
 }
@@ -108,7 +111,7 @@
 		origins: &fakeOrigins{known: map[winch.RequestID]winch.StreamOrigin{}, version: "v1"},
 	}
 	server, err := New(Options{
-		Configurations: ts, Dispatcher: ts, Protocol: headerProtocol{}, Sender: ts, Usage: ts, Loads: ts, Quarantine: ts, Origins: ts.origins, Clock: ts,
+		Configurations: ts, Dispatcher: ts, Protocol: headerProtocol{}, Sender: ts, Usage: ts, Loads: ts, Listener: ts, Quarantine: ts, Origins: ts.origins, Clock: ts,
 		Logger: hclog.NewNullLogger(), Limits: Limits{ReadinessDelay: 10 * time.Millisecond},
 	})
 	assert.NilError(t, err)
@@ -216,6 +219,14 @@
 	return winch.FoundOrigin{StreamOrigin: winch.StreamOrigin{Model: model, Software: f.version}, Source: winch.OriginOnlyVersion}, nil
 }
 
+func (ts *testServer) ObserveWord(_, _ time.Time, word winch.EndpointWord) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	if word.Leaving || word.RestsFor > 0 {
+		ts.words = append(ts.words, word)
+	}
+}
+
 func (ts *testServer) ObserveLoad(time.Time, winch.LoadReport)  {}
 func (ts *testServer) ObserveCache(time.Time, winch.CacheEvent) {}
 
@@ -286,6 +297,7 @@
 	return &winch.ForwardReply{
 		Status: next.status, Header: http.Header{"X-Signature": {"s"}}, Body: io.NopCloser(body), Authentic: !next.unsigned,
 		NotExecuted: next.notRun || next.misdirected, Misdirected: next.misdirected,
+		Leaving: next.leaving, RestsFor: next.restsFor,
 	}, nil
 }
 
--- a/serving/forward/options.go
+++ b/serving/forward/options.go
@@ -58,6 +58,8 @@
 	Usage          winch.UsageRecorder
 	// Loads receives the load that endpoints report in their responses.
 	Loads winch.LoadObserver
+	// Listener receives what endpoints say of themselves in their responses.
+	Listener winch.EndpointListener
 	// Quarantine holds back requests that would crash endpoints.
 	Quarantine winch.Quarantine
 	// Origins tells at which software version a stream has to go on.
@@ -74,7 +76,7 @@
 		missing bool
 	}{
 		{"Configurations", o.Configurations == nil}, {"Dispatcher", o.Dispatcher == nil}, {"Protocol", o.Protocol == nil},
-		{"Sender", o.Sender == nil}, {"Usage", o.Usage == nil}, {"Loads", o.Loads == nil}, {"Quarantine", o.Quarantine == nil}, {"Origins", o.Origins == nil}, {"Clock", o.Clock == nil},
+		{"Sender", o.Sender == nil}, {"Usage", o.Usage == nil}, {"Loads", o.Loads == nil}, {"Listener", o.Listener == nil}, {"Quarantine", o.Quarantine == nil}, {"Origins", o.Origins == nil}, {"Clock", o.Clock == nil},
 		{"Logger", o.Logger == nil},
 	} {
 		if field.missing {
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -239,7 +239,7 @@
 func (f *Forwarder) buildServing() error {
 	built, err := forward.New(forward.Options{
 		Configurations: f.configuration, Dispatcher: f.dispatcher, Protocol: caller.Protocol{}, Sender: runner.New(f.exchanger),
-		Usage: f, Loads: f.dispatcher, Quarantine: f.quarantine, Origins: f.origins, Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
+		Usage: f, Loads: f.dispatcher, Listener: f.dispatcher, Quarantine: f.quarantine, Origins: f.origins, Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
 		Limits: forward.Limits{
 			ReadinessDelay: readinessDelay, AcceptStreams: acceptStreamsFor,
 			AcceptRequests: time.Duration(float64(f.settings.Bounds.Grace) * acceptShare), RejectMaxAge: rejectLimit(f.settings.Bounds), KeyMaxAge: keyLimit(f.settings.Bounds),
