fix(forward): slow but sound responses are not cut by the write timeout

Cause: the write deadline was renewed before flushes only, and once for a whole buffered answer. Change: each piece of 64 KiB has the whole time. TestSlowStreamIsNotCut and TestSlowCallerGetsALargeAnswer (4,011,935 of 4,194,304 bytes) failed before. A caller that reads less than a piece in that time is still cut off.

--- a/serving/forward/fakes_test.go
+++ b/serving/forward/fakes_test.go
@@ -94,6 +94,7 @@
 type stubResponse struct {
 	status      int
 	body        string
+	reader      io.Reader // the body, if it is set
 	err         error
 	truncated   bool // the read fails after the body
 	notRun      bool
@@ -291,6 +292,9 @@
 		return nil, next.err
 	}
 	body := io.Reader(strings.NewReader(next.body))
+	if next.reader != nil {
+		body = next.reader
+	}
 	if next.truncated {
 		body = io.MultiReader(body, failingReader{})
 	}
--- a/serving/forward/relay.go
+++ b/serving/forward/relay.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -16,6 +17,8 @@
 const (
 	// streamBufferSize is the size of the read buffer of a stream in bytes.
 	streamBufferSize = 4 << 10
+	// writeSize is the size of a piece that a caller has to read within the write timeout, in bytes.
+	writeSize = 64 << 10
 	// maxEventBytes is the maximum size of one event in bytes.
 	maxEventBytes = 1 << 20
 )
@@ -51,8 +54,17 @@
 	req.responseStarted, req.status = true, a.reply.Status
 	s.extendWriteDeadline(w)
 	w.WriteHeader(a.reply.Status)
-	if _, err := w.Write(body); err != nil {
-		return fmt.Errorf("write to caller: %w: %w", errCallerGone, err)
+	return s.writeToCaller(w, body)
+}
+
+// writeToCaller writes the bytes in pieces, each of which has the whole write timeout, so that neither a pause before them
+// nor a caller that reads slowly cuts the response.
+func (s *Server) writeToCaller(w http.ResponseWriter, data []byte) error {
+	for piece := range slices.Chunk(data, writeSize) {
+		s.extendWriteDeadline(w)
+		if _, err := w.Write(piece); err != nil {
+			return fmt.Errorf("write to caller: %w: %w", errCallerGone, err)
+		}
 	}
 	return nil
 }
@@ -197,10 +209,7 @@
 	if !req.responseStarted {
 		s.startStream(w, req, a)
 	}
-	if _, err := w.Write(event); err != nil {
-		return fmt.Errorf("write to caller: %w: %w", errCallerGone, err)
-	}
-	return nil
+	return s.writeToCaller(w, event)
 }
 
 // eventReader reads a stream of server-sent events.
--- a/serving/forward/stream_test.go
+++ b/serving/forward/stream_test.go
@@ -1,7 +1,13 @@
 package forward
 
 import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -55,3 +61,55 @@
 		assert.Equal(t, ts.post("/chat/x").status, 502)
 	})
 }
+
+// pausingBody is a body that waits before each piece.
+type pausingBody struct {
+	pieces []string
+	pause  time.Duration
+}
+
+func (b *pausingBody) Read(p []byte) (int, error) {
+	if len(b.pieces) == 0 {
+		return 0, io.EOF
+	}
+	<-time.After(b.pause)
+	count := copy(p, b.pieces[0])
+	if b.pieces[0] = b.pieces[0][count:]; b.pieces[0] == "" {
+		b.pieces = b.pieces[1:]
+	}
+	return count, nil
+}
+
+func TestSlowStreamIsNotCut(t *testing.T) {
+	// Larger than the buffers between the handler and the connection.
+	large := "id: 2\ndata: " + strings.Repeat("x", 64<<10) + "\n\n"
+	ts := newTestServer(t, stubResponse{status: 200, reader: &pausingBody{pieces: []string{event(1), large, event(3)}, pause: 120 * time.Millisecond}})
+	ts.server.options.Limits.WriteTimeout = 60 * time.Millisecond
+	response := ts.post("/chat/x")
+	assert.Assert(t, response.complete)
+	assert.Equal(t, len(response.body), len(event(1)+large+event(3)))
+}
+
+func TestSlowCallerGetsALargeAnswer(t *testing.T) {
+	body := strings.Repeat("x", 4<<20)
+	ts := newTestServer(t, stubResponse{status: 200, body: body})
+	ts.server.options.Limits.WriteTimeout = 150 * time.Millisecond
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, ts.httpServer.URL+"/safe/x", bytes.NewReader([]byte("body")))
+	assert.NilError(t, err)
+	request.Host = "a.example"
+	request.Header.Set("X-Id", "r1")
+	request.Header.Set("X-Key", secret)
+	response, err := ts.httpServer.Client().Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	received, buffer := 0, make([]byte, 128<<10)
+	for received < len(body) {
+		count, err := response.Body.Read(buffer)
+		received += count
+		if err != nil {
+			break
+		}
+		<-time.After(time.Duration(count) * 400 * time.Millisecond / (1 << 20))
+	}
+	assert.Equal(t, received, len(body), "the caller reads at all times, 2.5 MB a second")
+}
