fix(origin): a stream's version is doubted only where a hidden restart is possible

Cause, found in review: when the list shows an endpoint with another version, each stream that this host had begun there since shortly before the last list became unknown, also those on a connection that is older than that list; one that had gone on at another endpoint kept the first one's name, so that it could be doubted with it. Change: only streams on younger connections that no answer has confirmed, and one that goes on elsewhere no longer names its first endpoint. TestEndpointThatStartedAgainWithAnotherVersion: the case of the older connection failed before.

--- a/origin/book.go
+++ b/origin/book.go
@@ -35,6 +35,8 @@
 	origin winch.StreamOrigin
 	// own is set if this host relayed the stream.
 	own bool
+	// unconfirmed is set if the endpoint may have started again with another version before the stream began there.
+	unconfirmed bool
 	// untold is set if the record, or its latest change, has not been given to other hosts.
 	untold bool
 }
@@ -88,14 +90,19 @@
 	b.observeBegin(origin)
 	r := b.put(stream, origin)
 	r.own = true
+	r.unconfirmed = origin.Software != "" && origin.Endpoint != "" && origin.StartedAt.IsZero() &&
+		origin.ConnectedAt.After(b.listReadAt.Add(-restartMargin))
 	if origin.Software == "" && !origin.StartedAt.IsZero() {
 		b.unresolved[origin.Endpoint] = true
 	}
 	if _, single := b.OnlyVersion(origin.At, origin.Model, memory); single {
 		return false
 	}
-	b.markUntold(stream, r)
-	return origin.Software != "" && origin.ConnectedAt.After(b.listReadAt.Add(-restartMargin))
+	if origin.Software == "" || origin.StartedAt.IsZero() {
+		// A version that is confirmed was told before.
+		b.markUntold(stream, r)
+	}
+	return r.unconfirmed
 }
 
 // Keep records the origin of a stream that another host relays. It replaces an earlier record of that host.
@@ -200,9 +207,9 @@
 	return served[0].Software, true
 }
 
-// ObserveList updates the versions that have served from the list of endpoints in use, which was read at readAt. Streams that this host relays are marked to be
-// told when their model gets a second version. Their versions become unknown if their endpoint may have started again
-// with another version before they began.
+// ObserveList updates the versions that have served from the list of endpoints in use, which was read at readAt. Streams that
+// this host relays are marked to be told when their model gets a second version. Their versions become unknown if
+// their endpoint may have started again with another version before they began.
 func (b *Book) ObserveList(now, readAt time.Time, statuses []winch.EndpointStatus, memory time.Duration) {
 	if readAt.IsZero() {
 		return
@@ -234,7 +241,7 @@
 // doubt makes the version unknown of the streams that this host began at the endpoint since the time.
 func (b *Book) doubt(endpoint winch.EndpointID, since time.Time) {
 	for stream, r := range b.streams {
-		if r.own && r.origin.Endpoint == endpoint && !r.origin.At.Before(since) && r.origin.Software != "" && r.origin.StartedAt.IsZero() {
+		if r.own && r.unconfirmed && r.origin.Endpoint == endpoint && !r.origin.At.Before(since) {
 			r.origin.Software = ""
 			b.markUntold(stream, r)
 		}
--- a/serving/forward/origin.go
+++ b/serving/forward/origin.go
@@ -98,7 +98,10 @@
 	if a.outputStarted || !req.admission.route.Resumable {
 		return
 	}
-	if !req.continues() {
+	if req.continues() {
+		// What becomes known of the endpoint that began the stream no longer matters.
+		req.origin.Endpoint, req.origin.StartedAt = "", time.Time{}
+	} else {
 		req.origin = winch.StreamOrigin{Model: req.admission.model, Endpoint: a.endpoint.ID, Software: a.endpoint.Software}
 	}
 	req.origin.At = s.now()
@@ -108,10 +111,13 @@
 	}
 }
 
-// confirmOrigin records that the version at which the stream began is not known if the endpoint has started again since it was listed.
+// confirmOrigin records whether the endpoint at which the stream began is the run that was listed. If it has started again
+// since, its version is not known.
 func (s *Server) confirmOrigin(ctx context.Context, stream winch.RequestID, origin winch.StreamOrigin, a *attempt) {
 	started, err := s.checkStillListed(ctx, stream, origin.Software, a.slot)
 	if err == nil {
+		origin.StartedAt = started
+		s.options.Origins.Record(stream, origin)
 		return
 	}
 	a.slot.Restarted(s.now())
