--- a/winchd/forwarder/software_versions_test.go
+++ b/winchd/forwarder/software_versions_test.go
@@ -1,19 +1,13 @@
 package forwarder
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"os"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -21,7 +15,6 @@
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/platform/platformtest"
-	"github.com/arbutuswinch/winch/platform/wire"
 )
 
 const (
@@ -35,209 +28,6 @@
 	seedsEnv, firstSeedEnv = "WINCH_TEST_SEEDS", "WINCH_TEST_FIRST_SEED"
 )
 
-// fleet is a set of versionedEngines that register in the store.
-type fleet struct {
-	t     *testing.T
-	store *platformtest.Store
-	// unversioned makes the engines register without their version.
-	unversioned bool
-	engines     []*versionedEngine
-}
-
-// versionedEngine is an engine whose events hold its software version, and that continues streams of any version.
-type versionedEngine struct {
-	fleet   *fleet
-	address string
-
-	mu      sync.Mutex
-	id      winch.EndpointID
-	version string
-	server  *http.Server
-}
-
-func newFleet(t *testing.T, store *platformtest.Store, versions ...string) *fleet {
-	t.Helper()
-	f := &fleet{t: t, store: store}
-	addresses := freePorts(t, len(versions))
-	for i, version := range versions {
-		e := &versionedEngine{fleet: f, address: addresses[i], id: winch.EndpointID(fmt.Sprintf("e-%d", i)), version: version}
-		f.engines = append(f.engines, e)
-		e.start(0)
-		t.Cleanup(e.crash)
-	}
-	return f
-}
-
-// start begins to serve, and registers after the delay.
-func (e *versionedEngine) start(delay time.Duration) {
-	listener, err := net.Listen("tcp", e.address)
-	for attempts := 0; err != nil && attempts < 50; attempts++ {
-		// The port may be released a little later than its listener is closed.
-		<-time.After(20 * time.Millisecond)
-		listener, err = net.Listen("tcp", e.address)
-	}
-	if err != nil {
-		e.fleet.t.Errorf("engine at %s: %v", e.address, err)
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	run := &engineRun{engine: e, id: e.id, version: e.version, born: time.Now().UnixMilli()}
-	e.server = &http.Server{Handler: run}
-	go func(server *http.Server) { _ = server.Serve(listener) }(e.server)
-	time.AfterFunc(delay, func() { e.register(run.id, run.version, run.born) })
-}
-
-func (e *versionedEngine) register(id winch.EndpointID, version string, born int64) {
-	entry := map[string]any{
-		"service": "pool", "address": e.address, "zone": "a", "slots": 32, "state": "ready", "models": []map[string]any{{"name": "m"}}, "born": born,
-	}
-	if !e.fleet.unversioned {
-		entry["version"] = version
-	}
-	encoded, err := json.Marshal(entry)
-	if err != nil {
-		e.fleet.t.Errorf("register engine %s: %v", id, err)
-		return
-	}
-	e.fleet.store.Set(platformtest.EndpointPrefix+string(id), encoded)
-}
-
-// crash closes the port and all connections.
-func (e *versionedEngine) crash() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.server != nil {
-		_ = e.server.Close()
-		e.server = nil
-	}
-}
-
-// replace crashes the engine, and starts another one at its address later.
-func (e *versionedEngine) replace(id winch.EndpointID, version string, downtime, listDelay time.Duration) {
-	e.crash()
-	<-time.After(downtime)
-	e.mu.Lock()
-	if id != e.id {
-		e.fleet.store.Remove(platformtest.EndpointPrefix + string(e.id))
-	}
-	e.id, e.version = id, version
-	e.mu.Unlock()
-	e.start(listDelay)
-}
-
-// engineRun is one run of an engine, from its start to its crash.
-type engineRun struct {
-	engine  *versionedEngine
-	id      winch.EndpointID
-	version string
-	born    int64
-}
-
-// ServeHTTP reports on the engine, or streams the events after the one that the caller has.
-func (r *engineRun) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	if request.URL.Path == "/report" {
-		_ = json.NewEncoder(w).Encode(map[string]any{"running": 1, "born": r.born})
-		return
-	}
-	header := w.Header()
-	header.Set(wire.RequestID, request.Header.Get(wire.RequestID))
-	if request.Header.Get(wire.ExpectEndpoint) != string(r.id) {
-		header.Set(wire.NotExecuted, "1")
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	after, _ := strconv.Atoi(request.Header.Get(wire.LastEvent))
-	count, _ := strconv.Atoi(request.Header.Get(eventCountHeader))
-	header.Set(wire.Signature, string(r.id))
-	w.WriteHeader(http.StatusOK)
-	for id := after + 1; id <= count; id++ {
-		select {
-		case <-request.Context().Done():
-			return
-		case <-time.After(eventInterval):
-		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, r.version); err != nil {
-			return
-		}
-		_ = http.NewResponseController(w).Flush()
-	}
-}
-
-// callerStream is a stream as its caller sees it, over all of the caller's tries.
-type callerStream struct {
-	count    int
-	last     int
-	versions []string
-	// began is the attempt that brought the first event.
-	began string
-	// takenUp is set if the stream was taken up at a host that answered, and wentOn if that brought an event.
-	takenUp, wentOn bool
-	// disorder is set if an event is missing or comes twice.
-	disorder bool
-}
-
-// read reads the events of one try, and reports whether the stream is complete. onFirst may be nil.
-func (s *callerStream) read(response *http.Response, id string, onFirst func()) bool {
-	lines := bufio.NewScanner(response.Body)
-	for lines.Scan() {
-		if text, found := strings.CutPrefix(lines.Text(), "id: "); found {
-			event, err := strconv.Atoi(text)
-			s.disorder = s.disorder || err != nil || event != s.last+1
-			s.last = event
-			if s.began == "" {
-				s.began = id
-			}
-		}
-		if version, found := strings.CutPrefix(lines.Text(), "data: "); found {
-			if len(s.versions) == 0 || s.versions[len(s.versions)-1] != version {
-				s.versions = append(s.versions, version)
-			}
-			if onFirst != nil {
-				onFirst()
-				onFirst = nil
-			}
-		}
-	}
-	return lines.Err() == nil && s.last >= s.count
-}
-
-// try sends the request to the host once, and reports whether the stream is complete.
-func (s *callerStream) try(ctx context.Context, h *hostProcess, onFirst func()) (complete bool, retryAfter time.Duration) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.caller+"/draft/x", strings.NewReader("{}"))
-	if err != nil {
-		return false, 0
-	}
-	id := fmt.Sprintf("%016x", h.platform.requests.Add(1))
-	request.Host = "a.example"
-	deadline, _ := ctx.Deadline()
-	for name, value := range map[string]string{
-		wire.RequestID: id, wire.Deadline: strconv.FormatInt(time.Until(deadline).Milliseconds(), 10), wire.Tokens: "300,8",
-		wire.PromptParts: id + ":300", wire.Authorization: wire.BearerScheme + " k1", eventCountHeader: strconv.Itoa(s.count),
-	} {
-		request.Header.Set(name, value)
-	}
-	before := s.last
-	if before > 0 {
-		request.Header.Set(wire.LastEvent, strconv.Itoa(before))
-		request.Header.Set(wire.Resumes, s.began)
-	}
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Do(request)
-	if err != nil {
-		return false, 0
-	}
-	defer response.Body.Close()
-	s.takenUp = s.takenUp || before > 0
-	if response.StatusCode != http.StatusOK {
-		seconds, _ := strconv.ParseFloat(response.Header.Get(wire.RetryAfter), 64)
-		return false, time.Duration(seconds * float64(time.Second))
-	}
-	complete = s.read(response, id, onFirst)
-	s.wentOn = s.wentOn || before > 0 && s.last > before
-	return complete, 0
-}
-
 // versionCounts sums up the streams of all callers.
 type versionCounts struct {
 	mu                                     sync.Mutex
@@ -463,62 +253,6 @@
 	return s, false
 }
 
-// versionTroubles crashes engines, which come back with the same version or another one, under the same id or a new one, kills and
-// freezes hosts, and takes the store away.
-type versionTroubles struct {
-	fleet  *fleet
-	hosts  []*hostProcess
-	random *rand.Rand
-	ids    int
-}
-
-func (v *versionTroubles) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(v.duration(100, 400)):
-		}
-		switch draw := v.random.IntN(100); {
-		case draw < 45:
-			v.replaceEngine()
-		case draw < 70:
-			h := v.hosts[v.random.IntN(len(v.hosts))]
-			h.kill()
-			<-time.After(v.duration(50, 500))
-			h.start()
-		case draw < 80:
-			v.fleet.store.Fail(http.StatusServiceUnavailable)
-			<-time.After(v.duration(300, 1500))
-			v.fleet.store.Fail(0)
-		case draw < 90:
-			process := v.hosts[v.random.IntN(len(v.hosts))].command.Process
-			_ = process.Signal(syscall.SIGSTOP)
-			<-time.After(v.duration(100, 800))
-			_ = process.Signal(syscall.SIGCONT)
-		}
-	}
-}
-
-func (v *versionTroubles) replaceEngine() {
-	e := v.fleet.engines[v.random.IntN(len(v.fleet.engines))]
-	e.mu.Lock()
-	id, version := e.id, e.version
-	e.mu.Unlock()
-	if v.random.IntN(2) == 0 {
-		v.ids++
-		id = winch.EndpointID(fmt.Sprintf("e-%d", v.ids))
-	}
-	if v.random.IntN(3) == 0 {
-		version = []string{"v1", "v1.1", "v1.2"}[v.random.IntN(3)]
-	}
-	e.replace(id, version, v.duration(50, 500), v.duration(0, 250))
-}
-
-func (v *versionTroubles) duration(least, most int) time.Duration {
-	return time.Duration(least+v.random.IntN(most-least)) * time.Millisecond
-}
-
 // TestVersionTestFindsMixedStreams takes the guard away: engines that do not tell their versions look as if there were one only.
 func TestVersionTestFindsMixedStreams(t *testing.T) {
 	t.Parallel()
