fix(httpexchange): a connection that has carried a response without an id is not used again

Error responses are accepted without the id of the call, since some servers do not echo it when they refuse; a second copy of one, late on the kept connection, was taken for the answer to the next call. Change: such a connection is closed. TestLateCopyOfAResponseWithoutIDIsNotTheNextAnswer got the copy before.

--- a/serving/httpexchange/client.go
+++ b/serving/httpexchange/client.go
@@ -210,7 +210,9 @@
 			return nil, err
 		}
 		if isResponseTo(response, call) {
-			body := &responseBody{conn: conn, reader: response.Body, reusable: reusable(response)}
+			// A late copy of a response without an ID could not be told from the response to the next call.
+			identified := response.Header.Get(call.IDHeader) != ""
+			body := &responseBody{conn: conn, reader: response.Body, reusable: identified && reusable(response)}
 			body.idleTime = idleTime(response.Header)
 			return &winch.ExchangeAnswer{
 				Status: response.StatusCode, Header: response.Header, Body: body, EndsWithConnection: !framed(response),
--- a/serving/httpexchange/client_test.go
+++ b/serving/httpexchange/client_test.go
@@ -338,3 +338,24 @@
 	assertResponse(t, client, s, "2", "b")
 	assertConnections(t, s, 2)
 }
+
+// A copy of a response without an ID cannot be told from the answer to the next call.
+func TestLateCopyOfAResponseWithoutIDIsNotTheNextAnswer(t *testing.T) {
+	const failure = "HTTP/1.1 500 Internal Server Error\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nfail"
+	s, client := newServer(t), New(Options{})
+	defer client.Close()
+	var used net.Conn
+	first := func(t *testing.T, conn net.Conn, reader *bufio.Reader) bool {
+		used = conn
+		return s.respond(failure, true)(t, conn, reader)
+	}
+	second := func(t *testing.T, conn net.Conn, reader *bufio.Reader) bool {
+		if conn == used {
+			return s.respond(failure+responseFor("2", "own"), true)(t, conn, reader)
+		}
+		return s.respond(responseFor("2", "own"), true)(t, conn, reader)
+	}
+	s.addScripts(first, second)
+	assertResponse(t, client, s, "1", "fail")
+	assertResponse(t, client, s, "2", "own")
+}
