fix(forward): nothing is bound to a version while there is one only

Cause, found in review: also in a service with one version each stream that went on was bound to it, asked its endpoint for its start, and was kept from endpoints whose connections had just been lost; after a fault that cut all connections of a host its streams would have waited 2 s for nothing. Change: while one version has served, any endpoint continues a stream; the dispatcher doubts a version only where there are several; and a slot at a version that has appeared meanwhile is given back. Tests: TestStreamsAreNotBoundWhileThereIsOneVersion, TestLostConnectionsDoNotHoldUpStreamsOfTheOnlyVersion, two cases of TestStreamThatTheCallerTakesUp.

--- a/dispatch/endpoint/software.go
+++ b/dispatch/endpoint/software.go
@@ -62,9 +62,16 @@
 	return 0
 }
 
-// servesSoftware reports whether the endpoint has the software version that the request needs, if it needs one.
+// servesSoftware reports whether the endpoint has the software version that the request needs, if it needs one. While all
+// endpoints have one version, a lost connection is no reason to doubt it.
 func (c *core) servesSoftware(now time.Time, r *request, e *endpoint) bool {
-	return !r.bound() || c.knownSoftware(now, e) == r.work.Software
+	switch {
+	case !r.bound():
+		return true
+	case !r.lane.mixedSoftware:
+		return e.spec.Software == r.work.Software
+	}
+	return c.knownSoftware(now, e) == r.work.Software
 }
 
 // beganAtUnknownSoftware reports whether the response has started at an endpoint whose version is not known, while
--- a/dispatch/endpoint/software_test.go
+++ b/dispatch/endpoint/software_test.go
@@ -233,6 +233,15 @@
 	assert.Equal(t, tc.knownSoftware(tc.now, e), winch.SoftwareVersion("v1"))
 }
 
+func TestLostConnectionsDoNotHoldUpStreamsOfTheOnlyVersion(t *testing.T) {
+	tc, _ := newVersionCore(PolicyPrefill, "v1", "v1", "v1")
+	tc.listReadAt = tc.now
+	for _, e := range tc.sortedEndpoints {
+		e.recordLostConnection(tc.now)
+	}
+	assert.Equal(t, tc.resume(1, "v1").state, requestRunning)
+}
+
 func TestLeavingEndpointKeepsStreamsThatCannotGoOnElsewhere(t *testing.T) {
 	moved := func(software ...winch.SoftwareVersion) int {
 		tc, statuses := newVersionCore(PolicyWinch, software...)
--- a/origin.go
+++ b/origin.go
@@ -40,6 +40,8 @@
 type FoundOrigin struct {
 	StreamOrigin
 	Source OriginSource
+	// SingleVersion is set if no other version has served for as long as a stream can last, so that any endpoint can continue the stream.
+	SingleVersion bool
 	// MayBeKnownLater is set if the origin is unknown because a host that may know it did not answer.
 	MayBeKnownLater bool
 }
--- a/origin/peer/find.go
+++ b/origin/peer/find.go
@@ -22,13 +22,16 @@
 
 // Find implements winch.StreamOrigins.
 func (k *Keeper) Find(ctx context.Context, now time.Time, stream winch.RequestID, model winch.ModelID) (winch.FoundOrigin, error) {
+	// The list may have changed since it was last observed.
+	k.observe()
 	memory := k.memory()
 	k.mu.Lock()
 	known, found := k.book.Lookup(stream)
+	only, single := k.book.OnlyVersion(now, known.Model, memory)
 	k.mu.Unlock()
 	switch {
 	case found && known.Software != "":
-		return k.conclude(stream, winch.FoundOrigin{StreamOrigin: known, Source: winch.OriginRecorded}, 0)
+		return k.conclude(stream, winch.FoundOrigin{StreamOrigin: known, Source: winch.OriginRecorded, SingleVersion: single && only == known.Software}, 0)
 	case found:
 		// The host that relayed the stream did not know the version of its endpoint, so no host does.
 		return k.conclude(stream, k.withoutRecord(now, model, memory, true), 0)
@@ -48,14 +51,12 @@
 // withoutRecord returns the only version that has served, or an unknown origin. Without allVersionsSeen, there may be versions
 // of which this host has not heard.
 func (k *Keeper) withoutRecord(now time.Time, model winch.ModelID, memory time.Duration, allVersionsSeen bool) winch.FoundOrigin {
-	// The list may have changed since it was last observed.
-	k.observe()
 	k.mu.Lock()
 	software, single := k.book.OnlyVersion(now, model, memory)
 	k.mu.Unlock()
 	result := winch.FoundOrigin{StreamOrigin: winch.StreamOrigin{Model: model, At: now}, Source: winch.OriginUnknown}
 	if single && allVersionsSeen {
-		result.Software, result.Source = software, winch.OriginOnlyVersion
+		result.Software, result.Source, result.SingleVersion = software, winch.OriginOnlyVersion, true
 	}
 	return result
 }
--- a/origin/peer/keeper_test.go
+++ b/origin/peer/keeper_test.go
@@ -205,6 +205,20 @@
 	assertUnknown(t, isolated(3*time.Second), "s", true)
 }
 
+func TestStreamsAreNotBoundWhileThereIsOneVersion(t *testing.T) {
+	h := newGroup(t, 1, "v1").hosts[0]
+	h.begin("s", "v1")
+	single := func() bool {
+		found, err := h.keeper.Find(t.Context(), time.Now(), "s", model)
+		assert.NilError(t, err)
+		assert.Equal(t, found.Software, winch.SoftwareVersion("v1"))
+		return found.SingleVersion
+	}
+	assert.Assert(t, single())
+	h.list(0, "v1", "v2")
+	assert.Assert(t, !single())
+}
+
 func TestStreamThatBeganBeforeTheSecondVersionIsTold(t *testing.T) {
 	g := newGroup(t, 4, "v1")
 	g.hosts[0].begin("s", "v1")
--- a/serving/forward/attempt.go
+++ b/serving/forward/attempt.go
@@ -68,7 +68,14 @@
 			return nil, s.acquireFailure(ctx, req, err)
 		}
 		req.updateTracker(runstate.SlotGranted)
-		if _, err = s.checkStillListed(ctx, req.streamKey(), req.origin.Software, slot); err == nil {
+		if !req.fits(slot.Endpoint()) {
+			// A second version has appeared while the request waited.
+			slot.Release(s.now(), winch.OutcomeCancelled)
+			req.updateTracker(runstate.SlotReturned)
+			req.software = req.origin.Software
+			continue
+		}
+		if _, err = s.checkStillListed(ctx, req.streamKey(), req.software, slot); err == nil {
 			return s.beginAttempt(ctx, req, slot, started)
 		}
 		s.options.Logger.Info("endpoint not used for a stream", "Event", EventOriginDoubted, "Stream", string(req.streamKey()),
@@ -175,7 +182,7 @@
 		Request: req.ID, Organisation: req.admission.organisation, Class: req.admission.class.ID, Model: req.admission.model,
 		InputTokens: req.InputTokens, OutputTokens: req.OutputTokens, Parts: req.Parts, Arrived: req.arrived, Deadline: req.deadline,
 		Excluded: req.excluded, NotResumable: !req.admission.route.Repeatable() || req.admission.route.Kind != winch.ForwardStream,
-		NonStreaming: req.admission.route.Kind != winch.ForwardStream, Software: req.origin.Software,
+		NonStreaming: req.admission.route.Kind != winch.ForwardStream, Software: req.software,
 	}
 	if req.responseStarted {
 		// The number of delivered tokens is not known here. Any number above zero marks a request
--- a/serving/forward/fakes_test.go
+++ b/serving/forward/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -86,6 +87,8 @@
 	starts []time.Time
 	// onStart is called before each of these, with the lock held.
 	onStart func()
+	// software are the versions of the endpoints of the next slots.
+	software []winch.SoftwareVersion
 	// works are the requests for a slot.
 	works []winch.Work
 }
@@ -165,7 +168,14 @@
 		return nil, ts.refusal
 	}
 	ts.works = append(ts.works, work)
-	return &fakeSlot{server: ts, id: winch.EndpointID(fmt.Sprintf("e%d", len(work.Excluded)))}, nil
+	if len(ts.software) > 0 {
+		slot := &fakeSlot{server: ts, id: winch.EndpointID(fmt.Sprintf("e%d", len(work.Excluded))), software: ts.software[0]}
+		ts.software = ts.software[1:]
+		return slot, nil
+	}
+	// A stream goes on at an endpoint of the version that it needs, other requests go to one whose version names it.
+	id := winch.EndpointID(fmt.Sprintf("e%d", len(work.Excluded)))
+	return &fakeSlot{server: ts, id: id, software: cmp.Or(work.Software, winch.SoftwareVersion("v-"+id))}, nil
 }
 
 func (ts *testServer) Retry(time.Time, winch.Work) bool { return !ts.denyRetries }
@@ -217,7 +227,7 @@
 	if f.version == "" {
 		return winch.FoundOrigin{Source: winch.OriginUnknown, MayBeKnownLater: stream != ""}, winch.ErrOriginUnknown
 	}
-	return winch.FoundOrigin{StreamOrigin: winch.StreamOrigin{Model: model, Software: f.version}, Source: winch.OriginOnlyVersion}, nil
+	return winch.FoundOrigin{StreamOrigin: winch.StreamOrigin{Model: model, Software: f.version}, Source: winch.OriginOnlyVersion, SingleVersion: true}, nil
 }
 
 func (ts *testServer) ObserveWord(_, _ time.Time, word winch.EndpointWord) {
@@ -232,12 +242,13 @@
 func (ts *testServer) ObserveCache(time.Time, winch.CacheEvent) {}
 
 type fakeSlot struct {
-	server *testServer
-	id     winch.EndpointID
+	server   *testServer
+	id       winch.EndpointID
+	software winch.SoftwareVersion
 }
 
 func (s *fakeSlot) Endpoint() winch.Endpoint {
-	return winch.Endpoint{ID: s.id, Kind: winch.EndpointEngine, Software: winch.SoftwareVersion("v-" + s.id)}
+	return winch.Endpoint{ID: s.id, Kind: winch.EndpointEngine, Software: s.software}
 }
 func (s *fakeSlot) StartedAt() time.Time           { return listedStart }
 func (s *fakeSlot) Preempted() <-chan struct{}     { return nil }
--- a/serving/forward/origin.go
+++ b/serving/forward/origin.go
@@ -12,6 +12,9 @@
 // originRetryAfter is the retry delay of requests whose stream's origin may be known soon.
 const originRetryAfter = 300 * time.Millisecond
 
+// reasonOriginUnknown: no host knows which software version began the stream.
+const reasonOriginUnknown = "origin_unknown"
+
 // continues reports whether the caller has received part of the stream, in this response or in that of an earlier request.
 func (req *request) continues() bool {
 	return req.admission.route.Resumable && (req.origin.Model != "" || req.LastEvent > 0)
@@ -38,19 +41,18 @@
 		key = ""
 	}
 	found, err := s.options.Origins.Find(ctx, s.now(), key, req.admission.model)
-	req.originSource = found.Source
-	if err == nil {
+	req.originSource, req.software = found.Source, ""
+	switch {
+	case err == nil:
 		req.origin = found.StreamOrigin
+		if !found.SingleVersion {
+			req.software = found.Software
+		}
 		return req.keepModel()
+	case found.MayBeKnownLater:
+		return notRun(reasonOriginUnknown, originRetryAfter)
 	}
-	retryAfter := time.Duration(0)
-	if found.MayBeKnownLater {
-		retryAfter = originRetryAfter
-	}
-	if !errors.Is(err, winch.ErrOriginUnknown) {
-		return notRun(err.Error(), retryAfter)
-	}
-	return notRun("origin_unknown", retryAfter)
+	return notRun(reasonOriginUnknown, 0)
 }
 
 // keepModel makes a stream that has begun go on at the model that began it. It returns a fault if its route no longer leads there.
@@ -67,6 +69,11 @@
 	return notRun(string(winch.RefusedSoftware), 0)
 }
 
+// fits reports whether the endpoint does not have another software version than the one that began the stream.
+func (req *request) fits(endpoint winch.Endpoint) bool {
+	return req.origin.Software == "" || endpoint.Software == "" || endpoint.Software == req.origin.Software
+}
+
 // startCheckTimeout limits the time for which an endpoint is asked when it started.
 const startCheckTimeout = 250 * time.Millisecond
 
--- a/serving/forward/origin_test.go
+++ b/serving/forward/origin_test.go
@@ -59,6 +59,21 @@
 		assert.Assert(t, ts.post("/plan/x", "X-Last", "2", "X-Resumes", "r0").complete)
 		ts.assertSoftware("v7", "v7")
 	})
+	t.Run("goes on at any endpoint while there is one version", func(t *testing.T) {
+		ts := newTestServer(t, stubResponse{status: 200, body: event(3)})
+		ts.starts, ts.software = []time.Time{listedStart.Add(time.Second)}, []winch.SoftwareVersion{"v1"}
+		assert.Assert(t, ts.post("/plan/x", "X-Last", "2", "X-Resumes", "r0").complete)
+		ts.assertSoftware("")
+		ts.assertRecorded("dealer/r0", "v1")
+		assert.Equal(t, len(ts.starts), 1, "no endpoint is asked for its start")
+	})
+	t.Run("is not sent to a second version that has appeared since", func(t *testing.T) {
+		ts := newTestServer(t, stubResponse{status: 200, body: event(3)})
+		ts.software = []winch.SoftwareVersion{"v2", "v1"}
+		assert.Assert(t, ts.post("/plan/x", "X-Last", "2", "X-Resumes", "r0").complete)
+		ts.assertSoftware("", "v1")
+		assert.Equal(t, len(ts.calls), 1)
+	})
 	t.Run("is recorded again under the attempt that began it", func(t *testing.T) {
 		ts := newTestServer(t, stubResponse{status: 200, body: event(3)})
 		ts.origins.known["dealer/r0"] = winch.StreamOrigin{Model: testModel, Software: "v7"}
--- a/serving/forward/server.go
+++ b/serving/forward/server.go
@@ -65,8 +65,10 @@
 	// caller resumes after.
 	lastEvent int64
 	// origin tells which software version began the stream; its Model is empty while no event has reached the caller.
-	origin            winch.StreamOrigin
-	originSource      winch.OriginSource
+	origin       winch.StreamOrigin
+	originSource winch.OriginSource
+	// software is the version that the stream needs; empty if any endpoint can continue it.
+	software          winch.SoftwareVersion
 	status            int
 	timeToFirstOutput time.Duration
 	// lastEventAt is when the latest event arrived, longestPause the longest time between two
