fix(membership): a host that ranks as the hub makes itself known

What callers would see: for up to 5 s after its start (longer while the store is away) the host that ranks first shares no figures, lists or origins of streams with any other, and after 1.5 s takes them for dead; its load is decided by its own view alone. Cause: hosts wait for the calls of others if they rank as the hub, but the others learn of a new host from the host list only. Change: while no other host was ever heard, it calls one listed host with each exchange, highest rank first; that host's next summary tells all. No call once a host was heard.

--- a/membership/peer/exchange.go
+++ b/membership/peer/exchange.go
@@ -133,6 +133,7 @@
 		e.setHub(hub)
 		if hub.ID == e.table.Self().ID {
 			e.exchangeLocally(now)
+			e.introduce(ctx, now)
 			return
 		}
 		err := e.exchangeWith(ctx, hub)
@@ -143,6 +144,18 @@
 	}
 }
 
+// introduce calls another host if this one ranks as the hub and has heard none yet. The others then learn of it at once
+// instead of from the host list.
+func (e *Exchange) introduce(ctx context.Context, now time.Time) {
+	host, found := e.table.Introduction(now)
+	if !found {
+		return
+	}
+	if err := e.exchangeWith(ctx, host); err != nil && ctx.Err() == nil {
+		e.recordAndLogFailure(host, err)
+	}
+}
+
 // recordAndLogFailure records in the table that the call to the host failed, and logs it.
 func (e *Exchange) recordAndLogFailure(host winch.Host, err error) {
 	e.table.RecordFailure(e.options.Clock.Now(), host.ID)
--- a/membership/peer/table.go
+++ b/membership/peer/table.go
@@ -140,7 +140,7 @@
 func (t *Table) Hub(now time.Time, centre winch.DataCentreID) (winch.Host, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return highestWeight(t.liveHosts(now, centre), "hub/"+string(centre))
+	return highestWeight(t.liveHosts(now, centre), hubName(centre))
 }
 
 // Candidate reports whether this host is the one that should take on the duty within the data
@@ -184,6 +184,32 @@
 	return chosen.host, true
 }
 
+// Introduction returns the host of this host's data centre to which this host should make itself known, and records that it is
+// being called. There is none once another host was heard: before that the others may not know of this host, which waits for
+// their calls if it ranks as the hub. Of several hosts it returns the one that was called least recently, and of these the one
+// that ranks highest.
+func (t *Table) Introduction(now time.Time) (winch.Host, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var strangers []winch.Host
+	earliest := time.Time{}
+	for _, m := range t.sorted[t.self.DataCentre] {
+		switch {
+		case !m.lastHeard.IsZero():
+			return winch.Host{}, false
+		case len(strangers) == 0 || m.lastProbe.Before(earliest):
+			strangers, earliest = []winch.Host{m.host}, m.lastProbe
+		case m.lastProbe.Equal(earliest):
+			strangers = append(strangers, m.host)
+		}
+	}
+	chosen, found := highestWeight(strangers, hubName(t.self.DataCentre))
+	if found {
+		t.hosts[chosen.ID].lastProbe = now
+	}
+	return chosen, found
+}
+
 func probedEarlier(a, b *member) bool {
 	if !a.lastProbe.Equal(b.lastProbe) {
 		return a.lastProbe.Before(b.lastProbe)
@@ -274,6 +300,9 @@
 	}
 }
 
+// hubName is the name by which the hub of a data centre is chosen.
+func hubName(centre winch.DataCentreID) string { return "hub/" + string(centre) }
+
 // highestWeight returns the host with the highest rendezvous hash for the name, among those with the most capacity. Leaving
 // hosts are only considered if there are no others.
 func highestWeight(hosts []winch.Host, name string) (winch.Host, bool) {
