--- a/dispatch/endpoint/software.go
+++ b/dispatch/endpoint/software.go
@@ -54,7 +54,8 @@
 // recordLostConnection records that the endpoint may have ended, and may start again with another software version.
 func (e *endpoint) recordLostConnection(now time.Time) { e.connectionLostAt = now }
 
-// unknownSoftwarePenalty returns the additional cost, in prompt tokens, of a stream that could not be resumed after all.
+// unknownSoftwarePenalty returns the additional cost, in prompt tokens, of starting a resumable stream at an endpoint whose version is not
+// known while there are several: no other endpoint could continue it.
 func (c *core) unknownSoftwarePenalty(now time.Time, l *lane, r *request, e *endpoint) float64 {
 	if l.mixedSoftware && r.resumable() && c.knownSoftware(now, e) == "" {
 		return unknownSoftwareCost
--- a/origin/book.go
+++ b/origin/book.go
@@ -30,7 +30,7 @@
 	restartMargin = 1500 * time.Millisecond
 )
 
-// record is what is known of one stream.
+// record holds the origin of one stream and who has to be told of it.
 type record struct {
 	origin winch.StreamOrigin
 	// own is set if this host relayed the stream.
