feat(quarantine): a refused request tells the part, since when and until when

Change: event 2406 for each refusal, with part, age of the first crash, time to the next trial and term. Result: go test . ./quarantine/... passes; no decision is changed.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -295,6 +295,16 @@
 	return true
 }
 
+// HeldPart returns the quarantine of the first of the parts that is held, and false if none is.
+func (e *Evidence) HeldPart(parts []winch.PrefixHash) (Hold, bool) {
+	for _, part := range parts {
+		if hold, held := e.holds[part]; held {
+			return hold, true
+		}
+	}
+	return Hold{}, false
+}
+
 // Prune forgets what is older than the retention.
 func (e *Evidence) Prune(now time.Time) []Change {
 	for id, crash := range e.crashes {
--- a/quarantine/peer/events.go
+++ b/quarantine/peer/events.go
@@ -14,4 +14,6 @@
 	EventTrialFailed winch.EventNumber = 2404
 	// EventBreakNoCrash: an attempt broke without output, but its endpoint still accepts connections, so that nothing is concluded.
 	EventBreakNoCrash winch.EventNumber = 2405
+	// EventRequestHeldBack: a request was refused because a part of its prompt is in quarantine.
+	EventRequestHeldBack winch.EventNumber = 2406
 )
--- a/quarantine/peer/guard.go
+++ b/quarantine/peer/guard.go
@@ -143,7 +143,18 @@
 		return true
 	}
 	parts := slices.DeleteFunc(request.SharedParts(), func(part winch.PrefixHash) bool { return slices.Contains(g.policy.Exempt, part) })
-	return g.evidence.Admit(now, request.ID, parts, func(part winch.PrefixHash) bool { return g.triesPart(now, part) })
+	if g.evidence.Admit(now, request.ID, parts, func(part winch.PrefixHash) bool { return g.triesPart(now, part) }) {
+		return true
+	}
+	g.logHeldBack(now, request.ID, parts)
+	return false
+}
+
+// logHeldBack tells for which part a request is refused. The caller holds the lock.
+func (g *Guard) logHeldBack(now time.Time, request winch.RequestID, parts []winch.PrefixHash) {
+	hold, _ := g.evidence.HeldPart(parts)
+	g.options.Logger.Info("request held back", "Event", EventRequestHeldBack, "Request", string(request), "Part", encodePart(hold.Part),
+		"FirstCrashAge", now.Sub(hold.FirstCrash).String(), "TrialIn", hold.Until.Sub(now).String(), "Term", hold.Term.String())
 }
 
 // triesPart reports whether this host is the one of the live hosts that makes the trials of the part.
