--- a/quarantine/peer/guard_test.go
+++ b/quarantine/peer/guard_test.go
@@ -68,11 +68,21 @@
 
 // breakAttempts breaks an attempt with the deadly part at each endpoint, one second after the other, and waits for the probes.
 func breakAttempts(t *testing.T, g *Guard) {
+	t.Helper()
+	breakAttemptsWith(t, g, deadly)
+}
+
+func breakAttemptsWith(t *testing.T, g *Guard, part winch.PrefixHash) {
 	t.Helper()
 	for i := range 4 {
 		at := start.Add(time.Duration(i) * time.Second)
-		g.ObserveBreak(at, at.Add(-100*time.Millisecond), endpoint(i), request(fmt.Sprintf("r%d", i), deadly))
+		g.ObserveBreak(at, at.Add(-100*time.Millisecond), endpoint(i), request(fmt.Sprintf("r%d", i), part))
 	}
+	waitForProbes(t, g)
+}
+
+func waitForProbes(t *testing.T, g *Guard) {
+	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		g.mu.Lock()
 		defer g.mu.Unlock()
--- a/winchd/forwarder/crashing_part_test.go
+++ b/winchd/forwarder/crashing_part_test.go
@@ -151,6 +151,7 @@
 	request.Header.Set(wire.RequestID, id)
 	request.Header.Set(wire.Deadline, "4000")
 	request.Header.Set(wire.Tokens, "300,8")
+	request.Header.Set(eventCountHeader, "2")
 	request.Header.Set(wire.PromptParts, strings.Join(append(parts, id), ":100,")+":100")
 	request.Header.Set(wire.Authorization, wire.BearerScheme+" k1")
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
--- a/winchd/forwarder/software_fleet_test.go
+++ b/winchd/forwarder/software_fleet_test.go
@@ -21,7 +21,9 @@
 	store *platformtest.Store
 	// unversioned makes the engines register without their version.
 	unversioned bool
-	engines     []*versionedEngine
+	// idleTime is how long the engines say that they keep idle connections, empty if they do not say it.
+	idleTime string
+	engines  []*versionedEngine
 }
 
 // versionedEngine is an engine whose events hold its software version, and that continues streams of any version.
@@ -33,6 +35,8 @@
 	id      winch.EndpointID
 	version string
 	server  *http.Server
+	// listener is nil while the link to the engine is lost.
+	listener net.Listener
 }
 
 func newFleet(t *testing.T, store *platformtest.Store, versions ...string) *fleet {
@@ -50,6 +54,20 @@
 
 // start begins to serve, and registers after the delay.
 func (e *versionedEngine) start(delay time.Duration) {
+	listener := e.listen()
+	if listener == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	run := &engineRun{engine: e, id: e.id, version: e.version, born: time.Now().UnixMilli()}
+	e.server, e.listener = &http.Server{Handler: run}, listener
+	go func(server *http.Server) { _ = server.Serve(listener) }(e.server)
+	time.AfterFunc(delay, func() { e.register(run.id, run.version, run.born) })
+}
+
+// listen returns nil if the port cannot be opened, after it has reported that.
+func (e *versionedEngine) listen() net.Listener {
 	listener, err := net.Listen("tcp", e.address)
 	for attempts := 0; err != nil && attempts < 50; attempts++ {
 		// The port may be released a little later than its listener is closed.
@@ -58,14 +76,48 @@
 	}
 	if err != nil {
 		e.fleet.t.Errorf("engine at %s: %v", e.address, err)
+		return nil
+	}
+	return listener
+}
+
+// loseLink makes the engine, which goes on running, look as it does behind a router that rejects its traffic: new
+// connections are refused, and open ones are reset with the next packet.
+func (e *versionedEngine) loseLink() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = e.listener.Close()
+	e.listener = nil
+}
+
+// restoreLink ends loseLink.
+func (e *versionedEngine) restoreLink() {
+	listener := e.listen()
+	if listener == nil {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	run := &engineRun{engine: e, id: e.id, version: e.version, born: time.Now().UnixMilli()}
-	e.server = &http.Server{Handler: run}
+	e.listener = listener
 	go func(server *http.Server) { _ = server.Serve(listener) }(e.server)
-	time.AfterFunc(delay, func() { e.register(run.id, run.version, run.born) })
+}
+
+func (e *versionedEngine) isReachable() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.listener != nil
+}
+
+// reset resets the connection of the request.
+func reset(w http.ResponseWriter) {
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, isTCP := connection.(*net.TCPConn); isTCP {
+		_ = tcp.SetLinger(0)
+	}
+	_ = connection.Close()
 }
 
 func (e *versionedEngine) register(id winch.EndpointID, version string, born int64) {
@@ -116,11 +168,18 @@
 
 // ServeHTTP reports on the engine, or streams the events after the one that the caller has.
 func (r *engineRun) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if !r.engine.isReachable() {
+		reset(w)
+		return
+	}
 	if request.URL.Path == "/report" {
 		_ = json.NewEncoder(w).Encode(map[string]any{"running": 1, "born": r.born})
 		return
 	}
 	header := w.Header()
+	if idle := r.engine.fleet.idleTime; idle != "" {
+		header.Set("Keep-Alive", "timeout="+idle)
+	}
 	header.Set(wire.RequestID, request.Header.Get(wire.RequestID))
 	if request.Header.Get(wire.ExpectEndpoint) != string(r.id) {
 		header.Set(wire.NotExecuted, "1")
@@ -137,6 +196,10 @@
 			return
 		case <-time.After(eventInterval):
 		}
+		if !r.engine.isReachable() {
+			reset(w)
+			return
+		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, r.version); err != nil {
 			return
 		}
