fix(quarantine): crashes at one moment that two hosts saw accuse no part

Cause: messages between hosts hold ages, so a time that is passed on grows by the message's delay. A request that another host had sent just before a crash seemed to have been sent after this host's own record of the same crash, and made the crashes count as consecutive. Fix: only times that this host took itself are compared exactly; others must be more than 500 ms apart. Callers saw requests with a sound part refused as quarantined for 30 s.

--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -53,7 +53,7 @@
 		}
 		chain := e.chain(part)
 		count := countCrashes(chain)
-		if count < e.settings.MinCrashes || !consecutive(chain) || now.Sub(chain[0].At) < e.settings.Settle {
+		if count < e.settings.MinCrashes || !e.consecutive(chain) || now.Sub(chain[0].At) < e.settings.Settle {
 			continue
 		}
 		if count > bestCount || count == bestCount && moreSpecific(chain, part, best) {
@@ -100,8 +100,14 @@
 
 // consecutive reports whether a request was sent after the first crash and crashed its endpoint as well. Crashes at one
 // time may have one cause that has nothing to do with the requests.
-func consecutive(chain []winch.EndpointCrash) bool {
-	return slices.ContainsFunc(chain[1:], func(crash winch.EndpointCrash) bool { return crash.SentAt.After(chain[0].At) })
+func (e *Evidence) consecutive(chain []winch.EndpointCrash) bool {
+	first := chain[0]
+	return slices.ContainsFunc(chain[1:], func(crash winch.EndpointCrash) bool {
+		if e.seen[first.Request] && e.seen[crash.Request] {
+			return crash.SentAt.After(first.At)
+		}
+		return crash.SentAt.Sub(first.At) > messageDelay
+	})
 }
 
 // State is what a host tells the others.
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -28,6 +28,8 @@
 	// suspect it, and explainedKept the same for explained crashes.
 	outputsKept   = 10 * time.Second
 	explainedKept = time.Minute
+	// messageDelay bounds by how much a time grows that another host passes on.
+	messageDelay = 500 * time.Millisecond
 	// sameCrash is the time within which two requests at one endpoint are taken to have broken in the same crash of it.
 	sameCrash = time.Second
 )
