fix(quarantine): output seen before a part is suspected clears it

Cause: a host forgot each output with a part that it did not suspect yet. When another host, which had lost its endpoints, told of crashes with the part, or that it was held, no host knew that the part had been answered all the while, and all held it for 30 s. Fix: the latest outputs of all parts are kept for 3 s (at most 1,024 parts) and taken into account, and told, as soon as a part is suspected or held. Callers saw half of one class refused as quarantined while engines answered the other half.

--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -181,6 +181,7 @@
 }
 
 func (e *Evidence) mergeHold(now time.Time, received Hold) []Change {
+	e.recallOutputs(received.Part)
 	if e.outputs[received.Part].After(received.FirstCrash) || now.Sub(received.Until) > e.settings.Retention {
 		return nil
 	}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -19,6 +19,8 @@
 	maxHolds     = 128
 	maxOutputs   = 256
 	maxExplained = 64
+	// maxRecent bounds the parts with recent outputs.
+	maxRecent = 1024
 	// clockTolerance is the difference above which another host's time of the same event counts as later. A time that is
 	// passed on grows by the delay of the message, and must not grow with each exchange.
 	clockTolerance = time.Second
@@ -28,6 +30,9 @@
 	// suspect it, and explainedKept the same for explained crashes.
 	outputsKept   = 10 * time.Second
 	explainedKept = time.Minute
+	// recentKept is how long outputs are kept of parts that nobody suspects yet: a host learns of a crash that another one
+	// has seen only later.
+	recentKept = 3 * time.Second
 	// messageDelay bounds by how much a time grows that another host passes on.
 	messageDelay = 500 * time.Millisecond
 	// sameCrash is the time within which two requests at one endpoint are taken to have broken in the same crash of it.
@@ -105,6 +110,8 @@
 	holds       map[winch.PrefixHash]Hold
 	// explained holds the times of Explained.
 	explained map[winch.EndpointID]time.Time
+	// recent holds the latest outputs of all parts, suspected or not.
+	recent map[winch.PrefixHash]time.Time
 }
 
 // New returns empty evidence.
@@ -118,6 +125,7 @@
 		settings: settings, crashes: map[winch.RequestID]winch.EndpointCrash{}, crashCounts: map[winch.PrefixHash]int{},
 		outputs: map[winch.PrefixHash]time.Time{}, holds: map[winch.PrefixHash]Hold{},
 		explained: map[winch.EndpointID]time.Time{}, seen: map[winch.RequestID]bool{}, seenOutputs: map[winch.PrefixHash]time.Time{},
+		recent: map[winch.PrefixHash]time.Time{},
 	}
 }
 
@@ -149,6 +157,7 @@
 	if now.Sub(crash.At) > e.settings.Retention || len(crash.Parts) == 0 {
 		return nil
 	}
+	e.recallOutputs(crash.Parts...)
 	for _, part := range crash.Parts {
 		if hold, found := e.holds[part]; found {
 			e.explain(crash.Endpoint, crash.At)
@@ -229,9 +238,9 @@
 	delete(e.seen, id)
 }
 
-// AddOutput records that an endpoint has begun to answer a request with the parts. Only parts that are suspected or in
-// quarantine matter.
+// AddOutput records that an endpoint has begun to answer a request with the parts.
 func (e *Evidence) AddOutput(at time.Time, parts []winch.PrefixHash) []Change {
+	e.addRecent(at, parts)
 	if len(e.crashCounts) == 0 && len(e.holds) == 0 {
 		return nil
 	}
@@ -251,6 +260,35 @@
 	return changes
 }
 
+func (e *Evidence) addRecent(at time.Time, parts []winch.PrefixHash) {
+	if len(e.recent) >= maxRecent {
+		e.pruneRecent(at)
+	}
+	for _, part := range parts {
+		if _, known := e.recent[part]; known || len(e.recent) < maxRecent {
+			e.recent[part] = at
+		}
+	}
+}
+
+func (e *Evidence) pruneRecent(now time.Time) {
+	for part, at := range e.recent {
+		if now.Sub(at) > recentKept {
+			delete(e.recent, part)
+		}
+	}
+}
+
+// recallOutputs takes over the outputs that this host saw before it knew that anyone suspects the parts.
+func (e *Evidence) recallOutputs(parts ...winch.PrefixHash) {
+	for _, part := range parts {
+		if at, found := e.recent[part]; found && at.After(e.outputs[part]) {
+			e.setOutput(part, at)
+			e.seenOutputs[part] = at
+		}
+	}
+}
+
 func (e *Evidence) setOutput(part winch.PrefixHash, at time.Time) {
 	if _, known := e.outputs[part]; !known && len(e.outputs) >= maxOutputs {
 		oldest := slices.MinFunc(e.Outputs(), func(a, b Output) int { return a.At.Compare(b.At) })
@@ -324,6 +362,7 @@
 			delete(e.explained, endpoint)
 		}
 	}
+	e.pruneRecent(now)
 	var changes []Change
 	for part, hold := range e.holds {
 		if now.Sub(hold.Until) > e.settings.Retention {
--- a/quarantine/peer/guard.go
+++ b/quarantine/peer/guard.go
@@ -176,9 +176,6 @@
 		return
 	}
 	g.update(func() []quarantine.Change {
-		if g.evidence.Empty() {
-			return nil
-		}
 		return g.evidence.AddOutput(now, request.SharedParts())
 	})
 }
