fix(quarantine): an endpoint that only was out of reach has not crashed

Cause: an attempt that broke and a refused connection were taken for the end of the endpoint's process. A router that rejects traffic (a cut link with resets) looks the same: kept connections are reset one by one, as requests are sent on them, which looks like one crash after the other. The parts were held for 30 s. Fix: the host that saw the crash asks the endpoint for its start. The same start as listed shows the same run: its crashes are refuted, at all hosts, by request id, and parts that were held for them are released once fewer than three endpoints are left. TestPartThatCrashesEngineAfterEngineIsStopped: 6 crashes, 0 requests too late. Callers saw requests refused as quarantined for half a minute after the links were back.

--- a/forward.go
+++ b/forward.go
@@ -207,9 +207,8 @@
 // Errors: ErrUnavailable means that no byte can have reached the endpoint,
 // ErrOutcomeUnknown that some may have. After ErrResponseMismatch the outcome is unknown as well.
 type ForwardSender interface {
+	EndpointStarts
 	Forward(ctx context.Context, endpoint Endpoint, call ForwardCall) (*ForwardReply, error)
-	// StartedAt asks a model engine when it started, by its own clock. The result is zero if it does not tell.
-	StartedAt(ctx context.Context, endpoint Endpoint) (time.Time, error)
 }
 
 // ExchangeCall is one HTTP request as it is written to the connection. It is not related to the
--- a/quarantine.go
+++ b/quarantine.go
@@ -14,6 +14,8 @@
 	// SentAt is when the request was sent, At when its connection broke.
 	SentAt time.Time
 	At     time.Time
+	// StartedAt is when the endpoint had started, by its own clock; zero if it does not tell.
+	StartedAt time.Time
 }
 
 // Quarantine finds the parts of prompts that crash endpoints, and holds back the requests that have them. Its methods do not block.
@@ -36,6 +38,12 @@
 	Refuses(ctx context.Context, address string) bool
 }
 
+// EndpointStarts tells an endpoint that could not be reached for a while from one that has started again.
+type EndpointStarts interface {
+	// StartedAt asks a model engine when it started, by its own clock. The result is zero if it does not tell.
+	StartedAt(ctx context.Context, endpoint Endpoint) (time.Time, error)
+}
+
 // SharedParts returns the parts of the prompt that other requests may share: all but the last one.
 func (r *ForwardRequest) SharedParts() []PrefixHash {
 	if len(r.Parts) < 2 {
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -17,7 +17,9 @@
 		if chain == nil {
 			return changes
 		}
-		hold := Hold{Part: part, FirstCrash: chain[0].At, Until: now.Add(e.settings.Term), Term: e.settings.Term}
+		hold := Hold{
+			Part: part, FirstCrash: chain[0].At, Until: now.Add(e.settings.Term), Term: e.settings.Term, Grounds: e.addGrounds(nil, groundsOf(chain)),
+		}
 		e.hold(hold)
 		changes = append(changes, Change{Kind: Held, Hold: hold, Crashes: chain})
 	}
@@ -116,6 +118,7 @@
 	Outputs   []Output
 	Holds     []Hold
 	Explained []Explained
+	Refuted   []Refuted
 }
 
 // seenOutputsTold is the age up to which a host tells of its own outputs. Of a part that is in use there are newer ones.
@@ -123,7 +126,7 @@
 
 // Seen returns what this host has seen itself, and the parts in quarantine.
 func (e *Evidence) Seen(now time.Time) State {
-	seen := State{Holds: e.Holds()}
+	seen := State{Holds: e.Holds(), Refuted: e.Refuted()}
 	for _, crash := range e.Crashes() {
 		if e.seen[crash.Request] {
 			seen.Crashes = append(seen.Crashes, crash)
@@ -144,12 +147,17 @@
 
 // State returns what this host knows.
 func (e *Evidence) State() State {
-	return State{Crashes: e.Crashes(), Outputs: e.Outputs(), Holds: e.Holds(), Explained: e.Explained()}
+	return State{Crashes: e.Crashes(), Outputs: e.Outputs(), Holds: e.Holds(), Explained: e.Explained(), Refuted: e.Refuted()}
 }
 
 // Merge adds what another host knows, and returns what changes.
 func (e *Evidence) Merge(now time.Time, received State) []Change {
 	var changes []Change
+	for _, refuted := range received.Refuted {
+		if now.Sub(refuted.At) <= refutedTold {
+			changes = append(changes, e.refute(refuted.Request, refuted.At)...)
+		}
+	}
 	for _, output := range received.Outputs {
 		changes = append(changes, e.mergeOutput(output)...)
 	}
@@ -186,6 +194,12 @@
 		return nil
 	}
 	own, held := e.holds[received.Part]
+	hasGrounds := len(received.Grounds) > 0
+	received.Grounds = e.addGrounds(own.Grounds, received.Grounds)
+	if hasGrounds && countEndpoints(received.Grounds) < e.settings.MinCrashes {
+		return nil
+	}
+	own.Grounds = received.Grounds
 	if !held {
 		e.hold(received)
 		return []Change{{Kind: Held, Hold: received}}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -19,8 +19,11 @@
 	maxHolds     = 128
 	maxOutputs   = 256
 	maxExplained = 64
+	maxRefuted   = 256
 	// maxRecent bounds the parts with recent outputs.
 	maxRecent = 1024
+	// maxGrounds bounds the crashes that are kept for a part in quarantine.
+	maxGrounds = 16
 	// clockTolerance is the difference above which another host's time of the same event counts as later. A time that is
 	// passed on grows by the delay of the message, and must not grow with each exchange.
 	clockTolerance = time.Second
@@ -30,6 +33,10 @@
 	// suspect it, and explainedKept the same for explained crashes.
 	outputsKept   = 10 * time.Second
 	explainedKept = time.Minute
+	// refutedTold is the age up to which another host's refutation is taken over. It is much less than refutedKept, so that
+	// two hosts do not remind each other for ever.
+	refutedKept = time.Minute
+	refutedTold = 10 * time.Second
 	// recentKept is how long outputs are kept of parts that nobody suspects yet: a host learns of a crash that another one
 	// has seen only later.
 	recentKept = 3 * time.Second
@@ -62,10 +69,25 @@
 	// Until is when the next trial may begin.
 	Until time.Time
 	Term  time.Duration
+	// Grounds are the crashes for which the part is held.
+	Grounds []Ground
 	// trial is the request that this host has admitted as the latest trial.
 	trial winch.RequestID
 }
 
+// Ground names a crash for which a part is held.
+type Ground struct {
+	Request  winch.RequestID
+	Endpoint winch.EndpointID
+}
+
+// Refuted is a supposed crash that did not happen: the endpoint was only out of reach.
+type Refuted struct {
+	Request winch.RequestID
+	// At is when that became known.
+	At time.Time
+}
+
 // Output is the latest time at which an endpoint began to answer a request with the part.
 type Output struct {
 	Part winch.PrefixHash
@@ -112,6 +134,8 @@
 	explained map[winch.EndpointID]time.Time
 	// recent holds the latest outputs of all parts, suspected or not.
 	recent map[winch.PrefixHash]time.Time
+	// refuted holds the times of Refuted.
+	refuted map[winch.RequestID]time.Time
 }
 
 // New returns empty evidence.
@@ -125,13 +149,13 @@
 		settings: settings, crashes: map[winch.RequestID]winch.EndpointCrash{}, crashCounts: map[winch.PrefixHash]int{},
 		outputs: map[winch.PrefixHash]time.Time{}, holds: map[winch.PrefixHash]Hold{},
 		explained: map[winch.EndpointID]time.Time{}, seen: map[winch.RequestID]bool{}, seenOutputs: map[winch.PrefixHash]time.Time{},
-		recent: map[winch.PrefixHash]time.Time{},
+		recent: map[winch.PrefixHash]time.Time{}, refuted: map[winch.RequestID]time.Time{},
 	}
 }
 
 // Empty reports whether there is neither a crash nor a part in quarantine.
 func (e *Evidence) Empty() bool {
-	return len(e.crashes) == 0 && len(e.holds) == 0 && len(e.outputs) == 0 && len(e.explained) == 0
+	return len(e.crashes) == 0 && len(e.holds) == 0 && len(e.outputs) == 0 && len(e.explained) == 0 && len(e.refuted) == 0
 }
 
 // Holds returns the parts in quarantine, sorted by part.
@@ -154,7 +178,7 @@
 }
 
 func (e *Evidence) addCrash(now time.Time, crash winch.EndpointCrash) []Change {
-	if now.Sub(crash.At) > e.settings.Retention || len(crash.Parts) == 0 {
+	if _, refuted := e.refuted[crash.Request]; refuted || now.Sub(crash.At) > e.settings.Retention || len(crash.Parts) == 0 {
 		return nil
 	}
 	e.recallOutputs(crash.Parts...)
@@ -362,6 +386,11 @@
 			delete(e.explained, endpoint)
 		}
 	}
+	for request, at := range e.refuted {
+		if now.Sub(at) > refutedKept {
+			delete(e.refuted, request)
+		}
+	}
 	e.pruneRecent(now)
 	var changes []Change
 	for part, hold := range e.holds {
--- a/quarantine/peer/codec.go
+++ b/quarantine/peer/codec.go
@@ -23,6 +23,17 @@
 	Holds   []holdWire   `json:",omitempty"`
 	// Explained has one row for each endpoint.
 	Explained []explainedWire `json:",omitempty"`
+	Refuted   []refutedWire   `json:",omitempty"`
+}
+
+type refutedWire struct {
+	Request string
+	Age     int64
+}
+
+type groundWire struct {
+	Request  string
+	Endpoint string
 }
 
 type crashWire struct {
@@ -31,6 +42,8 @@
 	Parts    []string
 	SentAge  int64
 	Age      int64
+	// Started is the start of the endpoint in Unix milliseconds, by its own clock.
+	Started int64 `json:",omitempty"`
 }
 
 type outputWire struct {
@@ -47,8 +60,9 @@
 	Part     string
 	CrashAge int64
 	// Left is negative once a trial may begin.
-	Left int64
-	Term int64
+	Left    int64
+	Term    int64
+	Grounds []groundWire `json:",omitempty"`
 }
 
 // encodePart writes a part as the callers do, in hexadecimal.
@@ -70,6 +84,9 @@
 			Request: string(crash.Request), Endpoint: string(crash.Endpoint),
 			SentAge: now.Sub(crash.SentAt).Milliseconds(), Age: now.Sub(crash.At).Milliseconds(),
 		}
+		if !crash.StartedAt.IsZero() {
+			row.Started = crash.StartedAt.UnixMilli()
+		}
 		for _, part := range crash.Parts {
 			row.Parts = append(row.Parts, encodePart(part))
 		}
@@ -79,10 +96,10 @@
 		wire.Outputs = append(wire.Outputs, outputWire{Part: encodePart(output.Part), Age: now.Sub(output.At).Milliseconds()})
 	}
 	for _, hold := range known.Holds {
-		wire.Holds = append(wire.Holds, holdWire{
-			Part: encodePart(hold.Part), CrashAge: now.Sub(hold.FirstCrash).Milliseconds(),
-			Left: hold.Until.Sub(now).Milliseconds(), Term: hold.Term.Milliseconds(),
-		})
+		wire.Holds = append(wire.Holds, encodeHold(now, hold))
+	}
+	for _, refuted := range known.Refuted {
+		wire.Refuted = append(wire.Refuted, refutedWire{Request: string(refuted.Request), Age: now.Sub(refuted.At).Milliseconds()})
 	}
 	for _, explained := range known.Explained {
 		wire.Explained = append(wire.Explained, explainedWire{Endpoint: string(explained.Endpoint), Age: now.Sub(explained.At).Milliseconds()})
@@ -92,12 +109,23 @@
 	return encoded
 }
 
+func encodeHold(now time.Time, hold quarantine.Hold) holdWire {
+	row := holdWire{
+		Part: encodePart(hold.Part), CrashAge: now.Sub(hold.FirstCrash).Milliseconds(),
+		Left: hold.Until.Sub(now).Milliseconds(), Term: hold.Term.Milliseconds(),
+	}
+	for _, ground := range hold.Grounds {
+		row.Grounds = append(row.Grounds, groundWire{Request: string(ground.Request), Endpoint: string(ground.Endpoint)})
+	}
+	return row
+}
+
 func decodeState(now time.Time, message []byte) (quarantine.State, error) {
 	wire, decoded := stateWire{}, quarantine.State{}
 	if err := json.Unmarshal(message, &wire); err != nil {
 		return quarantine.State{}, fmt.Errorf("decode quarantine: %w: %w", winch.ErrInvalid, err)
 	}
-	if max(len(wire.Crashes), len(wire.Outputs), len(wire.Holds), len(wire.Explained)) > maxWireRows {
+	if max(len(wire.Crashes), len(wire.Outputs), len(wire.Holds), len(wire.Explained), len(wire.Refuted)) > maxWireRows {
 		return quarantine.State{}, fmt.Errorf("decode quarantine: more than %d rows: %w", maxWireRows, winch.ErrInvalid)
 	}
 	ago := func(milliseconds int64) time.Time { return now.Add(-time.Duration(milliseconds) * time.Millisecond) }
@@ -116,13 +144,14 @@
 		decoded.Outputs = append(decoded.Outputs, quarantine.Output{Part: part, At: ago(row.Age)})
 	}
 	for _, row := range wire.Holds {
-		part, err := ParsePart(row.Part)
+		hold, err := decodeHold(row, ago)
 		if err != nil {
 			return quarantine.State{}, fmt.Errorf("decode Holds: %w", err)
 		}
-		decoded.Holds = append(decoded.Holds, quarantine.Hold{
-			Part: part, FirstCrash: ago(row.CrashAge), Until: ago(-row.Left), Term: time.Duration(row.Term) * time.Millisecond,
-		})
+		decoded.Holds = append(decoded.Holds, hold)
+	}
+	for _, row := range wire.Refuted {
+		decoded.Refuted = append(decoded.Refuted, quarantine.Refuted{Request: winch.RequestID(row.Request), At: ago(row.Age)})
 	}
 	for _, row := range wire.Explained {
 		decoded.Explained = append(decoded.Explained, quarantine.Explained{Endpoint: winch.EndpointID(row.Endpoint), At: ago(row.Age)})
@@ -130,6 +159,23 @@
 	return decoded, nil
 }
 
+func decodeHold(row holdWire, ago func(milliseconds int64) time.Time) (quarantine.Hold, error) {
+	part, err := ParsePart(row.Part)
+	if err != nil {
+		return quarantine.Hold{}, err
+	}
+	if len(row.Grounds) > maxWireRows {
+		return quarantine.Hold{}, fmt.Errorf("more than %d Grounds: %w", maxWireRows, winch.ErrInvalid)
+	}
+	hold := quarantine.Hold{
+		Part: part, FirstCrash: ago(row.CrashAge), Until: ago(-row.Left), Term: time.Duration(row.Term) * time.Millisecond,
+	}
+	for _, ground := range row.Grounds {
+		hold.Grounds = append(hold.Grounds, quarantine.Ground{Request: winch.RequestID(ground.Request), Endpoint: winch.EndpointID(ground.Endpoint)})
+	}
+	return hold, nil
+}
+
 func decodeCrash(row crashWire, ago func(milliseconds int64) time.Time) (winch.EndpointCrash, error) {
 	if row.Request == "" || len(row.Parts) > maxWireParts {
 		return winch.EndpointCrash{}, fmt.Errorf("no Request, or more than %d Parts: %w", maxWireParts, winch.ErrInvalid)
@@ -137,6 +183,9 @@
 	crash := winch.EndpointCrash{
 		Request: winch.RequestID(row.Request), Endpoint: winch.EndpointID(row.Endpoint), SentAt: ago(row.SentAge), At: ago(row.Age),
 	}
+	if row.Started > 0 {
+		crash.StartedAt = time.UnixMilli(row.Started)
+	}
 	for _, text := range row.Parts {
 		part, err := ParsePart(text)
 		if err != nil {
--- a/quarantine/peer/events.go
+++ b/quarantine/peer/events.go
@@ -16,4 +16,8 @@
 	EventBreakNoCrash winch.EventNumber = 2405
 	// EventRequestHeldBack: a request was refused because a part of its prompt is in quarantine.
 	EventRequestHeldBack winch.EventNumber = 2406
+	// EventCrashRefuted: an endpoint that was taken to have crashed runs on, so that its crashes count no more.
+	EventCrashRefuted winch.EventNumber = 2407
+	// EventStartUnknown: an endpoint that refused connections did not tell when it started.
+	EventStartUnknown winch.EventNumber = 2408
 )
--- a/quarantine/peer/guard.go
+++ b/quarantine/peer/guard.go
@@ -52,15 +52,17 @@
 	decideEvery = 200 * time.Millisecond
 )
 
-// Options are the dependencies and settings of a Guard. Only Meter may be nil.
+// Options are the dependencies and settings of a Guard. Only Meter and Starts may be nil.
 type Options struct {
 	Membership winch.Membership
 	Endpoints  winch.EndpointSource
 	Prober     winch.ConnectionProber
-	Clock      winch.Clock
-	Logger     hclog.Logger
-	Meter      metric.Meter
-	Settings   quarantine.Settings
+	// Starts tells that an endpoint which refused connections has not ended. Without it, each of them counts as crashed.
+	Starts   winch.EndpointStarts
+	Clock    winch.Clock
+	Logger   hclog.Logger
+	Meter    metric.Meter
+	Settings quarantine.Settings
 }
 
 // Policy holds what operators set. The zero value holds back each part that is found.
@@ -83,6 +85,8 @@
 	summaryAt time.Time
 	// waiting holds, by endpoint, the attempts that broke while the endpoint is probed.
 	waiting map[winch.EndpointID][]winch.EndpointCrash
+	// watched holds, by endpoint, the requests whose crashes are refuted if the endpoint turns out to run on.
+	watched map[winch.EndpointID][]winch.EndpointCrash
 }
 
 var (
@@ -93,10 +97,13 @@
 // New checks the options and returns a guard.
 func New(options Options) (*Guard, error) {
 	if options.Membership == nil || options.Endpoints == nil || options.Prober == nil || options.Clock == nil || options.Logger == nil {
-		return nil, fmt.Errorf("create quarantine: only Meter may be nil: %w", winch.ErrInvalid)
+		return nil, fmt.Errorf("create quarantine: only Meter and Starts may be nil: %w", winch.ErrInvalid)
 	}
 	options.Meter = cmp.Or[metric.Meter](options.Meter, noop.Meter{})
-	g := &Guard{options: options, evidence: quarantine.New(options.Settings), waiting: map[winch.EndpointID][]winch.EndpointCrash{}}
+	g := &Guard{
+		options: options, evidence: quarantine.New(options.Settings), waiting: map[winch.EndpointID][]winch.EndpointCrash{},
+		watched: map[winch.EndpointID][]winch.EndpointCrash{},
+	}
 	_, err := options.Meter.Int64ObservableGauge("winch_quarantine_parts", metric.WithDescription("Parts of prompts in quarantine."),
 		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
 			observer.Observe(int64(len(g.Holds())))
@@ -183,10 +190,13 @@
 // ObserveBreak implements winch.Quarantine.
 func (g *Guard) ObserveBreak(now, sentAt time.Time, endpoint winch.Endpoint, request *winch.ForwardRequest) {
 	parts := request.SharedParts()
-	if len(parts) == 0 || !g.serving(endpoint.ID) {
+	status, serving := g.serving(endpoint.ID)
+	if len(parts) == 0 || !serving {
 		return
 	}
-	crash := winch.EndpointCrash{Request: request.ID, Endpoint: endpoint.ID, Parts: parts, SentAt: sentAt, At: now}
+	crash := winch.EndpointCrash{
+		Request: request.ID, Endpoint: endpoint.ID, Parts: parts, SentAt: sentAt, At: now, StartedAt: status.StartedAt,
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	waiting, probed := g.waiting[endpoint.ID]
@@ -198,11 +208,14 @@
 	}
 }
 
-// serving reports whether the endpoint is listed and has not said that it leaves.
-func (g *Guard) serving(id winch.EndpointID) bool {
-	return slices.ContainsFunc(g.options.Endpoints.Endpoints(), func(status winch.EndpointStatus) bool {
-		return status.Endpoint.ID == id && status.State == winch.EndpointReady
-	})
+// serving returns the entry of the endpoint, and false if it is not listed or has said that it leaves.
+func (g *Guard) serving(id winch.EndpointID) (winch.EndpointStatus, bool) {
+	for _, status := range g.options.Endpoints.Endpoints() {
+		if status.Endpoint.ID == id {
+			return status, status.State == winch.EndpointReady
+		}
+	}
+	return winch.EndpointStatus{}, false
 }
 
 // probe adds the waiting attempts to the evidence if the endpoint refuses connections.
@@ -222,6 +235,9 @@
 			"Endpoint", string(endpoint.ID), "Parts", encodeParts(crash.Parts), "After", crash.At.Sub(crash.SentAt).String())
 		g.update(func() []quarantine.Change { return g.evidence.AddCrash(now, crash) })
 	}
+	if crashed {
+		g.watch(endpoint, waiting)
+	}
 }
 
 func (g *Guard) refusesConnections(address string) bool {
--- a/quarantine/peer/guard_test.go
+++ b/quarantine/peer/guard_test.go
@@ -175,7 +175,8 @@
 }
 
 func FuzzDecodeState(f *testing.F) {
-	f.Add([]byte(`{"Crashes":[{"Request":"r","Endpoint":"e","Parts":["a"],"SentAge":2,"Age":1}],"Outputs":[{"Part":"a","Age":1}],"Holds":[{"Part":"b","CrashAge":1,"Left":-1,"Term":3}],"Explained":[{"Endpoint":"e","Age":1}]}`))
+	f.Add([]byte(`{"Crashes":[{"Request":"r","Endpoint":"e","Parts":["a"],"SentAge":2,"Age":1}],"Outputs":[{"Part":"a","Age":1}],"Holds":[{"Part":"b","CrashAge":1,"Left":-1,"Term":3}],"Explained":[{"Endpoint":"e","Age":1}],"Refuted":[{"Request":"r","Age":1}]}`))
+	f.Add([]byte(`{"Crashes":[{"Request":"r","Parts":["a"],"Started":7}],"Holds":[{"Part":"b","Grounds":[{"Request":"r","Endpoint":"e"}]}]}`))
 	f.Fuzz(func(t *testing.T, message []byte) {
 		received, err := decodeState(start, message)
 		if err != nil {
--- a/winchd/forwarder/quarantine.go
+++ b/winchd/forwarder/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/arbutuswinch/winch/platform/runner"
 	quarantine "github.com/arbutuswinch/winch/quarantine/peer"
 	"github.com/arbutuswinch/winch/serving/httpexchange"
 	"github.com/arbutuswinch/winch/winchd/settings"
@@ -12,7 +13,7 @@
 func (f *Forwarder) buildQuarantine() error {
 	f.exchanger = httpexchange.New(httpexchange.Options{DialTimeout: dialTimeout})
 	built, err := quarantine.New(quarantine.Options{
-		Membership: f.table, Endpoints: f.endpoints, Prober: f.exchanger, Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
+		Membership: f.table, Endpoints: f.endpoints, Prober: f.exchanger, Starts: runner.New(f.exchanger), Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
 	})
 	if err != nil {
 		return err
