--- a/internal/linktest/link.go
+++ b/internal/linktest/link.go
@@ -42,6 +42,15 @@
 	l.addToxic(t, "slow", "latency", fmt.Sprintf(`"latency":%d`, latency.Milliseconds()))
 }
 
+// Upstream returns the address to which the link leads.
+func (l *Link) Upstream() string { return l.proxy.Upstream }
+
+// Limit bounds the rate of each connection in each direction.
+func (l *Link) Limit(t *testing.T, bytesPerSecond int) {
+	t.Helper()
+	l.addToxic(t, "limit", "bandwidth", fmt.Sprintf(`"rate":%d`, bytesPerSecond/1024))
+}
+
 // Cut discards traffic in both directions until Heal is called. Connections stay open until then.
 func (l *Link) Cut(t *testing.T) {
 	t.Helper()
