fix(release): a read of the configuration goes on while bytes arrive, and brings the value only if it has changed

Cause: each read brought the whole configuration and was given up after 0.6, 1.2 or 2 s, to begin again from nothing. With 4,250 routes (1.25 MB in base64) a link of 10 Mbit/s needs more than that beside its requests, so the link was full for 30 s and no read was ever finished. Fix: the read is a transaction without writes whose condition is the known version: without a change nothing is transferred, and the response is linearizable, as that of a watch is not. The limits of a read are now for the time without a byte. The list of endpoints keeps limits for the whole read. TestLargeConfigurationIsInForceInTimeOverSlowLinks still fails: the configuration stands in the exchange.

--- a/forward.go
+++ b/forward.go
@@ -95,7 +95,7 @@
 	// Fetch returns the newest configuration in its stored form, and the version of its entry.
 	// It returns nil when the entry still has the known version. Errors: ErrNotFound before the
 	// first configuration, ErrUnavailable and ErrRateLimited.
-	Fetch(ctx context.Context, known Version) ([]byte, Version, error)
+	Fetch(ctx context.Context, known Version, read LongRead) ([]byte, Version, error)
 	// Decode decodes the stored form that Fetch returned. Fetch may have been called by another
 	// host, which relays the stored form. The error matches ErrInvalid.
 	Decode(raw []byte) (*Configuration, error)
--- a/httpjson/client.go
+++ b/httpjson/client.go
@@ -135,6 +135,11 @@
 
 // Do sends a call with the method and decodes the response into out. Both in and out may be nil.
 func (c *Client) Do(ctx context.Context, method, path string, in, out any) error {
+	return c.do(ctx, method, path, in, out, func(*http.Response) {})
+}
+
+// do sends a call. It calls observe with the response before it reads the body.
+func (c *Client) do(ctx context.Context, method, path string, in, out any, observe func(*http.Response)) error {
 	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
 	defer cancel()
 	request, connected, err := c.request(ctx, method, path, in)
@@ -146,6 +151,7 @@
 		return sendError(method, path, connected.Load(), err)
 	}
 	defer response.Body.Close()
+	observe(response)
 	return c.readResponse(response, method, path, out)
 }
 
--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -10,8 +10,9 @@
 	"github.com/arbutuswinch/winch/internal/periodic"
 )
 
-// ReadFunc reads the source and takes over what it has read. The read began at sent, by this host's clock.
-type ReadFunc func(ctx context.Context, sent time.Time) error
+// ReadFunc reads the source and takes over what it has read. The read began at sent, by this host's clock. It must end with an
+// error once there was no progress for the limit.
+type ReadFunc func(ctx context.Context, sent time.Time, limit time.Duration) error
 
 // Reader reads a source at the pace of a Pacer. It is safe for concurrent use, but Run and Step read one at a time.
 type Reader struct {
@@ -46,14 +47,12 @@
 func (r *Reader) Step(ctx context.Context) {
 	sent := r.clock.Now()
 	r.mu.Lock()
-	due, timeout := r.pacer.Due(sent), r.pacer.ReadTimeout()
+	due, limit := r.pacer.Due(sent), r.pacer.ReadTimeout()
 	r.mu.Unlock()
 	if !due {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	err := r.read(ctx, sent)
+	err := r.read(ctx, sent, limit)
 	r.log.Note(err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/keyvalue.go
+++ b/keyvalue.go
@@ -42,6 +42,21 @@
 	Watch(ctx context.Context, prefix string, after Version, wait time.Duration) ([]Entry, Version, error)
 }
 
+// LongRead bounds a read whose value may be so large that it takes long to arrive.
+type LongRead struct {
+	// StallLimit is the time without a byte of the response after which the read is given up.
+	StallLimit time.Duration
+	// Changed, if not nil, is called when it is known that the entry has changed, before its value has arrived.
+	Changed func()
+}
+
+// ConditionalReader reads an entry whose value is only transferred if it has changed.
+type ConditionalReader interface {
+	// GetIfChanged returns the entry of the key, without its value if it still has the known version. The read is linearizable.
+	// The errors are those of KeyValue.Get.
+	GetIfChanged(ctx context.Context, key string, known Version, read LongRead) (Entry, error)
+}
+
 // Term is the period during which a process holds the lease of a duty.
 type Term struct {
 	Duty   Duty
--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -101,7 +101,9 @@
 func (f *Follower) Step(ctx context.Context) { f.reader.Step(ctx) }
 
 // read reads the list. It implements relay.ReadFunc.
-func (f *Follower) read(ctx context.Context, sent time.Time) error {
+func (f *Follower) read(ctx context.Context, sent time.Time, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	statuses, err := f.options.Lister.ListEndpoints(ctx, sent)
 	if err != nil {
 		f.mu.Lock()
--- a/release/source/follower.go
+++ b/release/source/follower.go
@@ -106,11 +106,11 @@
 func (f *Follower) Step(ctx context.Context) { f.reader.Step(ctx) }
 
 // read fetches the configuration. It implements relay.ReadFunc.
-func (f *Follower) read(ctx context.Context, sent time.Time) error {
+func (f *Follower) read(ctx context.Context, sent time.Time, limit time.Duration) error {
 	f.mu.Lock()
 	known := f.state.version
 	f.mu.Unlock()
-	raw, version, err := f.options.Source.Fetch(ctx, known)
+	raw, version, err := f.options.Source.Fetch(ctx, known, winch.LongRead{StallLimit: limit})
 	if err != nil {
 		return err
 	}
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -95,7 +95,7 @@
 	clock       winch.Clock
 	incarnation winch.Incarnation
 	metrics     *process.Metrics
-	store       winch.LeasedKeyValue
+	store       *store.Client
 	// synced is the wall clock on which the hosts agree. It assigns usage to windows.
 	synced *synced.Clock
 
