fix(release): a large configuration is fetched apart from the exchange between hosts

Cause: the hub put the whole configuration into its answer to each host that had not reported the version yet, encoded twice and compressed anew for each host, within the exchange that carries everything else and has 1 s. With 4,250 routes the hub used all of its processor, its exchanges timed out, and so did those of the two hubs after it; each host then read for itself, over a link that was full. Fix: up to 32 KB the configuration stays in the exchange. Beyond, the exchange only tells versions; a host that hears of a newer one fetches it at once from the host that has it, compressed once for all (at most 16 at a time), or reads the source. A host that knows of a newer version without having it says so, so that nobody waits for a slow hub.

--- /dev/null
+++ b/release/source/content.go
@@ -0,0 +1,184 @@
+package source
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/httpjson"
+)
+
+const (
+	// Prefix is the path prefix of the calls between hosts.
+	Prefix   = "/peer/configuration/"
+	readPath = Prefix + "read"
+
+	// inlineLimit is the size up to which a configuration is sent within the exchange between hosts. A larger one would delay
+	// everything else in it, and is fetched by a call of its own.
+	inlineLimit = 32 << 10
+	// maxContentReads bounds the calls for the content that a host answers at the same time. Others read the source.
+	maxContentReads = 16
+	// contentTimeout limits such a call.
+	contentTimeout = 800 * time.Millisecond
+	// maxContentBytes limits the size of a configuration.
+	maxContentBytes = 8 << 20
+	// maxCallBytes limits the size of a call.
+	maxCallBytes = 1 << 10
+)
+
+// contentCall asks for a configuration that is newer than the one of the caller.
+type contentCall struct {
+	Known int64
+}
+
+// contentResponse holds the stored form of the configuration, compressed with deflate.
+type contentResponse struct {
+	Version  int64
+	Deflated []byte
+}
+
+// contentServer answers calls for the configuration.
+type contentServer struct {
+	reads chan struct{}
+
+	mu sync.Mutex
+	// response is for the latest version that was asked for.
+	response contentResponse
+}
+
+func newContentServer() *contentServer {
+	return &contentServer{reads: make(chan struct{}, maxContentReads)}
+}
+
+// compress returns the response with the configuration, which is compressed only once for each version.
+func (s *contentServer) compress(version winch.Version, raw []byte) (contentResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.response.Version == int64(version) {
+		return s.response, nil
+	}
+	deflated := &bytes.Buffer{}
+	writer, err := flate.NewWriter(deflated, flate.DefaultCompression)
+	if err != nil {
+		return contentResponse{}, fmt.Errorf("create compressor: %w", err)
+	}
+	if _, err := writer.Write(raw); err != nil {
+		return contentResponse{}, fmt.Errorf("compress configuration: %w", err)
+	}
+	if err := writer.Close(); err != nil {
+		return contentResponse{}, fmt.Errorf("compress configuration: %w", err)
+	}
+	s.response = contentResponse{Version: int64(version), Deflated: deflated.Bytes()}
+	return s.response, nil
+}
+
+// decompress returns the stored form. The error matches winch.ErrInvalid.
+func (r contentResponse) decompress() ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(r.Deflated)), maxContentBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("decompress configuration: %w: %w", winch.ErrInvalid, err)
+	}
+	if len(raw) > maxContentBytes {
+		return nil, fmt.Errorf("decompress configuration: more than %d bytes: %w", maxContentBytes, winch.ErrInvalid)
+	}
+	return raw, nil
+}
+
+// Handler serves the configuration to other hosts under Prefix. It does not authenticate its callers; the server that
+// mounts it must.
+func (f *Follower) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+readPath, f.serveContent)
+	return mux
+}
+
+func (f *Follower) serveContent(w http.ResponseWriter, r *http.Request) {
+	call := contentCall{}
+	if err := httpjson.Decode(w, r, maxCallBytes, &call); err != nil {
+		httpjson.WriteError(w, err)
+		return
+	}
+	f.mu.Lock()
+	version, raw := f.state.version, f.state.raw
+	f.mu.Unlock()
+	if int64(version) <= call.Known {
+		httpjson.WriteError(w, fmt.Errorf("no version after %d: %w", call.Known, winch.ErrNotFound))
+		return
+	}
+	select {
+	case f.contents.reads <- struct{}{}:
+		defer func() { <-f.contents.reads }()
+	default:
+		httpjson.WriteError(w, fmt.Errorf("as many hosts as possible read the configuration: %w", winch.ErrUnavailable))
+		return
+	}
+	response, err := f.contents.compress(version, raw)
+	if err != nil {
+		httpjson.WriteError(w, err)
+		return
+	}
+	httpjson.Write(w, http.StatusOK, response)
+}
+
+// contentClients calls other hosts for the configuration. It is created once the secret of the hosts is known.
+type contentClients struct {
+	secret string
+
+	mu        sync.Mutex
+	byAddress map[string]*httpjson.Client
+}
+
+// contentSource is where the content of a configuration may be fetched.
+type contentSource struct {
+	clients atomic.Pointer[contentClients]
+}
+
+// Connect sets the secret that the hosts share. The configuration can be fetched from other hosts from then on.
+func (f *Follower) Connect(secret string) {
+	f.peers.clients.Store(&contentClients{secret: secret, byAddress: map[string]*httpjson.Client{}})
+}
+
+func (c *contentClients) client(address string) (*httpjson.Client, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if client := c.byAddress[address]; client != nil {
+		return client, nil
+	}
+	client, err := httpjson.NewClient(httpjson.Options{Address: address, Secret: c.secret, Timeout: contentTimeout})
+	if err != nil {
+		return nil, err
+	}
+	c.byAddress[address] = client
+	return client, nil
+}
+
+// fetchFrom fetches the configuration from another host and puts it in force if it is newer than the known version.
+func (f *Follower) fetchFrom(ctx context.Context, host winch.Host, known winch.Version) error {
+	clients := f.peers.clients.Load()
+	if clients == nil {
+		return fmt.Errorf("fetch configuration: the secret of the hosts is not known yet: %w", winch.ErrUnavailable)
+	}
+	client, err := clients.client(host.PeerAddress)
+	if err != nil {
+		return err
+	}
+	response := contentResponse{}
+	if err := client.Call(ctx, readPath, contentCall{Known: int64(known)}, &response); err != nil {
+		return fmt.Errorf("fetch configuration from %s: %w", host.ID, err)
+	}
+	if winch.Version(response.Version) <= known {
+		return fmt.Errorf("fetch configuration from %s: field Version: %d is not newer than %d: %w", host.ID, response.Version, known, winch.ErrInvalid)
+	}
+	raw, err := response.decompress()
+	if err != nil {
+		return err
+	}
+	return f.applyVersion(raw, winch.Version(response.Version), time.Time{}, string(host.ID))
+}
--- a/release/source/events.go
+++ b/release/source/events.go
@@ -10,4 +10,6 @@
 	EventSourceFailed winch.EventNumber = 4302
 	// EventSourceRecovered: the configuration was read again after failures.
 	EventSourceRecovered winch.EventNumber = 4303
+	// EventConfigurationBehind: a newer configuration exists than this host has.
+	EventConfigurationBehind winch.EventNumber = 4304
 )
--- a/release/source/follower.go
+++ b/release/source/follower.go
@@ -47,6 +47,8 @@
 	Source winch.ConfigurationSource
 	Clock  winch.Clock
 	Logger hclog.Logger
+	// Membership finds the hosts from which a newer configuration is fetched. If it is nil, only the source is read.
+	Membership winch.Membership
 	// Self is this host, whose own evidence does not count as relayed while it is the hub.
 	Self winch.HostID
 	// PollEvery is the interval between two reads of the source. The default is 600 ms.
@@ -73,8 +75,16 @@
 	// its clock in each summary, to recognize its own readings in reports.
 	origin uint64
 	// stamp is the reading of the hub's clock in its last summary.
-	stamp  receivedStamp
+	stamp receivedStamp
+	// hub is the host whose summary was received last.
+	hub    winch.HostID
 	reader *relay.Reader
+	// reading is held during a read of the source.
+	reading  sync.Mutex
+	contents *contentServer
+	peers    contentSource
+	// wake is signalled when this host has heard of a newer configuration than it has.
+	wake chan struct{}
 }
 
 var _ winch.ConfirmedConfigurations = (*Follower)(nil)
@@ -90,6 +100,7 @@
 	follower := &Follower{
 		options: options, state: state{configuration: &winch.Configuration{}},
 		changed: make(chan struct{}), reportedVersions: map[winch.HostID]winch.Version{}, origin: rand.Uint64() | 1,
+		contents: newContentServer(), wake: make(chan struct{}, 1),
 	}
 	follower.reader = relay.NewReader(
 		relay.Settings{Self: options.Self, PollEvery: options.PollEvery, MaxAge: options.MaxRelayedAge}, options.Clock,
@@ -98,19 +109,41 @@
 }
 
 // Run reads the source until ctx is done: at the interval PollEvery or, while the hub relays evidence, as soon as that is
-// older than MaxRelayedAge. It returns nil.
-func (f *Follower) Run(ctx context.Context) error { return f.reader.Run(ctx) }
+// older than MaxRelayedAge. A newer configuration of which this host hears is fetched at once. Run returns nil.
+func (f *Follower) Run(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.runCatchUp(ctx)
+	}()
+	err := f.reader.Run(ctx)
+	<-done
+	return err
+}
 
 // Step reads the source once, unless recent evidence from another host makes that
 // unnecessary. Run calls it at each interval.
 func (f *Follower) Step(ctx context.Context) { f.reader.Step(ctx) }
 
-// read fetches the configuration. It implements relay.ReadFunc.
+// readOnce reads the source unless another read is in progress, whose result serves as well. It implements relay.ReadFunc.
+func (f *Follower) readOnce(ctx context.Context, sent time.Time, limit time.Duration) error {
+	if !f.reading.TryLock() {
+		return nil
+	}
+	defer f.reading.Unlock()
+	return f.read(ctx, sent, limit)
+}
+
+// read fetches the configuration.
 func (f *Follower) read(ctx context.Context, sent time.Time, limit time.Duration) error {
 	f.mu.Lock()
 	known := f.state.version
 	f.mu.Unlock()
-	raw, version, err := f.options.Source.Fetch(ctx, known, winch.LongRead{StallLimit: limit})
+	raw, version, err := f.options.Source.Fetch(ctx, known, winch.LongRead{
+		StallLimit: limit,
+		// The version is not known before the whole response is.
+		Changed: func() { f.hearOfNewer(known+1, time.Time{}, "") },
+	})
 	if err != nil {
 		return err
 	}
@@ -128,6 +161,9 @@
 	}
 	configuration, err := f.options.Source.Decode(raw)
 	if err != nil {
+		f.mu.Lock()
+		f.state.rejected = max(f.state.rejected, version)
+		f.mu.Unlock()
 		return err
 	}
 	f.mu.Lock()
--- a/release/source/section.go
+++ b/release/source/section.go
@@ -37,9 +37,12 @@
 // evidence. The stamp was made before it was received, so the evidence is never taken for
 // newer than it is.
 type evidenceWire struct {
-	Version       int64
-	AgeMS         int64
+	Version int64
+	AgeMS   int64
+	// Configuration is not set for a large one, which the receiver has to fetch.
 	Configuration []byte `json:",omitempty"`
+	// Newest is set by a host that has heard of a newer version than it has. The newest version is this or a later one.
+	Newest int64 `json:",omitempty"`
 	// Origin and Stamp are set by the hub in summaries and echoed in reports. Stamp is in
 	// Unix nanoseconds.
 	Origin uint64 `json:",omitempty"`
@@ -84,7 +87,8 @@
 	s.follower.mu.Lock()
 	s.follower.reportedVersions[from] = received.version
 	s.follower.mu.Unlock()
-	return s.follower.applyEvidence(received, wire.Configuration, string(from))
+	s.follower.hearOfNewer(winch.Version(wire.Newest), time.Time{}, "")
+	return s.follower.applyEvidence(received, wire.Configuration, from)
 }
 
 // Summary returns the evidence for a host, with the configuration if that host lacks it.
@@ -105,10 +109,11 @@
 	}
 	received := evidence{version: winch.Version(wire.Version), confirmed: sent.Add(-time.Duration(wire.AgeMS) * time.Millisecond)}
 	s.follower.mu.Lock()
-	s.follower.hubVersion = received.version
+	s.follower.hub, s.follower.hubVersion = hub, received.version
 	s.follower.stamp = receivedStamp{origin: wire.Origin, hubTime: wire.Stamp, receivedAt: now}
 	s.follower.mu.Unlock()
-	if err := s.follower.applyEvidence(received, wire.Configuration, string(hub)); err != nil {
+	s.follower.hearOfNewer(winch.Version(wire.Newest), time.Time{}, "")
+	if err := s.follower.applyEvidence(received, wire.Configuration, hub); err != nil {
 		return err
 	}
 	s.follower.recordRelay(hub, received)
@@ -143,9 +148,12 @@
 		return evidenceWire{}
 	}
 	wire := evidenceWire{Version: int64(f.state.version), AgeMS: max(0, now.Sub(f.state.confirmedAt).Milliseconds()+1)}
-	if known < f.state.version {
+	if known < f.state.version && len(f.state.raw) <= inlineLimit {
 		wire.Configuration = f.state.raw
 	}
+	if f.state.behind() {
+		wire.Newest = int64(f.state.known.version)
+	}
 	return wire
 }
 
@@ -181,10 +189,16 @@
 	return b
 }
 
-// applyEvidence applies evidence from another host. It ignores evidence of unknown age.
-func (f *Follower) applyEvidence(received evidence, raw []byte, from string) error {
-	if received.version == 0 || received.confirmed.IsZero() {
+// applyEvidence applies evidence from another host. Of evidence of unknown age only counts that the version exists.
+func (f *Follower) applyEvidence(received evidence, raw []byte, from winch.HostID) error {
+	if received.version == 0 {
+		return nil
+	}
+	if raw == nil || received.confirmed.IsZero() {
+		f.hearOfNewer(received.version, received.confirmed, from)
+	}
+	if received.confirmed.IsZero() {
 		return nil
 	}
-	return f.applyVersion(raw, received.version, received.confirmed, from)
+	return f.applyVersion(raw, received.version, received.confirmed, string(from))
 }
--- a/release/source/state.go
+++ b/release/source/state.go
@@ -14,6 +14,29 @@
 	byHash        map[winch.KeyHash]winch.Key
 	// confirmedAt is the last time at which the version was known to be the newest.
 	confirmedAt time.Time
+	// known is the newest version of which this host has heard, and holder a host that has it. With the holder empty, any version
+	// from known on may be the newest.
+	known  evidence
+	holder winch.HostID
+	// rejected is the newest version that could not be decoded.
+	rejected winch.Version
+}
+
+// behind reports whether this host has heard of a version that it does not have. One that cannot be decoded does not count.
+func (s *state) behind() bool { return s.known.version > max(s.version, s.rejected) }
+
+// hear processes evidence that a version exists, which the host from has if it is not empty.
+func (s *state) hear(newer evidence, from winch.HostID) {
+	if newer.version > s.known.version {
+		s.known, s.holder = newer, from
+		return
+	}
+	if newer.version == s.known.version {
+		s.known.confirmed = latest(s.known.confirmed, newer.confirmed)
+		if s.holder == "" {
+			s.holder = from
+		}
+	}
 }
 
 // replaceIfNewer processes a configuration that was the newest at the time confirmed. It
@@ -23,6 +46,11 @@
 		s.confirm(version, confirmed)
 		return false
 	}
+	// Earlier evidence for this or an older version also shows that no newer one existed at its time.
+	confirmed = latest(confirmed, s.confirmedAt)
+	if s.known.version <= version {
+		confirmed = latest(confirmed, s.known.confirmed)
+	}
 	s.configuration, s.raw, s.version, s.confirmedAt = configuration, raw, version, confirmed
 	s.byHash = make(map[winch.KeyHash]winch.Key, len(configuration.Keys))
 	for _, key := range configuration.Keys {
@@ -39,6 +67,13 @@
 	}
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // authority returns which requests may be served. Evidence is valid for the duration limit.
 func (s *state) authority(now time.Time, limit time.Duration) winch.Authority {
 	switch {
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -174,7 +174,7 @@
 
 func (f *Forwarder) buildConfiguration() error {
 	built, err := release.New(release.Options{
-		Source: operator.New(f.store), Clock: f.clock, Logger: f.logger, Self: f.settings.Host, FreshnessLimit: keyLimit(f.settings.Bounds),
+		Source: operator.New(f.store), Clock: f.clock, Logger: f.logger, Membership: f.table, Self: f.settings.Host, FreshnessLimit: keyLimit(f.settings.Bounds),
 		PollEvery: time.Duration(pollShare * float64(f.settings.Bounds.Apply)), MaxRelayedAge: relayedLimit(f.settings.Bounds),
 	})
 	f.configuration = built
@@ -250,7 +250,7 @@
 }
 
 func (f *Forwarder) buildExchange() error {
-	f.peers = newPeers(f.hosts, f.origins, f.logger, func(secret string) (*memberpeer.Exchange, error) {
+	f.peers = newPeers(f.hosts, f.origins, f.configuration, f.logger, func(secret string) (*memberpeer.Exchange, error) {
 		return memberpeer.New(memberpeer.Options{
 			Table: f.table, Hosts: f.hosts, Clock: f.clock, Logger: f.logger, Secret: secret,
 			ExchangeEvery: exchangeEvery, ListEvery: listEvery, Sections: f.sections(),
--- a/winchd/forwarder/peers.go
+++ b/winchd/forwarder/peers.go
@@ -13,25 +13,27 @@
 	members "github.com/arbutuswinch/winch/membership/keyvalue"
 	memberpeer "github.com/arbutuswinch/winch/membership/peer"
 	origins "github.com/arbutuswinch/winch/origin/peer"
+	release "github.com/arbutuswinch/winch/release/source"
 )
 
 // secretRetryInterval is the interval between attempts to read the shared secret of the hosts.
 const secretRetryInterval = 300 * time.Millisecond
 
-// peers runs the exchange with the other hosts, and the calls about stream origins, once the shared secret is known. The secret is read
+// peers runs the exchange with the other hosts, and the calls about stream origins and the configuration, once the shared secret is known. The secret is read
 // from the platform's store, which may be unavailable when the host starts.
 type peers struct {
-	hosts   *members.Registry
-	origins *origins.Keeper
-	logger  hclog.Logger
+	hosts         *members.Registry
+	origins       *origins.Keeper
+	configuration *release.Follower
+	logger        hclog.Logger
 	// build creates the exchange with the secret.
 	build func(secret string) (*memberpeer.Exchange, error)
 	// authenticated is the handler for other hosts, which requires the secret. It is nil until the secret is known.
 	authenticated atomic.Pointer[http.Handler]
 }
 
-func newPeers(hosts *members.Registry, keeper *origins.Keeper, logger hclog.Logger, build func(secret string) (*memberpeer.Exchange, error)) *peers {
-	return &peers{hosts: hosts, origins: keeper, logger: logger, build: build}
+func newPeers(hosts *members.Registry, keeper *origins.Keeper, configuration *release.Follower, logger hclog.Logger, build func(secret string) (*memberpeer.Exchange, error)) *peers {
+	return &peers{hosts: hosts, origins: keeper, configuration: configuration, logger: logger, build: build}
 }
 
 // handler serves the other hosts. It rejects their requests until the secret is known.
@@ -59,9 +61,11 @@
 	mux := http.NewServeMux()
 	mux.Handle("/peer/", exchange.Handler())
 	mux.Handle(origins.Prefix, p.origins.Handler())
+	mux.Handle(release.Prefix, p.configuration.Handler())
 	handler := httpjson.RequireSecret(secret, mux)
 	p.authenticated.Store(&handler)
 	p.origins.Connect(secret)
+	p.configuration.Connect(secret)
 	return exchange.Run(ctx)
 }
 
