fix(release): a host that knows of a newer configuration does not go on with the old one

Cause: a host that could not bring a reading home served open routes by its last configuration for ever, whether it was cut off or knew that a newer one was in force. Fix: a host that has heard of a newer version, from the store's answer before its body or from another host, uses the old one until the evidence for it is as old as a rejection allows (Bounds.Apply less 400 ms), then answers 503 with the time to come back and is not ready. It rejects no route or key meanwhile. A host that hears nothing any more for the freshness limit is isolated and serves open routes as before, and so does one that cannot decode the newer version. Result: TestHostThatIsBehind, TestAdmission (before: 200 by the old configuration at any age).

--- a/forward.go
+++ b/forward.go
@@ -108,6 +108,9 @@
 	// ConfirmedAt returns the latest time, by the host's clock, at which the current
 	// configuration was known to be the newest; zero when it never was.
 	ConfirmedAt() time.Time
+	// Superseded reports whether a newer configuration is known to exist that was not received yet, by a host that is in contact with others
+	// or with the source. An isolated host goes on as if it had not heard of it.
+	Superseded(now time.Time) bool
 }
 
 // EndpointLister reads the list of registered endpoints.
--- a/release/source/catchup.go
+++ b/release/source/catchup.go
@@ -18,9 +18,10 @@
 // hearOfNewer records that a version exists, and wakes catchUp if this host does not have it. The host from has the version, if it is
 // not empty; confirmed is when it was known to be the newest, or zero.
 func (f *Follower) hearOfNewer(version winch.Version, confirmed time.Time, from winch.HostID) {
+	now := f.options.Clock.Now()
 	f.mu.Lock()
 	first := !f.state.behind()
-	f.state.hear(evidence{version: version, confirmed: confirmed}, from)
+	f.state.hear(now, evidence{version: version, confirmed: confirmed}, from)
 	behind, current, holder := f.state.behind(), f.state.version, f.state.holder
 	f.mu.Unlock()
 	if !behind {
--- a/release/source/follower.go
+++ b/release/source/follower.go
@@ -6,10 +6,11 @@
 // of the request, so that it is never taken for newer than it is. The clock must also
 // advance while the machine is suspended. Keys are accepted only while the evidence is
 // younger than the freshness limit. Open routes, which need no key, are served with the
-// last configuration, however old the evidence is. Versions never decrease.
+// last configuration, however old the evidence is, as long as nothing newer is known to exist. Else requests of all
+// kinds are refused once the evidence is older than the superseded limit. Versions never decrease.
 //
-// The hosts of a data centre pass the newest configuration and their evidence on through
-// their hub, so a host that cannot reach the source keeps serving as long as another host
+// The hosts of a data centre pass their evidence on through their hub, with the newest configuration or, if that is large, the news
+// that it exists; it is then fetched by a call of its own. So a host that cannot reach the source keeps serving as long as another host
 // of its data centre can.
 //
 // # Usage
@@ -55,6 +56,9 @@
 	PollEvery time.Duration
 	// FreshnessLimit is the age of the evidence up to which keys are accepted. The default is 4 s.
 	FreshnessLimit time.Duration
+	// SupersededLimit is the age of the evidence up to which any request is served by a configuration of which a newer version
+	// is known to exist. The default is FreshnessLimit.
+	SupersededLimit time.Duration
 	// MaxRelayedAge is the age up to which evidence from another host replaces a read of the
 	// source. The default is zero: the source is read at every interval.
 	MaxRelayedAge time.Duration
@@ -96,6 +100,7 @@
 	}
 	options.PollEvery = cmp.Or(options.PollEvery, defaultPollEvery)
 	options.FreshnessLimit = cmp.Or(options.FreshnessLimit, defaultFreshnessLimit)
+	options.SupersededLimit = cmp.Or(options.SupersededLimit, options.FreshnessLimit)
 	// An origin of zero means that no stamp was received, so the lowest bit is set.
 	follower := &Follower{
 		options: options, state: state{configuration: &winch.Configuration{}},
@@ -181,11 +186,12 @@
 	return nil
 }
 
-// SetFreshnessLimit changes the age of the evidence up to which keys are accepted.
-func (f *Follower) SetFreshnessLimit(limit time.Duration) {
+// SetLimits changes the ages of the evidence up to which keys are accepted, and up to which a configuration is used of which a
+// newer version is known to exist.
+func (f *Follower) SetLimits(freshness, superseded time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.options.FreshnessLimit = limit
+	f.options.FreshnessLimit, f.options.SupersededLimit = freshness, superseded
 }
 
 // Current returns the newest configuration that was received, never nil.
@@ -200,14 +206,14 @@
 func (f *Follower) Authorize(now time.Time, hash winch.KeyHash) (winch.Key, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.authorize(now, hash, f.options.FreshnessLimit)
+	return f.state.authorize(now, hash, f.options.FreshnessLimit, f.options.SupersededLimit)
 }
 
 // Authority returns which requests this host may serve now.
 func (f *Follower) Authority(now time.Time) winch.Authority {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.authority(now, f.options.FreshnessLimit)
+	return f.state.authority(now, f.options.FreshnessLimit, f.options.SupersededLimit)
 }
 
 // ConfirmedAt returns the last time at which the configuration in force was known to be the newest.
@@ -217,6 +223,13 @@
 	return f.state.confirmedAt
 }
 
+// Superseded reports whether a newer configuration is known to exist than the one in force, unless this host is isolated.
+func (f *Follower) Superseded(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.superseded(now, f.options.FreshnessLimit)
+}
+
 // Changed returns a channel that is closed at the next change of the configuration.
 func (f *Follower) Changed() <-chan struct{} {
 	f.mu.Lock()
--- a/release/source/follower_test.go
+++ b/release/source/follower_test.go
@@ -119,6 +119,32 @@
 	})
 }
 
+func TestHostThatIsBehind(t *testing.T) {
+	host, err := New(Options{
+		Source: &fakeSource{version: 5, hasKey: true}, Clock: &fakeClock{now: start}, Logger: hclog.NewNullLogger(),
+		FreshnessLimit: 4 * time.Second, SupersededLimit: 2 * time.Second,
+	})
+	assert.NilError(t, err)
+	host.Step(t.Context())
+	assert.Equal(t, host.Authority(start.Add(3*time.Second)), winch.AuthorityFull)
+	host.hearOfNewer(6, time.Time{}, "")
+	for after, want := range map[time.Duration]winch.Authority{
+		2 * time.Second:     winch.AuthorityFull,
+		2*time.Second + 1:   winch.AuthorityNone,
+		4 * time.Second:     winch.AuthorityNone,
+		4*time.Second + 100: winch.AuthorityOpen, // Isolated: it has heard nothing since.
+	} {
+		t.Run(after.String(), func(t *testing.T) {
+			assert.Equal(t, host.Authority(start.Add(after)), want)
+			assert.Equal(t, host.Superseded(start.Add(after)), after <= 4*time.Second)
+		})
+	}
+	t.Run("until it has the newer one", func(t *testing.T) {
+		assert.NilError(t, host.applyVersion([]byte("true"), 6, start, "source"))
+		assert.Equal(t, host.Authority(start.Add(3*time.Second)), winch.AuthorityFull)
+	})
+}
+
 // exchange performs one exchange between the host and the hub; the summary arrives
 // after the duration.
 func exchange(t *testing.T, host, hub *Follower, c *fakeClock, duration time.Duration) {
--- a/release/source/state.go
+++ b/release/source/state.go
@@ -18,6 +18,8 @@
 	// from known on may be the newest.
 	known  evidence
 	holder winch.HostID
+	// heardAt is when this host heard last of a newer version than its own.
+	heardAt time.Time
 	// rejected is the newest version that could not be decoded.
 	rejected winch.Version
 }
@@ -25,8 +27,17 @@
 // behind reports whether this host has heard of a version that it does not have. One that cannot be decoded does not count.
 func (s *state) behind() bool { return s.known.version > max(s.version, s.rejected) }
 
+// superseded reports whether this host is behind and has heard so within the limit. One that hears nothing is isolated, and cannot
+// know how long the newer version has been in force elsewhere.
+func (s *state) superseded(now time.Time, limit time.Duration) bool {
+	return s.behind() && now.Sub(s.heardAt) <= limit
+}
+
 // hear processes evidence that a version exists, which the host from has if it is not empty.
-func (s *state) hear(newer evidence, from winch.HostID) {
+func (s *state) hear(now time.Time, newer evidence, from winch.HostID) {
+	if newer.version > s.version {
+		s.heardAt = now
+	}
 	if newer.version > s.known.version {
 		s.known, s.holder = newer, from
 		return
@@ -74,10 +85,11 @@
 	return b
 }
 
-// authority returns which requests may be served. Evidence is valid for the duration limit.
-func (s *state) authority(now time.Time, limit time.Duration) winch.Authority {
+// authority returns which requests may be served. Evidence is valid for the duration limit for keys and, if a newer version is known to
+// exist, for the duration superseded for all requests.
+func (s *state) authority(now time.Time, limit, superseded time.Duration) winch.Authority {
 	switch {
-	case s.version == 0:
+	case s.version == 0, s.superseded(now, limit) && now.Sub(s.confirmedAt) > superseded:
 		return winch.AuthorityNone
 	case now.Sub(s.confirmedAt) > limit:
 		return winch.AuthorityOpen
@@ -85,10 +97,10 @@
 	return winch.AuthorityFull
 }
 
-// authorize returns the key with the hash. Evidence is valid for the duration limit. Before
+// authorize returns the key with the hash. The limits are those of authority. Before
 // the first configuration, Since of the error is not a meaningful time.
-func (s *state) authorize(now time.Time, hash winch.KeyHash, limit time.Duration) (winch.Key, error) {
-	if s.authority(now, limit) != winch.AuthorityFull {
+func (s *state) authorize(now time.Time, hash winch.KeyHash, limit, superseded time.Duration) (winch.Key, error) {
+	if s.authority(now, limit, superseded) != winch.AuthorityFull {
 		return winch.Key{}, &winch.IsolationError{Since: s.confirmedAt.Add(limit)}
 	}
 	key, found := s.byHash[hash]
--- a/serving/forward/admit.go
+++ b/serving/forward/admit.go
@@ -25,8 +25,10 @@
 // freshness tells for which decisions the configuration is recent enough.
 type freshness struct {
 	// age is the time since the configuration was last confirmed to be the latest one.
-	age    time.Duration
-	limits freshnessLimits
+	age time.Duration
+	// superseded reports whether a newer configuration is known to exist.
+	superseded bool
+	limits     freshnessLimits
 }
 
 // freshnessLimits are the ages up to which a configuration may be used to reject requests
@@ -38,7 +40,11 @@
 
 // mayReject reports whether the configuration is recent enough to reject a request because the
 // configuration does not contain its route or key.
-func (f freshness) mayReject() bool { return f.age <= f.limits.reject }
+func (f freshness) mayReject() bool { return !f.superseded && f.age <= f.limits.reject }
+
+// mayServe reports whether the configuration may be used at all. A newer one of which this host knows has to be in force after
+// the time in which requests may be rejected.
+func (f freshness) mayServe() bool { return !f.superseded || f.age <= f.limits.reject }
 
 // mayAcceptKeys reports whether the configuration is recent enough to accept its keys.
 func (f freshness) mayAcceptKeys() bool { return f.age <= f.limits.key }
@@ -51,6 +57,9 @@
 	if len(configuration.Forwards) == 0 {
 		return admission{}, notReady("no configuration yet")
 	}
+	if !fresh.mayServe() {
+		return admission{}, notReady("a newer configuration exists and was not received yet")
+	}
 	route := matchRoute(configuration.Forwards, request.Host, request.Path)
 	if route == nil {
 		if !fresh.mayReject() {
--- a/serving/forward/admit_test.go
+++ b/serving/forward/admit_test.go
@@ -52,6 +52,26 @@
 			assert.Equal(t, response.header.Get("X-Retry") != "", c.status == 503, "only a 503 asks the caller to retry")
 		})
 	}
+	for _, c := range []struct {
+		name   string
+		path   string
+		age    time.Duration
+		status int
+	}{
+		{name: "open route, a newer configuration is known since recently", path: "/safe/open/x", age: time.Second, status: 200},
+		{name: "open route, a newer configuration must be in force", path: "/safe/open/x", age: 2 * time.Second, status: 503},
+		{name: "key, a newer configuration must be in force", path: "/safe/x", age: 2 * time.Second, status: 503},
+		{name: "no route, but a newer configuration may have it", path: "/none/x", age: 0, status: 503},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ts := newTestServer(t, ok)
+			ts.superseded = true
+			ts.setConfirmationAge(c.age)
+			response := ts.post(c.path)
+			assert.Equal(t, response.status, c.status, response.body)
+			assert.Equal(t, response.header.Get("X-Retry") != "", c.status == 503)
+		})
+	}
 	t.Run("before the first configuration", func(t *testing.T) {
 		ts := newTestServer(t)
 		ts.configuration = &winch.Configuration{}
--- a/serving/forward/fakes_test.go
+++ b/serving/forward/fakes_test.go
@@ -66,6 +66,7 @@
 	mu            sync.Mutex
 	configuration *winch.Configuration
 	confirmed     time.Time
+	superseded    bool
 	// responses are returned by the endpoints in this order.
 	responses []stubResponse
 	calls     []winch.ForwardCall
@@ -138,6 +139,12 @@
 	return ts.confirmed
 }
 
+func (ts *testServer) Superseded(time.Time) bool {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	return ts.superseded
+}
+
 func (ts *testServer) Authority(time.Time) winch.Authority { return winch.AuthorityFull }
 func (ts *testServer) Changed() <-chan struct{}            { return nil }
 
--- a/serving/forward/server.go
+++ b/serving/forward/server.go
@@ -174,7 +174,9 @@
 // admitted, the result replaces that of its previous check; otherwise the previous one is kept
 // for the log.
 func (s *Server) checkAdmission(now time.Time, req *request) *fault {
-	fresh := freshness{age: now.Sub(s.options.Configurations.ConfirmedAt()), limits: *s.freshnessLimits.Load()}
+	fresh := freshness{
+		age: now.Sub(s.options.Configurations.ConfirmedAt()), superseded: s.options.Configurations.Superseded(now), limits: *s.freshnessLimits.Load(),
+	}
 	admitted, f := admit(s.options.Configurations.Current(), req.ForwardRequest, fresh, func(hash winch.KeyHash) (winch.Key, error) {
 		return s.options.Configurations.Authorize(now, hash)
 	})
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -175,7 +175,8 @@
 func (f *Forwarder) buildConfiguration() error {
 	built, err := release.New(release.Options{
 		Source: operator.New(f.store), Clock: f.clock, Logger: f.logger, Membership: f.table, Self: f.settings.Host, FreshnessLimit: keyLimit(f.settings.Bounds),
-		PollEvery: time.Duration(pollShare * float64(f.settings.Bounds.Apply)), MaxRelayedAge: relayedLimit(f.settings.Bounds),
+		SupersededLimit: rejectLimit(f.settings.Bounds),
+		PollEvery:       time.Duration(pollShare * float64(f.settings.Bounds.Apply)), MaxRelayedAge: relayedLimit(f.settings.Bounds),
 	})
 	f.configuration = built
 	return err
@@ -184,7 +185,7 @@
 // apply applies changed settings to the running process.
 func (f *Forwarder) apply(changed settings.Forwarding) {
 	f.logger.SetLevel(hclog.LevelFromString(changed.Log.Level))
-	f.configuration.SetFreshnessLimit(keyLimit(changed.Bounds))
+	f.configuration.SetLimits(keyLimit(changed.Bounds), rejectLimit(changed.Bounds))
 	f.server.SetFreshnessLimits(rejectLimit(changed.Bounds), keyLimit(changed.Bounds))
 	if err := f.applyQuarantine(changed.Quarantine); err != nil {
 		f.logger.Error("settings of the quarantine rejected", "Event", EventReloadFailed, "Cause", "policy", "Error", err)
--- a/winchd/forwarder/large_configuration_test.go
+++ b/winchd/forwarder/large_configuration_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -22,17 +21,6 @@
 	applyLimit = 3 * time.Second
 )
 
-// manyRoutesConfiguration has the routes of platformtest.DeskConfiguration, and open routes /name-0/ to /name-4299/.
-func manyRoutesConfiguration(version int, name string) []byte {
-	routes := &strings.Builder{}
-	for i := range manyRoutes {
-		fmt.Fprintf(routes, `{"name":"%s-%d","host":"a.example","prefix":"/%s-%d/","type":"idempotent","timeout_ms":2000,"target_latency_ms":200,`+
-			`"priority":1,"service":"desk","max_attempts":2,"auth_exempt":true,"sticky_sessions":false,"gap_target_ms":0},`, name, i, name, i)
-	}
-	text := strings.Replace(platformtest.DeskConfiguration, `"version":1,"routes":[`, fmt.Sprintf(`"version":%d,"routes":[%s`, version, routes), 1)
-	return []byte(text)
-}
-
 func TestLargeConfigurationIsInForceInTimeOverSlowLinks(t *testing.T) {
 	t.Parallel()
 	p := newPlatform(t)
@@ -47,7 +35,7 @@
 	assertServes(t, hosts)
 	for i, name := range []string{"first", "second"} {
 		version := i + 2
-		p.store.Set(platformtest.ConfigurationKey, manyRoutesConfiguration(version, name))
+		p.store.Set(platformtest.ConfigurationKey, platformtest.DeskConfigurationWithRoutes(version, name, manyRoutes))
 		acknowledged, path := time.Now(), fmt.Sprintf("/%s-%d/x", name, manyRoutes-1)
 		for _, h := range hosts {
 			waitFor(t, 10*applyLimit, "the host to serve the new route", func() bool { return h.request(path, "") == http.StatusOK })
