--- a/winchd/forwarder/software_fleet_test.go
+++ b/winchd/forwarder/software_fleet_test.go
@@ -37,6 +37,36 @@
 	server  *http.Server
 	// listener is nil while the link to the engine is lost.
 	listener net.Listener
+	// limit is the limit that the engine names in its answers, empty for none.
+	limit    string
+	arrivals []time.Time
+}
+
+func (e *versionedEngine) nameLimit(limit string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = limit
+}
+
+// recordArrival returns the limit to name.
+func (e *versionedEngine) recordArrival() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.arrivals = append(e.arrivals, time.Now())
+	return e.limit
+}
+
+// arrivedBetween counts the requests from one time to another one.
+func (e *versionedEngine) arrivedBetween(from, to time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	count := 0
+	for _, at := range e.arrivals {
+		if !at.Before(from) && at.Before(to) {
+			count++
+		}
+	}
+	return count
 }
 
 func newFleet(t *testing.T, store *platformtest.Store, versions ...string) *fleet {
@@ -186,6 +216,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if limit := r.engine.recordArrival(); limit != "" {
+		header.Set(wire.EndpointLimit, limit)
+	}
 	after, _ := strconv.Atoi(request.Header.Get(wire.LastEvent))
 	count, _ := strconv.Atoi(request.Header.Get(eventCountHeader))
 	header.Set(wire.Signature, string(r.id))
