fix(dispatch): hosts together keep the rate that an endpoint names

Cause: no part of the product knew the header with which an endpoint in need names the requests a second that it takes from all hosts together. Fix: package dispatch/ratelimit. Of the live hosts one more than the rate has requests in a second, chosen by a hash of endpoint and host, send to the endpoint, each its part of the rate and without bursts; the others send nothing. Hosts tell each other; the limit ends with an answer that names none, or with a new run. The endpoint's slots are no capacity meanwhile.

--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -26,6 +26,8 @@
 	effectSaysLeaving
 	effectRests
 	effectRested
+	effectRateNamed
+	effectRateEnded
 )
 
 // effect is a decision of the core that the Dispatcher applies and logs.
@@ -43,6 +45,8 @@
 	// (ejected), the rest (rests), or the wait of the oldest request (queue long).
 	duration  time.Duration
 	lowerTier lowerTierWork
+	// rate is that which the endpoint has named, and ownRate this host's part of it.
+	rate, ownRate winch.RequestRate
 }
 
 // lowerTierWork counts the lower-tier requests, known at a decision, that could be evicted or
@@ -284,6 +288,7 @@
 		l.servedFloor++
 	}
 	e.add(r)
+	e.named.Sent(now)
 	c.recordDispatch(now, r, e)
 	if !r.retried {
 		l.addPrompt(now, r.pendingPrefill)
--- a/dispatch/endpoint/dispatcher.go
+++ b/dispatch/endpoint/dispatcher.go
@@ -201,9 +201,6 @@
 
 // ObserveWord applies what an endpoint has said of itself.
 func (d *Dispatcher) ObserveWord(now, startedAt time.Time, word winch.EndpointWord) {
-	if !word.Leaving && word.RestsFor <= 0 {
-		return
-	}
 	d.runStep(func() { d.core.observeWord(now, startedAt, word) })
 }
 
--- a/dispatch/endpoint/events.go
+++ b/dispatch/endpoint/events.go
@@ -42,4 +42,8 @@
 	EventEndpointRests winch.EventNumber = 3018
 	// EventEndpointRested: the time is over for which an endpoint wanted no requests.
 	EventEndpointRested winch.EventNumber = 3019
+	// EventEndpointRateNamed: an endpoint has named the rate of requests that it takes from all hosts together.
+	EventEndpointRateNamed winch.EventNumber = 3020
+	// EventEndpointRateEnded: an endpoint that had named a rate names none any more.
+	EventEndpointRateEnded winch.EventNumber = 3021
 )
--- a/dispatch/endpoint/health.go
+++ b/dispatch/endpoint/health.go
@@ -21,7 +21,7 @@
 
 // usable reports whether the endpoint's state and health allow another request.
 func (e *endpoint) usable(now time.Time) bool {
-	if !e.serving || now.Before(e.restsUntil) {
+	if !e.serving || now.Before(e.restsUntil) || !e.named.Ready(now) {
 		return false
 	}
 	if !e.health.ejected {
--- a/dispatch/endpoint/log.go
+++ b/dispatch/endpoint/log.go
@@ -38,11 +38,12 @@
 	pendingPrefill winch.Tokens
 	prefillAhead   winch.Tokens
 	statsAge       time.Duration
+	rate, ownRate  winch.RequestRate
 }
 
 // newLogEntry copies the effect's data.
 func (c *core) newLogEntry(e *effect) logEntry {
-	entry := logEntry{kind: e.kind, at: e.at, duration: e.duration, refusal: e.refusal, outcome: e.outcome, cause: e.cause, lowerTier: e.lowerTier}
+	entry := logEntry{kind: e.kind, at: e.at, duration: e.duration, refusal: e.refusal, outcome: e.outcome, cause: e.cause, lowerTier: e.lowerTier, rate: e.rate, ownRate: e.ownRate}
 	if r := e.request; r != nil {
 		entry.request, entry.organisation, entry.class = r.work.Request, r.work.Organisation, r.work.Class
 		entry.group = group{model: r.work.Model, route: r.work.Route}
@@ -156,6 +157,10 @@
 		d.logger.Info("endpoint back in service", append(fields, "Event", EventEndpointReturned)...)
 	case effectSaysLeaving:
 		d.logger.Info("endpoint says that it leaves", append(fields, "Event", EventEndpointSaysLeaving, "Request", l.cause)...)
+	case effectRateNamed:
+		d.logger.Info("endpoint takes few requests", append(fields, "Event", EventEndpointRateNamed, "Cause", l.cause, "Rate", float64(l.rate), "OwnRate", float64(l.ownRate))...)
+	case effectRateEnded:
+		d.logger.Info("endpoint takes requests without limit", append(fields, "Event", EventEndpointRateEnded, "Cause", l.cause)...)
 	case effectRests:
 		d.logger.Info("endpoint wants no requests", append(fields, "Event", EventEndpointRests, "Request", l.cause, "For", l.duration.String())...)
 	case effectRested:
--- a/dispatch/endpoint/metrics.go
+++ b/dispatch/endpoint/metrics.go
@@ -75,7 +75,7 @@
 		effectGranted: "granted", effectQueued: "queued", effectRefused: "refused", effectPreempted: "preempted",
 		effectMoved: "moved", effectReleased: "released", effectCancelled: "cancelled", effectEjected: "ejected",
 		effectRestored: "restored", effectQueueLong: "queue_long", effectQueueShort: "queue_short", effectLeaving: "leaving", effectReturned: "returned",
-		effectSaysLeaving: "says_leaving", effectRests: "rests", effectRested: "rested",
+		effectSaysLeaving: "says_leaving", effectRests: "rests", effectRested: "rested", effectRateNamed: "rate_named", effectRateEnded: "rate_ended",
 	}
 	return names[k]
 }
--- a/dispatch/endpoint/remote.go
+++ b/dispatch/endpoint/remote.go
@@ -148,6 +148,7 @@
 			rank = i
 		}
 	}
+	c.assignRates()
 	for _, other := range c.remotes {
 		other.hosts = other.hosts[:0]
 	}
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/dispatch/ratelimit"
 )
 
 // endpoint is this host's state of one endpoint.
@@ -34,6 +35,8 @@
 	health health
 	// restsUntil is the time until which the endpoint wants no requests from this host, as it has said itself.
 	restsUntil time.Time
+	// named is the rate of requests that the endpoint has named.
+	named ratelimit.Limit
 
 	// reportedExcess is the load in the last report minus the requests that the hosts had on the endpoint at that time.
 	reportedExcess float64
--- a/dispatch/endpoint/word.go
+++ b/dispatch/endpoint/word.go
@@ -32,6 +32,9 @@
 		e.rampSince = until
 		c.emit(effect{kind: effectRests, at: now, endpoint: e, cause: string(word.Request), duration: until.Sub(now)})
 	}
+	if e.named.Hear(now, word.SentAt, word.Rate) {
+		c.rateChanged(now, e, string(word.Request))
+	}
 }
 
 // checkRest emits an effect when the time of an endpoint that wanted no requests is over.
@@ -42,20 +45,20 @@
 	}
 }
 
-// paused reports whether the endpoint gets no requests for a time that is known: it was ejected, or has said so.
+// paused reports whether the endpoint's slots do not count: it was ejected, or has said that it wants no requests or few.
 func (e *endpoint) paused(now time.Time) bool {
-	return now.Before(e.health.ejectedUntil) || now.Before(e.restsUntil)
+	return now.Before(e.health.ejectedUntil) || now.Before(e.restsUntil) || e.named.Limited()
 }
 
-// restWait returns the time until the first of the lane's endpoints takes requests again, if all that serve have said that they
-// want none; else zero.
+// restWait returns the time until the first of the lane's endpoints takes requests again, if none that serves takes any now because of
+// what it has said; else zero.
 func (l *lane) restWait(now time.Time) time.Duration {
 	wait := time.Duration(0)
 	for _, e := range l.endpoints {
 		if !e.serving {
 			continue
 		}
-		left := e.restsUntil.Sub(now)
+		left := max(e.restsUntil.Sub(now), e.named.Wait(now))
 		if left <= 0 {
 			return 0
 		}
--- a/forward.go
+++ b/forward.go
@@ -193,9 +193,10 @@
 	ConnectionAge      time.Duration
 	// Load is nil when the endpoint does not report its load.
 	Load *EndpointLoad
-	// Leaving and RestsFor are those of EndpointWord.
+	// Leaving, RestsFor and Rate are those of EndpointWord.
 	Leaving  bool
 	RestsFor time.Duration
+	Rate     RateWord
 }
 
 // EndpointLoad is the load that an endpoint reports in a response.
--- a/load.go
+++ b/load.go
@@ -55,6 +55,21 @@
 	Leaving bool
 	// RestsFor is how long the endpoint, which has turned the request away, wants no requests from this host; zero if it does not say.
 	RestsFor time.Duration
+	// Rate is what the answer says of the rate of requests that the endpoint takes, and SentAt when the request was sent.
+	Rate   RateWord
+	SentAt time.Time
+}
+
+// RequestRate is a number of requests a second.
+type RequestRate float64
+
+// RateWord is what an answer says of the rate of requests that its endpoint takes.
+type RateWord struct {
+	// Known is set unless the answer says something that cannot be read.
+	Known bool
+	// Limited is set if the endpoint takes no more than Rate from all hosts together.
+	Limited bool
+	Rate    RequestRate
 }
 
 // EndpointListener receives what endpoints say of themselves. Its methods must not block.
--- a/serving/forward/attempt.go
+++ b/serving/forward/attempt.go
@@ -274,6 +274,7 @@
 	now := s.now()
 	s.options.Listener.ObserveWord(now, a.slot.StartedAt(), winch.EndpointWord{
 		Endpoint: a.endpoint.ID, Request: req.ID, Leaving: a.reply.Leaving, RestsFor: a.reply.RestsFor,
+		Rate: a.reply.Rate, SentAt: a.started,
 	})
 	load := a.reply.Load
 	if load == nil {
