fix(origin): hosts that all started again know which versions served before

Cause: a host took the only version in its list for the only one that has served for as long as a stream can last, although it had just started. Fix: the hub saves the listed versions in the store when they change; a host that starts loads them before it takes a version for the only one. Cost: one read for each start of a host, one write for each change of the versions.

--- a/origin.go
+++ b/origin.go
@@ -57,3 +57,20 @@
 	// is ErrOriginUnknown; the result then tells whether a later call may succeed.
 	Find(ctx context.Context, now time.Time, stream RequestID, model ModelID) (FoundOrigin, error)
 }
+
+// ServedSoftware is a version of a model's endpoints that serves or has served.
+type ServedSoftware struct {
+	Model    ModelID
+	Software SoftwareVersion
+	// At is when it was last known to serve, by the clock of the host that uses this value.
+	At time.Time
+}
+
+// SoftwareHistory keeps the versions that have served where they outlast all hosts.
+type SoftwareHistory interface {
+	// Load returns what was saved. Versions that served when it was saved count as serving now. The result is empty if nothing was saved yet.
+	Load(ctx context.Context, now time.Time) ([]ServedSoftware, error)
+	// Save replaces what was saved, unless another host has saved since this one has loaded or saved; the error is then ErrConflict, and
+	// the history must be loaded again. Versions with the time now serve at present.
+	Save(ctx context.Context, now time.Time, served []ServedSoftware) error
+}
--- a/origin/book.go
+++ b/origin/book.go
@@ -197,6 +197,17 @@
 	return served
 }
 
+// AllServed returns the versions of all models that have served within the time that a stream is remembered.
+func (b *Book) AllServed(now time.Time, memory time.Duration) []winch.ServedSoftware {
+	var all []winch.ServedSoftware
+	for model := range b.served {
+		for _, served := range b.Served(now, model, memory) {
+			all = append(all, winch.ServedSoftware{Model: model, Software: served.Software, At: served.At})
+		}
+	}
+	return all
+}
+
 // OnlyVersion returns the version of the model if it is the only one that has served for as long as a stream is remembered. A
 // version that is not known counts as one.
 func (b *Book) OnlyVersion(now time.Time, model winch.ModelID, memory time.Duration) (winch.SoftwareVersion, bool) {
--- a/origin/peer/events.go
+++ b/origin/peer/events.go
@@ -8,4 +8,6 @@
 	EventOriginSought winch.EventNumber = 2501
 	// EventOriginUntold: a host could not be told the origins of streams.
 	EventOriginUntold winch.EventNumber = 2502
+	// EventHistoryFailed: the history of software versions could not be loaded or saved.
+	EventHistoryFailed winch.EventNumber = 2503
 )
--- a/origin/peer/find.go
+++ b/origin/peer/find.go
@@ -44,7 +44,7 @@
 	}
 	others := k.hasOthers(now)
 	result := k.withoutRecord(now, model, memory, asked.answers > 0 || k.listIsFresh(now))
-	result.MayBeKnownLater = result.Source == winch.OriginUnknown && others && asked.answers < enoughAnswers
+	result.MayBeKnownLater = result.Source == winch.OriginUnknown && (others && asked.answers < enoughAnswers || !k.knowsEarlierVersions(now, memory))
 	return k.conclude(stream, result, asked.answers)
 }
 
@@ -55,7 +55,7 @@
 	software, single := k.book.OnlyVersion(now, model, memory)
 	k.mu.Unlock()
 	result := winch.FoundOrigin{StreamOrigin: winch.StreamOrigin{Model: model, At: now}, Source: winch.OriginUnknown}
-	if single && allVersionsSeen {
+	if single && allVersionsSeen && k.knowsEarlierVersions(now, memory) {
 		result.Software, result.Source, result.SingleVersion = software, winch.OriginOnlyVersion, true
 	}
 	return result
--- a/origin/peer/keeper.go
+++ b/origin/peer/keeper.go
@@ -58,6 +58,8 @@
 	Clock          winch.Clock
 	Logger         hclog.Logger
 	Meter          metric.Meter
+	// History may be nil. The versions that this host has seen itself are then taken for all that have served.
+	History winch.SoftwareHistory
 }
 
 // Keeper implements winch.StreamOrigins. It is safe for concurrent use.
@@ -69,6 +71,11 @@
 	lookups chan struct{}
 	// wake is signalled when there are records to tell.
 	wake chan struct{}
+	// started is when this host started, and historyLoaded set once it knows which versions served before.
+	started       time.Time
+	historyLoaded atomic.Bool
+	// savedVersions are the listed ones when this host has last saved the history; used by runHistory only.
+	savedVersions []version
 
 	mu   sync.Mutex
 	book *origin.Book
@@ -81,12 +88,12 @@
 // New checks the options and returns a keeper. Until Connect is called, it knows the streams of this host only.
 func New(options Options) (*Keeper, error) {
 	if options.Membership == nil || options.Endpoints == nil || options.Configurations == nil || options.Clock == nil || options.Logger == nil {
-		return nil, fmt.Errorf("create keeper of stream origins: only Meter may be nil: %w", winch.ErrInvalid)
+		return nil, fmt.Errorf("create keeper of stream origins: only Meter and History may be nil: %w", winch.ErrInvalid)
 	}
 	options.Meter = cmp.Or[metric.Meter](options.Meter, noop.Meter{})
 	k := &Keeper{
 		options: options, book: origin.New(), sending: map[winch.HostID]int{},
-		lookups: make(chan struct{}, maxLookups), wake: make(chan struct{}, 1),
+		lookups: make(chan struct{}, maxLookups), wake: make(chan struct{}, 1), started: options.Clock.Now(),
 	}
 	measures, err := newMetrics(options.Meter, k.records)
 	if err != nil {
@@ -104,11 +111,9 @@
 
 // Run observes the list of endpoints and tells other hosts, until ctx ends. It returns nil.
 func (k *Keeper) Run(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		k.runTeller(ctx)
-	}()
+	background := sync.WaitGroup{}
+	background.Go(func() { k.runTeller(ctx) })
+	background.Go(func() { k.runHistory(ctx) })
 	ticker := time.NewTicker(observeEvery)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -120,7 +125,7 @@
 		case <-ticker.C:
 		}
 	}
-	<-done
+	background.Wait()
 	return nil
 }
 
--- a/winchd/forwarder/software_restart_test.go
+++ b/winchd/forwarder/software_restart_test.go
@@ -11,12 +11,14 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/arbutuswinch/winch"
+	history "github.com/arbutuswinch/winch/origin/keyvalue"
 )
 
 func TestStreamIsNotJoinedFromTwoVersionsAfterAllHostsWereKilled(t *testing.T) {
 	t.Parallel()
 	const streams = 24
 	f, hosts := startVersionedSystem(t, 4, "v1", "v1", "v1", "v1")
+	waitFor(t, startLimit, "the versions to be saved", func() bool { return f.store.Has(history.Key) })
 	counts, group, begun := &versionCounts{}, sync.WaitGroup{}, atomic.Int64{}
 	ctx, cancel := context.WithTimeout(t.Context(), 2*streamTime)
 	defer cancel()
