fix(origin): a host that reaches no other one does not take its list for complete

Cause: a host that was cut off took a list of up to 2 s for all versions that serve, and for streams that their callers do not name it asked no other host at all. Fix: the list alone counts only for a host without any others; other hosts are asked for their versions also for a stream without a name. Evidence: TestHostThatIsOutOfStepDoesNotTrustItsList failed before, in both parts. Test changed: TestHostThatReachesNoOther demanded that a host with a list of 1 s, which reaches none of two others, takes its version for the only one. That is the fault. It now demands that for a host without others, and that one with others refuses at any age of the list, which is stricter.

--- a/origin/peer/find.go
+++ b/origin/peer/find.go
@@ -16,7 +16,7 @@
 	enoughAnswers = tellHosts
 	// askTimeout limits the time for which other hosts are asked.
 	askTimeout = 200 * time.Millisecond
-	// listTrust is the age up to which this host's own list of endpoints shows all versions that serve, if no other host answers.
+	// listTrust is the age up to which the list of endpoints of a host without any others shows all versions that serve.
 	listTrust = 2 * time.Second
 )
 
@@ -35,16 +35,22 @@
 	case found:
 		// The host that relayed the stream did not know the version of its endpoint, so no host does.
 		return k.conclude(stream, k.withoutRecord(now, model, memory, true), 0)
-	case stream == "":
-		return k.conclude(stream, k.withoutRecord(now, model, memory, k.listIsFresh(now)), 0)
 	}
 	asked := k.ask(ctx, now, stream, model)
 	if asked.origin != nil && asked.origin.Software != "" {
 		return k.conclude(stream, winch.FoundOrigin{StreamOrigin: *asked.origin, Source: winch.OriginTold}, asked.answers)
 	}
 	others := k.hasOthers(now)
-	result := k.withoutRecord(now, model, memory, asked.answers > 0 || k.listIsFresh(now))
-	result.MayBeKnownLater = result.Source == winch.OriginUnknown && (others && asked.answers < enoughAnswers || !k.knowsEarlierVersions(now, memory))
+	// A host that reaches no other one cannot know what has been listed since it read its own list.
+	result := k.withoutRecord(now, model, memory, asked.answers > 0 || !others && k.listIsFresh(now))
+	if result.Source == winch.OriginUnknown {
+		wanted := enoughAnswers
+		if stream == "" {
+			// More answers would only tell of the same versions.
+			wanted = 1
+		}
+		result.MayBeKnownLater = others && asked.answers < wanted || !k.knowsEarlierVersions(now, memory)
+	}
 	return k.conclude(stream, result, asked.answers)
 }
 
