refactor(httpjson): one set of clients by address

Cause: three packages held a map of clients by address, each with its own copy of the code. Change: httpjson.Clients; behaviour unchanged.

--- a/membership/peer/exchange.go
+++ b/membership/peer/exchange.go
@@ -76,8 +76,9 @@
 	table     *Table
 	compactor *httpjson.Compactor
 
-	mu      sync.Mutex
-	clients map[string]*httpjson.Client
+	clients *httpjson.Clients
+
+	mu sync.Mutex
 	// hub is the host that was the hub of this data centre at the latest exchange.
 	hub winch.HostID
 	// receivedHosts is the host set of the latest response to an exchange.
@@ -98,9 +99,12 @@
 	options.DigestEvery = cmp.Or(options.DigestEvery, defaultDigestEvery)
 	options.ListEvery = cmp.Or(options.ListEvery, defaultListEvery)
 	options.Timeout = cmp.Or(options.Timeout, defaultTimeout)
+	compactor := newCompactor()
 	return &Exchange{
-		options: options, table: options.Table, compactor: newCompactor(),
-		clients:      map[string]*httpjson.Client{},
+		options: options, table: options.Table, compactor: compactor,
+		clients: httpjson.NewClients(httpjson.Options{
+			Secret: options.Secret, Timeout: options.Timeout, Transport: options.Transport, Compactor: compactor,
+		}),
 		remoteHosts:  map[winch.DataCentreID]hostSet{},
 		acknowledged: map[winch.DataCentreID]uint64{},
 	}, nil
@@ -185,7 +189,7 @@
 }
 
 func (e *Exchange) exchangeWith(ctx context.Context, hub winch.Host) error {
-	client, err := e.client(hub.PeerAddress)
+	client, err := e.clients.To(hub.PeerAddress)
 	if err != nil {
 		return err
 	}
@@ -280,20 +284,3 @@
 		e.options.Logger.Warn("could not process section", "Event", EventSectionFailed, "Section", section.Name(), "Error", err)
 	}
 }
-
-func (e *Exchange) client(address string) (*httpjson.Client, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if client := e.clients[address]; client != nil {
-		return client, nil
-	}
-	client, err := httpjson.NewClient(httpjson.Options{
-		Address: address, Secret: e.options.Secret,
-		Timeout: e.options.Timeout, Transport: e.options.Transport, Compactor: e.compactor,
-	})
-	if err != nil {
-		return nil, err
-	}
-	e.clients[address] = client
-	return client, nil
-}
--- a/origin/peer/find.go
+++ b/origin/peer/find.go
@@ -110,7 +110,7 @@
 	responses := make(chan *findResponse, len(hosts))
 	for _, host := range hosts {
 		go func() {
-			response, err := all.find(ctx, host, findCall{Stream: string(stream), Model: string(model)})
+			response, err := findAt(ctx, all, host, findCall{Stream: string(stream), Model: string(model)})
 			if err != nil {
 				response = nil
 			}
--- a/origin/peer/keeper.go
+++ b/origin/peer/keeper.go
@@ -36,6 +36,7 @@
 	"go.opentelemetry.io/otel/metric/noop"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/httpjson"
 	"github.com/arbutuswinch/winch/origin"
 )
 
@@ -66,7 +67,7 @@
 type Keeper struct {
 	options Options
 	metrics *metrics
-	clients atomic.Pointer[clients]
+	clients atomic.Pointer[httpjson.Clients]
 	// lookups limits the number of streams for which other hosts are asked at the same time.
 	lookups chan struct{}
 	// wake is signalled when there are records to tell.
@@ -105,7 +106,7 @@
 
 // Connect sets the secret that the hosts share. Other hosts can be told and asked from then on.
 func (k *Keeper) Connect(secret string) {
-	k.clients.Store(newClients(secret))
+	k.clients.Store(httpjson.NewClients(httpjson.Options{Secret: secret, Timeout: tellTimeout}))
 	k.signal()
 }
 
--- a/origin/peer/tell.go
+++ b/origin/peer/tell.go
@@ -5,7 +5,6 @@
 	"context"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,34 +29,8 @@
 	maxSending  = 8
 )
 
-// clients holds a client for each host that was called.
-type clients struct {
-	secret string
-
-	mu        sync.Mutex
-	byAddress map[string]*httpjson.Client
-}
-
-func newClients(secret string) *clients {
-	return &clients{secret: secret, byAddress: map[string]*httpjson.Client{}}
-}
-
-func (c *clients) client(host winch.Host) (*httpjson.Client, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if client := c.byAddress[host.PeerAddress]; client != nil {
-		return client, nil
-	}
-	client, err := httpjson.NewClient(httpjson.Options{Address: host.PeerAddress, Secret: c.secret, Timeout: tellTimeout})
-	if err != nil {
-		return nil, err
-	}
-	c.byAddress[host.PeerAddress] = client
-	return client, nil
-}
-
-func (c *clients) find(ctx context.Context, host winch.Host, call findCall) (*findResponse, error) {
-	client, err := c.client(host)
+func findAt(ctx context.Context, all *httpjson.Clients, host winch.Host, call findCall) (*findResponse, error) {
+	client, err := all.To(host.PeerAddress)
 	if err != nil {
 		return nil, err
 	}
@@ -65,8 +38,8 @@
 	return response, client.Call(ctx, findPath, call, response)
 }
 
-func (c *clients) tell(ctx context.Context, host winch.Host, call tellCall) error {
-	client, err := c.client(host)
+func tellTo(ctx context.Context, all *httpjson.Clients, host winch.Host, call tellCall) error {
+	client, err := all.To(host.PeerAddress)
 	if err != nil {
 		return err
 	}
@@ -111,7 +84,7 @@
 }
 
 // tellAll gives each record to the hosts that keep it, with one message to each host.
-func (k *Keeper) tellAll(ctx context.Context, all *clients, told []origin.Told) {
+func (k *Keeper) tellAll(ctx context.Context, all *httpjson.Clients, told []origin.Told) {
 	now := k.options.Clock.Now()
 	batches, hosts := map[winch.HostID]*tellCall{}, map[winch.HostID]winch.Host{}
 	for _, each := range told {
@@ -132,7 +105,7 @@
 }
 
 // send sends a message in the background. It is dropped if too many are under way to the host.
-func (k *Keeper) send(ctx context.Context, all *clients, host winch.Host, call tellCall) {
+func (k *Keeper) send(ctx context.Context, all *httpjson.Clients, host winch.Host, call tellCall) {
 	k.mu.Lock()
 	full := k.sending[host.ID] >= maxSending
 	if !full {
@@ -146,7 +119,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 		defer cancel()
-		err := all.tell(ctx, host, call)
+		err := tellTo(ctx, all, host, call)
 		k.mu.Lock()
 		if k.sending[host.ID]--; k.sending[host.ID] == 0 {
 			delete(k.sending, host.ID)
--- a/release/source/content.go
+++ b/release/source/content.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/arbutuswinch/winch"
@@ -127,45 +126,18 @@
 	httpjson.Write(w, http.StatusOK, response)
 }
 
-// contentClients calls other hosts for the configuration. It is created once the secret of the hosts is known.
-type contentClients struct {
-	secret string
-
-	mu        sync.Mutex
-	byAddress map[string]*httpjson.Client
-}
-
-// contentSource is where the content of a configuration may be fetched.
-type contentSource struct {
-	clients atomic.Pointer[contentClients]
-}
-
 // Connect sets the secret that the hosts share. The configuration can be fetched from other hosts from then on.
 func (f *Follower) Connect(secret string) {
-	f.peers.clients.Store(&contentClients{secret: secret, byAddress: map[string]*httpjson.Client{}})
-}
-
-func (c *contentClients) client(address string) (*httpjson.Client, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if client := c.byAddress[address]; client != nil {
-		return client, nil
-	}
-	client, err := httpjson.NewClient(httpjson.Options{Address: address, Secret: c.secret, Timeout: contentTimeout})
-	if err != nil {
-		return nil, err
-	}
-	c.byAddress[address] = client
-	return client, nil
+	f.clients.Store(httpjson.NewClients(httpjson.Options{Secret: secret, Timeout: contentTimeout}))
 }
 
 // fetchFrom fetches the configuration from another host and puts it in force if it is newer than the known version.
 func (f *Follower) fetchFrom(ctx context.Context, host winch.Host, known winch.Version) error {
-	clients := f.peers.clients.Load()
+	clients := f.clients.Load()
 	if clients == nil {
 		return fmt.Errorf("fetch configuration: the secret of the hosts is not known yet: %w", winch.ErrUnavailable)
 	}
-	client, err := clients.client(host.PeerAddress)
+	client, err := clients.To(host.PeerAddress)
 	if err != nil {
 		return err
 	}
--- a/release/source/follower.go
+++ b/release/source/follower.go
@@ -29,11 +29,13 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/httpjson"
 	"github.com/arbutuswinch/winch/internal/dependency"
 	"github.com/arbutuswinch/winch/internal/relay"
 )
@@ -86,7 +88,8 @@
 	// reading is held during a read of the source.
 	reading  sync.Mutex
 	contents *contentServer
-	peers    contentSource
+	// clients call the other hosts. It is nil until the secret that they share is known.
+	clients atomic.Pointer[httpjson.Clients]
 	// wake is signalled when this host has heard of a newer configuration than it has.
 	wake chan struct{}
 }
