refactor(dispatch): measures, concurrency and retries are packages of their own

Change: dispatch/measure, dispatch/concurrency and dispatch/retry, which know nothing of the core; behaviour unchanged. Queues and choice stay in dispatch/endpoint.

--- a/dispatch/endpoint/admission.go
+++ b/dispatch/endpoint/admission.go
@@ -108,11 +108,11 @@
 	// Running requests were counted as work ahead, so the slots that they occupy are subtracted.
 	ahead -= l.slots
 	prefillWait := max(c.prefillWait(l, r), l.restWait(now))
-	if ahead <= 0 || l.holdTime.samples == 0 {
+	if ahead <= 0 || l.holdTime.Samples == 0 {
 		return prefillWait
 	}
 	slots := math.Max(math.Max(l.slots-taken, l.floorSlots()), minimumSlots)
-	return max(prefillWait, secondsOf(ahead*l.holdTime.value/slots))
+	return max(prefillWait, secondsOf(ahead*l.holdTime.Value/slots))
 }
 
 const (
@@ -208,7 +208,7 @@
 	if r.work.Deadline.IsZero() {
 		return false
 	}
-	return now.Add(wait + secondsOf(r.lane.firstToken.value)).After(r.work.Deadline)
+	return now.Add(wait + secondsOf(r.lane.firstToken.Value)).After(r.work.Deadline)
 }
 
 // preemptLower reports whether a slot can be taken from a lower tier. It preempts a request
--- a/dispatch/endpoint/choose.go
+++ b/dispatch/endpoint/choose.go
@@ -35,7 +35,7 @@
 	if e.othersWaiting && allowed > e.fairShare {
 		allowed = max(1, e.fairShare)
 	}
-	if limit := e.limit.ceiling - e.others; allowed > limit {
+	if limit := e.limit.Ceiling - e.others; allowed > limit {
 		allowed = limit
 	}
 	return allowed - e.running
--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/dispatch/concurrency"
+	"github.com/arbutuswinch/winch/dispatch/retry"
 )
 
 // configure applies a new configuration and the list of endpoints ordered from the platform. Streams
@@ -56,7 +58,7 @@
 		found = false
 	}
 	if !found {
-		e = &endpoint{hash: hashOf(string(id)), limit: newLimiter(status.Endpoint.SlotLimit), slowdown: 1, streamsMayMove: true}
+		e = &endpoint{hash: hashOf(string(id)), limit: concurrency.New(status.Endpoint.SlotLimit), slowdown: 1, streamsMayMove: true}
 		c.endpoints[id] = e
 	}
 	// An endpoint that starts gets its load gradually. During this host's first RampTime, all endpoints
@@ -66,9 +68,9 @@
 	}
 	e.startedAt = status.StartedAt
 	e.spec, e.cheap = status.Endpoint, status.Endpoint.Supply == winch.SupplyCheap
-	if ceiling := newLimiter(e.spec.SlotLimit).ceiling; ceiling != e.limit.ceiling {
-		e.limit.ceiling = ceiling
-		e.limit.value = min(e.limit.value, float64(ceiling))
+	if ceiling := concurrency.New(e.spec.SlotLimit).Ceiling; ceiling != e.limit.Ceiling {
+		e.limit.Ceiling = ceiling
+		e.limit.Value = min(e.limit.Value, float64(ceiling))
 	}
 	e.state, e.leavesAt = status.State, status.LeavesAt
 	c.setServing(now, e)
@@ -172,14 +174,14 @@
 	}
 }
 
-func (c *core) budget(g group) *retryBudget {
+func (c *core) budget(g group) *retry.Budget {
 	if budget, found := c.budgets[g]; found {
 		return budget
 	}
-	budget := &retryBudget{window: c.settings.RetryWindow}
+	budget := &retry.Budget{Window: c.settings.RetryWindow}
 	if c.settings.RetryFloorTotal > 0 {
 		// The burst is set once, whereas retryFloor follows the number of hosts seen.
-		budget.burst = max(1, c.settings.RetryFloorTotal/float64(max(c.settings.RetryMinHosts, 1))*retryBurstTime.Seconds())
+		budget.Burst = max(1, c.settings.RetryFloorTotal/float64(max(c.settings.RetryMinHosts, 1))*retryBurstTime.Seconds())
 	}
 	c.budgets[g] = budget
 	return budget
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/dispatch/measure"
+	"github.com/arbutuswinch/winch/dispatch/retry"
 )
 
 type effectKind int
@@ -77,14 +79,14 @@
 	sortedEndpoints []*endpoint // by ID
 	lanes           map[laneKey]*lane
 	sortedLanes     []*lane // by tier, then class and group
-	budgets         map[group]*retryBudget
+	budgets         map[group]*retry.Budget
 	accounts        map[accountKey]*account
 	// virtualTime is, for each tier, the highest account.served at which a request was granted.
 	virtualTime map[winch.Tier]float64
 	remotes     map[winch.DataCentreID]*remote
 	prefixes    map[winch.PrefixHash]winch.EndpointID
 	// prefillSpeeds is the measured prefill speed of the endpoints of each model or route, in prompt tokens per second.
-	prefillSpeeds map[group]average
+	prefillSpeeds map[group]measure.Mean
 	// incompleteAttempts maps each request whose last attempt did not complete to the time it ended. It
 	// includes attempts that never reached their endpoint or were rejected by it.
 	incompleteAttempts map[winch.RequestID]time.Time
@@ -119,12 +121,12 @@
 		configuration:      &winch.Configuration{},
 		endpoints:          map[winch.EndpointID]*endpoint{},
 		lanes:              map[laneKey]*lane{},
-		budgets:            map[group]*retryBudget{},
+		budgets:            map[group]*retry.Budget{},
 		accounts:           map[accountKey]*account{},
 		virtualTime:        map[winch.Tier]float64{},
 		remotes:            map[winch.DataCentreID]*remote{},
 		prefixes:           map[winch.PrefixHash]winch.EndpointID{},
-		prefillSpeeds:      map[group]average{},
+		prefillSpeeds:      map[group]measure.Mean{},
 		incompleteAttempts: map[winch.RequestID]time.Time{},
 		hub:                newHub(),
 	}
@@ -262,7 +264,7 @@
 		end = now.Add(resumeTimeout)
 	}
 	if !r.work.Deadline.IsZero() {
-		latest := r.work.Deadline.Add(-secondsOf(l.firstToken.value))
+		latest := r.work.Deadline.Add(-secondsOf(l.firstToken.Value))
 		if latest.Before(end) || resumed {
 			end = latest
 		}
--- a/dispatch/endpoint/dispatcher.go
+++ b/dispatch/endpoint/dispatcher.go
@@ -185,7 +185,7 @@
 // Retry spends one retry from the budget of the work's model or route. It reports whether the retry is allowed.
 func (d *Dispatcher) Retry(now time.Time, work winch.Work) bool {
 	d.lock.Lock()
-	allowed := d.core.budget(group{model: work.Model, route: work.Route}).spend(now, d.core.retryFloor())
+	allowed := d.core.budget(group{model: work.Model, route: work.Route}).Spend(now, d.core.retryFloor())
 	d.lock.Unlock()
 	if !allowed {
 		d.logger.Info("retry refused: retry budget exhausted", "Event", EventRetryRefused, "At", formatTime(now), "Request", string(work.Request),
--- a/dispatch/endpoint/health.go
+++ b/dispatch/endpoint/health.go
@@ -130,7 +130,7 @@
 		for r := e.tiers[i].newest; r != nil; r = r.runNext {
 			w.streaming = w.streaming || r.firstSeen
 			w.longPrompt = w.longPrompt || r.long && !r.firstSeen
-			w.longestHold = max(w.longestHold, r.lane.holdTime.value)
+			w.longestHold = max(w.longestHold, r.lane.holdTime.Value)
 			if w.oldestGrantedAt.IsZero() || r.grantedAt.Before(w.oldestGrantedAt) {
 				w.oldestGrantedAt = r.grantedAt
 			}
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/dispatch/measure"
+	"github.com/arbutuswinch/winch/dispatch/retry"
 )
 
 // group identifies what endpoints serve, either a model or a route. Exactly one of the fields is set.
@@ -36,7 +38,7 @@
 	// competitors are the lanes that share an endpoint with this one, highest tier first. They
 	// include the lane itself.
 	competitors []*lane
-	budget      *retryBudget
+	budget      *retry.Budget
 
 	oldest, newest *request
 	byAccount      map[*account]*accountQueue
@@ -58,25 +60,25 @@
 	pendingPrefill winch.Tokens
 	prefillBudget  prefillBudget
 
-	holdTime         average // seconds from grant to release
-	promptRate       rate    // prompt tokens that need prefill
-	firstToken       average // seconds from grant to first token
-	slots            float64 // sum of the endpoints' limits
-	preemptedRunning int     // running requests of this lane that were preempted for one queued on this host
+	holdTime         measure.Mean // seconds from grant to release
+	promptRate       measure.Rate // prompt tokens that need prefill
+	firstToken       measure.Mean // seconds from grant to first token
+	slots            float64      // sum of the endpoints' limits
+	preemptedRunning int          // running requests of this lane that were preempted for one queued on this host
 	// movingRunning counts the running requests asked to leave for any reason, except those within the floor.
 	movingRunning  int
 	roundRobinNext int // index in subset at which chooseRoundRobin starts
 
 	// averageRunning is the average number of the lane's requests running on all hosts, over averageRunningWindow.
 	averageRunning   float64
-	highestTier      bool    // no lane that shares an endpoint has a higher tier
-	lowestTier       bool    // no lane that shares an endpoint has a lower tier
-	partitioned      bool    // some endpoints are reserved for latency-sensitive classes
-	latencySensitive bool    // the class has one of the shortest targets; see setLatencySensitive
-	cheapRunning     int     // running on cheap endpoints
-	steadySlotsLeft  float64 // slots of steady endpoints that this tier and those above do not use
-	meanInterToken   average // mean over the endpoints of the time between tokens, in seconds
-	meanFirstToken   average // mean over the endpoints of the time to first token, as a share of the target
+	highestTier      bool         // no lane that shares an endpoint has a higher tier
+	lowestTier       bool         // no lane that shares an endpoint has a lower tier
+	partitioned      bool         // some endpoints are reserved for latency-sensitive classes
+	latencySensitive bool         // the class has one of the shortest targets; see setLatencySensitive
+	cheapRunning     int          // running on cheap endpoints
+	steadySlotsLeft  float64      // slots of steady endpoints that this tier and those above do not use
+	meanInterToken   measure.Mean // mean over the endpoints of the time between tokens, in seconds
+	meanFirstToken   measure.Mean // mean over the endpoints of the time to first token, as a share of the target
 	aperture         int
 
 	others               laneStats // sums over the other hosts of the data centre
--- a/dispatch/endpoint/preempt.go
+++ b/dispatch/endpoint/preempt.go
@@ -62,7 +62,7 @@
 	if target <= 0 {
 		target = l.maxWait()
 	}
-	return max(target-secondsOf(l.firstToken.value), target/minQueueingTimeDivisor)
+	return max(target-secondsOf(l.firstToken.Value), target/minQueueingTimeDivisor)
 }
 
 // minQueueingTimeDivisor sets the minimum of queueingTime, which is the target divided by it.
@@ -72,8 +72,8 @@
 func (c *core) slotRate(l *lane) float64 {
 	rate := 0.0
 	for _, competitor := range l.competitors {
-		if competitor.holdTime.value > 0 {
-			rate += float64(competitor.running) / competitor.holdTime.value
+		if competitor.holdTime.Value > 0 {
+			rate += float64(competitor.running) / competitor.holdTime.Value
 		}
 	}
 	return rate
--- a/dispatch/endpoint/prefill.go
+++ b/dispatch/endpoint/prefill.go
@@ -216,7 +216,7 @@
 	if l.partitioned && e.prefill.latencySensitive != l.latencySensitive {
 		cost += wrongPartitionCost
 	}
-	if e.running+e.others >= e.limit.ceiling {
+	if e.running+e.others >= e.limit.Ceiling {
 		cost += noSlotCost
 	}
 	if e == preferred {
--- a/dispatch/endpoint/prefill_budget.go
+++ b/dispatch/endpoint/prefill_budget.go
@@ -48,7 +48,7 @@
 			window = max(window, competitor.class.FirstTokenTarget)
 			continue
 		}
-		rate := competitor.promptRate.perSecond(now)
+		rate := competitor.promptRate.PerSecond(now)
 		own += rate
 		if competitor.higher(l) {
 			higher += rate
@@ -81,7 +81,7 @@
 
 // prefillSpeed returns the prompt tokens per second that an endpoint of the lane processes.
 func (c *core) prefillSpeed(l *lane) float64 {
-	if speed := c.prefillSpeeds[l.key.group].value; speed > 0 {
+	if speed := c.prefillSpeeds[l.key.group].Value; speed > 0 {
 		return speed
 	}
 	return defaultPrefillSpeed
@@ -173,7 +173,7 @@
 	if !c.limitsPrefill(l) || !c.hostStatsFresh(now) {
 		return true
 	}
-	limit := e.limit.ceiling
+	limit := e.limit.Ceiling
 	if !l.lowestTier {
 		limit *= urgentOverbooking
 	}
--- a/dispatch/endpoint/prefill_rate.go
+++ b/dispatch/endpoint/prefill_rate.go
@@ -1,15 +1,13 @@
 package endpoint
 
 import (
-	"math"
 	"time"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/dispatch/measure"
 )
 
 const (
-	// rateWindow is the time constant of a rate of prompt tokens.
-	rateWindow = 3 * time.Second
 	// minSpeedSample is the minimum number of prompt tokens processed before a first token for the
 	// time to count as a sample of the prefill speed. With fewer, other delays dominate.
 	minSpeedSample = 2500
@@ -21,27 +19,9 @@
 	assumedSamples = 100
 )
 
-// rate is an exponentially decaying rate of events.
-type rate struct {
-	value float64 // per second, at the time at
-	at    time.Time
-}
-
-func (r *rate) add(now time.Time, amount float64) {
-	r.value = r.perSecond(now) + amount/rateWindow.Seconds()
-	r.at = now
-}
-
-func (r *rate) perSecond(now time.Time) float64 {
-	if r.at.IsZero() {
-		return 0
-	}
-	return r.value * math.Exp(-now.Sub(r.at).Seconds()/rateWindow.Seconds())
-}
-
 // addPrompt adds a request's prompt tokens that need prefill to the lane's rate. Refused requests count as well, since the
 // rate is the demand from which endpoints are ordered; a request that is attempted again counts once.
-func (l *lane) addPrompt(now time.Time, count winch.Tokens) { l.promptRate.add(now, float64(count)) }
+func (l *lane) addPrompt(now time.Time, count winch.Tokens) { l.promptRate.Add(now, float64(count)) }
 
 // samplePrefillSpeed updates the prefill speed of the model or route from a request's time to first token and its prompt
 // tokens. Only requests whose prompt was the only one pending at their endpoint count: engines admit urgent requests
@@ -51,13 +31,13 @@
 		return
 	}
 	speed, sample := c.prefillSpeeds[r.lane.key.group], float64(r.prefillAhead)/seconds
-	if speed.samples == 0 {
-		speed = average{value: defaultPrefillSpeed, samples: assumedSamples}
+	if speed.Samples == 0 {
+		speed = measure.Mean{Value: defaultPrefillSpeed, Samples: assumedSamples}
 	}
 	weight := fastSampleWeight
-	if sample < speed.value {
+	if sample < speed.Value {
 		weight = slowSampleWeight
 	}
-	speed.add(sample, weight)
+	speed.Add(sample, weight)
 	c.prefillSpeeds[r.lane.key.group] = speed
 }
--- a/dispatch/endpoint/queues.go
+++ b/dispatch/endpoint/queues.go
@@ -18,7 +18,7 @@
 func (c *core) queues(now time.Time) []winch.QueueStatus {
 	statuses := make([]winch.QueueStatus, 0, len(c.sortedLanes))
 	for _, l := range c.sortedLanes {
-		status := c.queueStatus(l.key, laneStats{Queued: l.queued + len(l.bound), Running: l.running, OldestWait: l.oldestWait(now), PromptRate: int(l.promptRate.perSecond(now))})
+		status := c.queueStatus(l.key, laneStats{Queued: l.queued + len(l.bound), Running: l.running, OldestWait: l.oldestWait(now), PromptRate: int(l.promptRate.PerSecond(now))})
 		status.DataCentre, status.Host, status.PredictedDrain = c.self.DataCentre, c.self.ID, c.drainTime(now, l)
 		status.Slots = int(l.slots)
 		statuses = append(statuses, status)
@@ -74,7 +74,7 @@
 	return winch.QueueStatus{
 		Class: key.class, Model: key.group.model, Route: key.group.route, Tier: c.configuration.Classes[key.class].Tier,
 		Queued: stats.Queued, Running: stats.Running, OldestWait: stats.OldestWait,
-		PromptRate: float64(stats.PromptRate), PromptSpeed: c.prefillSpeeds[key.group].value,
+		PromptRate: float64(stats.PromptRate), PromptSpeed: c.prefillSpeeds[key.group].Value,
 	}
 }
 
--- a/dispatch/endpoint/release.go
+++ b/dispatch/endpoint/release.go
@@ -47,13 +47,13 @@
 func (c *core) recordOutcome(now time.Time, r *request, outcome winch.Outcome) {
 	switch outcome {
 	case winch.OutcomeDone:
-		r.lane.holdTime.add(now.Sub(r.grantedAt).Seconds(), holdTimeWeight)
-		r.lane.budget.success(now, c.settings.RetryShare)
+		r.lane.holdTime.Add(now.Sub(r.grantedAt).Seconds(), holdTimeWeight)
+		r.lane.budget.Success(now, c.settings.RetryShare)
 		if r.nonStreaming() {
 			// The first-token target of such a class is the time to the whole response. If its first
 			// byte was recorded, readProgress has sampled that time as well.
-			r.lane.firstToken.add(now.Sub(r.grantedAt).Seconds(), sampleWeight)
-			r.endpoint.limit.sampleFirstToken(now.Sub(r.grantedAt).Seconds(), r.lane.class.FirstTokenTarget)
+			r.lane.firstToken.Add(now.Sub(r.grantedAt).Seconds(), firstTokenWeight)
+			r.endpoint.limit.SampleFirstToken(now.Sub(r.grantedAt).Seconds(), r.lane.class.FirstTokenTarget)
 		}
 		c.recordSuccess(now, r.endpoint)
 	case winch.OutcomeUnsent:
@@ -67,6 +67,6 @@
 	case winch.OutcomeRejected:
 		// The endpoint refused the request because of its load, which was this request and those still
 		// running, so the decrease starts there.
-		r.endpoint.limit.reject(now, r.endpoint.running+1)
+		r.endpoint.limit.Reject(now, r.endpoint.running+1)
 	}
 }
--- a/dispatch/endpoint/serve.go
+++ b/dispatch/endpoint/serve.go
@@ -75,7 +75,7 @@
 	if !c.features.longWorkLimit || len(e.lanes) == 0 || !e.lanes[0].higher(l) {
 		return true
 	}
-	if r.long && float64(e.longRunning) >= max(1, c.settings.LongShare*e.limit.value) {
+	if r.long && float64(e.longRunning) >= max(1, c.settings.LongShare*e.limit.Value) {
 		return false
 	}
 	return !l.lowestTier || e.lowerTierPrefill == 0 || e.lowerTierPrefill+r.work.InputTokens <= c.settings.LowerTierPrefillLimit
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/dispatch/concurrency"
 	"github.com/arbutuswinch/winch/dispatch/ratelimit"
 )
 
@@ -65,7 +66,7 @@
 	lowerTierPrefill winch.Tokens  // prompt tokens of this host's requests below the highest tier that have no first token yet
 	prefill          prefillLoad
 	models           []winch.LoadedModel
-	limit            limiter
+	limit            concurrency.Limiter
 	lastHeard        atomic.Int64 // nanoseconds since 1970
 	rampSince        time.Time    // start of the ramp-up; zero when it is over
 	history          history
--- a/dispatch/endpoint/stats.go
+++ b/dispatch/endpoint/stats.go
@@ -49,19 +49,19 @@
 	own.prefillAware = c.features.prefillAware
 	for _, e := range c.sortedEndpoints {
 		if e.running > 0 {
-			own.endpoints[e.spec.ID] = endpointStats{Running: e.running, Limit: e.limit.value, PendingPrefill: e.prefill.pending}
+			own.endpoints[e.spec.ID] = endpointStats{Running: e.running, Limit: e.limit.Value, PendingPrefill: e.prefill.pending}
 		}
 	}
 	for _, l := range c.sortedLanes {
 		if l.aperture > c.settings.Aperture {
 			own.aperture = max(own.aperture, l.aperture)
 		}
-		if l.queued == 0 && l.running == 0 && l.promptRate.perSecond(now) < 1 {
+		if l.queued == 0 && l.running == 0 && l.promptRate.PerSecond(now) < 1 {
 			continue
 		}
 		own.lanes[l.key] = laneStats{
 			Queued: l.queued, Running: l.running, Movable: c.movableRunning(l), Urgent: c.urgent(now, l), OldestWait: l.oldestWait(now),
-			PromptRate: int(l.promptRate.perSecond(now)),
+			PromptRate: int(l.promptRate.PerSecond(now)),
 		}
 	}
 	for key, a := range c.accounts {
@@ -246,7 +246,7 @@
 		e.prefill.others = reported.PendingPrefill
 		e.history.add(now, float64(e.running+e.others))
 		if c.features.adaptiveLimit && reported.Running > 0 {
-			e.limit.merge(reported.Limit)
+			e.limit.Merge(reported.Limit)
 		}
 	}
 	for _, l := range c.sortedLanes {
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/dispatch/concurrency"
+	"github.com/arbutuswinch/winch/dispatch/measure"
 )
 
 // tick performs the periodic housekeeping: it reads the progress of streams, adjusts limits,
@@ -21,9 +23,9 @@
 		c.checkRest(now, e)
 		e.decayReserve(c.settings.Tick)
 		if c.features.adaptiveLimit {
-			e.limit.adjust(now, c.interTokenTarget(e), e.running+e.others)
+			e.limit.Adjust(now, c.interTokenTarget(e), e.running+e.others)
 		} else {
-			e.limit.raise(now)
+			e.limit.Raise(now)
 		}
 		e.history.add(now, float64(e.running+e.others))
 	}
@@ -54,7 +56,7 @@
 	for len(c.expiry) > 0 && !c.expiry[0].expires.After(now) {
 		r := c.expiry[0]
 		reason := winch.RefusedWait
-		if !r.work.Deadline.IsZero() && now.Add(secondsOf(r.lane.firstToken.value)).After(r.work.Deadline) {
+		if !r.work.Deadline.IsZero() && now.Add(secondsOf(r.lane.firstToken.Value)).After(r.work.Deadline) {
 			reason = winch.RefusedDeadline
 		}
 		c.refuse(now, r, r.lane, reason, c.drainTime(now, r.lane))
@@ -134,7 +136,7 @@
 	at := time.Unix(0, last)
 	r.endpoint.recordAlive(r.grantedAt, at)
 	if r.firstSeen && at.After(r.lastOutputAt) {
-		r.endpoint.limit.sampleInterToken(at.Sub(r.lastOutputAt).Seconds() / float64(delta))
+		r.endpoint.limit.SampleInterToken(at.Sub(r.lastOutputAt).Seconds() / float64(delta))
 		r.lastOutputAt = at
 	}
 	if !r.long && r.work.OutputDone+tokens >= c.settings.LongOutput {
@@ -145,10 +147,10 @@
 
 func (c *core) sampleFirstToken(r *request, at time.Time) {
 	seconds := at.Sub(r.grantedAt).Seconds()
-	r.lane.firstToken.add(seconds, sampleWeight)
+	r.lane.firstToken.Add(seconds, firstTokenWeight)
 	c.samplePrefillSpeed(r, seconds)
 	if r.endpoint != nil {
-		r.endpoint.limit.sampleFirstToken(seconds, r.lane.class.FirstTokenTarget)
+		r.endpoint.limit.SampleFirstToken(seconds, r.lane.class.FirstTokenTarget)
 	}
 }
 
@@ -178,10 +180,10 @@
 	}
 	for _, l := range c.sortedLanes {
 		l.slots, l.steadySlotsLeft = 0, 0
-		l.meanInterToken, l.meanFirstToken = average{}, average{}
+		l.meanInterToken, l.meanFirstToken = measure.Mean{}, measure.Mean{}
 		for _, e := range l.endpoints {
-			l.meanInterToken.addMean(e.limit.longRunInterToken)
-			l.meanFirstToken.addMean(e.limit.longRunFirstToken)
+			l.meanInterToken.AddMean(e.limit.LongRunInterToken)
+			l.meanFirstToken.AddMean(e.limit.LongRunFirstToken)
 			if !e.serving || e.paused(now) {
 				continue
 			}
@@ -226,7 +228,7 @@
 	if len(e.lanes) == 0 {
 		return 1
 	}
-	factor := math.Max(ratio(e.limit.longRunInterToken, e.lanes[0].meanInterToken), ratio(e.limit.longRunFirstToken, e.lanes[0].meanFirstToken))
+	factor := math.Max(ratio(e.limit.LongRunInterToken, e.lanes[0].meanInterToken), ratio(e.limit.LongRunFirstToken, e.lanes[0].meanFirstToken))
 	factor = math.Min(slowdownMax, math.Max(slowdownMin, factor))
 	if e.running > 0 && e.spec.Kind == winch.EndpointEngine {
 		if e.summariseRunning().streaming && now.Sub(time.Unix(0, e.lastHeard.Load())) > quietAfter {
@@ -236,9 +238,9 @@
 	return factor
 }
 
-func ratio(own, all average) float64 {
-	if own.samples < minimumSamples || all.value <= 0 {
+func ratio(own, all measure.Mean) float64 {
+	if own.Samples < concurrency.MinSamples || all.Value <= 0 {
 		return 1
 	}
-	return own.value / all.value
+	return own.Value / all.Value
 }
