fix(platform/operator): a small configuration is read plainly, a large one too after a failed conditional read

Cause: the read under a condition counts as a write. While the store loses the responses to a part of its writes, the hub would have lost as many of its checks, and after three in a row keys would have been refused; plain reads lose none.

--- a/httpjson/progress.go
+++ b/httpjson/progress.go
@@ -22,11 +22,20 @@
 
 // CallWithProgress is Call, bounded by the progress as well as by Options.Timeout.
 func (c *Client) CallWithProgress(ctx context.Context, path string, in, out any, progress Progress) error {
+	return c.doWithProgress(ctx, http.MethodPost, path, in, out, progress)
+}
+
+// FetchWithProgress is Fetch, bounded by the progress as well as by Options.Timeout.
+func (c *Client) FetchWithProgress(ctx context.Context, path string, out any, progress Progress) error {
+	return c.doWithProgress(ctx, http.MethodGet, path, nil, out, progress)
+}
+
+func (c *Client) doWithProgress(ctx context.Context, method, path string, in, out any, progress Progress) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := time.AfterFunc(progress.StallLimit, func() { cancel(errStalled) })
 	defer timer.Stop()
-	return c.do(ctx, http.MethodPost, path, in, out, func(response *http.Response) {
+	return c.do(ctx, method, path, in, out, func(response *http.Response) {
 		timer.Reset(progress.StallLimit)
 		if progress.OnStatus != nil {
 			progress.OnStatus(response.StatusCode)
--- a/keyvalue.go
+++ b/keyvalue.go
@@ -50,10 +50,12 @@
 	Changed func()
 }
 
-// ConditionalReader reads an entry whose value is only transferred if it has changed.
-type ConditionalReader interface {
-	// GetIfChanged returns the entry of the key, without its value if it still has the known version. The read is linearizable.
-	// The errors are those of KeyValue.Get.
+// LargeReader reads entries whose values may be large. The errors are those of KeyValue.Get.
+type LargeReader interface {
+	// GetLarge returns the entry of the key with its value. LongRead.Changed is not called.
+	GetLarge(ctx context.Context, key string, read LongRead) (Entry, error)
+	// GetIfChanged returns the entry of the key, without its value if it still has the known version. The read is linearizable. It counts
+	// as a write, whose response may be lost where that of GetLarge is not.
 	GetIfChanged(ctx context.Context, key string, known Version, read LongRead) (Entry, error)
 }
 
