perf(quarantine): an endpoint that is out of reach is asked for its start less often

Cause: a crashed endpoint was asked 33 times by each host that had seen the crash; such calls are priced. Result: TestPartIsSentAgainWhenItsEndpointsTurnOutToRunOn and TestLostLinksToEnginesAreNotTakenForCrashes pass.

--- a/quarantine/peer/watch.go
+++ b/quarantine/peer/watch.go
@@ -9,11 +9,12 @@
 )
 
 const (
-	// askEvery and askFor are the interval at which an endpoint that refused connections is asked when it started, and for
-	// how long. A router that rejects traffic looks like a process that has ended.
-	askEvery   = 300 * time.Millisecond
-	askFor     = 10 * time.Second
-	askTimeout = 300 * time.Millisecond
+	// An endpoint that refused connections is asked when it started, for askFor, since a router that rejects traffic looks like a
+	// process that has ended. The pause between two tries grows from minAskPause to maxAskPause.
+	askFor      = 10 * time.Second
+	minAskPause = 250 * time.Millisecond
+	maxAskPause = time.Second
+	askTimeout  = 300 * time.Millisecond
 )
 
 // watch asks the endpoint when it started until it answers. If it still is the run that the requests were sent to, it has not crashed.
@@ -39,9 +40,10 @@
 }
 
 func (g *Guard) askUntilAnswered(endpoint winch.Endpoint) {
-	startedAt := time.Time{}
-	for waited := time.Duration(0); waited < askFor && startedAt.IsZero(); waited += askEvery {
-		<-time.After(askEvery)
+	startedAt, pause := time.Time{}, minAskPause
+	for waited := time.Duration(0); waited < askFor && startedAt.IsZero(); waited += pause {
+		pause = min(pause*3/2, maxAskPause)
+		<-time.After(pause)
 		startedAt = g.askStart(endpoint)
 	}
 	now := g.options.Clock.Now()
