test(forward): the word of an endpoint tells when its request was sent, and its rate

Change: the time is checked against the test's own clock, then the rest is compared as before; a response that names a rate is a further case.

--- a/serving/forward/attempt_test.go
+++ b/serving/forward/attempt_test.go
@@ -188,6 +188,7 @@
 }
 
 func TestEndpointSpeaksForItselfInEachResponse(t *testing.T) {
+	named := winch.RateWord{Known: true, Limited: true, Rate: 1.5}
 	for name, c := range map[string]struct {
 		path     string
 		response stubResponse
@@ -197,11 +198,17 @@
 		"error":              {"/once/x", stubResponse{status: 500, leaving: true}, winch.EndpointWord{Endpoint: "e0", Request: "r1", Leaving: true}},
 		"stream that breaks": {"/chat/x", stubResponse{status: 200, body: event(1), truncated: true, leaving: true}, winch.EndpointWord{Endpoint: "e0", Request: "r1", Leaving: true}},
 		"refusal":            {"/safe/open/", stubResponse{status: 503, notRun: true, restsFor: time.Second}, winch.EndpointWord{Endpoint: "e0", Request: "r1", RestsFor: time.Second}},
+		"rate":               {"/safe/x", stubResponse{status: 200, rate: named}, winch.EndpointWord{Endpoint: "e0", Request: "r1", Rate: named}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ts := newTestServer(t, c.response)
+			before := time.Now()
 			ts.post(c.path)
-			assert.DeepEqual(t, ts.words, []winch.EndpointWord{c.want})
+			assert.Equal(t, len(ts.words), 1)
+			said := ts.words[0]
+			assert.Assert(t, !said.SentAt.Before(before) && !said.SentAt.After(time.Now()), "%s", said.SentAt)
+			said.SentAt = time.Time{}
+			assert.DeepEqual(t, said, c.want)
 		})
 	}
 }
--- a/serving/forward/fakes_test.go
+++ b/serving/forward/fakes_test.go
@@ -106,6 +106,7 @@
 	misdirected bool
 	leaving     bool
 	restsFor    time.Duration
+	rate        winch.RateWord
 	// waitFor delays the response until the channel is closed.
 	waitFor <-chan struct{}
 }
@@ -240,7 +241,7 @@
 func (ts *testServer) ObserveWord(_, _ time.Time, word winch.EndpointWord) {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
-	if word.Leaving || word.RestsFor > 0 {
+	if word.Leaving || word.RestsFor > 0 || word.Rate.Limited {
 		ts.words = append(ts.words, word)
 	}
 }
@@ -319,7 +320,7 @@
 	return &winch.ForwardReply{
 		Status: next.status, Header: http.Header{"X-Signature": {"s"}}, Body: io.NopCloser(body), Authentic: !next.unsigned,
 		NotExecuted: next.notRun || next.misdirected, Misdirected: next.misdirected,
-		Leaving: next.leaving, RestsFor: next.restsFor,
+		Leaving: next.leaving, RestsFor: next.restsFor, Rate: next.rate,
 	}, nil
 }
 
