fix(release): a read of the source ends what was only heard of a newer configuration

Cause: a host that has heard of a newer version from one that does not have it either, or from the head of a response, stayed behind if there is none, such as after the store was set back to an older copy: it then refused open routes for as long as it heard of it. Fix: a whole read of the source, which is linearizable, settles it. What the hub saves of software versions has all that are listed, also those that its book has not observed yet. Result: TestSourceThatIsSetBackLeavesOpenRoutesServed and a part of TestHostThatIsBehind failed before.

--- a/origin/peer/history.go
+++ b/origin/peer/history.go
@@ -77,10 +77,11 @@
 	k.mu.Lock()
 	served := k.book.AllServed(now, memory)
 	k.mu.Unlock()
-	for i := range served {
-		if slices.Contains(listed, version{model: served[i].Model, software: served[i].Software}) {
-			served[i].At = now
-		}
+	served = slices.DeleteFunc(served, func(each winch.ServedSoftware) bool {
+		return slices.Contains(listed, version{model: each.Model, software: each.Software})
+	})
+	for _, each := range listed {
+		served = append(served, winch.ServedSoftware{Model: each.model, Software: each.software, At: now})
 	}
 	if err := k.options.History.Save(ctx, now, served); err != nil {
 		// Another host may have saved since. What it has saved is loaded first.
--- a/release/source/follower.go
+++ b/release/source/follower.go
@@ -155,6 +155,9 @@
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
+	f.state.settle(version)
+	f.mu.Unlock()
 	return f.applyVersion(raw, version, sent, "source")
 }
 
--- a/release/source/follower_test.go
+++ b/release/source/follower_test.go
@@ -139,12 +139,45 @@
 			assert.Equal(t, host.Superseded(start.Add(after)), after <= 4*time.Second)
 		})
 	}
+	t.Run("until the source shows that there is none", func(t *testing.T) {
+		host.Step(t.Context())
+		assert.Equal(t, host.Authority(start.Add(3*time.Second)), winch.AuthorityFull)
+		host.hearOfNewer(6, time.Time{}, "")
+	})
 	t.Run("until it has the newer one", func(t *testing.T) {
 		assert.NilError(t, host.applyVersion([]byte("true"), 6, start, "source"))
 		assert.Equal(t, host.Authority(start.Add(3*time.Second)), winch.AuthorityFull)
 	})
 }
 
+func TestSourceThatIsSetBackLeavesOpenRoutesServed(t *testing.T) {
+	source := &changingSource{fakeSource: &fakeSource{version: 9, hasKey: true}}
+	host, err := New(Options{
+		Source: source, Clock: &fakeClock{now: start}, Logger: hclog.NewNullLogger(), FreshnessLimit: 4 * time.Second, SupersededLimit: 2 * time.Second,
+	})
+	assert.NilError(t, err)
+	host.Step(t.Context())
+	source.version = 5
+	host.Step(t.Context())
+	assert.Equal(t, source.changes, 2)
+	assert.Assert(t, !host.isBehind())
+	assert.Equal(t, host.Authority(start.Add(5*time.Second)), winch.AuthorityOpen)
+}
+
+// changingSource tells that the configuration has changed before it returns it.
+type changingSource struct {
+	*fakeSource
+	changes int
+}
+
+func (s *changingSource) Fetch(ctx context.Context, known winch.Version, read winch.LongRead) ([]byte, winch.Version, error) {
+	if s.version != known {
+		s.changes++
+		read.Changed()
+	}
+	return s.fakeSource.Fetch(ctx, known, read)
+}
+
 // exchange performs one exchange between the host and the hub; the summary arrives
 // after the duration.
 func exchange(t *testing.T, host, hub *Follower, c *fakeClock, duration time.Duration) {
--- a/release/source/state.go
+++ b/release/source/state.go
@@ -50,6 +50,14 @@
 	}
 }
 
+// settle processes a read of the source that returned the version as the newest. It ends what was only heard of a newer one, by a host that
+// does not have it: such news may be wrong, or the source may have been set back.
+func (s *state) settle(newest winch.Version) {
+	if s.holder == "" && s.known.version > newest {
+		s.known.version = newest
+	}
+}
+
 // replaceIfNewer processes a configuration that was the newest at the time confirmed. It
 // reports whether the configuration replaced the one in force.
 func (s *state) replaceIfNewer(configuration *winch.Configuration, raw []byte, version winch.Version, confirmed time.Time) bool {
