fix(release): a configuration of unknown age is no evidence

Cause: since large configurations are fetched apart, a host can have a configuration without knowing when it was the newest. Its time of evidence is zero, and the ages that it told others overflowed: they dated it to now, or to the year 2262, and then asked the store no more.

--- a/release/source/follower_test.go
+++ b/release/source/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -314,3 +315,40 @@
 		})
 	}
 }
+
+func TestConfigurationOfUnknownAgeIsNoEvidence(t *testing.T) {
+	unknown, c := newFollower(t, &fakeSource{})
+	assert.NilError(t, unknown.applyVersion([]byte("true"), 9, time.Time{}, "another"))
+	assertOld := func(t *testing.T, f *Follower) {
+		t.Helper()
+		assert.Equal(t, f.state.version, winch.Version(9))
+		assert.Assert(t, f.ConfirmedAt().Before(c.now.Add(-time.Hour)), "%s", f.ConfirmedAt())
+		assertKey(t, f, c.now, winch.ErrIsolated)
+	}
+	assertOld(t, unknown)
+	t.Run("at a host to which the hub relays it", func(t *testing.T) {
+		host, _ := newFollower(t, &fakeSource{})
+		assert.NilError(t, host.Section().Apply(c.now, c.now, "hub", unknown.Section().Summary(c.now, "host")))
+		assertOld(t, host)
+	})
+	t.Run("at the hub to which it is reported", func(t *testing.T) {
+		hub, _ := newFollower(t, &fakeSource{})
+		assert.NilError(t, hub.applyVersion([]byte("true"), 9, c.now.Add(-10*time.Hour), "another"))
+		assert.NilError(t, unknown.Section().Apply(c.now, c.now, "hub", hub.Section().Summary(c.now, "unknown")))
+		unknown.state.confirmedAt = time.Time{}
+		assert.NilError(t, hub.Section().Collect(c.now, "unknown", unknown.Section().Report(c.now)))
+		assertOld(t, hub)
+	})
+	t.Run("nor is an age that no clock can have", func(t *testing.T) {
+		for _, message := range []string{`{"Version":9,"AgeMS":9223372036854775807,"Configuration":"dHJ1ZQ=="}`, `{"Version":9,"AgeMS":9223372036854,"Configuration":"dHJ1ZQ=="}`} {
+			host, _ := newFollower(t, &fakeSource{})
+			assert.NilError(t, host.Section().Apply(c.now, c.now, "hub", []byte(message)))
+			assertOld(t, host)
+		}
+		hub, _ := newFollower(t, &fakeSource{})
+		assert.NilError(t, hub.applyVersion([]byte("true"), 9, c.now.Add(-10*time.Hour), "another"))
+		report := fmt.Sprintf(`{"Version":9,"AgeMS":1,"Origin":%d,"Stamp":%d,"AfterMS":-9223372036855}`, hub.origin, c.now.UnixNano())
+		assert.NilError(t, hub.Section().Collect(c.now, "host", []byte(report)))
+		assertOld(t, hub)
+	})
+}
--- a/release/source/section.go
+++ b/release/source/section.go
@@ -10,6 +10,20 @@
 
 const sectionName winch.SectionName = "Configuration"
 
+// maxAge is the age beyond which evidence proves nothing anyway. Ages are not told apart beyond it, and their sums cannot overflow.
+const maxAge = 24 * time.Hour
+
+// boundedAge returns an age or a difference in milliseconds within maxAge.
+func boundedAge(age time.Duration) int64 {
+	return min(max(age, -maxAge), maxAge).Milliseconds()
+}
+
+// milliseconds converts what boundedAge returns, of whatever value another host sends.
+func milliseconds(value int64) time.Duration {
+	bound := maxAge.Milliseconds()
+	return time.Duration(min(max(value, -bound), bound)) * time.Millisecond
+}
+
 // evidence states that a version was the newest at the time confirmed.
 type evidence struct {
 	version winch.Version
@@ -82,7 +96,7 @@
 	received := evidence{version: winch.Version(wire.Version)}
 	if wire.Origin == s.follower.origin {
 		// Evidence is never dated to the future, such as by a host whose clock runs fast.
-		received.confirmed = earliest(now, time.Unix(0, wire.Stamp).Add(time.Duration(wire.AfterMS)*time.Millisecond))
+		received.confirmed = earliest(now, time.Unix(0, wire.Stamp).Add(milliseconds(wire.AfterMS)))
 	}
 	s.follower.mu.Lock()
 	s.follower.reportedVersions[from] = received.version
@@ -107,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	received := evidence{version: winch.Version(wire.Version), confirmed: sent.Add(-time.Duration(wire.AgeMS) * time.Millisecond)}
+	received := evidence{version: winch.Version(wire.Version), confirmed: sent.Add(-milliseconds(wire.AgeMS))}
 	s.follower.mu.Lock()
 	s.follower.hub, s.follower.hubVersion = hub, received.version
 	s.follower.stamp = receivedStamp{origin: wire.Origin, hubTime: wire.Stamp, receivedAt: now}
@@ -136,7 +150,7 @@
 	if f.stamp.origin != 0 {
 		// Rounded down, so that the evidence does not get newer.
 		after := f.state.confirmedAt.Sub(f.stamp.receivedAt)
-		wire.Origin, wire.Stamp, wire.AfterMS = f.stamp.origin, f.stamp.hubTime, after.Milliseconds()-1
+		wire.Origin, wire.Stamp, wire.AfterMS = f.stamp.origin, f.stamp.hubTime, boundedAge(after)-1
 	}
 	return wire
 }
@@ -147,7 +161,7 @@
 	if f.state.version == 0 {
 		return evidenceWire{}
 	}
-	wire := evidenceWire{Version: int64(f.state.version), AgeMS: max(0, now.Sub(f.state.confirmedAt).Milliseconds()+1)}
+	wire := evidenceWire{Version: int64(f.state.version), AgeMS: max(0, boundedAge(now.Sub(f.state.confirmedAt))+1)}
 	if known < f.state.version && len(f.state.raw) <= inlineLimit {
 		wire.Configuration = f.state.raw
 	}
