docs: plainer comments in ratelimit, release/source and quarantine

Cause: read as a newcomer, five comments needed a second reading, and the package comment of quarantine did not tell of refuted crashes. Result: comments only; go test of the four packages and of the root passes.

--- a/dispatch/ratelimit/limit.go
+++ b/dispatch/ratelimit/limit.go
@@ -1,10 +1,10 @@
 // Package ratelimit keeps the rates that endpoints in need name in their answers: the requests a second that an endpoint takes from all
 // hosts together. It does no I/O.
 //
-// A rate holds until the endpoint answers without one, or starts again. It is shared out without any message: of the live hosts, a few
-// that a hash of endpoint and host selects send to the endpoint, each its part of the rate and one request at a time, and the others none. There is
-// one such host more than the rate has requests in a second. So hosts that see different members for a while, or have just learnt of the rate,
-// add little to what the endpoint gets, and so does a pause.
+// A rate holds until the endpoint answers without one, or starts again. No message is needed to share it out: a hash of endpoint and
+// host selects a few of the live hosts as senders, one more than the rate has requests in a second. Each sender gets an equal part of the
+// rate and sends one request at a time, without bursts after a pause. The other hosts send nothing. Hosts that know different members
+// for a while add at most a few senders.
 //
 // Hosts tell each other what they have heard. The newest word counts.
 //
@@ -47,7 +47,7 @@
 	saidAt time.Time
 	// sentAt is when this host sent its last request.
 	sentAt time.Time
-	// sends reports whether this host may send at all, each interval one request.
+	// sends is set if this host is one of the senders, which send one request in each interval.
 	sends    bool
 	interval time.Duration
 }
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -8,7 +8,10 @@
 // a single event that takes many endpoints down at once makes no part suspect. Of the parts that explain the same crashes
 // the one with most crashes is chosen, and of these the one that comes last in the prompts, since fewest requests share it.
 //
-// A quarantine ends when output is seen with the part. For that one request at a time is admitted as a trial after each
+// A crash is refuted if its endpoint turns out to be the same run as before: only the connections to it were lost. A part is released
+// once too few crashes are left to hold it.
+//
+// A quarantine also ends when output is seen with the part. For that one request at a time is admitted as a trial after each
 // term; a trial that crashes its endpoint doubles the term.
 //
 // # Usage
--- a/release/source/catchup.go
+++ b/release/source/catchup.go
@@ -48,7 +48,8 @@
 	}
 }
 
-// catchUp tries the host that has the newest configuration and the source in turn, until this host has it as well.
+// catchUp gets the newest configuration. It alternates between the host that is known to have it and the source until one of them
+// has delivered it.
 func (f *Follower) catchUp(ctx context.Context) {
 	for ctx.Err() == nil && f.isBehind() {
 		if f.fetchFromHolder(ctx) == nil {
--- a/release/source/content.go
+++ b/release/source/content.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// Prefix is the path prefix of the calls between hosts.
+	// Prefix is the path prefix of the calls with which hosts fetch the configuration from each other.
 	Prefix   = "/peer/configuration/"
 	readPath = Prefix + "read"
 
@@ -48,7 +48,7 @@
 	reads chan struct{}
 
 	mu sync.Mutex
-	// response is for the latest version that was asked for.
+	// response holds the compressed configuration of the version that was served last.
 	response contentResponse
 }
 
