fix(serving): an earlier refusal, and an answer of another type, are not taken for the answer to a request

A refusal that an endpoint writes once more was believed in two cases: when the same request comes to the same endpoint again on a kept connection, because the id matches, and in the product's own protocol, because its refusals carried no id. A response with status 200 and another content type was joined to a stream that had begun. Change: a repeated request gets a new connection; a refusal without the request's id on a reused connection leaves the outcome unknown, and the stand-in's engines echo the id; a stream is continued only by a response of its content type. Not found: errors in the middle of a stream, and answers whose head breaks off (each byte, three framings; the earlier test allowed one case of it, so it has a test of its own).

--- a/forward.go
+++ b/forward.go
@@ -171,6 +171,8 @@
 	// LastEvent is the last event that the caller has received. It is that of the request at
 	// first, and advances when an attempt delivers events.
 	LastEvent int64
+	// Again is set if the endpoint has had the request before.
+	Again bool
 }
 
 // ForwardReply is the response of an endpoint to a forwarded request. Body must be
@@ -231,6 +233,9 @@
 	// ID is the request ID, which the server echoes in the header named by IDHeader.
 	ID       string
 	IDHeader string
+	// NewConnection is set if the server has had a call with the same ID before: on the connection of that call, it may write its
+	// response to that once more.
+	NewConnection bool
 }
 
 // ExchangeAnswer is the response to an ExchangeCall. Body must be closed; Read returns io.EOF
--- a/serving/forward/attempt.go
+++ b/serving/forward/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/arbutuswinch/winch"
@@ -197,6 +198,7 @@
 	call := winch.ForwardCall{
 		Request: req.ForwardRequest, Body: req.body, Organisation: req.admission.organisation, Tier: req.admission.class.Tier,
 		Timeout: req.deadline.Sub(a.started), LastEvent: req.lastEvent,
+		Again: slices.Contains(req.excluded, a.endpoint.ID),
 	}
 	reply, err := s.options.Sender.Forward(a.ctx, a.endpoint, call)
 	if err != nil {
@@ -226,6 +228,8 @@
 	// errErrorStatus: the endpoint returned an error that must not be relayed, because the
 	// request may be retried or because the caller already has the start of another response.
 	errErrorStatus = errors.New("endpoint returned an error status")
+	// errOtherType: the response to a request to continue a stream is of another type than the stream.
+	errOtherType = errors.New("response does not continue the stream: it has another content type")
 	// errAmbiguousStatus: callers would read the status as "not run", but the endpoint did not
 	// report that.
 	errAmbiguousStatus = errors.New("status implies that the request was not run, but the endpoint did not report that")
@@ -248,6 +252,8 @@
 	case req.responseStarted && reply.Status != http.StatusOK:
 		// The caller has already received the start of another response.
 		return errErrorStatus
+	case req.responseStarted && reply.Header.Get("Content-Type") != req.contentType:
+		return errOtherType
 	case reply.Status >= http.StatusInternalServerError && req.mayRetry():
 		return errErrorStatus
 	}
--- a/serving/forward/attempt_result.go
+++ b/serving/forward/attempt_result.go
@@ -95,7 +95,7 @@
 		return "not_authentic"
 	case errors.Is(err, errAmbiguousStatus):
 		return "ambiguous_status"
-	case errors.Is(err, errErrorStatus):
+	case errors.Is(err, errErrorStatus), errors.Is(err, errOtherType):
 		return "endpoint_failed"
 	case errors.Is(err, errCallerGone):
 		return reasonCallerLeft
--- a/serving/forward/attempt_test.go
+++ b/serving/forward/attempt_test.go
@@ -69,6 +69,13 @@
 		ts := newTestServer(t, stubResponse{err: errLost}, stubResponse{status: 503, notRun: true})
 		assert.Equal(t, ts.post("/safe/x").status, 502)
 	})
+	t.Run("by an endpoint that gets the request again are told from the answer to that", func(t *testing.T) {
+		ts := newTestServer(t, stubResponse{status: 503, notRun: true}, stubResponse{status: 200, body: "answer"})
+		ts.sameEndpoint = true
+		assert.Equal(t, ts.post("/safe/x").status, 200)
+		assert.Assert(t, !ts.calls[0].Again)
+		assert.Assert(t, ts.calls[1].Again)
+	})
 	t.Run("by the dispatcher are passed to the caller", func(t *testing.T) {
 		ts := newTestServer(t)
 		ts.refusal = &winch.Refusal{Reason: winch.RefusedWait, RetryAfter: time.Second}
--- a/serving/forward/cut_test.go
+++ b/serving/forward/cut_test.go
@@ -31,7 +31,7 @@
 		return nil, err
 	}
 	return &winch.ForwardReply{
-		Status: answer.Status, Header: http.Header{}, Body: answer.Body, Authentic: true, EndsWithConnection: answer.EndsWithConnection,
+		Status: answer.Status, Header: http.Header{"Content-Type": answer.Header["Content-Type"]}, Body: answer.Body, Authentic: true, EndsWithConnection: answer.EndsWithConnection,
 	}, nil
 }
 
@@ -126,6 +126,49 @@
 	}
 }
 
+func TestAnswerWhoseHeadBreaksOffIsNoSuccess(t *testing.T) {
+	for framing, frame := range framings {
+		for _, path := range []string{"/once/x", "/chat/x"} {
+			t.Run(framing+", "+path, func(t *testing.T) {
+				endpoint := &cutEndpoint{responses: make(chan string, 1)}
+				ts := newTestServer(t)
+				ts.server.options.Sender = exchangeSender{client: httpexchange.New(httpexchange.Options{}), address: endpoint.listen(t)}
+				response := "HTTP/1.1 200 OK\r\nX-Id: r1\r\nConnection: close\r\n" + frame([]string{event(1)})
+				for count := range strings.Index(response, "\r\n\r\n") + len("\r\n\r\n") {
+					endpoint.responses <- response[:count]
+					answer := ts.post(path)
+					assert.Assert(t, answer.status != http.StatusOK, "status 200 and body %q after %d bytes of the head", answer.body, count)
+				}
+			})
+		}
+	}
+}
+
+// nextAnswers are answers of an endpoint that is asked to continue a stream. None of them is a part of it.
+var nextAnswers = map[string]string{
+	"an error":                  "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n",
+	"a refusal":                 "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n",
+	"an answer of another type": "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n",
+}
+
+func TestAnswerThatDoesNotContinueAStreamIsNotRelayed(t *testing.T) {
+	for framing, frame := range framings {
+		for name, head := range nextAnswers {
+			t.Run(name+", "+framing, func(t *testing.T) {
+				endpoint := &cutEndpoint{responses: make(chan string, 2)}
+				ts := newTestServer(t)
+				ts.server.options.Sender = exchangeSender{client: httpexchange.New(httpexchange.Options{}), address: endpoint.listen(t)}
+				begun := "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Type: text/event-stream\r\n" + framings["chunks"]([]string{event(1), event(2)})
+				endpoint.responses <- begun[:strings.Index(begun, event(2))]
+				endpoint.responses <- head + "X-Id: r1\r\nConnection: close\r\n" + frame([]string{`{"Code": "failed"}`, "\n\n"})
+				answer := ts.post("/plan/x")
+				assert.Equal(t, answer.body, event(1))
+				assert.Assert(t, !answer.complete)
+			})
+		}
+	}
+}
+
 func TestStreamThatIsBrokenOffDoesNotLookComplete(t *testing.T) {
 	events := []string{event(1), event(2), event(3)}
 	assertOnlyWholeAnswersLookComplete(t, "/chat/x", events, func(body string) bool { return strings.HasSuffix(body, "\n\n") })
--- a/serving/forward/fakes_test.go
+++ b/serving/forward/fakes_test.go
@@ -74,7 +74,9 @@
 	onAcquire   func()
 	refusal     *winch.Refusal
 	denyRetries bool
-	usage       []winch.UsageRecord
+	// sameEndpoint grants all slots at one endpoint.
+	sameEndpoint bool
+	usage        []winch.UsageRecord
 	// quarantined refuses all requests, noRetries only their retries. answered and broken count the reports to the quarantine.
 	quarantined bool
 	noRetries   bool
@@ -181,6 +183,9 @@
 		ts.software = ts.software[1:]
 		return slot, nil
 	}
+	if ts.sameEndpoint {
+		return &fakeSlot{server: ts, id: "e0", software: "v1"}, nil
+	}
 	// A stream goes on at an endpoint of the version that it needs, other requests go to one whose version names it.
 	id := winch.EndpointID(fmt.Sprintf("e%d", len(work.Excluded)))
 	return &fakeSlot{server: ts, id: id, software: cmp.Or(work.Software, winch.SoftwareVersion("v-"+id))}, nil
--- a/serving/forward/relay.go
+++ b/serving/forward/relay.go
@@ -183,7 +183,7 @@
 func (s *Server) startStream(w http.ResponseWriter, req *request, a *attempt) {
 	copyHeader(w.Header(), a.reply.Header)
 	s.extendWriteDeadline(w)
-	req.responseStarted, req.status = true, a.reply.Status
+	req.responseStarted, req.status, req.contentType = true, a.reply.Status, a.reply.Header.Get("Content-Type")
 	w.WriteHeader(a.reply.Status)
 }
 
--- a/serving/forward/server.go
+++ b/serving/forward/server.go
@@ -61,6 +61,8 @@
 	sends int
 	// responseStarted reports whether part of the response was written to the caller.
 	responseStarted bool
+	// contentType is that of the stream that was begun.
+	contentType string
 	// lastEvent is the id of the latest event that was relayed, or of the one that the
 	// caller resumes after.
 	lastEvent int64
--- a/serving/httpexchange/client.go
+++ b/serving/httpexchange/client.go
@@ -145,6 +145,9 @@
 // getConn returns a usable idle connection, or opens a new one.
 func (c *Client) getConn(ctx context.Context, call winch.ExchangeCall) (*conn, error) {
 	for {
+		if call.NewConnection {
+			return c.dial(ctx, call)
+		}
 		idle := c.popIdle(call)
 		if idle == nil {
 			return c.dial(ctx, call)
--- a/serving/httpexchange/client_test.go
+++ b/serving/httpexchange/client_test.go
@@ -339,6 +339,33 @@
 	assertConnections(t, s, 2)
 }
 
+// A server writes its refusal of a call once more when the same call comes again on the same connection.
+func TestEarlierRefusalIsNotTheAnswerToTheSameCall(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Id: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nfull"
+	s, client := newServer(t), New(Options{})
+	defer client.Close()
+	var used net.Conn
+	first := func(t *testing.T, conn net.Conn, reader *bufio.Reader) bool {
+		used = conn
+		return s.respond(refusal, true)(t, conn, reader)
+	}
+	second := func(t *testing.T, conn net.Conn, reader *bufio.Reader) bool {
+		if conn == used {
+			return s.respond(refusal+responseFor("1", "own"), true)(t, conn, reader)
+		}
+		return s.respond(responseFor("1", "own"), true)(t, conn, reader)
+	}
+	s.addScripts(first, second)
+	assertResponse(t, client, s, "1", "full")
+	response, err := client.Exchange(t.Context(), winch.ExchangeCall{
+		Address: s.listener.Addr().String(), Peer: "p", Method: "POST", Target: "/", Host: "h", Header: http.Header{}, ID: "1", IDHeader: "X-Id",
+		NewConnection: true,
+	})
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.Status, http.StatusOK)
+}
+
 // A copy of a response without an ID cannot be told from the answer to the next call.
 func TestLateCopyOfAResponseWithoutIDIsNotTheNextAnswer(t *testing.T) {
 	const failure = "HTTP/1.1 500 Internal Server Error\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nfail"
--- a/serving/internal/noretry/transport.go
+++ b/serving/internal/noretry/transport.go
@@ -95,12 +95,12 @@
 
 // Send sends the call to the address. The extra headers replace headers of the call with the
 // same name. Errors: ErrUnavailable means that no byte was written, ErrOutcomeUnknown that
-// some may have been.
+// some may have been, ErrResponseMismatch that the response may be one to another call.
 func (t *Transport) Send(ctx context.Context, address string, call winch.Call, extra http.Header) (*http.Response, error) {
-	connected := &atomic.Bool{}
+	connection := &atomic.Pointer[httptrace.GotConnInfo]{}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		// From here on bytes may have been written.
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) { connection.Store(&info) },
 	})
 	request, err := http.NewRequestWithContext(ctx, call.Method, address, bytes.NewReader(call.Body))
 	if err != nil {
@@ -117,14 +117,37 @@
 	}
 	response, err := t.transportFor(call).RoundTrip(request)
 	if err == nil {
+		if err := checkAnswered(request, response, connection.Load()); err != nil {
+			return nil, err
+		}
 		return response, nil
 	}
-	if connected.Load() {
+	if connection.Load() != nil {
 		return nil, fmt.Errorf("send call: %w: %w", winch.ErrOutcomeUnknown, err)
 	}
 	return nil, fmt.Errorf("send call: %w: %w", winch.ErrUnavailable, err)
 }
 
+const requestIDHeader = "X-Request-Id"
+
+// checkAnswered returns ErrResponseMismatch, and closes the connection, if the response names another request, or if it says that
+// the request was not run, names none, and came on a connection that has carried other calls: a server may have written
+// an earlier refusal once more.
+func checkAnswered(request *http.Request, response *http.Response, connection *httptrace.GotConnInfo) error {
+	id := response.Header.Get(requestIDHeader)
+	reused := connection != nil && connection.Reused
+	unproven := id == "" && reused && response.StatusCode == http.StatusServiceUnavailable
+	if !unproven && (id == "" || id == request.Header.Get(requestIDHeader)) {
+		return nil
+	}
+	_ = response.Body.Close()
+	if connection != nil {
+		// Closing the body does not close the connection of a response without one.
+		_ = connection.Conn.Close()
+	}
+	return fmt.Errorf("match response: %w", winch.ErrResponseMismatch)
+}
+
 // Close closes all idle connections.
 func (t *Transport) Close() {
 	t.pooled.CloseIdleConnections()
--- a/serving/service/client.go
+++ b/serving/service/client.go
@@ -59,9 +59,5 @@
 	if err != nil {
 		return nil, fmt.Errorf("call service %s: %w", endpoint.ID, err)
 	}
-	if id := response.Header.Get("X-Request-Id"); id != "" && id != string(call.Request) {
-		_ = response.Body.Close()
-		return nil, fmt.Errorf("match answer of service %s: %w", endpoint.ID, winch.ErrResponseMismatch)
-	}
 	return &winch.Reply{Status: response.StatusCode, Header: response.Header, Body: response.Body}, nil
 }
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -58,6 +58,7 @@
 		return
 	}
 	_, rejected := e.options.Board.Take(time.Now(), e.target, fault.Reject)
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	if rejected || !e.submit(time.Now(), r.Header.Get("X-Request-Id"), added) {
 		e.count("overloaded")
 		w.Header().Set("Retry-After", "1")
