feat(membership): hosts of a large fleet exchange through the heads of groups

Sections relay: dispatch sums, clock medians, usage counters until the hub has stored them, quarantine evidence. A head that cannot reach the hub tries up to 20 hosts that refuse connections; messages with more than 4,096 hosts are refused.

--- a/clock/synced/clock.go
+++ b/clock/synced/clock.go
@@ -2,7 +2,8 @@
 //
 // The wall clock of a single host may jump. With each exchange between hosts, every host
 // sends its wall clock to the hub, which computes the median of all wall clocks and sends
-// it to the hosts. A host stores the difference between that median and its own steady
+// it to the hosts. In a large system the hub gets the medians of groups of hosts, and the heads of the
+// groups pass its time on. A host stores the difference between that median and its own steady
 // clock, which is that of package boottime and continues during a suspend, so that a jump
 // of its own wall clock, or of a minority of the wall clocks, has no effect.
 // Until at least 3 hosts have taken part in an exchange, the time is based on the host's
@@ -11,7 +12,7 @@
 // # Usage
 //
 //	clock := synced.New(steady, time.Now)
-//	exchange, err := peer.New(peer.Options{Sections: []winch.Section{clock.Section()}, ...})
+//	exchange, err := peer.New(peer.Options{Sections: []winch.Section{clock.Section(table)}, ...})
 //	if err != nil {
 //		return err
 //	}
@@ -49,6 +50,9 @@
 	offset time.Duration
 	// hostOffsets holds, at the hub, the offsets of the other hosts' wall clocks.
 	hostOffsets map[winch.HostID]hostOffset
+	// adoptedAt is when the time of another host was adopted last, and adoptedHosts the number of hosts that had taken part in it.
+	adoptedAt    time.Time
+	adoptedHosts int
 }
 
 // hostOffset is a host's wall clock less this host's steady clock, as received at the
@@ -115,18 +119,27 @@
 // section is the clock's part of the exchange between hosts.
 type section struct {
 	winch.NoDigest
-	c *Clock
+	c          *Clock
+	membership winch.Membership
 }
 
 // Section returns the clock's part of the exchange between hosts. The times that the exchange
 // passes to it must be those of the steady clock.
-func (c *Clock) Section() winch.Section { return section{c: c} }
+func (c *Clock) Section(membership winch.Membership) winch.Section {
+	return section{c: c, membership: membership}
+}
 
 // Name returns the section's name.
 func (s section) Name() winch.SectionName { return sectionName }
 
-// Report returns this host's wall clock, for the hub.
-func (s section) Report(time.Time) []byte { return encode(reportWire{Wall: s.c.wall().UnixMicro()}) }
+// Report returns this host's wall clock, for the hub, or the median of its group if it relays the reports of others.
+func (s section) Report(now time.Time) []byte {
+	if !s.membership.RelaysReports(now) {
+		return encode(reportWire{Wall: s.c.wall().UnixMicro()})
+	}
+	median, _ := s.c.pruneAndMedian(now)
+	return encode(reportWire{Wall: now.Add(median).UnixMicro()})
+}
 
 // Collect records the offset of a host's wall clock at the hub.
 func (s section) Collect(now time.Time, from winch.HostID, report []byte) error {
@@ -140,8 +153,12 @@
 	return nil
 }
 
-// Summary returns the median of the hosts' wall clocks, and the number of hosts.
-func (s section) Summary(now time.Time, _ winch.HostID) []byte {
+// Summary returns the median of the hosts' wall clocks, and the number of hosts. The head of a group passes on the hub's time.
+func (s section) Summary(now time.Time, to winch.HostID) []byte {
+	self := s.membership.Self().ID
+	if hosts := s.c.adopted(now); hosts > 0 && to != self && s.membership.RelaysReports(now) {
+		return encode(summaryWire{Time: s.c.At(now).UnixMicro(), Hosts: hosts})
+	}
 	median, hosts := s.c.pruneAndMedian(now)
 	return encode(summaryWire{Time: now.Add(median).UnixMicro(), Hosts: hosts})
 }
@@ -160,9 +177,23 @@
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
 	s.c.offset = time.UnixMicro(wire.Time).Sub(middle)
+	s.c.adoptedAt, s.c.adoptedHosts = now, wire.Hosts
+	if hub == s.membership.Self().ID {
+		s.c.adoptedHosts = 0
+	}
 	return nil
 }
 
+// adopted returns how many hosts took part in the time that was adopted from another host, zero if that is too long ago.
+func (c *Clock) adopted(now time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.adoptedAt) > maxOffsetAge {
+		return 0
+	}
+	return c.adoptedHosts
+}
+
 func encode(wire any) []byte {
 	encoded, err := json.Marshal(wire)
 	if err != nil {
--- a/clock/synced/clock_test.go
+++ b/clock/synced/clock_test.go
@@ -14,6 +14,13 @@
 
 func (f *fakeClock) Now() time.Time { return f.now }
 
+// flatMembership is that of hosts which all report to the hub.
+type flatMembership struct{ winch.Membership }
+
+func (flatMembership) Self() winch.Host { return winch.Host{ID: "hub"} }
+
+func (flatMembership) RelaysReports(time.Time) bool { return false }
+
 // trueStart is the correct time of day at the start of a test.
 var trueStart = time.Unix(1_700_000_000, 0)
 
@@ -25,13 +32,13 @@
 // exchange simulates one exchange between hosts. The first clock is the hub's.
 func exchange(t *testing.T, steady *fakeClock, clocks []*Clock) {
 	t.Helper()
-	hub := clocks[0].Section()
+	hub := clocks[0].Section(flatMembership{})
 	for i, clock := range clocks[1:] {
 		id := winch.HostID(rune('a' + i))
-		assert.NilError(t, hub.Collect(steady.now, id, clock.Section().Report(steady.now)))
+		assert.NilError(t, hub.Collect(steady.now, id, clock.Section(flatMembership{}).Report(steady.now)))
 	}
 	for _, clock := range clocks {
-		assert.NilError(t, clock.Section().Apply(steady.now, steady.now, "hub", hub.Summary(steady.now, "")))
+		assert.NilError(t, clock.Section(flatMembership{}).Apply(steady.now, steady.now, "hub", hub.Summary(steady.now, "")))
 	}
 }
 
@@ -81,7 +88,7 @@
 func TestInvalid(t *testing.T) {
 	steady := &fakeClock{now: time.Unix(0, 0)}
 	wallError := time.Duration(0)
-	section := hostClock(steady, &wallError).Section()
+	section := hostClock(steady, &wallError).Section(flatMembership{})
 	assert.ErrorIs(t, section.Collect(steady.now, "a", []byte("{")), winch.ErrInvalid)
 	assert.ErrorIs(t, section.Apply(steady.now, steady.now, "a", []byte("[]")), winch.ErrInvalid)
 }
--- a/dispatch/endpoint/codec.go
+++ b/dispatch/endpoint/codec.go
@@ -20,6 +20,8 @@
 	Accounts  *accountsWire `json:",omitempty"`
 	Remotes   []remoteWire  `json:",omitempty"`
 	Aperture  int           `json:",omitempty"`
+	// Group is set in the report of a host that reports for others.
+	Group bool `json:",omitempty"`
 }
 
 // lanesWire has one row for each class and group: Queued, Running, Movable, Urgent, OldestWait
@@ -115,7 +117,7 @@
 }
 
 func encodeStats(stats sharedStats) []byte {
-	wire := statsWire{Lanes: encodeLanes(stats.lanes), Accounts: encodeAccounts(stats.charged), Aperture: stats.aperture}
+	wire := statsWire{Lanes: encodeLanes(stats.lanes), Accounts: encodeAccounts(stats.charged), Aperture: stats.aperture, Group: stats.group}
 	ids := make([]string, 0, len(stats.endpoints))
 	for id := range stats.endpoints {
 		ids = append(ids, string(id))
@@ -206,7 +208,7 @@
 		return sharedStats{}, fmt.Errorf("decode Endpoints: columns differ in length or exceed %d: %w", maxWireRows, winch.ErrInvalid)
 	}
 	stats := newStats()
-	stats.aperture = max(0, wire.Aperture)
+	stats.aperture, stats.group = max(0, wire.Aperture), wire.Group
 	for i, id := range wire.Endpoints {
 		if wire.Running[i] < 0 || wire.Limits[i] < 0 || len(id) > maxNameLength {
 			return sharedStats{}, fmt.Errorf("decode Endpoints: invalid Running, Limits or ID of %.64q: %w", id, winch.ErrInvalid)
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -109,7 +109,11 @@
 	// nothing, so silence before this time is not held against an endpoint.
 	resumedAt   time.Time
 	summaryAsOf time.Time    // time to which the other hosts' statistics apply
-	summaryFrom winch.HostID // hub that sent them
+	summaryFrom winch.HostID // hub or head that sent them
+	// relays is set while other hosts report to this one (winch.Membership.RelaysReports), and summaryRelayed if it was set when the
+	// last summary was applied.
+	relays, summaryRelayed bool
+	upstream               upstream
 }
 
 type settings = Settings
@@ -129,6 +133,7 @@
 		prefillSpeeds:      map[group]measure.Mean{},
 		incompleteAttempts: map[winch.RequestID]time.Time{},
 		hub:                newHub(),
+		upstream:           newUpstream(),
 	}
 }
 
--- a/dispatch/endpoint/dispatcher.go
+++ b/dispatch/endpoint/dispatcher.go
@@ -119,6 +119,10 @@
 		"Endpoints", count, "Ordered", len(ordered))
 }
 
+func (d *Dispatcher) relaysReports(now time.Time) bool {
+	return d.options.Membership != nil && d.options.Membership.RelaysReports(now)
+}
+
 // listReadAt returns when the newest list of endpoints was read, or zero.
 func (d *Dispatcher) listReadAt() time.Time {
 	if d.options.Source == nil {
--- a/dispatch/endpoint/model_test.go
+++ b/dispatch/endpoint/model_test.go
@@ -106,6 +106,7 @@
 }
 
 func (m modelMembership) Self() winch.Host                  { return m.self }
+func (m modelMembership) RelaysReports(time.Time) bool      { return false }
 func (m modelMembership) DataCentres() []winch.DataCentreID { return []winch.DataCentreID{"a"} }
 func (m modelMembership) Hosts(time.Time, winch.DataCentreID) []winch.Host {
 	return m.hosts
--- a/dispatch/endpoint/section.go
+++ b/dispatch/endpoint/section.go
@@ -18,17 +18,20 @@
 // Name returns the section's name.
 func (s section) Name() winch.SectionName { return sectionName }
 
-// Report returns this host's statistics.
+// Report returns this host's statistics, or those of its group if it relays the reports of others.
 func (s section) Report(now time.Time) []byte {
+	relays := s.d.relaysReports(now)
 	s.d.lock.Lock()
-	own := s.d.core.ownStats(now, true)
+	s.d.core.relays = relays
+	report := s.d.core.report(now)
 	s.d.lock.Unlock()
-	return encodeStats(own)
+	return encodeStats(report)
 }
 
-// Collect stores the statistics reported by a host. It is called on the hub.
+// Collect stores the statistics reported by a host. It is called on the hub and on the heads of groups. This host's own are
+// always at hand.
 func (s section) Collect(now time.Time, from winch.HostID, report []byte) error {
-	if len(report) == 0 {
+	if len(report) == 0 || from == s.d.core.self.ID {
 		return nil
 	}
 	received, err := decodeStats(report)
@@ -41,7 +44,7 @@
 	return nil
 }
 
-// Summary returns the sums of the statistics of all hosts except the receiver.
+// Summary returns the sums of the statistics of all hosts except the receiver and its group.
 func (s section) Summary(now time.Time, to winch.HostID) []byte {
 	s.d.lock.Lock()
 	sum := s.d.core.summary(now, to)
--- a/dispatch/endpoint/stats.go
+++ b/dispatch/endpoint/stats.go
@@ -26,6 +26,8 @@
 	aperture int
 	// prefillAware is set if PendingPrefill is to be encoded.
 	prefillAware bool
+	// group is set if the statistics are a report for a group of hosts.
+	group bool
 }
 
 // remoteStats holds the statistics of another data centre.
@@ -100,7 +102,8 @@
 // hubAccount sums an account's charges over all hosts, including those that have since left or restarted.
 type hubAccount struct {
 	total     int64
-	byHost    map[winch.HostID]int64 // part of total charged by each host
+	ofGroups  int64                  // part of total that heads reported for their groups
+	byHost    map[winch.HostID]int64 // part of total charged by each host, or reported for its group
 	last      map[winch.HostID]int64 // value last reported by each host
 	changedAt time.Time
 }
@@ -112,14 +115,21 @@
 // collect stores a host's report and adds its charges.
 func (h *hub) collect(now time.Time, from winch.HostID, report sharedStats) {
 	h.reports[from] = hostReport{at: now, stats: report}
+	reporter := from
+	if report.group {
+		reporter = groupReporter(from)
+	}
 	for key, charged := range report.charged {
-		h.addCharge(now, from, key, charged)
+		added := h.addCharge(now, reporter, key, charged)
+		if report.group {
+			h.charged[key].ofGroups += added
+		}
 	}
 }
 
 // addCharge adds what the host has charged to the account since its last report. The argument charged is
-// the host's total, as reported.
-func (h *hub) addCharge(now time.Time, from winch.HostID, key accountKey, charged int64) {
+// the host's total, as reported. It returns what it has added.
+func (h *hub) addCharge(now time.Time, from winch.HostID, key accountKey, charged int64) int64 {
 	a, found := h.charged[key]
 	if !found {
 		a = &hubAccount{byHost: map[winch.HostID]int64{}, last: map[winch.HostID]int64{}}
@@ -131,7 +141,7 @@
 	if !known && len(a.last) > 1 && charged > firstChargeMax {
 		// The host's earlier charges are unknown to this hub, so they only serve as a baseline. The first
 		// host that reports the account is exempt.
-		return
+		return 0
 	}
 	if delta < 0 {
 		// The host was restarted and counts from zero.
@@ -140,6 +150,7 @@
 	a.total += delta
 	a.byHost[from] += delta
 	a.changedAt = now
+	return delta
 }
 
 // firstChargeMax is the largest charge in a host's first report that is still added to the
@@ -180,14 +191,24 @@
 			sum.add(c.hub.reports[id].stats)
 		}
 	}
-	c.restrictEndpoints(&sum, to)
+	// A host that reports for a group is not told what this host's parent says, which may come from that host.
+	toGroup := c.hub.reports[to].stats.group
+	if !toGroup {
+		c.upstream.addTo(now, &sum)
+	}
+	if !toGroup && to != c.self.ID {
+		c.restrictEndpoints(&sum, to)
+	}
 	clear(sum.charged)
 	c.addOwnCharges(now)
 	for key, a := range c.hub.charged {
 		if now.Sub(a.changedAt) <= c.settings.StatsMaxAge && len(sum.charged) < maxReportedAccounts {
-			sum.charged[key] = a.total - a.byHost[to]
+			sum.charged[key] = a.total - a.byHost[to] - a.byHost[groupReporter(to)]
 		}
 	}
+	if !toGroup {
+		c.addUpstreamCharges(now, to, &sum)
+	}
 	for centre, other := range c.remotes {
 		if c.fresh(now, other.at) {
 			sum.remotes[centre] = remoteStats{Age: now.Sub(other.at), freeSlots: other.freeSlots, lanes: other.lanes}
@@ -233,13 +254,20 @@
 	}
 }
 
-// applySummary applies the sums of the other hosts' statistics as of the given time.
+// applySummary applies the sums of the other hosts' statistics as of the given time. If other hosts report to this one, those of its
+// group are missing in what its parent has sent.
 func (c *core) applySummary(now, asOf time.Time, from winch.HostID, sum sharedStats) {
 	if !asOf.After(c.summaryAsOf) {
 		return
 	}
-	hubChanged := from != c.summaryFrom
-	c.summaryAsOf, c.summaryFrom = asOf, from
+	hubChanged := from != c.summaryFrom || c.relays != c.summaryRelayed
+	c.summaryAsOf, c.summaryFrom, c.summaryRelayed = asOf, from, c.relays
+	if from == c.self.ID {
+		c.upstream.stats = newStats()
+	} else if c.relays {
+		c.upstream.apply(now, from, sum)
+		sum = c.summary(now, c.self.ID)
+	}
 	for _, e := range c.sortedEndpoints {
 		reported := sum.endpoints[e.spec.ID]
 		e.others = reported.Running
--- a/lease/fenced/frozen_test.go
+++ b/lease/fenced/frozen_test.go
@@ -80,6 +80,8 @@
 
 func (c candidate) Candidate(time.Time, winch.Duty, winch.DataCentreID) bool { return true }
 
+func (c candidate) RelaysReports(time.Time) bool { return false }
+
 // contender is a lease holder with a sender.
 type contender struct {
 	holder *lease.Holder
--- a/lease/keyvalue/holder_test.go
+++ b/lease/keyvalue/holder_test.go
@@ -26,6 +26,8 @@
 
 func (m *member) Candidate(time.Time, winch.Duty, winch.DataCentreID) bool { return m.candidate.Load() }
 
+func (m *member) RelaysReports(time.Time) bool { return false }
+
 type fixture struct {
 	holder *Holder
 	member *member
--- a/membership.go
+++ b/membership.go
@@ -6,6 +6,8 @@
 type Host struct {
 	ID         HostID
 	DataCentre DataCentreID
+	// Home is the data centre in which the host stands, if DataCentre stands for several; else it is empty.
+	Home DataCentreID
 	// PeerAddress is the IP address and port on which the host serves other hosts.
 	PeerAddress string
 	// Capacity is the number of processors that the host may use. Duties for all hosts go to those that have most; zero if it
@@ -28,6 +30,10 @@
 	// Candidate reports whether this host should try to acquire the lease of the duty. One of
 	// the live hosts of the data centre is chosen for it. An empty centre means all data centres.
 	Candidate(now time.Time, duty Duty, centre DataCentreID) bool
+	// RelaysReports reports whether other hosts report to this one although it may not be the hub: the hosts are divided into
+	// groups, and this host is the hub or the head of a group. Its own reports and summaries are then those of a Section that
+	// relays.
+	RelaysReports(now time.Time) bool
 }
 
 // SectionName names a section of the exchange between hosts.
@@ -37,6 +43,9 @@
 // sends a report to the hub of its data centre and gets a summary back; hubs of
 // different data centres send each other digests. The payloads are JSON, encoded by
 // the subsystem itself; nil means that there is none. The methods must not block.
+//
+// In a large data centre the hub's place is taken by the heads of groups, which report to the hub themselves. A section relays on
+// such a host: its report covers the hosts that report to it, and its summaries contain what the hub has told it.
 type Section interface {
 	Name() SectionName
 	// Report returns this host's report to its hub.
--- a/membership/peer/codec.go
+++ b/membership/peer/codec.go
@@ -10,6 +10,7 @@
 type hostEntry struct {
 	ID          string
 	DataCentre  string
+	Home        string `json:",omitempty"`
 	PeerAddress string
 	Capacity    float64 `json:",omitempty"`
 	Leaving     bool    `json:",omitempty"`
@@ -17,19 +18,25 @@
 
 type sections map[string]json.RawMessage
 
-// exchangeCall is a host's report to the hub of its data centre.
+// exchangeCall is a host's report to the hub of its data centre, or to the head of its group.
 type exchangeCall struct {
 	From     hostEntry
 	Version  uint64
 	Sections sections
+	// MembersVersion identifies the hosts that report to the caller, zero if there are none. Members contains them unless the
+	// receiver has acknowledged that version.
+	MembersVersion uint64      `json:",omitempty"`
+	Members        []hostEntry `json:",omitempty"`
 }
 
-// exchangeResponse is the hub's summary. Hosts is set if the caller's version differs.
+// exchangeResponse is the summary of the hub or head. Hosts is set if the caller's version differs. MembersVersion is the
+// version of the caller's members that the sender has.
 type exchangeResponse struct {
-	Hub      hostEntry
-	Version  uint64
-	Hosts    []hostEntry `json:",omitempty"`
-	Sections sections
+	Hub            hostEntry
+	Version        uint64
+	Hosts          []hostEntry `json:",omitempty"`
+	Sections       sections
+	MembersVersion uint64 `json:",omitempty"`
 }
 
 // digestMessage is both the request and the response between the hubs of two data centres.
@@ -45,7 +52,7 @@
 
 func encodeHost(host winch.Host) hostEntry {
 	return hostEntry{
-		ID: string(host.ID), DataCentre: string(host.DataCentre),
+		ID: string(host.ID), DataCentre: string(host.DataCentre), Home: string(host.Home),
 		PeerAddress: host.PeerAddress, Capacity: host.Capacity, Leaving: host.Leaving,
 	}
 }
@@ -60,7 +67,7 @@
 
 func decodeHost(entry hostEntry) winch.Host {
 	return winch.Host{
-		ID: winch.HostID(entry.ID), DataCentre: winch.DataCentreID(entry.DataCentre),
+		ID: winch.HostID(entry.ID), DataCentre: winch.DataCentreID(entry.DataCentre), Home: winch.DataCentreID(entry.Home),
 		PeerAddress: entry.PeerAddress, Capacity: entry.Capacity, Leaving: entry.Leaving,
 	}
 }
--- a/membership/peer/digest.go
+++ b/membership/peer/digest.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,7 +24,7 @@
 	hash := xxhash.New()
 	length := make([]byte, 8)
 	for _, host := range hosts {
-		for _, part := range []string{string(host.ID), string(host.DataCentre), host.PeerAddress, fmt.Sprint(host.Leaving)} {
+		for _, part := range []string{string(host.ID), string(host.DataCentre), host.PeerAddress, strconv.FormatBool(host.Leaving)} {
 			binary.LittleEndian.PutUint64(length, uint64(len(part)))
 			_, _ = hash.Write(length)
 			_, _ = hash.WriteString(part)
@@ -41,13 +42,22 @@
 	return decoded
 }
 
+// hostSetReuse is how long the set of live hosts is used again, which is built for many calls.
+const hostSetReuse = 50 * time.Millisecond
+
 // allHosts returns the live hosts of all data centres.
 func (e *Exchange) allHosts(now time.Time) hostSet {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.relayedAt.IsZero() && now.Sub(e.relayedAt).Abs() < hostSetReuse {
+		return e.relayed
+	}
 	hosts := []winch.Host{}
 	for _, centre := range e.table.DataCentres() {
 		hosts = append(hosts, e.table.Hosts(now, centre)...)
 	}
-	return newHostSet(hosts)
+	e.relayed, e.relayedAt = newHostSet(hosts), now
+	return e.relayed
 }
 
 func (e *Exchange) localHosts(now time.Time) hostSet {
--- a/membership/peer/exchange.go
+++ b/membership/peer/exchange.go
@@ -79,8 +79,15 @@
 	clients *httpjson.Clients
 
 	mu sync.Mutex
-	// hub is the host that was the hub of this data centre at the latest exchange.
-	hub winch.HostID
+	// parent is the host to which this host reported at the latest exchange.
+	parent winch.HostID
+	// members holds what the hosts that report to this one have told of those that report to them, and acknowledgedMembers
+	// the version of this host's own members that its parent has.
+	members             map[winch.HostID]hostSet
+	acknowledgedMembers uint64
+	// relayed is the set of all live hosts as of relayedAt.
+	relayed   hostSet
+	relayedAt time.Time
 	// receivedHosts is the host set of the latest response to an exchange.
 	receivedHosts hostSet
 	// remoteHosts holds the host set of each other data centre.
@@ -105,6 +112,7 @@
 		clients: httpjson.NewClients(httpjson.Options{
 			Secret: options.Secret, Timeout: options.Timeout, Transport: options.Transport, Compactor: compactor,
 		}),
+		members:      map[winch.HostID]hostSet{},
 		remoteHosts:  map[winch.DataCentreID]hostSet{},
 		acknowledged: map[winch.DataCentreID]uint64{},
 	}, nil
@@ -121,6 +129,10 @@
 }
 
 func (e *Exchange) exchangePeriod() time.Duration {
+	if e.table.RelaysReports(e.options.Clock.Now()) {
+		// The messages between the hub and the heads are few.
+		return e.options.ExchangeEvery
+	}
 	return scalePeriod(e.options.ExchangeEvery, e.table.ExchangeFactor())
 }
 
@@ -128,23 +140,34 @@
 	return scalePeriod(e.options.DigestEvery, e.table.DigestFactor())
 }
 
-// exchange sends a report to the hub. If the hub does not respond, it is marked as failed and
-// the report goes to the host that becomes the hub in its place.
+const (
+	// minParentTries is the number of hosts that are tried for one report, also if each of them costs a timeout.
+	minParentTries = 2
+	// maxParentTries bounds the tries of hosts that refuse the connection, as after many were killed at once.
+	maxParentTries = 20
+)
+
+// exchange sends a report to the parent, which is the hub or the head of this host's group. If the parent does not respond, it is
+// marked as failed and the report goes to the host that takes its place.
 func (e *Exchange) exchange(ctx context.Context) {
-	for range 2 {
+	started := e.options.Clock.Now()
+	for try := range maxParentTries {
 		now := e.options.Clock.Now()
-		hub, _ := e.table.Hub(now, e.table.Self().DataCentre)
-		e.setHub(hub)
-		if hub.ID == e.table.Self().ID {
+		if try >= minParentTries && now.Sub(started) >= e.options.Timeout {
+			return
+		}
+		parent := e.table.Parent(now)
+		e.setParent(parent)
+		if parent.ID == e.table.Self().ID {
 			e.exchangeLocally(now)
 			e.introduce(ctx, now)
 			return
 		}
-		err := e.exchangeWith(ctx, hub)
+		err := e.exchangeWith(ctx, parent, e.options.Sections)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
-		e.recordAndLogFailure(hub, err)
+		e.recordAndLogFailure(parent, err)
 	}
 }
 
@@ -155,27 +178,37 @@
 	if !found {
 		return
 	}
-	if err := e.exchangeWith(ctx, host); err != nil && ctx.Err() == nil {
+	if err := e.exchangeWith(ctx, host, e.probeSections()); err != nil && ctx.Err() == nil {
 		e.recordAndLogFailure(host, err)
 	}
 }
 
+// probeSections returns the sections for a call to a host that may not be this host's parent. While the hosts are divided into
+// groups there are none, because the host would count the report in addition to the parent.
+func (e *Exchange) probeSections() []winch.Section {
+	if e.table.Grouped() {
+		return nil
+	}
+	return e.options.Sections
+}
+
 // recordAndLogFailure records in the table that the call to the host failed, and logs it.
 func (e *Exchange) recordAndLogFailure(host winch.Host, err error) {
 	e.table.RecordFailure(e.options.Clock.Now(), host.ID)
 	e.options.Logger.Warn("call to peer failed", "Event", EventPeerFailed, "Host", host.ID, "Address", host.PeerAddress, "Error", err)
 }
 
-func (e *Exchange) setHub(hub winch.Host) {
+func (e *Exchange) setParent(parent winch.Host) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.hub == hub.ID {
+	if e.parent == parent.ID {
 		return
 	}
-	e.hub = hub.ID
-	// Version zero makes the new hub send its complete list.
+	e.parent = parent.ID
+	// Version zero makes the new parent send its complete list.
 	e.receivedHosts = hostSet{}
-	e.options.Logger.Info("hub changed", "Event", EventHubChanged, "Hub", hub.ID)
+	e.acknowledgedMembers = 0
+	e.options.Logger.Info("hub or head of the group changed", "Event", EventHubChanged, "Hub", parent.ID)
 }
 
 func (e *Exchange) exchangeLocally(now time.Time) {
@@ -188,21 +221,26 @@
 	}
 }
 
-func (e *Exchange) exchangeWith(ctx context.Context, hub winch.Host) error {
+func (e *Exchange) exchangeWith(ctx context.Context, hub winch.Host, exchanged []winch.Section) error {
 	client, err := e.clients.To(hub.PeerAddress)
 	if err != nil {
 		return err
 	}
 	sent := e.options.Clock.Now()
-	call := exchangeCall{From: encodeHost(e.table.Self()), Sections: e.reports(sent), Version: e.receivedVersion()}
+	call := exchangeCall{From: encodeHost(e.table.Self()), Sections: reports(sent, exchanged), Version: e.receivedVersion()}
+	e.addMembers(sent, &call)
 	response := exchangeResponse{}
 	if err := client.Call(ctx, "/peer/exchange", call, &response); err != nil {
 		return fmt.Errorf("exchange with %s: %w", hub.ID, err)
 	}
+	if err := response.validate(); err != nil {
+		return fmt.Errorf("exchange with %s: %w", hub.ID, err)
+	}
 	now := e.options.Clock.Now()
 	e.table.RecordAlive(now, hub, now.Sub(sent))
+	e.noteMembersAcknowledged(hub.ID, response.MembersVersion)
 	e.applyHosts(now, response)
-	for _, section := range e.options.Sections {
+	for _, section := range exchanged {
 		if summary, found := response.Sections[string(section.Name())]; found {
 			e.logSectionError(section, section.Apply(now, sent, hub.ID, summary))
 		}
@@ -210,9 +248,13 @@
 	return nil
 }
 
-func (e *Exchange) reports(now time.Time) sections {
+// reports returns the reports of the sections, nil if there are no sections.
+func reports(now time.Time, exchanged []winch.Section) sections {
+	if len(exchanged) == 0 {
+		return nil
+	}
 	reports := sections{}
-	for _, section := range e.options.Sections {
+	for _, section := range exchanged {
 		if report := section.Report(now); report != nil {
 			reports[string(section.Name())] = json.RawMessage(report)
 		}
@@ -235,8 +277,9 @@
 	}
 	hosts := e.receivedHosts.hosts
 	e.mu.Unlock()
+	age := e.table.RelayedAge()
 	for _, host := range hosts {
-		e.table.RecordAlive(now, host, 0)
+		e.table.RecordAlive(now, host, age)
 	}
 }
 
@@ -257,11 +300,12 @@
 	if hub, _ := e.table.Hub(now, centre); hub.ID == e.table.Self().ID {
 		e.readHosts(ctx)
 	}
+	e.pruneMembers(now)
 	host, found := e.table.Probe(now, centre)
 	if !found {
 		return
 	}
-	if err := e.exchangeWith(ctx, host); err != nil {
+	if err := e.exchangeWith(ctx, host, e.probeSections()); err != nil {
 		// Not logged, because a host that is down would be logged with each probe.
 		e.table.RecordFailure(e.options.Clock.Now(), host.ID)
 	}
--- a/membership/peer/handler.go
+++ b/membership/peer/handler.go
@@ -33,9 +33,22 @@
 		httpjson.WriteError(w, fmt.Errorf("field From: not a host of this data centre: %w", winch.ErrInvalid))
 		return
 	}
-	e.table.RecordAlive(now, from, 0)
+	if err := call.validate(); err != nil {
+		httpjson.WriteError(w, err)
+		return
+	}
+	if call.Sections == nil && e.table.Grouped() {
+		// A probe: the host reports to another one.
+		e.table.RecordAlive(now, from, 0)
+		httpjson.Write(w, http.StatusOK, e.hostsFor(now, call.Version))
+		return
+	}
+	e.table.RecordCall(now, from)
+	membersVersion := e.applyMembers(now, call)
 	e.collectReports(now, from.ID, call.Sections)
-	httpjson.Write(w, http.StatusOK, e.buildSummary(now, from.ID, call.Version))
+	summary := e.buildSummary(now, from.ID, call.Version)
+	summary.MembersVersion = membersVersion
+	httpjson.Write(w, http.StatusOK, summary)
 }
 
 func (e *Exchange) collectReports(now time.Time, from winch.HostID, reports sections) {
@@ -47,11 +60,7 @@
 }
 
 func (e *Exchange) buildSummary(now time.Time, to winch.HostID, version uint64) exchangeResponse {
-	hosts := e.allHosts(now)
-	response := exchangeResponse{Hub: encodeHost(e.table.Self()), Version: hosts.version, Sections: sections{}}
-	if hosts.version != version {
-		response.Hosts = encodeHosts(hosts.hosts)
-	}
+	response := e.hostsFor(now, version)
 	for _, section := range e.options.Sections {
 		if summary := section.Summary(now, to); summary != nil {
 			response.Sections[string(section.Name())] = json.RawMessage(summary)
@@ -60,6 +69,16 @@
 	return response
 }
 
+// hostsFor returns a response without summaries, with the hosts if the receiver does not have their version.
+func (e *Exchange) hostsFor(now time.Time, version uint64) exchangeResponse {
+	hosts := e.allHosts(now)
+	response := exchangeResponse{Hub: encodeHost(e.table.Self()), Version: hosts.version, Sections: sections{}}
+	if hosts.version != version {
+		response.Hosts = encodeHosts(hosts.hosts)
+	}
+	return response
+}
+
 func (e *Exchange) serveDigest(w http.ResponseWriter, r *http.Request) {
 	message := digestMessage{}
 	if err := httpjson.Decode(w, r, maxRequestBytes, &message); err != nil {
--- a/membership/peer/table.go
+++ b/membership/peer/table.go
@@ -18,12 +18,17 @@
 	suspectAfter time.Duration
 	forgetAfter  time.Duration
 
+	// groupsEnabled is set before the table is used.
+	groupsEnabled bool
+
 	mu      sync.Mutex
 	leaving bool
 	hosts   map[winch.HostID]*member
 	// sorted holds the members of each data centre, sorted by id.
 	sorted  map[winch.DataCentreID][]*member
 	centres map[winch.DataCentreID]bool
+	// placed is this host's place as it was found last; its time is zero if it has to be found again.
+	placed placement
 }
 
 type member struct {
@@ -33,6 +38,8 @@
 	lastHeard   time.Time
 	lastFailure time.Time
 	lastProbe   time.Time
+	// lastCall is when the host last reported to this one.
+	lastCall time.Time
 }
 
 // NewTable returns a table that knows only the host itself and the given data centres.
@@ -70,6 +77,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.leaving = true
+	t.placed = placement{}
 }
 
 // ApplyHostList updates the table from the host list.
@@ -113,6 +121,7 @@
 	defer t.mu.Unlock()
 	if m := t.hosts[id]; m != nil {
 		m.lastFailure = now
+		t.placed = placement{}
 	}
 }
 
--- a/quarantine/peer/guard_test.go
+++ b/quarantine/peer/guard_test.go
@@ -29,6 +29,8 @@
 
 func (f *fakeDependencies) Candidate(time.Time, winch.Duty, winch.DataCentreID) bool { return true }
 
+func (f *fakeDependencies) RelaysReports(time.Time) bool { return false }
+
 func (f *fakeDependencies) Endpoints() []winch.EndpointStatus { return f.endpoints }
 
 func (f *fakeDependencies) ReadAt() time.Time        { return time.Time{} }
--- a/quarantine/peer/section.go
+++ b/quarantine/peer/section.go
@@ -10,8 +10,12 @@
 // Name returns the section's name.
 func (g *Guard) Name() winch.SectionName { return sectionName }
 
-// Report returns what this host has seen itself, nil if nothing is known at all.
+// Report returns what this host has seen itself, nil if nothing is known at all. A host that relays the reports of others returns
+// what it knows.
 func (g *Guard) Report(now time.Time) []byte {
+	if g.options.Membership.RelaysReports(now) {
+		return g.Summary(now, "")
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.evidence.Empty() {
--- a/release/flow_test.go
+++ b/release/flow_test.go
@@ -62,6 +62,8 @@
 
 func (m *member) Candidate(time.Time, winch.Duty, winch.DataCentreID) bool { return false }
 
+func (m *member) RelaysReports(time.Time) bool { return false }
+
 // settings are the durations of a system; zero stands for the default.
 type settings struct {
 	freshness, grace, margin, watch, exchange time.Duration
--- a/usage/measure_test.go
+++ b/usage/measure_test.go
@@ -61,6 +61,8 @@
 	Adjustment   bool
 }
 
+func (h *simulatedHost) RelaysReports(time.Time) bool { return false }
+
 func (h *simulatedHost) Self() winch.Host { return winch.Host{ID: h.id, DataCentre: "yard-1"} }
 
 func (h *simulatedHost) Hub(time.Time, winch.DataCentreID) (winch.Host, bool) {
--- a/usage/peer/codec.go
+++ b/usage/peer/codec.go
@@ -9,6 +9,9 @@
 	"github.com/arbutuswinch/winch/usage"
 )
 
+// maxMembers bounds the hosts of a group.
+const maxMembers = 4096
+
 type wireCounts struct {
 	Organisation string
 	Requests     int64
@@ -23,11 +26,11 @@
 	Counts      []wireCounts
 }
 
-// wireReport holds the counters of the host's own process that changed after the sequence
-// number Since and are not stored. Sequence is the number of this report. Copied is the
+// wireReport holds the counters of the host's own process, and of the hosts that report to it if it is the head of a group, that
+// changed after the sequence number Since and are not stored. Sequence is the number of this report. Copied is the
 // incarnation of the hub whose copies the host has, CopiedSequence the number of the last
 // summary with copies. AsOf is the time by the host's window clock; the host counts nothing
-// more in windows that ended by then.
+// more in windows that ended by then. Members holds the AsOf of the hosts of the group, as far as the head has their counters.
 type wireReport struct {
 	Incarnation    string
 	AsOf           time.Time
@@ -36,6 +39,12 @@
 	Batches        []wireBatch
 	Copied         string
 	CopiedSequence uint64
+	Members        []wireMember `json:",omitempty"`
+}
+
+type wireMember struct {
+	Host string
+	AsOf time.Time
 }
 
 // wireSummary acknowledges the reports of the process with incarnation Of: counters up to the
@@ -105,6 +114,9 @@
 	if err := json.Unmarshal(report, &wire); err != nil {
 		return wire, fmt.Errorf("decode usage report: %w: %w", winch.ErrInvalid, err)
 	}
+	if len(wire.Members) > maxMembers {
+		return wire, fmt.Errorf("decode usage report: field Members has more than %d hosts: %w", maxMembers, winch.ErrInvalid)
+	}
 	return wire, nil
 }
 
--- a/usage/peer/counters.go
+++ b/usage/peer/counters.go
@@ -55,6 +55,8 @@
 	// maxMissedStores is the number of writes that a hub may miss before other hosts store
 	// counters themselves.
 	maxMissedStores = 2
+	// reporterMaxAge is the age of its last report up to which a host counts as one that reports to this one.
+	reporterMaxAge = 3 * time.Second
 	// shutdownStoreTimeout bounds the writes at the end of Run, which are retried every
 	// shutdownRetryInterval.
 	shutdownStoreTimeout  = 20 * time.Second
@@ -103,6 +105,13 @@
 	stored uint64
 	// copied is the sequence number up to which the host has copies of this process's table.
 	copied uint64
+	// reportedAt is when the host reported last.
+	reportedAt time.Time
+	// forwarded is set if this host is the head of the host's group and reports its counters to the hub.
+	forwarded bool
+	// awaitedReport is the number of this host's report to the hub that has the counters up to the sequence number awaited. It
+	// is zero if none is awaited.
+	awaitedReport, awaited uint64
 }
 
 // Counters implements winch.UsageRecorder and winch.Section. It is safe for concurrent use.
@@ -120,6 +129,8 @@
 	hubIncarnation string
 	ackedSequence  uint64
 	hosts          map[winch.HostID]hostState
+	// membersAsOf is, for the hosts of groups, the window time up to which this hub has everything that they counted.
+	membersAsOf map[winch.HostID]time.Time
 	// copiedFrom is the incarnation of the hub whose copies this host has, up to
 	// copiedSequence.
 	copiedFrom     string
@@ -157,12 +168,13 @@
 		return nil, fmt.Errorf("create usage counter: %w", err)
 	}
 	return &Counters{
-		options:  options,
-		dropped:  dropped,
-		table:    newTable(options.Incarnation),
-		hosts:    map[winch.HostID]hostState{},
-		versions: map[part]writtenPart{},
-		complete: map[part]usage.HostSet{},
+		options:     options,
+		dropped:     dropped,
+		table:       newTable(options.Incarnation),
+		hosts:       map[winch.HostID]hostState{},
+		membersAsOf: map[winch.HostID]time.Time{},
+		versions:    map[part]writtenPart{},
+		complete:    map[part]usage.HostSet{},
 	}, nil
 }
 
@@ -273,4 +285,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	maps.DeleteFunc(c.hosts, func(id winch.HostID, _ hostState) bool { return !alive[id] })
+	maps.DeleteFunc(c.membersAsOf, func(id winch.HostID, _ time.Time) bool { return !alive[id] })
 }
--- a/usage/peer/counters_test.go
+++ b/usage/peer/counters_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,6 +24,8 @@
 	now     time.Time
 	hosts   []*host
 	started int
+	// heads is the number of hosts after the hub that are the heads of groups; without any, all hosts report to the hub.
+	heads int
 	// counted holds the requests that each host counted, lost those that a killed host may have
 	// lost, and sinceExchange those that each living host counted since its last exchange.
 	counted, lost, sinceExchange map[winch.HostID]int64
@@ -40,6 +43,19 @@
 
 func (h *host) Self() winch.Host { return winch.Host{ID: h.id, DataCentre: "yard-1"} }
 
+func (h *host) RelaysReports(time.Time) bool {
+	s := h.simulation
+	return s.heads > 0 && slices.Index(s.hosts, h) <= s.heads
+}
+
+// parent returns the host to which the one at the index reports.
+func (s *simulation) parent(index int) *host {
+	if index <= s.heads || s.heads == 0 {
+		return s.hosts[0]
+	}
+	return s.hosts[1+index%min(s.heads, len(s.hosts)-1)]
+}
+
 func (h *host) Get(ctx context.Context, key string) (winch.Entry, error) {
 	if h.storeUnavailable {
 		return winch.Entry{}, winch.ErrUnavailable
@@ -101,7 +117,7 @@
 
 // exchange sends the host's report to the hub and the summary back, which may be lost.
 func (s *simulation) exchange(index int, loseSummary bool) {
-	h, hub := s.hosts[index], s.hosts[0]
+	h, hub := s.hosts[index], s.parent(index)
 	if h == hub {
 		return
 	}
@@ -112,7 +128,7 @@
 		return
 	}
 	assert.NilError(s.t, h.counters.Apply(s.now, s.now, hub.id, summary))
-	if h == s.hosts[1] {
+	if h == s.hosts[1] && hub == s.hosts[0] {
 		// hosts[1] is the backup host: it now has copies of the hub's counters.
 		s.sinceExchange[hub.id] = 0
 	}
--- a/usage/peer/store.go
+++ b/usage/peer/store.go
@@ -36,6 +36,9 @@
 		c.options.Logger.Warn("failed to store usage counts", "Event", EventCountsNotStored, "Parts", failed, "Error", lastErr)
 		return false
 	}
+	if included == scopeReported {
+		maps.DeleteFunc(snapshot, func(_ winch.HostID, state hostState) bool { return state.forwarded })
+	}
 	c.markHostsStored(snapshot)
 	return true
 }
@@ -93,6 +96,11 @@
 			complete[host] = true
 		}
 	}
+	for host, asOf := range c.membersAsOf {
+		if !asOf.Before(end) {
+			complete[host] = true
+		}
+	}
 	return complete
 }
 
--- a/usage/peer/table.go
+++ b/usage/peer/table.go
@@ -15,6 +15,8 @@
 	// responsible is set if this host is responsible for storing the counter of another process:
 	// it received the counter in a report, or as a copy from a hub that was replaced.
 	responsible bool
+	// forwarded is set if this host reports the counter to its parent, which stores it. This host does so only if that is late.
+	forwarded bool
 }
 
 // table holds the counters that a host knows. It does no I/O.
@@ -71,12 +73,26 @@
 	return t.sequence
 }
 
+// forward marks counters from the reports of other hosts as reported to this host's parent.
+func (t *table) forward(counters []usage.Counter) {
+	for _, counter := range counters {
+		if state := t.counters[counter.Key]; state != nil && counter.Key.Incarnation != t.incarnation {
+			state.forwarded = true
+		}
+	}
+}
+
+// reported reports whether this host reports the counter to its parent.
+func (t *table) reported(key usage.CounterKey, state *counterState) bool {
+	return key.Incarnation == t.incarnation || state.forwarded
+}
+
 // changedSince returns the counters that changed after the sequence number and are not stored.
-// If ownOnly is set, it returns only those of this process.
-func (t *table) changedSince(sequence uint64, ownOnly bool) []usage.Counter {
+// If reportedOnly is set, it returns only those that this host reports to its parent.
+func (t *table) changedSince(sequence uint64, reportedOnly bool) []usage.Counter {
 	counters := []usage.Counter{}
 	for key, state := range t.counters {
-		if state.changed <= sequence || state.counts == state.stored || ownOnly && key.Incarnation != t.incarnation {
+		if state.changed <= sequence || state.counts == state.stored || reportedOnly && !t.reported(key, state) {
 			continue
 		}
 		counters = append(counters, usage.Counter{Key: key, Counts: state.counts})
@@ -84,11 +100,10 @@
 	return counters
 }
 
-// markOwnStored records that the hub has stored the counters of this process up to the sequence
-// number.
-func (t *table) markOwnStored(sequence uint64) {
+// markReportedStored records that the hub has stored what this host has reported up to the sequence number.
+func (t *table) markReportedStored(sequence uint64) {
 	for key, state := range t.counters {
-		if key.Incarnation == t.incarnation && state.changed <= sequence {
+		if t.reported(key, state) && state.changed <= sequence {
 			state.stored = state.counts
 		}
 	}
@@ -141,10 +156,10 @@
 type scope int
 
 const (
-	// scopeReported selects the counters of other processes that this host is responsible for.
+	// scopeReported selects the counters of other processes that this host is responsible for and does not forward.
 	// They can remain after the host has ceased to be the hub.
 	scopeReported scope = iota
-	// scopeReportedAndOwn also selects the counters of this process. It is used when the process
+	// scopeReportedAndOwn also selects the counters of this process and those that it forwards. It is used when the process
 	// stops.
 	scopeReportedAndOwn
 	// scopeAll selects all counters including copies, because the hub that sent the copies may
@@ -157,7 +172,7 @@
 	parts := map[part]bool{}
 	for key, state := range t.counters {
 		own := key.Incarnation == t.incarnation
-		inScope := included == scopeAll || state.responsible || own && included == scopeReportedAndOwn
+		inScope := included == scopeAll || state.responsible && !state.forwarded || (own || state.forwarded) && included == scopeReportedAndOwn
 		if state.counts != state.stored && inScope {
 			parts[part{shard: usage.ShardOf(key.Organisation, shards), window: key.Window}] = true
 		}
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -165,8 +165,9 @@
 }
 
 func (f *Forwarder) buildMembership() error {
-	self := winch.Host{ID: f.settings.Host, DataCentre: exchangeGroup, PeerAddress: f.settings.Peer.Address, Capacity: f.settings.Limits.Processors}
+	self := winch.Host{ID: f.settings.Host, DataCentre: exchangeGroup, Home: f.settings.DataCentre, PeerAddress: f.settings.Peer.Address, Capacity: f.settings.Limits.Processors}
 	f.table = memberpeer.NewTable(self, nil, suspectAfter, forgetAfter)
+	f.table.EnableGroups()
 	built, err := members.New(members.Options{Store: f.store, Self: self, Logger: f.logger})
 	f.hosts = built
 	return err
@@ -261,7 +262,7 @@
 }
 
 func (f *Forwarder) sections() []winch.Section {
-	return []winch.Section{f.configuration.Section(), f.endpoints.Section(), f.dispatcher.Section(), f.dispatcher.RateSection(), f.synced.Section(), f.duties.counters, f.quarantine}
+	return []winch.Section{f.configuration.Section(), f.endpoints.Section(), f.dispatcher.Section(), f.dispatcher.RateSection(), f.synced.Section(f.table), f.duties.counters, f.quarantine}
 }
 
 func (f *Forwarder) buildServers() error {
