perf: fewer calls of hosts that have no duty, and less work at rest

At rest the list of endpoints was hashed twice for each summary, the history of each endpoint was touched ten times a second, and writers and readers of deflate were built anew after each collection. Change: eight standbys beside the candidate (lease option Standbys in place of AnyHost); a host's own reading serves as long as a relayed one; a relayed list with the same hash is not decoded; the hub is looked up once in 50 ms.

--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -205,16 +205,20 @@
 
 // history records how many requests the hosts had on the endpoint in the recent past.
 type history struct {
-	times  [historySize]time.Time
-	counts [historySize]float64
-	next   int
+	// lastAt and lastCount repeat the last entry, so that the many calls that add none do not touch the arrays.
+	lastAt    time.Time
+	lastCount float64
+	next      int
+	times     [historySize]time.Time
+	counts    [historySize]float64
 }
 
+// add records the count if it has changed, but not more often than every historyStep.
 func (h *history) add(now time.Time, count float64) {
-	last := (h.next + historySize - 1) % historySize
-	if now.Sub(h.times[last]) < historyStep {
+	if count == h.lastCount || now.Sub(h.lastAt) < historyStep {
 		return
 	}
+	h.lastAt, h.lastCount = now, count
 	h.times[h.next], h.counts[h.next] = now, count
 	h.next = (h.next + 1) % historySize
 }
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -94,6 +94,9 @@
 
 // readAllProgress reads the progress of all requests that run on the endpoint.
 func (c *core) readAllProgress(now time.Time, e *endpoint) {
+	if e.running == 0 {
+		return
+	}
 	for i := range e.tiers {
 		for r := e.tiers[i].newest; r != nil; r = r.runNext {
 			c.readProgress(now, r)
--- a/httpjson/compact.go
+++ b/httpjson/compact.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 
 	"github.com/arbutuswinch/winch"
 )
@@ -21,25 +20,48 @@
 // most of the traffic. It is safe for concurrent use.
 type Compactor struct {
 	dictionary []byte
-	writers    sync.Pool
+	// kept holds a writer that is not in use. It is not in a sync.Pool, which is emptied by the garbage collector: a writer takes
+	// hundreds of kilobytes, and most processes compress again before the next collection but one.
+	kept chan *flate.Writer
+	// keptReader is the same for readers.
+	keptReader chan io.ReadCloser
 }
 
 // NewCompactor returns a compactor. Both sides of a call must use the same dictionary.
-func NewCompactor(dictionary []byte) *Compactor { return &Compactor{dictionary: dictionary} }
+func NewCompactor(dictionary []byte) *Compactor {
+	return &Compactor{dictionary: dictionary, kept: make(chan *flate.Writer, 1), keptReader: make(chan io.ReadCloser, 1)}
+}
+
+// writer returns a writer to out.
+func (c *Compactor) writer(out io.Writer) (*flate.Writer, error) {
+	select {
+	case kept := <-c.kept:
+		kept.Reset(out)
+		return kept, nil
+	default:
+	}
+	created, err := flate.NewWriterDict(out, flate.DefaultCompression, c.dictionary)
+	if err != nil {
+		return nil, fmt.Errorf("create compressor: %w", err)
+	}
+	return created, nil
+}
+
+// keep keeps a writer for the next body, unless another one is kept.
+func (c *Compactor) keep(writer *flate.Writer) {
+	select {
+	case c.kept <- writer:
+	default:
+	}
+}
 
 func (c *Compactor) compress(body []byte) ([]byte, error) {
 	out := &bytes.Buffer{}
-	writer, found := c.writers.Get().(*flate.Writer)
-	if found {
-		writer.Reset(out)
-	} else {
-		created, err := flate.NewWriterDict(out, flate.DefaultCompression, c.dictionary)
-		if err != nil {
-			return nil, fmt.Errorf("create compressor: %w", err)
-		}
-		writer = created
+	writer, err := c.writer(out)
+	if err != nil {
+		return nil, err
 	}
-	defer c.writers.Put(writer)
+	defer c.keep(writer)
 	if _, err := writer.Write(body); err != nil {
 		return nil, fmt.Errorf("compress body: %w", err)
 	}
@@ -49,9 +71,43 @@
 	return out.Bytes(), nil
 }
 
-// reader returns a reader of the decompressed body. The caller must limit its length.
+// reader returns a reader of the decompressed body, which must be closed. The caller must limit its length.
 func (c *Compactor) reader(body io.Reader) io.ReadCloser {
-	return flate.NewReaderDict(body, c.dictionary)
+	select {
+	case kept := <-c.keptReader:
+		if err := kept.(flate.Resetter).Reset(body, c.dictionary); err == nil {
+			return &reusableReader{compactor: c, reader: kept}
+		}
+	default:
+	}
+	return &reusableReader{compactor: c, reader: flate.NewReaderDict(body, c.dictionary)}
+}
+
+// reusableReader gives its reader back when it is closed.
+type reusableReader struct {
+	compactor *Compactor
+	reader    io.ReadCloser
+}
+
+// Read implements io.Reader. It returns io.ErrClosedPipe after Close.
+func (r *reusableReader) Read(p []byte) (int, error) {
+	if r.reader == nil {
+		return 0, io.ErrClosedPipe
+	}
+	return r.reader.Read(p)
+}
+
+// Close gives the reader back. The error is always nil.
+func (r *reusableReader) Close() error {
+	if r.reader == nil {
+		return nil
+	}
+	select {
+	case r.compactor.keptReader <- r.reader:
+	default:
+	}
+	r.reader = nil
+	return nil
 }
 
 // Handler decompresses request bodies for next and compresses the responses to those
--- a/internal/relay/pacer.go
+++ b/internal/relay/pacer.go
@@ -33,6 +33,8 @@
 	settings Settings
 	// relayedAt is when the newest relayed reading was made.
 	relayedAt time.Time
+	// ownAt is when this host's newest reading was made.
+	ownAt time.Time
 	// hub is the host that relayed a reading last; empty before the first one.
 	hub winch.HostID
 	// failedReads is the number of failed reads since the last successful one.
@@ -79,11 +81,27 @@
 	}
 }
 
-// Due reports whether this host has to read the source itself.
+// OwnReading records that this host made a reading at the given time.
+func (p *Pacer) OwnReading(readAt time.Time) { p.ownAt = readAt }
+
+// Due reports whether this host has to read the source itself. If another host relays readings, this one's own readings serve as
+// long as those would, so that many hosts do not read at the interval of the hub while that is slow.
 func (p *Pacer) Due(now time.Time) bool {
-	return p.relayedAt.IsZero() || now.Sub(p.relayedAt) > p.settings.MaxAge
+	newest := p.newestReading()
+	return newest.IsZero() || now.Sub(newest) > p.settings.MaxAge
 }
 
+// newestReading returns when the newest reading that replaces a read was made.
+func (p *Pacer) newestReading() time.Time {
+	if p.relies() && p.ownAt.After(p.relayedAt) {
+		return p.ownAt
+	}
+	return p.relayedAt
+}
+
+// relies reports whether another host relays readings to this one.
+func (p *Pacer) relies() bool { return p.hub != "" && p.hub != p.settings.Self }
+
 const (
 	// maxBackoff is the largest multiple of PollEvery to which failed reads raise the interval.
 	maxBackoff = 3
@@ -94,7 +112,7 @@
 // pollInterval returns the interval between this host's own reads. It grows with failed ones, but not at the hub, which
 // finds out for all hosts when the source is back, nor as long as no hub is known.
 func (p *Pacer) pollInterval() time.Duration {
-	if p.hub == "" || p.hub == p.settings.Self {
+	if !p.relies() {
 		return p.settings.PollEvery
 	}
 	return time.Duration(min(1+max(0, p.failedReads-promptRetries), maxBackoff)) * p.settings.PollEvery
@@ -105,6 +123,6 @@
 	if p.Due(now) {
 		return p.pollInterval()
 	}
-	expires := p.relayedAt.Add(p.settings.MaxAge)
+	expires := p.newestReading().Add(p.settings.MaxAge)
 	return min(p.settings.PollEvery, max(minInterval, expires.Sub(now)+time.Millisecond))
 }
--- a/internal/relay/pacer_test.go
+++ b/internal/relay/pacer_test.go
@@ -52,6 +52,23 @@
 			assert.Equal(t, p.Until(now.Add(time.Minute)), 600*time.Millisecond)
 		}
 	})
+	t.Run("its own reading serves as long as a relayed one", func(t *testing.T) {
+		p := NewPacer(Settings{Self: "a", PollEvery: 600 * time.Millisecond, MaxAge: 1500 * time.Millisecond})
+		p.Received("b", now)
+		p.OwnReading(now.Add(2 * time.Second))
+		assert.Assert(t, !p.Due(now.Add(3500*time.Millisecond)))
+		assert.Assert(t, p.Due(now.Add(3501*time.Millisecond)))
+	})
+	t.Run("the hub and a host without one read at their interval", func(t *testing.T) {
+		for _, hub := range []winch.HostID{"a", ""} {
+			p := NewPacer(Settings{Self: "a", PollEvery: 600 * time.Millisecond, MaxAge: 1500 * time.Millisecond})
+			if hub != "" {
+				p.Received(hub, now)
+			}
+			p.OwnReading(now)
+			assert.Assert(t, p.Due(now))
+		}
+	})
 	t.Run("wakes when the reading gets too old", func(t *testing.T) {
 		assert.Equal(t, p.Until(now), 600*time.Millisecond)
 		assert.Equal(t, p.Until(now.Add(1400*time.Millisecond)), 101*time.Millisecond)
--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -57,6 +57,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.pacer.ReadDone(err)
+	if err == nil {
+		r.pacer.OwnReading(sent)
+	}
 }
 
 // Received records that the hub relayed a reading that was made at the given time.
--- a/lease/fenced/frozen_test.go
+++ b/lease/fenced/frozen_test.go
@@ -82,6 +82,8 @@
 
 func (c candidate) RelaysReports(time.Time) bool { return false }
 
+func (c candidate) Rank(time.Time, winch.Duty, winch.DataCentreID) int { return 0 }
+
 // contender is a lease holder with a sender.
 type contender struct {
 	holder *lease.Holder
--- a/lease/keyvalue/holder.go
+++ b/lease/keyvalue/holder.go
@@ -12,7 +12,7 @@
 // predecessor may be in flight. The clocks of hosts need not be synchronised.
 //
 // Only the candidate that Membership names acquires the lease, unless
-// Options.AnyHost is set, and a holder that is no longer the candidate releases it.
+// there are standbys, and a holder that is no longer the candidate releases it.
 // If the new candidate does not acquire it, the former holder takes it back for a
 // while.
 //
@@ -70,10 +70,10 @@
 	DataCentre  winch.DataCentreID
 	Membership  winch.Membership
 	Incarnation winch.Incarnation
-	// AnyHost lets every host that is not leaving acquire the lease, not only the candidate
-	// that Membership names. If it is not set and the candidate cannot reach the store, no
+	// Standbys is the number of hosts that may acquire the lease beside the candidate that Membership
+	// names: those that rank next, unless they are leaving. If it is zero and the candidate cannot reach the store, no
 	// host performs the duty, except a former holder for a limited time.
-	AnyHost bool
+	Standbys int
 	// TTL is the time for which the record must be unchanged before another host may
 	// acquire the lease. The default is 6 s.
 	TTL time.Duration
@@ -221,10 +221,13 @@
 // standby for the host that Membership names.
 func (h *Holder) candidate(now time.Time) (candidate, standby bool) {
 	named := h.options.Membership.Candidate(now, h.options.Duty, h.options.DataCentre)
-	if !h.options.AnyHost {
+	if h.options.Standbys == 0 {
 		return named, false
 	}
-	return !h.options.Membership.Self().Leaving, !named
+	if h.options.Membership.Self().Leaving {
+		return false, !named
+	}
+	return named || h.options.Membership.Rank(now, h.options.Duty, h.options.DataCentre) <= h.options.Standbys, !named
 }
 
 // runStep carries out the next action of the state machine, and reports whether the loop is done.
--- a/lease/keyvalue/holder_test.go
+++ b/lease/keyvalue/holder_test.go
@@ -20,14 +20,18 @@
 	winch.Membership
 	host      winch.HostID
 	candidate atomic.Bool
+	rank      int
+	leaving   bool
 }
 
-func (m *member) Self() winch.Host { return winch.Host{ID: m.host} }
+func (m *member) Self() winch.Host { return winch.Host{ID: m.host, Leaving: m.leaving} }
 
 func (m *member) Candidate(time.Time, winch.Duty, winch.DataCentreID) bool { return m.candidate.Load() }
 
 func (m *member) RelaysReports(time.Time) bool { return false }
 
+func (m *member) Rank(time.Time, winch.Duty, winch.DataCentreID) int { return m.rank }
+
 type fixture struct {
 	holder *Holder
 	member *member
@@ -68,6 +72,30 @@
 	return term
 }
 
+func TestStandbys(t *testing.T) {
+	const standbys = 8
+	cases := map[string]struct {
+		rank               int
+		leaving            bool
+		candidate, standby bool
+	}{
+		"the candidate":              {0, false, true, false},
+		"the last standby":           {standbys, false, true, true},
+		"a host that ranks after it": {standbys + 1, false, false, true},
+		"a standby that is leaving":  {1, true, false, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := &member{rank: c.rank, leaving: c.leaving}
+			m.candidate.Store(c.rank == 0)
+			holder := &Holder{options: Options{Membership: m, Standbys: standbys}}
+			candidate, standby := holder.candidate(time.Now())
+			assert.Equal(t, candidate, c.candidate)
+			assert.Equal(t, standby, c.standby)
+		})
+	}
+}
+
 func TestHolder(t *testing.T) {
 	t.Run("releases the lease to a new candidate", func(t *testing.T) {
 		store := memory.New()
--- a/membership.go
+++ b/membership.go
@@ -30,6 +30,8 @@
 	// Candidate reports whether this host should try to acquire the lease of the duty. One of
 	// the live hosts of the data centre is chosen for it. An empty centre means all data centres.
 	Candidate(now time.Time, duty Duty, centre DataCentreID) bool
+	// Rank returns how many of these hosts would be chosen before this one.
+	Rank(now time.Time, duty Duty, centre DataCentreID) int
 	// RelaysReports reports whether other hosts report to this one although it may not be the hub: the hosts are divided into
 	// groups, and this host is the hub or the head of a group. Its own reports and summaries are then those of a Section that
 	// relays.
--- a/membership/peer/groups.go
+++ b/membership/peer/groups.go
@@ -36,16 +36,14 @@
 func (t *Table) Parent(now time.Time) winch.Host {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	parent, _ := t.place(now)
-	return parent
+	return t.place(now).parent
 }
 
 // RelaysReports reports whether this host is the hub or a head, while the hosts are divided into groups.
 func (t *Table) RelaysReports(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_, relays := t.place(now)
-	return relays
+	return t.place(now).relays
 }
 
 // RecordCall records a report of the host to this one.
@@ -88,8 +86,8 @@
 
 // placement is a host's place in the exchange.
 type placement struct {
-	at     time.Time
-	parent winch.Host
+	at          time.Time
+	hub, parent winch.Host
 	// relays is set for the hub and the heads.
 	relays bool
 }
@@ -97,27 +95,27 @@
 // placementReuse is how long a placement is used again, unless a call has failed since.
 const placementReuse = 50 * time.Millisecond
 
-// place returns this host's parent, and whether it is the hub or a head itself.
-func (t *Table) place(now time.Time) (parent winch.Host, relays bool) {
+func (t *Table) place(now time.Time) placement {
 	if t.placed.at.IsZero() || now.Sub(t.placed.at).Abs() >= placementReuse {
-		t.placed.parent, t.placed.relays = t.findPlace(now)
-		t.placed.at = now
+		t.placed = t.findPlace(now)
 	}
-	return t.placed.parent, t.placed.relays
+	return t.placed
 }
 
-func (t *Table) findPlace(now time.Time) (parent winch.Host, relays bool) {
+func (t *Table) findPlace(now time.Time) placement {
 	live := t.liveHosts(now, t.self.DataCentre)
 	hub, _ := highestWeight(live, hubName(t.self.DataCentre))
+	found := placement{at: now, hub: hub, parent: hub}
 	if !t.grouped() {
-		return hub, false
+		return found
 	}
 	heads := t.heads(live, hub)
 	isHead := slices.ContainsFunc(heads, func(head winch.Host) bool { return head.ID == t.self.ID })
-	if hub.ID == t.self.ID || isHead {
-		return hub, true
+	found.relays = hub.ID == t.self.ID || isHead
+	if !found.relays {
+		found.parent = headOf(heads, t.self.ID, hub)
 	}
-	return headOf(heads, t.self.ID, hub), false
+	return found
 }
 
 // heads returns the heads of this host's home. Leaving hosts and the hub are not heads.
--- a/membership/peer/groups_test.go
+++ b/membership/peer/groups_test.go
@@ -301,6 +301,19 @@
 	return listed
 }
 
+func TestRank(t *testing.T) {
+	f := newFleet(t, 60, "a", "b")
+	ranks := map[int]bool{}
+	for _, h := range f.hosts {
+		rank := h.table.Rank(f.now, "duty", "")
+		assert.Equal(t, rank == 0, h.table.Candidate(f.now, "duty", ""), "the candidate ranks first")
+		ranks[rank] = true
+	}
+	assert.Equal(t, len(ranks), len(f.hosts), "all see the same order")
+	f.hosts[0].table.Leave()
+	assert.Equal(t, f.hosts[0].table.Rank(f.now, "duty", ""), len(f.hosts)-1, "a leaving host ranks last")
+}
+
 func TestExchangeRejectsTooManyHosts(t *testing.T) {
 	f := newFleet(t, 2, "a")
 	call := exchangeCall{From: encodeHost(f.hosts[1].self), MembersVersion: 1, Sections: sections{}}
--- a/origin/book.go
+++ b/origin/book.go
@@ -49,9 +49,12 @@
 	// served maps each version of a model to the last time at which it is known to have been listed or to have served.
 	served map[winch.ModelID]map[winch.SoftwareVersion]time.Time
 	// listed is the list that was observed last, and listReadAt when it was read.
-	listed     map[winch.EndpointID]winch.EndpointStatus
-	listReadAt time.Time
-	untold     []winch.RequestID
+	listed map[winch.EndpointID]winch.EndpointStatus
+	// latest is that list as it was given, and listedVersions the versions in it.
+	latest         []winch.EndpointStatus
+	listedVersions []listedVersion
+	listReadAt     time.Time
+	untold         []winch.RequestID
 	// unresolved are the endpoints of which another run than the listed one has begun streams of this host.
 	unresolved map[winch.EndpointID]bool
 }
@@ -225,6 +228,13 @@
 	if readAt.IsZero() {
 		return
 	}
+	if b.sameList(statuses) && len(b.unresolved) == 0 {
+		b.listReadAt = readAt
+		for _, served := range b.listedVersions {
+			b.ObserveServed(served.model, served.software, now)
+		}
+		return
+	}
 	single := map[winch.ModelID]bool{}
 	for model := range b.served {
 		_, single[model] = b.OnlyVersion(now, model, memory)
@@ -242,6 +252,7 @@
 		}
 	}
 	b.listed, b.listReadAt = listed, readAt
+	b.latest, b.listedVersions = statuses, versionsOf(statuses)
 	for model, wasSingle := range single {
 		if _, stillSingle := b.OnlyVersion(now, model, memory); wasSingle && !stillSingle {
 			b.tellAll(model)
@@ -249,6 +260,33 @@
 	}
 }
 
+// sameList reports whether the statuses are those of the last call. Lists are replaced, never modified.
+func (b *Book) sameList(statuses []winch.EndpointStatus) bool {
+	return len(statuses) > 0 && len(statuses) == len(b.latest) && &statuses[0] == &b.latest[0]
+}
+
+// listedVersion is a software version of a model.
+type listedVersion struct {
+	model    winch.ModelID
+	software winch.SoftwareVersion
+}
+
+// versionsOf returns the versions in the list, each once.
+func versionsOf(statuses []winch.EndpointStatus) []listedVersion {
+	found := map[listedVersion]bool{}
+	versions := []listedVersion{}
+	for _, status := range statuses {
+		for _, model := range status.Endpoint.Models {
+			version := listedVersion{model: model, software: status.Endpoint.Software}
+			if !found[version] {
+				found[version] = true
+				versions = append(versions, version)
+			}
+		}
+	}
+	return versions
+}
+
 // doubt makes the version unknown of the streams that this host began at the endpoint since the time.
 func (b *Book) doubt(endpoint winch.EndpointID, since time.Time) {
 	for stream, r := range b.streams {
--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -141,6 +141,11 @@
 	return statuses
 }
 
+// recovering reports whether a list read at the given time may not be the one in use, because of an outage before it.
+func (f *Follower) recovering(at time.Time) bool {
+	return f.readFailed && at.Sub(f.readAt) > outageThreshold || at.Before(f.graceUntil) || len(f.current) != len(f.latest)
+}
+
 func sortByID(statuses []winch.EndpointStatus) {
 	slices.SortFunc(statuses, func(a, b winch.EndpointStatus) int { return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID) })
 }
--- a/placement/registry/section.go
+++ b/placement/registry/section.go
@@ -94,26 +94,46 @@
 	if wire.Hash == 0 {
 		return nil
 	}
-	readAt := sent.Add(-time.Duration(wire.AgeMS) * time.Millisecond)
-	s.f.mu.Lock()
-	notNewer, statuses := !readAt.After(s.f.readAt), s.f.latest
-	if wire.Hash != s.f.hash {
-		statuses = decodeEndpoints(sent, wire.Endpoints)
-	}
-	// The hashes differ if the hub left the list out because this host had reported the same
-	// hash, and the host's list has changed since.
-	usable := notNewer || wire.Hash == hashOf(statuses)
-	if usable {
-		s.f.reader.Received(hub, readAt)
-	}
-	s.f.mu.Unlock()
-	if notNewer || !usable {
+	r := reading{at: sent.Add(-time.Duration(wire.AgeMS) * time.Millisecond), received: now, from: hub}
+	if s.f.confirm(r, wire.Hash) {
 		return nil
 	}
-	s.f.update(reading{at: readAt, received: now, from: hub}, statuses)
+	if statuses, complete := s.f.completeList(sent, wire); complete {
+		s.f.reader.Received(hub, r.at)
+		s.f.update(r, statuses)
+	}
 	return nil
 }
 
+// completeList returns the list of a message, which contains it only if its receiver had reported another one. It returns false if
+// the message does not contain it and this host's list has changed since it was reported.
+func (f *Follower) completeList(sent time.Time, wire listWire) ([]winch.EndpointStatus, bool) {
+	f.mu.Lock()
+	latest, hash := f.latest, f.hash
+	f.mu.Unlock()
+	if wire.Hash == hash {
+		return latest, true
+	}
+	statuses := decodeEndpoints(sent, wire.Endpoints)
+	return statuses, wire.Hash == hashOf(statuses)
+}
+
+// confirm processes a relayed list that needs not be decoded: it was not read after this host's list or, as its hash shows, is the same.
+// It reports whether it was one.
+func (f *Follower) confirm(r reading, hash uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	notNewer := !r.at.After(f.readAt)
+	if !notNewer && (hash != f.hash || f.recovering(r.at)) {
+		return false
+	}
+	f.reader.Received(r.from, r.at)
+	if !notNewer {
+		f.readAt, f.readFailed = r.at, false
+	}
+	return true
+}
+
 // encodeList encodes the list for a receiver whose list has the given hash: the list
 // itself is left out when the receiver has it already.
 func (f *Follower) encodeList(now time.Time, receiverHash uint64) []byte {
--- a/quarantine/peer/guard_test.go
+++ b/quarantine/peer/guard_test.go
@@ -31,6 +31,8 @@
 
 func (f *fakeDependencies) RelaysReports(time.Time) bool { return false }
 
+func (f *fakeDependencies) Rank(time.Time, winch.Duty, winch.DataCentreID) int { return 0 }
+
 func (f *fakeDependencies) Endpoints() []winch.EndpointStatus { return f.endpoints }
 
 func (f *fakeDependencies) ReadAt() time.Time        { return time.Time{} }
--- a/release/flow_test.go
+++ b/release/flow_test.go
@@ -64,6 +64,8 @@
 
 func (m *member) RelaysReports(time.Time) bool { return false }
 
+func (m *member) Rank(time.Time, winch.Duty, winch.DataCentreID) int { return 0 }
+
 // settings are the durations of a system; zero stands for the default.
 type settings struct {
 	freshness, grace, margin, watch, exchange time.Duration
--- a/release/peer/fake_test.go
+++ b/release/peer/fake_test.go
@@ -158,3 +158,5 @@
 func (m *fakeMembership) Candidate(time.Time, winch.Duty, winch.DataCentreID) bool { return false }
 
 func (m *fakeMembership) RelaysReports(time.Time) bool { return false }
+
+func (m *fakeMembership) Rank(time.Time, winch.Duty, winch.DataCentreID) int { return 0 }
--- a/winchd/forwarder/duties.go
+++ b/winchd/forwarder/duties.go
@@ -18,6 +18,9 @@
 	// platformDuty is the single duty for all calls to the platform, so that they need only
 	// one lease.
 	platformDuty winch.Duty = "platform"
+	// standbys is the number of hosts that take over the duty if the store rejects the calls of the one that membership names. Each
+	// of them reads the lease's record once in its TTL, so not all hosts of a large fleet are.
+	standbys = 8
 	// renewalsPerLease is the number of renewals within the TTL of a lease.
 	renewalsPerLease = 4
 	// maxInFlight is the longest time that a call of a duty may be in flight.
@@ -107,10 +110,8 @@
 }
 
 func (f *Forwarder) buildHolder() error {
-	// Without AnyHost no host would perform the duty while the store rejects the calls of the
-	// host that Membership names.
 	holder, err := lease.New(lease.Options{
-		Store: f.store, Duty: platformDuty, Membership: f.table, Incarnation: f.incarnation, AnyHost: true,
+		Store: f.store, Duty: platformDuty, Membership: f.table, Incarnation: f.incarnation, Standbys: standbys,
 		TTL: f.settings.Bounds.Lease, RenewEvery: f.settings.Bounds.Lease / renewalsPerLease, InFlight: maxInFlight,
 		Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
 	})
--- a/winchd/forwarder/process_test.go
+++ b/winchd/forwarder/process_test.go
@@ -57,9 +57,13 @@
 	t         *testing.T
 	store     *platformtest.Store
 	storeLink *linktest.Link
-	endpoints []*platformtest.Endpoint
-	links     []*linktest.Link
-	requests  atomic.Int64
+	// storeAddress is used in place of storeLink if it is set.
+	storeAddress string
+	endpoints    []*platformtest.Endpoint
+	links        []*linktest.Link
+	requests     atomic.Int64
+	// dutyAddress receives the calls of the duties; without it there are none.
+	dutyAddress string
 	// apply is Bounds.Apply of new hosts.
 	apply time.Duration
 }
@@ -80,6 +84,13 @@
 	return p
 }
 
+func (p *simulatedPlatform) addressOfStore() string {
+	if p.storeAddress != "" {
+		return p.storeAddress
+	}
+	return p.storeLink.Address()
+}
+
 func serve(t *testing.T, handler http.Handler) string {
 	t.Helper()
 	server := httptest.NewServer(handler)
@@ -124,11 +135,16 @@
 func (p *simulatedPlatform) newHost(name string) *hostProcess {
 	p.t.Helper()
 	ports := freePorts(p.t, 3)
+	duties := map[string]any{}
+	if p.dutyAddress != "" {
+		duties = map[string]any{"Address": p.dutyAddress, "Kinds": []string{"usage_report", "autoscale"}}
+	}
 	encoded, err := json.Marshal(map[string]any{
-		"Host": name, "DataCentre": "a", "DataCentres": []string{"a"},
+		"Duties": duties,
+		"Host":   name, "DataCentre": "a", "DataCentres": []string{"a"},
 		"Caller": map[string]any{"Address": ports[0], "ReadyAddress": ports[1]},
 		"Peer":   map[string]any{"Address": ports[2]},
-		"Store":  map[string]any{"Address": p.storeLink.Address()},
+		"Store":  map[string]any{"Address": p.addressOfStore()},
 		"Bounds": map[string]any{"Revoke": "4s", "Apply": p.apply.String()},
 	})
 	assert.NilError(p.t, err)
