feat(membership): events and a gauge tell which hosts relay, and when what they relay is too old

Events 8005, 4305, 4306, 7605, 7606 and the gauge winch_peer_callers: on-call had no way to see that a hub or head is full before hosts read the store themselves.

--- a/internal/relay/pacer.go
+++ b/internal/relay/pacer.go
@@ -7,7 +7,7 @@
 // # Usage
 //
 //	settings := relay.Settings{Self: "host-1", PollEvery: 600 * time.Millisecond, MaxAge: 1500 * time.Millisecond}
-//	reader := relay.NewReader(settings, clock, dependency.New("list", logger, EventListFailed, EventListRecovered), readList)
+//	reader := relay.NewReader(settings, clock, listLog, relayLog, readList)
 //	go reader.Run(ctx)
 //	reader.Received("host-2", readAt) // for each reading that the hub relays
 package relay
@@ -81,6 +81,11 @@
 	}
 }
 
+// Stale reports whether another host relays readings to this one, but the last one is too old to replace a read.
+func (p *Pacer) Stale(now time.Time) bool {
+	return p.relies() && now.Sub(p.relayedAt) > p.settings.MaxAge
+}
+
 // OwnReading records that this host made a reading at the given time.
 func (p *Pacer) OwnReading(readAt time.Time) { p.ownAt = readAt }
 
--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -18,16 +19,19 @@
 type Reader struct {
 	clock winch.Clock
 	read  ReadFunc
-	// log tells when the source fails and recovers.
-	log *dependency.Dependency
+	// log tells when the source fails and recovers, and relayed when what the hub relays gets too old and recovers.
+	log, relayed *dependency.Dependency
 
 	mu    sync.Mutex
 	pacer *Pacer
 }
 
-// NewReader returns a reader to which nothing was relayed yet.
-func NewReader(settings Settings, clock winch.Clock, log *dependency.Dependency, read ReadFunc) *Reader {
-	return &Reader{clock: clock, read: read, log: log, pacer: NewPacer(settings)}
+// errStale means that this host reads the source itself, because what the hub relays is too old.
+var errStale = errors.New("relayed reading is too old, so that this host reads itself")
+
+// NewReader returns a reader to which nothing was relayed yet. Log and relayed tell of the source and of what the hub relays.
+func NewReader(settings Settings, clock winch.Clock, log, relayed *dependency.Dependency, read ReadFunc) *Reader {
+	return &Reader{clock: clock, read: read, log: log, relayed: relayed, pacer: NewPacer(settings)}
 }
 
 // Run reads the source until ctx is done: at the interval PollEvery or, while the hub relays readings, as soon as the last
@@ -48,7 +52,9 @@
 	sent := r.clock.Now()
 	r.mu.Lock()
 	due, limit := r.pacer.Due(sent), r.pacer.ReadTimeout()
+	stale := r.pacer.Stale(sent)
 	r.mu.Unlock()
+	r.noteRelayed(stale)
 	if !due {
 		return
 	}
@@ -62,6 +68,14 @@
 	}
 }
 
+func (r *Reader) noteRelayed(stale bool) {
+	if stale {
+		r.relayed.Note(errStale)
+		return
+	}
+	r.relayed.Note(nil)
+}
+
 // Received records that the hub relayed a reading that was made at the given time.
 func (r *Reader) Received(hub winch.HostID, readAt time.Time) {
 	r.mu.Lock()
--- a/membership/peer/exchange.go
+++ b/membership/peer/exchange.go
@@ -24,6 +24,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/arbutuswinch/winch"
@@ -53,6 +55,8 @@
 	Sections []winch.Section
 	Clock    winch.Clock
 	Logger   hclog.Logger
+	// Meter may be nil.
+	Meter metric.Meter
 	// Secret is the bearer token with which hosts authenticate to each other.
 	Secret string
 	// Transport is used for calls to other hosts. If it is nil, the client creates its own.
@@ -79,8 +83,9 @@
 	clients *httpjson.Clients
 
 	mu sync.Mutex
-	// parent is the host to which this host reported at the latest exchange.
+	// parent is the host to which this host reported at the latest exchange, and relays whether other hosts then reported to it.
 	parent winch.HostID
+	relays bool
 	// members holds what the hosts that report to this one have told of those that report to them, and acknowledgedMembers
 	// the version of this host's own members that its parent has.
 	members             map[winch.HostID]hostSet
@@ -107,6 +112,9 @@
 	options.ListEvery = cmp.Or(options.ListEvery, defaultListEvery)
 	options.Timeout = cmp.Or(options.Timeout, defaultTimeout)
 	compactor := newCompactor()
+	if err := observeCallers(options); err != nil {
+		return nil, err
+	}
 	return &Exchange{
 		options: options, table: options.Table, compactor: compactor,
 		clients: httpjson.NewClients(httpjson.Options{
@@ -118,6 +126,20 @@
 	}, nil
 }
 
+// observeCallers adds the gauge of the hosts that report to this one.
+func observeCallers(options Options) error {
+	meter := cmp.Or[metric.Meter](options.Meter, noop.Meter{})
+	_, err := meter.Int64ObservableGauge("winch_peer_callers", metric.WithDescription("Hosts that report to this one, as the hub or the head of a group."),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			observer.Observe(int64(len(options.Table.Callers(options.Clock.Now()))))
+			return nil
+		}))
+	if err != nil {
+		return fmt.Errorf("create gauge of callers: %w", err)
+	}
+	return nil
+}
+
 // Run exchanges reports and digests until ctx is done.
 func (e *Exchange) Run(ctx context.Context) error {
 	e.readHosts(ctx)
@@ -158,6 +180,7 @@
 		}
 		parent := e.table.Parent(now)
 		e.setParent(parent)
+		e.setRelays(now)
 		if parent.ID == e.table.Self().ID {
 			e.exchangeLocally(now)
 			e.introduce(ctx, now)
@@ -211,6 +234,17 @@
 	e.options.Logger.Info("hub or head of the group changed", "Event", EventHubChanged, "Hub", parent.ID)
 }
 
+func (e *Exchange) setRelays(now time.Time) {
+	relays := e.table.RelaysReports(now)
+	e.mu.Lock()
+	changed := e.relays != relays
+	e.relays = relays
+	e.mu.Unlock()
+	if changed {
+		e.options.Logger.Info("hub or head of a group", "Event", EventRelaysReports, "Relays", relays, "Callers", len(e.table.Callers(now)))
+	}
+}
+
 func (e *Exchange) exchangeLocally(now time.Time) {
 	self := e.table.Self().ID
 	for _, section := range e.options.Sections {
--- a/placement/registry/events.go
+++ b/placement/registry/events.go
@@ -12,4 +12,8 @@
 	EventListFailed winch.EventNumber = 7603
 	// EventListRecovered: the list can be read again.
 	EventListRecovered winch.EventNumber = 7604
+	// EventRelayStale: the list that the hub relays is too old, so that this host reads it itself.
+	EventRelayStale winch.EventNumber = 7605
+	// EventRelayRecovered: the list that the hub relays replaces this host's reads again.
+	EventRelayRecovered winch.EventNumber = 7606
 )
--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -89,7 +89,8 @@
 	follower := &Follower{options: options, changed: make(chan struct{}), hostHashes: map[winch.HostID]uint64{}}
 	follower.reader = relay.NewReader(
 		relay.Settings{Self: options.Self, PollEvery: options.PollEvery, MaxAge: options.MaxRelayedAge}, options.Clock,
-		dependency.New("access to the endpoint list", options.Logger, EventListFailed, EventListRecovered), follower.read)
+		dependency.New("access to the endpoint list", options.Logger, EventListFailed, EventListRecovered),
+		dependency.New("relayed endpoint list", options.Logger, EventRelayStale, EventRelayRecovered), follower.read)
 	return follower, nil
 }
 
--- a/release/source/events.go
+++ b/release/source/events.go
@@ -12,4 +12,8 @@
 	EventSourceRecovered winch.EventNumber = 4303
 	// EventConfigurationBehind: a newer configuration exists than this host has.
 	EventConfigurationBehind winch.EventNumber = 4304
+	// EventRelayStale: what the hub relays of the configuration is too old, so that this host reads the source itself.
+	EventRelayStale winch.EventNumber = 4305
+	// EventRelayRecovered: what the hub relays replaces this host's reads again.
+	EventRelayRecovered winch.EventNumber = 4306
 )
--- a/release/source/follower.go
+++ b/release/source/follower.go
@@ -112,7 +112,8 @@
 	}
 	follower.reader = relay.NewReader(
 		relay.Settings{Self: options.Self, PollEvery: options.PollEvery, MaxAge: options.MaxRelayedAge}, options.Clock,
-		dependency.New("configuration source", options.Logger, EventSourceFailed, EventSourceRecovered), follower.read)
+		dependency.New("configuration source", options.Logger, EventSourceFailed, EventSourceRecovered),
+		dependency.New("relayed configuration", options.Logger, EventRelayStale, EventRelayRecovered), follower.read)
 	return follower, nil
 }
 
--- a/winchd/forwarder/process_test.go
+++ b/winchd/forwarder/process_test.go
@@ -137,7 +137,7 @@
 	ports := freePorts(p.t, 3)
 	duties := map[string]any{}
 	if p.dutyAddress != "" {
-		duties = map[string]any{"Address": p.dutyAddress, "Kinds": []string{"usage_report", "autoscale"}}
+		duties = map[string]any{"Address": p.dutyAddress, "Kinds": platformtest.DutyKinds()}
 	}
 	encoded, err := json.Marshal(map[string]any{
 		"Duties": duties,
