--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -300,7 +300,7 @@
 	if !r.retried {
 		l.addPrompt(now, r.pendingPrefill)
 	}
-	e.history.add(now, float64(e.running+e.others))
+	e.history.Add(now, float64(e.running+e.others))
 	l.running++
 	if e.cheap {
 		l.cheapRunning++
--- a/dispatch/endpoint/release.go
+++ b/dispatch/endpoint/release.go
@@ -25,7 +25,7 @@
 		return
 	}
 	e.remove(r)
-	e.history.add(now, float64(e.running+e.others))
+	e.history.Add(now, float64(e.running+e.others))
 	l.running--
 	if e.cheap {
 		l.cheapRunning--
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/dispatch/concurrency"
+	"github.com/arbutuswinch/winch/dispatch/measure"
 	"github.com/arbutuswinch/winch/dispatch/ratelimit"
 )
 
@@ -69,7 +70,7 @@
 	limit            concurrency.Limiter
 	lastHeard        atomic.Int64 // nanoseconds since 1970
 	rampSince        time.Time    // start of the ramp-up; zero when it is over
-	history          history
+	history          measure.History
 }
 
 // tierRunning lists the running requests of a tier, newest first.
@@ -175,7 +176,7 @@
 	}
 	e.reportAsOf, e.models = report.AsOf, report.Models
 	e.reported = float64(report.Running + report.Waiting)
-	e.reportedExcess = e.reported - e.history.countAt(report.AsOf)
+	e.reportedExcess = e.reported - e.history.CountAt(report.AsOf)
 }
 
 // updateReportWeight recomputes the weight of the last report from its age.
@@ -197,44 +198,3 @@
 	}
 	return float64(e.running+e.others) + e.excessLoad
 }
-
-const (
-	historySize = 64
-	historyStep = 250 * time.Millisecond
-)
-
-// history records how many requests the hosts had on the endpoint in the recent past.
-type history struct {
-	// lastAt and lastCount repeat the last entry, so that the many calls that add none do not touch the arrays.
-	lastAt    time.Time
-	lastCount float64
-	next      int
-	times     [historySize]time.Time
-	counts    [historySize]float64
-}
-
-// add records the count if it has changed, but not more often than every historyStep.
-func (h *history) add(now time.Time, count float64) {
-	if count == h.lastCount || now.Sub(h.lastAt) < historyStep {
-		return
-	}
-	h.lastAt, h.lastCount = now, count
-	h.times[h.next], h.counts[h.next] = now, count
-	h.next = (h.next + 1) % historySize
-}
-
-// countAt returns the count at the given time, or the oldest one known.
-func (h *history) countAt(at time.Time) float64 {
-	count := 0.0
-	for i := 1; i <= historySize; i++ {
-		index := (h.next + historySize - i) % historySize
-		if h.times[index].IsZero() {
-			return count
-		}
-		count = h.counts[index]
-		if !h.times[index].After(at) {
-			return count
-		}
-	}
-	return count
-}
--- a/dispatch/endpoint/stats.go
+++ b/dispatch/endpoint/stats.go
@@ -272,7 +272,7 @@
 		reported := sum.endpoints[e.spec.ID]
 		e.others = reported.Running
 		e.prefill.others = reported.PendingPrefill
-		e.history.add(now, float64(e.running+e.others))
+		e.history.Add(now, float64(e.running+e.others))
 		if c.features.adaptiveLimit && reported.Running > 0 {
 			e.limit.Merge(reported.Limit)
 		}
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -27,7 +27,7 @@
 		} else {
 			e.limit.Raise(now)
 		}
-		e.history.add(now, float64(e.running+e.others))
+		e.history.Add(now, float64(e.running+e.others))
 	}
 	c.refresh(now)
 	c.expire(now)
--- a/serving/httpexchange/client_test.go
+++ b/serving/httpexchange/client_test.go
@@ -339,23 +339,30 @@
 	assertConnections(t, s, 2)
 }
 
-// A server writes its refusal of a call once more when the same call comes again on the same connection.
-func TestEarlierRefusalIsNotTheAnswerToTheSameCall(t *testing.T) {
-	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Id: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nfull"
-	s, client := newServer(t), New(Options{})
-	defer client.Close()
+// repeatsItself returns a server that answers the first call with the earlier response. A second call on the same connection gets
+// that once more before its own answer, one on a new connection only its own.
+func repeatsItself(t *testing.T, earlier, own string) *server {
+	s := newServer(t)
 	var used net.Conn
 	first := func(t *testing.T, conn net.Conn, reader *bufio.Reader) bool {
 		used = conn
-		return s.respond(refusal, true)(t, conn, reader)
+		return s.respond(earlier, true)(t, conn, reader)
 	}
 	second := func(t *testing.T, conn net.Conn, reader *bufio.Reader) bool {
 		if conn == used {
-			return s.respond(refusal+responseFor("1", "own"), true)(t, conn, reader)
+			return s.respond(earlier+own, true)(t, conn, reader)
 		}
-		return s.respond(responseFor("1", "own"), true)(t, conn, reader)
+		return s.respond(own, true)(t, conn, reader)
 	}
 	s.addScripts(first, second)
+	return s
+}
+
+// A server writes its refusal of a call once more when the same call comes again on the same connection.
+func TestEarlierRefusalIsNotTheAnswerToTheSameCall(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Id: 1\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nfull"
+	s, client := repeatsItself(t, refusal, responseFor("1", "own")), New(Options{})
+	defer client.Close()
 	assertResponse(t, client, s, "1", "full")
 	response, err := client.Exchange(t.Context(), winch.ExchangeCall{
 		Address: s.listener.Addr().String(), Peer: "p", Method: "POST", Target: "/", Host: "h", Header: http.Header{}, ID: "1", IDHeader: "X-Id",
@@ -369,20 +376,8 @@
 // A copy of a response without an ID cannot be told from the answer to the next call.
 func TestLateCopyOfAResponseWithoutIDIsNotTheNextAnswer(t *testing.T) {
 	const failure = "HTTP/1.1 500 Internal Server Error\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nfail"
-	s, client := newServer(t), New(Options{})
+	s, client := repeatsItself(t, failure, responseFor("2", "own")), New(Options{})
 	defer client.Close()
-	var used net.Conn
-	first := func(t *testing.T, conn net.Conn, reader *bufio.Reader) bool {
-		used = conn
-		return s.respond(failure, true)(t, conn, reader)
-	}
-	second := func(t *testing.T, conn net.Conn, reader *bufio.Reader) bool {
-		if conn == used {
-			return s.respond(failure+responseFor("2", "own"), true)(t, conn, reader)
-		}
-		return s.respond(responseFor("2", "own"), true)(t, conn, reader)
-	}
-	s.addScripts(first, second)
 	assertResponse(t, client, s, "1", "fail")
 	assertResponse(t, client, s, "2", "own")
 }
