perf(lease): hosts that are not in charge step less often

Cause: each host stepped the state machine of the duties' lease 27 times a second, and ranked all hosts of the fleet in each step, with a copy of their list. At 295 hosts that is most of what a host does at rest beside the exchange (by reading; the test fleet without duties did not show it). Change: only the holder and the candidate step in twentieths of a renewal; standbys in quarters, others once. What is noted for a takeover of the usage reports is noted once a second.

--- a/lease/keyvalue/holder.go
+++ b/lease/keyvalue/holder.go
@@ -56,6 +56,8 @@
 	keyPrefix         = "charge/"
 	// ticksPerRenewal is the number of steps of the state machine in one renewal period.
 	ticksPerRenewal = 20
+	// standbyTicksPerRenewal is the same for a standby.
+	standbyTicksPerRenewal = 4
 	// releaseTick is the time between checks whether work of the term is still in progress.
 	releaseTick = 5 * time.Millisecond
 	// warnEvery is the number of renewal periods between warnings about failed calls.
@@ -99,6 +101,8 @@
 	activeWork int
 	// reportedHeld is whether reportTerm last reported a term.
 	reportedHeld bool
+	// interval is the time until the next step. Only Run uses it.
+	interval time.Duration
 	// nextWarning is when the next failed call is logged as a warning. Only Run uses it.
 	nextWarning time.Time
 	gauge       metric.Int64Gauge
@@ -196,8 +200,8 @@
 // Run acquires, renews and releases the lease until ctx is done. It then releases a lease
 // that it holds, for which it takes at most one TTL, and returns nil.
 func (h *Holder) Run(ctx context.Context) error {
-	ticker := time.NewTicker(h.options.RenewEvery / ticksPerRenewal)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	stopDeadline := time.Time{}
@@ -213,10 +217,37 @@
 		if h.runStep(calls, now, stopping) {
 			return nil
 		}
-		<-ticker.C
+		h.waitForStep(ctx, timer, stopping)
 	}
 }
 
+// waitForStep waits until the next step is due or, if this process was not stopping yet, until it is.
+func (h *Holder) waitForStep(ctx context.Context, timer *time.Timer, stopping bool) {
+	stop := ctx.Done()
+	if stopping {
+		stop = nil
+	}
+	timer.Reset(h.interval)
+	select {
+	case <-timer.C:
+	case <-stop:
+	}
+}
+
+// stepInterval returns the time between steps. Only the holder and the candidate have to act in time to a fraction of a renewal.
+func (h *Holder) stepInterval(candidate, standby, stopping bool) time.Duration {
+	h.mu.Lock()
+	held := h.state.lease.held
+	h.mu.Unlock()
+	switch {
+	case held || stopping || candidate && !standby:
+		return h.options.RenewEvery / ticksPerRenewal
+	case candidate:
+		return h.options.RenewEvery / standbyTicksPerRenewal
+	}
+	return h.options.RenewEvery
+}
+
 // candidate reports whether this host may acquire the lease, and whether it is only a
 // standby for the host that Membership names.
 func (h *Holder) candidate(now time.Time) (candidate, standby bool) {
@@ -233,6 +264,7 @@
 // runStep carries out the next action of the state machine, and reports whether the loop is done.
 func (h *Holder) runStep(ctx context.Context, now time.Time, stopping bool) bool {
 	candidate, standby := h.candidate(now)
+	defer func() { h.interval = h.stepInterval(candidate, standby, stopping) }()
 	h.mu.Lock()
 	h.state.standby = standby
 	action := h.state.next(now, candidate, stopping)
--- a/usage/billing/reporter.go
+++ b/usage/billing/reporter.go
@@ -45,6 +45,8 @@
 	defaultGrace     = 10 * time.Second
 	defaultRetention = time.Hour
 	defaultInterval  = time.Second
+	// standbySeenEvery is the interval at which a host that is not in charge notes which hosts are alive, which it needs if it takes over.
+	standbySeenEvery = time.Second
 	reportPath       = "/v1/usage"
 )
 
@@ -103,8 +105,9 @@
 	processed usage.Window
 	// loggedWait is the window whose delayed seal was logged last.
 	loggedWait usage.Window
-	// lastSeen records when each host was last seen alive.
-	lastSeen lastSeen
+	// lastSeen records when each host was last seen alive, and lastSeenAt is when it was updated.
+	lastSeen   lastSeen
+	lastSeenAt time.Time
 }
 
 // New returns a reporter. It does nothing until Run or Step is called.
@@ -155,8 +158,11 @@
 // and windowTime by Options.WindowClock. After a failure it discards the ledger, which is then read
 // again, because the last write may or may not have taken effect.
 func (r *Reporter) step(ctx context.Context, now, windowTime time.Time) {
-	r.lastSeen.update(r.options.Membership, now, windowTime)
 	term, held := r.options.Lease.Term(now)
+	if held || now.Sub(r.lastSeenAt) >= standbySeenEvery {
+		r.lastSeen.update(r.options.Membership, now, windowTime)
+		r.lastSeenAt = now
+	}
 	if !held || term.Number == r.fencedNumber {
 		r.ledger = nil
 		return
