perf(placement): the list of endpoints is copied only in charge

Cause: ten times a second each host copied the list for five data centres before it looked whether it is in charge: 8 % of what hosts allocate at rest (profile of the test fleet). Measured: by that profile only.

--- a/placement/platform/orders.go
+++ b/placement/platform/orders.go
@@ -139,10 +139,13 @@
 func (o *Orders) step(ctx context.Context) {
 	now := o.options.Clock.Now()
 	term, held := o.options.Lease.Term(now)
+	if !held {
+		return
+	}
 	running := o.options.Endpoints.Current()
 	// Without a list of the running endpoints, which is nil before the first read, the plan
 	// would order too few or too many.
-	if !held || running == nil {
+	if running == nil {
 		return
 	}
 	plan := o.options.Planner.Plan(now, o.options.DataCentre, running)
