--- a/membership/peer/groups_test.go
+++ b/membership/peer/groups_test.go
@@ -45,7 +45,6 @@
 type unionSection struct {
 	echoSection
 	table *Table
-	now   func() time.Time
 }
 
 func (s *unionSection) Report(now time.Time) []byte {
