--- a/usage/peer/codec.go
+++ b/usage/peer/codec.go
@@ -56,6 +56,8 @@
 	Of       string
 	Received uint64
 	Stored   uint64
+	// Forwards is set if the sender is the head of a group. It stores what it has received if the hub is late.
+	Forwards bool `json:",omitempty"`
 	Sequence uint64
 	Copies   []wireBatch
 	// StoredBefore is a window; all counters of earlier windows are stored. It is the earliest
--- a/usage/peer/counters.go
+++ b/usage/peer/counters.go
@@ -128,7 +128,10 @@
 	// number up to which that hub has the counters of this process.
 	hubIncarnation string
 	ackedSequence  uint64
-	hosts          map[winch.HostID]hostState
+	// heldByHead is the sequence number up to which the head of this host's group has the counters, zero if there is no head. The head
+	// stores them if the hub is late: all hosts of a large fleet would otherwise write the same entry at the same time.
+	heldByHead uint64
+	hosts      map[winch.HostID]hostState
 	// membersAsOf is, for the hosts of groups, the window time up to which this hub has everything that they counted.
 	membersAsOf map[winch.HostID]time.Time
 	// copiedFrom is the incarnation of the hub whose copies this host has, up to
@@ -241,13 +244,13 @@
 	return found && hub.ID == self.ID
 }
 
-// hubIsLate reports whether this host has unstored counters of an ended window that the hub
+// hubIsLate reports whether this host has unstored counters of an ended window, and no head that has them, that the hub
 // should have stored by now, even if it missed maxMissedStores writes. This host then stores
 // them itself, as the key-value service may be unavailable only to the hub.
 func (c *Counters) hubIsLate(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	earliest := c.table.earliestUnstored(usage.WindowOf(now, c.options.Window))
+	earliest := c.table.earliestUnstored(usage.WindowOf(now, c.options.Window), c.heldByHead)
 	deadline := earliest.End(c.options.Window).Add(c.options.Settle + maxMissedStores*c.options.StoreEvery)
 	return !now.Before(deadline)
 }
--- a/usage/peer/counters_test.go
+++ b/usage/peer/counters_test.go
@@ -36,9 +36,11 @@
 	winch.KeyValue
 	// storeUnavailable makes the key-value service unavailable to this host only.
 	storeUnavailable bool
-	id               winch.HostID
-	simulation       *simulation
-	counters         *Counters
+	// puts is the number of writes that it tried.
+	puts       int
+	id         winch.HostID
+	simulation *simulation
+	counters   *Counters
 }
 
 func (h *host) Self() winch.Host { return winch.Host{ID: h.id, DataCentre: "yard-1"} }
@@ -64,6 +66,7 @@
 }
 
 func (h *host) Put(ctx context.Context, key string, value []byte, expect winch.Version) (winch.Version, error) {
+	h.puts++
 	if h.storeUnavailable {
 		return 0, winch.ErrUnavailable
 	}
--- a/usage/peer/groups_test.go
+++ b/usage/peer/groups_test.go
@@ -98,6 +98,21 @@
 		s.drainAndCheck(t.Context())
 		assert.Equal(t, s.stored(t.Context()), int64(7))
 	})
+	t.Run("only the heads write for a hub that cannot use the store", func(t *testing.T) {
+		s := newGroups(t, 40, 3)
+		s.hosts[0].storeUnavailable = true
+		for index := range s.hosts {
+			s.record(index, int64(index+1))
+		}
+		for range 150 {
+			s.exchangeAll()
+			s.tick(t.Context())
+		}
+		assert.Equal(t, s.stored(t.Context()), int64(40*41/2))
+		for _, h := range s.hosts[4:] {
+			assert.Equal(t, h.puts, 0, "writes of %s", h.id)
+		}
+	})
 	t.Run("the hub that cannot use the store is late for the heads too", func(t *testing.T) {
 		s := newGroups(t, 6, 2)
 		s.hosts[0].storeUnavailable = true
--- a/usage/peer/section.go
+++ b/usage/peer/section.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	forward := c.options.Membership.RelaysReports(now) && !c.isHub(now)
+	forward := c.forwards(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	state := c.hosts[from]
@@ -93,6 +93,11 @@
 	return nil
 }
 
+// forwards reports whether this host is the head of a group, and reports the counters of its hosts to the hub.
+func (c *Counters) forwards(now time.Time) bool {
+	return c.options.Membership.RelaysReports(now) && !c.isHub(now)
+}
+
 // recordMembers records up to when the counts of the hosts of a group are in this table.
 func (c *Counters) recordMembers(members []wireMember) {
 	for _, member := range members {
@@ -136,6 +141,7 @@
 // contains copies of counters.
 func (c *Counters) Summary(now time.Time, to winch.HostID) []byte {
 	toBackup := c.isBackup(now, to)
+	forwards := c.forwards(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	state := c.hosts[to]
@@ -144,11 +150,12 @@
 		Of:       string(state.incarnation),
 		Received: state.received,
 		Stored:   state.stored,
+		Forwards: forwards,
 	}
 	if toBackup {
 		summary.Sequence = c.table.nextSequence()
 		summary.Copies = encodeBatches(c.table.changedSince(state.copied, false))
-		summary.StoredBefore = int64(c.table.earliestUnstored(usage.WindowOf(now, c.options.Window)))
+		summary.StoredBefore = int64(c.table.earliestUnstored(usage.WindowOf(now, c.options.Window), 0))
 	}
 	return encode(summary)
 }
@@ -205,7 +212,11 @@
 		c.table.adoptCopies()
 		c.hubIncarnation = wire.Hub
 	}
+	c.heldByHead = 0
 	if wire.Of == string(c.options.Incarnation) {
+		if wire.Forwards {
+			c.heldByHead = wire.Received
+		}
 		c.ackedSequence = wire.Received
 		c.table.markReportedStored(wire.Stored)
 		c.noteMembersStored(wire.Stored)
--- a/usage/peer/table.go
+++ b/usage/peer/table.go
@@ -134,12 +134,12 @@
 	return len(t.counters) < before
 }
 
-// earliestUnstored returns the earliest window up to now with a counter that is not stored, or
+// earliestUnstored returns the earliest window up to now with a counter that changed after the sequence number and is not stored, or
 // now if there is none.
-func (t *table) earliestUnstored(now usage.Window) usage.Window {
+func (t *table) earliestUnstored(now usage.Window, sequence uint64) usage.Window {
 	earliest := now
 	for key, state := range t.counters {
-		if state.counts != state.stored {
+		if state.counts != state.stored && state.changed > sequence {
 			earliest = min(earliest, key.Window)
 		}
 	}
