fix(usage): the reporter reads only windows that are not sealed

Cause: on the users' platform the counts of a window have a row for each host and organisation. Late counts, for which sealed windows were read again, are left out there anyway. Change: option OnTimeFrom of the reporter; counts of one window are read by their prefix.

--- a/usage/billing/ledger.go
+++ b/usage/billing/ledger.go
@@ -23,6 +23,11 @@
 	number      winch.FencingNumber
 	// openedAt is the window time at which this ledger was opened.
 	openedAt time.Time
+	// onTimeFrom is the only data centre that collects counts if Options.OnTimeFrom is set. Counts that come after the seal of
+	// their window are then not read.
+	onTimeFrom winch.DataCentreID
+	// length is that of a window, and retention how long counts are kept.
+	length, retention time.Duration
 
 	head      keyvalue.Head
 	version   winch.Version
@@ -46,7 +51,9 @@
 // head, rewrites it with the number of the term and reads the chain of seals.
 func openLedger(ctx context.Context, now time.Time, options Options, number winch.FencingNumber) (*ledger, error) {
 	store, shard := options.Store, options.Shard
-	l := &ledger{store: store, shard: shard, incarnation: options.Incarnation, number: number, openedAt: now, accounted: usage.Totals{}}
+	l := &ledger{store: store, shard: shard, incarnation: options.Incarnation, number: number, openedAt: now, accounted: usage.Totals{},
+		onTimeFrom: options.OnTimeFrom, length: options.Window, retention: options.Retention,
+	}
 	entry, err := store.Get(ctx, keyvalue.HeadKey(shard))
 	switch {
 	case errors.Is(err, winch.ErrNotFound):
@@ -147,12 +154,35 @@
 	return nil
 }
 
-// readCollected reads the collected counts of all windows of the shard.
-func (l *ledger) readCollected(ctx context.Context) error {
-	entries, _, err := l.store.List(ctx, keyvalue.CollectedPrefix(l.shard))
-	if err != nil {
-		return fmt.Errorf("list collected counts: %w", err)
+// readCollected reads the collected counts of the shard: those of the windows before firstOpen that are not sealed, or of all
+// windows if late counts are reported too.
+func (l *ledger) readCollected(ctx context.Context, firstOpen usage.Window) error {
+	entries := []winch.Entry{}
+	for _, prefix := range l.collectedPrefixes(firstOpen) {
+		found, _, err := l.store.List(ctx, prefix)
+		if err != nil {
+			return fmt.Errorf("list collected counts: %w", err)
+		}
+		entries = append(entries, found...)
+	}
+	return l.decodeCollected(entries)
+}
+
+// collectedPrefixes returns the prefixes of the keys to read. The counts of one window of a large fleet have hundreds of kilobytes.
+func (l *ledger) collectedPrefixes(firstOpen usage.Window) []string {
+	if l.onTimeFrom == "" || l.head.Last == 0 {
+		return []string{keyvalue.CollectedPrefix(l.shard)}
+	}
+	step := usage.Window(l.length / time.Second)
+	oldest := firstOpen - usage.Window(l.retention/time.Second)
+	prefixes := []string{}
+	for window := max(l.head.Last+step, oldest); window < firstOpen; window += step {
+		prefixes = append(prefixes, keyvalue.CollectedWindowPrefix(l.shard, window))
 	}
+	return prefixes
+}
+
+func (l *ledger) decodeCollected(entries []winch.Entry) error {
 	l.collected, l.complete = usage.Totals{}, map[usage.Window]usage.HostSet{}
 	for _, entry := range entries {
 		source, err := keyvalue.ParseCollectedKey(l.shard, entry.Key)
@@ -222,14 +252,27 @@
 	return nil
 }
 
+// collectedBefore returns the sources of the counts of windows before the cutoff that may be stored.
+func (l *ledger) collectedBefore(cutoff usage.Window) []usage.Source {
+	sources := []usage.Source{}
+	for source := range l.collected {
+		if source.Window < cutoff {
+			sources = append(sources, source)
+		}
+	}
+	for source := range l.accounted {
+		if _, read := l.collected[source]; !read && l.onTimeFrom != "" && source.Window < cutoff {
+			sources = append(sources, source)
+		}
+	}
+	return sources
+}
+
 // prune deletes the collected counts of windows before the cutoff, for which hosts store no
 // counts any more, and forgets that they were accounted. It also deletes the seals of windows
 // that are older than the cutoff by more than the retention.
 func (l *ledger) prune(ctx context.Context, cutoff usage.Window, retention time.Duration) error {
-	for source := range l.collected {
-		if source.Window >= cutoff {
-			continue
-		}
+	for _, source := range l.collectedBefore(cutoff) {
 		if err := l.store.Delete(ctx, keyvalue.CollectedKey(l.shard, source), winch.VersionAny); err != nil && !errors.Is(err, winch.ErrNotFound) {
 			return fmt.Errorf("delete collected counts: %w", err)
 		}
--- a/usage/billing/reporter.go
+++ b/usage/billing/reporter.go
@@ -79,6 +79,9 @@
 	// Membership lists the hosts whose counts a seal waits for. If it is nil, seals wait for no
 	// host.
 	Membership winch.Membership
+	// OnTimeFrom is the data centre that collects counts, if there is only one and the platform takes no counts that come after the
+	// seal of their window. Those are then left out, and only windows that are not sealed are read.
+	OnTimeFrom winch.DataCentreID
 	// Retention is how long after a window its counts may still be adjusted. The default is one
 	// hour.
 	Retention time.Duration
@@ -199,7 +202,7 @@
 	if firstOpen <= r.processed {
 		return nil
 	}
-	if err := r.ledger.readCollected(ctx); err != nil {
+	if err := r.ledger.readCollected(ctx, firstOpen); err != nil {
 		return err
 	}
 	if waiting, err := r.sealDue(ctx, now); waiting || err != nil {
--- a/usage/billing/reporter_test.go
+++ b/usage/billing/reporter_test.go
@@ -43,6 +43,10 @@
 	// stored.
 	alive    []winch.HostID
 	complete usage.HostSet
+	// onTimeFrom is Options.OnTimeFrom of new reporters.
+	onTimeFrom winch.DataCentreID
+	// listed holds the prefixes that the reporters have listed.
+	listed []string
 }
 
 // visibleMembership is the membership that the reporters see.
@@ -75,6 +79,12 @@
 	return i.Store.Put(ctx, key, value, expect)
 }
 
+// List records the prefix.
+func (i interceptedStore) List(ctx context.Context, prefix string) ([]winch.Entry, winch.Version, error) {
+	i.simulation.listed = append(i.simulation.listed, prefix)
+	return i.Store.List(ctx, prefix)
+}
+
 func newSimulation(t assert.TestingT) *simulation {
 	return &simulation{
 		t: t, store: memory.New(), now: start, reported: map[time.Time][]wireFigure{},
@@ -124,7 +134,7 @@
 	reporter, err := New(Options{
 		Protocol: NativeProtocol{Address: "127.0.0.1:1"}, Shard: 0, Host: "host", Incarnation: winch.Incarnation(fmt.Sprintf("i%d", s.currentTerm)),
 		Lease: staleLeaseGuard{number: s.currentTerm}, Sender: s, Store: interceptedStore{Store: s.store, simulation: s}, Clock: s,
-		MaxGrace: maxGrace, CatchUpDelay: catchUp, Membership: visibleMembership{simulation: s},
+		MaxGrace: maxGrace, CatchUpDelay: catchUp, Membership: visibleMembership{simulation: s}, OnTimeFrom: s.onTimeFrom,
 	})
 	assert.NilError(s.t, err)
 	s.reporters[s.currentTerm] = reporter
@@ -158,6 +168,52 @@
 	assert.Equal(s.t, reported, counted)
 }
 
+func TestReporterThatReadsUnsealedWindowsOnly(t *testing.T) {
+	const length = usage.Window(defaultWindow / time.Second)
+	s := newSimulation(t)
+	s.onTimeFrom = "yard-1"
+	reporter := s.takeOver()
+	run := func(windows int) {
+		for range windows {
+			s.count(t.Context(), usage.WindowOf(s.now, defaultWindow), "yard-1", 3)
+			for range int(length) {
+				s.now = s.now.Add(time.Second)
+				reporter.Step(t.Context(), s.now)
+			}
+		}
+	}
+	run(4)
+	s.listed = nil
+	run(20)
+	t.Run("each read is that of one window", func(t *testing.T) {
+		assert.Assert(t, len(s.listed) > 0)
+		for _, prefix := range s.listed {
+			assert.Assert(t, prefix != keyvalue.CollectedPrefix(0), "all windows were read")
+		}
+	})
+	t.Run("a successor goes on", func(t *testing.T) {
+		reporter = s.takeOver()
+		run(3)
+		s.now = s.now.Add(2 * defaultWindow)
+		reporter.Step(t.Context(), s.now)
+		s.assertReported()
+	})
+	t.Run("late counts are left out", func(t *testing.T) {
+		reports := s.reports
+		s.count(t.Context(), usage.WindowOf(s.now, defaultWindow)-5*length, "yard-1", 7)
+		s.now = s.now.Add(2 * defaultWindow)
+		reporter.Step(t.Context(), s.now)
+		assert.Equal(t, s.reports, reports)
+	})
+	t.Run("old counts are deleted", func(t *testing.T) {
+		s.counted = map[usage.Source]usage.Counts{}
+		run(90)
+		entries, _, err := s.store.List(t.Context(), keyvalue.CollectedPrefix(0))
+		assert.NilError(t, err)
+		assert.Assert(t, len(entries) < 80, "%d windows are kept", len(entries))
+	})
+}
+
 func TestReporter(t *testing.T) {
 	t.Run("reports a window once", func(t *testing.T) {
 		s := newSimulation(t)
--- a/usage/keyvalue/codec.go
+++ b/usage/keyvalue/codec.go
@@ -111,9 +111,14 @@
 // CollectedPrefix returns the prefix of the keys of a shard's collected counts.
 func CollectedPrefix(shard winch.Shard) string { return fmt.Sprintf("usage/collected/%04d/", shard) }
 
+// CollectedWindowPrefix returns the prefix of the keys of a shard's collected counts of one window.
+func CollectedWindowPrefix(shard winch.Shard, window usage.Window) string {
+	return fmt.Sprintf("%s%012d/", CollectedPrefix(shard), window)
+}
+
 // CollectedKey returns the key of the counts that a data centre collected for a window.
 func CollectedKey(shard winch.Shard, source usage.Source) string {
-	return fmt.Sprintf("%s%012d/%s", CollectedPrefix(shard), source.Window, source.DataCentre)
+	return CollectedWindowPrefix(shard, source.Window) + string(source.DataCentre)
 }
 
 // ParseCollectedKey returns the source that the key of collected counts contains. The error
