--- a/lease/keyvalue/holder.go
+++ b/lease/keyvalue/holder.go
@@ -11,8 +11,8 @@
 // begins only after a further wait, the longest time that a call of its
 // predecessor may be in flight. The clocks of hosts need not be synchronised.
 //
-// Only the candidate that Membership names acquires the lease, unless
-// there are standbys, and a holder that is no longer the candidate releases it.
+// Only the candidate that Membership names acquires the lease, and the hosts that rank next if
+// Options.Standbys is set. A holder that is neither any more releases it.
 // If the new candidate does not acquire it, the former holder takes it back for a
 // while.
 //
@@ -32,18 +32,15 @@
 package keyvalue
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
-	"go.opentelemetry.io/otel/metric/noop"
 
 	"github.com/arbutuswinch/winch"
 )
@@ -64,33 +61,6 @@
 	warnEvery = 10
 )
 
-// Options are the dependencies and settings of a holder. A duration that is zero has its default value.
-type Options struct {
-	Store winch.KeyValue
-	Duty  winch.Duty
-	// DataCentre limits the candidates to one data centre. Empty means all data centres.
-	DataCentre  winch.DataCentreID
-	Membership  winch.Membership
-	Incarnation winch.Incarnation
-	// Standbys is the number of hosts that may acquire the lease beside the candidate that Membership
-	// names: those that rank next, unless they are leaving. If it is zero and the candidate cannot reach the store, no
-	// host performs the duty, except a former holder for a limited time.
-	Standbys int
-	// TTL is the time for which the record must be unchanged before another host may
-	// acquire the lease. The default is 6 s.
-	TTL time.Duration
-	// RenewEvery is the time between renewals. The default is 2 s.
-	RenewEvery time.Duration
-	// InFlight is the longest time that a call of a term may take to have its effect, which
-	// the caller has to ensure. A successor's term begins only after it. The default is 2 s.
-	InFlight time.Duration
-	// Drift is subtracted from the validity to allow for clock drift. The default is 200 ms.
-	Drift  time.Duration
-	Clock  winch.Clock
-	Logger hclog.Logger
-	Meter  metric.Meter
-}
-
 // Holder acquires and holds the lease of a duty. It implements winch.LeaseGuard and is safe for concurrent use.
 type Holder struct {
 	options Options
@@ -135,33 +105,6 @@
 	}, nil
 }
 
-func withDefaults(options Options) Options {
-	options.TTL = cmp.Or(options.TTL, defaultTTL)
-	options.RenewEvery = cmp.Or(options.RenewEvery, defaultRenewEvery)
-	options.InFlight = cmp.Or(options.InFlight, defaultInFlight)
-	options.Drift = cmp.Or(options.Drift, defaultDrift)
-	options.Incarnation = cmp.Or(options.Incarnation, winch.Incarnation(uuid.NewString()))
-	options.Logger = cmp.Or[hclog.Logger](options.Logger, hclog.NewNullLogger())
-	options.Meter = cmp.Or[metric.Meter](options.Meter, noop.Meter{})
-	return options
-}
-
-func check(options Options) error {
-	switch {
-	case options.Store == nil:
-		return fmt.Errorf("lease option Store is missing: %w", winch.ErrInvalid)
-	case options.Membership == nil:
-		return fmt.Errorf("lease option Membership is missing: %w", winch.ErrInvalid)
-	case options.Clock == nil:
-		return fmt.Errorf("lease option Clock is missing: %w", winch.ErrInvalid)
-	case options.Duty == "":
-		return fmt.Errorf("lease option Duty is empty: %w", winch.ErrInvalid)
-	case options.TTL <= options.RenewEvery+options.Drift:
-		return fmt.Errorf("lease option TTL must exceed RenewEvery and Drift together: %w", winch.ErrInvalid)
-	}
-	return nil
-}
-
 // Term returns the current term, and whether this process may perform the duty: it holds the
 // lease, its term has begun and is valid.
 func (h *Holder) Term(now time.Time) (winch.Term, bool) {
