--- a/lease/keyvalue/state_machine.go
+++ b/lease/keyvalue/state_machine.go
@@ -107,7 +107,7 @@
 	// abandoned. A process that is stopping may then exit. After a release, but not after an
 	// abandoned one, the process may acquire the lease again although it is not the candidate.
 	released bool
-	// standby means that there are standbys and Membership names another host as the candidate.
+	// standby is set if Membership names another host as the candidate, for whom this one may stand in.
 	// This host reads the record less often.
 	standby bool
 	// interimUntil is the end of the time for which the lease is held although another
--- a/membership/peer/exchange.go
+++ b/membership/peer/exchange.go
@@ -85,8 +85,8 @@
 	// parent is the host to which this host reported at the latest exchange, and relays whether other hosts then reported to it.
 	parent winch.HostID
 	relays bool
-	// members holds what the hosts that report to this one have told of those that report to them, and acknowledgedMembers
-	// the version of this host's own members that its parent has.
+	// members holds, for each host that reports to this one, the hosts of its group as it has last reported them.
+	// acknowledgedMembers is the version of this host's own group that its parent has.
 	members             map[winch.HostID]hostSet
 	acknowledgedMembers uint64
 	// relayed is the set of all live hosts as of relayedAt.
--- a/placement/registry/section.go
+++ b/placement/registry/section.go
@@ -118,8 +118,8 @@
 	return statuses, wire.Hash == hashOf(statuses)
 }
 
-// confirm processes a relayed list that needs not be decoded: it was not read after this host's list or, as its hash shows, is the same.
-// It reports whether it was one.
+// confirm processes a relayed list by its hash and age alone. It reports false if that is not enough: the list is newer than this
+// host's and differs from it, or an outage may have made the list in use differ from the one that was read.
 func (f *Follower) confirm(r reading, hash uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
