--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the cases into review/bin.
+set -e
+cd "$(dirname "$0")/harness"
+GOWORK=off go build -o ../bin/harness .
