--- a/review/harness/memory.go
+++ b/review/harness/memory.go
@@ -9,14 +9,27 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-func init() { cases["memory"] = memory }
+func init() { cases["memory"] = playMemory }
+
+// The figures are those of pbk-router.
+const (
+	memoryMB  = 134
+	bodyBytes = 4194304 // max_body_bytes
+	burstX    = 2.2
+	burstFor  = 9.0
+	burstFrom = 5.0
+	linkMbps  = 1000.0
+	piece     = 64 << 10
+	// usualPerS is the number of requests a second and host: 805 of the 1,000 Mbit/s of its link.
+	usualPerS    = 24.0
+	memoryLength = 20 * time.Second
+)
 
 // bucket bounds the bytes a second.
 type bucket struct {
@@ -37,134 +50,146 @@
 	time.Sleep(time.Until(at))
 }
 
-// memory: many users come at once (burst). All requests keep to the limits of the configuration. The stand-in of the platform kills a
-// process that exceeds memory_mb and starts it again.
-func memory(dir string) int {
-	const (
-		memoryMB = 134
-		size     = 4194304 // max_body_bytes
-		burstX   = 2.2
-		burstS   = 9.0
-		linkMbps = 1000.0
-		piece    = 64 << 10
-	)
-	perSecond := 24.0 // 805 of the 1,000 Mbit/s of a machine's link
-	if s := os.Getenv("RATE"); s != "" {
-		perSecond, _ = strconv.ParseFloat(s, 64)
-	}
+// watched is a host whose memory the stand-in of the platform watches.
+type watched struct {
+	host  *Host
+	link  *bucket
+	peak  float64
+	kills int
+}
+
+// memoryCase: many users come at once (burst). All requests keep to the limits of the configuration. The stand-in of the platform kills
+// a process that exceeds memory_mb and starts it again.
+type memoryCase struct {
+	body                     []byte
+	cut, served, other, late atomic.Int64
+
+	mu  sync.Mutex
+	ran map[string]bool
+}
+
+func playMemory(dir string) int {
+	s := &memoryCase{body: bytes.Repeat([]byte("x"), bodyBytes), ran: map[string]bool{}}
 	store := NewStore()
 	address := serveHTTP(store)
-	var mu sync.Mutex
-	ran := map[string]bool{}
-	runners := []*Runner{}
 	for i := range 3 {
-		runners = append(runners, newRunner(fmt.Sprintf("i-%d", i), "desk", func(r *Runner, c *Call) bool {
-			mu.Lock()
-			ran[c.ID] = true
-			mu.Unlock()
-			note("runner %s runs %s, %d bytes", r.ID, c.ID, len(c.Body))
-			time.Sleep(60 * time.Millisecond)
-			fmt.Fprintf(c.Conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: s-%s\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nheld", c.ID, c.ID)
-			return true
-		}))
-	}
-	for _, r := range runners {
-		r.beat(store, "ready", 6, false)
+		newRunner(fmt.Sprintf("i-%d", i), "desk", s.run).beat(store, "ready", 6, false)
 	}
 	store.Set("op/config", configuration(1, []Route{{Name: "hold", Type: "non_idempotent", Service: "desk", TimeoutMS: 4000, TargetMS: 300, Attempts: 1}}, map[string][]string{"t": {"k1"}}))
-	hosts := []*Host{newHost(dir, "front-1", address, "", memoryMB), newHost(dir, "front-2", address, "", memoryMB)}
-	for _, h := range hosts {
-		h.start()
+	done, watches := make(chan struct{}), sync.WaitGroup{}
+	hosts := []*watched{}
+	for _, name := range []string{"front-1", "front-2"} {
+		w := &watched{host: newHost(dir, name, address, "", memoryMB), link: &bucket{perSecond: linkMbps * 1e6 / 8}}
+		w.host.start()
+		w.host.waitReady(10 * time.Second)
+		hosts = append(hosts, w)
+		watches.Add(1)
+		go func() { defer watches.Done(); w.watch(done) }()
 	}
-	done, watched := make(chan struct{}), sync.WaitGroup{}
-	peaks, kills := make([]float64, len(hosts)), make([]int, len(hosts))
-	for i, h := range hosts {
-		h.waitReady(10 * time.Second)
-		watched.Add(1)
-		go func() {
-			defer watched.Done()
-			for {
-				select {
-				case <-done:
-					return
-				case <-time.After(2 * time.Millisecond):
-				}
-				m := h.rssMB()
-				peaks[i] = max(peaks[i], m)
-				if m > memoryMB {
-					kills[i]++
-					note("host %s uses %.1f MB, more than memory_mb = %d: the platform kills it", h.Name, m, memoryMB)
-					h.signal(syscall.SIGKILL)
-					<-h.exited
-					time.Sleep(300 * time.Millisecond)
-					h.start()
-				}
-			}
-		}()
+	s.traffic(hosts)
+	close(done)
+	watches.Wait()
+	note("%d served, %d refused or failed; peaks of the memory %.1f and %.1f MB; killed for their memory %d and %d times; %d given up at the deadline; %d connections ended without an answer",
+		s.served.Load(), s.other.Load(), hosts[0].peak, hosts[1].peak, hosts[0].kills, hosts[1].kills, s.late.Load(), s.cut.Load())
+	if s.served.Load() == 0 {
+		cannotRun("nothing was served")
 	}
-	body := bytes.Repeat([]byte("x"), size)
-	begun := time.Now()
-	links := []*bucket{{perSecond: linkMbps * 1e6 / 8}, {perSecond: linkMbps * 1e6 / 8}}
-	var cut, served, other, late atomic.Int64
-	send := func(h *Host, link *bucket, id string) {
-		c, err := net.DialTimeout("tcp", h.Front, time.Second)
-		if err != nil {
-			note("client: no connection for %s", id)
-			return
-		}
-		defer c.Close()
-		_ = c.SetDeadline(time.Now().Add(4 * time.Second))
-		note("client sends %s", id)
-		_, err = fmt.Fprintf(c, "POST /hold/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 4000\r\nAuthorization: Bearer k1\r\nContent-Length: %d\r\n\r\n", id, size)
-		for rest := body; len(rest) > 0 && err == nil; rest = rest[min(len(rest), piece):] {
-			link.wait(piece)
-			_, err = c.Write(rest[:min(len(rest), piece)])
-		}
-		resp, readErr := http.ReadResponse(bufio.NewReader(c), nil)
-		if readErr != nil {
-			var ne net.Error
-			if errors.As(readErr, &ne) && ne.Timeout() {
-				late.Add(1)
-				note("client gives %s up at its deadline", id)
-				return
-			}
-			mu.Lock()
-			passed := ran[id]
-			mu.Unlock()
-			note("client: the connection of %s ends without an answer (%v, %v); passed on to a runner: %v", id, err, readErr, passed)
-			cut.Add(1)
+	// Fault: on a tenth of the machines in use (two at least) processes end by themselves three times.
+	if hosts[0].kills >= 3 && hosts[1].kills >= 3 {
+		return 1
+	}
+	return 0
+}
+
+// watch kills the process when it exceeds its memory, and starts it again.
+func (w *watched) watch(done chan struct{}) {
+	for {
+		select {
+		case <-done:
 			return
+		case <-time.After(2 * time.Millisecond):
 		}
-		_, _ = io.Copy(io.Discard, resp.Body)
-		note("client gets %d for %s", resp.StatusCode, id)
-		if resp.StatusCode == 200 {
-			served.Add(1)
-		} else {
-			other.Add(1)
+		m := w.host.rssMB()
+		w.peak = max(w.peak, m)
+		if m <= memoryMB {
+			continue
 		}
+		w.kills++
+		note("host %s uses %.1f MB, more than memory_mb = %d: the platform kills it", w.host.Name, m, memoryMB)
+		w.host.signal(syscall.SIGKILL)
+		<-w.host.exited
+		time.Sleep(300 * time.Millisecond)
+		w.host.start()
 	}
+}
+
+// traffic sends the usual requests, and more during the burst.
+func (s *memoryCase) traffic(hosts []*watched) {
 	wg := sync.WaitGroup{}
-	next := time.Now()
-	for n := 0; time.Since(begun) < 20*time.Second; n++ {
-		rate := perSecond
-		if at := time.Since(begun).Seconds(); os.Getenv("TROUBLE") != "0" && at > 5 && at < 5+burstS {
+	begun, next := time.Now(), time.Now()
+	for n := 0; time.Since(begun) < memoryLength; n++ {
+		rate := usualPerS
+		if at := time.Since(begun).Seconds(); os.Getenv("TROUBLE") != "0" && at > burstFrom && at < burstFrom+burstFor {
 			rate *= burstX
 		}
 		time.Sleep(time.Until(next))
 		next = next.Add(time.Duration(float64(time.Second) / rate / float64(len(hosts))))
 		wg.Add(1)
-		go func() { defer wg.Done(); send(hosts[n%2], links[n%2], fmt.Sprintf("r%d", n)) }()
+		go func() { defer wg.Done(); s.send(hosts[n%len(hosts)], fmt.Sprintf("r%d", n)) }()
 	}
 	wg.Wait()
-	close(done)
-	watched.Wait()
-	note("%d served, %d refused or failed; peaks of the memory %.1f MB; killed for their memory %d times; %d given up at the deadline; %d connections ended without an answer", served.Load(), other.Load(), peaks, kills, late.Load(), cut.Load())
-	if served.Load() == 0 {
-		cannotRun("nothing was served")
+}
+
+func (s *memoryCase) run(r *Runner, c *Call) bool {
+	s.mu.Lock()
+	s.ran[c.ID] = true
+	s.mu.Unlock()
+	note("runner %s runs %s, %d bytes", r.ID, c.ID, len(c.Body))
+	time.Sleep(60 * time.Millisecond)
+	fmt.Fprintf(c.Conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: s-%s\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nheld", c.ID, c.ID)
+	return true
+}
+
+// send sends a request on a connection of its own, as fast as the link allows.
+func (s *memoryCase) send(w *watched, id string) {
+	c, err := net.DialTimeout("tcp", w.host.Front, time.Second)
+	if err != nil {
+		note("client: no connection for %s", id)
+		return
 	}
-	// Fault: on a tenth of the machines in use (two at least) processes end by themselves three times.
-	if kills[0] >= 3 && kills[1] >= 3 {
-		return 1
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(4 * time.Second))
+	note("client sends %s", id)
+	_, err = fmt.Fprintf(c, "POST /hold/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 4000\r\nAuthorization: Bearer k1\r\nContent-Length: %d\r\n\r\n", id, len(s.body))
+	for rest := s.body; len(rest) > 0 && err == nil; rest = rest[min(len(rest), piece):] {
+		w.link.wait(piece)
+		_, err = c.Write(rest[:min(len(rest), piece)])
 	}
-	return 0
+	resp, readErr := http.ReadResponse(bufio.NewReader(c), nil)
+	if readErr != nil {
+		s.noteFailure(id, err, readErr)
+		return
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	note("client gets %d for %s", resp.StatusCode, id)
+	if resp.StatusCode == 200 {
+		s.served.Add(1)
+		return
+	}
+	s.other.Add(1)
+}
+
+// noteFailure notes a request that got no answer.
+func (s *memoryCase) noteFailure(id string, writeErr, readErr error) {
+	var timeout net.Error
+	if errors.As(readErr, &timeout) && timeout.Timeout() {
+		s.late.Add(1)
+		note("client gives %s up at its deadline", id)
+		return
+	}
+	s.mu.Lock()
+	passed := s.ran[id]
+	s.mu.Unlock()
+	note("client: the connection of %s ends without an answer (%v, %v); passed on to a runner: %v", id, writeErr, readErr, passed)
+	s.cut.Add(1)
 }
