--- a/review/harness/lasttenant.go
+++ b/review/harness/lasttenant.go
@@ -39,7 +39,7 @@
 	address := serveHTTP(s.store)
 	newRunner("i-1", "desk", s.run).beat(s.store, "ready", 6, false)
 	s.routes = []Route{{Name: "hold", Type: "non_idempotent", Service: "desk", TimeoutMS: 4000, TargetMS: 300, Attempts: 1}}
-	s.store.Set("op/config", configuration(1, s.routes, map[string][]string{"t": {"k1", "k2"}}))
+	s.store.Set(page("{config}"), configuration(1, s.routes, map[string][]string{"t": {"k1", "k2"}}))
 	hosts := []*Host{newHost(dir, "front-1", address, "", 134), newHost(dir, "front-2", address, "", 134)}
 	for _, h := range hosts {
 		h.start()
@@ -79,7 +79,7 @@
 		keys = map[string][]string{}
 	}
 	content := configuration(2, s.routes, keys)
-	s.store.Set("op/config", content)
+	s.store.Set(page("{config}"), content)
 	s.mu.Lock()
 	s.revokedAt = time.Now()
 	s.mu.Unlock()
@@ -100,7 +100,7 @@
 		s.ranLate.Add(1)
 		note("CONFIG broken: %s runs, sent %.3f s after the acknowledgement of the configuration that took its key away", c.ID, sent.Sub(revoked).Seconds())
 	}
-	fmt.Fprintf(c.Conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: s-%s\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nheld", c.ID, c.ID)
+	fmt.Fprintf(c.Conn, page("HTTP/1.1 200 OK\r\n{id}: %s\r\n{signature}: s-%s\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nheld"), c.ID, c.ID)
 	return true
 }
 
@@ -116,7 +116,7 @@
 	s.sentAt[id] = time.Now()
 	s.mu.Unlock()
 	note("client sends %s with the key %s", id, key)
-	fmt.Fprintf(c, "POST /hold/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 4000\r\nAuthorization: Bearer %s\r\nContent-Length: 4\r\n\r\nhire", id, key)
+	fmt.Fprintf(c, page("POST /hold/x HTTP/1.1\r\nHost: a.example\r\n{id}: %s\r\n{deadline}: 4000\r\nAuthorization: Bearer %s\r\nContent-Length: 4\r\n\r\nhire"), id, key)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return 0
--- a/review/harness/lib.go
+++ b/review/harness/lib.go
@@ -94,7 +94,7 @@
 	h := &Host{Name: name, Front: freePort("127.0.0.1"), Ready: freePort("127.0.0.1"), Peer: freePort("127.0.0.1"), Path: filepath.Join(dir, name+".json"), Log: filepath.Join(dir, name+".log")}
 	d := map[string]any{"Address": "", "Kinds": []string{}}
 	if duties != "" {
-		d = map[string]any{"Address": duties, "Kinds": []string{"usage_report", "autoscale"}}
+		d = map[string]any{"Address": duties, "Kinds": []string{page("{usage}"), page("{scale}")}}
 	}
 	h.Settings = map[string]any{
 		"Host": name, "DataCentre": "zone-a", "DataCentres": []string{"zone-a"},
@@ -228,7 +228,7 @@
 		if err != nil {
 			return
 		}
-		call := &Call{Conn: c, Reader: reader, Req: req, ID: req.Header.Get("Attempt-Id")}
+		call := &Call{Conn: c, Reader: reader, Req: req, ID: req.Header.Get(page("{id}"))}
 		if req.URL.Path == "/report" {
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}")
 			continue
@@ -240,8 +240,8 @@
 				return
 			}
 		}
-		if e := req.Header.Get("Expect-Instance"); e != "" && e != r.ID {
-			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: %s\r\nRunner-Id: %s\r\nContent-Length: 0\r\n\r\n", call.ID, r.ID)
+		if e := req.Header.Get(page("{expect}")); e != "" && e != r.ID {
+			fmt.Fprintf(c, page("HTTP/1.1 421 Misdirected Request\r\n{id}: %s\r\n{runner}: %s\r\nContent-Length: 0\r\n\r\n"), call.ID, r.ID)
 			continue
 		}
 		if !r.Handle(r, call) {
@@ -257,7 +257,7 @@
 		entry["stage"], entry["models"] = "both", []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}
 	}
 	encoded, _ := json.Marshal(entry)
-	store.Set("servers/"+r.ID, encoded)
+	store.Set(page("{servers}")+r.ID, encoded)
 }
 
 // Route is a route of the configuration.
@@ -271,7 +271,7 @@
 func configuration(version int, routes []Route, keys map[string][]string) []byte {
 	list, services, seen := []any{}, []any{}, map[string]bool{}
 	for _, r := range routes {
-		list = append(list, map[string]any{"name": r.Name, "host": "a.example", "prefix": "/" + r.Name + "/", "type": r.Type, "timeout_ms": r.TimeoutMS, "target_latency_ms": r.TargetMS, "priority": 1, "service": r.Service, "max_attempts": r.Attempts, "auth_exempt": r.Exempt, "sticky_sessions": r.Type == "streaming", "stream_resume": r.Resume, "gap_target_ms": 1000})
+		list = append(list, map[string]any{"name": r.Name, "host": "a.example", "prefix": "/" + r.Name + "/", "type": r.Type, "timeout_ms": r.TimeoutMS, "target_latency_ms": r.TargetMS, "priority": 1, "service": r.Service, "max_attempts": r.Attempts, page("{exempt}"): r.Exempt, page("{sticky}"): r.Type == "streaming", page("{resume}"): r.Resume, "gap_target_ms": 1000})
 		if !seen[r.Service] {
 			seen[r.Service] = true
 			services = append(services, map[string]any{"name": r.Service, "health_path": "/healthz", "max_connections": 360, "protocol": "h1", "tls": false})
@@ -279,7 +279,7 @@
 	}
 	tenants := []any{}
 	for name, k := range keys {
-		tenants = append(tenants, map[string]any{"name": name, "api_keys": k, "priority": 1})
+		tenants = append(tenants, map[string]any{"name": name, page("{keys}"): k, "priority": 1})
 	}
 	encoded, _ := json.Marshal(map[string]any{"version": version, "routes": list, "services": services, "limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}, "tenants": tenants})
 	return encoded
--- a/review/harness/memory.go
+++ b/review/harness/memory.go
@@ -75,7 +75,7 @@
 	for i := range 3 {
 		newRunner(fmt.Sprintf("i-%d", i), "desk", s.run).beat(store, "ready", 6, false)
 	}
-	store.Set("op/config", configuration(1, []Route{{Name: "hold", Type: "non_idempotent", Service: "desk", TimeoutMS: 4000, TargetMS: 300, Attempts: 1}}, map[string][]string{"t": {"k1"}}))
+	store.Set(page("{config}"), configuration(1, []Route{{Name: "hold", Type: "non_idempotent", Service: "desk", TimeoutMS: 4000, TargetMS: 300, Attempts: 1}}, map[string][]string{"t": {"k1"}}))
 	done, watches := make(chan struct{}), sync.WaitGroup{}
 	hosts := []*watched{}
 	for _, name := range []string{"front-1", "front-2"} {
@@ -146,7 +146,7 @@
 	s.mu.Unlock()
 	note("runner %s runs %s, %d bytes", r.ID, c.ID, len(c.Body))
 	time.Sleep(60 * time.Millisecond)
-	fmt.Fprintf(c.Conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: s-%s\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nheld", c.ID, c.ID)
+	fmt.Fprintf(c.Conn, page("HTTP/1.1 200 OK\r\n{id}: %s\r\n{signature}: s-%s\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nheld"), c.ID, c.ID)
 	return true
 }
 
@@ -160,7 +160,7 @@
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(4 * time.Second))
 	note("client sends %s", id)
-	_, err = fmt.Fprintf(c, "POST /hold/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 4000\r\nAuthorization: Bearer k1\r\nContent-Length: %d\r\n\r\n", id, len(s.body))
+	_, err = fmt.Fprintf(c, page("POST /hold/x HTTP/1.1\r\nHost: a.example\r\n{id}: %s\r\n{deadline}: 4000\r\nAuthorization: Bearer k1\r\nContent-Length: %d\r\n\r\n"), id, len(s.body))
 	for rest := s.body; len(rest) > 0 && err == nil; rest = rest[min(len(rest), piece):] {
 		w.link.wait(piece)
 		_, err = c.Write(rest[:min(len(rest), piece)])
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -102,18 +102,18 @@
 	s.expire()
 	path := r.URL.Path
 	switch {
-	case path == "/kv-key":
+	case path == page("{get}"):
 		item, found := s.items[r.URL.Query().Get("key")]
 		if !found {
 			reply(w, 404, map[string]any{"current_rev": s.rev})
 			return
 		}
 		reply(w, 200, map[string]any{"key": item.Key, "value": item.Value, "rev": item.Rev, "created": item.Created, "lease": item.Lease, "current_rev": s.rev})
-	case path == "/kv-range":
+	case path == page("{range}"):
 		s.list(w, r)
-	case path == "/kv-txn":
+	case path == page("{txn}"):
 		s.transact(w, r)
-	case path == "/kv-lease":
+	case path == page("{grant}"):
 		call := struct {
 			TTL int64 `json:"ttl_ms"`
 		}{}
@@ -122,8 +122,8 @@
 		ttl := time.Duration(call.TTL) * time.Millisecond
 		s.leases[s.lease] = &storeLease{ttl: ttl, expires: time.Now().Add(ttl)}
 		reply(w, 200, map[string]any{"lease": s.lease, "ttl_ms": call.TTL})
-	case strings.HasPrefix(path, "/kv-keep/"):
-		id, _ := strconv.ParseInt(strings.TrimPrefix(path, "/kv-keep/"), 10, 64)
+	case strings.HasPrefix(path, page("{renew}")):
+		id, _ := strconv.ParseInt(strings.TrimPrefix(path, page("{renew}")), 10, 64)
 		l, found := s.leases[id]
 		if !found {
 			reply(w, 404, map[string]any{})
@@ -131,8 +131,8 @@
 		}
 		l.expires = time.Now().Add(l.ttl)
 		reply(w, 200, map[string]any{"ttl_ms": l.ttl.Milliseconds()})
-	case strings.HasPrefix(path, "/kv-lease-end/"):
-		id, _ := strconv.ParseInt(strings.TrimPrefix(path, "/kv-lease-end/"), 10, 64)
+	case strings.HasPrefix(path, page("{end}")):
+		id, _ := strconv.ParseInt(strings.TrimPrefix(path, page("{end}")), 10, 64)
 		s.end(id)
 		reply(w, 200, map[string]any{})
 	default:
--- a/review/harness/stray.go
+++ b/review/harness/stray.go
@@ -26,7 +26,7 @@
 )
 
 // strayCase: runners of a share send additional bytes after a complete response, late, at the point where the next response is
-// expected. The bytes are the refusals of the pages' own examples (421 and 503), which have no Attempt-Id.
+// expected. The bytes are the refusals of the pages' own examples (421 and 503), without an id.
 type strayCase struct {
 	trouble bool
 	begun   time.Time
@@ -48,7 +48,7 @@
 		faulty := float64(i) < strayShare*strayRunners
 		newRunner(fmt.Sprintf("i-%d", i), "desk", func(r *Runner, c *Call) bool { return s.run(r, c, faulty) }).beat(store, "ready", 6, false)
 	}
-	store.Set("op/config", configuration(1, []Route{{Name: "confirm", Type: "non_idempotent", Service: "desk", TimeoutMS: 600, TargetMS: 100, Attempts: 1}}, map[string][]string{"t": {"k1"}}))
+	store.Set(page("{config}"), configuration(1, []Route{{Name: "confirm", Type: "non_idempotent", Service: "desk", TimeoutMS: 600, TargetMS: 100, Attempts: 1}}, map[string][]string{"t": {"k1"}}))
 	s.hosts = []*Host{newHost(dir, "front-1", address, "", 134), newHost(dir, "front-2", address, "", 134)}
 	for _, h := range s.hosts {
 		h.start()
@@ -82,9 +82,9 @@
 // run runs a request, after additional bytes if some are to come on its connection.
 func (s *strayCase) run(r *Runner, c *Call, faulty bool) bool {
 	if _, found := s.pending.LoadAndDelete(c.Conn); found {
-		status := "421 Misdirected Request\r\nRunner-Id: " + r.ID
+		status := page("421 Misdirected Request\r\n{runner}: ") + r.ID
 		if s.strays.Add(1)%2 == 0 {
-			status = "503 Service Unavailable\r\nNot-Executed: 1"
+			status = page("503 Service Unavailable\r\n{notrun}: 1")
 		}
 		note("runner %s sends additional bytes, %q, on the connection on which %s came", r.ID, status, c.ID)
 		fmt.Fprintf(c.Conn, "HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n", status)
@@ -94,7 +94,7 @@
 	s.mu.Unlock()
 	note("runner %s runs %s", r.ID, c.ID)
 	time.Sleep(15 * time.Millisecond)
-	fmt.Fprintf(c.Conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: s-%s\r\nKeep-Alive: timeout=5\r\nContent-Length: 9\r\n\r\nconfirmed", c.ID, c.ID)
+	fmt.Fprintf(c.Conn, page("HTTP/1.1 200 OK\r\n{id}: %s\r\n{signature}: s-%s\r\nKeep-Alive: timeout=5\r\nContent-Length: 9\r\n\r\nconfirmed"), c.ID, c.ID)
 	if faulty && s.troubled() && s.answers.Add(1)%strayEveryNth == 0 {
 		s.pending.Store(c.Conn, true)
 	}
@@ -111,7 +111,7 @@
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
 	note("client sends %s", id)
-	fmt.Fprintf(c, "POST /confirm/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 600\r\nAuthorization: Bearer k1\r\nContent-Length: 4\r\n\r\nhire", id)
+	fmt.Fprintf(c, page("POST /confirm/x HTTP/1.1\r\nHost: a.example\r\n{id}: %s\r\n{deadline}: 600\r\nAuthorization: Bearer k1\r\nContent-Length: 4\r\n\r\nhire"), id)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		note("client: no answer to %s: %v", id, err)
