--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases into review/bin.
 set -e
 cd "$(dirname "$0")/harness"
-GOWORK=off go build -o ../bin/harness .
+GOWORK=off go build -buildvcs=false -o ../bin/harness .
--- a/review/harness/lib.go
+++ b/review/harness/lib.go
@@ -19,6 +19,8 @@
 )
 
 var (
+	// scratch is the temporary folder.
+	scratch  string
 	started  = time.Now()
 	recordMu sync.Mutex
 	record   io.Writer = os.Stdout
@@ -35,6 +37,9 @@
 func cannotRun(format string, args ...any) {
 	note("cannot run: "+format, args...)
 	stopAll()
+	if scratch != "" {
+		os.RemoveAll(scratch)
+	}
 	os.Exit(2)
 }
 
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -26,10 +28,14 @@
 	}
 	// The script ends in time whatever happens.
 	time.AfterFunc(110*time.Second, func() { cannotRun("not done after 110 s") })
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	go func() { <-stop; cannotRun("stopped") }()
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		os.Exit(2)
 	}
+	scratch = dir
 	status := f(dir)
 	stopAll()
 	if os.Getenv("KEEP") == "" {
