feat(registry): hosts know which data centres are evacuated

The evacuations have a time and a store version of their own, so that an older reading never replaces a newer one, whichever list it comes with. The first list is not used without them. Without the setting there is no further call, and messages and hashes are those of before.

--- a/load.go
+++ b/load.go
@@ -12,6 +12,8 @@
 	// StartedAt is the start time that the endpoint reports, by which a restart under the
 	// same ID is detected; zero when it reports none.
 	StartedAt time.Time
+	// Evacuated is set while the endpoint's data centre is evacuated: it gets no requests, whatever its state.
+	Evacuated bool
 }
 
 // EndpointSource provides the endpoints that the platform has started or registered. Endpoints
--- a/placement/registry/events.go
+++ b/placement/registry/events.go
@@ -16,4 +16,8 @@
 	EventRelayStale winch.EventNumber = 7605
 	// EventRelayRecovered: the list that the hub relays replaces this host's reads again.
 	EventRelayRecovered winch.EventNumber = 7606
+	// EventEvacuationRequested: an operator asks that a data centre gets no more requests.
+	EventEvacuationRequested winch.EventNumber = 7607
+	// EventEvacuationWithdrawn: a data centre is no longer evacuated.
+	EventEvacuationWithdrawn winch.EventNumber = 7608
 )
--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -3,6 +3,9 @@
 //
 // The list is read at a fixed interval. While it cannot be read, the last list is used.
 //
+// Where Options.Evacuations is set, the evacuated data centres are read beside the list and marked in it. They have a time of
+// their own: an older reading never replaces a newer one, whichever list it comes with.
+//
 // # Usage
 //
 //	follower, err := registry.New(registry.Options{Lister: lister, Clock: clock, Logger: logger})
@@ -18,6 +21,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -45,8 +49,10 @@
 // Options are the dependencies and settings of a follower. A duration that is zero has its default value.
 type Options struct {
 	Lister winch.EndpointLister
-	Clock  winch.Clock
-	Logger hclog.Logger
+	// Evacuations lists the evacuated data centres. It may be nil: then none counts as evacuated.
+	Evacuations winch.EvacuationLister
+	Clock       winch.Clock
+	Logger      hclog.Logger
 	// Self is this host, whose own list does not count as relayed while it is the hub.
 	Self winch.HostID
 	// PollEvery is the time between reads. The default is 600 ms.
@@ -61,10 +67,13 @@
 	options Options
 
 	mu sync.Mutex
-	// latest is the newest list as it was read, which is sent to other hosts, and hash its hash.
-	latest []winch.EndpointStatus
-	hash   uint64
-	// current is latest and, after an outage, the endpoints that still have time to register again.
+	// latest is the newest list as it was read, which is sent to other hosts, and hash the hash of it and of the evacuations.
+	latest      []winch.EndpointStatus
+	evacuations evacuationReading
+	hash        uint64
+	// lister is that of Options.Evacuations or SetEvacuations.
+	lister winch.EvacuationLister
+	// current is latest, with the evacuated endpoints marked, and, after an outage, the endpoints that still have time to register again.
 	current []winch.EndpointStatus
 	// readAt is when latest was read, by this host or by another one.
 	readAt  time.Time
@@ -78,7 +87,10 @@
 	readFailed bool
 }
 
-var _ winch.EndpointSource = (*Follower)(nil)
+var (
+	_ winch.EndpointSource   = (*Follower)(nil)
+	_ winch.EvacuationSource = (*Follower)(nil)
+)
 
 // New returns a follower, which has no list until Run or Step reads it.
 func New(options Options) (*Follower, error) {
@@ -86,7 +98,7 @@
 		return nil, fmt.Errorf("create endpoint follower: Lister, Clock and Logger are required: %w", winch.ErrInvalid)
 	}
 	options.PollEvery = cmp.Or(options.PollEvery, defaultPollEvery)
-	follower := &Follower{options: options, changed: make(chan struct{}), hostHashes: map[winch.HostID]uint64{}}
+	follower := &Follower{options: options, lister: options.Evacuations, changed: make(chan struct{}), hostHashes: map[winch.HostID]uint64{}}
 	follower.reader = relay.NewReader(
 		relay.Settings{Self: options.Self, PollEvery: options.PollEvery, MaxAge: options.MaxRelayedAge}, options.Clock,
 		dependency.New("access to the endpoint list", options.Logger, EventListFailed, EventListRecovered),
@@ -105,15 +117,18 @@
 func (f *Follower) read(ctx context.Context, sent time.Time, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	results := f.readEvacuations(ctx, sent)
 	statuses, err := f.options.Lister.ListEndpoints(ctx, sent)
-	if err != nil {
+	evacuated := <-results
+	if err != nil || f.lacksEvacuations(evacuated.reading) {
 		f.mu.Lock()
 		f.readFailed = true
 		f.mu.Unlock()
-		return err
+		return errors.Join(err, evacuated.err)
 	}
-	f.update(reading{at: sent, received: f.options.Clock.Now(), from: ownReading}, statuses)
-	return nil
+	f.update(reading{at: sent, received: f.options.Clock.Now(), from: ownReading, evacuations: evacuated.reading}, statuses)
+	// A list without the evacuations is better than none, but the reading has failed.
+	return evacuated.err
 }
 
 // keepMissingAfterOutage returns the list and, during the grace time after an outage, also
@@ -157,36 +172,61 @@
 	at, received time.Time
 	// from is the host that read the list, or ownReading.
 	from winch.HostID
+	// evacuations are those that came with the list, if any.
+	evacuations evacuationReading
 }
 
 // ownReading is the origin of a list that this host has read itself.
 const ownReading winch.HostID = "self"
 
-// update replaces the list unless a newer one is in use, and logs the changes.
+// update replaces the list and the evacuations unless newer ones are in use, and logs the changes.
 func (f *Follower) update(r reading, statuses []winch.EndpointStatus) {
 	sortByID(statuses)
 	f.mu.Lock()
-	if r.at.Before(f.readAt) {
+	newer, evacuated := !r.at.Before(f.readAt), r.evacuations.supersedes(f.evacuations)
+	if !newer && !evacuated {
 		f.mu.Unlock()
 		return
 	}
-	before, after := f.current, f.keepMissingAfterOutage(r.at, statuses)
+	before, after, evacuatedBefore := f.current, f.current, f.evacuations.DataCentres
 	previousReadAt := f.readAt
-	f.latest, f.hash, f.readAt = statuses, hashOf(statuses), r.at
-	same := slices.EqualFunc(before, after, equalStatus)
-	if !same {
-		f.current = after
-		close(f.changed)
-		f.changed = make(chan struct{})
+	if newer {
+		after = f.keepMissingAfterOutage(r.at, statuses)
+		f.latest, f.readAt = statuses, r.at
 	}
+	if evacuated {
+		f.evacuations = r.evacuations.after(f.evacuations)
+	}
+	evacuations := f.evacuations
+	after = markEvacuated(after, evacuations.DataCentres)
+	f.hash = hashOf(f.latest, evacuations.DataCentres)
+	same := !f.replaceCurrent(after)
 	f.mu.Unlock()
+	logEvacuations(f.options.Logger.With("Age", r.received.Sub(r.evacuations.at).String(), "From", string(r.from)), evacuations.Version,
+		evacuatedBefore, evacuations.DataCentres)
 	if !same {
 		f.logChanges(r, previousReadAt, before, after)
 	}
 }
 
+// replaceCurrent replaces the list in use, and reports whether it differs. It is called with the lock.
+func (f *Follower) replaceCurrent(statuses []winch.EndpointStatus) bool {
+	if slices.EqualFunc(f.current, statuses, equalStatus) {
+		return false
+	}
+	f.current = statuses
+	close(f.changed)
+	f.changed = make(chan struct{})
+	return true
+}
+
 // equalStatus reports whether two entries are equal, apart from small differences in the leave time.
 func equalStatus(a, b winch.EndpointStatus) bool {
+	return a.Evacuated == b.Evacuated && equalEntry(a, b)
+}
+
+// equalEntry is equalStatus for what the endpoints themselves have registered.
+func equalEntry(a, b winch.EndpointStatus) bool {
 	return a.State == b.State && a.Endpoint.ID == b.Endpoint.ID && a.Endpoint.Address == b.Endpoint.Address &&
 		a.StartedAt.Equal(b.StartedAt) && a.Endpoint.SlotLimit == b.Endpoint.SlotLimit &&
 		a.Endpoint.Supply == b.Endpoint.Supply && a.Endpoint.Software == b.Endpoint.Software && slices.Equal(a.Endpoint.Models, b.Endpoint.Models) &&
@@ -208,7 +248,7 @@
 	for _, status := range after {
 		previous, found := previousByID[status.Endpoint.ID]
 		delete(previousByID, status.Endpoint.ID)
-		if !found || !equalStatus(previous, status) {
+		if !found || !equalEntry(previous, status) {
 			logger.Info("endpoint added or changed", "Event", EventEndpointListed, "Endpoint", status.Endpoint.ID,
 				"State", status.State, "Before", previous.State, "Models", status.Endpoint.Models, "DataCentre", status.Endpoint.DataCentre,
 				"Address", status.Endpoint.Address, "Supply", status.Endpoint.Supply, "LeavesAt", status.LeavesAt,
--- a/placement/registry/section.go
+++ b/placement/registry/section.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,6 +20,11 @@
 	Hash      uint64
 	AgeMS     int64
 	Endpoints []endpointWire `json:",omitempty"`
+	// EvacuationsAgeMS is the age of the evacuations, zero if the sender does not know of any reading of them. Version is the
+	// store's version at that time. Evacuated is left out like Endpoints.
+	EvacuationsAgeMS int64    `json:",omitempty"`
+	Version          int64    `json:",omitempty"`
+	Evacuated        []string `json:",omitempty"`
 }
 
 type endpointWire struct {
@@ -94,43 +101,95 @@
 	if wire.Hash == 0 {
 		return nil
 	}
+	if err := wire.check(); err != nil {
+		return fmt.Errorf("check list of %s: %w: %w", hub, winch.ErrInvalid, err)
+	}
 	r := reading{at: sent.Add(-time.Duration(wire.AgeMS) * time.Millisecond), received: now, from: hub}
+	if s.f.evacuationLister() != nil {
+		r.evacuations = wire.evacuations(sent)
+	}
 	if s.f.confirm(r, wire.Hash) {
 		return nil
 	}
-	if statuses, complete := s.f.completeList(sent, wire); complete {
-		s.f.reader.Received(hub, r.at)
-		s.f.update(r, statuses)
+	statuses, centres, complete := s.f.completeList(sent, wire)
+	if !complete || s.f.lacksEvacuations(r.evacuations) {
+		return nil
+	}
+	r.evacuations.DataCentres = centres
+	s.f.received(r)
+	s.f.update(r, statuses)
+	return nil
+}
+
+// received records that the hub relayed the reading.
+func (f *Follower) received(r reading) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reader.Received(r.from, f.replacesRead(r.at, r.evacuations))
+}
+
+func (w *listWire) check() error {
+	if len(w.Evacuated) > maxEvacuated {
+		return fmt.Errorf("%d evacuated data centres, more than %d", len(w.Evacuated), maxEvacuated)
+	}
+	for _, centre := range w.Evacuated {
+		if centre == "" || len(centre) > maxCentreLength {
+			return fmt.Errorf("evacuated data centre without a name, or with one of more than %d bytes", maxCentreLength)
+		}
+	}
+	if w.EvacuationsAgeMS < 0 || len(w.Evacuated) > 0 && w.EvacuationsAgeMS == 0 {
+		return errors.New("evacuated data centres without a time")
 	}
 	return nil
 }
 
-// completeList returns the list of a message, which contains it only if its receiver had reported another one. It returns false if
-// the message does not contain it and this host's list has changed since it was reported.
-func (f *Follower) completeList(sent time.Time, wire listWire) ([]winch.EndpointStatus, bool) {
+// evacuations returns the time and the version of the message's evacuations.
+func (w *listWire) evacuations(sent time.Time) evacuationReading {
+	if w.EvacuationsAgeMS == 0 {
+		return evacuationReading{}
+	}
+	return evacuationReading{at: sent.Add(-time.Duration(w.EvacuationsAgeMS) * time.Millisecond), Evacuations: winch.Evacuations{Version: winch.Version(w.Version)}}
+}
+
+// completeList returns the list of a message and the evacuated data centres. The message contains them only if its receiver had reported
+// another hash. It returns false if the message does not contain them and this host's have changed since they were reported.
+func (f *Follower) completeList(sent time.Time, wire listWire) ([]winch.EndpointStatus, []winch.DataCentreID, bool) {
 	f.mu.Lock()
-	latest, hash := f.latest, f.hash
+	latest, centres, hash := f.latest, f.evacuations.DataCentres, f.hash
 	f.mu.Unlock()
 	if wire.Hash == hash {
-		return latest, true
+		return latest, centres, true
+	}
+	statuses, centres := decodeEndpoints(sent, wire.Endpoints), decodeEvacuated(wire.Evacuated)
+	return statuses, centres, wire.Hash == hashOf(statuses, centres)
+}
+
+func decodeEvacuated(names []string) []winch.DataCentreID {
+	var centres []winch.DataCentreID
+	for _, name := range names {
+		centres = append(centres, winch.DataCentreID(name))
 	}
-	statuses := decodeEndpoints(sent, wire.Endpoints)
-	return statuses, wire.Hash == hashOf(statuses)
+	slices.Sort(centres)
+	return centres
 }
 
-// confirm processes a relayed list by its hash and age alone. It reports false if that is not enough: the list is newer than this
-// host's and differs from it, or an outage may have made the list in use differ from the one that was read.
+// confirm processes a relayed list by its hash and age alone. It reports false if that is not enough: the list or its evacuations are
+// newer than this host's and differ from them, or an outage may have made the list in use differ from the one that was read.
 func (f *Follower) confirm(r reading, hash uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	notNewer := !r.at.After(f.readAt)
-	if !notNewer && (hash != f.hash || f.recovering(r.at)) {
+	newer, evacuations := r.at.After(f.readAt), r.evacuations.supersedes(f.evacuations)
+	if (newer || evacuations) && (hash != f.hash || f.recovering(r.at)) {
 		return false
 	}
-	f.reader.Received(r.from, r.at)
-	if !notNewer {
+	f.reader.Received(r.from, f.replacesRead(r.at, r.evacuations))
+	if newer {
 		f.readAt, f.readFailed = r.at, false
 	}
+	if evacuations {
+		r.evacuations.DataCentres = f.evacuations.DataCentres
+		f.evacuations = r.evacuations.after(f.evacuations)
+	}
 	return true
 }
 
@@ -142,8 +201,14 @@
 	}
 	// The age is rounded up, so that the list is never taken for newer than it is.
 	wire := listWire{Hash: f.hash, AgeMS: max(0, now.Sub(f.readAt).Milliseconds()+1)}
+	if f.evacuations.known() {
+		wire.EvacuationsAgeMS, wire.Version = max(1, now.Sub(f.evacuations.at).Milliseconds()+1), int64(f.evacuations.Version)
+	}
 	if receiverHash != f.hash {
 		wire.Endpoints = encodeEndpoints(now, f.latest)
+		for _, centre := range f.evacuations.DataCentres {
+			wire.Evacuated = append(wire.Evacuated, string(centre))
+		}
 	}
 	encoded, err := json.Marshal(wire)
 	if err != nil {
@@ -198,9 +263,9 @@
 	return statuses
 }
 
-// hashOf returns the list's hash, which is the same on every host. It is never zero, since
+// hashOf returns the hash of the list and of the evacuated data centres, which is the same on every host. It is never zero, since
 // zero stands for no list.
-func hashOf(statuses []winch.EndpointStatus) uint64 {
+func hashOf(statuses []winch.EndpointStatus, evacuated []winch.DataCentreID) uint64 {
 	digest := xxhash.New()
 	for _, s := range statuses {
 		// Writing to a digest cannot fail. The leave time is left out, since hosts compute
@@ -208,5 +273,8 @@
 		_, _ = fmt.Fprintf(digest, "%q%q%q%q%q%d%q%q%v%d\n", s.Endpoint.ID, s.Endpoint.DataCentre, s.Endpoint.Kind, s.Endpoint.Address,
 			s.Endpoint.Models, s.Endpoint.SlotLimit, s.Endpoint.Supply, s.Endpoint.Software, s.State, s.StartedAt.UnixMilli())
 	}
+	for _, centre := range evacuated {
+		_, _ = fmt.Fprintf(digest, "evacuated%q\n", centre)
+	}
 	return max(digest.Sum64(), 1)
 }
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -171,6 +171,7 @@
 	f.logger.SetLevel(hclog.LevelFromString(changed.Log.Level))
 	f.configuration.SetLimits(keyLimit(changed.Bounds), rejectLimit(changed.Bounds))
 	f.server.SetFreshnessLimits(rejectLimit(changed.Bounds), keyLimit(changed.Bounds))
+	f.endpoints.SetEvacuations(f.evacuations(changed.Bounds))
 	if err := f.applyQuarantine(changed.Quarantine); err != nil {
 		f.logger.Error("settings of the quarantine rejected", "Event", EventReloadFailed, "Cause", "policy", "Error", err)
 	}
@@ -179,12 +180,20 @@
 func (f *Forwarder) buildEndpoints() error {
 	built, err := endpoints.New(endpoints.Options{
 		Lister: registry.New(registry.Options{Store: f.store, Logger: f.logger}), Clock: f.clock, Logger: f.logger, Self: f.settings.Host,
-		MaxRelayedAge: relayedLimit(f.settings.Bounds),
+		MaxRelayedAge: relayedLimit(f.settings.Bounds), Evacuations: f.evacuations(f.settings.Bounds),
 	})
 	f.endpoints = built
 	return err
 }
 
+// evacuations returns the lister of the evacuated data centres, or nil if the bounds have no time for evacuations.
+func (f *Forwarder) evacuations(bounds settings.ForwardingBounds) winch.EvacuationLister {
+	if bounds.Evacuate == 0 {
+		return nil
+	}
+	return registry.NewEvacuations(registry.Options{Store: f.store, Logger: f.logger})
+}
+
 func (f *Forwarder) buildDispatch() error {
 	built, err := dispatch.New(dispatch.Options{
 		Configurations: f.configuration, Source: f.endpoints, Membership: f.table, Clock: f.clock, Logger: f.logger,
--- a/winchd/settings/forwarding.go
+++ b/winchd/settings/forwarding.go
@@ -68,6 +68,9 @@
 	Apply time.Duration
 	// Revoke is the time after which a withdrawn key must not admit requests. Zero means no limit.
 	Revoke time.Duration
+	// Evacuate is the time after which no request may reach an endpoint of an evacuated data centre. Zero means that there are no
+	// evacuations: the hosts do not read which data centres are evacuated.
+	Evacuate time.Duration
 	// Grace is the time that the platform gives the process to end after the termination signal.
 	Grace time.Duration
 	// Lease is the maximum TTL of the lease of a duty.
@@ -168,6 +171,9 @@
 	if f.Bounds.Revoke < 0 {
 		problems = append(problems, fieldError("Bounds.Revoke", "must not be negative"))
 	}
+	if f.Bounds.Evacuate < 0 {
+		problems = append(problems, fieldError("Bounds.Evacuate", "must not be negative"))
+	}
 	if f.Bounds.UsageWindow < time.Second || f.Bounds.UsageWindow%time.Second != 0 {
 		problems = append(problems, fieldError("Bounds.UsageWindow", "must be a positive number of whole seconds"))
 	}
