feat(dispatch): endpoints of an evacuated data centre get no requests

An evacuated endpoint is in no lane's list of endpoints, so that choices, probes, bound streams, preferred endpoints, partitions and apertures leave it out, as do the figures of capacity, shares and waits. Requests that run there hold no slots. A lane that has evacuated endpoints only refuses at once (reason evacuated, 503, the longest retry time), queued requests included. Right before a send both servers ask the slot whether its endpoint has been evacuated since the grant (winch.Slot.Evacuated). Streams that other endpoints can resume are asked to move, all hosts together at 0.5 a second for each endpoint that is left. Returned endpoints are ramped up like new ones (core.setEvacuated). winch.Configuration.Evacuations does the same for the product's own configuration.

--- a/configuration.go
+++ b/configuration.go
@@ -115,6 +115,11 @@
 	SlotLimit     int
 }
 
+// Evacuation stops all requests to the endpoints of a data centre until it is withdrawn.
+type Evacuation struct {
+	DataCentre DataCentreID
+}
+
 // Configuration is the result of applying all committed release notes. It is
 // immutable once published.
 type Configuration struct {
@@ -125,6 +130,8 @@
 	Routes        map[RouteID]Route
 	Endpoints     map[EndpointID]Endpoint
 	Pools         map[PoolID]Pool
+	// Evacuations are the data centres whose endpoints get no requests.
+	Evacuations map[DataCentreID]Evacuation
 	// Forwards are the forwarding routes; release notes cannot change them.
 	Forwards []Forward
 	// Grades holds the grade of each organisation that has one. On forwarding routes the
--- a/dispatch.go
+++ b/dispatch.go
@@ -55,6 +55,8 @@
 	RefusedDeadline RefusalReason = "deadline"
 	// RefusedNoEndpoint: there is no endpoint for the request.
 	RefusedNoEndpoint RefusalReason = "no_endpoint"
+	// RefusedEvacuated: all endpoints for the request are in evacuated data centres.
+	RefusedEvacuated RefusalReason = "evacuated"
 	// RefusedSoftware: the response has started, and no endpoint of the software version that began it serves, or that
 	// version is not known.
 	RefusedSoftware RefusalReason = "software_version"
@@ -121,6 +123,9 @@
 	// Preempted returns a channel that is closed when the stream should move to another
 	// endpoint, because a higher tier needs the slot or the endpoint is shutting down.
 	Preempted() <-chan struct{}
+	// Evacuated reports whether the endpoint's data centre has been evacuated since the slot was granted. The request must then not be
+	// sent there: the slot is released with OutcomeCancelled, and another one acquired.
+	Evacuated(now time.Time) bool
 	// FirstToken reports that the first token, or the first byte of a plain service's response, has arrived.
 	FirstToken(now time.Time)
 	// Restarted reports that the endpoint has started again since it was listed, so that its software version is not known.
--- a/dispatch/endpoint/admission.go
+++ b/dispatch/endpoint/admission.go
@@ -18,7 +18,7 @@
 	if l.class.Floor <= 0 {
 		return false
 	}
-	running := l.running
+	running := l.holding()
 	if c.hostStatsFresh(now) {
 		running += l.others.Running
 	}
@@ -89,7 +89,7 @@
 		if l.higher(competitor) {
 			continue
 		}
-		queued, running := float64(competitor.queued), float64(competitor.running)
+		queued, running := float64(competitor.queued), float64(competitor.holding())
 		if competitor == l {
 			queued = c.queuedAhead(l, r)
 		}
@@ -133,7 +133,7 @@
 // updateAverageRunning adds the current number of running requests to the lane's average. It is
 // called once per tick.
 func (c *core) updateAverageRunning(now time.Time, l *lane) {
-	running := float64(l.running)
+	running := float64(l.holding())
 	if c.hostStatsFresh(now) {
 		running += float64(l.others.Running)
 	}
--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -48,6 +48,7 @@
 	c.setLanes(now)
 	c.refresh(now)
 	c.fillAll(now)
+	c.noteEvacuations(now)
 }
 
 func (c *core) setEndpoint(now time.Time, id winch.EndpointID, status winch.EndpointStatus) {
@@ -73,6 +74,8 @@
 		e.limit.Value = min(e.limit.Value, float64(ceiling))
 	}
 	e.state, e.leavesAt = status.State, status.LeavesAt
+	_, evacuated := c.configuration.Evacuations[status.Endpoint.DataCentre]
+	c.setEvacuated(now, e, evacuated || status.Evacuated)
 	c.setServing(now, e)
 }
 
@@ -92,7 +95,7 @@
 // setLanes rebuilds the lanes, keeping the state of those that remain.
 func (c *core) setLanes(now time.Time) {
 	for _, l := range c.lanes {
-		l.endpoints = nil
+		l.endpoints, l.evacuated = nil, nil
 	}
 	for _, e := range c.sortedEndpoints {
 		e.lanes = e.lanes[:0]
@@ -133,7 +136,7 @@
 			continue
 		}
 		if l := c.lane(class, g); l != nil {
-			l.endpoints = append(l.endpoints, e)
+			l.add(e)
 			e.lanes = append(e.lanes, l)
 		}
 	}
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -30,6 +30,9 @@
 	effectRested
 	effectRateNamed
 	effectRateEnded
+	effectEvacuated
+	effectEvacuationEnded
+	effectHeldBack
 )
 
 // effect is a decision of the core that the Dispatcher applies and logs.
@@ -49,6 +52,7 @@
 	lowerTier lowerTierWork
 	// rate is that which the endpoint has named, and ownRate this host's part of it.
 	rate, ownRate winch.RequestRate
+	evacuation    evacuation
 }
 
 // lowerTierWork counts the lower-tier requests, known at a decision, that could be evicted or
@@ -94,6 +98,10 @@
 	expiry             expiryHeap
 	// boundQueued is the number of bound requests in the queues of all lanes.
 	boundQueued int
+	// evacuations are the evacuated data centres with endpoints of this host. Streams are moved away from there while moveAllowance
+	// is at least 1.
+	evacuations   map[winch.DataCentreID]evacuation
+	moveAllowance float64
 	// listReadAt is when the newest list of endpoints was read; zero if that is not known.
 	listReadAt   time.Time
 	freeRequests []*request
@@ -168,7 +176,7 @@
 	r := c.newRequest(now, work, waiter, p)
 	l := c.laneOf(work)
 	if l == nil || len(l.endpoints) == 0 && len(c.remotes) == 0 {
-		c.refuse(now, r, l, winch.RefusedNoEndpoint, 0)
+		c.refuseWithoutEndpoint(now, r, l)
 		return r
 	}
 	r.lane = l
@@ -201,6 +209,10 @@
 	if c.handOver(now, r) {
 		return r
 	}
+	if l.evacuatedEverywhere() {
+		c.refuseWithoutEndpoint(now, r, l)
+		return r
+	}
 	if !c.admit(now, r) {
 		return r
 	}
--- a/dispatch/endpoint/events.go
+++ b/dispatch/endpoint/events.go
@@ -46,4 +46,10 @@
 	EventEndpointRateNamed winch.EventNumber = 3020
 	// EventEndpointRateEnded: an endpoint that had named a rate names none any more.
 	EventEndpointRateEnded winch.EventNumber = 3021
+	// EventEvacuated: a data centre is evacuated, and its endpoints get no requests from this host.
+	EventEvacuated winch.EventNumber = 3022
+	// EventEvacuationEnded: a data centre is no longer evacuated, and its endpoints get requests again.
+	EventEvacuationEnded winch.EventNumber = 3023
+	// EventHeldBack: a request was not sent because the endpoint's data centre was evacuated after the slot was granted.
+	EventHeldBack winch.EventNumber = 3024
 )
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -31,6 +31,8 @@
 	key       laneKey
 	class     winch.Class
 	endpoints []*endpoint
+	// evacuated are the endpoints that get no requests because their data centre is evacuated. They are not among endpoints.
+	evacuated []*endpoint
 	// subset holds the endpoints that this host uses.
 	subset []*endpoint
 	// ring holds the endpoints in the order in which the hosts' apertures cover them.
@@ -51,9 +53,11 @@
 	// mixedSoftware is set if the endpoints have several software versions.
 	mixedSoftware bool
 	// pinned counts the running requests that could be preempted if another endpoint of their software version served.
-	pinned       int
-	running      int
-	floorRunning int
+	pinned  int
+	running int
+	// evacuatedRunning are those of them at evacuated endpoints. They hold none of the slots.
+	evacuatedRunning int
+	floorRunning     int
 	// queuedTokens is the sum of the prompt tokens of the queued requests that no other request shares.
 	queuedTokens winch.Tokens
 	// pendingPrefill is the sum of the running requests' pendingPrefill.
--- a/dispatch/endpoint/leaving.go
+++ b/dispatch/endpoint/leaving.go
@@ -36,7 +36,7 @@
 		}
 		c.emit(effect{kind: kind, at: now, endpoint: e})
 	}
-	e.leaving, e.serving = leaving, !leaving && e.state == winch.EndpointReady
+	e.leaving, e.serving = leaving, !leaving && !e.evacuated && e.state == winch.EndpointReady
 	c.checkLeaving(now, e)
 }
 
--- a/dispatch/endpoint/log.go
+++ b/dispatch/endpoint/log.go
@@ -39,11 +39,12 @@
 	prefillAhead   winch.Tokens
 	statsAge       time.Duration
 	rate, ownRate  winch.RequestRate
+	evacuation     evacuation
 }
 
 // newLogEntry copies the effect's data.
 func (c *core) newLogEntry(e *effect) logEntry {
-	entry := logEntry{kind: e.kind, at: e.at, duration: e.duration, refusal: e.refusal, outcome: e.outcome, cause: e.cause, lowerTier: e.lowerTier, rate: e.rate, ownRate: e.ownRate}
+	entry := logEntry{kind: e.kind, at: e.at, duration: e.duration, refusal: e.refusal, outcome: e.outcome, cause: e.cause, lowerTier: e.lowerTier, rate: e.rate, ownRate: e.ownRate, evacuation: e.evacuation}
 	if r := e.request; r != nil {
 		entry.request, entry.organisation, entry.class = r.work.Request, r.work.Organisation, r.work.Class
 		entry.group = group{model: r.work.Model, route: r.work.Route}
@@ -122,6 +123,10 @@
 	case effectReleased:
 		d.logger.Info("slot released", d.requestFields(EventReleased, l, "Endpoint", string(l.endpoint),
 			"Outcome", outcomeName(l.outcome), "Held", l.duration.String(), "Tokens", int64(l.tokens))...)
+	case effectHeldBack:
+		d.logger.Info("request not sent: the endpoint's data centre is evacuated", d.requestFields(EventHeldBack, l, "Endpoint", string(l.endpoint))...)
+	case effectEvacuated, effectEvacuationEnded:
+		d.logEvacuation(l)
 	case effectCancelled:
 		d.logger.Info("request cancelled while queued", d.requestFields(EventCancelled, l)...)
 	default:
@@ -139,6 +144,16 @@
 		"ToRead", int64(l.pendingPrefill), "Ahead", int64(l.prefillAhead), "FiguresAge", l.statsAge.String())...)
 }
 
+func (d *Dispatcher) logEvacuation(l *logEntry) {
+	fields := []any{"At", formatTime(l.at), "Host", string(d.core.self.ID), "DataCentre", d.centre(), "Evacuated", string(l.evacuation.centre)}
+	if l.kind == effectEvacuated {
+		d.logger.Warn("data centre evacuated, its endpoints get no requests", append(fields, "Event", EventEvacuated,
+			"Endpoints", l.evacuation.endpoints, "Running", l.evacuation.running)...)
+		return
+	}
+	d.logger.Info("evacuation ended, endpoints get requests again, gradually", append(fields, "Event", EventEvacuationEnded)...)
+}
+
 func (d *Dispatcher) logStateChange(l *logEntry) {
 	fields := []any{"At", formatTime(l.at), "Host", string(d.core.self.ID), "DataCentre", d.centre()}
 	if l.endpoint != "" {
--- a/dispatch/endpoint/metrics.go
+++ b/dispatch/endpoint/metrics.go
@@ -34,6 +34,9 @@
 	if err := observeQueues(meter, d); err != nil {
 		return nil, err
 	}
+	if err := observeEvacuations(meter, d); err != nil {
+		return nil, err
+	}
 	return &metrics{decisions: decisions, waits: waits}, nil
 }
 
@@ -69,6 +72,29 @@
 	return nil
 }
 
+func observeEvacuations(meter metric.Meter, d *Dispatcher) error {
+	endpoints, err := meter.Int64ObservableGauge("winch_dispatch_evacuated_endpoints", metric.WithDescription("Endpoints that get no requests, by evacuated data centre."))
+	if err != nil {
+		return fmt.Errorf("create gauge of evacuated endpoints: %w", err)
+	}
+	running, err := meter.Int64ObservableGauge("winch_dispatch_evacuated_running", metric.WithDescription("Requests of this host that still run at evacuated endpoints."))
+	if err != nil {
+		return fmt.Errorf("create gauge of requests at evacuated endpoints: %w", err)
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
+		for centre, e := range d.evacuations() {
+			attributes := metric.WithAttributes(attribute.String("data_centre", string(centre)))
+			observer.ObserveInt64(endpoints, int64(e.endpoints), attributes)
+			observer.ObserveInt64(running, int64(e.running), attributes)
+		}
+		return nil
+	}, endpoints, running)
+	if err != nil {
+		return fmt.Errorf("register gauges of evacuations: %w", err)
+	}
+	return nil
+}
+
 // String returns the kind's name in metrics.
 func (k effectKind) String() string {
 	names := [...]string{
@@ -76,6 +102,7 @@
 		effectMoved: "moved", effectReleased: "released", effectCancelled: "cancelled", effectEjected: "ejected",
 		effectRestored: "restored", effectQueueLong: "queue_long", effectQueueShort: "queue_short", effectLeaving: "leaving", effectReturned: "returned",
 		effectSaysLeaving: "says_leaving", effectRests: "rests", effectRested: "rested", effectRateNamed: "rate_named", effectRateEnded: "rate_ended",
+		effectEvacuated: "evacuated", effectEvacuationEnded: "evacuation_ended", effectHeldBack: "held_back",
 	}
 	return names[k]
 }
--- a/dispatch/endpoint/preempt.go
+++ b/dispatch/endpoint/preempt.go
@@ -73,7 +73,7 @@
 	rate := 0.0
 	for _, competitor := range l.competitors {
 		if competitor.holdTime.Value > 0 {
-			rate += float64(competitor.running) / competitor.holdTime.Value
+			rate += float64(competitor.holding()) / competitor.holdTime.Value
 		}
 	}
 	return rate
--- a/dispatch/endpoint/remote.go
+++ b/dispatch/endpoint/remote.go
@@ -108,6 +108,9 @@
 	var best *remote
 	most := 0
 	for _, other := range c.remotes {
+		if _, evacuated := c.configuration.Evacuations[other.dataCentre]; evacuated {
+			continue
+		}
 		if !c.fresh(now, other.at) || now.Before(other.blockedUntil) || len(other.hosts) == 0 {
 			continue
 		}
--- a/dispatch/endpoint/share.go
+++ b/dispatch/endpoint/share.go
@@ -9,7 +9,7 @@
 // need more than there are. Slots are divided in proportion to demand, higher tiers first.
 func (c *core) computeFairShare(now time.Time, e *endpoint) {
 	e.fairShare, e.othersWaiting = 0, false
-	if !c.features.sharing {
+	if !c.features.sharing || e.evacuated {
 		return
 	}
 	remaining, fair, others, waiting := float64(e.cap), 0.0, 0.0, 0
@@ -20,7 +20,7 @@
 		for ; i < len(e.lanes) && e.lanes[i].class.Tier == tier; i++ {
 			l := e.lanes[i]
 			count := float64(len(l.endpoints))
-			own += float64(l.queued+l.running) / count
+			own += float64(l.queued+l.holding()) / count
 			if c.hostStatsFresh(now) {
 				others += float64(l.others.Queued+l.others.Running) / count
 				total += float64(l.others.Queued+l.others.Running) / count
--- a/dispatch/endpoint/slot.go
+++ b/dispatch/endpoint/slot.go
@@ -37,6 +37,13 @@
 // Preempted returns a channel that is closed when the stream should move.
 func (s *slot) Preempted() <-chan struct{} { return s.preempted }
 
+// Evacuated reports whether the endpoint's data centre has been evacuated since the slot was granted.
+func (s *slot) Evacuated(now time.Time) bool {
+	evacuated := false
+	s.dispatcher.runStep(func() { evacuated = s.dispatcher.core.holdBack(now, s.request) })
+	return evacuated
+}
+
 // FirstToken records the first token, or the first byte of a plain service's response.
 func (s *slot) FirstToken(now time.Time) {
 	at := now.UnixNano()
--- a/dispatch/endpoint/software.go
+++ b/dispatch/endpoint/software.go
@@ -83,9 +83,9 @@
 
 // setMixedSoftware determines whether the lane's endpoints have several software versions; one that is not known counts.
 func (l *lane) setMixedSoftware() {
-	l.mixedSoftware = slices.ContainsFunc(l.endpoints, func(e *endpoint) bool {
-		return e.spec.Software != l.endpoints[0].spec.Software
-	})
+	// Streams that began at evacuated endpoints still have to go on at their version.
+	all := slices.Concat(l.endpoints, l.evacuated)
+	l.mixedSoftware = slices.ContainsFunc(all, func(e *endpoint) bool { return e.spec.Software != all[0].spec.Software })
 }
 
 // arriveBound grants the bound request a slot, or queues it. It hands the request over if this data centre has no endpoint of its version.
@@ -98,6 +98,10 @@
 		return
 	}
 	l := r.lane
+	if l.evacuatedEverywhere() {
+		c.refuseWithoutEndpoint(now, r, l)
+		return
+	}
 	if len(l.bound) >= l.queueLimit() && !r.attemptedBefore() {
 		c.refuse(now, r, l, winch.RefusedQueueFull, 0)
 		return
@@ -187,14 +191,14 @@
 }
 
 // setStreamsMayMove determines for each endpoint whether its streams can go on elsewhere. Preempting one that cannot costs more than
-// the slot is worth.
+// the slot is worth, and one at an evacuated endpoint frees no slot.
 func (c *core) setStreamsMayMove(now time.Time) {
 	for _, l := range c.sortedLanes {
 		l.pinned = 0
 	}
 	for _, e := range c.sortedEndpoints {
 		e.streamsMayMove = c.hasTwin(now, e)
-		if e.streamsMayMove {
+		if e.streamsMayMove && !e.evacuated {
 			continue
 		}
 		for i := range e.tiers {
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -28,7 +28,8 @@
 	reserve       float64
 	reservedFor   winch.Tier
 	othersWaiting bool // other hosts have queued requests and may use their share
-	serving       bool // the endpoint is ready and not leaving
+	serving       bool // the endpoint is ready, not leaving and not evacuated
+	evacuated     bool // the endpoint's data centre is evacuated
 	// streamsMayMove is set if the endpoint's streams can go on at another endpoint.
 	streamsMayMove bool
 	// cheap is set if the platform may withdraw the endpoint (winch.SupplyCheap). The others are
--- a/dispatch/endpoint/stats.go
+++ b/dispatch/endpoint/stats.go
@@ -62,7 +62,7 @@
 			continue
 		}
 		own.lanes[l.key] = laneStats{
-			Queued: l.queued, Running: l.running, Movable: c.movableRunning(l), Urgent: c.urgent(now, l), OldestWait: l.oldestWait(now),
+			Queued: l.queued, Running: l.holding(), Movable: c.movableRunning(l), Urgent: c.urgent(now, l), OldestWait: l.oldestWait(now),
 			PromptRate: int(l.promptRate.PerSecond(now)),
 		}
 	}
@@ -327,7 +327,7 @@
 		}
 	}
 	for _, e := range c.sortedEndpoints {
-		if e.state != winch.EndpointReady || e.paused(now) {
+		if e.state != winch.EndpointReady || e.evacuated || e.paused(now) {
 			continue
 		}
 		spare := e.cap - e.running
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -32,6 +32,7 @@
 	c.refresh(now)
 	c.expire(now)
 	c.refuseUnservedSoftware(now)
+	c.moveEvacuated(now)
 	c.pruneIncomplete(now)
 	for _, l := range c.sortedLanes {
 		c.updateAverageRunning(now, l)
@@ -184,6 +185,7 @@
 		e.cap = e.currentSlots(now, c.settings.RampTime)
 		e.updateReportWeight(now, c.settings.ReportMaxAge)
 	}
+	c.countEvacuatedRunning()
 	for _, l := range c.sortedLanes {
 		l.slots, l.steadySlotsLeft = 0, 0
 		l.meanInterToken, l.meanFirstToken = measure.Mean{}, measure.Mean{}
--- a/serving/caller/attempt.go
+++ b/serving/caller/attempt.go
@@ -102,11 +102,10 @@
 		return nil, errorForCause(err)
 	}
 	waitStarted := s.now()
-	slot, err := s.options.Dispatcher.Acquire(ctx, waitStarted, s.newWork(ctx, req))
-	if err != nil {
-		return nil, s.acquireError(ctx, req, err)
+	slot, apiErr := s.acquireSlot(ctx, waitStarted, req)
+	if apiErr != nil {
+		return nil, apiErr
 	}
-	req.advance(runstate.SlotGranted)
 	now := s.now()
 	if err := s.verifyKey(now, req); err != nil {
 		slot.Release(now, winch.OutcomeCancelled)
@@ -126,6 +125,23 @@
 	return a, nil
 }
 
+// acquireSlot waits for a slot at an endpoint whose data centre has not been evacuated during the wait.
+func (s *Server) acquireSlot(ctx context.Context, now time.Time, req *request) (winch.Slot, *apiError) {
+	for {
+		slot, err := s.options.Dispatcher.Acquire(ctx, now, s.newWork(ctx, req))
+		if err != nil {
+			return nil, s.acquireError(ctx, req, err)
+		}
+		req.advance(runstate.SlotGranted)
+		now = s.now()
+		if !slot.Evacuated(now) {
+			return slot, nil
+		}
+		slot.Release(now, winch.OutcomeCancelled)
+		req.advance(runstate.SlotReturned)
+	}
+}
+
 // attemptContext returns the context of an attempt. A non-repeatable call continues after
 // its caller disconnects: cancelling it would leave its outcome unknown. With an idempotency
 // key its response can be stored for the caller's next call; without one the response is
--- a/serving/caller/fakes_test.go
+++ b/serving/caller/fakes_test.go
@@ -162,6 +162,7 @@
 func (s *fakeSlot) Endpoint() winch.Endpoint   { return s.endpoint }
 func (s *fakeSlot) Restarted(time.Time)        {}
 func (s *fakeSlot) StartedAt() time.Time       { return time.Time{} }
+func (s *fakeSlot) Evacuated(time.Time) bool   { return false }
 func (s *fakeSlot) Preempted() <-chan struct{} { return s.preempted }
 func (s *fakeSlot) FirstToken(time.Time)       {}
 
--- a/serving/forward/attempt.go
+++ b/serving/forward/attempt.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// acquire waits for a slot, at an endpoint that is still the run that was listed if the request needs a software version. It checks,
-// before the wait and last of all, whether the request is still admitted.
+// acquire waits for a slot, at an endpoint that is still the run that was listed if the request needs a software version, and whose
+// data centre has not been evacuated since. It checks, before the wait and last of all, whether the request is still admitted.
 func (s *Server) acquire(ctx context.Context, req *request) (*attempt, *fault) {
 	started := s.now()
 	for {
@@ -80,6 +80,11 @@
 			continue
 		}
 		_, err := s.checkStillListed(ctx, req.streamKey(), req.software, slot)
+		if err == nil && slot.Evacuated(s.now()) {
+			slot.Release(s.now(), winch.OutcomeCancelled)
+			req.updateTracker(runstate.SlotReturned)
+			continue
+		}
 		if err == nil {
 			return s.beginAttempt(ctx, req, slot, started)
 		}
--- a/serving/forward/attempt_test.go
+++ b/serving/forward/attempt_test.go
@@ -219,3 +219,16 @@
 		})
 	}
 }
+
+func TestRequestIsNotSentToAnEndpointEvacuatedAfterTheGrant(t *testing.T) {
+	for _, path := range []string{"/safe/1", "/once/1", "/chat/1"} {
+		t.Run(path, func(t *testing.T) {
+			ts := newTestServer(t, stubResponse{status: 200, body: "ok"})
+			ts.evacuate = 2
+			ts.post(path)
+			assert.Equal(t, len(ts.works), 3, "another slot is acquired each time")
+			assert.Equal(t, len(ts.calls), 1)
+			assert.DeepEqual(t, ts.outcomes[:2], []winch.Outcome{winch.OutcomeCancelled, winch.OutcomeCancelled})
+		})
+	}
+}
--- a/serving/forward/fake_endpoint_test.go
+++ b/serving/forward/fake_endpoint_test.go
@@ -37,6 +37,14 @@
 	software winch.SoftwareVersion
 }
 
+// Evacuated reports whether the test evacuates the endpoint after the slot was granted.
+func (s *fakeSlot) Evacuated(time.Time) bool {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	s.server.evacuate--
+	return s.server.evacuate >= 0
+}
+
 func (s *fakeSlot) Endpoint() winch.Endpoint {
 	return winch.Endpoint{ID: s.id, Kind: winch.EndpointEngine, Software: s.software}
 }
--- a/serving/forward/fakes_test.go
+++ b/serving/forward/fakes_test.go
@@ -86,6 +86,8 @@
 	onStart func()
 	// software are the versions of the endpoints of the next slots.
 	software []winch.SoftwareVersion
+	// evacuate is the number of next slots whose endpoints are evacuated after the grant.
+	evacuate int
 	// works are the requests for a slot.
 	works []winch.Work
 }
