feat(planner): nothing is ordered for an evacuated data centre

Neither planner returns orders for an evacuated data centre, nor loads models there: what runs stays for the time after. The planner of pools gives the others an equal part of the demand there.

Tests: placement/... pass.

--- a/placement/planner/demand.go
+++ b/placement/planner/demand.go
@@ -32,7 +32,7 @@
 // demandByModel returns the demand in the data centre for each model that has a pool there.
 func demandByModel(configuration *winch.Configuration, centre winch.DataCentreID, queues []winch.QueueStatus, running []winch.OrderedEndpoint) map[winch.ModelID]demand {
 	demands := map[winch.ModelID]demand{}
-	tiers := highestTiers(centre, queues)
+	tiers := highestTiers(configuration, centre, queues)
 	availableSlots := map[winch.ModelID]float64{}
 	for _, pool := range configuration.Pools {
 		if pool.DataCentre == centre {
@@ -41,17 +41,20 @@
 	}
 	for _, status := range queues {
 		d, found := demands[status.Model]
-		if status.DataCentre != centre || !found {
+		share := shareOf(configuration, centre, status)
+		if share == 0 || !found {
 			continue
 		}
-		slots := float64(status.Running) + float64(status.Queued)*queuedWeight(configuration.Classes[status.Class])
+		slots := share * (float64(status.Running) + float64(status.Queued)*queuedWeight(configuration.Classes[status.Class]))
 		d.total += slots
 		if status.Tier == tiers[status.Model] {
 			d.highestTierSlots += slots
 		}
 		demands[status.Model] = d
 		// The classes of a model share endpoints, so their slots are not added up.
-		availableSlots[status.Model] = math.Max(availableSlots[status.Model], float64(status.Slots))
+		if status.DataCentre == centre {
+			availableSlots[status.Model] = math.Max(availableSlots[status.Model], float64(status.Slots))
+		}
 	}
 	addStatic(configuration, centre, demands)
 	for model, d := range demands {
@@ -67,10 +70,10 @@
 }
 
 // highestTiers returns the highest tier, which has the lowest number, among the queues of each model.
-func highestTiers(centre winch.DataCentreID, queues []winch.QueueStatus) map[winch.ModelID]winch.Tier {
+func highestTiers(configuration *winch.Configuration, centre winch.DataCentreID, queues []winch.QueueStatus) map[winch.ModelID]winch.Tier {
 	tiers := map[winch.ModelID]winch.Tier{}
 	for _, status := range queues {
-		if status.DataCentre != centre || status.Model == "" {
+		if status.Model == "" || shareOf(configuration, centre, status) == 0 {
 			continue
 		}
 		if known, found := tiers[status.Model]; !found || status.Tier < known {
--- a/placement/planner/engines.go
+++ b/placement/planner/engines.go
@@ -36,12 +36,15 @@
 // PlanEngines returns orders for the engines that have not loaded what their pool
 // specifies: first those without the model, then those with another adapter or
 // version. Only a share of a pool's engines is changed at a time, so that the
-// others continue to serve.
+// others continue to serve. Engines in an evacuated data centre get none.
 func (p *Planner) PlanEngines(now time.Time, centre winch.DataCentreID) []winch.EngineOrder {
 	if p.options.Orders == nil {
 		return nil
 	}
 	configuration := p.options.Configurations.Current()
+	if _, evacuated := configuration.Evacuations[centre]; evacuated {
+		return nil
+	}
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	sizes, pending := map[winch.PoolID]int{}, map[winch.PoolID][]engineChange{}
--- a/placement/planner/planner.go
+++ b/placement/planner/planner.go
@@ -23,7 +23,8 @@
 //	orders := p.Plan(clock.Now(), centre, running)
 //
 // Demand and capacity are measured in slots, that is in concurrent requests. Plan
-// returns an order for every pool of the data centre, and no errors.
+// returns an order for every pool of the data centre, and no errors. Nothing is ordered
+// for an evacuated data centre, whose demand the others share.
 package planner
 
 import (
@@ -120,12 +121,15 @@
 	}, nil
 }
 
-// Plan returns the desired number of endpoints for the pools of the data centre.
+// Plan returns the desired number of endpoints for the pools of the data centre. For an evacuated one it returns nothing.
 func (p *Planner) Plan(now time.Time, centre winch.DataCentreID, running []winch.OrderedEndpoint) []winch.PoolOrder {
 	configuration := p.options.Configurations.Current()
 	queues := p.options.Queues.Queues(now)
 	p.lock.Lock()
 	defer p.lock.Unlock()
+	if _, evacuated := configuration.Evacuations[centre]; evacuated {
+		return nil
+	}
 	pools := p.updatePools(now, configuration, centre, running)
 	demands := demandByModel(configuration, centre, queues, running)
 	wanted := map[winch.PoolID]int{}
--- a/placement/planner/prefill.go
+++ b/placement/planner/prefill.go
@@ -41,8 +41,10 @@
 	Queues winch.QueueSource
 	// Endpoints returns the endpoints of all data centres.
 	Endpoints winch.EndpointSource
-	Logger    hclog.Logger
-	Settings  PrefillSettings
+	// Evacuations returns the evacuated data centres. It may be nil: then there are none.
+	Evacuations winch.EvacuationSource
+	Logger      hclog.Logger
+	Settings    PrefillSettings
 }
 
 // PrefillPlanner plans the endpoints of models that have a Scaling in the configuration, for
@@ -59,9 +61,10 @@
 	options PrefillOptions
 	logger  hclog.Logger
 
-	lock   sync.Mutex
-	models map[winch.ModelID]*modelDemand
-	pools  map[winch.PoolID]*poolPlan
+	lock        sync.Mutex
+	models      map[winch.ModelID]*modelDemand
+	pools       map[winch.PoolID]*poolPlan
+	evacuations evacuations
 }
 
 // poolPlan is what PrefillPlanner remembers of a pool.
@@ -99,12 +102,13 @@
 	return &PrefillPlanner{
 		options: options, logger: options.Logger.Named("planner"),
 		models: map[winch.ModelID]*modelDemand{}, pools: map[winch.PoolID]*poolPlan{},
+		evacuations: evacuations{source: options.Evacuations, seenAt: map[winch.DataCentreID]time.Time{}},
 	}, nil
 }
 
 // Plan returns the desired number of endpoints for the data centre's pools. Each cheap
 // pool precedes the steady one, so that cheap endpoints are ordered before steady ones
-// are released.
+// are released. For an evacuated data centre it returns nothing.
 func (p *PrefillPlanner) Plan(now time.Time, centre winch.DataCentreID, running []winch.OrderedEndpoint) []winch.PoolOrder {
 	configuration := p.options.Configurations.Current()
 	queues, endpoints := p.options.Queues.Queues(now), p.options.Endpoints.Endpoints()
@@ -117,6 +121,9 @@
 	slices.Sort(models)
 	p.lock.Lock()
 	defer p.lock.Unlock()
+	if slices.Contains(p.evacuations.update(now), centre) {
+		return nil
+	}
 	orders := make([]winch.PoolOrder, 0, 2*len(models))
 	for _, model := range models {
 		counts := countEndpoints(model, endpoints)
@@ -133,9 +140,9 @@
 	cheapPool := winch.ScalingPool(scaling.Model, centre, winch.SupplyCheap)
 	steadyPool := winch.ScalingPool(scaling.Model, centre, winch.SupplySteady)
 	cheap, steady := countReady(running, cheapPool), countReady(running, steadyPool)
-	centres := max(len(scaling.DataCentres), counts.centres)
-	cheapCount := wantedCheap(demand.peak, centres, scaling)
-	steadyMin := p.minSteady(demand.peak, centres, steady, scaling)
+	centres := p.sitesOf(scaling, counts)
+	cheapCount := min(centres.spread(wantedCheap(demand.peak, centres.all, scaling)), scaling.Max)
+	steadyMin := p.minSteady(demand.peak, centres.left(), steady, scaling)
 	reclaimed := p.updateReclaimed(now, cheapPool, cheap, scaling.StartTime)
 	// demand.now is in endpoints at PrefillSettings.PrefillShare. Fewer are needed at fallbackUse.
 	steadyCount := p.smoothFallback(now, steadyPool, fallbackNeeded(demand.now*p.options.Settings.PrefillShare/fallbackUse, counts.ready-steady))
--- a/placement/planner/prefill_demand.go
+++ b/placement/planner/prefill_demand.go
@@ -90,23 +90,24 @@
 
 // endpointCount counts the endpoints of a model.
 type endpointCount struct {
-	// ready is the number of ready endpoints in all data centres.
+	// ready is the number of ready endpoints in all data centres that are not evacuated.
 	ready int
-	// centres is the number of data centres in which the model has endpoints.
-	centres int
+	// centres are the data centres in which the model has endpoints.
+	centres []winch.DataCentreID
 }
 
 func countEndpoints(model winch.ModelID, endpoints []winch.EndpointStatus) endpointCount {
-	count, centres := endpointCount{}, map[winch.DataCentreID]bool{}
+	count := endpointCount{}
 	for _, status := range endpoints {
 		if !slices.Contains(status.Endpoint.Models, model) {
 			continue
 		}
-		centres[status.Endpoint.DataCentre] = true
-		if status.State == winch.EndpointReady {
+		if !slices.Contains(count.centres, status.Endpoint.DataCentre) {
+			count.centres = append(count.centres, status.Endpoint.DataCentre)
+		}
+		if status.State == winch.EndpointReady && !status.Evacuated {
 			count.ready++
 		}
 	}
-	count.centres = len(centres)
 	return count
 }
--- a/winchd/forwarder/duties.go
+++ b/winchd/forwarder/duties.go
@@ -90,7 +90,7 @@
 // buildOrders creates a task for each data centre. All of them use the same lease.
 func (f *Forwarder) buildOrders() error {
 	plans, err := planner.NewPrefillPlanner(planner.PrefillOptions{
-		Configurations: f.configuration, Queues: f.dispatcher, Endpoints: f.endpoints, Logger: f.logger,
+		Configurations: f.configuration, Queues: f.dispatcher, Endpoints: f.endpoints, Evacuations: f.endpoints, Logger: f.logger,
 	})
 	if err != nil {
 		return err
