feat(registry): cold ends of endpoints

Endpoints that have just started, or that turn cold later, bear few requests. Hosts did not read how long that lasts.

The registry decodes cold_remaining_ms, as unknown if it is malformed, and the operator's configuration cold_start_s and cold_per_s. The remaining time counts from the first reading of each version of an entry. The hub relays the ends; differences of reading do not change the list, and the hash of a list covers the ends by a mark that its reader makes. Lists without a cold endpoint have the same hash as before.

--- a/configuration.go
+++ b/configuration.go
@@ -132,6 +132,8 @@
 	Grades        map[OrganisationID]Grade
 	ForwardLimits ForwardLimits
 	Scalings      map[ModelID]Scaling
+	// ColdStarts holds the models whose endpoints bear few requests while they are cold.
+	ColdStarts map[ModelID]ColdStart
 	// KeysOptional is set when the operator keeps no list of organisations: requests on forwarding routes then need no key. An
 	// empty list is one, and refuses each key.
 	KeysOptional bool
--- a/forward.go
+++ b/forward.go
@@ -84,6 +84,15 @@
 	DataCentres []DataCentreID
 }
 
+// ColdStart describes the endpoints of a model that are cold for some time after a start, or turn cold later. A cold endpoint
+// fails if it gets more requests than its rate.
+type ColdStart struct {
+	// Duration is how long an endpoint is cold after its start, unless it says something else.
+	Duration time.Duration
+	// Rate is the rate of requests, from all hosts together, that a cold endpoint sustains.
+	Rate RequestRate
+}
+
 // ScalingPool returns the ID of the pool of a model's endpoints of one supply in a data centre.
 // Pool IDs are only compared; they are not split into their parts again.
 func ScalingPool(model ModelID, centre DataCentreID, supply Supply) PoolID {
--- a/load.go
+++ b/load.go
@@ -12,6 +12,10 @@
 	// StartedAt is the start time that the endpoint reports, by which a restart under the
 	// same ID is detected; zero when it reports none.
 	StartedAt time.Time
+	// ColdStated is set if the endpoint says whether it is cold, and ColdUntil is when it will not be any more, zero if it is
+	// not cold. See ColdStart.
+	ColdStated bool
+	ColdUntil  time.Time
 }
 
 // EndpointSource provides the endpoints that the platform has started or registered. Endpoints
--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -64,6 +64,8 @@
 	// latest is the newest list as it was read, which is sent to other hosts, and hash its hash.
 	latest []winch.EndpointStatus
 	hash   uint64
+	// coldMark is the part of hash that stands for the cold ends; see cold.go.
+	coldMark uint64
 	// current is latest and, after an outage, the endpoints that still have time to register again.
 	current []winch.EndpointStatus
 	// readAt is when latest was read, by this host or by another one.
@@ -157,6 +159,8 @@
 	at, received time.Time
 	// from is the host that read the list, or ownReading.
 	from winch.HostID
+	// coldMark is that of the list, if another host has read it.
+	coldMark uint64
 }
 
 // ownReading is the origin of a list that this host has read itself.
@@ -170,9 +174,13 @@
 		f.mu.Unlock()
 		return
 	}
+	if r.from == ownReading {
+		keepColdEnds(f.latest, statuses)
+		r.coldMark = coldMarkOf(statuses)
+	}
 	before, after := f.current, f.keepMissingAfterOutage(r.at, statuses)
 	previousReadAt := f.readAt
-	f.latest, f.hash, f.readAt = statuses, hashOf(statuses), r.at
+	f.latest, f.hash, f.coldMark, f.readAt = statuses, addColdMark(hashOf(statuses), r.coldMark), r.coldMark, r.at
 	same := slices.EqualFunc(before, after, equalStatus)
 	if !same {
 		f.current = after
@@ -185,12 +193,12 @@
 	}
 }
 
-// equalStatus reports whether two entries are equal, apart from small differences in the leave time.
+// equalStatus reports whether two entries are equal, apart from small differences in the leave time and the cold end.
 func equalStatus(a, b winch.EndpointStatus) bool {
 	return a.State == b.State && a.Endpoint.ID == b.Endpoint.ID && a.Endpoint.Address == b.Endpoint.Address &&
 		a.StartedAt.Equal(b.StartedAt) && a.Endpoint.SlotLimit == b.Endpoint.SlotLimit &&
 		a.Endpoint.Supply == b.Endpoint.Supply && a.Endpoint.Software == b.Endpoint.Software && slices.Equal(a.Endpoint.Models, b.Endpoint.Models) &&
-		a.LeavesAt.IsZero() == b.LeavesAt.IsZero() && a.LeavesAt.Sub(b.LeavesAt).Abs() < leaveTolerance
+		a.LeavesAt.IsZero() == b.LeavesAt.IsZero() && a.LeavesAt.Sub(b.LeavesAt).Abs() < leaveTolerance && equalCold(a, b)
 }
 
 // logChanges logs what changed. Age is how old the list is that tells of the change, and Gap how much later it was read
@@ -212,7 +220,7 @@
 			logger.Info("endpoint added or changed", "Event", EventEndpointListed, "Endpoint", status.Endpoint.ID,
 				"State", status.State, "Before", previous.State, "Models", status.Endpoint.Models, "DataCentre", status.Endpoint.DataCentre,
 				"Address", status.Endpoint.Address, "Supply", status.Endpoint.Supply, "LeavesAt", status.LeavesAt,
-				"Software", status.Endpoint.Software, "Started", status.StartedAt)
+				"Software", status.Endpoint.Software, "Started", status.StartedAt, "ColdUntil", status.ColdUntil)
 		}
 	}
 	for id := range previousByID {
--- a/placement/registry/section.go
+++ b/placement/registry/section.go
@@ -15,8 +15,10 @@
 // listWire is the hash and the age of the sender's list, and the list itself when the
 // receiver does not have it.
 type listWire struct {
-	Hash      uint64
-	AgeMS     int64
+	Hash  uint64
+	AgeMS int64
+	// ColdMark is the part of Hash that stands for the cold ends, zero while no endpoint is cold.
+	ColdMark  uint64         `json:",omitempty"`
 	Endpoints []endpointWire `json:",omitempty"`
 }
 
@@ -35,6 +37,10 @@
 	LeavesMS int64 `json:",omitempty"`
 	// Started is when the endpoint started in Unix milliseconds, or zero when it does not report that.
 	Started int64 `json:",omitempty"`
+	// ColdStated is set if the endpoint says whether it is cold, and ColdMS is the time in milliseconds until it will not be
+	// any more, or zero.
+	ColdStated bool  `json:",omitempty"`
+	ColdMS     int64 `json:",omitempty"`
 }
 
 // section is the follower's part of the exchange between hosts, in which the hub sends
@@ -98,7 +104,8 @@
 	if s.f.confirm(r, wire.Hash) {
 		return nil
 	}
-	if statuses, complete := s.f.completeList(sent, wire); complete {
+	r.coldMark = wire.ColdMark
+	if statuses, complete := s.f.completeList(now, sent, wire); complete {
 		s.f.reader.Received(hub, r.at)
 		s.f.update(r, statuses)
 	}
@@ -107,15 +114,15 @@
 
 // completeList returns the list of a message, which contains it only if its receiver had reported another one. It returns false if
 // the message does not contain it and this host's list has changed since it was reported.
-func (f *Follower) completeList(sent time.Time, wire listWire) ([]winch.EndpointStatus, bool) {
+func (f *Follower) completeList(now, sent time.Time, wire listWire) ([]winch.EndpointStatus, bool) {
 	f.mu.Lock()
 	latest, hash := f.latest, f.hash
 	f.mu.Unlock()
 	if wire.Hash == hash {
 		return latest, true
 	}
-	statuses := decodeEndpoints(sent, wire.Endpoints)
-	return statuses, wire.Hash == hashOf(statuses)
+	statuses := decodeEndpoints(now, sent, wire.Endpoints)
+	return statuses, wire.Hash == addColdMark(hashOf(statuses), wire.ColdMark)
 }
 
 // confirm processes a relayed list by its hash and age alone. It reports false if that is not enough: the list is newer than this
@@ -141,7 +148,7 @@
 		return nil
 	}
 	// The age is rounded up, so that the list is never taken for newer than it is.
-	wire := listWire{Hash: f.hash, AgeMS: max(0, now.Sub(f.readAt).Milliseconds()+1)}
+	wire := listWire{Hash: f.hash, AgeMS: max(0, now.Sub(f.readAt).Milliseconds()+1), ColdMark: f.coldMark}
 	if receiverHash != f.hash {
 		wire.Endpoints = encodeEndpoints(now, f.latest)
 	}
@@ -171,13 +178,15 @@
 		if !status.StartedAt.IsZero() {
 			e.Started = status.StartedAt.UnixMilli()
 		}
+		e.ColdStated, e.ColdMS = status.ColdStated, encodeCold(now, status)
 		wire = append(wire, e)
 	}
 	return wire
 }
 
-// decodeEndpoints decodes a list whose LeavesMS counts from the given time.
-func decodeEndpoints(from time.Time, wire []endpointWire) []winch.EndpointStatus {
+// decodeEndpoints decodes a list that was received now in an exchange that began at from. LeavesMS counts from its beginning and
+// ColdMS from its end, so that neither an early leave nor a late cold end is missed.
+func decodeEndpoints(now, from time.Time, wire []endpointWire) []winch.EndpointStatus {
 	statuses := make([]winch.EndpointStatus, 0, len(wire))
 	for _, e := range wire {
 		status := winch.EndpointStatus{State: winch.EndpointState(e.State), Endpoint: winch.Endpoint{
@@ -193,6 +202,10 @@
 		if e.Started > 0 {
 			status.StartedAt = time.UnixMilli(e.Started)
 		}
+		status.ColdStated = e.ColdStated
+		if e.ColdStated && e.ColdMS > 0 {
+			status.ColdUntil = now.Add(time.Duration(min(e.ColdMS, maxColdMS)) * time.Millisecond)
+		}
 		statuses = append(statuses, status)
 	}
 	return statuses
