feat(dispatch): cold endpoints get no more than their rate from all hosts

A cold endpoint sustains few requests a second. Nothing bounded what the hosts send to it together.

A host that is cut off keeps its part and takes no other; one that starts sends nothing until the others know of it. A cold endpoint is no capacity, is not preferred for any prompt, and costs more than others. After the cold time the rate rises by half each 500 ms, and begins anew if the endpoint fails or rejects. An endpoint that comes back into service counts as cold until a cold end would be known. Probes of an endpoint that was unreachable come in turn, since it may have started again.

Without ColdStarts in the configuration nothing changes.

--- a/dispatch/endpoint/choose.go
+++ b/dispatch/endpoint/choose.go
@@ -99,6 +99,7 @@
 	if c.features.longWorkLimit {
 		score += lowerTierPrefillPenalty * min(1, float64(e.lowerTierPrefill)/float64(c.settings.LowerTierPrefillLimit))
 	}
+	score += e.cold.cost(coldPenalty)
 	if e.cheap {
 		score += supplyPenalty(l, r)
 	}
--- /dev/null
+++ b/dispatch/endpoint/cold.go
@@ -0,0 +1,229 @@
+package endpoint
+
+import (
+	"time"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/dispatch/ratelimit"
+)
+
+// An endpoint that has just started, or that turns cold later, bears few requests (winch.ColdStart). Each host computes from the list of
+// endpoints which of them are cold, and sends no more than its part of the rate to them (ratelimit.Share). After that the
+// rate rises step by step, until the endpoint is warm and has no limit.
+
+const (
+	// coldClockTolerance is by how much the clocks of hosts and endpoints may differ.
+	coldClockTolerance = 2 * time.Second
+	// coldKnownAfter is the time within which this host knows that an endpoint has turned cold: entries are written every 1.2 s, read
+	// every 0.6 s and relayed within 0.25 s.
+	coldKnownAfter = 2500 * time.Millisecond
+	// warmStep is the time after which the rate of an endpoint that is not cold any more rises by warmFactor, if nothing
+	// speaks against it. Answers of a step need time to arrive.
+	warmStep   = 500 * time.Millisecond
+	warmFactor = 1.5
+	// warmSteps is the number of steps until the endpoint has no limit. The rate is then more than ten times that of a cold one.
+	warmSteps = 6
+	// coldCost is the cost of a cold endpoint, in prompt tokens. It is lower than wrongPartitionCost and higher than what an endpoint
+	// usually has pending, so that cold endpoints are used when the others are loaded.
+	coldCost = 20_000
+	// coldPenalty is the same for policies that choose by the share of the slots in use.
+	coldPenalty = 0.5
+)
+
+// coldState is what a host knows of an endpoint that is cold or was.
+type coldState struct {
+	// stated and statedUntil are what the endpoint says in its entry.
+	stated      bool
+	statedUntil time.Time
+	// listedAt is when this run of the endpoint was first listed.
+	listedAt time.Time
+	// returnedAt is when the endpoint last came back into service.
+	returnedAt time.Time
+	// cold is set while the endpoint is cold, and warming from then until it has no limit. step counts the rises of the rate,
+	// the last of which was at steppedAt. strained is set if the endpoint has shown since that it does not bear the rate, and loaded
+	// if it has more requests waiting than running, by its last report.
+	cold, warming, strained, loaded bool
+	step                            int
+	steppedAt                       time.Time
+	share                           ratelimit.Share
+	// shared is what share was set from.
+	shared sharedRate
+}
+
+type sharedRate struct {
+	rate winch.RequestRate
+	// version is that of the known hosts.
+	version int
+}
+
+// list applies the entry of the endpoint, which is new if it was not listed before.
+func (s *coldState) list(now time.Time, status winch.EndpointStatus) {
+	if s.listedAt.IsZero() {
+		s.listedAt = now
+	}
+	s.stated = s.stated || status.ColdStated
+	if status.ColdStated {
+		s.statedUntil = status.ColdUntil
+	}
+}
+
+// returned records that the endpoint serves, after it was listed but did not. It may have turned cold in the meantime or may do so now, so that it counts
+// as cold until this host would know. An endpoint that serves when it is first listed has not come back.
+func (s *coldState) returned(now time.Time) {
+	if s.listedAt.Before(now) {
+		s.returnedAt = now
+	}
+}
+
+// until returns when the endpoint is not cold any more; zero if it is not cold. What the endpoint says counts. If it says nothing, it is
+// cold for some time after its start or, as the clocks differ, after it was first listed. One that had started long
+// before is warm, so that a host that starts does not take all endpoints for cold.
+func (s *coldState) until(startedAt time.Time, start winch.ColdStart) time.Time {
+	switch {
+	case s.stated:
+		return s.statedUntil
+	case !startedAt.IsZero() && s.listedAt.Sub(startedAt) > start.Duration+coldClockTolerance:
+		return time.Time{}
+	}
+	return s.listedAt.Add(start.Duration)
+}
+
+// advance determines whether the endpoint is cold, and the rate of all hosts; zero if there is no limit.
+func (s *coldState) advance(now, startedAt time.Time, start winch.ColdStart) winch.RequestRate {
+	cold := now.Before(s.until(startedAt, start)) || !s.returnedAt.IsZero() && now.Sub(s.returnedAt) < coldKnownAfter
+	switch {
+	case start.Rate <= 0:
+		s.cold, s.warming = false, false
+	case cold:
+		s.cold, s.warming = true, false
+	case s.cold:
+		s.cold, s.warming, s.strained, s.loaded, s.step, s.steppedAt = false, true, false, false, 0, now
+	case s.warming && now.Sub(s.steppedAt) >= warmStep:
+		s.rise(now)
+	}
+	if !s.limited() {
+		return 0
+	}
+	rate := start.Rate
+	for range s.step {
+		rate *= warmFactor
+	}
+	return rate
+}
+
+// rise begins the next step. If the endpoint was strained in this one, the rate goes back to that of the cold endpoint; if it is
+// loaded, the rate stays.
+func (s *coldState) rise(now time.Time) {
+	switch {
+	case s.strained:
+		s.step = 0
+	case !s.loaded:
+		s.step++
+	}
+	s.strained, s.steppedAt = false, now
+	s.warming = s.step < warmSteps
+	if !s.warming {
+		s.step = 0
+	}
+}
+
+// limited reports whether the endpoint is cold or was until recently.
+func (s *coldState) limited() bool { return s.cold || s.warming }
+
+// coldStartOf returns how the endpoint behaves when it is cold: the worst of what is configured for its models.
+func (c *core) coldStartOf(e *endpoint) winch.ColdStart {
+	worst := winch.ColdStart{}
+	for _, model := range e.spec.Models {
+		start := c.configuration.ColdStarts[model]
+		if start.Rate <= 0 {
+			continue
+		}
+		worst.Duration = max(worst.Duration, start.Duration)
+		if worst.Rate == 0 || start.Rate < worst.Rate {
+			worst.Rate = start.Rate
+		}
+	}
+	return worst
+}
+
+// updateCold determines whether the endpoint is cold, and shares out its rate.
+func (c *core) updateCold(now time.Time, e *endpoint) {
+	s := &e.cold
+	before := *s
+	rate := s.advance(now, e.startedAt, c.coldStartOf(e))
+	shared := sharedRate{rate: rate, version: c.knownHosts.sharingVersion(now)}
+	if shared != s.shared {
+		s.shared = shared
+		s.share.Set(rate, e.spec.ID, c.self.ID, c.sharingHosts(now))
+	}
+	if before.cold != s.cold || before.warming != s.warming {
+		c.coldChanged(now, e)
+	}
+}
+
+// coldChanged emits an effect after a change between cold, warming and warm.
+func (c *core) coldChanged(now time.Time, e *endpoint) {
+	all, own := e.cold.share.Rate()
+	changed := effect{kind: effectWarm, at: now, endpoint: e, rate: all, ownRate: own}
+	switch {
+	case e.cold.cold:
+		changed.kind, changed.duration = effectCold, max(e.cold.until(e.startedAt, c.coldStartOf(e)).Sub(now), 0)
+	case e.cold.warming:
+		changed.kind = effectWarming
+		// The slots come back gradually as well.
+		e.rampSince = now
+	}
+	c.emit(changed)
+}
+
+// sharingHosts returns the hosts among which the rates of cold endpoints are divided.
+func (c *core) sharingHosts(now time.Time) []winch.HostID {
+	switch {
+	case !c.knownHosts.settled(now):
+		return nil
+	case len(c.knownHosts.ids) > 0:
+		return c.knownHosts.ids
+	case len(c.hostIDs) > 0:
+		return c.hostIDs
+	}
+	return []winch.HostID{c.self.ID}
+}
+
+// probeSpread returns how much longer than its back-off this host waits before it probes an endpoint that was unreachable. The endpoint
+// may start again, and is cold before the list says so, so that the probes of all hosts together must stay within the rate of a cold
+// endpoint.
+func (c *core) probeSpread(e *endpoint) time.Duration {
+	start := c.coldStartOf(e)
+	if start.Rate <= 0 {
+		return 0
+	}
+	hosts := c.knownHosts.ids
+	if len(hosts) == 0 {
+		hosts = c.hostIDs
+	}
+	return ratelimit.Turn(start.Rate, e.spec.ID, c.self.ID, hosts)
+}
+
+// observeOutcome records whether the endpoint bears the rate at which it is being warmed up.
+func (s *coldState) observeOutcome(outcome winch.Outcome) {
+	switch outcome {
+	case winch.OutcomeFailed, winch.OutcomeUnsent, winch.OutcomeRejected:
+		s.strained = s.warming
+	}
+}
+
+// observeLoad records whether the endpoint has more requests waiting than it works on. Its rate then does not rise.
+func (s *coldState) observeLoad(report winch.LoadReport) {
+	s.loaded = s.warming && report.Waiting > report.Running
+}
+
+// cost returns the additional cost of the endpoint for a policy whose cost of a cold endpoint is given.
+func (s *coldState) cost(cold float64) float64 {
+	switch {
+	case s.cold:
+		return cold
+	case s.warming:
+		return cold * float64(warmSteps-s.step) / (warmSteps + 1)
+	}
+	return 0
+}
--- /dev/null
+++ b/dispatch/endpoint/cold_test.go
@@ -0,0 +1,298 @@
+package endpoint
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+)
+
+var coldStart = winch.ColdStart{Duration: 3 * time.Second, Rate: 11}
+
+// coldConfiguration is twoClasses for endpoints that are cold for some time.
+func coldConfiguration() *winch.Configuration {
+	configuration := twoClasses(0, 0)
+	configuration.ColdStarts = map[winch.ModelID]winch.ColdStart{chat: coldStart}
+	return configuration
+}
+
+// newColdCore returns a core with as many endpoints, which say nothing and have started long ago. They have many slots.
+func newColdCore(policy Policy, count int) (*testCore, []winch.EndpointStatus) {
+	tc := &testCore{core: newCore(winch.Host{ID: "h0", DataCentre: "a"}, policy, Settings{RampTime: time.Millisecond}, 1), now: time.Unix(1_000_000, 0)}
+	statuses := versions(make([]winch.SoftwareVersion, count)...)
+	for i := range statuses {
+		statuses[i].StartedAt = tc.now.Add(-time.Hour)
+		statuses[i].Endpoint.SlotLimit = 64
+	}
+	tc.configure(tc.now, coldConfiguration(), statuses)
+	return tc, statuses
+}
+
+// state returns whether the endpoint is cold, warming or warm.
+func (tc *testCore) coldState(id winch.EndpointID) string {
+	switch e := tc.endpoints[id]; {
+	case e.cold.cold:
+		return "cold"
+	case e.cold.warming:
+		return "warming"
+	}
+	return "warm"
+}
+
+func TestEndpointIsCold(t *testing.T) {
+	list := func(tc *testCore, status winch.EndpointStatus) {
+		status.State = winch.EndpointReady
+		tc.configure(tc.now, coldConfiguration(), []winch.EndpointStatus{status})
+	}
+	base := func(tc *testCore, startedAgo time.Duration) winch.EndpointStatus {
+		status := versions("")[0]
+		status.StartedAt = tc.now.Add(-startedAgo)
+		return status
+	}
+	for _, c := range []struct {
+		name   string
+		status func(tc *testCore) winch.EndpointStatus
+		cold   time.Duration
+	}{
+		{"as it says", func(tc *testCore) winch.EndpointStatus {
+			status := base(tc, time.Hour)
+			status.ColdStated, status.ColdUntil = true, tc.now.Add(5*time.Second)
+			return status
+		}, 5 * time.Second},
+		{"not, as it says, although it has just started", func(tc *testCore) winch.EndpointStatus {
+			status := base(tc, time.Second)
+			status.ColdStated = true
+			return status
+		}, 0},
+		{"after its start, if it says nothing", func(tc *testCore) winch.EndpointStatus { return base(tc, time.Second) }, 3 * time.Second},
+		{"after it was listed, if nothing is known", func(tc *testCore) winch.EndpointStatus {
+			status := base(tc, 0)
+			status.StartedAt = time.Time{}
+			return status
+		}, 3 * time.Second},
+		{"not, if it says nothing and has started long ago", func(tc *testCore) winch.EndpointStatus { return base(tc, time.Minute) }, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tc, _ := newColdCore(PolicyPrefill, 0)
+			list(tc, c.status(tc))
+			if c.cold == 0 {
+				assert.Equal(t, tc.coldState("e0"), "warm")
+				return
+			}
+			assert.Equal(t, tc.coldState("e0"), "cold")
+			tc.advance(c.cold - 100*time.Millisecond)
+			assert.Equal(t, tc.coldState("e0"), "cold")
+			tc.advance(100 * time.Millisecond)
+			assert.Equal(t, tc.coldState("e0"), "warming")
+			tc.advance((warmSteps + 1) * warmStep)
+			assert.Equal(t, tc.coldState("e0"), "warm")
+		})
+	}
+	t.Run("again, and the newest statement counts", func(t *testing.T) {
+		tc, _ := newColdCore(PolicyPrefill, 0)
+		status := base(tc, time.Hour)
+		status.ColdStated = true
+		for _, remaining := range []time.Duration{5 * time.Second, time.Second} {
+			status.ColdUntil = tc.now.Add(remaining)
+			list(tc, status)
+		}
+		tc.advance(time.Second)
+		assert.Equal(t, tc.coldState("e0"), "warming")
+		status.ColdUntil = tc.now.Add(time.Second)
+		list(tc, status)
+		assert.Equal(t, tc.coldState("e0"), "cold")
+	})
+	t.Run("never, if the configuration names no rate", func(t *testing.T) {
+		tc, _ := newColdCore(PolicyPrefill, 0)
+		status := base(tc, time.Second)
+		status.ColdStated, status.ColdUntil = true, tc.now.Add(time.Minute)
+		tc.configure(tc.now, twoClasses(0, 0), []winch.EndpointStatus{status})
+		assert.Equal(t, tc.coldState("e0"), "warm")
+		assert.Assert(t, !tc.endpoints["e0"].cold.share.Limited())
+	})
+	t.Run("for some time after it has come back into service", func(t *testing.T) {
+		tc, statuses := newColdCore(PolicyPrefill, 1)
+		statuses[0].State = winch.EndpointLeaving
+		tc.advance(time.Second)
+		tc.configure(tc.now, coldConfiguration(), statuses)
+		tc.advance(time.Second)
+		statuses[0].State = winch.EndpointReady
+		tc.configure(tc.now, coldConfiguration(), statuses)
+		assert.Equal(t, tc.coldState("e0"), "cold")
+		tc.advance(coldKnownAfter)
+		assert.Equal(t, tc.coldState("e0"), "warming")
+	})
+}
+
+// TestColdEndpoint guards against requests that reach a cold endpoint beside its rate.
+func TestColdEndpoint(t *testing.T) {
+	turnCold := func(tc *testCore, statuses []winch.EndpointStatus, count int) {
+		for i := range count {
+			statuses[i].ColdStated, statuses[i].ColdUntil = true, tc.now.Add(10*time.Second)
+		}
+		tc.configure(tc.now, coldConfiguration(), statuses)
+	}
+	for _, policy := range []Policy{PolicyWinch, PolicyPrefill, PolicyRandom, PolicyRoundRobin, PolicyLeastReported} {
+		t.Run(fmt.Sprintf("gets requests within its rate, %s", policy), func(t *testing.T) {
+			tc, statuses := newColdCore(policy, 1)
+			turnCold(tc, statuses, 1)
+			granted := 0
+			for i := range 100 {
+				r := tc.request(interactive, i)
+				tc.advance(100 * time.Millisecond)
+				if r.state == requestRunning {
+					granted++
+					tc.release(tc.now, r, winch.OutcomeDone)
+				}
+			}
+			assert.Assert(t, granted > 10 && granted <= 112, "%d in 10 s", granted)
+		})
+	}
+	t.Run("is no capacity, and callers are told when to come back", func(t *testing.T) {
+		tc, statuses := newColdCore(PolicyPrefill, 1)
+		l := tc.onlyEndpoint().lanes[0]
+		turnCold(tc, statuses, 1)
+		tc.request(interactive, 1)
+		assert.Equal(t, l.slots, 0.0)
+		assert.Assert(t, l.restWait(tc.now) > 0)
+		assert.Assert(t, tc.retryAfter(tc.now, l, 0) >= l.restWait(tc.now))
+	})
+	t.Run("is used when the others are loaded", func(t *testing.T) {
+		tc, statuses := newColdCore(PolicyPrefill, 2)
+		turnCold(tc, statuses, 1)
+		assertRunsAt(t, tc.request(interactive, 1), "e1")
+		tc.endpoints["e1"].prefill.others = 2 * coldCost
+		assertRunsAt(t, tc.request(interactive, 2), "e0")
+	})
+	t.Run("is not the preferred endpoint of a prompt, nor while it warms up", func(t *testing.T) {
+		tc, statuses := newColdCore(PolicyPrefill, 8)
+		l := tc.endpoints["e0"].lanes[0]
+		r := &request{work: winch.Work{Parts: []winch.PromptPart{{ID: 1, Tokens: 1000}, {ID: 99, Tokens: 10}}}}
+		preferred := func() winch.EndpointID { return tc.preferredEndpoint(tc.now, l, r).spec.ID }
+		first := preferred()
+		at := slices.IndexFunc(statuses, func(status winch.EndpointStatus) bool { return status.Endpoint.ID == first })
+		statuses[at].ColdStated, statuses[at].ColdUntil = true, tc.now.Add(10*time.Second)
+		tc.configure(tc.now, coldConfiguration(), statuses)
+		assert.Assert(t, preferred() != first)
+		tc.advance(10 * time.Second)
+		assert.Equal(t, tc.coldState(first), "warming")
+		assert.Assert(t, preferred() != first)
+		tc.advance((warmSteps + 1) * warmStep)
+		assert.Equal(t, preferred(), first)
+	})
+	t.Run("that names a rate as well gets the lower one", func(t *testing.T) {
+		tc, statuses := newColdCore(PolicyPrefill, 1)
+		turnCold(tc, statuses, 1)
+		tc.names("e0", 0.5)
+		tc.release(tc.now, tc.request(interactive, 1), winch.OutcomeDone)
+		tc.now = tc.now.Add(time.Second)
+		assertUsable(t, tc, "e0", false)
+		tc.now = tc.now.Add(time.Second)
+		assertUsable(t, tc, "e0", true)
+	})
+	t.Run("gets a resumed stream within its rate as well", func(t *testing.T) {
+		tc, statuses := newColdCore(PolicyPrefill, 1)
+		turnCold(tc, statuses, 1)
+		tc.request(interactive, 1)
+		assert.Equal(t, tc.resume(2, "").state, requestQueued)
+	})
+	t.Run("that was unreachable is probed in turn, since it may have started again", func(t *testing.T) {
+		tc, _ := newColdCore(PolicyPrefill, 1)
+		hosts := make([]winch.Host, 77)
+		for i := range hosts {
+			hosts[i] = winch.Host{ID: winch.HostID(fmt.Sprintf("h%d", i))}
+		}
+		tc.setHosts(hosts, nil)
+		perSecond := map[int]int{}
+		for _, host := range hosts {
+			tc.self = host
+			tc.eject(tc.now, tc.onlyEndpoint(), "failures", true)
+			perSecond[int(tc.onlyEndpoint().health.ejectedUntil.Sub(tc.now)/time.Second)]++
+			tc.onlyEndpoint().health = health{}
+		}
+		for second, count := range perSecond {
+			assert.Assert(t, count <= 11, "%d in second %d", count, second)
+		}
+	})
+}
+
+func TestWarmingUp(t *testing.T) {
+	warming := func() *testCore {
+		tc, statuses := newColdCore(PolicyPrefill, 1)
+		statuses[0].ColdStated, statuses[0].ColdUntil = true, tc.now.Add(time.Second)
+		tc.configure(tc.now, coldConfiguration(), statuses)
+		tc.advance(time.Second)
+		assert.Equal(t, tc.coldState("e0"), "warming")
+		return tc
+	}
+	rate := func(tc *testCore) winch.RequestRate {
+		all, _ := tc.onlyEndpoint().cold.share.Rate()
+		return all
+	}
+	t.Run("raises the rate step by step", func(t *testing.T) {
+		tc := warming()
+		for want := coldStart.Rate; tc.coldState("e0") == "warming"; want *= warmFactor {
+			assert.Equal(t, rate(tc), want)
+			tc.advance(warmStep)
+		}
+		assert.Equal(t, rate(tc), winch.RequestRate(0))
+	})
+	for _, outcome := range []winch.Outcome{winch.OutcomeFailed, winch.OutcomeRejected, winch.OutcomeUnsent} {
+		t.Run("begins anew after "+outcomeName(outcome), func(t *testing.T) {
+			tc := warming()
+			tc.advance(2 * warmStep)
+			assert.Assert(t, rate(tc) > coldStart.Rate)
+			tc.release(tc.now, tc.request(interactive, 1), outcome)
+			tc.advance(warmStep)
+			assert.Equal(t, rate(tc), coldStart.Rate)
+		})
+	}
+	t.Run("waits while the endpoint has a queue", func(t *testing.T) {
+		tc := warming()
+		tc.observeLoad(tc.now, winch.LoadReport{Endpoint: "e0", AsOf: tc.now, Running: 2, Waiting: 3, State: winch.EndpointReady})
+		tc.advance(2 * warmStep)
+		assert.Equal(t, rate(tc), coldStart.Rate)
+		tc.observeLoad(tc.now, winch.LoadReport{Endpoint: "e0", AsOf: tc.now, Running: 2, Waiting: 0, State: winch.EndpointReady})
+		tc.advance(2 * warmStep)
+		assert.Assert(t, rate(tc) > coldStart.Rate)
+	})
+}
+
+func TestKnownHosts(t *testing.T) {
+	alive := func(ids ...winch.HostID) []winch.Host {
+		hosts := make([]winch.Host, 0, len(ids))
+		for _, id := range ids {
+			hosts = append(hosts, winch.Host{ID: id})
+		}
+		return hosts
+	}
+	now := time.Unix(1000, 0)
+	t.Run("settle once others had time to know of this host", func(t *testing.T) {
+		k := knownHosts{}
+		assert.Assert(t, k.settled(now), "a host without members")
+		k.update(now, "a", alive("a"))
+		assert.Assert(t, !k.settled(now.Add(joinTime)) && k.settled(now.Add(aloneTime)))
+		k.update(now.Add(time.Second), "a", alive("a", "b"))
+		assert.Assert(t, !k.settled(now.Add(joinTime)) && k.settled(now.Add(joinTime+time.Second)))
+	})
+	t.Run("stay while they are not heard of", func(t *testing.T) {
+		k := knownHosts{}
+		k.update(now, "a", alive("a", "b", "c"))
+		k.update(now.Add(hostRetention), "a", alive("a", "b"))
+		assert.DeepEqual(t, k.ids, []winch.HostID{"a", "b", "c"})
+		version := k.version
+		k.update(now.Add(hostRetention+time.Second), "a", alive("a", "b"))
+		assert.DeepEqual(t, k.ids, []winch.HostID{"a", "b"})
+		assert.Assert(t, k.version != version)
+	})
+	t.Run("stay for good for a host that may be cut off", func(t *testing.T) {
+		k := knownHosts{}
+		k.update(now, "a", alive("a", "b"))
+		k.update(now.Add(2*hostRetention), "a", alive("a"))
+		assert.DeepEqual(t, k.ids, []winch.HostID{"a", "b"})
+	})
+}
--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -73,6 +73,7 @@
 		e.limit.Value = min(e.limit.Value, float64(ceiling))
 	}
 	e.state, e.leavesAt = status.State, status.LeavesAt
+	e.cold.list(now, status)
 	c.setServing(now, e)
 }
 
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -30,6 +30,9 @@
 	effectRested
 	effectRateNamed
 	effectRateEnded
+	effectCold
+	effectWarming
+	effectWarm
 )
 
 // effect is a decision of the core that the Dispatcher applies and logs.
@@ -73,6 +76,7 @@
 	// maxHostsSeen is the largest number of hosts of the data centre known at one time.
 	maxHostsSeen int
 	hostIDs      []winch.HostID // hosts of the data centre, sorted
+	knownHosts   knownHosts
 
 	configuration   *winch.Configuration
 	endpoints       map[winch.EndpointID]*endpoint
@@ -297,6 +301,7 @@
 	}
 	e.add(r)
 	e.named.Sent(now)
+	e.cold.share.Sent(now)
 	c.recordDispatch(now, r, e)
 	if !r.retried {
 		l.addPrompt(now, r.pendingPrefill)
@@ -364,6 +369,7 @@
 		return
 	}
 	e.applyReport(report)
+	e.cold.observeLoad(report)
 	e.updateReportWeight(now, c.settings.ReportMaxAge)
 	c.probeEarly(now, e, report.AsOf)
 	c.applyReportedState(now, e, report)
--- a/dispatch/endpoint/dispatcher.go
+++ b/dispatch/endpoint/dispatcher.go
@@ -146,6 +146,7 @@
 	own := membership.Hosts(now, self.DataCentre)
 	d.lock.Lock()
 	defer d.lock.Unlock()
+	d.core.knownHosts.update(now, self.ID, own)
 	d.core.setHosts(own, others)
 }
 
--- a/dispatch/endpoint/events.go
+++ b/dispatch/endpoint/events.go
@@ -46,4 +46,10 @@
 	EventEndpointRateNamed winch.EventNumber = 3020
 	// EventEndpointRateEnded: an endpoint that had named a rate names none any more.
 	EventEndpointRateEnded winch.EventNumber = 3021
+	// EventEndpointCold: an endpoint is cold and gets few requests from all hosts together.
+	EventEndpointCold winch.EventNumber = 3030
+	// EventEndpointWarming: an endpoint is not cold any more, and its rate of requests rises step by step.
+	EventEndpointWarming winch.EventNumber = 3031
+	// EventEndpointWarm: an endpoint that was cold gets requests without limit.
+	EventEndpointWarm winch.EventNumber = 3032
 )
--- a/dispatch/endpoint/health.go
+++ b/dispatch/endpoint/health.go
@@ -21,7 +21,7 @@
 
 // usable reports whether the endpoint's state and health allow another request.
 func (e *endpoint) usable(now time.Time) bool {
-	if !e.serving || now.Before(e.restsUntil) || !e.named.Ready(now) {
+	if !e.serving || now.Before(e.restsUntil) || !e.named.Ready(now) || !e.cold.share.Ready(now) {
 		return false
 	}
 	if !e.health.ejected {
@@ -35,8 +35,9 @@
 	return e.health.ejected && !now.Before(e.health.ejectedUntil)
 }
 
-// eject takes the endpoint out of service for a back-off that doubles with each failed probe.
-func (c *core) eject(now time.Time, e *endpoint, cause string) {
+// eject takes the endpoint out of service for a back-off that doubles with each failed probe. The endpoint was unreachable if it did
+// not accept a connection.
+func (c *core) eject(now time.Time, e *endpoint, cause string, unreachable bool) {
 	h := &e.health
 	switch {
 	case !h.ejected || h.backoff == 0:
@@ -47,8 +48,12 @@
 		h.backoff *= 2
 	}
 	h.ejected, h.failures, h.ejectedAt = true, 0, now
-	h.ejectedUntil = now.Add(h.backoff)
-	c.emit(effect{kind: effectEjected, at: now, endpoint: e, cause: cause, duration: h.backoff})
+	backoff := h.backoff
+	if unreachable {
+		backoff += c.probeSpread(e)
+	}
+	h.ejectedUntil = now.Add(backoff)
+	c.emit(effect{kind: effectEjected, at: now, endpoint: e, cause: cause, duration: backoff})
 }
 
 // recordSuccess resets the failure count, and restores an ejected endpoint whose back-off is over.
@@ -81,7 +86,7 @@
 	}
 	e.health.failures++
 	if e.health.ejected || unreachable || e.health.failures >= c.settings.FailureLimit {
-		c.eject(now, e, "failures")
+		c.eject(now, e, "failures", unreachable)
 	}
 }
 
@@ -109,7 +114,7 @@
 	// If no request has a first token yet, the engine may only be slow, so its requests stay at the first
 	// ejection and are moved after a failed probe. This is determined before eject sets ejected.
 	move := w.streaming || e.health.ejected
-	c.eject(now, e, "silence")
+	c.eject(now, e, "silence", false)
 	if move {
 		c.moveStreams(now, e)
 	}
--- a/dispatch/endpoint/leaving.go
+++ b/dispatch/endpoint/leaving.go
@@ -36,7 +36,11 @@
 		}
 		c.emit(effect{kind: kind, at: now, endpoint: e})
 	}
+	wasServing := e.serving
 	e.leaving, e.serving = leaving, !leaving && e.state == winch.EndpointReady
+	if e.serving && !wasServing {
+		e.cold.returned(now)
+	}
 	c.checkLeaving(now, e)
 }
 
--- a/dispatch/endpoint/log.go
+++ b/dispatch/endpoint/log.go
@@ -161,6 +161,12 @@
 		d.logger.Info("endpoint takes few requests", append(fields, "Event", EventEndpointRateNamed, "Cause", l.cause, "Rate", float64(l.rate), "OwnRate", float64(l.ownRate))...)
 	case effectRateEnded:
 		d.logger.Info("endpoint takes requests without limit", append(fields, "Event", EventEndpointRateEnded, "Cause", l.cause)...)
+	case effectCold:
+		d.logger.Info("endpoint cold, gets few requests", append(fields, "Event", EventEndpointCold, "For", l.duration.String(), "Rate", float64(l.rate), "OwnRate", float64(l.ownRate))...)
+	case effectWarming:
+		d.logger.Info("endpoint not cold any more, gets more requests step by step", append(fields, "Event", EventEndpointWarming, "Rate", float64(l.rate), "OwnRate", float64(l.ownRate))...)
+	case effectWarm:
+		d.logger.Info("endpoint warm, gets requests without limit", append(fields, "Event", EventEndpointWarm)...)
 	case effectRests:
 		d.logger.Info("endpoint wants no requests", append(fields, "Event", EventEndpointRests, "Request", l.cause, "For", l.duration.String())...)
 	case effectRested:
--- a/dispatch/endpoint/metrics.go
+++ b/dispatch/endpoint/metrics.go
@@ -76,6 +76,7 @@
 		effectMoved: "moved", effectReleased: "released", effectCancelled: "cancelled", effectEjected: "ejected",
 		effectRestored: "restored", effectQueueLong: "queue_long", effectQueueShort: "queue_short", effectLeaving: "leaving", effectReturned: "returned",
 		effectSaysLeaving: "says_leaving", effectRests: "rests", effectRested: "rested", effectRateNamed: "rate_named", effectRateEnded: "rate_ended",
+		effectCold: "cold", effectWarming: "warming", effectWarm: "warm",
 	}
 	return names[k]
 }
--- a/dispatch/endpoint/prefill.go
+++ b/dispatch/endpoint/prefill.go
@@ -196,7 +196,7 @@
 	var preferred *endpoint
 	weight := uint64(0)
 	for _, e := range l.endpoints {
-		if !e.usable(now) || e.prefill.latencySensitive != l.latencySensitive && l.partitioned {
+		if !e.usable(now) || e.cold.limited() || e.prefill.latencySensitive != l.latencySensitive && l.partitioned {
 			continue
 		}
 		if w := mix(uint64(shared) ^ e.hash); preferred == nil || w > weight {
@@ -225,6 +225,7 @@
 	if e.running+e.others >= e.limit.Ceiling {
 		cost += noSlotCost
 	}
+	cost += e.cold.cost(coldCost)
 	if e == preferred {
 		// Breaks ties in favour of the preferred endpoint.
 		cost--
--- a/dispatch/endpoint/release.go
+++ b/dispatch/endpoint/release.go
@@ -46,6 +46,7 @@
 
 // recordOutcome updates hold time, retry budget, limit and health from the outcome of a slot.
 func (c *core) recordOutcome(now time.Time, r *request, outcome winch.Outcome) {
+	r.endpoint.cold.observeOutcome(outcome)
 	switch outcome {
 	case winch.OutcomeDone:
 		r.recordAnswer(now)
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -41,6 +41,7 @@
 	restsUntil time.Time
 	// named is the rate of requests that the endpoint has named.
 	named ratelimit.Limit
+	cold  coldState
 
 	// reportedExcess is the load in the last report minus the requests that the hosts had on the endpoint at that time.
 	reportedExcess float64
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -177,6 +177,7 @@
 func (c *core) refresh(now time.Time) {
 	statsFresh := c.hostStatsFresh(now)
 	for _, e := range c.sortedEndpoints {
+		c.updateCold(now, e)
 		if !statsFresh {
 			// prefill.others keeps its last value.
 			e.others = 0
--- a/dispatch/endpoint/word.go
+++ b/dispatch/endpoint/word.go
@@ -45,20 +45,20 @@
 	}
 }
 
-// paused reports whether the endpoint's slots do not count: it was ejected, or has said that it wants no requests or few.
+// paused reports whether the endpoint's slots do not count: it was ejected, is cold, or has said that it wants no requests or few.
 func (e *endpoint) paused(now time.Time) bool {
-	return now.Before(e.health.ejectedUntil) || now.Before(e.restsUntil) || e.named.Limited()
+	return now.Before(e.health.ejectedUntil) || now.Before(e.restsUntil) || e.named.Limited() || e.cold.cold
 }
 
 // restWait returns the time until the first of the lane's endpoints takes requests again, if none that serves takes any now because of
-// what it has said; else zero.
+// what it has said or because it is cold; else zero.
 func (l *lane) restWait(now time.Time) time.Duration {
 	wait := time.Duration(0)
 	for _, e := range l.endpoints {
 		if !e.serving {
 			continue
 		}
-		left := max(e.restsUntil.Sub(now), e.named.Wait(now))
+		left := max(e.restsUntil.Sub(now), e.named.Wait(now), e.cold.share.Wait(now))
 		if left <= 0 {
 			return 0
 		}
--- a/dispatch/ratelimit/limit.go
+++ b/dispatch/ratelimit/limit.go
@@ -8,6 +8,8 @@
 //
 // Hosts tell each other what they have heard. The newest word counts.
 //
+// A Share divides a rate that all hosts know from elsewhere, such as that of cold endpoints.
+//
 // # Usage
 //
 //	limit := ratelimit.Limit{}
@@ -112,14 +114,7 @@
 	}
 	rate := max(l.word.Rate, minRate)
 	count := senders(rate, len(hosts))
-	own := weight(endpoint, self)
-	ahead := 0
-	for _, host := range hosts {
-		if w := weight(endpoint, host); host != self && (w > own || w == own && host < self) {
-			ahead++
-		}
-	}
-	l.sends = ahead < count
+	l.sends = rank(endpoint, self, hosts) < count
 	l.interval = time.Duration(float64(count) / float64(rate) * float64(time.Second))
 }
 
@@ -128,6 +123,17 @@
 	return max(1, int(min(float64(hosts), 1+float64(rate))))
 }
 
+// rank returns how many of the hosts are selected as senders before this one.
+func rank(endpoint winch.EndpointID, self winch.HostID, hosts []winch.HostID) int {
+	own, ahead := weight(endpoint, self), 0
+	for _, host := range hosts {
+		if w := weight(endpoint, host); host != self && (w > own || w == own && host < self) {
+			ahead++
+		}
+	}
+	return ahead
+}
+
 func weight(endpoint winch.EndpointID, host winch.HostID) uint64 {
 	return xxhash.Sum64String(string(endpoint) + "\x00" + string(host))
 }
