feat(dispatch): no crowd at an endpoint that may turn cold

An endpoint may turn cold while hosts still take it for warm, for up to 2.5 s. Prompts with common parts all prefer one endpoint, so that a popular one brings it far more than a cold endpoint bears.

Hosts tell each other how many requests prefer each endpoint whose model has a ColdStart. What exceeds 0.8 of the cold rate goes elsewhere while other endpoints have fewer.

--- a/dispatch/endpoint/codec.go
+++ b/dispatch/endpoint/codec.go
@@ -16,6 +16,7 @@
 	Running   []int         `json:",omitempty"`
 	Limits    []int         `json:",omitempty"` // in tenths of a slot
 	Unread    []int64       `json:",omitempty"` // pending prompt tokens
+	Demand    []int         `json:",omitempty"` // requests in ten seconds, absent if no endpoint of the list is ever cold
 	Lanes     *lanesWire    `json:",omitempty"`
 	Accounts  *accountsWire `json:",omitempty"`
 	Remotes   []remoteWire  `json:",omitempty"`
@@ -132,6 +133,7 @@
 			wire.Unread = append(wire.Unread, int64(max(0, e.PendingPrefill)))
 		}
 	}
+	wire.Demand = encodeDemand(ids, stats.endpoints)
 	for centre, remote := range stats.remotes {
 		encoded := encodeRemote(remote)
 		encoded.DataCentre, encoded.Age = string(centre), milliseconds(remote.Age)
@@ -214,7 +216,7 @@
 			return sharedStats{}, fmt.Errorf("decode Endpoints: invalid Running, Limits or ID of %.64q: %w", id, winch.ErrInvalid)
 		}
 		stats.endpoints[winch.EndpointID(id)] = endpointStats{
-			Running: wire.Running[i], Limit: float64(wire.Limits[i]) / 10, PendingPrefill: wire.pendingPrefill(i),
+			Running: wire.Running[i], Limit: float64(wire.Limits[i]) / 10, PendingPrefill: wire.pendingPrefill(i), Demand: wire.demand(i),
 		}
 	}
 	lanes, err := decodeLanes(wire.Lanes)
--- a/dispatch/endpoint/cold.go
+++ b/dispatch/endpoint/cold.go
@@ -46,6 +46,9 @@
 	step                            int
 	steppedAt                       time.Time
 	share                           ratelimit.Share
+	// start is how the endpoint behaves when it is cold.
+	start  winch.ColdStart
+	demand coldDemand
 	// shared is what share was set from.
 	shared sharedRate
 }
@@ -150,7 +153,8 @@
 func (c *core) updateCold(now time.Time, e *endpoint) {
 	s := &e.cold
 	before := *s
-	rate := s.advance(now, e.startedAt, c.coldStartOf(e))
+	s.start = c.coldStartOf(e)
+	rate := s.advance(now, e.startedAt, s.start)
 	shared := sharedRate{rate: rate, version: c.knownHosts.sharingVersion(now)}
 	if shared != s.shared {
 		s.shared = shared
@@ -167,7 +171,7 @@
 	changed := effect{kind: effectWarm, at: now, endpoint: e, rate: all, ownRate: own}
 	switch {
 	case e.cold.cold:
-		changed.kind, changed.duration = effectCold, max(e.cold.until(e.startedAt, c.coldStartOf(e)).Sub(now), 0)
+		changed.kind, changed.duration = effectCold, max(e.cold.until(e.startedAt, e.cold.start).Sub(now), 0)
 	case e.cold.warming:
 		changed.kind = effectWarming
 		// The slots come back gradually as well.
@@ -193,15 +197,14 @@
 // may start again, and is cold before the list says so, so that the probes of all hosts together must stay within the rate of a cold
 // endpoint.
 func (c *core) probeSpread(e *endpoint) time.Duration {
-	start := c.coldStartOf(e)
-	if start.Rate <= 0 {
+	if e.cold.start.Rate <= 0 {
 		return 0
 	}
 	hosts := c.knownHosts.ids
 	if len(hosts) == 0 {
 		hosts = c.hostIDs
 	}
-	return ratelimit.Turn(start.Rate, e.spec.ID, c.self.ID, hosts)
+	return ratelimit.Turn(e.cold.start.Rate, e.spec.ID, c.self.ID, hosts)
 }
 
 // observeOutcome records whether the endpoint bears the rate at which it is being warmed up.
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -301,7 +301,7 @@
 	}
 	e.add(r)
 	e.named.Sent(now)
-	e.cold.share.Sent(now)
+	c.recordSend(now, r, e)
 	c.recordDispatch(now, r, e)
 	if !r.retried {
 		l.addPrompt(now, r.pendingPrefill)
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -82,6 +82,7 @@
 	steadySlotsLeft  float64      // slots of steady endpoints that this tier and those above do not use
 	meanInterToken   measure.Mean // mean over the endpoints of the time between tokens, in seconds
 	meanFirstToken   measure.Mean // mean over the endpoints of the time to first token, as a share of the target
+	meanDemand       float64      // mean over the endpoints of coldDemand.all
 	aperture         int
 
 	others               laneStats // sums over the other hosts of the data centre
--- a/dispatch/endpoint/prefill.go
+++ b/dispatch/endpoint/prefill.go
@@ -126,7 +126,11 @@
 // sent to an endpoint since its figures were taken count as equal. Of these, all hosts prefer the same endpoint for the
 // same shared parts; without one, the better of two random endpoints is taken, so that not all hosts choose the same.
 func chooseLowestPrefill(c *core, now time.Time, l *lane, r *request) *endpoint {
-	preferred := c.preferredEndpoint(now, l, r)
+	preferred, crowded := c.preferredEndpoint(now, l, r), (*endpoint)(nil)
+	r.preferred = preferred
+	if c.diverts(preferred) {
+		preferred, crowded = nil, preferred
+	}
 	if cap(c.scores) < len(l.subset) {
 		c.scores = make([]float64, len(l.subset))
 	}
@@ -136,6 +140,9 @@
 		load += e.othersLoad()
 		inSubset = inSubset || e == preferred
 		c.scores[i] = c.costIfEligible(now, l, r, e, preferred)
+		if e == crowded {
+			c.scores[i] += crowdedCost
+		}
 		lowest = min(lowest, c.scores[i])
 	}
 	if l.probeFailed {
--- a/dispatch/endpoint/request.go
+++ b/dispatch/endpoint/request.go
@@ -43,6 +43,8 @@
 	accountNext, accountPrev *request
 	accountQueue             *accountQueue
 
+	// preferred is the endpoint that the request preferred when it was last considered, or nil.
+	preferred        *endpoint
 	endpoint         *endpoint
 	remote           *remote
 	runNext, runPrev *request
--- a/dispatch/endpoint/stats.go
+++ b/dispatch/endpoint/stats.go
@@ -13,6 +13,8 @@
 	Limit   float64
 	// PendingPrefill is the number of prompt tokens that the endpoint has yet to process.
 	PendingPrefill winch.Tokens
+	// Demand is that of coldDemand.
+	Demand float64
 }
 
 // sharedStats holds the statistics that hosts exchange: those of one host, or sums over several.
@@ -50,8 +52,8 @@
 	own := newStats()
 	own.prefillAware = c.features.prefillAware
 	for _, e := range c.sortedEndpoints {
-		if e.running > 0 {
-			own.endpoints[e.spec.ID] = endpointStats{Running: e.running, Limit: e.limit.Value, PendingPrefill: e.prefill.pending}
+		if demand := e.cold.ownDemand(now); e.running > 0 || demand > minReportedDemand {
+			own.endpoints[e.spec.ID] = endpointStats{Running: e.running, Limit: e.limit.Value, PendingPrefill: e.prefill.pending, Demand: demand}
 		}
 	}
 	for _, l := range c.sortedLanes {
@@ -240,6 +242,7 @@
 		sum.Limit = (sum.Limit*float64(sum.Running) + e.Limit*float64(e.Running)) / max(1, weight)
 		sum.Running += e.Running
 		sum.PendingPrefill += e.PendingPrefill
+		sum.Demand += e.Demand
 		s.endpoints[id] = sum
 	}
 	for key, l := range other.lanes {
@@ -272,6 +275,7 @@
 		reported := sum.endpoints[e.spec.ID]
 		e.others = reported.Running
 		e.prefill.others = reported.PendingPrefill
+		e.cold.demand.others = reported.Demand
 		e.history.Add(now, float64(e.running+e.others))
 		if c.features.adaptiveLimit && reported.Running > 0 {
 			e.limit.Merge(reported.Limit)
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -178,6 +178,7 @@
 	statsFresh := c.hostStatsFresh(now)
 	for _, e := range c.sortedEndpoints {
 		c.updateCold(now, e)
+		c.updateDemand(now, e)
 		if !statsFresh {
 			// prefill.others keeps its last value.
 			e.others = 0
@@ -186,11 +187,12 @@
 		e.updateReportWeight(now, c.settings.ReportMaxAge)
 	}
 	for _, l := range c.sortedLanes {
-		l.slots, l.steadySlotsLeft = 0, 0
+		l.slots, l.steadySlotsLeft, l.meanDemand = 0, 0, 0
 		l.meanInterToken, l.meanFirstToken = measure.Mean{}, measure.Mean{}
 		for _, e := range l.endpoints {
 			l.meanInterToken.AddMean(e.limit.LongRunInterToken)
 			l.meanFirstToken.AddMean(e.limit.LongRunFirstToken)
+			l.meanDemand += e.cold.demand.all / float64(len(l.endpoints))
 			if !e.serving || e.paused(now) {
 				continue
 			}
@@ -202,6 +204,7 @@
 	}
 	for _, e := range c.sortedEndpoints {
 		e.slowdown = c.slowdownOf(now, e)
+		e.updateKept()
 		c.computeFairShare(now, e)
 	}
 	c.setStreamsMayMove(now)
