--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -76,6 +76,7 @@
 	e.state, e.leavesAt = status.State, status.LeavesAt
 	_, evacuated := c.configuration.Evacuations[status.Endpoint.DataCentre]
 	c.setEvacuated(now, e, evacuated || status.Evacuated)
+	e.cold.list(now, status)
 	c.setServing(now, e)
 }
 
--- a/dispatch/endpoint/events.go
+++ b/dispatch/endpoint/events.go
@@ -52,4 +52,10 @@
 	EventEvacuationEnded winch.EventNumber = 3023
 	// EventHeldBack: a request was not sent because the endpoint's data centre was evacuated after the slot was granted.
 	EventHeldBack winch.EventNumber = 3024
+	// EventEndpointCold: an endpoint is cold and gets few requests from all hosts together.
+	EventEndpointCold winch.EventNumber = 3030
+	// EventEndpointWarming: an endpoint is not cold any more, and its rate of requests rises step by step.
+	EventEndpointWarming winch.EventNumber = 3031
+	// EventEndpointWarm: an endpoint that was cold gets requests without limit.
+	EventEndpointWarm winch.EventNumber = 3032
 )
--- a/dispatch/endpoint/metrics.go
+++ b/dispatch/endpoint/metrics.go
@@ -103,6 +103,7 @@
 		effectRestored: "restored", effectQueueLong: "queue_long", effectQueueShort: "queue_short", effectLeaving: "leaving", effectReturned: "returned",
 		effectSaysLeaving: "says_leaving", effectRests: "rests", effectRested: "rested", effectRateNamed: "rate_named", effectRateEnded: "rate_ended",
 		effectEvacuated: "evacuated", effectEvacuationEnded: "evacuation_ended", effectHeldBack: "held_back",
+		effectCold: "cold", effectWarming: "warming", effectWarm: "warm",
 	}
 	return names[k]
 }
--- a/load.go
+++ b/load.go
@@ -14,6 +14,10 @@
 	StartedAt time.Time
 	// Evacuated is set while the endpoint's data centre is evacuated: it gets no requests, whatever its state.
 	Evacuated bool
+	// ColdStated is set if the endpoint says whether it is cold, and ColdUntil is when it will not be any more, zero if it is
+	// not cold. See ColdStart.
+	ColdStated bool
+	ColdUntil  time.Time
 }
 
 // EndpointSource provides the endpoints that the platform has started or registered. Endpoints
--- a/placement/registry/evacuations.go
+++ b/placement/registry/evacuations.go
@@ -69,7 +69,7 @@
 	}
 	logEvacuations(f.options.Logger.With("From", string(ownReading)), f.evacuations.Version, f.evacuations.DataCentres, nil)
 	f.evacuations = evacuationReading{}
-	f.hash = hashOf(f.latest, nil)
+	f.updateHash()
 	f.replaceCurrent(markEvacuated(f.current, nil))
 }
 
--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -71,6 +71,8 @@
 	latest      []winch.EndpointStatus
 	evacuations evacuationReading
 	hash        uint64
+	// coldMark is the part of hash that stands for the cold ends; see cold.go.
+	coldMark uint64
 	// lister is that of Options.Evacuations or SetEvacuations.
 	lister winch.EvacuationLister
 	// current is latest, with the evacuated endpoints marked, and, after an outage, the endpoints that still have time to register again.
@@ -174,6 +176,8 @@
 	from winch.HostID
 	// evacuations are those that came with the list, if any.
 	evacuations evacuationReading
+	// coldMark is that of the list, if another host has read it.
+	coldMark uint64
 }
 
 // ownReading is the origin of a list that this host has read itself.
@@ -188,18 +192,22 @@
 		f.mu.Unlock()
 		return
 	}
+	if r.from == ownReading {
+		keepColdEnds(f.latest, statuses)
+		r.coldMark = coldMarkOf(statuses)
+	}
 	before, after, evacuatedBefore := f.current, f.current, f.evacuations.DataCentres
 	previousReadAt := f.readAt
 	if newer {
 		after = f.keepMissingAfterOutage(r.at, statuses)
-		f.latest, f.readAt = statuses, r.at
+		f.latest, f.coldMark, f.readAt = statuses, r.coldMark, r.at
 	}
 	if evacuated {
 		f.evacuations = r.evacuations.after(f.evacuations)
 	}
 	evacuations := f.evacuations
 	after = markEvacuated(after, evacuations.DataCentres)
-	f.hash = hashOf(f.latest, evacuations.DataCentres)
+	f.updateHash()
 	same := !f.replaceCurrent(after)
 	f.mu.Unlock()
 	logEvacuations(f.options.Logger.With("Age", r.received.Sub(r.evacuations.at).String(), "From", string(r.from)), evacuations.Version,
@@ -220,7 +228,7 @@
 	return true
 }
 
-// equalStatus reports whether two entries are equal, apart from small differences in the leave time.
+// equalStatus reports whether two entries are equal, apart from small differences in the leave time and the cold end.
 func equalStatus(a, b winch.EndpointStatus) bool {
 	return a.Evacuated == b.Evacuated && equalEntry(a, b)
 }
@@ -230,7 +238,7 @@
 	return a.State == b.State && a.Endpoint.ID == b.Endpoint.ID && a.Endpoint.Address == b.Endpoint.Address &&
 		a.StartedAt.Equal(b.StartedAt) && a.Endpoint.SlotLimit == b.Endpoint.SlotLimit &&
 		a.Endpoint.Supply == b.Endpoint.Supply && a.Endpoint.Software == b.Endpoint.Software && slices.Equal(a.Endpoint.Models, b.Endpoint.Models) &&
-		a.LeavesAt.IsZero() == b.LeavesAt.IsZero() && a.LeavesAt.Sub(b.LeavesAt).Abs() < leaveTolerance
+		a.LeavesAt.IsZero() == b.LeavesAt.IsZero() && a.LeavesAt.Sub(b.LeavesAt).Abs() < leaveTolerance && equalCold(a, b)
 }
 
 // logChanges logs what changed. Age is how old the list is that tells of the change, and Gap how much later it was read
@@ -252,7 +260,7 @@
 			logger.Info("endpoint added or changed", "Event", EventEndpointListed, "Endpoint", status.Endpoint.ID,
 				"State", status.State, "Before", previous.State, "Models", status.Endpoint.Models, "DataCentre", status.Endpoint.DataCentre,
 				"Address", status.Endpoint.Address, "Supply", status.Endpoint.Supply, "LeavesAt", status.LeavesAt,
-				"Software", status.Endpoint.Software, "Started", status.StartedAt)
+				"Software", status.Endpoint.Software, "Started", status.StartedAt, "ColdUntil", status.ColdUntil)
 		}
 	}
 	for id := range previousByID {
--- a/placement/registry/section.go
+++ b/placement/registry/section.go
@@ -17,8 +17,10 @@
 // listWire is the hash and the age of the sender's list, and the list itself when the
 // receiver does not have it.
 type listWire struct {
-	Hash      uint64
-	AgeMS     int64
+	Hash  uint64
+	AgeMS int64
+	// ColdMark is the part of Hash that stands for the cold ends, zero while no endpoint is cold.
+	ColdMark  uint64         `json:",omitempty"`
 	Endpoints []endpointWire `json:",omitempty"`
 	// EvacuationsAgeMS is the age of the evacuations, zero if the sender does not know of any reading of them. Version is the
 	// store's version at that time. Evacuated is left out like Endpoints.
@@ -42,6 +44,10 @@
 	LeavesMS int64 `json:",omitempty"`
 	// Started is when the endpoint started in Unix milliseconds, or zero when it does not report that.
 	Started int64 `json:",omitempty"`
+	// ColdStated is set if the endpoint says whether it is cold, and ColdMS is the time in milliseconds until it will not be
+	// any more, or zero.
+	ColdStated bool  `json:",omitempty"`
+	ColdMS     int64 `json:",omitempty"`
 }
 
 // section is the follower's part of the exchange between hosts, in which the hub sends
@@ -111,7 +117,8 @@
 	if s.f.confirm(r, wire.Hash) {
 		return nil
 	}
-	statuses, centres, complete := s.f.completeList(sent, wire)
+	r.coldMark = wire.ColdMark
+	statuses, centres, complete := s.f.completeList(now, sent, wire)
 	if !complete || s.f.lacksEvacuations(r.evacuations) {
 		return nil
 	}
@@ -153,15 +160,15 @@
 
 // completeList returns the list of a message and the evacuated data centres. The message contains them only if its receiver had reported
 // another hash. It returns false if the message does not contain them and this host's have changed since they were reported.
-func (f *Follower) completeList(sent time.Time, wire listWire) ([]winch.EndpointStatus, []winch.DataCentreID, bool) {
+func (f *Follower) completeList(now, sent time.Time, wire listWire) ([]winch.EndpointStatus, []winch.DataCentreID, bool) {
 	f.mu.Lock()
 	latest, centres, hash := f.latest, f.evacuations.DataCentres, f.hash
 	f.mu.Unlock()
 	if wire.Hash == hash {
 		return latest, centres, true
 	}
-	statuses, centres := decodeEndpoints(sent, wire.Endpoints), decodeEvacuated(wire.Evacuated)
-	return statuses, centres, wire.Hash == hashOf(statuses, centres)
+	statuses, centres := decodeEndpoints(now, sent, wire.Endpoints), decodeEvacuated(wire.Evacuated)
+	return statuses, centres, wire.Hash == addColdMark(hashOf(statuses, centres), wire.ColdMark)
 }
 
 func decodeEvacuated(names []string) []winch.DataCentreID {
@@ -173,6 +180,11 @@
 	return centres
 }
 
+// updateHash computes the hash anew after a change of the list or the evacuations. It is called with the lock.
+func (f *Follower) updateHash() {
+	f.hash = addColdMark(hashOf(f.latest, f.evacuations.DataCentres), f.coldMark)
+}
+
 // confirm processes a relayed list by its hash and age alone. It reports false if that is not enough: the list or its evacuations are
 // newer than this host's and differ from them, or an outage may have made the list in use differ from the one that was read.
 func (f *Follower) confirm(r reading, hash uint64) bool {
@@ -200,7 +212,7 @@
 		return nil
 	}
 	// The age is rounded up, so that the list is never taken for newer than it is.
-	wire := listWire{Hash: f.hash, AgeMS: max(0, now.Sub(f.readAt).Milliseconds()+1)}
+	wire := listWire{Hash: f.hash, AgeMS: max(0, now.Sub(f.readAt).Milliseconds()+1), ColdMark: f.coldMark}
 	if f.evacuations.known() {
 		wire.EvacuationsAgeMS, wire.Version = max(1, now.Sub(f.evacuations.at).Milliseconds()+1), int64(f.evacuations.Version)
 	}
@@ -236,13 +248,15 @@
 		if !status.StartedAt.IsZero() {
 			e.Started = status.StartedAt.UnixMilli()
 		}
+		e.ColdStated, e.ColdMS = status.ColdStated, encodeCold(now, status)
 		wire = append(wire, e)
 	}
 	return wire
 }
 
-// decodeEndpoints decodes a list whose LeavesMS counts from the given time.
-func decodeEndpoints(from time.Time, wire []endpointWire) []winch.EndpointStatus {
+// decodeEndpoints decodes a list that was received now in an exchange that began at from. LeavesMS counts from its beginning and
+// ColdMS from its end, so that neither an early leave nor a late cold end is missed.
+func decodeEndpoints(now, from time.Time, wire []endpointWire) []winch.EndpointStatus {
 	statuses := make([]winch.EndpointStatus, 0, len(wire))
 	for _, e := range wire {
 		status := winch.EndpointStatus{State: winch.EndpointState(e.State), Endpoint: winch.Endpoint{
@@ -258,6 +272,10 @@
 		if e.Started > 0 {
 			status.StartedAt = time.UnixMilli(e.Started)
 		}
+		status.ColdStated = e.ColdStated
+		if e.ColdStated && e.ColdMS > 0 {
+			status.ColdUntil = now.Add(time.Duration(min(e.ColdMS, maxColdMS)) * time.Millisecond)
+		}
 		statuses = append(statuses, status)
 	}
 	return statuses
