--- a/winchd/forwarder/process_test.go
+++ b/winchd/forwarder/process_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -80,6 +81,9 @@
 	// grace and retryMinimum are Bounds.Grace and Bounds.RetryMinimum of new hosts, zero for the defaults.
 	grace        time.Duration
 	retryMinimum int
+	// memory is Limits.Memory of new hosts in bytes, and descriptors the number of files that their processes may open. Zero sets no limit.
+	memory      int64
+	descriptors int
 }
 
 // newPlatform starts a platform with platformtest.DeskConfiguration: the route /desk/ requires the key k1,
@@ -201,9 +205,13 @@
 	if p.retryMinimum > 0 {
 		bounds["RetryMinimum"] = p.retryMinimum
 	}
+	limits := map[string]any{}
+	if p.memory > 0 {
+		limits["Memory"] = p.memory
+	}
 	encoded, err := json.Marshal(map[string]any{
-		"Duties": duties,
-		"Host":   name, "DataCentre": "a", "DataCentres": []string{"a"},
+		"Duties": duties, "Limits": limits,
+		"Host": name, "DataCentre": "a", "DataCentres": []string{"a"},
 		"Caller": map[string]any{"Address": ports[0], "ReadyAddress": ports[1]},
 		"Peer":   map[string]any{"Address": ports[2]},
 		"Store":  map[string]any{"Address": p.addressOfStore()},
@@ -219,6 +227,10 @@
 func (h *hostProcess) start() {
 	h.platform.t.Helper()
 	h.command = exec.Command(os.Args[0])
+	if h.platform.descriptors > 0 {
+		// The shell sets the hard limit as well, which a Go process does not raise, and becomes the host.
+		h.command = exec.Command("/bin/sh", "-c", `ulimit -n "$1" && exec "$0"`, os.Args[0], strconv.Itoa(h.platform.descriptors))
+	}
 	// The race detector would wait for a second at the exit.
 	h.command.Env = append(os.Environ(), settingsEnv+"="+h.path, "GORACE=atexit_sleep_ms=0")
 	h.command.Stderr = os.Stderr
