--- a/winchd/forwarder/process_test.go
+++ b/winchd/forwarder/process_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -77,6 +78,10 @@
 	apply time.Duration
 	// window and late are the bounds of usage of new hosts. Zero leaves the defaults.
 	window, late time.Duration
+	// zone is that of new hosts, a if it is empty.
+	zone string
+	// evacuate is Bounds.Evacuate of new hosts.
+	evacuate time.Duration
 	// grace and retryMinimum are Bounds.Grace and Bounds.RetryMinimum of new hosts, zero for the defaults.
 	grace        time.Duration
 	retryMinimum int
@@ -195,6 +200,9 @@
 	if p.window > 0 {
 		bounds["UsageWindow"], bounds["UsageLate"] = p.window.String(), p.late.String()
 	}
+	if p.evacuate > 0 {
+		bounds["Evacuate"] = p.evacuate.String()
+	}
 	if p.grace > 0 {
 		bounds["Grace"] = p.grace.String()
 	}
@@ -203,7 +211,7 @@
 	}
 	encoded, err := json.Marshal(map[string]any{
 		"Duties": duties,
-		"Host":   name, "DataCentre": "a", "DataCentres": []string{"a"},
+		"Host":   name, "DataCentre": cmp.Or(p.zone, "a"), "DataCentres": []string{cmp.Or(p.zone, "a")},
 		"Caller": map[string]any{"Address": ports[0], "ReadyAddress": ports[1]},
 		"Peer":   map[string]any{"Address": ports[2]},
 		"Store":  map[string]any{"Address": p.addressOfStore()},
