feat(release): evacuations in release notes, winchctl evacuate

A note adds and withdraws evacuations (Evacuations, by data centre), which is committed, in force and accepted as other notes are.

Tests: release/..., winchctl pass.

--- a/configuration.go
+++ b/configuration.go
@@ -152,6 +152,7 @@
 	Routes        []Route
 	Endpoints     []Endpoint
 	Pools         []Pool
+	Evacuations   []Evacuation
 }
 
 // ItemIDs are the parts of a configuration that a note withdraws.
@@ -162,6 +163,8 @@
 	Routes        []RouteID
 	Endpoints     []EndpointID
 	Pools         []PoolID
+	// Evacuations are withdrawn by their data centres.
+	Evacuations []DataCentreID
 }
 
 // Note is a release note: a change to the configuration. Base is the revision
--- a/release/apply.go
+++ b/release/apply.go
@@ -15,6 +15,7 @@
 		Routes:        map[winch.RouteID]winch.Route{},
 		Endpoints:     map[winch.EndpointID]winch.Endpoint{},
 		Pools:         map[winch.PoolID]winch.Pool{},
+		Evacuations:   map[winch.DataCentreID]winch.Evacuation{},
 	}
 }
 
@@ -29,6 +30,7 @@
 		Routes:        maps.Clone(current.Routes),
 		Endpoints:     maps.Clone(current.Endpoints),
 		Pools:         maps.Clone(current.Pools),
+		Evacuations:   maps.Clone(current.Evacuations),
 	}
 	removeItems(next, record.Note.Withdrawn)
 	putItems(next, record.Note.Changed)
@@ -55,6 +57,9 @@
 	for _, id := range ids.Pools {
 		delete(configuration.Pools, id)
 	}
+	for _, centre := range ids.Evacuations {
+		delete(configuration.Evacuations, centre)
+	}
 }
 
 func putItems(configuration *winch.Configuration, items winch.Items) {
@@ -76,4 +81,7 @@
 	for _, item := range items.Pools {
 		configuration.Pools[item.ID] = item
 	}
+	for _, item := range items.Evacuations {
+		configuration.Evacuations[item.DataCentre] = item
+	}
 }
--- a/release/check.go
+++ b/release/check.go
@@ -117,6 +117,9 @@
 	for i, item := range items.Pools {
 		add("Pools", i, string(item.ID))
 	}
+	for i, item := range items.Evacuations {
+		add("Evacuations", i, string(item.DataCentre))
+	}
 	return paths
 }
 
@@ -156,6 +159,7 @@
 		{"Routes", len(c.next.Routes), maxOtherItems},
 		{"Endpoints", len(c.next.Endpoints), maxEndpoints},
 		{"Pools", len(c.next.Pools), maxOtherItems},
+		{"Evacuations", len(c.next.Evacuations), maxOtherItems},
 	} {
 		if size.count > size.limit {
 			c.fail(size.kind, "would be %d, more than %d", size.count, size.limit)
@@ -186,6 +190,28 @@
 	for _, item := range items.Pools {
 		c.checkPool(item)
 	}
+	for _, item := range items.Evacuations {
+		c.checkEvacuation(item)
+	}
+}
+
+// checkEvacuation checks, when a note adds an evacuation, that the data centre has endpoints or pools: it may be misspelt. Those may go
+// away later.
+func (c *checker) checkEvacuation(item winch.Evacuation) {
+	if _, found := c.notePaths["Evacuations["+string(item.DataCentre)+"]"]; !found {
+		return
+	}
+	for _, endpoint := range c.next.Endpoints {
+		if endpoint.DataCentre == item.DataCentre {
+			return
+		}
+	}
+	for _, pool := range c.next.Pools {
+		if pool.DataCentre == item.DataCentre {
+			return
+		}
+	}
+	c.fail(c.fieldPath("Evacuations", string(item.DataCentre), "DataCentre"), "%q has no endpoints and no pools", item.DataCentre)
 }
 
 func (c *checker) checkKeys(keys []winch.Key) {
--- a/release/codec.go
+++ b/release/codec.go
@@ -22,6 +22,7 @@
 	Routes        []routeWire        `json:",omitempty"`
 	Endpoints     []endpointWire     `json:",omitempty"`
 	Pools         []poolWire         `json:",omitempty"`
+	Evacuations   []evacuationWire   `json:",omitempty"`
 }
 
 type itemIDsWire struct {
@@ -31,6 +32,7 @@
 	Routes        []winch.RouteID        `json:",omitempty"`
 	Endpoints     []winch.EndpointID     `json:",omitempty"`
 	Pools         []winch.PoolID         `json:",omitempty"`
+	Evacuations   []winch.DataCentreID   `json:",omitempty"`
 }
 
 type organisationWire struct {
@@ -95,6 +97,10 @@
 	SlotLimit     int
 }
 
+type evacuationWire struct {
+	DataCentre winch.DataCentreID
+}
+
 // EncodeNote returns the note as JSON.
 func EncodeNote(note winch.Note) ([]byte, error) {
 	body, err := json.Marshal(noteToWire(note))
@@ -113,7 +119,7 @@
 
 func itemIDsToWire(ids winch.ItemIDs) *itemIDsWire {
 	wire := itemIDsWire(ids)
-	if len(ids.Organisations)+len(ids.Keys)+len(ids.Classes)+len(ids.Routes)+len(ids.Endpoints)+len(ids.Pools) == 0 {
+	if len(itemIDNames(ids)) == 0 {
 		return nil
 	}
 	return &wire
@@ -142,6 +148,9 @@
 	for _, item := range items.Pools {
 		wire.Pools = append(wire.Pools, poolWire(item))
 	}
+	for _, item := range items.Evacuations {
+		wire.Evacuations = append(wire.Evacuations, evacuationWire(item))
+	}
 	return wire
 }
 
@@ -159,7 +168,7 @@
 
 func countItems(items winch.Items) int {
 	return len(items.Organisations) + len(items.Keys) + len(items.Classes) +
-		len(items.Routes) + len(items.Endpoints) + len(items.Pools)
+		len(items.Routes) + len(items.Endpoints) + len(items.Pools) + len(items.Evacuations)
 }
 
 // recordWire is the JSON form of a committed note.
--- a/release/items.go
+++ b/release/items.go
@@ -17,6 +17,7 @@
 		Routes:        slices.Collect(maps.Values(configuration.Routes)),
 		Endpoints:     slices.Collect(maps.Values(configuration.Endpoints)),
 		Pools:         slices.Collect(maps.Values(configuration.Pools)),
+		Evacuations:   slices.Collect(maps.Values(configuration.Evacuations)),
 	}
 	slices.SortFunc(items.Organisations, func(a, b winch.Organisation) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(items.Keys, func(a, b winch.Key) int { return cmp.Compare(a.ID, b.ID) })
@@ -24,6 +25,7 @@
 	slices.SortFunc(items.Routes, func(a, b winch.Route) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(items.Endpoints, func(a, b winch.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(items.Pools, func(a, b winch.Pool) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(items.Evacuations, func(a, b winch.Evacuation) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
 	return items
 }
 
@@ -51,6 +53,9 @@
 		for _, item := range items.Pools {
 			add("Pools", string(item.ID))
 		}
+		for _, item := range items.Evacuations {
+			add("Evacuations", string(item.DataCentre))
+		}
 	}
 	names = append(names, itemIDNames(note.Withdrawn)...)
 	slices.Sort(names)
@@ -79,6 +84,9 @@
 	for _, id := range ids.Pools {
 		add("Pools", string(id))
 	}
+	for _, centre := range ids.Evacuations {
+		add("Evacuations", string(centre))
+	}
 	return names
 }
 
--- a/release/note.go
+++ b/release/note.go
@@ -78,6 +78,7 @@
 	o.eachObject("Routes", func(o *object) { items.Routes = append(items.Routes, readRoute(o)) })
 	o.eachObject("Endpoints", func(o *object) { items.Endpoints = append(items.Endpoints, readEndpoint(o)) })
 	o.eachObject("Pools", func(o *object) { items.Pools = append(items.Pools, readPool(o)) })
+	o.eachObject("Evacuations", func(o *object) { items.Evacuations = append(items.Evacuations, readEvacuation(o)) })
 	o.rejectUnknownFields()
 	return items
 }
@@ -98,6 +99,9 @@
 	for _, id := range o.nameList("Pools") {
 		ids.Pools = append(ids.Pools, winch.PoolID(id))
 	}
+	for _, centre := range o.nameList("Evacuations") {
+		ids.Evacuations = append(ids.Evacuations, winch.DataCentreID(centre))
+	}
 	o.rejectUnknownFields()
 	return ids
 }
@@ -193,6 +197,10 @@
 	}
 }
 
+func readEvacuation(o *object) winch.Evacuation {
+	return winch.Evacuation{DataCentre: winch.DataCentreID(o.requiredName("DataCentre"))}
+}
+
 func readModels(o *object) []winch.ModelID {
 	var ids []winch.ModelID
 	for _, id := range o.nameList("Models") {
--- a/release/note_test.go
+++ b/release/note_test.go
@@ -16,7 +16,8 @@
 	"Classes": [{"ID": "c", "Tier": 1, "FirstTokenTarget": "1.3s", "InterTokenTarget": "77ms", "MaxWait": "5s", "QueueLimit": 10, "Floor": 0.2, "Models": ["org/m"]}],
 	"Routes": [{"ID": "r", "Class": "c", "Open": true, "Idempotent": true}],
 	"Endpoints": [{"ID": "e", "DataCentre": "a", "Kind": "Engine", "Address": "10.0.0.1:80", "Models": ["org/m"], "Routes": ["r"], "Classes": ["c"], "Supply": "Cheap", "Cost": 5, "ChecksFencing": true, "SlotLimit": 8, "Pool": "p", "Software": "v1.2"}],
-	"Pools": [{"ID": "p", "DataCentre": "a", "Model": "org/m", "Adapter": "x", "Version": "v", "Classes": ["c"], "Supply": "Steady", "Cost": 9, "Min": 1, "Max": 2, "SlotLimit": 8}]
+	"Pools": [{"ID": "p", "DataCentre": "a", "Model": "org/m", "Adapter": "x", "Version": "v", "Classes": ["c"], "Supply": "Steady", "Cost": 9, "Min": 1, "Max": 2, "SlotLimit": 8}],
+	"Evacuations": [{"DataCentre": "a"}]
 }}`
 
 // hash is the hash of the key "secret".
@@ -78,6 +79,7 @@
 		{`{"ID": "a", "Base": 1.5}`, "Base: must be a whole number"},
 		{`{"ID": "a", "ID": "b"}`, "ID: stands twice"},
 		{`{"ID": "a", "added": {}}`, "added: is not a known field"},
+		{`{"ID": "a", "Added": {"Evacuations": [{}]}}`, "Added.Evacuations[0].DataCentre: is missing"},
 		{`{"ID": "a", "Added": {"Classes": [{"ID": "c"}, {"ID": "d", "FirstTokenTarget": "1.3"}]}}`, "Added.Classes[1].FirstTokenTarget: \"1.3\" is not a duration"},
 		{`{"ID": "a", "Added": {"Classes": [{"ID": "c", "Colour": 1}]}}`, "Added.Classes[0].Colour: is not a known field"},
 		{`{"ID": "a", "Added": {"Keys": [{"ID": "k", "Organisation": "o", "Hash": "12"}]}}`, "Added.Keys[0].Hash: must be 64 hexadecimal digits"},
@@ -116,6 +118,9 @@
 		{`{"ID": "a", "Withdrawn": {"Keys": ["k", "k"]}}`, "Withdrawn.Keys[1]: Keys[k] stands at Withdrawn.Keys[0] too"},
 		{`{"ID": "a", "Withdrawn": {"Keys": ["k"], "Classes": ["c"]}}`, "Withdrawn.Classes[0]: Classes[c] is still used by Routes[r]"},
 		{`{"ID": "a", "Withdrawn": {"Organisations": ["o"]}}`, "Withdrawn.Organisations[0]: Organisations[o] is still used by Keys[k]"},
+		{`{"ID": "a", "Added": {"Evacuations": [{"DataCentre": "a"}]}}`, "Added.Evacuations[0]: Evacuations[a] exists already"},
+		{`{"ID": "a", "Added": {"Evacuations": [{"DataCentre": "q"}]}}`, "Added.Evacuations[0].DataCentre: \"q\" has no endpoints and no pools"},
+		{`{"ID": "a", "Withdrawn": {"Evacuations": ["q"]}}`, "Withdrawn.Evacuations[0]: Evacuations[q] does not exist"},
 		{`{"ID": "a", "Withdrawn": {"Pools": ["p"]}}`, "Withdrawn.Pools[0]: Pools[p] is still used by Endpoints[e]"},
 		{`{"ID": "a", "Added": {"Keys": [{"ID": "l", "Organisation": "o", "Hash": "` + hash + `"}]}}`, "Added.Keys[0].Hash: belongs to key"},
 		{`{"ID": "a", "Added": {"Routes": [{"ID": "s", "Class": "d"}]}}`, "Added.Routes[0].Class: Classes[d] does not exist"},
@@ -128,8 +133,12 @@
 	} {
 		t.Run(test.wantError, func(t *testing.T) { assertFieldError(t, Check(current, mustDecode(t, test.body)), test.wantError) })
 	}
+	t.Run("an evacuation outlasts the endpoints and pools of its data centre", func(t *testing.T) {
+		note := mustDecode(t, `{"ID": "a", "Withdrawn": {"Endpoints": ["e"], "Pools": ["p"]}}`)
+		assert.NilError(t, Check(current, note))
+	})
 	t.Run("all items are withdrawn", func(t *testing.T) {
-		note := mustDecode(t, `{"ID": "a", "Withdrawn": {"Organisations": ["o"], "Keys": ["k"], "Classes": ["c"], "Routes": ["r"], "Endpoints": ["e"], "Pools": ["p"]}}`)
+		note := mustDecode(t, `{"ID": "a", "Withdrawn": {"Organisations": ["o"], "Keys": ["k"], "Classes": ["c"], "Routes": ["r"], "Endpoints": ["e"], "Pools": ["p"], "Evacuations": ["a"]}}`)
 		assert.NilError(t, Check(current, note))
 		assert.DeepEqual(t, ApplyRecord(current, winch.ReleaseRecord{Revision: 0, Note: note}), Empty())
 	})
--- a/winchctl/command.go
+++ b/winchctl/command.go
@@ -42,6 +42,7 @@
 	options
 	Note      *noteCommand      `arg:"subcommand:note" help:"check and apply release notes and show their status"`
 	Key       *keyCommand       `arg:"subcommand:key" help:"add and withdraw keys"`
+	Evacuate  *evacuateCommand  `arg:"subcommand:evacuate" help:"stop all requests to the endpoints of a data centre, or end that"`
 	Hosts     *hostsCommand     `arg:"subcommand:hosts" help:"show the hosts"`
 	Endpoints *endpointsCommand `arg:"subcommand:endpoints" help:"show the endpoints"`
 	Queues    *queuesCommand    `arg:"subcommand:queues" help:"show the queues of all data centres"`
--- a/winchctl/command_test.go
+++ b/winchctl/command_test.go
@@ -132,6 +132,31 @@
 	})
 }
 
+func TestEvacuate(t *testing.T) {
+	for name, test := range map[string]struct {
+		args []string
+		body string
+	}{
+		"requested": {[]string{"yard-1", "--note", "n"}, `{"ID":"n","Added":{"Evacuations":[{"DataCentre":"yard-1"}]}}`},
+		"ended":     {[]string{"--end", "yard-1", "--note", "n"}, `{"ID":"n","Withdrawn":{"Evacuations":["yard-1"]}}`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			host := &fakeHost{status: 200, response: `{"Revision": 7}`}
+			assertRun(t, runAgainst(t, host, append([]string{"evacuate"}, test.args...)...), exitOK, "Revision: 7")
+			assert.Equal(t, host.calls[0], "POST /operator/notes")
+			assert.Equal(t, strings.TrimSpace(host.bodies), test.body)
+		})
+	}
+	t.Run("without a data centre", func(t *testing.T) {
+		assertRun(t, runCommand(t, "evacuate"), exitUsage, "DATA-CENTRE is required")
+	})
+	t.Run("with a name that no data centre can have", func(t *testing.T) {
+		host := &fakeHost{status: 200}
+		assertRun(t, runAgainst(t, host, "evacuate", "yard 1"), exitRejected, "Evacuations[0].DataCentre")
+		assert.Equal(t, len(host.calls), 0)
+	})
+}
+
 func TestWait(t *testing.T) {
 	host := &fakeHost{status: 200, response: `{"Revision": 7}`}
 	got := runAgainst(t, host, "key", "withdraw", "k", "--note", "n1", "--wait")
