feat(planner): cold endpoints count as coming

A plan took cold endpoints for available, and released steady endpoints for cheap ones that were still cold.

Cold endpoints count as running, so that nothing is ordered or given up because of them. Steady endpoints stay until the cheap ones are warm, and a reclaim ends only then. In the dispatcher, the start time of an endpoint counts only in the first list of a host: later ones are cold from when they are listed, whatever the clocks say.

--- a/dispatch/endpoint/cold.go
+++ b/dispatch/endpoint/cold.go
@@ -35,8 +35,9 @@
 	// stated and statedUntil are what the endpoint says in its entry.
 	stated      bool
 	statedUntil time.Time
-	// listedAt is when this run of the endpoint was first listed.
-	listedAt time.Time
+	// listedAt is when this run of the endpoint was first listed, and inFirstList is set if that was in the first list of this host.
+	listedAt    time.Time
+	inFirstList bool
 	// returnedAt is when the endpoint last came back into service.
 	returnedAt time.Time
 	// cold is set while the endpoint is cold, and warming from then until it has no limit. step counts the rises of the rate,
@@ -59,10 +60,10 @@
 	version int
 }
 
-// list applies the entry of the endpoint, which is new if it was not listed before.
-func (s *coldState) list(now time.Time, status winch.EndpointStatus) {
+// list applies the entry of the endpoint in a list, which may be the first one of this host.
+func (s *coldState) list(now time.Time, status winch.EndpointStatus, first bool) {
 	if s.listedAt.IsZero() {
-		s.listedAt = now
+		s.listedAt, s.inFirstList = now, first
 	}
 	s.stated = s.stated || status.ColdStated
 	if status.ColdStated {
@@ -79,13 +80,13 @@
 }
 
 // until returns when the endpoint is not cold any more; zero if it is not cold. What the endpoint says counts. If it says nothing, it is
-// cold for some time after its start or, as the clocks differ, after it was first listed. One that had started long
-// before is warm, so that a host that starts does not take all endpoints for cold.
+// cold for some time after it was first listed. One in the first list that had started long before is warm, so that a host
+// that starts does not take all endpoints for cold.
 func (s *coldState) until(startedAt time.Time, start winch.ColdStart) time.Time {
 	switch {
 	case s.stated:
 		return s.statedUntil
-	case !startedAt.IsZero() && s.listedAt.Sub(startedAt) > start.Duration+coldClockTolerance:
+	case s.inFirstList && !startedAt.IsZero() && s.listedAt.Sub(startedAt) > start.Duration+coldClockTolerance:
 		return time.Time{}
 	}
 	return s.listedAt.Add(start.Duration)
--- a/dispatch/endpoint/cold_test.go
+++ b/dispatch/endpoint/cold_test.go
@@ -99,6 +99,14 @@
 }
 
 func TestEndpointTurnsCold(t *testing.T) {
+	t.Run("when it is listed later than others, whatever its clock says", func(t *testing.T) {
+		tc, statuses := newColdCore(PolicyPrefill, 2)
+		tc.advance(time.Second)
+		statuses[1].StartedAt = tc.now.Add(-time.Minute)
+		tc.configure(tc.now, coldConfiguration(), statuses)
+		assert.Equal(t, tc.coldState("e0"), "warm")
+		assert.Equal(t, tc.coldState("e1"), "cold")
+	})
 	t.Run("again, and the newest statement counts", func(t *testing.T) {
 		tc, _ := newColdCore(PolicyPrefill, 0)
 		status := startedAgo(tc, time.Hour)
--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -18,6 +18,9 @@
 	if c.started.IsZero() {
 		c.started = now
 	}
+	if c.firstListAt.IsZero() && len(ordered) > 0 {
+		c.firstListAt = now
+	}
 	c.configuration = configuration
 	wanted := map[winch.EndpointID]winch.EndpointStatus{}
 	for id, spec := range configuration.Endpoints {
@@ -73,7 +76,7 @@
 		e.limit.Value = min(e.limit.Value, float64(ceiling))
 	}
 	e.state, e.leavesAt = status.State, status.LeavesAt
-	e.cold.list(now, status)
+	e.cold.list(now, status, c.firstListAt.Equal(now))
 	c.setServing(now, e)
 }
 
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -99,7 +99,9 @@
 	// boundQueued is the number of bound requests in the queues of all lanes.
 	boundQueued int
 	// listReadAt is when the newest list of endpoints was read; zero if that is not known.
-	listReadAt   time.Time
+	listReadAt time.Time
+	// firstListAt is when the first list of endpoints was applied.
+	firstListAt  time.Time
 	freeRequests []*request
 	effects      []effect
 	// scores holds the result of the last scoreAll, by the index of the endpoint in the lane's subset.
--- a/placement/planner/prefill.go
+++ b/placement/planner/prefill.go
@@ -119,7 +119,7 @@
 	defer p.lock.Unlock()
 	orders := make([]winch.PoolOrder, 0, 2*len(models))
 	for _, model := range models {
-		counts := countEndpoints(model, endpoints)
+		counts := countEndpoints(now, configuration.ColdStarts[model], model, endpoints)
 		demand := p.updateDemand(now, model, queues, counts)
 		orders = append(orders, p.planModel(now, centre, configuration.Scalings[model], demand, counts, running)...)
 	}
@@ -133,12 +133,16 @@
 	cheapPool := winch.ScalingPool(scaling.Model, centre, winch.SupplyCheap)
 	steadyPool := winch.ScalingPool(scaling.Model, centre, winch.SupplySteady)
 	cheap, steady := countReady(running, cheapPool), countReady(running, steadyPool)
+	// A cold endpoint counts as running, so that nothing is ordered or given up because of it, but serves nothing yet.
+	warmCheap, warmSteady := cheap-counts.coldIn(running, cheapPool), steady-counts.coldIn(running, steadyPool)
 	centres := max(len(scaling.DataCentres), counts.centres)
 	cheapCount := wantedCheap(demand.peak, centres, scaling)
 	steadyMin := p.minSteady(demand.peak, centres, steady, scaling)
-	reclaimed := p.updateReclaimed(now, cheapPool, cheap, scaling.StartTime)
+	reclaimed := p.updateReclaimed(now, cheapPool, cheap, warmCheap, scaling.StartTime)
 	// demand.now is in endpoints at PrefillSettings.PrefillShare. Fewer are needed at fallbackUse.
 	steadyCount := p.smoothFallback(now, steadyPool, fallbackNeeded(demand.now*p.options.Settings.PrefillShare/fallbackUse, counts.ready-steady))
+	// While endpoints are cold, running steady ones stay in their place.
+	kept := max(steadyCount, fallbackNeeded(demand.now*p.options.Settings.PrefillShare/fallbackUse, counts.ready-len(counts.cold)-warmSteady))
 	if !demand.known(now) {
 		cheapCount = max(cheapCount, min(p.initialCount(cheapPool, running, steadyPool), scaling.Max))
 	}
@@ -147,14 +151,14 @@
 		// The steady count is not lowered in a reclaim. It is capped so that one cheap endpoint
 		// stays ordered: its start shows that cheap endpoints are available again.
 		steadyCount = min(max(steadyCount, p.pool(steadyPool).count), scaling.Max-1)
-	case cheap < cheapCount:
+	case warmCheap < cheapCount:
 		// Running steady endpoints are kept until the cheap ones are ready, as far as
 		// the maximum permits.
-		steadyCount = min(steady, max(steadyCount, scaling.Max-cheapCount))
+		steadyCount = min(steady, max(kept, scaling.Max-cheapCount))
 	default:
 		// All wanted cheap endpoints are ready. Steady ones are removed when they are not needed,
 		// but none are added.
-		steadyCount = min(steady, steadyCount)
+		steadyCount = min(steady, kept)
 	}
 	// Steady endpoints go before cheap ones within scaling.Max, and make up what cheap ones
 	// lack to scaling.Min.
@@ -208,12 +212,12 @@
 // updateReclaimed reports whether the pool's cheap endpoints were reclaimed and no new
 // ones are available. This state begins when at most half of the highest number of
 // ready endpoints is left although the ordered count was not lowered. It ends when all
-// ordered endpoints are ready again, and not before startTime has passed.
-func (p *PrefillPlanner) updateReclaimed(now time.Time, id winch.PoolID, ready int, startTime time.Duration) bool {
+// ordered endpoints are ready again and warm, and not before startTime has passed.
+func (p *PrefillPlanner) updateReclaimed(now time.Time, id winch.PoolID, ready, warm int, startTime time.Duration) bool {
 	state := p.pool(id)
 	state.maxReady = max(state.maxReady, ready)
 	switch {
-	case state.reclaimed && state.count > 0 && ready >= state.count && now.Sub(state.reclaimedAt) > startTime:
+	case state.reclaimed && state.count > 0 && warm >= state.count && now.Sub(state.reclaimedAt) > startTime:
 		state.reclaimed, state.maxReady = false, ready
 	case !state.reclaimed && 2*ready <= state.maxReady && state.maxReady > 0 && state.count >= state.maxReady:
 		state.reclaimed, state.reclaimedAt = true, now
--- a/placement/planner/prefill_demand.go
+++ b/placement/planner/prefill_demand.go
@@ -74,7 +74,7 @@
 	}
 	d.loggedAt = now
 	p.logger.Info("inputs of the plan", "Event", EventPlanInputs, "Model", string(model), "PromptRate", inputs.rate, "PromptSpeed", inputs.speed,
-		"Demand", d.now, "Peak", d.peak, "Ready", inputs.counts.ready, "OldestStatus", inputs.oldest.String())
+		"Demand", d.now, "Peak", d.peak, "Ready", inputs.counts.ready, "Cold", len(inputs.counts.cold), "OldestStatus", inputs.oldest.String())
 }
 
 // oldestStatus returns the age of the oldest status of the model's queues.
@@ -92,12 +92,36 @@
 type endpointCount struct {
 	// ready is the number of ready endpoints in all data centres.
 	ready int
+	// cold holds the ready endpoints that are cold.
+	cold map[winch.EndpointID]bool
 	// centres is the number of data centres in which the model has endpoints.
 	centres int
 }
 
-func countEndpoints(model winch.ModelID, endpoints []winch.EndpointStatus) endpointCount {
-	count, centres := endpointCount{}, map[winch.DataCentreID]bool{}
+// coldIn returns how many of the pool's endpoints are cold.
+func (c endpointCount) coldIn(running []winch.OrderedEndpoint, pool winch.PoolID) int {
+	count := 0
+	for _, endpoint := range running {
+		if endpoint.Pool == pool && c.cold[endpoint.ID] {
+			count++
+		}
+	}
+	return count
+}
+
+// isCold reports whether the endpoint is cold: as it says or, if it says nothing, for some time after its start.
+func isCold(now time.Time, start winch.ColdStart, status winch.EndpointStatus) bool {
+	switch {
+	case start.Rate <= 0:
+		return false
+	case status.ColdStated:
+		return now.Before(status.ColdUntil)
+	}
+	return !status.StartedAt.IsZero() && now.Sub(status.StartedAt) < start.Duration
+}
+
+func countEndpoints(now time.Time, start winch.ColdStart, model winch.ModelID, endpoints []winch.EndpointStatus) endpointCount {
+	count, centres := endpointCount{cold: map[winch.EndpointID]bool{}}, map[winch.DataCentreID]bool{}
 	for _, status := range endpoints {
 		if !slices.Contains(status.Endpoint.Models, model) {
 			continue
@@ -105,6 +129,9 @@
 		centres[status.Endpoint.DataCentre] = true
 		if status.State == winch.EndpointReady {
 			count.ready++
+			if isCold(now, start, status) {
+				count.cold[status.Endpoint.ID] = true
+			}
 		}
 	}
 	count.centres = len(centres)
--- a/placement/planner/prefill_test.go
+++ b/placement/planner/prefill_test.go
@@ -23,6 +23,9 @@
 	max         int
 	started     map[winch.PoolID][]time.Time
 	unavailable map[winch.DataCentreID]bool
+	// coldTime is how long endpoints are cold once they are ready, and allColdUntil when all cease to be cold that have turned cold later.
+	coldTime     time.Duration
+	allColdUntil time.Time
 }
 
 var centres = []winch.DataCentreID{"a", "b", "c"}
@@ -39,7 +42,7 @@
 }
 
 func (s *simulation) Current() *winch.Configuration {
-	return &winch.Configuration{Scalings: map[winch.ModelID]winch.Scaling{
+	return &winch.Configuration{ColdStarts: map[winch.ModelID]winch.ColdStart{testModel: {Duration: s.coldTime, Rate: 11}}, Scalings: map[winch.ModelID]winch.Scaling{
 		testModel: {Model: testModel, Min: 1, Max: s.max, StartTime: startTime, DataCentres: centres},
 	}}
 }
@@ -74,12 +77,36 @@
 	statuses := []winch.EndpointStatus{}
 	for _, centre := range centres {
 		for _, e := range s.endpointsIn(centre) {
-			statuses = append(statuses, winch.EndpointStatus{State: e.State, Endpoint: winch.Endpoint{ID: e.ID, DataCentre: centre, Models: []winch.ModelID{testModel}}})
+			statuses = append(statuses, winch.EndpointStatus{State: e.State, ColdStated: true, ColdUntil: s.coldUntil(e.ID), Endpoint: winch.Endpoint{ID: e.ID, DataCentre: centre, Models: []winch.ModelID{testModel}}})
 		}
 	}
 	return statuses
 }
 
+// coldUntil returns when the endpoint ceases to be cold.
+func (s *simulation) coldUntil(id winch.EndpointID) time.Time {
+	until := s.allColdUntil
+	for pool, started := range s.started {
+		for i, at := range started {
+			if end := at.Add(startTime + s.coldTime); winch.EndpointID(fmt.Sprint(pool, i)) == id && end.After(until) {
+				until = end
+			}
+		}
+	}
+	return until
+}
+
+// warm returns the number of endpoints that are ready and not cold.
+func (s *simulation) warm() int {
+	count := 0
+	for _, status := range s.Endpoints() {
+		if status.State == winch.EndpointReady && !s.now.Before(status.ColdUntil) {
+			count++
+		}
+	}
+	return count
+}
+
 // advance plans and applies the orders every 500 ms of simulated time.
 func (s *simulation) advance(duration time.Duration) {
 	for end := s.now.Add(duration); s.now.Before(end); s.now = s.now.Add(500 * time.Millisecond) {
