--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -1,11 +1,14 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
+	"github.com/arbutuswinch/winch/standin/cold"
 	"github.com/arbutuswinch/winch/standin/engine"
 	"github.com/arbutuswinch/winch/standin/fleet"
 	"github.com/arbutuswinch/winch/standin/orders"
@@ -14,6 +17,9 @@
 	"github.com/arbutuswinch/winch/standin/settings"
 )
 
+// defaultRestartTime is the time from a crash until the endpoint starts again, unless the settings say otherwise.
+const defaultRestartTime = time.Second
+
 // sampleInterval is the time between two samples of the load of plain services.
 const sampleInterval = 20 * time.Millisecond
 
@@ -40,6 +46,7 @@
 type serviceRunner struct {
 	*server.Server
 	service *service.Service
+	crashed atomic.Bool
 }
 
 // SetState changes the state that the service reports. The fleet sets only Ready and Leaving, which both
@@ -49,7 +56,18 @@
 }
 
 // Crash closes all connections and refuses new ones until Restore.
-func (r *serviceRunner) Crash() { r.Refuse() }
+func (r *serviceRunner) Crash() {
+	r.crashed.Store(true)
+	r.Refuse()
+}
+
+// Restore accepts connections again. A service that has crashed starts again, and is cold for some time.
+func (r *serviceRunner) Restore() error {
+	if r.crashed.Swap(false) {
+		r.service.StartCold(time.Now())
+	}
+	return r.Server.Restore()
+}
 
 func (p *platform) startEngines() error {
 	for _, section := range p.settings.Engines {
@@ -113,7 +131,10 @@
 		svc := service.New(service.Options{
 			ID: section.ID, Time: time.Duration(section.Time), Slots: section.Slots, RecordLimit: section.RecordLimit,
 			ReportLag: time.Duration(section.ReportLag), Counts: p.counts, Board: p.board,
+			Cold:    cold.Limit{PerSecond: section.ColdPerSecond, Duration: time.Duration(section.ColdTime)},
+			Overrun: func() { p.fleet.Crash(section.ID, cmp.Or(time.Duration(section.RestartTime), defaultRestartTime)) },
 		})
+		svc.StartCold(time.Now())
 		running, err := p.serve(section.Address, svc)
 		if err != nil {
 			return fmt.Errorf("start service %s: %w", section.ID, err)
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -45,12 +45,14 @@
 	Leave Kind = "leave"
 	// Reject responds with status 503; the call has no effect.
 	Reject Kind = "reject"
+	// Cold makes a plain service cold for Delay. One that then gets more requests than it survives crashes.
+	Cold Kind = "cold"
 )
 
 // Known reports whether the kind exists.
 func (k Kind) Known() bool {
 	switch k {
-	case Outage, Slow, LoseAnswer, Crash, Slowdown, ReportLag, Reclaim, Leave, Reject:
+	case Outage, Slow, LoseAnswer, Crash, Slowdown, ReportLag, Reclaim, Leave, Reject, Cold:
 		return true
 	}
 	return false
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -41,7 +41,13 @@
 		Weights:  &settings.Weights{Address: anyPort, PerSecond: 0.01, Burst: 1, Transfer: wire.Duration(time.Millisecond)},
 		Control:  &settings.Control{Address: anyPort},
 		Engines:  []settings.Engine{first, cheap},
-		Services: []settings.Service{{ID: "desk", DataCentre: "a", Address: anyPort, Time: wire.Duration(time.Millisecond)}},
+		Services: []settings.Service{
+			{ID: "desk", DataCentre: "a", Address: anyPort, Time: wire.Duration(time.Millisecond)},
+			{
+				ID: "frail", DataCentre: "a", Address: anyPort, Time: wire.Duration(time.Millisecond),
+				ColdPerSecond: 3, ColdTime: wire.Duration(time.Hour), RestartTime: wire.Duration(200 * time.Millisecond),
+			},
+		},
 	}, hclog.NewNullLogger())
 	assert.NilError(t, err)
 	t.Cleanup(func() {
@@ -186,6 +192,21 @@
 	t.Run("lists hosts", func(t *testing.T) {
 		assertCall(t, p, "hosts", "GET", "/v1/hosts", "", http.StatusOK, `"h1"`)
 	})
+	t.Run("a cold service that is overrun crashes and starts again", func(t *testing.T) {
+		for range 3 {
+			assertCall(t, p, "service/frail", "POST", "/", "x", http.StatusOK, "Execution")
+		}
+		status, _ := call(t, p, "service/frail", "POST", "/", "x")
+		assert.Equal(t, status, 0)
+		status, _ = call(t, p, "service/frail", "POST", "/", "x")
+		assert.Equal(t, status, 0, "it has crashed")
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if status, _ := call(t, p, "service/frail", "POST", "/", "x"); status == http.StatusOK {
+				return poll.Success()
+			}
+			return poll.Continue("the service has not started again")
+		}, poll.WithTimeout(5*time.Second))
+	})
 	t.Run("a plain service counts executions", func(t *testing.T) {
 		assertCall(t, p, "service/desk", "POST", "/hires/1", "x", http.StatusOK, `"Execution":1`)
 		assertCall(t, p, "service/desk", "POST", "/hires/1", "x", http.StatusOK, `"Execution":2`)
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -19,6 +19,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/arbutuswinch/winch/standin/cold"
 	"github.com/arbutuswinch/winch/standin/counts"
 	"github.com/arbutuswinch/winch/standin/fault"
 	"github.com/arbutuswinch/winch/standin/wire"
@@ -63,12 +64,16 @@
 	ReportLag   time.Duration
 	Counts      *counts.Table
 	Board       *fault.Board
+	// Cold is how the service behaves when it is cold. Overrun is called when it gets more requests than it survives.
+	Cold    cold.Limit
+	Overrun func()
 }
 
 // Service is a simulated plain service and its HTTP handler.
 type Service struct {
 	options Options
 	target  fault.Target
+	cold    *cold.Meter
 	slots   chan struct{}
 	running atomic.Int64
 	waiting atomic.Int64
@@ -109,8 +114,12 @@
 	if options.Board == nil {
 		options.Board = fault.NewBoard()
 	}
+	if options.Overrun == nil {
+		options.Overrun = func() {}
+	}
 	return &Service{
 		options:   options,
+		cold:      cold.New(options.Cold),
 		target:    fault.Target("service/" + options.ID),
 		slots:     make(chan struct{}, options.Slots),
 		byRequest: map[string]int{},
@@ -140,6 +149,10 @@
 		return
 	}
 	now := time.Now()
+	if s.overrun(now) {
+		fault.CloseUnanswered(w)
+		return
+	}
 	if slow, active := s.options.Board.Take(now, s.target, fault.Slow); active && !fault.Pause(r, slow.Delay) {
 		return
 	}
--- a/standin/service/state.go
+++ b/standin/service/state.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/arbutuswinch/winch/standin/counts"
 	"github.com/arbutuswinch/winch/standin/fault"
 	"github.com/arbutuswinch/winch/standin/wire"
 )
@@ -73,3 +74,19 @@
 	}
 	return response
 }
+
+// StartCold makes the service cold, as after a start.
+func (s *Service) StartCold(now time.Time) { s.cold.Start(now) }
+
+// overrun counts a request. It reports whether it makes the service crash because it is cold.
+func (s *Service) overrun(now time.Time) bool {
+	if turned, active := s.options.Board.Take(now, s.target, fault.Cold); active {
+		s.cold.Turn(now, turned.Delay)
+	}
+	if !s.cold.Overrun(now) {
+		return false
+	}
+	s.options.Counts.Add(counts.Service(s.target), "overrun")
+	s.options.Overrun()
+	return true
+}
--- a/standin/settings/settings.go
+++ b/standin/settings/settings.go
@@ -134,6 +134,11 @@
 	Slots       int
 	RecordLimit int
 	ReportLag   wire.Duration
+	// ColdPerSecond is how many requests a second the service survives while it is cold; zero if it is never cold. It is cold
+	// for ColdTime after a start, and starts again RestartTime after a crash.
+	ColdPerSecond int
+	ColdTime      wire.Duration
+	RestartTime   wire.Duration
 }
 
 // Load reads and validates the file.
