--- a/dispatch/endpoint/cold_test.go
+++ b/dispatch/endpoint/cold_test.go
@@ -178,6 +178,22 @@
 		assert.Assert(t, l.restWait(tc.now) > 0)
 		assert.Assert(t, tc.retryAfter(tc.now, l, 0) >= l.restWait(tc.now))
 	})
+	t.Run("is counted, with the requests that it holds back", func(t *testing.T) {
+		tc, statuses := newColdCore(PolicyPrefill, 2)
+		tc.request(interactive, 1)
+		assert.Equal(t, tc.coldFigures(), coldFigures{})
+		turnCold(tc, statuses, 2)
+		figures := tc.coldFigures()
+		assert.Equal(t, figures.cold, 2)
+		assert.Assert(t, figures.budget > 21 && figures.budget < 23, "%g", figures.budget)
+		for i := range 5 {
+			tc.request(interactive, 2+i)
+		}
+		assert.Assert(t, tc.coldFigures().heldBack >= 3, "%d", tc.coldFigures().heldBack)
+		tc.advance(10 * time.Second)
+		figures = tc.coldFigures()
+		assert.Assert(t, figures.cold == 0 && figures.warming == 2)
+	})
 	t.Run("is used when the others are loaded", func(t *testing.T) {
 		tc, statuses := newColdCore(PolicyPrefill, 2)
 		turnCold(tc, statuses, 1)
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -96,6 +96,8 @@
 	incompleteAttempts map[winch.RequestID]time.Time
 	incompletePrunedAt time.Time // when expired entries of incompleteAttempts were last removed
 	expiry             expiryHeap
+	// coldHeldBack is that of coldFigures.
+	coldHeldBack int64
 	// boundQueued is the number of bound requests in the queues of all lanes.
 	boundQueued int
 	// listReadAt is when the newest list of endpoints was read; zero if that is not known.
@@ -204,6 +206,7 @@
 			return r
 		}
 	}
+	c.countHeldBack(now, l)
 	if c.handOver(now, r) {
 		return r
 	}
