--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -100,6 +100,8 @@
 	incompleteAttempts map[winch.RequestID]time.Time
 	incompletePrunedAt time.Time // when expired entries of incompleteAttempts were last removed
 	expiry             expiryHeap
+	// coldHeldBack is that of coldFigures.
+	coldHeldBack int64
 	// boundQueued is the number of bound requests in the queues of all lanes.
 	boundQueued int
 	// evacuations are the evacuated data centres with endpoints of this host. Streams are moved away from there while moveAllowance
@@ -107,7 +109,9 @@
 	evacuations   map[winch.DataCentreID]evacuation
 	moveAllowance float64
 	// listReadAt is when the newest list of endpoints was read; zero if that is not known.
-	listReadAt   time.Time
+	listReadAt time.Time
+	// firstListAt is when the first list of endpoints was applied.
+	firstListAt  time.Time
 	freeRequests []*request
 	effects      []effect
 	// scores holds the result of the last scoreAll, by the index of the endpoint in the lane's subset.
@@ -210,6 +214,7 @@
 			return r
 		}
 	}
+	c.countHeldBack(now, l)
 	if c.handOver(now, r) {
 		return r
 	}
