fix(dispatch): only classes that bear no pauses are kept apart from long prompts

Cause: the endpoints that are kept free of long prompts serve each class whose first token is due within 1.5 times the shortest target. That included summaries (800 ms, pauses up to 800 ms), whose prompts make up most of the work there and delay each token of the bulletins. Change: a class counts as latency-sensitive only if its target for pauses is within the same ratio of the shortest one as well.

--- a/dispatch/endpoint/fleet_load_test.go
+++ b/dispatch/endpoint/fleet_load_test.go
@@ -18,6 +18,8 @@
 	shared   winch.Tokens
 	subjects int // number of different shared parts
 	output   int // tokens
+	// interToken is the target for the time between tokens; zero if the class has none.
+	interToken time.Duration
 }
 
 // fleetClasses is a load of long prompts, short questions and chats. All hosts together send 254, 235 and 120 a second.
@@ -44,8 +46,8 @@
 type fleetCounts struct{ sent, began, served, refused, rejected, expired int }
 
 func (f *fleet) arrivals() {
-	for i := range fleetClasses {
-		class := &fleetClasses[i]
+	for i := range f.classes {
+		class := &f.classes[i]
 		f.due[i] += class.perHost * float64(len(f.cores)) * fleetStep.Seconds() * 2 * f.random.Float64()
 		for ; f.due[i] >= 1; f.due[i]-- {
 			f.send(class, f.random.IntN(len(f.cores)))
--- a/dispatch/endpoint/fleet_test.go
+++ b/dispatch/endpoint/fleet_test.go
@@ -41,18 +41,24 @@
 	counts        map[winch.ClassID]map[int]*fleetCounts
 	start         time.Time
 	nextID        int
+	classes       []fleetClass
 	pending       []func()
 	applyAt       time.Time
 }
 
-func newFleet(hosts, engines int) *fleet {
+func newFleet(hosts, engines int) *fleet { return newFleetOf(fleetClasses, hosts, engines) }
+
+func newFleetOf(classes []fleetClass, hosts, engines int) *fleet {
 	f := &fleet{
-		now: time.Unix(1000, 0), start: time.Unix(1000, 0), random: rand.New(rand.NewPCG(7, 7)), engines: map[winch.EndpointID]*fleetEngine{},
-		open: map[*request]*fleetRequest{}, due: make([]float64, len(fleetClasses)), counts: map[winch.ClassID]map[int]*fleetCounts{},
+		classes: classes,
+		now:     time.Unix(1000, 0), start: time.Unix(1000, 0), random: rand.New(rand.NewPCG(7, 7)), engines: map[winch.EndpointID]*fleetEngine{},
+		open: map[*request]*fleetRequest{}, due: make([]float64, len(classes)), counts: map[winch.ClassID]map[int]*fleetCounts{},
 	}
 	f.configuration = &winch.Configuration{Classes: map[winch.ClassID]winch.Class{}}
-	for _, class := range fleetClasses {
-		f.configuration.Classes[class.id] = winch.Class{ID: class.id, Tier: class.tier, FirstTokenTarget: class.target, Models: []winch.ModelID{promptModel}}
+	for _, class := range classes {
+		f.configuration.Classes[class.id] = winch.Class{
+			ID: class.id, Tier: class.tier, FirstTokenTarget: class.target, InterTokenTarget: class.interToken, Models: []winch.ModelID{promptModel},
+		}
 		f.counts[class.id] = map[int]*fleetCounts{}
 	}
 	members := make([]winch.Host, hosts)
--- a/dispatch/endpoint/prefill.go
+++ b/dispatch/endpoint/prefill.go
@@ -43,7 +43,7 @@
 	noSlotCost = 60000
 	// latencySensitiveShare is the share of the endpoints that is reserved for latency-sensitive classes.
 	latencySensitiveShare = 0.34
-	// latencySensitiveRatio is the largest ratio of a latency-sensitive class's target to the shortest target.
+	// latencySensitiveRatio is the largest ratio of a latency-sensitive class's targets to the shortest ones.
 	latencySensitiveRatio = 1.5
 )
 
@@ -322,16 +322,25 @@
 	return len(l.endpoints) > 0 && l.endpoints[0].spec.Kind == winch.EndpointEngine
 }
 
-// setLatencySensitive determines whether the lane's class is latency-sensitive: its target is among
-// the shortest, and it shares its engines with classes that have longer targets.
+// setLatencySensitive determines whether the lane's class is latency-sensitive: its targets are among the shortest, and it shares its
+// engines with classes that have longer ones. A class that bears longer pauses than the others between tokens does not count, however soon
+// its first token is due: its prompts would cause such pauses in their streams.
 func (l *lane) setLatencySensitive() {
-	shortest, longest := time.Duration(math.MaxInt64), time.Duration(0)
+	firstToken, interToken, longest := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64), time.Duration(0)
 	for _, competitor := range l.competitors {
 		if target := competitor.class.FirstTokenTarget; target > 0 {
-			shortest, longest = min(shortest, target), max(longest, target)
+			firstToken, longest = min(firstToken, target), max(longest, target)
+		}
+		if target := competitor.class.InterTokenTarget; target > 0 {
+			interToken = min(interToken, target)
 		}
 	}
-	bound := time.Duration(float64(shortest) * latencySensitiveRatio)
+	bound := withinRatio(firstToken)
 	target := l.class.FirstTokenTarget
-	l.latencySensitive = l.servedByEngines() && target > 0 && target <= bound && longest > bound
+	l.latencySensitive = l.servedByEngines() && target > 0 && target <= bound && longest > bound && l.class.InterTokenTarget <= withinRatio(interToken)
+}
+
+// withinRatio returns the longest target of a latency-sensitive class if the shortest one is given.
+func withinRatio(shortest time.Duration) time.Duration {
+	return time.Duration(min(float64(shortest)*latencySensitiveRatio, math.MaxInt64/2))
 }
