fix(forward): bound the memory that callers' requests and connections take together

Cause: readBody allocated the whole Content-Length as soon as the head was read, and nothing bounded the sum over open requests. The soft memory limit of the Go runtime only makes the collector run more often. Heads with thousands of fields, connections and kernel buffers had no common bound either.

Change: one budget for the process (internal/memory.Budget), divided by client address, organisation and rank. Bodies take bytes in steps as they arrive and hold them until the request ends; a body that does not fit is refused as not run (503, Retry-After) before it is read. Bodies without progress are given up. internal/connlimit bounds the connections of each port, the cost of heads, the buffers of the kernel and the time without progress. Kept responses and large events are parts of the same budget. Settings Limits.RequestMemory and Limits.Connections.

Why it works: what requests hold is counted before it is allocated and cannot exceed the budget, which leaves room below the runtime's soft limit for the process at rest and for garbage.

--- a/httpjson/traffic.go
+++ b/httpjson/traffic.go
@@ -44,6 +44,9 @@
 	traffic *Traffic
 }
 
+// NetListener returns the listener whose connections are counted.
+func (l *countedListener) NetListener() net.Listener { return l.Listener }
+
 func (l *countedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
@@ -57,6 +60,9 @@
 	traffic *Traffic
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.traffic.received.Add(int64(n))
--- /dev/null
+++ b/internal/connlimit/conn.go
@@ -0,0 +1,205 @@
+package connlimit
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/arbutuswinch/winch/internal/memory"
+)
+
+// writeSize is the largest number of bytes that are written at once.
+const writeSize = 64 << 10
+
+// refusal is sent to a client whose request is refused before its head is read. No endpoint has the request.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\nRetry-After: 1\r\n" +
+	"Connection: close\r\nContent-Length: 36\r\n\r\nno_memory: the request was not run\r\n"
+
+// errHeadRefused: there is no memory for the head of a request.
+var errHeadRefused = errors.New("no memory for the head of the request")
+
+// conn is a limited connection.
+type conn struct {
+	net.Conn
+	limiter *Limiter
+	address netip.Addr
+	// tcp is nil if the connection is of another kind.
+	tcp   *net.TCPConn
+	claim *memory.Claim
+	// closed is set once.
+	closed atomic.Bool
+
+	// inRequest is set from the end of a request's head to the end of its response, served once there was one. pipelined is
+	// set if bytes of a further request have arrived before the end of the response.
+	inRequest, served, pipelined atomic.Bool
+	// since is when the connection began to wait for a request, or when the request began, in nanoseconds. readSince and
+	// writeSince are when the current read of a body and the current write began; zero if there is none.
+	since, readSince, writeSince atomic.Int64
+	received                     atomic.Int64
+	// progressAt is when the client last sent progressBytes or the server did not wait for its bytes, with the received bytes
+	// at that time. Only the watch uses them.
+	progressAt, progressReceived int64
+
+	// mu protects the fields below.
+	mu   sync.Mutex
+	head headMeter
+	// extra holds the memory of large heads and of bytes in the kernel's buffer; it is nil as long as there were none.
+	extra             *memory.Claim
+	headTaken, queued int64
+}
+
+// Read reads bytes and takes memory for those of heads.
+func (c *conn) Read(p []byte) (int, error) {
+	// While a handler works, net/http reads a single byte to notice that the client leaves.
+	inRequest := c.inRequest.Load()
+	waits := inRequest && len(p) > 1
+	if waits {
+		c.readSince.Store(c.limiter.now.Load())
+	}
+	count, err := c.Conn.Read(p)
+	if waits {
+		c.readSince.Store(0)
+	}
+	if count == 0 {
+		return count, err
+	}
+	if inRequest && !waits {
+		c.pipelined.Store(true)
+	}
+	c.received.Add(int64(count))
+	if refused := c.meter(p[:count]); refused != nil {
+		return 0, refused
+	}
+	return count, err
+}
+
+// meter takes memory for bytes of a head.
+func (c *conn) meter(data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inRequest.Load() {
+		c.head.skip(data)
+		return nil
+	}
+	c.head.add(data)
+	wanted := c.head.beyond()
+	if wanted <= c.headTaken {
+		return nil
+	}
+	if c.takeExtra(wanted-c.headTaken) != nil {
+		return c.refuse()
+	}
+	c.headTaken = wanted
+	return nil
+}
+
+// takeExtra takes memory for the connection beyond ConnectionCost. It is called with the lock held. Not even an essential port
+// takes more than the share of a client for that.
+func (c *conn) takeExtra(size int64) error {
+	if c.extra == nil {
+		c.extra = c.limiter.options.Budget.Open(memory.Holder{Address: c.address, Rank: memory.RankOrdinary})
+	}
+	return c.extra.Take(size)
+}
+
+// refuse sends the refusal and returns an error, after which net/http closes the connection without a response of its own.
+func (c *conn) refuse() error {
+	c.limiter.counts.heads.Add(1)
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(time.Second))
+	// An error means that the client has disconnected; the connection ends in either case.
+	_, _ = c.Conn.Write([]byte(refusal))
+	return &net.OpError{Op: "read", Net: "tcp", Err: errHeadRefused}
+}
+
+// Write writes in pieces, each of which the client has to read within Options.WriteTime.
+func (c *conn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		piece := p[written:min(len(p), written+writeSize)]
+		c.writeSince.Store(c.limiter.now.Load())
+		count, err := c.Conn.Write(piece)
+		c.writeSince.Store(0)
+		written += count
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// CloseWrite closes the connection for writing, which net/http does so that the client gets the last response.
+func (c *conn) CloseWrite() error {
+	if c.tcp == nil {
+		return nil
+	}
+	return c.tcp.CloseWrite()
+}
+
+// Close closes the connection and gives back its memory.
+func (c *conn) Close() error {
+	if !c.closed.CompareAndSwap(false, true) {
+		return net.ErrClosed
+	}
+	err := c.Conn.Close()
+	c.limiter.remove(c)
+	c.claim.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.extra != nil {
+		c.extra.Close()
+	}
+	return err
+}
+
+// begin notes that a head is complete.
+func (c *conn) begin() {
+	c.pipelined.Store(false)
+	c.inRequest.Store(true)
+	c.since.Store(c.limiter.now.Load())
+}
+
+// finish notes that a response is complete, and gives back the memory of the head.
+func (c *conn) finish() {
+	c.served.Store(true)
+	c.since.Store(c.limiter.now.Load())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inRequest.Store(false)
+	c.head.restart()
+	if c.headTaken > 0 {
+		c.extra.Give(c.headTaken)
+		c.headTaken = 0
+	}
+}
+
+// candidate returns the connection as it is now.
+func (c *conn) candidate() candidate {
+	if since := c.writeSince.Load(); since != 0 {
+		return candidate{conn: c, activity: slowReader, since: since}
+	}
+	since := c.since.Load()
+	switch {
+	case c.inRequest.Load() && c.readSince.Load() != 0:
+		return candidate{conn: c, activity: slowBody, since: c.readSince.Load()}
+	case c.inRequest.Load():
+		return candidate{conn: c, activity: working, since: since}
+	case c.served.Load():
+		return candidate{conn: c, activity: idle, since: since}
+	}
+	return candidate{conn: c, activity: waiting, since: since}
+}
+
+// endFor closes the connection and counts it.
+func (c *conn) endFor(cause cause) {
+	if c.closed.Load() {
+		return
+	}
+	c.limiter.counts.ended[cause].Add(1)
+	if c.tcp != nil && cause != causeRoom {
+		// Discards what the kernel still holds for the client.
+		_ = c.tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- /dev/null
+++ b/internal/memory/claim.go
@@ -0,0 +1,229 @@
+package memory
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Rank orders claims when bytes are scarce.
+type Rank int
+
+// The ranks of claims.
+const (
+	// RankOrdinary is the rank of claims whose class is not known, or not the most urgent one.
+	RankOrdinary Rank = iota
+	// RankUrgent is the rank of requests of the most urgent class. A part of the budget is left for them.
+	RankUrgent
+	// RankEssential is the rank of connections without which the host cannot work. They are refused only if no byte is left.
+	RankEssential
+)
+
+// Claim is the bytes that one connection or request holds. Its methods are safe for concurrent use.
+type Claim struct {
+	budget *Budget
+	holder Holder
+	// client is nil once the claim is closed, organisation also if there is none.
+	client, organisation *account
+	held, expected       int64
+	large                bool
+	// end is called if the claim holds bytes without progress. progressAt is when the client has last sent bytes.
+	end            func()
+	progressAt     time.Time
+	previous, next *Claim
+	listed         bool
+}
+
+// Holder is on whose behalf bytes are taken.
+type Holder struct {
+	// Address is that of the client, without a port.
+	Address netip.Addr
+	// Organisation is empty if none is known.
+	Organisation string
+	Rank         Rank
+}
+
+// Open returns a claim that holds no bytes. It has to be closed.
+func (b *Budget) Open(holder Holder) *Claim {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := &Claim{budget: b, holder: holder, client: b.clients[holder.Address]}
+	if c.client == nil {
+		c.client = &account{}
+		b.clients[holder.Address] = c.client
+	}
+	c.client.claims++
+	if holder.Organisation == "" {
+		return c
+	}
+	if c.organisation = b.organisations[holder.Organisation]; c.organisation == nil {
+		c.organisation = &account{}
+		b.organisations[holder.Organisation] = c.organisation
+	}
+	c.organisation.claims++
+	return c
+}
+
+// Take takes so many more bytes. It takes nothing if it returns an error, which matches ErrNoMemory.
+func (c *Claim) Take(size int64) error {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.client == nil {
+		return ErrClosed
+	}
+	if err := b.checkTake(c, size); err != nil {
+		b.countRefusal(err)
+		return err
+	}
+	b.move(c, size)
+	return nil
+}
+
+// Fits returns nil if so many bytes could be taken besides those that other claims expect. It takes nothing, and counts no
+// refusal.
+func (c *Claim) Fits(size int64) error {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.client == nil {
+		return ErrClosed
+	}
+	err := b.checkTake(c, size)
+	if err == nil && c.held+size > smallClaim && b.large+b.expected/expectedShare+size > b.largeLimit(c.holder.Rank) {
+		err = ErrBudgetFull
+	}
+	return err
+}
+
+// Expect tells how many bytes the claim still expects. They are taken into account by Fits.
+func (c *Claim) Expect(size int64) {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.expect(size)
+}
+
+func (c *Claim) expect(size int64) {
+	if c.client == nil {
+		return
+	}
+	c.budget.expected += size - c.expected
+	c.expected = size
+}
+
+// Give gives back so many bytes of those that the claim holds.
+func (c *Claim) Give(size int64) {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.budget.move(c, -min(size, c.held))
+}
+
+// Held returns the number of bytes that the claim holds.
+func (c *Claim) Held() int64 {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	return c.held
+}
+
+// Wait tells that the claim waits for bytes of its client, which sent the last ones now. end is called, by a caller of
+// Budget.Stalled, if other claims need the bytes of one that has stalled.
+func (c *Claim) Wait(now time.Time, end func()) {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.end = end
+	c.progressAt = now
+	if c.client == nil {
+		return
+	}
+	c.budget.waiting.moveToEnd(c)
+}
+
+// WaitOver tells that the claim no longer waits for bytes.
+func (c *Claim) WaitOver() {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.budget.waiting.remove(c)
+}
+
+// End calls the function that was given to Wait.
+func (c *Claim) End() {
+	c.budget.mu.Lock()
+	end := c.end
+	c.budget.mu.Unlock()
+	end()
+}
+
+// Close gives back all bytes. A claim may be closed more than once.
+func (c *Claim) Close() {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.client == nil {
+		return
+	}
+	b.move(c, -c.held)
+	c.expect(0)
+	b.waiting.remove(c)
+	if c.client.claims--; c.client.claims == 0 {
+		delete(b.clients, c.holder.Address)
+	}
+	if c.organisation != nil {
+		if c.organisation.claims--; c.organisation.claims == 0 {
+			delete(b.organisations, c.holder.Organisation)
+		}
+	}
+	c.client, c.organisation = nil, nil
+}
+
+// move changes what the claim holds. It is called with the lock held.
+func (b *Budget) move(c *Claim, size int64) {
+	if c.client == nil {
+		return
+	}
+	after := c.held + size
+	large := after > smallClaim
+	for _, a := range []*account{c.client, c.organisation} {
+		if a != nil {
+			a.add(-c.held, c.large)
+			a.add(after, large)
+		}
+	}
+	if c.large {
+		b.large -= c.held
+	}
+	if large {
+		b.large += after
+	}
+	b.used += size
+	c.held, c.large = after, large
+}
+
+// claimList is a list of claims.
+type claimList struct{ first, last *Claim }
+
+func (l *claimList) remove(c *Claim) {
+	if !c.listed {
+		return
+	}
+	if c.previous != nil {
+		c.previous.next = c.next
+	} else {
+		l.first = c.next
+	}
+	if c.next != nil {
+		c.next.previous = c.previous
+	} else {
+		l.last = c.previous
+	}
+	c.previous, c.next, c.listed = nil, nil, false
+}
+
+func (l *claimList) moveToEnd(c *Claim) {
+	l.remove(c)
+	c.previous, c.listed = l.last, true
+	if l.last != nil {
+		l.last.next = c
+	} else {
+		l.first = c
+	}
+	l.last = c
+}
--- a/internal/memory/shared.go
+++ b/internal/memory/shared.go
@@ -1,8 +1,17 @@
-// Package memory bounds the memory that requests take together for what they keep of responses.
+// Package memory bounds the memory that requests and connections take together.
+//
+// A Budget is divided among clients and organisations; a Shared is an amount, possibly a part of a budget, that is not.
 //
 // # Usage
 //
-//	shared := memory.NewShared(16 << 20)
+//	budget := memory.NewBudget(memory.BudgetSize(softLimit))
+//	claim := budget.Open(address, memory.RankOrdinary)
+//	defer claim.Close()
+//	if err := claim.Take(size); err != nil {
+//		return err // matches ErrNoMemory
+//	}
+//
+//	shared := budget.Part(16 << 20) // or memory.NewShared(16 << 20)
 //	if !shared.Take(size) {
 //		return errNoMemory
 //	}
@@ -12,7 +21,11 @@
 import "sync/atomic"
 
 // Shared is an amount of memory. It is safe for concurrent use.
-type Shared struct{ left atomic.Int64 }
+type Shared struct {
+	left atomic.Int64
+	// budget is nil if the amount is no part of a budget.
+	budget *Budget
+}
 
 // NewShared returns a budget of the given number of bytes.
 func NewShared(size int64) *Shared {
@@ -23,7 +36,7 @@
 
 // Take takes memory for so many bytes. It reports whether there was enough, and takes nothing otherwise.
 func (m *Shared) Take(size int64) bool {
-	if m.left.Add(-size) >= 0 {
+	if m.left.Add(-size) >= 0 && (m.budget == nil || m.budget.takePart(size)) {
 		return true
 	}
 	m.left.Add(size)
@@ -31,7 +44,12 @@
 }
 
 // Give gives back memory for so many bytes.
-func (m *Shared) Give(size int64) { m.left.Add(size) }
+func (m *Shared) Give(size int64) {
+	m.left.Add(size)
+	if m.budget != nil && size > 0 {
+		m.budget.givePart(size)
+	}
+}
 
 // Left returns the number of bytes that are left.
 func (m *Shared) Left() int64 { return m.left.Load() }
--- a/serving/forward/admit.go
+++ b/serving/forward/admit.go
@@ -4,12 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/memory"
 )
 
 // admission is the route, class, model and organisation that a configuration gives to a request.
@@ -158,44 +158,24 @@
 	}
 }
 
-// readBodyUntil calls readBody, and gives up at the end of a shutdown, with which ctx ends.
-func readBodyUntil(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *fault) {
-	stop := context.AfterFunc(ctx, func() {
-		// Connection deadlines are compared with the system clock. The error is ignored because writers in tests may not support them.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
-	})
-	defer stop()
-	body, f := readBody(w, r, limit)
+// readBodyUntil reads the body, and gives up at the end of a shutdown, with which ctx ends.
+func (s *Server) readBodyUntil(ctx context.Context, w http.ResponseWriter, r *http.Request, claim *memory.Claim, limits bodyLimits) ([]byte, *fault) {
+	reader := &bodyReader{
+		ctx: ctx, request: r, controller: http.NewResponseController(w), budget: s.options.Memory, waiters: &s.bodyWaiters, claim: claim,
+		limit: limits.size, deadline: time.Now().Add(limits.time),
+	}
+	defer context.AfterFunc(ctx, reader.stop)()
+	body, f := reader.read()
 	if f != nil && errors.Is(context.Cause(ctx), errStopping) {
 		return nil, notRun(string(winch.RefusedStopping), stoppingRetryAfter)
 	}
 	return body, f
 }
 
-// readBody reads the whole body and rejects one that is larger than the limit.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *fault) {
-	if r.ContentLength > limit {
-		return nil, bodyTooLarge(limit)
-	}
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, body); err != nil {
-			return nil, bodyReadFailure(err)
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, bodyTooLarge(limit)
-	case err != nil:
-		return nil, bodyReadFailure(err)
-	}
-	return body, nil
+// bodyLimits are the maximum size of a body, and the time until which it has to be complete.
+type bodyLimits struct {
+	size int64
+	time time.Duration
 }
 
 func bodyTooLarge(limit int64) *fault {
@@ -204,13 +184,3 @@
 		message: fmt.Sprintf("the body is larger than %d bytes", limit),
 	}
 }
-
-// bodyReadFailure returns the fault for a body that could not be read. A body that ends early
-// means that the caller has disconnected; all other errors, such as malformed chunks, are
-// reported as a bad request.
-func bodyReadFailure(err error) *fault {
-	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
-		return callerLeft()
-	}
-	return &fault{status: http.StatusBadRequest, reason: "body_unread", message: "the body could not be read", cause: err}
-}
--- a/serving/forward/fault.go
+++ b/serving/forward/fault.go
@@ -35,6 +35,8 @@
 	// retryAfter is zero if the caller should not retry.
 	retryAfter time.Duration
 	cause      error
+	// closes is set if the connection is closed, because the rest of the body is not read.
+	closes bool
 }
 
 func notReady(message string) *fault {
--- a/serving/forward/options.go
+++ b/serving/forward/options.go
@@ -10,12 +10,14 @@
 	"go.opentelemetry.io/otel/metric/noop"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/memory"
 )
 
 const (
 	defaultBodyLimit     = 4 << 20
 	defaultResponseLimit = 8 << 20
 	// keptAnswersSize and largeEventsSize bound the memory that the responses of all requests take while they are read, in bytes.
+	// It is part of Options.Memory.
 	keptAnswersSize       = 16 << 20
 	largeEventsSize       = 8 << 20
 	defaultTimeout        = time.Minute
@@ -57,7 +59,7 @@
 	KeyMaxAge time.Duration
 }
 
-// Options are the dependencies and settings of a server. Only Meter may be nil.
+// Options are the dependencies and settings of a server. Only Memory and Meter may be nil.
 type Options struct {
 	Configurations winch.ConfirmedConfigurations
 	Dispatcher     winch.Dispatcher
@@ -74,8 +76,10 @@
 	Origins winch.StreamOrigins
 	Clock   winch.Clock
 	Logger  hclog.Logger
-	Meter   metric.Meter
-	Limits  Limits
+	// Memory is what all requests of the process may hold; nil stands for a budget of memory.DefaultBudget.
+	Memory *memory.Budget
+	Meter  metric.Meter
+	Limits Limits
 }
 
 func (o *Options) check() error {
@@ -92,6 +96,9 @@
 		}
 	}
 	o.Meter = cmp.Or[metric.Meter](o.Meter, noop.Meter{})
+	if o.Memory == nil {
+		o.Memory = memory.NewBudget(memory.DefaultBudget)
+	}
 	o.Limits.setDefaults()
 	return nil
 }
--- a/serving/forward/server.go
+++ b/serving/forward/server.go
@@ -21,6 +21,10 @@
 	metrics *metrics
 	// answers is the memory for responses that are kept until they are complete, events that for large events.
 	answers, events *memory.Shared
+	// bodyWaiters counts the requests that wait until their bodies fit into the memory.
+	bodyWaiters atomic.Int64
+	// discards counts the requests the rest of whose bodies is read and discarded.
+	discards        atomic.Int64
 	freshnessLimits atomic.Pointer[freshnessLimits]
 	// stopTimes is nil until a shutdown begins. longOver ends with stopTimes.longUntil, when endLong is called.
 	stopTimes atomic.Pointer[stopTimes]
@@ -41,7 +45,7 @@
 	}
 	server := &Server{
 		options: options, open: set, metrics: instruments,
-		answers: memory.NewShared(keptAnswersSize), events: memory.NewShared(largeEventsSize),
+		answers: options.Memory.Part(keptAnswersSize), events: options.Memory.Part(largeEventsSize),
 	}
 	server.longOver, server.endLong = context.WithCancel(context.Background())
 	server.SetFreshnessLimits(options.Limits.RejectMaxAge, options.Limits.KeyMaxAge)
@@ -141,6 +145,9 @@
 		f = s.handle(w, r, req)
 	}
 	s.finish(w, req, f)
+	if f != nil && f.closes {
+		s.discardRest(w, r)
+	}
 }
 
 // checkRequest makes the checks that do not depend on the configuration.
@@ -175,11 +182,16 @@
 	if limit <= 0 {
 		limit = s.options.Limits.Body
 	}
-	body, f := readBodyUntil(req.detached, w, r, limit)
-	if f != nil {
-		return f
+	if r.ContentLength != 0 {
+		// The claim holds the memory of the body until the request ends, since it may be sent again.
+		claim := s.openClaim(r, &req.admission)
+		defer claim.Close()
+		body, f := s.readBodyUntil(req.detached, w, r, claim, bodyLimits{size: limit, time: s.timeout(req)})
+		if f != nil {
+			return f
+		}
+		req.body = body
 	}
-	req.body = body
 	req.tracker.Repeatable = req.admission.route.Repeatable()
 	return s.withDeadline(r.Context(), req, func(ctx context.Context) *fault { return s.run(ctx, w, req) })
 }
@@ -202,9 +214,8 @@
 	return f
 }
 
-// withDeadline calls serveRequest with a context that ends at the request's deadline, at
-// shutdown or when the caller disconnects, whichever comes first.
-func (s *Server) withDeadline(caller context.Context, req *request, serveRequest func(ctx context.Context) *fault) *fault {
+// timeout returns the time that an admitted request has from its arrival.
+func (s *Server) timeout(req *request) time.Duration {
 	timeout := s.options.Limits.Timeout
 	if limit := req.admission.route.Timeout; limit > 0 {
 		timeout = limit
@@ -212,7 +223,13 @@
 	if req.Timeout > 0 {
 		timeout = min(timeout, req.Timeout)
 	}
-	req.deadline = req.arrived.Add(timeout)
+	return timeout
+}
+
+// withDeadline calls serveRequest with a context that ends at the request's deadline, at
+// shutdown or when the caller disconnects, whichever comes first.
+func (s *Server) withDeadline(caller context.Context, req *request, serveRequest func(ctx context.Context) *fault) *fault {
+	req.deadline = req.arrived.Add(s.timeout(req))
 	detached, cancelDetached := context.WithTimeoutCause(req.detached, req.deadline.Sub(s.now()), errDeadline)
 	defer cancelDetached()
 	req.detached = detached
@@ -233,6 +250,10 @@
 		panic(http.ErrAbortHandler)
 	default:
 		s.closeIfStopping(w)
+		if f.closes {
+			w.Header().Set("Connection", "close")
+		}
+		s.extendWriteDeadline(w)
 		f.write(w, s.options.Protocol, req.ForwardRequest)
 	}
 }
--- a/serving/forward/stream_test.go
+++ b/serving/forward/stream_test.go
@@ -93,6 +93,7 @@
 func TestSlowCallerGetsALargeAnswer(t *testing.T) {
 	body := strings.Repeat("x", 4<<20)
 	ts := newTestServer(t, stubResponse{status: 200, body: body})
+	ts.limitConnections()
 	ts.server.options.Limits.WriteTimeout = 150 * time.Millisecond
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, ts.httpServer.URL+"/safe/x", bytes.NewReader([]byte("body")))
 	assert.NilError(t, err)
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -12,10 +12,10 @@
 
 import (
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
@@ -23,6 +23,7 @@
 	"github.com/arbutuswinch/winch/clock/boottime"
 	"github.com/arbutuswinch/winch/clock/synced"
 	dispatch "github.com/arbutuswinch/winch/dispatch/endpoint"
+	"github.com/arbutuswinch/winch/internal/connlimit"
 	members "github.com/arbutuswinch/winch/membership/keyvalue"
 	memberpeer "github.com/arbutuswinch/winch/membership/peer"
 	origins "github.com/arbutuswinch/winch/origin/peer"
@@ -64,9 +65,6 @@
 	forgetAfter = time.Minute
 	// listEvery is the interval at which the hub reads the host list from the store.
 	listEvery = 5 * time.Second
-	// memoryShare is the share of the memory limit that is set as the Go runtime's soft memory
-	// limit, at which the garbage collector runs more often.
-	memoryShare = 0.7
 )
 
 // exchangeGroup is the data centre ID under which all hosts exchange their state. Every host uses
@@ -83,6 +81,7 @@
 	clock       winch.Clock
 	incarnation winch.Incarnation
 	metrics     *process.Metrics
+	guard       *process.Guard
 	store       *store.Client
 	// synced is the wall clock on which the hosts agree. It assigns usage to windows.
 	synced *synced.Clock
@@ -105,9 +104,6 @@
 // New builds the process and opens its ports, so that a port in use is reported at once. Run
 // serves. path is the file from which the settings were loaded. They are reloaded when it changes.
 func New(path string, loaded settings.Forwarding, version string, logger hclog.Logger) (*Forwarder, error) {
-	if loaded.Limits.Memory > 0 {
-		debug.SetMemoryLimit(int64(float64(loaded.Limits.Memory) * memoryShare))
-	}
 	clock, err := boottime.New()
 	if err != nil {
 		return nil, err
@@ -117,6 +113,7 @@
 	}
 	err = process.Build([]process.Step{
 		{Name: "metrics", Build: f.buildMetrics},
+		{Name: "memory", Build: f.buildGuard},
 		{Name: "store", Build: f.buildStore},
 		{Name: "membership", Build: f.buildMembership},
 		{Name: "configuration", Build: f.buildConfiguration},
@@ -141,6 +138,13 @@
 	return err
 }
 
+func (f *Forwarder) buildGuard() error {
+	limits := f.settings.Limits
+	built, err := process.NewGuard(process.GuardLimits{Memory: limits.Memory, RequestMemory: limits.RequestMemory, Connections: limits.Connections}, f.logger, f.metrics.Meter())
+	f.guard = built
+	return err
+}
+
 func (f *Forwarder) buildStore() error {
 	built, err := store.New(store.Options{Address: f.settings.Store.Address, Timeout: f.settings.Store.Timeout, Meter: f.metrics.Meter()})
 	f.store = built
@@ -225,6 +229,7 @@
 	built, err := forward.New(forward.Options{
 		Configurations: f.configuration, Dispatcher: f.dispatcher, Protocol: caller.Protocol{}, Sender: runner.New(f.exchanger),
 		Usage: f, Loads: f.dispatcher, Listener: f.dispatcher, Quarantine: f.quarantine, Origins: f.origins, Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
+		Memory: f.guard.Budget(),
 		Limits: forward.Limits{
 			ReadinessDelay: readinessDelay, AcceptStreams: acceptStreamsFor,
 			AcceptLong:     min(acceptStreamsFor, time.Duration(float64(f.settings.Bounds.Grace)*acceptLongShare)),
@@ -254,18 +259,18 @@
 }
 
 func (f *Forwarder) buildServers() error {
-	callers, err := process.NewServer(f.settings.Caller.Address, f.server.Handler(), callerLimits(), nil)
+	callers, err := f.newServer(f.settings.Caller.Address, f.server.Handler(), callerLimits(), f.guard.Callers)
 	if err != nil {
 		return err
 	}
 	// NewServer puts the handler behind the router of kratos, which would change paths. They are
 	// matched and forwarded byte for byte, so the router is replaced by the handler itself.
 	callers.Handler = f.server.Handler()
-	ready, err := process.NewServer(f.settings.Caller.ReadyAddress, http.HandlerFunc(f.serveReady), process.InternalLimits(), nil)
+	ready, err := f.newServer(f.settings.Caller.ReadyAddress, http.HandlerFunc(f.serveReady), process.InternalLimits(), f.guard.Ready)
 	if err != nil {
 		return err
 	}
-	peers, err := process.NewServer(f.settings.Peer.Address, f.peers.handler(), process.InternalLimits(), nil)
+	peers, err := f.newServer(f.settings.Peer.Address, f.peers.handler(), process.InternalLimits(), f.internal("peer"))
 	if err != nil {
 		return err
 	}
@@ -276,11 +281,25 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", f.metrics.Handler())
 	mux.Handle("/metrics/runtime", f.metrics.RuntimeHandler())
-	metrics, err := process.NewServer(f.settings.Caller.MetricsAddress, mux, process.InternalLimits(), nil)
+	metrics, err := f.newServer(f.settings.Caller.MetricsAddress, mux, process.InternalLimits(), f.internal("metrics"))
 	f.servers = append(f.servers, metrics)
 	return err
 }
 
+func (f *Forwarder) internal(port string) func() (*connlimit.Limiter, error) {
+	return func() (*connlimit.Limiter, error) { return f.guard.Internal(port) }
+}
+
+// newServer returns a server whose connections are limited.
+func (f *Forwarder) newServer(address string, handler http.Handler, limits process.ServerLimits, limiter func() (*connlimit.Limiter, error)) (*khttp.Server, error) {
+	built, err := limiter()
+	if err != nil {
+		return nil, err
+	}
+	limits.Connections = built
+	return process.NewServer(address, handler, limits, nil)
+}
+
 const (
 	callerHeaderLimit   = 64 << 10
 	callerHeaderTimeout = 5 * time.Second
@@ -294,6 +313,7 @@
 
 func (f *Forwarder) tasks() []process.Task {
 	return append([]process.Task{
+		{Name: "memory", Run: f.guard.Run},
 		{Name: "configuration", Run: f.configuration.Run},
 		{Name: "endpoint list", Run: f.endpoints.Run},
 		{Name: "host entry", Run: f.hosts.Run},
--- a/winchd/process/events.go
+++ b/winchd/process/events.go
@@ -20,4 +20,8 @@
 	EventDrainIncomplete winch.EventNumber = 1006
 	// EventStopIncomplete: a server or background tasks did not stop in time and were given up.
 	EventStopIncomplete winch.EventNumber = 1007
+	// EventMemoryScarce: requests or connections were refused because of the memory budget.
+	EventMemoryScarce winch.EventNumber = 1008
+	// EventMemoryCalm: the memory budget has refused nothing for some time.
+	EventMemoryCalm winch.EventNumber = 1009
 )
--- /dev/null
+++ b/winchd/process/guard.go
@@ -0,0 +1,185 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"runtime/debug"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"golang.org/x/sys/unix"
+
+	"github.com/arbutuswinch/winch/internal/connlimit"
+	"github.com/arbutuswinch/winch/internal/memory"
+)
+
+const (
+	// memoryShare is the share of the memory limit that is set as the Go runtime's soft memory
+	// limit, at which the garbage collector runs more often. The rest is for the program itself and the kernel's buffers.
+	memoryShare = 0.7
+	// fileDescriptors are the descriptors that are left for files and the process itself.
+	fileDescriptors = 200
+	// callerDescriptors is the share in percent of the other descriptors that connections of callers may use. The rest is for
+	// endpoints and other hosts.
+	callerDescriptors = 60
+	// internalConnections is the maximum number of connections of a port that is not exposed to callers.
+	internalConnections = 512
+	// readyConnections is the same for the port of readiness checks.
+	readyConnections = 64
+	// connectionShare is the divisor of the budget that connections of callers may hold.
+	connectionShare = 2
+	// memoryReportEvery is the interval at which the state of the budget is looked at.
+	memoryReportEvery = time.Second
+	// memoryCalmAfter is the time without a refusal after which memory is no longer scarce.
+	memoryCalmAfter = 10 * time.Second
+)
+
+// GuardLimits are the limits of the whole process. Zero means the default of each.
+type GuardLimits struct {
+	// Memory is the maximum memory of the process in bytes; zero means that it is not limited.
+	Memory int64
+	// RequestMemory is the size of the budget in bytes.
+	RequestMemory int64
+	// Connections is the maximum number of connections of callers.
+	Connections int
+}
+
+// Guard bounds the memory that requests and connections hold in the whole process.
+type Guard struct {
+	limits GuardLimits
+	budget *memory.Budget
+	logger hclog.Logger
+	meter  metric.Meter
+}
+
+// NewGuard sets the soft memory limit of the Go runtime, if there is a limit, and returns a guard.
+func NewGuard(limits GuardLimits, logger hclog.Logger, meter metric.Meter) (*Guard, error) {
+	soft := int64(float64(limits.Memory) * memoryShare)
+	if soft > 0 {
+		debug.SetMemoryLimit(soft)
+	}
+	size := limits.RequestMemory
+	if size == 0 {
+		size = memory.BudgetSize(soft)
+	}
+	g := &Guard{limits: limits, budget: memory.NewBudget(size), logger: logger, meter: meter}
+	return g, g.export()
+}
+
+// Budget returns what requests and connections may hold together.
+func (g *Guard) Budget() *memory.Budget { return g.budget }
+
+// Callers returns the limiter of the port for callers.
+func (g *Guard) Callers() (*connlimit.Limiter, error) {
+	return connlimit.New(connlimit.Options{
+		Port: "caller", Budget: g.budget, Max: callerConnections(g.limits.Connections, g.budget.Usage().Size, descriptorLimit()), Logger: g.logger, Meter: g.meter,
+	})
+}
+
+// Ready returns the limiter of the port for readiness checks.
+func (g *Guard) Ready() (*connlimit.Limiter, error) { return g.internal("ready", readyConnections) }
+
+// Internal returns the limiter of a port that is not exposed to callers.
+func (g *Guard) Internal(port string) (*connlimit.Limiter, error) {
+	return g.internal(port, internalConnections)
+}
+
+func (g *Guard) internal(port string, limit int) (*connlimit.Limiter, error) {
+	return connlimit.New(connlimit.Options{Port: port, Budget: g.budget, Rank: memory.RankEssential, Max: limit, Logger: g.logger, Meter: g.meter})
+}
+
+// callerConnections returns the maximum number of connections of callers for a set number, which may be zero, a budget in bytes and a
+// number of descriptors.
+func callerConnections(set int, budget int64, descriptors uint64) int {
+	usable := math.MaxInt
+	if descriptors < math.MaxInt32 {
+		usable = max(1, (int(descriptors)-fileDescriptors)*callerDescriptors/100)
+	}
+	if set > 0 {
+		return min(set, usable)
+	}
+	return min(usable, int(budget/connectionShare/connlimit.ConnectionCost))
+}
+
+// descriptorLimit returns the number of descriptors that the process may open.
+func descriptorLimit() uint64 {
+	limit := unix.Rlimit{}
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return math.MaxUint64
+	}
+	return limit.Cur
+}
+
+func (g *Guard) export() error {
+	held, err := g.meter.Int64ObservableGauge("winch_memory_budget", metric.WithUnit("By"),
+		metric.WithDescription("Bytes that requests and connections hold (state used) and may hold (state size)."))
+	if err != nil {
+		return fmt.Errorf("create gauge of the memory budget: %w", err)
+	}
+	refused, err := g.meter.Int64ObservableCounter("winch_memory_refused", metric.WithDescription("Refusals of the memory budget by cause."))
+	if err != nil {
+		return fmt.Errorf("create counter of the memory budget: %w", err)
+	}
+	_, err = g.meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
+		usage := g.budget.Usage()
+		for state, value := range map[string]int64{"used": usage.Used, "size": usage.Size} {
+			observer.ObserveInt64(held, value, metric.WithAttributes(attribute.String("state", state)))
+		}
+		for cause, count := range map[string]int64{"full": usage.Refused.Full, "client": usage.Refused.Client, "organisation": usage.Refused.Organisation} {
+			observer.ObserveInt64(refused, count, metric.WithAttributes(attribute.String("cause", cause)))
+		}
+		return nil
+	}, held, refused)
+	if err != nil {
+		return fmt.Errorf("register metrics of the memory budget: %w", err)
+	}
+	return nil
+}
+
+// Run logs when memory becomes scarce and when it no longer is, until ctx is done.
+func (g *Guard) Run(ctx context.Context) error {
+	ticker := time.NewTicker(memoryReportEvery)
+	defer ticker.Stop()
+	report := memoryReport{logger: g.logger}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			report.report(now, g.budget.Usage())
+		}
+	}
+}
+
+// memoryReport logs changes of the state of the budget.
+type memoryReport struct {
+	logger hclog.Logger
+	// refused is the count at the last report, began the one at the beginning of the scarcity.
+	refused, began memory.RefusalCounts
+	// lastAt is when bytes were last refused while memory is scarce; zero if it is not.
+	lastAt time.Time
+}
+
+func (r *memoryReport) report(now time.Time, usage memory.Usage) {
+	changed := usage.Refused != r.refused
+	switch {
+	case changed && r.lastAt.IsZero():
+		r.began = r.refused
+		r.log(r.logger.Warn, "memory for requests is scarce", EventMemoryScarce, usage)
+	case !changed && !r.lastAt.IsZero() && now.Sub(r.lastAt) >= memoryCalmAfter:
+		r.log(r.logger.Info, "memory for requests is no longer scarce", EventMemoryCalm, usage)
+		r.lastAt = time.Time{}
+	}
+	if changed {
+		r.lastAt = now
+	}
+	r.refused = usage.Refused
+}
+
+func (r *memoryReport) log(write func(string, ...any), message string, event any, usage memory.Usage) {
+	write(message, "Event", event, "Used", usage.Used, "Size", usage.Size, "Full", usage.Refused.Full-r.began.Full,
+		"Client", usage.Refused.Client-r.began.Client, "Organisation", usage.Refused.Organisation-r.began.Organisation)
+}
--- a/winchd/process/server.go
+++ b/winchd/process/server.go
@@ -27,6 +27,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/arbutuswinch/winch/httpjson"
+	"github.com/arbutuswinch/winch/internal/connlimit"
 )
 
 // ServerLimits limits the resources that a client can occupy at a server.
@@ -37,6 +38,8 @@
 	ReadTimeout time.Duration
 	// IdleTimeout is how long a connection may be idle.
 	IdleTimeout time.Duration
+	// Connections limits the connections of the port; nil means no limit.
+	Connections *connlimit.Limiter
 }
 
 const (
@@ -60,11 +63,17 @@
 	if traffic != nil {
 		listener = traffic.Listener(listener)
 	}
+	if limits.Connections != nil {
+		listener = limits.Connections.Listener(listener)
+	}
 	server := khttp.NewServer(khttp.Address(address), khttp.Listener(listener), khttp.Timeout(0))
 	server.HandlePrefix("/", handler)
 	// kratos cancels the context of every request when the application begins to stop. Open
 	// requests must be finished instead.
 	server.ConnContext = func(ctx context.Context, _ net.Conn) context.Context { return context.WithoutCancel(ctx) }
+	if limits.Connections != nil {
+		server.ConnState = limits.Connections.Observe
+	}
 	server.ReadHeaderTimeout = limits.ReadTimeout
 	server.MaxHeaderBytes = limits.HeaderLimit
 	server.IdleTimeout = limits.IdleTimeout
--- a/winchd/settings/forwarding.go
+++ b/winchd/settings/forwarding.go
@@ -88,6 +88,11 @@
 type ForwardingLimits struct {
 	// Memory is the maximum memory of the process in bytes. Zero means no limit.
 	Memory int64
+	// RequestMemory is the maximum memory in bytes that requests and connections hold together. Zero derives it from Memory.
+	RequestMemory int64
+	// Connections is the maximum number of open connections of the caller port. Zero derives it from RequestMemory and the
+	// number of descriptors that the process may open.
+	Connections int
 	// Processors is the number of processors that the process may use, as a fraction. Hosts with more take on the duties for
 	// all hosts. Zero means that it is not known.
 	Processors float64
@@ -171,15 +176,36 @@
 	if f.Bounds.UsageWindow < time.Second || f.Bounds.UsageWindow%time.Second != 0 {
 		problems = append(problems, fieldError("Bounds.UsageWindow", "must be a positive number of whole seconds"))
 	}
-	if f.Limits.Processors < 0 {
-		problems = append(problems, fieldError("Limits.Processors", "must not be negative"))
-	}
+	problems = append(problems, f.Limits.check()...)
 	if f.Bounds.RetryShare < 0 || f.Bounds.RetryMinimum < 0 {
 		problems = append(problems, fieldError("Bounds.RetryShare", "must not be negative; the same holds for Bounds.RetryMinimum"))
 	}
 	return errors.Join(append(problems, f.Quarantine.check()...)...)
 }
 
+// minRequestMemory is the least memory in bytes with which a body of the usual limit of 4 MiB is served beside small requests.
+const minRequestMemory = 8 << 20
+
+func (l *ForwardingLimits) check() []error {
+	var problems []error
+	if l.Memory < 0 {
+		problems = append(problems, fieldError("Limits.Memory", "must not be negative"))
+	}
+	if l.RequestMemory != 0 && l.RequestMemory < minRequestMemory {
+		problems = append(problems, fieldError("Limits.RequestMemory", fmt.Sprintf("must be 0 or at least %d", minRequestMemory)))
+	}
+	if l.Memory > 0 && l.RequestMemory > l.Memory {
+		problems = append(problems, fieldError("Limits.RequestMemory", "must not exceed Limits.Memory"))
+	}
+	if l.Connections < 0 {
+		problems = append(problems, fieldError("Limits.Connections", "must not be negative"))
+	}
+	if l.Processors < 0 {
+		problems = append(problems, fieldError("Limits.Processors", "must not be negative"))
+	}
+	return problems
+}
+
 func (q *ForwardingQuarantine) check() []error {
 	var problems []error
 	for i, part := range q.Exempt {
