--- a/dispatch/endpoint/evacuation.go
+++ b/dispatch/endpoint/evacuation.go
@@ -147,7 +147,7 @@
 
 // moveEvacuated asks streams to leave evacuated endpoints, at this host's share of evacuationMoveRate.
 func (c *core) moveEvacuated(now time.Time) {
-	if len(c.evacuations) == 0 {
+	if len(c.evacuations) == 0 || c.settings.KeepEvacuatedStreams {
 		return
 	}
 	left := 0
--- a/dispatch/endpoint/evacuation_test.go
+++ b/dispatch/endpoint/evacuation_test.go
@@ -238,6 +238,14 @@
 		ec.advanceStreams(streams, 2*time.Second)
 		assert.Equal(t, ec.count(effectMoved), 0)
 	})
+	t.Run("not if the server keeps them", func(t *testing.T) {
+		ec := newEvacuationCore(PolicyPrefill, 4, 30)
+		ec.settings.KeepEvacuatedStreams = true
+		streams := ec.fillWith(80)
+		ec.evacuate("a")
+		ec.advanceStreams(streams, 2*time.Second)
+		assert.Equal(t, ec.count(effectMoved), 0)
+	})
 	t.Run("not if they cannot be resumed", func(t *testing.T) {
 		ec := newEvacuationCore(PolicyPrefill, 1, 4)
 		work := workOf(interactive, 1)
@@ -300,6 +308,22 @@
 	})
 }
 
+func TestEvacuationGuardIsNeeded(t *testing.T) {
+	// Without it, requests reach evacuated endpoints, which have the lowest load.
+	ec := newEvacuationCore(PolicyWinch, 1, 8)
+	ec.evacuate("a")
+	for _, l := range ec.sortedLanes {
+		l.endpoints = append(l.endpoints, l.evacuated...)
+		ec.setSubset(l)
+	}
+	ec.endpoints["a-0"].serving = true
+	ec.refresh(ec.now)
+	for i := range 9 {
+		ec.request(interactive, i)
+	}
+	assert.Assert(t, ec.runningIn("a") > 0)
+}
+
 // TestNoSequenceSendsToAnEvacuatedEndpoint sends, ends and moves requests, and requests and withdraws evacuations, in any order.
 func TestNoSequenceSendsToAnEvacuatedEndpoint(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/dispatch/endpoint/options.go
+++ b/dispatch/endpoint/options.go
@@ -88,6 +88,8 @@
 	// RetryAfterMin and RetryAfterMax bound the retry time given in refusals.
 	RetryAfterMin time.Duration
 	RetryAfterMax time.Duration
+	// KeepEvacuatedStreams lets all streams at evacuated endpoints run to their end, for servers that do not move streams.
+	KeepEvacuatedStreams bool
 }
 
 // Options holds the dependencies and settings of a dispatcher. Source, Membership, Logger and Meter may be nil.
--- a/winchd/daemon/codec.go
+++ b/winchd/daemon/codec.go
@@ -43,6 +43,7 @@
 	Pool       string
 	State      string
 	LeavesAt   string
+	Evacuated  bool
 }
 
 type endpointsWire struct {
@@ -53,11 +54,14 @@
 	slices.SortFunc(e.Endpoints, func(a, b endpointWire) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-func encodeEndpoint(status winch.EndpointStatus) endpointWire {
+// encodeEndpoint encodes an endpoint, which is evacuated if its data centre is among the evacuations.
+func encodeEndpoint(status winch.EndpointStatus, evacuations map[winch.DataCentreID]winch.Evacuation) endpointWire {
 	endpoint := status.Endpoint
+	_, evacuated := evacuations[endpoint.DataCentre]
 	wire := endpointWire{
 		ID: string(endpoint.ID), DataCentre: string(endpoint.DataCentre), Kind: string(endpoint.Kind), Address: endpoint.Address,
 		Supply: string(endpoint.Supply), Cost: int64(endpoint.Cost), Pool: string(endpoint.Pool), State: string(status.State),
+		Evacuated: evacuated || status.Evacuated,
 	}
 	for _, model := range endpoint.Models {
 		wire.Models = append(wire.Models, string(model))
--- a/winchd/daemon/operator.go
+++ b/winchd/daemon/operator.go
@@ -65,13 +65,13 @@
 }
 
 func (d *Daemon) serveEndpoints(w http.ResponseWriter, _ *http.Request) {
-	response := endpointsWire{}
-	for _, endpoint := range d.release.distributor.Current().Endpoints {
-		response.Endpoints = append(response.Endpoints, encodeEndpoint(winch.EndpointStatus{Endpoint: endpoint, State: winch.EndpointReady}))
+	response, configuration := endpointsWire{}, d.release.distributor.Current()
+	for _, endpoint := range configuration.Endpoints {
+		response.Endpoints = append(response.Endpoints, encodeEndpoint(winch.EndpointStatus{Endpoint: endpoint, State: winch.EndpointReady}, configuration.Evacuations))
 	}
 	if d.placement.source != nil {
 		for _, status := range d.placement.source.Endpoints() {
-			response.Endpoints = append(response.Endpoints, encodeEndpoint(status))
+			response.Endpoints = append(response.Endpoints, encodeEndpoint(status, configuration.Evacuations))
 		}
 	}
 	response.sort()
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -216,17 +216,17 @@
 
 func (f *Forwarder) dispatchSettings() dispatch.Settings {
 	bounds := f.settings.Bounds
-	// The last four fields replace defaults of the dispatcher. RetryAfterMin and RetryAfterMax bound
+	// The last five fields replace defaults of the dispatcher. RetryAfterMin and RetryAfterMax bound
 	// the retry time given in refusals. SilenceLimit is how long an endpoint with running streams may
 	// send no output before it gets no requests. RampTime is the time over which a new endpoint's
-	// limit is raised to its full value.
+	// limit is raised to its full value. KeepEvacuatedStreams is set because the server moves no streams.
 	return dispatch.Settings{
 		RetryShare:      bounds.RetryShare * retryShareFraction,
 		RetryFloorTotal: float64(bounds.RetryMinimum) / bounds.RetryWindow.Seconds() * retryFloorFraction,
 		RetryMinHosts:   minRetryHosts,
 		RetryWindow:     bounds.RetryWindow,
 		RetryAfterMin:   300 * time.Millisecond, RetryAfterMax: 5 * time.Second,
-		SilenceLimit: time.Second, RampTime: time.Second,
+		SilenceLimit: time.Second, RampTime: time.Second, KeepEvacuatedStreams: true,
 	}
 }
 
