--- a/dispatch/endpoint/cold_fleet_test.go
+++ b/dispatch/endpoint/cold_fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -256,3 +257,55 @@
 		assert.Assert(t, run(winch.ColdStart{Duration: 3 * time.Second, Rate: winch.RequestRate(math.MaxInt32)}) > allowedInASecond(coldStart.Rate))
 	})
 }
+
+// setState sets the state of the endpoints of the data centres.
+func (f *coldFleet) setState(state winch.EndpointState, centres ...winch.DataCentreID) {
+	for i := range f.statuses {
+		if slices.Contains(centres, f.statuses[i].Endpoint.DataCentre) {
+			f.statuses[i].State = state
+		}
+	}
+	f.configure()
+}
+
+// gotInTheLastSecond counts the requests of the data centre's endpoints.
+func (f *coldFleet) gotInTheLastSecond(centre winch.DataCentreID) int {
+	count := 0
+	for _, status := range f.statuses {
+		for _, at := range f.got[status.Endpoint.ID] {
+			if status.Endpoint.DataCentre == centre && f.now.Sub(at) <= time.Second {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// TestEndpointsThatComeBackColdAreNotOverrun lets the endpoints of data centres come back into service, as after an evacuation, and turn cold at
+// that moment, which the hosts learn two seconds later.
+func TestEndpointsThatComeBackColdAreNotOverrun(t *testing.T) {
+	for _, centres := range [][]winch.DataCentreID{{"a"}, {"a", "b"}, {"a", "b", "c"}} {
+		t.Run(fmt.Sprint(centres), func(t *testing.T) {
+			f := newColdFleet(77, 60)
+			f.run(3 * time.Second)
+			f.setState(winch.EndpointLeaving, centres...)
+			f.run(5 * time.Second)
+			back := f.now
+			f.sent, f.served = 0, 0
+			f.setState(winch.EndpointReady, centres...)
+			f.run(2 * time.Second)
+			f.turnCold(3*time.Second, centres...)
+			f.run(3 * time.Second)
+			warm, most := f.now, 0
+			for _, centre := range centres {
+				most = max(most, f.most(back, warm, inDataCentre(centre)))
+			}
+			f.run(5 * time.Second)
+			t.Logf("at most %d a second at an endpoint that came back; %d a second at those of one data centre 5 s after they are warm; %d of %d served",
+				most, f.gotInTheLastSecond("a"), f.served, f.sent)
+			assert.Assert(t, most <= allowedInASecond(coldStart.Rate))
+			assert.Assert(t, 3*2*f.gotInTheLastSecond("a") >= coldFleetRate, "the load comes back")
+			assert.Assert(t, f.served*100 >= 90*f.sent)
+		})
+	}
+}
