feat(dispatch): after a long stop, no request is sent by the list from before

With Settings.AwaitList, a process without a tick for more than 2 s grants no slot, and holds back requests that have one, until it has read a list again, for at most 1.5 s; hosts that cannot read one go on with the last. The forwarder sets it where the settings have Bounds.Evacuate.

--- a/dispatch.go
+++ b/dispatch.go
@@ -123,8 +123,8 @@
 	// Preempted returns a channel that is closed when the stream should move to another
 	// endpoint, because a higher tier needs the slot or the endpoint is shutting down.
 	Preempted() <-chan struct{}
-	// Evacuated reports whether the endpoint's data centre has been evacuated since the slot was granted. The request must then not be
-	// sent there: the slot is released with OutcomeCancelled, and another one acquired.
+	// Evacuated reports whether the endpoint's data centre has been evacuated since the slot was granted, or may have been while this process
+	// was stopped. The request must then not be sent there: the slot is released with OutcomeCancelled, and another one acquired.
 	Evacuated(now time.Time) bool
 	// FirstToken reports that the first token, or the first byte of a plain service's response, has arrived.
 	FirstToken(now time.Time)
--- a/dispatch/endpoint/choose.go
+++ b/dispatch/endpoint/choose.go
@@ -23,8 +23,11 @@
 // the slots that other hosts do not use, but at least this host's fair share. While other hosts
 // queue for contended slots, it is no more than the fair share, but at least one slot, so that no
 // host is shut out. Together with the slots that other hosts use, it never exceeds the endpoint's
-// configured slot limit.
+// configured slot limit. It is none while requests wait for a new list of endpoints.
 func (c *core) availableSlots(now time.Time, e *endpoint) int {
+	if c.awaitsList(now) {
+		return 0
+	}
 	if !c.features.sharing || e.others == 0 && e.fairShare == 0 || !c.hostStatsFresh(now) {
 		return e.cap - e.running
 	}
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -98,6 +98,8 @@
 	expiry             expiryHeap
 	// boundQueued is the number of bound requests in the queues of all lanes.
 	boundQueued int
+	// stoppedUntil is when this process last went on after a long stop.
+	stoppedUntil time.Time
 	// evacuations are the evacuated data centres with endpoints of this host. Streams are moved away from there while moveAllowance
 	// is at least 1.
 	evacuations   map[winch.DataCentreID]evacuation
--- a/dispatch/endpoint/evacuation.go
+++ b/dispatch/endpoint/evacuation.go
@@ -15,6 +15,14 @@
 // of the prompt and the output so far, beside the requests that come in place of those of the evacuated endpoints.
 const evacuationMoveRate = 0.5
 
+const (
+	// longStop is the time without a tick after which the process counts as having been stopped for long. Shorter stops leave enough
+	// of the time that an evacuation has to take effect.
+	longStop = 2 * time.Second
+	// listWait is how long requests wait for a new list after a long stop. A host that cannot read one goes on with the last.
+	listWait = 1500 * time.Millisecond
+)
+
 // evacuation describes an evacuated data centre.
 type evacuation struct {
 	centre winch.DataCentreID
@@ -131,14 +139,35 @@
 	c.refuse(now, r, l, winch.RefusedNoEndpoint, 0)
 }
 
-// holdBack reports whether the request, which has a slot, must not be sent because its endpoint has been evacuated since.
+// noteStop records that the process was stopped for long, if there was no tick for that time.
+func (c *core) noteStop(now time.Time) {
+	if !c.tickedAt.IsZero() && now.Sub(c.tickedAt) > longStop {
+		c.stoppedUntil = now
+	}
+}
+
+// awaitsList reports whether requests have to wait for a new list of endpoints, because the process was stopped for long.
+func (c *core) awaitsList(now time.Time) bool {
+	if !c.settings.AwaitList || c.tickedAt.IsZero() {
+		return false
+	}
+	until := c.stoppedUntil
+	if now.Sub(c.tickedAt) > longStop {
+		// There was no tick since the stop.
+		until = now
+	}
+	// A list that was read shortly before the first tick was read after the stop, which was longer.
+	return !until.IsZero() && now.Sub(until) < listWait && c.listReadAt.Before(until.Add(-longStop/2))
+}
+
+// holdBack reports whether the request, which has a slot, must not be sent because its endpoint has been evacuated since, or may have been.
 func (c *core) holdBack(now time.Time, r *request) bool {
 	if r == nil || r.endpoint == nil {
 		return false
 	}
 	// The endpoint may have started again since, and be another one.
 	e, found := c.endpoints[r.endpoint.spec.ID]
-	if !found || !e.evacuated {
+	if evacuated := found && e.evacuated; !evacuated && !c.awaitsList(now) {
 		return false
 	}
 	c.emit(effect{kind: effectHeldBack, at: now, request: r, lane: r.lane, endpoint: r.endpoint})
--- a/dispatch/endpoint/options.go
+++ b/dispatch/endpoint/options.go
@@ -88,6 +88,9 @@
 	// RetryAfterMin and RetryAfterMax bound the retry time given in refusals.
 	RetryAfterMin time.Duration
 	RetryAfterMax time.Duration
+	// AwaitList makes requests wait for a new list of endpoints after this process was stopped for long: endpoints may have been
+	// evacuated meanwhile.
+	AwaitList bool
 	// KeepEvacuatedStreams lets all streams at evacuated endpoints run to their end, for servers that do not move streams.
 	KeepEvacuatedStreams bool
 }
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -15,6 +15,7 @@
 	if now.Sub(c.tickedAt) > pauseTicks*c.settings.Tick {
 		c.resumedAt = now
 	}
+	c.noteStop(now)
 	c.tickedAt = now
 	for _, e := range c.sortedEndpoints {
 		c.readAllProgress(now, e)
--- a/winchd/forwarder/evacuation_test.go
+++ b/winchd/forwarder/evacuation_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -31,6 +32,7 @@
 type evacuationSystem struct {
 	*simulatedPlatform
 	zones  map[string]*zoneEndpoint
+	hosts  []*hostProcess
 	served atomic.Int64
 	// refused counts the responses 503, and failed all other ones but 200.
 	refused, failed atomic.Int64
@@ -49,12 +51,11 @@
 		s.zones[zone] = &zoneEndpoint{Endpoint: platformtest.NewEndpoint(id)}
 		assert.NilError(t, s.store.Register(id, "desk", winch.DataCentreID(zone), serve(t, s.zones[zone]), 64))
 	}
-	var hosts []*hostProcess
 	for _, zone := range []string{"a", "b", "c"} {
 		s.zone = zone
-		hosts = append(hosts, s.newHost("h-"+zone))
+		s.hosts = append(s.hosts, s.newHost("h-"+zone))
 	}
-	for _, h := range hosts {
+	for _, h := range s.hosts {
 		s.sendTo(h)
 	}
 	t.Cleanup(func() {
@@ -179,3 +180,22 @@
 		s.assertEvacuated(s.requestEvacuation("b"), "b")
 	})
 }
+
+func TestHostThatWasStoppedDuringAnEvacuation(t *testing.T) {
+	// It continues with a list from before, and with requests that have waited for it.
+	t.Parallel()
+	s := startEvacuationSystem(t)
+	s.waitForRequests("a", "b", "c")
+	stopped := s.hosts[1].command.Process
+	for range 8 {
+		s.sendTo(s.hosts[1])
+	}
+	assert.NilError(t, stopped.Signal(syscall.SIGSTOP))
+	acknowledged := s.requestEvacuation("b")
+	<-time.After(evacuationBound + time.Second)
+	continued, served := time.Now(), s.served.Load()
+	assert.NilError(t, stopped.Signal(syscall.SIGCONT))
+	waitFor(t, 10*time.Second, "the host to serve", func() bool { return s.hosts[1].request("/open/x", "") == http.StatusOK })
+	t.Logf("it serves again %s after it continued; %d were served meanwhile", time.Since(continued), s.served.Load()-served)
+	s.assertEvacuated(acknowledged, "b")
+}
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -226,7 +226,7 @@
 		RetryMinHosts:   minRetryHosts,
 		RetryWindow:     bounds.RetryWindow,
 		RetryAfterMin:   300 * time.Millisecond, RetryAfterMax: 5 * time.Second,
-		SilenceLimit: time.Second, RampTime: time.Second, KeepEvacuatedStreams: true,
+		SilenceLimit: time.Second, RampTime: time.Second, KeepEvacuatedStreams: true, AwaitList: bounds.Evacuate > 0,
 	}
 }
 
