test(registry): evacuations of a slow store, and of a reading that ends after the setting

A reading of the evacuations that ends after Bounds.Evacuate was set to zero is no longer taken over: nothing would replace it.

Tests: placement/... and platform/registry pass with -race.

--- a/placement/registry/evacuations_test.go
+++ b/placement/registry/evacuations_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -332,6 +333,47 @@
 	})
 }
 
+// slowEvacuations is a lister whose reads take longer than the first timeout.
+type slowEvacuations struct {
+	evacuationLister
+	takes time.Duration
+}
+
+func (l *slowEvacuations) ListEvacuations(ctx context.Context) (winch.Evacuations, error) {
+	select {
+	case <-ctx.Done():
+		return winch.Evacuations{}, ctx.Err()
+	case <-time.After(l.takes):
+		return l.evacuationLister.ListEvacuations(ctx)
+	}
+}
+
+func TestEvacuationsOfASlowStoreAreRead(t *testing.T) {
+	// One call after the other would take longer than a read may.
+	synctest.Test(t, func(t *testing.T) {
+		const takes = 1200 * time.Millisecond
+		l := &slowStore{lister: lister{statuses: []winch.EndpointStatus{status("a", winch.EndpointReady)}}, takes: takes}
+		e := &slowEvacuations{takes: takes}
+		e.request("a")
+		f, err := New(Options{Lister: l, Evacuations: e, Clock: wallClock{}, Logger: hclog.NewNullLogger(), MaxRelayedAge: time.Second})
+		assert.NilError(t, err)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_ = f.Run(ctx)
+		assert.Equal(t, len(f.Endpoints()), 1)
+		assert.Assert(t, f.Endpoints()[0].Evacuated)
+	})
+}
+
+func TestReadingThatEndsAfterTheSettingChangesNothing(t *testing.T) {
+	e := newEvacuationTest(t)
+	e.hub.Step(t.Context())
+	e.hub.SetEvacuations(nil)
+	late := evacuationReading{at: e.clock.now, Evacuations: winch.Evacuations{DataCentres: []winch.DataCentreID{"a"}, Version: 99}}
+	e.hub.update(reading{at: e.clock.now, received: e.clock.now, from: ownReading, evacuations: late}, slices.Clone(e.list.statuses))
+	e.assertEvacuated(e.hub)
+}
+
 func TestEvacuationsEndWithTheSetting(t *testing.T) {
 	e := newEvacuationTest(t)
 	e.hubEvacuations.request("a")
--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -183,7 +183,7 @@
 func (f *Follower) update(r reading, statuses []winch.EndpointStatus) {
 	sortByID(statuses)
 	f.mu.Lock()
-	newer, evacuated := !r.at.Before(f.readAt), r.evacuations.supersedes(f.evacuations)
+	newer, evacuated := !r.at.Before(f.readAt), f.lister != nil && r.evacuations.supersedes(f.evacuations)
 	if !newer && !evacuated {
 		f.mu.Unlock()
 		return
