test(crowdtest): crowds against both kinds of host, at their own size

Cause: hosts of the forwarder's tests are processes of the test binary, and a variable of endless_test.go (10 MB of header lines, 1,289,196 allocations, 62,653,000 bytes, 0.54 s of processor time) was built in each of them. Resident sets were some 30 MB above those of winchd, so that crowds looked larger than they are, and hosts started slowly.

--- a/winchd/faults/system_test.go
+++ b/winchd/faults/system_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/arbutuswinch/winch/httpjson"
+	"github.com/arbutuswinch/winch/internal/crowdtest"
 )
 
 const (
@@ -54,6 +55,8 @@
 	log      string
 	process  *process
 	api      *httpjson.Client
+	// descriptors is the number of files that the process may open; zero sets no limit.
+	descriptors int
 }
 
 // system is a simulated platform and three data centres with two hosts each.
@@ -74,13 +77,29 @@
 func startSystem(t *testing.T, change func(id string, settings jsonObject)) *system {
 	t.Helper()
 	t.Parallel()
-	s := &system{t: t, directory: t.TempDir(), centres: []string{"a", "b", "c"}, keyValue: map[string]*toxiproxy.Proxy{}}
-	s.startPlatform()
+	s := newSystem(t, "a", "b", "c")
 	for _, centre := range s.centres {
-		s.keyValue[centre] = s.newProxy("keyvalue-"+centre, s.addresses["keyvalue"])
 		s.addHost(centre+"-1", centre)
 		s.addHost(centre+"-2", centre)
 	}
+	s.startHosts(change)
+	return s
+}
+
+// newSystem starts the platform for the data centres, without hosts.
+func newSystem(t *testing.T, centres ...string) *system {
+	t.Helper()
+	s := &system{t: t, directory: t.TempDir(), centres: centres, keyValue: map[string]*toxiproxy.Proxy{}}
+	s.startPlatform()
+	for _, centre := range s.centres {
+		s.keyValue[centre] = s.newProxy("keyvalue-"+centre, s.addresses["keyvalue"])
+	}
+	return s
+}
+
+// startHosts starts the hosts that were added. change is that of startSystem.
+func (s *system) startHosts(change func(id string, settings jsonObject)) {
+	s.t.Helper()
 	s.publishHosts()
 	for _, h := range s.hosts {
 		s.writeSettings(h, change)
@@ -88,11 +107,10 @@
 	}
 	for _, h := range s.hosts {
 		s.waitFor("host "+h.id+" responds", func() bool {
-			assert.Assert(t, h.process.running(), "host %s ended: %s", h.id, s.logTail(h))
+			assert.Assert(s.t, h.process.running(), "host %s ended: %s", h.id, s.logTail(h))
 			return s.get(h, "/operator/hosts", nil) == nil
 		})
 	}
-	return s
 }
 
 // sourceIP returns the local IP address from which the hosts of a data centre call other hosts.
@@ -205,7 +223,12 @@
 	for _, listener := range h.reserved {
 		_ = listener.Close()
 	}
-	h.process = startProcess(s.t, h.log, program(s.t, "winchd"), "run", "--settings", filepath.Join(s.directory, h.config))
+	path, arguments := program(s.t, "winchd"), []string{"run", "--settings", filepath.Join(s.directory, h.config)}
+	if h.descriptors > 0 {
+		command := crowdtest.LimitedCommand(h.descriptors, path, arguments...)
+		path, arguments = command.Path, command.Args[1:]
+	}
+	h.process = startProcess(s.t, h.log, path, arguments...)
 }
 
 // replaceHost kills the host's process and starts a new one, without the state of the old one.
--- a/winchd/forwarder/endless_test.go
+++ b/winchd/forwarder/endless_test.go
@@ -56,15 +56,18 @@
 	return wholeStatus(http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}, request)
 }
 
-// endlessHeads begin responses that have no end.
-var endlessHeads = map[string]struct{ head, body string }{
-	"body":         {"HTTP/1.1 400 Bad Request\r\n\r\n", endlesstest.Letters()},
-	"header lines": {"HTTP/1.1 200 OK\r\n", endlesstest.HeaderLines()},
+// endlessHeads returns the beginnings of responses that have no end. As a variable they would take some 60 MB and much processor time
+// in each process of a host, which runs the same program.
+func endlessHeads() map[string]struct{ head, body string } {
+	return map[string]struct{ head, body string }{
+		"body":         {"HTTP/1.1 400 Bad Request\r\n\r\n", endlesstest.Letters()},
+		"header lines": {"HTTP/1.1 200 OK\r\n", endlesstest.HeaderLines()},
+	}
 }
 
 func TestHostServesOnBesideEndpointsThatAnswerWithoutEnd(t *testing.T) {
 	const faulty, callers, silentAfter = 20, 100, 7 << 20
-	for name, response := range endlessHeads {
+	for name, response := range endlessHeads() {
 		t.Run(name, func(t *testing.T) {
 			p := newPlatform(t)
 			for number := range faulty {
--- a/winchd/forwarder/process_test.go
+++ b/winchd/forwarder/process_test.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -22,6 +21,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/crowdtest"
 	"github.com/arbutuswinch/winch/internal/linktest"
 	"github.com/arbutuswinch/winch/internal/processtest"
 	"github.com/arbutuswinch/winch/platform/platformtest"
@@ -228,8 +228,7 @@
 	h.platform.t.Helper()
 	h.command = exec.Command(os.Args[0])
 	if h.platform.descriptors > 0 {
-		// The shell sets the hard limit as well, which a Go process does not raise, and becomes the host.
-		h.command = exec.Command("/bin/sh", "-c", `ulimit -n "$1" && exec "$0"`, os.Args[0], strconv.Itoa(h.platform.descriptors))
+		h.command = crowdtest.LimitedCommand(h.platform.descriptors, os.Args[0])
 	}
 	// The race detector would wait for a second at the exit.
 	h.command.Env = append(os.Environ(), settingsEnv+"="+h.path, "GORACE=atexit_sleep_ms=0")
