--- a/dispatch/endpoint/cold.go
+++ b/dispatch/endpoint/cold.go
@@ -65,9 +65,12 @@
 	if s.listedAt.IsZero() {
 		s.listedAt, s.inFirstList = now, first
 	}
-	s.stated = s.stated || status.ColdStated
-	if status.ColdStated {
-		s.statedUntil = status.ColdUntil
+	switch end := now.Add(s.start.Duration); {
+	case status.ColdStated:
+		s.stated, s.statedUntil = true, status.ColdUntil
+	case s.stated && s.statedUntil.After(end):
+		// The endpoint says nothing any more.
+		s.statedUntil = end
 	}
 }
 
--- a/dispatch/endpoint/cold_shares_test.go
+++ b/dispatch/endpoint/cold_shares_test.go
@@ -217,7 +217,7 @@
 // host that joins may take over the part of one that does not know of it.
 func TestColdShareIsKept(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		hosts := rapid.IntRange(1, 40).Draw(t, "hosts")
+		hosts := rapid.IntRange(1, 80).Draw(t, "hosts")
 		f := newShareFleet(hosts, winch.RequestRate(rapid.Float64Range(0.5, 40).Draw(t, "rate")))
 		partitioned, joined := false, 0
 		for range rapid.IntRange(1, 8).Draw(t, "events") {
--- a/dispatch/endpoint/cold_test.go
+++ b/dispatch/endpoint/cold_test.go
@@ -121,6 +121,20 @@
 		tc.list(status)
 		assert.Equal(t, tc.coldState("e0"), "cold")
 	})
+	t.Run("not for longer than after a start, if it says nothing any more", func(t *testing.T) {
+		tc, _ := newColdCore(PolicyPrefill, 0)
+		status := startedAgo(tc, time.Hour)
+		status.ColdStated, status.ColdUntil = true, tc.now.Add(time.Hour)
+		tc.list(status)
+		tc.advance(time.Second)
+		status.ColdStated, status.ColdUntil = false, time.Time{}
+		tc.list(status)
+		tc.advance(2 * time.Second)
+		tc.list(status)
+		assert.Equal(t, tc.coldState("e0"), "cold")
+		tc.advance(time.Second)
+		assert.Equal(t, tc.coldState("e0"), "warming")
+	})
 	t.Run("never, if the configuration names no rate", func(t *testing.T) {
 		tc, _ := newColdCore(PolicyPrefill, 0)
 		status := startedAgo(tc, time.Second)
@@ -333,3 +347,27 @@
 		assert.DeepEqual(t, k.ids, []winch.HostID{"a", "b"})
 	})
 }
+
+// TestDemandIsExchanged guards against a column that is lost, or that breaks the messages of hosts which do not know it.
+func TestDemandIsExchanged(t *testing.T) {
+	stats := newStats()
+	stats.endpoints["e0"] = endpointStats{Running: 1, Limit: 2}
+	t.Run("not without endpoints that may turn cold", func(t *testing.T) {
+		assert.Equal(t, string(encodeStats(stats)), `{"Endpoints":["e0"],"Running":[1],"Limits":[20]}`)
+	})
+	stats.endpoints["e1"] = endpointStats{Demand: 3.5}
+	t.Run("for each endpoint", func(t *testing.T) {
+		decoded, err := decodeStats(encodeStats(stats))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, decoded.endpoints, stats.endpoints)
+		decoded.add(stats)
+		assert.Equal(t, decoded.endpoints["e1"].Demand, 7.0)
+	})
+	t.Run("and a column that does not fit is tolerated", func(t *testing.T) {
+		for _, column := range []string{`[]`, `[1]`, `[-1,-1]`, `[1,2,3]`} {
+			decoded, err := decodeStats([]byte(`{"Endpoints":["e0","e1"],"Running":[1,0],"Limits":[20,0],"Demand":` + column + `}`))
+			assert.NilError(t, err)
+			assert.Assert(t, decoded.endpoints["e1"].Demand >= 0)
+		}
+	})
+}
