--- a/dispatch/endpoint/evacuation.go
+++ b/dispatch/endpoint/evacuation.go
@@ -56,14 +56,17 @@
 // countEvacuatedRunning counts the requests that run at evacuated endpoints.
 func (c *core) countEvacuatedRunning() {
 	for _, l := range c.sortedLanes {
-		l.evacuatedRunning = 0
+		l.evacuatedRunning, l.evacuatedPrefill = 0, 0
 	}
 	if len(c.evacuations) == 0 {
 		return
 	}
 	for _, e := range c.sortedEndpoints {
 		if e.evacuated {
-			e.eachRunning(func(r *request) { r.lane.evacuatedRunning++ })
+			e.eachRunning(func(r *request) {
+				r.lane.evacuatedRunning++
+				r.lane.evacuatedPrefill += r.pendingPrefill
+			})
 		}
 	}
 }
--- a/dispatch/endpoint/evacuation_test.go
+++ b/dispatch/endpoint/evacuation_test.go
@@ -140,6 +140,19 @@
 	assert.Equal(t, ec.predictedWait(ec.now, l, nil), time.Duration(0))
 }
 
+func TestPromptsAtEvacuatedEndpointsAreNotAheadOfOthers(t *testing.T) {
+	// Counted as pending at the endpoints that are left, they would hold requests back.
+	ec := newEvacuationCore(PolicyPrefill, 2, 4)
+	for i := range 12 {
+		ec.request(interactive, i)
+	}
+	l := ec.lanes[laneKey{class: interactive, group: group{model: chat}}]
+	before, there := l.pendingAhead(), winch.Tokens(10*ec.runningIn("a"))
+	assert.Assert(t, there > 0)
+	ec.evacuate("a")
+	assert.Equal(t, l.pendingAhead(), before-there)
+}
+
 func TestAllEndpointsEvacuated(t *testing.T) {
 	for _, policy := range []Policy{PolicyWinch, PolicyPrefill} {
 		t.Run(string(policy), func(t *testing.T) {
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -55,8 +55,10 @@
 	// pinned counts the running requests that could be preempted if another endpoint of their software version served.
 	pinned  int
 	running int
-	// evacuatedRunning are those of them at evacuated endpoints. They hold none of the slots.
+	// evacuatedRunning are those of them at evacuated endpoints, and evacuatedPrefill is their part of pendingPrefill. They hold none of the
+	// slots, and their prompts delay no others.
 	evacuatedRunning int
+	evacuatedPrefill winch.Tokens
 	floorRunning     int
 	// queuedTokens is the sum of the prompt tokens of the queued requests that no other request shares.
 	queuedTokens winch.Tokens
--- a/dispatch/endpoint/prefill_budget.go
+++ b/dispatch/endpoint/prefill_budget.go
@@ -116,7 +116,7 @@
 	pending := winch.Tokens(0)
 	for _, competitor := range l.competitors {
 		if !l.higher(competitor) {
-			pending += competitor.pendingPrefill
+			pending += max(0, competitor.pendingPrefill-competitor.evacuatedPrefill)
 		}
 	}
 	return pending
