fix(forward): admit bodies that can be ended, and raise receive buffers only while a body is read

Cause: bodies were admitted beside others that still needed memory, and were refused half-way; refused bodies were read to their end, which used up the host's link; and the receive buffers of a crowd could fill before any of it was read.

Change: what large bodies still expect, as far as it arrives soon, counts when another is admitted; a body waits for memory for a short time; the rest of four refused bodies at once is read. Accepted connections have a receive buffer of 16 KiB, which is raised to 256 KiB while a body is read and the budget has room.

--- a/internal/connlimit/buffers.go
+++ b/internal/connlimit/buffers.go
@@ -9,11 +9,17 @@
 )
 
 const (
-	// receiveBuffer and sendBuffer are the sizes of the kernel's buffers of an accepted connection in bytes. The kernel allows twice as
-	// much, for its own data. Without a bound they grow to megabytes; a send buffer of that size also makes a blocked write wait
-	// until a third of it is free.
-	receiveBuffer = 128 << 10
+	// receiveBuffer and sendBuffer are the sizes of the kernel's buffers of an accepted connection in bytes. The kernel allows up to
+	// twice as much, for its own data. Without a bound they grow to megabytes; a send buffer of that size also makes a blocked write
+	// wait until a third of it is free.
+	receiveBuffer = 16 << 10
 	sendBuffer    = 64 << 10
+	// bodyBuffer is the size of the receive buffer while a body is read, as long as Options.Budget has memory for it. It is raised
+	// after raiseAfter bytes of the body.
+	bodyBuffer = 256 << 10
+	raiseAfter = 8 << 10
+	// bodyBuffersShare is the divisor of the budget that raised buffers take together.
+	bodyBuffersShare = 8
 )
 
 // boundBuffers bounds the buffers of all connections that the listener accepts from now on. They inherit those of the listener.
@@ -46,3 +52,31 @@
 	tcp, _ := inner.(*net.TCPListener)
 	return tcp
 }
+
+// setReceiveBuffer changes the receive buffer of the connection and what its client may send at once.
+func (c *conn) setReceiveBuffer(size int) {
+	// An error means that the connection is closed, or that the buffer stays as it was.
+	_ = socket.Control(c.tcp, func(fd int) error {
+		if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, size); err != nil {
+			return err
+		}
+		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, size)
+	})
+}
+
+// raiseBuffer raises the receive buffer for the body that is read. It is called with the lock held.
+func (c *conn) raiseBuffer() {
+	if !c.raised && c.tcp != nil && c.limiter.bodyBuffers.Take(bodyBuffer) {
+		c.raised = true
+		c.setReceiveBuffer(bodyBuffer)
+	}
+}
+
+// lowerBuffer ends what raiseBuffer began. It is called with the lock held.
+func (c *conn) lowerBuffer() {
+	if c.raised {
+		c.raised = false
+		c.setReceiveBuffer(receiveBuffer)
+		c.limiter.bodyBuffers.Give(bodyBuffer)
+	}
+}
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -49,6 +49,9 @@
 	// extra holds the memory of large heads and of bytes in the kernel's buffer; it is nil as long as there were none.
 	extra             *memory.Claim
 	headTaken, queued int64
+	// bodyBytes counts what was read of the current body, at most up to raiseAfter. raised is set while the receive buffer is raised.
+	bodyBytes int64
+	raised    bool
 }
 
 // Read reads bytes and takes memory for those of heads.
@@ -82,6 +85,11 @@
 	defer c.mu.Unlock()
 	if c.inRequest.Load() {
 		c.head.skip(data)
+		if c.bodyBytes < raiseAfter {
+			if c.bodyBytes += int64(len(data)); c.bodyBytes >= raiseAfter {
+				c.raiseBuffer()
+			}
+		}
 		return nil
 	}
 	c.head.add(data)
@@ -147,6 +155,7 @@
 	c.claim.Close()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.lowerBuffer()
 	if c.extra != nil {
 		c.extra.Close()
 	}
@@ -168,6 +177,8 @@
 	defer c.mu.Unlock()
 	c.inRequest.Store(false)
 	c.head.restart()
+	c.bodyBytes = 0
+	c.lowerBuffer()
 	if c.headTaken > 0 {
 		c.extra.Give(c.headTaken)
 		c.headTaken = 0
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -30,8 +30,9 @@
 )
 
 const (
-	// ConnectionCost is the memory in bytes of a connection: buffers, goroutines, and a head of a request of usual size.
-	ConnectionCost = 24 << 10
+	// ConnectionCost is the memory in bytes of a connection: half for buffers, goroutines and a head of a request of usual size, and
+	// half for what the kernel receives before it is read.
+	ConnectionCost = 48 << 10
 	// defaultMax is the default of Options.Max.
 	defaultMax = 4096
 	// fairShare bounds how many connections one address has: fairShare times the number that is still free.
@@ -62,6 +63,8 @@
 	// now is the time of the last check in nanoseconds. Reads and writes use it in place of the clock.
 	now    atomic.Int64
 	counts counts
+	// bodyBuffers is the memory for raised receive buffers.
+	bodyBuffers *memory.Shared
 
 	mu     sync.Mutex
 	conns  map[*conn]struct{}
@@ -78,6 +81,7 @@
 	options.ReadTime = cmp.Or(options.ReadTime, defaultReadTime)
 	options.Meter = cmp.Or[metric.Meter](options.Meter, noop.Meter{})
 	l := &Limiter{options: options, conns: map[*conn]struct{}{}, shares: map[netip.Addr]int{}}
+	l.bodyBuffers = options.Budget.Part(options.Budget.Usage().Size / bodyBuffersShare)
 	l.now.Store(time.Now().UnixNano())
 	if err := l.export(options.Meter); err != nil {
 		return nil, err
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -30,8 +30,6 @@
 	// fairShare bounds what the claims of one client or organisation hold: fairShare times the bytes that nobody holds. One alone
 	// gets four fifths of the budget, two get four ninths each, and so on, and another always finds some room.
 	fairShare = 4
-	// expectedShare is the divisor of the bytes that large claims still expect. Not all of them arrive, and some claims end before.
-	expectedShare = 2
 )
 
 // Budget divides a number of bytes among the claims of clients and organisations. It is safe for concurrent use. It does no
@@ -90,7 +88,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.used+size > b.size {
-		b.refused.Full++
 		return false
 	}
 	b.used += size
@@ -112,7 +109,7 @@
 	for c := b.waiting.first; c != nil && wanted > 0 && c.progressAt.Before(since); c = b.waiting.first {
 		b.waiting.remove(c)
 		stalled = append(stalled, c)
-		wanted -= c.held
+		wanted -= c.held + c.expected
 	}
 	return stalled
 }
--- a/internal/memory/claim.go
+++ b/internal/memory/claim.go
@@ -88,11 +88,16 @@
 	if c.client == nil {
 		return ErrClosed
 	}
-	err := b.checkTake(c, size)
-	if err == nil && c.held+size > smallClaim && b.large+b.expected/expectedShare+size > b.largeLimit(c.holder.Rank) {
-		err = ErrBudgetFull
-	}
-	return err
+	if c.held+size > smallClaim {
+		// The bytes that others expect count like held ones, whoever expects them.
+		b.used += b.expected
+		b.large += b.expected
+		defer func() {
+			b.used -= b.expected
+			b.large -= b.expected
+		}()
+	}
+	return b.checkTake(c, size)
 }
 
 // Expect tells how many bytes the claim still expects. They are taken into account by Fits.
--- a/serving/forward/body.go
+++ b/serving/forward/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"os"
@@ -28,12 +29,12 @@
 	progressNote = 250 * time.Millisecond
 	// stalledTime is the time without a byte after which a body is given up if others need its memory.
 	stalledTime = time.Second
-	// makeRoomTries bounds how often a body waits for the memory of stalled ones, each time for roomPause.
-	makeRoomTries = 5
-	roomPause     = 20 * time.Millisecond
-	// roomTime is how long a request waits at most until its body fits, but no longer than the time to its deadline divided by
-	// roomDeadlineShare. maxRoomWaiters is how many requests may wait.
-	roomTime          = 500 * time.Millisecond
+	// expectedTime is the time for which the rate of a body tells what is expected of it.
+	expectedTime = 2 * time.Second
+	// roomTime is how long a body waits at most for memory, but no longer than the time to the deadline divided by
+	// roomDeadlineShare. It tries every roomPause. maxRoomWaiters is how many bodies may wait.
+	roomPause         = 20 * time.Millisecond
+	roomTime          = 800 * time.Millisecond
 	roomDeadlineShare = 4
 	maxRoomWaiters    = 16
 	// queuedBodySize is what the kernel holds of a body that nobody reads, in bytes.
@@ -44,7 +45,7 @@
 	trailerFieldSize = 256
 	// discardTime is how long the rest of a refused body is read and discarded at most, and maxDiscards of how many requests at once.
 	discardTime = 2 * time.Second
-	maxDiscards = 64
+	maxDiscards = 4
 )
 
 // noMemoryRetryAfter is the retry delay of requests that are refused because memory is scarce.
@@ -115,8 +116,12 @@
 	// windowStart is when the current progressTime began, in which windowBytes were read.
 	windowStart time.Time
 	windowBytes int
-	notedAt     time.Time
-	guarded     bool
+	// notedAt is when progress was noted last, and notedBytes what was read since.
+	notedAt    time.Time
+	notedBytes int
+	// rest is the part of the body for which no memory is taken yet.
+	rest    int64
+	guarded bool
 	// triedAgain is set after a timeout, until there is progress.
 	triedAgain bool
 }
@@ -142,33 +147,41 @@
 // admit refuses a body for which there is no room before any of it is read. It waits for room for a short time, since bodies
 // come and go quickly.
 func (b *bodyReader) admit(declared int64) *fault {
-	if declared <= firstBodyStep || b.claim.Fits(declared) == nil || b.makeRoom(declared, b.claim.Fits) {
+	if declared <= firstBodyStep || b.claim.Fits(declared) == nil {
 		return nil
 	}
-	if !b.waitForRoom(declared) {
+	// What the kernel holds of the body meanwhile is memory of the process too. It is given back when there is room for the body.
+	if b.claim.Take(queuedBodySize) != nil {
+		return noMemory()
+	}
+	fits := b.waitForRoom(declared, func() error { return b.claim.Fits(declared - queuedBodySize) })
+	b.claim.Give(queuedBodySize)
+	if !fits {
 		b.budget.CountRefusal(b.claim.Fits(declared))
 		return noMemory()
 	}
 	return nil
 }
 
-// waitForRoom waits until the body fits, and reports whether it does.
-func (b *bodyReader) waitForRoom(declared int64) bool {
-	// What the kernel holds of the body meanwhile is memory of the process too.
-	if b.waiters.Add(1) > maxRoomWaiters || b.claim.Take(queuedBodySize) != nil {
-		b.waiters.Add(-1)
+// waitForRoom tries take for a short time, and ends bodies that have stalled. It reports whether take succeeded.
+func (b *bodyReader) waitForRoom(size int64, take func() error) bool {
+	defer b.waiters.Add(-1)
+	if b.waiters.Add(1) > maxRoomWaiters {
 		return false
 	}
-	defer b.waiters.Add(-1)
-	defer b.claim.Give(queuedBodySize)
 	ticker := time.NewTicker(roomPause)
 	defer ticker.Stop()
-	until := time.NewTimer(min(roomTime, time.Until(b.deadline)/roomDeadlineShare))
+	// The times differ, so that of bodies that wait for each other some end before the others.
+	limit := min(roomTime, time.Until(b.deadline)/roomDeadlineShare)
+	until := time.NewTimer(limit/2 + rand.N(max(limit/2, 1)))
 	defer until.Stop()
 	for {
+		for _, stalled := range b.budget.Stalled(time.Now().Add(-stalledTime), size) {
+			stalled.End()
+		}
 		select {
 		case <-ticker.C:
-			if b.claim.Fits(declared-queuedBodySize) == nil {
+			if take() == nil {
 				return true
 			}
 		case <-until.C:
@@ -223,39 +236,37 @@
 // grow returns the body with room for the next step.
 func (b *bodyReader) grow(body []byte, whole int64) ([]byte, *fault) {
 	grown := min(max(firstBodyStep, int64(cap(body))*bodyStepFactor), whole)
-	added := grown - int64(cap(body))
-	if b.claim.Take(added) != nil && !b.makeRoom(added, b.claim.Take) {
+	if !b.take(grown - int64(cap(body))) {
 		return nil, noMemory()
 	}
-	if b.request.ContentLength > 0 && len(body) > firstBodyStep {
-		b.claim.Expect(whole - grown)
+	if b.rest = whole - grown; b.request.ContentLength > 0 && len(body) > 0 {
+		b.claim.Expect(b.rest)
 	}
 	return append(make([]byte, 0, grown), body...), nil
 }
 
-// makeRoom ends bodies that have stalled, and tries take again until it succeeds or there is nothing to wait for.
-func (b *bodyReader) makeRoom(size int64, take func(int64) error) bool {
-	for range makeRoomTries {
-		stalled := b.budget.Stalled(time.Now().Add(-stalledTime), size)
-		for _, claim := range stalled {
-			claim.End()
-		}
-		if len(stalled) == 0 {
-			return false
-		}
-		time.Sleep(roomPause)
-		if take(size) == nil {
-			return true
-		}
+// take takes memory for a step. It waits for a short time if there is none. The time is not the caller's.
+func (b *bodyReader) take(size int64) bool {
+	if b.claim.Take(size) == nil {
+		return true
 	}
-	return false
+	if b.guarded {
+		b.claim.WaitOver()
+	}
+	if !b.waitForRoom(size, func() error { return b.claim.Take(size) }) {
+		return false
+	}
+	if b.guarded {
+		b.guard()
+	}
+	return true
 }
 
 // guard ends the read of a body that makes no progress from now on.
 func (b *bodyReader) guard() {
 	b.guarded = true
-	b.windowStart = time.Now()
-	b.notedAt = b.windowStart
+	b.windowStart, b.windowBytes = time.Now(), 0
+	b.notedAt, b.notedBytes = b.windowStart, 0
 	b.claim.Wait(b.windowStart, b.end)
 	b.extend()
 }
@@ -263,11 +274,17 @@
 func (b *bodyReader) progress(count int) {
 	now := time.Now()
 	b.windowBytes += count
+	b.notedBytes += count
 	if now.Sub(b.notedAt) < progressNote {
 		return
 	}
-	b.notedAt = now
 	b.claim.Wait(now, b.end)
+	if b.request.ContentLength > 0 {
+		// A slow caller is not expected to send all of the rest soon.
+		soon := int64(b.notedBytes) * int64(expectedTime/now.Sub(b.notedAt))
+		b.claim.Expect(min(b.rest, soon))
+	}
+	b.notedAt, b.notedBytes = now, 0
 	if b.windowBytes >= progressBytes {
 		b.windowStart, b.windowBytes, b.triedAgain = now, 0, false
 		b.extend()
