feat(daemon): the memory budget and the connection limits for `winchd run`

The ports of callers, hosts and operators get connection limits, and request bodies take memory from a budget of the default size in steps as they arrive. A body that does not fit is refused as not run (503 no_memory). Responses that are read whole are part of the budget.

Tests of internal/connlimit use the server's ConnState before its start; the race detector had found them writing it afterwards.

--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -37,13 +37,8 @@
 	server := httptest.NewUnstartedServer(handler)
 	server.Config.MaxHeaderBytes = 64 << 10
 	server.Listener = limiter.Listener(server.Listener)
-	// httptest has a ConnState of its own.
+	server.Config.ConnState = limiter.Observe
 	server.Start()
-	own := server.Config.ConnState
-	server.Config.ConnState = func(conn net.Conn, state http.ConnState) {
-		limiter.Observe(conn, state)
-		own(conn, state)
-	}
 	t.Cleanup(server.Close)
 	return &port{t: t, limiter: limiter, budget: options.Budget, address: server.Listener.Addr().String()}
 }
--- a/serving/caller/admit.go
+++ b/serving/caller/admit.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/memory"
 	"github.com/arbutuswinch/winch/serving/internal/runstate"
 	"github.com/arbutuswinch/winch/serving/peer"
 )
@@ -21,8 +22,9 @@
 	// maxHeaderValue is the size in bytes above which a header is not forwarded.
 	maxHeaderValue = 4 << 10
 	servicesPrefix = "/services/"
-	// maxPreallocated caps the buffer that is allocated from Content-Length alone.
-	maxPreallocated = 64 << 10
+	// firstBodyStep is the number of bytes for which a body takes memory at first. Each further step is bodyStepFactor times as large.
+	firstBodyStep  = 16 << 10
+	bodyStepFactor = 4
 )
 
 // forwardedRequestHeaders returns the request headers that are forwarded to endpoints. API
@@ -36,7 +38,9 @@
 	// detached is the request's context without the caller's connection: it ends at the
 	// deadline, when the API key is withdrawn or when the server shuts down, but not when
 	// the caller disconnects.
-	detached       context.Context
+	detached context.Context
+	// claim holds the memory of the body until the request ends.
+	claim          *memory.Claim
 	id             winch.RequestID
 	authenticated  bool
 	keyHash        winch.KeyHash
@@ -166,10 +170,9 @@
 	return nil
 }
 
-// readBody reads the whole request body within the limits of size and time. Unlike
-// io.ReadAll it allocates the announced size at once. The extra byte lets Read report the
-// end without growing the buffer.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *apiError) {
+// readBody reads the whole request body within the limits of size and time. The request's claim takes memory for it in steps, as it
+// arrives. The extra byte lets Read report the end without growing the buffer.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, req *request) ([]byte, *apiError) {
 	limit := s.options.Limits.RequestBody
 	if r.ContentLength > limit {
 		return nil, bodyTooLarge()
@@ -177,11 +180,17 @@
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(s.options.Limits.ReadTimeout))
 	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	body := make([]byte, 0, min(max(r.ContentLength, 0), maxPreallocated)+1)
+	if r.ContentLength > 0 && req.claim.Fits(r.ContentLength) != nil {
+		return nil, noMemory(w)
+	}
 	reader := http.MaxBytesReader(w, r.Body, limit)
-	for {
+	for body := []byte(nil); ; {
 		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
+			grown := growBody(int64(cap(body)), r.ContentLength, limit)
+			if req.claim.Take(grown-int64(cap(body))) != nil {
+				return nil, noMemory(w)
+			}
+			body = append(make([]byte, 0, grown), body...)
 		}
 		count, err := reader.Read(body[len(body):cap(body)])
 		body = body[:len(body)+count]
@@ -199,6 +208,23 @@
 	}
 }
 
+// growBody returns the next size of the memory for a body of the declared length, which is negative if it is unknown.
+func growBody(size, declared, limit int64) int64 {
+	whole := limit + 1
+	if declared >= 0 {
+		whole = declared + 1
+	}
+	return min(whole, max(firstBodyStep, bodyStepFactor*size))
+}
+
+// noMemory returns the error for a request that is refused because others take the memory. The rest of its body is not read.
+func noMemory(w http.ResponseWriter) *apiError {
+	w.Header().Set("Connection", "close")
+	return &apiError{
+		status: http.StatusServiceUnavailable, code: "no_memory", retryAfter: time.Second, message: "the request was not run: other requests take the memory",
+	}
+}
+
 func bodyTooLarge() *apiError {
 	return &apiError{status: http.StatusRequestEntityTooLarge, code: "too_large", param: "body", message: "the body is too large"}
 }
@@ -208,7 +234,7 @@
 	if r.Method != http.MethodPost {
 		return &apiError{status: http.StatusMethodNotAllowed, code: "method_not_allowed", message: "the path takes POST only"}
 	}
-	body, apiErr := s.readBody(w, r)
+	body, apiErr := s.readBody(w, r, req)
 	if apiErr != nil {
 		return apiErr
 	}
@@ -252,7 +278,7 @@
 	if req.idempotencyKey != "" {
 		req.header.Set("Idempotency-Key", string(req.idempotencyKey))
 	}
-	body, apiErr := s.readBody(w, r)
+	body, apiErr := s.readBody(w, r, req)
 	req.body = body
 	return apiErr
 }
--- a/serving/caller/options.go
+++ b/serving/caller/options.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/memory"
 )
 
 const (
@@ -73,6 +74,8 @@
 	Logger         hclog.Logger
 	Meter          metric.Meter
 	Limits         Limits
+	// Memory is what all requests of the process may hold; nil stands for a budget of memory.DefaultBudget.
+	Memory *memory.Budget
 	// PeerSecret authenticates other hosts at PeerHandler.
 	PeerSecret string
 	// guardSwitches switches off guards, for tests that show that each guard is needed.
--- a/serving/caller/server.go
+++ b/serving/caller/server.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,6 +45,9 @@
 		return nil, err
 	}
 	options.Limits.setDefaults()
+	if options.Memory == nil {
+		options.Memory = memory.NewBudget(memory.DefaultBudget)
+	}
 	set := inflight.NewSet()
 	instruments, err := newMetrics(options.Meter, set.Count)
 	if err != nil {
@@ -52,7 +56,7 @@
 	s := &Server{
 		options: options, classIndexes: &classIndexCache{configurations: options.Configurations}, open: set,
 		history: newHistory(options.Limits.History), metrics: instruments, stopped: make(chan struct{}),
-		responses: memory.NewShared(responsesSize),
+		responses: options.Memory.Part(responsesSize),
 	}
 	go s.watchKeys()
 	return s, nil
@@ -97,12 +101,21 @@
 		entry.SetKey(req.keyHash)
 	}
 	if apiErr == nil {
+		req.claim = s.openClaim(r, req)
+		defer req.claim.Close()
 		apiErr = s.route(w, r, req)
 	}
 	s.writeError(w, req, apiErr)
 	s.finishRequest(req, apiErr)
 }
 
+// openClaim returns the claim of an admitted request for memory.
+func (s *Server) openClaim(r *http.Request, req *request) *memory.Claim {
+	// An address that cannot be parsed is that of a test; all of these share one account.
+	address, _ := netip.ParseAddrPort(r.RemoteAddr)
+	return s.options.Memory.Open(memory.Holder{Address: address.Addr(), Organisation: string(req.organisation), Rank: memory.RankUrgent})
+}
+
 // route calls the handler for the request's path.
 func (s *Server) route(w http.ResponseWriter, r *http.Request, req *request) *apiError {
 	path := r.URL.Path
--- a/serving/forward/body_test.go
+++ b/serving/forward/body_test.go
@@ -29,6 +29,7 @@
 	assert.NilError(ts.t, err)
 	ts.httpServer.Close()
 	ts.httpServer = httptest.NewUnstartedServer(ts.server.Handler())
+	ts.httpServer.Config.ConnState = limiter.Observe
 	ts.httpServer.Listener = limiter.Listener(ts.httpServer.Listener)
 	ts.httpServer.Start()
 	ts.t.Cleanup(ts.httpServer.Close)
--- a/winchd/daemon/components.go
+++ b/winchd/daemon/components.go
@@ -148,6 +148,7 @@
 		Peers:    servingpeer.New(servingpeer.Options{Secret: d.settings.Peer.Secret, IdleConnections: idleConnections, DialTimeout: d.settings.Endpoints.DialTimeout}),
 		Clock:    d.clock, Logger: d.logger, Meter: d.metrics.Meter(),
 		Limits:     d.callerLimits(),
+		Memory:     d.guard.Budget(),
 		PeerSecret: d.settings.Peer.Secret,
 	})
 	d.serving = &servingComponents{server: server}
--- a/winchd/daemon/daemon.go
+++ b/winchd/daemon/daemon.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
@@ -21,13 +22,18 @@
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/clock/boottime"
 	"github.com/arbutuswinch/winch/httpjson"
+	"github.com/arbutuswinch/winch/internal/connlimit"
 	keyvalueplatform "github.com/arbutuswinch/winch/keyvalue/platform"
 	"github.com/arbutuswinch/winch/winchd/process"
 	"github.com/arbutuswinch/winch/winchd/settings"
 )
 
-// callerIdleTimeout is how long a caller's connection may be idle.
-const callerIdleTimeout = 2 * time.Minute
+const (
+	// callerIdleTimeout is how long a caller's connection may be idle.
+	callerIdleTimeout = 2 * time.Minute
+	// internalConnections is the maximum number of connections of the ports of hosts and operators.
+	internalConnections = 4096
+)
 
 // Daemon is the process of one entry host.
 type Daemon struct {
@@ -37,6 +43,7 @@
 	clock       winch.Clock
 	incarnation winch.Incarnation
 	metrics     *process.Metrics
+	guard       *process.Guard
 	traffic     *httpjson.Traffic
 	store       winch.KeyValue
 
@@ -63,6 +70,7 @@
 	}
 	err = process.Build([]process.Step{
 		{Name: "metrics", Build: d.buildMetrics},
+		{Name: "memory", Build: d.buildGuard},
 		{Name: "key-value client", Build: d.buildStore},
 		{Name: "membership", Build: d.buildMembership},
 		{Name: "release", Build: d.buildRelease},
@@ -89,6 +97,13 @@
 	return built.ObserveTraffic(d.traffic)
 }
 
+// buildGuard bounds the memory of requests. The settings have no limit for it, so that the default holds.
+func (d *Daemon) buildGuard() error {
+	built, err := process.NewGuard(process.GuardLimits{}, d.logger, d.metrics.Meter())
+	d.guard = built
+	return err
+}
+
 func (d *Daemon) buildStore() error {
 	store, err := keyvalueplatform.New(keyvalueplatform.Options{
 		Address: d.settings.Platform.KeyValue, Timeout: d.settings.Platform.Timeout,
@@ -105,25 +120,40 @@
 	callerLimits := process.ServerLimits{
 		HeaderLimit: d.settings.Caller.HeaderLimit, ReadTimeout: d.settings.Caller.ReadTimeout, IdleTimeout: callerIdleTimeout,
 	}
-	callers, err := process.NewServer(d.settings.Caller.Address, d.serving.server.Handler(), callerLimits, nil)
-	if err != nil {
-		return err
-	}
-	peers, err := process.NewServer(d.settings.Peer.Address, d.peerHandler(), process.InternalLimits(), d.traffic)
-	if err != nil {
-		return err
-	}
-	operators, err := process.NewServer(d.settings.Operator.Address, d.operatorHandler(), process.InternalLimits(), nil)
-	if err != nil {
-		return err
+	for _, port := range []struct {
+		address string
+		handler http.Handler
+		limits  process.ServerLimits
+		traffic *httpjson.Traffic
+		limiter func() (*connlimit.Limiter, error)
+	}{
+		{d.settings.Caller.Address, d.serving.server.Handler(), callerLimits, nil, d.guard.Callers},
+		{d.settings.Peer.Address, d.peerHandler(), process.InternalLimits(), d.traffic, d.internal("peer")},
+		{d.settings.Operator.Address, d.operatorHandler(), process.InternalLimits(), nil, d.internal("operator")},
+	} {
+		limiter, err := port.limiter()
+		if err != nil {
+			return err
+		}
+		port.limits.Connections = limiter
+		server, err := process.NewServer(port.address, port.handler, port.limits, port.traffic)
+		if err != nil {
+			return err
+		}
+		d.servers = append(d.servers, server)
 	}
 	d.runner = process.NewRunner(d.logger, d.tasks())
-	d.servers = []transport.Server{callers, peers, operators, d.runner}
+	d.servers = append(d.servers, d.runner)
 	return nil
 }
 
+func (d *Daemon) internal(port string) func() (*connlimit.Limiter, error) {
+	return func() (*connlimit.Limiter, error) { return d.guard.Internal(port, internalConnections) }
+}
+
 func (d *Daemon) tasks() []process.Task {
 	tasks := []process.Task{
+		{Name: "memory", Run: d.guard.Run},
 		{Name: "exchange", Run: d.membership.exchange.Run},
 		{Name: "distributor", Run: d.release.distributor.Run},
 		{Name: "dispatcher", Run: d.dispatch.dispatcher.Run},
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -287,7 +287,7 @@
 }
 
 func (f *Forwarder) internal(port string) func() (*connlimit.Limiter, error) {
-	return func() (*connlimit.Limiter, error) { return f.guard.Internal(port) }
+	return func() (*connlimit.Limiter, error) { return f.guard.Internal(port, internalConnections) }
 }
 
 // newServer returns a server whose connections are limited.
@@ -303,6 +303,8 @@
 const (
 	callerHeaderLimit   = 64 << 10
 	callerHeaderTimeout = 5 * time.Second
+	// internalConnections is the maximum number of connections of a port that is not exposed to callers.
+	internalConnections = 512
 	// callerIdleTimeout is longer than callers keep idle connections.
 	callerIdleTimeout = 2 * time.Minute
 )
--- a/winchd/process/guard.go
+++ b/winchd/process/guard.go
@@ -25,8 +25,6 @@
 	// callerDescriptors is the share in percent of the other descriptors that connections of callers may use. The rest is for
 	// endpoints and other hosts.
 	callerDescriptors = 60
-	// internalConnections is the maximum number of connections of a port that is not exposed to callers.
-	internalConnections = 512
 	// readyConnections is the same for the port of readiness checks.
 	readyConnections = 64
 	// connectionShare is the divisor of the budget that connections of callers may hold.
@@ -82,9 +80,9 @@
 // Ready returns the limiter of the port for readiness checks.
 func (g *Guard) Ready() (*connlimit.Limiter, error) { return g.internal("ready", readyConnections) }
 
-// Internal returns the limiter of a port that is not exposed to callers.
-func (g *Guard) Internal(port string) (*connlimit.Limiter, error) {
-	return g.internal(port, internalConnections)
+// Internal returns the limiter of a port that is not exposed to callers, for so many connections.
+func (g *Guard) Internal(port string, limit int) (*connlimit.Limiter, error) {
+	return g.internal(port, limit)
 }
 
 func (g *Guard) internal(port string, limit int) (*connlimit.Limiter, error) {
