fix(forward): callers that read slowly get large answers

What callers saw: TestSlowCallerGetsALargeAnswer (KNOWN-RED.txt): a caller that reads 2.5 MB a second at all times got 3,948,544 of 4,194,304 bytes in a run of the package beside load.

Cause: the kernel wakes a blocked writer only when a third of its send buffer is free. The buffer grows to megabytes, so that one write took longer than its time limit, although the caller read all the time.

Change: accepted connections have a send buffer of 32 KiB.

--- a/internal/connlimit/buffers.go
+++ b/internal/connlimit/buffers.go
@@ -13,7 +13,7 @@
 	// twice as much, for its own data. Without a bound they grow to megabytes; a send buffer of that size also makes a blocked write
 	// wait until a third of it is free.
 	receiveBuffer = 16 << 10
-	sendBuffer    = 64 << 10
+	sendBuffer    = 32 << 10
 	// bodyBuffer is the size of the receive buffer while a body is read, as long as Options.Budget has memory for it. It is raised
 	// after raiseAfter bytes of the body.
 	bodyBuffer = 256 << 10
