fix(dispatch): endpoints that were just ordered take their part of a burst

Cause: a cold endpoint counted as no capacity, cost as much as 20,000 tokens, was preferred for no prompt until 6 s after its start, and the penalty for shared parts that it lacks kept prompts away, so that ordered endpoints stayed idle while the others were overloaded. Change: it has the slots that its rate fills, costs as much as one more prompt, takes prompts whose shared parts it lacks, and is preferred from the first step of the slow start, of which there are three. The rate itself is unchanged.

--- a/dispatch/endpoint/cold.go
+++ b/dispatch/endpoint/cold.go
@@ -21,13 +21,13 @@
 	// speaks against it. Answers of a step need time to arrive.
 	warmStep   = 500 * time.Millisecond
 	warmFactor = 1.5
-	// warmSteps is the number of steps until the endpoint has no limit. The rate is then more than ten times that of a cold one.
-	warmSteps = 6
-	// coldCost is the cost of a cold endpoint, in prompt tokens. It is lower than wrongPartitionCost and higher than what an endpoint
-	// usually has pending, so that cold endpoints are used when the others are loaded.
-	coldCost = 20_000
+	// warmSteps is the number of steps until the endpoint has no limit. The rate is then more than three times that of a cold one.
+	warmSteps = 3
+	// coldCost is the cost of a cold endpoint, in prompt tokens: about that of one prompt, so that the rate of cold endpoints is used
+	// up before others have to queue.
+	coldCost = 2_000
 	// coldPenalty is the same for policies that choose by the share of the slots in use.
-	coldPenalty = 0.5
+	coldPenalty = 0.1
 )
 
 // coldState is what a host knows of an endpoint that is cold or was.
@@ -184,6 +184,16 @@
 	c.emit(changed)
 }
 
+// slotsFor returns how many slots the endpoint has for the lane's requests: those of a cold one are limited to what its rate fills.
+func (e *endpoint) slotsFor(l *lane) float64 {
+	slots := float64(e.cap)
+	if !e.cold.cold || l.holdTime.Value <= 0 {
+		return slots
+	}
+	rate, _ := e.cold.share.Rate()
+	return min(slots, float64(rate)*l.holdTime.Value)
+}
+
 // sharingHosts returns the hosts among which the rates of cold endpoints are divided.
 func (c *core) sharingHosts(now time.Time) []winch.HostID {
 	switch {
--- a/dispatch/endpoint/prefill.go
+++ b/dispatch/endpoint/prefill.go
@@ -203,7 +203,7 @@
 	var preferred *endpoint
 	weight := uint64(0)
 	for _, e := range l.endpoints {
-		if !e.usable(now) || e.cold.limited() || e.prefill.latencySensitive != l.latencySensitive && l.partitioned {
+		if !e.usable(now) || e.cold.cold || e.prefill.latencySensitive != l.latencySensitive && l.partitioned {
 			continue
 		}
 		if w := mix(uint64(shared) ^ e.hash); preferred == nil || w > weight {
@@ -237,6 +237,10 @@
 		// Breaks ties in favour of the preferred endpoint.
 		cost--
 	}
+	if e.cold.cold {
+		// It has none of the shared parts, and gets them with the few requests that it bears.
+		return cost
+	}
 	missing := max(0, sharedTokens(r.work.Parts)-cached)
 	return cost + min(recomputeWeight*float64(missing), c.recomputeCostLimit(l))
 }
--- a/dispatch/endpoint/prefill_budget.go
+++ b/dispatch/endpoint/prefill_budget.go
@@ -87,22 +87,15 @@
 	return defaultPrefillSpeed
 }
 
-// partitionSize counts the endpoints that serve the lane. Those that are reserved for latency-sensitive classes serve only these. If
-// all are cold, they count, since requests go there within their rates.
+// partitionSize counts the endpoints that serve the lane. Those that are reserved for latency-sensitive classes serve only these.
 func (l *lane) partitionSize(now time.Time) int {
-	count, cold := 0, 0
+	count := 0
 	for _, e := range l.endpoints {
-		if e.serving && e.cold.cold {
-			cold++
-		}
 		if !e.serving || e.paused(now) || l.partitioned && e.prefill.latencySensitive && !l.latencySensitive {
 			continue
 		}
 		count++
 	}
-	if count == 0 {
-		return cold
-	}
 	return count
 }
 
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -199,7 +199,7 @@
 			if !e.serving || e.paused(now) {
 				continue
 			}
-			l.slots += float64(e.cap)
+			l.slots += e.slotsFor(l)
 			if !e.cheap {
 				l.steadySlotsLeft += float64(e.cap - e.runningUpTo(l.class.Tier))
 			}
--- a/dispatch/endpoint/word.go
+++ b/dispatch/endpoint/word.go
@@ -45,9 +45,9 @@
 	}
 }
 
-// paused reports whether the endpoint's slots do not count: it was ejected, is cold, or has said that it wants no requests or few.
+// paused reports whether the endpoint's slots do not count: it was ejected, or has said that it wants no requests or few.
 func (e *endpoint) paused(now time.Time) bool {
-	return now.Before(e.health.ejectedUntil) || now.Before(e.restsUntil) || e.named.Limited() || e.cold.cold
+	return now.Before(e.health.ejectedUntil) || now.Before(e.restsUntil) || e.named.Limited()
 }
 
 // restWait returns the time until the first of the lane's endpoints takes requests again, if none that serves takes any now because of
