feat(platform/runner): the load header may state a pace

Endpoints of some services add a fourth figure to the load header, how long work takes on them at present. The decoder took exactly three figures, so that the load of such an endpoint was dropped.

The pace itself is not used yet.

--- a/forward.go
+++ b/forward.go
@@ -207,6 +207,7 @@
 	Running int
 	Waiting int
 	Slots   int
+	Pace    PaceWord
 }
 
 // ForwardSender sends forwarded requests to endpoints. It never retries a request on its own.
--- a/load.go
+++ b/load.go
@@ -63,6 +63,19 @@
 // RequestRate is a number of requests a second.
 type RequestRate float64
 
+// Pace is how long work takes at an endpoint, in percent of the usual time. The higher the pace, the slower the endpoint.
+type Pace float64
+
+// UsualPace is the pace of an endpoint on which work takes as long as usual.
+const UsualPace Pace = 100
+
+// PaceWord is what an answer says of the pace of its endpoint.
+type PaceWord struct {
+	// Known is set if the answer states a pace that can be read.
+	Known bool
+	Pace  Pace
+}
+
 // RateWord is what an answer says of the rate of requests that its endpoint takes.
 type RateWord struct {
 	// Known is set unless the answer says something that cannot be read.
