feat(dispatch): endpoints are chosen, predicted and limited by their stated pace

Endpoints of one kind differ in speed and change it many times a second, and some state their pace in each answer. Hosts only knew the latency of their own answers, some of which are minutes old.

dispatch/pace keeps an average of about a second and one of half a minute, each counted by its samples and their age, and the mean of what other hosts tell. Its relative value takes the place of the latency in e.slowdown, so that nothing counts twice; predicted waits, the limit of pending prompts and the slots follow the present pace. Costs that differ by less than half of the request's own prompt count as equal, so that hosts which see one fast endpoint do not all choose it. The column Paces of the exchange is absent where no endpoint states one.

--- a/dispatch/endpoint/admission.go
+++ b/dispatch/endpoint/admission.go
@@ -112,7 +112,7 @@
 		return prefillWait
 	}
 	slots := math.Max(math.Max(l.slots-taken, l.floorSlots()), minimumSlots)
-	return max(prefillWait, secondsOf(ahead*l.holdTime.Value/slots))
+	return max(prefillWait, secondsOf(ahead*l.holdTime.Value*l.paceShift/slots))
 }
 
 const (
--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -150,7 +150,7 @@
 	key := laneKey{class: class.ID, group: g}
 	l, found := c.lanes[key]
 	if !found {
-		l = &lane{key: key, byAccount: map[*account]*accountQueue{}, budget: c.budget(g)}
+		l = &lane{key: key, byAccount: map[*account]*accountQueue{}, budget: c.budget(g), paceShift: 1}
 		c.lanes[key] = l
 	}
 	l.class = class
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -365,6 +365,7 @@
 	}
 	e.applyReport(report)
 	e.updateReportWeight(now, c.settings.ReportMaxAge)
+	c.observePace(now, e, report.Pace)
 	c.probeEarly(now, e, report.AsOf)
 	c.applyReportedState(now, e, report)
 }
--- a/dispatch/endpoint/fleet_engine_test.go
+++ b/dispatch/endpoint/fleet_engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/arbutuswinch/winch"
 )
@@ -10,6 +11,33 @@
 	running, queue []*fleetRequest
 	cached         []winch.PrefixHash // least recently used first
 	cachedTokens   winch.Tokens
+	// pace is how long the engine's work takes at present. usualPace is its mean, from which it differs more or less all the time.
+	pace, usualPace winch.Pace
+}
+
+const (
+	// fleetPaceTime is how long an engine keeps a pace.
+	fleetPaceTime = 80 * time.Millisecond
+	// fleetPaceSpread is the largest share by which a pace differs from the engine's usual one.
+	fleetPaceSpread = 0.4
+)
+
+// unevenEngines gives the engines usual paces from 60 to 160 and lets each change
+// its pace many times a second.
+func (f *fleet) unevenEngines() {
+	for i, id := range f.ids {
+		f.engines[id].usualPace = winch.Pace(60 + 100*i*7/len(f.ids)%101)
+	}
+}
+
+// changePace lets the engine change its pace.
+func (f *fleet) changePace(e *fleetEngine) {
+	switch {
+	case e.usualPace == 0:
+		e.pace = winch.UsualPace
+	case e.pace == 0 || f.now.Sub(f.start)%fleetPaceTime == 0:
+		e.pace = e.usualPace * winch.Pace(1+fleetPaceSpread*(2*f.paces.Float64()-1))
+	}
 }
 
 // admit sends the request to the engine.
@@ -39,15 +67,17 @@
 		}
 		e.running = append(e.running, q)
 	}
-	budget := winch.Tokens(fleetPrefill)
+	f.changePace(e)
+	step := winch.Tokens(fleetPrefill * float64(winch.UsualPace/e.pace))
+	budget := step
 	for _, q := range e.running {
 		read := min(budget, q.prefill)
 		q.prefill -= read
 		budget -= read
 	}
-	idle := float64(budget) / fleetPrefill
+	idle := float64(budget) / float64(step)
 	for _, q := range slices.Clone(e.running) {
-		f.decode(q, idle/fleetTokenSteps+(1-idle)/fleetBusyTokenSteps)
+		f.decode(q, (idle/fleetTokenSteps+(1-idle)/fleetBusyTokenSteps)*float64(winch.UsualPace/e.pace))
 	}
 }
 
@@ -61,6 +91,7 @@
 		f.count(q).began++
 		q.r.progress.first.Store(f.now.UnixNano())
 		f.cores[q.host].readProgress(f.now, q.r)
+		f.statePace(q)
 		f.cores[q.host].fillByChoice(f.now)
 		f.apply(q.host)
 	}
@@ -73,6 +104,14 @@
 	}
 }
 
+// statePace passes the pace that the engine states with the request's response, if the engines state any.
+func (f *fleet) statePace(q *fleetRequest) {
+	if f.statesPaces {
+		id := q.r.endpoint.spec.ID
+		f.cores[q.host].observeLoad(f.now, winch.LoadReport{Endpoint: id, AsOf: f.now, Pace: winch.PaceWord{Known: true, Pace: f.engines[id].pace}})
+	}
+}
+
 // use reports whether the engine had the part of the prompt in its cache, and puts it there.
 func (e *fleetEngine) use(part winch.PrefixHash, tokens winch.Tokens) bool {
 	at := slices.Index(e.cached, part)
--- a/dispatch/endpoint/fleet_test.go
+++ b/dispatch/endpoint/fleet_test.go
@@ -43,11 +43,14 @@
 	nextID        int
 	pending       []func()
 	applyAt       time.Time
+	// paces is the source of the engines' paces, apart from random so that the load is the same with and without them.
+	paces       *rand.Rand
+	statesPaces bool
 }
 
 func newFleet(hosts, engines int) *fleet {
 	f := &fleet{
-		now: time.Unix(1000, 0), start: time.Unix(1000, 0), random: rand.New(rand.NewPCG(7, 7)), engines: map[winch.EndpointID]*fleetEngine{},
+		now: time.Unix(1000, 0), start: time.Unix(1000, 0), random: rand.New(rand.NewPCG(7, 7)), paces: rand.New(rand.NewPCG(8, 8)), engines: map[winch.EndpointID]*fleetEngine{},
 		open: map[*request]*fleetRequest{}, due: make([]float64, len(fleetClasses)), counts: map[winch.ClassID]map[int]*fleetCounts{},
 	}
 	f.configuration = &winch.Configuration{Classes: map[winch.ClassID]winch.Class{}}
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -83,6 +83,9 @@
 	meanInterToken   measure.Mean // mean over the endpoints of the time between tokens, in seconds
 	meanFirstToken   measure.Mean // mean over the endpoints of the time to first token, as a share of the target
 	aperture         int
+	// meanPace is the mean usual pace of the endpoints that state one, and paceShift how much slower they are at present; 1 if none does.
+	meanPace  measure.Mean
+	paceShift float64
 
 	others               laneStats // sums over the other hosts of the data centre
 	preemptedForOthersAt time.Time // last preemption of lower tiers on behalf of other hosts
--- a/dispatch/endpoint/limit.go
+++ b/dispatch/endpoint/limit.go
@@ -10,9 +10,10 @@
 	holdTimeWeight   = 0.03 // of a sample in its hold time, low since responses vary widely in length
 )
 
-// currentSlots returns the limit as a whole number of requests, reduced during the endpoint's ramp-up.
+// currentSlots returns the limit as a whole number of requests, reduced during the endpoint's ramp-up and
+// while it is slower than usual.
 func (e *endpoint) currentSlots(now time.Time, ramp time.Duration) int {
-	value := e.limit.Value
+	value := e.limit.Value * e.paceLimit()
 	if !e.rampSince.IsZero() {
 		age := now.Sub(e.rampSince)
 		if age >= ramp {
--- a/dispatch/endpoint/metrics.go
+++ b/dispatch/endpoint/metrics.go
@@ -34,6 +34,9 @@
 	if err := observeQueues(meter, d); err != nil {
 		return nil, err
 	}
+	if err := observePaces(meter, d); err != nil {
+		return nil, err
+	}
 	return &metrics{decisions: decisions, waits: waits}, nil
 }
 
--- /dev/null
+++ b/dispatch/endpoint/pace.go
@@ -0,0 +1,180 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/dispatch/measure"
+)
+
+const (
+	// relativePaceMin and relativePaceMax bound an endpoint's pace relative to the mean of its lane.
+	relativePaceMin = 0.25
+	relativePaceMax = slowdownMax
+	// paceShiftMin and paceShiftMax bound the factor by which a prediction follows the present pace.
+	paceShiftMin = 0.5
+	paceShiftMax = 2
+	// paceLimitMin is the smallest share of its slots that an endpoint keeps while it is slow.
+	paceLimitMin = 0.5
+	// closePaceShare is the share of a prompt by which costs may differ and still count as equal where endpoints state their
+	// paces. The hosts see the same fast endpoint at the same time, before any of them knows of the others' requests.
+	closePaceShare = 0.5
+)
+
+// observePace applies what the endpoint has stated in an answer to this host.
+func (c *core) observePace(now time.Time, e *endpoint, word winch.PaceWord) {
+	if !word.Known {
+		return
+	}
+	e.pace.Observe(now, word.Pace)
+	e.updatePaces(now)
+	e.slowdown = c.slowdownOf(now, e)
+}
+
+func (e *endpoint) updatePaces(now time.Time) {
+	e.presentPace, e.usualPace = 0, 0
+	if e.pace.Known(now) {
+		e.presentPace, e.usualPace = e.pace.At(now), e.pace.Usual(now)
+	}
+}
+
+// refreshPaces recomputes the lanes' mean paces.
+func (c *core) refreshPaces(now time.Time) {
+	for _, l := range c.sortedLanes {
+		l.meanPace, l.paceShift = measure.Mean{}, 1
+		present, usual := 0.0, 0.0
+		for _, e := range l.endpoints {
+			if e.usualPace == 0 {
+				continue
+			}
+			l.meanPace.AddMean(measure.Mean{Value: float64(e.usualPace), Samples: 1})
+			if e.serving && !e.paused(now) {
+				present, usual = present+float64(e.presentPace), usual+float64(e.usualPace)
+			}
+		}
+		if usual > 0 {
+			l.paceShift = min(max(paceShiftMin, present/usual), paceShiftMax)
+		}
+	}
+}
+
+// relativePace returns the endpoint's present pace relative to the mean usual one of its highest-tier lane, and false if it
+// states no pace.
+func (e *endpoint) relativePace() (float64, bool) {
+	if e.usualPace == 0 || e.lanes[0].meanPace.Value <= 0 {
+		return 1, false
+	}
+	return min(max(relativePaceMin, float64(e.presentPace)/e.lanes[0].meanPace.Value), relativePaceMax), true
+}
+
+// paceLimit returns the share of its slots that the endpoint gets at its present pace. The limit was found at the usual one; an
+// endpoint that is faster at the moment gets no more.
+func (e *endpoint) paceLimit() float64 {
+	if e.usualPace == 0 {
+		return 1
+	}
+	return min(max(paceLimitMin, float64(e.usualPace/e.presentPace)), 1)
+}
+
+// runningCost returns the cost of the requests that run on the endpoint, in prompt tokens.
+func (e *endpoint) runningCost() float64 {
+	cost := runningRequestCost * float64(e.running+e.others)
+	if e.usualPace == 0 {
+		return cost
+	}
+	return cost * e.slowdown
+}
+
+// paceMargin returns the difference of costs below which endpoints count as equal because of their paces, in prompt tokens.
+func paceMargin(l *lane, r *request) float64 {
+	if l.meanPace.Samples == 0 {
+		return 0
+	}
+	return closePaceShare * float64(r.ownTokens())
+}
+
+// meanPace returns the mean of two paces, weighted by the requests that run. A pace of zero is not known.
+func meanPace(a, b endpointStats) winch.Pace {
+	switch {
+	case a.Pace == 0:
+		return b.Pace
+	case b.Pace == 0:
+		return a.Pace
+	}
+	return (a.Pace*winch.Pace(a.Running) + b.Pace*winch.Pace(b.Running)) / winch.Pace(max(1, a.Running+b.Running))
+}
+
+// addPace adds the pace of the last row. Rows before the first known pace are filled with zeros.
+func (w *statsWire) addPace(pace winch.Pace) {
+	if pace == 0 && len(w.Paces) == 0 {
+		return
+	}
+	for len(w.Paces) < len(w.Endpoints)-1 {
+		w.Paces = append(w.Paces, 0)
+	}
+	w.Paces = append(w.Paces, int(pace))
+}
+
+// pace returns the pace of a row. Hosts of earlier versions, and those that know no paces, send none.
+func (w *statsWire) pace(row int) winch.Pace {
+	if row >= len(w.Paces) {
+		return 0
+	}
+	return winch.Pace(min(max(0, w.Paces[row]), maxWirePace))
+}
+
+// maxWirePace bounds a pace that another host tells, in percent.
+const maxWirePace = 1000
+
+// lanePaces are the paces of a model's or route's endpoints.
+type lanePaces struct {
+	group                   group
+	present, usual, slowest winch.Pace
+}
+
+// paces returns the mean present and usual pace and the highest usual one of the endpoints of each model or route with stated paces.
+func (c *core) paces() []lanePaces {
+	var all []lanePaces
+	seen := map[group]bool{}
+	for _, l := range c.sortedLanes {
+		if l.meanPace.Samples == 0 || seen[l.key.group] {
+			continue
+		}
+		seen[l.key.group] = true
+		paces := lanePaces{group: l.key.group, usual: winch.Pace(l.meanPace.Value), present: winch.Pace(l.meanPace.Value * l.paceShift)}
+		for _, e := range l.endpoints {
+			paces.slowest = max(paces.slowest, e.usualPace)
+		}
+		all = append(all, paces)
+	}
+	return all
+}
+
+func observePaces(meter metric.Meter, d *Dispatcher) error {
+	gauge, err := meter.Float64ObservableGauge("winch_dispatch_pace", metric.WithUnit("%"),
+		metric.WithDescription("Stated paces of endpoints: mean at present, usual mean, usual pace of the slowest."))
+	if err != nil {
+		return fmt.Errorf("create pace gauge: %w", err)
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
+		d.lock.Lock()
+		all := d.core.paces()
+		d.lock.Unlock()
+		for _, paces := range all {
+			for kind, value := range map[string]winch.Pace{"present": paces.present, "usual": paces.usual, "slowest": paces.slowest} {
+				observer.ObserveFloat64(gauge, float64(value), metric.WithAttributes(attribute.String("model", string(paces.group.model)),
+					attribute.String("route", string(paces.group.route)), attribute.String("kind", kind)))
+			}
+		}
+		return nil
+	}, gauge)
+	if err != nil {
+		return fmt.Errorf("register pace gauge: %w", err)
+	}
+	return nil
+}
--- a/dispatch/endpoint/prefill.go
+++ b/dispatch/endpoint/prefill.go
@@ -156,7 +156,7 @@
 	if preferredCost <= bound {
 		return preferred
 	}
-	return c.choosePowerOfTwo(l, bound)
+	return c.choosePowerOfTwo(l, bound+paceMargin(l, r))
 }
 
 // costIfEligible returns the cost of sending the request to the endpoint, or infinity if that is not possible.
@@ -214,7 +214,7 @@
 func (c *core) prefillCost(now time.Time, l *lane, r *request, e, preferred *endpoint) float64 {
 	cached := c.expectedCached(now, r, e, preferred)
 	uncached := max(0, r.work.InputTokens-cached)
-	cost := float64(e.prefill.pending+e.prefill.others+uncached)*e.slowdown + runningRequestCost*float64(e.running+e.others)
+	cost := float64(e.prefill.pending+e.prefill.others+uncached)*e.slowdown + e.runningCost()
 	cost += c.unknownSoftwarePenalty(now, l, r, e)
 	if c.home != "" && e.spec.DataCentre != c.home {
 		cost += remoteDataCentreCost
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -7,17 +7,20 @@
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/dispatch/concurrency"
 	"github.com/arbutuswinch/winch/dispatch/measure"
+	"github.com/arbutuswinch/winch/dispatch/pace"
 	"github.com/arbutuswinch/winch/dispatch/ratelimit"
 )
 
 // endpoint is this host's state of one endpoint.
 type endpoint struct {
 	// The fields that each choice reads come first. refresh recomputes cap, fairShare, slowdown,
-	// reportAge, excessLoad and othersWaiting; the others change with each event.
+	// the paces, reportAge, excessLoad and othersWaiting; the others change with each event.
 	cap       int     // current number of slots
 	fairShare int     // this host's share of the slots while they are contended, else zero
-	slowdown  float64 // latency relative to the mean of the endpoints that serve its highest-tier lane
-	reportAge float64 // age of the load report, as a share of ReportMaxAge
+	slowdown  float64 // latency or pace relative to the mean of the endpoints that serve its highest-tier lane
+	// presentPace and usualPace are what pace estimates; zero if the endpoint states no pace.
+	presentPace, usualPace winch.Pace
+	reportAge              float64 // age of the load report, as a share of ReportMaxAge
 	// excessLoad is reportedExcess, or zero if negative, weighted down with the age of the report.
 	excessLoad float64
 	running    int
@@ -41,6 +44,8 @@
 	restsUntil time.Time
 	// named is the rate of requests that the endpoint has named.
 	named ratelimit.Limit
+	// pace is estimated from what the endpoint has stated.
+	pace pace.Estimate
 
 	// reportedExcess is the load in the last report minus the requests that the hosts had on the endpoint at that time.
 	reportedExcess float64
--- a/dispatch/endpoint/stats.go
+++ b/dispatch/endpoint/stats.go
@@ -13,6 +13,8 @@
 	Limit   float64
 	// PendingPrefill is the number of prompt tokens that the endpoint has yet to process.
 	PendingPrefill winch.Tokens
+	// Pace is the usual pace that the endpoint has stated, or its mean over the hosts; zero if it has stated none.
+	Pace winch.Pace
 }
 
 // sharedStats holds the statistics that hosts exchange: those of one host, or sums over several.
@@ -51,7 +53,7 @@
 	own.prefillAware = c.features.prefillAware
 	for _, e := range c.sortedEndpoints {
 		if e.running > 0 {
-			own.endpoints[e.spec.ID] = endpointStats{Running: e.running, Limit: e.limit.Value, PendingPrefill: e.prefill.pending}
+			own.endpoints[e.spec.ID] = endpointStats{Running: e.running, Limit: e.limit.Value, PendingPrefill: e.prefill.pending, Pace: e.pace.Tell(now)}
 		}
 	}
 	for _, l := range c.sortedLanes {
@@ -237,6 +239,7 @@
 		sum := s.endpoints[id]
 		// The limit is the mean over the hosts, weighted by the requests that they run.
 		weight := float64(sum.Running + e.Running)
+		sum.Pace = meanPace(sum, e)
 		sum.Limit = (sum.Limit*float64(sum.Running) + e.Limit*float64(e.Running)) / max(1, weight)
 		sum.Running += e.Running
 		sum.PendingPrefill += e.PendingPrefill
@@ -272,6 +275,7 @@
 		reported := sum.endpoints[e.spec.ID]
 		e.others = reported.Running
 		e.prefill.others = reported.PendingPrefill
+		e.pace.Hear(now, reported.Pace)
 		e.history.Add(now, float64(e.running+e.others))
 		if c.features.adaptiveLimit && reported.Running > 0 {
 			e.limit.Merge(reported.Limit)
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -181,6 +181,7 @@
 			// prefill.others keeps its last value.
 			e.others = 0
 		}
+		e.updatePaces(now)
 		e.cap = e.currentSlots(now, c.settings.RampTime)
 		e.updateReportWeight(now, c.settings.ReportMaxAge)
 	}
@@ -199,6 +200,7 @@
 			}
 		}
 	}
+	c.refreshPaces(now)
 	for _, e := range c.sortedEndpoints {
 		e.slowdown = c.slowdownOf(now, e)
 		c.computeFairShare(now, e)
@@ -229,13 +231,17 @@
 )
 
 // slowdownOf returns the endpoint's latency relative to the mean of the endpoints that serve its
-// highest-tier lane. It is multiplied by quietPenalty while streams are running but no output arrives.
+// highest-tier lane. For an endpoint that states its pace, that counts instead: it is newer, and the latency contains it. The
+// result is multiplied by quietPenalty while streams are running but no output arrives.
 func (c *core) slowdownOf(now time.Time, e *endpoint) float64 {
 	if len(e.lanes) == 0 {
 		return 1
 	}
-	factor := math.Max(ratio(e.limit.LongRunInterToken, e.lanes[0].meanInterToken), ratio(e.limit.LongRunFirstToken, e.lanes[0].meanFirstToken))
-	factor = math.Min(slowdownMax, math.Max(slowdownMin, factor))
+	factor, stated := e.relativePace()
+	if !stated {
+		factor = math.Max(ratio(e.limit.LongRunInterToken, e.lanes[0].meanInterToken), ratio(e.limit.LongRunFirstToken, e.lanes[0].meanFirstToken))
+		factor = math.Min(slowdownMax, math.Max(slowdownMin, factor))
+	}
 	if e.running > 0 && e.spec.Kind == winch.EndpointEngine {
 		if e.summariseRunning().streaming && now.Sub(time.Unix(0, e.lastHeard.Load())) > quietAfter {
 			factor *= quietPenalty
--- a/load.go
+++ b/load.go
@@ -38,6 +38,7 @@
 	AsOf            time.Time
 	Running         int
 	Waiting         int
+	Pace            PaceWord
 	TokensPerSecond float64
 	CacheUsed       Tokens
 	CacheLimit      Tokens
--- a/serving/forward/attempt.go
+++ b/serving/forward/attempt.go
@@ -311,7 +311,7 @@
 		return
 	}
 	s.options.Loads.ObserveLoad(now, winch.LoadReport{
-		Endpoint: a.endpoint.ID, AsOf: now, Running: load.Running, Waiting: load.Waiting,
+		Endpoint: a.endpoint.ID, AsOf: now, Running: load.Running, Waiting: load.Waiting, Pace: load.Pace,
 	})
 }
 
