feat(platform): the configuration names the memory of engines, requests hint at their output

services[].engine.kv_capacity becomes winch.EngineProperties of the model, and Length-Hint the expected output of a request. Both were ignored before, so that an entry or a hint of another form is still ignored. Nothing uses them yet.

--- a/configuration.go
+++ b/configuration.go
@@ -115,6 +115,13 @@
 	SlotLimit     int
 }
 
+// EngineProperties describes the engines of a model. A property that is zero is not known.
+type EngineProperties struct {
+	Model ModelID
+	// CacheCapacity is the number of tokens that the prompts and the output of an engine's running requests can have together.
+	CacheCapacity Tokens
+}
+
 // Configuration is the result of applying all committed release notes. It is
 // immutable once published.
 type Configuration struct {
@@ -132,6 +139,8 @@
 	Grades        map[OrganisationID]Grade
 	ForwardLimits ForwardLimits
 	Scalings      map[ModelID]Scaling
+	// Engines holds what is known of the engines of each model.
+	Engines map[ModelID]EngineProperties
 	// KeysOptional is set when the operator keeps no list of organisations: requests on forwarding routes then need no key. An
 	// empty list is one, and refuses each key.
 	KeysOptional bool
--- a/dispatch.go
+++ b/dispatch.go
@@ -20,6 +20,8 @@
 	InputTokens Tokens
 	// OutputTokens is the caller's output limit; zero when unknown.
 	OutputTokens Tokens
+	// OutputHint is the caller's estimate of the number of output tokens; zero when unknown.
+	OutputHint Tokens
 	// Parts are the parts of the prompt that other requests may share, in order.
 	Parts []PromptPart
 	// NotResumable is set when the response cannot be continued at another endpoint, so that the request
--- a/forward.go
+++ b/forward.go
@@ -140,6 +140,8 @@
 	Timeout      time.Duration
 	InputTokens  Tokens
 	OutputTokens Tokens
+	// OutputHint is the caller's estimate of the number of output tokens; zero when there is none.
+	OutputHint Tokens
 	// Parts are the parts of the prompt in order; the last one is specific to the request or its session.
 	Parts []PromptPart
 	// LastEvent is the event after which a stream is resumed; zero means from the start.
--- a/serving/forward/attempt.go
+++ b/serving/forward/attempt.go
@@ -205,7 +205,7 @@
 	// are run again from the beginning.
 	work := winch.Work{
 		Request: req.ID, Organisation: req.admission.organisation, Class: req.admission.class.ID, Model: req.admission.model,
-		InputTokens: req.InputTokens, OutputTokens: req.OutputTokens, Parts: req.Parts, Arrived: req.arrived, Deadline: req.deadline,
+		InputTokens: req.InputTokens, OutputTokens: req.OutputTokens, OutputHint: req.OutputHint, Parts: req.Parts, Arrived: req.arrived, Deadline: req.deadline,
 		Excluded: req.excluded, NotResumable: !req.admission.route.Repeatable() || req.admission.route.Kind != winch.ForwardStream,
 		NonStreaming: req.admission.route.Kind != winch.ForwardStream, Software: req.software,
 	}
