feat(dispatch): the memory of engines is a limit beside their slots

Long requests fill the memory of an engine long before its slots. The engine then preempts streams in the middle and prefills them again later, so that streams end after their deadlines. Hosts knew slots and pending prompts only.

Where the configuration names the memory, an endpoint without room for the tokens of a request, prompt and expected output, does not get it. dispatch/tokenlimit decides; the output is taken from the caller's hint or from the mean of the class. The column Held tells other hosts; it is absent where no capacity is named. What ends within the lag counts as free, tiers above the lowest overbook as with slots, and while memory is scarce each host keeps to its share of the demand. Predicted waits use no more slots than fit.

--- a/dispatch/endpoint/choose.go
+++ b/dispatch/endpoint/choose.go
@@ -48,7 +48,7 @@
 
 // hasRoomFor reports whether the endpoint can serve a request like this one now.
 func (c *core) hasRoomFor(now time.Time, l *lane, r *request, e *endpoint) bool {
-	return c.availableSlots(now, e) > 0 && e.usable(now) && c.admitsPrompt(e, l, r) && !c.reserved(now, e, l)
+	return c.availableSlots(now, e) > 0 && e.usable(now) && c.admitsPrompt(now, e, l, r) && !c.reserved(now, e, l)
 }
 
 // chooseByScore returns an eligible endpoint with a low score, or nil if none is eligible. A
--- a/dispatch/endpoint/codec.go
+++ b/dispatch/endpoint/codec.go
@@ -16,6 +16,7 @@
 	Running   []int         `json:",omitempty"`
 	Limits    []int         `json:",omitempty"` // in tenths of a slot
 	Unread    []int64       `json:",omitempty"` // pending prompt tokens
+	Held      []int64       `json:",omitempty"` // tokens of running requests, in hundreds, absent without a known capacity
 	Paces     []int         `json:",omitempty"` // usual paces, absent if no endpoint states one
 	Lanes     *lanesWire    `json:",omitempty"`
 	Accounts  *accountsWire `json:",omitempty"`
@@ -133,6 +134,7 @@
 			wire.Unread = append(wire.Unread, int64(max(0, e.PendingPrefill)))
 		}
 		wire.addPace(e.Pace)
+		wire.addHeld(e.Held)
 	}
 	for centre, remote := range stats.remotes {
 		encoded := encodeRemote(remote)
@@ -216,7 +218,7 @@
 			return sharedStats{}, fmt.Errorf("decode Endpoints: invalid Running, Limits or ID of %.64q: %w", id, winch.ErrInvalid)
 		}
 		stats.endpoints[winch.EndpointID(id)] = endpointStats{
-			Running: wire.Running[i], Limit: float64(wire.Limits[i]) / 10, PendingPrefill: wire.pendingPrefill(i), Pace: wire.pace(i),
+			Running: wire.Running[i], Limit: float64(wire.Limits[i]) / 10, PendingPrefill: wire.pendingPrefill(i), Pace: wire.pace(i), Held: wire.held(i),
 		}
 	}
 	lanes, err := decodeLanes(wire.Lanes)
--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -72,6 +72,7 @@
 		e.limit.Ceiling = ceiling
 		e.limit.Value = min(e.limit.Value, float64(ceiling))
 	}
+	e.tokens.Capacity = c.cacheCapacity(e.spec)
 	e.state, e.leavesAt = status.State, status.LeavesAt
 	c.setServing(now, e)
 }
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -188,6 +188,7 @@
 	}
 	r.account = c.account(l.class.Tier, work.Organisation)
 	c.activate(r.account)
+	r.sampleNeed()
 	if r.bound() {
 		c.arriveBound(now, r)
 		return r
@@ -215,7 +216,7 @@
 }
 
 func (c *core) choose(now time.Time, l *lane, r *request) *endpoint {
-	if c.blocked(now, l) || !c.withinPrefillBudget(l, r) {
+	if c.blocked(now, l) || !c.withinPrefillBudget(l, r) || !c.withinTokenBudget(now, l, r) {
 		return nil
 	}
 	return c.features.chooseFunc(c, now, l, r)
@@ -296,6 +297,7 @@
 		l.servedFloor++
 	}
 	e.add(r)
+	e.holdTokens(r, r.tokenNeed(e))
 	e.named.Sent(now)
 	c.recordDispatch(now, r, e)
 	if !r.retried {
--- a/dispatch/endpoint/fleet_engine_test.go
+++ b/dispatch/endpoint/fleet_engine_test.go
@@ -47,26 +47,30 @@
 		f.finish(q, winch.OutcomeRejected)
 		return
 	}
-	at := len(e.queue)
-	for at > 0 && e.queue[at-1].class.tier > q.class.tier {
-		at--
-	}
-	e.queue = slices.Insert(e.queue, at, q)
+	f.enqueue(e, q)
 }
 
 // step advances the engine.
 func (f *fleet) step(e *fleetEngine) {
 	live := func(q *fleetRequest) bool { return q.finished }
 	e.running, e.queue = slices.DeleteFunc(e.running, live), slices.DeleteFunc(e.queue, live)
-	for len(e.running) < fleetSlots && len(e.queue) > 0 {
+	for len(e.running) < fleetSlots && len(e.queue) > 0 && f.fits(e, e.queue[0]) {
 		q := e.queue[0]
 		e.queue = e.queue[1:]
 		q.prefill = q.class.own
 		if !e.use(q.subject, q.class.shared) {
 			q.prefill += q.class.shared
 		}
+		q.prefill += winch.Tokens(q.made)
 		e.running = append(e.running, q)
 	}
+	f.preempt(e, 0)
+	for f.memory > 0 && len(e.queue) > 0 && len(e.running) > 0 && !f.fits(e, e.queue[0]) && f.leastUrgent(e).class.tier > e.queue[0].class.tier {
+		urgent := e.queue[0]
+		e.queue = e.queue[1:]
+		f.preempt(e, urgent.class.own+urgent.class.shared)
+		e.queue = slices.Insert(e.queue, 0, urgent)
+	}
 	f.changePace(e)
 	step := winch.Tokens(fleetPrefill * float64(winch.UsualPace/e.pace))
 	budget := step
@@ -87,7 +91,7 @@
 		return
 	}
 	if !q.started {
-		q.started = true
+		q.started, q.late = true, f.now.Sub(q.sent) > q.class.target
 		f.count(q).began++
 		q.r.progress.first.Store(f.now.UnixNano())
 		f.cores[q.host].readProgress(f.now, q.r)
@@ -96,14 +100,69 @@
 		f.apply(q.host)
 	}
 	q.output -= tokens
+	q.made += tokens
+	if f.memory > 0 {
+		q.r.progress.tokens.Store(int64(q.made / fleetEventTokens))
+	}
 	q.r.progress.last.Store(f.now.UnixNano())
 	q.r.endpoint.lastHeard.Store(f.now.UnixNano())
 	if q.output <= 0 {
 		f.count(q).served++
+		if !q.late {
+			f.count(q).onTime++
+		}
 		f.finish(q, winch.OutcomeDone)
 	}
 }
 
+// fleetEventTokens is the number of tokens of an event of a stream.
+const fleetEventTokens = 5.5
+
+// memoryUse returns the tokens of the engine's running requests.
+func (e *fleetEngine) memoryUse() winch.Tokens {
+	use := winch.Tokens(0)
+	for _, q := range e.running {
+		use += q.class.own + q.class.shared + winch.Tokens(q.made)
+	}
+	return use
+}
+
+// fits reports whether the engine has memory for the request's prompt.
+func (f *fleet) fits(e *fleetEngine, q *fleetRequest) bool {
+	return f.memory == 0 || e.memoryUse()+q.class.own+q.class.shared+winch.Tokens(q.made) <= f.memory
+}
+
+// leastUrgent returns the newest of the least urgent requests that run.
+func (f *fleet) leastUrgent(e *fleetEngine) *fleetRequest {
+	least := e.running[0]
+	for _, q := range e.running {
+		if q.class.tier >= least.class.tier {
+			least = q
+		}
+	}
+	return least
+}
+
+// preempt stops the newest of the least urgent requests while the engine's memory has no room for the tokens. They are prefilled
+// again later.
+func (f *fleet) preempt(e *fleetEngine, room winch.Tokens) {
+	for f.memory > 0 && len(e.running) > 0 && e.memoryUse()+room > f.memory {
+		victim := f.leastUrgent(e)
+		e.running = slices.DeleteFunc(e.running, func(q *fleetRequest) bool { return q == victim })
+		f.enqueue(e, victim)
+		f.preempted++
+	}
+}
+
+// enqueue puts the request into the engine's queue, behind those that are as urgent.
+func (f *fleet) enqueue(e *fleetEngine, q *fleetRequest) {
+	at := len(e.queue)
+	for at > 0 && e.queue[at-1].class.tier > q.class.tier {
+		at--
+	}
+	e.queue = slices.Insert(e.queue, at, q)
+}
+
 // statePace passes the pace that the engine states with the request's response, if the engines state any.
 func (f *fleet) statePace(q *fleetRequest) {
 	if f.statesPaces {
--- a/dispatch/endpoint/fleet_load_test.go
+++ b/dispatch/endpoint/fleet_load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/arbutuswinch/winch"
@@ -36,16 +37,22 @@
 	subject  winch.PrefixHash
 	prefill  winch.Tokens
 	output   float64
+	made     float64 // tokens of output
 	started  bool
+	late     bool // the first token came after the target
 	finished bool
 }
 
 // fleetCounts are the outcomes of the requests of a class, by the second in which they were sent.
-type fleetCounts struct{ sent, began, served, refused, rejected, expired int }
+type fleetCounts struct {
+	sent, began, served, refused, rejected, expired int
+	// onTime are the served ones whose first token came within the target of their class.
+	onTime int
+}
 
 func (f *fleet) arrivals() {
-	for i := range fleetClasses {
-		class := &fleetClasses[i]
+	for i := range f.classes {
+		class := &f.classes[i]
 		f.due[i] += class.perHost * float64(len(f.cores)) * fleetStep.Seconds() * 2 * f.random.Float64()
 		for ; f.due[i] >= 1; f.due[i]-- {
 			f.send(class, f.random.IntN(len(f.cores)))
@@ -62,12 +69,24 @@
 		Parts:   []winch.PromptPart{{ID: q.subject, Tokens: class.shared}, {ID: winch.PrefixHash(1_000_000 + f.nextID), Tokens: class.own}},
 		Arrived: f.now, Deadline: f.now.Add(class.deadline), NotResumable: true,
 	}
+	if f.hints != nil {
+		work.OutputTokens, work.OutputHint = winch.Tokens(8*class.output), winch.Tokens(f.hint(class))
+	}
 	c := f.cores[host]
 	q.r = c.arrive(f.now, work, nil, &progress{})
 	f.open[q.r] = q
 	f.apply(host)
 }
 
+// hint returns the caller's estimate of the output, which is right at the median but in two of five requests off by up to a factor of 8.
+func (f *fleet) hint(class *fleetClass) float64 {
+	hint := float64(class.output)
+	if f.hints.IntN(5) < 2 {
+		hint *= math.Pow(8, 2*f.hints.Float64()-1)
+	}
+	return hint
+}
+
 func (f *fleet) count(q *fleetRequest) *fleetCounts {
 	second := int(q.sent.Sub(f.start) / time.Second)
 	bySecond := f.counts[q.class.id]
@@ -88,6 +107,7 @@
 			sum.refused += counts.refused
 			sum.rejected += counts.rejected
 			sum.expired += counts.expired
+			sum.onTime += counts.onTime
 		}
 	}
 	return sum
--- a/dispatch/endpoint/fleet_test.go
+++ b/dispatch/endpoint/fleet_test.go
@@ -37,6 +37,7 @@
 	configuration *winch.Configuration
 	statuses      []winch.EndpointStatus
 	open          map[*request]*fleetRequest
+	classes       []fleetClass
 	due           []float64
 	counts        map[winch.ClassID]map[int]*fleetCounts
 	start         time.Time
@@ -46,15 +47,22 @@
 	// paces is the source of the engines' paces, apart from random so that the load is the same with and without them.
 	paces       *rand.Rand
 	statesPaces bool
+	// memory is the number of tokens that fit into an engine, and hints the source of the callers' hints; zero and nil without a limit.
+	memory    winch.Tokens
+	hints     *rand.Rand
+	preempted int
 }
 
-func newFleet(hosts, engines int) *fleet {
+func newFleet(hosts, engines int) *fleet { return newFleetOf(fleetClasses, hosts, engines) }
+
+func newFleetOf(classes []fleetClass, hosts, engines int) *fleet {
 	f := &fleet{
-		now: time.Unix(1000, 0), start: time.Unix(1000, 0), random: rand.New(rand.NewPCG(7, 7)), paces: rand.New(rand.NewPCG(8, 8)), engines: map[winch.EndpointID]*fleetEngine{},
-		open: map[*request]*fleetRequest{}, due: make([]float64, len(fleetClasses)), counts: map[winch.ClassID]map[int]*fleetCounts{},
+		classes: classes,
+		now:     time.Unix(1000, 0), start: time.Unix(1000, 0), random: rand.New(rand.NewPCG(7, 7)), paces: rand.New(rand.NewPCG(8, 8)), engines: map[winch.EndpointID]*fleetEngine{},
+		open: map[*request]*fleetRequest{}, due: make([]float64, len(classes)), counts: map[winch.ClassID]map[int]*fleetCounts{},
 	}
 	f.configuration = &winch.Configuration{Classes: map[winch.ClassID]winch.Class{}}
-	for _, class := range fleetClasses {
+	for _, class := range classes {
 		f.configuration.Classes[class.id] = winch.Class{ID: class.id, Tier: class.tier, FirstTokenTarget: class.target, Models: []winch.ModelID{promptModel}}
 		f.counts[class.id] = map[int]*fleetCounts{}
 	}
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -6,6 +6,7 @@
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/dispatch/measure"
 	"github.com/arbutuswinch/winch/dispatch/retry"
+	"github.com/arbutuswinch/winch/dispatch/tokenlimit"
 )
 
 // group identifies what endpoints serve, either a model or a route. Exactly one of the fields is set.
@@ -60,6 +61,16 @@
 	pendingPrefill winch.Tokens
 	prefillBudget  prefillBudget
 
+	// held are the tokens of this host's running requests, meanNeed those of one request, and meanHeld those of one that runs on any of
+	// the lane's endpoints, zero if too few run. pool and largestWaiting are recomputed by refreshTokens.
+	held           winch.Tokens
+	meanNeed       measure.Mean
+	meanHeld       float64
+	meanHold       time.Duration // that a request holds its slot, mean over those on the lane's endpoints
+	outputs        tokenlimit.Outputs
+	pool           tokenlimit.Pool
+	largestWaiting winch.Tokens
+
 	holdTime         measure.Mean // seconds from grant to release
 	promptRate       measure.Rate // prompt tokens that need prefill
 	firstToken       measure.Mean // seconds from grant to first token
--- a/dispatch/endpoint/metrics.go
+++ b/dispatch/endpoint/metrics.go
@@ -37,6 +37,9 @@
 	if err := observePaces(meter, d); err != nil {
 		return nil, err
 	}
+	if err := observeTokens(meter, d); err != nil {
+		return nil, err
+	}
 	return &metrics{decisions: decisions, waits: waits}, nil
 }
 
--- a/dispatch/endpoint/prefill_budget.go
+++ b/dispatch/endpoint/prefill_budget.go
@@ -57,7 +57,8 @@
 			others += float64(competitor.others.PromptRate)
 		}
 	}
-	speed := c.prefillSpeed(l) * float64(l.partitionSize(now)) * c.demandShare(now, own, others) / l.paceShift
+	l.pool.Share = c.demandShare(now, own, others)
+	speed := c.prefillSpeed(l) * float64(l.partitionSize(now)) * l.pool.Share / l.paceShift
 	if !l.lowestTier {
 		speed *= urgentOverbooking
 	}
--- a/dispatch/endpoint/release.go
+++ b/dispatch/endpoint/release.go
@@ -50,6 +50,9 @@
 	case winch.OutcomeDone:
 		r.recordAnswer(now)
 		r.lane.holdTime.Add(now.Sub(r.grantedAt).Seconds(), holdTimeWeight)
+		if !r.attemptedBefore() {
+			r.lane.outputs.Observe(r.work.OutputHint, r.chargedOutput)
+		}
 		r.lane.budget.Success(now, c.settings.RetryShare)
 		if r.nonStreaming() {
 			// The first-token target of such a class is the time to the whole response. If its first
--- a/dispatch/endpoint/request.go
+++ b/dispatch/endpoint/request.go
@@ -54,6 +54,7 @@
 	// lowerTierPrefill counts the whole prompt and earlier output instead.
 	pendingPrefill winch.Tokens
 	prefillAhead   winch.Tokens // pending prefill of the endpoint at the grant, including this prompt
+	held           winch.Tokens // tokens held at the endpoint; see endpoint.holdTokens
 	firstSeen      bool
 	probe          bool // granted at an ejected endpoint; see recordProbe
 	long           bool // counts as long work; see Settings.LongInput
--- a/dispatch/endpoint/serve.go
+++ b/dispatch/endpoint/serve.go
@@ -26,7 +26,7 @@
 		return c.oldestFor(e)
 	}
 	for _, l := range e.lanes {
-		if l.queued > 0 && c.starved(now, l) && c.admitsPrompt(e, l, l.oldest) {
+		if l.queued > 0 && c.starved(now, l) && c.admitsPrompt(now, e, l, l.oldest) {
 			if r := l.next(e, c.features.fairness); r != nil {
 				return r
 			}
@@ -41,7 +41,7 @@
 			continue
 		}
 		r := l.next(e, c.features.fairness)
-		if r != nil && c.admitsPrompt(e, l, r) && (best == nil || c.before(r, best)) {
+		if r != nil && c.admitsPrompt(now, e, l, r) && (best == nil || c.before(r, best)) {
 			best = r
 		}
 	}
@@ -66,12 +66,15 @@
 	return best
 }
 
-// admitsPrompt reports whether the limits on long work and on pending prompts allow the request on
-// the endpoint. They apply to endpoints that also serve a lane of a higher tier: long requests get at
+// admitsPrompt reports whether the endpoint has memory for the request, and the limits on long work and on pending prompts allow it
+// there. The latter apply to endpoints that also serve a lane of a higher tier: long requests get at
 // most LongShare of the slots, and a request of the lowest tier must keep the pending prompt tokens
 // below the highest tier within LowerTierPrefillLimit, or be the only one that has any. Engines process prompts
 // in the order of arrival, so a higher-tier request waits for all prompts that were sent before it.
-func (c *core) admitsPrompt(e *endpoint, l *lane, r *request) bool {
+func (c *core) admitsPrompt(now time.Time, e *endpoint, l *lane, r *request) bool {
+	if !c.hasTokens(now, e, l, r) {
+		return false
+	}
 	if !c.features.longWorkLimit || len(e.lanes) == 0 || !e.lanes[0].higher(l) {
 		return true
 	}
--- a/dispatch/endpoint/software.go
+++ b/dispatch/endpoint/software.go
@@ -139,7 +139,7 @@
 // attempt failed is taken only if no other one of the version serves.
 func (c *core) chooseBound(now time.Time, r *request) *endpoint {
 	l := r.lane
-	if c.blocked(now, l) || !c.withinPrefillBudget(l, r) {
+	if c.blocked(now, l) || !c.withinPrefillBudget(l, r) || !c.withinTokenBudget(now, l, r) {
 		return nil
 	}
 	var best *endpoint
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -9,6 +9,7 @@
 	"github.com/arbutuswinch/winch/dispatch/measure"
 	"github.com/arbutuswinch/winch/dispatch/pace"
 	"github.com/arbutuswinch/winch/dispatch/ratelimit"
+	"github.com/arbutuswinch/winch/dispatch/tokenlimit"
 )
 
 // endpoint is this host's state of one endpoint.
@@ -68,6 +69,9 @@
 	resting     bool    // restsUntil has not been logged as over
 	leaving     bool    // state or reportedState is EndpointLeaving, or the endpoint says so; see setServing
 	lanes       []*lane // highest tier first
+	// tokens are those of the running requests. told is set if the hub tells this host of the other hosts' requests.
+	tokens tokenlimit.Account
+	told   bool
 
 	tiers            []tierRunning // highest tier first
 	longRunning      int           // running requests that count as long work
@@ -167,6 +171,7 @@
 	}
 	e.dropLowerTierPrefill(r)
 	e.dropPendingPrefill(r)
+	e.dropTokens(r)
 }
 
 // dropLowerTierPrefill subtracts the request's prompt from the endpoint's lowerTierPrefill, after
--- a/dispatch/endpoint/stats.go
+++ b/dispatch/endpoint/stats.go
@@ -13,6 +13,8 @@
 	Limit   float64
 	// PendingPrefill is the number of prompt tokens that the endpoint has yet to process.
 	PendingPrefill winch.Tokens
+	// Held are the tokens of the running requests; zero where the capacity is not known.
+	Held winch.Tokens
 	// Pace is the usual pace that the endpoint has stated, or its mean over the hosts; zero if it has stated none.
 	Pace winch.Pace
 }
@@ -53,7 +55,7 @@
 	own.prefillAware = c.features.prefillAware
 	for _, e := range c.sortedEndpoints {
 		if e.running > 0 {
-			own.endpoints[e.spec.ID] = endpointStats{Running: e.running, Limit: e.limit.Value, PendingPrefill: e.prefill.pending, Pace: e.pace.Tell(now)}
+			own.endpoints[e.spec.ID] = endpointStats{Running: e.running, Limit: e.limit.Value, PendingPrefill: e.prefill.pending, Pace: e.pace.Tell(now), Held: e.tokens.Own}
 		}
 	}
 	for _, l := range c.sortedLanes {
@@ -243,6 +245,7 @@
 		sum.Limit = (sum.Limit*float64(sum.Running) + e.Limit*float64(e.Running)) / max(1, weight)
 		sum.Running += e.Running
 		sum.PendingPrefill += e.PendingPrefill
+		sum.Held += e.Held
 		s.endpoints[id] = sum
 	}
 	for key, l := range other.lanes {
@@ -276,6 +279,7 @@
 		e.others = reported.Running
 		e.prefill.others = reported.PendingPrefill
 		e.pace.Hear(now, reported.Pace)
+		e.tokens.Others = e.othersTokens(reported)
 		e.history.Add(now, float64(e.running+e.others))
 		if c.features.adaptiveLimit && reported.Running > 0 {
 			e.limit.Merge(reported.Limit)
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -139,6 +139,7 @@
 	if r.endpoint == nil {
 		return
 	}
+	r.endpoint.growTokens(r)
 	at := time.Unix(0, last)
 	r.endpoint.recordAlive(r.grantedAt, at)
 	if r.firstSeen && at.After(r.lastOutputAt) {
@@ -179,12 +180,13 @@
 	for _, e := range c.sortedEndpoints {
 		if !statsFresh {
 			// prefill.others keeps its last value.
-			e.others = 0
+			e.others, e.tokens.Others = 0, 0
 		}
 		e.updatePaces(now)
 		e.cap = e.currentSlots(now, c.settings.RampTime)
 		e.updateReportWeight(now, c.settings.ReportMaxAge)
 	}
+	c.refreshTokens(now)
 	for _, l := range c.sortedLanes {
 		l.slots, l.steadySlotsLeft = 0, 0
 		l.meanInterToken, l.meanFirstToken = measure.Mean{}, measure.Mean{}
@@ -194,7 +196,7 @@
 			if !e.serving || e.paused(now) {
 				continue
 			}
-			l.slots += float64(e.cap)
+			l.slots += e.tokens.Slots(float64(e.cap), l.meanHeld)
 			if !e.cheap {
 				l.steadySlotsLeft += float64(e.cap - e.runningUpTo(l.class.Tier))
 			}
--- /dev/null
+++ b/dispatch/endpoint/tokens.go
@@ -0,0 +1,308 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/dispatch/tokenlimit"
+)
+
+// The tokens of running requests are a second limit beside the slots, where the configuration names the memory of the engines
+// (winch.EngineProperties.CacheCapacity). A request that does not fit waits at its host or goes to another endpoint.
+
+const (
+	// needWeight is the weight of a sample in a lane's mean need.
+	needWeight = 0.03
+	// minHeldRequests is the number of running requests from which their mean size is used to predict waits.
+	minHeldRequests = 8
+)
+
+// cacheCapacity returns the tokens that the endpoint's memory holds: the smallest known figure of its models, or zero.
+func (c *core) cacheCapacity(spec winch.Endpoint) winch.Tokens {
+	capacity := winch.Tokens(0)
+	if !c.features.tokenLimit || spec.Kind != winch.EndpointEngine {
+		return 0
+	}
+	for _, model := range spec.Models {
+		if known := c.configuration.Engines[model].CacheCapacity; known > 0 && (capacity == 0 || known < capacity) {
+			capacity = known
+		}
+	}
+	return capacity
+}
+
+// tokenNeed returns the tokens that the request is expected to hold at the endpoint, zero if its capacity is not known.
+func (r *request) tokenNeed(e *endpoint) winch.Tokens {
+	if e.tokens.Capacity == 0 {
+		return 0
+	}
+	return e.tokens.Need(r.work.InputTokens+r.work.OutputDone, r.lane.outputs.Expected(r.work.OutputHint, r.work.OutputTokens))
+}
+
+// sampleNeed adds the request to the mean need of its lane.
+func (r *request) sampleNeed() {
+	for _, e := range r.lane.endpoints {
+		if e.tokens.Capacity > 0 {
+			r.lane.meanNeed.Add(float64(r.tokenNeed(e)), needWeight)
+			return
+		}
+	}
+}
+
+// hasTokens reports whether the endpoint's memory has room for the request.
+func (c *core) hasTokens(now time.Time, e *endpoint, l *lane, r *request) bool {
+	if e.tokens.Capacity == 0 {
+		return true
+	}
+	need := r.tokenNeed(e)
+	drained := e.tokens.Drained(secondsOf(float64(e.prefill.pending+e.prefill.others)*e.slowdown/c.prefillSpeed(l)), l.meanHold)
+	return e.tokens.Fits(need, l.tokenReserve(need), drained, c.tokenOverbooking(now, l))
+}
+
+// tokenOverbooking returns the factor by which the lane's requests may exceed the memory, as they may exceed the slots.
+func (c *core) tokenOverbooking(now time.Time, l *lane) float64 {
+	if !l.lowestTier || c.starved(now, l) {
+		return urgentOverbooking
+	}
+	return 1
+}
+
+// tokenReserve returns the room that a request of the given need leaves free: that of the largest requests of another class in the
+// same tier, while the memory of all endpoints is scarce. Small requests would otherwise take all room before it is enough for a large one.
+func (l *lane) tokenReserve(need winch.Tokens) winch.Tokens {
+	if l.largestWaiting <= need {
+		return 0
+	}
+	return l.largestWaiting
+}
+
+// withinTokenBudget reports whether this host may hold the tokens of another request; see tokenlimit.Pool.
+func (c *core) withinTokenBudget(now time.Time, l *lane, r *request) bool {
+	if l.pool.Capacity == 0 || !c.limitsPrefill(l) {
+		return true
+	}
+	own, ahead := winch.Tokens(0), winch.Tokens(0)
+	for _, competitor := range l.competitors {
+		own += competitor.held
+		if !l.higher(competitor) {
+			ahead += competitor.held
+		}
+	}
+	return l.pool.Admits(own, ahead, l.held, r.tokenNeed(l.endpoints[0]), c.tokenOverbooking(now, l))
+}
+
+// holdTokens adds the request's tokens to those of its endpoint.
+func (e *endpoint) holdTokens(r *request, tokens winch.Tokens) {
+	e.tokens.Own += tokens
+	r.lane.held += tokens
+	r.held += tokens
+}
+
+// dropTokens subtracts them when the request ends.
+func (e *endpoint) dropTokens(r *request) { e.holdTokens(r, -r.held) }
+
+// growTokens adds what the request's output exceeds its expectation by.
+func (e *endpoint) growTokens(r *request) {
+	held := min(r.work.InputTokens+r.work.OutputDone+r.lane.outputs.Produced(r.chargedOutput), e.tokens.Capacity)
+	if held > r.held && e.tokens.Capacity > 0 {
+		e.holdTokens(r, held-r.held)
+	}
+}
+
+// othersTokens returns the tokens of the other hosts' requests. Hosts of earlier versions tell only how many requests they have, which
+// are taken to be of the size of others there.
+func (e *endpoint) othersTokens(reported endpointStats) winch.Tokens {
+	switch {
+	case e.tokens.Capacity == 0:
+		return 0
+	case reported.Held > 0 || reported.Running == 0:
+		return reported.Held
+	case e.running > 0:
+		return e.tokens.Own / winch.Tokens(e.running) * winch.Tokens(reported.Running)
+	case len(e.lanes) > 0:
+		return winch.Tokens(e.lanes[0].meanHeld * float64(reported.Running))
+	}
+	return 0
+}
+
+// refreshTokens recomputes what the lanes' endpoints hold together.
+func (c *core) refreshTokens(now time.Time) {
+	if !c.features.tokenLimit {
+		return
+	}
+	c.assumeOthersTokens()
+	stale := c.hosts > 1 && !c.hostStatsFresh(now)
+	for _, l := range c.sortedLanes {
+		pool, requests, held, known := tokenlimit.Pool{Stale: stale}, 0, winch.Tokens(0), true
+		for _, e := range l.endpoints {
+			if !e.serving || e.paused(now) {
+				continue
+			}
+			known = known && e.tokens.Capacity > 0
+			pool.Capacity += e.tokens.Capacity
+			pool.Others += e.tokens.Others
+			requests += e.running + e.others
+			held += e.tokens.Held()
+		}
+		if !known {
+			pool.Capacity = 0
+		}
+		// The share is set with the budget for prompts.
+		l.pool, l.meanHeld = pool, 0
+		if requests >= minHeldRequests && pool.Capacity > 0 {
+			l.meanHeld = float64(held) / float64(requests)
+		}
+		l.largestWaiting = c.largestWaiting(now, l)
+		l.meanHold = c.meanHold(now, l)
+	}
+}
+
+// assumeOthersTokens sets what the other hosts hold at endpoints of which the hub tells this host nothing: the mean of the others.
+func (c *core) assumeOthersTokens() {
+	for _, e := range c.sortedEndpoints {
+		e.told = e.running > 0
+	}
+	for _, l := range c.sortedLanes {
+		for _, e := range l.subset {
+			e.told = true
+		}
+	}
+	for _, l := range c.sortedLanes {
+		if len(l.subset) == len(l.endpoints) {
+			continue
+		}
+		others := winch.Tokens(0)
+		for _, e := range l.subset {
+			others += e.tokens.Others
+		}
+		for _, e := range l.endpoints {
+			if !e.told && e.tokens.Capacity > 0 {
+				e.tokens.Others = others / winch.Tokens(max(1, len(l.subset)))
+			}
+		}
+	}
+}
+
+// largestWaiting returns the mean need of the largest requests of other classes in the lane's tier that any host may have to place. They
+// need not be queued, since a request that finds no room may be refused at once.
+func (c *core) largestWaiting(now time.Time, l *lane) winch.Tokens {
+	own, largest := winch.Tokens(0), 0.0
+	for _, competitor := range l.competitors {
+		own += competitor.held
+		if competitor == l || competitor.class.Tier != l.class.Tier {
+			continue
+		}
+		here := competitor.queued > 0 || competitor.promptRate.PerSecond(now) >= 1
+		if here || c.hostStatsFresh(now) && competitor.others.Queued+competitor.others.PromptRate > 0 {
+			largest = max(largest, competitor.meanNeed.Value)
+		}
+	}
+	if !l.pool.Scarce(own) {
+		return 0
+	}
+	return winch.Tokens(largest)
+}
+
+// meanHold returns the mean time that the requests which run on the lane's endpoints hold their slots; zero if it is not known.
+func (c *core) meanHold(now time.Time, l *lane) time.Duration {
+	running, seconds := 0, 0.0
+	for _, competitor := range l.competitors {
+		if competitor.holdTime.Samples == 0 {
+			continue
+		}
+		count := competitor.running
+		if c.hostStatsFresh(now) {
+			count += competitor.others.Running
+		}
+		running += count
+		seconds += float64(count) * competitor.holdTime.Value
+	}
+	if running == 0 {
+		return 0
+	}
+	return secondsOf(seconds / float64(running))
+}
+
+// heldPerWireUnit is the number of tokens in a unit of the column Held.
+const heldPerWireUnit = 100
+
+// addHeld adds the tokens of the last row, rounded up. Rows before the first are filled with zeros.
+func (w *statsWire) addHeld(held winch.Tokens) {
+	if held <= 0 && len(w.Held) == 0 {
+		return
+	}
+	for len(w.Held) < len(w.Endpoints)-1 {
+		w.Held = append(w.Held, 0)
+	}
+	w.Held = append(w.Held, (max(0, int64(held))+heldPerWireUnit-1)/heldPerWireUnit)
+}
+
+// held returns the tokens of a row. Hosts of earlier versions, and those that know no capacity, send none.
+func (w *statsWire) held(row int) winch.Tokens {
+	if row >= len(w.Held) {
+		return 0
+	}
+	return winch.Tokens(min(max(0, w.Held[row]), maxWireHeld)) * heldPerWireUnit
+}
+
+// maxWireHeld keeps sums over hosts from overflowing.
+const maxWireHeld = 1 << 40
+
+// groupTokens are the tokens at the endpoints of a model.
+type groupTokens struct {
+	group          group
+	held, capacity winch.Tokens
+	// fullest is the share of its memory in use at the fullest endpoint.
+	fullest float64
+}
+
+// tokenUse returns the tokens at the endpoints of each model whose capacity is known.
+func (c *core) tokenUse() []groupTokens {
+	var all []groupTokens
+	seen := map[group]bool{}
+	for _, l := range c.sortedLanes {
+		if l.pool.Capacity == 0 || seen[l.key.group] {
+			continue
+		}
+		seen[l.key.group] = true
+		use := groupTokens{group: l.key.group, capacity: l.pool.Capacity}
+		for _, e := range l.endpoints {
+			use.held += e.tokens.Held()
+			use.fullest = max(use.fullest, float64(e.tokens.Held())/float64(max(1, e.tokens.Capacity)))
+		}
+		all = append(all, use)
+	}
+	return all
+}
+
+func observeTokens(meter metric.Meter, d *Dispatcher) error {
+	tokens, err := meter.Int64ObservableGauge("winch_dispatch_tokens", metric.WithDescription("Tokens of running requests at the endpoints, and those that fit."))
+	if err != nil {
+		return fmt.Errorf("create token gauge: %w", err)
+	}
+	fullest, err := meter.Float64ObservableGauge("winch_dispatch_tokens_fullest", metric.WithDescription("Share of its memory in use at the fullest endpoint."))
+	if err != nil {
+		return fmt.Errorf("create fullest endpoint gauge: %w", err)
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
+		d.lock.Lock()
+		all := d.core.tokenUse()
+		d.lock.Unlock()
+		for _, use := range all {
+			model := attribute.String("model", string(use.group.model))
+			observer.ObserveInt64(tokens, int64(use.held), metric.WithAttributes(model, attribute.String("kind", "held")))
+			observer.ObserveInt64(tokens, int64(use.capacity), metric.WithAttributes(model, attribute.String("kind", "capacity")))
+			observer.ObserveFloat64(fullest, use.fullest, metric.WithAttributes(model))
+		}
+		return nil
+	}, tokens, fullest)
+	if err != nil {
+		return fmt.Errorf("register token gauges: %w", err)
+	}
+	return nil
+}
