--- a/dispatch/endpoint/codec.go
+++ b/dispatch/endpoint/codec.go
@@ -17,6 +17,8 @@
 	Limits    []int         `json:",omitempty"` // in tenths of a slot
 	Unread    []int64       `json:",omitempty"` // pending prompt tokens
 	Demand    []int         `json:",omitempty"` // requests in ten seconds, absent if no endpoint of the list is ever cold
+	Held      []int64       `json:",omitempty"` // tokens of running requests, in hundreds, absent without a known capacity
+	Paces     []int         `json:",omitempty"` // usual paces, absent if no endpoint states one
 	Lanes     *lanesWire    `json:",omitempty"`
 	Accounts  *accountsWire `json:",omitempty"`
 	Remotes   []remoteWire  `json:",omitempty"`
@@ -132,6 +134,8 @@
 		if stats.prefillAware {
 			wire.Unread = append(wire.Unread, int64(max(0, e.PendingPrefill)))
 		}
+		wire.addPace(e.Pace)
+		wire.addHeld(e.Held)
 	}
 	wire.Demand = encodeDemand(ids, stats.endpoints)
 	for centre, remote := range stats.remotes {
@@ -216,7 +220,7 @@
 			return sharedStats{}, fmt.Errorf("decode Endpoints: invalid Running, Limits or ID of %.64q: %w", id, winch.ErrInvalid)
 		}
 		stats.endpoints[winch.EndpointID(id)] = endpointStats{
-			Running: wire.Running[i], Limit: float64(wire.Limits[i]) / 10, PendingPrefill: wire.pendingPrefill(i), Demand: wire.demand(i),
+			Running: wire.Running[i], Limit: float64(wire.Limits[i]) / 10, PendingPrefill: wire.pendingPrefill(i), Demand: wire.demand(i), Pace: wire.pace(i), Held: wire.held(i),
 		}
 	}
 	lanes, err := decodeLanes(wire.Lanes)
--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -76,6 +76,7 @@
 		e.limit.Ceiling = ceiling
 		e.limit.Value = min(e.limit.Value, float64(ceiling))
 	}
+	e.tokens.Capacity = c.cacheCapacity(e.spec)
 	e.state, e.leavesAt = status.State, status.LeavesAt
 	_, evacuated := c.configuration.Evacuations[status.Endpoint.DataCentre]
 	c.setEvacuated(now, e, evacuated || status.Evacuated)
@@ -157,7 +158,7 @@
 	key := laneKey{class: class.ID, group: g}
 	l, found := c.lanes[key]
 	if !found {
-		l = &lane{key: key, byAccount: map[*account]*accountQueue{}, budget: c.budget(g)}
+		l = &lane{key: key, byAccount: map[*account]*accountQueue{}, budget: c.budget(g), paceShift: 1}
 		c.lanes[key] = l
 	}
 	l.class = class
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -206,6 +206,7 @@
 	}
 	r.account = c.account(l.class.Tier, work.Organisation)
 	c.activate(r.account)
+	r.sampleNeed()
 	if r.bound() {
 		c.arriveBound(now, r)
 		return r
@@ -238,7 +239,7 @@
 }
 
 func (c *core) choose(now time.Time, l *lane, r *request) *endpoint {
-	if c.blocked(now, l) || !c.withinPrefillBudget(l, r) {
+	if c.blocked(now, l) || !c.withinPrefillBudget(l, r) || !c.withinTokenBudget(now, l, r) {
 		return nil
 	}
 	return c.features.chooseFunc(c, now, l, r)
@@ -319,6 +320,7 @@
 		l.servedFloor++
 	}
 	e.add(r)
+	e.holdTokens(r, r.tokenNeed(e))
 	e.named.Sent(now)
 	c.recordSend(now, r, e)
 	c.recordDispatch(now, r, e)
@@ -390,6 +392,7 @@
 	e.applyReport(report)
 	e.cold.observeLoad(report)
 	e.updateReportWeight(now, c.settings.ReportMaxAge)
+	c.observePace(now, e, report.Pace)
 	c.probeEarly(now, e, report.AsOf)
 	c.applyReportedState(now, e, report)
 }
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -7,17 +7,21 @@
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/dispatch/concurrency"
 	"github.com/arbutuswinch/winch/dispatch/measure"
+	"github.com/arbutuswinch/winch/dispatch/pace"
 	"github.com/arbutuswinch/winch/dispatch/ratelimit"
+	"github.com/arbutuswinch/winch/dispatch/tokenlimit"
 )
 
 // endpoint is this host's state of one endpoint.
 type endpoint struct {
 	// The fields that each choice reads come first. refresh recomputes cap, fairShare, slowdown,
-	// reportAge, excessLoad and othersWaiting; the others change with each event.
+	// the paces, reportAge, excessLoad and othersWaiting; the others change with each event.
 	cap       int     // current number of slots
 	fairShare int     // this host's share of the slots while they are contended, else zero
-	slowdown  float64 // latency relative to the mean of the endpoints that serve its highest-tier lane
-	reportAge float64 // age of the load report, as a share of ReportMaxAge
+	slowdown  float64 // latency or pace relative to the mean of the endpoints that serve its highest-tier lane
+	// presentPace and usualPace are what pace estimates; zero if the endpoint states no pace.
+	presentPace, usualPace winch.Pace
+	reportAge              float64 // age of the load report, as a share of ReportMaxAge
 	// excessLoad is reportedExcess, or zero if negative, weighted down with the age of the report.
 	excessLoad float64
 	running    int
@@ -43,6 +47,8 @@
 	// named is the rate of requests that the endpoint has named.
 	named ratelimit.Limit
 	cold  coldState
+	// pace is estimated from what the endpoint has stated.
+	pace pace.Estimate
 
 	// reportedExcess is the load in the last report minus the requests that the hosts had on the endpoint at that time.
 	reportedExcess float64
@@ -65,6 +71,9 @@
 	resting     bool    // restsUntil has not been logged as over
 	leaving     bool    // state or reportedState is EndpointLeaving, or the endpoint says so; see setServing
 	lanes       []*lane // highest tier first
+	// tokens are those of the running requests. told is set if the hub tells this host of the other hosts' requests.
+	tokens tokenlimit.Account
+	told   bool
 
 	tiers            []tierRunning // highest tier first
 	longRunning      int           // running requests that count as long work
@@ -164,6 +173,7 @@
 	}
 	e.dropLowerTierPrefill(r)
 	e.dropPendingPrefill(r)
+	e.dropTokens(r)
 }
 
 // dropLowerTierPrefill subtracts the request's prompt from the endpoint's lowerTierPrefill, after
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -141,6 +141,7 @@
 	if r.endpoint == nil {
 		return
 	}
+	r.endpoint.growTokens(r)
 	at := time.Unix(0, last)
 	r.endpoint.recordAlive(r.grantedAt, at)
 	if r.firstSeen && at.After(r.lastOutputAt) {
@@ -183,12 +184,14 @@
 		c.updateDemand(now, e)
 		if !statsFresh {
 			// prefill.others keeps its last value.
-			e.others = 0
+			e.others, e.tokens.Others = 0, 0
 		}
+		e.updatePaces(now)
 		e.cap = e.currentSlots(now, c.settings.RampTime)
 		e.updateReportWeight(now, c.settings.ReportMaxAge)
 	}
 	c.countEvacuatedRunning()
+	c.refreshTokens(now)
 	for _, l := range c.sortedLanes {
 		l.slots, l.steadySlotsLeft, l.meanDemand = 0, 0, 0
 		l.meanInterToken, l.meanFirstToken = measure.Mean{}, measure.Mean{}
@@ -199,12 +202,13 @@
 			if !e.serving || e.paused(now) {
 				continue
 			}
-			l.slots += e.slotsFor(l)
+			l.slots += e.tokens.Slots(e.slotsFor(l), l.meanHeld)
 			if !e.cheap {
 				l.steadySlotsLeft += float64(e.cap - e.runningUpTo(l.class.Tier))
 			}
 		}
 	}
+	c.refreshPaces(now)
 	for _, e := range c.sortedEndpoints {
 		e.slowdown = c.slowdownOf(now, e)
 		e.updateKept()
@@ -236,13 +240,17 @@
 )
 
 // slowdownOf returns the endpoint's latency relative to the mean of the endpoints that serve its
-// highest-tier lane. It is multiplied by quietPenalty while streams are running but no output arrives.
+// highest-tier lane. For an endpoint that states its pace, that counts instead: it is newer, and the latency contains it. The
+// result is multiplied by quietPenalty while streams are running but no output arrives.
 func (c *core) slowdownOf(now time.Time, e *endpoint) float64 {
 	if len(e.lanes) == 0 {
 		return 1
 	}
-	factor := math.Max(ratio(e.limit.LongRunInterToken, e.lanes[0].meanInterToken), ratio(e.limit.LongRunFirstToken, e.lanes[0].meanFirstToken))
-	factor = math.Min(slowdownMax, math.Max(slowdownMin, factor))
+	factor, stated := e.relativePace()
+	if !stated {
+		factor = math.Max(ratio(e.limit.LongRunInterToken, e.lanes[0].meanInterToken), ratio(e.limit.LongRunFirstToken, e.lanes[0].meanFirstToken))
+		factor = math.Min(slowdownMax, math.Max(slowdownMin, factor))
+	}
 	if e.running > 0 && e.spec.Kind == winch.EndpointEngine {
 		if e.summariseRunning().streaming && now.Sub(time.Unix(0, e.lastHeard.Load())) > quietAfter {
 			factor *= quietPenalty
--- a/forward.go
+++ b/forward.go
@@ -149,6 +149,8 @@
 	Timeout      time.Duration
 	InputTokens  Tokens
 	OutputTokens Tokens
+	// OutputHint is the caller's estimate of the number of output tokens; zero when there is none.
+	OutputHint Tokens
 	// Parts are the parts of the prompt in order; the last one is specific to the request or its session.
 	Parts []PromptPart
 	// LastEvent is the event after which a stream is resumed; zero means from the start.
@@ -216,6 +218,7 @@
 	Running int
 	Waiting int
 	Slots   int
+	Pace    PaceWord
 }
 
 // ForwardSender sends forwarded requests to endpoints. It never retries a request on its own.
