--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -88,6 +88,9 @@
 	meanFirstToken   measure.Mean // mean over the endpoints of the time to first token, as a share of the target
 	meanDemand       float64      // mean over the endpoints of coldDemand.all
 	aperture         int
+	// meanPace is the mean usual pace of the endpoints that state one, and paceShift how much slower they are at present; 1 if none does.
+	meanPace  measure.Mean
+	paceShift float64
 
 	others               laneStats // sums over the other hosts of the data centre
 	preemptedForOthersAt time.Time // last preemption of lower tiers on behalf of other hosts
--- a/dispatch/endpoint/metrics.go
+++ b/dispatch/endpoint/metrics.go
@@ -40,6 +40,9 @@
 	if err := observeCold(meter, d); err != nil {
 		return nil, err
 	}
+	if err := observePaces(meter, d); err != nil {
+		return nil, err
+	}
 	return &metrics{decisions: decisions, waits: waits}, nil
 }
 
--- a/dispatch/endpoint/stats.go
+++ b/dispatch/endpoint/stats.go
@@ -15,6 +15,8 @@
 	PendingPrefill winch.Tokens
 	// Demand is that of coldDemand.
 	Demand float64
+	// Pace is the usual pace that the endpoint has stated, or its mean over the hosts; zero if it has stated none.
+	Pace winch.Pace
 }
 
 // sharedStats holds the statistics that hosts exchange: those of one host, or sums over several.
@@ -53,7 +55,7 @@
 	own.prefillAware = c.features.prefillAware
 	for _, e := range c.sortedEndpoints {
 		if demand := e.cold.ownDemand(now); e.running > 0 || demand > minReportedDemand {
-			own.endpoints[e.spec.ID] = endpointStats{Running: e.running, Limit: e.limit.Value, PendingPrefill: e.prefill.pending, Demand: demand}
+			own.endpoints[e.spec.ID] = endpointStats{Running: e.running, Limit: e.limit.Value, PendingPrefill: e.prefill.pending, Demand: demand, Pace: e.pace.Tell(now)}
 		}
 	}
 	for _, l := range c.sortedLanes {
@@ -239,6 +241,7 @@
 		sum := s.endpoints[id]
 		// The limit is the mean over the hosts, weighted by the requests that they run.
 		weight := float64(sum.Running + e.Running)
+		sum.Pace = meanPace(sum, e)
 		sum.Limit = (sum.Limit*float64(sum.Running) + e.Limit*float64(e.Running)) / max(1, weight)
 		sum.Running += e.Running
 		sum.PendingPrefill += e.PendingPrefill
@@ -276,6 +279,7 @@
 		e.others = reported.Running
 		e.prefill.others = reported.PendingPrefill
 		e.cold.demand.others = reported.Demand
+		e.pace.Hear(now, reported.Pace)
 		e.history.Add(now, float64(e.running+e.others))
 		if c.features.adaptiveLimit && reported.Running > 0 {
 			e.limit.Merge(reported.Limit)
