feat(winchctl): configuration check reports faults of a configuration before it is put in force

An operator learned of a misspelt service, a hidden route or a key in two organisations only from requests that failed. The soft memory limit moves from winchd/process to internal/memory, so that the check derives the same budget as a host.

--- a/internal/memory/derive.go
+++ b/internal/memory/derive.go
@@ -10,8 +10,17 @@
 	// liveShare is the share in percent of the rest that requests may hold. Bytes that were freed and not yet collected need the
 	// other part.
 	liveShare = 80
+	// softShare is the share of the memory limit that is set as the Go runtime's soft memory limit, at which the garbage collector runs
+	// more often. The rest is for the program itself and the kernel's buffers.
+	softShare = 0.7
 )
 
+// SoftLimit derives the soft memory limit of the Go runtime from the memory limit of the process. Zero means no limit.
+func SoftLimit(limit int64) int64 { return int64(float64(limit) * softShare) }
+
+// LargestClaim returns how many bytes a claim that is not urgent can hold if nobody else holds any of a budget of the size.
+func LargestClaim(size int64) int64 { return size / 8 * laterShare }
+
 // BudgetSize derives the size of a budget from the soft memory limit of the Go runtime. Zero means no limit.
 func BudgetSize(softLimit int64) int64 {
 	if softLimit <= 0 {
--- a/winchctl/command.go
+++ b/winchctl/command.go
@@ -40,14 +40,15 @@
 
 type arguments struct {
 	options
-	Note      *noteCommand      `arg:"subcommand:note" help:"check and apply release notes and show their status"`
-	Key       *keyCommand       `arg:"subcommand:key" help:"add and withdraw keys"`
-	Evacuate  *evacuateCommand  `arg:"subcommand:evacuate" help:"stop all requests to the endpoints of a data centre, or end that"`
-	Hosts     *hostsCommand     `arg:"subcommand:hosts" help:"show the hosts"`
-	Endpoints *endpointsCommand `arg:"subcommand:endpoints" help:"show the endpoints"`
-	Queues    *queuesCommand    `arg:"subcommand:queues" help:"show the queues of all data centres"`
-	Usage     *usageCommand     `arg:"subcommand:usage" help:"show the usage windows and their reports"`
-	Explain   *explainCommand   `arg:"subcommand:explain" help:"show the dispatch decisions for a request"`
+	Note          *noteCommand          `arg:"subcommand:note" help:"check and apply release notes and show their status"`
+	Key           *keyCommand           `arg:"subcommand:key" help:"add and withdraw keys"`
+	Evacuate      *evacuateCommand      `arg:"subcommand:evacuate" help:"stop all requests to the endpoints of a data centre, or end that"`
+	Configuration *configurationCommand `arg:"subcommand:configuration" help:"check a configuration of the users' platform before it is put in force"`
+	Hosts         *hostsCommand         `arg:"subcommand:hosts" help:"show the hosts"`
+	Endpoints     *endpointsCommand     `arg:"subcommand:endpoints" help:"show the endpoints"`
+	Queues        *queuesCommand        `arg:"subcommand:queues" help:"show the queues of all data centres"`
+	Usage         *usageCommand         `arg:"subcommand:usage" help:"show the usage windows and their reports"`
+	Explain       *explainCommand       `arg:"subcommand:explain" help:"show the dispatch decisions for a request"`
 }
 
 // Description returns the text at the start of the help.
@@ -65,6 +66,12 @@
 	run(ctx context.Context, c *console) error
 }
 
+// localCommand is a command that calls no host. It needs neither address nor secret.
+type localCommand interface {
+	command
+	local()
+}
+
 // console holds what a command needs to run.
 type console struct {
 	streams
@@ -94,9 +101,12 @@
 	if !found {
 		return usage(parser, s, fmt.Errorf("a command is missing: %w", errUsage))
 	}
-	client, err := newClient(parsed.options)
+	console := &console{streams: s, options: parsed.options}
+	if _, isLocal := selected.(localCommand); !isLocal {
+		console.client, err = newClient(parsed.options)
+	}
 	if err == nil {
-		err = selected.run(ctx, &console{streams: s, options: parsed.options, client: client})
+		err = selected.run(ctx, console)
 	}
 	if errors.Is(err, errUsage) {
 		return usage(parser, s, err)
--- a/winchd/process/guard.go
+++ b/winchd/process/guard.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	// memoryShare is the share of the memory limit that is set as the Go runtime's soft memory
-	// limit, at which the garbage collector runs more often. The rest is for the program itself and the kernel's buffers.
-	memoryShare = 0.7
 	// fileDescriptors are the descriptors that are left for files and the process itself.
 	fileDescriptors = 200
 	// callerDescriptors is the share in percent of the other descriptors that connections of callers may use. The rest is for
@@ -57,7 +54,7 @@
 
 // NewGuard sets the soft memory limit of the Go runtime, if there is a limit, and returns a guard.
 func NewGuard(limits GuardLimits, logger hclog.Logger, meter metric.Meter) (*Guard, error) {
-	soft := int64(float64(limits.Memory) * memoryShare)
+	soft := memory.SoftLimit(limits.Memory)
 	if soft > 0 {
 		debug.SetMemoryLimit(soft)
 	}
