--- a/configuration/check/compare.go
+++ b/configuration/check/compare.go
@@ -51,10 +51,14 @@
 }
 
 func (c *comparison) result() ([]Finding, []Difference) {
-	slices.SortStableFunc(c.differences, func(a, b Difference) int {
+	sortDifferences(c.differences)
+	return c.findings, c.differences
+}
+
+func sortDifferences(differences []Difference) {
+	slices.SortStableFunc(differences, func(a, b Difference) int {
 		return cmp.Or(a.Path.compare(b.Path), cmp.Compare(a.Change, b.Change))
 	})
-	return c.findings, c.differences
 }
 
 // entries compares the entries of a list by name and returns the names of the removed ones, sorted.
--- a/configuration/check/report.go
+++ b/configuration/check/report.go
@@ -26,7 +26,7 @@
 	}
 }
 
-// Finish sorts the findings. Where a value has the wrong type, findings that follow from its absence are dropped.
+// Finish sorts the findings and differences. Where a value has the wrong type, findings that follow from its absence are dropped.
 func (r *Report) Finish() {
 	unreadable := map[string]bool{}
 	for _, finding := range r.Findings {
@@ -34,12 +34,16 @@
 			unreadable[finding.Path.String()] = true
 		}
 	}
-	r.Findings = Sorted(slices.DeleteFunc(r.Findings, func(finding Finding) bool {
-		for i := range finding.Path {
-			if unreadable[finding.Path[:i+1].String()] && finding.Code != TypeInvalid {
+	isUnreadable := func(path Path) bool {
+		for i := range path {
+			if unreadable[path[:i+1].String()] {
 				return true
 			}
 		}
 		return false
+	}
+	r.Findings = Sorted(slices.DeleteFunc(r.Findings, func(finding Finding) bool {
+		return finding.Code != TypeInvalid && (isUnreadable(finding.Path) || isUnreadable(finding.Other))
 	}))
+	sortDifferences(r.Differences)
 }
--- a/configuration/check/routes.go
+++ b/configuration/check/routes.go
@@ -1,6 +1,7 @@
 package check
 
 import (
+	"fmt"
 	"strings"
 	"unicode"
 
@@ -134,7 +135,10 @@
 	case route.Timeout == 0:
 		c.errorf(TimeoutMissing, timeout, "the time-out is missing or zero: hosts apply their own")
 	case route.Timeout < route.FirstTokenTarget:
-		c.errorf(TimeoutBelowTarget, timeout, "the time-out of %s is shorter than the target of %s", route.Timeout, route.FirstTokenTarget)
+		c.add(Finding{
+			Severity: Error, Code: TimeoutBelowTarget, Path: timeout, Other: path.Field("FirstTokenTarget"),
+			Message: fmt.Sprintf("the time-out of %s is shorter than the target of %s", route.Timeout, route.FirstTokenTarget),
+		})
 	}
 	switch {
 	case route.FirstTokenTarget < 0:
@@ -147,7 +151,10 @@
 	case route.InterTokenTarget < 0:
 		c.errorf(TargetNegative, gap, "the target is negative")
 	case route.InterTokenTarget > 0 && route.Timeout > 0 && route.InterTokenTarget > route.Timeout:
-		c.errorf(GapAboveTimeout, gap, "the target of %s between events is above the time-out of %s", route.InterTokenTarget, route.Timeout)
+		c.add(Finding{
+			Severity: Error, Code: GapAboveTimeout, Path: gap, Other: timeout,
+			Message: fmt.Sprintf("the target of %s between events is above the time-out of %s", route.InterTokenTarget, route.Timeout),
+		})
 	}
 	if route.InterTokenTarget > 0 && route.Kind != winch.ForwardStream && route.Kind != "" {
 		c.warnf(GapWithoutStream, gap, "the route is not streaming: the target between events has no effect")
--- a/configuration/check/services.go
+++ b/configuration/check/services.go
@@ -1,5 +1,7 @@
 package check
 
+import "fmt"
+
 func (c *checker) checkServices() {
 	list := Path{}.Field(fieldServices)
 	names := make([]string, 0, len(c.configuration.Services))
@@ -36,7 +38,10 @@
 		c.errorf(ScalingNegative, path.Field("StartTime"), "the start time is negative")
 	}
 	if scaling.Min > scaling.Max {
-		c.errorf(ScalingMinAboveMax, path.Field("Min"), "the minimum of %d is above the maximum of %d", scaling.Min, scaling.Max)
+		c.add(Finding{
+			Severity: Error, Code: ScalingMinAboveMax, Path: path.Field("Min"), Other: path.Field("Max"),
+			Message: fmt.Sprintf("the minimum of %d is above the maximum of %d", scaling.Min, scaling.Max),
+		})
 	}
 	if scaling.Max == 0 && c.used[service.Model] {
 		c.errorf(ScalingCannotServe, path.Field("Max"), "a route uses the service, and no endpoint may be ordered")
