fix(dispatch): the time of the list is not that of a newer one

The dispatcher read the time of the newest list apart from the list, so that for a moment it took an older list for a newer one, and requests that wait for a new list could be sent by the one from before. It reads the time first, and does no tick while a list waits to be applied. TestTimeOfTheListIsNotThatOfANewerOne fails without the change.

--- a/dispatch/endpoint/dispatcher.go
+++ b/dispatch/endpoint/dispatcher.go
@@ -87,29 +87,43 @@
 		case <-ordered:
 			return nil
 		case <-ticker.C:
-			now := d.options.Clock.Now()
+			now, readAt := d.options.Clock.Now(), d.listReadAt()
+			if closed(ordered) {
+				// The time may be that of a list that was not applied yet.
+				return nil
+			}
 			if now.Sub(hostsAt) >= hostsInterval {
 				d.setHosts(now)
 				hostsAt = now
 			}
 			d.runStep(func() {
-				d.core.listReadAt = d.listReadAt()
+				d.core.listReadAt = readAt
 				d.core.tick(now)
 			})
 		}
 	}
 }
 
+func closed(signal <-chan struct{}) bool {
+	select {
+	case <-signal:
+		return true
+	default:
+		return false
+	}
+}
+
 func (d *Dispatcher) configure(now time.Time) {
 	configuration := d.options.Configurations.Current()
 	if configuration == nil {
 		return
 	}
+	// The time is read before the list, so that it is not that of a newer one.
+	count, readAt := 0, d.listReadAt()
 	var ordered []winch.EndpointStatus
 	if d.options.Source != nil {
 		ordered = d.options.Source.Endpoints()
 	}
-	count, readAt := 0, d.listReadAt()
 	d.runStep(func() {
 		d.core.listReadAt = readAt
 		d.core.configure(now, configuration, ordered)
--- a/dispatch/endpoint/evacuation_guard_test.go
+++ b/dispatch/endpoint/evacuation_guard_test.go
@@ -117,3 +117,35 @@
 		})
 	})
 }
+
+// racingSource is a winch.EndpointSource that reads a newer list whenever its list is asked for.
+type racingSource struct {
+	readAt  time.Time
+	changed chan struct{}
+}
+
+func (s *racingSource) Endpoints() []winch.EndpointStatus {
+	s.readAt = s.readAt.Add(time.Second)
+	return nil
+}
+func (s *racingSource) ReadAt() time.Time        { return s.readAt }
+func (s *racingSource) Changed() <-chan struct{} { return s.changed }
+
+func TestTimeOfTheListIsNotThatOfANewerOne(t *testing.T) {
+	// Requests that wait for a new list would be sent by the one from before.
+	first := time.Unix(1000, 0)
+	source := &racingSource{readAt: first, changed: make(chan struct{})}
+	d, err := New(Options{Configurations: fixedConfigurations{twoClasses(0, 0)}, Source: source, Clock: systemClock{}, Settings: Settings{Tick: time.Millisecond}})
+	assert.NilError(t, err)
+	t.Run("when it is applied", func(t *testing.T) { assert.Equal(t, d.core.listReadAt, first) })
+	t.Run("in a tick while a list waits to be applied", func(t *testing.T) {
+		close(source.changed)
+		ticker := time.NewTicker(time.Millisecond)
+		defer ticker.Stop()
+		for range 20 {
+			<-time.After(2 * time.Millisecond)
+			assert.NilError(t, d.housekeep(t.Context(), ticker, nil, source.changed))
+			assert.Equal(t, d.core.listReadAt, first)
+		}
+	})
+}
