test(connlimit): clients keep their time after the process itself was stopped

Guards against connections that are ended because of a stop of the process. Checks of all connections exclude each other, so that a test can make one.

--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -66,6 +66,9 @@
 	// bodyBuffers is the memory for raised receive buffers.
 	bodyBuffers *memory.Shared
 
+	// checking is held during a check of all connections, whose figures of progress it protects.
+	checking sync.Mutex
+
 	mu     sync.Mutex
 	conns  map[*conn]struct{}
 	shares map[netip.Addr]int
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -201,3 +201,25 @@
 	p.waitFor("the bytes in the kernel to take memory", func() bool { return p.budget.Usage().Used > ConnectionCost+10<<10 })
 	close(block)
 }
+
+// TestClientsAreNotEndedForAStoppedProcess guards against connections that are ended because the process itself was stopped.
+func TestClientsAreNotEndedForAStoppedProcess(t *testing.T) {
+	p := newPort(t, Options{}, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	p.dial("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\nxxx")
+	waiting := func() bool {
+		p.limiter.mu.Lock()
+		defer p.limiter.mu.Unlock()
+		for c := range p.limiter.conns {
+			return c.readSince.Load() != 0
+		}
+		return false
+	}
+	p.waitFor("the server to wait for the body", waiting)
+	now := time.Now()
+	later := now.Add(time.Hour)
+	p.limiter.checkAll(now, false)
+	p.limiter.checkAll(later, true)
+	assert.Equal(t, p.limiter.Open(), 1)
+	p.limiter.checkAll(later.Add(2*defaultReadTime), false)
+	assert.Equal(t, p.limiter.Open(), 0)
+}
--- a/internal/connlimit/watch.go
+++ b/internal/connlimit/watch.go
@@ -31,16 +31,18 @@
 			return
 		case now := <-timer.C:
 			l.now.Store(now.UnixNano())
-			timer.Reset(l.check(now, now.Sub(checkedAt) > maxWatchGap))
+			timer.Reset(l.checkAll(now, now.Sub(checkedAt) > maxWatchGap))
 			report.report(now)
 			checkedAt = now
 		}
 	}
 }
 
-// check ends connections without progress, and returns the time until the next check. After a gap, all of them have the whole
+// checkAll ends connections without progress, and returns the time until the next check. After a gap, all of them have the whole
 // time again.
-func (l *Limiter) check(now time.Time, gap bool) time.Duration {
+func (l *Limiter) checkAll(now time.Time, gap bool) time.Duration {
+	l.checking.Lock()
+	defer l.checking.Unlock()
 	l.mu.Lock()
 	open := make([]*conn, 0, len(l.conns))
 	for c := range l.conns {
