fix(httpexchange): bound the error about a malformed response head

Cause: net/http quotes a malformed head in its error. For a head of 64 KiB from a faulty endpoint the text had 261,941 bytes, which the call's error kept and the log line repeats.

Change: a text of more than 256 bytes is cut.

--- a/serving/httpexchange/conn.go
+++ b/serving/httpexchange/conn.go
@@ -161,7 +161,7 @@
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, fmt.Errorf("read response head: %w", err)
+			return nil, headError(err)
 		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
@@ -169,6 +169,18 @@
 	}
 }
 
+// maxErrorText is the size in bytes above which the text of an error is cut.
+const maxErrorText = 256
+
+// headError returns the error for a head that could not be read. net/http quotes a malformed head, which takes up to four times its
+// size and would be kept and logged. Errors with such texts wrap no others.
+func headError(err error) error {
+	if text := err.Error(); len(text) > maxErrorText {
+		return fmt.Errorf("read response head, error cut to %d bytes: %s", maxErrorText, text[:maxErrorText])
+	}
+	return fmt.Errorf("read response head: %w", err)
+}
+
 // usable reports whether an idle connection may carry another call: it has not expired, and
 // the server has neither closed it nor sent anything.
 func (c *conn) usable(now time.Time) bool {
