feat(daemon): the memory budget follows GOMEMLIMIT and covers the ports of hosts and operators

Cause: winchd run had a budget of 512 MiB whatever memory its process had, up to 4096 connections at each internal port whatever its descriptor limit was, and bodies at the ports of hosts and operators were held without the budget.

Change: the guard takes the soft limit of the Go runtime where Limits.Memory is not set, for both kinds of host. The settings of the daemon have Limits with Memory, RequestMemory and Connections, with the checks of winchd forward. httpjson.ChargeBodies takes memory for request bodies before they are read; a refused call gets 503 with Retry-After and has done nothing. A declared length over the limit is refused before the body is read. The ports of hosts and operators have shares of the descriptors, and of a derived budget. Without a limit of memory, the budget and its shares are as before.

--- a/httpjson/server.go
+++ b/httpjson/server.go
@@ -7,9 +7,11 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/memory"
 )
 
 type errorResponse struct {
@@ -18,12 +20,17 @@
 }
 
 // Decode decodes the request body into out. Unknown fields and bodies of more than
-// limit bytes are errors that match ErrInvalid.
+// limit bytes are errors that match ErrInvalid. If ChargeBodies has no memory for the
+// body, the error matches ErrUnavailable.
 func Decode(w http.ResponseWriter, r *http.Request, limit int64, out any) error {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+	body, err := LimitBody(w, r, limit)
+	if err != nil {
+		return fmt.Errorf("decode body: %w", err)
+	}
+	decoder := json.NewDecoder(body)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(out); err != nil {
-		return fmt.Errorf("decode body: %w: %w", winch.ErrInvalid, err)
+		return fmt.Errorf("decode body: %w", BodyError(err))
 	}
 	return nil
 }
@@ -38,6 +45,11 @@
 // WriteError writes an error response with the status and code for err.
 func WriteError(w http.ResponseWriter, err error) {
 	status, code := statusAndCode(err)
+	if errors.Is(err, memory.ErrNoMemory) {
+		// The rest of the body is not read.
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Retry-After", strconv.Itoa(int(refusedRetryAfter.Seconds())))
+	}
 	Write(w, status, errorResponse{Code: code, Message: err.Error()})
 }
 
--- a/membership/peer/exchange.go
+++ b/membership/peer/exchange.go
@@ -29,6 +29,7 @@
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/httpjson"
+	"github.com/arbutuswinch/winch/internal/memory"
 	"github.com/arbutuswinch/winch/internal/periodic"
 )
 
@@ -70,6 +71,8 @@
 	ListEvery time.Duration
 	// Timeout is the timeout of a call to another host.
 	Timeout time.Duration
+	// Memory is what all requests of the process may hold; nil means no limit.
+	Memory *memory.Budget
 }
 
 // Exchange periodically calls the hub of this host's data centre. If this host is that hub, it
--- a/membership/peer/handler.go
+++ b/membership/peer/handler.go
@@ -18,7 +18,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /peer/exchange", e.serveExchange)
 	mux.HandleFunc("POST /peer/digest", e.serveDigest)
-	return e.compactor.Handler(mux)
+	return e.compactor.Handler(httpjson.ChargeBodies(e.options.Memory, mux))
 }
 
 func (e *Exchange) serveExchange(w http.ResponseWriter, r *http.Request) {
--- a/release/operator/handler.go
+++ b/release/operator/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/httpjson"
+	"github.com/arbutuswinch/winch/internal/memory"
 	"github.com/arbutuswinch/winch/release"
 )
 
@@ -32,6 +33,8 @@
 	Logger hclog.Logger
 	// Timeout bounds the handling of a request. The default is ten seconds.
 	Timeout time.Duration
+	// Memory is what all requests of the process may hold; nil means no limit.
+	Memory *memory.Budget
 }
 
 // Handler implements the operators' HTTP API for notes and keys.
@@ -63,7 +66,7 @@
 }
 
 // Handler returns the HTTP handler for the paths under /operator/notes and /operator/keys.
-func (h *Handler) Handler() http.Handler { return h.mux }
+func (h *Handler) Handler() http.Handler { return httpjson.ChargeBodies(h.options.Memory, h.mux) }
 
 // jsonHandler returns an HTTP handler that writes the result of call, or its error, as JSON.
 func (h *Handler) jsonHandler(call func(http.ResponseWriter, *http.Request) (any, error)) http.HandlerFunc {
@@ -87,9 +90,13 @@
 }
 
 func readNote(w http.ResponseWriter, r *http.Request) (winch.Note, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, release.MaxNoteSize))
+	limited, err := httpjson.LimitBody(w, r, release.MaxNoteSize)
 	if err != nil {
-		return winch.Note{}, fmt.Errorf("read note: %w: %w", winch.ErrInvalid, err)
+		return winch.Note{}, fmt.Errorf("read note: %w", err)
+	}
+	body, err := io.ReadAll(limited)
+	if err != nil {
+		return winch.Note{}, fmt.Errorf("read note: %w", httpjson.BodyError(err))
 	}
 	return release.DecodeNote(body)
 }
--- a/release/operator/handler_test.go
+++ b/release/operator/handler_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/memory"
 	"github.com/arbutuswinch/winch/release"
 )
 
@@ -165,3 +166,22 @@
 		assert.Equal(t, status, http.StatusBadRequest)
 	})
 }
+
+// TestNotesBeyondTheBudgetAreRefused guards against notes that are read although other requests take the memory, and against a refusal
+// after which an operator does not know whether the note was committed.
+func TestNotesBeyondTheBudgetAreRefused(t *testing.T) {
+	fake, budget := newFake(), memory.NewBudget(1<<20)
+	handler, err := New(Options{Log: fake, Tracker: fake, Clock: fake, Memory: budget})
+	assert.NilError(t, err)
+	for _, path := range []string{"/operator/notes", "/operator/notes/check"} {
+		t.Run(path, func(t *testing.T) {
+			response := httptest.NewRecorder()
+			handler.Handler().ServeHTTP(response, httptest.NewRequest(http.MethodPost, path, strings.NewReader(strings.Repeat(" ", 2<<20))))
+			assert.Equal(t, response.Code, http.StatusServiceUnavailable)
+			assert.Equal(t, response.Header().Get("Retry-After"), "1")
+			assert.Assert(t, strings.Contains(response.Body.String(), "nothing was done"), response.Body.String())
+			assert.Equal(t, len(fake.notes), 0)
+			assert.Equal(t, budget.Usage().Used, int64(0))
+		})
+	}
+}
--- a/winchd/daemon/components.go
+++ b/winchd/daemon/components.go
@@ -53,7 +53,7 @@
 		Table: d.membership.table, Clock: d.clock, Logger: d.logger, Secret: d.settings.Peer.Secret,
 		Transport:     d.traffic.Transport(d.settings.Peer.Source),
 		ExchangeEvery: d.settings.Membership.ExchangeEvery, DigestEvery: d.settings.Membership.DigestEvery,
-		Sections: d.sections(),
+		Sections: d.sections(), Memory: d.guard.Budget(),
 	}
 	if d.settings.Platform.Hosts != "" {
 		hosts, err := memberplatform.New(memberplatform.Options{Address: d.settings.Platform.Hosts, Timeout: d.settings.Platform.Timeout})
@@ -94,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	operator, err := releaseoperator.New(releaseoperator.Options{Log: store, Tracker: distributor, Clock: d.clock, Logger: d.logger})
+	operator, err := releaseoperator.New(releaseoperator.Options{Log: store, Tracker: distributor, Clock: d.clock, Logger: d.logger, Memory: d.guard.Budget()})
 	if err != nil {
 		return err
 	}
--- a/winchd/daemon/daemon.go
+++ b/winchd/daemon/daemon.go
@@ -31,8 +31,11 @@
 const (
 	// callerIdleTimeout is how long a caller's connection may be idle.
 	callerIdleTimeout = 2 * time.Minute
-	// internalConnections is the maximum number of connections of the ports of hosts and operators.
+	// internalConnections is the maximum number of connections of each of the ports of hosts and operators.
 	internalConnections = 4096
+	// peerShare and operatorShare are the shares in percent of the descriptors, and of the memory of requests, that connections of
+	// these ports may use. Callers use 60 and 50; other hosts forward requests, operators need few connections.
+	peerShare, operatorShare = 20, 10
 )
 
 // Daemon is the process of one entry host.
@@ -97,9 +100,9 @@
 	return built.ObserveTraffic(d.traffic)
 }
 
-// buildGuard bounds the memory of requests. The settings have no limit for it, so that the default holds.
 func (d *Daemon) buildGuard() error {
-	built, err := process.NewGuard(process.GuardLimits{}, d.logger, d.metrics.Meter())
+	limits := d.settings.Limits
+	built, err := process.NewGuard(process.GuardLimits{Memory: limits.Memory, RequestMemory: limits.RequestMemory, Connections: limits.Connections}, d.logger, d.metrics.Meter())
 	d.guard = built
 	return err
 }
@@ -128,8 +131,8 @@
 		limiter func() (*connlimit.Limiter, error)
 	}{
 		{d.settings.Caller.Address, d.serving.server.Handler(), callerLimits, nil, d.guard.Callers},
-		{d.settings.Peer.Address, d.peerHandler(), process.InternalLimits(), d.traffic, d.internal("peer")},
-		{d.settings.Operator.Address, d.operatorHandler(), process.InternalLimits(), nil, d.internal("operator")},
+		{d.settings.Peer.Address, d.peerHandler(), process.InternalLimits(), d.traffic, d.internal("peer", peerShare)},
+		{d.settings.Operator.Address, d.operatorHandler(), process.InternalLimits(), nil, d.internal("operator", operatorShare)},
 	} {
 		limiter, err := port.limiter()
 		if err != nil {
@@ -147,8 +150,8 @@
 	return nil
 }
 
-func (d *Daemon) internal(port string) func() (*connlimit.Limiter, error) {
-	return func() (*connlimit.Limiter, error) { return d.guard.Internal(port, internalConnections) }
+func (d *Daemon) internal(port string, share int) func() (*connlimit.Limiter, error) {
+	return func() (*connlimit.Limiter, error) { return d.guard.InternalShare(port, internalConnections, share) }
 }
 
 func (d *Daemon) tasks() []process.Task {
--- a/winchd/process/guard.go
+++ b/winchd/process/guard.go
@@ -34,7 +34,7 @@
 
 // GuardLimits are the limits of the whole process. Zero means the default of each.
 type GuardLimits struct {
-	// Memory is the maximum memory of the process in bytes; zero means that it is not limited.
+	// Memory is the maximum memory of the process in bytes; zero means that only the Go runtime's soft limit counts, if it has one.
 	Memory int64
 	// RequestMemory is the size of the budget in bytes.
 	RequestMemory int64
@@ -45,25 +45,41 @@
 // Guard bounds the memory that requests and connections hold in the whole process.
 type Guard struct {
 	limits GuardLimits
-	budget *memory.Budget
-	logger hclog.Logger
-	meter  metric.Meter
+	// limited is set if the size of the budget is not the default.
+	limited bool
+	budget  *memory.Budget
+	logger  hclog.Logger
+	meter   metric.Meter
 }
 
-// NewGuard sets the soft memory limit of the Go runtime, if there is a limit, and returns a guard.
+// NewGuard sets the soft memory limit of the Go runtime, if limits has one, and returns a guard. Without one, the runtime's own limit
+// counts.
 func NewGuard(limits GuardLimits, logger hclog.Logger, meter metric.Meter) (*Guard, error) {
 	soft := memory.SoftLimit(limits.Memory)
 	if soft > 0 {
 		debug.SetMemoryLimit(soft)
+	} else {
+		soft = runtimeLimit()
 	}
 	size := limits.RequestMemory
 	if size == 0 {
 		size = memory.BudgetSize(soft)
 	}
-	g := &Guard{limits: limits, budget: memory.NewBudget(size), logger: logger, meter: meter}
+	g := &Guard{
+		limits: limits, limited: soft > 0 || limits.RequestMemory > 0, budget: memory.NewBudget(size), logger: logger, meter: meter,
+	}
 	return g, g.export()
 }
 
+// runtimeLimit returns the soft memory limit that the Go runtime has already, such as that of GOMEMLIMIT. Zero means none.
+func runtimeLimit() int64 {
+	limit := debug.SetMemoryLimit(-1)
+	if limit == math.MaxInt64 {
+		return 0
+	}
+	return limit
+}
+
 // Budget returns what requests and connections may hold together.
 func (g *Guard) Budget() *memory.Budget { return g.budget }
 
@@ -82,6 +98,19 @@
 	return g.internal(port, limit)
 }
 
+// InternalShare is Internal with at most the share in percent of the descriptors, and of the budget if it is not the default.
+func (g *Guard) InternalShare(port string, limit, share int) (*connlimit.Limiter, error) {
+	return g.internal(port, g.shareConnections(limit, share, descriptorLimit()))
+}
+
+func (g *Guard) shareConnections(limit, share int, descriptors uint64) int {
+	limit = min(limit, usableDescriptors(descriptors, share))
+	if g.limited {
+		limit = min(limit, int(g.budget.Usage().Size/100*int64(share)/connlimit.ConnectionCost))
+	}
+	return limit
+}
+
 func (g *Guard) internal(port string, limit int) (*connlimit.Limiter, error) {
 	return connlimit.New(connlimit.Options{Port: port, Budget: g.budget, Rank: memory.RankEssential, Max: limit, Logger: g.logger, Meter: g.meter})
 }
@@ -89,16 +118,21 @@
 // callerConnections returns the maximum number of connections of callers for a set number, which may be zero, a budget in bytes and a
 // number of descriptors.
 func callerConnections(set int, budget int64, descriptors uint64) int {
-	usable := math.MaxInt
-	if descriptors < math.MaxInt32 {
-		usable = max(1, (int(descriptors)-fileDescriptors)*callerDescriptors/100)
-	}
+	usable := usableDescriptors(descriptors, callerDescriptors)
 	if set > 0 {
 		return min(set, usable)
 	}
 	return min(usable, int(budget/connectionShare/connlimit.ConnectionCost))
 }
 
+// usableDescriptors returns the share in percent of the descriptors that are not left for files.
+func usableDescriptors(descriptors uint64, share int) int {
+	if descriptors >= math.MaxInt32 {
+		return math.MaxInt
+	}
+	return max(1, (int(descriptors)-fileDescriptors)*share/100)
+}
+
 // descriptorLimit returns the number of descriptors that the process may open.
 func descriptorLimit() uint64 {
 	limit := unix.Rlimit{}
--- a/winchd/process/guard_test.go
+++ b/winchd/process/guard_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math"
+	"runtime/debug"
 	"strings"
 	"testing"
 	"time"
@@ -43,6 +44,44 @@
 	assert.Equal(t, guard.Budget().Usage().Size, int64(9<<20))
 }
 
+// TestGuardUsesTheRuntimesLimit guards against a budget above the limit that GOMEMLIMIT sets.
+func TestGuardUsesTheRuntimesLimit(t *testing.T) {
+	const limit = 200 << 20
+	previous := debug.SetMemoryLimit(limit)
+	t.Cleanup(func() { debug.SetMemoryLimit(previous) })
+	size := func(limits GuardLimits) int64 {
+		guard, err := NewGuard(limits, hclog.NewNullLogger(), noop.Meter{})
+		assert.NilError(t, err)
+		return guard.Budget().Usage().Size
+	}
+	t.Run("where nothing is set", func(t *testing.T) { assert.Equal(t, size(GuardLimits{}), memory.BudgetSize(limit)) })
+	t.Run("not where the budget is set", func(t *testing.T) { assert.Equal(t, size(GuardLimits{RequestMemory: 9 << 20}), int64(9<<20)) })
+	t.Run("not where the memory is set", func(t *testing.T) {
+		assert.Equal(t, size(GuardLimits{Memory: 112e6}), memory.BudgetSize(memory.SoftLimit(112e6)))
+		assert.Equal(t, debug.SetMemoryLimit(-1), memory.SoftLimit(112e6))
+	})
+}
+
+// TestSharesOfInternalPorts guards against ports of hosts and operators that take all descriptors or all memory.
+func TestSharesOfInternalPorts(t *testing.T) {
+	const descriptors, most, share = 3075, 4096, 20
+	for _, test := range []struct {
+		name        string
+		guard       Guard
+		descriptors uint64
+		want        int
+	}{
+		{"descriptors", Guard{budget: memory.NewBudget(memory.DefaultBudget)}, descriptors, 575},
+		{"share of a derived budget", Guard{limited: true, budget: memory.NewBudget(40 << 20)}, descriptors, 40 << 20 / 100 * share / connlimit.ConnectionCost},
+		{"no limits", Guard{budget: memory.NewBudget(memory.DefaultBudget)}, math.MaxUint64, most},
+		{"few descriptors", Guard{budget: memory.NewBudget(memory.DefaultBudget)}, 100, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			assert.Equal(t, test.guard.shareConnections(most, share, test.descriptors), test.want)
+		})
+	}
+}
+
 // TestMemoryReport guards against a log line for each refusal.
 func TestMemoryReport(t *testing.T) {
 	lines, now := bytes.Buffer{}, time.Unix(0, 0)
--- a/winchd/settings/check.go
+++ b/winchd/settings/check.go
@@ -47,6 +47,7 @@
 		s.checkSecrets(),
 		s.checkDurations(),
 		s.checkLimits(),
+		errors.Join(s.Limits.check()...),
 		s.checkRelations(),
 	)
 }
--- a/winchd/settings/forwarding.go
+++ b/winchd/settings/forwarding.go
@@ -89,7 +89,7 @@
 
 // ForwardingLimits limits the resources of the process.
 type ForwardingLimits struct {
-	// Memory is the maximum memory of the process in bytes. Zero means no limit.
+	// Memory is the maximum memory of the process in bytes. Zero means that only GOMEMLIMIT counts, if it is set.
 	Memory int64
 	// RequestMemory is the maximum memory in bytes that requests and connections hold together. Zero derives it from Memory.
 	RequestMemory int64
@@ -189,23 +189,8 @@
 	return errors.Join(append(problems, f.Quarantine.check()...)...)
 }
 
-// minRequestMemory is the least memory in bytes with which a body of the usual limit of 4 MiB is served beside small requests.
-const minRequestMemory = 8 << 20
-
 func (l *ForwardingLimits) check() []error {
-	var problems []error
-	if l.Memory < 0 {
-		problems = append(problems, fieldError("Limits.Memory", "must not be negative"))
-	}
-	if l.RequestMemory != 0 && l.RequestMemory < minRequestMemory {
-		problems = append(problems, fieldError("Limits.RequestMemory", fmt.Sprintf("must be 0 or at least %d", minRequestMemory)))
-	}
-	if l.Memory > 0 && l.RequestMemory > l.Memory {
-		problems = append(problems, fieldError("Limits.RequestMemory", "must not exceed Limits.Memory"))
-	}
-	if l.Connections < 0 {
-		problems = append(problems, fieldError("Limits.Connections", "must not be negative"))
-	}
+	problems := Limits{Memory: l.Memory, RequestMemory: l.RequestMemory, Connections: l.Connections}.check()
 	if l.Processors < 0 {
 		problems = append(problems, fieldError("Limits.Processors", "must not be negative"))
 	}
--- a/winchd/settings/settings.go
+++ b/winchd/settings/settings.go
@@ -47,6 +47,7 @@
 	Membership  Membership
 	Claims      Claims
 	Shutdown    Shutdown
+	Limits      Limits
 	Log         Log
 }
 
