fix(httpjson): memory of a body is taken before its buffer grows

Cause: the memory of a decoder's buffer was taken at the read after its growth, so that refused bodies had allocated the larger buffer.

Change: once a read fills the buffer, its next size is taken.

--- a/httpjson/body.go
+++ b/httpjson/body.go
@@ -42,6 +42,8 @@
 	// declared is the declared length, which is negative if it is unknown, and zero once it has been looked at.
 	declared    int64
 	read, taken int64
+	// doubles is set if the reader doubles its buffer when it is full. Others, such as io.ReadAll, add a quarter.
+	doubles bool
 }
 
 // Read implements io.Reader.
@@ -53,17 +55,38 @@
 		}
 		b.declared = 0
 	}
-	if wanted := b.read + int64(len(p)); wanted > b.taken {
-		if err := b.claim.Take(wanted - b.taken); err != nil {
-			return 0, err
-		}
-		b.taken = wanted
+	if err := b.take(b.read + int64(len(p))); err != nil {
+		return 0, err
 	}
 	count, err := b.ReadCloser.Read(p)
 	b.read += int64(count)
+	if err == nil && count == len(p) {
+		// The reader allocates a larger buffer before it reads on.
+		err = b.take(b.read + b.growth())
+	}
 	return count, err
 }
 
+// take takes memory for a buffer of the size.
+func (b *chargedBody) take(size int64) error {
+	if size <= b.taken {
+		return nil
+	}
+	if err := b.claim.Take(size - b.taken); err != nil {
+		return err
+	}
+	b.taken = size
+	return nil
+}
+
+// growth returns by how much the reader's buffer, which is full, grows.
+func (b *chargedBody) growth() int64 {
+	if b.doubles {
+		return b.read
+	}
+	return b.read / 4
+}
+
 // LimitBody returns the request's body, limited to so many bytes. A larger declared length is an error that matches ErrInvalid, and
 // the body is not read.
 func LimitBody(w http.ResponseWriter, r *http.Request, limit int64) (io.Reader, error) {
--- a/httpjson/server.go
+++ b/httpjson/server.go
@@ -23,6 +23,9 @@
 // limit bytes are errors that match ErrInvalid. If ChargeBodies has no memory for the
 // body, the error matches ErrUnavailable.
 func Decode(w http.ResponseWriter, r *http.Request, limit int64, out any) error {
+	if charged, found := r.Body.(*chargedBody); found {
+		charged.doubles = true
+	}
 	body, err := LimitBody(w, r, limit)
 	if err != nil {
 		return fmt.Errorf("decode body: %w", err)
