feat(dispatch): requests with a deadline begin only where they can end

Cause: in overload, engines begin long prompts and make their tokens so slowly beside other prompts that responses are cut at their deadline. Their prefill is lost.

Change: package dispatch/completion estimates the end of a request at an endpoint from the prompts pending there, the expected outputs and the time between outputs, which is learnt by the share of time in which endpoints prefill. A request that would end late is not eligible there. It waits while a later start can end in time, else it is refused with a spread Retry-After. The highest tier and requests without a deadline are not concerned.

--- a/dispatch/endpoint/admission.go
+++ b/dispatch/endpoint/admission.go
@@ -175,6 +175,11 @@
 		return true
 	}
 	wait := c.predictedWait(now, l, r)
+	if c.features.earlyRefusal && c.cannotEnd(now, l, r, wait) {
+		l.completion.notBegun.refused++
+		c.refuseLate(now, r, wait)
+		return false
+	}
 	if c.features.earlyRefusal && c.wouldMissTarget(now, r, wait) && !c.preemptLower(now, l) {
 		reason := winch.RefusedWait
 		if !r.work.Deadline.IsZero() && now.Add(wait).After(r.work.Deadline) {
--- a/dispatch/endpoint/choose.go
+++ b/dispatch/endpoint/choose.go
@@ -46,7 +46,7 @@
 
 // eligible reports whether the request may run on the endpoint now.
 func (c *core) eligible(now time.Time, l *lane, r *request, e *endpoint) bool {
-	return (len(r.work.Excluded) == 0 || !r.excludes(e.spec.ID)) && c.hasRoomFor(now, l, r, e)
+	return (len(r.work.Excluded) == 0 || !r.excludes(e.spec.ID)) && c.hasRoomFor(now, l, r, e) && c.canEndAt(now, l, r, e)
 }
 
 // hasRoomFor reports whether the endpoint can serve a request like this one now.
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/dispatch/completion"
 	"github.com/arbutuswinch/winch/dispatch/measure"
 	"github.com/arbutuswinch/winch/dispatch/retry"
 )
@@ -95,6 +96,8 @@
 	prefixes    map[winch.PrefixHash]winch.EndpointID
 	// prefillSpeeds is the measured prefill speed of the endpoints of each model or route, in prompt tokens per second.
 	prefillSpeeds map[group]measure.Mean
+	// intervals are the times between outputs of the endpoints of each model.
+	intervals map[group]*completion.Intervals
 	// incompleteAttempts maps each request whose last attempt did not complete to the time it ended. It
 	// includes attempts that never reached their endpoint or were rejected by it.
 	incompleteAttempts map[winch.RequestID]time.Time
@@ -149,6 +152,7 @@
 		remotes:            map[winch.DataCentreID]*remote{},
 		prefixes:           map[winch.PrefixHash]winch.EndpointID{},
 		prefillSpeeds:      map[group]measure.Mean{},
+		intervals:          map[group]*completion.Intervals{},
 		incompleteAttempts: map[winch.RequestID]time.Time{},
 		hub:                newHub(),
 		upstream:           newUpstream(),
@@ -294,6 +298,9 @@
 	}
 	if !r.work.Deadline.IsZero() {
 		latest := r.work.Deadline.Add(-secondsOf(l.firstToken.Value))
+		if run := c.shortestRun(now, l, r); run > 0 {
+			latest = earlier(latest, completion.LatestStart(r.work.Deadline, run))
+		}
 		if latest.Before(end) || resumed {
 			end = latest
 		}
@@ -382,17 +389,3 @@
 	r.account.active--
 	return true
 }
-
-// observeLoad applies an endpoint's load report.
-func (c *core) observeLoad(now time.Time, report winch.LoadReport) {
-	e, found := c.endpoints[report.Endpoint]
-	if !found {
-		return
-	}
-	e.applyReport(report)
-	e.cold.observeLoad(report)
-	e.updateReportWeight(now, c.settings.ReportMaxAge)
-	c.observePace(now, e, report.Pace)
-	c.probeEarly(now, e, report.AsOf)
-	c.applyReportedState(now, e, report)
-}
--- a/dispatch/endpoint/fleet_engine_test.go
+++ b/dispatch/endpoint/fleet_engine_test.go
@@ -54,7 +54,7 @@
 func (f *fleet) step(e *fleetEngine) {
 	live := func(q *fleetRequest) bool { return q.finished }
 	e.running, e.queue = slices.DeleteFunc(e.running, live), slices.DeleteFunc(e.queue, live)
-	for len(e.running) < fleetSlots && len(e.queue) > 0 && f.fits(e, e.queue[0]) {
+	for len(e.running) < f.slots && len(e.queue) > 0 && f.fits(e, e.queue[0]) {
 		q := e.queue[0]
 		e.queue = e.queue[1:]
 		q.prefill = q.class.own
@@ -101,7 +101,7 @@
 	}
 	q.output -= tokens
 	q.made += tokens
-	if f.memory > 0 {
+	if f.memory > 0 || f.events {
 		q.r.progress.tokens.Store(int64(q.made / fleetEventTokens))
 	}
 	q.r.progress.last.Store(f.now.UnixNano())
--- a/dispatch/endpoint/fleet_test.go
+++ b/dispatch/endpoint/fleet_test.go
@@ -51,12 +51,21 @@
 	memory    winch.Tokens
 	hints     *rand.Rand
 	preempted int
+	// slots is the number of requests that run on an engine at the same time.
+	slots int
+	// events is set if the hosts count the events of the streams.
+	events bool
 }
 
 func newFleet(hosts, engines int) *fleet { return newFleetOf(fleetClasses, hosts, engines) }
 
 func newFleetOf(classes []fleetClass, hosts, engines int) *fleet {
+	return newFleetWithSlots(classes, hosts, engines, fleetSlots)
+}
+
+func newFleetWithSlots(classes []fleetClass, hosts, engines, slots int) *fleet {
 	f := &fleet{
+		slots:   slots,
 		classes: classes,
 		now:     time.Unix(1000, 0), start: time.Unix(1000, 0), random: rand.New(rand.NewPCG(7, 7)), paces: rand.New(rand.NewPCG(8, 8)), engines: map[winch.EndpointID]*fleetEngine{},
 		open: map[*request]*fleetRequest{}, due: make([]float64, len(classes)), counts: map[winch.ClassID]map[int]*fleetCounts{},
@@ -91,7 +100,7 @@
 		f.engines[id] = &fleetEngine{}
 		f.ids = append(f.ids, id)
 		f.statuses = append(f.statuses, winch.EndpointStatus{State: winch.EndpointReady, Endpoint: winch.Endpoint{
-			ID: id, DataCentre: winch.DataCentreID(string("abc"[i%3])), Kind: winch.EndpointEngine, Models: []winch.ModelID{promptModel}, SlotLimit: fleetSlots,
+			ID: id, DataCentre: winch.DataCentreID(string("abc"[i%3])), Kind: winch.EndpointEngine, Models: []winch.ModelID{promptModel}, SlotLimit: f.slots,
 		}})
 	}
 	f.each(func(c *core) { c.configure(f.now, f.configuration, f.statuses) })
--- a/dispatch/endpoint/health.go
+++ b/dispatch/endpoint/health.go
@@ -160,3 +160,17 @@
 		}
 	}
 }
+
+// observeLoad applies an endpoint's load report.
+func (c *core) observeLoad(now time.Time, report winch.LoadReport) {
+	e, found := c.endpoints[report.Endpoint]
+	if !found {
+		return
+	}
+	e.applyReport(report)
+	e.cold.observeLoad(report)
+	e.updateReportWeight(now, c.settings.ReportMaxAge)
+	c.observePace(now, e, report.Pace)
+	c.probeEarly(now, e, report.AsOf)
+	c.applyReportedState(now, e, report)
+}
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -66,6 +66,7 @@
 	// pendingPrefill is the sum of the running requests' pendingPrefill.
 	pendingPrefill winch.Tokens
 	prefillBudget  prefillBudget
+	completion     laneCompletion
 
 	// held are the tokens of this host's running requests, meanNeed those of one request, and meanHeld those of one that runs on any of
 	// the lane's endpoints, zero if too few run. pool and largestWaiting are recomputed by refreshTokens.
--- a/dispatch/endpoint/prefill_budget.go
+++ b/dispatch/endpoint/prefill_budget.go
@@ -62,7 +62,7 @@
 	if !l.lowestTier {
 		speed *= urgentOverbooking
 	}
-	return prefillBudget{limit: prefillWindowShare * window.Seconds() * speed, rate: max(minDrainShare*speed, speed-higher)}
+	return prefillBudget{limit: prefillWindowShare * window.Seconds() * speed * (1 - l.completion.shrunk), rate: max(minDrainShare*speed, speed-higher)}
 }
 
 // demandShare returns this host's share of the demand of all hosts. Hosts of which nothing is known count like this one.
--- a/dispatch/endpoint/release.go
+++ b/dispatch/endpoint/release.go
@@ -13,6 +13,9 @@
 	}
 	l, e := r.lane, r.endpoint
 	c.readProgress(now, r)
+	if r.remote == nil {
+		c.recordEnd(now, r, outcome)
+	}
 	r.state = requestInactive
 	r.account.active--
 	c.emit(effect{kind: effectReleased, at: now, request: r, lane: l, endpoint: e, remote: r.remote, outcome: outcome,
--- a/dispatch/endpoint/request.go
+++ b/dispatch/endpoint/request.go
@@ -57,6 +57,7 @@
 	pendingPrefill winch.Tokens
 	prefillAhead   winch.Tokens // pending prefill of the endpoint at the grant, including this prompt
 	held           winch.Tokens // tokens held at the endpoint; see endpoint.holdTokens
+	heldByDeadline bool         // was kept from an endpoint because it could not end there in time
 	firstSeen      bool
 	probe          bool // granted at an ejected endpoint; see recordProbe
 	long           bool // counts as long work; see Settings.LongInput
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/dispatch/completion"
 	"github.com/arbutuswinch/winch/dispatch/concurrency"
 	"github.com/arbutuswinch/winch/dispatch/measure"
 	"github.com/arbutuswinch/winch/dispatch/pace"
@@ -79,6 +80,8 @@
 	longRunning      int           // running requests that count as long work
 	lowerTierPrefill winch.Tokens  // prompt tokens of this host's requests below the highest tier that have no first token yet
 	prefill          prefillLoad
+	prefillTime      completion.Load
+	interval         completion.Recent
 	models           []winch.LoadedModel
 	limit            concurrency.Limiter
 	lastHeard        atomic.Int64 // nanoseconds since 1970
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -61,6 +61,11 @@
 		if !r.work.Deadline.IsZero() && now.Add(secondsOf(r.lane.firstToken.Value)).After(r.work.Deadline) {
 			reason = winch.RefusedDeadline
 		}
+		if r.heldByDeadline {
+			r.lane.completion.notBegun.expired++
+			c.refuseLate(now, r, c.drainTime(now, r.lane))
+			continue
+		}
 		c.refuse(now, r, r.lane, reason, c.drainTime(now, r.lane))
 	}
 }
@@ -145,7 +150,9 @@
 	at := time.Unix(0, last)
 	r.endpoint.recordAlive(r.grantedAt, at)
 	if r.firstSeen && at.After(r.lastOutputAt) {
-		r.endpoint.limit.SampleInterToken(at.Sub(r.lastOutputAt).Seconds() / float64(delta))
+		seconds := at.Sub(r.lastOutputAt).Seconds()
+		r.endpoint.limit.SampleInterToken(seconds / float64(delta))
+		c.sampleInterval(now, r, seconds, float64(delta))
 		r.lastOutputAt = at
 	}
 	if !r.long && r.work.OutputDone+tokens >= c.settings.LongOutput {
@@ -158,6 +165,7 @@
 	seconds := at.Sub(r.grantedAt).Seconds()
 	r.lane.firstToken.Add(seconds, firstTokenWeight)
 	c.samplePrefillSpeed(r, seconds)
+	c.sampleWait(r, at)
 	if r.endpoint != nil {
 		r.endpoint.limit.SampleFirstToken(seconds, r.lane.class.FirstTokenTarget)
 	}
@@ -216,6 +224,7 @@
 	}
 	c.setStreamsMayMove(now)
 	c.partitionEndpoints(now)
+	c.refreshCompletion(now)
 	c.updatePrefillBudgets(now)
 }
 
