--- a/dispatch/completion/estimate.go
+++ b/dispatch/completion/estimate.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	load.Observe(now, pending > 0)
-//	interval, known := model.Interval(now, load.Busy(now))
+//	interval, known := model.Interval(now, load.Expected(mean))
 //	interval = recent.Correct(now, interval)
 //	if known && !completion.InTime(now, deadline, completion.Duration(wait, count, interval)) {
 //		// Not eligible.
@@ -25,6 +25,9 @@
 	// margin is how long before its deadline a request has to end: the time that the last token takes to the caller, and that a host
 	// takes to notice.
 	margin = 100 * time.Millisecond
+	// certainShare is the share of the expected time for its outputs after which a request is certain to end late. Estimates err by as much
+	// in both directions, and endpoints would idle for requests that are refused although they could have ended.
+	certainShare = 0.85
 	// longest bounds an estimate.
 	longest = time.Hour
 )
@@ -39,14 +42,14 @@
 	return deadline.Add(-duration - margin)
 }
 
-// Duration returns how long a request takes of which the first token comes after the wait, and then count outputs at the interval in
+// Duration returns how long a request takes at least of which the first token comes after the wait, and then count outputs at the interval in
 // seconds.
 func Duration(wait time.Duration, count, interval float64) time.Duration {
 	rest := max(0, count) * max(0, interval)
 	if wait < 0 || math.IsNaN(rest) {
 		return 0
 	}
-	return time.Duration(math.Min(float64(wait)+rest*float64(time.Second), float64(longest)))
+	return time.Duration(math.Min(float64(wait)+certainShare*rest*float64(time.Second), float64(longest)))
 }
 
 // decayed is a pair of sums that forget with time.
@@ -103,3 +106,10 @@
 
 // Busy returns the share, from 0 to 1.
 func (l *Load) Busy() float64 { return l.busy }
+
+// ownWeight is the weight of an endpoint's own share in what is expected of it while a response runs.
+const ownWeight = 0.3
+
+// Expected returns the share that is expected while a response runs, given the mean of the endpoints. An endpoint's own share returns to it,
+// since the hosts send to those that are less busy.
+func (l *Load) Expected(mean float64) float64 { return ownWeight*l.busy + (1-ownWeight)*mean }
--- a/dispatch/endpoint/completion.go
+++ b/dispatch/endpoint/completion.go
@@ -17,6 +17,11 @@
 	minCountSamples = 5
 	// hintRange bounds the ratio of the outputs expected by a caller's hint to the class's mean. Hints are often far off.
 	hintRange = 2
+	// spillPause is how long a class keeps to its part of the endpoints after a request was kept from one of them. Its long prompts would
+	// otherwise go to those that are reserved for latency-sensitive classes.
+	spillPause = time.Second
+	// floorInterval is the time after which a host begins a request of a class in any case, so that no class starves by a wrong estimate.
+	floorInterval = 5 * time.Second
 	// returnSpread is the share of RetryAfterMax over which the returns of requests are spread that could not end in time.
 	returnSpread = 0.25
 )
@@ -25,10 +30,15 @@
 type laneCompletion struct {
 	counts measure.Mean // outputs of a response
 	share  completion.Share
-	waits  completion.Waits
 	// shrunk is the share of the usual prompt tokens that may not be pending. Only the lowest tier's shrinks: what it leaves is enough for the
 	// tiers above it, which would be refused otherwise while it begins.
-	shrunk   float64
+	shrunk float64
+	// leastBusy and busy are the smallest and the mean share of the time in which the lane's endpoints prefill.
+	leastBusy, busy float64
+	// begunAt is when a request of the lane last got a slot.
+	begunAt time.Time
+	// heldAt is when a request was last kept from an endpoint.
+	heldAt   time.Time
 	notBegun notBegun
 }
 
@@ -53,9 +63,9 @@
 		e.prefillTime.Observe(now, e.prefill.pending+e.prefill.others > 0)
 	}
 	for _, l := range c.sortedLanes {
-		l.completion.shrunk = 0
+		l.completion.shrunk, l.completion.leastBusy, l.completion.busy = 0, l.leastBusy(), l.meanBusy()
 		if l.lowestTier && !l.highestTier {
-			l.completion.shrunk = 1 - l.completion.share.Update(now, c.endsLate(now, l), l.meanBusy())
+			l.completion.shrunk = 1 - l.completion.share.Update(now, c.endsLate(now, l), l.completion.busy)
 		}
 	}
 }
@@ -70,11 +80,22 @@
 	return false
 }
 
+// leastBusy returns the smallest share of its time in which one of the endpoints that serve the lane prefills.
+func (l *lane) leastBusy() float64 {
+	least := 1.0
+	for _, e := range l.endpoints {
+		if e.serving && e.told && !(l.partitioned && e.prefill.latencySensitive != l.latencySensitive) {
+			least = min(least, e.prefillTime.Busy())
+		}
+	}
+	return least
+}
+
 // meanBusy returns the mean share of the time in which the lane's endpoints prefill.
 func (l *lane) meanBusy() float64 {
 	busy, count := 0.0, 0.0
 	for _, e := range l.endpoints {
-		if e.serving {
+		if e.serving && e.told {
 			busy, count = busy+e.prefillTime.Busy(), count+1
 		}
 	}
@@ -103,11 +124,14 @@
 	if !c.limitsCompletion(l, r) || e.idle() {
 		return true
 	}
+	if l.partitioned && e.prefill.latencySensitive && !l.latencySensitive && now.Sub(l.completion.heldAt) < spillPause {
+		return false
+	}
 	count, known := l.expectedCount(r)
 	if !known {
 		return true
 	}
-	interval, known := c.intervalsOf(l).Interval(now, e.prefillTime.Busy())
+	interval, known := c.intervalsOf(l).Interval(now, l.busyAt(e))
 	if !known {
 		return true
 	}
@@ -117,10 +141,14 @@
 		// Of the prompts that are pending, those of lower tiers are processed later. Only the lowest tier knows that all come first.
 		ahead += e.prefill.pending + e.prefill.others
 	}
-	wait := secondsOf(l.completion.waits.Correct(now, float64(ahead)*e.slowdown/c.prefillSpeed(l)))
+	wait := secondsOf(float64(ahead) * e.slowdown / c.prefillSpeed(l))
 	if completion.InTime(now, r.work.Deadline, completion.Duration(wait, count, e.interval.Correct(now, interval*e.slowdown))) {
 		return true
 	}
+	if now.Sub(l.completion.begunAt) >= floorInterval {
+		return true
+	}
+	l.completion.heldAt = now
 	if !r.heldByDeadline {
 		r.heldByDeadline = true
 		l.completion.notBegun.held++
@@ -128,13 +156,30 @@
 	return false
 }
 
-// idle reports whether nothing is known to run at the endpoint.
+// busyAt returns the share of its time in which the endpoint is expected to prefill for the lane's requests: that of the others if the hub
+// tells this host nothing of it.
+func (l *lane) busyAt(e *endpoint) float64 {
+	if !e.told {
+		return l.completion.busy
+	}
+	return e.prefillTime.Expected(l.completion.busy)
+}
+
+// busyNow returns the share of its time in which the endpoint has prefilled lately.
+func (l *lane) busyNow(e *endpoint) float64 {
+	if !e.told {
+		return l.completion.busy
+	}
+	return e.prefillTime.Busy()
+}
+
+// idle reports whether the endpoint is known to run nothing.
 func (e *endpoint) idle() bool {
-	return e.running+e.others == 0 && e.prefill.pending+e.prefill.others == 0
+	return e.told && e.running+e.others == 0 && e.prefill.pending+e.prefill.others == 0
 }
 
-// shortestRun returns how long the request takes at an endpoint that prefills for half of its time, which endpoints are never kept below,
-// and zero if the request was not held back or that is not known.
+// shortestRun returns how long the request takes at the least busy endpoint, or at one that prefills for half of its time if that one is less
+// busy, and zero if the request was not held back or that is not known.
 func (c *core) shortestRun(now time.Time, l *lane, r *request) time.Duration {
 	if r == nil || !r.heldByDeadline || !c.limitsCompletion(l, r) {
 		return 0
@@ -143,7 +188,7 @@
 	if !known {
 		return 0
 	}
-	interval, known := c.intervalsOf(l).Interval(now, completion.MinBusy)
+	interval, known := c.intervalsOf(l).Interval(now, max(completion.MinBusy, l.completion.leastBusy))
 	if !known {
 		return 0
 	}
@@ -156,6 +201,16 @@
 	return run > 0 && l.lowestTier && !completion.InTime(now.Add(wait), r.work.Deadline, run)
 }
 
+// refuseHead refuses the first request of the lane's queue if it cannot end any more even if it begins now. Those behind it have more time.
+func (c *core) refuseHead(now time.Time, l *lane, r *request) bool {
+	if !c.cannotEnd(now, l, r, 0) {
+		return false
+	}
+	l.completion.notBegun.expired++
+	c.refuseLate(now, r, c.drainTime(now, l))
+	return true
+}
+
 // refuseLate refuses a request that could not end. Its caller is told to come back at a random time, since many are refused at once.
 func (c *core) refuseLate(now time.Time, r *request, wait time.Duration) {
 	spread := time.Duration(returnSpread * c.random.Float64() * float64(c.settings.RetryAfterMax))
@@ -176,22 +231,10 @@
 	if !c.features.completion || r.nonStreaming() || r.lane == nil || !r.lane.servedByEngines() {
 		return
 	}
-	c.intervalsOf(r.lane).Observe(now, r.endpoint.prefillTime.Busy(), seconds/r.endpoint.slowdown, count)
+	c.intervalsOf(r.lane).Observe(now, r.lane.busyNow(r.endpoint), seconds/r.endpoint.slowdown, count)
 	r.endpoint.interval.Observe(now, seconds, count)
 }
 
-// sampleWait adds the time to the request's first token.
-func (c *core) sampleWait(r *request, at time.Time) {
-	if !c.features.completion || r.endpoint == nil || !r.lane.servedByEngines() {
-		return
-	}
-	ahead := r.prefillAhead
-	if !r.lane.lowestTier {
-		ahead = r.pendingPrefill
-	}
-	r.lane.completion.waits.Observe(at, float64(ahead)*r.endpoint.slowdown/c.prefillSpeed(r.lane), at.Sub(r.grantedAt).Seconds())
-}
-
 // recordEnd learns from a request that has ended or was cut.
 func (c *core) recordEnd(now time.Time, r *request, outcome winch.Outcome) {
 	if !c.features.completion || r.nonStreaming() {
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -336,6 +336,7 @@
 	}
 	e.history.Add(now, float64(e.running+e.others))
 	l.running++
+	l.completion.begunAt = now
 	if e.cheap {
 		l.cheapRunning++
 	}
--- a/dispatch/endpoint/fleet_test.go
+++ b/dispatch/endpoint/fleet_test.go
@@ -51,6 +51,8 @@
 	memory    winch.Tokens
 	hints     *rand.Rand
 	preempted int
+	// decisions is a hash of all decisions of the hosts in their order.
+	decisions uint64
 	// slots is the number of requests that run on an engine at the same time.
 	slots int
 	// events is set if the hosts count the events of the streams.
@@ -164,6 +166,10 @@
 		if q == nil {
 			continue
 		}
+		f.decisions = mix(f.decisions ^ uint64(e.kind)<<48 ^ uint64(q.subject))
+		if e.endpoint != nil {
+			f.decisions = mix(f.decisions ^ e.endpoint.hash)
+		}
 		switch e.kind {
 		case effectRefused:
 			f.count(q).refused++
--- a/dispatch/endpoint/prefill_budget.go
+++ b/dispatch/endpoint/prefill_budget.go
@@ -188,6 +188,9 @@
 		for l.queued > 0 {
 			r := l.queueHeap[0].oldest
 			e := c.choose(now, l, r)
+			if e == nil && c.refuseHead(now, l, r) {
+				continue
+			}
 			if e == nil {
 				break
 			}
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -61,7 +61,7 @@
 		if !r.work.Deadline.IsZero() && now.Add(secondsOf(r.lane.firstToken.Value)).After(r.work.Deadline) {
 			reason = winch.RefusedDeadline
 		}
-		if r.heldByDeadline {
+		if r.heldByDeadline && r.expires.Before(r.queuedAt.Add(r.lane.maxWait())) {
 			r.lane.completion.notBegun.expired++
 			c.refuseLate(now, r, c.drainTime(now, r.lane))
 			continue
@@ -165,7 +165,6 @@
 	seconds := at.Sub(r.grantedAt).Seconds()
 	r.lane.firstToken.Add(seconds, firstTokenWeight)
 	c.samplePrefillSpeed(r, seconds)
-	c.sampleWait(r, at)
 	if r.endpoint != nil {
 		r.endpoint.limit.SampleFirstToken(seconds, r.lane.class.FirstTokenTarget)
 	}
