--- a/dispatch/endpoint/prefill_budget.go
+++ b/dispatch/endpoint/prefill_budget.go
@@ -62,7 +62,7 @@
 	if !l.lowestTier {
 		speed *= urgentOverbooking
 	}
-	return prefillBudget{limit: prefillWindowShare * window.Seconds() * speed, rate: max(minDrainShare*speed, speed-higher)}
+	return prefillBudget{limit: prefillWindowShare * window.Seconds() * speed * (1 - l.completion.shrunk), rate: max(minDrainShare*speed, speed-higher)}
 }
 
 // demandShare returns this host's share of the demand of all hosts. Hosts of which nothing is known count like this one.
@@ -188,6 +188,9 @@
 		for l.queued > 0 {
 			r := l.queueHeap[0].oldest
 			e := c.choose(now, l, r)
+			if e == nil && c.refuseHead(now, l, r) {
+				continue
+			}
 			if e == nil {
 				break
 			}
