feat(dispatch): estimate what endpoints hold of prompts

An endpoint was expected to hold each part for 30 s after its last use, and the preferred endpoint of a prompt to hold all of its shared parts, whatever else was sent there. With 237,843 tokens of memory, other prompts displace a part within seconds.

Where the configuration names the memory of the engines, dispatch/prefixcache estimates the parts that an endpoint holds from the tokens sent to it since their last use, the other hosts' prompts, and the room that running requests leave. Parts that are more than one endpoint can process spread over the first endpoints of their rendezvous order; requests that a home does not take prefer two alternates in the same order. Without a capacity, choices are as before (TestUnknownMemoryLeavesChoicesAsTheyAre).

TestMemoryOfEngines: "a limit that is far away changes nothing" compares runs without the estimate, since the capacity now has a second use; the comparison itself is as strict.

--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -158,7 +158,7 @@
 	key := laneKey{class: class.ID, group: g}
 	l, found := c.lanes[key]
 	if !found {
-		l = &lane{key: key, byAccount: map[*account]*accountQueue{}, budget: c.budget(g), paceShift: 1}
+		l = &lane{key: key, byAccount: map[*account]*accountQueue{}, budget: c.budget(g), paceShift: 1, homeShares: [1 + alternates]float64{1}}
 		c.lanes[key] = l
 	}
 	l.class = class
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -119,6 +119,7 @@
 	// scores holds the result of the last scoreAll, by the index of the endpoint in the lane's subset.
 	scores []float64
 	hub    hub
+	homes  homes // of the request that was considered last
 	// home is the data centre whose endpoints are preferred as the nearest; empty for no preference.
 	home     winch.DataCentreID
 	started  time.Time
--- a/dispatch/endpoint/fleet_engine_test.go
+++ b/dispatch/endpoint/fleet_engine_test.go
@@ -11,6 +11,8 @@
 	running, queue []*fleetRequest
 	cached         []winch.PrefixHash // least recently used first
 	cachedTokens   winch.Tokens
+	// prompts is used instead of cached where f.sharesMemory is set.
+	prompts []fleetPrompt
 	// pace is how long the engine's work takes at present. usualPace is its mean, from which it differs more or less all the time.
 	pace, usualPace winch.Pace
 }
@@ -58,7 +60,7 @@
 		q := e.queue[0]
 		e.queue = e.queue[1:]
 		q.prefill = q.class.own
-		if !e.use(q.subject, q.class.shared) {
+		if !f.use(e, q) {
 			q.prefill += q.class.shared
 		}
 		q.prefill += winch.Tokens(q.made)
--- a/dispatch/endpoint/fleet_load_test.go
+++ b/dispatch/endpoint/fleet_load_test.go
@@ -65,6 +65,9 @@
 func (f *fleet) send(class *fleetClass, host int) {
 	f.nextID++
 	q := &fleetRequest{host: host, class: class, sent: f.now, subject: winch.PrefixHash(int(class.tier)*10_000 + f.random.IntN(class.subjects)), output: float64(class.output)}
+	if f.hotShare > 0 && class.shared == f.classes[len(f.classes)-1].shared && f.paces.Float64() < f.hotShare {
+		q.subject = hotSubject
+	}
 	f.count(q).sent++
 	work := winch.Work{
 		Request: winch.RequestID(fmt.Sprint(f.nextID)), Class: class.id, Model: promptModel, InputTokens: class.own + class.shared,
--- a/dispatch/endpoint/fleet_test.go
+++ b/dispatch/endpoint/fleet_test.go
@@ -51,6 +51,12 @@
 	memory    winch.Tokens
 	hints     *rand.Rand
 	preempted int
+	// sharesMemory is set if the engines keep the prompts of earlier requests in the memory that running requests leave free, instead of
+	// fleetCache tokens. hotShare is the share of the last class that asks for hotSubject.
+	sharesMemory bool
+	hotShare     float64
+	// read is the number of shared tokens that the engines have processed, by class, from second 2.
+	read map[winch.ClassID]winch.Tokens
 }
 
 func newFleet(hosts, engines int) *fleet { return newFleetOf(fleetClasses, hosts, engines) }
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -5,6 +5,7 @@
 
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/dispatch/measure"
+	"github.com/arbutuswinch/winch/dispatch/prefixcache"
 	"github.com/arbutuswinch/winch/dispatch/retry"
 	"github.com/arbutuswinch/winch/dispatch/tokenlimit"
 )
@@ -69,13 +70,23 @@
 
 	// held are the tokens of this host's running requests, meanNeed those of one request, and meanHeld those of one that runs on any of
 	// the lane's endpoints, zero if too few run. pool and largestWaiting are recomputed by refreshTokens.
-	held           winch.Tokens
-	meanNeed       measure.Mean
-	meanHeld       float64
-	meanHold       time.Duration // that a request holds its slot, mean over those on the lane's endpoints
-	outputs        tokenlimit.Outputs
-	pool           tokenlimit.Pool
-	largestWaiting winch.Tokens
+	held     winch.Tokens
+	meanNeed measure.Mean
+	meanHeld float64
+	// knowsCaches is set if the capacities of all endpoints' memories are known. popularity counts the shared parts of the prompts, of
+	// which sharedTokens were sent and expectedTokens expected to be held.
+	// homeShares are the shares of requests with shared parts that go to the homes of their parts and to each alternate.
+	homeShares [1 + alternates]float64
+	// Other hosts' requests go to partitionEndpoints.
+	inflow                       inflow
+	partitionEndpoints           int
+	knowsCaches                  bool
+	popularity                   prefixcache.Popularity
+	sharedTokens, expectedTokens winch.Tokens
+	meanHold                     time.Duration // that a request holds its slot, mean over those on the lane's endpoints
+	outputs                      tokenlimit.Outputs
+	pool                         tokenlimit.Pool
+	largestWaiting               winch.Tokens
 
 	holdTime         measure.Mean // seconds from grant to release
 	promptRate       measure.Rate // prompt tokens that need prefill
--- a/dispatch/endpoint/metrics.go
+++ b/dispatch/endpoint/metrics.go
@@ -46,6 +46,9 @@
 	if err := observeTokens(meter, d); err != nil {
 		return nil, err
 	}
+	if err := observePrefixes(meter, d); err != nil {
+		return nil, err
+	}
 	return &metrics{decisions: decisions, waits: waits}, nil
 }
 
--- a/dispatch/endpoint/options.go
+++ b/dispatch/endpoint/options.go
@@ -195,6 +195,7 @@
 	sharing         bool // slots are shared fairly with the other hosts, and requests are handed over to other data centres
 	longWorkLimit   bool // long work is limited, and endpoints with pending lower-tier prompts are avoided
 	prefillAware    bool // endpoints are chosen by their pending prefill work
+	prefixCache     bool // what endpoints hold of prompts is estimated where the memory of the engines is known
 	tokenLimit      bool // the tokens of running requests are limited where the memory of the engines is known
 	chooseFunc      func(c *core, now time.Time, l *lane, r *request) *endpoint
 }
@@ -210,7 +211,7 @@
 	case PolicyPrefill:
 		return features{
 			tiers: true, floors: true, fairness: true, ejection: true, observedLatency: true, correctReports: true,
-			earlyRefusal: true, prefillAware: true, tokenLimit: true, chooseFunc: chooseLowestPrefill,
+			earlyRefusal: true, prefillAware: true, tokenLimit: true, prefixCache: true, chooseFunc: chooseLowestPrefill,
 		}
 	}
 	return features{
--- a/dispatch/endpoint/prefill.go
+++ b/dispatch/endpoint/prefill.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/dispatch/prefixcache"
 )
 
 // PolicyPrefill is designed for prompts of very different lengths on engines that interleave
@@ -55,7 +56,9 @@
 	// others is the same number for the other hosts, from their statistics.
 	others winch.Tokens
 	// parts maps the hash of each chain of prompt parts sent to the endpoint to the time of its last use.
+	// It is used where the capacity of the endpoint's memory is not known, and cache where it is.
 	parts map[winch.PrefixHash]time.Time
+	cache prefixcache.Cache
 	// latencySensitive is set if the endpoint is reserved for latency-sensitive classes.
 	latencySensitive bool
 }
@@ -196,6 +199,9 @@
 // rendezvous hashing. It may be outside the host's aperture, since that differs between hosts. It returns nil if the request
 // has no shared parts.
 func (c *core) preferredEndpoint(now time.Time, l *lane, r *request) *endpoint {
+	if l.knowsCaches {
+		return c.preferredHome(now, l, r)
+	}
 	shared := sharedPartsHash(r.work.Parts)
 	if shared == 0 {
 		return nil
@@ -203,7 +209,7 @@
 	var preferred *endpoint
 	weight := uint64(0)
 	for _, e := range l.endpoints {
-		if !e.usable(now) || e.cold.cold || e.prefill.latencySensitive != l.latencySensitive && l.partitioned {
+		if !e.mayBePreferred(now, l) {
 			continue
 		}
 		if w := mix(uint64(shared) ^ e.hash); preferred == nil || w > weight {
@@ -213,6 +219,11 @@
 	return preferred
 }
 
+// mayBePreferred reports whether the endpoint may be the preferred one of the lane's requests.
+func (e *endpoint) mayBePreferred(now time.Time, l *lane) bool {
+	return e.usable(now) && !e.cold.cold && (e.prefill.latencySensitive == l.latencySensitive || !l.partitioned)
+}
+
 // prefillCost returns the cost of sending the request to the endpoint, in prompt tokens to
 // process before its first token. Shared parts that the endpoint does not have cached cost more
 // than their prefill, because processing them again delays all other requests. This extra cost
@@ -242,6 +253,9 @@
 		return cost
 	}
 	missing := max(0, sharedTokens(r.work.Parts)-cached)
+	if l.knowsCaches {
+		return cost + c.placementCost(l, r, e, missing)
+	}
 	return cost + min(recomputeWeight*float64(missing), c.recomputeCostLimit(l))
 }
 
@@ -258,6 +272,9 @@
 // have cached. The preferred endpoint is expected to have all shared parts, since other hosts
 // send them there too.
 func (c *core) expectedCached(now time.Time, r *request, e, preferred *endpoint) winch.Tokens {
+	if r.lane.knowsCaches {
+		return e.prefill.cache.Expected(r.work.Parts, c.homes.heldChance(e))
+	}
 	cached := e.prefill.cachedTokens(now, r.work.Parts)
 	if e == preferred {
 		cached = max(cached, sharedTokens(r.work.Parts))
@@ -267,15 +284,28 @@
 
 // recordDispatch adds the request's prompt to the endpoint's pending prefill.
 func (c *core) recordDispatch(now time.Time, r *request, e *endpoint) {
-	cached := e.prefill.cachedTokens(now, r.work.Parts)
-	if c.hosts > 1 {
+	cached := winch.Tokens(0)
+	switch {
+	case r.lane.knowsCaches:
+		c.findHomes(now, r.lane, r)
+		cached = c.expectedCached(now, r, e, nil)
+		defer c.recordSent(now, r, e, cached)
+		if c.hosts > 1 && c.homes.rank(e) == 0 {
+			// The hosts' budgets for prompts are shares of the same account, in which a home has the shared parts.
+			cached = sharedTokens(r.work.Parts)
+		}
+	case c.hosts > 1:
 		cached = c.expectedCached(now, r, e, c.preferredEndpoint(now, r.lane, r))
+	default:
+		cached = e.prefill.cachedTokens(now, r.work.Parts)
 	}
 	r.pendingPrefill = max(0, r.work.InputTokens-cached)
 	r.prefillAhead = e.prefill.pending + e.prefill.others + r.pendingPrefill
 	e.prefill.pending += r.pendingPrefill
 	r.lane.pendingPrefill += r.pendingPrefill
-	e.prefill.recordParts(now, r.work.Parts)
+	if !r.lane.knowsCaches {
+		e.prefill.recordParts(now, r.work.Parts)
+	}
 }
 
 // dropPendingPrefill subtracts the request's prompt from the endpoint's pending prefill, after
--- a/dispatch/endpoint/release.go
+++ b/dispatch/endpoint/release.go
@@ -25,6 +25,7 @@
 		return
 	}
 	e.remove(r)
+	e.settleParts(r, r.firstSeen || outcome == winch.OutcomeDone)
 	e.history.Add(now, float64(e.running+e.others))
 	l.running--
 	if e.cheap {
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -126,6 +126,7 @@
 		if r.endpoint != nil {
 			r.endpoint.dropLowerTierPrefill(r)
 			r.endpoint.dropPendingPrefill(r)
+			r.endpoint.settleParts(r, true)
 			c.recordSuccess(now, r.endpoint)
 			if !r.nonStreaming() {
 				r.recordAnswer(now)
@@ -192,6 +193,7 @@
 	}
 	c.countEvacuatedRunning()
 	c.refreshTokens(now)
+	c.refreshCaches(now)
 	for _, l := range c.sortedLanes {
 		l.slots, l.steadySlotsLeft, l.meanDemand = 0, 0, 0
 		l.meanInterToken, l.meanFirstToken = measure.Mean{}, measure.Mean{}
--- a/dispatch/endpoint/tokens_test.go
+++ b/dispatch/endpoint/tokens_test.go
@@ -216,13 +216,17 @@
 	{id: "plan", tier: 3, target: 1500 * time.Millisecond, deadline: 15 * time.Second, perHost: 0.8, own: 2000, shared: 6300, subjects: 100, output: 600},
 }
 
-// runMemory simulates 60 hosts with engines of the given memory, which the configuration names or not.
-func runMemory(classes []fleetClass, engines int, memory winch.Tokens, length time.Duration, named bool) map[winch.ClassID]fleetCounts {
+// runMemory simulates 60 hosts with engines of the given memory, which the configuration names or not. If affinity is not set, the capacity
+// counts for the limit alone, and not for what the endpoints hold of prompts.
+func runMemory(classes []fleetClass, engines int, memory winch.Tokens, length time.Duration, named, affinity bool) map[winch.ClassID]fleetCounts {
 	f := newFleetOf(classes, 60, engines)
 	f.hints, f.memory = rand.New(rand.NewPCG(3, 7)), memory
 	if named {
 		f.configuration.Engines = memoryOf(memory)
-		f.each(func(c *core) { c.configure(f.now, f.configuration, f.statuses) })
+		f.each(func(c *core) {
+			c.features.prefixCache = affinity
+			c.configure(f.now, f.configuration, f.statuses)
+		})
 	}
 	f.run(length)
 	counts := map[winch.ClassID]fleetCounts{}
@@ -236,23 +240,23 @@
 // memory is short only at times.
 func TestMemoryOfEngines(t *testing.T) {
 	t.Run("long streams on 30 engines with 100,000 tokens", func(t *testing.T) {
-		without := runMemory(memoryClasses, 30, 100_000, 20*time.Second, false)
-		with := runMemory(memoryClasses, 30, 100_000, 20*time.Second, true)
+		without := runMemory(memoryClasses, 30, 100_000, 20*time.Second, false, true)
+		with := runMemory(memoryClasses, 30, 100_000, 20*time.Second, true, true)
 		t.Logf("without: %+v, with: %+v", without, with)
 		assert.Assert(t, with["plan"].onTime > without["plan"].onTime && with["plan"].expired <= without["plan"].expired)
 		assert.Assert(t, with["chat"].served >= without["chat"].served)
 	})
 	t.Run("long prompts on 64 engines with 100,000 tokens", func(t *testing.T) {
-		without := runMemory(fleetClasses, 64, 100_000, 20*time.Second, false)
-		with := runMemory(fleetClasses, 64, 100_000, 20*time.Second, true)
+		without := runMemory(fleetClasses, 64, 100_000, 20*time.Second, false, true)
+		with := runMemory(fleetClasses, 64, 100_000, 20*time.Second, true, true)
 		t.Logf("without: %+v, with: %+v", without, with)
 		for _, class := range fleetClasses {
 			assert.Assert(t, 20*with[class.id].onTime >= 19*without[class.id].onTime, "%s", class.id)
 		}
 	})
 	t.Run("a limit that is far away changes nothing", func(t *testing.T) {
-		without := runMemory(memoryClasses, 30, 10_000_000, 6*time.Second, false)
-		with := runMemory(memoryClasses, 30, 10_000_000, 6*time.Second, true)
+		without := runMemory(memoryClasses, 30, 10_000_000, 6*time.Second, false, false)
+		with := runMemory(memoryClasses, 30, 10_000_000, 6*time.Second, true, false)
 		assert.Assert(t, fmt.Sprint(without) == fmt.Sprint(with), "%+v, %+v", without, with)
 	})
 }
