--- a/dispatch/prefixcache/popularity.go
+++ b/dispatch/prefixcache/popularity.go
@@ -17,9 +17,9 @@
 	// MaxSpread is the largest number of endpoints over which the requests of one part are spread.
 	MaxSpread = 8
 	// spreadAbove and spreadBelow are the loads of an endpoint by one part above which there is a further endpoint for it, and below which,
-	// on those that would remain, there is one less. They leave room for the endpoint's other requests.
-	spreadAbove = 0.6
-	spreadBelow = 0.35
+	// on those that would remain, there is one less. Up to a whole endpoint, the other requests of a home can go elsewhere.
+	spreadAbove = 1
+	spreadBelow = 0.6
 	// minSpreadCount is the number of requests seen from which a part is spread. Fewer are too uncertain.
 	minSpreadCount = 4
 )
