--- a/dispatch/endpoint/dispatcher.go
+++ b/dispatch/endpoint/dispatcher.go
@@ -37,6 +37,7 @@
 		core: newCore(self, options.Policy, options.Settings, options.Seed),
 	}
 	d.core.home = options.Home
+	options.Optional.restrict(&d.core.features)
 	measures, err := newMetrics(options.Meter, d)
 	if err != nil {
 		return nil, fmt.Errorf("create dispatcher: %w", err)
--- a/dispatch/endpoint/options.go
+++ b/dispatch/endpoint/options.go
@@ -110,6 +110,24 @@
 	// centre.
 	Home     winch.DataCentreID
 	Settings Settings
+	Optional Optional
+}
+
+// Optional selects parts of a policy that a deployment has to ask for.
+type Optional struct {
+	// EngineMemory limits the tokens of running requests where the configuration states the memory of the engines.
+	EngineMemory bool
+	// CachedPrompts estimates what endpoints hold of prompts. It needs EngineMemory, and excludes BeginWithinDeadline.
+	CachedPrompts bool
+	// BeginWithinDeadline begins a stream only where it is expected to end before its deadline.
+	BeginWithinDeadline bool
+}
+
+// restrict switches off the optional features that are not selected.
+func (o Optional) restrict(f *features) {
+	f.tokenLimit = f.tokenLimit && o.EngineMemory
+	f.prefixCache = f.prefixCache && o.EngineMemory && o.CachedPrompts && !o.BeginWithinDeadline
+	f.completion = f.completion && o.BeginWithinDeadline
 }
 
 func (o *Options) check() error {
@@ -196,6 +214,7 @@
 	longWorkLimit   bool // long work is limited, and endpoints with pending lower-tier prompts are avoided
 	prefillAware    bool // endpoints are chosen by their pending prefill work
 	completion      bool // requests with a deadline begin only where they can end before it
+	prefixCache     bool // what endpoints hold of prompts is estimated where the memory of the engines is known
 	tokenLimit      bool // the tokens of running requests are limited where the memory of the engines is known
 	chooseFunc      func(c *core, now time.Time, l *lane, r *request) *endpoint
 }
@@ -211,7 +230,7 @@
 	case PolicyPrefill:
 		return features{
 			tiers: true, floors: true, fairness: true, ejection: true, observedLatency: true, correctReports: true,
-			earlyRefusal: true, prefillAware: true, completion: true, tokenLimit: true, chooseFunc: chooseLowestPrefill,
+			earlyRefusal: true, prefillAware: true, completion: true, tokenLimit: true, prefixCache: true, chooseFunc: chooseLowestPrefill,
 		}
 	}
 	return features{
--- a/winchd/settings/forwarding.go
+++ b/winchd/settings/forwarding.go
@@ -28,6 +28,7 @@
 	Bounds      ForwardingBounds
 	Limits      ForwardingLimits
 	Quarantine  ForwardingQuarantine
+	Dispatch    ForwardingDispatch
 	Log         Log
 }
 
@@ -101,6 +102,17 @@
 	Processors float64
 }
 
+// ForwardingDispatch selects optional parts of the choice of endpoints. All are off by default.
+type ForwardingDispatch struct {
+	// EngineMemory limits the tokens of running requests where the configuration states the memory of the engines.
+	EngineMemory bool
+	// CachedPrompts estimates what endpoints hold of prompts. It needs EngineMemory, and excludes BeginWithinDeadline: together they serve fewer
+	// long prompts in overload than each alone.
+	CachedPrompts bool
+	// BeginWithinDeadline begins a stream only where it is expected to end before its deadline.
+	BeginWithinDeadline bool
+}
+
 // ForwardingQuarantine configures how parts of prompts that crash endpoints are held back.
 type ForwardingQuarantine struct {
 	// Disabled sends all requests, whatever their parts.
@@ -186,6 +198,12 @@
 	if f.Bounds.RetryShare < 0 || f.Bounds.RetryMinimum < 0 {
 		problems = append(problems, fieldError("Bounds.RetryShare", "must not be negative; the same holds for Bounds.RetryMinimum"))
 	}
+	if f.Dispatch.CachedPrompts && !f.Dispatch.EngineMemory {
+		problems = append(problems, fieldError("Dispatch.CachedPrompts", "needs Dispatch.EngineMemory"))
+	}
+	if f.Dispatch.CachedPrompts && f.Dispatch.BeginWithinDeadline {
+		problems = append(problems, fieldError("Dispatch.CachedPrompts", "excludes Dispatch.BeginWithinDeadline"))
+	}
 	return errors.Join(append(problems, f.Quarantine.check()...)...)
 }
 
--- a/winchd/settings/limits_test.go
+++ b/winchd/settings/limits_test.go
@@ -1,11 +1,24 @@
 package settings
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 )
 
+// TestOptionalParts guards against a part that is asked for and has no effect, and against two that do harm together.
+func TestOptionalParts(t *testing.T) {
+	parsed := DefaultForwarding()
+	parsed.Dispatch.CachedPrompts = true
+	assert.ErrorContains(t, parsed.check(), "Dispatch.CachedPrompts")
+	parsed.Dispatch.EngineMemory = true
+	assert.Assert(t, !strings.Contains(fmt.Sprint(parsed.check()), "Dispatch."))
+	parsed.Dispatch.BeginWithinDeadline = true
+	assert.ErrorContains(t, parsed.check(), "excludes Dispatch.BeginWithinDeadline")
+}
+
 func TestLimits(t *testing.T) {
 	for _, test := range []struct {
 		name    string
