--- a/configuration/check/check.go
+++ b/configuration/check/check.go
@@ -42,7 +42,7 @@
 	return c.findings
 }
 
-// names checks that each entry of a list has a name of its own.
+// names checks that each entry of a list has a unique name. field is the field that holds the name.
 func (c *checker) names(list Path, field string, names []string) {
 	first := map[string]int{}
 	for i, name := range names {
--- a/configuration/check/compare.go
+++ b/configuration/check/compare.go
@@ -27,20 +27,20 @@
 	c.fields(Path{}.Field(fieldLimits), limitFields(&inForce.Limits), limitFields(&next.Limits))
 	routes, services, organisations := Path{}.Field(fieldRoutes), Path{}.Field(fieldServices), Path{}.Field(fieldOrganisations)
 	for _, name := range c.entries(routes, routeEntries(inForce), routeEntries(next)) {
-		c.warnf(RouteRemoved, routes.Element(name), "the route goes away")
+		c.warnf(RouteRemoved, routes.Element(name), "the route is removed")
 	}
 	c.entries(services, serviceEntries(inForce), serviceEntries(next))
 	removed := c.entries(organisations, organisationEntries(inForce), organisationEntries(next))
 	c.compareKeys(organisations, inForce, next)
 	switch {
 	case next.KeysOptional && !inForce.KeysOptional:
-		c.errorf(KeysBecomeOptional, organisations, "the list of organisations goes away: no request needs a key any more")
+		c.errorf(KeysBecomeOptional, organisations, "the list of organisations is removed: requests no longer need a key")
 		return c.result()
 	case inForce.KeysOptional && !next.KeysOptional:
 		c.warnf(KeysBecomeRequired, organisations, "a list of organisations is added: requests need a key from now on")
 	}
 	for _, name := range removed {
-		c.warnf(OrganisationRemoved, organisations.Element(name), "the organisation goes away")
+		c.warnf(OrganisationRemoved, organisations.Element(name), "the organisation is removed")
 	}
 	return c.result()
 }
@@ -91,7 +91,7 @@
 	return byName
 }
 
-// fields compares the fields of one entry. A field that is missing has no value.
+// fields compares the fields of one entry. A missing field equals one with an empty value.
 func (c *comparison) fields(path Path, inForce, next []Property) {
 	before, after := values(inForce), values(next)
 	all := maps.Clone(before)
@@ -119,13 +119,14 @@
 	return byName
 }
 
+// compareKeys reports keys that were added, removed or moved to another organisation, and organisations that lose their last key.
 func (c *comparison) compareKeys(organisations Path, inForce, next *Configuration) {
 	before, after := keyHolders(inForce), keyHolders(next)
-	left := map[winch.OrganisationID]int{}
+	remaining := map[winch.OrganisationID]int{}
 	for _, holder := range after {
-		left[holder]++
+		remaining[holder]++
 	}
-	last := map[winch.OrganisationID]bool{}
+	lastRemoved := map[winch.OrganisationID]bool{}
 	for hash, holder := range before {
 		path := organisations.Element(string(holder)).Field(fieldKeys)
 		now, found := after[hash]
@@ -136,7 +137,7 @@
 		if found {
 			c.warnf(KeyMoved, organisations.Element(string(now)).Field(fieldKeys).Element(shortHash(hash)), "the key belonged to the organisation %q", holder)
 		}
-		last[holder] = left[holder] == 0
+		lastRemoved[holder] = remaining[holder] == 0
 	}
 	for hash, holder := range after {
 		if now, found := before[hash]; !found || now != holder {
@@ -145,13 +146,13 @@
 		}
 	}
 	for _, organisation := range next.Organisations {
-		if last[organisation.ID] {
-			c.warnf(LastKeyRemoved, organisations.Element(string(organisation.ID)).Field(fieldKeys), "the last key of the organisation goes away")
+		if lastRemoved[organisation.ID] {
+			c.warnf(LastKeyRemoved, organisations.Element(string(organisation.ID)).Field(fieldKeys), "the last key of the organisation is removed")
 		}
 	}
 }
 
-// keyHolders returns the organisation of each key. Of two that have the same key, hosts use the later.
+// keyHolders returns the organisation of each key. If two have the same key, it belongs to the later one, as on hosts.
 func keyHolders(configuration *Configuration) map[winch.KeyHash]winch.OrganisationID {
 	holders := map[winch.KeyHash]winch.OrganisationID{}
 	for _, organisation := range configuration.Organisations {
--- a/configuration/check/finding.go
+++ b/configuration/check/finding.go
@@ -133,7 +133,7 @@
 	return cmp.Compare(a, b)
 }
 
-// Sorted sorts findings by path, errors before warnings, and drops repetitions.
+// Sorted sorts findings by path, errors before warnings, and drops duplicates. It reorders the given slice.
 func Sorted(findings []Finding) []Finding {
 	slices.SortStableFunc(findings, func(a, b Finding) int {
 		return cmp.Or(a.Path.compare(b.Path), cmp.Compare(a.Severity, b.Severity), cmp.Compare(a.Code, b.Code),
--- a/configuration/check/limits.go
+++ b/configuration/check/limits.go
@@ -6,8 +6,8 @@
 	"github.com/arbutuswinch/winch/internal/memory"
 )
 
-// concurrentBodies is the number of bodies of the maximum size that a host should hold. Several are inside the limits, so clients
-// may send them at once.
+// concurrentBodies is the number of bodies of the maximum size that a host should be able to hold. The limits let clients send several
+// at once.
 const concurrentBodies = 4
 
 func (c *checker) checkLimits() {
@@ -24,7 +24,7 @@
 	}
 }
 
-// checkSize checks the size of a request's header or body. The host should hold so many of them at once.
+// checkSize checks the maximum size in bytes of a request's header or body. A host should be able to hold count of them at once.
 func (c *checker) checkSize(path Path, size *int64, count int64) {
 	switch {
 	case size == nil:
@@ -36,12 +36,12 @@
 	case c.options.Memory <= 0:
 		return
 	}
-	largest := memory.LargestClaim(memory.BudgetSize(memory.SoftLimit(c.options.Memory)))
+	available := memory.LargestClaim(memory.BudgetSize(memory.SoftLimit(c.options.Memory)))
 	switch {
-	case *size > largest:
-		c.errorf(LimitAboveMemory, path, "a host with %d bytes of memory holds at most %d bytes of requests: it refuses one of %d bytes", c.options.Memory, largest, *size)
-	case *size > largest/count:
-		c.warnf(LimitNearMemory, path, "a host with %d bytes of memory holds at most %d bytes of requests: fewer than %d of %d bytes", c.options.Memory, largest, count, *size)
+	case *size > available:
+		c.errorf(LimitAboveMemory, path, "a host with %d bytes of memory holds at most %d bytes of requests: it refuses one of %d bytes", c.options.Memory, available, *size)
+	case *size > available/count:
+		c.warnf(LimitNearMemory, path, "a host with %d bytes of memory holds at most %d bytes of requests: fewer than %d of %d bytes", c.options.Memory, available, count, *size)
 	}
 }
 
--- a/configuration/check/organisations.go
+++ b/configuration/check/organisations.go
@@ -46,7 +46,7 @@
 	c.names(list, "ID", names)
 }
 
-// reportEmpty reports an empty list of organisations. It refuses each key.
+// reportEmpty reports an empty list of organisations, with which hosts refuse every key.
 func (c *checker) reportEmpty(list Path) {
 	for _, route := range c.configuration.Routes {
 		if !route.Open {
--- a/configuration/check/report.go
+++ b/configuration/check/report.go
@@ -26,7 +26,7 @@
 	}
 }
 
-// Finish sorts the findings and differences. Where a value has the wrong type, findings that follow from its absence are dropped.
+// Finish sorts the findings and differences. It drops other findings about values of the wrong type, which are decoded as missing.
 func (r *Report) Finish() {
 	unreadable := map[string]bool{}
 	for _, finding := range r.Findings {
--- a/configuration/check/routes.go
+++ b/configuration/check/routes.go
@@ -37,14 +37,14 @@
 	if route.Model != "" {
 		c.use(route.Model, path.Field("Model"))
 	}
-	total, first := 0, map[winch.ModelID]int{}
+	largest, first := 0, map[winch.ModelID]int{}
 	for i, target := range route.Split {
 		entry := path.Field(fieldSplit).Index(i)
 		c.use(target.Model, entry.Field("Model"))
 		if target.Weight < 0 {
 			c.errorf(WeightNegative, entry.Field("Weight"), "the weight is negative")
 		}
-		total = max(total, target.Weight)
+		largest = max(largest, target.Weight)
 		if earlier, duplicate := first[target.Model]; duplicate {
 			c.add(Finding{
 				Severity: Warning, Code: SplitDuplicate, Path: entry.Field("Model"), Other: path.Field(fieldSplit).Index(earlier).Field("Model"),
@@ -54,7 +54,7 @@
 		}
 		first[target.Model] = i
 	}
-	if len(route.Split) > 0 && total <= 0 {
+	if len(route.Split) > 0 && largest <= 0 {
 		c.errorf(WeightsZero, path.Field(fieldSplit), "no service of the split has a weight above zero")
 	}
 }
@@ -67,7 +67,7 @@
 	}
 }
 
-// checkHost compares with how hosts read the Host field of requests: in lower case and without the port.
+// checkHost finds hosts that match no request. The Host field of requests is compared in lower case and without its port.
 func (c *checker) checkHost(route *Route, path Path) {
 	host := route.Host
 	switch {
@@ -100,7 +100,7 @@
 	}
 }
 
-// checkMatches finds routes that match no request because another one takes precedence. Of routes with the same host, the one
+// checkMatches finds routes that never match because another one takes precedence. Of routes with the same host, the one
 // with the longest prefix takes precedence; of those with the same prefix, the first.
 func (c *checker) checkMatches(list Path) {
 	type key struct{ host, prefix string }
@@ -131,13 +131,13 @@
 	timeout := path.Field("Timeout")
 	switch {
 	case route.Timeout < 0:
-		c.errorf(TimeoutNegative, timeout, "the time-out is negative")
+		c.errorf(TimeoutNegative, timeout, "the timeout is negative")
 	case route.Timeout == 0:
-		c.errorf(TimeoutMissing, timeout, "the time-out is missing or zero: hosts apply their own")
+		c.errorf(TimeoutMissing, timeout, "the timeout is missing or zero: hosts apply their own")
 	case route.Timeout < route.FirstTokenTarget:
 		c.add(Finding{
 			Severity: Error, Code: TimeoutBelowTarget, Path: timeout, Other: path.Field("FirstTokenTarget"),
-			Message: fmt.Sprintf("the time-out of %s is shorter than the target of %s", route.Timeout, route.FirstTokenTarget),
+			Message: fmt.Sprintf("the timeout of %s is shorter than the target of %s", route.Timeout, route.FirstTokenTarget),
 		})
 	}
 	switch {
@@ -153,7 +153,7 @@
 	case route.InterTokenTarget > 0 && route.Timeout > 0 && route.InterTokenTarget > route.Timeout:
 		c.add(Finding{
 			Severity: Error, Code: GapAboveTimeout, Path: gap, Other: timeout,
-			Message: fmt.Sprintf("the target of %s between events is above the time-out of %s", route.InterTokenTarget, route.Timeout),
+			Message: fmt.Sprintf("the target of %s between events is above the timeout of %s", route.InterTokenTarget, route.Timeout),
 		})
 	}
 	if route.InterTokenTarget > 0 && route.Kind != winch.ForwardStream && route.Kind != "" {
--- a/httpjson/body.go
+++ b/httpjson/body.go
@@ -12,17 +12,17 @@
 	"github.com/arbutuswinch/winch/internal/memory"
 )
 
-// refusedRetryAfter is the retry delay in responses to calls that are refused because memory is scarce.
-const refusedRetryAfter = time.Second
+// noMemoryRetryAfter is the Retry-After time in responses to calls that are refused for lack of memory.
+const noMemoryRetryAfter = time.Second
 
-// ChargeBodies returns a handler whose request bodies take memory from the budget, before they are read and until next returns. A
-// read without memory fails with an error that BodyError knows. A nil budget means no limit.
+// ChargeBodies returns a handler that takes memory from the budget for request bodies before they are read, and gives it back when next
+// returns. Without memory, reads of the body fail with an error that BodyError maps. A nil budget means no limit.
 func ChargeBodies(budget *memory.Budget, next http.Handler) http.Handler {
 	if budget == nil {
 		return next
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		// An address that cannot be parsed is that of a test; all of these share one account.
+		// Only tests have addresses that cannot be parsed. These requests share one account.
 		address, _ := netip.ParseAddrPort(r.RemoteAddr)
 		claim := budget.Open(memory.Holder{Address: address.Addr().Unmap(), Rank: memory.RankUrgent})
 		defer claim.Close()
@@ -34,15 +34,16 @@
 }
 
 // chargedBody takes memory for the buffer of its reader. Readers such as json.Decoder and io.ReadAll pass the free part of their
-// buffer, so that its size is what was read before and the length of that part.
+// buffer, so the size of the buffer is the sum of the bytes read before and the length of that part.
 type chargedBody struct {
 	io.ReadCloser
 	budget *memory.Budget
 	claim  *memory.Claim
-	// declared is the declared length, which is negative if it is unknown, and zero once it has been looked at.
-	declared    int64
+	// declared is the declared length in bytes, negative if it is unknown, and zero once it has been checked.
+	declared int64
+	// read is the number of bytes read, taken the number for which memory is taken.
 	read, taken int64
-	// doubles is set if the reader doubles its buffer when it is full. Others, such as io.ReadAll, add a quarter.
+	// doubles is set if the reader doubles a full buffer, as json.Decoder does. Others, such as io.ReadAll, add a quarter.
 	doubles bool
 }
 
@@ -67,7 +68,7 @@
 	return count, err
 }
 
-// take takes memory for a buffer of the size.
+// take takes memory for a buffer of size bytes.
 func (b *chargedBody) take(size int64) error {
 	if size <= b.taken {
 		return nil
@@ -79,7 +80,7 @@
 	return nil
 }
 
-// growth returns by how much the reader's buffer, which is full, grows.
+// growth returns by how many bytes the reader's full buffer grows.
 func (b *chargedBody) growth() int64 {
 	if b.doubles {
 		return b.read
@@ -87,8 +88,8 @@
 	return b.read / 4
 }
 
-// LimitBody returns the request's body, limited to so many bytes. A larger declared length is an error that matches ErrInvalid, and
-// the body is not read.
+// LimitBody returns the request's body, limited to so many bytes. If the declared length is larger, it returns an error that matches
+// winch.ErrInvalid, and the connection is closed after the response.
 func LimitBody(w http.ResponseWriter, r *http.Request, limit int64) (io.Reader, error) {
 	if r.ContentLength > limit {
 		w.Header().Set("Connection", "close")
@@ -97,8 +98,8 @@
 	return http.MaxBytesReader(w, r.Body, limit), nil
 }
 
-// BodyError returns the error for a body that could not be read or decoded. It matches ErrUnavailable if there was no memory for the
-// body, and otherwise ErrInvalid.
+// BodyError maps the error of a body that could not be read or decoded. The result matches winch.ErrUnavailable if there was no memory
+// for the body, and otherwise winch.ErrInvalid.
 func BodyError(err error) error {
 	if errors.Is(err, memory.ErrNoMemory) {
 		return fmt.Errorf("nothing was done: %w: %w", winch.ErrUnavailable, err)
--- a/httpjson/server.go
+++ b/httpjson/server.go
@@ -20,8 +20,8 @@
 }
 
 // Decode decodes the request body into out. Unknown fields and bodies of more than
-// limit bytes are errors that match ErrInvalid. If ChargeBodies has no memory for the
-// body, the error matches ErrUnavailable.
+// limit bytes are errors that match ErrInvalid. If there is no memory for the body (see
+// ChargeBodies), the error matches ErrUnavailable.
 func Decode(w http.ResponseWriter, r *http.Request, limit int64, out any) error {
 	if charged, found := r.Body.(*chargedBody); found {
 		charged.doubles = true
@@ -51,7 +51,7 @@
 	if errors.Is(err, memory.ErrNoMemory) {
 		// The rest of the body is not read.
 		w.Header().Set("Connection", "close")
-		w.Header().Set("Retry-After", strconv.Itoa(int(refusedRetryAfter.Seconds())))
+		w.Header().Set("Retry-After", strconv.Itoa(int(noMemoryRetryAfter.Seconds())))
 	}
 	Write(w, status, errorResponse{Code: code, Message: err.Error()})
 }
--- a/internal/connlimit/buffers.go
+++ b/internal/connlimit/buffers.go
@@ -9,16 +9,16 @@
 )
 
 const (
-	// receiveBuffer and sendBuffer are the sizes of the kernel's buffers of an accepted connection in bytes. The kernel allows up to
-	// twice as much, for its own data. Without a bound they grow to megabytes; a send buffer of that size also makes a blocked write
-	// wait until a third of it is free.
+	// receiveBuffer and sendBuffer are the sizes in bytes of the kernel's buffers of an accepted connection. The kernel doubles them
+	// to make room for its own data. Without a bound they grow to megabytes, and a blocked write to a large send buffer continues only
+	// once a third of it is free.
 	receiveBuffer = 16 << 10
 	sendBuffer    = 32 << 10
-	// bodyBuffer is the size of the receive buffer while a body is read, as long as Options.Budget has memory for it. It is raised
-	// after raiseAfter bytes of the body.
+	// bodyBuffer is the size in bytes of the receive buffer while a large body is read, if Options.Budget has memory for it. The
+	// buffer is raised after raiseAfter bytes of the body.
 	bodyBuffer = 256 << 10
 	raiseAfter = 8 << 10
-	// bodyBuffersShare is the divisor of the budget that raised buffers take together.
+	// bodyBuffersShare is the part of the budget, as a divisor, that the raised buffers of one port may take together.
 	bodyBuffersShare = 8
 )
 
@@ -31,7 +31,8 @@
 		return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
 	})
 	if err != nil {
-		l.options.Logger.Warn("kernel buffers are not bounded", "Event", EventBuffersUnbounded, "Port", l.options.Port, "Error", err)
+		l.options.Logger.Warn("socket buffers of the port could not be limited",
+			"Event", EventBuffersUnbounded, "Port", l.options.Port, "Error", err)
 	}
 }
 
@@ -53,7 +54,7 @@
 	return tcp
 }
 
-// setReceiveBuffer changes the receive buffer of the connection and what its client may send at once.
+// setReceiveBuffer sets the size in bytes of the connection's receive buffer and of the TCP window that the client sees.
 func (c *conn) setReceiveBuffer(size int) {
 	// An error means that the connection is closed, or that the buffer stays as it was.
 	_ = socket.Control(c.tcp, func(fd int) error {
@@ -64,7 +65,7 @@
 	})
 }
 
-// raiseBuffer raises the receive buffer for the body that is read. It is called with the lock held.
+// raiseBuffer raises the receive buffer to bodyBuffer, if there is memory for it. It is called with mu held.
 func (c *conn) raiseBuffer() {
 	if !c.raised && c.tcp != nil && c.limiter.bodyBuffers.Take(bodyBuffer) {
 		c.raised = true
@@ -72,7 +73,7 @@
 	}
 }
 
-// lowerBuffer ends what raiseBuffer began. It is called with the lock held.
+// lowerBuffer undoes raiseBuffer and gives back its memory. It is called with mu held.
 func (c *conn) lowerBuffer() {
 	if c.raised {
 		c.raised = false
--- a/internal/connlimit/choose.go
+++ b/internal/connlimit/choose.go
@@ -6,30 +6,31 @@
 	"time"
 )
 
-// activity is what a connection does.
+// activity is what a connection is doing.
 type activity int32
 
 // The activities of a connection, in the order in which connections are ended to make room for others.
 const (
-	// waiting: it has had no request yet, or only part of a head.
+	// waiting: no head of a request has arrived in full yet.
 	waiting activity = iota
-	// idle: it waits for another request.
+	// idle: a request was served, and the next one has not begun.
 	idle
 	// slowBody: the server waits for the body of a request.
 	slowBody
-	// slowReader: the server waits until the client reads a response.
+	// slowReader: the server waits for the client to read a response.
 	slowReader
-	// working: the server works on a request.
+	// working: the server works on a request and does not wait for the client.
 	working
 )
 
 const (
-	// keptIdle is how long a connection that has had a request is spared if others are idle for longer. Clients reuse connections
-	// that were idle for four fifths of the usual 15 s.
+	// keptIdle is the idle time up to which connections are ended only one at a time. Clients reuse connections that were idle for up
+	// to four fifths of the usual timeout of 15 s.
 	keptIdle = 12 * time.Second
-	// slowTime is how long a connection has made too little progress before it is ended to make room for others.
+	// slowTime is how long a read or write must have been waiting for the client before the connection may be ended to make room.
 	slowTime = 2 * time.Second
-	// batchShare is the divisor of the maximum number of connections that are ended at once, since a choice looks at all of them.
+	// batchShare is the part of the maximum number of connections, as a divisor, that is ended at once. Ending several at a time
+	// is cheaper, since each choice looks at all connections.
 	batchShare = 32
 )
 
@@ -37,14 +38,14 @@
 type candidate struct {
 	conn     *conn
 	activity activity
-	// since is when the activity began, in nanoseconds.
+	// since is when the activity began, in nanoseconds since the Unix epoch.
 	since int64
 }
 
-// choose returns the connections that are ended to make room, of at most limit: those that wait for their first request before
-// those that have had one, and the oldest first. Of connections that make slow progress with a request, it returns one; it
-// never returns one with a request on which the server works. Connections idle for less than keptIdle are ended one at a time
-// as well.
+// choose returns the connections to end in order to make room, where limit is the maximum number of open connections. It orders them
+// by activity and then by age, and returns at most limit/batchShare of them. Connections that are idle for less than keptIdle or whose
+// client makes slow progress with a request are returned one at a time. A connection on whose request the server works is never
+// returned.
 func choose(candidates []candidate, now int64, limit int) []candidate {
 	eligible := candidates[:0]
 	for _, c := range candidates {
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -11,14 +11,14 @@
 	"github.com/arbutuswinch/winch/internal/memory"
 )
 
-// writeSize is the largest number of bytes that are written at once.
+// writeSize is the maximum number of bytes of one write. The time limit for slow readers applies to each write.
 const writeSize = 64 << 10
 
-// refusal is sent to a client whose request is refused before its head is read. No endpoint has the request.
+// refusal is the response to a request that is refused before its head is complete. It was not sent to any endpoint.
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\nRetry-After: 1\r\n" +
 	"Connection: close\r\nContent-Length: 36\r\n\r\nno_memory: the request was not run\r\n"
 
-// errHeadRefused: there is no memory for the head of a request.
+// errHeadRefused says that there is no memory for the head of a request.
 var errHeadRefused = errors.New("no memory for the head of the request")
 
 // conn is a limited connection.
@@ -26,50 +26,53 @@
 	net.Conn
 	limiter *Limiter
 	address netip.Addr
-	// tcp is nil if the connection is of another kind.
-	tcp   *net.TCPConn
-	claim *memory.Claim
-	// closed is set once.
+	// tcp is nil if the connection is not a TCP connection.
+	tcp *net.TCPConn
+	// claim holds ConnectionCost.
+	claim  *memory.Claim
 	closed atomic.Bool
 
-	// inRequest is set from the end of a request's head to the end of its response, served once there was one. pipelined is
-	// set if bytes of a further request have arrived before the end of the response.
+	// inRequest is set from the end of a request's head to the end of its response. served is set once a response was completed.
+	// pipelined is set if bytes of a further request have arrived before the end of the response.
 	inRequest, served, pipelined atomic.Bool
-	// since is when the connection began to wait for a request, or when the request began, in nanoseconds. readSince and
-	// writeSince are when the current read of a body and the current write began; zero if there is none.
+	// since is when the connection began to wait for a request, or when the request began. readSince and writeSince are when the
+	// current read of a body and the current write began; zero if there is none. All are in nanoseconds since the Unix epoch.
 	since, readSince, writeSince atomic.Int64
-	received                     atomic.Int64
-	// progressAt is when the client last sent progressBytes or the server did not wait for its bytes, with the received bytes
-	// at that time. Only the watch uses them.
+	// received is the number of bytes read from the connection.
+	received atomic.Int64
+	// progressAt is when the client had last sent progressBytes or the server did not wait for its bytes, in nanoseconds since the
+	// Unix epoch; progressReceived is the value of received at that time. They are protected by Limiter.checking.
 	progressAt, progressReceived int64
 
 	// mu protects the fields below.
 	mu   sync.Mutex
 	head headMeter
-	// extra holds the memory of large heads and of bytes in the kernel's buffer; it is nil as long as there were none.
+	// extra holds headTaken bytes for a large head and queued bytes for unread ones in the kernel's buffer. It is nil until one of
+	// them is first needed.
 	extra             *memory.Claim
 	headTaken, queued int64
-	// bodyBytes counts what was read of the current body, at most up to raiseAfter. raised is set while the receive buffer is raised.
+	// bodyBytes counts the bytes read of the current body, and stops once it has reached raiseAfter. raised is set while the
+	// receive buffer is raised.
 	bodyBytes int64
 	raised    bool
 }
 
-// Read reads bytes and takes memory for those of heads.
+// Read reads from the connection and takes memory for the heads of requests. Without memory it refuses the request and returns an error.
 func (c *conn) Read(p []byte) (int, error) {
-	// While a handler works, net/http reads a single byte to notice that the client leaves.
+	// While a handler works, net/http reads a single byte to notice that the client disconnects.
 	inRequest := c.inRequest.Load()
-	waits := inRequest && len(p) > 1
-	if waits {
+	readsBody := inRequest && len(p) > 1
+	if readsBody {
 		c.readSince.Store(c.limiter.now.Load())
 	}
 	count, err := c.Conn.Read(p)
-	if waits {
+	if readsBody {
 		c.readSince.Store(0)
 	}
 	if count == 0 {
 		return count, err
 	}
-	if inRequest && !waits {
+	if inRequest && !readsBody {
 		c.pipelined.Store(true)
 	}
 	c.received.Add(int64(count))
@@ -79,7 +82,7 @@
 	return count, err
 }
 
-// meter takes memory for bytes of a head.
+// meter takes memory for data if it belongs to a head, and raises the receive buffer if it belongs to a large body.
 func (c *conn) meter(data []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -104,8 +107,8 @@
 	return nil
 }
 
-// takeExtra takes memory for the connection beyond ConnectionCost. It is called with the lock held. Not even an essential port
-// takes more than the share of a client for that.
+// takeExtra takes memory for the connection beyond ConnectionCost. It is called with mu held. The claim has the ordinary rank on all
+// ports, so that the share of a client limits it.
 func (c *conn) takeExtra(size int64) error {
 	if c.extra == nil {
 		c.extra = c.limiter.options.Budget.Open(memory.Holder{Address: c.address, Rank: memory.RankOrdinary})
@@ -113,7 +116,7 @@
 	return c.extra.Take(size)
 }
 
-// refuse sends the refusal and returns an error, after which net/http closes the connection without a response of its own.
+// refuse sends the refusal and returns an error that makes net/http close the connection without a response of its own.
 func (c *conn) refuse() error {
 	c.limiter.counts.heads.Add(1)
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(time.Second))
@@ -122,7 +125,7 @@
 	return &net.OpError{Op: "read", Net: "tcp", Err: errHeadRefused}
 }
 
-// Write writes in pieces, each of which the client has to read within Options.WriteTime.
+// Write writes in pieces of at most writeSize bytes, each of which has to be written within Options.WriteTime.
 func (c *conn) Write(p []byte) (int, error) {
 	written := 0
 	for {
@@ -137,7 +140,7 @@
 	}
 }
 
-// CloseWrite closes the connection for writing, which net/http does so that the client gets the last response.
+// CloseWrite closes the connection for writing. net/http calls it so that the client can still read the last response.
 func (c *conn) CloseWrite() error {
 	if c.tcp == nil {
 		return nil
@@ -162,14 +165,14 @@
 	return err
 }
 
-// begin notes that a head is complete.
+// begin records that the head of a request is complete.
 func (c *conn) begin() {
 	c.pipelined.Store(false)
 	c.inRequest.Store(true)
 	c.since.Store(c.limiter.now.Load())
 }
 
-// finish notes that a response is complete, and gives back the memory of the head.
+// finish records that a response is complete, and gives back the memory of the head and the raised buffer.
 func (c *conn) finish() {
 	c.served.Store(true)
 	c.since.Store(c.limiter.now.Load())
@@ -185,7 +188,7 @@
 	}
 }
 
-// candidate returns the connection as it is now.
+// candidate returns the connection with its present activity.
 func (c *conn) candidate() candidate {
 	if since := c.writeSince.Load(); since != 0 {
 		return candidate{conn: c, activity: slowReader, since: since}
@@ -202,14 +205,14 @@
 	return candidate{conn: c, activity: waiting, since: since}
 }
 
-// endFor closes the connection and counts it.
+// endFor closes the connection and counts the cause.
 func (c *conn) endFor(cause cause) {
 	if c.closed.Load() {
 		return
 	}
 	c.limiter.counts.ended[cause].Add(1)
 	if c.tcp != nil && cause != causeRoom {
-		// Discards what the kernel still holds for the client.
+		// Discards the bytes that the kernel has not sent yet, which a slow client would otherwise keep in memory.
 		_ = c.tcp.SetLinger(0)
 	}
 	_ = c.Close()
--- a/internal/connlimit/events.go
+++ b/internal/connlimit/events.go
@@ -4,7 +4,7 @@
 
 // The events of the limiter.
 const (
-	// EventBuffersUnbounded: the kernel's buffers of a port could not be bounded.
+	// EventBuffersUnbounded: the socket buffers of a port could not be limited.
 	EventBuffersUnbounded winch.EventNumber = 1401
 	// EventCrowdBegan: connections of a port were refused or ended by the host.
 	EventCrowdBegan winch.EventNumber = 1402
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -30,14 +30,15 @@
 )
 
 const (
-	// ConnectionCost is the memory in bytes of a connection: half for buffers, goroutines and a head of a request of usual size, and
-	// half for what the kernel receives before it is read.
+	// ConnectionCost is the memory in bytes of a connection: half for buffers, goroutines and the head of a request of usual size, and
+	// half for received bytes that are not read yet.
 	ConnectionCost = 48 << 10
 	// defaultMax is the default of Options.Max.
 	defaultMax = 4096
-	// fairShare bounds how many connections one address has: fairShare times the number that is still free.
+	// fairShare bounds how many connections one address has: fairShare times the number that is still free, so at most three
+	// quarters of all.
 	fairShare = 3
-	// retryAccept is how long Accept waits after a refused connection if the port is full, so that a crowd does not take the processor.
+	// retryAccept is how long Accept waits after it refused a connection, so that many refusals do not use up the processor.
 	retryAccept = time.Millisecond
 )
 
@@ -48,10 +49,10 @@
 	Budget *memory.Budget
 	// Rank is the rank of the connections' claims for memory.
 	Rank memory.Rank
-	// Max is the maximum number of open connections.
+	// Max is the maximum number of open connections; zero means the default.
 	Max int
-	// WriteTime is how long a client may take to read a piece of writeSize bytes; ReadTime is the time within which it has to
-	// send progressBytes of a body that the server waits for. Zero means the defaults.
+	// WriteTime is the maximum time of a write of up to 64 KiB. ReadTime is the time within which a client has to send 4 KiB of a
+	// body that the server waits for. Zero means the defaults of 30 s and 10 s.
 	WriteTime, ReadTime time.Duration
 	Logger              hclog.Logger
 	Meter               metric.Meter
@@ -60,21 +61,24 @@
 // Limiter limits the connections of one port. It is safe for concurrent use.
 type Limiter struct {
 	options Options
-	// now is the time of the last check in nanoseconds. Reads and writes use it in place of the clock.
+	// now is the time of the last check in nanoseconds since the Unix epoch. Reads and writes use it instead of the clock, which
+	// would cost a call for each.
 	now    atomic.Int64
 	counts counts
 	// bodyBuffers is the memory for raised receive buffers.
 	bodyBuffers *memory.Shared
 
-	// checking is held during a check of all connections, whose figures of progress it protects.
+	// checking is held during a check of all connections. It protects conn.progressAt and conn.progressReceived.
 	checking sync.Mutex
 
-	mu     sync.Mutex
-	conns  map[*conn]struct{}
-	shares map[netip.Addr]int
+	// mu protects the fields below.
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	// perAddress is the number of open connections by client address.
+	perAddress map[netip.Addr]int
 }
 
-// New checks the options and returns a limiter.
+// New returns a limiter. The error matches winch.ErrInvalid if an option is missing.
 func New(options Options) (*Limiter, error) {
 	if options.Budget == nil || options.Logger == nil {
 		return nil, fmt.Errorf("check options of connection limiter: Budget or Logger is missing: %w", winch.ErrInvalid)
@@ -83,7 +87,7 @@
 	options.WriteTime = cmp.Or(options.WriteTime, defaultWriteTime)
 	options.ReadTime = cmp.Or(options.ReadTime, defaultReadTime)
 	options.Meter = cmp.Or[metric.Meter](options.Meter, noop.Meter{})
-	l := &Limiter{options: options, conns: map[*conn]struct{}{}, shares: map[netip.Addr]int{}}
+	l := &Limiter{options: options, conns: map[*conn]struct{}{}, perAddress: map[netip.Addr]int{}}
 	l.bodyBuffers = options.Budget.Part(options.Budget.Usage().Size / bodyBuffersShare)
 	l.now.Store(time.Now().UnixNano())
 	if err := l.export(options.Meter); err != nil {
@@ -102,7 +106,7 @@
 	return limited
 }
 
-// Observe is the ConnState of the server.
+// Observe tracks the requests of connections. It has to be the ConnState of the server.
 func (l *Limiter) Observe(c net.Conn, state http.ConnState) {
 	limited, found := c.(*conn)
 	if !found {
@@ -130,7 +134,7 @@
 	done    chan struct{}
 }
 
-// Accept returns the next connection for which there is room.
+// Accept returns the next connection for which there is room, and closes those for which there is none.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		inner, err := l.Listener.Accept()
@@ -156,7 +160,7 @@
 	if remote, isTCP := inner.RemoteAddr().(*net.TCPAddr); isTCP {
 		address = remote.AddrPort().Addr().Unmap()
 	}
-	if !l.hasRoom(address) {
+	if !l.makeRoom(address) {
 		l.counts.refused.Add(1)
 		return nil
 	}
@@ -172,12 +176,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
-	l.shares[address]++
+	l.perAddress[address]++
 	return c
 }
 
-// hasRoom reports whether there may be another connection of the address. It ends others to make room.
-func (l *Limiter) hasRoom(address netip.Addr) bool {
+// makeRoom reports whether the address may have another connection. If necessary, it ends others first.
+func (l *Limiter) makeRoom(address netip.Addr) bool {
 	if l.options.Rank == memory.RankEssential {
 		return l.isBelowMax() || l.endSome(address, false)
 	}
@@ -196,10 +200,10 @@
 func (l *Limiter) isBelowShare(address netip.Addr) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.shares[address] < fairShare*(l.options.Max-len(l.conns))
+	return l.perAddress[address] < fairShare*(l.options.Max-len(l.conns))
 }
 
-// endSome ends connections, those of the address only if own is set, and reports whether there were any.
+// endSome ends connections to make room and reports whether it ended any. If own is set, it ends only those of the address.
 func (l *Limiter) endSome(address netip.Addr, own bool) bool {
 	l.mu.Lock()
 	candidates := make([]candidate, 0, len(l.conns))
@@ -224,7 +228,7 @@
 		return
 	}
 	delete(l.conns, c)
-	if l.shares[c.address]--; l.shares[c.address] == 0 {
-		delete(l.shares, c.address)
+	if l.perAddress[c.address]--; l.perAddress[c.address] == 0 {
+		delete(l.perAddress, c.address)
 	}
 }
--- a/internal/connlimit/report.go
+++ b/internal/connlimit/report.go
@@ -14,21 +14,24 @@
 type cause int
 
 const (
+	// causeRoom: another connection needed its place.
 	causeRoom cause = iota
 	causeSlowReader
 	causeSlowBody
+	// causeQueued: there was no memory for bytes that arrived during an earlier request.
 	causeQueued
-	causes
+	numCauses
 )
 
 // causeNames are the names of the causes in metrics.
-var causeNames = [causes]string{"room", "slow_reader", "slow_body", "queued"}
+var causeNames = [numCauses]string{"room", "slow_reader", "slow_body", "queued"}
 
 // counts counts what the limiter refused and ended.
 type counts struct {
-	// refused counts connections beyond the maximum, noMemory those without memory, and heads refused heads.
+	// refused counts connections refused because of their number, noMemory those for which there was no memory, and heads requests
+	// refused because of their heads.
 	refused, noMemory, heads atomic.Int64
-	ended                    [causes]atomic.Int64
+	ended                    [numCauses]atomic.Int64
 }
 
 func (c *counts) allEnded() int64 {
@@ -39,7 +42,7 @@
 	return total
 }
 
-// export exports the metrics of the limiter.
+// export registers the metrics of the limiter.
 func (l *Limiter) export(meter metric.Meter) error {
 	open, err := meter.Int64ObservableGauge("winch_connections_open", metric.WithDescription("Open connections by port."))
 	if err != nil {
@@ -70,16 +73,16 @@
 	return nil
 }
 
-// calmAfter is the time without a refused or ended connection after which a crowd is over.
+// calmAfter is the time without a refused or ended connection after which the limiter reports that there are no more.
 const calmAfter = 10 * time.Second
 
-// reporter logs the beginning and the end of a crowd.
+// reporter logs when connections begin to be refused or ended, and when that is over.
 type reporter struct {
 	limiter *Limiter
-	// refused and ended are the counts at the last report, and crowdRefused and crowdEnded at the beginning of the crowd.
-	refused, ended           int64
-	crowdRefused, crowdEnded int64
-	// lastAt is when a connection was last refused or ended in a crowd; zero if there is none.
+	// refused and ended are the counts at the last report, refusedBefore and endedBefore those before the first refusal.
+	refused, ended             int64
+	refusedBefore, endedBefore int64
+	// lastAt is when a connection was last refused or ended; zero if calmAfter has passed since.
 	lastAt time.Time
 }
 
@@ -89,12 +92,12 @@
 	changed := refused != r.refused || ended != r.ended
 	switch {
 	case changed && r.lastAt.IsZero():
-		r.crowdRefused, r.crowdEnded = r.refused, r.ended
+		r.refusedBefore, r.endedBefore = r.refused, r.ended
 		options.Logger.Warn("connections refused or ended", "Event", EventCrowdBegan, "Port", options.Port, "Open", r.limiter.Open(),
 			"Max", options.Max, "Refused", refused-r.refused, "Ended", ended-r.ended)
 	case !changed && !r.lastAt.IsZero() && now.Sub(r.lastAt) >= calmAfter:
 		options.Logger.Info("no more connections refused or ended", "Event", EventCrowdEnded, "Port", options.Port, "Open", r.limiter.Open(),
-			"Refused", refused-r.crowdRefused, "Ended", ended-r.crowdEnded)
+			"Refused", refused-r.refusedBefore, "Ended", ended-r.endedBefore)
 		r.lastAt = time.Time{}
 	}
 	if changed {
--- a/internal/connlimit/watch.go
+++ b/internal/connlimit/watch.go
@@ -7,16 +7,17 @@
 )
 
 const (
-	// watchEvery is the interval between checks of all connections, crowdedWatchEvery the same while more than crowdedFrom are open.
-	watchEvery        = 500 * time.Millisecond
-	crowdedWatchEvery = 100 * time.Millisecond
-	crowdedFrom       = 64
-	// maxWatchGap is the time between two checks beyond which the process itself was stopped, and not the clients.
+	// watchEvery is the interval between checks of all connections, busyWatchEvery the same while more than busyConnections are open.
+	watchEvery      = 500 * time.Millisecond
+	busyWatchEvery  = 100 * time.Millisecond
+	busyConnections = 64
+	// maxWatchGap is the time between two checks above which the process is taken to have been stopped itself, so that the lack of
+	// progress is not the clients' fault.
 	maxWatchGap = 2 * time.Second
 	// defaultReadTime and defaultWriteTime are the defaults of Options.ReadTime and Options.WriteTime.
 	defaultReadTime  = 10 * time.Second
 	defaultWriteTime = 30 * time.Second
-	// progressBytes is what a client has to send of a body within Options.ReadTime.
+	// progressBytes is the number of bytes of a body that a client has to send within Options.ReadTime.
 	progressBytes = 4 << 10
 )
 
@@ -38,8 +39,8 @@
 	}
 }
 
-// checkAll ends connections without progress, and returns the time until the next check. After a gap, all of them have the whole
-// time again.
+// checkAll ends connections without progress, and returns the time until the next check. After a gap, the time limits of all
+// connections begin again.
 func (l *Limiter) checkAll(now time.Time, gap bool) time.Duration {
 	l.checking.Lock()
 	defer l.checking.Unlock()
@@ -58,8 +59,8 @@
 		}
 		l.checkConn(now.UnixNano(), c)
 	}
-	if len(open) > crowdedFrom {
-		return crowdedWatchEvery
+	if len(open) > busyConnections {
+		return busyWatchEvery
 	}
 	return watchEvery
 }
--- a/internal/crowdtest/crowd.go
+++ b/internal/crowdtest/crowd.go
@@ -1,4 +1,5 @@
-// Package crowdtest lets crowds of misbehaving clients meet a process, and checks that it lives, stays within its limits and serves.
+// Package crowdtest connects large numbers of misbehaving clients to a process, and checks that it stays alive and within its limits
+// and continues to serve ordinary requests.
 //
 // # Usage
 //
@@ -17,9 +18,9 @@
 )
 
 const (
-	// tries is how often a member of a crowd connects after its connection was ended.
-	tries = 3
-	// blockedAfter is the time without progress after which a member has sent what it can.
+	// attempts is how often a client connects at most if the process ends its connections.
+	attempts = 3
+	// blockedAfter is the time without progress after which a client counts as blocked and sends no more.
 	blockedAfter = 2 * time.Second
 	// pieceSize is the size in bytes of one write.
 	pieceSize = 64 << 10
@@ -30,7 +31,7 @@
 	// Address is the IP address and port that it connects to.
 	Address string
 	Path    string
-	// Fields returns the fields of the head of each request, each with the end of its line. Nil means that there are none but Host.
+	// Fields returns the header fields of a request besides Host, each with its line break. Nil means none.
 	Fields func() string
 }
 
@@ -45,39 +46,42 @@
 
 // Kind is a kind of misbehaviour.
 type Kind struct {
+	// members is the number of clients.
 	members int
-	// send sends what a member sends on one connection. After it has returned nil, the connection stays open without being read. Done
-	// ends when the crowd leaves.
+	// send sends what one client sends on a connection. After it has returned nil, the connection stays open without being read. done
+	// is closed when the clients have to disconnect.
 	send func(conn net.Conn, place Place, done <-chan struct{}) error
 }
 
-// crowd is a number of connections of one kind.
+// crowd is a number of clients of one kind.
 type crowd struct {
+	// settled waits until all clients have sent what they can or have no attempts left.
 	settled sync.WaitGroup
 	ended   sync.WaitGroup
-	left    chan struct{}
-	// cut is the number of connections that the process has ended or not accepted.
-	cut atomic.Int64
+	// left is closed when the clients have to disconnect.
+	left chan struct{}
+	// refused is the number of connections that the process has ended or not accepted.
+	refused atomic.Int64
 }
 
-// join lets all members connect.
-func join(place Place, kind Kind) *crowd {
+// startCrowd starts all clients of a kind.
+func startCrowd(place Place, kind Kind) *crowd {
 	c := &crowd{left: make(chan struct{})}
 	for range kind.members {
 		c.settled.Add(1)
-		c.ended.Go(func() { c.takePart(place, kind) })
+		c.ended.Go(func() { c.runClient(place, kind) })
 	}
 	return c
 }
 
-// takePart is what one member does. It holds its connection until the crowd leaves.
-func (c *crowd) takePart(place Place, kind Kind) {
+// runClient runs one client, which holds its connection until leave is called.
+func (c *crowd) runClient(place Place, kind Kind) {
 	settle := sync.OnceFunc(c.settled.Done)
 	defer settle()
-	for range tries {
+	for range attempts {
 		conn, err := net.DialTimeout("tcp", place.Address, blockedAfter)
 		if err != nil {
-			c.cut.Add(1)
+			c.refused.Add(1)
 			continue
 		}
 		err = kind.send(conn, place, c.left)
@@ -87,12 +91,12 @@
 			_ = conn.Close()
 			return
 		}
-		c.cut.Add(1)
+		c.refused.Add(1)
 		_ = conn.Close()
 	}
 }
 
-// leave closes all connections.
+// leave disconnects all clients and waits for their end.
 func (c *crowd) leave() {
 	close(c.left)
 	c.ended.Wait()
--- a/internal/crowdtest/kinds.go
+++ b/internal/crowdtest/kinds.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// inChunks returns the body in chunks of a size, without the chunk that ends it.
+// inChunks returns the body in chunked encoding with chunks of the given size, without the final chunk.
 func inChunks(body []byte, size int) []byte {
 	encoded := bytes.Buffer{}
 	for len(body) > 0 {
@@ -31,7 +31,7 @@
 	}
 }
 
-// letters returns a body that is the beginning of a JSON string, so that a decoder reads on to its end.
+// letters returns the beginning of a JSON string, so that a decoder reads the whole body.
 func letters(size int) []byte {
 	body := bytes.Repeat([]byte("x"), size)
 	body[0] = '"'
@@ -146,7 +146,7 @@
 	}}
 }
 
-// slowly takes some steps with pauses between them, until done ends.
+// slowly calls step every 100 ms for 2 s, or until done is closed.
 func slowly(done <-chan struct{}, step func() error) error {
 	ticker := time.NewTicker(100 * time.Millisecond)
 	defer ticker.Stop()
@@ -163,8 +163,8 @@
 	return nil
 }
 
-// writeAndHold writes a text that the kernel takes even before the process has accepted the connection, and holds it for so long that
-// the process accepts the others.
+// writeAndHold writes a text and returns after 2 s. The kernel accepts the text before the process has accepted the connection, so
+// without the wait the clients would count as settled too early.
 func writeAndHold(conn net.Conn, text string, done <-chan struct{}) error {
 	if err := write(conn, []byte(text)); err != nil {
 		return err
--- a/internal/crowdtest/process.go
+++ b/internal/crowdtest/process.go
@@ -15,13 +15,13 @@
 )
 
 const (
-	// hangLimit is the time after which a process that serves nobody counts as hanging.
+	// hangLimit is the time without a response to an ordinary request after which a process counts as hanging.
 	hangLimit = 30 * time.Second
-	// sampleInterval is the time between two readings of what the process holds.
+	// sampleInterval is the interval at which the memory and descriptors of the process are sampled.
 	sampleInterval = 20 * time.Millisecond
 )
 
-// Limits are what the process may hold.
+// Limits are the resources that the process may hold.
 type Limits struct {
 	// Memory is in bytes.
 	Memory int64
@@ -36,24 +36,24 @@
 	return exec.Command("/bin/sh", append([]string{"-c", script, program}, arguments...)...)
 }
 
-// Process is a process that meets crowds.
+// Process is the process under test.
 type Process struct {
 	PID int
-	// Addresses are those of 127.0.0.1 at which the process listens.
+	// Addresses are the addresses, all with the IP address 127.0.0.1, at which the process listens.
 	Addresses []string
 	Limits    Limits
 	// Serves reports whether one ordinary request is answered.
 	Serves func() bool
 }
 
-// Meet lets the crowds come, waits until all their members have sent what they send, and for an ordinary request that is answered
-// beside them; then they leave, and another is answered. Meanwhile the process must live, and hold less than its limits.
+// Meet connects the clients of all kinds and waits until they have sent what they can. An ordinary request must then be answered while
+// they are connected, and another after they have disconnected. Meanwhile the process must stay alive and below its limits.
 func (p Process) Meet(t *testing.T, place Place, kinds ...Kind) {
 	t.Helper()
 	crowds, end := []*crowd{}, sync.OnceValue(p.observe().end)
 	t.Cleanup(func() { end() })
 	for _, kind := range kinds {
-		crowds = append(crowds, join(place, kind))
+		crowds = append(crowds, startCrowd(place, kind))
 	}
 	leave := sync.OnceFunc(func() {
 		for _, c := range crowds {
@@ -63,7 +63,7 @@
 	t.Cleanup(leave)
 	for _, c := range crowds {
 		c.settled.Wait()
-		t.Logf("the process ended %d connections", c.cut.Load())
+		t.Logf("the process ended %d connections", c.refused.Load())
 	}
 	assert.Check(t, p.servesInTime(), "no ordinary request was answered beside the crowd")
 	leave()
@@ -85,7 +85,7 @@
 	return true
 }
 
-// assertSound checks that the process lives, and held no more than its limits.
+// assertSound checks that the process is alive and has stayed below its limits.
 func (p Process) assertSound(t *testing.T, most holdings) {
 	t.Helper()
 	peak, err := p.statusBytes("VmHWM:")
@@ -97,7 +97,7 @@
 	assert.Check(t, most.descriptors < p.Limits.Descriptors, "opened %d files, all that the process may", most.descriptors)
 }
 
-// holdings is the most that a process held at a time.
+// holdings is the maximum of each resource that a process held at a time.
 type holdings struct {
 	// resident is its resident set in bytes, and unread the bytes that its connections received and it has not read. Both is their sum.
 	resident, unread, both int64
@@ -105,7 +105,7 @@
 	descriptors int
 }
 
-// observer samples what a process holds.
+// observer samples the resources that a process holds.
 type observer struct {
 	process Process
 	most    holdings
@@ -130,7 +130,7 @@
 	return o
 }
 
-// end ends the sampling and returns the most that was seen.
+// end ends the sampling and returns the maxima.
 func (o *observer) end() holdings {
 	close(o.stop)
 	o.done.Wait()
@@ -151,7 +151,7 @@
 	o.most.both, o.most.descriptors = max(o.most.both, resident+unread), max(o.most.descriptors, len(files))
 }
 
-// statusBytes returns a size that the kernel states of the process. It fails if the process has ended.
+// statusBytes returns a field of the process's status file in bytes. It fails if the process has ended.
 func (p Process) statusBytes(field string) (int64, error) {
 	text, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(p.PID), "status"))
 	if err != nil {
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// Causes for which bytes are refused. All of them but ErrClosed match ErrNoMemory.
+// The reasons why a claim gets no bytes. All of them but ErrClosed match ErrNoMemory.
 var (
 	// ErrBudgetFull says that the budget has too few bytes left.
 	ErrBudgetFull = fmt.Errorf("%w: the budget is used up", ErrNoMemory)
@@ -25,10 +25,10 @@
 	smallClaim = 64 << 10
 	// largeShare is the share of the budget that large claims may hold together, in eighths. The rest is left for small ones.
 	largeShare = 7
-	// laterShare is the same for large claims that are not urgent.
-	laterShare = 6
-	// fairShare bounds what the claims of one client or organisation hold: fairShare times the bytes that nobody holds. One alone
-	// gets four fifths of the budget, two get four ninths each, and so on, and another always finds some room.
+	// ordinaryShare is the same for large claims that are not urgent, so that urgent ones have some room left.
+	ordinaryShare = 6
+	// fairShare bounds what the claims of one client or organisation hold: fairShare times the bytes that nobody holds. A single one
+	// gets at most four fifths of the budget, two get four ninths each, and so on, so that some bytes are always left for others.
 	fairShare = 4
 )
 
@@ -37,11 +37,12 @@
 type Budget struct {
 	mu   sync.Mutex
 	size int64
-	// used is held by all claims and parts, large by the large claims, and expected is what large claims still expect.
+	// used is the number of bytes that all claims and parts hold, large that of the large claims. expected is the number that claims
+	// have announced with Expect.
 	used, large, expected int64
 	clients               map[netip.Addr]*account
 	organisations         map[string]*account
-	// waiting are the claims that wait for bytes of their client, the one without progress for the longest time first.
+	// waiting lists the claims whose clients have to send bytes, beginning with the one without progress for the longest time.
 	waiting claimList
 	refused RefusalCounts
 }
@@ -53,15 +54,18 @@
 
 // Usage is the state of a budget.
 type Usage struct {
-	// Size is the number of bytes of the budget, Used how many are held.
+	// Size is the number of bytes of the budget, Used the number that is held.
 	Size, Used int64
-	Refused    RefusalCounts
+	// Refused counts since the budget was created.
+	Refused RefusalCounts
 }
 
-// account is what the claims of one client or organisation hold.
+// account sums up the claims of one client or organisation.
 type account struct {
+	// small and large are the bytes that its small and its large claims hold.
 	small, large int64
-	claims       int
+	// claims is the number of open claims.
+	claims int
 }
 
 // NewBudget returns a budget of the given number of bytes.
@@ -76,14 +80,15 @@
 	return Usage{Size: b.size, Used: b.used, Refused: b.refused}
 }
 
-// Part returns an amount of at most size bytes whose bytes count in the budget as well.
+// Part returns an amount of at most size bytes. Bytes taken from it are taken from the budget too.
 func (b *Budget) Part(size int64) *Shared {
 	part := NewShared(size)
 	part.budget = b
 	return part
 }
 
-// takePart takes bytes for a part. They belong to no client, since their number is bounded by the size of the part.
+// takePart takes bytes for a part and reports whether there were enough. They count for no client, since the size of the part
+// bounds them.
 func (b *Budget) takePart(size int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -100,8 +105,8 @@
 	b.used -= size
 }
 
-// Stalled returns the claims that wait for bytes and had none since the given time, the one that waits longest first, until they
-// hold the wanted number of bytes. They are no longer returned by further calls.
+// Stalled returns claims whose clients have sent nothing since the given time, beginning with the one that has waited longest. It
+// returns as many as hold and expect the wanted number of bytes together. Further calls do not return them again.
 func (b *Budget) Stalled(since time.Time, wanted int64) []*Claim {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -114,7 +119,7 @@
 	return stalled
 }
 
-// checkTake returns why the claim may not take so many more bytes, or nil.
+// checkTake returns nil if the claim may take so many more bytes, and otherwise the reason. It is called with mu held.
 func (b *Budget) checkTake(c *Claim, size int64) error {
 	after := c.held + size
 	large := after > smallClaim
@@ -141,15 +146,15 @@
 	return nil
 }
 
-// largeLimit returns how many bytes large claims may hold together.
+// largeLimit returns how many bytes large claims may hold together for a claim of the rank to get more.
 func (b *Budget) largeLimit(rank Rank) int64 {
 	if rank == RankUrgent {
 		return b.size / 8 * largeShare
 	}
-	return b.size / 8 * laterShare
+	return b.size / 8 * ordinaryShare
 }
 
-// admits reports whether the account may hold so many more bytes, of which free are left afterwards.
+// admits reports whether the account may hold so many more bytes, where free is what is left in the budget afterwards.
 func (a *account) admits(size int64, large bool, free int64) bool {
 	held := a.small
 	if large {
@@ -166,7 +171,7 @@
 	a.small += size
 }
 
-// CountRefusal counts a request that is refused because of the result of Claim.Fits.
+// CountRefusal counts a request that is refused because Claim.Fits returned err.
 func (b *Budget) CountRefusal(err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -122,7 +122,7 @@
 	for _, limit := range []int64{112e6, 134e6, 536e6} {
 		soft := limit / 10 * 7
 		size := BudgetSize(soft)
-		assert.Assert(t, size+atRest < soft, "%d of %d", size, soft)
+		assert.Assert(t, size+baseMemory < soft, "%d of %d", size, soft)
 		b := NewBudget(size)
 		bodies, _ := fill(b, Holder{Address: client(1)}, 4*mebibyte)
 		assert.Assert(t, bodies >= 5*4*mebibyte, "several bodies of 4 MiB fit: %d", bodies)
--- a/internal/memory/claim.go
+++ b/internal/memory/claim.go
@@ -12,9 +12,9 @@
 const (
 	// RankOrdinary is the rank of claims whose class is not known, or not the most urgent one.
 	RankOrdinary Rank = iota
-	// RankUrgent is the rank of requests of the most urgent class. A part of the budget is left for them.
+	// RankUrgent is the rank of requests of the most urgent class. A part of the budget is reserved for it.
 	RankUrgent
-	// RankEssential is the rank of connections without which the host cannot work. They are refused only if no byte is left.
+	// RankEssential is the rank of connections without which the host cannot work. They are refused only if the budget is used up.
 	RankEssential
 )
 
@@ -22,13 +22,16 @@
 type Claim struct {
 	budget *Budget
 	holder Holder
-	// client is nil once the claim is closed, organisation also if there is none.
+	// client is nil once the claim is closed. organisation is nil then too, and if the holder has none.
 	client, organisation *account
-	held, expected       int64
-	large                bool
-	// end is called if the claim holds bytes without progress. progressAt is when the client has last sent bytes.
-	end            func()
-	progressAt     time.Time
+	// held is the number of bytes that the claim holds, expected the number announced with Expect.
+	held, expected int64
+	// large is set if held is above smallClaim.
+	large bool
+	// end is the function given to Wait, and progressAt the time.
+	end        func()
+	progressAt time.Time
+	// previous and next are the neighbours in Budget.waiting, and listed is set while the claim is in it.
 	previous, next *Claim
 	listed         bool
 }
@@ -63,7 +66,8 @@
 	return c
 }
 
-// Take takes so many more bytes. It takes nothing if it returns an error, which matches ErrNoMemory.
+// Take takes so many more bytes. If it returns an error, it has taken nothing. The error matches ErrNoMemory, or ErrClosed if the claim
+// is closed.
 func (c *Claim) Take(size int64) error {
 	b := c.budget
 	b.mu.Lock()
@@ -79,8 +83,8 @@
 	return nil
 }
 
-// Fits returns nil if so many bytes could be taken besides those that other claims expect. It takes nothing, and counts no
-// refusal.
+// Fits returns nil if Take of so many bytes would succeed even after the claims had taken the bytes that they expect. The expected
+// bytes are ignored if the claim stays small. Fits takes nothing and counts no refusal. Its errors are those of Take.
 func (c *Claim) Fits(size int64) error {
 	b := c.budget
 	b.mu.Lock()
@@ -89,7 +93,7 @@
 		return ErrClosed
 	}
 	if c.held+size > smallClaim {
-		// The bytes that others expect count like held ones, whoever expects them.
+		// Expected bytes count as held for the whole budget, but in no account.
 		b.used += b.expected
 		b.large += b.expected
 		defer func() {
@@ -100,7 +104,7 @@
 	return b.checkTake(c, size)
 }
 
-// Expect tells how many bytes the claim still expects. They are taken into account by Fits.
+// Expect sets how many bytes the claim is expected to take soon. Fits counts them.
 func (c *Claim) Expect(size int64) {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
@@ -129,8 +133,8 @@
 	return c.held
 }
 
-// Wait tells that the claim waits for bytes of its client, which sent the last ones now. end is called, by a caller of
-// Budget.Stalled, if other claims need the bytes of one that has stalled.
+// Wait records that the client, which has made progress now, has to send more. Until WaitOver, Budget.Stalled may return the claim;
+// its caller then calls End, which calls end.
 func (c *Claim) Wait(now time.Time, end func()) {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
@@ -142,14 +146,14 @@
 	c.budget.waiting.moveToEnd(c)
 }
 
-// WaitOver tells that the claim no longer waits for bytes.
+// WaitOver records that nothing more is expected of the client.
 func (c *Claim) WaitOver() {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
 	c.budget.waiting.remove(c)
 }
 
-// End calls the function that was given to Wait.
+// End calls the function that was last given to Wait. It must not be called before Wait.
 func (c *Claim) End() {
 	c.budget.mu.Lock()
 	end := c.end
@@ -179,7 +183,7 @@
 	c.client, c.organisation = nil, nil
 }
 
-// move changes what the claim holds. It is called with the lock held.
+// move changes what the claim holds by size bytes, which is negative if it gives bytes back. It is called with mu held.
 func (b *Budget) move(c *Claim, size int64) {
 	if c.client == nil {
 		return
@@ -202,7 +206,7 @@
 	c.held, c.large = after, large
 }
 
-// claimList is a list of claims.
+// claimList is a doubly linked list of claims.
 type claimList struct{ first, last *Claim }
 
 func (l *claimList) remove(c *Claim) {
--- a/internal/memory/shared.go
+++ b/internal/memory/shared.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	budget := memory.NewBudget(memory.BudgetSize(softLimit))
-//	claim := budget.Open(address, memory.RankOrdinary)
+//	claim := budget.Open(memory.Holder{Address: address, Rank: memory.RankOrdinary})
 //	defer claim.Close()
 //	if err := claim.Take(size); err != nil {
 //		return err // matches ErrNoMemory
@@ -27,14 +27,14 @@
 	budget *Budget
 }
 
-// NewShared returns a budget of the given number of bytes.
+// NewShared returns an amount of the given number of bytes that is no part of a budget.
 func NewShared(size int64) *Shared {
 	m := &Shared{}
 	m.left.Store(size)
 	return m
 }
 
-// Take takes memory for so many bytes. It reports whether there was enough, and takes nothing otherwise.
+// Take takes so many bytes and reports whether there were enough. It takes nothing otherwise.
 func (m *Shared) Take(size int64) bool {
 	if m.left.Add(-size) >= 0 && (m.budget == nil || m.budget.takePart(size)) {
 		return true
@@ -43,7 +43,7 @@
 	return false
 }
 
-// Give gives back memory for so many bytes.
+// Give gives back so many bytes.
 func (m *Shared) Give(size int64) {
 	m.left.Add(size)
 	if m.budget != nil && size > 0 {
@@ -51,5 +51,5 @@
 	}
 }
 
-// Left returns the number of bytes that are left.
+// Left returns the number of bytes that are left of the amount. A budget of which it is a part may have fewer.
 func (m *Shared) Left() int64 { return m.left.Load() }
--- a/membership/peer/exchange.go
+++ b/membership/peer/exchange.go
@@ -71,7 +71,7 @@
 	ListEvery time.Duration
 	// Timeout is the timeout of a call to another host.
 	Timeout time.Duration
-	// Memory is what all requests of the process may hold; nil means no limit.
+	// Memory is the budget of all requests of the process. Nil means no limit.
 	Memory *memory.Budget
 }
 
--- a/release/check.go
+++ b/release/check.go
@@ -195,8 +195,8 @@
 	}
 }
 
-// checkEvacuation checks, when a note adds an evacuation, that the data centre has endpoints or pools: it may be misspelt. Those may go
-// away later.
+// checkEvacuation rejects a note that adds an evacuation of a data centre without endpoints and pools, whose name may be misspelt. They
+// may be removed while the evacuation lasts.
 func (c *checker) checkEvacuation(item winch.Evacuation) {
 	if _, found := c.notePaths["Evacuations["+string(item.DataCentre)+"]"]; !found {
 		return
--- a/release/operator/handler.go
+++ b/release/operator/handler.go
@@ -33,7 +33,7 @@
 	Logger hclog.Logger
 	// Timeout bounds the handling of a request. The default is ten seconds.
 	Timeout time.Duration
-	// Memory is what all requests of the process may hold; nil means no limit.
+	// Memory is the budget of all requests of the process. Nil means no limit.
 	Memory *memory.Budget
 }
 
--- a/serving/caller/admit.go
+++ b/serving/caller/admit.go
@@ -171,7 +171,7 @@
 }
 
 // readBody reads the whole request body within the limits of size and time. The request's claim takes memory for it in steps, as it
-// arrives. The extra byte lets Read report the end without growing the buffer.
+// arrives. The buffer is one byte larger than a body of declared length; the extra byte lets Read report the end without growing the buffer.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, req *request) ([]byte, *apiError) {
 	limit := s.options.Limits.RequestBody
 	if r.ContentLength > limit {
@@ -186,7 +186,7 @@
 	reader := http.MaxBytesReader(w, r.Body, limit)
 	for body := []byte(nil); ; {
 		if len(body) == cap(body) {
-			grown := growBody(int64(cap(body)), r.ContentLength, limit)
+			grown := nextBodySize(int64(cap(body)), r.ContentLength, limit)
 			if req.claim.Take(grown-int64(cap(body))) != nil {
 				return nil, noMemory(w)
 			}
@@ -208,8 +208,9 @@
 	}
 }
 
-// growBody returns the next size of the memory for a body of the declared length, which is negative if it is unknown.
-func growBody(size, declared, limit int64) int64 {
+// nextBodySize returns the number of bytes to which the buffer of a body grows next. declared is the declared length, or negative if it
+// is unknown.
+func nextBodySize(size, declared, limit int64) int64 {
 	whole := limit + 1
 	if declared >= 0 {
 		whole = declared + 1
@@ -217,11 +218,12 @@
 	return min(whole, max(firstBodyStep, bodyStepFactor*size))
 }
 
-// noMemory returns the error for a request that is refused because others take the memory. The rest of its body is not read.
+// noMemory returns the error for a request that is refused because there is no memory for its body. It also makes the server close the
+// connection, since the rest of the body is not read.
 func noMemory(w http.ResponseWriter) *apiError {
 	w.Header().Set("Connection", "close")
 	return &apiError{
-		status: http.StatusServiceUnavailable, code: "no_memory", retryAfter: time.Second, message: "the request was not run: other requests take the memory",
+		status: http.StatusServiceUnavailable, code: "no_memory", retryAfter: time.Second, message: "the request was not run: there is no memory for its body at the moment",
 	}
 }
 
--- a/serving/caller/memory_test.go
+++ b/serving/caller/memory_test.go
@@ -28,12 +28,12 @@
 
 func TestGrowBody(t *testing.T) {
 	t.Run("declared length", func(t *testing.T) {
-		assert.Equal(t, growBody(0, 100, 4<<20), int64(101))
-		assert.Equal(t, growBody(0, 1<<20, 4<<20), int64(firstBodyStep))
-		assert.Equal(t, growBody(firstBodyStep, 1<<20, 4<<20), int64(bodyStepFactor*firstBodyStep))
-		assert.Equal(t, growBody(1<<19, 1<<20, 4<<20), int64(1<<20+1))
+		assert.Equal(t, nextBodySize(0, 100, 4<<20), int64(101))
+		assert.Equal(t, nextBodySize(0, 1<<20, 4<<20), int64(firstBodyStep))
+		assert.Equal(t, nextBodySize(firstBodyStep, 1<<20, 4<<20), int64(bodyStepFactor*firstBodyStep))
+		assert.Equal(t, nextBodySize(1<<19, 1<<20, 4<<20), int64(1<<20+1))
 	})
 	t.Run("unknown length", func(t *testing.T) {
-		assert.Equal(t, growBody(3<<20, -1, 4<<20), int64(4<<20+1))
+		assert.Equal(t, nextBodySize(3<<20, -1, 4<<20), int64(4<<20+1))
 	})
 }
--- a/serving/caller/options.go
+++ b/serving/caller/options.go
@@ -74,7 +74,7 @@
 	Logger         hclog.Logger
 	Meter          metric.Meter
 	Limits         Limits
-	// Memory is what all requests of the process may hold; nil stands for a budget of memory.DefaultBudget.
+	// Memory is the budget of all requests of the process. Nil means a budget of memory.DefaultBudget bytes.
 	Memory *memory.Budget
 	// PeerSecret authenticates other hosts at PeerHandler.
 	PeerSecret string
--- a/serving/caller/server.go
+++ b/serving/caller/server.go
@@ -109,9 +109,9 @@
 	s.finishRequest(req, apiErr)
 }
 
-// openClaim returns the claim of an admitted request for memory.
+// openClaim opens the memory claim of an admitted request. The caller has to close it.
 func (s *Server) openClaim(r *http.Request, req *request) *memory.Claim {
-	// An address that cannot be parsed is that of a test; all of these share one account.
+	// Only tests have addresses that cannot be parsed. These requests share one account.
 	address, _ := netip.ParseAddrPort(r.RemoteAddr)
 	return s.options.Memory.Open(memory.Holder{Address: address.Addr(), Organisation: string(req.organisation), Rank: memory.RankUrgent})
 }
--- a/serving/forward/admit.go
+++ b/serving/forward/admit.go
@@ -158,7 +158,7 @@
 	}
 }
 
-// readBodyUntil reads the body, and gives up at the end of a shutdown, with which ctx ends.
+// readBodyUntil reads the body within the limits into memory of the claim. It gives up when ctx ends, at the end of a shutdown.
 func (s *Server) readBodyUntil(ctx context.Context, w http.ResponseWriter, r *http.Request, claim *memory.Claim, limits bodyLimits) ([]byte, *fault) {
 	reader := &bodyReader{
 		ctx: ctx, request: r, controller: http.NewResponseController(w), budget: s.options.Memory, waiters: &s.bodyWaiters, claim: claim,
@@ -172,7 +172,7 @@
 	return body, f
 }
 
-// bodyLimits are the maximum size of a body, and the time until which it has to be complete.
+// bodyLimits are the maximum size of a body in bytes and the maximum time to read it.
 type bodyLimits struct {
 	size int64
 	time time.Duration
--- a/serving/forward/body.go
+++ b/serving/forward/body.go
@@ -25,51 +25,52 @@
 	// progressTime is the time within which a caller has to send progressBytes of a body or the rest of it.
 	progressTime  = 5 * time.Second
 	progressBytes = 4 << 10
-	// progressNote is the interval at which the progress of a body is noted.
-	progressNote = 250 * time.Millisecond
-	// stalledTime is the time without a byte after which a body is given up if others need its memory.
+	// progressInterval is the shortest interval at which the progress of a body is recorded.
+	progressInterval = 250 * time.Millisecond
+	// stalledTime is the time without progress after which the read of a body is ended if others need its memory.
 	stalledTime = time.Second
-	// expectedTime is the time for which the rate of a body tells what is expected of it.
+	// expectedTime is how far ahead the bytes that a body is expected to need are estimated from its present rate.
 	expectedTime = 2 * time.Second
-	// roomTime is how long a body waits at most for memory, but no longer than the time to the deadline divided by
-	// roomDeadlineShare. It tries every roomPause. maxRoomWaiters is how many bodies may wait.
-	roomPause         = 20 * time.Millisecond
-	roomTime          = 800 * time.Millisecond
-	roomDeadlineShare = 4
-	maxRoomWaiters    = 16
-	// queuedBodySize is what the kernel holds of a body that nobody reads, in bytes.
+	// roomTime is the maximum time that a body waits for memory, but no longer than the time to the deadline divided by
+	// roomDeadlineDivisor. It tries every roomInterval. maxRoomWaiters is how many bodies may wait at once.
+	roomInterval        = 20 * time.Millisecond
+	roomTime            = 800 * time.Millisecond
+	roomDeadlineDivisor = 4
+	maxRoomWaiters      = 16
+	// queuedBodySize is the number of bytes that the kernel is assumed to hold of a body while nobody reads it.
 	queuedBodySize = 64 << 10
-	// againTime is how long a read is tried once more after a timeout.
-	againTime = 100 * time.Millisecond
-	// trailerFieldSize is the memory of one field of a trailer in bytes.
+	// rereadTime is the time limit of the one further read after a timeout.
+	rereadTime = 100 * time.Millisecond
+	// trailerFieldSize is the assumed memory of one field of a trailer in bytes.
 	trailerFieldSize = 256
-	// discardTime is how long the rest of a refused body is read and discarded at most, and maxDiscards of how many requests at once.
+	// discardTime is how long the rest of a refused body is read and discarded at most, and maxDiscards is for how many requests at
+	// once.
 	discardTime = 2 * time.Second
 	maxDiscards = 4
 )
 
-// noMemoryRetryAfter is the retry delay of requests that are refused because memory is scarce.
+// noMemoryRetryAfter is the Retry-After time of requests that are refused for lack of memory.
 const noMemoryRetryAfter = time.Second
 
-// errStalled: the caller of a body sent too little for too long.
+// errStalled says that the caller sent fewer than progressBytes of a body within progressTime.
 var errStalled = errors.New("caller sends too slowly")
 
-// noMemory returns the fault for a request that is refused because other requests take the memory.
+// noMemory returns the fault for a request that is refused because there is no memory for its body.
 func noMemory() *fault {
 	f := notRun("no_memory", noMemoryRetryAfter)
 	f.closes = true
 	return f
 }
 
-// stalledBody returns the fault for a request whose body stopped before its end.
+// stalledBody returns the fault for a request whose caller sends the body too slowly.
 func stalledBody() *fault {
 	f := notRun("body_stalled", 0)
 	f.closes = true
 	return f
 }
 
-// discardRest sends the response and reads the rest of the body for a short time. The kernel discards the response if the connection
-// is closed while bytes arrive that nobody reads.
+// discardRest sends the response, and reads and discards the rest of the body for a short time. Closing a connection with unread bytes
+// makes the kernel reset it, and the caller may then lose the response.
 func (s *Server) discardRest(w http.ResponseWriter, r *http.Request) {
 	controller := http.NewResponseController(w)
 	if s.discards.Add(1) <= maxDiscards && controller.Flush() == nil && controller.SetReadDeadline(time.Now().Add(discardTime)) == nil {
@@ -81,14 +82,14 @@
 	s.discards.Add(-1)
 }
 
-// openClaim returns the claim for memory of an admitted request.
+// openClaim opens the memory claim of an admitted request. The caller has to close it.
 func (s *Server) openClaim(r *http.Request, a *admission) *memory.Claim {
-	// An address that cannot be parsed is that of a test; all of these share one account.
+	// Only tests have addresses that cannot be parsed. These requests share one account.
 	address, _ := netip.ParseAddrPort(r.RemoteAddr)
 	return s.options.Memory.Open(memory.Holder{Address: address.Addr(), Organisation: string(a.organisation), Rank: a.rank()})
 }
 
-// rank returns the rank of the request's claim for memory: a class is urgent if none has a higher tier.
+// rank returns the rank of the request's memory claim. A request is urgent if no class has a higher priority than its own.
 func (a *admission) rank() memory.Rank {
 	for _, class := range a.configuration.Classes {
 		if class.Tier < a.class.Tier {
@@ -107,26 +108,28 @@
 	// waiters counts the requests that wait until their bodies fit.
 	waiters *atomic.Int64
 	claim   *memory.Claim
-	limit   int64
+	// limit is the maximum size of the body in bytes.
+	limit int64
 	// deadline is until when the body has to be complete.
 	deadline time.Time
 	// mu protects ended, which is set if others need the memory, and over, which is set at the end of the read.
 	mu          sync.Mutex
 	ended, over bool
-	// windowStart is when the current progressTime began, in which windowBytes were read.
+	// windowStart is when the current period of progressTime began, in which windowBytes were read.
 	windowStart time.Time
 	windowBytes int
-	// notedAt is when progress was noted last, and notedBytes what was read since.
-	notedAt    time.Time
-	notedBytes int
-	// rest is the part of the body for which no memory is taken yet.
-	rest    int64
+	// recordedAt is when progress was last recorded, and unrecorded the number of bytes read since.
+	recordedAt time.Time
+	unrecorded int
+	// rest is the number of bytes of the body for which no memory is taken yet.
+	rest int64
+	// guarded is set once guard was called.
 	guarded bool
-	// triedAgain is set after a timeout, until there is progress.
-	triedAgain bool
+	// reread is set after a timeout, until there is progress.
+	reread bool
 }
 
-// read reads the whole body.
+// read reads the whole body. The memory stays with the claim.
 func (b *bodyReader) read() ([]byte, *fault) {
 	declared := b.request.ContentLength
 	if declared > b.limit {
@@ -144,13 +147,13 @@
 	return b.readSteps(declared)
 }
 
-// admit refuses a body for which there is no room before any of it is read. It waits for room for a short time, since bodies
-// come and go quickly.
+// admit refuses a body of the declared length for which there is no memory, before any of it is read. It waits a short time for memory,
+// since most bodies hold theirs only briefly.
 func (b *bodyReader) admit(declared int64) *fault {
 	if declared <= firstBodyStep || b.claim.Fits(declared) == nil {
 		return nil
 	}
-	// What the kernel holds of the body meanwhile is memory of the process too. It is given back when there is room for the body.
+	// During the wait, the bytes in the kernel's buffer count as memory of the request.
 	if b.claim.Take(queuedBodySize) != nil {
 		return noMemory()
 	}
@@ -163,16 +166,17 @@
 	return nil
 }
 
-// waitForRoom tries take for a short time, and ends bodies that have stalled. It reports whether take succeeded.
+// waitForRoom repeats take for a short time, and meanwhile ends bodies that have stalled until size bytes are free. It reports whether
+// take succeeded.
 func (b *bodyReader) waitForRoom(size int64, take func() error) bool {
 	defer b.waiters.Add(-1)
 	if b.waiters.Add(1) > maxRoomWaiters {
 		return false
 	}
-	ticker := time.NewTicker(roomPause)
+	ticker := time.NewTicker(roomInterval)
 	defer ticker.Stop()
-	// The times differ, so that of bodies that wait for each other some end before the others.
-	limit := min(roomTime, time.Until(b.deadline)/roomDeadlineShare)
+	// The time is random, so that bodies that wait for each other's memory do not all give up at once.
+	limit := min(roomTime, time.Until(b.deadline)/roomDeadlineDivisor)
 	until := time.NewTimer(limit/2 + rand.N(max(limit/2, 1)))
 	defer until.Stop()
 	for {
@@ -233,7 +237,7 @@
 	}
 }
 
-// grow returns the body with room for the next step.
+// grow takes memory for the next step and returns the body with capacity for it. whole is the size beyond which it does not grow.
 func (b *bodyReader) grow(body []byte, whole int64) ([]byte, *fault) {
 	grown := min(max(firstBodyStep, int64(cap(body))*bodyStepFactor), whole)
 	if !b.take(grown - int64(cap(body))) {
@@ -245,7 +249,8 @@
 	return append(make([]byte, 0, grown), body...), nil
 }
 
-// take takes memory for a step. It waits for a short time if there is none. The time is not the caller's.
+// take takes memory for a step and reports whether there was enough. If there is none, it waits a short time, which does not count as
+// time without progress of the caller.
 func (b *bodyReader) take(size int64) bool {
 	if b.claim.Take(size) == nil {
 		return true
@@ -262,50 +267,51 @@
 	return true
 }
 
-// guard ends the read of a body that makes no progress from now on.
+// guard begins to limit the time without progress of the body, or begins anew.
 func (b *bodyReader) guard() {
 	b.guarded = true
 	b.windowStart, b.windowBytes = time.Now(), 0
-	b.notedAt, b.notedBytes = b.windowStart, 0
+	b.recordedAt, b.unrecorded = b.windowStart, 0
 	b.claim.Wait(b.windowStart, b.end)
 	b.extend()
 }
 
+// progress records that count more bytes were read, and extends the deadline of the read after progressBytes.
 func (b *bodyReader) progress(count int) {
 	now := time.Now()
 	b.windowBytes += count
-	b.notedBytes += count
-	if now.Sub(b.notedAt) < progressNote {
+	b.unrecorded += count
+	if now.Sub(b.recordedAt) < progressInterval {
 		return
 	}
 	b.claim.Wait(now, b.end)
 	if b.request.ContentLength > 0 {
-		// A slow caller is not expected to send all of the rest soon.
-		soon := int64(b.notedBytes) * int64(expectedTime/now.Sub(b.notedAt))
+		// Memory that a slow caller will need only later is not held back from others.
+		soon := int64(b.unrecorded) * int64(expectedTime/now.Sub(b.recordedAt))
 		b.claim.Expect(min(b.rest, soon))
 	}
-	b.notedAt, b.notedBytes = now, 0
+	b.recordedAt, b.unrecorded = now, 0
 	if b.windowBytes >= progressBytes {
-		b.windowStart, b.windowBytes, b.triedAgain = now, 0, false
+		b.windowStart, b.windowBytes, b.reread = now, 0, false
 		b.extend()
 	}
 }
 
-// mayHaveArrived reports whether the read is tried once more after a timeout: if the process itself was stopped, the caller's bytes
-// are there.
+// mayHaveArrived reports whether the read is tried once more after a timeout, and sets its deadline. If the process itself was stopped
+// meanwhile, the caller's bytes may have arrived.
 func (b *bodyReader) mayHaveArrived(err error) bool {
 	now := time.Now()
-	if b.triedAgain || !errors.Is(err, os.ErrDeadlineExceeded) || b.ctx.Err() != nil || b.hasEnded() || !now.Before(b.deadline) {
+	if b.reread || !errors.Is(err, os.ErrDeadlineExceeded) || b.ctx.Err() != nil || b.hasEnded() || !now.Before(b.deadline) {
 		return false
 	}
-	b.triedAgain = true
+	b.reread = true
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.setDeadline(now.Add(againTime))
+	b.setDeadline(now.Add(rereadTime))
 	return true
 }
 
-// end makes the current and each further read fail.
+// end makes the current and every further read fail, because others need the memory.
 func (b *bodyReader) end() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -313,14 +319,15 @@
 	b.setDeadline(time.Now())
 }
 
-// stop makes the current read fail.
+// stop makes the current read fail at the end of a shutdown.
 func (b *bodyReader) stop() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.setDeadline(time.Now())
 }
 
-// extend sets the deadline of the read by the system clock, unless the read is to end now.
+// extend sets the deadline of the read to the end of the current period or of the time for the whole body. It is compared with the
+// system clock. If the read was ended, it fails at once.
 func (b *bodyReader) extend() {
 	until := b.windowStart.Add(progressTime)
 	if b.deadline.Before(until) {
@@ -334,8 +341,8 @@
 	}
 }
 
-// setDeadline is called with the lock held. It does nothing after the end of the read, since net/http then reads from the
-// connection to notice that the caller leaves.
+// setDeadline is called with mu held. It does nothing after the end of the read, since net/http then reads from the connection itself
+// to notice that the caller disconnects.
 func (b *bodyReader) setDeadline(until time.Time) {
 	if !b.over {
 		// The error is ignored because writers in tests may not support deadlines.
@@ -343,7 +350,7 @@
 	}
 }
 
-// release ends the watch of the read.
+// release withdraws the expected bytes and removes the deadline of the read.
 func (b *bodyReader) release() {
 	b.claim.Expect(0)
 	b.claim.WaitOver()
@@ -361,7 +368,7 @@
 	return b.ended
 }
 
-// checkTrailer takes memory for the trailer, which is not forwarded.
+// checkTrailer takes memory for the trailer, which is kept with the request but not forwarded.
 func (b *bodyReader) checkTrailer() *fault {
 	size := int64(len(b.request.Trailer)) * trailerFieldSize
 	if size == 0 {
@@ -373,8 +380,8 @@
 	return nil
 }
 
-// failure returns the fault for a body that could not be read. A body that ends early means that the caller has disconnected;
-// errors other than those of time, such as malformed chunks, are reported as a bad request.
+// failure returns the fault for a body that could not be read. A body that ends early means that the caller has disconnected. Errors
+// that are no timeouts, such as malformed chunks, are reported as a bad request.
 func (b *bodyReader) failure(err error) *fault {
 	switch {
 	case b.hasEnded():
--- a/serving/forward/body_test.go
+++ b/serving/forward/body_test.go
@@ -172,7 +172,7 @@
 	stalled := ts.dial(fmt.Sprintf("Content-Length: %d", size))
 	stalled.send(strings.Repeat("x", size-1))
 	waitForUse(t, budget, "the first body", func(used int64) bool { return used >= size })
-	time.Sleep(stalledTime + progressNote)
+	time.Sleep(stalledTime + progressInterval)
 	second := ts.dial(fmt.Sprintf("Content-Length: %d", size))
 	second.send(strings.Repeat("x", size))
 	status, _, _ := second.response()
--- a/serving/forward/fault.go
+++ b/serving/forward/fault.go
@@ -35,7 +35,7 @@
 	// retryAfter is zero if the caller should not retry.
 	retryAfter time.Duration
 	cause      error
-	// closes is set if the connection is closed, because the rest of the body is not read.
+	// closes is set if the connection has to be closed after the response, because the rest of the body is not read.
 	closes bool
 }
 
--- a/serving/forward/options.go
+++ b/serving/forward/options.go
@@ -17,7 +17,7 @@
 	defaultBodyLimit     = 4 << 20
 	defaultResponseLimit = 8 << 20
 	// keptAnswersSize and largeEventsSize bound the memory that the responses of all requests take while they are read, in bytes.
-	// It is part of Options.Memory.
+	// They are parts of Options.Memory.
 	keptAnswersSize       = 16 << 20
 	largeEventsSize       = 8 << 20
 	defaultTimeout        = time.Minute
@@ -76,7 +76,7 @@
 	Origins winch.StreamOrigins
 	Clock   winch.Clock
 	Logger  hclog.Logger
-	// Memory is what all requests of the process may hold; nil stands for a budget of memory.DefaultBudget.
+	// Memory is the budget of all requests of the process. Nil means a budget of memory.DefaultBudget bytes.
 	Memory *memory.Budget
 	Meter  metric.Meter
 	Limits Limits
--- a/serving/forward/server.go
+++ b/serving/forward/server.go
@@ -21,9 +21,9 @@
 	metrics *metrics
 	// answers is the memory for responses that are kept until they are complete, events that for large events.
 	answers, events *memory.Shared
-	// bodyWaiters counts the requests that wait until their bodies fit into the memory.
+	// bodyWaiters is the number of requests that wait for memory for their bodies.
 	bodyWaiters atomic.Int64
-	// discards counts the requests the rest of whose bodies is read and discarded.
+	// discards is the number of refused requests whose remaining body is being discarded.
 	discards        atomic.Int64
 	freshnessLimits atomic.Pointer[freshnessLimits]
 	// stopTimes is nil until a shutdown begins. longOver ends with stopTimes.longUntil, when endLong is called.
@@ -183,7 +183,7 @@
 		limit = s.options.Limits.Body
 	}
 	if r.ContentLength != 0 {
-		// The claim holds the memory of the body until the request ends, since it may be sent again.
+		// The claim holds the memory of the body until the request ends, since a further attempt may send the body again.
 		claim := s.openClaim(r, &req.admission)
 		defer claim.Close()
 		body, f := s.readBodyUntil(req.detached, w, r, claim, bodyLimits{size: limit, time: s.timeout(req)})
--- a/serving/httpexchange/conn.go
+++ b/serving/httpexchange/conn.go
@@ -169,14 +169,14 @@
 	}
 }
 
-// maxErrorText is the size in bytes above which the text of an error is cut.
+// maxErrorText is the maximum number of bytes of an error's text that is kept.
 const maxErrorText = 256
 
-// headError returns the error for a head that could not be read. net/http quotes a malformed head, which takes up to four times its
-// size and would be kept and logged. Errors with such texts wrap no others.
+// headError returns the error for a head that could not be read. net/http quotes malformed heads in its errors, which takes up to four
+// times their size and would be logged. Long texts are therefore truncated, without wrapping the error, which would keep its text.
 func headError(err error) error {
 	if text := err.Error(); len(text) > maxErrorText {
-		return fmt.Errorf("read response head, error cut to %d bytes: %s", maxErrorText, text[:maxErrorText])
+		return fmt.Errorf("read response head: error truncated to %d bytes: %s", maxErrorText, text[:maxErrorText])
 	}
 	return fmt.Errorf("read response head: %w", err)
 }
--- a/winchctl/command.go
+++ b/winchctl/command.go
@@ -42,7 +42,7 @@
 	options
 	Note          *noteCommand          `arg:"subcommand:note" help:"check and apply release notes and show their status"`
 	Key           *keyCommand           `arg:"subcommand:key" help:"add and withdraw keys"`
-	Evacuate      *evacuateCommand      `arg:"subcommand:evacuate" help:"stop all requests to the endpoints of a data centre, or end that"`
+	Evacuate      *evacuateCommand      `arg:"subcommand:evacuate" help:"stop sending requests to the endpoints of a data centre, or resume"`
 	Configuration *configurationCommand `arg:"subcommand:configuration" help:"check a configuration of the users' platform before it is put in force"`
 	Hosts         *hostsCommand         `arg:"subcommand:hosts" help:"show the hosts"`
 	Endpoints     *endpointsCommand     `arg:"subcommand:endpoints" help:"show the endpoints"`
@@ -101,12 +101,12 @@
 	if !found {
 		return usage(parser, s, fmt.Errorf("a command is missing: %w", errUsage))
 	}
-	console := &console{streams: s, options: parsed.options}
+	c := &console{streams: s, options: parsed.options}
 	if _, isLocal := selected.(localCommand); !isLocal {
-		console.client, err = newClient(parsed.options)
+		c.client, err = newClient(parsed.options)
 	}
 	if err == nil {
-		err = selected.run(ctx, console)
+		err = selected.run(ctx, c)
 	}
 	if errors.Is(err, errUsage) {
 		return usage(parser, s, err)
--- a/winchctl/main.go
+++ b/winchctl/main.go
@@ -9,8 +9,9 @@
 //	winchctl hosts
 //	winchctl configuration check next.json --against in-force.json
 //
-// The check of a configuration calls no host. For other commands, the addresses are tried in order until one answers. Repeating a call that commits a
-// note is safe, because a note with the same id is committed only once.
+// The check of a configuration calls no host. For other commands, the addresses are tried in order
+// until one answers. Repeating a call that commits a note is safe, because a note with the same id
+// is committed only once.
 //
 // Exit codes: 0 done, 2 wrong usage, 3 invalid, unauthorized or not found, 4 conflict with
 // another note, 5 unavailable or outcome unknown.
--- a/winchd/daemon/codec.go
+++ b/winchd/daemon/codec.go
@@ -54,7 +54,7 @@
 	slices.SortFunc(e.Endpoints, func(a, b endpointWire) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-// encodeEndpoint encodes an endpoint, which is evacuated if its data centre is among the evacuations.
+// encodeEndpoint encodes an endpoint. It is evacuated if its status says so or its data centre is among the evacuations.
 func encodeEndpoint(status winch.EndpointStatus, evacuations map[winch.DataCentreID]winch.Evacuation) endpointWire {
 	endpoint := status.Endpoint
 	_, evacuated := evacuations[endpoint.DataCentre]
--- a/winchd/daemon/daemon.go
+++ b/winchd/daemon/daemon.go
@@ -31,10 +31,11 @@
 const (
 	// callerIdleTimeout is how long a caller's connection may be idle.
 	callerIdleTimeout = 2 * time.Minute
-	// internalConnections is the maximum number of connections of each of the ports of hosts and operators.
+	// internalConnections is the maximum number of connections of the port for other hosts and of the port for operators.
 	internalConnections = 4096
 	// peerShare and operatorShare are the shares in percent of the descriptors, and of the memory of requests, that connections of
-	// these ports may use. Callers use 60 and 50; other hosts forward requests, operators need few connections.
+	// these ports may use. process.Guard gives most of both to callers. Other hosts get more than operators, since they forward
+	// requests.
 	peerShare, operatorShare = 20, 10
 )
 
@@ -124,17 +125,17 @@
 		HeaderLimit: d.settings.Caller.HeaderLimit, ReadTimeout: d.settings.Caller.ReadTimeout, IdleTimeout: callerIdleTimeout,
 	}
 	for _, port := range []struct {
-		address string
-		handler http.Handler
-		limits  process.ServerLimits
-		traffic *httpjson.Traffic
-		limiter func() (*connlimit.Limiter, error)
+		address    string
+		handler    http.Handler
+		limits     process.ServerLimits
+		traffic    *httpjson.Traffic
+		newLimiter func() (*connlimit.Limiter, error)
 	}{
 		{d.settings.Caller.Address, d.serving.server.Handler(), callerLimits, nil, d.guard.Callers},
 		{d.settings.Peer.Address, d.peerHandler(), process.InternalLimits(), d.traffic, d.internal("peer", peerShare)},
 		{d.settings.Operator.Address, d.operatorHandler(), process.InternalLimits(), nil, d.internal("operator", operatorShare)},
 	} {
-		limiter, err := port.limiter()
+		limiter, err := port.newLimiter()
 		if err != nil {
 			return err
 		}
@@ -150,6 +151,7 @@
 	return nil
 }
 
+// internal returns the constructor of the limiter of a port that is not exposed to callers.
 func (d *Daemon) internal(port string, share int) func() (*connlimit.Limiter, error) {
 	return func() (*connlimit.Limiter, error) { return d.guard.InternalShare(port, internalConnections, share) }
 }
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -190,7 +190,7 @@
 	return err
 }
 
-// evacuations returns the lister of the evacuated data centres, or nil if the bounds have no time for evacuations.
+// evacuations returns the lister of the evacuated data centres, or nil if bounds.Evacuate is zero.
 func (f *Forwarder) evacuations(bounds settings.ForwardingBounds) winch.EvacuationLister {
 	if bounds.Evacuate == 0 {
 		return nil
@@ -295,17 +295,18 @@
 	return err
 }
 
+// internal returns the constructor of the limiter of a port that is not exposed to callers.
 func (f *Forwarder) internal(port string) func() (*connlimit.Limiter, error) {
 	return func() (*connlimit.Limiter, error) { return f.guard.Internal(port, internalConnections) }
 }
 
-// newServer returns a server whose connections are limited.
-func (f *Forwarder) newServer(address string, handler http.Handler, limits process.ServerLimits, limiter func() (*connlimit.Limiter, error)) (*khttp.Server, error) {
-	built, err := limiter()
+// newServer returns a server whose connections the limiter that newLimiter returns limits.
+func (f *Forwarder) newServer(address string, handler http.Handler, limits process.ServerLimits, newLimiter func() (*connlimit.Limiter, error)) (*khttp.Server, error) {
+	limiter, err := newLimiter()
 	if err != nil {
 		return nil, err
 	}
-	limits.Connections = built
+	limits.Connections = limiter
 	return process.NewServer(address, handler, limits, nil)
 }
 
