fix(connlimit): closed connections take no memory, and a client's share costs others nothing

A connection that was closed between the end of a read and the charge for it took memory that nobody gave back (48 KiB a time, 256 KiB for a raised buffer). A client whose own connections held its share of the budget made the server end the connections of other clients. A refusal was written for up to a second under a lock that the watch of all connections waits for, and a connection whose request had just arrived could be ended as an idle one. Change: charges look at whether the connection is closed, under the lock that the close takes; for a full share only connections of the same address are ended; the refusal is written without the lock; the choice is checked again before an end. TestClosedConnectionTakesNoMemory and TestClientThatHoldsItsShareEndsNoOthers failed before.

--- a/internal/connlimit/buffers.go
+++ b/internal/connlimit/buffers.go
@@ -67,7 +67,7 @@
 
 // raiseBuffer raises the receive buffer to bodyBuffer, if there is memory for it. It is called with mu held.
 func (c *conn) raiseBuffer() {
-	if !c.raised && c.tcp != nil && c.limiter.bodyBuffers.Take(bodyBuffer) {
+	if !c.raised && c.tcp != nil && !c.closed.Load() && c.limiter.bodyBuffers.Take(bodyBuffer) {
 		c.raised = true
 		c.setReceiveBuffer(bodyBuffer)
 	}
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -76,8 +76,8 @@
 		c.pipelined.Store(true)
 	}
 	c.received.Add(int64(count))
-	if refused := c.meter(p[:count]); refused != nil {
-		return 0, refused
+	if c.meter(p[:count]) != nil {
+		return 0, c.refuse()
 	}
 	return count, err
 }
@@ -100,16 +100,19 @@
 	if wanted <= c.headTaken {
 		return nil
 	}
-	if c.takeExtra(wanted-c.headTaken) != nil {
-		return c.refuse()
+	if err := c.takeExtra(wanted - c.headTaken); err != nil {
+		return err
 	}
 	c.headTaken = wanted
 	return nil
 }
 
 // takeExtra takes memory for the connection beyond ConnectionCost. It is called with mu held. The claim has the ordinary rank on all
-// ports, so that the share of a client limits it.
+// ports, so that the share of a client limits it. A closed connection takes nothing, since nobody would give it back.
 func (c *conn) takeExtra(size int64) error {
+	if c.closed.Load() {
+		return net.ErrClosed
+	}
 	if c.extra == nil {
 		c.extra = c.limiter.options.Budget.Open(memory.Holder{Address: c.address, Rank: memory.RankOrdinary})
 	}
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -13,6 +13,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -168,7 +169,7 @@
 	c.since.Store(l.now.Load())
 	c.tcp = tcpOf(inner)
 	c.claim = l.options.Budget.Open(memory.Holder{Address: address, Rank: l.options.Rank})
-	if c.claim.Take(ConnectionCost) != nil && !(l.endSome(address, false) && c.claim.Take(ConnectionCost) == nil) {
+	if err := c.claim.Take(ConnectionCost); err != nil && !l.takeAfterEnding(c, errors.Is(err, memory.ErrClientShare)) {
 		c.claim.Close()
 		l.counts.noMemory.Add(1)
 		return nil
@@ -180,6 +181,12 @@
 	return c
 }
 
+// takeAfterEnding ends connections and takes memory for the new one. If own is set, because its address holds its share, only those of
+// the address are ended.
+func (l *Limiter) takeAfterEnding(c *conn, own bool) bool {
+	return l.endSome(c.address, own) && c.claim.Take(ConnectionCost) == nil
+}
+
 // makeRoom reports whether the address may have another connection. If necessary, it ends others first.
 func (l *Limiter) makeRoom(address netip.Addr) bool {
 	if l.options.Rank == memory.RankEssential {
@@ -213,11 +220,16 @@
 		}
 	}
 	l.mu.Unlock()
-	chosen := choose(candidates, l.now.Load(), l.options.Max)
-	for _, c := range chosen {
+	ended := false
+	for _, c := range choose(candidates, l.now.Load(), l.options.Max) {
+		if c.conn.candidate().activity == working {
+			// A request has arrived since.
+			continue
+		}
 		c.conn.endFor(causeRoom)
+		ended = true
 	}
-	return len(chosen) > 0
+	return ended
 }
 
 // remove forgets a closed connection.
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -223,3 +224,33 @@
 	p.limiter.checkAll(later.Add(2*defaultReadTime), false)
 	assert.Equal(t, p.limiter.Open(), 0)
 }
+
+// TestClosedConnectionTakesNoMemory guards against bytes that are taken after a connection has given back its memory, and stay taken.
+func TestClosedConnectionTakesNoMemory(t *testing.T) {
+	p := newPort(t, Options{}, answerOK)
+	c := &conn{Conn: &inputConn{}, limiter: p.limiter, claim: p.budget.Open(memory.Holder{})}
+	assert.NilError(t, c.Close())
+	assert.ErrorIs(t, c.meter([]byte(headWithFields(7000))), net.ErrClosed)
+	assert.Equal(t, p.budget.Usage().Used, int64(0))
+}
+
+// TestClientThatHoldsItsShareEndsNoOthers guards against a client that makes the server end the connections of others, because its own
+// hold all the memory that one client may have.
+func TestClientThatHoldsItsShareEndsNoOthers(t *testing.T) {
+	p := newPort(t, Options{Budget: memory.NewBudget(1 << 20)}, answerOK)
+	idle := p.dial(simpleHead)
+	assert.Equal(t, statusOf(idle), http.StatusOK)
+	for taken := true; taken; {
+		greedy := p.budget.Open(memory.Holder{Address: netip.MustParseAddr("127.0.0.2")})
+		defer greedy.Close()
+		taken = greedy.Take(ConnectionCost) == nil
+	}
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
+	other, err := dialer.Dial("tcp", p.address)
+	assert.NilError(t, err)
+	defer func() { _ = other.Close() }()
+	p.waitFor("the connection to be refused", func() bool { return p.limiter.counts.noMemory.Load() > 0 })
+	_, err = idle.Write([]byte(simpleHead))
+	assert.NilError(t, err)
+	assert.Equal(t, statusOf(idle), http.StatusOK)
+}
