--- a/configuration.go
+++ b/configuration.go
@@ -146,7 +146,7 @@
 	Grades        map[OrganisationID]Grade
 	ForwardLimits ForwardLimits
 	Scalings      map[ModelID]Scaling
-	// ColdStarts holds the models whose endpoints bear few requests while they are cold.
+	// ColdStarts holds the models whose endpoints sustain few requests while they are cold.
 	ColdStarts map[ModelID]ColdStart
 	// Engines holds what is known of the engines of each model.
 	Engines map[ModelID]EngineProperties
--- a/dispatch.go
+++ b/dispatch.go
@@ -126,7 +126,7 @@
 	// endpoint, because a higher tier needs the slot or the endpoint is shutting down.
 	Preempted() <-chan struct{}
 	// Evacuated reports whether the endpoint's data centre has been evacuated since the slot was granted, or may have been while this process
-	// was stopped. The request must then not be sent there: the slot is released with OutcomeCancelled, and another one acquired.
+	// was stopped. If so, the caller must not send the request, but release the slot with OutcomeCancelled and acquire another one.
 	Evacuated(now time.Time) bool
 	// FirstToken reports that the first token, or the first byte of a plain service's response, has arrived.
 	FirstToken(now time.Time)
--- a/dispatch/completion/estimate.go
+++ b/dispatch/completion/estimate.go
@@ -1,10 +1,10 @@
 // Package completion estimates when a request that is sent to an endpoint ends, and decides whether that is before its deadline. It does
 // no I/O.
 //
-// A prompt that is prefilled costs the same whether or not the response ends in time. An engine begins a request soon, and then makes its
-// tokens the slower, the larger the share of its time is in which it prefills other prompts. The time between tokens is therefore learnt
-// by that share, over all endpoints of a model, since a host sends a single endpoint too few requests to learn it there. What it has seen
-// of the endpoint in the last seconds corrects it.
+// The prefill of a prompt costs the same whether or not the response ends in time. An engine starts a request soon, and then generates its
+// tokens more slowly the more of its time it spends on the prefill of other prompts. The time between tokens is therefore learnt as a
+// function of that share, over all endpoints of a model, since a host sends too few requests to a single endpoint to learn it there. The
+// samples of the endpoint itself in the last seconds correct it.
 //
 // # Usage
 //
@@ -22,28 +22,29 @@
 )
 
 const (
-	// margin is how long before its deadline a request has to end: the time that the last token takes to the caller, and that a host
-	// takes to notice.
+	// margin is how long before its deadline a request has to end: the last token has to reach the caller, and hosts read progress only
+	// once a tick.
 	margin = 100 * time.Millisecond
-	// certainShare is the share of the expected time for its outputs after which a request is certain to end late. Estimates err by as much
-	// in both directions, and endpoints would idle for requests that are refused although they could have ended.
+	// certainShare is the share of the expected time for the outputs that a request is assumed to need at least. Estimates may be too long,
+	// and endpoints would idle if requests that could have ended in time were refused.
 	certainShare = 0.85
-	// longest bounds an estimate.
+	// longest bounds an estimate, so that its conversion to a time.Duration does not overflow.
 	longest = time.Hour
 )
 
-// InTime reports whether a request that begins at the given time and takes so long ends before its deadline. One without a deadline does.
+// InTime reports whether a request that begins at the given time and takes the duration ends before its deadline. A request without a
+// deadline always does.
 func InTime(begin, deadline time.Time, duration time.Duration) bool {
 	return deadline.IsZero() || !begin.Add(duration+margin).After(deadline)
 }
 
-// LatestStart returns the last time at which a request that takes so long can begin.
+// LatestStart returns the last time at which a request that takes the duration can begin and end before its deadline.
 func LatestStart(deadline time.Time, duration time.Duration) time.Time {
 	return deadline.Add(-duration - margin)
 }
 
-// Duration returns how long a request takes at least of which the first token comes after the wait, and then count outputs at the interval in
-// seconds.
+// Duration returns the shortest time that a request is expected to take, if its first token comes after the wait and then count outputs
+// follow at the interval, in seconds. It is at most an hour.
 func Duration(wait time.Duration, count, interval float64) time.Duration {
 	rest := max(0, count) * max(0, interval)
 	if wait < 0 || math.IsNaN(rest) {
@@ -52,7 +53,7 @@
 	return time.Duration(math.Min(float64(wait)+certainShare*rest*float64(time.Second), float64(longest)))
 }
 
-// decayed is a pair of sums that forget with time.
+// decayed is a pair of sums whose samples lose weight exponentially with their age.
 type decayed struct {
 	seconds, count float64
 	at             time.Time
@@ -74,20 +75,20 @@
 }
 
 const (
-	// loadTime is the time constant of an endpoint's busy share: a few exchanges between hosts, and about as long as a response runs.
+	// loadTime is the time constant of an endpoint's busy share: several exchanges between hosts, and about the length of a response.
 	loadTime = 4 * time.Second
-	// observeEvery is the time between two looks at an endpoint that count.
+	// observeEvery is the shortest time between two samples of an endpoint. Earlier ones are ignored.
 	observeEvery = 50 * time.Millisecond
 )
 
-// Load is the share of its time in which an endpoint prefills prompts, seen by regular looks at whether any are pending. The zero value
-// is that of an endpoint at which none were seen.
+// Load estimates the share of its time in which an endpoint prefills prompts, from regular samples of whether any are pending. The zero
+// value is that of an endpoint without samples.
 type Load struct {
 	busy float64
 	at   time.Time
 }
 
-// Observe adds a look at the endpoint.
+// Observe adds a sample: whether prompts are pending at the endpoint.
 func (l *Load) Observe(now time.Time, pending bool) {
 	elapsed := now.Sub(l.at)
 	if l.at.IsZero() {
@@ -110,6 +111,6 @@
 // ownWeight is the weight of an endpoint's own share in what is expected of it while a response runs.
 const ownWeight = 0.3
 
-// Expected returns the share that is expected while a response runs, given the mean of the endpoints. An endpoint's own share returns to it,
-// since the hosts send to those that are less busy.
+// Expected returns the share that is expected while a response runs, given the mean of the endpoints. An endpoint's own share tends to the
+// mean, since the hosts send to those that are less busy.
 func (l *Load) Expected(mean float64) float64 { return ownWeight*l.busy + (1-ownWeight)*mean }
--- a/dispatch/completion/interval.go
+++ b/dispatch/completion/interval.go
@@ -3,20 +3,20 @@
 import "time"
 
 const (
-	// modelTime is the time constant of the sums: prompts and paces change within minutes.
+	// modelTime is the time constant of the sums. Prompts and paces change within minutes.
 	modelTime = 30 * time.Second
-	// minModelCount is the number of outputs, from several responses, from which a range's interval counts.
+	// minModelCount is the number of outputs from which a range's interval is used: those of several responses.
 	minModelCount = 40
-	// maxSample bounds the time that one response adds to a sum at once, in seconds, so that a single stall says little.
+	// maxSample bounds the seconds of one sample, so that a single stall has little weight.
 	maxSample = 2
 )
 
 // edges are the upper ends of the ranges of the busy share for which an interval is learnt, but for the last. They are closer near a full
-// share, where the interval rises steeply: what is left for the streams goes to zero.
+// share, where the interval rises steeply because hardly any time is left for the streams.
 var edges = [...]float64{0.25, 0.5, 0.7, 0.8, 0.88, 0.94, 0.98}
 
-// Intervals learns the time between outputs by the share of its time in which an endpoint prefills. Outputs are tokens or events of
-// several tokens, whatever the host counts. The zero value knows nothing.
+// Intervals learns the time between outputs as a function of the share of its time in which an endpoint prefills. Outputs are what the
+// host counts: tokens, or events of several tokens. The zero value has no samples.
 type Intervals struct {
 	ranges [len(edges) + 1]decayed
 }
@@ -29,8 +29,8 @@
 	return i
 }
 
-// Observe adds a stream that has made count outputs in the seconds since the last ones. A stream that was cut while it waited for
-// the next one adds its seconds with a count of zero.
+// Observe adds a sample of a stream that has brought count outputs in the seconds since the previous ones. A stream that was cut while it
+// waited for the next output adds the seconds with a count of zero.
 func (m *Intervals) Observe(now time.Time, busy, seconds, count float64) {
 	if seconds < 0 || count < 0 || seconds == 0 && count == 0 {
 		return
@@ -38,8 +38,8 @@
 	m.ranges[rangeOf(busy)].add(now, min(seconds, maxSample), count, modelTime)
 }
 
-// Interval returns the seconds between outputs at the busy share, and false if they are not known. The interval of a lower share is a
-// lower bound, and stands for a range that has too few samples.
+// Interval returns the seconds between outputs at the busy share, and false if they are not known. For a range with too few samples it
+// returns the interval of the next lower one, which is a lower bound.
 func (m *Intervals) Interval(now time.Time, busy float64) (float64, bool) {
 	for i := rangeOf(busy); i >= 0; i-- {
 		r := &m.ranges[i]
@@ -51,28 +51,28 @@
 }
 
 const (
-	// recentTime is the time constant of what an endpoint has shown.
+	// recentTime is the time constant of an endpoint's own samples.
 	recentTime = 2 * time.Second
-	// priorCount is the number of outputs that the expectation counts for, those of a few responses.
+	// priorCount is the number of outputs whose weight the expected interval has: those of a few responses.
 	priorCount = 30
-	// correctionMin and correctionMax bound the correction by what the endpoint has shown.
+	// correctionMin and correctionMax bound the corrected interval, relative to the expected one.
 	correctionMin = 0.5
 	correctionMax = 2
 )
 
-// Recent is what an endpoint has shown in the last seconds. The zero value is that of an endpoint that has shown nothing.
+// Recent holds the time between outputs of one endpoint in the last seconds. The zero value has no samples.
 type Recent struct {
 	sums decayed
 }
 
-// Observe adds a stream as in Intervals.
+// Observe adds a sample of a stream; see Intervals.Observe.
 func (r *Recent) Observe(now time.Time, seconds, count float64) {
 	if seconds >= 0 && count >= 0 {
 		r.sums.add(now, min(seconds, maxSample), count, recentTime)
 	}
 }
 
-// Correct returns the interval that is expected, corrected by what the endpoint has shown. A few outputs change it little.
+// Correct returns the expected interval in seconds, corrected by the samples of the endpoint. A few outputs change it little.
 func (r *Recent) Correct(now time.Time, expected float64) float64 {
 	factor := r.sums.factor(now, recentTime)
 	corrected := (priorCount*expected + factor*r.sums.seconds) / (priorCount + factor*r.sums.count)
--- a/dispatch/completion/share.go
+++ b/dispatch/completion/share.go
@@ -3,14 +3,13 @@
 import "time"
 
 const (
-	// shareTime is the time constant of the ends that count.
+	// shareTime is the time constant with which ended requests lose weight.
 	shareTime = 5 * time.Second
-	// minEnds is the number of ends from which a class's share changes. One late response is no reason.
+	// minEnds is the number of ended requests from which a class's share changes. A single late response does not.
 	minEnds = 5
 	// lateTolerance is the share of responses that may be late.
 	lateTolerance = 0.15
-	// shrinkTime and growTime are how long the share takes to shrink to 1/e, and to recover from zero to one. It shrinks within the time
-	// of a few responses, and grows more slowly so that it does not swing.
+	// shrinkTime is how long the share takes to shrink to 1/e, and growTime how long it would take to grow from zero to one.
 	shrinkTime = 20 * time.Second
 	growTime   = 10 * time.Second
 	// MinShare is the smallest share. Below, endpoints would be idle for half of the time with the usual window.
@@ -27,7 +26,7 @@
 	at   time.Time
 }
 
-// Ended adds a request that ended, and whether that was too late.
+// Ended adds a request that has ended, and whether it ended after its deadline.
 func (s *Share) Ended(now time.Time, late bool) {
 	count := 0.0
 	if late {
@@ -41,8 +40,8 @@
 	return s.ends.count*s.ends.factor(now, shareTime) >= minEnds && s.ends.seconds > lateTolerance*s.ends.count
 }
 
-// Update changes the share after some time, and returns it. It is given whether the class's responses or those of more urgent classes are
-// late, and the mean busy share of the endpoints.
+// Update applies the time since the last call, and returns the share. late tells whether the class's responses or those of more urgent
+// classes are late, and busy is the mean busy share of the endpoints.
 func (s *Share) Update(now time.Time, late bool, busy float64) float64 {
 	elapsed := now.Sub(s.at)
 	if s.at.IsZero() || elapsed < 0 {
--- a/dispatch/endpoint/cold.go
+++ b/dispatch/endpoint/cold.go
@@ -7,18 +7,18 @@
 	"github.com/arbutuswinch/winch/dispatch/ratelimit"
 )
 
-// An endpoint that has just started, or that turns cold later, bears few requests (winch.ColdStart). Each host computes from the list of
-// endpoints which of them are cold, and sends no more than its part of the rate to them (ratelimit.Share). After that the
-// rate rises step by step, until the endpoint is warm and has no limit.
+// An endpoint that has just started, or that turns cold later, sustains few requests (winch.ColdStart). Each host computes from the list of
+// endpoints which of them are cold, and sends each no more than its part of the rate (ratelimit.Share). Once the endpoint is not cold any
+// more, the rate rises step by step until the endpoint is warm and has no limit.
 
 const (
-	// coldClockTolerance is by how much the clocks of hosts and endpoints may differ.
+	// coldClockTolerance is the largest difference between the clocks of hosts and endpoints.
 	coldClockTolerance = 2 * time.Second
 	// coldKnownAfter is the time within which this host knows that an endpoint has turned cold: entries are written every 1.2 s, read
 	// every 0.6 s and relayed within 0.25 s.
 	coldKnownAfter = 2500 * time.Millisecond
-	// warmStep is the time after which the rate of an endpoint that is not cold any more rises by warmFactor, if nothing
-	// speaks against it. Answers of a step need time to arrive.
+	// warmStep is the time after which the rate of an endpoint that is not cold any more rises by warmFactor, unless the endpoint is
+	// strained or loaded. The responses to the requests of a step need time to arrive.
 	warmStep   = 500 * time.Millisecond
 	warmFactor = 1.5
 	// warmSteps is the number of steps until the endpoint has no limit. The rate is then more than three times that of a cold one.
@@ -26,7 +26,7 @@
 	// coldCost is the cost of a cold endpoint, in prompt tokens: about that of one prompt, so that the rate of cold endpoints is used
 	// up before others have to queue.
 	coldCost = 2_000
-	// coldPenalty is the same for policies that choose by the share of the slots in use.
+	// coldPenalty is the cost of a cold endpoint for policies that choose by the share of the slots in use, as such a share.
 	coldPenalty = 0.1
 )
 
@@ -41,16 +41,16 @@
 	// returnedAt is when the endpoint last came back into service.
 	returnedAt time.Time
 	// cold is set while the endpoint is cold, and warming from then until it has no limit. step counts the rises of the rate,
-	// the last of which was at steppedAt. strained is set if the endpoint has shown since that it does not bear the rate, and loaded
-	// if it has more requests waiting than running, by its last report.
+	// the last of which was at steppedAt. strained is set if a request at the endpoint has failed or was rejected since, and loaded if the
+	// endpoint has more requests waiting than running, by its last report.
 	cold, warming, strained, loaded bool
 	step                            int
 	steppedAt                       time.Time
 	share                           ratelimit.Share
-	// start is how the endpoint behaves when it is cold.
+	// start is the configured cold start of the endpoint's models; its rate is zero if the endpoint is never cold.
 	start  winch.ColdStart
 	demand coldDemand
-	// shared is what share was set from.
+	// shared holds the inputs from which share was last set.
 	shared sharedRate
 }
 
@@ -69,22 +69,22 @@
 	case status.ColdStated:
 		s.stated, s.statedUntil = true, status.ColdUntil
 	case s.stated && s.statedUntil.After(end):
-		// The endpoint says nothing any more.
+		// The entry no longer states whether the endpoint is cold.
 		s.statedUntil = end
 	}
 }
 
-// returned records that the endpoint serves, after it was listed but did not. It may have turned cold in the meantime or may do so now, so that it counts
-// as cold until this host would know. An endpoint that serves when it is first listed has not come back.
+// returned records that the endpoint serves again. It may have turned cold in the meantime, so that it counts as cold until this host would
+// know of that. An endpoint that serves when it is first listed has not come back.
 func (s *coldState) returned(now time.Time) {
 	if s.listedAt.Before(now) {
 		s.returnedAt = now
 	}
 }
 
-// until returns when the endpoint is not cold any more; zero if it is not cold. What the endpoint says counts. If it says nothing, it is
-// cold for some time after it was first listed. One in the first list that had started long before is warm, so that a host
-// that starts does not take all endpoints for cold.
+// until returns when the endpoint is not cold any more; zero if it is not cold. The endpoint's own statement counts. Without one, it is cold
+// for start.Duration after it was first listed. An endpoint in the first list that had started longer ago is warm, so that a host that
+// starts does not take all endpoints for cold.
 func (s *coldState) until(startedAt time.Time, start winch.ColdStart) time.Time {
 	switch {
 	case s.stated:
@@ -95,7 +95,7 @@
 	return s.listedAt.Add(start.Duration)
 }
 
-// advance determines whether the endpoint is cold, and the rate of all hosts; zero if there is no limit.
+// advance determines whether the endpoint is cold. It returns the rate of all hosts together, zero if there is no limit.
 func (s *coldState) advance(now, startedAt time.Time, start winch.ColdStart) winch.RequestRate {
 	cold := now.Before(s.until(startedAt, start)) || !s.returnedAt.IsZero() && now.Sub(s.returnedAt) < coldKnownAfter
 	switch {
@@ -137,7 +137,7 @@
 // limited reports whether the endpoint is cold or was until recently.
 func (s *coldState) limited() bool { return s.cold || s.warming }
 
-// coldStartOf returns how the endpoint behaves when it is cold: the worst of what is configured for its models.
+// coldStartOf returns the cold start of the endpoint: the longest duration and the lowest rate that are configured for its models.
 func (c *core) coldStartOf(e *endpoint) winch.ColdStart {
 	worst := winch.ColdStart{}
 	for _, model := range e.spec.Models {
@@ -153,7 +153,7 @@
 	return worst
 }
 
-// updateCold determines whether the endpoint is cold, and shares out its rate.
+// updateCold determines whether the endpoint is cold, and divides its rate among the hosts.
 func (c *core) updateCold(now time.Time, e *endpoint) {
 	s := &e.cold
 	before := *s
@@ -221,7 +221,7 @@
 	return ratelimit.Turn(e.cold.start.Rate, e.spec.ID, c.self.ID, hosts)
 }
 
-// observeOutcome records whether the endpoint bears the rate at which it is being warmed up.
+// observeOutcome records whether the endpoint sustains the rate of its warm-up: it does not if a request fails or is rejected.
 func (s *coldState) observeOutcome(outcome winch.Outcome) {
 	switch outcome {
 	case winch.OutcomeFailed, winch.OutcomeUnsent, winch.OutcomeRejected:
@@ -229,7 +229,7 @@
 	}
 }
 
-// observeLoad records whether the endpoint has more requests waiting than it works on. Its rate then does not rise.
+// observeLoad records whether the endpoint has more requests waiting than running. Its rate then does not rise.
 func (s *coldState) observeLoad(report winch.LoadReport) {
 	s.loaded = s.warming && report.Waiting > report.Running
 }
--- a/dispatch/endpoint/cold_demand.go
+++ b/dispatch/endpoint/cold_demand.go
@@ -7,17 +7,17 @@
 	"github.com/arbutuswinch/winch/dispatch/measure"
 )
 
-// A warm endpoint may turn cold, and hosts learn of it only after coldKnownAfter. Until then it gets what it got before, so that it
-// should not get more than the rate of a cold one while others have room. Only the preference of prompts for the endpoints that
-// have their parts makes some get far more than others. Hosts therefore tell each other how many requests prefer each endpoint that
-// may turn cold. If there are too many, each host diverts the surplus to any other endpoints. The figure does not depend on what is diverted, so that the
-// share that is kept settles at once.
+// A warm endpoint may turn cold, and hosts learn of it only after coldKnownAfter. Until then it gets as many requests as before, which
+// should therefore not exceed the rate of a cold one while others have room. Only the preference of prompts for endpoints that hold their
+// parts gives one endpoint far more requests than others. Hosts therefore tell each other how many requests prefer each endpoint that may
+// turn cold. If there are too many, each host diverts the surplus to other endpoints. Diverted requests still count as preferring the
+// endpoint, so that the share that is kept does not oscillate.
 
 const (
 	// minReportedDemand is the rate up to which a host does not report an endpoint on which it runs nothing.
 	minReportedDemand = 0.2
-	// crowdedShare is the share of a cold endpoint's rate up to which requests may prefer it. The rest is for others, and for the
-	// variation from second to second.
+	// crowdedShare is the share of a cold endpoint's rate up to which requests may prefer it. The rest is for requests without a preference
+	// and for variation between seconds.
 	crowdedShare = 0.8
 	// crowdedRatio is how many times the mean of its lane an endpoint may be preferred in any case. Without it, a high load on all
 	// endpoints would end the preference.
@@ -76,7 +76,7 @@
 	}
 }
 
-// diverts reports whether a request that prefers the endpoint goes to any other.
+// diverts reports whether a request that prefers the endpoint, which may be nil, goes to any other. The decision is random.
 func (c *core) diverts(preferred *endpoint) bool {
 	return preferred != nil && preferred.cold.start.Rate > 0 && preferred.cold.demand.kept < 1 && c.random.Float64() >= preferred.cold.demand.kept
 }
--- a/dispatch/endpoint/cold_metrics.go
+++ b/dispatch/endpoint/cold_metrics.go
@@ -9,7 +9,7 @@
 	"go.opentelemetry.io/otel/metric"
 )
 
-// coldFigures are the figures of the endpoints that are cold or were.
+// coldFigures are the values of the metrics of cold endpoints.
 type coldFigures struct {
 	cold, warming int
 	// budget is this host's part of their rates, in requests a second.
@@ -19,7 +19,7 @@
 	heldBack int64
 }
 
-// coldFigures returns the figures.
+// coldFigures returns the present values.
 func (c *core) coldFigures() coldFigures {
 	figures := coldFigures{heldBack: c.coldHeldBack}
 	for _, e := range c.sortedEndpoints {
--- a/dispatch/endpoint/completion.go
+++ b/dispatch/endpoint/completion.go
@@ -17,21 +17,21 @@
 	minCountSamples = 5
 	// hintRange bounds the ratio of the outputs expected by a caller's hint to the class's mean. Hints are often far off.
 	hintRange = 2
-	// spillPause is how long a class keeps to its part of the endpoints after a request was kept from one of them. Its long prompts would
-	// otherwise go to those that are reserved for latency-sensitive classes.
+	// spillPause is how long a class does not use the endpoints that are reserved for latency-sensitive classes after one of its requests
+	// was held back. Its long prompts would otherwise all go there.
 	spillPause = time.Second
 	// floorInterval is the time after which a host begins a request of a class in any case, so that no class starves by a wrong estimate.
 	floorInterval = 5 * time.Second
-	// returnSpread is the share of RetryAfterMax over which the returns of requests are spread that could not end in time.
+	// returnSpread is the share of RetryAfterMax over which the retries of requests that could not end in time are spread.
 	returnSpread = 0.25
 )
 
-// laneCompletion is what a lane knows of the ends of its requests.
+// laneCompletion holds a lane's estimates of when its requests end.
 type laneCompletion struct {
 	counts measure.Mean // outputs of a response
 	share  completion.Share
-	// shrunk is the share of the usual prompt tokens that may not be pending. Only the lowest tier's shrinks: what it leaves is enough for the
-	// tiers above it, which would be refused otherwise while it begins.
+	// shrunk is the share by which the lane's prefill budget is reduced. Only that of the lowest tier is: this leaves enough for the tiers
+	// above it.
 	shrunk float64
 	// leastBusy and busy are the smallest and the mean share of the time in which the lane's endpoints prefill.
 	leastBusy, busy float64
@@ -44,7 +44,8 @@
 
 // notBegun counts the requests that were not begun because they could not end in time, by cause.
 type notBegun struct {
-	// refused were refused on arrival, expired in the queue, and held back at least once before they began or expired.
+	// refused counts those refused on arrival, expired those refused in the queue, and held those kept from an endpoint at least once,
+	// whether they began later or not.
 	refused, expired, held int64
 }
 
@@ -54,7 +55,7 @@
 		l.servedByEngines() && !l.highestTier
 }
 
-// refreshCompletion looks at the endpoints, and updates the lanes' windows.
+// refreshCompletion samples the endpoints, and updates the lanes' budget reductions.
 func (c *core) refreshCompletion(now time.Time) {
 	if !c.features.completion {
 		return
@@ -70,7 +71,7 @@
 	}
 }
 
-// endsLate reports whether the lane's requests, or those of higher tiers at its endpoints, end too late.
+// endsLate reports whether too many requests of the lane's tier or a higher one end late at its endpoints.
 func (c *core) endsLate(now time.Time, l *lane) bool {
 	for _, competitor := range l.competitors {
 		if !l.higher(competitor) && competitor.completion.share.Late(now) {
@@ -115,11 +116,11 @@
 	return min(max(mean/hintRange, float64(r.work.OutputHint)/perCount), mean*hintRange), true
 }
 
-// countScale is the count for which the tokens of an output are asked, so that rounding does not matter.
+// countScale is the count for which lane.expectedCount asks for the number of tokens, large enough that rounding has no effect.
 const countScale = 1000
 
-// canEndAt reports whether the request ends before its deadline if it is sent to the endpoint now. What is not known is no reason
-// against it.
+// canEndAt reports whether the request is expected to end before its deadline if it is sent to the endpoint now. It returns true if there
+// are too few samples for an estimate.
 func (c *core) canEndAt(now time.Time, l *lane, r *request, e *endpoint) bool {
 	if !c.limitsCompletion(l, r) || e.idle() {
 		return true
@@ -173,7 +174,7 @@
 	return e.prefillTime.Busy()
 }
 
-// idle reports whether the endpoint is known to run nothing.
+// idle reports whether the endpoint is known to have no requests.
 func (e *endpoint) idle() bool {
 	return e.told && e.running+e.others == 0 && e.prefill.pending+e.prefill.others == 0
 }
@@ -211,7 +212,7 @@
 	return true
 }
 
-// refuseLate refuses a request that could not end. Its caller is told to come back at a random time, since many are refused at once.
+// refuseLate refuses a request that could not end in time. Its caller is told a random time for a retry, since many are refused at once.
 func (c *core) refuseLate(now time.Time, r *request, wait time.Duration) {
 	spread := time.Duration(returnSpread * c.random.Float64() * float64(c.settings.RetryAfterMax))
 	c.refuse(now, r, r.lane, winch.RefusedDeadline, max(wait, c.settings.RetryAfterMin)+spread)
@@ -226,7 +227,7 @@
 	return intervals
 }
 
-// sampleInterval adds the outputs that the request's stream has made since the last ones.
+// sampleInterval adds a sample: the request's stream has brought count outputs in the seconds since the previous ones.
 func (c *core) sampleInterval(now time.Time, r *request, seconds, count float64) {
 	if !c.features.completion || r.nonStreaming() || r.lane == nil || !r.lane.servedByEngines() {
 		return
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -96,14 +96,14 @@
 	prefixes    map[winch.PrefixHash]winch.EndpointID
 	// prefillSpeeds is the measured prefill speed of the endpoints of each model or route, in prompt tokens per second.
 	prefillSpeeds map[group]measure.Mean
-	// intervals are the times between outputs of the endpoints of each model.
+	// intervals holds the times between outputs at the endpoints of each model or route.
 	intervals map[group]*completion.Intervals
 	// incompleteAttempts maps each request whose last attempt did not complete to the time it ended. It
 	// includes attempts that never reached their endpoint or were rejected by it.
 	incompleteAttempts map[winch.RequestID]time.Time
 	incompletePrunedAt time.Time // when expired entries of incompleteAttempts were last removed
 	expiry             expiryHeap
-	// coldHeldBack is that of coldFigures.
+	// coldHeldBack counts the requests that were held back for a cold endpoint; see coldFigures.
 	coldHeldBack int64
 	// boundQueued is the number of bound requests in the queues of all lanes.
 	boundQueued int
--- a/dispatch/endpoint/evacuation.go
+++ b/dispatch/endpoint/evacuation.go
@@ -11,15 +11,15 @@
 // Endpoints of an evacuated data centre are in no lane's list of endpoints, so that neither choices nor the figures of capacity, shares
 // and waits include them. What runs there goes on. Streams that other endpoints can resume are moved, a few at a time.
 
-// evacuationMoveRate is how many streams a second all hosts together move to each endpoint that is left. Each costs its endpoint the prefill
-// of the prompt and the output so far, beside the requests that come in place of those of the evacuated endpoints.
+// evacuationMoveRate is how many streams a second all hosts together move to each endpoint that is left. A moved stream costs its new
+// endpoint the prefill of the prompt and the output so far, while that endpoint also takes over the evacuated endpoints' new requests.
 const evacuationMoveRate = 0.5
 
 const (
-	// longStop is the time without a tick after which the process counts as having been stopped for long. Shorter stops leave enough
-	// of the time that an evacuation has to take effect.
+	// longStop is the time without a tick after which the process counts as having been stopped for long. After shorter stops, an
+	// evacuation still takes effect within the usual bound of five seconds.
 	longStop = 2 * time.Second
-	// listWait is how long requests wait for a new list after a long stop. A host that cannot read one goes on with the last.
+	// listWait is how long requests wait for a new list after a long stop. A host that cannot read one then uses the last.
 	listWait = 1500 * time.Millisecond
 )
 
@@ -86,7 +86,7 @@
 	c.evacuations = c.currentEvacuations()
 	for _, centre := range slices.Sorted(maps.Keys(c.evacuations)) {
 		if _, found := before[centre]; !found {
-			// Hosts that begin at the same time move their streams at different ones.
+			// A random start spreads the moves of hosts that learn of the evacuation at the same time.
 			c.moveAllowance = c.random.Float64()
 			c.emit(effect{kind: effectEvacuated, at: now, evacuation: c.evacuations[centre]})
 		}
@@ -133,7 +133,8 @@
 	}
 }
 
-// refuseWithoutEndpoint refuses a request for which there is no endpoint. An evacuation lasts, so that its callers are told to wait as long as any.
+// refuseWithoutEndpoint refuses a request for which there is no endpoint. Since an evacuation lasts, its callers are told to wait for
+// RetryAfterMax.
 func (c *core) refuseWithoutEndpoint(now time.Time, r *request, l *lane) {
 	if l != nil && l.evacuatedEverywhere() {
 		c.refuse(now, r, l, winch.RefusedEvacuated, c.settings.RetryAfterMax)
@@ -189,7 +190,7 @@
 		}
 	}
 	perTick := evacuationMoveRate * float64(left) / float64(max(1, c.maxHostsSeen)) * c.settings.Tick.Seconds()
-	// What is not used does not add up.
+	// Unused allowance does not accumulate beyond one stream.
 	for c.moveAllowance = min(c.moveAllowance+perTick, 1+perTick); c.moveAllowance >= 1; c.moveAllowance-- {
 		r := c.nextToMove(now)
 		if r == nil {
--- a/dispatch/endpoint/events.go
+++ b/dispatch/endpoint/events.go
@@ -50,7 +50,8 @@
 	EventEvacuated winch.EventNumber = 3022
 	// EventEvacuationEnded: a data centre is no longer evacuated, and its endpoints get requests again.
 	EventEvacuationEnded winch.EventNumber = 3023
-	// EventHeldBack: a request was not sent because the endpoint's data centre was evacuated after the slot was granted.
+	// EventHeldBack: a request was not sent because the endpoint's data centre was evacuated after the slot was granted, or may have been
+	// while the process was stopped.
 	EventHeldBack winch.EventNumber = 3024
 	// EventEndpointCold: an endpoint is cold and gets few requests from all hosts together.
 	EventEndpointCold winch.EventNumber = 3030
--- a/dispatch/endpoint/known_hosts.go
+++ b/dispatch/endpoint/known_hosts.go
@@ -11,11 +11,11 @@
 	// hostRetention is how long a host that is not heard of counts as a user of its parts of shared rates. It may be partitioned
 	// from this host and still send.
 	hostRetention = 10 * time.Minute
-	// joinTime is how long after it has heard of the first other host a host uses no part of a shared rate. By then all hosts
-	// know of it, and it knows all others.
+	// joinTime is how long a host uses no part of a shared rate after it has heard of the first other host. By then all hosts know of it,
+	// and it knows all others.
 	joinTime = 3 * time.Second
-	// aloneTime replaces joinTime while the host has heard of no other one. It is longer than the interval at which the list of
-	// hosts is read.
+	// aloneTime is how long a host that has heard of no other one uses no part of a shared rate. It is longer than the interval at which
+	// the list of hosts is read.
 	aloneTime = 10 * time.Second
 )
 
@@ -31,7 +31,7 @@
 }
 
 // update applies the hosts that are alive. A host that was not heard of for hostRetention is forgotten, but only if most of the
-// known hosts are alive: otherwise this host may be the one that is partitioned.
+// known hosts are alive: otherwise this host may be the one that is partitioned, and keeps all.
 func (k *knownHosts) update(now time.Time, self winch.HostID, alive []winch.Host) {
 	if k.heardAt == nil {
 		k.heardAt, k.startedAt = map[winch.HostID]time.Time{}, now
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -57,8 +57,8 @@
 	// pinned counts the running requests that could be preempted if another endpoint of their software version served.
 	pinned  int
 	running int
-	// evacuatedRunning are those of them at evacuated endpoints, and evacuatedPrefill is their part of pendingPrefill. They hold none of the
-	// slots, and their prompts delay no others.
+	// evacuatedRunning counts the running requests at evacuated endpoints, and evacuatedPrefill is their part of pendingPrefill. They hold
+	// none of the lane's slots, and their prompts delay no others. Both are recomputed with each tick.
 	evacuatedRunning int
 	evacuatedPrefill winch.Tokens
 	floorRunning     int
@@ -69,25 +69,27 @@
 	prefillBudget  prefillBudget
 	completion     laneCompletion
 
-	// held are the tokens of this host's running requests, meanNeed those of one request, and meanHeld those of one that runs on any of
-	// the lane's endpoints, zero if too few run. pool and largestWaiting are recomputed by refreshTokens.
+	// held is the number of tokens of this host's running requests, and meanNeed the mean need of its requests.
 	held     winch.Tokens
 	meanNeed measure.Mean
-	meanHeld float64
-	// knowsCaches is set if the capacities of all endpoints' memories are known. popularity counts the shared parts of the prompts, of
-	// which sharedTokens were sent and expectedTokens expected to be held.
-	// homeShares are the shares of requests with shared parts that go to the homes of their parts and to each alternate.
+	outputs  tokenlimit.Outputs
+	// refreshTokens recomputes pool, meanHeld, meanHold and largestWaiting. meanHeld is the mean number of tokens of the requests of all
+	// lanes and hosts that run on the lane's endpoints, zero if too few run, and meanHold the mean time for which they hold their slots.
+	pool           tokenlimit.Pool
+	meanHeld       float64
+	meanHold       time.Duration
+	largestWaiting winch.Tokens
+
+	// knowsCaches is set if the contents of the endpoints' memories are estimated.
+	knowsCaches bool
+	popularity  prefixcache.Popularity
+	// homeShares are the shares of the requests with shared parts that go to the homes of their parts and to each alternate.
 	homeShares [1 + alternates]float64
-	// Other hosts' requests go to partitionEndpoints.
-	inflow                       inflow
-	partitionEndpoints           int
-	knowsCaches                  bool
-	popularity                   prefixcache.Popularity
+	inflow     inflow
+	// partitionEndpoints is the number of endpoints over which the other hosts' requests of the lane are assumed to be spread.
+	partitionEndpoints int
+	// sharedTokens counts the sent tokens of shared parts, and expectedTokens those of them that the endpoints were expected to hold.
 	sharedTokens, expectedTokens winch.Tokens
-	meanHold                     time.Duration // that a request holds its slot, mean over those on the lane's endpoints
-	outputs                      tokenlimit.Outputs
-	pool                         tokenlimit.Pool
-	largestWaiting               winch.Tokens
 
 	holdTime         measure.Mean // seconds from grant to release
 	promptRate       measure.Rate // prompt tokens that need prefill
--- a/dispatch/endpoint/log.go
+++ b/dispatch/endpoint/log.go
@@ -124,7 +124,7 @@
 		d.logger.Info("slot released", d.requestFields(EventReleased, l, "Endpoint", string(l.endpoint),
 			"Outcome", outcomeName(l.outcome), "Held", l.duration.String(), "Tokens", int64(l.tokens))...)
 	case effectHeldBack:
-		d.logger.Info("request not sent: the endpoint's data centre is evacuated", d.requestFields(EventHeldBack, l, "Endpoint", string(l.endpoint))...)
+		d.logger.Info("request not sent, it gets another slot: the endpoint's data centre is or may be evacuated", d.requestFields(EventHeldBack, l, "Endpoint", string(l.endpoint))...)
 	case effectEvacuated, effectEvacuationEnded:
 		d.logEvacuation(l)
 	case effectCancelled:
@@ -147,7 +147,7 @@
 func (d *Dispatcher) logEvacuation(l *logEntry) {
 	fields := []any{"At", formatTime(l.at), "Host", string(d.core.self.ID), "DataCentre", d.centre(), "Evacuated", string(l.evacuation.centre)}
 	if l.kind == effectEvacuated {
-		d.logger.Warn("data centre evacuated, its endpoints get no requests", append(fields, "Event", EventEvacuated,
+		d.logger.Warn("data centre evacuated, its endpoints get no more requests", append(fields, "Event", EventEvacuated,
 			"Endpoints", l.evacuation.endpoints, "Running", l.evacuation.running)...)
 		return
 	}
@@ -177,11 +177,11 @@
 	case effectRateEnded:
 		d.logger.Info("endpoint takes requests without limit", append(fields, "Event", EventEndpointRateEnded, "Cause", l.cause)...)
 	case effectCold:
-		d.logger.Info("endpoint cold, gets few requests", append(fields, "Event", EventEndpointCold, "For", l.duration.String(), "Rate", float64(l.rate), "OwnRate", float64(l.ownRate))...)
+		d.logger.Info("endpoint is cold, its rate of requests is limited", append(fields, "Event", EventEndpointCold, "For", l.duration.String(), "Rate", float64(l.rate), "OwnRate", float64(l.ownRate))...)
 	case effectWarming:
-		d.logger.Info("endpoint not cold any more, gets more requests step by step", append(fields, "Event", EventEndpointWarming, "Rate", float64(l.rate), "OwnRate", float64(l.ownRate))...)
+		d.logger.Info("endpoint is warming up, its rate of requests rises in steps", append(fields, "Event", EventEndpointWarming, "Rate", float64(l.rate), "OwnRate", float64(l.ownRate))...)
 	case effectWarm:
-		d.logger.Info("endpoint warm, gets requests without limit", append(fields, "Event", EventEndpointWarm)...)
+		d.logger.Info("endpoint is warm, its rate of requests is not limited any more", append(fields, "Event", EventEndpointWarm)...)
 	case effectRests:
 		d.logger.Info("endpoint wants no requests", append(fields, "Event", EventEndpointRests, "Request", l.cause, "For", l.duration.String())...)
 	case effectRested:
--- a/dispatch/endpoint/options.go
+++ b/dispatch/endpoint/options.go
@@ -88,8 +88,8 @@
 	// RetryAfterMin and RetryAfterMax bound the retry time given in refusals.
 	RetryAfterMin time.Duration
 	RetryAfterMax time.Duration
-	// AwaitList makes requests wait for a new list of endpoints after this process was stopped for long: endpoints may have been
-	// evacuated meanwhile.
+	// AwaitList makes requests wait for a new list of endpoints after this process was stopped for more than two seconds, since endpoints
+	// may have been evacuated meanwhile. The wait lasts at most 1.5 s.
 	AwaitList bool
 	// KeepEvacuatedStreams lets all streams at evacuated endpoints run to their end, for servers that do not move streams.
 	KeepEvacuatedStreams bool
@@ -113,11 +113,11 @@
 	Optional Optional
 }
 
-// Optional selects parts of a policy that a deployment has to ask for.
+// Optional selects features that are off by default. They have an effect only with a policy that supports them.
 type Optional struct {
 	// EngineMemory limits the tokens of running requests where the configuration states the memory of the engines.
 	EngineMemory bool
-	// CachedPrompts estimates what endpoints hold of prompts. It needs EngineMemory, and excludes BeginWithinDeadline.
+	// CachedPrompts estimates what endpoints hold of prompts. It has no effect without EngineMemory or with BeginWithinDeadline.
 	CachedPrompts bool
 	// BeginWithinDeadline begins a stream only where it is expected to end before its deadline.
 	BeginWithinDeadline bool
--- a/dispatch/endpoint/pace.go
+++ b/dispatch/endpoint/pace.go
@@ -16,12 +16,12 @@
 	paceShiftMax = 2
 	// paceLimitMin is the smallest share of its slots that an endpoint keeps while it is slow.
 	paceLimitMin = 0.5
-	// closePaceShare is the share of a prompt by which costs may differ and still count as equal where endpoints state their
-	// paces. The hosts see the same fast endpoint at the same time, before any of them knows of the others' requests.
+	// closePaceShare is the share of a prompt by which costs may differ and still count as equal where endpoints state their paces.
+	// Without it, all hosts would choose the same fast endpoint before any of them knows of the others' requests.
 	closePaceShare = 0.5
 )
 
-// observePace applies what the endpoint has stated in an answer to this host.
+// observePace applies the pace that the endpoint has stated in an answer to this host, if any.
 func (c *core) observePace(now time.Time, e *endpoint, word winch.PaceWord) {
 	if !word.Known {
 		return
--- a/dispatch/endpoint/prefill.go
+++ b/dispatch/endpoint/prefill.go
@@ -249,7 +249,7 @@
 		cost--
 	}
 	if e.cold.cold {
-		// It has none of the shared parts, and gets them with the few requests that it bears.
+		// It has none of the shared parts, and has to process them at some time; its rate limits how often.
 		return cost
 	}
 	missing := max(0, sharedTokens(r.work.Parts)-cached)
--- a/dispatch/endpoint/prefix_cache.go
+++ b/dispatch/endpoint/prefix_cache.go
@@ -9,18 +9,18 @@
 	"github.com/arbutuswinch/winch/dispatch/prefixcache"
 )
 
-// Where the configuration names the memory of the engines (winch.EngineProperties.CacheCapacity), what an endpoint holds of a prompt is
-// estimated from what was sent to it since, instead of a fixed retention, and the requests of a part that is more than one endpoint can
-// process are spread over the first endpoints in the order that all hosts have for it.
+// Where the configuration names the memory of the engines (winch.EngineProperties.CacheCapacity), an endpoint is expected to hold a part of a
+// prompt depending on how many tokens were sent to it since, and not for a fixed time. All hosts rank the endpoints in the same order for
+// each part. The first of them are its homes: one, or several if its requests are more than one endpoint can process.
 
 // displacedWeight is the weight of a token that others have to process again because this one takes its place in the memory.
 const displacedWeight = 1
 
-// alternates is the number of endpoints after the homes, in the order that all hosts have, to which requests go that the homes do not take.
-// They go to the same few, so that fewer copies of the parts are read.
+// alternates is the number of endpoints after the homes, in the same order, that are preferred when the homes are too busy. Requests that
+// leave the homes go to the same few endpoints, so that fewer endpoints process the parts.
 const alternates = 2
 
-// homeShareWeight and inflowWeight are the weights of a request in the mean shares of homes and alternates, and in those of inflow.
+// homeShareWeight is the weight of a request in lane.homeShares, and inflowWeight that in the means of lane.inflow.
 const (
 	homeShareWeight = 0.02
 	inflowWeight    = 0.03
@@ -28,7 +28,7 @@
 
 // homes are the endpoints at which all hosts expect the shared parts of a request, followed by the alternates.
 type homes struct {
-	// count is the number of homes, and kept that with the alternates.
+	// count is the number of homes, and kept the number of homes and alternates. endpoints and weights hold them in order.
 	count, kept int
 	endpoints   [prefixcache.MaxSpread + alternates]*endpoint
 	weights     [prefixcache.MaxSpread + alternates]uint64
@@ -46,7 +46,7 @@
 	return -1
 }
 
-// insert adds the endpoint if it is among the given number of those with the highest weights.
+// insert adds the endpoint if its weight is among the most highest ones.
 func (h *homes) insert(e *endpoint, weight uint64, most int) {
 	at := h.kept
 	for at > 0 && h.weights[at-1] < weight {
@@ -108,7 +108,8 @@
 	return max(share, hold*float64(r.tokenNeed(e))/float64(max(1, e.tokens.Capacity)))
 }
 
-// preferredHome returns one of the request's homes, or an alternate that costs less by more than the other hosts may have sent there.
+// preferredHome returns one of the request's homes, or an alternate if that costs less by more than the other hosts may have sent since their
+// statistics were taken. It returns nil if the request has no shared parts or no endpoint can be preferred.
 func (c *core) preferredHome(now time.Time, l *lane, r *request) *endpoint {
 	c.findHomes(now, l, r)
 	h := &c.homes
@@ -125,8 +126,8 @@
 	return best
 }
 
-// randomHome returns the cheaper of two random homes, or the only one, and its cost. The hosts see the same figures at the same time, and would
-// otherwise all choose the same.
+// randomHome returns the cheaper of two random homes, or the only one, and its cost. The hosts know the same figures, and would all choose the
+// same home without randomness.
 func (c *core) randomHome(now time.Time, l *lane, r *request) (*endpoint, float64) {
 	h := &c.homes
 	if h.count == 1 {
@@ -144,9 +145,9 @@
 	return one, first
 }
 
-// placementCost returns what the missing tokens of the request's shared parts cost at the endpoint beside their prefill. What is read at a
-// home serves the other requests, of which any would have to read it there, and costs nothing. What is read elsewhere has to be read again
-// at a home, delays all other requests, and takes the place of other parts, as it does at a home.
+// placementCost returns the cost of the missing tokens of the request's shared parts at the endpoint in addition to their prefill, in prompt
+// tokens. Tokens that are processed at a home serve the next requests too, so that their prefill is free: the result cancels it. Tokens
+// that are processed elsewhere have to be processed at a home as well, and delay other requests. Both displace other parts.
 func (c *core) placementCost(l *lane, r *request, e *endpoint, missing winch.Tokens) float64 {
 	displaced := displacedWeight * e.prefill.cache.Displaced(missing) * e.slowdown
 	if c.homes.rank(e) == 0 {
@@ -155,7 +156,7 @@
 	return displaced + min(recomputeWeight*float64(missing), c.recomputeCostLimit(l))
 }
 
-// recordSent records that the prompt was sent to the endpoint, of which the given tokens were expected to be held.
+// recordSent records that the prompt was sent to the endpoint, which was expected to hold the given number of its tokens.
 func (c *core) recordSent(now time.Time, r *request, e *endpoint, expected winch.Tokens) {
 	if shared := sharedPartsHash(r.work.Parts); shared != 0 {
 		r.lane.popularity.Observe(now, shared)
@@ -173,8 +174,8 @@
 	r.lane.inflow.add(added, r.pendingPrefill)
 }
 
-// inflow relates the tokens that a request brings to the front of an endpoint's cache to those that count as pending for it, which hosts
-// exchange. The former are more, as long as other hosts' requests are only expected to keep the parts there.
+// inflow estimates how far the clock of an endpoint's cache advances for each pending prompt token. Hosts exchange only the pending tokens,
+// which leave out those that are expected to be held because of other hosts' requests.
 type inflow struct{ added, pending measure.Mean }
 
 func (i *inflow) add(added, pending winch.Tokens) {
@@ -200,7 +201,7 @@
 	}
 }
 
-// refreshCaches advances the estimates of the endpoints' caches.
+// refreshCaches advances the estimates of the endpoints' caches to the present.
 func (c *core) refreshCaches(now time.Time) {
 	for _, l := range c.sortedLanes {
 		l.knowsCaches = c.features.prefixCache && c.limitsPrefill(l) && len(l.endpoints) > 0
--- a/dispatch/endpoint/prefix_cache_metrics.go
+++ b/dispatch/endpoint/prefix_cache_metrics.go
@@ -10,7 +10,7 @@
 	"github.com/arbutuswinch/winch"
 )
 
-// classPrefixes are the shared tokens of a class's prompts.
+// classPrefixes holds the numbers of tokens in the shared parts of a class's prompts.
 type classPrefixes struct {
 	key              laneKey
 	shared, expected winch.Tokens
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -72,7 +72,7 @@
 	resting     bool    // restsUntil has not been logged as over
 	leaving     bool    // state or reportedState is EndpointLeaving, or the endpoint says so; see setServing
 	lanes       []*lane // highest tier first
-	// tokens are those of the running requests. told is set if the hub tells this host of the other hosts' requests.
+	// tokens are those of the running requests. told is set if the hub tells this host of the other hosts' requests there.
 	tokens tokenlimit.Account
 	told   bool
 
--- a/dispatch/endpoint/stats.go
+++ b/dispatch/endpoint/stats.go
@@ -13,7 +13,7 @@
 	Limit   float64
 	// PendingPrefill is the number of prompt tokens that the endpoint has yet to process.
 	PendingPrefill winch.Tokens
-	// Demand is that of coldDemand.
+	// Demand is the rate of the requests that prefer the endpoint, in requests a second; see coldDemand.
 	Demand float64
 	// Held are the tokens of the running requests; zero where the capacity is not known.
 	Held winch.Tokens
--- a/dispatch/endpoint/tokens.go
+++ b/dispatch/endpoint/tokens.go
@@ -31,7 +31,7 @@
 	return capacity
 }
 
-// tokenNeed returns the tokens that the request is expected to hold at the endpoint, zero if its capacity is not known.
+// tokenNeed returns the number of tokens that the request is expected to hold at the endpoint, zero if the capacity is not known.
 func (r *request) tokenNeed(e *endpoint) winch.Tokens {
 	if e.tokens.Capacity == 0 {
 		return 0
@@ -67,8 +67,8 @@
 	return 1
 }
 
-// tokenReserve returns the room that a request of the given need leaves free: that of the largest requests of another class in the
-// same tier, while the memory of all endpoints is scarce. Small requests would otherwise take all room before it is enough for a large one.
+// tokenReserve returns the room that a request of the given need leaves free: that for the largest requests of another class in the same
+// tier, while the memory of all endpoints is scarce. Otherwise small requests would take any room before it is enough for a large one.
 func (l *lane) tokenReserve(need winch.Tokens) winch.Tokens {
 	if l.largestWaiting <= need {
 		return 0
@@ -101,7 +101,7 @@
 // dropTokens subtracts them when the request ends.
 func (e *endpoint) dropTokens(r *request) { e.holdTokens(r, -r.held) }
 
-// growTokens adds what the request's output exceeds its expectation by.
+// growTokens adds the tokens by which the request's output exceeds the expected output.
 func (e *endpoint) growTokens(r *request) {
 	held := min(r.work.InputTokens+r.work.OutputDone+r.lane.outputs.Produced(r.chargedOutput), e.tokens.Capacity)
 	if held > r.held && e.tokens.Capacity > 0 {
@@ -109,8 +109,8 @@
 	}
 }
 
-// othersTokens returns the tokens of the other hosts' requests. Hosts of earlier versions tell only how many requests they have, which
-// are taken to be of the size of others there.
+// othersTokens returns the tokens of the other hosts' requests. Hosts of earlier versions report only how many requests they have; these
+// count with the mean size of this host's requests there.
 func (e *endpoint) othersTokens(reported endpointStats) winch.Tokens {
 	switch {
 	case e.tokens.Capacity == 0:
@@ -125,7 +125,7 @@
 	return 0
 }
 
-// refreshTokens recomputes what the lanes' endpoints hold together.
+// refreshTokens recomputes the tokens at all endpoints of each lane, and told for each endpoint.
 func (c *core) refreshTokens(now time.Time) {
 	if !c.features.tokenLimit {
 		return
@@ -157,7 +157,8 @@
 	}
 }
 
-// assumeOthersTokens sets what the other hosts hold at endpoints of which the hub tells this host nothing: the mean of the others.
+// assumeOthersTokens sets told. At endpoints of which the hub tells this host nothing, it sets the other hosts' tokens to the mean of those of
+// which it does.
 func (c *core) assumeOthersTokens() {
 	for _, e := range c.sortedEndpoints {
 		e.told = e.running > 0
--- a/dispatch/pace/estimate.go
+++ b/dispatch/pace/estimate.go
@@ -1,12 +1,13 @@
 // Package pace estimates how long work takes at an endpoint, from the pace that the endpoint states in its answers. It does no I/O.
 //
-// The stated pace changes many times a second, so that a single one says little, and an old one nothing of the present. Three averages
-// are kept. The recent one forgets within about a second and tells the present pace. The usual one forgets within half a minute and tells
-// which endpoints are slow for good. The third is what other hosts tell of their usual ones, which is too old for the present.
+// The stated pace changes many times a second, so that a single sample has little weight and an old one none for the present. Three
+// averages with exponential decay are kept: the recent one, with a time constant of a second, gives the present pace; the usual one, of half
+// a minute, shows which endpoints are slow permanently; the third is that of the usual paces which other hosts report, and is too old for
+// the present.
 //
-// An average counts by the number of its samples and their age: what it lacks is made up by the next slower one, and finally by
-// winch.UsualPace. An estimate therefore returns to the usual pace of its endpoint within about a second of the last answer, and hosts that
-// have seen one fast answer do not all take the endpoint for a fast one.
+// The weight of an average depends on the number and the age of its samples. The rest of the weight is that of the next slower average, and
+// finally of winch.UsualPace. An estimate therefore returns to the usual pace of its endpoint within about a second of the last answer, and
+// hosts that have seen one fast answer do not all take the endpoint for a fast one.
 //
 // # Usage
 //
@@ -30,9 +31,9 @@
 	recentTime = time.Second
 	// usualTime is the time constant of the usual average, and of what other hosts tell.
 	usualTime = 30 * time.Second
-	// priorWeight is the number of samples that the next slower average counts for.
+	// priorWeight is the weight of the next slower average, as a number of samples.
 	priorWeight = 2
-	// maxAge is the age of the last sample above which nothing is known of the endpoint's pace.
+	// maxAge is the age of the last sample above which the pace of the endpoint is unknown.
 	maxAge = 2 * time.Minute
 )
 
@@ -48,7 +49,7 @@
 	e.usual.add(now, stated, usualTime)
 }
 
-// Hear adds the usual pace that other hosts tell. Zero says nothing.
+// Hear adds the usual pace that other hosts report. Zero means that they know none.
 func (e *Estimate) Hear(now time.Time, others winch.Pace) {
 	if others > 0 {
 		e.others.add(now, others, usualTime)
@@ -67,7 +68,7 @@
 // Known reports whether the endpoint states its pace.
 func (e *Estimate) Known(now time.Time) bool { return e.usual.known(now) || e.others.known(now) }
 
-// Usual returns the pace of the endpoint over the last half a minute.
+// Usual returns the mean pace of the endpoint over about the last half minute.
 func (e *Estimate) Usual(now time.Time) winch.Pace {
 	told := e.others.blend(now, float64(winch.UsualPace), usualTime)
 	return winch.Pace(e.usual.blend(now, told, usualTime))
@@ -78,13 +79,13 @@
 	return winch.Pace(e.recent.blend(now, float64(e.Usual(now)), recentTime))
 }
 
-// Weight returns how far the last second counts in the present pace: 0 without any answer, 1 with very many.
+// Weight returns the weight of the last second's samples in the present pace, from 0 without any to nearly 1 with very many.
 func (e *Estimate) Weight(now time.Time) float64 {
 	weight := e.recent.weightAt(now, recentTime)
 	return weight / (weight + priorWeight)
 }
 
-// average is an average that forgets samples with their age.
+// average is a mean whose samples lose weight exponentially with their age.
 type average struct {
 	value float64
 	// weight is the number of samples, each weighted down with its age at the time of the last one.
--- a/dispatch/prefixcache/cache.go
+++ b/dispatch/prefixcache/cache.go
@@ -1,8 +1,9 @@
 // Package prefixcache estimates which parts of prompts the memory of an endpoint still holds. It does no I/O.
 //
-// An engine keeps the tokens of earlier prompts in the memory that its running requests leave free and drops those that were not used for
-// longest. A Cache follows one endpoint: its clock counts the tokens that have come to the front of that order, so that the distance of
-// a part is the difference to the clock at its last use. Popularity counts how often parts are requested.
+// An engine keeps the tokens of earlier prompts in the memory that its running requests leave free, and evicts the least recently used ones.
+// A Cache follows one endpoint. Its clock counts the tokens that became the most recently used ones, so that the distance of a part, which
+// is the clock's advance since its last use, tells how much has to fit into the memory beside it. Popularity counts how often parts are
+// requested.
 //
 // # Usage
 //
@@ -21,25 +22,26 @@
 const (
 	// maxParts bounds the parts that are remembered of one endpoint.
 	maxParts = 4096
-	// certainShare and lostShare are the distances, relative to the room, up to which a part is held for certain and from which it is
-	// lost for certain. Between them the chance falls evenly, since both the distance and the room are estimates.
+	// certainShare and lostShare are the distances, relative to the room, up to which a part is certainly held and from which it is
+	// certainly evicted. Between them the chance falls linearly, since both the distance and the room are estimates.
 	certainShare = 0.5
 	lostShare    = 1.5
-	// roomTime is the time constant of the mean room. What a short peak of running requests leaves is the room for longer than that peak.
+	// roomTime is the time constant of the mean room. Parts that a short peak of running requests has evicted are missing after the peak.
 	roomTime = time.Second
 	// reuseWeight is the weight of a sample in the mean reuse.
 	reuseWeight = 0.02
 )
 
-// Cache is what is expected of the memory of one endpoint. The zero value is that of an endpoint that holds nothing.
+// Cache estimates the content of one endpoint's memory. The zero value is that of an endpoint that holds nothing. It must not be used
+// concurrently.
 type Cache struct {
 	parts map[winch.PrefixHash]part
-	// clock is the number of tokens that have come to the front of the order in which the endpoint drops them.
+	// clock is the number of tokens so far that became the most recently used ones.
 	clock float64
 	// room is the mean number of tokens that running requests leave free, and othersRate the clock's advance in a second through the
 	// other hosts' requests.
 	room, othersRate float64
-	// ownRate is that through this host's requests, a mean.
+	// ownRate is the mean advance in a second through this host's requests, and ownSince their advance since the last call of Advance.
 	ownRate, ownSince float64
 	// reuse is the mean share of shared tokens that were expected to be held.
 	reuse float64
@@ -48,7 +50,7 @@
 
 // part is the last use of a part.
 type part struct {
-	mark float64 // of the clock
+	mark float64 // the clock at that time
 	// confirmed is set once a request with it has received its first token.
 	confirmed bool
 }
@@ -64,7 +66,7 @@
 }
 
 // Advance applies the time since the last call, with the endpoint's capacity, the tokens of its running requests, and the prompt tokens
-// that the other hosts send to it in a second.
+// that the other hosts send to it in a second. Negative values count as zero.
 func (c *Cache) Advance(now time.Time, capacity, held winch.Tokens, othersRate float64) {
 	room := float64(max(0, capacity-max(0, held)))
 	othersRate = max(0, othersRate)
@@ -97,7 +99,7 @@
 }
 
 // Expected returns how many tokens of the parts that other requests may share, all but the last, the endpoint is expected to hold. A part
-// counts only with all before it. The argument least is the chance that other hosts have sent them there.
+// counts only with all before it. The argument least is the probability, from 0 to 1, that requests of other hosts keep the parts there.
 func (c *Cache) Expected(parts []winch.PromptPart, least float64) winch.Tokens {
 	expected, chance, hash := 0.0, 1.0, winch.PrefixHash(0)
 	least = min(max(0, least), 1)
@@ -113,8 +115,8 @@
 	return winch.Tokens(expected)
 }
 
-// Send records that a prompt of the given length was sent to the endpoint, which was expected to hold some tokens of the parts. It returns
-// the tokens that come to the front of the order.
+// Send records that a prompt of the given length was sent to the endpoint, which was expected to hold the given number of its tokens. It
+// returns the clock's advance.
 func (c *Cache) Send(parts []winch.PromptPart, prompt, expected winch.Tokens) winch.Tokens {
 	if c.parts == nil {
 		c.parts = map[winch.PrefixHash]part{}
@@ -130,7 +132,7 @@
 			c.prune()
 		}
 		shared += tokens
-		// Tokens that are held come to the front of those that were used since, which are a part of all.
+		// Tokens that are held only overtake those that were used since, so that the clock advances by that share of them.
 		moved += chance*tokens*c.passed(known.mark) + (1-chance)*tokens
 		c.parts[hash] = part{mark: c.clock, confirmed: known.confirmed && chance > 0}
 	}
@@ -193,8 +195,8 @@
 // maxHorizon bounds what Horizon returns for an endpoint that is hardly used.
 const maxHorizon = time.Hour
 
-// Displaced returns the expected tokens that are processed again because the endpoint drops others for the given new ones: none while its
-// memory has not been filled once, then the share of tokens that are reused.
+// Displaced returns the expected number of tokens that have to be processed again because the endpoint evicts them for the given new ones:
+// none until its memory has been filled once, then the share of tokens that are reused.
 func (c *Cache) Displaced(tokens winch.Tokens) float64 {
 	if c.clock < c.room || tokens <= 0 {
 		return 0
--- a/dispatch/prefixcache/popularity.go
+++ b/dispatch/prefixcache/popularity.go
@@ -8,29 +8,31 @@
 )
 
 const (
-	// popularityTime is the time constant with which requests are forgotten.
+	// popularityTime is the time constant with which counted requests lose weight.
 	popularityTime = time.Minute
 	// maxPopular bounds the parts that are counted.
 	maxPopular = 4096
-	// pairsKept is the share of the compared pairs of requests that is kept with each further request.
+	// pairsKept is the factor by which each further request reduces the weight of the pairs compared so far.
 	pairsKept = 0.999
 	// MaxSpread is the largest number of endpoints over which the requests of one part are spread.
 	MaxSpread = 8
-	// spreadAbove and spreadBelow are the loads of an endpoint by one part above which there is a further endpoint for it, and below which,
-	// on those that would remain, there is one less. Up to a whole endpoint, the other requests of a home can go elsewhere.
+	// spreadAbove is the load of each endpoint by one part, as a share of what it can process, above which the part gets another endpoint.
+	// It loses one when the load of the remaining ones would be below spreadBelow. A part may fill a whole endpoint, since other requests
+	// can go elsewhere.
 	spreadAbove = 1
 	spreadBelow = 0.6
 	// minSpreadCount is the number of requests seen from which a part is spread. Fewer are too uncertain.
 	minSpreadCount = 4
 )
 
-// Popularity counts how often this host gets requests of the same shared parts. The zero value has counted none.
+// Popularity counts how often this host gets requests with the same shared parts. The zero value has counted none. It must not be used
+// concurrently.
 type Popularity struct {
 	parts map[winch.PrefixHash]popular
 	total float64 // requests, weighted down with their age
 	at    time.Time
 	since time.Time // of the first request
-	// pairs is the number of pairs of requests that were compared, and same that of pairs with the same part.
+	// pairs is the weighted number of pairs of requests that were compared, and same that of the pairs with the same parts.
 	pairs, same float64
 }
 
@@ -62,8 +64,8 @@
 	p.parts[hash] = known
 }
 
-// Rate returns how many requests with the parts this host is expected to get in a second. A part that was hardly seen counts as one of the
-// usual frequency; the two are weighed as if it had been seen once more in as many requests as usual.
+// Rate returns how many requests with the parts this host is expected to get in a second. The estimate starts from the frequency that two
+// requests have the same parts, with the weight of one further request.
 func (p *Popularity) Rate(now time.Time, hash winch.PrefixHash) float64 {
 	known := p.parts[hash]
 	total := faded(p.total, now.Sub(p.at))
@@ -78,8 +80,8 @@
 	return max(1, popularityTime.Seconds()*(1-math.Exp(-max(0, seen))))
 }
 
-// Spread returns over how many endpoints the requests of the parts are spread, at least one, if each of the hosts gets as many of them as this
-// one and a request takes the given part of what an endpoint serves in a second.
+// Spread returns over how many endpoints the requests with the parts are spread, from 1 to MaxSpread. It assumes that each of the hosts gets
+// as many of them as this one. work is the share of an endpoint's capacity in a second that a request takes.
 func (p *Popularity) Spread(now time.Time, hash winch.PrefixHash, hosts int, work float64) int {
 	known, found := p.parts[hash]
 	if !found {
@@ -87,7 +89,7 @@
 	}
 	spread, count := max(1, known.spread), faded(known.count, now.Sub(known.at))
 	load := count / p.window(now) * float64(max(1, hosts)) * max(0, work)
-	// The number of requests varies by its root: a spread grows only if the load is certain.
+	// The standard deviation of a count is its square root. The spread grows only if the load exceeds the bound by more than that.
 	certain := load * max(0, 1-1/math.Sqrt(max(1, count)))
 	for spread < MaxSpread && count >= minSpreadCount && certain > spreadAbove*float64(spread) {
 		spread++
--- a/dispatch/ratelimit/share.go
+++ b/dispatch/ratelimit/share.go
@@ -8,16 +8,16 @@
 )
 
 const (
-	// shareWindow is the time in which the senders of a rate together send about as much as the rate allows.
+	// shareWindow is the time over which the rate must hold.
 	shareWindow = time.Second
 	// shareJitter is the share by which requests of one host may come closer together at the endpoint than they were sent.
 	shareJitter = 0.05
 )
 
-// Share is this host's part of a rate of requests to an endpoint that every host knows and that must hold within each second. Like a
-// Limit, it is divided among a few senders that a hash selects, without a message. The hosts must include all that may send, also those that
-// are not heard of at present: then hosts which know different ones send no more than those that know all. The zero value is that of an endpoint without such a rate. It
-// must not be used concurrently.
+// Share is this host's part of a rate of requests to an endpoint. Every host knows the rate, and it must hold within each second. As with a
+// Limit, a hash selects a few senders, so that no messages are needed. The hosts must include all that may send, also those that cannot be
+// reached at present: hosts that know different sets then send no more than if each knew all. The zero value is that of an endpoint without
+// such a rate. It must not be used concurrently.
 type Share struct {
 	rate     winch.RequestRate
 	sentAt   time.Time
@@ -25,7 +25,7 @@
 	interval time.Duration
 }
 
-// Set shares out the rate among the hosts. There is no limit if the rate is zero. Without hosts this host sends nothing.
+// Set divides the rate, in requests a second, among the hosts. There is no limit if the rate is zero. Without hosts this host sends nothing.
 func (s *Share) Set(rate winch.RequestRate, endpoint winch.EndpointID, self winch.HostID, hosts []winch.HostID) {
 	s.rate, s.sends, s.interval = max(0, rate), false, 0
 	if s.rate == 0 || len(hosts) == 0 {
@@ -51,7 +51,8 @@
 // Limited reports whether there is a rate.
 func (s *Share) Limited() bool { return s.rate > 0 }
 
-// Rate returns the rate of all hosts, and this host's part of it. Both are zero without a rate, and the part is zero if this host sends nothing.
+// Rate returns the rate of all hosts, and this host's part of it. Both are zero without a rate, and the part is zero if this host sends
+// nothing.
 func (s *Share) Rate() (all, own winch.RequestRate) {
 	if s.sends {
 		own = winch.RequestRate(1 / s.interval.Seconds())
@@ -78,7 +79,8 @@
 	return s.sentAt.Add(s.interval).Sub(now)
 }
 
-// Turn returns the time after which this host may send if each of the hosts sends one request, one after the other along the rate.
+// Turn returns how long this host waits before it sends one request, if each of the hosts sends one and they take turns at the rate. The rate
+// must not be zero.
 func Turn(rate winch.RequestRate, endpoint winch.EndpointID, self winch.HostID, hosts []winch.HostID) time.Duration {
 	return time.Duration(float64(rank(endpoint, self, hosts)) / float64(rate) * float64(time.Second))
 }
--- a/dispatch/tokenlimit/account.go
+++ b/dispatch/tokenlimit/account.go
@@ -1,8 +1,8 @@
 // Package tokenlimit decides whether the memory of an endpoint has room for the tokens of another request. It does no I/O.
 //
-// An engine keeps the tokens of its running requests in memory, prompts and output. When that is full, it preempts the newest of the least
-// urgent requests in the middle of its stream and prefills it again later, so that requests which do not fit are better kept at the
-// hosts. The maximum of output tokens that a request names is rarely used and would idle the engines; what is expected of it counts.
+// An engine keeps the tokens of its running requests in memory, prompts and output. When the memory is full, the engine preempts the newest
+// of the least urgent requests in the middle of its stream and prefills it again later. Requests that do not fit therefore wait at the
+// hosts. The expected output counts, not the maximum that a request names: that is rarely reached, and the engines would idle.
 //
 // # Usage
 //
@@ -18,7 +18,7 @@
 	"github.com/arbutuswinch/winch"
 )
 
-// Account holds the tokens of an endpoint. The zero value is that of one whose capacity is not known.
+// Account counts the tokens of the requests at an endpoint. The zero value is that of an endpoint whose capacity is not known.
 type Account struct {
 	// Capacity is the number of tokens that the endpoint's memory holds; zero if that is not known.
 	Capacity winch.Tokens
@@ -29,8 +29,8 @@
 // Held returns the tokens of all hosts' requests.
 func (a *Account) Held() winch.Tokens { return a.Own + a.Others }
 
-// Need returns what a request with the given prompt and expected output takes: no more than the endpoint has, so that requests that
-// state nonsense wait for an empty endpoint rather than for ever.
+// Need returns the tokens that a request with the given prompt and expected output takes, at most the capacity, so that a request which
+// overstates them waits for an empty endpoint and not forever. It is zero if the capacity is not known.
 func (a *Account) Need(prompt, output winch.Tokens) winch.Tokens {
 	if a.Capacity <= 0 {
 		return 0
@@ -39,13 +39,13 @@
 	return min(min(prompt, a.Capacity)+min(output, a.Capacity/maxOutputDivisor), a.Capacity)
 }
 
-// maxOutputDivisor bounds the expected output of one request to a part of the endpoint's capacity. It is an estimate of the caller, and a
-// wrong one must not idle the endpoint.
+// maxOutputDivisor bounds the expected output of one request to a part of the endpoint's capacity. The caller may have overestimated it, and
+// the endpoint would idle.
 const maxOutputDivisor = 4
 
 // Fits reports whether a request of the given need may be sent. The reserve is room that stays free for others, drained the tokens that
-// are free again when the endpoint comes to the request, and overbooking the factor by which the capacity may be exceeded, at least 1. A
-// request always fits at an empty endpoint.
+// will be free when the endpoint processes the request (see Drained), and overbooking the factor by which the capacity may be exceeded, at
+// least 1. A request always fits at an empty endpoint.
 func (a *Account) Fits(need, reserve, drained winch.Tokens, overbooking float64) bool {
 	if a.Capacity <= 0 || a.Held() <= 0 {
 		return true
@@ -54,15 +54,15 @@
 }
 
 const (
-	// lag is the usual age of what a host knows of the requests of others.
+	// lag is the usual age of a host's figures of the other hosts' requests.
 	lag = 500 * time.Millisecond
 	// maxDrainedShare bounds the share of the tokens held that counts as free again, since requests end irregularly.
 	maxDrainedShare = 0.5
 )
 
-// Drained returns the tokens of requests that end within the wait until the endpoint comes to another prompt, and within the time
-// after which hosts hear of it, if requests run for hold on average. Prompts that wait at an endpoint take no memory yet, and without any
-// that wait, an endpoint would pause until hosts hear that it has room.
+// Drained returns the tokens of the requests that are expected to end before the endpoint processes another prompt, which waits there for
+// the given time, and before hosts would know of the free room. Requests run for hold on average; zero means that this is not known. A
+// prompt that waits takes no memory yet, and without one an endpoint would idle until hosts know that it has room.
 func (a *Account) Drained(wait, hold time.Duration) winch.Tokens {
 	if hold <= 0 {
 		return 0
@@ -70,7 +70,7 @@
 	return winch.Tokens(min(maxDrainedShare, float64(max(0, wait)+lag)/float64(hold)) * float64(a.Held()))
 }
 
-// Slots returns how many requests of the given mean size the memory holds, at least one, and the given slots if that is more.
+// Slots returns the given slots, or the number of requests of the given mean size that the memory holds if that is less, at least one.
 func (a *Account) Slots(slots, mean float64) float64 {
 	if a.Capacity <= 0 || mean <= 0 {
 		return slots
@@ -79,7 +79,8 @@
 }
 
 // Pool is the memory of all endpoints that serve a class. What the other hosts hold there is known only with a delay, in which all of
-// them may send to the same endpoint. While the pool is scarce, each host therefore holds no more than its share of it.
+// them may send to the same endpoint. While the pool is scarce, each host therefore holds no more than its share of it. The zero value
+// admits everything.
 type Pool struct {
 	Capacity winch.Tokens
 	// Others are the tokens of the other hosts' requests. They are not known if Stale is set.
@@ -89,13 +90,13 @@
 	Share float64
 }
 
-// scarceShare is the share of the pool above which it counts as scarce. Below, the room at the endpoints is more than hosts send
-// to them before they hear of each other.
+// scarceShare is the share of the pool in use above which it counts as scarce. Below, there is more room than the hosts fill before they
+// know of each other's requests.
 const scarceShare = 0.75
 
-// Admits reports whether this host may hold need more tokens beside all that it holds: own, of which ahead are those of requests that
-// are as urgent as this one or more so, and class those of requests of its class. One request of each class may always run, since a
-// host's share may be smaller than that.
+// Admits reports whether this host may send a request of the given need. own are the tokens of all its requests, ahead those of the requests
+// that are at least as urgent as this one, and class those of the requests of the same class. One request of each class may always run,
+// since a host's share may be smaller than that.
 func (p *Pool) Admits(own, ahead, class, need winch.Tokens, overbooking float64) bool {
 	if p.Capacity <= 0 || class <= 0 || !p.Scarce(own) {
 		return true
--- a/dispatch/tokenlimit/outputs.go
+++ b/dispatch/tokenlimit/outputs.go
@@ -16,16 +16,16 @@
 	assumedShare = 0.5
 )
 
-// Outputs learns the output of the requests of one class. Hosts may count something else than tokens, such as events of several tokens
-// each; how many tokens one of them has is learnt from the hints, which are right at the median.
+// Outputs learns the output of the requests of one class. Hosts may count events of several tokens each. The number of tokens of one event
+// is learnt from the callers' hints, whose median is assumed to be right. The zero value has no samples.
 type Outputs struct {
 	counted measure.Mean // of all requests
-	// perCount is the mean, over requests with a hint, of the logarithm of the hint's ratio to the count. The mean of logarithms is near
-	// the median, so that the few hints that are far off do not count much.
+	// perCount is the mean, over requests with a hint, of the logarithm of the ratio of hint to count. The mean of logarithms is near the
+	// median, so that a few hints that are far off have little effect.
 	perCount measure.Mean
 }
 
-// Observe adds a request that has run to its end, with the caller's hint, or zero.
+// Observe adds a request that has run to its end, with the caller's hint, zero if there is none, and the output as the host has counted it.
 func (o *Outputs) Observe(hint, counted winch.Tokens) {
 	if counted <= 0 {
 		return
@@ -52,7 +52,7 @@
 	return expected
 }
 
-// Produced returns the tokens of the output that was counted so far.
+// Produced returns the number of tokens in an output as the host has counted it, at least the count.
 func (o *Outputs) Produced(counted winch.Tokens) winch.Tokens {
 	if o.perCount.Samples < minOutputSamples {
 		return counted
--- a/forward.go
+++ b/forward.go
@@ -87,9 +87,9 @@
 // ColdStart describes the endpoints of a model that are cold for some time after a start, or turn cold later. A cold endpoint
 // fails if it gets more requests than its rate.
 type ColdStart struct {
-	// Duration is how long an endpoint is cold after its start, unless it says something else.
+	// Duration is how long an endpoint is cold after its start, unless the endpoint states otherwise.
 	Duration time.Duration
-	// Rate is the rate of requests, from all hosts together, that a cold endpoint sustains.
+	// Rate is the rate of requests, from all hosts together, that a cold endpoint sustains. Zero means that endpoints are never cold.
 	Rate RequestRate
 }
 
--- a/load.go
+++ b/load.go
@@ -14,8 +14,8 @@
 	StartedAt time.Time
 	// Evacuated is set while the endpoint's data centre is evacuated: it gets no requests, whatever its state.
 	Evacuated bool
-	// ColdStated is set if the endpoint says whether it is cold, and ColdUntil is when it will not be any more, zero if it is
-	// not cold. See ColdStart.
+	// ColdStated is set if the endpoint states whether it is cold. ColdUntil is when it will not be any more; zero if it is not cold. See
+	// ColdStart.
 	ColdStated bool
 	ColdUntil  time.Time
 }
@@ -70,7 +70,7 @@
 // RequestRate is a number of requests a second.
 type RequestRate float64
 
-// Pace is how long work takes at an endpoint, in percent of the usual time. The higher the pace, the slower the endpoint.
+// Pace is how long work takes at an endpoint, in percent of the usual time. A higher pace means a slower endpoint.
 type Pace float64
 
 // UsualPace is the pace of an endpoint on which work takes as long as usual.
--- a/placement/planner/evacuation.go
+++ b/placement/planner/evacuation.go
@@ -10,8 +10,8 @@
 // Nothing is ordered for an evacuated data centre, neither more endpoints nor fewer: those that run there stay for the time after the
 // evacuation. The capacity that the data centre would have is ordered in the others.
 
-// evacuationHold is how long the other data centres keep that capacity after an evacuation: endpoints that come back may be cold, and
-// some may have been reclaimed.
+// evacuationHold is how long the other data centres keep that capacity after an evacuation, since endpoints that come back may be cold or
+// may have been reclaimed meanwhile.
 const evacuationHold = 20 * time.Second
 
 // evacuations remembers when data centres were last seen evacuated.
@@ -20,7 +20,7 @@
 	seenAt map[winch.DataCentreID]time.Time
 }
 
-// update reads the source. It returns the data centres that are evacuated now.
+// update reads the source, and returns the data centres that are evacuated now. Without a source there are none.
 func (e *evacuations) update(now time.Time) []winch.DataCentreID {
 	if e.source == nil {
 		return nil
@@ -57,7 +57,7 @@
 // left counts the data centres that carry the demand. It is 1 if all are evacuated, so that figures stay finite.
 func (s sites) left() int { return max(1, s.all-s.missing) }
 
-// spread returns how many endpoints each data centre that is left needs for what all of them would have with count each.
+// spread returns how many endpoints each remaining data centre needs, if all data centres together would have count each. It rounds up.
 func (s sites) spread(count int) int { return (count*max(1, s.all) + s.left() - 1) / s.left() }
 
 // sitesOf returns the data centres that share the demand for the model.
@@ -69,8 +69,8 @@
 	return sites{all: len(centres), missing: p.evacuations.missing(centres)}
 }
 
-// shareOf returns the part of a data centre's demand that this data centre has to serve: all of its own and, of one that is evacuated, an
-// equal part like the others that have pools of the model.
+// shareOf returns the share, from 0 to 1, of a queue's demand that the data centre has to serve: all of its own queues and, of an evacuated
+// data centre, the same share as each other data centre with a pool for the model.
 func shareOf(configuration *winch.Configuration, centre winch.DataCentreID, status winch.QueueStatus) float64 {
 	if status.DataCentre == centre {
 		return 1
--- a/placement/registry/cold.go
+++ b/placement/registry/cold.go
@@ -9,25 +9,25 @@
 	"github.com/arbutuswinch/winch"
 )
 
-// Endpoints say how long they stay cold, so that hosts which read the same entry at different times compute different ends. Small
-// differences are no change of the list. The hash of a list does not cover the ends themselves but a mark, which the host that
-// read the list makes and the others pass on unchanged. A new mark makes a host send its list.
+// Entries state for how long endpoints stay cold, so that hosts which read the same entry at different times compute different ends. Small
+// differences do not count as a change of the list. The hash of a list therefore does not cover the ends but a mark of them, which the host
+// that read the list computes and the others pass on unchanged. A new mark makes a host send its list.
 
 const (
 	// coldTolerance is the difference below which two cold ends count as equal. Entries are read up to a poll interval after they
 	// were written.
 	coldTolerance = 700 * time.Millisecond
-	// maxColdMS bounds the times that other hosts send. Larger ones could not be converted.
+	// maxColdMS bounds the times that other hosts send, in milliseconds. Larger ones could overflow a time.Duration.
 	maxColdMS = int64(time.Hour / time.Millisecond)
 )
 
-// equalCold reports whether two entries say the same of whether the endpoint is cold.
+// equalCold reports whether two entries agree on whether and until when the endpoint is cold.
 func equalCold(a, b winch.EndpointStatus) bool {
 	return a.ColdStated == b.ColdStated && a.ColdUntil.IsZero() == b.ColdUntil.IsZero() && a.ColdUntil.Sub(b.ColdUntil).Abs() < coldTolerance
 }
 
-// keepColdEnds replaces the cold ends that are equal to those of the previous list by these, so that they do not drift. Both lists are
-// sorted by ID.
+// keepColdEnds replaces cold ends that differ by less than coldTolerance from those of the previous list by the previous ones, so that they
+// do not drift. Both lists are sorted by ID.
 func keepColdEnds(previous, statuses []winch.EndpointStatus) {
 	at := 0
 	for i := range statuses {
@@ -41,7 +41,7 @@
 	}
 }
 
-// coldMarkOf returns the mark of the list's cold ends, zero if no endpoint is cold.
+// coldMarkOf returns the hash of the list's cold ends, zero if no endpoint is cold.
 func coldMarkOf(statuses []winch.EndpointStatus) uint64 {
 	digest, cold := xxhash.New(), false
 	for _, status := range statuses {
@@ -58,7 +58,7 @@
 	return max(digest.Sum64(), 1)
 }
 
-// addColdMark returns the hash of a list with the mark. Without one, the hash is that of hosts that know of no cold endpoints.
+// addColdMark returns the hash of a list, extended by the mark. Without a mark it is unchanged, as hosts of earlier versions compute it.
 func addColdMark(hash, mark uint64) uint64 {
 	if mark == 0 {
 		return hash
--- a/placement/registry/evacuations.go
+++ b/placement/registry/evacuations.go
@@ -12,17 +12,17 @@
 )
 
 const (
-	// evacuationReadEvery is how many readings of the list there are for one of the evacuations, since each is a call to the store.
+	// evacuationReadEvery is the number of readings of the list for each reading of the evacuations, which is a separate call to the store.
 	evacuationReadEvery = 2
-	// evacuationOrderWindow is the time within which the versions of two readings tell which is the older one: the times at which they
-	// began do not, as reads may last for some seconds. A version that is lower for longer is that of a store that was restored.
+	// evacuationOrderWindow is the time within which the versions of two readings decide which is the older one. Their times do not, since
+	// reads may take some seconds and overlap. A version that stays lower for longer is that of a restored store.
 	evacuationOrderWindow = 3 * time.Second
 	// maxEvacuated and maxCentreLength bound what is accepted from another host.
 	maxEvacuated    = 1024
 	maxCentreLength = 128
 )
 
-// evacuationReading is what one reading of the evacuations has found. Its time is zero if there was none.
+// evacuationReading is the result of one reading of the evacuations. The zero value means that there was none.
 type evacuationReading struct {
 	winch.Evacuations
 	// at is when the read began.
@@ -44,7 +44,7 @@
 	return gap >= 0
 }
 
-// after returns the reading with the time of the other one if that is later. It is meant for a reading that supersedes the other.
+// after returns the reading, which supersedes the other one, with the later of the two times, so that the time never goes back.
 func (e evacuationReading) after(other evacuationReading) evacuationReading {
 	if other.at.After(e.at) {
 		e.at = other.at
@@ -52,14 +52,14 @@
 	return e
 }
 
-// Evacuated returns the evacuated data centres, sorted. It must not be modified.
+// Evacuated returns the evacuated data centres, sorted. The result must not be modified.
 func (f *Follower) Evacuated() []winch.DataCentreID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.evacuations.DataCentres
 }
 
-// SetEvacuations replaces Options.Evacuations while the follower runs. Without a lister, no data centre counts as evacuated any more.
+// SetEvacuations replaces Options.Evacuations while the follower runs. If the lister is nil, no data centre counts as evacuated any more.
 func (f *Follower) SetEvacuations(lister winch.EvacuationLister) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -87,7 +87,7 @@
 	if f.lister == nil {
 		return false
 	}
-	// Half an interval less, because the intervals between readings vary a little.
+	// Half an interval less, because the intervals between readings vary.
 	return !f.evacuations.known() || sent.Sub(f.evacuations.at) >= f.options.PollEvery*evacuationReadEvery-f.options.PollEvery/2
 }
 
@@ -115,17 +115,17 @@
 	err     error
 }
 
-// lacksEvacuations reports whether a list must not be used, because this host has to know the evacuations and neither does nor learns
-// them with the list.
+// lacksEvacuations reports whether a list must not be used because this host needs the evacuations, knows none yet, and the reading that
+// came with the list has none either.
 func (f *Follower) lacksEvacuations(read evacuationReading) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.lister != nil && !read.known() && !f.evacuations.known()
 }
 
-// replacesRead returns as of when a relayed reading replaces one of this host: earlier than the list was read if the evacuations are
-// older than they are at a hub that reads them. It is zero if the reading lacks evacuations that this host has to know. It is called
-// with the lock.
+// replacesRead returns as of when a relayed reading replaces a read of this host. That is when the list was read, or earlier if the
+// evacuations are older than a hub that can read them would send. It is zero if the reading lacks evacuations that this host needs. It is
+// called with the lock.
 func (f *Follower) replacesRead(listedAt time.Time, evacuations evacuationReading) time.Time {
 	if f.lister == nil {
 		return listedAt
--- a/standin/cold/cold.go
+++ b/standin/cold/cold.go
@@ -1,4 +1,4 @@
-// Package cold simulates endpoints that bear few requests for some time after a start, and crash if they get more.
+// Package cold simulates endpoints that sustain few requests for some time after a start, and crash if they get more.
 //
 // # Usage
 //
