--- a/dispatch/endpoint/evacuation.go
+++ b/dispatch/endpoint/evacuation.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// noteEvacuations emits an effect for each data centre whose evacuation has begun or ended, and refuses the queued requests that only
+// noteEvacuations emits an effect for each data centre whose evacuation has begun or ended, updates the figures, and refuses the queued requests that only
 // evacuated endpoints could serve. It is called after each change of the list.
 func (c *core) noteEvacuations(now time.Time) {
 	before := c.evacuations
--- a/dispatch/endpoint/log.go
+++ b/dispatch/endpoint/log.go
@@ -151,7 +151,7 @@
 			"Endpoints", l.evacuation.endpoints, "Running", l.evacuation.running)...)
 		return
 	}
-	d.logger.Info("evacuation ended, endpoints get requests again, gradually", append(fields, "Event", EventEvacuationEnded)...)
+	d.logger.Info("evacuation ended, endpoints gradually get requests again", append(fields, "Event", EventEvacuationEnded)...)
 }
 
 func (d *Dispatcher) logStateChange(l *logEntry) {
