--- a/dispatch/endpoint/tokens.go
+++ b/dispatch/endpoint/tokens.go
@@ -1,13 +1,8 @@
 package endpoint
 
 import (
-	"context"
-	"fmt"
 	"time"
 
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/metric"
-
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/dispatch/tokenlimit"
 )
@@ -36,7 +31,7 @@
 	return capacity
 }
 
-// tokenNeed returns the tokens that the request is expected to hold at the endpoint, zero if its capacity is not known.
+// tokenNeed returns the number of tokens that the request is expected to hold at the endpoint, zero if the capacity is not known.
 func (r *request) tokenNeed(e *endpoint) winch.Tokens {
 	if e.tokens.Capacity == 0 {
 		return 0
@@ -72,8 +67,8 @@
 	return 1
 }
 
-// tokenReserve returns the room that a request of the given need leaves free: that of the largest requests of another class in the
-// same tier, while the memory of all endpoints is scarce. Small requests would otherwise take all room before it is enough for a large one.
+// tokenReserve returns the room that a request of the given need leaves free: that for the largest requests of another class in the same
+// tier, while the memory of all endpoints is scarce. Otherwise small requests would take any room before it is enough for a large one.
 func (l *lane) tokenReserve(need winch.Tokens) winch.Tokens {
 	if l.largestWaiting <= need {
 		return 0
@@ -106,7 +101,7 @@
 // dropTokens subtracts them when the request ends.
 func (e *endpoint) dropTokens(r *request) { e.holdTokens(r, -r.held) }
 
-// growTokens adds what the request's output exceeds its expectation by.
+// growTokens adds the tokens by which the request's output exceeds the expected output.
 func (e *endpoint) growTokens(r *request) {
 	held := min(r.work.InputTokens+r.work.OutputDone+r.lane.outputs.Produced(r.chargedOutput), e.tokens.Capacity)
 	if held > r.held && e.tokens.Capacity > 0 {
@@ -114,8 +109,8 @@
 	}
 }
 
-// othersTokens returns the tokens of the other hosts' requests. Hosts of earlier versions tell only how many requests they have, which
-// are taken to be of the size of others there.
+// othersTokens returns the tokens of the other hosts' requests. Hosts of earlier versions report only how many requests they have; these
+// count with the mean size of this host's requests there.
 func (e *endpoint) othersTokens(reported endpointStats) winch.Tokens {
 	switch {
 	case e.tokens.Capacity == 0:
@@ -130,7 +125,7 @@
 	return 0
 }
 
-// refreshTokens recomputes what the lanes' endpoints hold together.
+// refreshTokens recomputes the tokens at all endpoints of each lane, and told for each endpoint.
 func (c *core) refreshTokens(now time.Time) {
 	if !c.features.tokenLimit {
 		return
@@ -162,7 +157,8 @@
 	}
 }
 
-// assumeOthersTokens sets what the other hosts hold at endpoints of which the hub tells this host nothing: the mean of the others.
+// assumeOthersTokens sets told. At endpoints of which the hub tells this host nothing, it sets the other hosts' tokens to the mean of those of
+// which it does.
 func (c *core) assumeOthersTokens() {
 	for _, e := range c.sortedEndpoints {
 		e.told = e.running > 0
@@ -252,57 +248,3 @@
 
 // maxWireHeld keeps sums over hosts from overflowing.
 const maxWireHeld = 1 << 40
-
-// groupTokens are the tokens at the endpoints of a model.
-type groupTokens struct {
-	group          group
-	held, capacity winch.Tokens
-	// fullest is the share of its memory in use at the fullest endpoint.
-	fullest float64
-}
-
-// tokenUse returns the tokens at the endpoints of each model whose capacity is known.
-func (c *core) tokenUse() []groupTokens {
-	var all []groupTokens
-	seen := map[group]bool{}
-	for _, l := range c.sortedLanes {
-		if l.pool.Capacity == 0 || seen[l.key.group] {
-			continue
-		}
-		seen[l.key.group] = true
-		use := groupTokens{group: l.key.group, capacity: l.pool.Capacity}
-		for _, e := range l.endpoints {
-			use.held += e.tokens.Held()
-			use.fullest = max(use.fullest, float64(e.tokens.Held())/float64(max(1, e.tokens.Capacity)))
-		}
-		all = append(all, use)
-	}
-	return all
-}
-
-func observeTokens(meter metric.Meter, d *Dispatcher) error {
-	tokens, err := meter.Int64ObservableGauge("winch_dispatch_tokens", metric.WithDescription("Tokens of running requests at the endpoints, and those that fit."))
-	if err != nil {
-		return fmt.Errorf("create token gauge: %w", err)
-	}
-	fullest, err := meter.Float64ObservableGauge("winch_dispatch_tokens_fullest", metric.WithDescription("Share of its memory in use at the fullest endpoint."))
-	if err != nil {
-		return fmt.Errorf("create fullest endpoint gauge: %w", err)
-	}
-	_, err = meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
-		d.lock.Lock()
-		all := d.core.tokenUse()
-		d.lock.Unlock()
-		for _, use := range all {
-			model := attribute.String("model", string(use.group.model))
-			observer.ObserveInt64(tokens, int64(use.held), metric.WithAttributes(model, attribute.String("kind", "held")))
-			observer.ObserveInt64(tokens, int64(use.capacity), metric.WithAttributes(model, attribute.String("kind", "capacity")))
-			observer.ObserveFloat64(fullest, use.fullest, metric.WithAttributes(model))
-		}
-		return nil
-	}, tokens, fullest)
-	if err != nil {
-		return fmt.Errorf("register token gauges: %w", err)
-	}
-	return nil
-}
