fix(dispatch): an endpoint that turns cold while it warms up gets the cold rate

An endpoint that turned cold again, or came back, during its slow start kept the raised rate: up to 2.25 times that of a cold one, more than its rule allows. The pace of an endpoint was lost where only hosts told it that run nothing there. Besides: hosts that are not heard of are forgotten after two hours at the latest, so that names that come and go do not add up; ages in lists from other hosts are bounded; estimates of the end work without the limit by tokens.

--- a/dispatch/endpoint/cold.go
+++ b/dispatch/endpoint/cold.go
@@ -102,7 +102,7 @@
 	case start.Rate <= 0:
 		s.cold, s.warming = false, false
 	case cold:
-		s.cold, s.warming = true, false
+		s.cold, s.warming, s.step = true, false, 0
 	case s.cold:
 		s.cold, s.warming, s.strained, s.loaded, s.step, s.steppedAt = false, true, false, false, 0, now
 	case s.warming && now.Sub(s.steppedAt) >= warmStep:
--- a/dispatch/endpoint/known_hosts.go
+++ b/dispatch/endpoint/known_hosts.go
@@ -11,6 +11,9 @@
 	// hostRetention is how long a host that is not heard of counts as a user of its parts of shared rates. It may be partitioned
 	// from this host and still send.
 	hostRetention = 10 * time.Minute
+	// maxHostRetention is the same while fewer than half of the known hosts are alive. Without it, hosts that come back under new names would
+	// add up, and the parts of all shrink.
+	maxHostRetention = 2 * time.Hour
 	// joinTime is how long a host uses no part of a shared rate after it has heard of the first other host. By then all hosts know of it,
 	// and it knows all others.
 	joinTime = 3 * time.Second
@@ -31,7 +34,7 @@
 }
 
 // update applies the hosts that are alive. A host that was not heard of for hostRetention is forgotten, but only if most of the
-// known hosts are alive: otherwise this host may be the one that is partitioned, and keeps all.
+// known hosts are alive: otherwise this host may be the one that is partitioned, and keeps them for maxHostRetention.
 func (k *knownHosts) update(now time.Time, self winch.HostID, alive []winch.Host) {
 	if k.heardAt == nil {
 		k.heardAt, k.startedAt = map[winch.HostID]time.Time{}, now
@@ -43,11 +46,13 @@
 		}
 	}
 	k.heardAt[self] = now
+	retention := maxHostRetention
 	if 2*len(alive) > len(k.heardAt) {
-		for id, at := range k.heardAt {
-			if now.Sub(at) > hostRetention {
-				delete(k.heardAt, id)
-			}
+		retention = hostRetention
+	}
+	for id, at := range k.heardAt {
+		if now.Sub(at) > retention {
+			delete(k.heardAt, id)
 		}
 	}
 	ids := make([]winch.HostID, 0, len(k.heardAt))
--- a/dispatch/endpoint/pace.go
+++ b/dispatch/endpoint/pace.go
@@ -101,7 +101,9 @@
 	case b.Pace == 0:
 		return a.Pace
 	}
-	return (a.Pace*winch.Pace(a.Running) + b.Pace*winch.Pace(b.Running)) / winch.Pace(max(1, a.Running+b.Running))
+	// A host that runs nothing there at the moment has heard the pace as well.
+	weightA, weightB := winch.Pace(max(1, a.Running)), winch.Pace(max(1, b.Running))
+	return (a.Pace*weightA + b.Pace*weightB) / (weightA + weightB)
 }
 
 // addPace adds the pace of the last row. Rows before the first known pace are filled with zeros.
--- a/dispatch/endpoint/pace_test.go
+++ b/dispatch/endpoint/pace_test.go
@@ -160,6 +160,13 @@
 		sum.add(sharedStats{endpoints: map[winch.EndpointID]endpointStats{id: {Running: 10, Pace: 100}}})
 		assert.Equal(t, sum.endpoints[id].Pace, winch.Pace(130))
 	})
+	t.Run("also by hosts that run nothing there", func(t *testing.T) {
+		sum := newStats()
+		for range 2 {
+			sum.add(sharedStats{endpoints: map[winch.EndpointID]endpointStats{id: {Pace: 120}}})
+		}
+		assert.Equal(t, sum.endpoints[id].Pace, winch.Pace(120))
+	})
 	t.Run("and show which endpoint is slow for good", func(t *testing.T) {
 		two, _ := newPrefillCore(3, PolicyPrefill)
 		for i := range 40 {
--- a/dispatch/endpoint/tokens.go
+++ b/dispatch/endpoint/tokens.go
@@ -127,10 +127,13 @@
 
 // refreshTokens recomputes the tokens at all endpoints of each lane, and told for each endpoint.
 func (c *core) refreshTokens(now time.Time) {
-	if !c.features.tokenLimit {
+	if !c.features.tokenLimit && !c.features.completion {
 		return
 	}
 	c.assumeOthersTokens()
+	if !c.features.tokenLimit {
+		return
+	}
 	stale := c.hosts > 1 && !c.hostStatsFresh(now)
 	for _, l := range c.sortedLanes {
 		pool, requests, held, known := tokenlimit.Pool{Stale: stale}, 0, winch.Tokens(0), true
--- a/placement/registry/evacuations.go
+++ b/placement/registry/evacuations.go
@@ -20,6 +20,8 @@
 	// maxEvacuated and maxCentreLength bound what is accepted from another host.
 	maxEvacuated    = 1024
 	maxCentreLength = 128
+	// maxAgeMS bounds the ages that other hosts send. Larger ones could overflow into a time in the future.
+	maxAgeMS = int64(365 * 24 * time.Hour / time.Millisecond)
 )
 
 // evacuationReading is the result of one reading of the evacuations. The zero value means that there was none.
--- a/placement/registry/section.go
+++ b/placement/registry/section.go
@@ -144,6 +144,9 @@
 			return fmt.Errorf("evacuated data centre without a name, or with one of more than %d bytes", maxCentreLength)
 		}
 	}
+	if w.AgeMS < 0 || w.AgeMS > maxAgeMS || w.EvacuationsAgeMS > maxAgeMS {
+		return fmt.Errorf("age of more than %d ms, or negative", maxAgeMS)
+	}
 	if w.EvacuationsAgeMS < 0 || len(w.Evacuated) > 0 && w.EvacuationsAgeMS == 0 {
 		return errors.New("evacuated data centres without a time")
 	}
