--- a/configuration/check/check_test.go
+++ b/configuration/check/check_test.go
@@ -9,8 +9,6 @@
 	"github.com/arbutuswinch/winch"
 )
 
-func pointer[T any](value T) *T { return &value }
-
 // sound returns a configuration without findings.
 func sound() *Configuration {
 	return &Configuration{
@@ -23,13 +21,13 @@
 		},
 		Services: []Service{
 			{Model: "pool", Scaling: &winch.Scaling{Min: 1, Max: 4, DataCentres: []winch.DataCentreID{"a"}},
-				ColdStart: winch.ColdStart{Duration: 3 * time.Second, Rate: 11}, ColdRateStated: true, CacheCapacity: pointer(int64(9)), Slots: pointer(int64(4))},
+				ColdStart: winch.ColdStart{Duration: 3 * time.Second, Rate: 11}, ColdRateStated: true, CacheCapacity: new(int64(9)), Slots: new(int64(4))},
 			{Model: "desk"},
 		},
-		Limits: Limits{HeaderBytes: pointer(int64(16384)), BodyBytes: pointer(int64(4 << 20)), HeaderTimeout: pointer(3 * time.Second),
-			IdleTimeout: pointer(15 * time.Second)},
+		Limits: Limits{HeaderBytes: new(int64(16384)), BodyBytes: new(int64(4 << 20)), HeaderTimeout: new(3 * time.Second),
+			IdleTimeout: new(15 * time.Second)},
 		Organisations: []Organisation{
-			{ID: "first", Grade: pointer(winch.Grade(0)), Keys: []Key{{Hash: winch.HashKey("k1")}, {Hash: winch.HashKey("k2")}}},
+			{ID: "first", Grade: new(winch.Grade(0)), Keys: []Key{{Hash: winch.HashKey("k1")}, {Hash: winch.HashKey("k2")}}},
 			{ID: "second", Keys: []Key{{Hash: winch.HashKey("k3")}}},
 		},
 	}
--- a/dispatch/endpoint/evacuation.go
+++ b/dispatch/endpoint/evacuation.go
@@ -157,7 +157,7 @@
 	}
 	until := c.stoppedUntil
 	if now.Sub(c.tickedAt) > longStop {
-		// There was no tick since the stop.
+		// No tick has run since the process was resumed, so that stoppedUntil is not set yet.
 		until = now
 	}
 	// A list that was read shortly before the first tick was read after the stop, which was longer.
--- a/dispatch/endpoint/tokens_test.go
+++ b/dispatch/endpoint/tokens_test.go
@@ -88,7 +88,7 @@
 	})
 }
 
-// TestMemoryIsFullWithoutTheLimit shows what the limit guards against.
+// TestMemoryIsFullWithoutTheLimit shows that requests exceed the memory of an engine without the limit.
 func TestMemoryIsFullWithoutTheLimit(t *testing.T) {
 	c, now := newTokenCore(1, 20_000)
 	c.features.tokenLimit = false
--- a/serving/httpexchange/fuzz_test.go
+++ b/serving/httpexchange/fuzz_test.go
@@ -34,7 +34,7 @@
 	return after.TotalAlloc - before.TotalAlloc
 }
 
-// kept returns the bytes that are still in use after the call, with what it returns.
+// kept returns the number of heap bytes that are in use after the call, including its result.
 func kept(call func() any) int64 {
 	before, after := runtime.MemStats{}, runtime.MemStats{}
 	runtime.GC()
