--- a/review/harness-2/client.go
+++ b/review/harness-2/client.go
@@ -36,8 +36,8 @@
 	request, err := http.NewRequest(method, "http://"+h.front()+path, strings.NewReader(body))
 	check(err)
 	request.Host = "a.example"
-	request.Header.Set("Attempt-Id", id)
-	request.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	request.Header.Set(page("{id}"), id)
+	request.Header.Set(page("{deadline}"), fmt.Sprint(deadline.Milliseconds()))
 	if key != "" {
 		request.Header.Set("Authorization", "Bearer "+key)
 	}
@@ -45,7 +45,7 @@
 	client.Timeout = deadline
 	response, err := client.Do(request)
 	if err == nil {
-		r.status, r.header, r.signature = response.StatusCode, response.Header, response.Header.Get("Response-Signature")
+		r.status, r.header, r.signature = response.StatusCode, response.Header, response.Header.Get(page("{signature}"))
 		var read []byte
 		read, err = io.ReadAll(response.Body)
 		r.body = string(read)
--- a/review/harness-2/lib.go
+++ b/review/harness-2/lib.go
@@ -87,7 +87,7 @@
 		"Caller": map[string]any{"Address": h.front(), "ReadyAddress": h.ready(), "MetricsAddress": fmt.Sprintf("%s:%d", ip, h.ports[3])},
 		"Peer":   map[string]any{"Address": fmt.Sprintf("%s:%d", ip, h.ports[2])},
 		"Store":  map[string]any{"Address": storeAddress},
-		"Duties": map[string]any{"Address": cloudAddress, "Kinds": []string{"usage_report", "autoscale"}},
+		"Duties": map[string]any{"Address": cloudAddress, "Kinds": []string{page("{usage}"), page("{scale}")}},
 		"Bounds": map[string]any{
 			"Apply": "2000ms", "Revoke": "5000ms", "Evacuate": "0ms", "Grace": "8s", "Lease": "3000ms", "RetryShare": 0.2, "RetryMinimum": 56,
 			"RetryWindow": "10s", "UsageWindow": "5s", "UsageLate": "10s",
@@ -175,7 +175,7 @@
 		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			body := bytes.Buffer{}
 			_, _ = body.ReadFrom(r.Body)
-			note("cloud: %s %s holder %s token %s", r.URL.Path, body.String(), r.Header.Get("Duty-Holder"), r.Header.Get("Fencing-Token"))
+			note("cloud: %s %s holder %s token %s", r.URL.Path, body.String(), r.Header.Get(page("{holder}")), r.Header.Get(page("{token}")))
 			w.WriteHeader(200)
 		}))
 	}()
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -1,3 +1,4 @@
+// Command harness2 plays the cases of the second review: it starts hosts of the system beside stand-ins of the platform, runners and clients.
 package main
 
 import (
--- a/review/harness-2/runner.go
+++ b/review/harness-2/runner.go
@@ -70,12 +70,12 @@
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
 			continue
 		}
-		if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != r.id {
-			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nRunner-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.id)
+		if expected := request.Header.Get(page("{expect}")); expected != "" && expected != r.id {
+			fmt.Fprintf(conn, page("HTTP/1.1 421 Misdirected Request\r\n{runner}: %s\r\n{notrun}: 1\r\nContent-Length: 0\r\n\r\n"), r.id)
 			continue
 		}
 		if request.URL.Path == "/healthz" {
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRunner-Id: %s\r\nContent-Length: 0\r\n\r\n", r.id)
+			fmt.Fprintf(conn, page("HTTP/1.1 200 OK\r\n{runner}: %s\r\nContent-Length: 0\r\n\r\n"), r.id)
 			continue
 		}
 		r.note(request, body)
@@ -85,7 +85,7 @@
 			}
 			continue
 		}
-		r.answer(conn, request, "the whole answer of "+request.Header.Get("Attempt-Id"))
+		r.answer(conn, request, "the whole answer of "+request.Header.Get(page("{id}")))
 	}
 }
 
@@ -93,15 +93,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.ran = append(r.ran, ranRequest{
-		id: request.Header.Get("Attempt-Id"), method: request.Method, target: request.RequestURI, tenant: request.Header.Get("Tenant"), body: string(body),
+		id: request.Header.Get(page("{id}")), method: request.Method, target: request.RequestURI, tenant: request.Header.Get("Tenant"), body: string(body),
 		at: time.Now(), header: request.Header,
 	})
 }
 
 // answer sends a whole answer.
 func (r *runner) answer(conn net.Conn, request *http.Request, body string) {
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: s.%s\r\nRunner-Load: 1,0,8\r\nKeep-Alive: timeout=10\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s",
-		request.Header.Get("Attempt-Id"), request.Header.Get("Attempt-Id"), len(body), body)
+	fmt.Fprintf(conn, page("HTTP/1.1 200 OK\r\n{id}: %s\r\n{signature}: s.%s\r\n{load}: 1,0,8\r\nKeep-Alive: timeout=10\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s"),
+		request.Header.Get(page("{id}")), request.Header.Get(page("{id}")), len(body), body)
 }
 
 // times returns when the requests with the prefix of their ids ran.
@@ -131,7 +131,7 @@
 	return encoded
 }
 
-func (r *runner) register(s *store, state string) { s.set("servers/"+r.id, r.entry(state)) }
+func (r *runner) register(s *store, state string) { s.set(page("{servers}")+r.id, r.entry(state)) }
 
 // beat writes the entry at the interval of the heartbeat until stop is closed.
 func (r *runner) beat(s *store, stop chan struct{}) {
--- a/review/harness-2/store.go
+++ b/review/harness-2/store.go
@@ -223,7 +223,7 @@
 		if p.Lease != 0 && s.leases[p.Lease] == nil {
 			return 404, map[string]any{}
 		}
-		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
+		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, page("{servers}")) {
 			return 403, map[string]any{}
 		}
 	}
--- a/review/harness-2/targets.go
+++ b/review/harness-2/targets.go
@@ -20,10 +20,10 @@
 	s, c := newStore(), newCloud()
 	var ten []tenant
 	for i := range tenantCount {
-		ten = append(ten, tenant{Name: fmt.Sprint("tenant-", i), Keys: []string{fmt.Sprint("key-", i)}, Priority: i})
+		ten = append(ten, tenant{name: fmt.Sprint("tenant-", i), key: fmt.Sprint("key-", i), priority: i})
 	}
 	routes := []route{safe("lookup", "/lookup/", "desk"), once("hold", "/hold/", "desk")}
-	s.set("op/config", configuration(1, routes, []string{"desk"}, ten))
+	s.set(page("{config}"), configuration(1, routes, "desk", ten))
 	runners := []*runner{}
 	for i := range 3 {
 		r := newRunner(fmt.Sprintf("i-%d", i), "desk", "abc"[i:i+1])
@@ -61,11 +61,11 @@
 	if trouble {
 		for i := range addedRoutes {
 			r := safe(fmt.Sprintf("added-%d", i), fmt.Sprintf("/added-%d/", i), "desk")
-			r.TargetMS = 100 + 10*i
+			r.targetMS = 100 + 10*i
 			routes = append(routes, r)
 		}
-		value := configuration(2, routes, []string{"desk"}, ten)
-		s.set("op/config", value)
+		value := configuration(2, routes, "desk", ten)
+		s.set(page("{config}"), value)
 		note("OPERATOR: version 2 with %d routes more, %d bytes, is acknowledged", addedRoutes, len(value))
 	}
 	callers.Wait()
--- a/review/harness-2/torn.go
+++ b/review/harness-2/torn.go
@@ -6,60 +6,79 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
 func init() { cases["torn"] = tornBytes }
 
 const (
-	// The largest dose of garble "extra late" in the site file.
-	garbledShare = 0.6
-	// garbledEvery is the number of answers of which one is followed by additional bytes: 0.03 of them at most.
-	garbledEvery = 34
-	garbledTime  = 5 * time.Second
-	tornRunners  = 5
+	// The largest dose of garble "extra late" in the site file: of 5 runners 3, one answer in 34, for 5 s.
+	tornRunners   = 5
+	faultyRunners = 3
+	garbledEvery  = 34
+	garbledTime   = 5 * time.Second
 )
 
-// tornBytes has some runners send additional bytes after a complete answer, late, at the point where the next answer is expected. The bytes
-// are a refusal that is truncated in its head.
+// garbler makes runners send additional bytes after a complete answer, late, at the point where the next answer is expected.
+type garbler struct {
+	mu      sync.Mutex
+	active  bool
+	answers int
+	// owing are the connections on which additional bytes are due, and sent is how often they were sent.
+	owing map[net.Conn]bool
+	sent  int
+}
+
+func (g *garbler) set(active bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.active = active
+	note("RUNNERS: %d of %d garble: %t", faultyRunners, tornRunners, active)
+}
+
+// serve answers a request that has run. The answer is complete and right; additional bytes of an earlier one may stand before it.
+func (g *garbler) serve(r *runner, conn net.Conn, request *http.Request, _ []byte) bool {
+	time.Sleep(15 * time.Millisecond)
+	g.mu.Lock()
+	due := g.owing[conn]
+	delete(g.owing, conn)
+	if due {
+		g.sent++
+	}
+	number := g.sent
+	if g.answers++; g.active && g.answers%garbledEvery == 0 {
+		g.owing[conn] = true
+	}
+	g.mu.Unlock()
+	if due {
+		bytes := tornRefusal(r, number)
+		note("RUNNER %s: additional bytes %q, and then the answer to %s, which has run", r.id, bytes, request.Header.Get(page("{id}")))
+		fmt.Fprint(conn, bytes)
+	}
+	r.answer(conn, request, "the whole answer")
+	return true
+}
+
+// tornRefusal returns one of the two refusals that the pages print, without the end of its head: the 421 ends at any byte of its head, the 503,
+// each fourth time, with its last value.
+func tornRefusal(r *runner, number int) string {
+	if number%4 == 0 {
+		return page("HTTP/1.1 503 Service Unavailable\r\n{notrun}: 1")
+	}
+	torn := page("HTTP/1.1 421 Misdirected Request\r\n{runner}: ") + r.id
+	return torn[:1+rand.IntN(len(torn))]
+}
+
+// tornBytes has some runners send additional bytes that are a refusal which is truncated in its head.
 func tornBytes(_ string, trouble bool) bool {
 	s, c := newStore(), newCloud()
-	s.set("op/config", configuration(1, []route{once("hold", "/hold/", "desk")}, []string{"desk"}, tenants))
-	garbling, answers, sent := atomic.Bool{}, atomic.Int64{}, atomic.Int64{}
-	var mu sync.Mutex
-	owing := map[net.Conn]bool{}
+	s.set(page("{config}"), configuration(1, []route{once("hold", "/hold/", "desk")}, "desk", []tenant{{name: "one", key: "k1", priority: 1}}))
+	g := &garbler{owing: map[net.Conn]bool{}}
 	runners := []*runner{}
 	for i := range tornRunners {
 		r := newRunner(fmt.Sprintf("i-%d", i), "desk", "abc"[i%3:i%3+1])
-		faulty := float64(i) < garbledShare*tornRunners
-		r.serve = func(r *runner, conn net.Conn, request *http.Request, _ []byte) bool {
-			time.Sleep(15 * time.Millisecond)
-			if !faulty {
-				r.answer(conn, request, "the whole answer")
-				return true
-			}
-			mu.Lock()
-			late := owing[conn]
-			delete(owing, conn)
-			if garbling.Load() && answers.Add(1)%garbledEvery == 0 {
-				// This answer is complete. Additional bytes will follow it, late.
-				owing[conn] = true
-			}
-			mu.Unlock()
-			if late {
-				// One of the two refusals that the pages print, without the end of its head: the 421 ends at any byte of its head, the
-				// 503, each fourth time, with its last value.
-				torn := "HTTP/1.1 421 Misdirected Request\r\nRunner-Id: " + r.id
-				torn = torn[:1+rand.IntN(len(torn))]
-				if sent.Add(1)%4 == 0 {
-					torn = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1"
-				}
-				note("RUNNER %s: additional bytes %q, and then the answer to %s, which has run", r.id, torn, request.Header.Get("Attempt-Id"))
-				fmt.Fprint(conn, torn)
-			}
-			r.answer(conn, request, "the whole answer")
-			return true
+		if i < faultyRunners {
+			r.serve = g.serve
 		}
 		r.register(s, "ready")
 		r.beat(s, make(chan struct{}))
@@ -72,15 +91,20 @@
 		h.awaitReady()
 	}
 	time.Sleep(2 * time.Second)
+	if trouble {
+		time.AfterFunc(4*time.Second, func() { g.set(true) })
+		time.AfterFunc(4*time.Second+garbledTime, func() { g.set(false) })
+	}
+	seen := sendOnce(14 * time.Second)
+	twice, refused, served := judgeOnce(seen, runners)
+	note("%d requests, %d served, additional bytes %d times, TWICE %d, REFUSED %d", len(seen), served, g.sent, twice, refused)
+	return twice+refused == 0
+}
+
+// sendOnce sends requests that may run once, each with an id of its own, and does not repeat them.
+func sendOnce(length time.Duration) []result {
 	seen, callers := &results{}, sync.WaitGroup{}
-	stop := time.Now().Add(14 * time.Second)
-	time.AfterFunc(4*time.Second, func() {
-		if trouble {
-			note("RUNNERS: %d of %d garble from now on", int(garbledShare*tornRunners), tornRunners)
-			garbling.Store(true)
-		}
-	})
-	time.AfterFunc(4*time.Second+garbledTime, func() { garbling.Store(false) })
+	stop := time.Now().Add(length)
 	for w, h := range started {
 		callers.Add(1)
 		go func() {
@@ -90,7 +114,6 @@
 				callers.Add(1)
 				go func() {
 					defer callers.Done()
-					// Each id is sent once: the clients do not repeat.
 					seen.add(client.call(h, "POST", "/hold/x", fmt.Sprintf("o-%d-%d", w, i), "k1", 4*time.Second, "x"))
 				}()
 				time.Sleep(16 * time.Millisecond)
@@ -98,6 +121,11 @@
 		}()
 	}
 	callers.Wait()
+	return seen.list()
+}
+
+// judgeOnce counts the requests that ran more than once (TWICE), and those that were answered 429 or 503 (or 408, 421) and have run (REFUSED).
+func judgeOnce(seen []result, runners []*runner) (twice, refused, served int) {
 	ran := map[string]int{}
 	for _, r := range runners {
 		r.mu.Lock()
@@ -107,9 +135,7 @@
 		}
 		r.mu.Unlock()
 	}
-	// TWICE: a request that isn't idempotent runs more than once. REFUSED: one is answered 429 or 503 (or 408, 421) and has run.
-	twice, refused, served := 0, 0, 0
-	for _, each := range seen.list() {
+	for _, each := range seen {
 		if ran[each.id] > 1 {
 			twice++
 			note("TWICE: %s ran %d times, status %d", each.id, ran[each.id], each.status)
@@ -124,6 +150,5 @@
 			served++
 		}
 	}
-	note("%d requests, %d served, additional bytes %d times, TWICE %d, REFUSED %d", len(seen.list()), served, sent.Load(), twice, refused)
-	return twice+refused == 0
+	return twice, refused, served
 }
