fix(dispatch): a configuration with many latency targets does not stop a host

Cause: linkLanes compared all classes of each endpoint with each other and searched a list for each pair, under the lock that each request needs, at each change of the configuration or of the list of endpoints. The operator's configuration led to a class for each pair of a target and a tier: 3,520. Each tick also went over all pairs of classes, and of a class and an endpoint, under the same lock.

Tiers are computed, and a route's classes are ranges of grades. The layout of lanes and endpoints is computed before the lock is taken, kept if the change does not touch it, and shares its lists. What is equal for the lanes of a set or a tier is computed once in a tick.

--- a/dispatch/endpoint/aperture.go
+++ b/dispatch/endpoint/aperture.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 
 	"github.com/arbutuswinch/winch"
 )
@@ -31,28 +30,21 @@
 		l.subset = l.endpoints
 		return
 	}
-	l.subset = c.apertureOf(l, c.rank, l.aperture)
+	l.subset = c.apertureOf(l.ring, c.rank, l.aperture)
 }
 
-// apertureOf returns the lane's endpoints that the host of the given rank uses.
-func (c *core) apertureOf(l *lane, rank, size int) []*endpoint {
+// apertureOf returns the endpoints of the ring that the host of the given rank uses.
+func (c *core) apertureOf(ring []*endpoint, rank, size int) []*endpoint {
 	// Each endpoint must be used by some host, so an arc is at least as long as the distance between the
 	// starts of two neighbouring arcs.
-	size = max(size, (len(l.ring)+c.hosts-1)/c.hosts)
+	size = max(size, (len(ring)+c.hosts-1)/c.hosts)
 	arc := make([]*endpoint, 0, size)
-	for _, place := range aperture(len(l.ring), rank, c.hosts, size) {
-		arc = append(arc, l.ring[place])
+	for _, place := range aperture(len(ring), rank, c.hosts, size) {
+		arc = append(arc, ring[place])
 	}
 	return arc
 }
 
-// setRing orders the lane's endpoints by hash, so that endpoints with consecutive IDs are spread over
-// the arcs of different hosts.
-func (l *lane) setRing() {
-	l.ring = append(l.ring[:0], l.endpoints...)
-	sort.Slice(l.ring, func(i, j int) bool { return l.ring[i].hash < l.ring[j].hash })
-}
-
 // restrictEndpoints removes from a host's summary the endpoints that are outside its aperture and on which it runs nothing, so
 // that the summary does not grow with the size of the data centre.
 func (c *core) restrictEndpoints(sum *sharedStats, to winch.HostID) {
@@ -67,10 +59,10 @@
 			used[id] = stats
 		}
 	}
-	for _, l := range c.sortedLanes {
-		endpoints := l.endpoints
+	for _, set := range c.endpointSets {
+		endpoints := set.endpoints
 		if len(endpoints) > size {
-			endpoints = c.apertureOf(l, rank, size)
+			endpoints = c.apertureOf(set.ring, rank, size)
 		}
 		for _, e := range endpoints {
 			if stats, found := sum.endpoints[e.spec.ID]; found {
--- a/dispatch/endpoint/completion.go
+++ b/dispatch/endpoint/completion.go
@@ -64,7 +64,8 @@
 		e.prefillTime.Observe(now, e.prefill.pending+e.prefill.others > 0)
 	}
 	for _, l := range c.sortedLanes {
-		l.completion.shrunk, l.completion.leastBusy, l.completion.busy = 0, l.leastBusy(), l.meanBusy()
+		l.completion.shrunk = 0
+		l.refreshBusy()
 		if l.lowestTier && !l.highestTier {
 			l.completion.shrunk = 1 - l.completion.share.Update(now, c.endsLate(now, l), l.completion.busy)
 		}
@@ -81,6 +82,17 @@
 	return false
 }
 
+// refreshBusy recomputes the shares of the time in which the lane's endpoints prefill.
+func (l *lane) refreshBusy() {
+	known := &l.set.last.busy[indexOf(l.latencySensitive)]
+	if *known == nil {
+		*known = l
+		l.completion.leastBusy, l.completion.busy = l.leastBusy(), l.meanBusy()
+		return
+	}
+	l.completion.leastBusy, l.completion.busy = (*known).completion.leastBusy, (*known).completion.busy
+}
+
 // leastBusy returns the smallest share of its time in which one of the endpoints that serve the lane prefills.
 func (l *lane) leastBusy() float64 {
 	least := 1.0
--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -3,7 +3,6 @@
 import (
 	"hash/fnv"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/arbutuswinch/winch"
@@ -11,44 +10,38 @@
 	"github.com/arbutuswinch/winch/dispatch/retry"
 )
 
-// configure applies a new configuration and the list of endpoints ordered from the platform. Streams
-// on removed endpoints are asked to move if another endpoint can resume them; other requests on them
-// continue. Queued requests whose class was removed are refused.
+// configure applies a new configuration and the list of endpoints ordered from the platform; see apply.
 func (c *core) configure(now time.Time, configuration *winch.Configuration, ordered []winch.EndpointStatus) {
+	c.apply(now, newLayout(c.self.DataCentre, c.home, configuration, ordered, nil))
+}
+
+// apply applies the layout of a new configuration or list of endpoints. Streams on removed endpoints are asked to move if another
+// endpoint can resume them; other requests on them continue. Queued requests whose class was removed are refused.
+func (c *core) apply(now time.Time, next *layout) {
 	if c.started.IsZero() {
 		c.started = now
 	}
-	if c.firstListAt.IsZero() && len(ordered) > 0 {
+	if c.firstListAt.IsZero() && next.listed {
 		c.firstListAt = now
 	}
-	c.configuration = configuration
-	wanted := map[winch.EndpointID]winch.EndpointStatus{}
-	for id, spec := range configuration.Endpoints {
-		wanted[id] = winch.EndpointStatus{Endpoint: spec, State: winch.EndpointReady}
-	}
-	for _, status := range ordered {
-		wanted[status.Endpoint.ID] = status
-	}
-	// Without a data centre of its own, or with a home, the host uses the endpoints of all data centres.
-	for id, status := range wanted {
-		if status.Endpoint.DataCentre == c.self.DataCentre || c.self.DataCentre == "" || c.home != "" {
-			c.setEndpoint(now, id, status)
-		}
+	c.configuration = next.configuration
+	wanted := make(map[winch.EndpointID]bool, len(next.statuses))
+	c.sortedEndpoints = c.sortedEndpoints[:0]
+	for _, status := range next.statuses {
+		id := status.Endpoint.ID
+		c.setEndpoint(now, id, status)
+		wanted[id] = true
+		c.sortedEndpoints = append(c.sortedEndpoints, c.endpoints[id])
 	}
 	for id, e := range c.endpoints {
-		if _, found := wanted[id]; !found {
+		if !wanted[id] {
 			c.removeEndpoint(now, e)
 		}
 	}
-	c.sortedEndpoints = c.sortedEndpoints[:0]
-	for _, e := range c.endpoints {
-		c.sortedEndpoints = append(c.sortedEndpoints, e)
-	}
-	sort.Slice(c.sortedEndpoints, func(i, j int) bool { return c.sortedEndpoints[i].spec.ID < c.sortedEndpoints[j].spec.ID })
 	for _, a := range c.accounts {
-		a.weight = max(1, float64(configuration.Organisations[a.key.organisation].Weight))
+		a.weight = max(1, float64(next.configuration.Organisations[a.key.organisation].Weight))
 	}
-	c.setLanes(now)
+	c.setLanes(now, next.lanes)
 	c.refresh(now)
 	c.fillAll(now)
 	c.noteEvacuations(now)
@@ -97,88 +90,103 @@
 	return mix(hash.Sum64())
 }
 
-// setLanes rebuilds the lanes, keeping the state of those that remain.
-func (c *core) setLanes(now time.Time) {
-	for _, l := range c.lanes {
-		l.endpoints, l.evacuated = nil, nil
+// setLanes sets the lanes and their endpoints, keeping the state of those that remain.
+func (c *core) setLanes(now time.Time, next *laneLayout) {
+	c.sortedLanes = make([]*lane, len(next.lanes))
+	for i := range next.lanes {
+		c.sortedLanes[i] = c.lane(&next.lanes[i])
 	}
-	for _, e := range c.sortedEndpoints {
-		e.lanes = e.lanes[:0]
-		for _, model := range e.spec.Models {
-			c.addLanes(e, group{model: model})
-		}
-		for _, route := range e.spec.Routes {
-			c.addLanes(e, group{route: route})
-		}
+	if len(c.lanes) > len(next.lanes) {
+		c.closeLanesExcept(now, c.sortedLanes)
 	}
-	c.addRemoteLanes()
-	c.sortedLanes = c.sortedLanes[:0]
-	for key, l := range c.lanes {
-		if _, found := c.configuration.Classes[key.class]; !found {
-			c.closeLane(now, l)
-			continue
-		}
-		c.sortedLanes = append(c.sortedLanes, l)
+	c.endpointSets = make([]*endpointSet, len(next.endpointSets))
+	for i := range next.endpointSets {
+		c.endpointSets[i] = c.newEndpointSet(&next.endpointSets[i])
 	}
-	sort.Slice(c.sortedLanes, func(i, j int) bool { return laneLess(c.sortedLanes[i], c.sortedLanes[j]) })
-	c.linkLanes()
+	for i, l := range c.sortedLanes {
+		c.linkLane(l, c.endpointSets[next.lanes[i].endpointSet])
+	}
+	c.linkEndpoints(next)
 }
 
-func laneLess(a, b *lane) bool {
-	if a.class.Tier != b.class.Tier {
-		return a.class.Tier < b.class.Tier
-	}
-	if a.key.class != b.key.class {
-		return a.key.class < b.key.class
+// lane returns the lane of the description, creating it if needed.
+func (c *core) lane(spec *laneSpec) *lane {
+	l, found := c.lanes[spec.key]
+	if !found {
+		l = &lane{key: spec.key, byAccount: map[*account]*accountQueue{}, budget: c.budget(spec.key.group), paceShift: 1, homeShares: [1 + alternates]float64{1}}
+		c.lanes[spec.key] = l
 	}
-	return a.key.group.String() < b.key.group.String()
+	l.class = spec.class
+	return l
 }
 
-// addLanes adds the endpoint to the lanes of all classes that may use it for the model or route.
-func (c *core) addLanes(e *endpoint, g group) {
-	for id, class := range c.configuration.Classes {
-		if len(e.spec.Classes) > 0 && !slices.Contains(e.spec.Classes, id) {
-			continue
-		}
-		if l := c.lane(class, g); l != nil {
-			l.add(e)
-			e.lanes = append(e.lanes, l)
+func (c *core) closeLanesExcept(now time.Time, kept []*lane) {
+	remain := make(map[*lane]bool, len(kept))
+	for _, l := range kept {
+		remain[l] = true
+	}
+	for _, l := range c.lanes {
+		if !remain[l] {
+			c.closeLane(now, l)
 		}
 	}
 }
 
-// lane returns the lane of the class for the model or route, creating it if needed, or nil if the class may not use that.
-func (c *core) lane(class winch.Class, g group) *lane {
-	if g.route != "" && c.configuration.Routes[g.route].Class != class.ID {
-		return nil
+func (c *core) newEndpointSet(spec *endpointSetSpec) *endpointSet {
+	s := &endpointSet{targets: spec.targets, mixedSoftware: c.mixedSoftware(spec.endpoints)}
+	for _, i := range spec.endpoints {
+		if e := c.sortedEndpoints[i]; e.evacuated {
+			s.evacuated = append(s.evacuated, e)
+		} else {
+			s.endpoints = append(s.endpoints, e)
+		}
 	}
-	if g.model != "" && len(class.Models) > 0 && !slices.Contains(class.Models, g.model) {
-		return nil
+	for _, i := range spec.ring {
+		if e := c.sortedEndpoints[i]; !e.evacuated {
+			s.ring = append(s.ring, e)
+		}
 	}
-	key := laneKey{class: class.ID, group: g}
-	l, found := c.lanes[key]
-	if !found {
-		l = &lane{key: key, byAccount: map[*account]*accountQueue{}, budget: c.budget(g), paceShift: 1, homeShares: [1 + alternates]float64{1}}
-		c.lanes[key] = l
+	for _, i := range spec.competitors {
+		s.competitors = append(s.competitors, c.sortedLanes[i])
 	}
-	l.class = class
-	return l
+	// An append to the list of one lane must not reach those of the others.
+	s.endpoints, s.evacuated, s.competitors = slices.Clip(s.endpoints), slices.Clip(s.evacuated), slices.Clip(s.competitors)
+	return s
 }
 
-// addRemoteLanes adds lanes for models and routes that only other data centres serve.
-func (c *core) addRemoteLanes() {
-	for _, spec := range c.configuration.Endpoints {
-		for id, class := range c.configuration.Classes {
-			if len(spec.Classes) > 0 && !slices.Contains(spec.Classes, id) {
-				continue
-			}
-			for _, model := range spec.Models {
-				c.lane(class, group{model: model})
-			}
-			for _, route := range spec.Routes {
-				c.lane(class, group{route: route})
-			}
+// linkLane sets the lane's endpoints, competitors and what follows from them, and selects its endpoints for this host.
+func (c *core) linkLane(l *lane, set *endpointSet) {
+	if len(set.competitors) == 0 {
+		// Lanes without endpoints share nothing.
+		set = &endpointSet{competitors: []*lane{l}}
+		c.endpointSets = append(c.endpointSets, set)
+	}
+	if set.first == nil {
+		set.first = l
+	}
+	l.set = set
+	l.endpoints, l.evacuated, l.ring, l.competitors, l.mixedSoftware = set.endpoints, set.evacuated, set.ring, set.competitors, set.mixedSoftware
+	l.highestTier, l.lowestTier = !l.competitors[0].higher(l), !l.higher(l.competitors[len(l.competitors)-1])
+	l.setLatencySensitive(&set.targets)
+	c.setSubset(l)
+}
+
+// linkEndpoints sets the lanes of the endpoints. Endpoints with the same lanes share the list.
+func (c *core) linkEndpoints(next *laneLayout) {
+	c.laneSets = make([]*laneSet, len(next.laneSets))
+	for i, lanes := range next.laneSets {
+		set := &laneSet{}
+		for _, lane := range lanes {
+			set.lanes = append(set.lanes, c.sortedLanes[lane])
+		}
+		if mixed := slices.IndexFunc(set.lanes, func(l *lane) bool { return l.mixedSoftware }); mixed >= 0 {
+			set.mixedSoftware = set.lanes[mixed]
 		}
+		c.laneSets[i] = set
+	}
+	for i, e := range c.sortedEndpoints {
+		e.set = c.laneSets[next.laneSetOf[i]]
+		e.lanes = e.set.lanes
 	}
 }
 
@@ -205,36 +213,6 @@
 	delete(c.lanes, l.key)
 }
 
-// linkLanes finds the lanes that share endpoints, and selects each lane's endpoints for this host.
-func (c *core) linkLanes() {
-	for _, l := range c.sortedLanes {
-		l.competitors = l.competitors[:0]
-		l.highestTier, l.lowestTier = true, true
-	}
-	for _, e := range c.sortedEndpoints {
-		sort.Slice(e.lanes, func(i, j int) bool { return laneLess(e.lanes[i], e.lanes[j]) })
-		for _, l := range e.lanes {
-			l.highestTier = l.highestTier && !e.lanes[0].higher(l)
-			l.lowestTier = l.lowestTier && !l.higher(e.lanes[len(e.lanes)-1])
-			for _, competitor := range e.lanes {
-				if !slices.Contains(l.competitors, competitor) {
-					l.competitors = append(l.competitors, competitor)
-				}
-			}
-		}
-	}
-	for _, l := range c.sortedLanes {
-		if len(l.competitors) == 0 {
-			l.competitors = append(l.competitors, l)
-		}
-		sort.Slice(l.competitors, func(i, j int) bool { return laneLess(l.competitors[i], l.competitors[j]) })
-		l.setMixedSoftware()
-		l.setRing()
-		l.setLatencySensitive()
-		c.setSubset(l)
-	}
-}
-
 // fillAll assigns the free slots of all endpoints to queued requests.
 func (c *core) fillAll(now time.Time) {
 	c.fillBound(now)
--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -88,6 +88,8 @@
 	sortedEndpoints []*endpoint // by ID
 	lanes           map[laneKey]*lane
 	sortedLanes     []*lane // by tier, then class and group
+	endpointSets    []*endpointSet
+	laneSets        []*laneSet
 	budgets         map[group]*retry.Budget
 	accounts        map[accountKey]*account
 	// virtualTime is, for each tier, the highest account.served at which a request was granted.
--- a/dispatch/endpoint/dispatcher.go
+++ b/dispatch/endpoint/dispatcher.go
@@ -19,6 +19,8 @@
 
 	lock sync.Mutex
 	core *core
+	// layout is the one in force. Only New and Run use it.
+	layout *layout
 	// spareEntries holds slices of log entries for reuse; guarded by lock.
 	spareEntries [][]logEntry
 }
@@ -120,18 +122,23 @@
 		return
 	}
 	// The time is read before the list, so that it is not that of a newer one.
-	count, readAt := 0, d.listReadAt()
+	readAt := d.listReadAt()
 	var ordered []winch.EndpointStatus
 	if d.options.Source != nil {
 		ordered = d.options.Source.Endpoints()
 	}
+	started := time.Now()
+	next := newLayout(d.core.self.DataCentre, d.core.home, configuration, ordered, d.layout)
+	var heldFor time.Duration
 	d.runStep(func() {
+		locked := time.Now()
 		d.core.listReadAt = readAt
-		d.core.configure(now, configuration, ordered)
-		count = len(d.core.sortedEndpoints)
+		d.core.apply(now, next)
+		heldFor = time.Since(locked)
 	})
+	d.layout = next
 	d.logger.Info("endpoints updated", "Event", EventEndpointsChanged, "Revision", configuration.Revision,
-		"Endpoints", count, "Ordered", len(ordered))
+		"Endpoints", len(next.statuses), "Ordered", len(ordered), "Lanes", len(next.lanes.lanes), "Took", time.Since(started), "LockHeld", heldFor)
 }
 
 func (d *Dispatcher) relaysReports(now time.Time) bool {
--- a/dispatch/endpoint/evacuation.go
+++ b/dispatch/endpoint/evacuation.go
@@ -38,15 +38,6 @@
 	e.evacuated = evacuated
 }
 
-// add adds an endpoint that serves the lane.
-func (l *lane) add(e *endpoint) {
-	if e.evacuated {
-		l.evacuated = append(l.evacuated, e)
-		return
-	}
-	l.endpoints = append(l.endpoints, e)
-}
-
 // evacuatedEverywhere reports whether the lane has endpoints, but only in evacuated data centres.
 func (l *lane) evacuatedEverywhere() bool { return len(l.endpoints) == 0 && len(l.evacuated) > 0 }
 
--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -37,12 +37,15 @@
 	evacuated []*endpoint
 	// subset holds the endpoints that this host uses.
 	subset []*endpoint
-	// ring holds the endpoints in the order in which the hosts' apertures cover them.
+	// ring holds the endpoints in the order in which the hosts' apertures cover them: by hash, so that endpoints with consecutive IDs are
+	// spread over the arcs of different hosts.
 	ring []*endpoint
 	// competitors are the lanes that share an endpoint with this one, highest tier first. They
-	// include the lane itself.
+	// include the lane itself. Lanes with the same endpoints share this list and those of endpoints.
 	competitors []*lane
-	budget      *retry.Budget
+	// set holds these lists.
+	set    *endpointSet
+	budget *retry.Budget
 
 	oldest, newest *request
 	byAccount      map[*account]*accountQueue
--- a/dispatch/endpoint/pace.go
+++ b/dispatch/endpoint/pace.go
@@ -41,6 +41,10 @@
 // refreshPaces recomputes the lanes' mean paces.
 func (c *core) refreshPaces(now time.Time) {
 	for _, l := range c.sortedLanes {
+		if first := l.set.first; l != first {
+			l.meanPace, l.paceShift = first.meanPace, first.paceShift
+			continue
+		}
 		l.meanPace, l.paceShift = measure.Mean{}, 1
 		present, usual := 0.0, 0.0
 		for _, e := range l.endpoints {
--- a/dispatch/endpoint/prefill.go
+++ b/dispatch/endpoint/prefill.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/arbutuswinch/winch"
@@ -325,9 +326,9 @@
 	if !c.features.prefillAware {
 		return
 	}
-	for _, l := range c.sortedLanes {
-		if l.latencySensitive {
-			c.partitionEndpointsFor(now, l)
+	for _, s := range c.endpointSets {
+		if i := slices.IndexFunc(s.competitors, func(l *lane) bool { return l.set == s && l.latencySensitive }); i >= 0 {
+			c.partitionEndpointsFor(now, s.competitors[i])
 		}
 	}
 }
@@ -359,19 +360,11 @@
 // setLatencySensitive determines whether the lane's class is latency-sensitive: its targets are among the shortest, and it shares its
 // engines with classes that have longer ones. A class that bears longer pauses than the others between tokens does not count, however soon
 // its first token is due: its prompts would cause such pauses in their streams.
-func (l *lane) setLatencySensitive() {
-	firstToken, interToken, longest := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64), time.Duration(0)
-	for _, competitor := range l.competitors {
-		if target := competitor.class.FirstTokenTarget; target > 0 {
-			firstToken, longest = min(firstToken, target), max(longest, target)
-		}
-		if target := competitor.class.InterTokenTarget; target > 0 {
-			interToken = min(interToken, target)
-		}
-	}
-	bound := withinRatio(firstToken)
+func (l *lane) setLatencySensitive(targets *targetRange) {
+	bound := withinRatio(targets.shortestFirstToken)
 	target := l.class.FirstTokenTarget
-	l.latencySensitive = l.servedByEngines() && target > 0 && target <= bound && longest > bound && l.class.InterTokenTarget <= withinRatio(interToken)
+	l.latencySensitive = l.servedByEngines() && target > 0 && target <= bound && targets.longestFirstToken > bound &&
+		(targets.shortestInterToken == 0 || l.class.InterTokenTarget <= withinRatio(targets.shortestInterToken))
 }
 
 // withinRatio returns the longest target of a latency-sensitive class if the shortest one is given.
--- a/dispatch/endpoint/prefill_budget.go
+++ b/dispatch/endpoint/prefill_budget.go
@@ -42,27 +42,14 @@
 }
 
 func (c *core) prefillBudgetOf(now time.Time, l *lane) prefillBudget {
-	own, others, higher, window := 0.0, 0.0, 0.0, l.class.FirstTokenTarget
-	for _, competitor := range l.competitors {
-		if l.higher(competitor) {
-			window = max(window, competitor.class.FirstTokenTarget)
-			continue
-		}
-		rate := competitor.promptRate.PerSecond(now)
-		own += rate
-		if competitor.higher(l) {
-			higher += rate
-		}
-		if c.hostStatsFresh(now) {
-			others += float64(competitor.others.PromptRate)
-		}
-	}
-	l.pool.Share = c.demandShare(now, own, others)
+	demand := c.tierDemandOf(now, l)
+	window := max(l.class.FirstTokenTarget, demand.lowerTarget)
+	l.pool.Share = c.demandShare(now, demand.own, demand.others)
 	speed := c.prefillSpeed(l) * float64(l.partitionSize(now)) * l.pool.Share / l.paceShift
 	if !l.lowestTier {
 		speed *= urgentOverbooking
 	}
-	return prefillBudget{limit: prefillWindowShare * window.Seconds() * speed * (1 - l.completion.shrunk), rate: max(minDrainShare*speed, speed-higher)}
+	return prefillBudget{limit: prefillWindowShare * window.Seconds() * speed * (1 - l.completion.shrunk), rate: max(minDrainShare*speed, speed-demand.higher)}
 }
 
 // demandShare returns this host's share of the demand of all hosts. Hosts of which nothing is known count like this one.
@@ -88,18 +75,6 @@
 	return defaultPrefillSpeed
 }
 
-// partitionSize counts the endpoints that serve the lane. Those that are reserved for latency-sensitive classes serve only these.
-func (l *lane) partitionSize(now time.Time) int {
-	count := 0
-	for _, e := range l.endpoints {
-		if !e.serving || e.paused(now) || l.partitioned && e.prefill.latencySensitive && !l.latencySensitive {
-			continue
-		}
-		count++
-	}
-	return count
-}
-
 // limitsPrefill reports whether the lane's requests need a budget for their prompts.
 func (c *core) limitsPrefill(l *lane) bool { return c.features.prefillAware && l.servedByEngines() }
 
--- a/dispatch/endpoint/prefill_test.go
+++ b/dispatch/endpoint/prefill_test.go
@@ -101,8 +101,12 @@
 	}
 	t.Run("a single class uses all endpoints", func(t *testing.T) {
 		c, now := newPrefillCore(9, PolicyPrefill)
+		statuses := []winch.EndpointStatus{}
+		for _, e := range c.sortedEndpoints {
+			statuses = append(statuses, winch.EndpointStatus{Endpoint: e.spec, State: e.state})
+		}
 		delete(c.configuration.Classes, "chat")
-		c.setLanes(now)
+		c.configure(now, c.configuration, statuses)
 		c.tick(now)
 		plan := map[winch.EndpointID]bool{}
 		for i := range 15 {
--- a/dispatch/endpoint/prefix_cache.go
+++ b/dispatch/endpoint/prefix_cache.go
@@ -204,26 +204,32 @@
 // refreshCaches advances the estimates of the endpoints' caches to the present.
 func (c *core) refreshCaches(now time.Time) {
 	for _, l := range c.sortedLanes {
-		l.knowsCaches = c.features.prefixCache && c.limitsPrefill(l) && len(l.endpoints) > 0
-		l.partitionEndpoints = 0
-		for _, e := range l.endpoints {
-			l.knowsCaches = l.knowsCaches && e.tokens.Capacity > 0
-			if !l.partitioned || l.latencySensitive == e.prefill.latencySensitive {
-				l.partitionEndpoints++
-			}
-		}
+		c.refreshPartition(l)
 	}
-	fresh := c.hostStatsFresh(now)
+	c.refreshPromptRates(now)
 	for _, e := range c.sortedEndpoints {
 		if e.tokens.Capacity == 0 {
 			continue
 		}
-		rate := 0.0
-		for _, l := range e.lanes {
-			if fresh && (!l.partitioned || l.latencySensitive == e.prefill.latencySensitive) {
-				rate += float64(l.others.PromptRate) * l.inflow.ratio() / float64(max(1, l.partitionEndpoints))
-			}
-		}
+		rate := e.set.promptRates[indexOf(e.prefill.latencySensitive)]
 		e.prefill.cache.Advance(now, e.tokens.Capacity, e.tokens.Held(), rate)
 	}
 }
+
+// refreshPartition counts the endpoints over which the lane's requests are spread, and determines whether their caches are known.
+func (c *core) refreshPartition(l *lane) {
+	known := &l.set.last.caches[indexOf(l.latencySensitive)]
+	if *known != nil {
+		l.knowsCaches, l.partitionEndpoints = (*known).knowsCaches, (*known).partitionEndpoints
+		return
+	}
+	*known = l
+	l.knowsCaches = c.features.prefixCache && c.limitsPrefill(l) && len(l.endpoints) > 0
+	l.partitionEndpoints = 0
+	for _, e := range l.endpoints {
+		l.knowsCaches = l.knowsCaches && e.tokens.Capacity > 0
+		if !l.partitioned || l.latencySensitive == e.prefill.latencySensitive {
+			l.partitionEndpoints++
+		}
+	}
+}
--- a/dispatch/endpoint/share.go
+++ b/dispatch/endpoint/share.go
@@ -14,19 +14,10 @@
 	}
 	remaining, fair, others, waiting := float64(e.cap), 0.0, 0.0, 0
 	contended := false
-	for i := 0; i < len(e.lanes); {
-		own, total := 0.0, 0.0
-		tier := e.lanes[i].class.Tier
-		for ; i < len(e.lanes) && e.lanes[i].class.Tier == tier; i++ {
-			l := e.lanes[i]
-			count := float64(len(l.endpoints))
-			own += float64(l.queued+l.holding()) / count
-			if c.hostStatsFresh(now) {
-				others += float64(l.others.Queued+l.others.Running) / count
-				total += float64(l.others.Queued+l.others.Running) / count
-				waiting += l.others.Queued
-			}
-		}
+	for _, tier := range e.set.demand {
+		own, total := tier.own, tier.others
+		others += tier.others
+		waiting += tier.waiting
 		total += own
 		if total > remaining {
 			contended = true
--- a/dispatch/endpoint/software.go
+++ b/dispatch/endpoint/software.go
@@ -81,11 +81,12 @@
 	return !r.bound() && r.work.OutputDone > 0 && r.lane.mixedSoftware
 }
 
-// setMixedSoftware determines whether the lane's endpoints have several software versions; one that is not known counts.
-func (l *lane) setMixedSoftware() {
-	// Streams that began at evacuated endpoints still have to go on at their version.
-	all := slices.Concat(l.endpoints, l.evacuated)
-	l.mixedSoftware = slices.ContainsFunc(all, func(e *endpoint) bool { return e.spec.Software != all[0].spec.Software })
+// mixedSoftware reports whether the endpoints with the indices have several software versions; one that is not known counts. Evacuated
+// endpoints are among them: streams that began there still have to go on at their version.
+func (c *core) mixedSoftware(indices []int) bool {
+	return slices.ContainsFunc(indices, func(i int) bool {
+		return c.sortedEndpoints[i].spec.Software != c.sortedEndpoints[indices[0]].spec.Software
+	})
 }
 
 // arriveBound grants the bound request a slot, or queues it. It hands the request over if this data centre has no endpoint of its version.
@@ -214,14 +215,12 @@
 // hasTwin reports whether the endpoint serves nothing of which there are several software versions, or another endpoint of
 // its version serves the same.
 func (c *core) hasTwin(now time.Time, e *endpoint) bool {
-	for _, l := range e.lanes {
-		if !l.mixedSoftware {
-			continue
-		}
-		software := c.knownSoftware(now, e)
-		return software != "" && slices.ContainsFunc(l.endpoints, func(other *endpoint) bool {
-			return other != e && other.serving && !other.paused(now) && c.knownSoftware(now, other) == software
-		})
+	mixed := e.set.mixedSoftware
+	if mixed == nil {
+		return true
 	}
-	return true
+	software := c.knownSoftware(now, e)
+	return software != "" && slices.ContainsFunc(mixed.endpoints, func(other *endpoint) bool {
+		return other != e && other.serving && !other.paused(now) && c.knownSoftware(now, other) == software
+	})
 }
--- a/dispatch/endpoint/state.go
+++ b/dispatch/endpoint/state.go
@@ -69,9 +69,10 @@
 	moveStreamsAt   time.Time
 	// saysLeaving is set once the endpoint has said in an answer that it leaves. Only a new run of it takes requests again.
 	saysLeaving bool
-	resting     bool    // restsUntil has not been logged as over
-	leaving     bool    // state or reportedState is EndpointLeaving, or the endpoint says so; see setServing
-	lanes       []*lane // highest tier first
+	resting     bool     // restsUntil has not been logged as over
+	leaving     bool     // state or reportedState is EndpointLeaving, or the endpoint says so; see setServing
+	lanes       []*lane  // highest tier first
+	set         *laneSet // holds lanes, and what is equal for all endpoints with them
 	// tokens are those of the running requests. told is set if the hub tells this host of the other hosts' requests there.
 	tokens tokenlimit.Account
 	told   bool
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -17,6 +17,7 @@
 	}
 	c.noteStop(now)
 	c.tickedAt = now
+	c.refreshInterTokenTargets()
 	for _, e := range c.sortedEndpoints {
 		c.readAllProgress(now, e)
 		c.checkSilence(now, e)
@@ -24,7 +25,7 @@
 		c.checkRest(now, e)
 		e.decayReserve(c.settings.Tick)
 		if c.features.adaptiveLimit {
-			e.limit.Adjust(now, c.interTokenTarget(e), e.running+e.others)
+			e.limit.Adjust(now, e.set.interTokenTarget, e.running+e.others)
 		} else {
 			e.limit.Raise(now)
 		}
@@ -171,19 +172,6 @@
 	}
 }
 
-// interTokenTarget returns the shortest target for the time between tokens, in seconds, among
-// the classes that currently use the endpoint; zero if there is none.
-func (c *core) interTokenTarget(e *endpoint) float64 {
-	shortest := 0.0
-	for _, l := range e.lanes {
-		target := l.class.InterTokenTarget.Seconds()
-		if target > 0 && l.running+l.queued > 0 && (shortest == 0 || target < shortest) {
-			shortest = target
-		}
-	}
-	return shortest
-}
-
 // refresh recomputes the values that choices read: slots, latency means, slowdowns and shares.
 func (c *core) refresh(now time.Time) {
 	statsFresh := c.hostStatsFresh(now)
@@ -198,26 +186,16 @@
 		e.cap = e.currentSlots(now, c.settings.RampTime)
 		e.updateReportWeight(now, c.settings.ReportMaxAge)
 	}
+	c.resetSets()
 	c.countEvacuatedRunning()
 	c.refreshTokens(now)
 	c.refreshCaches(now)
 	for _, l := range c.sortedLanes {
-		l.slots, l.steadySlotsLeft, l.meanDemand = 0, 0, 0
-		l.meanInterToken, l.meanFirstToken = measure.Mean{}, measure.Mean{}
-		for _, e := range l.endpoints {
-			l.meanInterToken.AddMean(e.limit.LongRunInterToken)
-			l.meanFirstToken.AddMean(e.limit.LongRunFirstToken)
-			l.meanDemand += e.cold.demand.all / float64(len(l.endpoints))
-			if !e.serving || e.paused(now) {
-				continue
-			}
-			l.slots += e.tokens.Slots(e.slotsFor(l), l.meanHeld)
-			if !e.cheap {
-				l.steadySlotsLeft += float64(e.cap - e.runningUpTo(l.class.Tier))
-			}
-		}
+		l.refreshMeans()
+		c.refreshSlots(now, l)
 	}
 	c.refreshPaces(now)
+	c.refreshSlotDemand(now)
 	for _, e := range c.sortedEndpoints {
 		e.slowdown = c.slowdownOf(now, e)
 		e.updateKept()
--- a/dispatch/endpoint/tokens.go
+++ b/dispatch/endpoint/tokens.go
@@ -136,30 +136,42 @@
 	}
 	stale := c.hosts > 1 && !c.hostStatsFresh(now)
 	for _, l := range c.sortedLanes {
-		pool, requests, held, known := tokenlimit.Pool{Stale: stale}, 0, winch.Tokens(0), true
-		for _, e := range l.endpoints {
-			if !e.serving || e.paused(now) {
-				continue
-			}
-			known = known && e.tokens.Capacity > 0
-			pool.Capacity += e.tokens.Capacity
-			pool.Others += e.tokens.Others
-			requests += e.running + e.others
-			held += e.tokens.Held()
-		}
-		if !known {
-			pool.Capacity = 0
-		}
-		// The share is set with the budget for prompts.
-		l.pool, l.meanHeld = pool, 0
-		if requests >= minHeldRequests && pool.Capacity > 0 {
-			l.meanHeld = float64(held) / float64(requests)
-		}
+		l.refreshPool(now, stale)
 		l.largestWaiting = c.largestWaiting(now, l)
+		if first := l.set.first; l != first {
+			l.meanHold = first.meanHold
+			continue
+		}
 		l.meanHold = c.meanHold(now, l)
 	}
 }
 
+// refreshPool recomputes the memory of the lane's endpoints. This host's share of it is set with the budget for prompts.
+func (l *lane) refreshPool(now time.Time, stale bool) {
+	if first := l.set.first; l != first {
+		l.pool, l.meanHeld = first.pool, first.meanHeld
+		return
+	}
+	pool, requests, held, known := tokenlimit.Pool{Stale: stale}, 0, winch.Tokens(0), true
+	for _, e := range l.endpoints {
+		if !e.serving || e.paused(now) {
+			continue
+		}
+		known = known && e.tokens.Capacity > 0
+		pool.Capacity += e.tokens.Capacity
+		pool.Others += e.tokens.Others
+		requests += e.running + e.others
+		held += e.tokens.Held()
+	}
+	if !known {
+		pool.Capacity = 0
+	}
+	l.pool, l.meanHeld = pool, 0
+	if requests >= minHeldRequests && pool.Capacity > 0 {
+		l.meanHeld = float64(held) / float64(requests)
+	}
+}
+
 // assumeOthersTokens sets told. At endpoints of which the hub tells this host nothing, it sets the other hosts' tokens to the mean of those of
 // which it does.
 func (c *core) assumeOthersTokens() {
@@ -167,14 +179,21 @@
 		e.told = e.running > 0
 	}
 	for _, l := range c.sortedLanes {
+		// Lanes of the same endpoints and aperture have the same subset.
+		if l.set.last.tokens == len(l.subset) {
+			continue
+		}
+		l.set.last.tokens = len(l.subset)
 		for _, e := range l.subset {
 			e.told = true
 		}
 	}
+	c.resetAssumed()
 	for _, l := range c.sortedLanes {
-		if len(l.subset) == len(l.endpoints) {
+		if len(l.subset) == len(l.endpoints) || l.set.last.tokens == len(l.subset) {
 			continue
 		}
+		l.set.last.tokens = len(l.subset)
 		others := winch.Tokens(0)
 		for _, e := range l.subset {
 			others += e.tokens.Others
@@ -187,24 +206,20 @@
 	}
 }
 
+func (c *core) resetAssumed() {
+	for _, s := range c.endpointSets {
+		s.last.tokens = -1
+	}
+}
+
 // largestWaiting returns the mean need of the largest requests of other classes in the lane's tier that any host may have to place. They
 // need not be queued, since a request that finds no room may be refused at once.
 func (c *core) largestWaiting(now time.Time, l *lane) winch.Tokens {
-	own, largest := winch.Tokens(0), 0.0
-	for _, competitor := range l.competitors {
-		own += competitor.held
-		if competitor == l || competitor.class.Tier != l.class.Tier {
-			continue
-		}
-		here := competitor.queued > 0 || competitor.promptRate.PerSecond(now) >= 1
-		if here || c.hostStatsFresh(now) && competitor.others.Queued+competitor.others.PromptRate > 0 {
-			largest = max(largest, competitor.meanNeed.Value)
-		}
-	}
-	if !l.pool.Scarce(own) {
+	needs := c.tierNeedsOf(now, l)
+	if !l.pool.Scarce(needs.held) {
 		return 0
 	}
-	return winch.Tokens(largest)
+	return winch.Tokens(needs.largestExcept(l))
 }
 
 // meanHold returns the mean time that the requests which run on the lane's endpoints hold their slots; zero if it is not known.
--- a/forward.go
+++ b/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sort"
 	"time"
 )
 
@@ -26,9 +27,15 @@
 type Grade int
 
 // NoGrade stands for organisations without a grade and for requests without an organisation. It
-// is only a key of Forward.Classes and has no rank among the grades.
+// only selects a class in Forward.Classes and has no rank among the grades.
 const NoGrade Grade = -1
 
+// ClassRange assigns a request class to a range of grades, which ends where the next range begins.
+type ClassRange struct {
+	From  Grade
+	Class ClassID
+}
+
 // ForwardTarget is one of the services to which a forwarding route distributes its requests.
 type ForwardTarget struct {
 	// Model is the ID of the service. Forwarding treats each service as a model.
@@ -55,8 +62,18 @@
 	// MaxAttempts is the maximum number of endpoints to which one request is sent.
 	MaxAttempts int
 	Targets     []ForwardTarget
-	// Classes maps the grade of the organisation to the request class.
-	Classes map[Grade]ClassID
+	// Classes are the request classes by the grade of the organisation, in ascending order. The first range
+	// begins with NoGrade.
+	Classes []ClassRange
+}
+
+// Class returns the request class of organisations with the grade; empty if there is none.
+func (f *Forward) Class(grade Grade) ClassID {
+	next := sort.Search(len(f.Classes), func(i int) bool { return f.Classes[i].From > grade })
+	if next == 0 {
+		return ""
+	}
+	return f.Classes[next-1].Class
 }
 
 // Repeatable reports whether a request may be sent again although an earlier attempt was possibly
--- a/serving/forward/admit.go
+++ b/serving/forward/admit.go
@@ -76,7 +76,7 @@
 	if !found {
 		grade = winch.NoGrade
 	}
-	a.class = configuration.Classes[route.Classes[grade]]
+	a.class = configuration.Classes[route.Class(grade)]
 	return a, nil
 }
 
--- a/serving/forward/fakes_test.go
+++ b/serving/forward/fakes_test.go
@@ -29,8 +29,8 @@
 //	/plan/       streams that may be resumed
 //	/safe/open/  idempotent requests that need no key
 func configuration() *winch.Configuration {
-	class := func(id winch.ClassID) map[winch.Grade]winch.ClassID {
-		return map[winch.Grade]winch.ClassID{winch.NoGrade: id}
+	class := func(id winch.ClassID) []winch.ClassRange {
+		return []winch.ClassRange{{From: winch.NoGrade, Class: id}}
 	}
 	targets := []winch.ForwardTarget{{Model: testModel, Weight: 1}}
 	hash := winch.HashKey(secret)
