--- a/httpjson/client.go
+++ b/httpjson/client.go
@@ -32,6 +32,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/http1"
 	"github.com/arbutuswinch/winch/internal/memory"
 )
 
@@ -98,7 +99,7 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(source)}
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         http1.Dial(dialer.DialContext),
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
--- /dev/null
+++ b/internal/http1/conn.go
@@ -0,0 +1,115 @@
+// Package http1 checks what HTTP/1.1 servers send (RFC 9110, RFC 9112).
+//
+// Package net/http accepts more than the protocol allows: a status such as 000, names of fields
+// that contain blanks, lines that are folded, and a message with two lengths. Conn is a connection of a client that passes on
+// responses only as long as they keep to the protocol. All clients use it below their readers, so that they fail
+// on the same responses and do not read a body that the server did not send.
+//
+// # Usage
+//
+//	conn, err := dialer.DialContext(ctx, "tcp", address)
+//	if err != nil {
+//		return err
+//	}
+//	checked := http1.NewConn(conn)
+//	...
+//	response, err := http.ReadResponse(bufio.NewReader(checked), request)
+//	if errors.Is(err, http1.ErrMalformed) {
+//		// The server does not speak the protocol.
+//	}
+//
+// With net/http, DialContext of http.Transport returns the checked connection; see Dial.
+package http1
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+)
+
+// ErrMalformed says that the server has sent bytes that are no HTTP/1.1 response. What it has sent before is not complete.
+var ErrMalformed = errors.New("malformed response")
+
+// Conn is a client's connection to a server. It carries one request at a time. Reads and writes may be concurrent.
+type Conn struct {
+	net.Conn
+
+	responses checker
+	// err ends all reads.
+	err error
+	// withoutBody says that the request asks for a response without a body.
+	withoutBody atomic.Bool
+}
+
+// NewConn returns a connection that checks what is read from conn.
+func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
+
+// DialFunc opens a connection, like net.Dialer.DialContext.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial returns a function that opens checked connections.
+func Dial(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
+	}
+}
+
+// Read reads from the connection. It returns ErrMalformed after the last bytes that keep to the protocol.
+func (c *Conn) Read(p []byte) (int, error) {
+	if c.err != nil {
+		return 0, c.err
+	}
+	count, err := c.Conn.Read(p)
+	c.responses.withoutBody = c.withoutBody.Load()
+	accepted, malformed := c.responses.check(p[:count])
+	if malformed != nil {
+		c.err = malformed
+		if accepted == 0 {
+			return 0, malformed
+		}
+		return accepted, nil
+	}
+	return count, err
+}
+
+// Malformed reports whether the server has sent bytes that are no response. The connection must not carry another request then, even if
+// these bytes came after a complete response and no reader has got them. It must not be called concurrently with Read.
+func (c *Conn) Malformed() bool { return c.err != nil }
+
+// Write writes to the connection.
+func (c *Conn) Write(p []byte) (int, error) {
+	if method, found := requestMethod(p); found {
+		c.withoutBody.Store(method == http.MethodHead)
+	}
+	return c.Conn.Write(p)
+}
+
+// maxMethodBytes is the length of the longest method that requestMethod recognizes.
+const maxMethodBytes = 32
+
+// requestMethod returns the method if the bytes begin with a request line. Clients write the head of a request from the start of a write. A
+// piece of a body that looks like a request line only concerns the request to which it belongs.
+func requestMethod(p []byte) (string, bool) {
+	method, rest, found := bytes.Cut(p[:min(len(p), maxMethodBytes)], []byte(" "))
+	if !found || len(method) == 0 || len(rest) == 0 || rest[0] != '/' && rest[0] != '*' && rest[0] != 'h' {
+		return "", false
+	}
+	for _, b := range method {
+		if !isTokenByte(b) {
+			return "", false
+		}
+	}
+	return string(method), true
+}
+
+func malformed(format string, values ...any) error {
+	return fmt.Errorf("%w: %s", ErrMalformed, fmt.Sprintf(format, values...))
+}
--- a/lease/fenced/transport.go
+++ b/lease/fenced/transport.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/http1"
 	"github.com/arbutuswinch/winch/internal/socket"
 )
 
@@ -108,7 +109,7 @@
 	if err := t.writeTail(ctx, conn, encoded[len(encoded)-withheld:]); err != nil {
 		return nil, err
 	}
-	limited := &io.LimitedReader{R: conn, N: maxHeadBytes}
+	limited := &io.LimitedReader{R: http1.NewConn(conn), N: maxHeadBytes}
 	response, err := http.ReadResponse(bufio.NewReader(limited), request)
 	if err != nil {
 		return nil, fmt.Errorf("read response: %w", err)
--- a/serving/httpexchange/client.go
+++ b/serving/httpexchange/client.go
@@ -7,7 +7,8 @@
 // A failure without that header is believed only as the first response on its connection: later
 // it may be bytes that belong to no call, and the outcome is unknown.
 // The client does not add this header to the call, so Header must hold it. A body ends with
-// io.EOF only if it is complete according to its framing. Idle connections are kept for a
+// io.EOF only if it is complete according to its framing, and a response that breaks the rules of
+// the protocol is none; see package http1. Idle connections are kept for a
 // fraction of the time that the server states, and checked before reuse.
 //
 // # Usage
@@ -39,6 +40,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/http1"
 	"github.com/arbutuswinch/winch/internal/periodic"
 	"github.com/arbutuswinch/winch/internal/socket"
 )
@@ -192,8 +194,11 @@
 		_ = tcp.Close()
 		return nil, fmt.Errorf("connect: %w: %w", winch.ErrUnavailable, err)
 	}
-	limit := &headLimit{source: tcp}
-	opened := &conn{client: c, key: poolKey(call), tcp: tcp, reader: bufio.NewReaderSize(limit, readBufferSize), headLimit: limit, openedAt: time.Now()}
+	checked := http1.NewConn(tcp)
+	limit := &headLimit{source: checked}
+	opened := &conn{
+		client: c, key: poolKey(call), tcp: tcp, checked: checked, reader: bufio.NewReaderSize(limit, readBufferSize), headLimit: limit, openedAt: time.Now(),
+	}
 	opened.setKeepAlive(false)
 	return opened, nil
 }
--- a/serving/httpexchange/conn.go
+++ b/serving/httpexchange/conn.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/http1"
 	"github.com/arbutuswinch/winch/internal/socket"
 )
 
@@ -39,7 +40,9 @@
 	// openedAt is when the connection was opened.
 	openedAt time.Time
 	tcp      *net.TCPConn
-	reader   *bufio.Reader
+	// checked is tcp with checks of what the server sends. All reads and writes go through it.
+	checked *http1.Conn
+	reader  *bufio.Reader
 	// headLimit is the source of reader.
 	headLimit *headLimit
 	// stopContextWatch stops watching the call's context. It returns false if the context has
@@ -96,7 +99,7 @@
 }
 
 func (c *conn) writeAll(data []byte) bool {
-	count, err := c.tcp.Write(data)
+	count, err := c.checked.Write(data)
 	c.writtenBytes.Add(int64(count))
 	if err != nil {
 		c.writeFailed.Store(true)
@@ -268,7 +271,8 @@
 	b.done = true
 	conn := b.conn
 	contextActive := conn.stopContextWatch()
-	if !b.reusable || !contextActive || conn.receivedOtherResponse || conn.reader.Buffered() > 0 || !conn.fullyWritten() || b.idleTime <= 0 {
+	unexpected := conn.reader.Buffered() > 0 || conn.checked.Malformed()
+	if !b.reusable || !contextActive || conn.receivedOtherResponse || unexpected || !conn.fullyWritten() || b.idleTime <= 0 {
 		// No reset is needed: the response is complete, so the call did not fail here.
 		_ = conn.tcp.Close()
 		return
--- a/serving/internal/noretry/transport.go
+++ b/serving/internal/noretry/transport.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/http1"
 )
 
 const (
@@ -87,7 +88,7 @@
 			_ = conn.Close()
 			return nil, fmt.Errorf("set linger: %w", err)
 		}
-		return conn, nil
+		return http1.NewConn(conn), nil
 	}
 	return &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: options.IdleConnections,
