fix(clients): an answer whose connection is reset during an upload is not complete

The endpoint answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is being written.

Cause: the kernel reports a reset once, and the writer of the upload got it. The next read returns the end of the connection, which ends a body without a length. http.Transport has the same fault.

In TestEndOfAConnection, the write gets the error and the read none.

Change: internal/http1 returns io.EOF for a response that ends with its connection only if the connection is in CLOSE-WAIT, or if no write has failed and none is in progress. Otherwise the read fails, and the outcome is unknown.

--- a/httpjson/malformed_test.go
+++ b/httpjson/malformed_test.go
@@ -29,3 +29,13 @@
 		})
 	}
 }
+
+// TestResponseThatIsResetDuringAnUploadIsIncomplete guards against a part of a list that is taken for the whole.
+func TestResponseThatIsResetDuringAnUploadIsIncomplete(t *testing.T) {
+	address := http1test.RespondAndReset(t, "HTTP/1.1 200 OK\r\n\r\n{}")
+	client := newClient(t, address)
+	upload := message{Name: strings.Repeat("x", http1test.UploadSize)}
+	for range 50 {
+		assert.ErrorIs(t, client.Call(t.Context(), "/", upload, &message{}), winch.ErrOutcomeUnknown)
+	}
+}
--- a/internal/http1/checker.go
+++ b/internal/http1/checker.go
@@ -69,6 +69,9 @@
 	isChunked bool
 }
 
+// endsWithConnection reports whether only the end of the connection tells the end of the response.
+func (c *checker) endsWithConnection() bool { return c.position == inLastBody }
+
 // check returns how many of the next bytes keep to the protocol, and the error if these are not all. The byte that completes a malformed line or
 // head is not among them, so that no reader takes it for complete.
 func (c *checker) check(p []byte) (int, error) {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -1,7 +1,9 @@
 // Package http1 checks what HTTP/1.1 servers send (RFC 9110, RFC 9112).
 //
 // Package net/http accepts more than the protocol allows: a status such as 000, names of fields
-// that contain blanks, lines that are folded, and a message with two lengths. Conn is a connection of a client that passes on
+// that contain blanks, lines that are folded, and a message with two lengths. It also takes the end
+// of a connection for the end of a body without a length when the connection was reset, if the reset
+// was reported to the writer of the request. Conn is a connection of a client that passes on
 // responses only as long as they keep to the protocol. All clients use it below their readers, so that they fail
 // on the same responses and do not read a body that the server did not send.
 //
@@ -26,13 +28,21 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
+
+	"github.com/arbutuswinch/winch/internal/socket"
 )
 
-// ErrMalformed says that the server has sent bytes that are no HTTP/1.1 response. What it has sent before is not complete.
-var ErrMalformed = errors.New("malformed response")
+var (
+	// ErrMalformed says that the server has sent bytes that are no HTTP/1.1 response. What it has sent before is not complete.
+	ErrMalformed = errors.New("malformed response")
+	// ErrReset says that the connection was reset, or has failed otherwise, before the end of a response that ends with it.
+	ErrReset = errors.New("connection reset before the end of the response")
+)
 
 // Conn is a client's connection to a server. It carries one request at a time. Reads and writes may be concurrent.
 type Conn struct {
@@ -43,6 +53,9 @@
 	err error
 	// withoutBody says that the request asks for a response without a body.
 	withoutBody atomic.Bool
+	// writing counts the writes in progress. writeFailed says that one has failed.
+	writing     atomic.Int32
+	writeFailed atomic.Bool
 }
 
 // NewConn returns a connection that checks what is read from conn.
@@ -62,7 +75,8 @@
 	}
 }
 
-// Read reads from the connection. It returns ErrMalformed after the last bytes that keep to the protocol.
+// Read reads from the connection. It returns ErrMalformed after the last bytes that keep to the protocol, and ErrReset in place of io.EOF if
+// a response that ends with the connection is not complete.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.err != nil {
 		return 0, c.err
@@ -77,6 +91,10 @@
 		}
 		return accepted, nil
 	}
+	if errors.Is(err, io.EOF) && c.responses.endsWithConnection() && !c.endedInOrder() {
+		c.err = ErrReset
+		return count, ErrReset
+	}
 	return count, err
 }
 
@@ -89,7 +107,25 @@
 	if method, found := requestMethod(p); found {
 		c.withoutBody.Store(method == http.MethodHead)
 	}
-	return c.Conn.Write(p)
+	c.writing.Add(1)
+	defer c.writing.Add(-1)
+	count, err := c.Conn.Write(p)
+	if err != nil {
+		c.writeFailed.Store(true)
+	}
+	return count, err
+}
+
+// endedInOrder reports whether the end of the received bytes is that of what the server has sent. The kernel reports a reset once: if a
+// write has got the error, the next read returns the end of the connection.
+func (c *Conn) endedInOrder() bool {
+	if conn, found := c.Conn.(syscall.Conn); found {
+		if state, err := socket.State(conn); err == nil && state == socket.StateCloseWait {
+			// The server has closed its side, and the connection still exists.
+			return true
+		}
+	}
+	return !c.writeFailed.Load() && c.writing.Load() == 0
 }
 
 // maxMethodBytes is the length of the longest method that requestMethod recognizes.
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -151,6 +152,59 @@
 	assert.Equal(t, body, "abc")
 }
 
+// dial opens a checked connection to the address and sends the head of an upload.
+func dial(t *testing.T, address string) *Conn {
+	t.Helper()
+	plain, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = plain.Close() })
+	assert.NilError(t, plain.SetDeadline(time.Now().Add(10*time.Second)))
+	conn := NewConn(plain)
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 16777216\r\n\r\n")
+	assert.NilError(t, err)
+	return conn
+}
+
+// TestEndOfAConnection guards against a reset that is taken for the end of a response, because the writer was told of it, and against an end in order that is taken for a
+// reset, because a write fails later.
+func TestEndOfAConnection(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\n\r\npart"
+	upload := bytes.Repeat([]byte("x"), http1test.UploadSize)
+	t.Run("a reset of which the writer is told", func(t *testing.T) {
+		conn := dial(t, http1test.RespondAndReset(t, response))
+		_, err := conn.Write(upload)
+		assert.Assert(t, err != nil)
+		_, err = io.ReadAll(conn)
+		assert.Assert(t, err != nil)
+	})
+	t.Run("a reset during a write", func(t *testing.T) {
+		conn := dial(t, http1test.RespondAndReset(t, response))
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _ = conn.Write(upload)
+		}()
+		_, err := io.ReadAll(conn)
+		assert.Assert(t, err != nil)
+		<-done
+	})
+	t.Run("an end in order while the upload goes on", func(t *testing.T) {
+		conn := dial(t, http1test.Respond(t, response))
+		go func() { _, _ = conn.Write(upload) }()
+		read, err := io.ReadAll(conn)
+		assert.NilError(t, err)
+		assert.Equal(t, string(read), response)
+	})
+	t.Run("an end without a connection that has a state", func(t *testing.T) {
+		_, err := read(response, false)
+		assert.NilError(t, err)
+		conn := NewConn(fakeConn{Reader: strings.NewReader(response)})
+		conn.writeFailed.Store(true)
+		_, err = io.ReadAll(conn)
+		assert.ErrorIs(t, err, ErrReset)
+	})
+}
+
 // FuzzConn checks that a response of which all is passed on is read by net/http to the end that the checks found, and that the checks do not depend on how the bytes arrive.
 func FuzzConn(f *testing.F) {
 	for _, response := range http1test.Malformed("X-Id: 1") {
--- a/internal/http1test/server.go
+++ b/internal/http1test/server.go
@@ -21,6 +21,10 @@
 	"gotest.tools/v3/assert"
 )
 
+// UploadSize is the size of a body in bytes that is far above what the buffers of a connection hold, so that it is still being written when an
+// early response arrives.
+const UploadSize = 16 << 20
+
 // serverTimeout ends connections that a failed test left open.
 const serverTimeout = 10 * time.Second
 
@@ -79,6 +83,16 @@
 	})
 }
 
+// RespondAndReset is like Respond, but resets the connection after the response, without having read the request's body.
+func RespondAndReset(t *testing.T, response string) string {
+	t.Helper()
+	return listen(t, func(conn *net.TCPConn) {
+		readHead(conn)
+		_, _ = io.WriteString(conn, response)
+		_ = conn.SetLinger(0)
+	})
+}
+
 func listen(t *testing.T, serve func(conn *net.TCPConn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/lease/fenced/malformed_test.go
+++ b/lease/fenced/malformed_test.go
@@ -22,3 +22,12 @@
 		})
 	}
 }
+
+// TestResponseThatIsResetIsIncomplete guards against a part of a response that is taken for the whole.
+func TestResponseThatIsResetIsIncomplete(t *testing.T) {
+	f := newFixture(t, http.StatusOK)
+	f.call.Address = http1test.RespondAndReset(t, "HTTP/1.1 200 OK\r\n\r\n{}")
+	for range 20 {
+		assert.ErrorIs(t, f.send(t, 0, disabledGuards{}), winch.ErrOutcomeUnknown)
+	}
+}
--- a/serving/httpexchange/malformed_test.go
+++ b/serving/httpexchange/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -10,6 +11,28 @@
 	"github.com/arbutuswinch/winch/internal/http1test"
 )
 
+// TestAnswerThatIsResetDuringAnUploadIsIncomplete guards against a part of a body that is taken for the whole: if the writer of the request is
+// told of the reset, the reader only sees the end of the connection.
+func TestAnswerThatIsResetDuringAnUploadIsIncomplete(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart"
+	upload := strings.Repeat("x", http1test.UploadSize)
+	t.Run("reset", func(t *testing.T) {
+		address := http1test.RespondAndReset(t, answer)
+		for range 50 {
+			body, err := exchangeAt(t, New(Options{}), address, "1", upload)
+			assert.Assert(t, err != nil, "%q was taken for a whole body", body)
+		}
+	})
+	t.Run("closed in order", func(t *testing.T) {
+		address := http1test.Respond(t, answer)
+		for range 10 {
+			body, err := exchangeAt(t, New(Options{}), address, "1", upload)
+			assert.NilError(t, err)
+			assert.Equal(t, body, "part")
+		}
+	})
+}
+
 // TestMalformedAnswerIsNone guards against answers that the protocol does not know: callers would get them, or a body that the server did not send.
 func TestMalformedAnswerIsNone(t *testing.T) {
 	for name, answer := range http1test.Malformed("X-Id: 1") {
--- a/serving/internal/noretry/malformed_test.go
+++ b/serving/internal/noretry/malformed_test.go
@@ -1,6 +1,7 @@
 package noretry
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"testing"
@@ -39,3 +40,13 @@
 		})
 	}
 }
+
+// TestResponseThatIsResetDuringAnUploadIsIncomplete guards against a part of a body that is taken for the whole.
+func TestResponseThatIsResetDuringAnUploadIsIncomplete(t *testing.T) {
+	address := http1test.RespondAndReset(t, "HTTP/1.1 200 OK\r\n"+requestIDHeader+": 1\r\n\r\npart")
+	upload := bytes.Repeat([]byte("x"), http1test.UploadSize)
+	for range 50 {
+		body, err := sendTo(t, address, upload, false)
+		assert.Assert(t, err != nil, "%q was taken for a whole body", body)
+	}
+}
--- a/winchd/forwarder/malformed_test.go
+++ b/winchd/forwarder/malformed_test.go
@@ -51,6 +51,19 @@
 	return response.StatusCode, string(whole)
 }
 
+// TestCallersGetNoPartOfAnAnswerThatIsReset guards against a part of an answer that callers get as the whole (MIXED): the endpoint answers an upload
+// at once, without a length, and resets the connection while the upload is being written.
+func TestCallersGetNoPartOfAnAnswerThatIsReset(t *testing.T) {
+	t.Parallel()
+	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n\r\npart", wire.RequestID, malformedID, wire.Signature)
+	upload := bytes.Repeat([]byte("x"), 4<<20)
+	h := newHostWithEndpoint(t, http1test.RespondAndReset(t, answer))
+	for range 20 {
+		status, body := h.post(t, upload)
+		assert.Assert(t, status >= http.StatusInternalServerError || status == 0, "status %d, body %q", status, body)
+	}
+}
+
 // TestCallersGetNoMalformedAnswer guards against answers that the protocol does not know, which callers get as answers (MIXED).
 func TestCallersGetNoMalformedAnswer(t *testing.T) {
 	t.Parallel()
