fix(dispatch): queued requests outlive a list without an endpoint of their model

Evidence: TestLaneOutlivesItsEndpoints, which fails on: the request is refused with the change of the list.

Change: lanes without a place in the layout are kept without endpoints if their class may still use the model or route, and closed otherwise. The order of lanes is written once.

--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -92,21 +92,54 @@
 
 // setLanes sets the lanes and their endpoints, keeping the state of those that remain.
 func (c *core) setLanes(now time.Time, next *laneLayout) {
-	c.sortedLanes = make([]*lane, len(next.lanes))
+	placed := make([]*lane, len(next.lanes))
 	for i := range next.lanes {
-		c.sortedLanes[i] = c.lane(&next.lanes[i])
-	}
-	if len(c.lanes) > len(next.lanes) {
-		c.closeLanesExcept(now, c.sortedLanes)
+		placed[i] = c.lane(&next.lanes[i])
 	}
 	c.endpointSets = make([]*endpointSet, len(next.endpointSets))
 	for i := range next.endpointSets {
-		c.endpointSets[i] = c.newEndpointSet(&next.endpointSets[i])
+		c.endpointSets[i] = c.newEndpointSet(&next.endpointSets[i], placed)
 	}
-	for i, l := range c.sortedLanes {
+	for i, l := range placed {
 		c.linkLane(l, c.endpointSets[next.lanes[i].endpointSet])
 	}
-	c.linkEndpoints(next)
+	c.sortedLanes = c.addUnplaced(now, placed)
+	c.linkEndpoints(next, placed)
+}
+
+// addUnplaced returns the placed lanes with those that have no place in the layout any more, since no endpoint is listed for them, but whose
+// class may still be used: their requests wait for endpoints. It closes the others.
+func (c *core) addUnplaced(now time.Time, placed []*lane) []*lane {
+	if len(c.lanes) == len(placed) {
+		return placed
+	}
+	known := make(map[*lane]bool, len(placed))
+	for _, l := range placed {
+		known[l] = true
+	}
+	all := slices.Clone(placed)
+	for key, l := range c.lanes {
+		if known[l] {
+			continue
+		}
+		if class, found := c.configuration.Classes[key.class]; found && c.mayUse(&class, key.group) {
+			l.class = class
+			c.linkLane(l, &endpointSet{})
+			all = append(all, l)
+		} else {
+			c.closeLane(now, l)
+		}
+	}
+	slices.SortFunc(all, func(a, b *lane) int { return compareLanes(&a.class, a.key.group, &b.class, b.key.group) })
+	return all
+}
+
+// mayUse reports whether requests of the class may use the model or route.
+func (c *core) mayUse(class *winch.Class, g group) bool {
+	if g.route != "" {
+		return c.configuration.Routes[g.route].Class == class.ID
+	}
+	return len(class.Models) == 0 || slices.Contains(class.Models, g.model)
 }
 
 // lane returns the lane of the description, creating it if needed.
@@ -120,19 +153,7 @@
 	return l
 }
 
-func (c *core) closeLanesExcept(now time.Time, kept []*lane) {
-	remain := make(map[*lane]bool, len(kept))
-	for _, l := range kept {
-		remain[l] = true
-	}
-	for _, l := range c.lanes {
-		if !remain[l] {
-			c.closeLane(now, l)
-		}
-	}
-}
-
-func (c *core) newEndpointSet(spec *endpointSetSpec) *endpointSet {
+func (c *core) newEndpointSet(spec *endpointSetSpec, placed []*lane) *endpointSet {
 	s := &endpointSet{targets: spec.targets, mixedSoftware: c.mixedSoftware(spec.endpoints)}
 	for _, i := range spec.endpoints {
 		if e := c.sortedEndpoints[i]; e.evacuated {
@@ -147,7 +168,7 @@
 		}
 	}
 	for _, i := range spec.competitors {
-		s.competitors = append(s.competitors, c.sortedLanes[i])
+		s.competitors = append(s.competitors, placed[i])
 	}
 	// An append to the list of one lane must not reach those of the others.
 	s.endpoints, s.evacuated, s.competitors = slices.Clip(s.endpoints), slices.Clip(s.evacuated), slices.Clip(s.competitors)
@@ -172,12 +193,12 @@
 }
 
 // linkEndpoints sets the lanes of the endpoints. Endpoints with the same lanes share the list.
-func (c *core) linkEndpoints(next *laneLayout) {
+func (c *core) linkEndpoints(next *laneLayout, placed []*lane) {
 	c.laneSets = make([]*laneSet, len(next.laneSets))
 	for i, lanes := range next.laneSets {
 		set := &laneSet{}
 		for _, lane := range lanes {
-			set.lanes = append(set.lanes, c.sortedLanes[lane])
+			set.lanes = append(set.lanes, placed[lane])
 		}
 		if mixed := slices.IndexFunc(set.lanes, func(l *lane) bool { return l.mixedSoftware }); mixed >= 0 {
 			set.mixedSoftware = set.lanes[mixed]
--- a/dispatch/endpoint/layout.go
+++ b/dispatch/endpoint/layout.go
@@ -262,8 +262,7 @@
 		order[i] = i
 	}
 	slices.SortFunc(order, func(i, j int) int {
-		first, second := &b.lanes[i], &b.lanes[j]
-		return cmp.Or(cmp.Compare(first.class.Tier, second.class.Tier), cmp.Compare(first.key.class, second.key.class), first.key.group.compare(second.key.group))
+		return compareLanes(&b.lanes[i].class, b.lanes[i].key.group, &b.lanes[j].class, b.lanes[j].key.group)
 	})
 	sorted, renumbered := make([]laneSpec, len(order)), make([]int, len(order))
 	for i, before := range order {
@@ -278,9 +277,9 @@
 	}
 }
 
-// compare orders models before routes.
-func (g group) compare(other group) int {
-	return cmp.Or(cmp.Compare(g.route, other.route), cmp.Compare(g.model, other.model))
+// compareLanes orders lanes by tier, then class, then group, models before routes.
+func compareLanes(a *winch.Class, aGroup group, b *winch.Class, bGroup group) int {
+	return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.ID, b.ID), cmp.Compare(aGroup.route, bGroup.route), cmp.Compare(aGroup.model, bGroup.model))
 }
 
 // addEndpointSets adds a set of endpoints for each combination of offers that some lane belongs to.
@@ -310,19 +309,13 @@
 // newEndpointSet returns the endpoints of lanes that belong to the offers.
 func (l *laneLayout) newEndpointSet(sets []*offerSet) endpointSetSpec {
 	result := endpointSetSpec{}
-	for i, set := range sets {
-		if len(sets) == 1 {
-			result.endpoints, result.competitors = set.endpoints, set.lanes
-			break
-		}
+	for _, set := range sets {
 		result.endpoints = append(result.endpoints, set.endpoints...)
 		result.competitors = append(result.competitors, set.lanes...)
-		if i == len(sets)-1 {
-			slices.Sort(result.endpoints)
-			slices.Sort(result.competitors)
-			result.competitors = slices.Compact(result.competitors)
-		}
 	}
+	slices.Sort(result.endpoints)
+	slices.Sort(result.competitors)
+	result.competitors = slices.Compact(result.competitors)
 	hashes := make(map[int]uint64, len(result.endpoints))
 	for _, e := range result.endpoints {
 		hashes[e] = hashOf(string(l.input.offers[e].endpoint))
--- a/dispatch/endpoint/layout_test.go
+++ b/dispatch/endpoint/layout_test.go
@@ -174,3 +174,43 @@
 		assert.Assert(t, !keeps(before.configuration, changed))
 	})
 }
+
+// TestLaneOutlivesItsEndpoints guards against requests that are refused because the list names no endpoint of their model for a moment.
+func TestLaneOutlivesItsEndpoints(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	configuration := twoClasses(0, 0)
+	statuses := manyEndpoints(1)
+	queuedRequest := func() (*core, *request) {
+		c := newCore(winch.Host{ID: "h0", DataCentre: "a"}, PolicyWinch, Settings{}, 1)
+		c.configure(now, configuration, statuses)
+		for range statuses[0].Endpoint.SlotLimit {
+			c.arrive(now, benchWork(0), nil, nil)
+		}
+		r := c.arrive(now, benchWork(0), nil, nil)
+		assert.Equal(t, r.state, requestQueued)
+		return c, r
+	}
+	t.Run("its requests wait", func(t *testing.T) {
+		c, r := queuedRequest()
+		c.configure(now, configuration, nil)
+		assert.Equal(t, r.state, requestQueued)
+		c.configure(now, configuration, manyEndpoints(2))
+		assert.Equal(t, r.state, requestRunning)
+	})
+	t.Run("without its class they are refused", func(t *testing.T) {
+		c, r := queuedRequest()
+		changed := twoClasses(0, 0)
+		delete(changed.Classes, r.lane.key.class)
+		c.configure(now, changed, nil)
+		assert.Equal(t, r.state, requestInactive)
+	})
+	t.Run("nor if the class may not use the model any more", func(t *testing.T) {
+		c, r := queuedRequest()
+		changed := twoClasses(0, 0)
+		class := changed.Classes[r.lane.key.class]
+		class.Models = []winch.ModelID{"other"}
+		changed.Classes[class.ID] = class
+		c.configure(now, changed, statuses)
+		assert.Equal(t, r.state, requestInactive)
+	})
+}
