fix(dispatch): a host that was stopped before its first tick waits for a new list

Cause: a host notes a long stop by the time since its last tick. One that was stopped before its first tick had none, so that it went on with its old list and sent requests to endpoints of a data centre that had been evacuated meanwhile, for some milliseconds.

A trial with a log line in each grant showed the last tick 3 ms ago, no stop noted and a list of 6.15 s ago.

Change: until the first tick, the time of the first configuration counts.

Two subtests of TestHostThatWasStoppedWaitsForANewList fail without the change.

--- a/dispatch/endpoint/evacuation.go
+++ b/dispatch/endpoint/evacuation.go
@@ -134,20 +134,29 @@
 	c.refuse(now, r, l, winch.RefusedNoEndpoint, 0)
 }
 
+// lastTick returns when the process was last known to run: at the last tick, or at the first configuration if there was no tick since.
+func (c *core) lastTick() time.Time {
+	if c.tickedAt.IsZero() {
+		return c.started
+	}
+	return c.tickedAt
+}
+
 // noteStop records that the process was stopped for long, if there was no tick for that time.
 func (c *core) noteStop(now time.Time) {
-	if !c.tickedAt.IsZero() && now.Sub(c.tickedAt) > longStop {
+	if last := c.lastTick(); !last.IsZero() && now.Sub(last) > longStop {
 		c.stoppedUntil = now
 	}
 }
 
 // awaitsList reports whether requests have to wait for a new list of endpoints, because the process was stopped for long.
 func (c *core) awaitsList(now time.Time) bool {
-	if !c.settings.AwaitList || c.tickedAt.IsZero() {
+	last := c.lastTick()
+	if !c.settings.AwaitList || last.IsZero() {
 		return false
 	}
 	until := c.stoppedUntil
-	if now.Sub(c.tickedAt) > longStop {
+	if now.Sub(last) > longStop {
 		// No tick has run since the process was resumed, so that stoppedUntil is not set yet.
 		until = now
 	}
--- a/dispatch/endpoint/evacuation_guard_test.go
+++ b/dispatch/endpoint/evacuation_guard_test.go
@@ -30,6 +30,17 @@
 		ec.advance(100 * time.Millisecond)
 		assert.Equal(t, r.state, requestRunning)
 	})
+	t.Run("if it was stopped before the first tick of all", func(t *testing.T) {
+		ec := stopped(5 * time.Second)
+		ec.tickedAt = time.Time{}
+		ec.tick(ec.now)
+		assert.Equal(t, ec.request(interactive, 1).state, requestQueued)
+	})
+	t.Run("if no tick has run at all", func(t *testing.T) {
+		ec := stopped(5 * time.Second)
+		ec.tickedAt = time.Time{}
+		assert.Equal(t, ec.request(interactive, 1).state, requestQueued)
+	})
 	t.Run("also with requests that have a slot", func(t *testing.T) {
 		ec := stopped(0)
 		r := ec.request(interactive, 1)
