--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -94,7 +94,7 @@
 func (c *core) setLanes(now time.Time, next *laneLayout) {
 	placed := make([]*lane, len(next.lanes))
 	for i := range next.lanes {
-		placed[i] = c.lane(&next.lanes[i])
+		placed[i] = c.laneFor(&next.lanes[i])
 	}
 	c.endpointSets = make([]*endpointSet, len(next.endpointSets))
 	for i := range next.endpointSets {
@@ -142,8 +142,8 @@
 	return len(class.Models) == 0 || slices.Contains(class.Models, g.model)
 }
 
-// lane returns the lane of the description, creating it if needed.
-func (c *core) lane(spec *laneSpec) *lane {
+// laneFor returns the lane that the layout describes, creating it if needed.
+func (c *core) laneFor(spec *laneSpec) *lane {
 	l, found := c.lanes[spec.key]
 	if !found {
 		l = &lane{key: spec.key, byAccount: map[*account]*accountQueue{}, budget: c.budget(spec.key.group), paceShift: 1, homeShares: [1 + alternates]float64{1}}
--- a/dispatch/endpoint/layout.go
+++ b/dispatch/endpoint/layout.go
@@ -61,7 +61,7 @@
 	offers        []offer
 }
 
-// offer is what an endpoint serves, and for which classes; without classes for all.
+// offer is what an endpoint serves and the classes that may use it. An empty list of classes means all.
 type offer struct {
 	endpoint winch.EndpointID
 	models   []winch.ModelID
@@ -160,7 +160,7 @@
 	ofAll   []winch.ClassID
 	lanes   []laneSpec
 	index   map[laneKey]int
-	// sets are the lanes of the endpoints with the same offer.
+	// sets maps the key of each offer to the lanes of the endpoints that make it.
 	sets map[string]*offerSet
 }
 
@@ -194,7 +194,7 @@
 		set.endpoints = append(set.endpoints, i)
 		result.laneSetOf = append(result.laneSetOf, set.number)
 	}
-	// Other data centres may serve models and routes that no endpoint of this host does.
+	// Models and routes that only endpoints of other data centres serve have lanes as well, since their requests can be handed over.
 	for _, spec := range input.configuration.Endpoints {
 		remote := offerOf(&spec)
 		b.set(&remote)
--- a/dispatch/endpoint/layout_test.go
+++ b/dispatch/endpoint/layout_test.go
@@ -88,7 +88,7 @@
 	})
 }
 
-// assertLane checks what the lane shares with others against a search of all lanes and endpoints.
+// assertLane compares the lists and flags of the lane with those that a search of all lanes and endpoints gives.
 func assertLane(t *rapid.T, c *core, l *lane) {
 	competitors, highest, lowest := []*lane{}, true, true
 	firstToken, interToken, longest := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64), time.Duration(0)
--- a/dispatch/endpoint/sets.go
+++ b/dispatch/endpoint/sets.go
@@ -18,20 +18,21 @@
 	mixedSoftware              bool
 	hasCold                    bool
 	targets                    targetRange
-	// first is the highest lane of the set. Its figures that do not depend on the class hold for all of them.
+	// first is the lane of the highest tier. What a refresh computes for it from the endpoints alone is copied to the other lanes.
 	first *lane
-	// last are the lanes for which figures were last computed that are equal for some of the set's lanes.
-	last lastRefreshed
-	// demand, needs and partitionSizes are computed for a tier or a part of the endpoints when they are first needed in a refresh.
+	last  lastRefreshed
+	// demand and needs are those of the tier that was asked for last, nil before the first one in a refresh. partitionSizes are by whether the
+	// endpoints that are reserved for latency-sensitive classes are left out, -1 before they are counted.
 	demand         *tierDemand
 	needs          *tierNeeds
 	partitionSizes [2]int
 }
 
-// lastRefreshed holds the lanes for which figures were last computed in a refresh.
+// lastRefreshed holds lanes of a set whose figures a refresh has computed, so that it can copy them to lanes for which they are the same.
 type lastRefreshed struct {
-	// slots is by tier, caches and busy by whether the lane is latency-sensitive.
-	slots  *lane
+	// slots is the last lane whose slots were counted. They are the same for the other lanes of its tier.
+	slots *lane
+	// caches and busy are indexed by whether the lane is latency-sensitive.
 	caches [2]*lane
 	busy   [2]*lane
 	// subset is the size of the subset for which the other hosts' tokens were assumed.
@@ -41,7 +42,7 @@
 // laneSet holds the lanes that endpoints share.
 type laneSet struct {
 	lanes []*lane
-	// mixedSoftware is the highest lane whose endpoints have several software versions, or nil.
+	// mixedSoftware is the lane of the highest tier whose endpoints run several software versions, or nil if there is none.
 	mixedSoftware *lane
 	// interTokenTarget is the shortest target among the lanes that are in use, in seconds; zero if there is none.
 	interTokenTarget float64
@@ -161,7 +162,7 @@
 	}
 }
 
-// tierDemand is the demand of all classes for the endpoints of a set, as a tier sees it.
+// tierDemand is the demand for the endpoints of a set that a tier has to take into account.
 type tierDemand struct {
 	tier winch.Tier
 	// own and others are the prompt rates of this host and of the others in this tier and those above, and higher is this host's in those above.
@@ -170,7 +171,7 @@
 	lowerTarget time.Duration
 }
 
-// tierDemandOf returns the demand as the lane's tier sees it.
+// tierDemandOf returns the demand for the lane's endpoints that its tier has to take into account.
 func (c *core) tierDemandOf(now time.Time, l *lane) *tierDemand {
 	if known := l.set.demand; known != nil && known.tier == l.class.Tier {
 		return known
--- a/internal/http1/checker.go
+++ b/internal/http1/checker.go
@@ -8,7 +8,7 @@
 	"strings"
 )
 
-// position is the part of a response that comes next.
+// position is the part of a response to which the next byte belongs.
 type position int
 
 const (
@@ -19,8 +19,8 @@
 	inChunk
 	inChunkEnd
 	inTrailer
-	// inLastBody is a body that ends with the connection.
-	inLastBody
+	// inBodyUntilClose is a body without a length and without chunks. It ends when the server closes the connection.
+	inBodyUntilClose
 )
 
 // maxKeptBytes is the number of bytes that are kept of a line. The parts that are interpreted are much shorter.
@@ -70,14 +70,14 @@
 }
 
 // endsWithConnection reports whether only the end of the connection tells the end of the response.
-func (c *checker) endsWithConnection() bool { return c.position == inLastBody }
+func (c *checker) endsWithConnection() bool { return c.position == inBodyUntilClose }
 
 // check returns how many of the next bytes keep to the protocol, and the error if these are not all. The byte that completes a malformed line or
 // head is not among them, so that no reader takes it for complete.
 func (c *checker) check(p []byte) (int, error) {
 	for at := 0; at < len(p); {
 		switch c.position {
-		case inLastBody:
+		case inBodyUntilClose:
 			return len(p), nil
 		case inBody, inChunk:
 			count := int(min(c.left, int64(len(p)-at)))
@@ -147,14 +147,14 @@
 	c.line.length, c.line.name, c.line.returned = 0, 0, false
 	switch c.position {
 	case inStatusLine:
-		return c.startHead(&ended)
+		return c.parseStatusLine(&ended)
 	case inFields:
 		if ended.length > 0 {
 			return c.head.addField(&ended)
 		}
-		return c.startBody()
+		return c.endHead()
 	case inChunkSize:
-		return c.startChunk(&ended)
+		return c.parseChunkSize(&ended)
 	case inChunkEnd:
 		if !ended.returned {
 			return malformed("chunk does not end with CRLF")
@@ -170,8 +170,8 @@
 	return checkTrailerField(&ended)
 }
 
-// startHead checks a status line: the version, a blank, a status with three digits, and a reason after another blank.
-func (c *checker) startHead(l *line) error {
+// parseStatusLine checks a status line and starts the head: the version, a blank, a status with three digits, and a reason after another blank.
+func (c *checker) parseStatusLine(l *line) error {
 	text := l.text()
 	version, rest, found := strings.Cut(text, " ")
 	if !found || len(version) != len("HTTP/1.1") || !strings.HasPrefix(version, "HTTP/1.") || !isDigit(version[len(version)-1]) {
@@ -239,8 +239,8 @@
 	return nil
 }
 
-// startBody determines at the end of the head where the body ends.
-func (c *checker) startBody() error {
+// endHead determines from the whole head how the end of the body is recognized.
+func (c *checker) endHead() error {
 	h := &c.head
 	informational, bodiless := h.status < http.StatusOK, h.status == http.StatusNoContent
 	switch {
@@ -262,13 +262,13 @@
 	case h.length > 0:
 		c.position = inBody
 	default:
-		c.position = inLastBody
+		c.position = inBodyUntilClose
 	}
 	return nil
 }
 
-// startChunk interprets a chunk's size, which extensions may follow.
-func (c *checker) startChunk(l *line) error {
+// parseChunkSize interprets a chunk's size, which extensions may follow.
+func (c *checker) parseChunkSize(l *line) error {
 	if !l.returned {
 		return malformed("size of a chunk does not end with CRLF")
 	}
@@ -309,5 +309,5 @@
 	return isDigit(b) || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), b) >= 0
 }
 
-// isTextByte reports whether the byte may be part of a value or of a reason.
+// isTextByte reports whether the byte may be part of the value of a field or of the reason phrase in a status line.
 func isTextByte(b byte) bool { return b == '\t' || b >= ' ' && b != 0x7f }
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -128,7 +128,7 @@
 	return !c.writeFailed.Load() && c.writing.Load() == 0
 }
 
-// maxMethodBytes is the length of the longest method that requestMethod recognizes.
+// maxMethodBytes is the number of bytes of a write in which requestMethod looks for a method.
 const maxMethodBytes = 32
 
 // requestMethod returns the method if the bytes begin with a request line. Clients write the head of a request from the start of a write. A
