fix(httpjson): redirects are not followed

kratos' client follows redirects and cannot be told otherwise. A faulty server that answered a POST with 301, 302 or 303 and an address made the client send a GET to that address, and take its answer for the one to the POST: a write that was never made counted as done. 307 and 308 did the same for calls without a body. The calls of duties (lease/fenced) go through the same client.

The transport of each client now removes the address from such a response, so that its status is a failure with an unknown outcome. TestRedirectsAreNotFollowed fails without the change for each of the five statuses ("POST was answered", "DELETE was answered").

--- a/httpjson/client.go
+++ b/httpjson/client.go
@@ -121,7 +121,7 @@
 	}
 	client, err := khttp.NewClient(context.Background(),
 		khttp.WithEndpoint(options.Address),
-		khttp.WithTransport(options.Transport),
+		khttp.WithTransport(unredirected{options.Transport}),
 		khttp.WithTimeout(0),
 		// Do decodes error responses itself (see statusError).
 		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }),
