fix(http1): a response with the ids of several requests answers none

The clients that compare the id of a response with that of the request read the first of several fields. A faulty server that writes two heads into one sends both ids: with the own id first the response was believed, with the other one first its body was skipped and the request failed only at its timeout.

internal/http1 has SingleValue, which fails if the values differ; serving/httpexchange and serving/internal/noretry return ErrResponseMismatch then. The same id twice is accepted. The new subtests of TestMismatchedResponses and TestRefusalIsOnlyBelievedForTheCallThatItAnswers fail without the change ("error is nil").

--- a/serving/httpexchange/client.go
+++ b/serving/httpexchange/client.go
@@ -220,13 +220,16 @@
 		if err != nil {
 			return nil, err
 		}
-		if conn.unproven(response, call) {
+		id, err := http1.SingleValue(response.Header, call.IDHeader)
+		if err != nil {
+			return nil, fmt.Errorf("match response: %w: %w", winch.ErrResponseMismatch, err)
+		}
+		if conn.unproven(response, id) {
 			return nil, fmt.Errorf("status %d without an ID on a connection that has carried another exchange: %w", response.StatusCode, winch.ErrResponseMismatch)
 		}
-		if isResponseTo(response, call) {
+		if isResponseTo(response, id, call) {
 			// A late copy of a response without an ID could not be told from the response to the next call.
-			identified := response.Header.Get(call.IDHeader) != ""
-			body := &responseBody{conn: conn, reader: response.Body, reusable: identified && reusable(response)}
+			body := &responseBody{conn: conn, reader: response.Body, reusable: id != "" && reusable(response)}
 			body.idleTime = idleTime(response.Header)
 			return &winch.ExchangeAnswer{
 				Status: response.StatusCode, Header: response.Header, Body: body, EndsWithConnection: !framed(response),
@@ -241,10 +244,9 @@
 	return nil, fmt.Errorf("only responses to other calls received: %w", winch.ErrResponseMismatch)
 }
 
-// isResponseTo reports whether the response belongs to the call. An error response without
+// isResponseTo reports whether the response with the ID belongs to the call. An error response without
 // an ID is accepted, since some servers do not echo the ID when they refuse a call; see unproven.
-func isResponseTo(response *http.Response, call winch.ExchangeCall) bool {
-	id := response.Header.Get(call.IDHeader)
+func isResponseTo(response *http.Response, id string, call winch.ExchangeCall) bool {
 	return id == call.ID || id == "" && response.StatusCode >= http.StatusBadRequest
 }
 
--- a/serving/httpexchange/client_test.go
+++ b/serving/httpexchange/client_test.go
@@ -104,6 +104,23 @@
 		_, err := exchange(t, New(Options{}), s, "1", "x")
 		assert.ErrorIs(t, err, winch.ErrOutcomeUnknown)
 	})
+	t.Run("response with the IDs of several calls is not accepted", func(t *testing.T) {
+		for _, status := range []string{"200 OK", "503 Service Unavailable"} {
+			for _, ids := range []string{"X-Id: 1\r\nX-Id: 2", "X-Id: 2\r\nX-Id: 1"} {
+				s := newServer(t)
+				s.addScripts(s.respond("HTTP/1.1 "+status+"\r\n"+ids+"\r\nContent-Length: 1\r\n\r\na"+responseFor("1", "b"), false))
+				_, err := exchange(t, New(Options{}), s, "1", "x")
+				assert.ErrorIs(t, err, winch.ErrResponseMismatch)
+			}
+		}
+	})
+	t.Run("response with its ID twice is accepted", func(t *testing.T) {
+		s := newServer(t)
+		s.addScripts(s.respond("HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\na", false))
+		got, err := exchange(t, New(Options{}), s, "1", "x")
+		assert.NilError(t, err)
+		assert.Equal(t, got, "a")
+	})
 	t.Run("success response without an ID is not accepted", func(t *testing.T) {
 		s := newServer(t)
 		s.addScripts(s.respond("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", false))
--- a/serving/httpexchange/conn.go
+++ b/serving/httpexchange/conn.go
@@ -15,7 +15,6 @@
 
 	"golang.org/x/sys/unix"
 
-	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/internal/http1"
 	"github.com/arbutuswinch/winch/internal/socket"
 )
@@ -201,8 +200,8 @@
 
 // unproven reports whether nothing shows that a failure belongs to the call: it has no ID, and the connection has brought another
 // response before, after which a faulty server may send anything.
-func (c *conn) unproven(response *http.Response, call winch.ExchangeCall) bool {
-	if response.Header.Get(call.IDHeader) != "" || response.StatusCode < http.StatusBadRequest {
+func (c *conn) unproven(response *http.Response, id string) bool {
+	if id != "" || response.StatusCode < http.StatusBadRequest {
 		return false
 	}
 	return c.reused || c.receivedOtherResponse
--- a/serving/internal/noretry/earlier_refusal_test.go
+++ b/serving/internal/noretry/earlier_refusal_test.go
@@ -15,6 +15,8 @@
 type answer struct {
 	status int
 	id     string
+	// otherID is the ID of a second field if it is not empty.
+	otherID string
 }
 
 // sendAll sends a call for each answer, on one connection if possible, and returns the error of the last one.
@@ -27,6 +29,9 @@
 		if next.id != "" {
 			w.Header().Set(requestIDHeader, next.id)
 		}
+		if next.otherID != "" {
+			w.Header().Add(requestIDHeader, next.otherID)
+		}
 		w.WriteHeader(next.status)
 	}))
 	defer server.Close()
@@ -56,6 +61,13 @@
 	t.Run("without an id on a new connection", func(t *testing.T) {
 		assert.NilError(t, sendAll(t, answer{status: http.StatusServiceUnavailable}))
 	})
+	t.Run("with the id of the call and another one", func(t *testing.T) {
+		assert.ErrorIs(t, sendAll(t, answer{status: http.StatusServiceUnavailable, id: "own", otherID: "other"}), winch.ErrResponseMismatch)
+		assert.ErrorIs(t, sendAll(t, answer{status: http.StatusOK, id: "own", otherID: "other"}), winch.ErrResponseMismatch)
+	})
+	t.Run("with the id of the call twice", func(t *testing.T) {
+		assert.NilError(t, sendAll(t, answer{status: http.StatusOK, id: "own", otherID: "own"}))
+	})
 	t.Run("with the id of the call", func(t *testing.T) {
 		assert.NilError(t, sendAll(t, ok, answer{status: http.StatusServiceUnavailable, id: "own"}))
 	})
--- a/serving/internal/noretry/transport.go
+++ b/serving/internal/noretry/transport.go
@@ -134,14 +134,14 @@
 
 const requestIDHeader = "X-Request-Id"
 
-// checkAnswered returns ErrResponseMismatch, and closes the connection, if the response names another request, or if it says that
+// checkAnswered returns ErrResponseMismatch, and closes the connection, if the response names another request or several, or if it says that
 // the request was not run, names none, and came on a connection that has carried other calls: a server may have written
 // an earlier refusal once more.
 func checkAnswered(request *http.Request, response *http.Response, connection *httptrace.GotConnInfo) error {
-	id := response.Header.Get(requestIDHeader)
+	id, err := http1.SingleValue(response.Header, requestIDHeader)
 	reused := connection != nil && connection.Reused
 	unproven := id == "" && reused && response.StatusCode == http.StatusServiceUnavailable
-	if !unproven && (id == "" || id == request.Header.Get(requestIDHeader)) {
+	if err == nil && !unproven && (id == "" || id == request.Header.Get(requestIDHeader)) {
 		return nil
 	}
 	_ = response.Body.Close()
