fix(memory): bodies that start at once do not count on the same memory

A body of declared length was read if it fitted into what was left of the budget at its start. Of many that started at once all did, were all read in part, and failed one after the other when the budget was used up.

The body now announces the size of its reader's buffer in the same step in which it checks that it fits (Claim.ExpectIfFits), so that only as many start as can end.

TestBodiesDoNotStartOnTheSameMemory fails without the change ("the body was read").

--- a/httpjson/body.go
+++ b/httpjson/body.go
@@ -41,6 +41,8 @@
 	claim  *memory.Claim
 	// declared is the declared length in bytes, negative if it is unknown, and zero once it has been checked.
 	declared int64
+	// expected is the size that the reader's buffer will have, in bytes; zero if it is not known.
+	expected int64
 	// read is the number of bytes read, taken the number for which memory is taken.
 	read, taken int64
 	// doubles is set if the reader doubles a full buffer, as json.Decoder does. Others, such as io.ReadAll, add a quarter.
@@ -50,11 +52,14 @@
 // Read implements io.Reader.
 func (b *chargedBody) Read(p []byte) (int, error) {
 	if b.declared > 0 {
-		if err := b.claim.Fits(b.declared); err != nil {
+		// Bodies that start at once would otherwise all be read in part before the budget is used up, and what their readers have
+		// allocated until then takes memory although it is given back.
+		expected := b.bufferSize(b.declared)
+		if err := b.claim.ExpectIfFits(expected); err != nil {
 			b.budget.CountRefusal(err)
 			return 0, err
 		}
-		b.declared = 0
+		b.declared, b.expected = 0, expected
 	}
 	if err := b.take(b.read + int64(len(p))); err != nil {
 		return 0, err
@@ -77,9 +82,27 @@
 		return err
 	}
 	b.taken = size
+	if b.expected > 0 {
+		b.claim.Expect(max(0, b.expected-b.taken))
+	}
 	return nil
 }
 
+// minDecoderRead is the smallest free part of its buffer, in bytes, with which json.Decoder reads on.
+const minDecoderRead = 512
+
+// bufferSize returns the size of the reader's buffer once it has read a body of the length, in bytes.
+func (b *chargedBody) bufferSize(length int64) int64 {
+	if !b.doubles {
+		return length + length/4
+	}
+	size := int64(minDecoderRead)
+	for size < length+minDecoderRead {
+		size = 2*size + minDecoderRead
+	}
+	return size
+}
+
 // growth returns by how many bytes the reader's full buffer grows.
 func (b *chargedBody) growth() int64 {
 	if b.doubles {
--- a/httpjson/body_test.go
+++ b/httpjson/body_test.go
@@ -90,3 +90,29 @@
 		assert.Equal(t, send(handler, strings.NewReader(jsonText(1<<10)), 1<<10).Code, http.StatusOK)
 	})
 }
+
+// TestBodiesDoNotStartOnTheSameMemory guards against bodies that start at once, are all read in part, and take more memory together than the
+// budget has, since what their readers have allocated is not collected yet.
+func TestBodiesDoNotStartOnTheSameMemory(t *testing.T) {
+	budget, used := memory.NewBudget(3<<20), int64(0)
+	handler := decoder(budget, &used)
+	body, writer := io.Pipe()
+	answered := make(chan *httptest.ResponseRecorder)
+	go func() { answered <- send(handler, body, 600<<10) }()
+	text := jsonText(600 << 10)
+	// The write returns when the handler has read the beginning.
+	_, err := writer.Write([]byte(text[:1]))
+	assert.NilError(t, err)
+	t.Run("one beside it", func(t *testing.T) { assertRefused(t, send(handler, unread{t}, testBodyLimit)) })
+	t.Run("a small one finds room", func(t *testing.T) {
+		assert.Equal(t, send(handler, strings.NewReader(jsonText(1<<10)), 1<<10).Code, http.StatusOK)
+	})
+	_, err = writer.Write([]byte(text[1:]))
+	assert.NilError(t, err)
+	assert.NilError(t, writer.Close())
+	assert.Equal(t, (<-answered).Code, http.StatusOK)
+	t.Run("another one afterwards", func(t *testing.T) {
+		assert.Equal(t, send(handler, strings.NewReader(text), 600<<10).Code, http.StatusOK)
+		assert.Equal(t, budget.Usage().Used, int64(0))
+	})
+}
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -88,6 +90,22 @@
 	assert.Equal(t, b.Usage(), Usage{Size: 40 * mebibyte})
 }
 
+// TestClaimsDoNotExpectTheSameBytes guards against more bodies at a time than the budget holds, all of which fail before their end.
+func TestClaimsDoNotExpectTheSameBytes(t *testing.T) {
+	b, expecting := NewBudget(40*mebibyte), atomic.Int64{}
+	group := sync.WaitGroup{}
+	for number := range 100 {
+		group.Go(func() {
+			if b.Open(Holder{Address: client(number), Rank: RankUrgent}).ExpectIfFits(10*mebibyte) == nil {
+				expecting.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	assert.Equal(t, expecting.Load(), int64(3), "seven eighths are for large claims")
+	assert.NilError(t, b.Open(Holder{Address: client(200)}).ExpectIfFits(smallClaim))
+}
+
 func TestStalledClaimsAreFoundOldestFirst(t *testing.T) {
 	b, now := NewBudget(40*mebibyte), time.Now()
 	var claims []*Claim
@@ -162,8 +180,9 @@
 				c.Give(bytes)
 				held[c] -= min(bytes, held[c])
 			},
-			"expect": func(t *rapid.T) { some(t).Expect(amount.Draw(t, "bytes")) },
-			"wait":   func(t *rapid.T) { some(t).Wait(time.Unix(rapid.Int64Range(0, 9).Draw(t, "at"), 0), func() {}) },
+			"expect":            func(t *rapid.T) { some(t).Expect(amount.Draw(t, "bytes")) },
+			"expect if it fits": func(t *rapid.T) { _ = some(t).ExpectIfFits(amount.Draw(t, "bytes")) },
+			"wait":              func(t *rapid.T) { some(t).Wait(time.Unix(rapid.Int64Range(0, 9).Draw(t, "at"), 0), func() {}) },
 			"stalled": func(t *rapid.T) {
 				for _, c := range b.Stalled(time.Unix(rapid.Int64Range(0, 9).Draw(t, "at"), 0), amount.Draw(t, "bytes")) {
 					c.End()
--- a/internal/memory/claim.go
+++ b/internal/memory/claim.go
@@ -86,9 +86,13 @@
 // Fits returns nil if Take of so many bytes would succeed even after the claims had taken the bytes that they expect. The expected
 // bytes are ignored if the claim stays small. Fits takes nothing and counts no refusal. Its errors are those of Take.
 func (c *Claim) Fits(size int64) error {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	return c.fits(size)
+}
+
+func (c *Claim) fits(size int64) error {
 	b := c.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	if c.client == nil {
 		return ErrClosed
 	}
@@ -104,6 +108,18 @@
 	return b.checkTake(c, size)
 }
 
+// ExpectIfFits sets how many bytes the claim is expected to take if Fits returns nil for them, and otherwise returns the error of Fits. Claims
+// that do so at the same time do not count on the same bytes.
+func (c *Claim) ExpectIfFits(size int64) error {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	if err := c.fits(size); err != nil {
+		return err
+	}
+	c.expect(size)
+	return nil
+}
+
 // Expect sets how many bytes the claim is expected to take soon. Fits counts them.
 func (c *Claim) Expect(size int64) {
 	c.budget.mu.Lock()
