test(faults): no two test processes use the same ports

Cause: each process of winchd/faults chose ports between 20,000 and 31,999 that only its own tests knew to be taken. While a host is between two starts, another test process beside it can take its port. The host then ends with "listen tcp 127.0.0.1:23264: bind: address already in use" (TestFaultsUsage, one of 20 runs, four at a time), and a test whose host has lost its port sends its requests to a host of the other process, which has the same keys: likely why TestFaultsUsage found 864 tokens reported and 671 served, once in six runs of the package beside each other (not shown for that run).

--- a/winchd/faults/system_test.go
+++ b/winchd/faults/system_test.go
@@ -5,11 +5,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
-	"sync"
 	"testing"
 	"time"
 
@@ -20,6 +17,7 @@
 
 	"github.com/arbutuswinch/winch/httpjson"
 	"github.com/arbutuswinch/winch/internal/crowdtest"
+	"github.com/arbutuswinch/winch/internal/porttest"
 )
 
 const (
@@ -33,9 +31,6 @@
 	usageWindow    = 4 * time.Second
 	// waitLimit is how long the tests wait for a condition.
 	waitLimit = 30 * time.Second
-
-	lowestPort = 20000
-	portCount  = 12000
 )
 
 // jsonObject is the content of a settings file or of a request.
@@ -50,7 +45,6 @@
 	peer     string
 	operator string
 	link     *link
-	reserved []net.Listener
 	config   string
 	log      string
 	process  *process
@@ -154,39 +148,13 @@
 
 func (s *system) addHost(id, centre string) {
 	h := &host{id: id, centre: centre, config: id + ".json", log: filepath.Join(s.directory, id)}
-	for _, address := range []*string{&h.caller, &h.peer, &h.operator} {
-		listener := reservePort(s.t)
-		h.reserved = append(h.reserved, listener)
-		*address = listener.Addr().String()
-	}
+	ports := porttest.Free(s.t, 3)
+	h.caller, h.peer, h.operator = ports[0], ports[1], ports[2]
 	h.link = newLink(s.t, h.peer)
 	h.api = s.client(h.operator, operatorSecret)
 	s.hosts = append(s.hosts, h)
 }
 
-// reservedPorts holds all ports that tests of this process have reserved. A port is free for a
-// moment before its host listens on it, and must not be reserved by another test meanwhile.
-var reservedPorts sync.Map
-
-// reservePort listens on a free loopback port below the range of ephemeral ports. The listener is
-// closed when the host starts.
-func reservePort(t *testing.T) net.Listener {
-	t.Helper()
-	for range 100 {
-		port := lowestPort + rand.IntN(portCount)
-		if _, taken := reservedPorts.LoadOrStore(port, true); taken {
-			continue
-		}
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err == nil {
-			t.Cleanup(func() { _ = listener.Close() })
-			return listener
-		}
-	}
-	t.Fatal("no free port")
-	return nil
-}
-
 func (s *system) publishHosts() {
 	list := []jsonObject{}
 	for _, h := range s.hosts {
@@ -220,9 +188,6 @@
 }
 
 func (s *system) startHost(h *host) {
-	for _, listener := range h.reserved {
-		_ = listener.Close()
-	}
 	path, arguments := program(s.t, "winchd"), []string{"run", "--settings", filepath.Join(s.directory, h.config)}
 	if h.descriptors > 0 {
 		command := crowdtest.LimitedCommand(h.descriptors, path, arguments...)
--- a/winchd/forwarder/crashing_part_test.go
+++ b/winchd/forwarder/crashing_part_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/porttest"
 	"github.com/arbutuswinch/winch/platform/platformtest"
 	"github.com/arbutuswinch/winch/platform/wire"
 )
@@ -49,7 +50,7 @@
 
 func newCrashingEngine(t *testing.T, id winch.EndpointID, deadly *deadlyRequests) *crashingEngine {
 	t.Helper()
-	e := &crashingEngine{t: t, id: id, deadly: deadly, address: freePorts(t, 1)[0]}
+	e := &crashingEngine{t: t, id: id, deadly: deadly, address: porttest.Free(t, 1)[0]}
 	e.start()
 	t.Cleanup(e.end)
 	return e
--- a/winchd/forwarder/process_test.go
+++ b/winchd/forwarder/process_test.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -24,6 +23,7 @@
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/internal/crowdtest"
 	"github.com/arbutuswinch/winch/internal/linktest"
+	"github.com/arbutuswinch/winch/internal/porttest"
 	"github.com/arbutuswinch/winch/internal/processtest"
 	"github.com/arbutuswinch/winch/platform/platformtest"
 	"github.com/arbutuswinch/winch/platform/wire"
@@ -130,72 +130,9 @@
 	command  *exec.Cmd
 }
 
-// firstPort and lastPort bound the ports of freePorts. They are below those that the kernel gives to outgoing connections.
-const (
-	firstPort = 10_000
-	lastPort  = 15_999
-)
-
-// portSequence yields the ports from firstPort to lastPort over and over.
-type portSequence struct{ next atomic.Int64 }
-
-// processPorts begins at another port than in most other processes.
-var processPorts = newPortSequence(100 * int64(os.Getpid()))
-
-func newPortSequence(start int64) *portSequence {
-	s := &portSequence{}
-	s.next.Store(start)
-	return s
-}
-
-// freePorts returns addresses whose ports stay free for servers of the test until it ends.
-func freePorts(t *testing.T, count int) []string {
-	t.Helper()
-	return processPorts.take(t, count)
-}
-
-func (s *portSequence) take(t *testing.T, count int) []string {
-	t.Helper()
-	addresses := make([]string, 0, count)
-	for len(addresses) < count {
-		port := firstPort + s.next.Add(1)%(lastPort-firstPort+1)
-		if !reservePort(t, port) {
-			continue
-		}
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
-		}
-		assert.NilError(t, listener.Close())
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses
-}
-
-// reservePort keeps the port from other tests until the test ends, and reports whether none had it. All processes agree by
-// listening at the port of another address, since a server may not listen yet, or be between two starts.
-func reservePort(t *testing.T, port int64) bool {
-	t.Helper()
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.2:%d", port))
-	if err != nil {
-		return false
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	return true
-}
-
-func TestPortsAreNotThoseOfAnotherProcess(t *testing.T) {
-	start := processPorts.next.Add(100)
-	own := newPortSequence(start).take(t, 20)
-	others := newPortSequence(start).take(t, 20)
-	for _, address := range others {
-		assert.Assert(t, !slices.Contains(own, address), "both processes use %s", address)
-	}
-}
-
 func (p *simulatedPlatform) newHost(name string) *hostProcess {
 	p.t.Helper()
-	ports := freePorts(p.t, 3)
+	ports := porttest.Free(p.t, 3)
 	duties := map[string]any{}
 	if p.dutyAddress != "" {
 		duties = map[string]any{"Address": p.dutyAddress, "Kinds": platformtest.DutyKinds()}
--- a/winchd/forwarder/software_fleet_test.go
+++ b/winchd/forwarder/software_fleet_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/porttest"
 	"github.com/arbutuswinch/winch/platform/platformtest"
 	"github.com/arbutuswinch/winch/platform/wire"
 )
@@ -72,7 +73,7 @@
 func newFleet(t *testing.T, store *platformtest.Store, versions ...string) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: store}
-	addresses := freePorts(t, len(versions))
+	addresses := porttest.Free(t, len(versions))
 	for i, version := range versions {
 		e := &versionedEngine{fleet: f, address: addresses[i], id: winch.EndpointID(fmt.Sprintf("e-%d", i)), version: version}
 		f.engines = append(f.engines, e)
--- a/winchd/forwarder/software_versions_test.go
+++ b/winchd/forwarder/software_versions_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/internal/porttest"
 	"github.com/arbutuswinch/winch/platform/platformtest"
 )
 
@@ -268,7 +269,7 @@
 	p.store.Set(platformtest.ConfigurationKey, platformtest.ResumableDraftConfiguration())
 	f := newFleet(t, p.store)
 	f.unversioned = true
-	addresses := freePorts(t, 6)
+	addresses := porttest.Free(t, 6)
 	for i, version := range []string{"v1", "v1.1", "v1", "v1.1", "v1", "v1.1"} {
 		e := &versionedEngine{fleet: f, address: addresses[i], id: winch.EndpointID(fmt.Sprintf("e-%d", i)), version: version}
 		f.engines = append(f.engines, e)
