fix(memory): slow bodies keep no room that they do not fill

Since a body of declared length kept the room for all of it from its first byte on. Ten clients that declare a megabyte and send one byte would have kept all other large bodies out. Found in the read-through.

The announcement now ends after two seconds, as that of `winchd forward` does for what cannot arrive by then (Claim.ExpectBriefly), and Claim.TakeExpected takes bytes off it. TestSlowBodiesKeepNoRoom checks both ends of it.

--- a/httpjson/body.go
+++ b/httpjson/body.go
@@ -26,7 +26,8 @@
 		address, _ := netip.ParseAddrPort(r.RemoteAddr)
 		claim := budget.Open(memory.Holder{Address: address.Addr().Unmap(), Rank: memory.RankUrgent})
 		defer claim.Close()
-		body := &chargedBody{ReadCloser: r.Body, budget: budget, claim: claim, declared: r.ContentLength}
+		body := &chargedBody{ReadCloser: r.Body, budget: budget, claim: claim, declared: r.ContentLength, stopExpecting: func() {}}
+		defer func() { body.stopExpecting() }()
 		charged := *r
 		charged.Body = body
 		next.ServeHTTP(w, &charged)
@@ -41,8 +42,8 @@
 	claim  *memory.Claim
 	// declared is the declared length in bytes, negative if it is unknown, and zero once it has been checked.
 	declared int64
-	// expected is the size that the reader's buffer will have, in bytes; zero if it is not known.
-	expected int64
+	// stopExpecting ends that the claim expects the rest of the body.
+	stopExpecting func()
 	// read is the number of bytes read, taken the number for which memory is taken.
 	read, taken int64
 	// doubles is set if the reader doubles a full buffer, as json.Decoder does. Others, such as io.ReadAll, add a quarter.
@@ -54,12 +55,12 @@
 	if b.declared > 0 {
 		// Bodies that start at once would otherwise all be read in part before the budget is used up, and what their readers have
 		// allocated until then takes memory although it is given back.
-		expected := b.bufferSize(b.declared)
-		if err := b.claim.ExpectIfFits(expected); err != nil {
+		stop, err := b.claim.ExpectBriefly(b.bufferSize(b.declared))
+		if err != nil {
 			b.budget.CountRefusal(err)
 			return 0, err
 		}
-		b.declared, b.expected = 0, expected
+		b.declared, b.stopExpecting = 0, stop
 	}
 	if err := b.take(b.read + int64(len(p))); err != nil {
 		return 0, err
@@ -78,13 +79,10 @@
 	if size <= b.taken {
 		return nil
 	}
-	if err := b.claim.Take(size - b.taken); err != nil {
+	if err := b.claim.TakeExpected(size - b.taken); err != nil {
 		return err
 	}
 	b.taken = size
-	if b.expected > 0 {
-		b.claim.Expect(max(0, b.expected-b.taken))
-	}
 	return nil
 }
 
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -33,7 +33,7 @@
 )
 
 // Budget divides a number of bytes among the claims of clients and organisations. It is safe for concurrent use. It does no
-// I/O and reads no clock.
+// I/O and reads no clock; only Claim.ExpectBriefly starts a timer.
 type Budget struct {
 	mu   sync.Mutex
 	size int64
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -90,20 +91,50 @@
 	assert.Equal(t, b.Usage(), Usage{Size: 40 * mebibyte})
 }
 
+func TestTakenBytesAreNoLongerExpected(t *testing.T) {
+	b := NewBudget(40 * mebibyte)
+	first, second := b.Open(Holder{Address: client(1), Rank: RankUrgent}), b.Open(Holder{Address: client(2), Rank: RankUrgent})
+	first.Expect(20 * mebibyte)
+	assert.NilError(t, first.TakeExpected(15*mebibyte))
+	assert.NilError(t, second.Fits(15*mebibyte))
+	assert.ErrorIs(t, second.Fits(16*mebibyte), ErrBudgetFull)
+	assert.NilError(t, first.TakeExpected(6*mebibyte))
+	assert.NilError(t, second.Fits(14*mebibyte))
+}
+
 // TestClaimsDoNotExpectTheSameBytes guards against more bodies at a time than the budget holds, all of which fail before their end.
 func TestClaimsDoNotExpectTheSameBytes(t *testing.T) {
 	b, expecting := NewBudget(40*mebibyte), atomic.Int64{}
 	group := sync.WaitGroup{}
 	for number := range 100 {
 		group.Go(func() {
-			if b.Open(Holder{Address: client(number), Rank: RankUrgent}).ExpectIfFits(10*mebibyte) == nil {
+			if _, err := b.Open(Holder{Address: client(number), Rank: RankUrgent}).ExpectBriefly(10 * mebibyte); err == nil {
 				expecting.Add(1)
 			}
 		})
 	}
 	group.Wait()
 	assert.Equal(t, expecting.Load(), int64(3), "seven eighths are for large claims")
-	assert.NilError(t, b.Open(Holder{Address: client(200)}).ExpectIfFits(smallClaim))
+	_, err := b.Open(Holder{Address: client(200)}).ExpectBriefly(smallClaim)
+	assert.NilError(t, err)
+}
+
+// TestSlowBodiesKeepNoRoom guards against bodies that are declared and do not arrive, and keep others from being read.
+func TestSlowBodiesKeepNoRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(40 * mebibyte)
+		slow, other := b.Open(Holder{Address: client(1), Rank: RankUrgent}), b.Open(Holder{Address: client(2), Rank: RankUrgent})
+		_, err := slow.ExpectBriefly(30 * mebibyte)
+		assert.NilError(t, err)
+		assert.ErrorIs(t, other.Fits(10*mebibyte), ErrBudgetFull)
+		time.Sleep(expectTime)
+		synctest.Wait()
+		assert.NilError(t, other.Fits(10*mebibyte))
+		stop, err := slow.ExpectBriefly(30 * mebibyte)
+		assert.NilError(t, err)
+		stop()
+		assert.NilError(t, other.Fits(10*mebibyte))
+	})
 }
 
 func TestStalledClaimsAreFoundOldestFirst(t *testing.T) {
@@ -175,13 +206,19 @@
 					held[c] += bytes
 				}
 			},
+			"take expected": func(t *rapid.T) {
+				c, bytes := some(t), amount.Draw(t, "bytes")
+				if c.TakeExpected(bytes) == nil {
+					held[c] += bytes
+				}
+			},
 			"give": func(t *rapid.T) {
 				c, bytes := some(t), amount.Draw(t, "bytes")
 				c.Give(bytes)
 				held[c] -= min(bytes, held[c])
 			},
 			"expect":            func(t *rapid.T) { some(t).Expect(amount.Draw(t, "bytes")) },
-			"expect if it fits": func(t *rapid.T) { _ = some(t).ExpectIfFits(amount.Draw(t, "bytes")) },
+			"expect if it fits": func(t *rapid.T) { _ = some(t).expectIfFits(amount.Draw(t, "bytes")) },
 			"wait":              func(t *rapid.T) { some(t).Wait(time.Unix(rapid.Int64Range(0, 9).Draw(t, "at"), 0), func() {}) },
 			"stalled": func(t *rapid.T) {
 				for _, c := range b.Stalled(time.Unix(rapid.Int64Range(0, 9).Draw(t, "at"), 0), amount.Draw(t, "bytes")) {
--- a/internal/memory/claim.go
+++ b/internal/memory/claim.go
@@ -69,17 +69,31 @@
 // Take takes so many more bytes. If it returns an error, it has taken nothing. The error matches ErrNoMemory, or ErrClosed if the claim
 // is closed.
 func (c *Claim) Take(size int64) error {
-	b := c.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	return c.take(size)
+}
+
+func (c *Claim) take(size int64) error {
 	if c.client == nil {
 		return ErrClosed
 	}
-	if err := b.checkTake(c, size); err != nil {
-		b.countRefusal(err)
+	if err := c.budget.checkTake(c, size); err != nil {
+		c.budget.countRefusal(err)
+		return err
+	}
+	c.budget.move(c, size)
+	return nil
+}
+
+// TakeExpected takes bytes as Take does. The claim then expects so many less.
+func (c *Claim) TakeExpected(size int64) error {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	if err := c.take(size); err != nil {
 		return err
 	}
-	b.move(c, size)
+	c.expect(max(0, c.expected-size))
 	return nil
 }
 
@@ -108,9 +122,23 @@
 	return b.checkTake(c, size)
 }
 
-// ExpectIfFits sets how many bytes the claim is expected to take if Fits returns nil for them, and otherwise returns the error of Fits. Claims
-// that do so at the same time do not count on the same bytes.
-func (c *Claim) ExpectIfFits(size int64) error {
+// expectTime is how long ExpectBriefly keeps room. A body that arrives more slowly would keep it from others.
+const expectTime = 2 * time.Second
+
+// ExpectBriefly announces so many bytes if Fits returns nil for them, and otherwise returns the error of Fits. Claims that do so at the same
+// time do not count on the same bytes. The announcement ends after two seconds, or when stop is called.
+func (c *Claim) ExpectBriefly(size int64) (stop func(), err error) {
+	if err := c.expectIfFits(size); err != nil {
+		return nil, err
+	}
+	timer := time.AfterFunc(expectTime, func() { c.Expect(0) })
+	return func() {
+		timer.Stop()
+		c.Expect(0)
+	}, nil
+}
+
+func (c *Claim) expectIfFits(size int64) error {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
 	if err := c.fits(size); err != nil {
--- a/serving/caller/admit.go
+++ b/serving/caller/admit.go
@@ -180,18 +180,19 @@
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(s.options.Limits.ReadTimeout))
 	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	if r.ContentLength > 0 && req.claim.ExpectIfFits(r.ContentLength+1) != nil {
+	// Without a declared length nothing is expected.
+	stopExpecting, err := req.claim.ExpectBriefly(max(0, r.ContentLength+1))
+	if err != nil {
 		return nil, noMemory(w)
 	}
-	defer req.claim.Expect(0)
+	defer stopExpecting()
 	reader := http.MaxBytesReader(w, r.Body, limit)
 	for body := []byte(nil); ; {
 		if len(body) == cap(body) {
 			grown := nextBodySize(int64(cap(body)), r.ContentLength, limit)
-			if req.claim.Take(grown-int64(cap(body))) != nil {
+			if req.claim.TakeExpected(grown-int64(cap(body))) != nil {
 				return nil, noMemory(w)
 			}
-			req.claim.Expect(max(0, r.ContentLength+1-grown))
 			body = append(make([]byte, 0, grown), body...)
 		}
 		count, err := reader.Read(body[len(body):cap(body)])
