fix(httpjson): the copies that readers make of a body are taken from the budget

httpjson.ChargeBodies took a quarter more than what io.ReadAll had read.

Twice the bytes read and the free part are taken for io.ReadAll, and one and a half times the buffer for a decoder.

--- a/httpjson/body.go
+++ b/httpjson/body.go
@@ -35,7 +35,7 @@
 }
 
 // chargedBody takes memory for the buffer of its reader. Readers such as json.Decoder and io.ReadAll pass the free part of their
-// buffer, so the size of the buffer is the sum of the bytes read before and the length of that part.
+// buffer to each read.
 type chargedBody struct {
 	io.ReadCloser
 	budget *memory.Budget
@@ -46,7 +46,8 @@
 	stopExpecting func()
 	// read is the number of bytes read, taken the number for which memory is taken.
 	read, taken int64
-	// doubles is set if the reader doubles a full buffer, as json.Decoder does. Others, such as io.ReadAll, add a quarter.
+	// doubles is set if the reader doubles a full buffer, as json.Decoder does. Others add to it as io.ReadAll does, which collects parts,
+	// each half as large as all before, and copies them into one slice at the end or after an error.
 	doubles bool
 }
 
@@ -55,26 +56,26 @@
 	if b.declared > 0 {
 		// Bodies that start at once would otherwise all be read in part before the budget is used up, and what their readers have
 		// allocated until then takes memory although it is given back.
-		stop, err := b.claim.ExpectBriefly(b.bufferSize(b.declared))
+		stop, err := b.claim.ExpectBriefly(b.heldFor(b.declared))
 		if err != nil {
 			b.budget.CountRefusal(err)
 			return 0, err
 		}
 		b.declared, b.stopExpecting = 0, stop
 	}
-	if err := b.take(b.read + int64(len(p))); err != nil {
+	if err := b.take(b.held(int64(len(p)))); err != nil {
 		return 0, err
 	}
 	count, err := b.ReadCloser.Read(p)
 	b.read += int64(count)
 	if err == nil && count == len(p) {
 		// The reader allocates a larger buffer before it reads on.
-		err = b.take(b.read + b.growth())
+		err = b.take(b.held(b.growth()))
 	}
 	return count, err
 }
 
-// take takes memory for a buffer of size bytes.
+// take takes memory for so many bytes in all.
 func (b *chargedBody) take(size int64) error {
 	if size <= b.taken {
 		return nil
@@ -89,24 +90,35 @@
 // minDecoderRead is the smallest free part of its buffer, in bytes, with which json.Decoder reads on.
 const minDecoderRead = 512
 
-// bufferSize returns the size of the reader's buffer once it has read a body of the length, in bytes.
-func (b *chargedBody) bufferSize(length int64) int64 {
+// heldFor returns how many bytes the reader needs once it has read a body of the length.
+func (b *chargedBody) heldFor(length int64) int64 {
 	if !b.doubles {
-		return length + length/4
+		return 2*length + length/2
 	}
 	size := int64(minDecoderRead)
 	for size < length+minDecoderRead {
 		size = 2*size + minDecoderRead
 	}
-	return size
+	return withPrevious(size)
 }
 
+// held returns how many bytes the reader needs for what it has read and the free part of its buffer.
+func (b *chargedBody) held(free int64) int64 {
+	if b.doubles {
+		return withPrevious(b.read + free)
+	}
+	return 2*b.read + free
+}
+
+// withPrevious adds to the size of a doubled buffer that of the one before, which has been copied and may not be collected yet.
+func withPrevious(size int64) int64 { return size + size/2 }
+
 // growth returns by how many bytes the reader's full buffer grows.
 func (b *chargedBody) growth() int64 {
 	if b.doubles {
 		return b.read
 	}
-	return b.read / 4
+	return b.read / 2
 }
 
 // LimitBody returns the request's body, limited to so many bytes. If the declared length is larger, it returns an error that matches
--- a/httpjson/body_test.go
+++ b/httpjson/body_test.go
@@ -116,3 +116,26 @@
 		assert.Equal(t, budget.Usage().Used, int64(0))
 	})
 }
+
+// TestCopyOfAWholeBodyIsCharged guards against bodies that take twice the memory of the budget, since io.ReadAll copies them at the end.
+func TestCopyOfAWholeBodyIsCharged(t *testing.T) {
+	const size = 600 << 10
+	budget, used := memory.NewBudget(4<<20), int64(0)
+	handler := ChargeBodies(budget, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		used = budget.Usage().Used
+		if err != nil {
+			WriteError(w, BodyError(err))
+		}
+	}))
+	for name, length := range map[string]int64{"declared length": size, "no declared length": -1} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, send(handler, strings.NewReader(jsonText(size)), length).Code, http.StatusOK)
+			assert.Assert(t, used >= 2*size, "only %d bytes are held", used)
+			assert.Equal(t, budget.Usage().Used, int64(0))
+		})
+	}
+	t.Run("one that does not fit with its copy", func(t *testing.T) {
+		assertRefused(t, send(handler, unread{t}, 2<<20))
+	})
+}
