--- a/dispatch/endpoint/configure.go
+++ b/dispatch/endpoint/configure.go
@@ -178,7 +178,7 @@
 // linkLane sets the lane's endpoints, competitors and what follows from them, and selects its endpoints for this host.
 func (c *core) linkLane(l *lane, set *endpointSet) {
 	if len(set.competitors) == 0 {
-		// Lanes without endpoints share nothing.
+		// A lane without endpoints competes with no other lane and gets a set of its own.
 		set = &endpointSet{competitors: []*lane{l}}
 		c.endpointSets = append(c.endpointSets, set)
 	}
--- a/dispatch/endpoint/sets.go
+++ b/dispatch/endpoint/sets.go
@@ -32,7 +32,7 @@
 type lastRefreshed struct {
 	// slots is the last lane whose slots were counted. They are the same for the other lanes of its tier.
 	slots *lane
-	// caches and busy are indexed by whether the lane is latency-sensitive.
+	// caches and busy hold one lane for each value of boolIndex(lane.latencySensitive).
 	caches [2]*lane
 	busy   [2]*lane
 	// subset is the size of the subset for which the other hosts' tokens were assumed.
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -40,7 +40,7 @@
 var (
 	// ErrMalformed says that the server has sent bytes that are no HTTP/1.1 response. What it has sent before is not complete.
 	ErrMalformed = errors.New("malformed response")
-	// ErrReset says that the connection was reset, or has failed otherwise, before the end of a response that ends with it.
+	// ErrReset says that the connection was reset, or has failed otherwise, before the end of a response without a length, which ends with the connection.
 	ErrReset = errors.New("connection reset before the end of the response")
 )
 
