--- a/httpjson/client.go
+++ b/httpjson/client.go
@@ -62,6 +62,8 @@
 	Header http.Header
 	// Transport replaces the default transport.
 	Transport http.RoundTripper
+	// Observe, if not nil, is called with each response, error responses too, before its body is read. The context is that of the call.
+	Observe func(ctx context.Context, response *http.Response)
 	// Compactor compresses the bodies. The server's handler must use the same dictionary.
 	Compactor *Compactor
 }
@@ -160,6 +162,9 @@
 		return sendError(method, path, connected.Load(), err)
 	}
 	defer response.Body.Close()
+	if c.options.Observe != nil {
+		c.options.Observe(ctx, response)
+	}
 	observe(response)
 	return c.readResponse(response, method, path, out)
 }
--- a/internal/storecall/clients.go
+++ b/internal/storecall/clients.go
@@ -23,7 +23,7 @@
 	"github.com/arbutuswinch/winch/httpjson"
 )
 
-// Options configures Clients. All fields but Meter and Transport are required.
+// Options configures Clients. All fields but the last three are required.
 type Options struct {
 	// Address is the IP address and port of the store.
 	Address string
@@ -41,6 +41,8 @@
 	Meter metric.Meter
 	// Transport replaces the default HTTP transport.
 	Transport http.RoundTripper
+	// Observe is that of httpjson.Options.
+	Observe func(ctx context.Context, response *http.Response)
 }
 
 // Clients are the HTTP clients of a store. They are safe for concurrent use.
@@ -74,7 +76,7 @@
 
 func newClient(options Options, timeout time.Duration) (*httpjson.Client, error) {
 	client, err := httpjson.NewClient(httpjson.Options{
-		Address: options.Address, Timeout: timeout, AnswerLimit: options.ResponseLimit, Transport: options.Transport,
+		Address: options.Address, Timeout: timeout, AnswerLimit: options.ResponseLimit, Transport: options.Transport, Observe: options.Observe,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("create store client: %w", err)
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -146,7 +146,7 @@
 }
 
 func (f *Forwarder) buildStore() error {
-	built, err := store.New(store.Options{Address: f.settings.Store.Address, Timeout: f.settings.Store.Timeout, Meter: f.metrics.Meter()})
+	built, err := store.New(store.Options{Address: f.settings.Store.Address, Timeout: f.settings.Store.Timeout, Meter: f.metrics.Meter(), Logger: f.logger})
 	f.store = built
 	return err
 }
