feat(release): a read of the source that goes back leaves a line

The record cannot tell whether the source returned something older than the configuration in force: such a read left no line.

Event 4307 tells it once for each change, with the revision and the version of both and what was done. The logic is unchanged.

--- a/release/source/events.go
+++ b/release/source/events.go
@@ -16,4 +16,6 @@
 	EventRelayStale winch.EventNumber = 4305
 	// EventRelayRecovered: what the hub relays replaces this host's reads again.
 	EventRelayRecovered winch.EventNumber = 4306
+	// EventSourceOlder: a read of the source returned an older entry than that of the configuration in force.
+	EventSourceOlder winch.EventNumber = 4307
 )
--- a/release/source/follower.go
+++ b/release/source/follower.go
@@ -92,6 +92,8 @@
 	clients atomic.Pointer[httpjson.Clients]
 	// wake is signalled when this host has heard of a newer configuration than it has.
 	wake chan struct{}
+	// older is the last reading that was logged as older than the configuration in force.
+	older reading
 }
 
 var _ winch.ConfirmedConfigurations = (*Follower)(nil)
@@ -159,9 +161,12 @@
 	f.mu.Lock()
 	f.state.settle(version)
 	f.mu.Unlock()
-	return f.applyVersion(raw, version, sent, "source")
+	return f.applyVersion(raw, version, sent, fromSource)
 }
 
+// fromSource stands for the source where the origin of a configuration is logged.
+const fromSource = "source"
+
 // applyVersion records that version was the newest at the time confirmed. Raw is its
 // encoded configuration, or nil if this host is expected to have it.
 func (f *Follower) applyVersion(raw []byte, version winch.Version, confirmed time.Time, from string) error {
@@ -180,6 +185,7 @@
 	}
 	next := newDecoded(configuration, raw)
 	f.mu.Lock()
+	before := reading{revision: f.state.configuration.Revision, version: f.state.version}
 	replaced := f.state.replaceIfNewer(next, version, confirmed)
 	if replaced {
 		close(f.changed)
@@ -191,6 +197,9 @@
 			"Version", version, "From", from, "ConfirmedAt", confirmed, "Forwards", len(configuration.Forwards),
 			"Organisations", len(configuration.Organisations), "Keys", len(configuration.Keys), "KeysOptional", configuration.KeysOptional)
 	}
+	if from == fromSource {
+		f.logOlder(reading{revision: configuration.Revision, version: version}, before, replaced)
+	}
 	return nil
 }
 
