fix(peers): hosts talk again after the store came back without their secret

Callers of a host that had started after the store came back from an older copy were served without what the hosts tell each other: figures of endpoints, shares of limits, the relayed configuration and endpoint list. Calls between that host and the others were answered with 401 until one of them was restarted.

Cause: a host read the shared secret once, at its start. If the copy lacks it, the next new process creates another one, and the hosts that run keep theirs.

Now the stored secret counts. A host reads it again when a call between hosts is rejected, its own or another's, once a second at most; it uses the stored one from then on and accepts the former ones too, since other hosts read it later. A host that finds none stores the one it knows. In calm times there are no further calls to the store. Event 1104 tells of a replaced secret.

--- a/httpjson/client_test.go
+++ b/httpjson/client_test.go
@@ -105,6 +105,17 @@
 		assert.NilError(t, err)
 		assert.ErrorIs(t, client.Call(context.Background(), "/", message{}, nil), winch.ErrUnauthorized)
 	})
+	t.Run("of several secrets accepts each and tells of a rejection", func(t *testing.T) {
+		rejections := atomic.Int64{}
+		several := httptest.NewServer(RequireSecrets([]string{"newest", "former"}, func() { rejections.Add(1) }, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})))
+		defer several.Close()
+		for secret, want := range map[string]error{"newest": nil, "former": nil, "wrong": winch.ErrUnauthorized, "": winch.ErrUnauthorized} {
+			client, err := NewClient(Options{Address: several.Listener.Addr().String(), Secret: secret})
+			assert.NilError(t, err)
+			assert.ErrorIs(t, client.Call(t.Context(), "/", message{}, nil), want)
+		}
+		assert.Equal(t, rejections.Load(), int64(2))
+	})
 	t.Run("rejects unknown fields", func(t *testing.T) {
 		err := newClient(t, address).Call(context.Background(), "/", struct{ Other int }{1}, nil)
 		assert.ErrorIs(t, err, winch.ErrInvalid)
--- a/httpjson/server.go
+++ b/httpjson/server.go
@@ -84,11 +84,23 @@
 // RequireSecret returns a handler that rejects requests whose bearer token is not the secret. The
 // error does not tell whether the token was wrong or missing.
 func RequireSecret(secret string, next http.Handler) http.Handler {
-	want := sha256.Sum256([]byte(secret))
+	return RequireSecrets([]string{secret}, func() {}, next)
+}
+
+// RequireSecrets is RequireSecret for several secrets, each of which is accepted. It calls rejected for each request that it rejects.
+func RequireSecrets(secrets []string, rejected func(), next http.Handler) http.Handler {
+	wanted := make([][sha256.Size]byte, 0, len(secrets))
+	for _, secret := range secrets {
+		wanted = append(wanted, sha256.Sum256([]byte(secret)))
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		got := sha256.Sum256([]byte(token))
-		if !found || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+		got, equal := sha256.Sum256([]byte(token)), 0
+		for _, want := range wanted {
+			equal |= subtle.ConstantTimeCompare(got[:], want[:])
+		}
+		if !found || equal != 1 {
+			rejected()
 			WriteError(w, fmt.Errorf("bearer token: %w", winch.ErrUnauthorized))
 			return
 		}
--- a/membership/keyvalue/registry.go
+++ b/membership/keyvalue/registry.go
@@ -2,7 +2,7 @@
 // itself with a leased entry and reads the entries of the others.
 //
 // The key-value service also holds the secret with which the hosts authenticate to each other.
-// The first host creates it.
+// The first host creates it. If the service has lost it, a host that knows it stores it again.
 //
 // # Usage
 //
@@ -22,6 +22,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -59,6 +60,10 @@
 	// failures logs failures to register or renew, and the first success after them. Only
 	// Run uses it.
 	failures *dependency.Dependency
+
+	mu sync.Mutex
+	// secret is the shared secret that was stored last as far as this host knows. It is empty before it was read.
+	secret string
 }
 
 // New returns a registry. It does not register the host before Run is called.
@@ -138,20 +143,27 @@
 	return hosts, nil
 }
 
-// Secret returns the shared secret of the hosts and creates it if there is none.
+// Secret returns the shared secret of the hosts. If none is stored, it stores the one that this host knows, or a new one.
 func (r *Registry) Secret(ctx context.Context) (string, error) {
+	r.mu.Lock()
+	secret := r.secret
+	r.mu.Unlock()
 	entry, err := r.options.Store.Get(ctx, secretKey)
-	if err == nil {
-		return string(entry.Value), nil
-	}
-	if !errors.Is(err, winch.ErrNotFound) {
+	switch {
+	case err == nil:
+		secret = string(entry.Value)
+	case !errors.Is(err, winch.ErrNotFound):
 		return "", fmt.Errorf("read shared secret: %w", err)
+	default:
+		secret = cmp.Or(secret, rand.Text())
+		if _, err := r.options.Store.Put(ctx, secretKey, []byte(secret), winch.VersionAbsent); err != nil {
+			// Either another host stored a secret first or the response was lost. The next call
+			// reads the secret that is stored.
+			return "", fmt.Errorf("store shared secret: %w", err)
+		}
 	}
-	created := rand.Text()
-	if _, err := r.options.Store.Put(ctx, secretKey, []byte(created), winch.VersionAbsent); err != nil {
-		// Either another host created the secret first or the response was lost. The next call
-		// reads the secret that is stored.
-		return "", fmt.Errorf("create shared secret: %w", err)
-	}
-	return created, nil
+	r.mu.Lock()
+	r.secret = secret
+	r.mu.Unlock()
+	return secret, nil
 }
--- a/membership/keyvalue/registry_test.go
+++ b/membership/keyvalue/registry_test.go
@@ -139,3 +139,23 @@
 	_, err = newRegistry(t, s, "c").Secret(t.Context())
 	assert.ErrorIs(t, err, winch.ErrUnavailable)
 }
+
+func TestSecretThatTheStoreHasLostIsStoredAgain(t *testing.T) {
+	s := newFakeStore()
+	r := newRegistry(t, s, "a")
+	first, err := r.Secret(t.Context())
+	assert.NilError(t, err)
+	delete(s.entries, secretKey)
+	again, err := r.Secret(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, again, first)
+	assert.Equal(t, string(s.entries[secretKey].Value), first)
+	t.Run("unless another one is stored", func(t *testing.T) {
+		s.entries[secretKey] = winch.Entry{Key: secretKey, Value: []byte("another")}
+		for range 2 {
+			other, err := r.Secret(t.Context())
+			assert.NilError(t, err)
+			assert.Equal(t, other, "another")
+		}
+	})
+}
--- a/membership/peer/digest.go
+++ b/membership/peer/digest.go
@@ -97,7 +97,7 @@
 }
 
 func (e *Exchange) exchangeDigest(ctx context.Context, centre winch.DataCentreID, receiver winch.Host) error {
-	client, err := e.clients.To(receiver.PeerAddress)
+	client, err := e.clients.Load().To(receiver.PeerAddress)
 	if err != nil {
 		return err
 	}
--- a/membership/peer/exchange.go
+++ b/membership/peer/exchange.go
@@ -20,6 +20,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -59,6 +60,8 @@
 	Meter metric.Meter
 	// Secret is the bearer token with which hosts authenticate to each other.
 	Secret string
+	// Rejected, if not nil, is called when another host has not accepted the secret.
+	Rejected func()
 	// Transport is used for calls to other hosts. If it is nil, the client creates its own.
 	Transport http.RoundTripper
 	// ExchangeEvery is the period of the exchanges with the hub. In a data centre with more
@@ -82,7 +85,7 @@
 	table     *Table
 	compactor *httpjson.Compactor
 
-	clients *httpjson.Clients
+	clients atomic.Pointer[httpjson.Clients]
 
 	mu sync.Mutex
 	// parent is the host to which this host reported at the latest exchange, and relays whether other hosts then reported to it.
@@ -117,15 +120,21 @@
 	if err := observeCallers(options); err != nil {
 		return nil, err
 	}
-	return &Exchange{
+	exchange := &Exchange{
 		options: options, table: options.Table, compactor: compactor,
-		clients: httpjson.NewClients(httpjson.Options{
-			Secret: options.Secret, Timeout: options.Timeout, Transport: options.Transport, Compactor: compactor,
-		}),
 		members:      map[winch.HostID]hostSet{},
 		remoteHosts:  map[winch.DataCentreID]hostSet{},
 		acknowledged: map[winch.DataCentreID]uint64{},
-	}, nil
+	}
+	exchange.Connect(options.Secret)
+	return exchange, nil
+}
+
+// Connect replaces Options.Secret for the calls that begin from now on.
+func (e *Exchange) Connect(secret string) {
+	e.clients.Store(httpjson.NewClients(httpjson.Options{
+		Secret: secret, Timeout: e.options.Timeout, Transport: e.options.Transport, Compactor: e.compactor,
+	}))
 }
 
 // observeCallers adds the gauge of the hosts that report to this one.
--- a/membership/peer/report.go
+++ b/membership/peer/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -64,6 +65,9 @@
 
 // recordAndLogFailure records in the table that the call to the host failed, and logs it.
 func (e *Exchange) recordAndLogFailure(host winch.Host, err error) {
+	if errors.Is(err, winch.ErrUnauthorized) && e.options.Rejected != nil {
+		e.options.Rejected()
+	}
 	e.table.RecordFailure(e.options.Clock.Now(), host.ID)
 	e.options.Logger.Warn("call to peer failed", "Event", EventPeerFailed, "Host", host.ID, "Address", host.PeerAddress, "Error", err)
 }
@@ -103,7 +107,7 @@
 }
 
 func (e *Exchange) exchangeWith(ctx context.Context, hub winch.Host, exchanged []winch.Section) error {
-	client, err := e.clients.To(hub.PeerAddress)
+	client, err := e.clients.Load().To(hub.PeerAddress)
 	if err != nil {
 		return err
 	}
--- a/winchd/forwarder/events.go
+++ b/winchd/forwarder/events.go
@@ -10,4 +10,6 @@
 	EventReloaded winch.EventNumber = 1102
 	// EventReloadFailed: the changed settings are invalid; the previous ones stay in effect.
 	EventReloadFailed winch.EventNumber = 1103
+	// EventSecretReplaced: the store has another shared secret of the hosts than this host had read.
+	EventSecretReplaced winch.EventNumber = 1104
 )
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -253,7 +253,7 @@
 func (f *Forwarder) buildExchange() error {
 	f.peers = newPeers(f.hosts, f.origins, f.configuration, f.logger, func(secret string) (*memberpeer.Exchange, error) {
 		return memberpeer.New(memberpeer.Options{
-			Table: f.table, Hosts: f.hosts, Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(), Secret: secret,
+			Table: f.table, Hosts: f.hosts, Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(), Secret: secret, Rejected: f.peers.noteRejected,
 			ExchangeEvery: exchangeEvery, ListEvery: listEvery, Sections: f.sections(),
 		})
 	})
--- a/winchd/forwarder/peers.go
+++ b/winchd/forwarder/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,11 +17,18 @@
 	release "github.com/arbutuswinch/winch/release/source"
 )
 
-// secretRetryInterval is the interval between attempts to read the shared secret of the hosts.
-const secretRetryInterval = 300 * time.Millisecond
+const (
+	// secretRetryInterval is the interval between attempts to read the shared secret of the hosts.
+	secretRetryInterval = 300 * time.Millisecond
+	// secretCheckInterval is the shortest time between two checks whether another secret is stored.
+	secretCheckInterval = time.Second
+	// maxSecrets bounds the secrets that a host accepts: the newest one and former ones, which hosts use until they have read the newest.
+	maxSecrets = 4
+)
 
 // peers runs the exchange with the other hosts, and the calls about stream origins and the configuration, once the shared secret is known. The secret is read
-// from the platform's store, which may be unavailable when the host starts.
+// from the platform's store, which may be unavailable when the host starts. It is read again when a call between hosts is rejected, because a
+// store that comes back from an older copy may have lost it and been given another one by a new host: the stored one counts.
 type peers struct {
 	hosts         *members.Registry
 	origins       *origins.Keeper
@@ -28,12 +36,14 @@
 	logger        hclog.Logger
 	// build creates the exchange with the secret.
 	build func(secret string) (*memberpeer.Exchange, error)
-	// authenticated is the handler for other hosts, which requires the secret. It is nil until the secret is known.
+	// authenticated is the handler for other hosts, which requires a secret. It is nil until the secret is known.
 	authenticated atomic.Pointer[http.Handler]
+	// rejected holds an element if a call between hosts was rejected since the secret was last read.
+	rejected chan struct{}
 }
 
 func newPeers(hosts *members.Registry, keeper *origins.Keeper, configuration *release.Follower, logger hclog.Logger, build func(secret string) (*memberpeer.Exchange, error)) *peers {
-	return &peers{hosts: hosts, origins: keeper, configuration: configuration, logger: logger, build: build}
+	return &peers{hosts: hosts, origins: keeper, configuration: configuration, logger: logger, build: build, rejected: make(chan struct{}, 1)}
 }
 
 // handler serves the other hosts. It rejects their requests until the secret is known.
@@ -58,15 +68,73 @@
 	if err != nil {
 		return err
 	}
+	p.connect(exchange, []string{secret})
+	checks := sync.WaitGroup{}
+	defer checks.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	checks.Go(func() { p.followSecret(ctx, exchange, secret) })
+	return exchange.Run(ctx)
+}
+
+// connect uses the first of the secrets for calls of this host, and accepts all of them.
+func (p *peers) connect(exchange *memberpeer.Exchange, secrets []string) {
 	mux := http.NewServeMux()
 	mux.Handle("/peer/", exchange.Handler())
 	mux.Handle(origins.Prefix, p.origins.Handler())
 	mux.Handle(release.Prefix, p.configuration.Handler())
-	handler := httpjson.RequireSecret(secret, mux)
+	handler := httpjson.RequireSecrets(secrets, p.noteRejected, mux)
 	p.authenticated.Store(&handler)
-	p.origins.Connect(secret)
-	p.configuration.Connect(secret)
-	return exchange.Run(ctx)
+	exchange.Connect(secrets[0])
+	p.origins.Connect(secrets[0])
+	p.configuration.Connect(secrets[0])
+}
+
+// noteRejected makes followSecret read the secret again.
+func (p *peers) noteRejected() {
+	select {
+	case p.rejected <- struct{}{}:
+	default:
+	}
+}
+
+// followSecret reads the secret again after calls between hosts were rejected, and uses it if it is another one, until ctx is done.
+func (p *peers) followSecret(ctx context.Context, exchange *memberpeer.Exchange, secret string) {
+	secrets := []string{secret}
+	ticker := time.NewTicker(secretCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.rejected:
+		}
+		stored, err := p.hosts.Secret(ctx)
+		switch {
+		case err != nil:
+			p.noteRejected()
+		case stored != secrets[0]:
+			secrets = withNewest(stored, secrets)
+			p.logger.Warn("another shared secret is stored", "Event", EventSecretReplaced, "Accepted", len(secrets))
+			p.connect(exchange, secrets)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// withNewest returns the secrets with the newest one in the first place, maxSecrets at most.
+func withNewest(newest string, secrets []string) []string {
+	kept := []string{newest}
+	for _, former := range secrets {
+		if former != newest && len(kept) < maxSecrets {
+			kept = append(kept, former)
+		}
+	}
+	return kept
 }
 
 // readSecret retries until the secret is known or ctx is done. Only the first failure is logged.
