fix(registry): what an endpoint said earlier does not replace what it said later

Requests were sent to an endpoint that had said that it leaves, when the store came back from a copy of before and listed it as ready, until the endpoint wrote its entry again. A host took whatever was read last, though entries have numbers of their own: the endpoint's start and its count of entries since then.

Hosts now keep the later statement of an endpoint, by its start and its count, while an earlier one is listed, 5 s at most: endpoints write more often, and an entry of another writer, or a start time after a clock step, must not hide the endpoint for longer. The count goes along with the relayed list, so that also hosts whose hub has not read the later statement keep it. The list that hosts pass on stays as it was read.

--- a/ids.go
+++ b/ids.go
@@ -27,6 +27,9 @@
 // EndpointID identifies an endpoint: a model engine or a plain service.
 type EndpointID string
 
+// EndpointSequence numbers what an endpoint says of itself since its start. It is independent of the key-value service.
+type EndpointSequence int64
+
 // PoolID identifies a pool of endpoints ordered from the platform.
 type PoolID string
 
--- a/load.go
+++ b/load.go
@@ -12,6 +12,8 @@
 	// StartedAt is the start time that the endpoint reports, by which a restart under the
 	// same ID is detected; zero when it reports none.
 	StartedAt time.Time
+	// Sequence is the number of what the endpoint says here since its start, from 1 on; zero if it is not known.
+	Sequence EndpointSequence
 	// Evacuated is set while the endpoint's data centre is evacuated: it gets no requests, whatever its state.
 	Evacuated bool
 	// ColdStated is set if the endpoint states whether it is cold. ColdUntil is when it will not be any more; zero if it is not cold. See
--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -75,7 +75,8 @@
 	coldMark uint64
 	// lister is that of Options.Evacuations or SetEvacuations.
 	lister winch.EvacuationLister
-	// current is latest, with the evacuated endpoints marked, and, after an outage, the endpoints that still have time to register again.
+	// current is latest, with the evacuated endpoints marked, later statements of endpoints in place of earlier ones (see statements.go) and,
+	// after an outage, the endpoints that still have time to register again.
 	current []winch.EndpointStatus
 	// readAt is when latest was read, by this host or by another one.
 	readAt  time.Time
@@ -84,7 +85,9 @@
 	hostHashes map[winch.HostID]uint64
 	// graceUntil is when endpoints that are missing after an outage are removed.
 	graceUntil time.Time
-	reader     *relay.Reader
+	// held holds the endpoints in whose place current has a later statement than latest, and since when.
+	held   map[winch.EndpointID]time.Time
+	reader *relay.Reader
 	// readFailed reports whether a read of this host failed since the last list.
 	readFailed bool
 }
@@ -159,15 +162,17 @@
 	return statuses
 }
 
-// recovering reports whether a list read at the given time may not be the one in use, because of an outage before it.
+// recovering reports whether a list read at the given time may not be the one in use, because of an outage before it or earlier statements in it.
 func (f *Follower) recovering(at time.Time) bool {
-	return f.readFailed && at.Sub(f.readAt) > outageThreshold || at.Before(f.graceUntil) || len(f.current) != len(f.latest)
+	return len(f.held) > 0 || f.readFailed && at.Sub(f.readAt) > outageThreshold || at.Before(f.graceUntil) || len(f.current) != len(f.latest)
 }
 
 func sortByID(statuses []winch.EndpointStatus) {
-	slices.SortFunc(statuses, func(a, b winch.EndpointStatus) int { return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID) })
+	slices.SortFunc(statuses, compareID)
 }
 
+func compareID(a, b winch.EndpointStatus) int { return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID) }
+
 // reading tells when and by whom a list was read.
 type reading struct {
 	// at is when the read began, and received when this host got the list.
@@ -199,7 +204,7 @@
 	before, after, evacuatedBefore := f.current, f.current, f.evacuations.DataCentres
 	previousReadAt := f.readAt
 	if newer {
-		after = f.keepMissingAfterOutage(r.at, statuses)
+		after = f.keepMissingAfterOutage(r.at, f.keepLaterStatements(r.at, statuses))
 		f.latest, f.coldMark, f.readAt = statuses, r.coldMark, r.at
 	}
 	if evacuated {
--- a/placement/registry/section.go
+++ b/placement/registry/section.go
@@ -44,6 +44,8 @@
 	LeavesMS int64 `json:",omitempty"`
 	// Started is when the endpoint started in Unix milliseconds, or zero when it does not report that.
 	Started int64 `json:",omitempty"`
+	// Sequence is the number of the endpoint's statement since its start, or zero when it is not known.
+	Sequence int64 `json:",omitempty"`
 	// ColdStated is set if the endpoint says whether it is cold, and ColdMS is the time in milliseconds until it will not be
 	// any more, or zero.
 	ColdStated bool  `json:",omitempty"`
@@ -251,6 +253,7 @@
 		if !status.StartedAt.IsZero() {
 			e.Started = status.StartedAt.UnixMilli()
 		}
+		e.Sequence = int64(status.Sequence)
 		e.ColdStated, e.ColdMS = status.ColdStated, encodeCold(now, status)
 		wire = append(wire, e)
 	}
@@ -275,6 +278,7 @@
 		if e.Started > 0 {
 			status.StartedAt = time.UnixMilli(e.Started)
 		}
+		status.Sequence = winch.EndpointSequence(e.Sequence)
 		status.ColdStated = e.ColdStated
 		if e.ColdStated && e.ColdMS > 0 {
 			status.ColdUntil = now.Add(time.Duration(min(e.ColdMS, maxColdMS)) * time.Millisecond)
