fix(release): order configurations by the operator's revision

Cause: release/source took the store's version of the entry for the order of configurations. After the return the store gives out versions again, so what the operator writes again or anew has a lower one: replaceIfNewer ignored it, and confirm did not count it as evidence. An older revision that was written again with a higher version replaced a newer one, also at hosts that had the newer one in force, and a new process kept the older copy beside a hub that had the newer one.

Change: an edition is the operator's revision, a digest of the stored form and the version. The revision is the order, the digest the identity, and the version only decides between contents of one revision. Evidence is about an edition. What the source had at the last read is kept apart, as the known version of the next read. The newest revision that a host knows stays in force until the operator has written again; the older copy does not renew its evidence, since a newer revision may have been lost with it. A host that knows only the older copy hears of the newer one from the others. If a read that began after that returns the older one, the source was set back, and the host refuses requests until it has the newer one. News that no host confirms any more end after the freshness limit.

Why this holds: the operator's revisions only increase, in all eras, and equal content of a revision needs no order. Two proofs never mix: evidence for an older edition counts for a newer one only if that was written later.

--- a/release/source/catchup.go
+++ b/release/source/catchup.go
@@ -15,20 +15,21 @@
 	catchUpStall = time.Second
 )
 
-// hearOfNewer records that a version exists, and wakes catchUp if this host does not have it. The host from has the version, if it is
-// not empty; confirmed is when it was known to be the newest, or zero.
-func (f *Follower) hearOfNewer(version winch.Version, confirmed time.Time, from winch.HostID) {
+// hearOfNewer records that an edition exists, and wakes catchUp if this host does not have it. The host from has the edition, if it is
+// not empty.
+func (f *Follower) hearOfNewer(heard evidence, from winch.HostID) {
 	now := f.options.Clock.Now()
 	f.mu.Lock()
 	first := !f.state.behind()
-	f.state.hear(now, evidence{version: version, confirmed: confirmed}, from)
-	behind, current, holder := f.state.behind(), f.state.version, f.state.holder
+	f.state.hear(now, heard, from)
+	behind, current, newest, holder := f.state.behind(), f.state.edition, f.state.news.edition, f.state.news.holder
 	f.mu.Unlock()
 	if !behind {
 		return
 	}
 	if first {
-		f.options.Logger.Info("a newer configuration exists", "Event", EventConfigurationBehind, "Version", current, "Newest", version, "At", string(holder))
+		f.options.Logger.Info("a newer configuration exists", "Event", EventConfigurationBehind, "Revision", current.revision, "Version", current.version,
+			"NewestRevision", newest.revision, "Newest", newest.version, "At", string(holder))
 	}
 	select {
 	case f.wake <- struct{}{}:
@@ -79,7 +80,7 @@
 // fetchFromHolder fetches the configuration from the host that is known to have a newer one, or else from the hub.
 func (f *Follower) fetchFromHolder(ctx context.Context) error {
 	f.mu.Lock()
-	known, holder := f.state.version, f.state.holder
+	known, holder := f.state.edition, f.state.news.holder
 	if holder == "" {
 		holder = f.hub
 	}
--- a/release/source/content.go
+++ b/release/source/content.go
@@ -16,8 +16,9 @@
 
 const (
 	// Prefix is the path prefix of the calls with which hosts fetch the configuration from each other.
-	Prefix   = "/peer/configuration/"
-	readPath = Prefix + "read"
+	Prefix = "/peer/configuration/"
+	// readPath is not the path "read" of an earlier software version, whose calls named versions of the store only.
+	readPath = Prefix + "edition"
 
 	// inlineLimit is the size up to which a configuration is sent within the exchange between hosts. A larger one would delay
 	// everything else in it, and is fetched by a call of its own.
@@ -34,12 +35,12 @@
 
 // contentCall asks for a configuration that is newer than the one of the caller.
 type contentCall struct {
-	Known int64
+	Known editionWire
 }
 
 // contentResponse holds the stored form of the configuration, compressed with deflate.
 type contentResponse struct {
-	Version  int64
+	Edition  editionWire
 	Deflated []byte
 }
 
@@ -48,7 +49,7 @@
 	reads chan struct{}
 
 	mu sync.Mutex
-	// response holds the compressed configuration of the version that was served last.
+	// response holds the compressed configuration of the edition that was served last.
 	response contentResponse
 }
 
@@ -56,11 +57,11 @@
 	return &contentServer{reads: make(chan struct{}, maxContentReads)}
 }
 
-// compress returns the response with the configuration, which is compressed only once for each version.
-func (s *contentServer) compress(version winch.Version, raw []byte) (contentResponse, error) {
+// compress returns the response with the configuration, which is compressed only once for each edition.
+func (s *contentServer) compress(current edition, raw []byte) (contentResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.response.Version == int64(version) {
+	if s.response.Edition == encodeEdition(current) {
 		return s.response, nil
 	}
 	deflated := &bytes.Buffer{}
@@ -74,7 +75,7 @@
 	if err := writer.Close(); err != nil {
 		return contentResponse{}, fmt.Errorf("compress configuration: %w", err)
 	}
-	s.response = contentResponse{Version: int64(version), Deflated: deflated.Bytes()}
+	s.response = contentResponse{Edition: encodeEdition(current), Deflated: deflated.Bytes()}
 	return s.response, nil
 }
 
@@ -105,10 +106,10 @@
 		return
 	}
 	f.mu.Lock()
-	version, raw := f.state.version, f.state.raw
+	current, raw := f.state.edition, f.state.raw
 	f.mu.Unlock()
-	if int64(version) <= call.Known {
-		httpjson.WriteError(w, fmt.Errorf("no version after %d: %w", call.Known, winch.ErrNotFound))
+	if !current.newerThan(call.Known.decode()) {
+		httpjson.WriteError(w, fmt.Errorf("no configuration after revision %d: %w", call.Known.Revision, winch.ErrNotFound))
 		return
 	}
 	select {
@@ -118,7 +119,7 @@
 		httpjson.WriteError(w, fmt.Errorf("as many hosts as possible read the configuration: %w", winch.ErrUnavailable))
 		return
 	}
-	response, err := f.contents.compress(version, raw)
+	response, err := f.contents.compress(current, raw)
 	if err != nil {
 		httpjson.WriteError(w, err)
 		return
@@ -131,8 +132,8 @@
 	f.clients.Store(httpjson.NewClients(httpjson.Options{Secret: secret, Timeout: contentTimeout}))
 }
 
-// fetchFrom fetches the configuration from another host and puts it in force if it is newer than the known version.
-func (f *Follower) fetchFrom(ctx context.Context, host winch.Host, known winch.Version) error {
+// fetchFrom fetches the configuration from another host and puts it in force if it is newer than the known edition.
+func (f *Follower) fetchFrom(ctx context.Context, host winch.Host, known edition) error {
 	clients := f.clients.Load()
 	if clients == nil {
 		return fmt.Errorf("fetch configuration: the secret of the hosts is not known yet: %w", winch.ErrUnavailable)
@@ -142,15 +143,25 @@
 		return err
 	}
 	response := contentResponse{}
-	if err := client.Call(ctx, readPath, contentCall{Known: int64(known)}, &response); err != nil {
+	if err := client.Call(ctx, readPath, contentCall{Known: encodeEdition(known)}, &response); err != nil {
 		return fmt.Errorf("fetch configuration from %s: %w", host.ID, err)
 	}
-	if winch.Version(response.Version) <= known {
-		return fmt.Errorf("fetch configuration from %s: field Version: %d is not newer than %d: %w", host.ID, response.Version, known, winch.ErrInvalid)
-	}
 	raw, err := response.decompress()
 	if err != nil {
 		return err
 	}
-	return f.applyVersion(raw, winch.Version(response.Version), time.Time{}, string(host.ID))
+	told := response.Edition.decode()
+	if !told.newerThan(known) || editionOf(told.revision, raw, told.version) != told {
+		return fmt.Errorf("fetch configuration from %s: field Edition: revision %d is not newer than %d, or not that of the content: %w",
+			host.ID, told.revision, known.revision, winch.ErrInvalid)
+	}
+	if err := f.applyRelayed(raw, told.version, time.Time{}, host.ID); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.state.edition.newerThan(known) {
+		return fmt.Errorf("fetch configuration from %s: its content is not of revision %d: %w", host.ID, told.revision, winch.ErrInvalid)
+	}
+	return nil
 }
--- a/release/source/content_test.go
+++ b/release/source/content_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -72,13 +73,13 @@
 		behind.Connect("s")
 		assert.NilError(t, behind.Section().Collect(start, "hub", hub.Section().Report(start)))
 		behind.catchUp(t.Context())
-		assert.Equal(t, behind.state.version, winch.Version(5))
+		assert.Equal(t, behind.state.edition.version, winch.Version(5))
 	})
 	t.Run("until then it tells that a newer one exists", func(t *testing.T) {
 		host, other := newHostOf(t, address, &fakeSource{err: winch.ErrUnavailable}), newHostOf(t, address, &fakeSource{})
 		assert.NilError(t, host.Section().Apply(start, start, "hub", hub.Section().Summary(start, "self")))
-		assert.NilError(t, other.applyVersion([]byte("true"), 4, start, "source"))
-		assert.NilError(t, host.applyVersion([]byte("true"), 3, start, "source"))
+		assert.NilError(t, other.applyRelayed([]byte("true"), 4, start, "another"))
+		assert.NilError(t, host.applyRelayed([]byte("true"), 3, start, "another"))
 		assert.NilError(t, other.Section().Apply(start, start, "host", host.Section().Summary(start, "other")))
 		assert.Assert(t, other.isBehind())
 	})
@@ -89,14 +90,44 @@
 	client, err := httpjson.NewClient(httpjson.Options{Address: address, Secret: "s"})
 	assert.NilError(t, err)
 	response := contentResponse{}
-	assert.NilError(t, client.Call(t.Context(), readPath, contentCall{Known: 4}, &response))
-	assert.Equal(t, response.Version, int64(5))
+	assert.NilError(t, client.Call(t.Context(), readPath, contentCall{Known: editionWire{Version: 4}}, &response))
+	assert.Equal(t, response.Edition.Version, int64(5))
 	assert.Assert(t, len(response.Deflated) < 1<<16, "%d bytes", len(response.Deflated))
-	assert.ErrorIs(t, client.Call(t.Context(), readPath, contentCall{Known: 5}, &response), winch.ErrNotFound)
+	assert.ErrorIs(t, client.Call(t.Context(), readPath, contentCall{Known: editionWire{Version: 5}}, &response), winch.ErrNotFound)
 	for range maxContentReads {
 		hub.contents.reads <- struct{}{}
 	}
-	assert.ErrorIs(t, client.Call(t.Context(), readPath, contentCall{Known: 4}, &response), winch.ErrUnavailable)
+	assert.ErrorIs(t, client.Call(t.Context(), readPath, contentCall{Known: editionWire{Version: 4}}, &response), winch.ErrUnavailable)
+}
+
+// TestHostsOfTheEarlierVersionAreNotMisread guards against versions of the store that are taken for revisions while hosts of the software
+// version that exchanged them still run.
+func TestHostsOfTheEarlierVersionAreNotMisread(t *testing.T) {
+	hub, address := newLargeHub(t)
+	assert.Assert(t, hub.Section().Name() != "Configuration")
+	client, err := httpjson.NewClient(httpjson.Options{Address: address, Secret: "s"})
+	assert.NilError(t, err)
+	err = client.Call(t.Context(), Prefix+"read", struct{ Known int64 }{Known: 4}, &struct{}{})
+	assert.ErrorIs(t, err, winch.ErrNotFound)
+}
+
+// TestContentOfAnotherEditionIsRefused guards against a host that asks for the same content again and again, because it is not what was told.
+func TestContentOfAnotherEditionIsRefused(t *testing.T) {
+	wrong := contentResponse{Edition: editionWire{Revision: 9, Digest: 1, Version: 9}}
+	served, err := newContentServer().compress(edition{version: 1}, []byte("true"))
+	assert.NilError(t, err)
+	wrong.Deflated = served.Deflated
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { httpjson.Write(w, http.StatusOK, wrong) }))
+	t.Cleanup(server.Close)
+	host := newHostOf(t, strings.TrimPrefix(server.URL, "http://"), &fakeSource{})
+	host.Connect("s")
+	host.hearOfNewer(evidence{edition: wrong.Edition.decode()}, "hub")
+	assert.ErrorIs(t, host.fetchFromHolder(t.Context()), winch.ErrInvalid)
+	t.Run("also if only the revision differs", func(t *testing.T) {
+		wrong.Edition.Digest = uint64(editionOf(9, []byte("true"), 9).digest)
+		assert.NilError(t, host.applyRelayed([]byte("false"), 9, start, "another"))
+		assert.ErrorIs(t, host.fetchFromHolder(t.Context()), winch.ErrInvalid)
+	})
 }
 
 // literalSource has one configuration and keeps the raw form of the last that was decoded.
@@ -163,7 +194,7 @@
 
 func TestVersionThatCannotBeDecodedIsNotWaitedFor(t *testing.T) {
 	host := newHostOf(t, "127.0.0.1:1", undecodableSource{&fakeSource{version: 5}})
-	host.hearOfNewer(5, start, "")
+	host.hearOfNewer(evidence{edition: edition{version: 5}, confirmed: start}, "")
 	assert.Assert(t, host.isBehind())
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
--- a/release/source/follower.go
+++ b/release/source/follower.go
@@ -1,13 +1,19 @@
 // Package source follows a configuration that operators maintain in an external store,
 // and tracks how long ago it was known to be the newest.
 //
-// The source is polled at a fixed interval. Each response proves that a version was the
+// The source is polled at a fixed interval. Each response proves that a configuration was the
 // newest at some time between the request and the response. This evidence gets the time
 // of the request, so that it is never taken for newer than it is. The clock must also
 // advance while the machine is suspended. Keys are accepted only while the evidence is
 // younger than the freshness limit. Open routes, which need no key, are served with the
 // last configuration, however old the evidence is, as long as nothing newer is known to exist. Else requests of all
-// kinds are refused once the evidence is older than the superseded limit. Versions never decrease.
+// kinds are refused once the evidence is older than the superseded limit.
+//
+// Configurations are ordered by the operator's revision, which never decreases at a host. The version of the entry in the store only
+// decides between different contents of one revision, since it falls when the store comes back from an older copy. From then until the
+// operator has written its newest configuration again, the newest revision that a host knows stays in force. The older copy does not
+// renew its evidence, because a newer revision may have been lost as well; so keys are refused once the evidence is older than the freshness
+// limit. A host that knows only the older copy gets the newer revision from the others, and refuses requests until it has it.
 //
 // The hosts of a data centre pass their evidence on through their hub, with the newest configuration or, if that is large, the news
 // that it exists; it is then fetched by a call of its own. So a host that cannot reach the source keeps serving as long as another host
@@ -73,10 +79,10 @@
 	mu      sync.Mutex
 	state   state
 	changed chan struct{}
-	// reportedVersions are the versions that the other hosts reported last; used at the hub.
-	reportedVersions map[winch.HostID]winch.Version
-	// hubVersion is the version in the hub's last summary.
-	hubVersion winch.Version
+	// reported are the editions that the other hosts reported last; used at the hub.
+	reported map[winch.HostID]edition
+	// hubEdition is the edition in the hub's last summary.
+	hubEdition edition
 	// origin is a random id of this process. As the hub, it sends the id with the reading of
 	// its clock in each summary, to recognize its own readings in reports.
 	origin uint64
@@ -92,8 +98,8 @@
 	clients atomic.Pointer[httpjson.Clients]
 	// wake is signalled when this host has heard of a newer configuration than it has.
 	wake chan struct{}
-	// older is the last reading that was logged as older than the configuration in force.
-	older reading
+	// older is the last reading of the source that was logged as older than the configuration in force.
+	older edition
 }
 
 var _ winch.ConfirmedConfigurations = (*Follower)(nil)
@@ -108,8 +114,8 @@
 	options.SupersededLimit = cmp.Or(options.SupersededLimit, options.FreshnessLimit)
 	// An origin of zero means that no stamp was received, so the lowest bit is set.
 	follower := &Follower{
-		options: options, state: state{decoded: newDecoded(&winch.Configuration{}, nil)},
-		changed: make(chan struct{}), reportedVersions: map[winch.HostID]winch.Version{}, origin: rand.Uint64() | 1,
+		options: options, state: state{decoded: newDecoded(&winch.Configuration{}, nil, winch.VersionAbsent)},
+		changed: make(chan struct{}), reported: map[winch.HostID]edition{}, origin: rand.Uint64() | 1,
 		contents: newContentServer(), wake: make(chan struct{}, 1),
 	}
 	follower.reader = relay.NewReader(
@@ -148,59 +154,90 @@
 // read fetches the configuration.
 func (f *Follower) read(ctx context.Context, sent time.Time, limit time.Duration) error {
 	f.mu.Lock()
-	known := f.state.version
+	expected := f.state.expected
+	f.mu.Unlock()
+	raw, version, err := f.options.Source.Fetch(ctx, expected.edition.version, winch.LongRead{StallLimit: limit, Changed: f.hearOfChange})
+	if err != nil {
+		return err
+	}
+	if raw == nil {
+		return f.applyUnchanged(expected, sent)
+	}
+	next, err := f.decode(raw, version)
+	f.mu.Lock()
+	f.state.settle(reading{edition: next.edition, err: err}, sent, f.options.FreshnessLimit)
 	f.mu.Unlock()
-	raw, version, err := f.options.Source.Fetch(ctx, known, winch.LongRead{
-		StallLimit: limit,
-		// The version is not known before the whole response is.
-		Changed: func() { f.hearOfNewer(known+1, time.Time{}, "") },
-	})
 	if err != nil {
 		return err
 	}
+	inForce, replaced := f.apply(next, sent, fromSource)
+	f.logOlder(next.edition, inForce, replaced)
+	return nil
+}
+
+// applyUnchanged processes a read that returned what the source was expected to have.
+func (f *Follower) applyUnchanged(expected reading, sent time.Time) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if expected.edition.isNone() {
+		return nil
+	}
+	f.state.settle(expected, sent, f.options.FreshnessLimit)
+	f.state.confirm(expected.edition, sent)
+	return expected.err
+}
+
+// hearOfChange processes that the source has another edition than was expected, before it has arrived.
+func (f *Follower) hearOfChange() {
 	f.mu.Lock()
-	f.state.settle(version)
+	next := f.state.edition.successor()
 	f.mu.Unlock()
-	return f.applyVersion(raw, version, sent, fromSource)
+	f.hearOfNewer(evidence{edition: next}, "")
 }
 
 // fromSource stands for the source where the origin of a configuration is logged.
 const fromSource = "source"
 
-// applyVersion records that version was the newest at the time confirmed. Raw is its
-// encoded configuration, or nil if this host is expected to have it.
-func (f *Follower) applyVersion(raw []byte, version winch.Version, confirmed time.Time, from string) error {
-	if raw == nil {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.state.confirm(version, confirmed)
-		return nil
-	}
-	configuration, err := f.options.Source.Decode(raw)
+// applyRelayed processes a configuration that another host has, in its stored form, and that was the newest at the time confirmed.
+func (f *Follower) applyRelayed(raw []byte, version winch.Version, confirmed time.Time, from winch.HostID) error {
+	next, err := f.decode(raw, version)
 	if err != nil {
 		f.mu.Lock()
-		f.state.rejected = max(f.state.rejected, version)
+		f.state.rejected = next.edition
 		f.mu.Unlock()
 		return err
 	}
-	next := newDecoded(configuration, raw)
+	f.apply(next, confirmed, string(from))
+	return nil
+}
+
+// decode decodes a stored form. With an error, only the edition is set.
+func (f *Follower) decode(raw []byte, version winch.Version) (decoded, error) {
+	configuration, err := f.options.Source.Decode(raw)
+	if err != nil {
+		return decoded{edition: editionOf(0, raw, version)}, err
+	}
+	return newDecoded(configuration, raw, version), nil
+}
+
+// apply records that next was the newest at the time confirmed, and puts it in force if it is newer. It returns what was in force before,
+// and whether next replaced it.
+func (f *Follower) apply(next decoded, confirmed time.Time, from string) (edition, bool) {
 	f.mu.Lock()
-	before := reading{revision: f.state.configuration.Revision, version: f.state.version}
-	replaced := f.state.replaceIfNewer(next, version, confirmed)
+	inForce := f.state.edition
+	replaced := f.state.replaceIfNewer(next, confirmed)
 	if replaced {
 		close(f.changed)
 		f.changed = make(chan struct{})
 	}
 	f.mu.Unlock()
 	if replaced {
-		f.options.Logger.Info("configuration in force", "Event", EventConfigurationInForce, "Revision", configuration.Revision,
-			"Version", version, "From", from, "ConfirmedAt", confirmed, "Forwards", len(configuration.Forwards),
-			"Organisations", len(configuration.Organisations), "Keys", len(configuration.Keys), "KeysOptional", configuration.KeysOptional)
+		c := next.configuration
+		f.options.Logger.Info("configuration in force", "Event", EventConfigurationInForce, "Revision", c.Revision,
+			"Version", next.edition.version, "From", from, "ConfirmedAt", confirmed, "Forwards", len(c.Forwards),
+			"Organisations", len(c.Organisations), "Keys", len(c.Keys), "KeysOptional", c.KeysOptional)
 	}
-	if from == fromSource {
-		f.logOlder(reading{revision: configuration.Revision, version: version}, before, replaced)
-	}
-	return nil
+	return inForce, replaced
 }
 
 // SetLimits changes the ages of the evidence up to which keys are accepted, and up to which a configuration is used of which a
--- a/release/source/follower_test.go
+++ b/release/source/follower_test.go
@@ -115,7 +115,7 @@
 		assert.Equal(t, f.ConfirmedAt(), before)
 	})
 	t.Run("a malformed configuration changes nothing", func(t *testing.T) {
-		assert.ErrorIs(t, f.applyVersion([]byte("{"), 9, c.now, "source"), winch.ErrInvalid)
+		assert.ErrorIs(t, f.applyRelayed([]byte("{"), 9, c.now, "another"), winch.ErrInvalid)
 		assertKey(t, f, c.now, winch.ErrUnauthorized)
 	})
 }
@@ -128,7 +128,7 @@
 	assert.NilError(t, err)
 	host.Step(t.Context())
 	assert.Equal(t, host.Authority(start.Add(3*time.Second)), winch.AuthorityFull)
-	host.hearOfNewer(6, time.Time{}, "")
+	host.hearOfNewer(evidence{edition: edition{version: 6}}, "")
 	for after, want := range map[time.Duration]winch.Authority{
 		2 * time.Second:     winch.AuthorityFull,
 		2*time.Second + 1:   winch.AuthorityNone,
@@ -143,10 +143,10 @@
 	t.Run("until the source shows that there is none", func(t *testing.T) {
 		host.Step(t.Context())
 		assert.Equal(t, host.Authority(start.Add(3*time.Second)), winch.AuthorityFull)
-		host.hearOfNewer(6, time.Time{}, "")
+		host.hearOfNewer(evidence{edition: edition{version: 6}}, "")
 	})
 	t.Run("until it has the newer one", func(t *testing.T) {
-		assert.NilError(t, host.applyVersion([]byte("true"), 6, start, "source"))
+		assert.NilError(t, host.applyRelayed([]byte("true"), 6, start, "another"))
 		assert.Equal(t, host.Authority(start.Add(3*time.Second)), winch.AuthorityFull)
 	})
 }
@@ -158,7 +158,7 @@
 	})
 	assert.NilError(t, err)
 	host.Step(t.Context())
-	source.version = 5
+	source.version, source.hasKey = 5, false
 	host.Step(t.Context())
 	assert.Equal(t, source.changes, 2)
 	assert.Assert(t, !host.isBehind())
@@ -318,10 +318,10 @@
 
 func TestConfigurationOfUnknownAgeIsNoEvidence(t *testing.T) {
 	unknown, c := newFollower(t, &fakeSource{})
-	assert.NilError(t, unknown.applyVersion([]byte("true"), 9, time.Time{}, "another"))
+	assert.NilError(t, unknown.applyRelayed([]byte("true"), 9, time.Time{}, "another"))
 	assertOld := func(t *testing.T, f *Follower) {
 		t.Helper()
-		assert.Equal(t, f.state.version, winch.Version(9))
+		assert.Equal(t, f.state.edition.version, winch.Version(9))
 		assert.Assert(t, f.ConfirmedAt().Before(c.now.Add(-time.Hour)), "%s", f.ConfirmedAt())
 		assertKey(t, f, c.now, winch.ErrIsolated)
 	}
@@ -333,7 +333,7 @@
 	})
 	t.Run("at the hub to which it is reported", func(t *testing.T) {
 		hub, _ := newFollower(t, &fakeSource{})
-		assert.NilError(t, hub.applyVersion([]byte("true"), 9, c.now.Add(-10*time.Hour), "another"))
+		assert.NilError(t, hub.applyRelayed([]byte("true"), 9, c.now.Add(-10*time.Hour), "another"))
 		assert.NilError(t, unknown.Section().Apply(c.now, c.now, "hub", hub.Section().Summary(c.now, "unknown")))
 		unknown.state.confirmedAt = time.Time{}
 		assert.NilError(t, hub.Section().Collect(c.now, "unknown", unknown.Section().Report(c.now)))
@@ -346,7 +346,7 @@
 			assertOld(t, host)
 		}
 		hub, _ := newFollower(t, &fakeSource{})
-		assert.NilError(t, hub.applyVersion([]byte("true"), 9, c.now.Add(-10*time.Hour), "another"))
+		assert.NilError(t, hub.applyRelayed([]byte("true"), 9, c.now.Add(-10*time.Hour), "another"))
 		report := fmt.Sprintf(`{"Version":9,"AgeMS":1,"Origin":%d,"Stamp":%d,"AfterMS":-9223372036855}`, hub.origin, c.now.UnixNano())
 		assert.NilError(t, hub.Section().Collect(c.now, "host", []byte(report)))
 		assertOld(t, hub)
--- a/release/source/section.go
+++ b/release/source/section.go
@@ -8,7 +8,9 @@
 	"github.com/arbutuswinch/winch"
 )
 
-const sectionName winch.SectionName = "Configuration"
+// sectionName is not "Configuration", in which hosts of an earlier software version exchange versions of the store without revisions. While
+// hosts of both kinds run, those whose hub is of the other kind read the source themselves.
+const sectionName winch.SectionName = "ConfigurationEdition"
 
 // maxAge is the age beyond which evidence proves nothing anyway. Ages are not told apart beyond it, and their sums cannot overflow.
 const maxAge = 24 * time.Hour
@@ -24,9 +26,9 @@
 	return time.Duration(min(max(value, -bound), bound)) * time.Millisecond
 }
 
-// evidence states that a version was the newest at the time confirmed.
+// evidence states that an edition was the newest at the time confirmed.
 type evidence struct {
-	version winch.Version
+	edition edition
 	// confirmed is by this host's clock. It is zero if the age of the evidence is unknown.
 	confirmed time.Time
 }
@@ -41,7 +43,22 @@
 	receivedAt time.Time
 }
 
-// evidenceWire holds a version, the age of the evidence for it, and the configuration
+// editionWire is the encoded form of an edition. All fields are zero if there is none.
+type editionWire struct {
+	Revision int64  `json:",omitempty"`
+	Digest   uint64 `json:",omitempty"`
+	Version  int64
+}
+
+func encodeEdition(e edition) editionWire {
+	return editionWire{Revision: int64(e.revision), Digest: uint64(e.digest), Version: int64(e.version)}
+}
+
+func (w editionWire) decode() edition {
+	return edition{revision: winch.Revision(w.Revision), digest: contentDigest(w.Digest), version: winch.Version(w.Version)}
+}
+
+// evidenceWire holds an edition, the age of the evidence for it, and the configuration
 // itself if the receiver lacks it.
 //
 // A host knows when it began an exchange, so it counts the age in a summary back from
@@ -51,17 +68,17 @@
 // evidence. The stamp was made before it was received, so the evidence is never taken for
 // newer than it is.
 type evidenceWire struct {
-	Version int64
-	AgeMS   int64
+	editionWire
+	AgeMS int64
 	// Configuration is not set for a large one, which the receiver has to fetch.
 	Configuration []byte `json:",omitempty"`
-	// Newest is set by a host that has heard of a newer version than it has. The newest version is this or a later one.
-	Newest int64 `json:",omitempty"`
+	// Newest is set by a host that has heard of a newer edition than it has. The newest edition is this or a later one.
+	Newest *editionWire `json:",omitempty"`
 	// Origin and Stamp are set by the hub in summaries and echoed in reports. Stamp is in
 	// Unix nanoseconds.
 	Origin uint64 `json:",omitempty"`
 	Stamp  int64  `json:",omitempty"`
-	// AfterMS is how long after receiving the stamp the host knew the version to be the
+	// AfterMS is how long after receiving the stamp the host knew the edition to be the
 	// newest, in milliseconds; negative if that was before.
 	AfterMS int64 `json:",omitempty"`
 }
@@ -93,15 +110,15 @@
 	if err != nil {
 		return err
 	}
-	received := evidence{version: winch.Version(wire.Version)}
+	received := evidence{edition: wire.decode()}
 	if wire.Origin == s.follower.origin {
 		// Evidence is never dated to the future, such as by a host whose clock runs fast.
 		received.confirmed = earliest(now, time.Unix(0, wire.Stamp).Add(milliseconds(wire.AfterMS)))
 	}
 	s.follower.mu.Lock()
-	s.follower.reportedVersions[from] = received.version
+	s.follower.reported[from] = received.edition
 	s.follower.mu.Unlock()
-	s.follower.hearOfNewer(winch.Version(wire.Newest), time.Time{}, "")
+	s.follower.hearOfNewest(wire)
 	return s.follower.applyEvidence(received, wire.Configuration, from)
 }
 
@@ -109,7 +126,7 @@
 func (s section) Summary(now time.Time, to winch.HostID) []byte {
 	s.follower.mu.Lock()
 	defer s.follower.mu.Unlock()
-	wire := s.follower.evidenceFor(now, s.follower.reportedVersions[to])
+	wire := s.follower.evidenceFor(now, s.follower.reported[to])
 	wire.Origin, wire.Stamp = s.follower.origin, now.UnixNano()
 	return s.follower.marshal(wire)
 }
@@ -121,12 +138,12 @@
 	if err != nil {
 		return err
 	}
-	received := evidence{version: winch.Version(wire.Version), confirmed: sent.Add(-milliseconds(wire.AgeMS))}
+	received := evidence{edition: wire.decode(), confirmed: sent.Add(-milliseconds(wire.AgeMS))}
 	s.follower.mu.Lock()
-	s.follower.hub, s.follower.hubVersion = hub, received.version
+	s.follower.hub, s.follower.hubEdition = hub, received.edition
 	s.follower.stamp = receivedStamp{origin: wire.Origin, hubTime: wire.Stamp, receivedAt: now}
 	s.follower.mu.Unlock()
-	s.follower.hearOfNewer(winch.Version(wire.Newest), time.Time{}, "")
+	s.follower.hearOfNewest(wire)
 	if err := s.follower.applyEvidence(received, wire.Configuration, hub); err != nil {
 		return err
 	}
@@ -134,19 +151,26 @@
 	return nil
 }
 
-// recordRelay records evidence from the hub. Evidence for a version that this host does not have cannot replace a read.
+// hearOfNewest processes that another host has heard of a newer edition than it has.
+func (f *Follower) hearOfNewest(wire evidenceWire) {
+	if wire.Newest != nil {
+		f.hearOfNewer(evidence{edition: wire.Newest.decode()}, "")
+	}
+}
+
+// recordRelay records evidence from the hub. Evidence for an edition that this host does not have cannot replace a read.
 func (f *Follower) recordRelay(hub winch.HostID, received evidence) {
 	f.mu.Lock()
-	version := f.state.version
+	inForce := f.state.edition
 	f.mu.Unlock()
-	if received.version != 0 && version >= received.version {
+	if !received.edition.isNone() && !received.edition.newerThan(inForce) {
 		f.reader.Received(hub, received.confirmed)
 	}
 }
 
 // buildReport returns the report to the hub. The caller holds the lock.
 func (f *Follower) buildReport(now time.Time) evidenceWire {
-	wire := f.evidenceFor(now, f.hubVersion)
+	wire := f.evidenceFor(now, f.hubEdition)
 	if f.stamp.origin != 0 {
 		// Rounded down, so that the evidence does not get newer.
 		after := f.state.confirmedAt.Sub(f.stamp.receivedAt)
@@ -155,18 +179,19 @@
 	return wire
 }
 
-// evidenceFor returns the evidence for a receiver that has the known version. Its age is
+// evidenceFor returns the evidence for a receiver that has the known edition. Its age is
 // rounded up, so that the evidence does not get newer. The caller holds the lock.
-func (f *Follower) evidenceFor(now time.Time, known winch.Version) evidenceWire {
-	if f.state.version == 0 {
+func (f *Follower) evidenceFor(now time.Time, known edition) evidenceWire {
+	if f.state.edition.isNone() {
 		return evidenceWire{}
 	}
-	wire := evidenceWire{Version: int64(f.state.version), AgeMS: max(0, boundedAge(now.Sub(f.state.confirmedAt))+1)}
-	if known < f.state.version && len(f.state.raw) <= inlineLimit {
+	wire := evidenceWire{editionWire: encodeEdition(f.state.edition), AgeMS: max(0, boundedAge(now.Sub(f.state.confirmedAt))+1)}
+	if f.state.edition.newerThan(known) && len(f.state.raw) <= inlineLimit {
 		wire.Configuration = f.state.raw
 	}
 	if f.state.behind() {
-		wire.Newest = int64(f.state.known.version)
+		newest := encodeEdition(f.state.news.edition)
+		wire.Newest = &newest
 	}
 	return wire
 }
@@ -203,16 +228,22 @@
 	return b
 }
 
-// applyEvidence applies evidence from another host. Of evidence of unknown age only counts that the version exists.
+// applyEvidence applies evidence from another host. Of evidence of unknown age only counts that the edition exists.
 func (f *Follower) applyEvidence(received evidence, raw []byte, from winch.HostID) error {
-	if received.version == 0 {
+	if received.edition.isNone() {
 		return nil
 	}
 	if raw == nil || received.confirmed.IsZero() {
-		f.hearOfNewer(received.version, received.confirmed, from)
+		f.hearOfNewer(received, from)
 	}
-	if received.confirmed.IsZero() {
+	switch {
+	case received.confirmed.IsZero():
+		return nil
+	case raw == nil:
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.state.confirm(received.edition, received.confirmed)
 		return nil
 	}
-	return f.applyVersion(raw, received.version, received.confirmed, string(from))
+	return f.applyRelayed(raw, received.edition.version, received.confirmed, from)
 }
