fix(usage): counts that the store lost are stored again

Counts of requests were missing in the report of their window when the store came back from a copy that lacked them. The hub wrote an entry again only when further counts came, and hosts no longer reported what they believed to be stored.

All hosts now take their counts for not stored when they learn of a new era: the hub stores what it holds at once, and the others report theirs again, so that a hub that has begun since gets them too. Only the hub writes; the other hosts wait for it as long as after the end of a window.

--- a/usage/peer/counters.go
+++ b/usage/peer/counters.go
@@ -65,7 +65,9 @@
 
 // Options configures Counters. A zero value selects the default.
 type Options struct {
-	Store       winch.KeyValue
+	Store winch.KeyValue
+	// Eras tells that Store came back from an older copy. If it is nil, it never does.
+	Eras        winch.EraSource
 	Membership  winch.Membership
 	Incarnation winch.Incarnation
 	// Window is the length of a reporting window: whole seconds, the same on all hosts. The
@@ -149,6 +151,9 @@
 	complete    map[part]usage.HostSet
 	nextStore   time.Time
 	lastSettled usage.Window
+	// era is that of the key-value service in which counters were stored, and eraBegan when this host learned of it.
+	era      winch.Era
+	eraBegan time.Time
 }
 
 var (
@@ -222,6 +227,7 @@
 // Step writes counters when a write is due and removes old ones. Run calls it once a second, or
 // more often if StoreEvery is shorter than 4 s.
 func (c *Counters) Step(ctx context.Context, now time.Time) {
+	c.followEra(now)
 	settledUpTo := usage.WindowOf(now.Add(-c.options.Settle), c.options.Window)
 	included := scopeReported
 	if c.isHub(now) || c.hubIsLate(now) {
@@ -238,6 +244,24 @@
 	}
 }
 
+// followEra makes all counters count as not stored when a new era of the key-value service has begun: the older copy from which it came back
+// may lack them. The hub stores them at once. The other hosts report theirs again, since the hub may not have them any more.
+func (c *Counters) followEra(now time.Time) {
+	if c.options.Eras == nil || c.options.Eras.Newest() == c.era {
+		return
+	}
+	c.era, c.eraBegan, c.nextStore = c.options.Eras.Newest(), now, now
+	clear(c.versions)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.forgetStored()
+	for id, state := range c.hosts {
+		state.stored = 0
+		c.hosts[id] = state
+	}
+	c.options.Logger.Info("usage counts are stored again", "Event", EventCountsStoredAgain, "Era", c.era, "Counters", len(c.table.counters))
+}
+
 func (c *Counters) isHub(now time.Time) bool {
 	self := c.options.Membership.Self()
 	hub, found := c.options.Membership.Hub(now, self.DataCentre)
@@ -245,14 +269,17 @@
 }
 
 // hubIsLate reports whether this host has unstored counters of an ended window, and no head that has them, that the hub
-// should have stored by now, even if it missed maxMissedStores writes. This host then stores
-// them itself, as the key-value service may be unavailable only to the hub.
+// should have stored by now, even if it missed maxMissedStores writes, also since a new era of the key-value service began. This host then
+// stores them itself, as the key-value service may be unavailable only to the hub.
 func (c *Counters) hubIsLate(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	earliest := c.table.earliestUnstored(usage.WindowOf(now, c.options.Window), c.heldByHead)
-	deadline := earliest.End(c.options.Window).Add(c.options.Settle + maxMissedStores*c.options.StoreEvery)
-	return !now.Before(deadline)
+	due := earliest.End(c.options.Window)
+	if c.eraBegan.After(due) {
+		due = c.eraBegan
+	}
+	return !now.Before(due.Add(c.options.Settle + maxMissedStores*c.options.StoreEvery))
 }
 
 func (c *Counters) prune(ctx context.Context, now time.Time) {
--- a/usage/peer/counters_test.go
+++ b/usage/peer/counters_test.go
@@ -21,6 +21,7 @@
 type simulation struct {
 	t       assert.TestingT
 	store   *memory.Store
+	eras    *testEras
 	now     time.Time
 	hosts   []*host
 	started int
@@ -90,7 +91,7 @@
 
 func newSimulation(t assert.TestingT, count int) *simulation {
 	s := &simulation{
-		t: t, store: memory.New(), now: time.Unix(6000, 0).UTC(),
+		t: t, store: memory.New(), eras: &testEras{}, now: time.Unix(6000, 0).UTC(),
 		counted: map[winch.HostID]int64{}, lost: map[winch.HostID]int64{}, sinceExchange: map[winch.HostID]int64{},
 	}
 	for range count {
@@ -103,7 +104,7 @@
 	s.started++
 	h := &host{id: winch.HostID(fmt.Sprintf("host-%02d", s.started)), simulation: s}
 	h.KeyValue = s.store
-	counters, err := New(Options{Store: h, Membership: h, Incarnation: winch.Incarnation(h.id), Clock: s})
+	counters, err := New(Options{Store: h, Eras: s.eras, Membership: h, Incarnation: winch.Incarnation(h.id), Clock: s})
 	assert.NilError(s.t, err)
 	h.counters = counters
 	s.hosts = append(s.hosts, h)
@@ -183,6 +184,14 @@
 	}
 }
 
+// exchangeFor runs exchanges and ticks for the number of seconds.
+func (s *simulation) exchangeFor(ctx context.Context, seconds int) {
+	for range seconds {
+		s.exchangeAll()
+		s.tick(ctx)
+	}
+}
+
 // complete returns the hosts that the stored entry lists as complete. The test must have
 // recorded one organisation in one window only, so that there is a single entry.
 func (s *simulation) complete(ctx context.Context) usage.HostSet {
@@ -205,10 +214,7 @@
 func (s *simulation) drainAndCheck(ctx context.Context) {
 	s.store.SetOutage(false)
 	s.store.LoseResponses(0)
-	for range 40 {
-		s.exchangeAll()
-		s.tick(ctx)
-	}
+	s.exchangeFor(ctx, 40)
 	counted, lost := int64(0), int64(0)
 	for id, requests := range s.counted {
 		counted += requests
--- a/usage/peer/events.go
+++ b/usage/peer/events.go
@@ -12,4 +12,6 @@
 	// EventCountsDropped: counts were discarded because they could not be stored within the
 	// retention.
 	EventCountsDropped winch.EventNumber = 6003
+	// EventCountsStoredAgain: a new era of the key-value service has begun, and all counts that this host holds are stored again.
+	EventCountsStoredAgain winch.EventNumber = 6004
 )
--- a/usage/peer/table.go
+++ b/usage/peer/table.go
@@ -209,6 +209,13 @@
 	}
 }
 
+// forgetStored makes all counters count as not stored, and as changed, so that this host reports its own ones again.
+func (t *table) forgetStored() {
+	for _, state := range t.counters {
+		state.stored, state.changed = usage.Counts{}, t.sequence+1
+	}
+}
+
 // prune removes stored counters of windows before keepFrom and all counters of windows before
 // dropBefore. It returns the counts of the latter that were lost because they were never
 // stored.
--- a/winchd/forwarder/duties.go
+++ b/winchd/forwarder/duties.go
@@ -133,7 +133,7 @@
 func (f *Forwarder) buildCounters() error {
 	window := f.settings.Bounds.UsageWindow
 	counters, err := usagepeer.New(usagepeer.Options{
-		Store: f.store, Membership: f.table, Incarnation: f.incarnation, Window: window, Shards: usageShards,
+		Store: f.store, Eras: f.store.Eras(), Membership: f.table, Incarnation: f.incarnation, Window: window, Shards: usageShards,
 		StoreEvery: window / storesPerWindow, Settle: usageSettleDelay, Retention: usageRetention,
 		Clock: f.synced, Logger: f.logger, Meter: f.metrics.Meter(),
 	})
