fix(store): a version tells the era of the store in which it holds

Callers saw two holders of one duty with one fencing number, a lower number after a higher one, and configurations that did not come into force. When the store comes back from an older copy, its revisions fall and are given out again. All of the code took a revision for a number that rises for ever and stands for one change.

winch.Version now carries the era above the revision in one comparable number, so that places that compare versions stay right: what is read or written after the return is higher than all before.

- keyvalue.PutConfirmed takes the version of another era for no proof that a write failed.

--- a/keyvalue.go
+++ b/keyvalue.go
@@ -5,18 +5,6 @@
 	"time"
 )
 
-// Version is the key-value service's change counter at an entry's last change. It
-// increases across all keys and is never reused.
-type Version int64
-
-// Special values for the expected version of a write.
-const (
-	// VersionAny: the write succeeds in any state of the key.
-	VersionAny Version = -1
-	// VersionAbsent: the write succeeds only if the key does not exist.
-	VersionAbsent Version = 0
-)
-
 // Entry is a key-value pair with its version.
 type Entry struct {
 	Key     string
--- a/keyvalue/confirm.go
+++ b/keyvalue/confirm.go
@@ -66,7 +66,8 @@
 	return 0, err
 }
 
-// hasChanged reports whether the entry certainly no longer has the expected version.
+// hasChanged reports whether the entry certainly no longer has the expected version. A version from another era of the service does not
+// show it: the entry may be as it was, and a write that is still in flight may find its revision again.
 func hasChanged(entry winch.Entry, found bool, expect winch.Version) bool {
 	if expect == winch.VersionAny {
 		return false
@@ -74,7 +75,7 @@
 	if !found {
 		return expect != winch.VersionAbsent
 	}
-	return entry.Version != expect
+	return entry.Version != expect && entry.Version.Era() == expect.Era()
 }
 
 // readBack reads the entry and reports whether it exists. It retries after any other error than
--- a/keyvalue/confirm_test.go
+++ b/keyvalue/confirm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"testing"
 
@@ -46,3 +47,25 @@
 		assert.Assert(t, errors.Is(err, winch.ErrUnavailable))
 	})
 }
+
+// nextEraStore loses the response to each write. Its reads return the copy, in the next era.
+type nextEraStore struct {
+	*memory.Store
+	copied winch.Entry
+}
+
+func (s *nextEraStore) Put(context.Context, string, []byte, winch.Version) (winch.Version, error) {
+	return 0, winch.ErrOutcomeUnknown
+}
+
+func (s *nextEraStore) Get(context.Context, string) (winch.Entry, error) { return s.copied, nil }
+
+// TestPutConfirmedAcrossEras guards against a conflict that is reported although the write may still find the revision that it expects.
+func TestPutConfirmedAcrossEras(t *testing.T) {
+	version, err := winch.NewVersion(1, 7)
+	assert.NilError(t, err)
+	store := &nextEraStore{copied: winch.Entry{Key: "a", Value: []byte("copied"), Version: version}}
+	_, err = keyvalue.PutConfirmed(t.Context(), store, "a", []byte("mine"), 7, func([]byte) bool { return false })
+	assert.ErrorIs(t, err, winch.ErrOutcomeUnknown)
+	assert.Assert(t, !errors.Is(err, winch.ErrConflict))
+}
--- a/keyvalue/era/state.go
+++ b/keyvalue/era/state.go
@@ -11,6 +11,9 @@
 	sentAt position
 }
 
+// Era returns the newest era that was known when the call was sent.
+func (c Call) Era() winch.Era { return c.sentAt.era }
+
 // Answer is what the answer to a call tells of the service, also if the call failed.
 type Answer struct {
 	// Era is the era that the answer names, if HasEra is set.
--- a/lease/keyvalue/holder.go
+++ b/lease/keyvalue/holder.go
@@ -320,7 +320,7 @@
 	case !before.held && after.held:
 		h.options.Logger.Info("lease acquired", "Event", EventAcquired, "Duty", h.options.Duty,
 			"FencingNumber", after.number, "Begins", after.beginsAt,
-			"Version", after.version, "Predecessor", predecessor.holder, "PredecessorNumber", predecessor.number, "Released", predecessor.released)
+			"Era", after.version.Era(), "Revision", after.version.Revision(), "Predecessor", predecessor.holder, "PredecessorNumber", predecessor.number, "Released", predecessor.released)
 	case before.held && !after.held && released:
 		h.options.Logger.Info("lease released", "Event", EventReleased, "Duty", h.options.Duty, "FencingNumber", before.number)
 	case before.held && !after.held:
