fix(membership): a host whose lease the store lost is registered again

After the store came back from an older copy, a host could stay without an entry in the list of hosts for as long as its process lived, so that a new host did not know of it until it called. If the host stopped, it removed the entry of another one.

Cause: leases go with the other writes, and their ids are given out again. The host then renewed the lease of another host, and was told that all is well.

Now a host reads its own entry when the era of the store is not that of its registration, and once before it ends its lease. The entry proves the lease if it still has the revision that this host wrote, since the lease is older than the entry; else the host registers again.

--- a/membership/keyvalue/registry.go
+++ b/membership/keyvalue/registry.go
@@ -43,9 +43,11 @@
 	removeTimeout = time.Second
 )
 
-// Options are the settings of a registry. All fields but TTL are required.
+// Options are the settings of a registry. All fields but Eras and TTL are required.
 type Options struct {
 	Store winch.LeasedKeyValue
+	// Eras tells that Store came back from an older copy. If it is nil, it never does.
+	Eras winch.EraSource
 	Self  winch.Host
 	// TTL is how long the entry remains after the host has last renewed it; zero means 12 s.
 	TTL    time.Duration
@@ -55,8 +57,9 @@
 // Registry registers this host and lists all hosts. Run must be called once.
 type Registry struct {
 	options Options
-	// lease is zero while the host is not registered. Only Run uses it.
-	lease winch.LeaseID
+	// lease is zero while the host is not registered, and version is that of its entry. Only Run uses them.
+	lease   winch.LeaseID
+	version winch.Version
 	// failures logs failures to register or renew, and the first success after them. Only
 	// Run uses it.
 	failures *dependency.Dependency
@@ -81,32 +84,75 @@
 func (r *Registry) Run(ctx context.Context) error {
 	// err is always nil: periodic.Run ends only because ctx has ended.
 	err := periodic.Run(ctx, r.options.TTL/renewalsPerTTL, r.keepRegistered)
-	if r.lease == 0 {
-		return err
-	}
 	removeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), removeTimeout)
 	defer cancel()
-	if err := r.options.Store.End(removeCtx, r.lease); err != nil {
+	if err := r.remove(removeCtx); err != nil {
 		r.options.Logger.Info("could not remove host entry, it expires with its lease", "Event", EventEntryFailed, "Error", err)
 	}
 	return err
 }
 
+// remove ends the lease, if it is still this host's.
+func (r *Registry) remove(ctx context.Context) error {
+	if err := r.confirm(ctx); err != nil || r.lease == 0 {
+		return err
+	}
+	return r.options.Store.End(ctx, r.lease)
+}
+
 // keepRegistered calls renewOrRegister and logs its failures and the first success after them.
 func (r *Registry) keepRegistered(ctx context.Context) { r.failures.Note(r.renewOrRegister(ctx)) }
 
-// renewOrRegister renews the lease of the entry, or registers the host if there is no entry.
+// renewOrRegister renews the lease of the entry, or registers the host if there is no entry. If a new era of the store has begun, the
+// lease may be lost or another's, which its renewal does not show.
 func (r *Registry) renewOrRegister(ctx context.Context) error {
-	if r.lease != 0 {
-		err := r.options.Store.Renew(ctx, r.lease)
-		if !errors.Is(err, winch.ErrNotFound) {
+	if err := r.renew(ctx); err != nil {
+		return err
+	}
+	if r.options.Eras != nil && r.options.Eras.Newest() != r.version.Era() {
+		if err := r.confirm(ctx); err != nil {
 			return err
 		}
-		r.lease = 0
+	}
+	if r.lease != 0 {
+		return nil
 	}
 	return r.register(ctx)
 }
 
+// renew renews the lease. It sets it to zero if it has ended.
+func (r *Registry) renew(ctx context.Context) error {
+	if r.lease == 0 {
+		return nil
+	}
+	err := r.options.Store.Renew(ctx, r.lease)
+	if errors.Is(err, winch.ErrNotFound) {
+		r.lease = 0
+		return nil
+	}
+	return err
+}
+
+// confirm reads the entry of this host. It sets the lease to zero unless the entry is the one that this host wrote: the store then has
+// that write, and so the lease, which is older.
+func (r *Registry) confirm(ctx context.Context) error {
+	if r.lease == 0 {
+		return nil
+	}
+	entry, err := r.options.Store.Get(ctx, r.key())
+	if err != nil && !errors.Is(err, winch.ErrNotFound) {
+		return err
+	}
+	if err != nil || entry.Version.Revision() != r.version.Revision() {
+		r.lease = 0
+		return nil
+	}
+	r.version = entry.Version
+	return nil
+}
+
+func (r *Registry) key() string { return hostPrefix + string(r.options.Self.ID) }
+
 func (r *Registry) register(ctx context.Context) error {
 	value, err := encodeHost(r.options.Self)
 	if err != nil {
@@ -116,12 +162,12 @@
 	if err != nil {
 		return err
 	}
-	key := hostPrefix + string(r.options.Self.ID)
-	if _, err := r.options.Store.PutLeased(ctx, key, value, winch.VersionAny, lease); err != nil {
+	version, err := r.options.Store.PutLeased(ctx, r.key(), value, winch.VersionAny, lease)
+	if err != nil {
 		return err
 	}
-	r.lease = lease
-	r.options.Logger.Info("host registered", "Event", EventRegistered, "Key", key, "Lease", lease)
+	r.lease, r.version = lease, version
+	r.options.Logger.Info("host registered", "Event", EventRegistered, "Key", r.key(), "Lease", lease)
 	return nil
 }
 
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -155,7 +155,7 @@
 	self := winch.Host{ID: f.settings.Host, DataCentre: exchangeGroup, Home: f.settings.DataCentre, PeerAddress: f.settings.Peer.Address, Capacity: f.settings.Limits.Processors}
 	f.table = memberpeer.NewTable(self, nil, suspectAfter, forgetAfter)
 	f.table.EnableGroups()
-	built, err := members.New(members.Options{Store: f.store, Self: self, Logger: f.logger})
+	built, err := members.New(members.Options{Store: f.store, Eras: f.store.Eras(), Self: self, Logger: f.logger})
 	f.hosts = built
 	return err
 }
