feat(dispatch): tell which endpoints this host alone does not reach, and why requests wait

Neither logs nor metrics told a cut from endpoints that are down, or requests that are held back for other hosts from a lack of slots.

Events 3002 and 3003 and the counter of decisions have the cause for which a request is not sent. Events 3025 and 3026 tell when endpoints do not accept this host's connections while other hosts have requests there. Gauges show these endpoints, the requests of this host and of the others by state, and the slots that no host uses. No decision changes.

--- a/dispatch/endpoint/core.go
+++ b/dispatch/endpoint/core.go
@@ -37,6 +37,8 @@
 	effectCold
 	effectWarming
 	effectWarm
+	effectUnreachable
+	effectReachable
 )
 
 // effect is a decision of the core that the Dispatcher applies and logs.
@@ -57,6 +59,7 @@
 	// rate is that which the endpoint has named, and ownRate this host's part of it.
 	rate, ownRate winch.RequestRate
 	evacuation    evacuation
+	reach         reach
 }
 
 // lowerTierWork counts the lower-tier requests, known at a decision, that could be evicted or
@@ -107,6 +110,8 @@
 	expiry             expiryHeap
 	// coldHeldBack counts the requests that were held back for a cold endpoint; see coldFigures.
 	coldHeldBack int64
+	// unreachableLogged is set from effectUnreachable until effectReachable.
+	unreachableLogged bool
 	// boundQueued is the number of bound requests in the queues of all lanes.
 	boundQueued int
 	// stoppedUntil is when this process last went on after a long stop.
@@ -254,22 +259,25 @@
 
 // blocked reports whether the lane must leave free slots to a higher tier whose queued requests are at risk on another
 // host or, if prompts are limited, wait on this one. A lane that is starved is never blocked.
-func (c *core) blocked(now time.Time, l *lane) bool {
+func (c *core) blocked(now time.Time, l *lane) bool { return c.blockedBy(now, l) != "" }
+
+// blockedBy returns for what the lane must leave free slots, or nothing if it is not blocked.
+func (c *core) blockedBy(now time.Time, l *lane) queueCause {
 	if !c.features.tiers || c.starved(now, l) {
-		return false
+		return ""
 	}
 	if c.limitsPrefill(l) && l.higherQueued() {
-		return true
+		return queuedHigherTier
 	}
 	for _, competitor := range l.competitors {
 		if !competitor.higher(l) {
-			return false
+			return ""
 		}
 		if c.hostStatsFresh(now) && competitor.others.Urgent > c.urgentTolerance(l) {
-			return true
+			return queuedOtherHosts
 		}
 	}
-	return false
+	return ""
 }
 
 func (c *core) fresh(now, at time.Time) bool {
@@ -283,9 +291,10 @@
 	l := r.lane
 	r.state = requestQueued
 	r.expires = c.expiryOf(now, r)
+	cause := c.queueCauseOf(now, l, r)
 	l.push(r)
 	c.expiry.push(r)
-	c.emit(effect{kind: effectQueued, at: now, request: r, lane: l})
+	c.emit(effect{kind: effectQueued, at: now, request: r, lane: l, cause: string(cause)})
 	c.checkQueueLength(now, l)
 }
 
@@ -369,6 +378,10 @@
 
 // refuse rejects the request, removing it from its queue if it is queued.
 func (c *core) refuse(now time.Time, r *request, l *lane, reason winch.RefusalReason, wait time.Duration) {
+	cause := queueCause("")
+	if l != nil && r.lane != nil {
+		cause = c.queueCauseOf(now, l, r)
+	}
 	if r.state == requestQueued {
 		c.unqueue(r)
 	}
@@ -380,7 +393,7 @@
 		l.addPrompt(now, r.work.InputTokens-sharedTokens(r.work.Parts))
 	}
 	refusal := winch.Refusal{Reason: reason, RetryAfter: c.retryAfter(now, l, wait)}
-	c.emit(effect{kind: effectRefused, at: now, request: r, lane: l, refusal: refusal, lowerTier: c.countLowerTier(now, l)})
+	c.emit(effect{kind: effectRefused, at: now, request: r, lane: l, refusal: refusal, lowerTier: c.countLowerTier(now, l), cause: string(cause)})
 }
 
 // cancel removes a queued request whose caller has disconnected. It reports whether the request was
--- a/dispatch/endpoint/events.go
+++ b/dispatch/endpoint/events.go
@@ -53,6 +53,10 @@
 	// EventHeldBack: a request was not sent because the endpoint's data centre was evacuated after the slot was granted, or may have been
 	// while the process was stopped.
 	EventHeldBack winch.EventNumber = 3024
+	// EventEndpointsUnreachable: endpoints do not accept this host's connections while other hosts have requests there.
+	EventEndpointsUnreachable winch.EventNumber = 3025
+	// EventEndpointsReachable: all endpoints that did not accept this host's connections have answered again or are gone.
+	EventEndpointsReachable winch.EventNumber = 3026
 	// EventEndpointCold: an endpoint is cold and gets few requests from all hosts together.
 	EventEndpointCold winch.EventNumber = 3030
 	// EventEndpointWarming: an endpoint is not cold any more, and its rate of requests rises step by step.
--- a/dispatch/endpoint/health.go
+++ b/dispatch/endpoint/health.go
@@ -15,6 +15,8 @@
 	// ejected is set from the ejection until a request succeeds after the back-off.
 	ejected   bool
 	ejectedAt time.Time
+	// unreachable is set if the endpoint did not accept the connection of the request for which it was ejected last.
+	unreachable bool
 	// probedEarly is set once a load report has ended a back-off early. Only the restoration resets it.
 	probedEarly bool
 }
@@ -47,7 +49,7 @@
 	default:
 		h.backoff *= 2
 	}
-	h.ejected, h.failures, h.ejectedAt = true, 0, now
+	h.ejected, h.failures, h.ejectedAt, h.unreachable = true, 0, now, unreachable
 	backoff := h.backoff
 	if unreachable {
 		backoff += c.probeSpread(e)
--- a/dispatch/endpoint/log.go
+++ b/dispatch/endpoint/log.go
@@ -40,11 +40,12 @@
 	statsAge       time.Duration
 	rate, ownRate  winch.RequestRate
 	evacuation     evacuation
+	reach          reach
 }
 
 // newLogEntry copies the effect's data.
 func (c *core) newLogEntry(e *effect) logEntry {
-	entry := logEntry{kind: e.kind, at: e.at, duration: e.duration, refusal: e.refusal, outcome: e.outcome, cause: e.cause, lowerTier: e.lowerTier, rate: e.rate, ownRate: e.ownRate, evacuation: e.evacuation}
+	entry := logEntry{kind: e.kind, at: e.at, duration: e.duration, refusal: e.refusal, outcome: e.outcome, cause: e.cause, lowerTier: e.lowerTier, rate: e.rate, ownRate: e.ownRate, evacuation: e.evacuation, reach: e.reach}
 	if r := e.request; r != nil {
 		entry.request, entry.organisation, entry.class = r.work.Request, r.work.Organisation, r.work.Class
 		entry.group = group{model: r.work.Model, route: r.work.Route}
@@ -109,9 +110,9 @@
 	case effectGranted:
 		d.logGrant(l)
 	case effectQueued:
-		d.logger.Info("request queued", d.requestFields(EventQueued, l, "Queued", l.queued, "UnderWay", l.attemptedBefore)...)
+		d.logger.Info("request queued", d.requestFields(EventQueued, l, "Queued", l.queued, "UnderWay", l.attemptedBefore, "Cause", l.cause)...)
 	case effectRefused:
-		fields := d.requestFields(EventRefused, l, "Reason", string(l.refusal.Reason), "RetryAfter", l.refusal.RetryAfter.String(), "Queued", l.queued)
+		fields := d.requestFields(EventRefused, l, "Reason", string(l.refusal.Reason), "RetryAfter", l.refusal.RetryAfter.String(), "Queued", l.queued, "Cause", l.cause)
 		d.logger.Info("request refused", append(fields, l.lowerTierFields()...)...)
 	case effectPreempted:
 		// Class and Tier are those of the waiting lane. VictimTier is the stream's, and the Lower fields
@@ -127,6 +128,8 @@
 		d.logger.Info("request not sent, it gets another slot: the endpoint's data centre is or may be evacuated", d.requestFields(EventHeldBack, l, "Endpoint", string(l.endpoint))...)
 	case effectEvacuated, effectEvacuationEnded:
 		d.logEvacuation(l)
+	case effectUnreachable, effectReachable:
+		d.logReach(l)
 	case effectCancelled:
 		d.logger.Info("request cancelled while queued", d.requestFields(EventCancelled, l)...)
 	default:
--- a/dispatch/endpoint/metrics.go
+++ b/dispatch/endpoint/metrics.go
@@ -23,7 +23,7 @@
 	if meter == nil {
 		meter = noop.NewMeterProvider().Meter("dispatch")
 	}
-	decisions, err := meter.Int64Counter("winch_dispatch_decisions", metric.WithDescription("Decisions by kind, class and reason."))
+	decisions, err := meter.Int64Counter("winch_dispatch_decisions", metric.WithDescription("Decisions by kind, class, reason and cause."))
 	if err != nil {
 		return nil, fmt.Errorf("create decision counter: %w", err)
 	}
@@ -52,6 +52,9 @@
 	if err := observePrefixes(meter, d); err != nil {
 		return nil, err
 	}
+	if err := observeReach(meter, d); err != nil {
+		return nil, err
+	}
 	return &metrics{decisions: decisions, waits: waits}, nil
 }
 
@@ -119,13 +122,18 @@
 		effectSaysLeaving: "says_leaving", effectRests: "rests", effectRested: "rested", effectRateNamed: "rate_named", effectRateEnded: "rate_ended",
 		effectEvacuated: "evacuated", effectEvacuationEnded: "evacuation_ended", effectHeldBack: "held_back",
 		effectCold: "cold", effectWarming: "warming", effectWarm: "warm",
+		effectUnreachable: "unreachable", effectReachable: "reachable",
 	}
 	return names[k]
 }
 
 // count counts a decision and records the wait of granted requests.
 func (m *metrics) count(l *logEntry) {
-	m.decisions.Add(context.Background(), 1, m.attributes(labels{kind: l.kind, class: l.class, reason: l.refusal.Reason}))
+	key := labels{kind: l.kind, class: l.class, reason: l.refusal.Reason}
+	if l.kind == effectQueued || l.kind == effectRefused {
+		key.cause = l.cause
+	}
+	m.decisions.Add(context.Background(), 1, m.attributes(key))
 	if l.kind == effectGranted {
 		m.waits.Record(context.Background(), l.duration.Seconds(), m.attributes(labels{kind: l.kind, class: l.class}))
 	}
@@ -136,6 +144,8 @@
 	kind   effectKind
 	class  winch.ClassID
 	reason winch.RefusalReason
+	// cause is the queueCause of requests that were queued or refused.
+	cause string
 }
 
 // attributes returns the attributes of the labels, cached after the first call.
@@ -144,7 +154,8 @@
 		return existing.(metric.MeasurementOption)
 	}
 	built := metric.WithAttributeSet(attribute.NewSet(attribute.String("kind", key.kind.String()),
-		attribute.String("class", string(key.class)), attribute.String("reason", string(key.reason))))
+		attribute.String("class", string(key.class)), attribute.String("reason", string(key.reason)),
+		attribute.String("cause", key.cause)))
 	m.cached.Store(key, built)
 	return built
 }
--- a/dispatch/endpoint/software.go
+++ b/dispatch/endpoint/software.go
@@ -113,7 +113,7 @@
 	l.bound = append(l.bound, r)
 	c.boundQueued++
 	c.expiry.push(r)
-	c.emit(effect{kind: effectQueued, at: now, request: r, lane: l})
+	c.emit(effect{kind: effectQueued, at: now, request: r, lane: l, cause: string(queuedSoftware)})
 }
 
 // removeBound removes the request from its lane's queue of bound requests.
--- a/dispatch/endpoint/tick.go
+++ b/dispatch/endpoint/tick.go
@@ -32,6 +32,7 @@
 		e.history.Add(now, float64(e.running+e.others))
 	}
 	c.refresh(now)
+	c.checkReach(now)
 	c.expire(now)
 	c.refuseUnservedSoftware(now)
 	c.moveEvacuated(now)
