fix(release): an older copy is no proof for a host that heard first

A new process that heard of a newer revision before it read the source for the first time took the older copy with the time of the read as evidence, and served by it until the next read. The proof that the source was set back only took away earlier evidence. The read itself now gives none either.

TestNewProcessHearsBeforeItReads failed before (AuthorityFull), and passes now.

--- a/release/source/follower.go
+++ b/release/source/follower.go
@@ -165,12 +165,12 @@
 	}
 	next, err := f.decode(raw, version)
 	f.mu.Lock()
-	f.state.settle(reading{edition: next.edition, err: err}, sent, f.options.FreshnessLimit)
+	confirmed := f.state.settle(reading{edition: next.edition, err: err}, sent, f.options.FreshnessLimit)
 	f.mu.Unlock()
 	if err != nil {
 		return err
 	}
-	inForce, replaced := f.apply(next, sent, fromSource)
+	inForce, replaced := f.apply(next, confirmed, fromSource)
 	f.logOlder(next.edition, inForce, replaced)
 	return nil
 }
@@ -182,8 +182,8 @@
 	if expected.edition.isNone() {
 		return nil
 	}
-	f.state.settle(expected, sent, f.options.FreshnessLimit)
-	f.state.confirm(expected.edition, sent)
+	confirmed := f.state.settle(expected, sent, f.options.FreshnessLimit)
+	f.state.confirm(expected.edition, confirmed)
 	return expected.err
 }
 
--- a/release/source/setback_test.go
+++ b/release/source/setback_test.go
@@ -228,6 +228,21 @@
 	})
 }
 
+// TestNewProcessHearsBeforeItReads guards against a new process that takes the older copy for the newest configuration, although it has heard
+// of a newer one before it read the source.
+func TestNewProcessHearsBeforeItReads(t *testing.T) {
+	eachSite(t, func(t *testing.T, s *site) {
+		s.routes = largeRoutes
+		hub := s.loseRevision5(t)
+		host := s.newHost(t, "127.0.0.1:1")
+		exchange(t, host, hub, s.clock, 0)
+		s.stepAfter(t, time.Second, host)
+		assert.Equal(t, host.Current().Revision, winch.Revision(1))
+		assert.Assert(t, host.Superseded(s.clock.now))
+		assert.Equal(t, host.Authority(s.clock.now), winch.AuthorityNone)
+	})
+}
+
 // TestTwoReturnsInARow guards against a rule that holds for one return only.
 func TestTwoReturnsInARow(t *testing.T) {
 	eachSite(t, func(t *testing.T, s *site) {
--- a/release/source/state.go
+++ b/release/source/state.go
@@ -76,25 +76,27 @@
 	s.news.holder, s.news.heldAt = from, now
 }
 
-// settle processes a read of the source that was sent at the given time. It ends news of a newer edition that no host had within the
-// limit: they may be wrong, or the source may have been set back.
-func (s *state) settle(read reading, sent time.Time, limit time.Duration) {
+// settle processes a read of the source that was sent at the given time. It returns the time at which the read proves its result to be the
+// newest, or zero if it does not. It ends news of a newer edition that no host had within the limit: they may be wrong, or the source may
+// have been set back.
+func (s *state) settle(read reading, sent time.Time, limit time.Duration) time.Time {
 	s.expected = read
 	if read.err != nil {
 		s.rejected = read.edition
 	} else {
 		s.rejected = edition{}
 	}
+	contradicted := s.news.edition.newerThan(read.edition)
 	switch {
-	case s.news.holder == "" || sent.Sub(s.news.heldAt) > limit:
-		if read.err != nil || s.news.edition.newerThan(read.edition) {
-			s.news = news{}
-		}
-	case read.err == nil && sent.After(s.news.heldSince) && s.news.edition.newerThan(read.edition) && s.behind():
+	case (contradicted || read.err != nil) && (s.news.holder == "" || sent.Sub(s.news.heldAt) > limit):
+		s.news = news{}
+	case contradicted && read.err == nil && s.behind() && sent.After(s.news.heldSince):
 		// The edition was in the source before the read began, so the source has come back from an older copy. What it has proves
 		// nothing of this host's configuration.
 		s.confirmedAt = time.Time{}
+		return time.Time{}
 	}
+	return sent
 }
 
 // decoded is a configuration with what is needed to use it. It is built before the lock of the state is taken, since requests need that lock.
