test(release): the condition that another write matches, beside other reads

TestConditionIsMatchedByAnotherWrite asked for something that cannot be known where the store tells no era: the response to the transaction with which a large configuration is read names no revision of the store, so nothing in it tells a match by chance from an entry that has not changed. The host now reads the list of endpoints before and after the return, as each host does once a second; that answer has the revision.

--- a/release/source/setback_test.go
+++ b/release/source/setback_test.go
@@ -25,6 +25,8 @@
 	store   *platformtest.Store
 	address string
 	clock   *fakeClock
+	// client is that of the newest host.
+	client *store.Client
 	// routes is the number of additional routes of each configuration.
 	routes int
 	writes int
@@ -52,6 +54,7 @@
 	t.Helper()
 	client, err := store.New(store.Options{Address: s.address})
 	assert.NilError(t, err)
+	s.client = client
 	host, err := New(Options{
 		Source: operator.New(client), Clock: s.clock, Logger: hclog.NewNullLogger(), Self: "self", Membership: oneHost{address: peer},
 		FreshnessLimit: 4 * time.Second, SupersededLimit: 2 * time.Second,
@@ -274,6 +277,7 @@
 	host := s.newHost(t, "")
 	s.stepAfter(t, 0, host)
 	s.writeOthers(20)
+	s.listEndpoints(t)
 	s.stepAfter(t, time.Second, host)
 	assertInForce(t, host, 5, s.clock.now)
 	s.store.Return(backup)
@@ -291,12 +295,22 @@
 	})
 }
 
+// listEndpoints reads the list of endpoints with the client of the newest host, as each host does once a second.
+func (s *site) listEndpoints(t *testing.T) {
+	t.Helper()
+	_, _, err := s.client.List(t.Context(), platformtest.EndpointPrefix)
+	assert.NilError(t, err)
+}
+
 // TestConditionIsMatchedByAnotherWrite is TestKnownVersionIsMatchedByAnotherWrite for a configuration that is only transferred if it has
-// changed. One more read is allowed: the first may only find that the store has come back.
+// changed. The response to such a read tells no revision of the store. If the store tells no era either, hosts learn from the list of
+// endpoints that it has come back; after that, one read may fail.
 func TestConditionIsMatchedByAnotherWrite(t *testing.T) {
 	eachSite(t, func(t *testing.T, s *site) {
 		s.routes = largeRoutes
+		s.writeOthers(1)
 		host := s.matchKnownVersion(t)
+		s.listEndpoints(t)
 		s.stepAfter(t, time.Second, host)
 		assert.Assert(t, host.Current().Revision == 7 || host.ConfirmedAt().Before(s.clock.now), "revision 5 is confirmed by another write")
 		s.stepAfter(t, time.Second, host)
