--- a/release/source/follower_test.go
+++ b/release/source/follower_test.go
@@ -161,6 +161,8 @@
 	source.version, source.hasKey = 5, false
 	host.Step(t.Context())
 	assert.Equal(t, source.changes, 2)
+	host.Step(t.Context())
+	assert.Equal(t, source.changes, 2, "the older copy was transferred again")
 	assert.Assert(t, !host.isBehind())
 	assert.Equal(t, host.Authority(start.Add(5*time.Second)), winch.AuthorityOpen)
 }
@@ -179,6 +181,42 @@
 	return s.fakeSource.Fetch(ctx, known, read)
 }
 
+// TestRelayedConfigurationIsNotTransferredAgain guards against a large configuration that each host gets from the hub and then from the source.
+func TestRelayedConfigurationIsNotTransferredAgain(t *testing.T) {
+	hub, c := newFollower(t, &fakeSource{version: 9, hasKey: true})
+	hub.Step(t.Context())
+	source := &changingSource{fakeSource: &fakeSource{version: 9, hasKey: true}}
+	host, err := New(Options{Source: source, Clock: c, Logger: hclog.NewNullLogger(), FreshnessLimit: 4 * time.Second, MaxRelayedAge: time.Second})
+	assert.NilError(t, err)
+	exchange(t, host, hub, c, 0)
+	c.now = c.now.Add(2 * time.Second)
+	host.Step(t.Context())
+	assert.Equal(t, source.changes, 0)
+	assert.Equal(t, host.ConfirmedAt(), c.now)
+}
+
+// TestUndecodableConfigurationStaysAFailure guards against reads that seem to have recovered, because the configuration that cannot be decoded
+// has not changed.
+func TestUndecodableConfigurationStaysAFailure(t *testing.T) {
+	host, err := New(Options{Source: undecodableSource{&fakeSource{version: 5}}, Clock: &fakeClock{now: start}, Logger: hclog.NewNullLogger()})
+	assert.NilError(t, err)
+	for range 2 {
+		assert.ErrorIs(t, host.read(t.Context(), start, time.Second), winch.ErrInvalid)
+	}
+}
+
+// TestEvidenceForAnEditionThatIsMissingReplacesNoRead guards against a host that relies on its hub for a configuration that it does not get.
+func TestEvidenceForAnEditionThatIsMissingReplacesNoRead(t *testing.T) {
+	c := &fakeClock{now: start}
+	source := &fakeSource{version: 5}
+	host, err := New(Options{Source: source, Clock: c, Logger: hclog.NewNullLogger(), FreshnessLimit: 4 * time.Second, MaxRelayedAge: time.Second})
+	assert.NilError(t, err)
+	summary := []byte(`{"Version":9,"Digest":1,"AgeMS":0}`)
+	assert.NilError(t, host.Section().Apply(c.now, c.now, "hub", summary))
+	host.Step(t.Context())
+	assert.Equal(t, source.calls, 1)
+}
+
 // exchange performs one exchange between the host and the hub; the summary arrives
 // after the duration.
 func exchange(t *testing.T, host, hub *Follower, c *fakeClock, duration time.Duration) {
--- a/release/source/state_test.go
+++ b/release/source/state_test.go
@@ -60,6 +60,12 @@
 		assert.Assert(t, s.replaceIfNewer(decoded{configuration: &winch.Configuration{}, edition: newer}, time.Time{}))
 		assert.Assert(t, s.confirmedAt.IsZero())
 	})
+	t.Run("nor does what was heard of an older one", func(t *testing.T) {
+		s := &state{decoded: decoded{configuration: &winch.Configuration{}}}
+		s.hear(heardAt, evidence{edition: older, confirmed: heardAt}, "hub")
+		assert.Assert(t, s.replaceIfNewer(decoded{configuration: &winch.Configuration{}, edition: newer}, time.Time{}))
+		assert.Assert(t, s.confirmedAt.IsZero())
+	})
 	t.Run("until no host has had the newer one for the limit", func(t *testing.T) {
 		s := newBehind()
 		now := heardAt.Add(testFreshness + 1)
@@ -92,14 +98,36 @@
 
 // TestRejectedEditionIsNotWaitedFor guards against a host that refuses all requests because of a configuration that it cannot decode.
 func TestRejectedEditionIsNotWaitedFor(t *testing.T) {
-	s := newState(edition{revision: 3, digest: 1, version: 110})
-	s.hear(start, evidence{edition: edition{revision: 5, digest: 2, version: 120}}, "hub")
-	assert.Assert(t, s.behind())
-	s.settle(reading{edition: edition{digest: 2, version: 120}, err: winch.ErrInvalid}, start.Add(time.Second), testFreshness)
-	assert.Assert(t, !s.behind())
-	assertAuthority(t, s, start.Add(time.Second), winch.AuthorityFull)
+	own, other := edition{revision: 3, digest: 1, version: 110}, edition{revision: 5, digest: 2, version: 120}
+	readAt := start.Add(time.Second)
+	// reject returns a state that has heard of the other edition, and has read one that it cannot decode.
+	reject := func(rejected edition) *state {
+		s := newState(own)
+		s.hear(start, evidence{edition: other}, "hub")
+		assert.Assert(t, s.behind())
+		s.settle(reading{edition: rejected, err: winch.ErrInvalid}, readAt, testFreshness)
+		return s
+	}
+	for name, rejected := range map[string]edition{
+		"the one it has heard of":                      {digest: 2, version: 120},
+		"the one it has heard of, written once more":   {digest: 2, version: 115},
+		"one that was written after that":              {digest: 3, version: 125},
+		"the one it has heard of, with another number": {revision: 4, digest: 2, version: 115},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := reject(rejected)
+			assert.Assert(t, !s.behind())
+			assertAuthority(t, s, readAt, winch.AuthorityFull)
+		})
+	}
 	t.Run("a newer one is", func(t *testing.T) {
-		s.hear(start.Add(time.Second), evidence{edition: edition{revision: 7, digest: 3, version: 130}}, "hub")
+		s := reject(edition{digest: 2, version: 120})
+		s.hear(readAt, evidence{edition: edition{revision: 7, digest: 3, version: 130}}, "hub")
+		assert.Assert(t, s.behind())
+	})
+	t.Run("so is another one once the source has one that can be decoded", func(t *testing.T) {
+		s := reject(edition{digest: 3, version: 125})
+		s.settle(reading{edition: own}, start, testFreshness)
 		assert.Assert(t, s.behind())
 	})
 }
