fix(origin): software versions that the store lost are saved again

If all hosts ended after the store had come back from an older copy, the next ones did not know of versions that had begun to serve in the lost seconds, and could take a stream up with another version than the one that began it.

Cause: the hub saves the versions only when other ones are listed than at its last save, which it took for stored.

When the hub learns of a new era it loads the history again, which makes it save what it knows besides. It stays able to take streams up meanwhile.

--- a/origin/peer/history.go
+++ b/origin/peer/history.go
@@ -50,14 +50,28 @@
 	if !found || hub.ID != membership.Self().ID {
 		return
 	}
+	k.followEra(ctx, now)
 	k.saveHistory(ctx, now)
 }
 
-func (k *Keeper) loadHistory(ctx context.Context, now time.Time) {
+// followEra loads the history when a new era of its store has begun, so that it is saved again: the older copy from which the store came
+// back may lack versions. This host still knows them.
+func (k *Keeper) followEra(ctx context.Context, now time.Time) {
+	if k.options.Eras == nil || k.options.Eras.Newest() == k.historyEra {
+		return
+	}
+	era := k.options.Eras.Newest()
+	if k.loadHistory(ctx, now) {
+		k.historyEra = era
+	}
+}
+
+// loadHistory loads the versions and reports whether it could.
+func (k *Keeper) loadHistory(ctx context.Context, now time.Time) bool {
 	served, err := k.options.History.Load(ctx, now)
 	if err != nil {
 		k.options.Logger.Info("earlier software versions are not known yet", "Event", EventHistoryFailed, "Error", err)
-		return
+		return false
 	}
 	k.mu.Lock()
 	for _, each := range served {
@@ -66,6 +80,7 @@
 	k.mu.Unlock()
 	k.savedVersions = nil
 	k.historyLoaded.Store(true)
+	return true
 }
 
 // saveHistory saves the versions if others are listed than when this host has last saved them.
--- a/origin/peer/keeper.go
+++ b/origin/peer/keeper.go
@@ -51,7 +51,7 @@
 	defaultTimeout = time.Minute
 )
 
-// Options are the dependencies of a Keeper. Only Meter may be nil.
+// Options are the dependencies of a Keeper. Only Meter, History and Eras may be nil.
 type Options struct {
 	Membership     winch.Membership
 	Endpoints      winch.EndpointSource
@@ -61,6 +61,8 @@
 	Meter          metric.Meter
 	// History may be nil. The versions that this host has seen itself are then taken for all that have served.
 	History winch.SoftwareHistory
+	// Eras tells that the store of History came back from an older copy. If it is nil, it never does.
+	Eras winch.EraSource
 }
 
 // Keeper implements winch.StreamOrigins. It is safe for concurrent use.
@@ -77,6 +79,8 @@
 	historyLoaded atomic.Bool
 	// savedVersions are the listed ones when this host has last saved the history; used by runHistory only.
 	savedVersions []version
+	// historyEra is the era of the store when the history was last loaded or saved; used by runHistory only.
+	historyEra winch.Era
 
 	mu   sync.Mutex
 	book *origin.Book
@@ -89,7 +93,7 @@
 // New checks the options and returns a keeper. Until Connect is called, it knows the streams of this host only.
 func New(options Options) (*Keeper, error) {
 	if options.Membership == nil || options.Endpoints == nil || options.Configurations == nil || options.Clock == nil || options.Logger == nil {
-		return nil, fmt.Errorf("create keeper of stream origins: only Meter and History may be nil: %w", winch.ErrInvalid)
+		return nil, fmt.Errorf("create keeper of stream origins: only Meter, History and Eras may be nil: %w", winch.ErrInvalid)
 	}
 	options.Meter = cmp.Or[metric.Meter](options.Meter, noop.Meter{})
 	k := &Keeper{
--- a/origin/peer/keeper_test.go
+++ b/origin/peer/keeper_test.go
@@ -72,6 +72,10 @@
 	return all
 }
 
+func (h *testHost) Hub(time.Time, winch.DataCentreID) (winch.Host, bool) {
+	return h.group.hosts[0].self, true
+}
+
 func (h *testHost) Current() *winch.Configuration { return nil }
 func (h *testHost) Changed() <-chan struct{}      { return nil }
 
--- a/winchd/forwarder/origins.go
+++ b/winchd/forwarder/origins.go
@@ -12,7 +12,7 @@
 	}
 	built, err := origins.New(origins.Options{
 		Membership: f.table, Endpoints: f.endpoints, Configurations: f.configuration, Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
-		History: versions,
+		History: versions, Eras: f.store.Eras(),
 	})
 	f.origins = built
 	return err
