fix(registry): endpoints that the store lost have time to register again

Requests were refused as no_endpoint, or all went to a few endpoints, when the store came back without the entries of endpoints that had registered in the lost seconds: hosts took them for gone at the next reading, though they serve and register again within about two seconds.

Cause: only an outage with failed reads and 2 s without a list gave endpoints that time. A store that is away for less than that gave none.

A new era now gives it too, counted from the first list that is read once the host knows the era. An endpoint that is still missing after it goes.

TestEndpointThatIsRemovedLongAfterTheStoreCameBackGoesAtOnce guards against a grace time that begins late.

--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -39,8 +39,8 @@
 	// outageThreshold is the time without a list after which, if a read failed, the next list counts as the first one after
 	// an outage. Entries do not expire earlier.
 	outageThreshold = 2 * time.Second
-	// reRegistrationGrace is the time that endpoints whose entries expired during an
-	// outage have to register again.
+	// reRegistrationGrace is the time that endpoints have to register again whose entries expired during an outage, or were lost
+	// because the store came back from an older copy.
 	reRegistrationGrace = 1800 * time.Millisecond
 	// leaveTolerance is the difference below which two leave times count as equal.
 	leaveTolerance = 500 * time.Millisecond
@@ -51,8 +51,10 @@
 	Lister winch.EndpointLister
 	// Evacuations lists the evacuated data centres. It may be nil: then none counts as evacuated.
 	Evacuations winch.EvacuationLister
-	Clock       winch.Clock
-	Logger      hclog.Logger
+	// Eras tells that the store of the list came back from an older copy. If it is nil, it never does.
+	Eras   winch.EraSource
+	Clock  winch.Clock
+	Logger hclog.Logger
 	// Self is this host, whose own list does not count as relayed while it is the hub.
 	Self winch.HostID
 	// PollEvery is the time between reads. The default is 600 ms.
@@ -83,8 +85,10 @@
 	changed chan struct{}
 	// hostHashes holds, at the hub, the hash of the list that each host reported.
 	hostHashes map[winch.HostID]uint64
-	// graceUntil is when endpoints that are missing after an outage are removed.
+	// graceUntil is when endpoints that are missing after an outage, or in a new era of the store, are removed.
 	graceUntil time.Time
+	// era is that of the store as of the newest list.
+	era winch.Era
 	// held holds the endpoints in whose place current has a later statement than latest, and since when.
 	held   map[winch.EndpointID]time.Time
 	reader *relay.Reader
@@ -136,8 +140,19 @@
 	return evacuated.err
 }
 
-// keepMissingAfterOutage returns the list and, during the grace time after an outage, also
-// the previous endpoints that it lacks: entries expire during an outage, and their endpoints
+// followEra starts the grace time if a new era of the store has begun before the list was read at the given time. It is called with the lock.
+func (f *Follower) followEra(at time.Time) {
+	if f.options.Eras == nil || f.options.Eras.Newest() == f.era {
+		return
+	}
+	f.era = f.options.Eras.Newest()
+	if !f.readAt.IsZero() {
+		f.graceUntil = at.Add(reRegistrationGrace)
+	}
+}
+
+// keepMissingAfterOutage returns the list and, during the grace time after an outage or in a new era, also
+// the previous endpoints that it lacks: entries expire during an outage or are lost with the older era, and their endpoints
 // have to register again. The first list after an outage starts the grace time. The added
 // endpoints are not sent to other hosts, which may have newer information.
 func (f *Follower) keepMissingAfterOutage(at time.Time, statuses []winch.EndpointStatus) []winch.EndpointStatus {
@@ -204,6 +219,7 @@
 	before, after, evacuatedBefore := f.current, f.current, f.evacuations.DataCentres
 	previousReadAt := f.readAt
 	if newer {
+		f.followEra(r.at)
 		after = f.keepMissingAfterOutage(r.at, f.keepLaterStatements(r.at, statuses))
 		f.latest, f.coldMark, f.readAt = statuses, r.coldMark, r.at
 	}
--- a/placement/registry/section.go
+++ b/placement/registry/section.go
@@ -196,6 +196,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	newer, evacuations := r.at.After(f.readAt), r.evacuations.supersedes(f.evacuations)
+	if newer {
+		f.followEra(r.at)
+	}
 	if (newer || evacuations) && (hash != f.hash || f.recovering(r.at)) {
 		return false
 	}
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -183,7 +183,7 @@
 
 func (f *Forwarder) buildEndpoints() error {
 	built, err := endpoints.New(endpoints.Options{
-		Lister: registry.New(registry.Options{Store: f.store, Logger: f.logger}), Clock: f.clock, Logger: f.logger, Self: f.settings.Host,
+		Lister: registry.New(registry.Options{Store: f.store, Logger: f.logger}), Eras: f.store.Eras(), Clock: f.clock, Logger: f.logger, Self: f.settings.Host,
 		MaxRelayedAge: relayedLimit(f.settings.Bounds), Evacuations: f.evacuations(f.settings.Bounds),
 	})
 	f.endpoints = built
