test(placement): orders go on after the store came back

The version of the newest intent is of a former era then, and the write fails with a conflict. The scheduler reads the intent again at its next step, a second later, and sends the order with a new id; an intent of a later term still stops it.

--- a/placement/platform/orders_test.go
+++ b/placement/platform/orders_test.go
@@ -70,14 +70,23 @@
 }
 
 func newFixture(t *testing.T, failures ...error) *fixture {
+	t.Helper()
+	store := memory.New()
+	f := newFixtureOn(t, store, failures...)
+	f.store = store
+	return f
+}
+
+// newFixtureOn returns a fixture with another store than that of fixture.store.
+func newFixtureOn(t *testing.T, store winch.KeyValue, failures ...error) *fixture {
 	t.Helper()
 	f := &fixture{
-		store: memory.New(), clock: &fakeClock{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)},
+		clock: &fakeClock{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)},
 		lease: &fakeLease{number: 3}, sender: &fakeSender{errors: failures}, planner: &fakePlanner{count: 1},
 	}
 	orders, err := New(Options{
 		Protocol: NativeProtocol{Address: "127.0.0.1:1"}, DataCentre: "yard-1", Holder: "host-1", Incarnation: "i", Lease: f.lease, Sender: f.sender,
-		Store: f.store, Planner: f.planner, Clock: f.clock,
+		Store: store, Planner: f.planner, Clock: f.clock,
 		Endpoints: &fakeEndpoints{list: []winch.OrderedEndpoint{{ID: "p-1", Pool: "p", State: winch.EndpointReady}}},
 	})
 	assert.NilError(t, err)
