--- a/usage/billing/reporter_test.go
+++ b/usage/billing/reporter_test.go
@@ -28,8 +28,10 @@
 // simulation runs several reporters of one shard against one platform. Only the newest reporter
 // holds the lease, but the replaced ones still believe they are.
 type simulation struct {
-	t                assert.TestingT
-	store            *memory.Store
+	t     assert.TestingT
+	store *memory.Store
+	// service is what the reporters use, which is store unless a test replaces it.
+	service          winch.KeyValue
 	now              time.Time
 	currentTerm      winch.FencingNumber
 	reported         map[time.Time][]wireFigure
@@ -75,7 +77,7 @@
 
 // interceptedStore is the store that the reporters use.
 type interceptedStore struct {
-	*memory.Store
+	winch.KeyValue
 	simulation *simulation
 }
 
@@ -84,18 +86,19 @@
 	if i.simulation.writesUntilTakeOver--; i.simulation.writesUntilTakeOver == 0 {
 		i.simulation.takeOver().Step(ctx, i.simulation.now)
 	}
-	return i.Store.Put(ctx, key, value, expect)
+	return i.KeyValue.Put(ctx, key, value, expect)
 }
 
 // List records the prefix.
 func (i interceptedStore) List(ctx context.Context, prefix string) ([]winch.Entry, winch.Version, error) {
 	i.simulation.listed = append(i.simulation.listed, prefix)
-	return i.Store.List(ctx, prefix)
+	return i.KeyValue.List(ctx, prefix)
 }
 
 func newSimulation(t assert.TestingT) *simulation {
+	store := memory.New()
 	return &simulation{
-		t: t, store: memory.New(), now: start, reported: map[time.Time][]wireFigure{},
+		t: t, store: store, service: store, now: start, reported: map[time.Time][]wireFigure{},
 		reporters: map[winch.FencingNumber]*Reporter{}, counted: map[usage.Source]usage.Counts{},
 		sealed: toldAtOnce{peer.NewSealedWindows("host")},
 	}
@@ -142,7 +145,7 @@
 	s.currentTerm++
 	reporter, err := New(Options{
 		Protocol: NativeProtocol{Address: "127.0.0.1:1"}, Shard: 0, Host: "host", Incarnation: winch.Incarnation(fmt.Sprintf("i%d", s.currentTerm)),
-		Lease: staleLeaseGuard{number: s.currentTerm}, Sender: s, Store: interceptedStore{Store: s.store, simulation: s}, Clock: s,
+		Lease: staleLeaseGuard{number: s.currentTerm}, Sender: s, Store: interceptedStore{KeyValue: s.service, simulation: s}, Clock: s,
 		MaxGrace: maxGrace, CatchUpDelay: catchUp, Membership: visibleMembership{simulation: s}, OnTimeFrom: s.onTimeFrom,
 		Sealed: s.sealed,
 	})
@@ -160,7 +163,7 @@
 		Cells: []usage.Counter{{Key: key, Counts: s.counted[source]}}, Complete: s.complete,
 	})
 	assert.NilError(s.t, err)
-	_, err = s.store.Put(ctx, keyvalue.CollectedKey(0, source), value, winch.VersionAny)
+	_, err = s.service.Put(ctx, keyvalue.CollectedKey(0, source), value, winch.VersionAny)
 	assert.NilError(s.t, err)
 }
 
