--- a/winchd/forwarder/duty_record_test.go
+++ b/winchd/forwarder/duty_record_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -150,6 +152,38 @@
 	return len(numbers), len(d.reports)
 }
 
+// actors returns the hosts that acted, the last one first.
+func (d *dutyRecord) actors() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	last := map[string]time.Time{}
+	for _, calls := range d.calls {
+		for _, call := range calls {
+			if call.at.After(last[call.host]) {
+				last[call.host] = call.at
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Keys(last), func(a, b string) int { return last[b].Compare(last[a]) })
+}
+
+// terms describes in what order hosts and numbers acted.
+func (d *dutyRecord) terms() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	described := &strings.Builder{}
+	for subject, calls := range d.calls {
+		fmt.Fprintf(described, "%s:", subject)
+		for i, call := range calls {
+			if i == 0 || call.number != calls[i-1].number || call.host != calls[i-1].host {
+				fmt.Fprintf(described, " %s %s %d;", call.at.Format("05.000"), call.host, call.number)
+			}
+		}
+		described.WriteString("\n")
+	}
+	return described.String()
+}
+
 // accepted returns the number of accepted calls.
 func (d *dutyRecord) accepted() int {
 	d.mu.Lock()
@@ -169,3 +203,13 @@
 		t.Error(failure)
 	}
 }
+
+// assertNone is assertOneAtATime with a short message.
+func (d *dutyRecord) assertNone(t *testing.T) {
+	t.Helper()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if count := len(d.failures); count > 0 {
+		t.Errorf("%d cases, first %s; last %s", count, d.failures[0], d.failures[count-1])
+	}
+}
--- a/winchd/forwarder/process_test.go
+++ b/winchd/forwarder/process_test.go
@@ -81,6 +81,8 @@
 	window, late time.Duration
 	// zone is that of new hosts, a if it is empty.
 	zone string
+	// dataCentres are those for which new hosts order endpoints, their own alone if it is empty.
+	dataCentres []string
 	// evacuate is Bounds.Evacuate of new hosts.
 	evacuate time.Duration
 	// grace and retryMinimum are Bounds.Grace and Bounds.RetryMinimum of new hosts, zero for the defaults.
@@ -150,13 +152,17 @@
 	if p.retryMinimum > 0 {
 		bounds["RetryMinimum"] = p.retryMinimum
 	}
+	dataCentres := p.dataCentres
+	if len(dataCentres) == 0 {
+		dataCentres = []string{cmp.Or(p.zone, "a")}
+	}
 	limits := map[string]any{}
 	if p.memory > 0 {
 		limits["Memory"] = p.memory
 	}
 	encoded, err := json.Marshal(map[string]any{
 		"Duties": duties, "Limits": limits,
-		"Host": name, "DataCentre": cmp.Or(p.zone, "a"), "DataCentres": []string{cmp.Or(p.zone, "a")},
+		"Host": name, "DataCentre": cmp.Or(p.zone, "a"), "DataCentres": dataCentres,
 		"Caller": map[string]any{"Address": ports[0], "ReadyAddress": ports[1]},
 		"Peer":   map[string]any{"Address": ports[2]},
 		"Store":  map[string]any{"Address": p.addressOfStore()},
--- a/winchd/forwarder/soak_duties_test.go
+++ b/winchd/forwarder/soak_duties_test.go
@@ -50,6 +50,8 @@
 	failures []string
 }
 
+func hostName(place int) string { return fmt.Sprintf("h-%02d", place) }
+
 func numberFromEnv(t *testing.T, name string, otherwise int) int {
 	t.Helper()
 	text := os.Getenv(name)
@@ -77,7 +79,7 @@
 
 func (s *dutySoak) newHost(i int) *dutyHost {
 	s.t.Helper()
-	name := fmt.Sprintf("h-%02d", i)
+	name := hostName(i)
 	h := &dutyHost{store: &faultyStore{store: s.p.store, random: rand.New(rand.NewPCG(s.random.Uint64(), 1))}}
 	h.storeLink = linktest.New(s.t, serve(s.t, h.store))
 	h.reports = linktest.New(s.t, serve(s.t, s.record.of(name)))
@@ -136,7 +138,7 @@
 	}
 	s.record.mu.Unlock()
 	for i, h := range s.hosts {
-		if fmt.Sprintf("h-%02d", i) == name {
+		if hostName(i) == name {
 			return h
 		}
 	}
