fix(lease): no term begins while a holder that the older copy does not show may act

Callers saw orders for one subject from two hosts with one fencing number, and a lower number after a higher one. When the store came back from an older copy, a process that had read nothing of before took the lease as the copy's record said. The holder whose record was lost acted on until its last renewal expired.

Numbers rise across eras by winch.Version, also for a process that never met the old holder and for a receiver that knows no eras.

- no term begins before TTL and InFlight have passed since its process first saw the era, whatever the copy's record says.
A holder of the era before has stopped by then: its last renewal was carried out before the era began;
- a holder whose record is in the copy goes on while its term is valid, since until then no other one begins.
If it has expired, others may have held the lease in the lost writes, and the term is over;
- a renewal that met its condition only in the next era ends the term: that revision may have been another holder's record.
A process that finds a late write of its own in an era after the first waits for TTL and InFlight.

Without an era nothing changes. Where the store tells its era from the first, the first term that a process holds within TTL and InFlight of its start begins that much after the process first read the record, as a process cannot know when the era began.

--- a/lease/keyvalue/holder.go
+++ b/lease/keyvalue/holder.go
@@ -3,13 +3,17 @@
 //
 // The lease is one entry that is changed only by compare-and-swap. The version at
 // which a process acquired it is the term's fencing number, which increases with
-// every term and is never reused. The validity counts from before the request was
+// every term and is never reused: the version rises also if the service comes back
+// from an older copy, which begins a new era (see winch.Version). The validity counts from before the request was
 // sent, on a clock that continues during a suspend, less an allowance for clock
 // drift. When the response to a write was lost, the entry is read back to find out
 // whether the write took effect. A successor acquires the lease after the entry has
 // been unchanged for its whole TTL, measured by the successor's own clock. Its term
 // begins only after a further wait, the longest time that a call of its
-// predecessor may be in flight. The clocks of hosts need not be synchronised.
+// predecessor may be in flight. In a new era, in which the record of a holder may be lost,
+// no term begins before the TTL and that time have passed since the process first saw the era;
+// a term that is valid goes on if its record is in the copy. The clocks of hosts need not be
+// synchronised.
 //
 // Only the candidate that Membership names acquires the lease, and the hosts that rank next if
 // Options.Standbys is set. A holder that is neither any more releases it.
--- a/lease/keyvalue/overlap_test.go
+++ b/lease/keyvalue/overlap_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,17 +19,29 @@
 type simulation struct {
 	t   *rapid.T
 	now time.Duration
-	// version is the version assigned last, and current the stored one. They are equal,
-	// since the record is never deleted.
-	version   winch.Version
-	current   winch.Version
-	record    record
+	// revision is the revision given out last, and current that of the record, zero if there is none. They are equal until
+	// the service comes back from a copy.
+	revision winch.StoreRevision
+	current  winch.StoreRevision
+	record   record
+	// era is the present one, and copies the states from which the service may come back.
+	era       winch.Era
+	copies    []savedState
+	highest   winch.FencingNumber
 	processes []*process
-	delayed   []action
+	// ended are processes that were replaced by others.
+	ended   []*process
+	delayed []action
 	// paused is a process that makes no steps.
 	paused *process
 }
 
+// savedState is a state of the service.
+type savedState struct {
+	revision, current winch.StoreRevision
+	record            record
+}
+
 type process struct {
 	state  stateMachine
 	rate   float64
@@ -90,12 +103,36 @@
 }
 
 func (s *simulation) applyWrite(a action) (winch.Version, result) {
-	if a.expect != s.current {
+	if a.expect.Revision() != s.current {
 		return 0, resultConflict
 	}
-	s.version++
-	s.current, s.record = s.version, a.record
-	return s.version, resultDone
+	s.revision++
+	s.current, s.record = s.revision, a.record
+	s.copies = append(s.copies, savedState{revision: s.revision, current: s.current, record: s.record})
+	return s.version(), resultDone
+}
+
+// send carries out a write as the client of the service does: one whose condition is of another era is not sent if the client knows of the
+// present one, and otherwise its outcome is unknown.
+func (s *simulation) send(call action) (winch.Version, result) {
+	lost := !call.expect.Special() && call.expect.Era() != s.era
+	if lost && rapid.Bool().Draw(s.t, "known") {
+		return 0, resultConflict
+	}
+	version, outcome := s.applyWrite(call)
+	if lost && outcome == resultDone {
+		return 0, resultUnknown
+	}
+	return version, outcome
+}
+
+// version returns the version of the record.
+func (s *simulation) version() winch.Version {
+	version, err := winch.NewVersion(s.era, s.current)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return version
 }
 
 // startCall lets the process decide on its next call, unless one is in progress.
@@ -132,7 +169,7 @@
 	case 2: // The write has no effect.
 		p.state.writeCompleted(s.localTime(p), 0, resultFailed)
 	default:
-		version, outcome := s.applyWrite(call)
+		version, outcome := s.send(call)
 		p.state.writeCompleted(s.localTime(p), version, outcome)
 	}
 }
@@ -142,7 +179,7 @@
 		p.state.readFailed(s.localTime(p))
 		return
 	}
-	p.state.readCompleted(s.localTime(p), s.current == 0, s.current, s.record)
+	p.state.readCompleted(s.localTime(p), s.current == 0, s.version(), s.record)
 }
 
 // check asserts that terms never overlap, and that all calls of a term have had their effect
@@ -161,9 +198,13 @@
 }
 
 func (s *simulation) checkBegin(p *process) {
+	if p.state.lease.number < s.highest {
+		s.t.Fatalf("%s begins with the number %d after %d", p.state.settings.holder, p.state.lease.number, s.highest)
+	}
+	s.highest = p.state.lease.number
 	// The rates of two clocks differ by up to 2 %.
 	inFlight := time.Duration(float64(defaultInFlight) * 0.98)
-	for _, other := range s.processes {
+	for _, other := range slices.Concat(s.processes, s.ended) {
 		if other == p || !other.hadTerm {
 			continue
 		}
--- a/lease/keyvalue/read.go
+++ b/lease/keyvalue/read.go
@@ -9,6 +9,10 @@
 // readCompleted processes the record that was read. Now is when the response arrived.
 func (m *stateMachine) readCompleted(now time.Time, absent bool, version winch.Version, found record) {
 	m.mustRead = false
+	if !absent {
+		m.noteEra(now, version)
+		m.endLostTerm(now, version, found)
+	}
 	newest := m.noteNumber(absent, found.numberAt(version))
 	if !absent && m.isOwn(found, newest) {
 		m.ownRecordRead(now, version, found)
@@ -65,6 +69,10 @@
 	if !m.lease.held {
 		m.startTerm(now, version, found.numberAt(version))
 		m.lease.former = found.former
+		if m.era > 0 {
+			// The write may have been sent in an era before, and may have replaced the record of a holder.
+			m.delayTerm(now)
+		}
 	}
 	m.lease.version = version
 	m.lease.lastWriteAt = time.Time{}
--- a/lease/keyvalue/state_machine.go
+++ b/lease/keyvalue/state_machine.go
@@ -64,6 +64,9 @@
 	writes       int
 	// highest is the highest fencing number that this process knows of.
 	highest winch.FencingNumber
+	// era is the newest era of the versions that were read or written, and eraSeenAt when it was first seen, if it is not zero.
+	era       winch.Era
+	eraSeenAt time.Time
 	// mustRead means that the record must be read before the next write.
 	mustRead bool
 	// retryAt is when a failed call may be repeated.
--- a/lease/keyvalue/term.go
+++ b/lease/keyvalue/term.go
@@ -35,7 +35,8 @@
 }
 
 // startTerm starts a term after this process's record was written. The term begins when
-// the predecessor's calls can no longer be in flight.
+// the predecessor's calls can no longer be in flight, and neither those of a holder of the era before
+// whose record is lost. It may be lost also if the record that was found is marked as released.
 func (m *stateMachine) startTerm(now time.Time, version winch.Version, number winch.FencingNumber) {
 	m.lease.former = m.formerHolder()
 	m.lease.predecessor, m.lease.beforePredecessor = m.observed.record.holder, m.observed.record.former
@@ -45,6 +46,9 @@
 	m.lease.version = version
 	m.lease.beginsAt = now.Add(m.predecessorWait())
 	m.lease.validUntil = time.Time{}
+	if m.era > 0 {
+		m.delayTerm(m.eraSeenAt)
+	}
 	m.releasing, m.released = false, false
 }
 
--- a/lease/keyvalue/write.go
+++ b/lease/keyvalue/write.go
@@ -26,6 +26,8 @@
 	writeID winch.WriteID
 	sent    time.Time
 	release bool
+	// expect is the condition of the write.
+	expect winch.Version
 	// above is that of the record.
 	above winch.FencingNumber
 }
@@ -39,6 +41,7 @@
 		writeID: winch.WriteID(string(m.settings.incarnation) + "/" + strconv.Itoa(m.writes)),
 		sent:    now,
 		release: released,
+		expect:  expect,
 		above:   m.highest,
 	}
 	m.lease.lastWriteAt = now
@@ -73,8 +76,12 @@
 
 // writeCompleted processes the result of the pending write. Now is when the response arrived.
 func (m *stateMachine) writeCompleted(now time.Time, version winch.Version, outcome result) {
+	if outcome == resultDone && m.conditionIsLost(version) {
+		outcome = resultUnknown
+	}
 	switch outcome {
 	case resultDone:
+		m.noteEra(now, version)
 		m.writeApplied(now, version)
 	case resultConflict, resultUnknown:
 		m.mustRead = true
