--- a/membership/keyvalue/registry.go
+++ b/membership/keyvalue/registry.go
@@ -48,7 +48,7 @@
 	Store winch.LeasedKeyValue
 	// Eras tells that Store came back from an older copy. If it is nil, it never does.
 	Eras winch.EraSource
-	Self  winch.Host
+	Self winch.Host
 	// TTL is how long the entry remains after the host has last renewed it; zero means 12 s.
 	TTL    time.Duration
 	Logger hclog.Logger
