fix(membership): hosts store their secret again when a new era begins

Hosts could not talk to each other for a second or two after the store had come back without their secret, once a new process had created another one: each read the list of endpoints and the configuration itself meanwhile.

A host that knows the secret now looks for it with its first renewal in a new era, and stores it again if there is none, so that a new process finds it. That is one read by each host for each era.

--- a/membership/keyvalue/registry.go
+++ b/membership/keyvalue/registry.go
@@ -109,7 +109,10 @@
 	if err := r.renew(ctx); err != nil {
 		return err
 	}
-	if r.options.Eras != nil && r.options.Eras.Newest() != r.version.Era() {
+	if r.version != 0 && r.options.Eras != nil && r.options.Eras.Newest() != r.version.Era() {
+		if err := r.restoreSecret(ctx); err != nil {
+			return err
+		}
 		if err := r.confirm(ctx); err != nil {
 			return err
 		}
@@ -120,6 +123,18 @@
 	return r.register(ctx)
 }
 
+// restoreSecret stores the secret that this host knows, if none is stored, before a new host creates another one.
+func (r *Registry) restoreSecret(ctx context.Context) error {
+	r.mu.Lock()
+	known := r.secret != ""
+	r.mu.Unlock()
+	if !known {
+		return nil
+	}
+	_, err := r.Secret(ctx)
+	return err
+}
+
 // renew renews the lease. It sets it to zero if it has ended.
 func (r *Registry) renew(ctx context.Context) error {
 	if r.lease == 0 {
--- a/membership/keyvalue/returned_test.go
+++ b/membership/keyvalue/returned_test.go
@@ -36,6 +36,24 @@
 	}
 }
 
+func TestSecretIsStoredAgainAfterTheStoreCameBack(t *testing.T) {
+	s := platformtest.NewStore()
+	s.TellEra()
+	empty := s.Backup()
+	a := newHost(t, s, "a")
+	a.keepRegistered(t.Context())
+	s.Return(empty)
+	a.keepRegistered(t.Context())
+	assert.Assert(t, !s.Has(secretKey), "a host that has not read a secret creates none")
+	secret, err := a.Secret(t.Context())
+	assert.NilError(t, err)
+	s.Return(empty)
+	a.keepRegistered(t.Context())
+	stored, err := newHost(t, s, "b").Secret(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, stored, secret)
+}
+
 // TestHostIsRegisteredAgainAfterTheStoreCameBack lets another host get the lease that the store has lost.
 func TestHostIsRegisteredAgainAfterTheStoreCameBack(t *testing.T) {
 	for _, tells := range []bool{false, true} {
