test(forwarder): hosts that are cut off from all endpoints serve, and the others do not wait for them (known red)

Two tests with six processes, four engines and three plain services show both; each host connects from an address of its own, so that its links can hang, be reset, or be refused for new connections alone.

The client of the endpoints takes a control function for its sockets, as net.Dialer has it, which only tests set.

--- a/serving/httpexchange/client.go
+++ b/serving/httpexchange/client.go
@@ -35,6 +35,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -76,6 +77,8 @@
 	DialTimeout time.Duration
 	// AckTimeout is how long sent bytes may stay unacknowledged. The default is 1.5 s.
 	AckTimeout time.Duration
+	// Control is called before each connection is opened; see net.Dialer.ControlContext. It may be nil.
+	Control func(ctx context.Context, network, address string, raw syscall.RawConn) error
 }
 
 // Client implements winch.Exchanger. It is safe for concurrent use.
@@ -100,6 +103,7 @@
 		options: options, idle: map[string][]*conn{},
 		dialer: net.Dialer{
 			Timeout:         options.DialTimeout,
+			ControlContext:  options.Control,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 		},
 	}
--- a/winchd/forwarder/process_test.go
+++ b/winchd/forwarder/process_test.go
@@ -51,6 +51,7 @@
 
 func runHost(path string) error {
 	stops := process.ListenForStops()
+	controlDials()
 	KeepOnHangup()
 	loaded, err := settings.LoadForwarding(path)
 	if err != nil {
@@ -89,6 +90,8 @@
 	// memory is Limits.Memory of new hosts in bytes, and descriptors the number of files that their processes may open. Zero sets no limit.
 	memory      int64
 	descriptors int
+	// partition gives new hosts links to endpoints that can be cut; nil if they have none.
+	partition *partition
 }
 
 // newPlatform starts a platform with platformtest.DeskConfiguration: the route /desk/ requires the key k1,
@@ -127,7 +130,9 @@
 	path     string
 	caller   string
 	ready    string
-	command  *exec.Cmd
+	// environment is added to that of the host's process.
+	environment []string
+	command     *exec.Cmd
 }
 
 func (p *simulatedPlatform) newHost(name string) *hostProcess {
@@ -165,6 +170,9 @@
 	assert.NilError(p.t, err)
 	h := &hostProcess{platform: p, path: filepath.Join(p.t.TempDir(), name+".json"), caller: ports[0], ready: ports[1]}
 	assert.NilError(p.t, os.WriteFile(h.path, encoded, 0o600))
+	if p.partition != nil {
+		h.environment = p.partition.addHost(h)
+	}
 	h.start()
 	return h
 }
@@ -177,6 +185,7 @@
 	}
 	// The race detector would wait for a second at the exit.
 	h.command.Env = append(os.Environ(), settingsEnv+"="+h.path, "GORACE=atexit_sleep_ms=0")
+	h.command.Env = append(h.command.Env, h.environment...)
 	h.command.Stderr = os.Stderr
 	if logs := os.Getenv(logsEnv); logs != "" {
 		h.command.Stdout = h.openLog(logs)
