--- a/winchd/forwarder/partitioned_test.go
+++ b/winchd/forwarder/partitioned_test.go
@@ -143,7 +143,7 @@
 	}
 	if route == "draft" {
 		request.Header.Set(wire.Tokens, "300,8")
-		request.Header.Set(wire.PromptParts, try.id+":300")
+		request.Header.Set(wire.PromptParts, "aa:200,"+try.id+":100")
 	}
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	if response, err := client.Do(request); err == nil {
