fix(serving): hosts that are cut off from endpoints reach them through other hosts

The others refused requests of lower tiers as well, which they held back for requests of a higher tier that waited at the hosts that were cut off.

serving/tunnel connects through another host when the direct connection fails or takes longer than 120 ms, and at once while an endpoint is known to be reached only that way. The exchange runs over the tunnel as over any connection: queue, slot, retry, run state, memory and usage stay with the host that has the caller, so nothing is counted twice, and a connection that could not be opened still means that no byte was sent. The other host connects directly or refuses, only to a listed endpoint at its listed address. Resets are passed on in both directions. A call that is not acknowledged closes the idle connections over the same link.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -57,6 +57,9 @@
 	raised    bool
 }
 
+// NetConn returns the connection that is limited.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read reads from the connection and takes memory for the heads of requests. Without memory it refuses the request and returns an error.
 func (c *conn) Read(p []byte) (int, error) {
 	// While a handler works, net/http reads a single byte to notice that the client disconnects.
--- a/serving/httpexchange/client.go
+++ b/serving/httpexchange/client.go
@@ -79,6 +79,8 @@
 	AckTimeout time.Duration
 	// Control is called before each connection is opened; see net.Dialer.ControlContext. It may be nil.
 	Control func(ctx context.Context, network, address string, raw syscall.RawConn) error
+	// Dialer opens the connections of calls, whose Peer is then the ID of an endpoint. If it is nil, the client connects directly.
+	Dialer winch.EndpointDialer
 }
 
 // Client implements winch.Exchanger. It is safe for concurrent use.
@@ -124,6 +126,7 @@
 	response, err := c.readResponse(conn, call)
 	if watch.stop() {
 		err = errNotAcknowledged
+		c.observeSilence(conn, call)
 	}
 	if err != nil {
 		conn.discard()
@@ -188,12 +191,46 @@
 	return last
 }
 
-func (c *Client) dial(ctx context.Context, call winch.ExchangeCall) (*conn, error) {
+// observeSilence processes that the server acknowledged nothing of a call. Its idle connections lead over the same link.
+func (c *Client) observeSilence(silent *conn, call winch.ExchangeCall) {
+	if silent.relayed {
+		return
+	}
+	c.discardIdle(silent.key)
+	if c.options.Dialer != nil {
+		c.options.Dialer.ObserveSilence(winch.EndpointID(call.Peer))
+	}
+}
+
+// discardIdle closes the idle connections with the key.
+func (c *Client) discardIdle(key string) {
+	c.mu.Lock()
+	idle := c.idle[key]
+	delete(c.idle, key)
+	c.mu.Unlock()
+	for _, conn := range idle {
+		conn.discard()
+	}
+}
+
+// connect opens a connection for the call.
+func (c *Client) connect(ctx context.Context, call winch.ExchangeCall) (winch.EndpointConnection, error) {
+	if c.options.Dialer != nil {
+		return c.options.Dialer.DialEndpoint(ctx, winch.EndpointID(call.Peer), call.Address)
+	}
 	dialed, err := c.dialer.DialContext(ctx, "tcp", call.Address)
 	if err != nil {
-		return nil, fmt.Errorf("connect: %w: %w", winch.ErrUnavailable, err)
+		return winch.EndpointConnection{}, fmt.Errorf("connect: %w: %w", winch.ErrUnavailable, err)
+	}
+	return winch.EndpointConnection{TCPConn: dialed.(*net.TCPConn)}, nil
+}
+
+func (c *Client) dial(ctx context.Context, call winch.ExchangeCall) (*conn, error) {
+	connection, err := c.connect(ctx, call)
+	if err != nil {
+		return nil, err
 	}
-	tcp := dialed.(*net.TCPConn)
+	tcp := connection.TCPConn
 	if err := socket.SetAckTimeout(tcp, c.options.AckTimeout); err != nil {
 		_ = tcp.Close()
 		return nil, fmt.Errorf("connect: %w: %w", winch.ErrUnavailable, err)
@@ -201,7 +238,7 @@
 	checked := http1.NewConn(tcp)
 	limit := &headLimit{source: checked}
 	opened := &conn{
-		client: c, key: poolKey(call), tcp: tcp, checked: checked, reader: bufio.NewReaderSize(limit, readBufferSize), headLimit: limit, openedAt: time.Now(),
+		client: c, key: poolKey(call), relayed: connection.Relayed, tcp: tcp, checked: checked, reader: bufio.NewReaderSize(limit, readBufferSize), headLimit: limit, openedAt: time.Now(),
 	}
 	opened.setKeepAlive(false)
 	return opened, nil
--- a/serving/httpexchange/conn.go
+++ b/serving/httpexchange/conn.go
@@ -36,6 +36,8 @@
 type conn struct {
 	client *Client
 	key    string
+	// relayed says that the connection leads through another host and carries one call only.
+	relayed bool
 	// openedAt is when the connection was opened.
 	openedAt time.Time
 	tcp      *net.TCPConn
@@ -271,7 +273,7 @@
 	conn := b.conn
 	contextActive := conn.stopContextWatch()
 	unexpected := conn.reader.Buffered() > 0 || conn.checked.Malformed()
-	if !b.reusable || !contextActive || conn.receivedOtherResponse || unexpected || !conn.fullyWritten() || b.idleTime <= 0 {
+	if !b.reusable || conn.relayed || !contextActive || conn.receivedOtherResponse || unexpected || !conn.fullyWritten() || b.idleTime <= 0 {
 		// No reset is needed: the response is complete, so the call did not fail here.
 		_ = conn.tcp.Close()
 		return
--- /dev/null
+++ b/serving/tunnel/path_test.go
@@ -0,0 +1,107 @@
+package tunnel
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/arbutuswinch/winch"
+)
+
+var start = time.Unix(1000, 0)
+
+func after(milliseconds int) time.Time {
+	return start.Add(time.Duration(milliseconds) * time.Millisecond)
+}
+
+var (
+	directFirst = plan{direct: true, tunnel: true, headStart: headStart}
+	both        = plan{direct: true, tunnel: true}
+	directOnly  = plan{direct: true}
+	tunnelOnly  = plan{tunnel: true}
+)
+
+// TestPlan guards against requests that wait for a link that is cut, and against tunnels that are not needed.
+func TestPlan(t *testing.T) {
+	t.Run("connects directly first", func(t *testing.T) {
+		p := newPaths()
+		assert.Equal(t, p.plan(start, "i-1"), directFirst)
+		p.observeDirect(start, "i-1", true)
+		assert.Equal(t, p.plan(after(10), "i-1"), directFirst)
+	})
+	t.Run("tries both at once after a failure", func(t *testing.T) {
+		p := newPaths()
+		p.observeDirect(start, "i-1", false)
+		assert.Equal(t, p.plan(after(10), "i-1"), both)
+		assert.Equal(t, p.plan(after(3100), "i-1"), directFirst)
+	})
+	t.Run("uses tunnels during a detour, with a direct connection once in a while", func(t *testing.T) {
+		p := newPaths()
+		p.observeDirect(start, "i-1", false)
+		assert.Assert(t, p.observeTunnel(start, "i-1", true))
+		assert.Equal(t, p.plan(after(999), "i-1"), tunnelOnly)
+		assert.Equal(t, p.plan(after(1000), "i-1"), both)
+		assert.Equal(t, p.plan(after(1001), "i-1"), tunnelOnly)
+		assert.Assert(t, !p.observeTunnel(after(1001), "i-1", true))
+		assert.Assert(t, p.observeDirect(after(2000), "i-1", true))
+		assert.Equal(t, p.plan(after(2001), "i-1"), directFirst)
+	})
+	t.Run("uses no tunnel to an endpoint that others do not reach either", func(t *testing.T) {
+		p := newPaths()
+		p.observeDirect(start, "i-1", false)
+		p.observeTunnel(start, "i-1", false)
+		assert.Equal(t, p.plan(after(999), "i-1"), directOnly)
+		assert.Equal(t, p.plan(after(1000), "i-1"), both)
+	})
+}
+
+// TestCutOff guards against a host that waits for each of its links in turn, and against one that takes a single endpoint for all.
+func TestCutOff(t *testing.T) {
+	observe := func(p *paths, now time.Time, reached bool, endpoints ...winch.EndpointID) {
+		for _, endpoint := range endpoints {
+			p.observeDirect(now, endpoint, reached)
+		}
+	}
+	for _, c := range []struct {
+		name           string
+		reached, lost  []winch.EndpointID
+		milliseconds   int
+		cutOff         bool
+		planForAnother plan
+	}{
+		{name: "one endpoint is lost", lost: []winch.EndpointID{"i-1"}, planForAnother: directFirst},
+		{name: "two endpoints are lost", lost: []winch.EndpointID{"i-1", "i-2"}, cutOff: true, planForAnother: both},
+		{name: "as many are reached", lost: []winch.EndpointID{"i-1", "i-2"}, reached: []winch.EndpointID{"i-3", "i-4"}, planForAnother: directFirst},
+		{name: "most are lost", lost: []winch.EndpointID{"i-1", "i-2"}, reached: []winch.EndpointID{"i-3"}, cutOff: true, planForAnother: both},
+		{name: "it is long ago", lost: []winch.EndpointID{"i-1", "i-2"}, milliseconds: 3001, planForAnother: directFirst},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPaths()
+			observe(p, start, true, c.reached...)
+			observe(p, start, false, c.lost...)
+			now := after(c.milliseconds)
+			assert.Equal(t, p.isCutOff(now), c.cutOff)
+			assert.Equal(t, p.plan(now, "another"), c.planForAnother)
+		})
+	}
+	t.Run("a direct connection is tried once in a while to each endpoint", func(t *testing.T) {
+		p := newPaths()
+		observe(p, start, false, "i-1", "i-2")
+		assert.Equal(t, p.plan(start, "i-3"), both)
+		assert.Equal(t, p.plan(start, "i-3"), tunnelOnly)
+		observe(p, after(100), true, "i-1", "i-2")
+		assert.Equal(t, p.plan(after(100), "i-3"), directFirst)
+	})
+}
+
+func TestEndpointsThatAreNotListedAreForgotten(t *testing.T) {
+	p := newPaths()
+	for i := range 5 {
+		p.observeTunnel(start, winch.EndpointID(fmt.Sprintf("i-%d", i)), true)
+	}
+	assert.Equal(t, p.detours(), int64(5))
+	p.keep(func(endpoint winch.EndpointID) bool { return endpoint == "i-3" })
+	assert.Equal(t, p.detours(), int64(1))
+}
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -37,6 +37,7 @@
 	release "github.com/arbutuswinch/winch/release/source"
 	"github.com/arbutuswinch/winch/serving/forward"
 	"github.com/arbutuswinch/winch/serving/httpexchange"
+	"github.com/arbutuswinch/winch/serving/tunnel"
 	"github.com/arbutuswinch/winch/winchd/process"
 	"github.com/arbutuswinch/winch/winchd/settings"
 )
@@ -93,6 +94,7 @@
 	endpoints     *endpoints.Follower
 	dispatcher    *dispatch.Dispatcher
 	exchanger     *httpexchange.Client
+	tunnels       *tunnel.Dialer
 	quarantine    *quarantine.Guard
 	origins       *origins.Keeper
 	server        *forward.Server
@@ -120,6 +122,7 @@
 		{Name: "endpoints", Build: f.buildEndpoints},
 		{Name: "dispatch", Build: f.buildDispatch},
 		{Name: "duties", Build: f.buildDuties},
+		{Name: "tunnels", Build: f.buildTunnels},
 		{Name: "quarantine", Build: f.buildQuarantine},
 		{Name: "stream origins", Build: f.buildOrigins},
 		{Name: "serving", Build: f.buildServing},
@@ -251,7 +254,7 @@
 }
 
 func (f *Forwarder) buildExchange() error {
-	f.peers = newPeers(f.hosts, f.origins, f.configuration, f.logger, func(secret string) (*memberpeer.Exchange, error) {
+	f.peers = newPeers(f.hosts, f.origins, f.configuration, f.tunnels, f.logger, func(secret string) (*memberpeer.Exchange, error) {
 		return memberpeer.New(memberpeer.Options{
 			Table: f.table, Hosts: f.hosts, Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(), Secret: secret, Rejected: f.peers.noteRejected,
 			ExchangeEvery: exchangeEvery, ListEvery: listEvery, Sections: f.sections(),
@@ -332,6 +335,7 @@
 		{Name: "exchange", Run: f.peers.run},
 		{Name: "dispatcher", Run: f.dispatcher.Run},
 		{Name: "pruning of idle connections", Run: f.exchanger.Run},
+		{Name: "tunnels", Run: f.tunnels.Run},
 		{Name: "quarantine", Run: f.quarantine.Run},
 		{Name: "stream origins", Run: f.origins.Run},
 		{Name: "settings", Run: (&reloader{path: f.path, logger: f.logger, current: f.settings, apply: f.apply}).run},
--- a/winchd/forwarder/peers.go
+++ b/winchd/forwarder/peers.go
@@ -15,6 +15,7 @@
 	memberpeer "github.com/arbutuswinch/winch/membership/peer"
 	origins "github.com/arbutuswinch/winch/origin/peer"
 	release "github.com/arbutuswinch/winch/release/source"
+	"github.com/arbutuswinch/winch/serving/tunnel"
 )
 
 const (
@@ -26,13 +27,14 @@
 	maxSecrets = 4
 )
 
-// peers runs the exchange with the other hosts, and the calls about stream origins and the configuration, once the shared secret is known. The secret is read
+// peers runs the exchange with the other hosts, and the calls about stream origins, the configuration and tunnels, once the shared secret is known. The secret is read
 // from the platform's store, which may be unavailable when the host starts. It is read again when a call between hosts is rejected, because a
 // store that comes back from an older copy may have lost it and been given another one by a new host: the stored one counts.
 type peers struct {
 	hosts         *members.Registry
 	origins       *origins.Keeper
 	configuration *release.Follower
+	tunnels       *tunnel.Dialer
 	logger        hclog.Logger
 	// build creates the exchange with the secret.
 	build func(secret string) (*memberpeer.Exchange, error)
@@ -42,8 +44,8 @@
 	rejected chan struct{}
 }
 
-func newPeers(hosts *members.Registry, keeper *origins.Keeper, configuration *release.Follower, logger hclog.Logger, build func(secret string) (*memberpeer.Exchange, error)) *peers {
-	return &peers{hosts: hosts, origins: keeper, configuration: configuration, logger: logger, build: build, rejected: make(chan struct{}, 1)}
+func newPeers(hosts *members.Registry, keeper *origins.Keeper, configuration *release.Follower, tunnels *tunnel.Dialer, logger hclog.Logger, build func(secret string) (*memberpeer.Exchange, error)) *peers {
+	return &peers{hosts: hosts, origins: keeper, configuration: configuration, tunnels: tunnels, logger: logger, build: build, rejected: make(chan struct{}, 1)}
 }
 
 // handler serves the other hosts. It rejects their requests until the secret is known.
@@ -83,11 +85,13 @@
 	mux.Handle("/peer/", exchange.Handler())
 	mux.Handle(origins.Prefix, p.origins.Handler())
 	mux.Handle(release.Prefix, p.configuration.Handler())
+	mux.Handle(tunnel.Prefix, p.tunnels.Handler())
 	handler := httpjson.RequireSecrets(secrets, p.noteRejected, mux)
 	p.authenticated.Store(&handler)
 	exchange.Connect(secrets[0])
 	p.origins.Connect(secrets[0])
 	p.configuration.Connect(secrets[0])
+	p.tunnels.Connect(secrets[0])
 }
 
 // noteRejected makes followSecret read the secret again.
--- a/winchd/forwarder/quarantine.go
+++ b/winchd/forwarder/quarantine.go
@@ -1,22 +1,14 @@
 package forwarder
 
 import (
-	"context"
 	"fmt"
-	"syscall"
 
 	"github.com/arbutuswinch/winch/platform/runner"
 	quarantine "github.com/arbutuswinch/winch/quarantine/peer"
-	"github.com/arbutuswinch/winch/serving/httpexchange"
 	"github.com/arbutuswinch/winch/winchd/settings"
 )
 
-// dialControl is httpexchange.Options.Control of the client of the endpoints. Tests set it to lose links.
-var dialControl func(ctx context.Context, network, address string, raw syscall.RawConn) error
-
-// buildQuarantine builds the client of the endpoints as well, which tells whether an endpoint has crashed.
 func (f *Forwarder) buildQuarantine() error {
-	f.exchanger = httpexchange.New(httpexchange.Options{DialTimeout: dialTimeout, Control: dialControl})
 	built, err := quarantine.New(quarantine.Options{
 		Membership: f.table, Endpoints: f.endpoints, Prober: f.exchanger, Starts: runner.New(f.exchanger), Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
 	})
--- a/winchd/forwarder/shutdown.go
+++ b/winchd/forwarder/shutdown.go
@@ -52,16 +52,18 @@
 }
 
 // drain shuts the host down gracefully: other hosts take over its duties, the host reports that it is
-// not ready and finishes open requests. Those that are still open after drainShare of the grace
+// not ready and finishes open requests, and tunnels of other hosts. Those that are still open after drainShare of the grace
 // period are cancelled.
 func (f *Forwarder) drain(ctx context.Context) error {
 	f.logger.Info("stopping", "Event", process.EventStopping, "Open", f.server.Open())
 	f.table.Leave()
+	f.tunnels.RefuseNew()
 	limit := time.Duration(float64(f.settings.Bounds.Grace) * drainShare)
 	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
 	if err := f.server.Drain(drainCtx); err != nil {
 		f.logger.Error("open requests cancelled at the drain timeout", "Event", process.EventDrainIncomplete, "Open", f.server.Open(), "Error", err)
 	}
+	f.tunnels.Drain(drainCtx)
 	return nil
 }
