--- a/winchd/forwarder/set_back_test.go
+++ b/winchd/forwarder/set_back_test.go
@@ -81,9 +81,13 @@
 
 // away makes the store unreachable until the function that it returns is called.
 func (b *setBack) away(cut bool) func() {
+	b.writers.reachable.Lock()
 	if !cut {
 		b.p.store.Fail(http.StatusServiceUnavailable)
-		return func() { b.p.store.Fail(0) }
+		return func() {
+			b.p.store.Fail(0)
+			b.writers.reachable.Unlock()
+		}
 	}
 	for _, h := range b.hosts {
 		h.storeLink.Cut(b.t)
@@ -92,6 +96,7 @@
 		for _, h := range b.hosts {
 			h.storeLink.Heal(b.t)
 		}
+		b.writers.reachable.Unlock()
 	}
 }
 
--- a/winchd/forwarder/set_back_writers_test.go
+++ b/winchd/forwarder/set_back_writers_test.go
@@ -24,13 +24,16 @@
 // safe for concurrent use.
 type entryWriters struct {
 	store *platformtest.Store
+	// reachable is locked while the store is away, so that writes wait.
+	reachable sync.Mutex
 
 	mu            sync.Mutex
 	configuration writtenConfiguration
 	// values holds the newest value of each key, nil for one that was removed.
 	values map[string][]byte
-	// keys are those of all writes, in order.
-	keys []string
+	// keys are those of all writes, in order, and written is when each was written last.
+	keys    []string
+	written map[string]time.Time
 }
 
 // storeCopy is a copy of the store, and the number of the writes that it holds.
@@ -40,7 +43,17 @@
 }
 
 func newEntryWriters(store *platformtest.Store) *entryWriters {
-	return &entryWriters{store: store, values: map[string][]byte{}}
+	return &entryWriters{store: store, values: map[string][]byte{}, written: map[string]time.Time{}}
+}
+
+// write stores an entry, or removes it if the value is nil.
+func (w *entryWriters) write(key string, value []byte) {
+	w.reachable.Lock()
+	defer w.reachable.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.values[key] = value
+	w.carryOut(key)
 }
 
 // carryOut carries out the newest write of the key.
@@ -51,13 +64,16 @@
 		w.store.Remove(key)
 	}
 	w.keys = append(w.keys, key)
+	w.written[key] = time.Now()
 	if key == platformtest.ConfigurationKey {
-		w.configuration.acknowledged = time.Now()
+		w.configuration.acknowledged = w.written[key]
 	}
 }
 
 // configure stores a configuration that is newer by the steps. It has one route of its own, and may hold the key k2.
 func (w *entryWriters) configure(steps int, second bool) {
+	w.reachable.Lock()
+	defer w.reachable.Unlock()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	current := w.configuration
@@ -99,8 +115,22 @@
 	random.Shuffle(len(keys), func(i, j int) { keys[i], keys[j] = keys[j], keys[i] })
 	for _, key := range keys {
 		wait(ctx, random, limit/time.Duration(len(keys)))
-		w.mu.Lock()
-		w.carryOut(key)
-		w.mu.Unlock()
+		w.writeOneAgain(key)
 	}
 }
+
+func (w *entryWriters) writeOneAgain(key string) {
+	w.reachable.Lock()
+	defer w.reachable.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.carryOut(key)
+}
+
+// removed returns when the entry was removed last, and whether it is.
+func (w *entryWriters) removed(key string) (time.Time, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	value, found := w.values[key]
+	return w.written[key], found && value == nil
+}
