--- a/winchd/forwarder/soak_set_back_test.go
+++ b/winchd/forwarder/soak_set_back_test.go
@@ -31,7 +31,7 @@
 type scheduledChange struct {
 	// after is the time from the change before.
 	after time.Duration
-	// kind is one of the kinds below, and host the place of the host that is restarted by the signal.
+	// kind is one of the kinds below, and host the place of the host that is restarted by the signal, or holder for the one that acted last.
 	kind   changeKind
 	host   int
 	signal syscall.Signal
@@ -40,13 +40,16 @@
 	second bool
 }
 
+// holder is the place of the host that acted last.
+const holder = -1
+
 type changeKind int
 
 const (
-	changeConfiguration changeKind = iota
+	hostRestarts changeKind = iota
+	changeConfiguration
 	endpointJoins
 	endpointLeaves
-	hostRestarts
 	changeKinds
 )
 
@@ -70,7 +73,7 @@
 	random := rand.New(rand.NewPCG(seed, 22))
 	episodes := make([]episode, 0, count)
 	for range count {
-		e := episode{before: drawChanges(random, 3+random.IntN(4), hosts), after: drawChanges(random, 1+random.IntN(3), hosts)}
+		e := episode{before: drawChanges(random, 4+random.IntN(3), hosts), after: drawChanges(random, 1+random.IntN(3), hosts)}
 		for range 1 + random.IntN(5)/3 {
 			e.returns = append(e.returns, scheduledReturn{
 				age: drawTime(random, 8*time.Second), away: drawTime(random, 1500*time.Millisecond), late: drawTime(random, 1500*time.Millisecond),
@@ -93,7 +96,7 @@
 	changes := make([]scheduledChange, 0, count)
 	for range count {
 		changes = append(changes, scheduledChange{
-			after: drawTime(random, time.Second), kind: changeKind(random.IntN(int(changeKinds))), host: random.IntN(hosts),
+			after: drawTime(random, time.Second), kind: changeKind(max(0, random.IntN(int(changeKinds)+1)-1)), host: max(holder, random.IntN(2*hosts)-hosts),
 			signal: []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[random.IntN(2)], steps: 1 + random.IntN(3), second: random.IntN(2) == 0,
 		})
 	}
@@ -172,12 +175,22 @@
 		case endpointLeaves:
 			s.leave()
 		default:
-			s.restartHost(ctx, rand.New(rand.NewPCG(uint64(c.host), uint64(c.after))), s.hosts[c.host], c.signal)
-			s.callers.disturb()
+			s.restartPlace(ctx, c)
 		}
 	}
 }
 
+func (s *setBackSoak) restartPlace(ctx context.Context, c scheduledChange) {
+	h := s.holder()
+	if c.host != holder {
+		h = s.hosts[c.host]
+	}
+	if h != nil {
+		s.restartHost(ctx, rand.New(rand.NewPCG(uint64(c.after), 1)), h, c.signal)
+		s.callers.disturb()
+	}
+}
+
 // join adds an endpoint.
 func (s *setBackSoak) join() {
 	s.mu.Lock()
