fix(tunnel): a link that refuses connections is not taken for a crash of the endpoint

When the links of one host reject traffic, its connections to endpoints break and new ones are refused, as if the endpoints had crashed. The quarantine then counts crashes against the parts of the prompts that ran there, and can hold back sound requests until the endpoints tell their start.

Cause: the probe for a crash connects from this host alone. It now asks other hosts as well, and a refusal counts only if none of them reaches the endpoint.

TestRefusalOfALinkIsNotThatOfTheEndpoint fails with the former probe, which reports any refusal as one of the endpoint.

--- a/serving/tunnel/tunnel_test.go
+++ b/serving/tunnel/tunnel_test.go
@@ -229,6 +229,30 @@
 	})
 }
 
+// TestRefusalOfALinkIsNotThatOfTheEndpoint guards against endpoints that are taken to have crashed because a link of one host refuses connections.
+func TestRefusalOfALinkIsNotThatOfTheEndpoint(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		hosts int
+		cut   map[int]cut
+		want  bool
+	}{
+		{name: "reached by the host itself", hosts: 2},
+		{name: "reached by another host", hosts: 2, cut: map[int]cut{0: refusing}},
+		{name: "silent", hosts: 2, cut: map[int]cut{0: silent, 1: silent}},
+		{name: "refused to all hosts", hosts: 3, cut: map[int]cut{0: refusing, 1: refusing, 2: refusing}, want: true},
+		{name: "refused to the only host", hosts: 1, cut: map[int]cut{0: refusing}, want: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGroup(t, c.hosts)
+			for i, how := range c.cut {
+				g.hosts[i].cutLinks(how)
+			}
+			assert.Equal(t, g.hosts[0].Refuses(t.Context(), g.address()), c.want)
+		})
+	}
+}
+
 // TestEndOfATunnel guards against responses that look complete although they were cut off, and calls that arrive after they were given up.
 func TestEndOfATunnel(t *testing.T) {
 	begin := func(t *testing.T) (winch.EndpointConnection, *net.TCPConn) {
--- a/winchd/forwarder/quarantine.go
+++ b/winchd/forwarder/quarantine.go
@@ -10,7 +10,7 @@
 
 func (f *Forwarder) buildQuarantine() error {
 	built, err := quarantine.New(quarantine.Options{
-		Membership: f.table, Endpoints: f.endpoints, Prober: f.exchanger, Starts: runner.New(f.exchanger), Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
+		Membership: f.table, Endpoints: f.endpoints, Prober: f.tunnels, Starts: runner.New(f.exchanger), Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
 	})
 	if err != nil {
 		return err
