feat(forwarder): hosts tell each other the era of the store before they act

Callers saw orders with a lower fencing number after hosts had been restarted one after the other. A process that has just begun has read nothing of the store's former state. If the store does not name its era, the process takes what is given out again for new.

The section Era of the exchange tells the newest era and the highest revision in it (keyvalue/peer). A revision that another host had seen before it told of it is a lower limit for the answers to later calls, so that the first read of a new process shows that the store came back. The lease runs once the process has heard from a host that has heard itself, has been the hub for the time after which silent hosts count as dead, or, for a host that reaches no other, after TTL and InFlight. There is no further call to the store.

--- a/keyvalue/era/state.go
+++ b/keyvalue/era/state.go
@@ -68,9 +68,12 @@
 // begin returns the record of a call that is about to be sent.
 func (s *state) begin() Call { return Call{sentAt: s.newest} }
 
-// answered processes the answer to the call. The error matches winch.ErrInvalid if the answer names an era that is out of range; the answer
-// must then not be used.
+// answered processes the answer to the call. The error matches winch.ErrInvalid if the answer tells an era or a revision that is out of
+// range; the answer must then not be used.
 func (s *state) answered(call Call, answer Answer) (Reading, change, error) {
+	if answer.Revision < 0 || answer.Revision > winch.MaxStoreRevision {
+		return Reading{}, change{}, fmt.Errorf("revision %d is not within 0 and %d: %w", answer.Revision, winch.MaxStoreRevision, winch.ErrInvalid)
+	}
 	if !answer.HasEra {
 		return s.answeredWithoutEra(call, answer.Revision)
 	}
@@ -102,13 +105,14 @@
 	return Reading{Era: answered.era}, s.advance(answered, sourceInferred), nil
 }
 
-// learned processes an era that another host knows. Nothing is known of its revisions, so that what this host had seen before is not
-// compared with them, which would count one return of the service twice.
-func (s *state) learned(newest winch.Era) (change, error) {
-	if err := check(newest); err != nil || newest <= s.newest.era {
-		return change{}, err
+// learned processes a position that another host knows. That host had seen the revision before it told of it, so that the answer to a
+// call that this host sends from now on has at least that revision, unless the service has come back from an older copy since. What
+// this host has seen in an era before is not compared with it, which would count one return of the service twice.
+func (s *state) learned(told position) change {
+	if told.era < s.newest.era {
+		return change{}
 	}
-	return s.advance(position{era: newest}, sourceHost), nil
+	return s.advance(told, sourceHost)
 }
 
 // advance takes over a position that is not of an earlier era than the newest one.
--- a/keyvalue/era/state_test.go
+++ b/keyvalue/era/state_test.go
@@ -70,6 +70,14 @@
 		}
 		send(t, &state{}, named(winch.MaxEra, 100))
 	})
+	t.Run("with a revision out of range is an error", func(t *testing.T) {
+		for _, revision := range []winch.StoreRevision{-1, winch.MaxStoreRevision + 1} {
+			s := &state{}
+			_, _, err := s.answered(s.begin(), named(1, revision))
+			assert.ErrorIs(t, err, winch.ErrInvalid)
+			assertNewest(t, s, 0, 0)
+		}
+	})
 	t.Run("ends the inference from revisions", func(t *testing.T) {
 		s := &state{}
 		send(t, s, named(1, 100))
@@ -129,35 +137,41 @@
 	t.Run("is not inferred a second time", func(t *testing.T) {
 		s := &state{}
 		send(t, s, unnamed(100))
-		step, err := s.learned(1)
-		assert.NilError(t, err)
-		assert.Equal(t, step, change{from: position{0, 100}, to: position{1, 0}, source: sourceHost})
-		_, step = send(t, s, unnamed(90))
+		assert.Equal(t, s.learned(position{1, 90}), change{from: position{0, 100}, to: position{1, 90}, source: sourceHost})
+		_, step := send(t, s, unnamed(91))
 		assert.Assert(t, !step.happened())
-		assertNewest(t, s, 1, 90)
+		assertNewest(t, s, 1, 91)
 	})
 	t.Run("is ignored if it is not newer", func(t *testing.T) {
 		s := &state{}
 		send(t, s, named(2, 100))
-		for _, era := range []winch.Era{0, 1, 2} {
-			step, err := s.learned(era)
-			assert.NilError(t, err)
-			assert.Assert(t, !step.happened())
+		for _, told := range []position{{0, 200}, {1, 200}, {2, 100}, {2, 99}} {
+			assert.Assert(t, !s.learned(told).happened())
 		}
 		assertNewest(t, s, 2, 100)
 	})
 	t.Run("makes answers late that do not name theirs", func(t *testing.T) {
 		s := &state{}
 		call := s.begin()
-		_, err := s.learned(1)
-		assert.NilError(t, err)
+		s.learned(position{1, 90})
 		reading, _ := answerTo(t, s, call, unnamed(100))
 		assert.Assert(t, reading.Late)
 	})
-	t.Run("is bounded", func(t *testing.T) {
-		for _, era := range []winch.Era{-1, winch.MaxEra + 1} {
-			_, err := (&state{}).learned(era)
-			assert.ErrorIs(t, err, winch.ErrInvalid)
-		}
+}
+
+func TestRevisionOfAnotherHost(t *testing.T) {
+	t.Run("shows a host that begins anew that the service has come back", func(t *testing.T) {
+		s := &state{}
+		s.learned(position{0, 100})
+		reading, _ := send(t, s, unnamed(90))
+		assert.Equal(t, reading, Reading{Era: 1})
+	})
+	t.Run("shows nothing to calls that were in flight when it was told", func(t *testing.T) {
+		s := &state{}
+		call := s.begin()
+		s.learned(position{0, 100})
+		reading, step := answerTo(t, s, call, unnamed(90))
+		assert.Equal(t, reading, Reading{})
+		assert.Assert(t, !step.happened())
 	})
 }
--- a/keyvalue/era/tracker.go
+++ b/keyvalue/era/tracker.go
@@ -2,7 +2,8 @@
 //
 // An era ends when the service comes back from an older copy of itself. Writes that it had acknowledged are then lost and their
 // revisions are given out again, so that revisions can be compared only within one era. The service names its era in its answers.
-// Where it never does, a new era is inferred when its revision falls. Hosts tell each other the newest era that they know.
+// Where it never does, a new era is inferred when its revision falls. Hosts tell each other the newest era that they know, and the
+// highest revision that they have seen in it.
 //
 // # Usage
 //
@@ -76,8 +77,8 @@
 	return t.state.begin()
 }
 
-// Answered records the answer to the call. The error matches winch.ErrInvalid if the answer names an era that is out of range; the answer
-// must then not be used.
+// Answered records the answer to the call. The error matches winch.ErrInvalid if the answer tells an era or a revision that is out of
+// range; the answer must then not be used.
 func (t *Tracker) Answered(call Call, answer Answer) (Reading, error) {
 	t.mu.Lock()
 	reading, step, err := t.state.answered(call, answer)
@@ -86,13 +87,25 @@
 	return reading, err
 }
 
-// Learned records the newest era that another host knows. The error matches winch.ErrInvalid if it is out of range.
-func (t *Tracker) Learned(newest winch.Era, from winch.HostID) error {
+// Position returns the newest era and the highest revision that is known in it.
+func (t *Tracker) Position() winch.Version {
 	t.mu.Lock()
-	step, err := t.state.learned(newest)
+	defer t.mu.Unlock()
+	// Only what is in range has been recorded.
+	version, _ := winch.NewVersion(t.state.newest.era, t.state.newest.revision)
+	return version
+}
+
+// Learned records the Position of another host. The error matches winch.ErrInvalid if it is negative.
+func (t *Tracker) Learned(told winch.Version, from winch.HostID) error {
+	if told < 0 {
+		return fmt.Errorf("position %d: %w", told, winch.ErrInvalid)
+	}
+	t.mu.Lock()
+	step := t.state.learned(position{era: told.Era(), revision: told.Revision()})
 	t.mu.Unlock()
 	t.report(step, from)
-	return err
+	return nil
 }
 
 // report logs and counts a step to a newer era. A revision of zero in the log is not known.
--- a/keyvalue/era/tracker_test.go
+++ b/keyvalue/era/tracker_test.go
@@ -20,8 +20,12 @@
 		_, err := tracker.Answered(tracker.Begin(), answer)
 		assert.NilError(t, err)
 	}
-	assert.NilError(t, tracker.Learned(3, "b"))
+	told, err := winch.NewVersion(3, 50)
+	assert.NilError(t, err)
+	assert.NilError(t, tracker.Learned(told, "b"))
 	assert.Equal(t, tracker.Newest(), winch.Era(3))
+	assert.Equal(t, tracker.Position(), told)
+	assert.ErrorIs(t, tracker.Learned(-1, "b"), winch.ErrInvalid)
 	lines := strings.Split(strings.TrimSpace(log.String()), "\n")
 	assert.Equal(t, len(lines), 2)
 	for _, field := range []string{`"Era":1`, `"Revision":90`, `"FormerEra":0`, `"FormerRevision":100`, `"Source":"inferred"`} {
--- a/winchd/forwarder/duties.go
+++ b/winchd/forwarder/duties.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"time"
 
 	"github.com/arbutuswinch/winch"
@@ -126,10 +127,17 @@
 		return err
 	}
 	f.duties.holder, f.duties.sender = holder, sender
-	f.duties.tasks = append(f.duties.tasks, process.Task{Name: "lease", Run: holder.Run})
+	f.duties.tasks = append(f.duties.tasks, process.Task{Name: "lease", Run: f.runLease})
 	return nil
 }
 
+// runLease runs the lease once this process has heard the newest era of the store from the other hosts. One that reaches no other waits
+// until a holder that it could have heard of can act no more.
+func (f *Forwarder) runLease(ctx context.Context) error {
+	f.eras.Await(ctx, f.settings.Bounds.Lease+maxInFlight)
+	return f.duties.holder.Run(ctx)
+}
+
 func (f *Forwarder) buildCounters() error {
 	window := f.settings.Bounds.UsageWindow
 	counters, err := usagepeer.New(usagepeer.Options{
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"github.com/arbutuswinch/winch/clock/synced"
 	dispatch "github.com/arbutuswinch/winch/dispatch/endpoint"
 	"github.com/arbutuswinch/winch/internal/connlimit"
+	storepeer "github.com/arbutuswinch/winch/keyvalue/peer"
 	members "github.com/arbutuswinch/winch/membership/keyvalue"
 	memberpeer "github.com/arbutuswinch/winch/membership/peer"
 	origins "github.com/arbutuswinch/winch/origin/peer"
@@ -83,6 +84,8 @@
 	metrics     *process.Metrics
 	guard       *process.Guard
 	store       *store.Client
+	// eras is what the hosts tell each other of the store.
+	eras *storepeer.Section
 	// synced is the wall clock on which the hosts agree. It assigns usage to windows.
 	synced *synced.Clock
 
@@ -147,8 +150,12 @@
 
 func (f *Forwarder) buildStore() error {
 	built, err := store.New(store.Options{Address: f.settings.Store.Address, Timeout: f.settings.Store.Timeout, Meter: f.metrics.Meter(), Logger: f.logger})
+	if err != nil {
+		return err
+	}
 	f.store = built
-	return err
+	f.eras = storepeer.New(storepeer.Options{Self: f.settings.Host, Tracker: built.Eras(), Settle: suspectAfter})
+	return nil
 }
 
 func (f *Forwarder) buildMembership() error {
@@ -263,7 +270,7 @@
 func (f *Forwarder) sections() []winch.Section {
 	return []winch.Section{
 		f.configuration.Section(), f.endpoints.Section(), f.dispatcher.Section(), f.dispatcher.RateSection(), f.synced.Section(f.table),
-		f.duties.counters, f.duties.sealed, f.quarantine,
+		f.duties.counters, f.duties.sealed, f.quarantine, f.eras,
 	}
 }
 
