--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -271,9 +271,10 @@
 }
 
 func (f *Forwarder) sections() []winch.Section {
+	// The era comes first, since the others act on what the store holds in it.
 	return []winch.Section{
-		f.configuration.Section(), f.endpoints.Section(), f.dispatcher.Section(), f.dispatcher.RateSection(), f.synced.Section(f.table),
-		f.duties.counters, f.duties.sealed, f.quarantine, f.eras,
+		f.eras, f.configuration.Section(), f.endpoints.Section(), f.dispatcher.Section(), f.dispatcher.RateSection(), f.synced.Section(f.table),
+		f.duties.counters, f.duties.sealed, f.quarantine,
 	}
 }
 
