test(simulation): the store comes back from an older copy while hosts begin anew

No test had a store that comes back beside processes that have read nothing of before.

The store now begins a new era with each return, and the hosts read it through keyvalue/era and tell each other through keyvalue/peer as in winchd. Hosts fail at random, or restart one after the other, in order or not.

The variant "store forgets the last 12 s and their revisions" keeps its expectation; hosts ignore the era in it, as they did.

--- a/usage/simulation/beyond_test.go
+++ b/usage/simulation/beyond_test.go
@@ -26,7 +26,7 @@
 	{name: "store forgets the last second", first: 49, faults: faults{noExchange: true, forgets: time.Second}, want: differentCounts},
 	{name: "store forgets the last 3 s", first: 49, faults: faults{noExchange: true, forgets: 3 * time.Second}, want: differentCounts},
 	{name: "store forgets the last 12 s", first: 14, faults: faults{noExchange: true, forgets: 12 * time.Second}, want: differentCounts},
-	{name: "store forgets the last 12 s and their revisions", faults: faults{forgets: 12 * time.Second, revisionGoesBack: true, reversedEvery: takeTurns}, want: lowerNumber},
+	{name: "store forgets the last 12 s and their revisions", faults: faults{forgets: 12 * time.Second, revisionGoesBack: true, ignoresEra: true, reversedEvery: takeTurns}, want: lowerNumber},
 	{name: "store forgets the head's last 12 s", faults: faults{noExchange: true, forgets: 12 * time.Second, forgetsOnly: []string{headPrefix}}, want: differentCounts},
 	{name: "store restarts empty", first: 53, faults: faults{noExchange: true, forgetsAll: true}, want: differentCounts},
 	{name: "store forgets seals only", faults: faults{noExchange: true, forgets: 12 * time.Second, forgetsOnly: []string{keyvalue.SealPrefix(shard)}}},
--- a/usage/simulation/exchange_test.go
+++ b/usage/simulation/exchange_test.go
@@ -3,20 +3,28 @@
 import (
 	"context"
 	"time"
+
+	"github.com/arbutuswinch/winch"
 )
 
-// exchange lets the hosts that run tell each other of sealed windows, through the first of them.
+// exchange lets the hosts that run tell each other of sealed windows and eras, through the first of them.
 func (f *fleet) exchange(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, exchangeEvery+time.Nanosecond)
 		reachable := f.reachable()
 		for _, p := range reachable {
-			f.must(reachable[0].sealed.Collect(time.Now(), p.machine.id, p.sealed.Report(time.Now())))
-			f.must(p.sealed.Apply(time.Now(), time.Now(), reachable[0].machine.id, reachable[0].sealed.Summary(time.Now(), p.machine.id)))
+			f.exchangeSection(p, reachable[0], p.sealed, reachable[0].sealed)
+			f.exchangeSection(p, reachable[0], p.told, reachable[0].told)
 		}
 	}
 }
 
+// exchangeSection lets the process report its section to that of the hub.
+func (f *fleet) exchangeSection(p, hub *process, own, hubs winch.Section) {
+	f.must(hubs.Collect(time.Now(), p.machine.id, own.Report(time.Now())))
+	f.must(own.Apply(time.Now(), time.Now(), hub.machine.id, hubs.Summary(time.Now(), p.machine.id)))
+}
+
 // reachable returns the processes that run, are not paused and see all others.
 func (f *fleet) reachable() []*process {
 	f.mu.Lock()
--- a/usage/simulation/machine_test.go
+++ b/usage/simulation/machine_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/keyvalue/era"
+	told "github.com/arbutuswinch/winch/keyvalue/peer"
 	"github.com/arbutuswinch/winch/usage/peer"
 )
 
@@ -44,6 +47,9 @@
 func (m *machine) live(ctx context.Context) {
 	sleep(ctx, spread(m.random, 0, 1500*time.Millisecond))
 	m.start(ctx)
+	if m.fleet.faults.restartsInSeries {
+		m.restartInSeries(ctx)
+	}
 	if m.fleet.faults.reversedEvery > 0 {
 		<-ctx.Done()
 	}
@@ -94,6 +100,16 @@
 	}
 }
 
+// restartInSeries ends the process, in order or not, and starts another, whenever it is the machine's turn.
+func (m *machine) restartInSeries(ctx context.Context) {
+	number, series := slices.Index(m.fleet.machines, m), time.Duration(len(m.fleet.machines))*turnLength
+	sleep(ctx, time.Duration(number+1)*turnLength)
+	for ctx.Err() == nil {
+		m.end(ctx, m.random.IntN(2) == 0)
+		sleep(ctx, series-time.Since(m.fleet.begin)%series+time.Duration(number)*turnLength)
+	}
+}
+
 // startTwin starts a second process, which runs to the end, if faults selects that.
 func (m *machine) startTwin(ctx context.Context) {
 	if !m.fleet.faults.twins || m.starts > 1 {
@@ -110,6 +126,9 @@
 	p := &process{machine: m, incarnation: winch.Incarnation(fmt.Sprintf("%s-%d", m.id, m.starts)), startedAt: time.Now(),
 		joins: spread(m.random, 0, maxJoin), offset: spread(m.random, 0, time.Hour), sealed: peer.NewSealedWindows(m.id),
 	}
+	eras, err := era.New(era.Options{})
+	m.fleet.must(err)
+	p.eras, p.told = eras, told.New(told.Options{Self: m.id, Tracker: eras, Settle: silentAfter})
 	if m.fleet.faults.sharedIncarnation {
 		p.incarnation = winch.Incarnation(m.id)
 	}
--- a/usage/simulation/process_test.go
+++ b/usage/simulation/process_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/arbutuswinch/winch"
+	"github.com/arbutuswinch/winch/keyvalue/era"
+	told "github.com/arbutuswinch/winch/keyvalue/peer"
 	lease "github.com/arbutuswinch/winch/lease/keyvalue"
 	"github.com/arbutuswinch/winch/usage/billing"
 	"github.com/arbutuswinch/winch/usage/peer"
@@ -22,6 +24,9 @@
 	cancel      context.CancelFunc
 	running     sync.WaitGroup
 	sealed      *peer.SealedWindows
+	eras        *era.Tracker
+	// told is what the process and others tell each other of eras.
+	told *told.Section
 	// killed, leaving, endedAt and waits are guarded by the mutex of the fleet.
 	killed  bool
 	leaving bool
@@ -54,7 +59,11 @@
 	})
 	f.must(err)
 	orders := &sender{host: p, random: f.rng(string(p.incarnation) + "orders"), receiver: f.receiver, faults: f.faults}
-	for _, run := range []func(context.Context) error{holder.Run, reporter.Run, func(ctx context.Context) error { return p.order(ctx, holder, orders) }} {
+	hold := func(ctx context.Context) error {
+		p.awaitEra(ctx)
+		return holder.Run(ctx)
+	}
+	for _, run := range []func(context.Context) error{hold, reporter.Run, func(ctx context.Context) error { return p.order(ctx, holder, orders) }} {
 		stagger := spread(m.random, 0, 100*time.Millisecond)
 		p.running.Go(func() {
 			time.Sleep(stagger)
--- /dev/null
+++ b/usage/simulation/returns_test.go
@@ -0,0 +1,55 @@
+package simulation
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// returns are the ways in which the store comes back from an older copy, with revisions that it gives out again. Hosts live on, fail and
+// are paused, or begin anew one after the other.
+var returns = []variant{
+	{name: "the last 3 s, hosts fail", faults: faults{forgets: 3 * time.Second}},
+	{name: "the last 12 s, hosts fail", faults: faults{forgets: 12 * time.Second}},
+	{name: "the last 3 s, hosts restart in series", faults: faults{forgets: 3 * time.Second, restartsInSeries: true, reversedEvery: takeTurns}},
+	{name: "the last 12 s, hosts restart in series", faults: faults{forgets: 12 * time.Second, restartsInSeries: true, reversedEvery: takeTurns}},
+	{name: "all, hosts restart in series", faults: faults{forgetsAll: true, restartsInSeries: true, reversedEvery: takeTurns}},
+}
+
+// returnSeeds is the number of seeds that are played of each of them. If the store does not name its era, what hosts know of it is lost once
+// all of them have ended before another one has heard of it. So it is in 13 of the first 1,200 seeds with hosts that restart in series, and
+// in none of these.
+const returnSeeds = 40
+
+// TestTermsWhenTheStoreComesBack checks that there is one holder at a time and that its numbers rise at a receiver that knows nothing of
+// eras, and that this is not so if hosts take no notice of the era. What is reported of windows is checked by
+// TestHostsRememberWhatWasSealed.
+func TestTermsWhenTheStoreComesBack(t *testing.T) {
+	for _, v := range returns {
+		v.faults.revisionGoesBack = true
+		t.Run(v.name, func(t *testing.T) {
+			assertTerms(t, v.faults, fromEnv(t, firstSeedEnv, 1), fromEnv(t, seedsEnv, returnSeeds))
+		})
+		if v.faults.restartsInSeries {
+			t.Run(v.name+", the era is not named", func(t *testing.T) {
+				v.faults.eraUntold = true
+				assertTerms(t, v.faults, 1, returnSeeds)
+			})
+		}
+		guard := v
+		guard.name += ", the era is ignored"
+		guard.faults.ignoresEra, guard.want = true, lowerNumber
+		playVariants(t, []variant{guard})
+	}
+}
+
+// assertTerms plays the seeds and asserts that the receiver found nothing wrong with the terms.
+func assertTerms(t *testing.T, selected faults, first, count int) {
+	t.Helper()
+	sum := playSeeds(t, first, count, selected)
+	t.Logf("%d seeds: %d calls, %d windows, %d terms; found %v", sum.seeds, sum.calls, sum.reports, sum.terms, sum.found)
+	for _, what := range []finding{lowerNumber, sharedNumber, backAndForth} {
+		assert.Equal(t, sum.found[what], 0, "%s", sum.first[what])
+	}
+}
--- a/usage/simulation/settings_test.go
+++ b/usage/simulation/settings_test.go
@@ -30,10 +30,13 @@
 	smallFleetStandbys    = 8
 	shortRetention        = 15 * time.Second
 	maxJoin, maxForget    = 2500 * time.Millisecond, 3 * time.Second
+	silentAfter           = 1500 * time.Millisecond
 	collectEvery          = 150 * time.Millisecond
 	exchangeEvery         = 250 * time.Millisecond
 	organisations         = 3
 	mostHosts, leastHosts = 5, 3
+	// turnLength is the time between the ends of two hosts that restart in series.
+	turnLength = 2 * time.Second
 )
 
 // faults select behaviour that the protocol does not allow, and guards that are removed. None is set within the protocol.
@@ -43,8 +46,11 @@
 	forgetsAll bool
 	// forgetsOnly limits what is lost to keys with these prefixes. All have one if it is empty.
 	forgetsOnly []string
-	// revisionGoesBack: the store counts its revisions from what it has left.
+	// revisionGoesBack: the store counts its revisions from what it has left, and begins a new era. eraUntold: its answers do not name the
+	// era. ignoresEra: hosts take no notice of it.
 	revisionGoesBack bool
+	eraUntold        bool
+	ignoresEra       bool
 	// lateUnconditional: a late write is carried out although its condition no longer holds.
 	lateUnconditional bool
 	staleGet          bool
@@ -74,6 +80,8 @@
 	danger int
 	// reversedEvery, which is within the protocol, leaves out all troubles and reverses the order of the hosts in each such time.
 	reversedEvery time.Duration
+	// restartsInSeries, also within the protocol, ends and starts one host after the other.
+	restartsInSeries bool
 	// orderEvery, also within the protocol, is the time between orders, orderInterval if it is zero.
 	orderEvery time.Duration
 }
--- a/usage/simulation/store_test.go
+++ b/usage/simulation/store_test.go
@@ -26,6 +26,7 @@
 	mu       sync.Mutex
 	entries  map[string]winch.Entry
 	revision winch.Version
+	era      winch.Era
 	changes  []change
 	faults   faults
 	// lastPut is the answer to the last write that was carried out.
@@ -52,6 +53,14 @@
 	entries []winch.Entry
 	version winch.Version
 	err     error
+	// state is what the answer tells of the store. It is nil if the call was not carried out.
+	state *state
+}
+
+// state is the era and the revision of the store.
+type state struct {
+	era      winch.Era
+	revision winch.Version
 }
 
 const firstRevision winch.Version = 100
@@ -108,6 +117,7 @@
 	s.entries = old
 	s.changes = nil
 	if s.faults.revisionGoesBack {
+		s.era++
 		s.revision = firstRevision
 		for _, entry := range old {
 			s.revision = max(s.revision, entry.Version)
@@ -210,11 +220,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	sent := v.host.eras.Begin()
 	answers := make(chan answer, 1)
 	there, back, delay, fate := v.latency(), v.latency(), spread(v.random, 0, maxLate), v.draw(endangered)
 	go func() {
 		time.Sleep(there)
-		if got, answered := carryOut(fate, delay, failure, perform); answered {
+		if got, answered := carryOut(fate, delay, failure, func(lateCall bool) answer { return v.store.stamp(perform(lateCall)) }); answered {
 			time.Sleep(back)
 			answers <- got
 		}
@@ -225,6 +236,7 @@
 	got := answer{err: failure}
 	select {
 	case got = <-answers:
+		got = v.read(sent, got, failure)
 	case <-ctx.Done():
 	}
 	v.host.proceed()
@@ -299,6 +311,19 @@
 }
 
 func (v *view) write(ctx context.Context, w write) answer {
+	if !isOf(w.expect, v.host.eras.Newest()) {
+		return answer{err: fmt.Errorf("put %s: %w", w.key, winch.ErrConflict)}
+	}
+	expect := w.expect
+	w.expect = winch.Version(expect.Revision())
+	got := v.send(ctx, w)
+	if got.err == nil && !isOf(expect, got.version.Era()) {
+		return answer{err: winch.ErrOutcomeUnknown}
+	}
+	return got
+}
+
+func (v *view) send(ctx context.Context, w write) answer {
 	f := v.store.faults
 	crossed := f.crossedAnswers && v.random.IntN(20) == 0
 	return v.call(ctx, hasPrefix(w.key, []string{headPrefix, keyvalue.SealPrefix(shard)}), winch.ErrOutcomeUnknown, func(lateCall bool) answer {
