--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -39,8 +39,8 @@
 	// outageThreshold is the time without a list after which, if a read failed, the next list counts as the first one after
 	// an outage. Entries do not expire earlier.
 	outageThreshold = 2 * time.Second
-	// reRegistrationGrace is the time that endpoints whose entries expired during an
-	// outage have to register again.
+	// reRegistrationGrace is the time that endpoints have to register again whose entries expired during an outage, or were lost
+	// because the store came back from an older copy.
 	reRegistrationGrace = 1800 * time.Millisecond
 	// leaveTolerance is the difference below which two leave times count as equal.
 	leaveTolerance = 500 * time.Millisecond
@@ -51,8 +51,10 @@
 	Lister winch.EndpointLister
 	// Evacuations lists the evacuated data centres. It may be nil: then none counts as evacuated.
 	Evacuations winch.EvacuationLister
-	Clock       winch.Clock
-	Logger      hclog.Logger
+	// Eras tells that the store of the list came back from an older copy. If it is nil, it never does.
+	Eras   winch.EraSource
+	Clock  winch.Clock
+	Logger hclog.Logger
 	// Self is this host, whose own list does not count as relayed while it is the hub.
 	Self winch.HostID
 	// PollEvery is the time between reads. The default is 600 ms.
@@ -75,16 +77,21 @@
 	coldMark uint64
 	// lister is that of Options.Evacuations or SetEvacuations.
 	lister winch.EvacuationLister
-	// current is latest, with the evacuated endpoints marked, and, after an outage, the endpoints that still have time to register again.
+	// current is latest, with the evacuated endpoints marked, later statements of endpoints in place of earlier ones (see statements.go) and,
+	// after an outage, the endpoints that still have time to register again.
 	current []winch.EndpointStatus
 	// readAt is when latest was read, by this host or by another one.
 	readAt  time.Time
 	changed chan struct{}
 	// hostHashes holds, at the hub, the hash of the list that each host reported.
 	hostHashes map[winch.HostID]uint64
-	// graceUntil is when endpoints that are missing after an outage are removed.
+	// graceUntil is when endpoints that are missing after an outage, or in a new era of the store, are removed.
 	graceUntil time.Time
-	reader     *relay.Reader
+	// era is that of the store as of the newest list.
+	era winch.Era
+	// held holds the endpoints in whose place current has a later statement than latest, and since when.
+	held   map[winch.EndpointID]time.Time
+	reader *relay.Reader
 	// readFailed reports whether a read of this host failed since the last list.
 	readFailed bool
 }
@@ -133,8 +140,19 @@
 	return evacuated.err
 }
 
-// keepMissingAfterOutage returns the list and, during the grace time after an outage, also
-// the previous endpoints that it lacks: entries expire during an outage, and their endpoints
+// followEra starts the grace time if a new era of the store has begun before the list was read at the given time. It is called with the lock.
+func (f *Follower) followEra(at time.Time) {
+	if f.options.Eras == nil || f.options.Eras.Newest() == f.era {
+		return
+	}
+	f.era = f.options.Eras.Newest()
+	if !f.readAt.IsZero() {
+		f.graceUntil = at.Add(reRegistrationGrace)
+	}
+}
+
+// keepMissingAfterOutage returns the list and, during the grace time after an outage or in a new era, also
+// the previous endpoints that it lacks: entries expire during an outage or are lost with the older era, and their endpoints
 // have to register again. The first list after an outage starts the grace time. The added
 // endpoints are not sent to other hosts, which may have newer information.
 func (f *Follower) keepMissingAfterOutage(at time.Time, statuses []winch.EndpointStatus) []winch.EndpointStatus {
@@ -159,15 +177,17 @@
 	return statuses
 }
 
-// recovering reports whether a list read at the given time may not be the one in use, because of an outage before it.
+// recovering reports whether a list read at the given time may not be the one in use, because of an outage before it or earlier statements in it.
 func (f *Follower) recovering(at time.Time) bool {
-	return f.readFailed && at.Sub(f.readAt) > outageThreshold || at.Before(f.graceUntil) || len(f.current) != len(f.latest)
+	return len(f.held) > 0 || f.readFailed && at.Sub(f.readAt) > outageThreshold || at.Before(f.graceUntil) || len(f.current) != len(f.latest)
 }
 
 func sortByID(statuses []winch.EndpointStatus) {
-	slices.SortFunc(statuses, func(a, b winch.EndpointStatus) int { return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID) })
+	slices.SortFunc(statuses, compareID)
 }
 
+func compareID(a, b winch.EndpointStatus) int { return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID) }
+
 // reading tells when and by whom a list was read.
 type reading struct {
 	// at is when the read began, and received when this host got the list.
@@ -199,7 +219,8 @@
 	before, after, evacuatedBefore := f.current, f.current, f.evacuations.DataCentres
 	previousReadAt := f.readAt
 	if newer {
-		after = f.keepMissingAfterOutage(r.at, statuses)
+		f.followEra(r.at)
+		after = f.keepMissingAfterOutage(r.at, f.keepLaterStatements(r.at, statuses))
 		f.latest, f.coldMark, f.readAt = statuses, r.coldMark, r.at
 	}
 	if evacuated {
--- a/winchd/forwarder/forwarder.go
+++ b/winchd/forwarder/forwarder.go
@@ -38,6 +38,7 @@
 	release "github.com/arbutuswinch/winch/release/source"
 	"github.com/arbutuswinch/winch/serving/forward"
 	"github.com/arbutuswinch/winch/serving/httpexchange"
+	"github.com/arbutuswinch/winch/serving/tunnel"
 	"github.com/arbutuswinch/winch/winchd/process"
 	"github.com/arbutuswinch/winch/winchd/settings"
 )
@@ -96,6 +97,7 @@
 	endpoints     *endpoints.Follower
 	dispatcher    *dispatch.Dispatcher
 	exchanger     *httpexchange.Client
+	tunnels       *tunnel.Dialer
 	quarantine    *quarantine.Guard
 	origins       *origins.Keeper
 	server        *forward.Server
@@ -123,6 +125,7 @@
 		{Name: "endpoints", Build: f.buildEndpoints},
 		{Name: "dispatch", Build: f.buildDispatch},
 		{Name: "duties", Build: f.buildDuties},
+		{Name: "tunnels", Build: f.buildTunnels},
 		{Name: "quarantine", Build: f.buildQuarantine},
 		{Name: "stream origins", Build: f.buildOrigins},
 		{Name: "serving", Build: f.buildServing},
@@ -162,7 +165,7 @@
 	self := winch.Host{ID: f.settings.Host, DataCentre: exchangeGroup, Home: f.settings.DataCentre, PeerAddress: f.settings.Peer.Address, Capacity: f.settings.Limits.Processors}
 	f.table = memberpeer.NewTable(self, nil, suspectAfter, forgetAfter)
 	f.table.EnableGroups()
-	built, err := members.New(members.Options{Store: f.store, Self: self, Logger: f.logger})
+	built, err := members.New(members.Options{Store: f.store, Eras: f.store.Eras(), Self: self, Logger: f.logger})
 	f.hosts = built
 	return err
 }
@@ -190,7 +193,7 @@
 
 func (f *Forwarder) buildEndpoints() error {
 	built, err := endpoints.New(endpoints.Options{
-		Lister: registry.New(registry.Options{Store: f.store, Logger: f.logger}), Clock: f.clock, Logger: f.logger, Self: f.settings.Host,
+		Lister: registry.New(registry.Options{Store: f.store, Logger: f.logger}), Eras: f.store.Eras(), Clock: f.clock, Logger: f.logger, Self: f.settings.Host,
 		MaxRelayedAge: relayedLimit(f.settings.Bounds), Evacuations: f.evacuations(f.settings.Bounds),
 	})
 	f.endpoints = built
@@ -258,9 +261,9 @@
 }
 
 func (f *Forwarder) buildExchange() error {
-	f.peers = newPeers(f.hosts, f.origins, f.configuration, f.logger, func(secret string) (*memberpeer.Exchange, error) {
+	f.peers = newPeers(f.hosts, f.origins, f.configuration, f.tunnels, f.logger, func(secret string) (*memberpeer.Exchange, error) {
 		return memberpeer.New(memberpeer.Options{
-			Table: f.table, Hosts: f.hosts, Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(), Secret: secret,
+			Table: f.table, Hosts: f.hosts, Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(), Secret: secret, Rejected: f.peers.noteRejected,
 			ExchangeEvery: exchangeEvery, ListEvery: listEvery, Sections: f.sections(),
 		})
 	})
@@ -268,9 +271,10 @@
 }
 
 func (f *Forwarder) sections() []winch.Section {
+	// The era comes first, since the others act on what the store holds in it.
 	return []winch.Section{
-		f.configuration.Section(), f.endpoints.Section(), f.dispatcher.Section(), f.dispatcher.RateSection(), f.synced.Section(f.table),
-		f.duties.counters, f.duties.sealed, f.quarantine, f.eras,
+		f.eras, f.configuration.Section(), f.endpoints.Section(), f.dispatcher.Section(), f.dispatcher.RateSection(), f.synced.Section(f.table),
+		f.duties.counters, f.duties.sealed, f.quarantine,
 	}
 }
 
@@ -339,6 +343,7 @@
 		{Name: "exchange", Run: f.peers.run},
 		{Name: "dispatcher", Run: f.dispatcher.Run},
 		{Name: "pruning of idle connections", Run: f.exchanger.Run},
+		{Name: "tunnels", Run: f.tunnels.Run},
 		{Name: "quarantine", Run: f.quarantine.Run},
 		{Name: "stream origins", Run: f.origins.Run},
 		{Name: "settings", Run: (&reloader{path: f.path, logger: f.logger, current: f.settings, apply: f.apply}).run},
--- a/winchd/forwarder/quarantine.go
+++ b/winchd/forwarder/quarantine.go
@@ -5,15 +5,12 @@
 
 	"github.com/arbutuswinch/winch/platform/runner"
 	quarantine "github.com/arbutuswinch/winch/quarantine/peer"
-	"github.com/arbutuswinch/winch/serving/httpexchange"
 	"github.com/arbutuswinch/winch/winchd/settings"
 )
 
-// buildQuarantine builds the client of the endpoints as well, which tells whether an endpoint has crashed.
 func (f *Forwarder) buildQuarantine() error {
-	f.exchanger = httpexchange.New(httpexchange.Options{DialTimeout: dialTimeout})
 	built, err := quarantine.New(quarantine.Options{
-		Membership: f.table, Endpoints: f.endpoints, Prober: f.exchanger, Starts: runner.New(f.exchanger), Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
+		Membership: f.table, Endpoints: f.endpoints, Prober: f.tunnels, Starts: runner.New(f.exchanger), Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
 	})
 	if err != nil {
 		return err
