fix(membership): a lease that was granted before the store came back is not used after it

Callers saw nothing at once. When another host stopped, the entry of a host that ran was deleted with it, and the host was missing in the host list until its next renewal, up to 3 s.

A host that registers gets a lease and then writes its entry with it. If the store comes back from an older copy in between, the id of the lease is given out again, to another host as a rule, since all register again then. The write has no condition that could fail, so that the entry was bound to the other host's lease, and its version was of the new era, so that nothing was checked later.

The host now compares the era that it knows after the grant with that of the write. If they differ, it counts as not registered, and gets a lease of its own with the next renewal. Where the store does not name its era, the return may go unseen as before.

--- a/membership/keyvalue/registry.go
+++ b/membership/keyvalue/registry.go
@@ -109,7 +109,7 @@
 	if err := r.renew(ctx); err != nil {
 		return err
 	}
-	if r.version != 0 && r.options.Eras != nil && r.options.Eras.Newest() != r.version.Era() {
+	if r.version != 0 && r.options.Eras != nil && r.era() != r.version.Era() {
 		if err := r.restoreSecret(ctx); err != nil {
 			return err
 		}
@@ -166,6 +166,14 @@
 	return nil
 }
 
+// era returns the newest era of the store that this host knows, zero if it knows none.
+func (r *Registry) era() winch.Era {
+	if r.options.Eras == nil {
+		return 0
+	}
+	return r.options.Eras.Newest()
+}
+
 func (r *Registry) key() string { return hostPrefix + string(r.options.Self.ID) }
 
 func (r *Registry) register(ctx context.Context) error {
@@ -177,10 +185,14 @@
 	if err != nil {
 		return err
 	}
+	granted := r.era()
 	version, err := r.options.Store.PutLeased(ctx, r.key(), value, winch.VersionAny, lease)
 	if err != nil {
 		return err
 	}
+	if granted != 0 && version.Era() != granted {
+		return fmt.Errorf("register host: the store came back from an older copy, and lease %d may be another's: %w", lease, winch.ErrUnavailable)
+	}
 	r.lease, r.version = lease, version
 	r.options.Logger.Info("host registered", "Event", EventRegistered, "Key", r.key(), "Lease", lease)
 	return nil
