fix(lease): a term that began before the era was known ends when it is learned

With a store that does not name its era, the receiver of the duties could get a fencing number below that of a holder whose record was lost, while that one still acted.

A process that began shortly before takes what it reads for the former era if the revision has risen again above what it and the others had seen. Its term gets a number of that era. When it hears of the new one, its condition fails, it reads its own record, and went on with the term, as a holder from before the return may.

A term that was acquired within the TTL and InFlight before the new era is learned ends now. A holder that has had its term for longer keeps it. The time before the era is learned remains: the term may begin InFlight after it was acquired.

--- a/lease/keyvalue/era.go
+++ b/lease/keyvalue/era.go
@@ -26,12 +26,14 @@
 
 // endLostTerm ends the term if the record that was read is of an era after the one in which the term was last renewed, and others may
 // have held the lease in between: the term has expired, or the record is a renewal that met its condition in the new era, in which
-// that revision may have been another holder's. A term that is valid goes on, since until its end no other one begins in the new era.
+// that revision may have been another holder's. It also ends a term that was acquired shortly before: a service that does not name its era
+// may have been in the new one already. Another term that is valid goes on, since until its end no other one begins in the new era.
 func (m *stateMachine) endLostTerm(now time.Time, version winch.Version, found record) {
 	if !m.lease.held || version.Era() == m.lease.version.Era() {
 		return
 	}
-	if now.Before(m.lease.validUntil) && (m.pendingWrite.release || !m.isPending(found)) {
+	recent := now.Before(m.lease.acquiredAt.Add(m.lostHolderWait()))
+	if !recent && now.Before(m.lease.validUntil) && (m.pendingWrite.release || !m.isPending(found)) {
 		return
 	}
 	m.clearLease()
--- a/lease/keyvalue/term.go
+++ b/lease/keyvalue/term.go
@@ -18,6 +18,8 @@
 	beforePredecessor winch.HostID
 
 	version winch.Version
+	// acquiredAt is when this process learned that it had the lease.
+	acquiredAt time.Time
 	// beginsAt is when the predecessor's calls can no longer be in flight. The term begins then.
 	beginsAt   time.Time
 	validUntil time.Time
@@ -44,6 +46,7 @@
 	m.lease.number = number
 	m.highest = max(m.highest, number)
 	m.lease.version = version
+	m.lease.acquiredAt = now
 	m.lease.beginsAt = now.Add(m.predecessorWait())
 	m.lease.validUntil = time.Time{}
 	if m.era > 0 {
