fix(dispatch): requests that a host cannot send hold back no lower tier elsewhere

Callers of lower tiers got 429 predicted_wait from hosts that reach all endpoints, beside free slots, while other hosts were cut off from the endpoints.

Cause: a host reports its queued requests as at risk whether or not it could send them, and a lane of a plain service waits while one such request of a higher tier is reported. A host that is cut off has some all the time.

A host now reports none of a lane's requests as at risk while each serving endpoint of the lane is ejected and did not accept its last connection. Neither a free slot nor a preemption at another host could help such requests, so that nothing is lost by going on. With one endpoint reached, or ejections for another cause, it reports them as before.

--- a/dispatch/endpoint/lane.go
+++ b/dispatch/endpoint/lane.go
@@ -134,7 +134,7 @@
 	Running int
 	// Movable counts the running requests that could be preempted.
 	Movable int
-	// Urgent counts the queued requests for which other hosts should preempt lower tiers; see core.urgent.
+	// Urgent counts the queued requests for which other hosts should preempt lower tiers and leave slots free; see core.urgent.
 	Urgent     int
 	OldestWait time.Duration
 	// PromptRate is the rate of prompt tokens that need prefill, per second.
--- a/dispatch/endpoint/reach.go
+++ b/dispatch/endpoint/reach.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"slices"
 	"time"
 )
 
@@ -35,24 +36,30 @@
 	if !c.withinPrefillBudget(l, r) || !c.withinTokenBudget(now, l, r) {
 		return queuedBudget
 	}
-	serving, unreachable := 0, 0
-	for _, e := range l.subset {
-		switch {
-		case e.usable(now):
-			return queuedSlots
-		case e.serving && e.unreachable():
-			unreachable++
-			serving++
-		case e.serving:
-			serving++
-		}
+	if slices.ContainsFunc(l.subset, func(e *endpoint) bool { return e.usable(now) }) {
+		return queuedSlots
 	}
-	if serving > 0 && unreachable == serving {
+	if l.unreachable() {
 		return queuedUnreachable
 	}
 	return queuedUnusable
 }
 
+// unreachable reports whether no serving endpoint of the lane accepts this host's connections.
+func (l *lane) unreachable() bool {
+	serving := false
+	for _, e := range l.subset {
+		if !e.serving {
+			continue
+		}
+		if !e.unreachable() {
+			return false
+		}
+		serving = true
+	}
+	return serving
+}
+
 // unreachable reports whether the endpoint did not accept this host's last connection.
 func (e *endpoint) unreachable() bool { return e.health.ejected && e.health.unreachable }
 
--- a/dispatch/endpoint/reach_test.go
+++ b/dispatch/endpoint/reach_test.go
@@ -46,6 +46,28 @@
 	})
 }
 
+// TestRequestsThatCannotBeSentAreNotUrgent guards against slots that other hosts leave free for a host that cannot use them.
+func TestRequestsThatCannotBeSentAreNotUrgent(t *testing.T) {
+	c, now := newPrefillCore(2, PolicyPrefill)
+	for _, e := range c.sortedEndpoints {
+		c.recordFailure(now, e, true)
+	}
+	r := c.submit(now, 1, "chat", 100)
+	assert.Equal(t, r.state, requestQueued)
+	later := now.Add(200 * time.Millisecond)
+	assert.Assert(t, c.atRisk(later, r.lane) > 0)
+	reported := func() int { return c.ownStats(later, false).lanes[r.lane.key].Urgent }
+	t.Run("while no endpoint is reached", func(t *testing.T) { assert.Equal(t, reported(), 0) })
+	t.Run("but are once one is reached", func(t *testing.T) {
+		c.sortedEndpoints[0].health = health{}
+		assert.Equal(t, reported(), 1)
+	})
+	t.Run("but are if endpoints are ejected for another cause", func(t *testing.T) {
+		c.sortedEndpoints[0].health = health{ejected: true, ejectedUntil: later.Add(time.Second)}
+		assert.Equal(t, reported(), 1)
+	})
+}
+
 // TestRequestsHeldBackForOtherHostsShow guards against free slots that are left to other hosts without a sign of it.
 func TestRequestsHeldBackForOtherHostsShow(t *testing.T) {
 	c, now := newPrefillCore(2, PolicyPrefill)
--- a/dispatch/endpoint/stats.go
+++ b/dispatch/endpoint/stats.go
@@ -84,9 +84,10 @@
 }
 
 // urgent returns the number of queued requests for which other hosts should preempt lower
-// tiers. If one is at risk, all of the lane's requests count, since the other hosts learn of them late.
+// tiers and leave slots free. If one is at risk, all of the lane's requests count, since the other hosts learn of them late. None count
+// while this host reaches no endpoint of the lane: it could not use a slot.
 func (c *core) urgent(now time.Time, l *lane) int {
-	if c.atRisk(now, l) == 0 {
+	if l.unreachable() || c.atRisk(now, l) == 0 {
 		return 0
 	}
 	return l.queued
