perf(lease): a new process acquires the lease while it hears of the store, and only its term waits

Cause: since the lease was acquired only once the process had heard how far the store had come, 1.5 s after the start of a hub. The wait of the first term, TTL and InFlight, began that much later, and so did the orders.

The lease is acquired at once, and the term begins once the process has heard, or after TTL and InFlight as before.

--- a/keyvalue/peer/section.go
+++ b/keyvalue/peer/section.go
@@ -7,12 +7,13 @@
 // # Usage
 //
 //	section := peer.New(peer.Options{Self: "a", Tracker: tracker, Settle: 1500 * time.Millisecond})
-//	// Pass the section to the exchange, and wait for it before the first act that depends on the era.
-//	section.Await(ctx, limit)
+//	// Pass the section to the exchange, and do not act on what depends on the era before the host has heard of it.
+//	if section.Heard() {
+//		...
+//	}
 package peer
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"sync"
@@ -36,7 +37,6 @@
 type Section struct {
 	winch.NoDigest
 	options Options
-	heard   chan struct{}
 
 	mu      sync.Mutex
 	settled bool
@@ -48,19 +48,14 @@
 
 // New returns the section of a host that has heard nothing.
 func New(options Options) *Section {
-	return &Section{options: options, heard: make(chan struct{})}
+	return &Section{options: options}
 }
 
-// Await waits until this host has heard the newest era, until the limit has passed, which is for a host that reaches no other, or until ctx
-// is done.
-func (s *Section) Await(ctx context.Context, limit time.Duration) {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-s.heard:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+// Heard reports whether this host has heard the newest era from the others.
+func (s *Section) Heard() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.settled
 }
 
 // Name returns the name of the section in the exchange.
@@ -97,7 +92,7 @@
 		s.hubSince = now
 	}
 	if now.Sub(s.hubSince) >= s.options.Settle {
-		s.settle()
+		s.settled = true
 	}
 }
 
@@ -107,14 +102,7 @@
 	defer s.mu.Unlock()
 	s.hubSince = time.Time{}
 	if heard {
-		s.settle()
-	}
-}
-
-func (s *Section) settle() {
-	if !s.settled {
 		s.settled = true
-		close(s.heard)
 	}
 }
 
--- a/keyvalue/peer/section_test.go
+++ b/keyvalue/peer/section_test.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -47,12 +46,7 @@
 
 func assertHeard(t *testing.T, s *Section, want bool) {
 	t.Helper()
-	select {
-	case <-s.heard:
-		assert.Assert(t, want, "has heard")
-	default:
-		assert.Assert(t, !want, "has not heard")
-	}
+	assert.Equal(t, s.Heard(), want)
 }
 
 // TestNewHostLearnsOfTheEra guards against a host that begins anew and takes what the service gives out again for new.
@@ -106,22 +100,6 @@
 	})
 }
 
-func TestAwait(t *testing.T) {
-	t.Run("until the host has heard", func(t *testing.T) {
-		s := newSection(t, "a")
-		beHub(t, s, start, settle)
-		s.Await(t.Context(), time.Hour)
-	})
-	t.Run("until the limit", func(t *testing.T) {
-		newSection(t, "a").Await(t.Context(), time.Millisecond)
-	})
-	t.Run("until it is cancelled", func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		cancel()
-		newSection(t, "a").Await(ctx, time.Hour)
-	})
-}
-
 func TestMalformedMessages(t *testing.T) {
 	for _, message := range []string{`{`, `{"Position":-1}`, `{"Position":"1"}`} {
 		s := newSection(t, "a")
--- a/lease/keyvalue/holder.go
+++ b/lease/keyvalue/holder.go
@@ -73,6 +73,9 @@
 	state   stateMachine
 	// activeWork is the number of calls of Begin whose done was not called yet.
 	activeWork int
+	// startedAt is when Run began, zero before, and informed whether Options.Informed has reported so.
+	startedAt time.Time
+	informed  bool
 	// reportedHeld is whether reportTerm last reported a term.
 	reportedHeld bool
 	// interval is the time until the next step. Only Run uses it.
@@ -119,8 +122,20 @@
 
 func (h *Holder) term(now time.Time) (winch.Term, bool) {
 	term, held := h.state.term(now)
+	if !held || !h.mayBegin(now) {
+		return winch.Term{Duty: h.options.Duty}, false
+	}
 	term.Duty = h.options.Duty
-	return term, held
+	return term, true
+}
+
+// mayBegin reports whether this process knows enough for a term to begin; see Options.Informed. It is called with the lock.
+func (h *Holder) mayBegin(now time.Time) bool {
+	if h.informed || h.options.Informed == nil {
+		return true
+	}
+	h.informed = h.options.Informed()
+	return h.informed || !h.startedAt.IsZero() && now.Sub(h.startedAt) >= h.options.TTL+h.options.InFlight
 }
 
 // Begin returns the current term and prevents the holder from releasing the lease until
@@ -147,6 +162,10 @@
 // Run acquires, renews and releases the lease until ctx is done. It then releases a lease
 // that it holds, for which it takes at most one TTL, and returns nil.
 func (h *Holder) Run(ctx context.Context) error {
+	started := h.options.Clock.Now()
+	h.mu.Lock()
+	h.startedAt = started
+	h.mu.Unlock()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/lease/keyvalue/options.go
+++ b/lease/keyvalue/options.go
@@ -34,10 +34,14 @@
 	// the caller has to ensure. A successor's term begins only after it. The default is 2 s.
 	InFlight time.Duration
 	// Drift is subtracted from the validity to allow for clock drift. The default is 200 ms.
-	Drift  time.Duration
-	Clock  winch.Clock
-	Logger hclog.Logger
-	Meter  metric.Meter
+	Drift time.Duration
+	// Informed reports whether this process has heard from other hosts how far the service has come. No term begins before, because a
+	// service that has come back from an older copy may give out low numbers again. A process that reaches no other host is not informed
+	// at all: its terms may begin once TTL and InFlight have passed since the start of Run. Informed may be nil.
+	Informed func() bool
+	Clock    winch.Clock
+	Logger   hclog.Logger
+	Meter    metric.Meter
 }
 
 func withDefaults(options Options) Options {
--- a/usage/simulation/era_test.go
+++ b/usage/simulation/era_test.go
@@ -1,8 +1,6 @@
 package simulation
 
 import (
-	"context"
-
 	"github.com/arbutuswinch/winch"
 	"github.com/arbutuswinch/winch/keyvalue/era"
 )
@@ -50,9 +48,10 @@
 	return version.Special() || version.Era() == present
 }
 
-// awaitEra waits until the process may act, as winchd does before it runs the lease.
-func (p *process) awaitEra(ctx context.Context) {
+// informed returns the condition under which the process's terms may begin, as in winchd. It is nil if hosts tell each other no eras.
+func (p *process) informed() func() bool {
 	if p.machine.fleet.faults.revisionGoesBack && !p.machine.fleet.faults.ignoresEra {
-		p.told.Await(ctx, leaseLength+inFlight)
+		return p.told.Heard
 	}
+	return nil
 }
--- a/usage/simulation/process_test.go
+++ b/usage/simulation/process_test.go
@@ -44,7 +44,7 @@
 	}
 	holder, err := lease.New(lease.Options{
 		Store: m.view(p, "lease"), Duty: platformDuty, Membership: members, Incarnation: p.incarnation, Standbys: f.standbys,
-		TTL: leaseLength, RenewEvery: renewEvery, InFlight: wait, Clock: p,
+		TTL: leaseLength, RenewEvery: renewEvery, InFlight: wait, Informed: p.informed(), Clock: p,
 	})
 	f.must(err)
 	sealed := winch.SealedWindows(p.sealed)
@@ -59,11 +59,7 @@
 	})
 	f.must(err)
 	orders := &sender{host: p, random: f.rng(string(p.incarnation) + "orders"), receiver: f.receiver, faults: f.faults}
-	hold := func(ctx context.Context) error {
-		p.awaitEra(ctx)
-		return holder.Run(ctx)
-	}
-	for _, run := range []func(context.Context) error{hold, reporter.Run, func(ctx context.Context) error { return p.order(ctx, holder, orders) }} {
+	for _, run := range []func(context.Context) error{holder.Run, reporter.Run, func(ctx context.Context) error { return p.order(ctx, holder, orders) }} {
 		stagger := spread(m.random, 0, 100*time.Millisecond)
 		p.running.Go(func() {
 			time.Sleep(stagger)
--- a/winchd/forwarder/duties.go
+++ b/winchd/forwarder/duties.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"context"
 	"time"
 
 	"github.com/arbutuswinch/winch"
@@ -115,7 +114,7 @@
 	holder, err := lease.New(lease.Options{
 		Store: f.store, Duty: platformDuty, Membership: f.table, Incarnation: f.incarnation, Standbys: standbys,
 		TTL: f.settings.Bounds.Lease, RenewEvery: f.settings.Bounds.Lease / renewalsPerLease, InFlight: maxInFlight,
-		Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
+		Informed: f.eras.Heard, Clock: f.clock, Logger: f.logger, Meter: f.metrics.Meter(),
 	})
 	if err != nil {
 		return err
@@ -127,17 +126,10 @@
 		return err
 	}
 	f.duties.holder, f.duties.sender = holder, sender
-	f.duties.tasks = append(f.duties.tasks, process.Task{Name: "lease", Run: f.runLease})
+	f.duties.tasks = append(f.duties.tasks, process.Task{Name: "lease", Run: holder.Run})
 	return nil
 }
 
-// runLease runs the lease once this process has heard the newest era of the store from the other hosts. One that reaches no other waits
-// until a holder that it could have heard of can act no more.
-func (f *Forwarder) runLease(ctx context.Context) error {
-	f.eras.Await(ctx, f.settings.Bounds.Lease+maxInFlight)
-	return f.duties.holder.Run(ctx)
-}
-
 func (f *Forwarder) buildCounters() error {
 	window := f.settings.Bounds.UsageWindow
 	counters, err := usagepeer.New(usagepeer.Options{
