test(forwarder): the bound of a configuration is counted beside a stable store, not after it

The check let a host handle requests by an older configuration for 2 s longer than promised when the configuration had been acknowledged before the store was stable: it added the time to apply it to the time in which the store has to be stable. Both run at once: a request is bound once the store and the host have been calm for 3 s and the configuration was acknowledged 2 s before.

--- a/winchd/forwarder/set_back_callers_test.go
+++ b/winchd/forwarder/set_back_callers_test.go
@@ -145,11 +145,7 @@
 	if o.before.inTouchFrom.After(stable) {
 		stable = o.before.inTouchFrom
 	}
-	from := stable.Add(setBackStable)
-	if o.newest.acknowledged.After(from) {
-		from = o.newest.acknowledged
-	}
-	return o.sent.After(from.Add(soakApply))
+	return o.sent.After(stable.Add(setBackStable)) && o.sent.After(o.newest.acknowledged.Add(soakApply))
 }
 
 // shownBefore reports whether the host had shown the version some time before.
