--- a/winchd/forwarder/set_back_callers_test.go
+++ b/winchd/forwarder/set_back_callers_test.go
@@ -198,6 +198,13 @@
 	}
 }
 
+// answered returns the number of requests that were served.
+func (c *callerWatch) answered() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.served
+}
+
 func (c *callerWatch) add(kind string, o observation) {
 	if c.violations[kind] == nil {
 		c.violations[kind] = &violation{first: o.String()}
--- a/winchd/forwarder/set_back_test.go
+++ b/winchd/forwarder/set_back_test.go
@@ -193,9 +193,11 @@
 func (b *setBack) assertKept() {
 	b.t.Helper()
 	terms, windows := b.record.holders()
-	b.t.Logf("%d windows reported in %d terms, %d calls; %d requests served", windows, terms, b.record.accepted(), b.callers.served)
+	b.t.Logf("%d windows reported in %d terms, %d calls; %d requests served", windows, terms, b.record.accepted(), b.callers.answered())
 	b.t.Log(b.record.terms())
+	b.mu.Lock()
 	assert.Check(b.t, len(b.failures) == 0, strings.Join(b.failures, "\n"))
+	b.mu.Unlock()
 	b.record.assertNone(b.t)
 	b.callers.assertKept(b.t)
 }
