fix(billing): no window is reported again in a later era of the store

What was seen: the receiver got two reports of one usage window with different counts. All hosts had been killed, one after the other, while the store was away, and it came back from a copy 8 s old.

Cause: which windows were sealed in the lost time was known only to hosts that lived. With none left, the next holder took the copy's head for the newest state and sealed the windows again with the counts that the copy has.

Fix: the head tells up to which era of the store a holder has made sure that nothing sealed before is missing. If the store is in a later era, the holder closes the windows that were due when its process first saw that era, as it does for windows that hosts know of (event 6109), and only then writes the new era, so that a holder that ends in between leaves the work to the next one. A window cannot have been sealed in an earlier era if it was not due when that era had ended. In a term in which the process had read the head before, all seals are its own, so it closes none. A head without the field has the era of its term's number. A shard without a head in era 1 is a first start.

What hosts tell each other does not limit what is closed where the era is known: a host may know of one lost seal and not of the next one. Without Options.Eras, the moment is not known, and that rule remains.

The simulated store begins in era 1, as the stand-in does.

--- a/usage/billing/events.go
+++ b/usage/billing/events.go
@@ -24,7 +24,8 @@
 	EventSealDelayed winch.EventNumber = 6107
 	// EventLedgerOpened: the lease holder has read the stored usage state, at the start of its term or after a failure.
 	EventLedgerOpened winch.EventNumber = 6108
-	// EventSealsLost: the stored usage state is older than a seal that hosts know of, or lacks its last seal. The windows up to that
-	// seal are not sealed or reported again.
+	// EventSealsLost: the stored usage state is older than a seal that hosts know of, lacks its last seal, or is of an earlier era of the
+	// key-value service, of whose end this process knows nothing. The windows up to that seal, or all that were due, are not sealed or
+	// reported again.
 	EventSealsLost winch.EventNumber = 6109
 )
--- a/usage/billing/ledger.go
+++ b/usage/billing/ledger.go
@@ -41,6 +41,8 @@
 	closed     []usage.Source
 	seals      []sealRef
 	writeCount int
+	// created is set if there was no head.
+	created bool
 	// incomplete is set if the seal that the head names is missing although it is too young to have been deleted.
 	incomplete bool
 }
@@ -61,7 +63,7 @@
 	entry, err := store.Get(ctx, keyvalue.HeadKey(shard))
 	switch {
 	case errors.Is(err, winch.ErrNotFound):
-		// There is no head yet; writeHead creates it.
+		l.created = true
 	case err != nil:
 		return nil, fmt.Errorf("read head: %w", err)
 	default:
@@ -235,11 +237,31 @@
 	return seal, nil
 }
 
+// firstEra is the first era that a key-value service tells.
+const firstEra winch.Era = 1
+
+// lostWrites reports whether the key-value service may have lost what was written after the head that was read: it has begun another era
+// since. If there was no head in the first era, nothing was written.
+func (l *ledger) lostWrites() bool {
+	return l.head.Era < l.version.Era() && !(l.created && l.version.Era() <= firstEra)
+}
+
+// noteEra records the era of the key-value service in the head, if it is newer.
+func (l *ledger) noteEra(ctx context.Context) error {
+	if l.head.Era >= l.version.Era() {
+		return nil
+	}
+	head := l.head
+	head.Era = l.version.Era()
+	return l.writeHead(ctx, head)
+}
+
 // skip makes windows up to the given one count as sealed and reported, though the head names none of their seals. Their counts are
 // not reported as late ones either.
 func (l *ledger) skip(ctx context.Context, window usage.Window) error {
 	head := l.head
 	head.Last, head.LastSeal, head.Reported, head.Closed = window, "", window, window
+	head.Era = max(head.Era, l.version.Era())
 	if err := l.writeHead(ctx, head); err != nil {
 		return err
 	}
--- a/usage/billing/options.go
+++ b/usage/billing/options.go
@@ -50,6 +50,10 @@
 	OnTimeFrom winch.DataCentreID
 	// Sealed is what the hosts know of the windows that were sealed. If it is nil, only this process itself remembers its seals.
 	Sealed winch.SealedWindows
+	// Eras knows the era of Store. If the era has changed, the windows that were due when it was first seen are not reported unless the
+	// head has their seals. If Eras is nil, that time is not known: if Sealed knows of a lost seal, only the windows up to it are left
+	// out, otherwise all that are due at the next start of a term.
+	Eras winch.EraSource
 	// Retention is how long after a window its counts may still be adjusted. The default is one
 	// hour.
 	Retention time.Duration
--- a/usage/billing/reporter.go
+++ b/usage/billing/reporter.go
@@ -50,6 +50,11 @@
 	// newestSealed is the newest window that this process has sealed or read to be sealed, and sealedAt is when it was, in window time.
 	newestSealed usage.Window
 	sealedAt     time.Time
+	// openedNumber is the number of the last term in which this process has opened the ledger.
+	openedNumber winch.FencingNumber
+	// era is the newest era of the key-value service that this process has seen, and eraSeenAt is when it did first, in window time.
+	era       winch.Era
+	eraSeenAt time.Time
 	// fencedNumber is the number of the term whose report the platform rejected as outdated.
 	fencedNumber winch.FencingNumber
 	// processed is the earliest window that was not closed when the closed ones were last
@@ -97,6 +102,7 @@
 // and windowTime by Options.WindowClock. After a failure it discards the ledger, which is then read
 // again, because the last write may or may not have taken effect.
 func (r *Reporter) step(ctx context.Context, now, windowTime time.Time) {
+	r.noteEra(windowTime)
 	term, held := r.options.Lease.Term(now)
 	if held || now.Sub(r.lastSeenAt) >= standbySeenEvery {
 		r.lastSeen.update(r.options.Membership, now, windowTime)
@@ -128,8 +134,8 @@
 	return r.report(ctx, now)
 }
 
-// open reads the stored usage state. If it lacks its last seal, or the hosts know of a newer one, the key-value service has lost
-// writes: what was sealed may have been reported, and must not be reported again with other counts.
+// open reads the stored usage state. If it lacks its last seal, the hosts know of a newer one, or one may have been written in an earlier
+// era, the key-value service has lost writes: what was sealed may have been reported, and must not be reported again with other counts.
 func (r *Reporter) open(ctx context.Context, now time.Time, term winch.Term) error {
 	ledger, err := openLedger(ctx, now, r.options, term.Number)
 	if err != nil {
@@ -137,17 +143,62 @@
 	}
 	r.ledger, r.processed = ledger, 0
 	r.logOpened()
-	if newest := max(r.knownSealed(now), ledger.head.Last); newest > ledger.head.Last || ledger.incomplete {
+	if newest := max(r.mayBeSealed(now), ledger.head.Last); newest > ledger.head.Last || ledger.incomplete {
 		r.options.Logger.Error("stored usage state lacks seals", "Event", EventSealsLost, "Shard", r.options.Shard,
-			"Last", ledger.head.Last.Start(), "Newest", newest.Start(), "LastSealMissing", ledger.incomplete)
+			"Last", ledger.head.Last.Start(), "Newest", newest.Start(), "LastSealMissing", ledger.incomplete,
+			"HeadEra", ledger.head.Era, "Era", ledger.version.Era())
 		if err := ledger.skip(ctx, newest); err != nil {
 			return err
 		}
 	}
+	if err := ledger.noteEra(ctx); err != nil {
+		return err
+	}
+	r.openedNumber = term.Number
 	r.noteSealed(now, ledger.head.Last)
 	return nil
 }
 
+// mayBeSealed returns the newest window that may have been sealed, as far as the head does not tell: the newest one that is known to be,
+// or, if a seal may be lost of which no host that runs knows, the newest one that was due when this process first saw the era. In a term in
+// which this process has read the head before, all seals are its own.
+func (r *Reporter) mayBeSealed(now time.Time) usage.Window {
+	known := r.knownSealed(now)
+	if r.ledger.number == r.openedNumber || !r.ledger.lostWrites() {
+		return known
+	}
+	if r.options.Eras == nil && known > r.ledger.head.Last {
+		// A host that knows of a lost seal has run until then. Without Eras it is not known when the era began, and no window that
+		// was due since is left out.
+		return known
+	}
+	seenAt := r.latest(now)
+	if r.era == r.ledger.version.Era() {
+		seenAt = r.eraSeenAt
+	}
+	// A window is sealed Grace after its end. Half of that allows for clocks that are ahead of this host's.
+	firstOpen := usage.WindowOf(seenAt.Add(-r.options.Grace/2), r.options.Window)
+	return max(known, firstOpen-usage.Window(r.options.Window/time.Second))
+}
+
+// noteEra records when this process first saw the newest era of the key-value service.
+func (r *Reporter) noteEra(now time.Time) {
+	if r.options.Eras == nil {
+		return
+	}
+	if era := r.options.Eras.Newest(); era > r.era {
+		r.era, r.eraSeenAt = era, r.latest(now)
+	}
+}
+
+// latest returns the present window time, which is later than that of the step if the process was paused since.
+func (r *Reporter) latest(now time.Time) time.Time {
+	if present := r.options.WindowClock.Now(); present.After(now) {
+		return present
+	}
+	return now
+}
+
 // knownSealed returns the newest window that this host knows to be sealed. A window that has not ended by this host's clock does
 // not count, so that a host whose clock is wrong cannot stop the reports.
 func (r *Reporter) knownSealed(now time.Time) usage.Window {
--- a/usage/keyvalue/codec.go
+++ b/usage/keyvalue/codec.go
@@ -71,6 +71,8 @@
 	LastSeal      string
 	Reported      int64
 	Closed        int64 `json:",omitempty"`
+	// Era is absent in heads that were written before the field existed.
+	Era *int64 `json:",omitempty"`
 }
 
 // Collected holds the counts that a data centre collected for one window.
@@ -109,6 +111,9 @@
 	Reported usage.Window
 	// Closed is the newest window whose seal was lost. Counts of it and of earlier windows are not reported any more.
 	Closed usage.Window
+	// Era is the era of the key-value service up to which a reporter has made sure that no window is reported again that was sealed
+	// in an earlier one.
+	Era winch.Era
 }
 
 // CollectedPrefix returns the prefix of the keys of a shard's collected counts.
@@ -257,6 +262,7 @@
 
 // EncodeHead encodes a head.
 func EncodeHead(head Head) ([]byte, error) {
+	era := int64(head.Era)
 	encoded, err := json.Marshal(wireHead{
 		FencingNumber: int64(head.Number),
 		WriteID:       string(head.Write),
@@ -264,6 +270,7 @@
 		LastSeal:      string(head.LastSeal),
 		Reported:      int64(head.Reported),
 		Closed:        int64(head.Closed),
+		Era:           &era,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("encode head: %w", err)
@@ -284,9 +291,19 @@
 		LastSeal: winch.WriteID(wire.LastSeal),
 		Reported: usage.Window(wire.Reported),
 		Closed:   usage.Window(wire.Closed),
+		Era:      decodeEra(wire),
 	}, nil
 }
 
+// decodeEra returns the era of the head, or that in which its term began if the head was written before the field existed: the number
+// of a term is the version of a write.
+func decodeEra(wire wireHead) winch.Era {
+	if wire.Era == nil {
+		return winch.Version(wire.FencingNumber).Era()
+	}
+	return winch.Era(*wire.Era)
+}
+
 func encodeCounts(organisation winch.OrganisationID, counts usage.Counts) wireCounts {
 	return wireCounts{
 		Organisation: string(organisation),
--- a/usage/simulation/process_test.go
+++ b/usage/simulation/process_test.go
@@ -54,7 +54,7 @@
 	reporter, err := billing.New(billing.Options{
 		Protocol: protocol{}, Shard: shard, Sealed: sealed, Host: m.id, Incarnation: p.incarnation, Lease: holder,
 		Sender: &sender{host: p, random: f.rng(string(p.incarnation) + "reports"), receiver: f.receiver, faults: f.faults},
-		Store:  m.view(p, "ledger"), Window: windowLength, Grace: usageGrace, MaxGrace: usageMaxGrace, CatchUpDelay: usageCatchUp,
+		Store:  m.view(p, "ledger"), Eras: p.eras, Window: windowLength, Grace: usageGrace, MaxGrace: usageMaxGrace, CatchUpDelay: usageCatchUp,
 		Membership: members, OnTimeFrom: centre, Retention: f.retained, Interval: usageInterval, Clock: p, WindowClock: windowClock{p},
 	})
 	f.must(err)
--- a/usage/simulation/returns_test.go
+++ b/usage/simulation/returns_test.go
@@ -23,18 +23,19 @@
 const returnSeeds = 40
 
 // TestTermsWhenTheStoreComesBack checks that there is one holder at a time and that its numbers rise at a receiver that knows nothing of
-// eras, and that this is not so if hosts take no notice of the era. What is reported of windows is checked by
-// TestHostsRememberWhatWasSealed.
+// eras, and that this is not so if hosts take no notice of the era. If the store names its era, it also checks that no window is reported
+// with different counts.
 func TestTermsWhenTheStoreComesBack(t *testing.T) {
 	for _, v := range returns {
 		v.faults.revisionGoesBack = true
 		t.Run(v.name, func(t *testing.T) {
-			assertTerms(t, v.faults, fromEnv(t, firstSeedEnv, 1), fromEnv(t, seedsEnv, returnSeeds))
+			assertReturns(t, v.faults, fromEnv(t, firstSeedEnv, 1), fromEnv(t, seedsEnv, returnSeeds),
+				lowerNumber, sharedNumber, backAndForth, differentCounts)
 		})
 		if v.faults.restartsInSeries {
 			t.Run(v.name+", the era is not named", func(t *testing.T) {
 				v.faults.eraUntold = true
-				assertTerms(t, v.faults, 1, returnSeeds)
+				assertReturns(t, v.faults, 1, returnSeeds, lowerNumber, sharedNumber, backAndForth)
 			})
 		}
 		guard := v
@@ -44,12 +45,12 @@
 	}
 }
 
-// assertTerms plays the seeds and asserts that the receiver found nothing wrong with the terms.
-func assertTerms(t *testing.T, selected faults, first, count int) {
+// assertReturns plays the seeds and asserts that the receiver found none of the unwanted.
+func assertReturns(t *testing.T, selected faults, first, count int, unwanted ...finding) {
 	t.Helper()
 	sum := playSeeds(t, first, count, selected)
 	t.Logf("%d seeds: %d calls, %d windows, %d terms; found %v", sum.seeds, sum.calls, sum.reports, sum.terms, sum.found)
-	for _, what := range []finding{lowerNumber, sharedNumber, backAndForth} {
+	for _, what := range unwanted {
 		assert.Equal(t, sum.found[what], 0, "%s", sum.first[what])
 	}
 }
--- a/usage/simulation/store_test.go
+++ b/usage/simulation/store_test.go
@@ -66,7 +66,11 @@
 const firstRevision winch.Version = 100
 
 func newStore(f faults) *store {
-	return &store{entries: map[string]winch.Entry{}, revision: firstRevision, faults: f}
+	s := &store{entries: map[string]winch.Entry{}, revision: firstRevision, faults: f}
+	if f.revisionGoesBack {
+		s.era = 1
+	}
+	return s
 }
 
 // apply carries the write out if its condition holds.
--- a/winchd/forwarder/duties.go
+++ b/winchd/forwarder/duties.go
@@ -152,7 +152,7 @@
 func (f *Forwarder) buildReporter() error {
 	reporter, err := billing.New(billing.Options{
 		Protocol: duty.Usage{Address: f.settings.Duties.Address}, Host: f.settings.Host, Incarnation: f.incarnation,
-		Lease: f.duties.holder, Sender: f.duties.sender, Store: f.store, Window: f.settings.Bounds.UsageWindow,
+		Lease: f.duties.holder, Sender: f.duties.sender, Store: f.store, Eras: f.store.Eras(), Window: f.settings.Bounds.UsageWindow,
 		Grace: usageGrace, MaxGrace: time.Duration(usageLateShare * float64(f.settings.Bounds.UsageLate)), CatchUpDelay: usageCatchUp,
 		Membership: f.table, Retention: usageRetention, Interval: usageInterval, OnTimeFrom: exchangeGroup, Sealed: f.duties.sealed,
 		Clock: f.clock, WindowClock: f.synced, Logger: f.logger, Meter: f.metrics.Meter(),
