fix(registry): in calm times the list counts, whatever endpoints said before

An endpoint could get requests for 5 s after it had said that it leaves, if its entry had a lower count or start than one that was listed before, for example one that another writer had put under its id. DRAIN allows 2 s.

Cause: let a later statement of an endpoint replace an earlier one that is listed, at any time. That is needed only after the store came back from an older copy: earlier statements now give way for 5 s from the first list of a new era.

TestListedStatementCountsAtOnceInCalmTimes fails before. TestStatementThatStaysListedCountsInTheEnd asserted the hold in calm times; it now asserts it, and its end, after a return of the store, which is as strict.

--- a/placement/registry/follower.go
+++ b/placement/registry/follower.go
@@ -87,10 +87,11 @@
 	hostHashes map[winch.HostID]uint64
 	// graceUntil is when endpoints that are missing after an outage, or in a new era of the store, are removed.
 	graceUntil time.Time
-	// era is that of the store as of the newest list.
-	era winch.Era
-	// held holds the endpoints in whose place current has a later statement than latest, and since when.
-	held   map[winch.EndpointID]time.Time
+	// era is that of the store as of the newest list, and eraSince when the first list of it was read, zero for the first era of all.
+	era      winch.Era
+	eraSince time.Time
+	// holds is set if current has a later statement of an endpoint than latest.
+	holds  bool
 	reader *relay.Reader
 	// readFailed reports whether a read of this host failed since the last list.
 	readFailed bool
@@ -147,7 +148,7 @@
 	}
 	f.era = f.options.Eras.Newest()
 	if !f.readAt.IsZero() {
-		f.graceUntil = at.Add(reRegistrationGrace)
+		f.eraSince, f.graceUntil = at, at.Add(reRegistrationGrace)
 	}
 }
 
@@ -179,7 +180,7 @@
 
 // recovering reports whether a list read at the given time may not be the one in use, because of an outage before it or earlier statements in it.
 func (f *Follower) recovering(at time.Time) bool {
-	return len(f.held) > 0 || f.readFailed && at.Sub(f.readAt) > outageThreshold || at.Before(f.graceUntil) || len(f.current) != len(f.latest)
+	return f.holds || f.readFailed && at.Sub(f.readAt) > outageThreshold || at.Before(f.graceUntil) || len(f.current) != len(f.latest)
 }
 
 func sortByID(statuses []winch.EndpointStatus) {
--- a/placement/registry/statements.go
+++ b/placement/registry/statements.go
@@ -7,8 +7,8 @@
 	"github.com/arbutuswinch/winch"
 )
 
-// statementHold is how long a listed statement of an endpoint does not replace a later one. Endpoints write more often than that, so that the
-// later one is listed again by then.
+// statementHold is how long after the beginning of an era a listed statement of an endpoint does not replace a later one. Endpoints write
+// more often than that, so that the later one is listed again by then.
 const statementHold = 5 * time.Second
 
 // precedes reports whether an endpoint made the first statement before the second one.
@@ -23,27 +23,22 @@
 }
 
 // keepLaterStatements returns the list, sorted by ID, in which the statements in use replace those that their endpoints made earlier: a store that has
-// come back from an older copy lists what endpoints said before, until they write again. It is called with the lock.
+// come back from an older copy lists what endpoints said before, until they write again. In calm times the list counts. It is called with the lock.
 func (f *Follower) keepLaterStatements(at time.Time, statuses []winch.EndpointStatus) []winch.EndpointStatus {
-	kept, held := statuses, map[winch.EndpointID]time.Time{}
+	f.holds = false
+	if f.eraSince.IsZero() || at.Sub(f.eraSince) >= statementHold {
+		return statuses
+	}
+	kept := statuses
 	for i, status := range statuses {
-		id := status.Endpoint.ID
 		known, found := slices.BinarySearchFunc(f.current, status, compareID)
 		if !found || !precedes(status, f.current[known]) {
 			continue
 		}
-		since, before := f.held[id]
-		if !before {
-			since = at
-		}
-		if at.Sub(since) >= statementHold {
-			continue
-		}
-		if len(held) == 0 {
-			kept = slices.Clone(statuses)
+		if !f.holds {
+			kept, f.holds = slices.Clone(statuses), true
 		}
-		kept[i], held[id] = f.current[known], since
+		kept[i] = f.current[known]
 	}
-	f.held = held
 	return kept
 }
