--- a/release/source/setback_test.go
+++ b/release/source/setback_test.go
@@ -303,13 +303,13 @@
 }
 
 // TestConditionIsMatchedByAnotherWrite is TestKnownVersionIsMatchedByAnotherWrite for a configuration that is only transferred if it has
-// changed. The response to such a read tells no revision of the store. If the store tells no era either, hosts learn from the list of
-// endpoints that it has come back; after that, one read may fail.
+// changed.
 func TestConditionIsMatchedByAnotherWrite(t *testing.T) {
 	eachSite(t, func(t *testing.T, s *site) {
 		s.routes = largeRoutes
 		s.writeOthers(1)
 		host := s.matchKnownVersion(t)
+		// The conditional read tells no revision. Without the era, the list shows that the store has come back, after which one read may fail.
 		s.listEndpoints(t)
 		s.stepAfter(t, time.Second, host)
 		assert.Assert(t, host.Current().Revision == 7 || host.ConfirmedAt().Before(s.clock.now), "revision 5 is confirmed by another write")
--- a/usage/simulation/returns_test.go
+++ b/usage/simulation/returns_test.go
@@ -22,9 +22,8 @@
 // in none of these.
 const returnSeeds = 40
 
-// TestTermsWhenTheStoreComesBack checks that there is one holder at a time and that its numbers rise at a receiver that knows nothing of
-// eras, and that this is not so if hosts take no notice of the era. If the store names its era, it also checks that no window is reported
-// with different counts.
+// TestTermsWhenTheStoreComesBack guards against two holders, numbers that fall and, if the store names its era, windows that are reported
+// with different counts. Without the era it must find falling numbers.
 func TestTermsWhenTheStoreComesBack(t *testing.T) {
 	for _, v := range returns {
 		v.faults.revisionGoesBack = true
