fix(tunnel): a slow direct connection begins no detour

On a busy host, a direct connection that is open can be noticed later than the head start of 120 ms. A tunnel that opened after it then began a detour of up to 1 s, in which all connections to the endpoint led through other hosts.

Cause: observeTunnel did not look at whether the direct connection had succeeded in the meantime. It now compares with the beginning of the attempt. The new subtest of TestPlan fails without the comparison.

--- a/serving/tunnel/dialer.go
+++ b/serving/tunnel/dialer.go
@@ -163,7 +163,8 @@
 
 // DialEndpoint implements winch.EndpointDialer. It returns the first connection of the two ways that are planned.
 func (d *Dialer) DialEndpoint(ctx context.Context, endpoint winch.EndpointID, address string) (winch.EndpointConnection, error) {
-	chosen := d.paths.plan(d.now(), endpoint)
+	began := d.now()
+	chosen := d.paths.plan(began, endpoint)
 	if chosen.tunnel && d.secret.Load() == nil {
 		chosen = plan{direct: true}
 	}
@@ -183,7 +184,7 @@
 		})
 	}
 	race.begin(func() (winch.EndpointConnection, error) {
-		return d.tunnelAfter(ctx, chosen.headStart, directFailed, race, endpoint, address)
+		return d.tunnelAfter(ctx, began, chosen.headStart, directFailed, race, endpoint, address)
 	})
 	return race.first(ctx)
 }
@@ -221,7 +222,9 @@
 var errDirectFaster = errors.New("the direct connection was faster")
 
 // tunnelAfter opens a tunnel once the direct connection has failed or its head start is over.
-func (d *Dialer) tunnelAfter(ctx context.Context, wait time.Duration, directFailed <-chan struct{}, race *race, endpoint winch.EndpointID, address string) (winch.EndpointConnection, error) {
+func (d *Dialer) tunnelAfter(
+	ctx context.Context, began time.Time, wait time.Duration, directFailed <-chan struct{}, race *race, endpoint winch.EndpointID, address string,
+) (winch.EndpointConnection, error) {
 	if wait > 0 {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
@@ -240,12 +243,12 @@
 	switch {
 	case err == nil:
 		count(d.metrics.requested, resultOpened)
-		if d.paths.observeTunnel(d.now(), endpoint, true) {
+		if d.paths.observeTunnel(d.now(), began, endpoint, true) {
 			d.options.Logger.Warn("endpoint is reached through other hosts only", "Event", EventDetourBegan, "Endpoint", string(endpoint))
 		}
 	case errors.Is(err, errNotReached):
 		count(d.metrics.requested, resultNotReached)
-		d.paths.observeTunnel(d.now(), endpoint, false)
+		d.paths.observeTunnel(d.now(), began, endpoint, false)
 	default:
 		count(d.metrics.requested, resultRefused)
 	}
--- a/serving/tunnel/path.go
+++ b/serving/tunnel/path.go
@@ -124,9 +124,9 @@
 	return ended
 }
 
-// observeTunnel processes that other hosts have reached the endpoint, while this one did not, or that they have not. It reports whether a
-// detour has begun.
-func (p *paths) observeTunnel(now time.Time, endpoint winch.EndpointID, reached bool) bool {
+// observeTunnel processes that other hosts have reached the endpoint, or that they have not, in an attempt to connect that began at the given
+// time. It reports whether a detour has begun: it has not if this host has reached the endpoint since, however slowly.
+func (p *paths) observeTunnel(now, began time.Time, endpoint winch.EndpointID, reached bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.path(endpoint)
@@ -134,11 +134,11 @@
 		known.noTunnelUntil, known.detour = now.Add(tunnelPause), false
 		return false
 	}
-	began := !known.detour
-	if began {
-		known.detour, known.directAt = true, now.Add(directEvery)
+	if known.detour || !known.reachedAt.Before(began) {
+		return false
 	}
-	return began
+	known.detour, known.directAt = true, now.Add(directEvery)
+	return true
 }
 
 // detours returns the number of endpoints that are reached through other hosts.
--- a/serving/tunnel/path_test.go
+++ b/serving/tunnel/path_test.go
@@ -40,18 +40,24 @@
 	t.Run("uses tunnels during a detour, with a direct connection once in a while", func(t *testing.T) {
 		p := newPaths()
 		p.observeDirect(start, "i-1", false)
-		assert.Assert(t, p.observeTunnel(start, "i-1", true))
+		assert.Assert(t, p.observeTunnel(start, start, "i-1", true))
 		assert.Equal(t, p.plan(after(999), "i-1"), tunnelOnly)
 		assert.Equal(t, p.plan(after(1000), "i-1"), both)
 		assert.Equal(t, p.plan(after(1001), "i-1"), tunnelOnly)
-		assert.Assert(t, !p.observeTunnel(after(1001), "i-1", true))
+		assert.Assert(t, !p.observeTunnel(after(1001), after(1001), "i-1", true))
 		assert.Assert(t, p.observeDirect(after(2000), "i-1", true))
 		assert.Equal(t, p.plan(after(2001), "i-1"), directFirst)
 	})
+	t.Run("begins no detour if the direct connection was slow, as on a busy host", func(t *testing.T) {
+		p := newPaths()
+		p.observeDirect(after(130), "i-1", true)
+		assert.Assert(t, !p.observeTunnel(after(140), start, "i-1", true))
+		assert.Equal(t, p.plan(after(150), "i-1"), directFirst)
+	})
 	t.Run("uses no tunnel to an endpoint that others do not reach either", func(t *testing.T) {
 		p := newPaths()
 		p.observeDirect(start, "i-1", false)
-		p.observeTunnel(start, "i-1", false)
+		p.observeTunnel(start, start, "i-1", false)
 		assert.Equal(t, p.plan(after(999), "i-1"), directOnly)
 		assert.Equal(t, p.plan(after(1000), "i-1"), both)
 	})
@@ -99,7 +105,7 @@
 func TestEndpointsThatAreNotListedAreForgotten(t *testing.T) {
 	p := newPaths()
 	for i := range 5 {
-		p.observeTunnel(start, winch.EndpointID(fmt.Sprintf("i-%d", i)), true)
+		p.observeTunnel(start, start, winch.EndpointID(fmt.Sprintf("i-%d", i)), true)
 	}
 	assert.Equal(t, p.detours(), int64(5))
 	p.keep(func(endpoint winch.EndpointID) bool { return endpoint == "i-3" })
