perf(tunnel): hosts that reach most endpoints ask no others for a single failure

Cause: a tunnel was tried whenever a direct connection failed or took longer than 120 ms. Connections to endpoints that end, start or are overloaded do so all the time. The tunnels cost the hosts processor time and the endpoints connections, and kept requests at endpoints that the dispatcher would have left alone.

A host now tries tunnels if it is cut off (it has lost more endpoints than it has reached in the last 3 s, two at least), or after two direct connections in a row to the same endpoint have failed within 3 s. The first failures of a cut cost the dial timeout, which all links share.

--- a/serving/tunnel/dialer.go
+++ b/serving/tunnel/dialer.go
@@ -172,19 +172,14 @@
 		return d.direct(ctx, endpoint, address)
 	}
 	race := &race{results: make(chan attempt, 2)}
-	directFailed := make(chan struct{})
 	if chosen.direct {
 		race.begin(func() (winch.EndpointConnection, error) {
 			// It goes on after the tunnel was faster, to find out whether the endpoint can be reached.
-			connection, err := d.direct(context.WithoutCancel(ctx), endpoint, address)
-			if err != nil {
-				close(directFailed)
-			}
-			return connection, err
+			return d.direct(context.WithoutCancel(ctx), endpoint, address)
 		})
 	}
 	race.begin(func() (winch.EndpointConnection, error) {
-		return d.tunnelAfter(ctx, began, chosen.headStart, directFailed, race, endpoint, address)
+		return d.tunnel(ctx, began, endpoint, address)
 	})
 	return race.first(ctx)
 }
@@ -218,25 +213,8 @@
 	return dialed.(*net.TCPConn), nil
 }
 
-// errDirectFaster: a tunnel was not needed.
-var errDirectFaster = errors.New("the direct connection was faster")
-
-// tunnelAfter opens a tunnel once the direct connection has failed or its head start is over.
-func (d *Dialer) tunnelAfter(
-	ctx context.Context, began time.Time, wait time.Duration, directFailed <-chan struct{}, race *race, endpoint winch.EndpointID, address string,
-) (winch.EndpointConnection, error) {
-	if wait > 0 {
-		timer := time.NewTimer(wait)
-		defer timer.Stop()
-		select {
-		case <-directFailed:
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-	}
-	if race.isWon() || ctx.Err() != nil {
-		return winch.EndpointConnection{}, errDirectFaster
-	}
+// tunnel opens a tunnel to the endpoint, in an attempt to connect that began at the given time, and records whether that succeeds.
+func (d *Dialer) tunnel(ctx context.Context, began time.Time, endpoint winch.EndpointID, address string) (winch.EndpointConnection, error) {
 	limited, cancel := context.WithTimeout(ctx, d.options.DialTimeout)
 	defer cancel()
 	tcp, err := d.openTunnel(limited, endpoint, address)
@@ -319,12 +297,6 @@
 	}()
 }
 
-func (r *race) isWon() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.won
-}
-
 // first returns the first connection, or the error of the first way if all fail.
 func (r *race) first(ctx context.Context) (winch.EndpointConnection, error) {
 	var failed error
--- a/serving/tunnel/path.go
+++ b/serving/tunnel/path.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// headStart is how long a direct connection is tried before a tunnel is tried beside it. It is far longer than a connection within a
-	// region takes, and short compared with the targets of urgent requests.
-	headStart = 120 * time.Millisecond
 	// directEvery is the interval at which a direct connection is tried to an endpoint that is reached through other hosts.
 	directEvery = time.Second
 	// tunnelPause is how long no tunnel to an endpoint is tried after other hosts have not reached it either.
@@ -19,20 +16,20 @@
 	recent = 3 * time.Second
 	// minLost is the number of endpoints that a host that is cut off has failed to reach. A single one may be at fault itself.
 	minLost = 2
+	// minLosses is the number of direct connections to an endpoint that have failed in a row before a tunnel is tried by a host that
+	// reaches most endpoints. One fails whenever an endpoint ends or starts.
+	minLosses = 2
 )
 
-// plan says how to connect to an endpoint.
-type plan struct {
-	direct bool
-	tunnel bool
-	// headStart is how long the direct connection is tried alone, if both are tried.
-	headStart time.Duration
-}
+// plan says how to connect to an endpoint. If both ways are tried, the first connection is used.
+type plan struct{ direct, tunnel bool }
 
 // path is what is known of the way to an endpoint.
 type path struct {
 	// reachedAt and lostAt are when a direct connection was opened last, and when one failed.
 	reachedAt, lostAt time.Time
+	// losses is the number of direct connections that have failed since one was opened.
+	losses int
 	// detour is set while the endpoint is reached through other hosts.
 	detour bool
 	// directAt is when a direct connection is tried again during a detour.
@@ -73,10 +70,7 @@
 	case now.Before(known.noTunnelUntil):
 		return plan{direct: true}
 	case !known.detour && !p.cutOff(now):
-		if known.lost() && now.Sub(known.lostAt) <= recent {
-			return plan{direct: true, tunnel: true}
-		}
-		return plan{direct: true, tunnel: true, headStart: headStart}
+		return plan{direct: true, tunnel: known.losses >= minLosses && now.Sub(known.lostAt) <= recent}
 	case now.Before(known.directAt):
 		return plan{tunnel: true}
 	}
@@ -117,10 +111,11 @@
 	known := p.path(endpoint)
 	if !reached {
 		known.lostAt, p.lostAt = now, now
+		known.losses++
 		return false
 	}
 	ended := known.detour
-	known.reachedAt, known.detour = now, false
+	known.reachedAt, known.losses, known.detour = now, 0, false
 	return ended
 }
 
