test(review): a failure is handed out as a success behind additional bytes

Cause: on a kept connection, bytes that a faulty runner adds after a complete answer stand before the next answer. Where they are a truncated head, its status line is taken for that of the answer, whose own status line becomes the rest of a header.

Nothing is fixed.

--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -14,7 +14,8 @@
 )
 
 var cases = map[string]func(*World) (broken []string){
-	"slow-reader": slowReader,
+	"slow-reader":    slowReader,
+	"spliced-answer": splicedAnswer,
 }
 
 func main() {
